--- /dev/null
+++ b/pkg/identifier/identifier.go
@@ -0,0 +1,103 @@
+// Package identifier declares the named types for ids and units that all
+// other packages share. It depends on nothing else of the project.
+package identifier
+
+import "fmt"
+
+// VMID names a virtual machine, entry VM and backend server alike. The cloud
+// never gives an id to a second VM.
+type VMID string
+
+// Incarnation counts the process starts on one VM; the later start has the
+// larger number. It is the start time of the process in milliseconds.
+type Incarnation uint64
+
+// Zone names an availability zone.
+type Zone string
+
+// Region names a region, a group of availability zones.
+type Region string
+
+// AccountID names a client account.
+type AccountID string
+
+// ServiceName names a service that callers ask for.
+type ServiceName string
+
+// PoolName names a pool of like backend servers.
+type PoolName string
+
+// ModelName names a model, adapter or version that an engine can load.
+type ModelName string
+
+// VMClass names a class of VM that the cloud sells.
+type VMClass string
+
+// RequestID names a request for its whole life, on every node.
+type RequestID string
+
+// IdempotencyKey is the caller's own name of a request within its account.
+type IdempotencyKey string
+
+// AttemptNumber counts the attempts of one request, from 1, over all nodes.
+type AttemptNumber uint32
+
+// StreamName names an attempt's stream towards an engine. It follows from the
+// request and the attempt, so that a node that adopts a request can name it.
+type StreamName string
+
+// Stream returns the name of the stream of attempt n of request r.
+func Stream(r RequestID, n AttemptNumber) StreamName {
+	return StreamName(fmt.Sprintf("%s.%d", r, n))
+}
+
+// Nonce marks one append to the log, so that its writer recognizes it when
+// the answer to the append was lost.
+type Nonce string
+
+// Offset is a position in the platform's log. Offsets grow, with gaps.
+type Offset uint64
+
+// Fence is a fencing number: the offset of the grant of the lease under
+// which an order is given.
+type Fence = Offset
+
+// LogStream names one stream of the platform's log.
+type LogStream string
+
+// FileName names one file of the operators' folder.
+type FileName string
+
+// Revision is the offset at which the last accepted change of the
+// configuration, or of one file of it, stands. Zero means never.
+type Revision = Offset
+
+// Ticket ties the report of an effect to the effect, within one process.
+type Ticket uint64
+
+// PrefixHash names a block of prompt tokens together with all before it.
+type PrefixHash uint64
+
+// Tokens is a number of model tokens.
+type Tokens int64
+
+// Bytes is a number of bytes.
+type Bytes int64
+
+// BytesPerSecond is a rate of transfer.
+type BytesPerSecond int64
+
+// Money is an amount in millionths of the operator's currency.
+type Money int64
+
+// Coin is one whole unit of the operator's currency.
+const Coin Money = 1_000_000
+
+// String returns m in whole units with six decimals.
+func (m Money) String() string {
+	sign := ""
+	if m < 0 {
+		sign, m = "-", -m
+	}
+	return fmt.Sprintf("%s%d.%06d", sign, m/Coin, m%Coin)
+}
