Carry the stream's name with copies and handed-over requests

Cause: an attempt that resumed keeps the stream of an earlier attempt, so the attempt number alone does not name the stream that a new owner may resume. Ruled out: renaming the stream at each resume, which engines need not offer. Change: Stream in CopyHeld, RequestHandedOver and HandOver. Conclusion: a new owner can always name the stream.

--- a/internal/messenger/effect.go
+++ b/internal/messenger/effect.go
@@ -111,13 +111,16 @@
 type (
 	// Hold gives a peer a copy of a long request, its body included, and from
 	// then on its answer: tokens go to the caller only once the holder has
-	// them.
+	// them. Each push names the attempt, server and stream of the last
+	// SendAttempt. After HoldFailed nothing more is released until the next
+	// Hold or Unhold.
 	Hold struct {
 		Request identifier.RequestID
 		Holder  identifier.VMID
 		Address string
 	}
-	// Unhold ends delivery through a holder, which drops its copy.
+	// Unhold ends delivery through a holder, which drops its copy. Without a
+	// Holder it only lets the answer go out unprotected.
 	Unhold struct {
 		Request identifier.RequestID
 		Holder  identifier.VMID
@@ -130,6 +133,8 @@
 		Address   string
 		Attempt   identifier.AttemptNumber
 		Server    identifier.VMID
+		// Stream is the engine's stream that the successor may resume.
+		Stream identifier.StreamName
 	}
 	// Adopt makes this node the owner of a request whose copy it holds.
 	Adopt struct{ Request identifier.RequestID }
--- a/internal/messenger/event.go
+++ b/internal/messenger/event.go
@@ -74,6 +74,7 @@
 		Owner     identifier.VMID
 		Attempt   identifier.AttemptNumber
 		Server    identifier.VMID
+		Stream    identifier.StreamName
 		Delivered identifier.Tokens
 	}
 	// CopyDropped: the owner says that the request has ended.
@@ -84,6 +85,7 @@
 		From      identifier.VMID
 		Attempt   identifier.AttemptNumber
 		Server    identifier.VMID
+		Stream    identifier.StreamName
 		Delivered identifier.Tokens
 	}
 	// HandoverAcked: the successor has the request now.
