--- /dev/null
+++ b/internal/answerer/answer.go
@@ -0,0 +1,249 @@
+package answerer
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// Piece is one token of an answer. Indexes count from 1.
+type Piece struct {
+	Index identifier.Tokens
+	Text  string
+}
+
+// Body is what the caller sent: Prompt for a model service, the rest for a
+// plain one.
+type Body struct {
+	Prompt      string
+	Method      string
+	Path        string
+	ContentType string
+	Content     []byte
+}
+
+// Size returns the number of bytes that b keeps in memory.
+func (b Body) Size() identifier.Bytes {
+	return identifier.Bytes(len(b.Prompt) + len(b.Method) + len(b.Path) + len(b.ContentType) + len(b.Content))
+}
+
+// Reply is the whole answer of a plain service.
+type Reply struct {
+	Status int
+	Header map[string]string
+	Body   []byte
+}
+
+// Verdict tells whether a request was accepted.
+type Verdict struct {
+	Accepted bool
+	// Refusal is set where Accepted is false.
+	Refusal messenger.Refusal
+}
+
+// End is the end of an answer.
+type End struct {
+	Outcome    messenger.Outcome
+	Reason     messenger.Reason
+	RetryAfter timekeeper.Duration
+	// Status, Header and Body are the reply of a plain service.
+	Status int
+	Header map[string]string
+	Body   []byte
+	// MovedTo is the caller address of the node that has the request now; it
+	// is empty where the request ended here.
+	MovedTo string
+}
+
+// pieceOverhead is the memory of a piece besides its text.
+const pieceOverhead = 24
+
+// Answer is one request's answer. It is safe for concurrent use.
+type Answer struct {
+	spec messenger.RequestSpec
+	body Body
+
+	mu       sync.Mutex
+	changed  chan struct{} // closed and replaced at each change
+	attempt  identifier.AttemptNumber
+	pieces   []Piece
+	reply    *Reply
+	released identifier.Tokens
+	gated    bool
+	verdict  *Verdict
+	end      *End
+	size     identifier.Bytes
+	seen     chan struct{} // closed once a reader has had the end
+	callers  int
+}
+
+// Config says what an Answer starts with.
+type Config struct {
+	Spec messenger.RequestSpec
+	Body Body
+	// Attempt is the last attempt known, and Pieces what it brought, where
+	// the answer comes from another node.
+	Attempt identifier.AttemptNumber
+	Pieces  []Piece
+	Reply   *Reply
+	// Accepted is set where another node has accepted the request.
+	Accepted bool
+}
+
+// New returns an answer with nothing gated.
+func New(c Config) *Answer {
+	a := &Answer{
+		spec:     c.Spec,
+		body:     c.Body,
+		changed:  make(chan struct{}),
+		attempt:  c.Attempt,
+		pieces:   c.Pieces,
+		reply:    c.Reply,
+		released: identifier.Tokens(len(c.Pieces)),
+		size:     c.Body.Size(),
+		seen:     make(chan struct{}),
+	}
+	if c.Accepted {
+		a.verdict = &Verdict{Accepted: true}
+	}
+	for _, p := range c.Pieces {
+		a.size += identifier.Bytes(len(p.Text) + pieceOverhead)
+	}
+	if c.Reply != nil {
+		a.size += identifier.Bytes(len(c.Reply.Body))
+	}
+	return a
+}
+
+// Request returns the request's id.
+func (a *Answer) Request() identifier.RequestID { return a.spec.Request }
+
+// Account returns the client account that the answer belongs to.
+func (a *Answer) Account() identifier.AccountID { return a.spec.Account }
+
+// Service returns the service that was asked.
+func (a *Answer) Service() identifier.ServiceName { return a.spec.Service }
+
+// Spec returns what was asked for.
+func (a *Answer) Spec() messenger.RequestSpec { return a.spec }
+
+// Body returns what the caller sent.
+func (a *Answer) Body() Body { return a.body }
+
+// WaitError reports a wait that its context ended.
+type WaitError struct {
+	Request identifier.RequestID
+	Cause   error
+}
+
+func (e *WaitError) Error() string {
+	return fmt.Sprintf("waiting for request %s: %v", e.Request, e.Cause)
+}
+
+func (e *WaitError) Unwrap() error { return e.Cause }
+
+var _ error = (*WaitError)(nil)
+
+// Verdict waits until the request is accepted or refused. Its error is a
+// *WaitError.
+func (a *Answer) Verdict(ctx context.Context) (Verdict, error) {
+	var v Verdict
+	err := a.wait(ctx, func() bool {
+		switch {
+		case a.verdict != nil:
+			v = *a.verdict
+		case a.end != nil:
+			// Moved or ended before it was accepted: Read tells the rest.
+			v = Verdict{Accepted: true}
+		default:
+			return false
+		}
+		return true
+	})
+	return v, err
+}
+
+// Read waits until pieces beyond after are released, or the answer has ended,
+// and returns both where both are there. The end comes only together with or
+// after the last piece. The pieces are the caller's to keep, not to change.
+// Its error is a *WaitError.
+func (a *Answer) Read(ctx context.Context, after identifier.Tokens) ([]Piece, *End, error) {
+	var (
+		pieces []Piece
+		end    *End
+	)
+	err := a.wait(ctx, func() bool {
+		pieces = between(a.pieces, after, a.released)
+		end = a.visibleEnd()
+		return len(pieces) > 0 || end != nil
+	})
+	if err == nil && end != nil {
+		a.markSeen()
+	}
+	return pieces, end, err
+}
+
+// Seen returns a channel that is closed once a reader has had the end.
+func (a *Answer) Seen() <-chan struct{} { return a.seen }
+
+func (a *Answer) markSeen() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	select {
+	case <-a.seen:
+	default:
+		close(a.seen)
+	}
+}
+
+// visibleEnd returns the end once readers may have it: when all pieces are
+// released, and at once when the answer goes on elsewhere.
+func (a *Answer) visibleEnd() *End {
+	if a.end == nil {
+		return nil
+	}
+	if a.end.MovedTo != "" || !a.gated || int(a.released) >= len(a.pieces) {
+		return a.end
+	}
+	return nil
+}
+
+// wait blocks until done, which runs with a.mu held, returns true.
+func (a *Answer) wait(ctx context.Context, done func() bool) error {
+	for {
+		a.mu.Lock()
+		ok, changed := done(), a.changed
+		a.mu.Unlock()
+		if ok {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return &WaitError{
+				Request: a.spec.Request,
+				Cause:   context.Cause(ctx),
+			}
+		}
+	}
+}
+
+// notify wakes all waiters. The caller holds a.mu.
+func (a *Answer) notify() {
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+// between returns the pieces with indexes in (after, upTo].
+func between(pieces []Piece, after, upTo identifier.Tokens) []Piece {
+	after = max(after, 0)
+	upTo = min(upTo, identifier.Tokens(len(pieces)))
+	if after >= upTo {
+		return nil
+	}
+	return pieces[after:upTo:upTo]
+}
--- /dev/null
+++ b/internal/answerer/errors.go
@@ -0,0 +1,49 @@
+package answerer
+
+import (
+	"fmt"
+
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+var (
+	_ error = (*ElsewhereError)(nil)
+	_ error = (*UnknownRequestError)(nil)
+	_ error = (*FullError)(nil)
+	_ error = (*StoppedError)(nil)
+)
+
+// ElsewhereError reports that another node has the request.
+type ElsewhereError struct {
+	Request identifier.RequestID
+	// Address is the caller address of the node that has it.
+	Address string
+}
+
+func (e *ElsewhereError) Error() string {
+	return fmt.Sprintf("request %s is at %s", e.Request, e.Address)
+}
+
+// UnknownRequestError reports a request that no reachable node has, or that
+// belongs to another client account; the two are not told apart, so that no
+// account learns of another's requests.
+type UnknownRequestError struct{ Request identifier.RequestID }
+
+func (e *UnknownRequestError) Error() string {
+	return fmt.Sprintf("request %s is not known", e.Request)
+}
+
+// FullError reports that the node has no room for another request. Nothing
+// of the request has run.
+type FullError struct{ RetryAfter timekeeper.Duration }
+
+func (e *FullError) Error() string {
+	return fmt.Sprintf("no room for another request, retry after %s", e.RetryAfter)
+}
+
+// StoppedError reports that the node is stopping. Nothing of the request has
+// run.
+type StoppedError struct{}
+
+func (e *StoppedError) Error() string { return "the node is stopping" }
