--- a/internal/answerer/answer.go
+++ b/internal/answerer/answer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
@@ -59,6 +58,13 @@
 	MovedTo string
 }
 
+// Place tells where the current attempt runs.
+type Place struct {
+	Attempt identifier.AttemptNumber
+	Server  identifier.VMID
+	Stream  identifier.StreamName
+}
+
 // pieceOverhead is the memory of a piece besides its text.
 const pieceOverhead = 24
 
@@ -69,41 +75,48 @@
 
 	mu       sync.Mutex
 	changed  chan struct{} // closed and replaced at each change
-	attempt  identifier.AttemptNumber
+	place    Place
 	pieces   []Piece
 	reply    *Reply
 	released identifier.Tokens
-	gated    bool
-	verdict  *Verdict
-	end      *End
-	size     identifier.Bytes
-	seen     chan struct{} // closed once a reader has had the end
-	callers  int
+	// replyOut tells that the reply is released.
+	replyOut bool
+	// held gates release on a holder; paused stops it during a handover.
+	held    bool
+	paused  bool
+	verdict *Verdict
+	end     *End
+	movedTo identifier.VMID
+	size    identifier.Bytes
+	usage   *Usage        // nil once the answer is out of its store
+	seen    chan struct{} // closed once a reader has had the end
+	callers int
 }
 
 // Config says what an Answer starts with.
 type Config struct {
 	Spec messenger.RequestSpec
 	Body Body
-	// Attempt is the last attempt known, and Pieces what it brought, where
-	// the answer comes from another node.
-	Attempt identifier.AttemptNumber
-	Pieces  []Piece
-	Reply   *Reply
+	// Place is the last attempt known, and Pieces and Reply what it brought,
+	// where the answer comes from another node.
+	Place  Place
+	Pieces []Piece
+	Reply  *Reply
 	// Accepted is set where another node has accepted the request.
 	Accepted bool
 }
 
-// New returns an answer with nothing gated.
+// New returns an answer with nothing held back.
 func New(c Config) *Answer {
 	a := &Answer{
 		spec:     c.Spec,
 		body:     c.Body,
 		changed:  make(chan struct{}),
-		attempt:  c.Attempt,
+		place:    c.Place,
 		pieces:   c.Pieces,
 		reply:    c.Reply,
 		released: identifier.Tokens(len(c.Pieces)),
+		replyOut: true,
 		size:     c.Body.Size(),
 		seen:     make(chan struct{}),
 	}
@@ -134,20 +147,6 @@
 // Body returns what the caller sent.
 func (a *Answer) Body() Body { return a.body }
 
-// WaitError reports a wait that its context ended.
-type WaitError struct {
-	Request identifier.RequestID
-	Cause   error
-}
-
-func (e *WaitError) Error() string {
-	return fmt.Sprintf("waiting for request %s: %v", e.Request, e.Cause)
-}
-
-func (e *WaitError) Unwrap() error { return e.Cause }
-
-var _ error = (*WaitError)(nil)
-
 // Verdict waits until the request is accepted or refused. Its error is a
 // *WaitError.
 func (a *Answer) Verdict(ctx context.Context) (Verdict, error) {
@@ -200,16 +199,17 @@
 	}
 }
 
-// visibleEnd returns the end once readers may have it: when all pieces are
-// released, and at once when the answer goes on elsewhere.
+// visibleEnd returns the end once readers may have it: when all that came
+// before it is released, and at once when the answer goes on elsewhere. The
+// caller holds a.mu.
 func (a *Answer) visibleEnd() *End {
-	if a.end == nil {
-		return nil
-	}
-	if a.end.MovedTo != "" || !a.gated || int(a.released) >= len(a.pieces) {
+	if a.end == nil || a.end.MovedTo != "" {
 		return a.end
 	}
-	return nil
+	if int(a.released) < len(a.pieces) || (a.reply != nil && !a.replyOut) {
+		return nil
+	}
+	return a.end
 }
 
 // wait blocks until done, which runs with a.mu held, returns true.
--- a/internal/answerer/errors.go
+++ b/internal/answerer/errors.go
@@ -12,6 +12,8 @@
 	_ error = (*UnknownRequestError)(nil)
 	_ error = (*FullError)(nil)
 	_ error = (*StoppedError)(nil)
+	_ error = (*KeyConflictError)(nil)
+	_ error = (*WaitError)(nil)
 )
 
 // ElsewhereError reports that another node has the request.
@@ -47,3 +49,24 @@
 type StoppedError struct{}
 
 func (e *StoppedError) Error() string { return "the node is stopping" }
+
+// KeyConflictError reports an idempotency key that stands for another request
+// of the same client account. Nothing has run: giving the older request's
+// answer to a caller that asked something else would cross answers.
+type KeyConflictError struct{ Key identifier.IdempotencyKey }
+
+func (e *KeyConflictError) Error() string {
+	return fmt.Sprintf("idempotency key %q stands for another request", e.Key)
+}
+
+// WaitError reports a wait that its context ended.
+type WaitError struct {
+	Request identifier.RequestID
+	Cause   error
+}
+
+func (e *WaitError) Error() string {
+	return fmt.Sprintf("waiting for request %s: %v", e.Request, e.Cause)
+}
+
+func (e *WaitError) Unwrap() error { return e.Cause }
--- a/internal/answerer/write.go
+++ b/internal/answerer/write.go
@@ -37,24 +37,25 @@
 	a.notify()
 }
 
-// Begin makes attempt n the only one whose pieces are taken, and tells how
-// many tokens stand here already. It is refused for an attempt that is not
-// newer than the current one, or once the answer has ended.
-func (a *Answer) Begin(n identifier.AttemptNumber) (identifier.Tokens, bool) {
+// Begin makes the attempt at p the only one whose pieces are taken, and tells
+// how many tokens stand here already. It is refused for an attempt that is
+// not newer than the current one, or once the answer has ended.
+func (a *Answer) Begin(p Place) (identifier.Tokens, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if n <= a.attempt || a.end != nil {
+	if p.Attempt <= a.place.Attempt || a.end != nil {
 		return 0, false
 	}
-	a.attempt = n
+	a.place = p
+	a.notify()
 	return identifier.Tokens(len(a.pieces)), true
 }
 
-// Attempt returns the number of the current attempt.
-func (a *Answer) Attempt() identifier.AttemptNumber {
+// Place returns where the current attempt runs.
+func (a *Answer) Place() Place {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.attempt
+	return a.place
 }
 
 // Append adds a piece that attempt n brought, and reports whether it was
@@ -68,17 +69,15 @@
 func (a *Answer) Append(n identifier.AttemptNumber, index identifier.Tokens, text string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if n != a.attempt || a.end != nil || index != identifier.Tokens(len(a.pieces))+1 {
+	if n != a.place.Attempt || a.end != nil || index != identifier.Tokens(len(a.pieces))+1 {
 		return false
 	}
 	a.pieces = append(a.pieces, Piece{
 		Index: index,
 		Text:  text,
 	})
-	a.size += identifier.Bytes(len(text) + pieceOverhead)
-	if !a.gated {
-		a.released = index
-	}
+	a.grow(len(text) + pieceOverhead)
+	a.releaseFreely()
 	a.notify()
 	return true
 }
@@ -88,11 +87,14 @@
 func (a *Answer) SetReply(n identifier.AttemptNumber, r Reply) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if n != a.attempt || a.end != nil || a.reply != nil {
+	if n != a.place.Attempt || a.end != nil || a.reply != nil {
 		return false
 	}
 	a.reply = &r
-	a.size += identifier.Bytes(len(r.Body))
+	a.replyOut = false
+	a.grow(len(r.Body))
+	a.releaseFreely()
+	a.notify()
 	return true
 }
 
@@ -111,46 +113,90 @@
 	a.notify()
 }
 
-// Redirect tells readers that the node at a caller address has the request
+// Redirect tells readers that node to, at its caller address, has the request
 // now. It also replaces an end that no reader may have yet.
-func (a *Answer) Redirect(address string) {
+func (a *Answer) Redirect(to identifier.VMID, address string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.visibleEnd() != nil {
 		return
 	}
+	a.movedTo = to
 	a.end = &End{MovedTo: address}
 	a.notify()
 }
 
-// Gate holds back pieces from now on until Release lets them out.
-func (a *Answer) Gate() {
+// MovedTo returns the node that has the request now, if it is another.
+func (a *Answer) MovedTo() (identifier.VMID, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.gated = true
+	return a.movedTo, a.end != nil && a.end.MovedTo != ""
 }
 
-// Ungate lets out all pieces, now and later.
-func (a *Answer) Ungate() {
+// Hold holds back what comes from now on until Release lets it out.
+func (a *Answer) Hold() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.gated = false
-	a.released = identifier.Tokens(len(a.pieces))
+	a.held = true
+}
+
+// Unhold lets out all that stands here, and what comes later, at once.
+func (a *Answer) Unhold() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.held = false
+	a.releaseFreely()
 	a.notify()
 }
 
-// Release lets out the pieces up to index upTo.
-func (a *Answer) Release(upTo identifier.Tokens) {
+// Pause lets nothing more out until Unpause. A handover takes its snapshot
+// under it: a caller that got a token beyond the snapshot could get a
+// successor's different continuation after it.
+func (a *Answer) Pause() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	upTo = min(upTo, identifier.Tokens(len(a.pieces)))
-	if upTo <= a.released {
+	a.paused = true
+}
+
+// Unpause ends a Pause.
+func (a *Answer) Unpause() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.paused = false
+	a.releaseFreely()
+	a.notify()
+}
+
+// Release lets out the pieces up to index upTo, and the reply if reply is
+// set, because the holder has them.
+func (a *Answer) Release(upTo identifier.Tokens, reply bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.paused {
 		return
 	}
-	a.released = upTo
+	upTo = min(upTo, identifier.Tokens(len(a.pieces)))
+	a.released = max(a.released, upTo)
+	a.replyOut = a.replyOut || reply
 	a.notify()
 }
 
+// releaseFreely lets out all that stands here where nothing gates it. The
+// caller holds a.mu.
+func (a *Answer) releaseFreely() {
+	if a.held || a.paused {
+		return
+	}
+	a.released = identifier.Tokens(len(a.pieces))
+	a.replyOut = true
+}
+
+// grow counts n more bytes. The caller holds a.mu.
+func (a *Answer) grow(n int) {
+	a.size += identifier.Bytes(n)
+	a.usage.add(identifier.Bytes(n))
+}
+
 // Delivered returns how many tokens stand here, released or not.
 func (a *Answer) Delivered() identifier.Tokens {
 	a.mu.Lock()
@@ -165,20 +211,78 @@
 	return between(a.pieces, after, identifier.Tokens(len(a.pieces)))
 }
 
-// AwaitPieces is like Read for the goroutine that pushes to a holder: it
-// waits for pieces beyond after whether they are released or not, and for the
-// end. Its error is a *WaitError.
-func (a *Answer) AwaitPieces(ctx context.Context, after identifier.Tokens) ([]Piece, *End, error) {
-	var (
-		pieces []Piece
-		end    *End
-	)
+// Change is what an answer got since a Mark.
+type Change struct {
+	Place  Place
+	Pieces []Piece
+	Reply  *Reply
+	End    *End
+}
+
+// Mark tells how much of an answer a holder has.
+type Mark struct {
+	Attempt identifier.AttemptNumber
+	Pieces  identifier.Tokens
+	Reply   bool
+}
+
+// Await is for the goroutine that pushes to a holder: it waits until the
+// answer has more than m, released or not, or has ended. Its error is a
+// *WaitError.
+func (a *Answer) Await(ctx context.Context, m Mark) (Change, error) {
+	var c Change
 	err := a.wait(ctx, func() bool {
-		pieces = between(a.pieces, after, identifier.Tokens(len(a.pieces)))
-		end = a.end
-		return len(pieces) > 0 || end != nil
+		c = a.since(m)
+		return c.End != nil || c.Place.Attempt != m.Attempt || len(c.Pieces) > 0 || c.Reply != nil
 	})
-	return pieces, end, err
+	return c, err
+}
+
+// Since returns what the answer got since m, without waiting.
+func (a *Answer) Since(m Mark) Change {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.since(m)
+}
+
+func (a *Answer) since(m Mark) Change {
+	c := Change{
+		Place:  a.place,
+		Pieces: between(a.pieces, m.Pieces, identifier.Tokens(len(a.pieces))),
+		End:    a.end,
+	}
+	if !m.Reply {
+		c.Reply = a.reply
+	}
+	return c
+}
+
+// Extend adds what the owner of a copy pushed, and reports whether it joins
+// what stands here without a hole.
+func (a *Answer) Extend(c Change) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, p := range c.Pieces {
+		have := identifier.Tokens(len(a.pieces))
+		if p.Index > have+1 {
+			return false
+		}
+		if p.Index <= have {
+			continue
+		}
+		a.pieces = append(a.pieces, p)
+		a.grow(len(p.Text) + pieceOverhead)
+	}
+	if c.Reply != nil && a.reply == nil {
+		a.reply = c.Reply
+		a.grow(len(c.Reply.Body))
+	}
+	if c.Place.Attempt > a.place.Attempt {
+		a.place = c.Place
+	}
+	a.releaseFreely()
+	a.notify()
+	return true
 }
 
 // Reply returns the reply of a plain service, if it is there.
