Choose, admit, repeat and suspect: first bodies

Ruled out: golang.org/x/time/rate for the buckets; see package limiter. Change: packages router, limiter, retrier and detector, with a switch for each rule. Conclusion: compiles; nothing is measured yet.

--- /dev/null
+++ b/internal/limiter/bucket.go
@@ -0,0 +1,65 @@
+package limiter
+
+import (
+	"math"
+
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// bucket is a token bucket that may go into debt.
+//
+// golang.org/x/time/rate takes explicit times too, but not the rest: it
+// refuses for ever what exceeds its burst, while here a node's share of the
+// burst may be smaller than one request; it gives back only reservations that
+// have not yet been acted on, while a request settles when it ends; and it
+// locks, which a pure package has no use for.
+type bucket struct {
+	level    float64
+	rate     float64
+	capacity float64
+	started  bool
+}
+
+// set changes rate and capacity; a new bucket is full.
+func (b *bucket) set(rate, capacity float64) {
+	b.rate = rate
+	b.capacity = capacity
+	if !b.started {
+		b.level = capacity
+		b.started = true
+	}
+	b.level = min(b.level, capacity)
+}
+
+func (b *bucket) refill(passed timekeeper.Duration) {
+	b.level = min(b.level+b.rate*passed.Seconds(), b.capacity)
+}
+
+// wait is the time until n may be taken, zero for now. What exceeds the
+// capacity may be taken from a full bucket, which then goes into debt.
+func (b *bucket) wait(n float64) timekeeper.Duration {
+	if b.unlimited() {
+		return 0
+	}
+	missing := min(n, b.capacity) - b.level
+	if missing <= roundingError {
+		return 0
+	}
+	return timekeeper.Duration(math.Ceil(min(missing/b.rate, maxRetry.Seconds()) * float64(timekeeper.Second)))
+}
+
+func (b *bucket) take(n float64) {
+	if !b.unlimited() {
+		b.level -= n
+	}
+}
+
+func (b *bucket) giveBack(n float64) {
+	b.level = min(b.level+n, b.capacity)
+}
+
+// unlimited tells that the account has no limit of this kind.
+func (b *bucket) unlimited() bool { return b.rate <= 0 }
+
+// roundingError is the part of a request or token that may be missing.
+const roundingError = 1e-6
--- /dev/null
+++ b/internal/router/choose.go
@@ -0,0 +1,187 @@
+package router
+
+import (
+	"math"
+	"math/rand/v2"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+const (
+	// fewest and most bound the number of servers that a draw is made among;
+	// between them it is a quarter of the candidates.
+	fewest = 3
+	most   = 16
+	// tolerance is the share, and slack the milliseconds, by which a score
+	// may exceed the best one and still be drawn.
+	tolerance = 0.10
+	slack     = 10.0
+	// reclaimsPerHour is the assumed rate at which a reclaimable VM is taken.
+	reclaimsPerHour = 0.2
+	// missCost is the cost in milliseconds of a sure miss of a target.
+	missCost = 2000.0
+)
+
+// tier groups candidates: a later tier is used only where all earlier ones
+// are empty.
+type tier int
+
+const (
+	tierGood tier = iota
+	tierAvoidedZone
+	tierDoubtful
+	tierNever
+)
+
+func tierOf(j *Job, c *Candidate, r Rules) tier {
+	switch {
+	case c.Leaving:
+		return tierNever
+	case r.Suspicion && c.Suspect:
+		return tierDoubtful
+	case r.Avoid && j.AvoidServers[c.Server]:
+		return tierDoubtful
+	case r.Avoid && j.AvoidZones[c.Zone]:
+		return tierAvoidedZone
+	}
+	return tierGood
+}
+
+// Choose picks the server for the job, or reports that there is none.
+func Choose(now timekeeper.Time, j Job, cs []Candidate, r Rules, rng *rand.Rand) (Choice, bool) {
+	best := bestTier(&j, cs, r)
+	if best == tierNever {
+		return Choice{}, false
+	}
+	p := survey(now, &j, cs, r, best)
+	var few shortlist
+	few.limit = min(max(fewest, p.count/4), most)
+	for i := range cs {
+		if tierOf(&j, &cs[i], r) != best {
+			continue
+		}
+		s := predict(now, &j, &cs[i], r, p.load)
+		few.offer(entry{
+			index:     i,
+			score:     score(&j, &cs[i], r, s, p),
+			predicted: s,
+		})
+	}
+	drawn := few.draw(r, rng)
+	return Choice{
+		Server:    cs[drawn.index].Server,
+		Predicted: drawn.predicted.rounded(),
+		Why:       explain(&cs[drawn.index], drawn, &few, p.count, best),
+	}, true
+}
+
+func bestTier(j *Job, cs []Candidate, r Rules) tier {
+	best := tierNever
+	for i := range cs {
+		best = min(best, tierOf(j, &cs[i], r))
+	}
+	return best
+}
+
+// picture is what the candidates of one tier have in common.
+type picture struct {
+	count int
+	// load is the mean load by others, each report weighed by its trust.
+	load float64
+	// price is the mean price of an hour.
+	price float64
+}
+
+func survey(now timekeeper.Time, j *Job, cs []Candidate, r Rules, t tier) picture {
+	var p picture
+	var weight, load, priced, price float64
+	for i := range cs {
+		c := &cs[i]
+		if tierOf(j, c, r) != t {
+			continue
+		}
+		p.count++
+		if c.HasLoad {
+			trust := reportTrust(now, c)
+			weight += trust
+			load += trust * reportedByOthers(c)
+		}
+		if c.Price > 0 {
+			priced++
+			price += float64(c.Price)
+		}
+	}
+	if weight > 0 {
+		p.load = load / weight
+	}
+	if priced > 0 {
+		p.price = price / priced
+	}
+	return p
+}
+
+// score is the cost of the candidate in milliseconds.
+func score(j *Job, c *Candidate, r Rules, s span, p picture) float64 {
+	cost := s.first
+	if r.Completion {
+		cost += completionWeight(j.Priority) * s.total
+	}
+	if r.Target {
+		cost += missCost * lateness(s, j.Target)
+	}
+	if r.ReclaimRisk && c.Market == catalog.Reclaimable {
+		cost += expectedLoss(j, c, s)
+	}
+	if r.Price && p.price > 0 && c.Price > 0 {
+		cost += priceWeight(j.Priority) * s.total * (float64(c.Price)/p.price - 1)
+	}
+	return cost
+}
+
+func completionWeight(p catalog.Priority) float64 {
+	switch {
+	case p >= catalog.Interactive:
+		return 0.2
+	case p == catalog.Standard:
+		return 0.5
+	default:
+		return 1
+	}
+}
+
+func priceWeight(p catalog.Priority) float64 {
+	switch {
+	case p >= catalog.Interactive:
+		return 0
+	case p == catalog.Standard:
+		return 0.05
+	default:
+		return 0.3
+	}
+}
+
+// lateness rises from 0 at four fifths of a target to 1 at one and a half
+// times the target.
+func lateness(s span, t catalog.Target) float64 {
+	return max(overrun(s.first, t.FirstToken), overrun(s.total, t.Completion))
+}
+
+func overrun(ms float64, target timekeeper.Duration) float64 {
+	if target <= 0 {
+		return 0
+	}
+	return min(max((ms/float64(target)-0.8)/0.7, 0), 1)
+}
+
+// expectedLoss is the chance that the VM is taken while the job runs, times
+// the work that is lost then: the prompt's prefill and half of the answer.
+func expectedLoss(j *Job, c *Candidate, s span) float64 {
+	hours := s.total / float64(timekeeper.Hour)
+	chance := 1 - math.Exp(-hours*reclaimsPerHour)
+	lost := (s.total - s.first) / 2
+	if c.PrefillPerSecond > 0 {
+		lost += float64(j.PromptTokens) / c.PrefillPerSecond * 1000
+	}
+	return chance * lost
+}
