--- /dev/null
+++ b/internal/scaler/scaler_test.go
@@ -0,0 +1,254 @@
+package scaler
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+const start timekeeper.Time = 1_000_000
+
+func testCatalog() *catalog.Catalog {
+	prices := make(map[identifier.Zone]map[catalog.Market]identifier.Money)
+	for i, z := range []identifier.Zone{"a", "b", "c"} {
+		prices[z] = map[catalog.Market]identifier.Money{
+			catalog.Reclaimable: identifier.Coin + identifier.Money(i),
+			catalog.OnDemand:    3 * identifier.Coin,
+		}
+	}
+	return &catalog.Catalog{
+		Services: map[identifier.ServiceName]catalog.Service{"s": {Pool: "p"}},
+		Accounts: map[identifier.AccountID]catalog.Account{
+			"x": {Targets: map[identifier.ServiceName]catalog.Target{"s": {Penalty: identifier.Coin}}},
+		},
+		Pools: map[identifier.PoolName]catalog.Pool{
+			"p": {Name: "p", Class: "gpu", Slots: 10, Min: 2, Max: 20, OnDemandPercent: 20},
+		},
+		Classes: map[identifier.VMClass]catalog.Class{"gpu": {Name: "gpu", Prices: prices}},
+	}
+}
+
+// cloud is a platform that honours client tokens, with a list that lags.
+type cloud struct {
+	byToken map[string]identifier.VMID
+	vms     []Server
+	// listed is how many of vms the list shows.
+	listed int
+}
+
+func (c *cloud) buy(a Action) identifier.VMID {
+	if vm, ok := c.byToken[a.ClientToken]; ok {
+		return vm
+	}
+	vm := identifier.VMID(fmt.Sprintf("vm-%03d", len(c.vms)))
+	c.byToken[a.ClientToken] = vm
+	c.vms = append(c.vms, Server{VMState: messenger.VMState{
+		VM:     vm,
+		Zone:   a.Zone,
+		Market: a.Market,
+	}})
+	return vm
+}
+
+func (c *cloud) input(fence identifier.Fence, safe, asOf timekeeper.Time) Input {
+	return Input{
+		Catalog:   testCatalog(),
+		Fence:     fence,
+		SafeAfter: safe,
+		ListAsOf:  asOf,
+		Servers:   c.vms[:c.listed],
+		Demand: Demand{
+			Busy:        35,
+			Interactive: 10,
+		},
+	}
+}
+
+// buyAll lets a scaler buy until it is content.
+func buyAll(s *Scaler, c *cloud) []Action {
+	var all []Action
+	for i := range 3 {
+		now := start.Add(timekeeper.Duration(i) * timekeeper.Second)
+		for _, a := range s.Plan(now, c.input(1, 0, now), testRand()) {
+			s.Ended(now, a.ClientToken, Result{VM: c.buy(a)})
+			all = append(all, a)
+		}
+	}
+	return all
+}
+
+func testRand() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+// overbought runs one random history of lost answers, a lagging list and
+// holders that follow each other, and returns how many VMs exist at its end.
+func overbought(t *rapid.T, waitForList bool) int {
+	c := &cloud{byToken: make(map[string]identifier.VMID)}
+	s := New(Config{Pool: "p", Rules: AllRules()})
+	fence, safe, asOf := identifier.Fence(1), start, start
+	for i := range rapid.IntRange(5, 60).Draw(t, "steps") {
+		now := start.Add(timekeeper.Duration(i) * 3 * timekeeper.Second)
+		if rapid.IntRange(0, 5).Draw(t, "list") == 0 {
+			c.listed, asOf = len(c.vms), now
+		}
+		if rapid.IntRange(0, 9).Draw(t, "holder") == 0 {
+			s, fence = New(Config{Pool: "p", Rules: AllRules()}), fence+1
+			if waitForList {
+				safe = now
+			}
+		}
+		for _, a := range s.Plan(now, c.input(fence, safe, asOf), testRand()) {
+			require.Equal(t, Buy, a.Kind)
+			_, repeated := c.byToken[a.ClientToken]
+			switch answer := rapid.IntRange(0, 3).Draw(t, "answer"); {
+			case answer == 0 && !repeated:
+				s.Ended(now, a.ClientToken, Result{Refused: true})
+			case answer == 1:
+				c.buy(a)
+				s.Ended(now, a.ClientToken, Result{Ambiguous: true})
+			default:
+				s.Ended(now, a.ClientToken, Result{VM: c.buy(a)})
+			}
+		}
+	}
+	return len(c.vms)
+}
+
+// What the operator sees: a bill for VMs that nobody asked for. Answers to
+// purchases get lost, the list lags, and the lease passes to a holder that
+// knows nothing of them. A repeated token is the same purchase, and a new
+// holder waits for a list that shows what the old one bought.
+func TestNothingIsBoughtTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		require.LessOrEqual(t, overbought(t, true), 5)
+	})
+	doubled := false
+	rapid.Check(t, func(t *rapid.T) {
+		doubled = doubled || overbought(t, false) > 5
+	})
+	require.True(t, doubled, "negative control: without waiting for the list VMs are bought twice")
+}
+
+func TestMixAndSpread(t *testing.T) {
+	c := &cloud{byToken: make(map[string]identifier.VMID)}
+	s := New(Config{Pool: "p", Rules: AllRules()})
+	bought := buyAll(s, c)
+	require.Len(t, bought, 5)
+	zones := make(map[identifier.Zone]int)
+	onDemand := 0
+	for _, a := range bought {
+		zones[a.Zone]++
+		if a.Market == catalog.OnDemand {
+			onDemand++
+		}
+	}
+	require.Equal(t, 1, onDemand)
+	for z, n := range zones {
+		require.GreaterOrEqual(t, 5-n, 2, "interactive requests outlive the loss of %s", z)
+	}
+
+	rules := AllRules()
+	rules.ZoneSpread = false
+	c = &cloud{byToken: make(map[string]identifier.VMID)}
+	inA := 0
+	for _, a := range buyAll(New(Config{Pool: "p", Rules: rules}), c) {
+		if a.Zone == "a" {
+			inA++
+		}
+	}
+	require.GreaterOrEqual(t, inA, 4, "negative control: the cheapest zone gets them")
+}
+
+// A zone is reclaimed and the cloud has nothing reclaimable left. The pool
+// carries the demand with what it has, so it waits; once penalties are dearer
+// than an hour on demand, it buys on demand.
+func TestOnDemandOnlyWherePenaltiesAreDearer(t *testing.T) {
+	refuse := func(demand Demand) map[catalog.Market]int {
+		c := &cloud{byToken: make(map[string]identifier.VMID)}
+		s := New(Config{Pool: "p", Rules: AllRules()})
+		buyAll(s, c)
+		c.listed = len(c.vms)
+		asked := make(map[catalog.Market]int)
+		for i := range 6 {
+			now := start.Add(timekeeper.Duration(10+i*5) * timekeeper.Second)
+			in := c.input(1, 0, now)
+			in.Demand = demand
+			pool := in.Catalog.Pools["p"]
+			pool.OnDemandPercent = 0
+			in.Catalog.Pools["p"] = pool
+			for _, a := range s.Plan(now, in, testRand()) {
+				asked[a.Market]++
+				s.Ended(now, a.ClientToken, Result{Refused: a.Market == catalog.Reclaimable})
+			}
+		}
+		return asked
+	}
+	calm := refuse(Demand{Busy: 40, Arrivals: 50})
+	require.NotZero(t, calm[catalog.Reclaimable])
+	require.Zero(t, calm[catalog.OnDemand])
+	require.NotZero(t, refuse(Demand{Busy: 90, Arrivals: 50})[catalog.OnDemand])
+}
+
+func TestReleaseWaitsForALastingSurplus(t *testing.T) {
+	c := &cloud{byToken: make(map[string]identifier.VMID)}
+	s := New(Config{Pool: "p", Rules: AllRules()})
+	buyAll(s, c)
+	c.listed = len(c.vms)
+	released := make(map[identifier.VMID]timekeeper.Duration)
+	for i := range 400 {
+		after := timekeeper.Duration(10+i*3) * timekeeper.Second
+		in := c.input(1, 0, start.Add(after))
+		in.Demand = Demand{Busy: 15}
+		for _, a := range s.Plan(start.Add(after), in, testRand()) {
+			require.Equal(t, Release, a.Kind)
+			if _, again := released[a.VM]; !again {
+				released[a.VM] = after
+			}
+		}
+	}
+	require.Len(t, released, 2)
+	for _, after := range released {
+		require.Greater(t, after, surplusTime)
+	}
+}
+
+func TestFlashCrowdIsSeenBeforeItIsBusy(t *testing.T) {
+	var f forecast
+	rng := testRand()
+	now := start
+	arrive := func(perSecond float64) {
+		now = now.Add(timekeeper.Second)
+		n := 0
+		for range 100 {
+			if rng.Float64() < perSecond/100 {
+				n++
+			}
+		}
+		f.observe(now, Demand{
+			Busy:     20,
+			Arrivals: n,
+		})
+	}
+	for range 1200 {
+		arrive(4)
+		require.False(t, f.flash, "false alarm")
+	}
+	seconds := 0
+	for !f.flash {
+		arrive(12)
+		seconds++
+	}
+	require.LessOrEqual(t, seconds, 10)
+	require.Greater(t, f.busy(0, AllRules()), 25.0)
+	for range 120 {
+		arrive(4)
+	}
+	require.False(t, f.flash)
+}
