--- /dev/null
+++ b/internal/claimer/claimer.go
@@ -0,0 +1,318 @@
+// Package claimer decides which node may send a non-idempotent request that
+// has an idempotency key. Every node appends a claim to the platform's log and
+// reads it back; the first claim of a key in log order wins, and only its
+// claimant ever sends.
+//
+// All nodes fold the same records by the same rule, which reads nothing but
+// the records and the log's own append times:
+//
+//   - The first claim of a key holds it for its window, counted from the last
+//     claim of the key, by whomever. So whether a key is held follows from the
+//     records of the last window alone, and a node that started too late to
+//     see the first claim takes the key for held as long as all others do.
+//   - The same claim appended again, by nonce, counts once.
+//   - A claim of a held key loses for good.
+//   - An outcome counts if it bears the holder's nonce, and only the first.
+//   - A release counts if it bears the holder's nonce and claimant and no
+//     outcome stands. From then on the key is free for claims that stand
+//     after the release; those between the claim and its release have lost,
+//     since their claimants were told so. Only a claimant that never sent, or
+//     whose back end said that it did not run, may release; a release that
+//     stands before its claim counts for nothing, so a node releases only
+//     what it has seen hold the key.
+//
+// Each claim is decided by its own claimant alone. Where an earlier claim of
+// the key may have expired unread, the claimant takes its own for unsettled:
+// it neither sends nor releases.
+//
+// The table is bounded: at MaxEntries it refuses claims and never forgets a
+// live one. A Table is not safe for concurrent use.
+package claimer
+
+import (
+	"container/heap"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/follower"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// Config sets up a Table.
+type Config struct {
+	Self identifier.VMID
+	// Partitions is the number of claims streams. It is the same on all nodes.
+	Partitions int
+	// MaxEntries bounds the keys and claims that the table remembers. Claims
+	// of other nodes may take it an eighth beyond.
+	MaxEntries int
+	// MaxBodyBytes bounds the recorded answers; the oldest are dropped first.
+	MaxBodyBytes identifier.Bytes
+	// Retention is the least time for which the log keeps a record.
+	Retention timekeeper.Duration
+	// DecideWithin is how long a claim may wait before Waiting lists it.
+	DecideWithin timekeeper.Duration
+	// AppendEvery is the spacing of repeated appends of releases.
+	AppendEvery timekeeper.Duration
+}
+
+// maxWindow is the longest window of a key. The rest of the retention is room
+// for reading a claim back and for clocks that run at different rates.
+func (c Config) maxWindow() timekeeper.Duration { return c.Retention / 4 * 3 }
+
+// Default sizes and times.
+const (
+	DefaultPartitions   = 4
+	DefaultMaxEntries   = 50_000
+	DefaultMaxBodyBytes = identifier.Bytes(64 << 20)
+	DefaultDecideWithin = 2 * timekeeper.Second
+	DefaultAppendEvery  = 2 * timekeeper.Second
+)
+
+func (c Config) withDefaults() Config {
+	if c.Partitions == 0 {
+		c.Partitions = DefaultPartitions
+	}
+	if c.MaxEntries == 0 {
+		c.MaxEntries = DefaultMaxEntries
+	}
+	if c.MaxBodyBytes == 0 {
+		c.MaxBodyBytes = DefaultMaxBodyBytes
+	}
+	if c.DecideWithin == 0 {
+		c.DecideWithin = DefaultDecideWithin
+	}
+	if c.AppendEvery == 0 {
+		c.AppendEvery = DefaultAppendEvery
+	}
+	return c
+}
+
+// Entry is what the log says of a key.
+type Entry struct {
+	Account  identifier.AccountID
+	Key      identifier.IdempotencyKey
+	Request  identifier.RequestID
+	Winner   identifier.VMID
+	Nonce    identifier.Nonce
+	Offset   identifier.Offset
+	Appended timekeeper.Time
+	// Until is the log's time at which the key is forgotten, unless it is
+	// claimed again.
+	Until timekeeper.Time
+	// Released tells that the winner gave the key up without sending.
+	Released bool
+	// Recorded is the winner's outcome, or nil.
+	Recorded *messenger.RecordedOutcome
+}
+
+// Decision is what became of a claim of this node.
+type Decision struct {
+	Request identifier.RequestID
+	// Won allows this node to send the request, once.
+	Won bool
+	// Unsettled tells that an earlier claim may have expired unread: the
+	// request must not be sent, and may have run elsewhere.
+	Unsettled bool
+	// Winner and WinnerRequest name the claim that holds the key, unless
+	// Unsettled is set.
+	Winner        identifier.VMID
+	WinnerRequest identifier.RequestID
+	// Recorded is the winner's outcome, or nil.
+	Recorded *messenger.RecordedOutcome
+}
+
+// Append is a record to append to the log.
+type Append struct {
+	Stream identifier.LogStream
+	Data   []byte
+}
+
+// Counts tells what the table refused, ignored or dropped since it was made.
+type Counts struct {
+	// Refused counts claims of this node refused by a full table.
+	Refused int
+	// Overflowed counts claims of other nodes that found no room.
+	Overflowed int
+	// Ignored counts records that could not be read, are of an unknown
+	// version or kind, or stand in the wrong stream.
+	Ignored int
+	// Gaps counts reads before which records may have expired unread.
+	Gaps int
+	// Unsettled counts claims of this node left unsettled.
+	Unsettled int
+	// BodiesDropped counts recorded answers dropped for room.
+	BodiesDropped int
+}
+
+// safeguards are switched off one by one by negative controls.
+type safeguards struct {
+	trustView    bool
+	ignoreDrop   bool
+	ignoreNonce  bool
+	fixedWindow  bool
+	releaseBlind bool
+	localTime    bool
+}
+
+type key struct {
+	account identifier.AccountID
+	key     identifier.IdempotencyKey
+}
+
+// Table is a node's view of the claims in the log.
+type Table struct {
+	config  Config
+	streams map[identifier.LogStream]*stream
+	entries map[key]*entry
+	// own lists this node's claims in the order of their Begin.
+	own    []*claim
+	nonces map[identifier.Nonce]*claim
+	active map[identifier.RequestID]*claim
+	bodies *bodies
+	counts Counts
+	off    safeguards
+}
+
+type heldDecision struct {
+	Decision
+	claim *claim
+}
+
+// stream is one partition of the log's claims.
+type stream struct {
+	name     identifier.LogStream
+	position *follower.Stream
+	// now is the latest append time seen.
+	now timekeeper.Time
+	// blindUntil is the append time up to which a claim found no room.
+	blindUntil timekeeper.Time
+	expiry     expiryHeap
+	clockSent  timekeeper.Time
+	// held are decisions to deliver once the stream was replayed.
+	held []heldDecision
+}
+
+// New returns an empty table.
+func New(c Config) *Table {
+	c = c.withDefaults()
+	t := &Table{
+		config:  c,
+		streams: make(map[identifier.LogStream]*stream),
+		entries: make(map[key]*entry),
+		nonces:  make(map[identifier.Nonce]*claim),
+		active:  make(map[identifier.RequestID]*claim),
+		bodies:  newBodies(c.MaxBodyBytes),
+	}
+	for n := range c.Partitions {
+		name := partition(n)
+		t.streams[name] = &stream{
+			name:     name,
+			position: follower.New(follower.Config{Retention: c.Retention}),
+		}
+	}
+	return t
+}
+
+// Streams returns the streams that the table follows.
+func (t *Table) Streams() []identifier.LogStream {
+	names := make([]identifier.LogStream, 0, t.config.Partitions)
+	for n := range t.config.Partitions {
+		names = append(names, partition(n))
+	}
+	return names
+}
+
+// Ready reports whether a stream was replayed from its oldest kept record to
+// its end, with no gap since. Before that no claim on it is won.
+func (t *Table) Ready(s identifier.LogStream) bool {
+	p, ok := t.streams[s]
+	return ok && p.position.Replayed()
+}
+
+// Full reports whether the table refuses further claims.
+func (t *Table) Full() bool {
+	return len(t.entries)+len(t.own) >= t.config.MaxEntries
+}
+
+// Len returns the number of keys that the table remembers.
+func (t *Table) Len() int { return len(t.entries) }
+
+// Counts tells what the table refused, ignored or dropped.
+func (t *Table) Counts() Counts { return t.counts }
+
+// Lookup returns what the log says of a key within its window.
+func (t *Table) Lookup(account identifier.AccountID, k identifier.IdempotencyKey) (Entry, bool) {
+	e, ok := t.entries[key{account: account, key: k}]
+	if !ok || !e.holdsAt(t.streams[e.stream].now) {
+		return Entry{}, false
+	}
+	return e.Entry, true
+}
+
+// Absorb folds a read of the log into the table and returns the decisions on
+// this node's claims that it brings.
+func (t *Table) Absorb(now timekeeper.Time, read messenger.LogRead) []Decision {
+	s, ok := t.streams[read.Stream]
+	if !ok {
+		return nil
+	}
+	batch := s.position.Absorb(now, read)
+	if batch.Gap {
+		t.gapSeen(s)
+	}
+	for _, r := range batch.Records {
+		t.fold(now, s, r)
+	}
+	t.forget(s)
+	if !s.position.Replayed() {
+		return nil
+	}
+	return t.deliver(s)
+}
+
+// deliver hands out the decisions of a stream. A claim that was given up
+// meanwhile has none.
+func (t *Table) deliver(s *stream) []Decision {
+	var out []Decision
+	for _, d := range s.held {
+		if d.claim.state != waiting {
+			continue
+		}
+		d.claim.state = abandoned
+		if d.Won {
+			d.claim.state = won
+		}
+		out = append(out, d.Decision)
+	}
+	s.held = nil
+	return out
+}
+
+// gapSeen marks this node's waiting claims of a stream as blind: what expired
+// unread may hold an earlier claim of their keys, and sending would run the
+// request twice. Claims begun later are safe, because what had expired by
+// then is older than any key's window.
+func (t *Table) gapSeen(s *stream) {
+	t.counts.Gaps++
+	for _, c := range t.own {
+		if c.stream == s.name {
+			c.blind = true
+		}
+	}
+}
+
+// forget drops the entries of a stream that ended well before the latest
+// append time. The decision on a later claim compares append times and does
+// not depend on when an entry is dropped.
+func (t *Table) forget(s *stream) {
+	for len(s.expiry) > 0 {
+		e := s.expiry[0]
+		if s.now.Before(e.Until.Add(forgetAfter)) {
+			return
+		}
+		heap.Pop(&s.expiry)
+		t.bodies.drop(e)
+		delete(t.entries, e.key())
+	}
+}
--- /dev/null
+++ b/internal/claimer/entry.go
@@ -0,0 +1,132 @@
+package claimer
+
+import (
+	"container/heap"
+	"container/list"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// forgetAfter is how long an entry is kept past its window, in case the log's
+// clock is set back.
+const forgetAfter = timekeeper.Minute
+
+type entry struct {
+	Entry
+	stream identifier.LogStream
+	// read is this node's time when it read the last claim of the key, and
+	// window is that claim's.
+	read   timekeeper.Time
+	window timekeeper.Duration
+	index  int
+	body   *list.Element
+}
+
+func newEntry(now timekeeper.Time, s identifier.LogStream, at messenger.Record, r record) *entry {
+	return &entry{
+		Entry: Entry{
+			Account:  r.Account,
+			Key:      r.Key,
+			Request:  r.Request,
+			Winner:   r.Claimant,
+			Nonce:    r.Nonce,
+			Offset:   at.Offset,
+			Appended: at.Appended,
+			Until:    at.Appended.Add(r.Window),
+		},
+		stream: s,
+		read:   now,
+		window: r.Window,
+	}
+}
+
+// extend prolongs the hold on the key by a later claim of it.
+func (e *entry) extend(now timekeeper.Time, at messenger.Record, r record) {
+	if until := at.Appended.Add(r.Window); until.After(e.Until) {
+		e.Until = until
+		e.read = now
+		e.window = r.Window
+	}
+}
+
+func (e *entry) key() key {
+	return key{
+		account: e.Account,
+		key:     e.Key,
+	}
+}
+
+// holdsAt reports whether the key is still held at an append time.
+func (e *entry) holdsAt(t timekeeper.Time) bool { return t.Before(e.Until) }
+
+// expiryHeap orders entries by the time at which they end, soonest first.
+type expiryHeap []*entry
+
+var _ heap.Interface = (*expiryHeap)(nil)
+
+func (h expiryHeap) Len() int { return len(h) }
+
+func (h expiryHeap) Less(i, j int) bool { return h[i].Until.Before(h[j].Until) }
+
+func (h expiryHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *expiryHeap) Push(x any) {
+	e := x.(*entry)
+	e.index = len(*h)
+	*h = append(*h, e)
+}
+
+// Pop implements heap.Interface.
+func (h *expiryHeap) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return e
+}
+
+// bodies bounds the recorded answers over all entries.
+type bodies struct {
+	max   identifier.Bytes
+	total identifier.Bytes
+	// order lists the entries that have an answer, oldest outcome first.
+	order list.List
+}
+
+func newBodies(limit identifier.Bytes) *bodies { return &bodies{max: limit} }
+
+// add takes in the answer of e and returns the number of answers dropped for
+// it.
+func (b *bodies) add(e *entry) (dropped int) {
+	if len(e.Recorded.Body) == 0 {
+		return 0
+	}
+	b.total += identifier.Bytes(len(e.Recorded.Body))
+	e.body = b.order.PushBack(e)
+	for b.total > b.max {
+		b.drop(b.order.Front().Value.(*entry))
+		dropped++
+	}
+	return dropped
+}
+
+// drop forgets the answer of e, if it has one. Decisions that already carry
+// it keep it.
+func (b *bodies) drop(e *entry) {
+	if e.body == nil {
+		return
+	}
+	b.order.Remove(e.body)
+	e.body = nil
+	b.total -= identifier.Bytes(len(e.Recorded.Body))
+	short := *e.Recorded
+	short.Body = nil
+	short.BodyOmitted = true
+	e.Recorded = &short
+}
--- /dev/null
+++ b/internal/claimer/fold.go
@@ -0,0 +1,175 @@
+package claimer
+
+import (
+	"container/heap"
+	"encoding/json"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// fold applies one record of the log.
+func (t *Table) fold(now timekeeper.Time, s *stream, at messenger.Record) {
+	s.now = max(s.now, at.Appended)
+	var r record
+	if err := json.Unmarshal(at.Data, &r); err != nil || r.Version != recordVersion {
+		t.counts.Ignored++
+		return
+	}
+	if r.Kind != clockKind && Stream(r.Account, r.Key, t.config.Partitions) != s.name {
+		t.counts.Ignored++
+		return
+	}
+	switch r.Kind {
+	case claimKind:
+		t.foldClaim(now, s, at, r)
+	case outcomeKind:
+		t.foldOutcome(r)
+	case releaseKind:
+		t.foldRelease(r)
+	case clockKind:
+	default:
+		t.counts.Ignored++
+	}
+}
+
+func (t *Table) foldClaim(now timekeeper.Time, s *stream, at messenger.Record, r record) {
+	e, ok := t.entries[key{account: r.Account, key: r.Key}]
+	held := ok && e.holdsAt(t.judgedAt(now, at))
+	c := t.nonces[r.Nonce]
+	switch {
+	case held && e.Nonce == r.Nonce && !t.off.ignoreNonce:
+		t.extend(now, s, e, at, r)
+	case held && !e.Released:
+		t.extend(now, s, e, at, r)
+		t.lose(s, c, e)
+	default:
+		t.hold(now, s, at, r)
+		t.win(now, s, at, c)
+	}
+}
+
+// judgedAt returns the time by which a claim is judged: the log's, since all
+// nodes have to forget a key before the same claim.
+func (t *Table) judgedAt(now timekeeper.Time, at messenger.Record) timekeeper.Time {
+	if t.off.localTime {
+		return now
+	}
+	return at.Appended
+}
+
+func (t *Table) extend(now timekeeper.Time, s *stream, e *entry, at messenger.Record, r record) {
+	if t.off.fixedWindow {
+		return
+	}
+	e.extend(now, at, r)
+	heap.Fix(&s.expiry, e.index)
+}
+
+// hold makes a claim the holder of its key.
+func (t *Table) hold(now timekeeper.Time, s *stream, at messenger.Record, r record) {
+	e := newEntry(now, s.name, at, r)
+	if old, ok := t.entries[e.key()]; ok {
+		heap.Remove(&s.expiry, old.index)
+		t.bodies.drop(old)
+		delete(t.entries, e.key())
+	}
+	if len(t.entries) >= t.config.MaxEntries+t.config.MaxEntries/8 {
+		// Without a record of this claim a later one of the same key would
+		// seem to be the first and run again. Until its window has passed,
+		// no claim of this node on the stream is won.
+		t.counts.Overflowed++
+		s.blindUntil = max(s.blindUntil, e.Until)
+		return
+	}
+	t.entries[e.key()] = e
+	heap.Push(&s.expiry, e)
+}
+
+// win decides a claim of this node that holds its key in this node's view.
+//
+// What had expired unread by the time of a read was appended a retention
+// earlier. It bears on a claim only if that was appended within a window of
+// it, and a window is at most three quarters of the retention; so a claim
+// that is read back soon after its begin can't be beaten by a record that
+// this node never saw. A node that was frozen in between takes longer, and
+// must not trust its view: it would send what another has sent.
+func (t *Table) win(now timekeeper.Time, s *stream, at messenger.Record, c *claim) {
+	if c == nil {
+		return
+	}
+	late := now.Sub(c.began) >= t.config.Retention/8
+	c.first = !c.blind && !late && !at.Appended.Before(s.blindUntil) || t.off.trustView
+	if c.state != waiting {
+		return
+	}
+	if !c.first {
+		t.counts.Unsettled++
+		s.decide(c, Decision{Unsettled: true})
+		return
+	}
+	s.decide(c, Decision{
+		Won:           true,
+		Winner:        t.config.Self,
+		WinnerRequest: c.request,
+	})
+}
+
+// lose decides a claim of this node whose key is held. Where the holder is a
+// claim that this node itself has given up, the claim waits for its release.
+func (t *Table) lose(s *stream, c *claim, e *entry) {
+	if c == nil || c.state != waiting {
+		return
+	}
+	if h := t.nonces[e.Nonce]; h != nil && h.state == abandoned {
+		t.loseToOwn(s, c, h)
+		return
+	}
+	s.decide(c, Decision{
+		Winner:        e.Winner,
+		WinnerRequest: e.Request,
+		Recorded:      e.Recorded,
+	})
+}
+
+func (t *Table) loseToOwn(s *stream, c, holder *claim) {
+	if holder.first {
+		c.behind = true
+		return
+	}
+	t.counts.Unsettled++
+	s.decide(c, Decision{Unsettled: true})
+}
+
+func (s *stream) decide(c *claim, d Decision) {
+	d.Request = c.request
+	s.held = append(s.held, heldDecision{
+		Decision: d,
+		claim:    c,
+	})
+}
+
+func (t *Table) foldOutcome(r record) {
+	e, ok := t.entries[key{account: r.Account, key: r.Key}]
+	if !ok || e.Nonce != r.Nonce || e.Released || e.Recorded != nil {
+		return
+	}
+	e.Recorded = &messenger.RecordedOutcome{
+		Outcome:     r.Outcome,
+		Status:      r.Status,
+		Body:        r.Body,
+		BodyOmitted: r.BodyOmitted,
+	}
+	t.counts.BodiesDropped += t.bodies.add(e)
+}
+
+func (t *Table) foldRelease(r record) {
+	e, ok := t.entries[key{account: r.Account, key: r.Key}]
+	if !ok || e.Nonce != r.Nonce || e.Winner != r.Claimant || e.Recorded != nil {
+		return
+	}
+	e.Released = true
+	if c := t.nonces[r.Nonce]; c != nil && c.state == abandoned {
+		t.remove(c)
+	}
+}
--- /dev/null
+++ b/internal/claimer/own.go
@@ -0,0 +1,246 @@
+package claimer
+
+import (
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+type claimState int
+
+const (
+	waiting claimState = iota
+	won
+	// abandoned: the request will not be sent under this claim. Should the
+	// claim hold its key, it is released.
+	abandoned
+	gone
+)
+
+// claim is a claim of this node.
+type claim struct {
+	request identifier.RequestID
+	id      key
+	nonce   identifier.Nonce
+	window  timekeeper.Duration
+	stream  identifier.LogStream
+	began   timekeeper.Time
+	state   claimState
+	// blind tells that records may have expired unread since began.
+	blind bool
+	// first tells that the claim was read back in time as the first of its
+	// key, with nothing unread before it.
+	first bool
+	// behind tells that it lost to a claim that this node has given up: it
+	// is appended again once that one is released.
+	behind bool
+	sent   timekeeper.Time
+}
+
+func (c *claim) data(self identifier.VMID) []byte {
+	return record{
+		Kind:     claimKind,
+		Account:  c.id.account,
+		Key:      c.id.key,
+		Request:  c.request,
+		Claimant: self,
+		Nonce:    c.nonce,
+		Window:   c.window,
+	}.encode()
+}
+
+// Begin starts a claim of a key and returns the record to append. The nonce
+// is fresh. An earlier claim for the same request that still waits is given
+// up. Its error is a *FullError or a *WindowError.
+func (t *Table) Begin(now timekeeper.Time, request identifier.RequestID, account identifier.AccountID,
+	k identifier.IdempotencyKey, nonce identifier.Nonce, window timekeeper.Duration) (identifier.LogStream, []byte, error) {
+	if window > t.config.maxWindow() {
+		return "", nil, &WindowError{
+			Window:    window,
+			Retention: t.config.Retention,
+		}
+	}
+	t.sweep(now)
+	if t.Full() {
+		t.counts.Refused++
+		return "", nil, &FullError{MaxEntries: t.config.MaxEntries}
+	}
+	t.Drop(request)
+	c := &claim{
+		request: request,
+		id: key{
+			account: account,
+			key:     k,
+		},
+		nonce:  nonce,
+		window: window,
+		stream: Stream(account, k, t.config.Partitions),
+		began:  now,
+	}
+	t.own = append(t.own, c)
+	t.nonces[nonce] = c
+	t.active[request] = c
+	return c.stream, c.data(t.config.Self), nil
+}
+
+// Again returns the record of a waiting claim once more, with the same nonce,
+// after an append that failed or was not answered.
+func (t *Table) Again(request identifier.RequestID) (Append, bool) {
+	c, ok := t.active[request]
+	if !ok || c.state != waiting {
+		return Append{}, false
+	}
+	return Append{
+		Stream: c.stream,
+		Data:   c.data(t.config.Self),
+	}, true
+}
+
+// Nonce returns the nonce of the claim under which a request is sent, for its
+// outcome record.
+func (t *Table) Nonce(request identifier.RequestID) (identifier.Nonce, bool) {
+	c, ok := t.active[request]
+	if !ok || c.state != won {
+		return "", false
+	}
+	return c.nonce, true
+}
+
+// Drop ends this node's interest in a claim. A claim that still waits is
+// given up for good: it never wins, also if its append is seen later, and is
+// then released. A claim that was won keeps its key.
+func (t *Table) Drop(request identifier.RequestID) {
+	c, ok := t.active[request]
+	if !ok {
+		return
+	}
+	if t.off.ignoreDrop {
+		return
+	}
+	delete(t.active, request)
+	switch c.state {
+	case waiting:
+		c.state = abandoned
+	case won:
+		t.remove(c)
+	}
+}
+
+// Release ends a claim, won or not, under which nothing ran and nothing will:
+// no byte was sent, or the back end said that it did not run. The key becomes
+// free for later claims.
+func (t *Table) Release(request identifier.RequestID) {
+	c, ok := t.active[request]
+	if !ok {
+		return
+	}
+	delete(t.active, request)
+	if c.state != gone {
+		c.state = abandoned
+	}
+}
+
+func (t *Table) remove(c *claim) {
+	c.state = gone
+	delete(t.nonces, c.nonce)
+	if t.active[c.request] == c {
+		delete(t.active, c.request)
+	}
+}
+
+// sweep forgets given-up claims whose window has long passed. One that lands
+// even later holds its key for a window and is run by nobody.
+func (t *Table) sweep(now timekeeper.Time) {
+	kept := t.own[:0]
+	for _, c := range t.own {
+		if c.state != waiting && now.Sub(c.began) > c.window+forgetAfter {
+			t.remove(c)
+		}
+		if c.state != gone {
+			kept = append(kept, c)
+		}
+	}
+	clear(t.own[len(kept):])
+	t.own = kept
+}
+
+// Waiting lists the requests whose claims are overdue, oldest first. The
+// caller appends them Again, or Drops them.
+func (t *Table) Waiting(now timekeeper.Time) []identifier.RequestID {
+	var out []identifier.RequestID
+	for _, c := range t.own {
+		if c.state == waiting && now.Sub(c.began) >= t.config.DecideWithin {
+			out = append(out, c.request)
+		}
+	}
+	return out
+}
+
+// Appends returns the records that the table itself wants appended now:
+// releases of given-up claims that hold their keys, claims that waited for
+// such a release, and clock records while a full table waits to forget.
+func (t *Table) Appends(now timekeeper.Time) []Append {
+	t.sweep(now)
+	var out []Append
+	for _, c := range t.own {
+		if c.sent != 0 && now.Sub(c.sent) < t.config.AppendEvery {
+			continue
+		}
+		if data, ok := t.wanted(c); ok {
+			c.sent = now
+			out = append(out, Append{
+				Stream: c.stream,
+				Data:   data,
+			})
+		}
+	}
+	return append(out, t.clocks(now)...)
+}
+
+// wanted returns the record that a claim needs appended. A claim that was not
+// surely the first of its key isn't released: where this node holds it for the
+// first, others may know an earlier one that ran, and a third node that
+// started late would take the key for free and run it again.
+func (t *Table) wanted(c *claim) ([]byte, bool) {
+	e, ok := t.entries[c.id]
+	holds := ok && e.Nonce == c.nonce && !e.Released && e.Recorded == nil
+	switch {
+	case c.state == abandoned && holds && (c.first || t.off.releaseBlind):
+		return record{
+			Kind:     releaseKind,
+			Account:  c.id.account,
+			Key:      c.id.key,
+			Claimant: t.config.Self,
+			Nonce:    c.nonce,
+		}.encode(), true
+	case c.state == waiting && c.behind && (!ok || e.Released):
+		return c.data(t.config.Self), true
+	}
+	return nil, false
+}
+
+// clocks returns clock records for the streams whose oldest entry is overdue
+// while the table is full. Entries are forgotten by the append times of later
+// records; with all nodes refusing claims there would be none, and the tables
+// would stay full for ever.
+func (t *Table) clocks(now timekeeper.Time) []Append {
+	if !t.Full() {
+		return nil
+	}
+	var out []Append
+	for _, name := range t.Streams() {
+		s := t.streams[name]
+		if len(s.expiry) == 0 || now.Sub(s.clockSent) < t.config.AppendEvery {
+			continue
+		}
+		oldest := s.expiry[0]
+		if now.Sub(oldest.read) < oldest.window+forgetAfter {
+			continue
+		}
+		s.clockSent = now
+		out = append(out, Append{
+			Stream: name,
+			Data:   record{Kind: clockKind}.encode(),
+		})
+	}
+	return out
+}
