Tell that a recorded answer was too large to be kept

Cause: an outcome without a body can't be told from an empty answer. Change: RecordedOutcome.BodyOmitted.

--- a/internal/messenger/effect.go
+++ b/internal/messenger/effect.go
@@ -46,6 +46,8 @@
 	Outcome Outcome
 	Status  int
 	Body    []byte
+	// BodyOmitted tells that the answer was too large to be kept.
+	BodyOmitted bool
 }
 
 // Effects towards backend servers.
