--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -18,6 +18,9 @@
 	Pools    map[identifier.PoolName]Pool
 	Classes  map[identifier.VMClass]Class
 	Zones    map[identifier.Zone]ZoneSpec
+	// LogRetention is how long the platform's log keeps a record, as the
+	// operators were told by the platform.
+	LogRetention timekeeper.Duration
 }
 
 // ServiceKind tells what stands behind a service.
--- /dev/null
+++ b/internal/configurer/crosscheck.go
@@ -0,0 +1,130 @@
+package configurer
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/folderreader"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+)
+
+// crossCheck reports what shows only between sections.
+func (b *builder) crossCheck() {
+	for _, pool := range b.catalog.Pools {
+		b.checkPool(pool, b.forms[poolSection+" "+string(pool.Name)])
+	}
+	for _, service := range b.catalog.Services {
+		b.checkService(service, b.forms[serviceSection+" "+string(service.Name)])
+	}
+	for _, account := range b.catalog.Accounts {
+		b.checkTargets(account)
+	}
+	b.checkKeys()
+}
+
+func (b *builder) checkPool(pool catalog.Pool, f *folderreader.Form) {
+	if pool.Class == "" {
+		return
+	}
+	if _, ok := b.catalog.Classes[pool.Class]; !ok {
+		f.Fault("vm_class", "a [vm_class] that the folder defines", string(pool.Class))
+		return
+	}
+	if pool.OnDemandPercent < 100 && !b.sold(pool.Class, catalog.Reclaimable) {
+		f.Fault("vm_class", "a class with a reclaimable [price] in some zone", string(pool.Class))
+	}
+	if pool.OnDemandPercent > 0 && !b.sold(pool.Class, catalog.OnDemand) {
+		f.Fault("vm_class", "a class with an on_demand [price] in some zone", string(pool.Class))
+	}
+}
+
+// sold reports whether some zone has a price for the class in the market.
+func (b *builder) sold(class identifier.VMClass, market catalog.Market) bool {
+	for _, prices := range b.catalog.Classes[class].Prices {
+		if _, ok := prices[market]; ok {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *builder) checkService(service catalog.Service, f *folderreader.Form) {
+	b.checkServicePool(service, f)
+	if service.Kind == catalog.ModelService && !service.Idempotent {
+		// A broken answer of a model is taken up where it stopped, so no
+		// caller sees two; forbidding the retry would only lose it.
+		f.Fault("idempotent", "true with kind = model", "false")
+	}
+	if service.Long && !service.Idempotent {
+		// A long request survives because another node may take it over,
+		// which for a call that may not be repeated it may not.
+		f.Fault("long", "false with idempotent = false", "true")
+	}
+	b.checkKeyWindow(service, f)
+}
+
+func (b *builder) checkServicePool(service catalog.Service, f *folderreader.Form) {
+	if service.Pool == "" {
+		return
+	}
+	pool, ok := b.catalog.Pools[service.Pool]
+	if !ok {
+		f.Fault("pool", "a [pool] that the folder defines", string(service.Pool))
+		return
+	}
+	if pool.Kind != service.Kind && pool.Kind != "" && service.Kind != "" {
+		expected := fmt.Sprintf("a pool of kind %s", service.Kind)
+		f.Fault("pool", expected, fmt.Sprintf("%s of kind %s", pool.Name, pool.Kind))
+	}
+}
+
+// checkKeyWindow keeps the window of idempotency keys well inside the log's
+// retention. A claim that expired while its key still counted would let the
+// same booking run a second time; half of the retention leaves the other half
+// for a claim that was read late.
+func (b *builder) checkKeyWindow(service catalog.Service, f *folderreader.Form) {
+	bound := b.catalog.LogRetention / 2
+	if service.KeyWindow > bound {
+		expected := fmt.Sprintf("at most half of the log's retention, %s", bound)
+		f.Fault("key_window", expected, service.KeyWindow.String())
+	}
+}
+
+func (b *builder) checkTargets(account catalog.Account) {
+	largest := identifier.Tokens(0)
+	for name, target := range account.Targets {
+		service, ok := b.catalog.Services[name]
+		if !ok {
+			continue
+		}
+		largest = max(largest, service.MaxTokens)
+		if target.Completion > service.Deadline && service.Deadline > 0 {
+			f := b.forms[targetSection+" "+string(account.ID)+" "+string(name)]
+			expected := fmt.Sprintf("at most the service's deadline, %s", service.Deadline)
+			f.Fault("completion", expected, target.Completion.String())
+		}
+	}
+	if account.TokenBurst < float64(largest) && account.TokenBurst > 0 {
+		// A request that asks for more than the burst could never be let in.
+		f := b.forms[accountSection+" "+string(account.ID)]
+		expected := fmt.Sprintf("at least the max_tokens of its services, %d", largest)
+		f.Fault("token_burst", expected, fmt.Sprint(account.TokenBurst))
+	}
+}
+
+// checkKeys reports a key that would authenticate two accounts.
+func (b *builder) checkKeys() {
+	owner := make(map[string]identifier.AccountID)
+	for _, id := range slices.Sorted(maps.Keys(b.catalog.Accounts)) {
+		for _, hash := range b.catalog.Accounts[id].KeyHashes {
+			if first, ok := owner[hash]; ok {
+				f := b.forms[accountSection+" "+string(id)]
+				f.Fault("key_sha256", "a key of no other account", fmt.Sprintf("a key of %s", first))
+				continue
+			}
+			owner[hash] = id
+		}
+	}
+}
--- /dev/null
+++ b/internal/configurer/sections.go
@@ -0,0 +1,193 @@
+package configurer
+
+import (
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/folderreader"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// The bounds of values. They are wide: they catch a slip of the keyboard, not
+// a matter of taste.
+const (
+	maxServers   = 10_000
+	maxSlots     = 10_000
+	maxPace      = 1e6
+	maxRate      = 1e9
+	maxAnswer    = 1_000_000
+	maxBody      = 64 << 20
+	maxKVBytes   = 64 << 20
+	maxTransfer  = 1 << 40
+	maxOrderTime = timekeeper.Hour
+	maxDeadline  = 7 * 24 * timekeeper.Hour
+)
+
+func (b *builder) log(f *folderreader.Form, _ []string) {
+	if retention := f.Need("retention").Duration(minRetention, maxRetention); retention > 0 {
+		b.catalog.LogRetention = retention
+	}
+}
+
+func (b *builder) zone(f *folderreader.Form, names []string) {
+	name := identifier.Zone(names[0])
+	b.catalog.Zones[name] = catalog.ZoneSpec{
+		Name:   name,
+		Region: identifier.Region(f.Need("region").Name()),
+	}
+}
+
+func (b *builder) class(_ *folderreader.Form, names []string) {
+	name := identifier.VMClass(names[0])
+	b.catalog.Classes[name] = catalog.Class{
+		Name:   name,
+		Prices: make(map[identifier.Zone]map[catalog.Market]identifier.Money),
+	}
+}
+
+func (b *builder) price(f *folderreader.Form, names []string) {
+	class, zone := identifier.VMClass(names[0]), identifier.Zone(names[1])
+	prices := make(map[catalog.Market]identifier.Money)
+	for _, market := range []catalog.Market{catalog.Reclaimable, catalog.OnDemand} {
+		f.Known(string(market))
+		if f.Has(string(market)) {
+			prices[market] = f.Need(string(market)).Money()
+		}
+	}
+	if len(prices) == 0 {
+		f.Fault("", "a price for reclaimable, on_demand or both", "none")
+	}
+	if spec, ok := b.catalog.Classes[class]; ok {
+		spec.Prices[zone] = prices
+	} else {
+		f.Fault("", "a [vm_class] that the folder defines", string(class))
+	}
+	if _, ok := b.catalog.Zones[zone]; !ok {
+		f.Fault("", "a [zone] that the folder defines", string(zone))
+	}
+}
+
+func (b *builder) pool(f *folderreader.Form, names []string) {
+	pool := catalog.Pool{
+		Name:            identifier.PoolName(names[0]),
+		Kind:            serviceKind(f),
+		ChecksFence:     f.Get("checks_fence", "false").Bool(),
+		OrderTime:       f.Get("order_time", "30s").Duration(timekeeper.Millisecond, maxOrderTime),
+		Class:           identifier.VMClass(f.Need("vm_class").Name()),
+		Slots:           f.Need("slots").Count(1, maxSlots),
+		Min:             f.Need("min").Count(0, maxServers),
+		Max:             f.Need("max").Count(1, maxServers),
+		OnDemandPercent: f.Get("on_demand_percent", "0").Count(0, 100),
+	}
+	f.Known("tokens_per_second", "prefill_per_second", "kv_bytes_per_token", "transfer_rate")
+	switch pool.Kind {
+	case catalog.PlainService:
+		unwanted(f, "tokens_per_second", "prefill_per_second", "kv_bytes_per_token", "transfer_rate")
+	case catalog.ModelService:
+		pool.TokensPerSecond = f.Need("tokens_per_second").Number(0.1, maxPace)
+		pool.PrefillPerSecond = f.Need("prefill_per_second").Number(0.1, maxPace)
+		pool.KVBytesPerToken = f.Need("kv_bytes_per_token").Bytes(1, maxKVBytes)
+		pool.TransferRate = identifier.BytesPerSecond(f.Need("transfer_rate").Bytes(1, maxTransfer))
+	}
+	if pool.Min > pool.Max && pool.Max > 0 {
+		f.Fault("min", "at most max", "more")
+	}
+	b.catalog.Pools[pool.Name] = pool
+}
+
+func serviceKind(f *folderreader.Form) catalog.ServiceKind {
+	return catalog.ServiceKind(f.Need("kind").Choice(
+		string(catalog.ModelService),
+		string(catalog.PlainService),
+	))
+}
+
+// unwanted reports keys that only model pools and services have.
+func unwanted(f *folderreader.Form, keys ...string) {
+	for _, key := range keys {
+		f.Unwanted(key, "with kind = plain")
+	}
+}
+
+func (b *builder) service(f *folderreader.Form, names []string) {
+	service := catalog.Service{
+		Name:         identifier.ServiceName(names[0]),
+		Kind:         serviceKind(f),
+		Pool:         identifier.PoolName(f.Need("pool").Name()),
+		Priority:     priority(f),
+		Long:         f.Get("long", "false").Bool(),
+		Deadline:     f.Need("deadline").Duration(timekeeper.Millisecond, maxDeadline),
+		MaxBody:      f.Get("max_body", "1MiB").Bytes(1, maxBody),
+		RetryPercent: f.Get("retry_percent", "10").Count(0, 100),
+		KeyWindow:    f.Get("key_window", "10m").Duration(timekeeper.Second, maxRetention),
+	}
+	f.Known("model", "max_tokens", "idempotent")
+	switch service.Kind {
+	case catalog.PlainService:
+		unwanted(f, "model", "max_tokens")
+		// Whether a call may be repeated is never guessed: a wrong guess
+		// doubles a booking or loses an answer.
+		service.Idempotent = f.Need("idempotent").Bool()
+	case catalog.ModelService:
+		service.Model = identifier.ModelName(f.Need("model").Name())
+		service.MaxTokens = identifier.Tokens(f.Need("max_tokens").Count(1, maxAnswer))
+		service.Idempotent = f.Get("idempotent", "true").Bool()
+	}
+	b.catalog.Services[service.Name] = service
+}
+
+// The words for priorities.
+const (
+	batchWord       = "batch"
+	standardWord    = "standard"
+	interactiveWord = "interactive"
+)
+
+func priority(f *folderreader.Form) catalog.Priority {
+	switch f.Need("priority").Choice(batchWord, standardWord, interactiveWord) {
+	case batchWord:
+		return catalog.Batch
+	case interactiveWord:
+		return catalog.Interactive
+	default:
+		return catalog.Standard
+	}
+}
+
+func (b *builder) account(f *folderreader.Form, names []string) {
+	account := catalog.Account{
+		ID:                identifier.AccountID(names[0]),
+		KeyHashes:         f.Need("key_sha256").Hashes(),
+		RequestsPerSecond: f.Need("requests_per_second").Number(0.001, maxRate),
+		RequestBurst:      f.Need("request_burst").Number(1, maxRate),
+		TokensPerSecond:   f.Need("tokens_per_second").Number(0.001, maxRate),
+		TokenBurst:        f.Need("token_burst").Number(1, maxRate),
+		Targets:           make(map[identifier.ServiceName]catalog.Target),
+	}
+	b.catalog.Accounts[account.ID] = account
+}
+
+func (b *builder) target(f *folderreader.Form, names []string) {
+	account, service := identifier.AccountID(names[0]), identifier.ServiceName(names[1])
+	target := catalog.Target{
+		Completion: f.Need("completion").Duration(timekeeper.Millisecond, maxDeadline),
+		Penalty:    f.Need("penalty").Money(),
+	}
+	target.FirstToken = target.Completion
+	f.Known("first_token")
+	if b.catalog.Services[service].Kind == catalog.PlainService {
+		f.Unwanted("first_token", "for a plain service")
+	} else if f.Has("first_token") {
+		target.FirstToken = f.Need("first_token").Duration(timekeeper.Millisecond, maxDeadline)
+	}
+	if target.FirstToken > target.Completion && target.Completion > 0 {
+		f.Fault("first_token", "at most the completion", target.FirstToken.String())
+	}
+	if spec, ok := b.catalog.Accounts[account]; ok {
+		spec.Targets[service] = target
+	} else {
+		f.Fault("", "a [client_account] that the folder defines", string(account))
+	}
+	if _, ok := b.catalog.Services[service]; !ok {
+		f.Fault("", "a [service] that the folder defines", string(service))
+	}
+}
--- /dev/null
+++ b/internal/folderreader/fault.go
@@ -0,0 +1,79 @@
+package folderreader
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+)
+
+// Fault is one thing that is wrong with a folder.
+type Fault struct {
+	File identifier.FileName `json:"file"`
+	// Section and Key are empty where the fault is not in one of them.
+	Section  string `json:"section"`
+	Key      string `json:"key"`
+	Expected string `json:"expected"`
+	Got      string `json:"got"`
+}
+
+// String returns the fault as one line.
+func (f Fault) String() string {
+	var b strings.Builder
+	b.WriteString(string(f.File))
+	if f.Section != "" {
+		fmt.Fprintf(&b, " [%s]", f.Section)
+	}
+	if f.Key != "" {
+		fmt.Fprintf(&b, " %s", f.Key)
+	}
+	fmt.Fprintf(&b, ": expected %s, got %s", f.Expected, f.Got)
+	return b.String()
+}
+
+// FaultsError is a folder's faults as an error.
+type FaultsError struct{ Faults []Fault }
+
+func (e *FaultsError) Error() string {
+	lines := make([]string, 0, len(e.Faults))
+	for _, f := range e.Faults {
+		lines = append(lines, f.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Faults collects faults. The zero value is empty.
+type Faults struct{ all []Fault }
+
+// Add adds a fault.
+func (fs *Faults) Add(f Fault) { fs.all = append(fs.all, f) }
+
+// Sorted returns the faults by file, section and key, each once.
+func (fs *Faults) Sorted() []Fault {
+	sorted := slices.Clone(fs.all)
+	slices.SortFunc(sorted, func(a, b Fault) int {
+		return cmp.Or(
+			cmp.Compare(a.File, b.File),
+			cmp.Compare(a.Section, b.Section),
+			cmp.Compare(a.Key, b.Key),
+			cmp.Compare(a.Expected, b.Expected),
+			cmp.Compare(a.Got, b.Got),
+		)
+	})
+	return slices.Compact(sorted)
+}
+
+// nothing is what a fault got where a value is missing.
+const nothing = "nothing"
+
+// maxQuoted bounds the text of the folder that a fault repeats.
+const maxQuoted = 80
+
+func quote(s string) string {
+	if len(s) > maxQuoted {
+		return fmt.Sprintf("%q and %d bytes more", s[:maxQuoted], len(s)-maxQuoted)
+	}
+	return fmt.Sprintf("%q", s)
+}
