Add the stand-ins for platform and backend servers, and their clients

Cause: callers' requests need a whole path to run on; the real platform, engines and plain servers are not known yet. Ruled out: mocks inside the process, which hide lost answers, silent connections and the repeats that net/http makes by itself.

--- /dev/null
+++ b/internal/adapter/adapter.go
@@ -0,0 +1,244 @@
+// Package adapter is the client side of everything that the system stands on:
+// the platform's log, VM list, cloud API and weight store (Log, Lister, Cloud,
+// Weights), the model engines (Engine) and the plain servers (Plain).
+//
+// The clients decide nothing. Their one duty is to say truthfully what became
+// of a call, because the right to repeat it hangs on that:
+//
+//   - NotSentError: no byte of the request left. It did not run.
+//   - RefusedError: the server promises that it did not run.
+//   - RateLimitedError: the platform took nothing.
+//   - UnavailableError: the platform could not be reached at all, or a call
+//     without effect failed.
+//   - BrokenError, SilentError: the connection ended early or lost its voice;
+//     the call may have run.
+//   - AmbiguousError: the platform may have taken the effect.
+//   - FailedError: the server ran it and says that it failed.
+//   - StaleFenceError, UnknownStreamError, BuyRefusedError: as named.
+//
+// Each call sends its request at most once. net/http repeats a request by
+// itself only on a reused connection, so calls with an effect get a fresh one.
+package adapter
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/adapter/encoder"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// The bounds of a client that its Config does not set.
+const (
+	DefaultDialTimeout = timekeeper.Second
+	DefaultTimeout     = 3 * timekeeper.Second
+	// maxReply bounds an answer that is read whole.
+	maxReply = 32 << 20
+	// maxProblem bounds the body of an error answer.
+	maxProblem = 64 << 10
+)
+
+// Bounds are the time limits of a client.
+type Bounds struct {
+	// Dial bounds opening a connection.
+	Dial timekeeper.Duration
+	// Call bounds a whole call, the wait of a long poll not counted.
+	Call timekeeper.Duration
+}
+
+func (b Bounds) withDefaults() Bounds {
+	if b.Dial == 0 {
+		b.Dial = DefaultDialTimeout
+	}
+	if b.Call == 0 {
+		b.Call = DefaultTimeout
+	}
+	return b
+}
+
+// client sends requests over one transport.
+type client struct {
+	bounds Bounds
+	http   http.Client
+}
+
+// newClient returns a client that reuses connections.
+func newClient(b Bounds) *client {
+	return newClientWith(b, false)
+}
+
+// newFreshClient returns a client that opens a connection for every request:
+// a pooled one may have gone silent for good, and net/http may send a request
+// twice when a pooled connection closes under it.
+func newFreshClient(b Bounds) *client {
+	return newClientWith(b, true)
+}
+
+func newClientWith(b Bounds, fresh bool) *client {
+	b = b.withDefaults()
+	dialer := &net.Dialer{Timeout: b.Dial.Std()}
+	return &client{
+		bounds: b,
+		http: http.Client{
+			Transport: &http.Transport{
+				DialContext:         dialer.DialContext,
+				DisableKeepAlives:   fresh,
+				DisableCompression:  true,
+				MaxIdleConnsPerHost: 4,
+				IdleConnTimeout:     (30 * timekeeper.Second).Std(),
+			},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
+}
+
+// close ends the idle connections.
+func (c *client) close() { c.http.CloseIdleConnections() }
+
+// call is one request to make.
+type call struct {
+	method  string
+	address string
+	path    string
+	header  http.Header
+	body    []byte
+}
+
+func (c call) url() string { return "http://" + c.address + c.path }
+
+// do sends the request. Its error is a *NotSentError when no byte of it can
+// have left, else a *BrokenError.
+func (c *client) do(ctx context.Context, wanted call) (*http.Response, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	request, err := http.NewRequestWithContext(ctx, wanted.method, wanted.url(), bytes.NewReader(wanted.body))
+	if err != nil {
+		return nil, &NotSentError{
+			Address: wanted.address,
+			Cause:   err,
+		}
+	}
+	// Without GetBody net/http can't send the body a second time.
+	request.GetBody = nil
+	if wanted.header != nil {
+		request.Header = wanted.header
+	}
+	response, err := c.http.Do(request)
+	switch {
+	case err == nil:
+		return response, nil
+	case !connected.Load():
+		// The transport writes only after it has handed a connection to the
+		// request, which GotConn reports: without it nothing left.
+		return nil, &NotSentError{
+			Address: wanted.address,
+			Cause:   err,
+		}
+	default:
+		return nil, &BrokenError{
+			Address: wanted.address,
+			Cause:   cause(ctx, err),
+		}
+	}
+}
+
+// cause prefers the reason for which a context was ended over the fact that
+// it was.
+func cause(ctx context.Context, err error) error {
+	if reason := context.Cause(ctx); reason != nil {
+		return reason
+	}
+	return err
+}
+
+// exchange makes a call and decodes the JSON answer into reply, which may be
+// nil. Answers other than 2xx are *StatusError.
+func (c *client) exchange(ctx context.Context, wanted call, reply any) error {
+	response, err := c.do(ctx, wanted)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode/100 != 2 {
+		return statusError(wanted.address, response)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(nil, response.Body, maxReply))
+	if err != nil {
+		return &BrokenError{
+			Address: wanted.address,
+			Cause:   cause(ctx, err),
+		}
+	}
+	if reply == nil {
+		return nil
+	}
+	if err := json.Unmarshal(body, reply); err != nil {
+		return &BrokenError{
+			Address: wanted.address,
+			Cause:   fmt.Errorf("decode answer: %w", err),
+		}
+	}
+	return nil
+}
+
+// exchangeBounded is exchange within the client's time limit plus extra.
+func (c *client) exchangeBounded(ctx context.Context, wanted call, reply any, extra timekeeper.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, (c.bounds.Call + extra).Std())
+	defer cancel()
+	return c.exchange(ctx, wanted, reply)
+}
+
+// statusError reads an answer that is not a success.
+func statusError(address string, response *http.Response) *StatusError {
+	body, _ := io.ReadAll(io.LimitReader(response.Body, maxProblem))
+	var problem encoder.Problem
+	_ = json.Unmarshal(body, &problem)
+	return &StatusError{
+		Address:    address,
+		Status:     response.StatusCode,
+		Header:     response.Header,
+		Body:       body,
+		Text:       problem.Error,
+		RetryAfter: retryAfter(response.Header, problem),
+	}
+}
+
+// retryAfter reads when a server wants its caller back; zero is no wish.
+func retryAfter(header http.Header, problem encoder.Problem) timekeeper.Duration {
+	if problem.RetryAfterMS > 0 {
+		return timekeeper.Duration(problem.RetryAfterMS)
+	}
+	seconds, err := strconv.ParseUint(header.Get(encoder.RetryAfterHeader), 10, 31)
+	if err != nil {
+		return 0
+	}
+	return timekeeper.Duration(seconds) * timekeeper.Second
+}
+
+// jsonCall builds a call with the JSON form of body.
+func jsonCall(method, address, path string, body any) (call, error) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		return call{}, &NotSentError{
+			Address: address,
+			Cause:   fmt.Errorf("encode request: %w", err),
+		}
+	}
+	return call{
+		method:  method,
+		address: address,
+		path:    path,
+		header:  http.Header{"Content-Type": []string{"application/json"}},
+		body:    text,
+	}, nil
+}
--- /dev/null
+++ b/internal/adapter/cloud.go
@@ -0,0 +1,199 @@
+package adapter
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/adapter/encoder"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// Lister is the client of the platform's list of VMs. It is safe for
+// concurrent use.
+type Lister struct {
+	config PlatformConfig
+	client *client
+}
+
+// NewLister returns a client of the list.
+func NewLister(c PlatformConfig) *Lister {
+	return &Lister{
+		config: c,
+		client: newClient(c.Bounds),
+	}
+}
+
+// Close ends the idle connections.
+func (l *Lister) Close() { l.client.close() }
+
+// List returns the list, dated by this process's clock. Its error is an
+// *UnavailableError.
+func (l *Lister) List(ctx context.Context) (messenger.ListRead, error) {
+	asked := l.config.clock().Now()
+	var reply encoder.ListResponse
+	wanted := call{
+		method:  http.MethodGet,
+		address: l.config.Address,
+		path:    "/vms",
+	}
+	if err := l.client.exchangeBounded(ctx, wanted, &reply, 0); err != nil {
+		return messenger.ListRead{}, readError(err)
+	}
+	read := messenger.ListRead{
+		// Dated from before the call: a list is never taken for newer than it
+		// is.
+		AsOf: asked.Add(-timekeeper.Duration(reply.AgeMS)),
+		VMs:  make([]messenger.VMState, 0, len(reply.VMs)),
+	}
+	for _, v := range reply.VMs {
+		read.VMs = append(read.VMs, messenger.VMState{
+			VM:      v.VM,
+			Zone:    v.Zone,
+			Class:   v.Class,
+			Market:  v.Market,
+			Pool:    v.Pool,
+			Address: v.Address,
+			Leaving: v.Leaving,
+		})
+	}
+	return read, nil
+}
+
+// Cloud is the client of the platform's cloud API. It is safe for concurrent
+// use.
+type Cloud struct {
+	config  PlatformConfig
+	readers *client
+	writers *client
+}
+
+// NewCloud returns a client of the cloud API.
+func NewCloud(c PlatformConfig) *Cloud {
+	return &Cloud{
+		config:  c,
+		readers: newClient(c.Bounds),
+		writers: newFreshClient(c.Bounds),
+	}
+}
+
+// Close ends the idle connections.
+func (c *Cloud) Close() {
+	c.readers.close()
+	c.writers.close()
+}
+
+// Buy buys a VM. Its errors are *BuyRefusedError and *UnavailableError, when
+// nothing was bought, and *AmbiguousError. The caller checks its lease before.
+func (c *Cloud) Buy(ctx context.Context, b messenger.BuyVM) (identifier.VMID, error) {
+	wanted, err := jsonCall(http.MethodPost, c.config.Address, "/cloud/vms", encoder.BuyRequest{
+		ClientToken: b.ClientToken,
+		Class:       b.Class,
+		Zone:        b.Zone,
+		Market:      b.Market,
+		Pool:        b.Pool,
+	})
+	if err != nil {
+		return "", effectError(err)
+	}
+	var reply encoder.VM
+	err = c.writers.exchangeBounded(ctx, wanted, &reply, 0)
+	var status *StatusError
+	if errors.As(err, &status) && status.Status == http.StatusConflict {
+		return "", &BuyRefusedError{Text: status.Text}
+	}
+	if err != nil {
+		return "", effectError(err)
+	}
+	return reply.VM, nil
+}
+
+// Release gives a VM back. A VM that the cloud no longer knows counts as
+// given back. Its errors are *UnavailableError and *AmbiguousError.
+func (c *Cloud) Release(ctx context.Context, vm identifier.VMID) error {
+	wanted := call{
+		method:  http.MethodDelete,
+		address: c.config.Address,
+		path:    "/cloud/vms/" + url.PathEscape(string(vm)),
+	}
+	err := c.writers.exchangeBounded(ctx, wanted, nil, 0)
+	var status *StatusError
+	if errors.As(err, &status) && status.Status == http.StatusNotFound {
+		return nil
+	}
+	return effectError(err)
+}
+
+// Notice is a reclaim notice.
+type Notice struct {
+	Seq      uint64
+	VM       identifier.VMID
+	Deadline timekeeper.Time
+}
+
+// Notices returns the reclaim notices after a sequence number. Where there
+// are none it waits for the first one, up to wait. Its error is an
+// *UnavailableError.
+func (c *Cloud) Notices(ctx context.Context, after uint64, wait timekeeper.Duration) ([]Notice, error) {
+	values := url.Values{}
+	values.Set("after", strconv.FormatUint(after, 10))
+	values.Set("wait_ms", strconv.FormatInt(int64(wait), 10))
+	wanted := call{
+		method:  http.MethodGet,
+		address: c.config.Address,
+		path:    "/cloud/notices?" + values.Encode(),
+	}
+	var reply encoder.NoticesResponse
+	if err := c.readers.exchangeBounded(ctx, wanted, &reply, wait); err != nil {
+		return nil, readError(err)
+	}
+	now := c.config.clock().Now()
+	notices := make([]Notice, 0, len(reply.Notices))
+	for _, n := range reply.Notices {
+		notices = append(notices, Notice{
+			Seq:      n.Seq,
+			VM:       n.VM,
+			Deadline: now.Add(timekeeper.Duration(n.DeadlineMSLeft)),
+		})
+	}
+	return notices, nil
+}
+
+// Weights is the client of the platform's weight store. It is safe for
+// concurrent use.
+type Weights struct {
+	config PlatformConfig
+	client *client
+}
+
+// NewWeights returns a client of the weight store.
+func NewWeights(c PlatformConfig) *Weights {
+	return &Weights{
+		config: c,
+		client: newFreshClient(c.Bounds),
+	}
+}
+
+// Fetch writes the weights of a model to w, at the store's own rate; only ctx
+// bounds it. Its error is an *UnavailableError.
+func (s *Weights) Fetch(ctx context.Context, model identifier.ModelName, w io.Writer) (identifier.Bytes, error) {
+	response, err := s.client.do(ctx, call{
+		method:  http.MethodGet,
+		address: s.config.Address,
+		path:    "/weights/" + url.PathEscape(string(model)),
+	})
+	if err != nil {
+		return 0, readError(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return 0, readError(statusError(s.config.Address, response))
+	}
+	n, err := io.Copy(w, response.Body)
+	return identifier.Bytes(n), readError(err)
+}
--- /dev/null
+++ b/internal/adapter/encoder/server.go
@@ -0,0 +1,92 @@
+package encoder
+
+import (
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+)
+
+// The names of the events of an engine's stream besides the unnamed token
+// event.
+const (
+	// EndEvent closes a whole stream; its data is an End.
+	EndEvent = "end"
+	// ErrorEvent closes a stream that will not go on; its data is a Problem.
+	ErrorEvent = "error"
+)
+
+// GenerateRequest is the body of POST /generate.
+type GenerateRequest struct {
+	Stream identifier.StreamName `json:"stream"`
+	Model  identifier.ModelName  `json:"model"`
+	Prompt string                `json:"prompt"`
+	// PromptTokens and Prefix are worked out from Prompt where they are
+	// absent.
+	PromptTokens identifier.Tokens       `json:"prompt_tokens,omitempty"`
+	Prefix       []identifier.PrefixHash `json:"prefix,omitempty"`
+	Seed         uint64                  `json:"seed,omitempty"`
+	// From is how many tokens of the answer the asker has; Given holds them.
+	From       identifier.Tokens `json:"from"`
+	Given      []string          `json:"given,omitempty"`
+	MaxTokens  identifier.Tokens `json:"max_tokens"`
+	Priority   int               `json:"priority"`
+	DeadlineMS int64             `json:"deadline_ms"`
+}
+
+// Token is the data of one token event; the event's id is the token's index
+// in the answer, from 1.
+type Token struct {
+	Token string `json:"token"`
+}
+
+// End is the data of the end event.
+type End struct {
+	Tokens identifier.Tokens `json:"tokens"`
+}
+
+// ExportRequest is the body of POST /streams/{name}/export.
+type ExportRequest struct {
+	ToAddress string `json:"to_address"`
+}
+
+// KV is a stream's KV cache as one engine hands it to another.
+type KV struct {
+	Stream  identifier.StreamName   `json:"stream"`
+	Model   identifier.ModelName    `json:"model"`
+	Prompt  string                  `json:"prompt"`
+	Prefix  []identifier.PrefixHash `json:"prefix"`
+	Context identifier.Tokens       `json:"context"`
+}
+
+// Load answers GET /load. AgeMS tells how long ago the server measured it.
+type Load struct {
+	AgeMS           int64                `json:"age_ms"`
+	Running         int                  `json:"running"`
+	Waiting         int                  `json:"waiting"`
+	Slots           int                  `json:"slots"`
+	FreeKVTokens    identifier.Tokens    `json:"free_kv_tokens"`
+	TokensPerSecond float64              `json:"tokens_per_second"`
+	Model           identifier.ModelName `json:"model"`
+	Role            string               `json:"role"`
+	Fence           identifier.Fence     `json:"fence"`
+}
+
+// CacheEventsResponse answers GET /cache_events?after=.
+type CacheEventsResponse struct {
+	Events []CacheEvent `json:"events"`
+}
+
+// CacheEvent tells that the engine now holds a prefix block, or dropped it.
+// A hole in the sequence tells that events were lost.
+type CacheEvent struct {
+	Seq  uint64                `json:"seq"`
+	Hash identifier.PrefixHash `json:"hash"`
+	Gone bool                  `json:"gone"`
+}
+
+// OrderRequest is the body of POST /orders.
+type OrderRequest struct {
+	Kind  messenger.OrderKind  `json:"kind"`
+	Model identifier.ModelName `json:"model,omitempty"`
+	Role  string               `json:"role,omitempty"`
+	Fence identifier.Fence     `json:"fence"`
+}
--- /dev/null
+++ b/internal/adapter/engine.go
@@ -0,0 +1,267 @@
+package adapter
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/adapter/encoder"
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// ServerConfig configures the clients of backend servers.
+type ServerConfig struct {
+	Bounds Bounds
+	// Clock dates load reports.
+	Clock timekeeper.Clock
+}
+
+func (c ServerConfig) clock() timekeeper.Clock {
+	if c.Clock == nil {
+		return timekeeper.System{}
+	}
+	return c.Clock
+}
+
+// Engine is the client of all model engines; every method takes the engine's
+// host:port. It is safe for concurrent use.
+type Engine struct {
+	config  ServerConfig
+	streams *client
+	polls   *client
+}
+
+// NewEngine returns a client of the model engines.
+func NewEngine(c ServerConfig) *Engine {
+	return &Engine{
+		config:  c,
+		streams: newFreshClient(c.Bounds),
+		polls:   newClient(c.Bounds),
+	}
+}
+
+// Close ends the idle connections.
+func (e *Engine) Close() {
+	e.streams.close()
+	e.polls.close()
+}
+
+// Start says which stream to start.
+type Start struct {
+	Stream       identifier.StreamName
+	Model        identifier.ModelName
+	Prompt       string
+	PromptTokens identifier.Tokens       // counted by the engine when zero
+	Prefix       []identifier.PrefixHash // worked out by the engine when nil
+	// Given is the answer so far, one text a token; the stream goes on after
+	// it. The engine reads prompt and Given anew, but for what its caches
+	// hold, imported KV copies of the same prompt included.
+	Given []string
+	// MaxTokens bounds the whole answer, Given included.
+	MaxTokens identifier.Tokens
+	Priority  catalog.Priority
+	// Remaining is the time to the deadline; zero is none.
+	Remaining timekeeper.Duration
+}
+
+// Token is one token of an answer; Index counts from 1.
+type Token struct {
+	Index identifier.Tokens
+	Text  string
+}
+
+// Sink takes what a stream brings, in order and from one goroutine.
+type Sink interface {
+	// Started tells that the engine has taken the stream up.
+	Started()
+	// Token takes the next token. An error ends the reading, not the stream,
+	// and is what Start or Resume returns.
+	Token(Token) error
+}
+
+// Start starts a stream and reads it to its end. A nil error means that the
+// answer is whole. Its errors are *NotSentError, *RefusedError, *BrokenError,
+// *SilentError, *FailedError, *OutOfStepError and those of the sink.
+func (e *Engine) Start(ctx context.Context, address string, s Start, p Patience, sink Sink) error {
+	wanted, err := jsonCall(http.MethodPost, address, "/generate", encoder.GenerateRequest{
+		Stream:       s.Stream,
+		Model:        s.Model,
+		Prompt:       s.Prompt,
+		PromptTokens: s.PromptTokens,
+		Prefix:       s.Prefix,
+		From:         identifier.Tokens(len(s.Given)),
+		Given:        s.Given,
+		MaxTokens:    s.MaxTokens,
+		Priority:     int(s.Priority),
+		DeadlineMS:   int64(s.Remaining),
+	})
+	if err != nil {
+		return err
+	}
+	return e.follow(ctx, wanted, reading{
+		stream:   s.Stream,
+		last:     identifier.Tokens(len(s.Given)),
+		patience: p,
+		sink:     sink,
+	})
+}
+
+// Resume reads a stream that the engine already runs, from after the given
+// token index to its end. Its errors are those of Start and
+// *UnknownStreamError.
+func (e *Engine) Resume(ctx context.Context, address string, stream identifier.StreamName, from identifier.Tokens, p Patience, sink Sink) error {
+	err := e.follow(ctx, call{
+		method:  http.MethodGet,
+		address: address,
+		path:    streamPath(stream) + "?from=" + strconv.FormatInt(int64(from), 10),
+	}, reading{
+		stream:   stream,
+		last:     from,
+		patience: p,
+		sink:     sink,
+	})
+	return unknownStream(err, address, stream)
+}
+
+// Cancel makes the engine drop a stream. An unknown stream is no error.
+func (e *Engine) Cancel(ctx context.Context, address string, stream identifier.StreamName) error {
+	err := e.streams.exchangeBounded(ctx, call{
+		method:  http.MethodDelete,
+		address: address,
+		path:    streamPath(stream),
+	}, nil, 0)
+	var status *StatusError
+	if errors.As(err, &status) && status.Status == http.StatusNotFound {
+		return nil
+	}
+	return serverError(err)
+}
+
+// MoveKV makes an engine copy the KV cache of a stream to another engine.
+// Only ctx bounds it, because the transfer takes as long as it takes. Its
+// errors are those of Start and *UnknownStreamError.
+func (e *Engine) MoveKV(ctx context.Context, address string, stream identifier.StreamName, toAddress string) error {
+	wanted, err := jsonCall(http.MethodPost, address, streamPath(stream)+"/export", encoder.ExportRequest{ToAddress: toAddress})
+	if err != nil {
+		return err
+	}
+	return unknownStream(serverError(e.streams.exchange(ctx, wanted, nil)), address, stream)
+}
+
+// Load asks an engine, or a plain server, for its load.
+func (e *Engine) Load(ctx context.Context, address string) (messenger.ServerLoad, error) {
+	return pollLoad(ctx, e.polls, e.config.clock(), address)
+}
+
+// CacheEvents is what became of an engine's prefix cache.
+type CacheEvents struct {
+	Held []identifier.PrefixHash
+	Gone []identifier.PrefixHash
+	// Gap tells that events were lost before or between these.
+	Gap bool
+	// Last is the sequence number to ask from next time.
+	Last uint64
+}
+
+// CacheEvents returns the changes of an engine's prefix cache after a
+// sequence number. A block that was taken in and dropped again counts as its
+// last state.
+func (e *Engine) CacheEvents(ctx context.Context, address string, after uint64) (CacheEvents, error) {
+	var reply encoder.CacheEventsResponse
+	err := e.polls.exchangeBounded(ctx, call{
+		method:  http.MethodGet,
+		address: address,
+		path:    "/cache_events?after=" + strconv.FormatUint(after, 10),
+	}, &reply, 0)
+	if err != nil {
+		return CacheEvents{}, serverError(err)
+	}
+	return foldCacheEvents(reply.Events, after), nil
+}
+
+func foldCacheEvents(events []encoder.CacheEvent, after uint64) CacheEvents {
+	folded := CacheEvents{Last: after}
+	final := make(map[identifier.PrefixHash]int, len(events))
+	for i, event := range events {
+		final[event.Hash] = i
+	}
+	for i, event := range events {
+		folded.Gap = folded.Gap || event.Seq != folded.Last+1
+		folded.Last = event.Seq
+		switch {
+		case final[event.Hash] != i:
+		case event.Gone:
+			folded.Gone = append(folded.Gone, event.Hash)
+		default:
+			folded.Held = append(folded.Held, event.Hash)
+		}
+	}
+	return folded
+}
+
+// Order gives an engine an order. Its errors are *StaleFenceError,
+// *NotSentError, *FailedError, *BrokenError. Only ctx bounds it, because a
+// load may take long. The caller checks its lease right before.
+func (e *Engine) Order(ctx context.Context, address string, o messenger.Order) error {
+	wanted, err := jsonCall(http.MethodPost, address, "/orders", encoder.OrderRequest{
+		Kind:  o.Kind,
+		Model: o.Model,
+		Role:  o.Role,
+		Fence: o.Fence,
+	})
+	if err != nil {
+		return err
+	}
+	err = e.streams.exchange(ctx, wanted, nil)
+	var status *StatusError
+	if errors.As(err, &status) && status.Status == http.StatusConflict {
+		return &StaleFenceError{
+			Address: address,
+			Fence:   o.Fence,
+		}
+	}
+	return serverError(err)
+}
+
+func streamPath(s identifier.StreamName) string { return "/streams/" + url.PathEscape(string(s)) }
+
+func unknownStream(err error, address string, stream identifier.StreamName) error {
+	var failed *FailedError
+	if errors.As(err, &failed) && failed.Status == http.StatusNotFound {
+		return &UnknownStreamError{
+			Address: address,
+			Stream:  stream,
+		}
+	}
+	return err
+}
+
+func pollLoad(ctx context.Context, c *client, clock timekeeper.Clock, address string) (messenger.ServerLoad, error) {
+	asked := clock.Now()
+	var reply encoder.Load
+	err := c.exchangeBounded(ctx, call{
+		method:  http.MethodGet,
+		address: address,
+		path:    "/load",
+	}, &reply, 0)
+	if err != nil {
+		return messenger.ServerLoad{}, serverError(err)
+	}
+	return messenger.ServerLoad{
+		// Dated from before the call: a report is never taken for newer than
+		// it is.
+		AsOf:            asked.Add(-timekeeper.Duration(reply.AgeMS)),
+		Running:         reply.Running,
+		Waiting:         reply.Waiting,
+		Slots:           reply.Slots,
+		FreeKVTokens:    reply.FreeKVTokens,
+		TokensPerSecond: reply.TokensPerSecond,
+		Model:           reply.Model,
+		Fence:           reply.Fence,
+	}, nil
+}
--- /dev/null
+++ b/internal/adapter/log.go
@@ -0,0 +1,114 @@
+package adapter
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/adapter/encoder"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// PlatformConfig configures the clients of the platform.
+type PlatformConfig struct {
+	// Address is the platform's host:port.
+	Address string
+	Bounds  Bounds
+	// Clock dates what the platform reports by age or by time left.
+	Clock timekeeper.Clock
+}
+
+func (c PlatformConfig) clock() timekeeper.Clock {
+	if c.Clock == nil {
+		return timekeeper.System{}
+	}
+	return c.Clock
+}
+
+// Record is a record to append.
+type Record struct {
+	Stream identifier.LogStream
+	Data   []byte
+}
+
+// Log is the client of the platform's append-only log. It is safe for
+// concurrent use.
+type Log struct {
+	config  PlatformConfig
+	readers *client
+	writers *client
+}
+
+// NewLog returns a client of the log.
+func NewLog(c PlatformConfig) *Log {
+	return &Log{
+		config:  c,
+		readers: newClient(c.Bounds),
+		writers: newFreshClient(c.Bounds),
+	}
+}
+
+// Close ends the idle connections.
+func (l *Log) Close() {
+	l.readers.close()
+	l.writers.close()
+}
+
+// Append appends the records together and in order, or not at all. Its errors
+// are *RateLimitedError and *UnavailableError, when nothing was appended, and
+// *AmbiguousError.
+func (l *Log) Append(ctx context.Context, records []Record) ([]identifier.Offset, error) {
+	request := encoder.AppendRequest{Records: make([]encoder.AppendRecord, 0, len(records))}
+	for _, r := range records {
+		request.Records = append(request.Records, encoder.AppendRecord{
+			Stream: r.Stream,
+			Data:   r.Data,
+		})
+	}
+	wanted, err := jsonCall(http.MethodPost, l.config.Address, "/log/append", request)
+	if err != nil {
+		return nil, effectError(err)
+	}
+	var reply encoder.AppendResponse
+	if err := l.writers.exchangeBounded(ctx, wanted, &reply, 0); err != nil {
+		return nil, effectError(err)
+	}
+	return reply.Offsets, nil
+}
+
+// Read returns the records of a stream from an offset on. Where there are
+// none it waits for the first one, up to wait. Its error is an
+// *UnavailableError.
+func (l *Log) Read(ctx context.Context, stream identifier.LogStream, from identifier.Offset, limit int, wait timekeeper.Duration) (messenger.LogRead, error) {
+	values := url.Values{}
+	values.Set("stream", string(stream))
+	values.Set("from", strconv.FormatUint(uint64(from), 10))
+	values.Set("limit", strconv.Itoa(limit))
+	values.Set("wait_ms", strconv.FormatInt(int64(wait), 10))
+	var reply encoder.ReadResponse
+	wanted := call{
+		method:  http.MethodGet,
+		address: l.config.Address,
+		path:    "/log/read?" + values.Encode(),
+	}
+	if err := l.readers.exchangeBounded(ctx, wanted, &reply, wait); err != nil {
+		return messenger.LogRead{}, readError(err)
+	}
+	read := messenger.LogRead{
+		Stream:  stream,
+		First:   reply.First,
+		Records: make([]messenger.Record, 0, len(reply.Records)),
+		End:     reply.End,
+	}
+	for _, r := range reply.Records {
+		read.Records = append(read.Records, messenger.Record{
+			Offset:   r.Offset,
+			Appended: timekeeper.Time(r.AppendedMS),
+			Data:     r.Data,
+		})
+	}
+	return read, nil
+}
--- /dev/null
+++ b/internal/adapter/plain.go
@@ -0,0 +1,128 @@
+package adapter
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/adapter/encoder"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// Plain is the client of all plain servers; every method takes the server's
+// host:port. It is safe for concurrent use.
+type Plain struct {
+	config ServerConfig
+	calls  *client
+	polls  *client
+}
+
+// NewPlain returns a client of the plain servers.
+func NewPlain(c ServerConfig) *Plain {
+	return &Plain{
+		config: c,
+		calls:  newFreshClient(c.Bounds),
+		polls:  newClient(c.Bounds),
+	}
+}
+
+// Close ends the idle connections.
+func (p *Plain) Close() {
+	p.calls.close()
+	p.polls.close()
+}
+
+// PlainCall is a call to a plain server.
+type PlainCall struct {
+	Request identifier.RequestID
+	Method  string
+	// Path is what follows /call/ on the server, with the query if any.
+	Path        string
+	ContentType string
+	Body        []byte
+	// Remaining is the time to the deadline; zero is none.
+	Remaining timekeeper.Duration
+}
+
+// PlainReply is the answer of a plain server.
+type PlainReply struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Call makes one call and reads the whole answer. Statuses below 500 are
+// answers. Its errors are *NotSentError, *RefusedError, *BrokenError,
+// *SilentError and *FailedError.
+func (p *Plain) Call(ctx context.Context, address string, c PlainCall, patience Patience) (PlainReply, error) {
+	ctx, w := newWatch(ctx, address, patience)
+	defer w.stop()
+	response, err := p.calls.do(ctx, call{
+		method:  c.Method,
+		address: address,
+		path:    "/call/" + strings.TrimPrefix(c.Path, "/"),
+		header:  c.header(),
+		body:    c.Body,
+	})
+	if err != nil {
+		return PlainReply{}, silence(ctx, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	w.heard(address)
+	refused := response.Header.Get(encoder.OutcomeHeader) == encoder.OutcomeNotRun
+	if refused || response.StatusCode >= http.StatusInternalServerError {
+		return PlainReply{}, serverError(statusError(address, response))
+	}
+	body, err := io.ReadAll(&hearingReader{
+		reader:  http.MaxBytesReader(nil, response.Body, maxReply),
+		watch:   w,
+		address: address,
+	})
+	if err != nil {
+		return PlainReply{}, silence(ctx, &BrokenError{
+			Address: address,
+			Cause:   cause(ctx, err),
+		})
+	}
+	return PlainReply{
+		Status: response.StatusCode,
+		Header: response.Header,
+		Body:   body,
+	}, nil
+}
+
+func (c PlainCall) header() http.Header {
+	header := http.Header{}
+	header.Set(encoder.RequestIDHeader, string(c.Request))
+	if c.ContentType != "" {
+		header.Set("Content-Type", c.ContentType)
+	}
+	if c.Remaining > 0 {
+		header.Set(encoder.DeadlineHeader, strconv.FormatInt(int64(c.Remaining), 10))
+	}
+	return header
+}
+
+// Load asks a plain server for its load.
+func (p *Plain) Load(ctx context.Context, address string) (messenger.ServerLoad, error) {
+	return pollLoad(ctx, p.polls, p.config.clock(), address)
+}
+
+// hearingReader tells a watch of every byte read.
+type hearingReader struct {
+	reader  io.Reader
+	watch   *watch
+	address string
+}
+
+func (r *hearingReader) Read(b []byte) (int, error) {
+	n, err := r.reader.Read(b)
+	if n > 0 {
+		r.watch.heard(r.address)
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/adapter/platform_test.go
@@ -0,0 +1,235 @@
+package adapter_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/adapter"
+	"github.com/dotterelhollow/dotterelhollow/internal/adapter/encoder"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/standin"
+	"github.com/dotterelhollow/dotterelhollow/internal/standin/platform"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+func errorsAs[T error](err error, target *T) bool { return err != nil && errors.As(err, target) }
+
+func records(stream identifier.LogStream, texts ...string) []adapter.Record {
+	var list []adapter.Record
+	for _, text := range texts {
+		list = append(list, adapter.Record{
+			Stream: stream,
+			Data:   []byte(text),
+		})
+	}
+	return list
+}
+
+func TestLogKeepsOneOrderOverStreams(t *testing.T) {
+	_, config := startPlatform(t, platform.Config{})
+	log := adapter.NewLog(config)
+	ctx := context.Background()
+	offsets, err := log.Append(ctx, append(records("a", "1", "2"), records("b", "3")...))
+	require.NoError(t, err)
+	require.Equal(t, []identifier.Offset{1, 2, 3}, offsets)
+	read, err := log.Read(ctx, "a", 2, 10, 0)
+	require.NoError(t, err)
+	require.True(t, read.End)
+	require.Equal(t, identifier.Offset(1), read.First)
+	require.Len(t, read.Records, 1)
+	require.Equal(t, "2", string(read.Records[0].Data))
+	read, err = log.Read(ctx, "a", 1, 1, 0)
+	require.NoError(t, err)
+	require.False(t, read.End)
+}
+
+// The log's answer to an append is lost after the append took effect, in one
+// of two ways. The writer must not take it for "not appended": the error is
+// ambiguous, and the record is read back.
+func TestLostAppendAnswerIsAmbiguous(t *testing.T) {
+	for _, loss := range []platform.LossKind{platform.LossUnavailable, platform.LossClosed} {
+		p, config := startPlatform(t, platform.Config{})
+		p.SetFaults(func(f *platform.Faults) {
+			f.LoseAppends = 1
+			f.Loss = loss
+		})
+		log := adapter.NewLog(config)
+		_, err := log.Append(context.Background(), records("a", "claim"))
+		var ambiguous *adapter.AmbiguousError
+		require.ErrorAs(t, err, &ambiguous)
+		read, err := log.Read(context.Background(), "a", 0, 10, 0)
+		require.NoError(t, err)
+		require.Len(t, read.Records, 1, "appended once: the client must not repeat it by itself")
+	}
+}
+
+// An outage answers 503 before any effect, which a client can't tell from a
+// lost answer; a platform that nobody can reach took nothing for certain.
+func TestLogOutage(t *testing.T) {
+	p, config := startPlatform(t, platform.Config{})
+	p.SetFaults(func(f *platform.Faults) { f.LogOutage = true })
+	var ambiguous *adapter.AmbiguousError
+	var unavailable *adapter.UnavailableError
+	_, err := adapter.NewLog(config).Append(context.Background(), records("a", "1"))
+	require.ErrorAs(t, err, &ambiguous)
+	_, err = adapter.NewLog(config).Read(context.Background(), "a", 0, 10, 0)
+	require.ErrorAs(t, err, &unavailable)
+	gone := adapter.NewLog(adapter.PlatformConfig{Address: closedAddress(t)})
+	_, err = gone.Append(context.Background(), records("a", "1"))
+	require.ErrorAs(t, err, &unavailable)
+}
+
+func TestAppendRate(t *testing.T) {
+	_, config := startPlatform(t, platform.Config{AppendRate: 0.5})
+	log := adapter.NewLog(config)
+	_, err := log.Append(context.Background(), records("a", "1"))
+	require.NoError(t, err)
+	_, err = log.Append(context.Background(), records("a", "2"))
+	var limited *adapter.RateLimitedError
+	require.ErrorAs(t, err, &limited)
+	require.Positive(t, limited.RetryAfter)
+}
+
+// Records expire. A reader that comes too late must see that it missed some:
+// First stands beyond the offset from which it reads.
+func TestExpiredRecordsMoveFirst(t *testing.T) {
+	clock := timekeeper.NewManual(1_000_000)
+	_, config := startPlatform(t, platform.Config{
+		Clock:     clock,
+		Retention: timekeeper.Minute,
+	})
+	log := adapter.NewLog(config)
+	ctx := context.Background()
+	_, err := log.Append(ctx, records("a", "old"))
+	require.NoError(t, err)
+	clock.Advance(timekeeper.Minute)
+	read, err := log.Read(ctx, "a", 1, 10, 0)
+	require.NoError(t, err)
+	require.Empty(t, read.Records)
+	require.Equal(t, identifier.Offset(2), read.First)
+}
+
+// A long poll returns as soon as a record comes, long before its wait is over.
+func TestLongPollWakes(t *testing.T) {
+	_, config := startPlatform(t, platform.Config{})
+	log := adapter.NewLog(config)
+	ctx := context.Background()
+	got := make(chan messenger.LogRead, 1)
+	go func() {
+		read, _ := log.Read(ctx, "a", 1, 10, 20*timekeeper.Second)
+		got <- read
+	}()
+	_, err := log.Append(ctx, records("b", "other"))
+	require.NoError(t, err)
+	_, err = log.Append(ctx, records("a", "mine"))
+	require.NoError(t, err)
+	require.Len(t, (<-got).Records, 1)
+}
+
+// The list lags: a VM that has got its notice still shows as live for a while,
+// and a gone one still shows. The faults pin both states.
+func TestListLagsAndLies(t *testing.T) {
+	clock := timekeeper.NewManual(1_000_000)
+	p, config := startPlatform(t, platform.Config{
+		Clock:   clock,
+		ListLag: 2 * timekeeper.Second,
+	})
+	ctx := context.Background()
+	control := standin.Control{Address: config.Address}
+	require.NoError(t, control.Post(ctx, "/admin/vms", encoder.VM{
+		VM:   "e1",
+		Zone: "boston-a",
+	}, nil))
+	lister := adapter.NewLister(config)
+	list := func() []messenger.VMState {
+		read, err := lister.List(ctx)
+		require.NoError(t, err)
+		return read.VMs
+	}
+	require.Empty(t, list())
+	clock.Advance(2 * timekeeper.Second)
+	require.False(t, list()[0].Leaving)
+	require.NoError(t, control.Post(ctx, "/admin/reclaim", platform.ReclaimRequest{
+		Zone:     "boston-a",
+		NoticeMS: 5000,
+	}, nil))
+	require.False(t, list()[0].Leaving)
+	clock.Advance(2 * timekeeper.Second)
+	require.True(t, list()[0].Leaving)
+	p.SetFaults(func(f *platform.Faults) { f.ShowLive = []string{"e1"} })
+	require.False(t, list()[0].Leaving)
+	clock.Advance(timekeeper.Minute)
+	require.Len(t, list(), 1)
+	p.SetFaults(func(f *platform.Faults) { f.ShowLive = nil })
+	require.Empty(t, list())
+}
+
+// A purchase's answer is lost after the cloud sold the VM. The same client
+// token gets the same VM, where the cloud honours it; where it does not, a
+// repeated purchase buys a second one, which the buyer has to look out for.
+func TestPurchases(t *testing.T) {
+	p, config := startPlatform(t, platform.Config{})
+	cloud := adapter.NewCloud(config)
+	ctx := context.Background()
+	order := messenger.BuyVM{
+		ClientToken: "reading/3/1",
+		Zone:        "boston-a",
+		Pool:        "reading",
+	}
+	p.SetFaults(func(f *platform.Faults) { f.LoseBuys = 1 })
+	_, err := cloud.Buy(ctx, order)
+	var ambiguous *adapter.AmbiguousError
+	require.ErrorAs(t, err, &ambiguous)
+	vm, err := cloud.Buy(ctx, order)
+	require.NoError(t, err)
+	require.Equal(t, identifier.VMID("vm-1"), vm)
+	p.SetFaults(func(f *platform.Faults) { f.IgnoreClientTokens = true })
+	vm, err = cloud.Buy(ctx, order)
+	require.NoError(t, err)
+	require.Equal(t, identifier.VMID("vm-2"), vm)
+	p.SetFaults(func(f *platform.Faults) { f.RefuseZones = []string{"boston-a"} })
+	_, err = cloud.Buy(ctx, order)
+	var refused *adapter.BuyRefusedError
+	require.ErrorAs(t, err, &refused)
+	require.NoError(t, cloud.Release(ctx, "vm-2"))
+	require.NoError(t, cloud.Release(ctx, "nobody"))
+}
+
+func TestNoticesOfAZone(t *testing.T) {
+	_, config := startPlatform(t, platform.Config{})
+	ctx := context.Background()
+	control := standin.Control{Address: config.Address}
+	for vm, zone := range map[identifier.VMID]identifier.Zone{"e1": "a", "e2": "b", "e3": "a"} {
+		require.NoError(t, control.Post(ctx, "/admin/vms", encoder.VM{
+			VM:   vm,
+			Zone: zone,
+		}, nil))
+	}
+	require.NoError(t, control.Post(ctx, "/admin/reclaim", platform.ReclaimRequest{
+		Zone:     "a",
+		NoticeMS: 60_000,
+	}, nil))
+	cloud := adapter.NewCloud(config)
+	before := timekeeper.System{}.Now()
+	notices, err := cloud.Notices(ctx, 0, timekeeper.Second)
+	require.NoError(t, err)
+	require.Len(t, notices, 2)
+	require.Equal(t, identifier.VMID("e1"), notices[0].VM)
+	require.Equal(t, identifier.VMID("e3"), notices[1].VM)
+	require.True(t, notices[0].Deadline.After(before.Add(30*timekeeper.Second)))
+	notices, err = cloud.Notices(ctx, notices[1].Seq, 0)
+	require.NoError(t, err)
+	require.Empty(t, notices)
+}
+
+func TestWeights(t *testing.T) {
+	_, config := startPlatform(t, platform.Config{WeightBytes: 100_000})
+	n, err := adapter.NewWeights(config).Fetch(context.Background(), "report", io.Discard)
+	require.NoError(t, err)
+	require.Equal(t, identifier.Bytes(100_000), n)
+}
--- /dev/null
+++ b/internal/adapter/stream.go
@@ -0,0 +1,193 @@
+package adapter
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/adapter/encoder"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+)
+
+// maxLine bounds a line of a stream.
+const maxLine = 64 << 10
+
+// reading is the state of reading one stream.
+type reading struct {
+	stream   identifier.StreamName
+	last     identifier.Tokens // the last token taken
+	patience Patience
+	sink     Sink
+}
+
+// ProtocolError reports bytes that no engine should send.
+type ProtocolError struct{ Text string }
+
+func (e *ProtocolError) Error() string { return "protocol: " + e.Text }
+
+// follow makes the call and reads the stream that answers it.
+func (e *Engine) follow(ctx context.Context, wanted call, r reading) error {
+	ctx, w := newWatch(ctx, wanted.address, r.patience)
+	defer w.stop()
+	response, err := e.streams.do(ctx, wanted)
+	if err != nil {
+		return silence(ctx, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return serverError(statusError(wanted.address, response))
+	}
+	r.sink.Started()
+	events := bufio.NewScanner(response.Body)
+	events.Buffer(make([]byte, 0, 4096), maxLine)
+	for {
+		event, err := nextEvent(events)
+		if err != nil {
+			return silence(ctx, &BrokenError{
+				Address: wanted.address,
+				Cause:   cause(ctx, err),
+			})
+		}
+		w.heard(wanted.address)
+		over, err := r.take(wanted.address, event)
+		if over || err != nil {
+			return err
+		}
+	}
+}
+
+// silence returns the *SilentError for which the watch ended the context,
+// where that is why the call failed. A call that never left stays not sent.
+func silence(ctx context.Context, err error) error {
+	var broken *BrokenError
+	var silent *SilentError
+	if errors.As(err, &broken) && errors.As(context.Cause(ctx), &silent) {
+		return silent
+	}
+	return err
+}
+
+// event is one server-sent event.
+type event struct {
+	id   string
+	name string
+	data string
+}
+
+// nextEvent reads the lines up to the next empty one. An event cut off by the
+// end of the stream is no event.
+func nextEvent(lines *bufio.Scanner) (event, error) {
+	var e event
+	for lines.Scan() {
+		field, value, _ := strings.Cut(lines.Text(), ":")
+		value = strings.TrimPrefix(value, " ")
+		switch field {
+		case "id":
+			e.id = value
+		case "event":
+			e.name = value
+		case "data":
+			e.data += value
+		case "":
+			if lines.Text() == "" && e != (event{}) {
+				return e, nil
+			}
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return event{}, fmt.Errorf("read stream: %w", err)
+	}
+	return event{}, io.ErrUnexpectedEOF
+}
+
+// take handles one event and tells whether it was the last.
+func (r *reading) take(address string, e event) (over bool, err error) {
+	switch e.name {
+	case encoder.EndEvent:
+		return true, r.takeEnd(address, e.data)
+	case encoder.ErrorEvent:
+		return true, takeError(address, e.data)
+	case "":
+		return false, r.takeToken(address, e)
+	default:
+		return false, nil
+	}
+}
+
+// takeToken gives the sink the token if it is the next one. A token that
+// stands already is dropped: another reader's answer crossed ours, or the
+// engine began too early. A skipped one ends the reading, because the answer
+// could not become whole.
+func (r *reading) takeToken(address string, e event) error {
+	index, err := strconv.ParseInt(e.id, 10, 64)
+	if err != nil {
+		return protocolError(address, "token id: "+err.Error())
+	}
+	var token encoder.Token
+	if err := json.Unmarshal([]byte(e.data), &token); err != nil {
+		return protocolError(address, "token: "+err.Error())
+	}
+	got, want := identifier.Tokens(index), r.last+1
+	switch {
+	case got < want:
+		return nil
+	case got > want:
+		return &OutOfStepError{
+			Stream: r.stream,
+			Want:   want,
+			Got:    got,
+		}
+	}
+	r.last = got
+	return r.sink.Token(Token{
+		Index: got,
+		Text:  token.Token,
+	})
+}
+
+// takeEnd checks that the answer is as long as the engine says.
+func (r *reading) takeEnd(address, data string) error {
+	var end encoder.End
+	if err := json.Unmarshal([]byte(data), &end); err != nil {
+		return protocolError(address, "end: "+err.Error())
+	}
+	if end.Tokens != r.last {
+		return &OutOfStepError{
+			Stream: r.stream,
+			Want:   r.last + 1,
+			Got:    end.Tokens + 1,
+		}
+	}
+	return nil
+}
+
+func takeError(address, data string) error {
+	var problem encoder.Problem
+	if err := json.Unmarshal([]byte(data), &problem); err != nil {
+		return protocolError(address, "error event: "+err.Error())
+	}
+	if problem.Outcome == encoder.OutcomeNotRun {
+		return &RefusedError{
+			Address:    address,
+			Text:       problem.Error,
+			RetryAfter: retryAfter(http.Header{}, problem),
+		}
+	}
+	return &BrokenError{
+		Address: address,
+		Cause:   &ProtocolError{Text: "stream ended: " + problem.Error},
+	}
+}
+
+func protocolError(address, text string) error {
+	return &BrokenError{
+		Address: address,
+		Cause:   &ProtocolError{Text: text},
+	}
+}
--- /dev/null
+++ b/internal/standin/standin.go
@@ -0,0 +1,130 @@
+// Package standin holds what the stand-ins for the platform and for the
+// backend servers share. The stand-ins take the place of the real ones in
+// demos, tests and benchmarks; each does what the interface promises and has
+// a switch for each fault that the real one may show, and no more:
+//
+//   - platform: the append-only log, the VM list, the cloud API, the weight
+//     store;
+//   - engine: a model engine with continuous batching;
+//   - responder: a plain server;
+//   - hoster: one process that hosts many engines and plain servers as VMs.
+//
+// All speak HTTP with the JSON shapes of package adapter/encoder. The tests'
+// side of each stand-in is the same everywhere:
+//
+//	GET  /faults   the fault switches as they stand
+//	POST /faults   sets the switches named in the body, leaves the others
+//	GET  /ledger   what the server ran, for checkers (engines, plain servers)
+//
+// The switches that every stand-in has are those of ConnFaults.
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/adapter/encoder"
+)
+
+// MaxBody bounds every body that a stand-in reads.
+const MaxBody = 32 << 20
+
+// ListenError reports that a stand-in could not open its port.
+type ListenError struct {
+	Address string
+	Cause   error
+}
+
+func (e *ListenError) Error() string {
+	return fmt.Sprintf("listen on %s: %v", e.Address, e.Cause)
+}
+
+func (e *ListenError) Unwrap() error { return e.Cause }
+
+// Service is the HTTP side of a stand-in.
+type Service interface {
+	// Handler serves the stand-in's protocol.
+	Handler() http.Handler
+	// Run does the stand-in's own work until the context ends.
+	Run(ctx context.Context)
+}
+
+// Server is a Service that listens. Close ends it as the loss of its VM
+// would: no connection gets a last word.
+type Server struct {
+	listener net.Listener
+	http     *http.Server
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+}
+
+// Listen opens address and serves s there until Close or the end of ctx.
+func Listen(ctx context.Context, address string, s Service, gate *Gate) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, &ListenError{Address: address, Cause: err}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	server := &Server{
+		listener: listener,
+		http: &http.Server{
+			Handler:           gate.wrap(s.Handler()),
+			ConnContext:       gate.connContext,
+			ReadHeaderTimeout: 10 * time.Second,
+		},
+		cancel: cancel,
+	}
+	server.running.Add(3)
+	go server.run(func() { s.Run(ctx) })
+	go server.run(func() { _ = server.http.Serve(listener) })
+	go server.run(func() {
+		<-ctx.Done()
+		_ = server.http.Close()
+	})
+	return server, nil
+}
+
+func (s *Server) run(work func()) {
+	defer s.running.Done()
+	work()
+}
+
+// Address returns the address at which the server listens.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Close closes the listener and cuts every connection.
+func (s *Server) Close() {
+	s.cancel()
+	_ = s.http.Close()
+	s.running.Wait()
+}
+
+// Done returns a channel that closes when the server has ended.
+func (s *Server) Done() <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		s.running.Wait()
+		close(done)
+	}()
+	return done
+}
+
+// ReadJSON decodes the body of r into v. On a fault it answers 400 and
+// returns false.
+func ReadJSON(w http.ResponseWriter, r *http.Request, v any) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxBody))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(v); err != nil {
+		encoder.WriteProblem(w, http.StatusBadRequest, encoder.Problem{
+			Error:   err.Error(),
+			Outcome: encoder.OutcomeNotRun,
+		})
+		return false
+	}
+	return true
+}
