Give each node its part of a wave's room and bandwidth

Cause: every node plans for its own streams at the same moment; with the whole link and all free slots each, both are sold several times. Ruled out: one node planning for all (a message round within seconds of notice, and a single point that may be leaving itself). Change: planner.Part, from membership and load reports alone; scaler.Server is messenger.VMState. Conclusion: parts of a room add up to the room (rapid).

--- /dev/null
+++ b/internal/planner/part_test.go
@@ -0,0 +1,38 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+)
+
+// All nodes plan at once, each for its own streams. If their parts overlapped,
+// the same slot would be promised to two streams and one of them would wait.
+func TestPartsAddUpToTheWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var nodes []identifier.VMID
+		for i := range rapid.IntRange(1, 9).Draw(t, "nodes") {
+			nodes = append(nodes, identifier.VMID(fmt.Sprintf("n-%d", i)))
+		}
+		whole := Room{
+			Server:   identifier.VMID(rapid.String().Draw(t, "server")),
+			Slots:    rapid.IntRange(0, 40).Draw(t, "slots"),
+			KVTokens: 100_000,
+		}
+		slots, tokens := 0, identifier.Tokens(0)
+		for _, self := range nodes {
+			for _, r := range (Part{Self: self, Nodes: nodes}).Rooms([]Room{whole}) {
+				slots += r.Slots
+				tokens += r.KVTokens
+			}
+		}
+		require.Equal(t, whole.Slots, slots)
+		require.LessOrEqual(t, tokens, whole.KVTokens)
+	})
+	require.EqualValues(t, 250, Part{Own: 2, Running: 8}.Rate(1000))
+	require.EqualValues(t, 1000, Part{Own: 2, Running: 1}.Rate(1000))
+}
--- a/internal/scaler/scaler.go
+++ b/internal/scaler/scaler.go
@@ -73,12 +73,8 @@
 	LoadTime timekeeper.Duration
 }
 
-// Server is one VM of the pool.
-type Server struct {
-	messenger.VMState
-	// Ready tells that it serves; a VM that still loads its weights does not.
-	Ready bool
-}
+// Server is one VM of the pool; one that still loads its weights counts too.
+type Server = messenger.VMState
 
 // Demand is what the pool is asked for.
 type Demand struct {
--- a/internal/scaler/scaler_test.go
+++ b/internal/scaler/scaler_test.go
@@ -9,7 +9,6 @@
 	"pgregory.net/rapid"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
-	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -50,11 +49,11 @@
 	}
 	vm := identifier.VMID(fmt.Sprintf("vm-%03d", len(c.vms)))
 	c.byToken[a.ClientToken] = vm
-	c.vms = append(c.vms, Server{VMState: messenger.VMState{
+	c.vms = append(c.vms, Server{
 		VM:     vm,
 		Zone:   a.Zone,
 		Market: a.Market,
-	}})
+	})
 	return vm
 }
 
