Add server, the HTTP front of a node, and the commands that talk to it

Cause: callers and operators reach a node over HTTP; each of their mistakes and each of their failures must end in a typed answer or a bounded wait. Ruled out: one write timeout for a whole response, because streams last for minutes; 307 after a POST, because it makes the caller send its body again to a node that only needs to be asked.

--- /dev/null
+++ b/cmd/dotterelhollow/timeline.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/url"
+	"os"
+	"text/tabwriter"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/historian"
+)
+
+var _ flags.Commander = (*timelineCommand)(nil)
+
+// timelineCommand shows the events of all nodes.
+type timelineCommand struct {
+	operatorFlags
+	Request string `long:"request" description:"Only events of this request"`
+	VM      string `long:"vm" description:"Only events about or seen by this VM"`
+	Kind    string `long:"kind" description:"Only events of this kind"`
+}
+
+// addTimelineCommand adds the command to p.
+func addTimelineCommand(p *flags.Parser) error {
+	_, err := p.AddCommand("timeline", "Show the events of all nodes in causal order",
+		"Asks every node for its events and merges them. The events of a node that is gone are gone with it."+exitHelp,
+		&timelineCommand{})
+	return err
+}
+
+// Execute shows the time line.
+func (c *timelineCommand) Execute([]string) error {
+	ctx, stop := interruptible()
+	defer stop()
+	query := url.Values{}
+	for name, value := range map[string]string{
+		"request": c.Request,
+		"vm":      c.VM,
+		"kind":    c.Kind,
+	} {
+		if value != "" {
+			query.Set(name, value)
+		}
+	}
+	return c.showEntries(ctx, get("/operator/v1/timeline", query))
+}
+
+// showEntries asks every node q and prints the merged entries.
+func (f operatorFlags) showEntries(ctx context.Context, q question) error {
+	client := f.client()
+	nodes, failed := client.everyNode(ctx)
+	var lines [][]historian.Entry
+	for _, a := range askAll[[]historian.Entry](ctx, client, nodes, q) {
+		if a.err != nil {
+			failed = append(failed, a.err)
+			continue
+		}
+		lines = append(lines, a.value)
+	}
+	warn(failed)
+	if len(lines) == 0 {
+		return &disagreeError{silent: len(failed)}
+	}
+	return f.printEntries(os.Stdout, historian.Merge(lines))
+}
+
+func (f operatorFlags) printEntries(out io.Writer, entries []historian.Entry) error {
+	if f.JSON {
+		return writeJSON(out, entries)
+	}
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	for _, e := range entries {
+		subject := string(e.Request)
+		if e.Attempt > 0 {
+			subject += fmt.Sprintf(".%d", e.Attempt)
+		}
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\n", e.Time, e.Stamp.VM, e.Kind, subject, e.VM, e.Detail)
+	}
+	if err := table.Flush(); err != nil {
+		return fmt.Errorf("printing the time line: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/server/caller.go
@@ -0,0 +1,287 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/kataras/iris/v12"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/answerer"
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// AddressList is the answer to a caller that asks which nodes to use.
+type AddressList struct {
+	Nodes []NodeAddress `json:"nodes"`
+	// Keep is how long the caller may use the list.
+	Keep timekeeper.Duration `json:"keep_ms"`
+}
+
+func (s *Server) addresses(ctx iris.Context, _ identifier.AccountID) {
+	name := identifier.ServiceName(ctx.URLParam("service"))
+	if _, ok := s.backend.Service(name); !ok {
+		unknownService(name).write(ctx)
+		return
+	}
+	nodes, keep := s.backend.Addresses(name)
+	writeJSON(ctx, AddressList{
+		Nodes: nodes,
+		Keep:  keep,
+	})
+}
+
+// complete answers a model request.
+func (s *Server) complete(ctx iris.Context, account identifier.AccountID) {
+	submission, stream, problem := s.readChat(ctx, account)
+	if problem != nil {
+		problem.write(ctx)
+		return
+	}
+	s.submit(ctx, submission, stream)
+}
+
+func (s *Server) readChat(ctx iris.Context, account identifier.AccountID) (Submission, bool, *Problem) {
+	wanted, problem := s.parseTerms(ctx.Request().Header)
+	if problem != nil {
+		return Submission{}, false, problem
+	}
+	body, problem := s.readBody(ctx, s.limits.MaxBody)
+	if problem != nil {
+		return Submission{}, false, problem
+	}
+	chat, problem := parseChat(body)
+	if problem != nil {
+		return Submission{}, false, problem
+	}
+	service, problem := s.service(identifier.ServiceName(chat.Model), catalog.ModelService)
+	if problem != nil {
+		return Submission{}, false, problem
+	}
+	if limit := s.bodyLimit(service); identifier.Bytes(len(body)) > limit {
+		return Submission{}, false, tooLarge(limit)
+	}
+	return Submission{
+		Account:   account,
+		Service:   service.Name,
+		Key:       wanted.key,
+		Remaining: wanted.remaining,
+		Prompt:    chat.prompt(),
+		MaxTokens: identifier.Tokens(chat.MaxTokens),
+	}, chat.Stream, nil
+}
+
+// call answers a call to a plain service.
+func (s *Server) call(ctx iris.Context, account identifier.AccountID) {
+	submission, problem := s.readCall(ctx, account)
+	if problem != nil {
+		problem.write(ctx)
+		return
+	}
+	s.submit(ctx, submission, false)
+}
+
+func (s *Server) readCall(ctx iris.Context, account identifier.AccountID) (Submission, *Problem) {
+	service, problem := s.service(identifier.ServiceName(ctx.Params().Get("service")), catalog.PlainService)
+	if problem != nil {
+		return Submission{}, problem
+	}
+	wanted, problem := s.parseTerms(ctx.Request().Header)
+	if problem != nil {
+		return Submission{}, problem
+	}
+	body, problem := s.readBody(ctx, s.bodyLimit(service))
+	if problem != nil {
+		return Submission{}, problem
+	}
+	return Submission{
+		Account:     account,
+		Service:     service.Name,
+		Key:         wanted.key,
+		Remaining:   wanted.remaining,
+		Method:      ctx.Method(),
+		Path:        callPath(ctx.Params().Get("path"), ctx.Request().URL),
+		ContentType: ctx.GetHeader("Content-Type"),
+		Body:        body,
+	}, nil
+}
+
+func callPath(path string, u *url.URL) string {
+	path = "/" + strings.TrimPrefix(path, "/")
+	if u.RawQuery != "" {
+		path += "?" + u.RawQuery
+	}
+	return path
+}
+
+func (s *Server) service(name identifier.ServiceName, kind catalog.ServiceKind) (catalog.Service, *Problem) {
+	service, ok := s.backend.Service(name)
+	if !ok {
+		return service, unknownService(name)
+	}
+	if service.Kind != kind {
+		return service, refused(http.StatusBadRequest, ReasonWrongKind,
+			"service %q is a %s service", name, service.Kind)
+	}
+	return service, nil
+}
+
+func unknownService(name identifier.ServiceName) *Problem {
+	return refused(http.StatusNotFound, messenger.ReasonUnknownService, "there is no service %q", name)
+}
+
+// bodyLimit returns the bound on a body for service: its own, unless the
+// server's is lower.
+func (s *Server) bodyLimit(service catalog.Service) identifier.Bytes {
+	if service.MaxBody > 0 {
+		return min(service.MaxBody, s.limits.MaxBody)
+	}
+	return s.limits.MaxBody
+}
+
+// submit hands a request to the node and answers it.
+func (s *Server) submit(ctx iris.Context, submission Submission, stream bool) {
+	answer, err := s.backend.Submit(ctx.Request().Context(), submission)
+	if err != nil {
+		s.writeError(ctx, err)
+		return
+	}
+	s.answer(ctx, answer, reading{
+		stream:  stream,
+		after:   0,
+		verdict: s.verdictTime(submission),
+	})
+}
+
+// verdictTime bounds the wait for a verdict on a request.
+func (s *Server) verdictTime(submission Submission) timekeeper.Duration {
+	remaining := submission.Remaining
+	if remaining == 0 {
+		service, _ := s.backend.Service(submission.Service)
+		remaining = service.Deadline
+	}
+	return remaining + s.limits.VerdictGrace
+}
+
+// reattach answers a request that was sent earlier, from the token after the
+// last one that its caller has.
+func (s *Server) reattach(ctx iris.Context, account identifier.AccountID) {
+	after, problem := parseLastEvent(ctx.Request().Header)
+	if problem != nil {
+		problem.write(ctx)
+		return
+	}
+	request := identifier.RequestID(ctx.Params().Get("request"))
+	answer, err := s.backend.Attach(ctx.Request().Context(), request, account)
+	if err != nil {
+		s.writeError(ctx, err)
+		return
+	}
+	s.answer(ctx, answer, reading{
+		stream:  wantsStream(ctx.Request().Header),
+		after:   after,
+		verdict: s.limits.MaxDeadline,
+	})
+}
+
+func wantsStream(h http.Header) bool {
+	return h.Get(HeaderLastEventID) != "" || strings.Contains(h.Get("Accept"), contentTypeStream)
+}
+
+func (s *Server) cancel(ctx iris.Context, account identifier.AccountID) {
+	request := identifier.RequestID(ctx.Params().Get("request"))
+	if err := s.backend.Cancel(ctx.Request().Context(), request, account); err != nil {
+		s.writeError(ctx, err)
+		return
+	}
+	ctx.StatusCode(http.StatusNoContent)
+}
+
+// writeError answers a request that the node could not take or find.
+func (s *Server) writeError(ctx iris.Context, err error) {
+	var (
+		elsewhere *answerer.ElsewhereError
+		unknown   *answerer.UnknownRequestError
+		full      *answerer.FullError
+		stopped   *answerer.StoppedError
+	)
+	switch {
+	case errors.As(err, &elsewhere):
+		redirect(ctx, elsewhere.Address, elsewhere.Request)
+	case errors.As(err, &unknown):
+		unknownRequest(unknown.Request).write(ctx)
+	case errors.As(err, &full):
+		problemOf("", messenger.Refusal{
+			Reason:     messenger.ReasonOverload,
+			Outcome:    messenger.NotRun,
+			RetryAfter: full.RetryAfter,
+		}).write(ctx)
+	case errors.As(err, &stopped):
+		problemOf("", messenger.Refusal{
+			Reason:     messenger.ReasonLeaving,
+			Outcome:    messenger.NotRun,
+			RetryAfter: timekeeper.Second,
+		}).write(ctx)
+	default:
+		s.writeUnexpected(ctx, err)
+	}
+}
+
+// unknownRequest is never "not run": a node that does not know a request
+// can't tell that no other node ran it.
+func unknownRequest(request identifier.RequestID) *Problem {
+	p := refused(http.StatusNotFound, ReasonUnknownRequest, "no node knows this request of yours")
+	p.Outcome = messenger.Unknown
+	p.Request = request
+	return p
+}
+
+func (s *Server) writeUnexpected(ctx iris.Context, err error) {
+	if errors.Is(err, context.Canceled) {
+		return // The caller is gone.
+	}
+	s.logger.Error("request failed", "path", ctx.Path(), "error", err)
+	p := refused(http.StatusInternalServerError, ReasonInternal, "the node failed to handle the request")
+	p.Outcome = messenger.Unknown
+	p.write(ctx)
+}
+
+// redirect sends a caller to the node that has its request. After a POST the
+// status is 303, which makes the caller GET the request there; 307 would make
+// it send the body again.
+func redirect(ctx iris.Context, address string, request identifier.RequestID) {
+	status := http.StatusTemporaryRedirect
+	if ctx.Method() == http.MethodPost {
+		status = http.StatusSeeOther
+	}
+	ctx.Header("Location", requestURL(address, request))
+	ctx.Header(HeaderRequestID, string(request))
+	ctx.StatusCode(status)
+}
+
+func requestURL(address string, request identifier.RequestID) string {
+	u := url.URL{
+		Scheme: "http",
+		Host:   address,
+		Path:   "/v1/requests/" + string(request),
+	}
+	return u.String()
+}
+
+func writeJSON(ctx iris.Context, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		p := refused(http.StatusInternalServerError, ReasonInternal, "encoding the answer: %v", err)
+		p.Outcome = messenger.Unknown
+		p.write(ctx)
+		return
+	}
+	ctx.Header("Content-Type", "application/json")
+	writeAll(ctx, data)
+}
--- /dev/null
+++ b/internal/server/chunk.go
@@ -0,0 +1,128 @@
+package server
+
+import (
+	"encoding/json"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/answerer"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// The bodies below have the shape of OpenAI's chat completions.
+
+const (
+	roleAssistant = "assistant"
+	finishStop    = "stop"
+)
+
+type chatChunk struct {
+	ID      identifier.RequestID   `json:"id"`
+	Object  string                 `json:"object"`
+	Created int64                  `json:"created"`
+	Model   identifier.ServiceName `json:"model"`
+	Choices []chunkChoice          `json:"choices"`
+}
+
+type chunkChoice struct {
+	Index        int        `json:"index"`
+	Delta        chunkDelta `json:"delta"`
+	FinishReason *string    `json:"finish_reason"`
+}
+
+type chunkDelta struct {
+	Content string `json:"content,omitempty"`
+}
+
+type chatCompletion struct {
+	ID      identifier.RequestID   `json:"id"`
+	Object  string                 `json:"object"`
+	Created int64                  `json:"created"`
+	Model   identifier.ServiceName `json:"model"`
+	Choices []wholeChoice          `json:"choices"`
+	Usage   chatUsage              `json:"usage"`
+}
+
+type wholeChoice struct {
+	Index        int          `json:"index"`
+	Message      wholeMessage `json:"message"`
+	FinishReason string       `json:"finish_reason"`
+}
+
+type wholeMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type chatUsage struct {
+	PromptTokens     identifier.Tokens `json:"prompt_tokens"`
+	CompletionTokens identifier.Tokens `json:"completion_tokens"`
+	TotalTokens      identifier.Tokens `json:"total_tokens"`
+}
+
+// chunkEncoder encodes the chunks of one stream, which differ only in their
+// choice.
+type chunkEncoder struct{ chunk chatChunk }
+
+func newChunkEncoder(a *answerer.Answer, now timekeeper.Time) chunkEncoder {
+	return chunkEncoder{
+		chunk: chatChunk{
+			ID:      a.Request(),
+			Object:  "chat.completion.chunk",
+			Created: now.Std().Unix(),
+			Model:   a.Service(),
+			Choices: make([]chunkChoice, 1),
+		},
+	}
+}
+
+// token returns the chunk of one token.
+func (e *chunkEncoder) token(text string) []byte {
+	return e.encode(chunkChoice{
+		Index:        0,
+		Delta:        chunkDelta{Content: text},
+		FinishReason: nil,
+	})
+}
+
+// stop returns the chunk that ends a whole answer.
+func (e *chunkEncoder) stop() []byte {
+	reason := finishStop
+	return e.encode(chunkChoice{
+		Index:        0,
+		Delta:        chunkDelta{Content: ""},
+		FinishReason: &reason,
+	})
+}
+
+func (e *chunkEncoder) encode(choice chunkChoice) []byte {
+	e.chunk.Choices[0] = choice
+	data, err := json.Marshal(&e.chunk)
+	if err != nil {
+		// A chunk has no field that can fail to encode.
+		return []byte(`{}`)
+	}
+	return data
+}
+
+func wholeCompletion(a *answerer.Answer, now timekeeper.Time, c completion) chatCompletion {
+	prompt := a.Spec().PromptTokens
+	return chatCompletion{
+		ID:      a.Request(),
+		Object:  "chat.completion",
+		Created: now.Std().Unix(),
+		Model:   a.Service(),
+		Choices: []wholeChoice{{
+			Index: 0,
+			Message: wholeMessage{
+				Role:    roleAssistant,
+				Content: c.text,
+			},
+			FinishReason: finishStop,
+		}},
+		Usage: chatUsage{
+			PromptTokens:     prompt,
+			CompletionTokens: c.tokens,
+			TotalTokens:      prompt + c.tokens,
+		},
+	}
+}
--- /dev/null
+++ b/internal/server/operator_test.go
@@ -0,0 +1,76 @@
+package server_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/server"
+)
+
+func asOperator(header map[string]string) map[string]string {
+	all := map[string]string{"Authorization": "Bearer " + operatorKey}
+	for name, value := range header {
+		all[name] = value
+	}
+	return all
+}
+
+func TestOperatorReads(t *testing.T) {
+	address := start(t, &fakeBackend{}, server.Limits{})
+	for path, want := range map[string]string{
+		"/operator/v1/config":              `{"revision":7,"files":[{"file":"10-zones.ini","revision":7,"content":"[zone boston-a]\n"}]}`,
+		"/operator/v1/config/10-zones.ini": `{"file":"10-zones.ini","revision":7,"content":"[zone boston-a]\n"}`,
+		"/operator/v1/config/history":      `null`,
+		"/operator/v1/timeline?vm=entry-1": `null`,
+		"/operator/v1/explain/r1":          `null`,
+	} {
+		response, body := exchange(t, "GET", address, path, "", asOperator(nil))
+		require.Equal(t, http.StatusOK, response.StatusCode, path)
+		require.JSONEq(t, want, body, path)
+	}
+	response, body := exchange(t, "GET", address, "/debug/vars", "", asOperator(nil))
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Contains(t, body, "memstats")
+}
+
+// An operator is told the truth about a change: accepted, rejected and not in
+// force, or not settled. A change that names no revision is turned away, since
+// it would overwrite a colleague's change unseen.
+func TestOperatorChanges(t *testing.T) {
+	tests := []struct {
+		name    string
+		saw     string
+		verdict messenger.ChangeVerdict
+		status  int
+		outcome messenger.Outcome
+		asked   int
+	}{
+		{"accepted", "7", messenger.ChangeVerdict{Accepted: true, Revision: 9}, 200, "", 1},
+		{"rejected", "6", messenger.ChangeVerdict{Faults: []string{"10-zones.ini is at 7"}}, 409, messenger.NotRun, 1},
+		{"unsettled", "7", messenger.ChangeVerdict{Unknown: true}, 504, messenger.Unknown, 1},
+		{"no revision", "", messenger.ChangeVerdict{}, 428, messenger.NotRun, 0},
+		{"bad revision", "-1", messenger.ChangeVerdict{}, 400, messenger.NotRun, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := &fakeBackend{
+				propose: func(messenger.ChangeProposed) (messenger.ChangeVerdict, error) { return test.verdict, nil },
+			}
+			address := start(t, b, server.Limits{})
+			response, body := exchange(t, "PUT", address, "/operator/v1/config/10-zones.ini", "[zone x]",
+				asOperator(map[string]string{"Saw-Revision": test.saw}))
+			require.Equal(t, test.status, response.StatusCode, body)
+			require.Len(t, b.proposed, test.asked)
+			if test.status == http.StatusOK {
+				require.JSONEq(t, `{"accepted":true,"file":"10-zones.ini","revision":9}`, body)
+				return
+			}
+			p := parseProblem(t, response, body)
+			require.Equal(t, test.outcome, p.Outcome)
+			require.Equal(t, test.verdict.Faults, p.Faults)
+		})
+	}
+}
--- /dev/null
+++ b/internal/server/problem.go
@@ -0,0 +1,134 @@
+package server
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+
+	"github.com/kataras/iris/v12"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// The reasons that the server itself refuses for; the others are those of
+// package messenger.
+const (
+	ReasonUnauthorized    messenger.Reason = "unauthorized"
+	ReasonNotFound        messenger.Reason = "not_found"
+	ReasonMethod          messenger.Reason = "method_not_allowed"
+	ReasonBodyTooLarge    messenger.Reason = "body_too_large"
+	ReasonBodyUnread      messenger.Reason = "body_unread"
+	ReasonBadJSON         messenger.Reason = "bad_json"
+	ReasonBadField        messenger.Reason = "bad_field"
+	ReasonBadHeader       messenger.Reason = "bad_header"
+	ReasonWrongKind       messenger.Reason = "wrong_service_kind"
+	ReasonUnknownRequest  messenger.Reason = "unknown_request"
+	ReasonNoVerdict       messenger.Reason = "no_verdict"
+	ReasonInternal        messenger.Reason = "internal"
+	ReasonSawMissing      messenger.Reason = "saw_revision_missing"
+	ReasonChangeRejected  messenger.Reason = "change_rejected"
+	ReasonChangeUnsettled messenger.Reason = "change_unsettled"
+)
+
+// Problem is a refusal as a problem document.
+type Problem struct {
+	Type   string           `json:"type"`
+	Title  string           `json:"title"`
+	Status int              `json:"status"`
+	Reason messenger.Reason `json:"reason"`
+	Detail string           `json:"detail,omitempty"`
+	Faults []string         `json:"faults,omitempty"`
+	// Outcome tells whether the request ran.
+	Outcome messenger.Outcome    `json:"outcome"`
+	Request identifier.RequestID `json:"request_id,omitempty"`
+	// RetryAfter is when coming back makes sense; zero means it does not.
+	RetryAfter timekeeper.Duration `json:"retry_after_ms,omitempty"`
+}
+
+var _ error = (*Problem)(nil)
+
+func (p *Problem) Error() string {
+	return fmt.Sprintf("%d %s: %s", p.Status, p.Reason, p.Detail)
+}
+
+// problemType is the prefix of the URI that names a kind of problem.
+const problemType = "urn:dotterelhollow:problem:"
+
+// refused returns the problem of a request that the server turned away before
+// the node saw it: it did not run.
+func refused(status int, reason messenger.Reason, format string, args ...any) *Problem {
+	return &Problem{
+		Type:    problemType + string(reason),
+		Title:   http.StatusText(status),
+		Status:  status,
+		Reason:  reason,
+		Detail:  fmt.Sprintf(format, args...),
+		Outcome: messenger.NotRun,
+	}
+}
+
+// problemOf returns the problem of a request that the node refused or that
+// ended without its answer.
+func problemOf(request identifier.RequestID, r messenger.Refusal) *Problem {
+	status := statusOf(r)
+	return &Problem{
+		Type:       problemType + string(r.Reason),
+		Title:      http.StatusText(status),
+		Status:     status,
+		Reason:     r.Reason,
+		Outcome:    r.Outcome,
+		Request:    request,
+		RetryAfter: r.RetryAfter,
+	}
+}
+
+// statusOf returns the HTTP status for a refusal.
+func statusOf(r messenger.Refusal) int {
+	switch r.Reason {
+	case messenger.ReasonUnknownService:
+		return http.StatusNotFound
+	case messenger.ReasonAccountLimit:
+		return http.StatusTooManyRequests
+	case messenger.ReasonDeadline, messenger.ReasonDeadlineExpired:
+		return http.StatusGatewayTimeout
+	case messenger.ReasonDuplicate, messenger.ReasonCancelled:
+		return http.StatusConflict
+	case messenger.ReasonServerFailed, messenger.ReasonRetriesSpent:
+		return http.StatusBadGateway
+	}
+	return http.StatusServiceUnavailable
+}
+
+// write sends p as the whole response. Nothing may have been written before.
+func (p *Problem) write(ctx iris.Context) {
+	header := ctx.ResponseWriter().Header()
+	header.Set("Content-Type", "application/problem+json")
+	header.Set("Cache-Control", "no-store")
+	if p.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(wholeSeconds(p.RetryAfter)))
+	}
+	if p.Request != "" {
+		header.Set(HeaderRequestID, string(p.Request))
+	}
+	ctx.StatusCode(p.Status)
+	writeAll(ctx, p.encode())
+}
+
+func (p *Problem) encode() []byte {
+	data, err := json.Marshal(p)
+	if err != nil {
+		// A Problem has no field that can fail to encode.
+		return []byte(`{}`)
+	}
+	return data
+}
+
+// wholeSeconds rounds up: a caller that came back early would only be refused
+// again.
+func wholeSeconds(d timekeeper.Duration) int {
+	return int(math.Ceil(d.Seconds()))
+}
--- /dev/null
+++ b/internal/server/server_test.go
@@ -0,0 +1,332 @@
+package server_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/answerer"
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/configurer"
+	"github.com/dotterelhollow/dotterelhollow/internal/historian"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/server"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+const (
+	harborKey   = "harbor-key"
+	tidelineKey = "tideline-key"
+	operatorKey = "operator-key"
+)
+
+// fakeBackend is a node that decides nothing: a test drives the answers.
+type fakeBackend struct {
+	mu        sync.Mutex
+	answers   map[identifier.RequestID]*answerer.Answer
+	submitted []server.Submission
+	proposed  []messenger.ChangeProposed
+	// submit and propose, where set, replace the default.
+	submit  func(server.Submission) (*answerer.Answer, error)
+	attach  func(identifier.RequestID) (*answerer.Answer, error)
+	propose func(messenger.ChangeProposed) (messenger.ChangeVerdict, error)
+}
+
+var _ server.Backend = (*fakeBackend)(nil)
+
+func (b *fakeBackend) Authenticate(key string) (identifier.AccountID, bool) {
+	account, ok := strings.CutSuffix(key, "-key")
+	return identifier.AccountID(account), ok && (key == harborKey || key == tidelineKey)
+}
+
+func (b *fakeBackend) AuthenticateOperator(key string) bool { return key == operatorKey }
+
+func (b *fakeBackend) Service(name identifier.ServiceName) (catalog.Service, bool) {
+	services := map[identifier.ServiceName]catalog.Service{
+		"report": {
+			Name:     "report",
+			Kind:     catalog.ModelService,
+			Deadline: timekeeper.Minute,
+			MaxBody:  4 << 10,
+		},
+		"email": {
+			Name:     "email",
+			Kind:     catalog.PlainService,
+			Deadline: timekeeper.Minute,
+			MaxBody:  1 << 10,
+		},
+	}
+	s, ok := services[name]
+	return s, ok
+}
+
+func (b *fakeBackend) Addresses(identifier.ServiceName) ([]server.NodeAddress, timekeeper.Duration) {
+	return []server.NodeAddress{{
+		Node:    "entry-1",
+		Zone:    "boston-a",
+		Address: "127.0.0.1:7001",
+	}}, 30 * timekeeper.Second
+}
+
+func (b *fakeBackend) Submit(_ context.Context, s server.Submission) (*answerer.Answer, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.submitted = append(b.submitted, s)
+	return b.submit(s)
+}
+
+func (b *fakeBackend) Attach(
+	_ context.Context, request identifier.RequestID, account identifier.AccountID,
+) (*answerer.Answer, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.attach != nil {
+		return b.attach(request)
+	}
+	a, ok := b.answers[request]
+	if !ok || a.Account() != account {
+		return nil, &answerer.UnknownRequestError{Request: request}
+	}
+	return a, nil
+}
+
+func (b *fakeBackend) Cancel(ctx context.Context, request identifier.RequestID, account identifier.AccountID) error {
+	_, err := b.Attach(ctx, request, account)
+	return err
+}
+
+func (b *fakeBackend) Propose(_ context.Context, c messenger.ChangeProposed) (messenger.ChangeVerdict, error) {
+	b.proposed = append(b.proposed, c)
+	return b.propose(c)
+}
+
+func (b *fakeBackend) Files() map[identifier.FileName]server.FileState {
+	return map[identifier.FileName]server.FileState{
+		"10-zones.ini": {
+			Content:  []byte("[zone boston-a]\n"),
+			Revision: 7,
+			Deleted:  false,
+		},
+	}
+}
+
+func (b *fakeBackend) History() []configurer.Change { return nil }
+
+func (b *fakeBackend) Status() server.Status { return server.Status{Node: "entry-1"} }
+
+func (b *fakeBackend) Timeline(historian.Filter) []historian.Entry { return nil }
+
+func (b *fakeBackend) Explain(identifier.RequestID) []historian.Entry { return nil }
+
+// newAnswer returns an accepted answer of harbor with the given tokens.
+func newAnswer(request identifier.RequestID, words ...string) *answerer.Answer {
+	a := answerer.New(answerer.Config{
+		Spec: messenger.RequestSpec{
+			Request: request,
+			Account: "harbor",
+			Service: "report",
+		},
+		Accepted: true,
+	})
+	a.Begin(answerer.Place{Attempt: 1})
+	for i, word := range words {
+		a.Append(1, identifier.Tokens(i+1), word)
+	}
+	return a
+}
+
+func finished(a *answerer.Answer) *answerer.Answer {
+	a.Finish(answerer.End{Outcome: messenger.Done})
+	return a
+}
+
+// start serves b on a loopback port and returns its address.
+func start(t *testing.T, b server.Backend, l server.Limits) string {
+	t.Helper()
+	s, err := server.New(server.Config{
+		Backend: b,
+		Limits:  l,
+	})
+	require.NoError(t, err)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	httpServer := s.HTTPServer()
+	ended := make(chan error, 1)
+	go func() { ended <- httpServer.Serve(listener) }()
+	t.Cleanup(func() {
+		require.NoError(t, httpServer.Close())
+		require.ErrorIs(t, <-ended, http.ErrServerClosed)
+	})
+	return listener.Addr().String()
+}
+
+// exchange sends one request and returns the response and its body.
+func exchange(t *testing.T, method, address, path, body string, header map[string]string) (*http.Response, string) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), method, "http://"+address+path, strings.NewReader(body))
+	require.NoError(t, err)
+	r.Header.Set("Authorization", "Bearer "+harborKey)
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	client := &http.Client{
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	defer client.CloseIdleConnections()
+	response, err := client.Do(r)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return response, string(data)
+}
+
+func parseProblem(t *testing.T, response *http.Response, body string) server.Problem {
+	t.Helper()
+	require.Equal(t, "application/problem+json", response.Header.Get("Content-Type"), body)
+	var p server.Problem
+	require.NoError(t, json.Unmarshal([]byte(body), &p))
+	require.Equal(t, response.StatusCode, p.Status)
+	return p
+}
+
+// waitLimit and waitStep bound a wait for another goroutine.
+const (
+	waitLimit = 10 * time.Second
+	waitStep  = 5 * time.Millisecond
+)
+
+const chat = `{"model":"report","messages":[{"role":"user","content":"a ship"}],"temperature":0.2}`
+
+// Whatever a caller gets wrong, it gets a typed problem at once, and the node
+// never sees the request; so "not_run" is true of each of them.
+func TestBadInput(t *testing.T) {
+	tests := []struct {
+		name   string
+		method string
+		path   string
+		body   string
+		header map[string]string
+		status int
+		reason messenger.Reason
+	}{
+		{"bad key", "POST", "/v1/chat/completions", chat,
+			map[string]string{"Authorization": "Bearer nobody"}, 401, server.ReasonUnauthorized},
+		{"no key", "POST", "/v1/chat/completions", chat,
+			map[string]string{"Authorization": ""}, 401, server.ReasonUnauthorized},
+		{"broken json", "POST", "/v1/chat/completions", `{"model":`, nil, 400, server.ReasonBadJSON},
+		{"wrong type", "POST", "/v1/chat/completions", `{"model":7}`, nil, 400, server.ReasonBadJSON},
+		{"image part", "POST", "/v1/chat/completions",
+			`{"model":"report","messages":[{"content":[{"type":"image_url"}]}]}`, nil, 400, server.ReasonBadJSON},
+		{"no model", "POST", "/v1/chat/completions", `{"messages":[{"content":"x"}]}`, nil, 400, server.ReasonBadField},
+		{"no messages", "POST", "/v1/chat/completions", `{"model":"report"}`, nil, 400, server.ReasonBadField},
+		{"negative max_tokens", "POST", "/v1/chat/completions",
+			`{"model":"report","messages":[{"content":"x"}],"max_tokens":-1}`, nil, 400, server.ReasonBadField},
+		{"body over the service's limit", "POST", "/v1/chat/completions",
+			`{"model":"report","messages":[{"content":"` + strings.Repeat("x", 5<<10) + `"}]}`, nil,
+			413, server.ReasonBodyTooLarge},
+		{"body over the server's limit", "POST", "/v1/chat/completions", strings.Repeat("x", 9<<10), nil,
+			413, server.ReasonBodyTooLarge},
+		{"plain body over the limit", "POST", "/v1/services/email/send", strings.Repeat("x", 2<<10), nil,
+			413, server.ReasonBodyTooLarge},
+		{"unknown service", "POST", "/v1/chat/completions",
+			`{"model":"poem","messages":[{"content":"x"}]}`, nil, 404, messenger.ReasonUnknownService},
+		{"unknown plain service", "POST", "/v1/services/fax/send", "", nil, 404, messenger.ReasonUnknownService},
+		{"addresses of an unknown service", "GET", "/v1/addresses?service=fax", "", nil,
+			404, messenger.ReasonUnknownService},
+		{"plain service as model", "POST", "/v1/chat/completions",
+			`{"model":"email","messages":[{"content":"x"}]}`, nil, 400, server.ReasonWrongKind},
+		{"deadline that is no number", "POST", "/v1/chat/completions", chat,
+			map[string]string{"Deadline-Ms": "soon"}, 400, server.ReasonBadHeader},
+		{"deadline out of range", "POST", "/v1/chat/completions", chat,
+			map[string]string{"Deadline-Ms": "999999999999"}, 400, server.ReasonBadHeader},
+		{"expired deadline", "POST", "/v1/chat/completions", chat,
+			map[string]string{"Deadline-Ms": "0"}, 504, messenger.ReasonDeadlineExpired},
+		{"long idempotency key", "POST", "/v1/chat/completions", chat,
+			map[string]string{"Idempotency-Key": strings.Repeat("k", 256)}, 400, server.ReasonBadHeader},
+		{"bad event id", "GET", "/v1/requests/r1", "",
+			map[string]string{"Last-Event-ID": "-3"}, 400, server.ReasonBadHeader},
+		{"no such path", "GET", "/v1/nothing", "", nil, 404, server.ReasonNotFound},
+		{"method not allowed", "PUT", "/v1/chat/completions", chat, nil, 405, server.ReasonMethod},
+		{"caller's key for operators", "GET", "/operator/v1/status", "", nil, 401, server.ReasonUnauthorized},
+		{"caller's key for metrics", "GET", "/debug/vars", "", nil, 401, server.ReasonUnauthorized},
+	}
+	b := &fakeBackend{}
+	address := start(t, b, server.Limits{MaxBody: 8 << 10})
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			response, body := exchange(t, test.method, address, test.path, test.body, test.header)
+			p := parseProblem(t, response, body)
+			require.Equal(t, test.status, p.Status)
+			require.Equal(t, test.reason, p.Reason)
+			require.Equal(t, messenger.NotRun, p.Outcome)
+			require.Empty(t, b.submitted)
+		})
+	}
+}
+
+// A caller sends half of its body and then nothing. It is told so after the
+// bound on the body, and the node never sees the request.
+func TestHalfSentBodyIsBounded(t *testing.T) {
+	b := &fakeBackend{}
+	address := start(t, b, server.Limits{BodyTime: 50 * timekeeper.Millisecond})
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+
+		harborKey+"\r\nContent-Length: 100\r\n\r\n{\"model\"")
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	p := parseProblem(t, response, string(data))
+	require.Equal(t, http.StatusRequestTimeout, p.Status)
+	require.Equal(t, server.ReasonBodyUnread, p.Reason)
+	require.Empty(t, b.submitted)
+}
+
+// A caller opens a stream and never reads. The node's write blocks once the
+// buffers are full, and the bound on it must end the handler; else each such
+// caller would keep a goroutine for good. The answer itself stays, so that the
+// caller gets it whole when it reattaches.
+func TestSlowReaderIsCutAndReattaches(t *testing.T) {
+	const tokens = 2000
+	words := make([]string, tokens)
+	for i := range words {
+		words[i] = strings.Repeat("w", 10_000)
+	}
+	a := finished(newAnswer("r1", words...))
+	b := &fakeBackend{answers: map[identifier.RequestID]*answerer.Answer{"r1": a}}
+	address := start(t, b, server.Limits{WriteTime: 100 * timekeeper.Millisecond})
+
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET /v1/requests/r1 HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+
+		harborKey+"\r\nLast-Event-ID: 0\r\n\r\n")
+	require.NoError(t, err)
+	// The first bytes show that the handler runs; from here on nothing is read.
+	_, err = conn.Read(make([]byte, 1))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		defer a.CallerLeft()
+		return a.CallerCame() == 1
+	}, waitLimit, waitStep, "the handler of the slow reader never ended")
+
+	_, body := exchange(t, "GET", address, "/v1/requests/r1", "", map[string]string{"Last-Event-ID": "1990"})
+	require.Contains(t, body, "id: 2000\n")
+	require.NotContains(t, body, "id: 1990\n")
+	require.True(t, strings.HasSuffix(body, "data: [DONE]\n\n"))
+}
