--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -42,6 +42,8 @@
 	DefaultTimeout     = 3 * timekeeper.Second
 	// maxReply bounds an answer that is read whole.
 	maxReply = 32 << 20
+	// maxIdle is enough for one long poll on each stream of the log.
+	maxIdle = 16
 	// maxProblem bounds the body of an error answer.
 	maxProblem = 64 << 10
 )
@@ -92,7 +94,7 @@
 				DialContext:         dialer.DialContext,
 				DisableKeepAlives:   fresh,
 				DisableCompression:  true,
-				MaxIdleConnsPerHost: 4,
+				MaxIdleConnsPerHost: maxIdle,
 				IdleConnTimeout:     (30 * timekeeper.Second).Std(),
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -225,8 +227,8 @@
 	return timekeeper.Duration(seconds) * timekeeper.Second
 }
 
-// jsonCall builds a call with the JSON form of body.
-func jsonCall(method, address, path string, body any) (call, error) {
+// postJSON builds a call that posts the JSON form of body.
+func postJSON(address, path string, body any) (call, error) {
 	text, err := json.Marshal(body)
 	if err != nil {
 		return call{}, &NotSentError{
@@ -235,7 +237,7 @@
 		}
 	}
 	return call{
-		method:  method,
+		method:  http.MethodPost,
 		address: address,
 		path:    path,
 		header:  http.Header{"Content-Type": []string{"application/json"}},
--- /dev/null
+++ b/internal/adapter/client_test.go
@@ -0,0 +1,65 @@
+package adapter
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// dropSecond answers the first request of each connection and cuts the
+// connection at the second, as a server does that closes an idle connection
+// at the moment at which a request comes. It counts the requests.
+func dropSecond(t *testing.T) (address string, requests *atomic.Int64) {
+	t.Helper()
+	var seen atomic.Value
+	seen.Store("")
+	requests = new(atomic.Int64)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		requests.Add(1)
+		if seen.Swap(r.RemoteAddr) == r.RemoteAddr {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String(), requests
+}
+
+// A call with an effect arrives just as the server closes the connection. If
+// it goes out a second time by itself it may run twice, and nobody ever
+// learns. net/http does that on pooled connections; fresh ones rule it out.
+// The control makes the same calls over a pooled connection and sees it.
+func TestFreshConnectionsAreNotReplayed(t *testing.T) {
+	cases := []struct {
+		name     string
+		client   *client
+		requests int64
+	}{
+		{
+			name:     "fresh",
+			client:   newFreshClient(Bounds{}),
+			requests: 2,
+		},
+		{
+			name:     "control: pooled",
+			client:   newClient(Bounds{}),
+			requests: 3,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			address, requests := dropSecond(t)
+			for range 2 {
+				require.NoError(t, c.client.exchangeBounded(context.Background(), call{
+					method:  http.MethodGet,
+					address: address,
+					path:    "/",
+				}, nil, 0))
+			}
+			require.Equal(t, c.requests, requests.Load())
+		})
+	}
+}
--- a/internal/adapter/cloud.go
+++ b/internal/adapter/cloud.go
@@ -91,7 +91,7 @@
 // Buy buys a VM. Its errors are *BuyRefusedError and *UnavailableError, when
 // nothing was bought, and *AmbiguousError. The caller checks its lease before.
 func (c *Cloud) Buy(ctx context.Context, b messenger.BuyVM) (identifier.VMID, error) {
-	wanted, err := jsonCall(http.MethodPost, c.config.Address, "/cloud/vms", encoder.BuyRequest{
+	wanted, err := postJSON(c.config.Address, "/cloud/vms", encoder.BuyRequest{
 		ClientToken: b.ClientToken,
 		Class:       b.Class,
 		Zone:        b.Zone,
--- a/internal/adapter/encoder/server.go
+++ b/internal/adapter/encoder/server.go
@@ -23,7 +23,6 @@
 	// absent.
 	PromptTokens identifier.Tokens       `json:"prompt_tokens,omitempty"`
 	Prefix       []identifier.PrefixHash `json:"prefix,omitempty"`
-	Seed         uint64                  `json:"seed,omitempty"`
 	// From is how many tokens of the answer the asker has; Given holds them.
 	From       identifier.Tokens `json:"from"`
 	Given      []string          `json:"given,omitempty"`
--- a/internal/adapter/engine.go
+++ b/internal/adapter/engine.go
@@ -88,7 +88,7 @@
 // answer is whole. Its errors are *NotSentError, *RefusedError, *BrokenError,
 // *SilentError, *FailedError, *OutOfStepError and those of the sink.
 func (e *Engine) Start(ctx context.Context, address string, s Start, p Patience, sink Sink) error {
-	wanted, err := jsonCall(http.MethodPost, address, "/generate", encoder.GenerateRequest{
+	wanted, err := postJSON(address, "/generate", encoder.GenerateRequest{
 		Stream:       s.Stream,
 		Model:        s.Model,
 		Prompt:       s.Prompt,
@@ -146,7 +146,7 @@
 // Only ctx bounds it, because the transfer takes as long as it takes. Its
 // errors are those of Start and *UnknownStreamError.
 func (e *Engine) MoveKV(ctx context.Context, address string, stream identifier.StreamName, toAddress string) error {
-	wanted, err := jsonCall(http.MethodPost, address, streamPath(stream)+"/export", encoder.ExportRequest{ToAddress: toAddress})
+	wanted, err := postJSON(address, streamPath(stream)+"/export", encoder.ExportRequest{ToAddress: toAddress})
 	if err != nil {
 		return err
 	}
@@ -208,7 +208,7 @@
 // *NotSentError, *FailedError, *BrokenError. Only ctx bounds it, because a
 // load may take long. The caller checks its lease right before.
 func (e *Engine) Order(ctx context.Context, address string, o messenger.Order) error {
-	wanted, err := jsonCall(http.MethodPost, address, "/orders", encoder.OrderRequest{
+	wanted, err := postJSON(address, "/orders", encoder.OrderRequest{
 		Kind:  o.Kind,
 		Model: o.Model,
 		Role:  o.Role,
--- a/internal/adapter/log.go
+++ b/internal/adapter/log.go
@@ -68,7 +68,7 @@
 			Data:   r.Data,
 		})
 	}
-	wanted, err := jsonCall(http.MethodPost, l.config.Address, "/log/append", request)
+	wanted, err := postJSON(l.config.Address, "/log/append", request)
 	if err != nil {
 		return nil, effectError(err)
 	}
--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -52,6 +52,11 @@
 	return c.exchange(ctx, http.MethodPost, path, text, reply)
 }
 
+// Delete deletes what is at path.
+func (c Control) Delete(ctx context.Context, path string) error {
+	return c.exchange(ctx, http.MethodDelete, path, nil, nil)
+}
+
 func (c Control) exchange(ctx context.Context, method, path string, body []byte, reply any) error {
 	url := "http://" + c.Address + path
 	status, err := exchange(ctx, method, url, body, reply)
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -133,6 +133,9 @@
 	MuteLoad bool `json:"mute_load"`
 	// DropCacheEvents drops every n-th cache event; 0 is off.
 	DropCacheEvents int `json:"drop_cache_events"`
+	// OrderSlowMS is how long an order takes from its fence check to its
+	// effect.
+	OrderSlowMS int64 `json:"order_slow_ms"`
 	// RefuseImport refuses KV copies from other engines.
 	RefuseImport bool `json:"refuse_import"`
 }
--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,170 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/adapter/encoder"
+	"github.com/dotterelhollow/dotterelhollow/internal/standin"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// newTestEngine returns an engine that moves only by calls of step.
+func newTestEngine(c Config) (*Engine, *timekeeper.Manual) {
+	clock := timekeeper.NewManual(1_000_000)
+	c.Clock = clock
+	c.Model = "report"
+	return New(c), clock
+}
+
+// begin starts a stream with a prompt of so many tokens.
+func begin(t *testing.T, e *Engine, name identifier.StreamName, prompt identifier.Tokens, change func(*encoder.GenerateRequest)) *stream {
+	t.Helper()
+	r := encoder.GenerateRequest{
+		Stream:       name,
+		Model:        "report",
+		Prompt:       string(name),
+		PromptTokens: prompt,
+		MaxTokens:    10,
+	}
+	if change != nil {
+		change(&r)
+	}
+	require.NoError(t, check(&r))
+	s, err := e.start(r)
+	require.NoError(t, err)
+	return s
+}
+
+// run steps the engine through a span, ten milliseconds at a time.
+func run(e *Engine, clock *timekeeper.Manual, span timekeeper.Duration) {
+	const each = 10 * timekeeper.Millisecond
+	for ; span > 0; span -= each {
+		clock.Advance(each)
+		e.step(each.Std())
+	}
+}
+
+func TestSlotsGoByPriority(t *testing.T) {
+	e, clock := newTestEngine(Config{Slots: 1})
+	first := begin(t, e, "first", 4, nil)
+	run(e, clock, 10)
+	batch := begin(t, e, "batch", 4, nil)
+	urgent := begin(t, e, "urgent", 4, func(r *encoder.GenerateRequest) { r.Priority = 2 })
+	require.Equal(t, stateRunning, first.state)
+	for first.state == stateRunning {
+		run(e, clock, 10)
+	}
+	require.Equal(t, stateWaiting, batch.state)
+	require.Equal(t, stateRunning, urgent.state)
+}
+
+func TestPaceFallsWithBatch(t *testing.T) {
+	alone, clock := newTestEngine(Config{TokensPerSecond: 100})
+	s := begin(t, alone, "a", 4, func(r *encoder.GenerateRequest) { r.MaxTokens = 10000 })
+	run(alone, clock, timekeeper.Second)
+	full, clock := newTestEngine(Config{TokensPerSecond: 100})
+	var last *stream
+	for _, name := range []identifier.StreamName{"1", "2", "3", "4", "5", "6", "7", "8"} {
+		last = begin(t, full, name, 4, func(r *encoder.GenerateRequest) { r.MaxTokens = 5000 })
+	}
+	run(full, clock, timekeeper.Second)
+	require.InDelta(t, 100, len(s.tokens), 5)
+	require.InDelta(t, 70, len(last.tokens), 5)
+}
+
+func TestCacheShortensPrefill(t *testing.T) {
+	e, clock := newTestEngine(Config{CacheBlocks: 4})
+	prompt := func(blocks ...identifier.PrefixHash) func(*encoder.GenerateRequest) {
+		return func(r *encoder.GenerateRequest) { r.Prefix = blocks }
+	}
+	cold := begin(t, e, "cold", 128, prompt(1, 2))
+	run(e, clock, 500)
+	warm := begin(t, e, "warm", 128, prompt(1, 3))
+	run(e, clock, 500)
+	require.Equal(t, identifier.Tokens(128), cold.prefilled)
+	require.Equal(t, identifier.Tokens(64), warm.prefilled)
+	begin(t, e, "flood", 256, prompt(6, 7, 8, 9))
+	run(e, clock, 500)
+	forgotten := begin(t, e, "forgotten", 128, prompt(1, 2))
+	run(e, clock, 500)
+	require.Equal(t, identifier.Tokens(128), forgotten.prefilled)
+}
+
+func TestCacheEventsLagAndGap(t *testing.T) {
+	c := newPrefixCache(2)
+	c.add([]identifier.PrefixHash{1, 2}, 100)
+	c.add([]identifier.PrefixHash{3}, 200)
+	require.Len(t, c.since(0, 150, 0), 2)
+	events := c.since(2, 200, 0)
+	require.Len(t, events, 2)
+	require.Equal(t, identifier.PrefixHash(2), events[1].Hash, "a later block goes before an earlier one")
+	require.True(t, events[1].Gone)
+	require.Len(t, c.since(0, 200, 2), 2)
+}
+
+// A reader's node dies. Its stream goes on, so that another node can resume
+// it, but not for ever.
+func TestOrphanedStreamEnds(t *testing.T) {
+	e, clock := newTestEngine(Config{
+		TokensPerSecond: 1,
+		OrphanAfter:     5 * timekeeper.Second,
+		KeepFor:         timekeeper.Second,
+	})
+	s := begin(t, e, "a", 4, func(r *encoder.GenerateRequest) { r.MaxTokens = 1000 })
+	run(e, clock, 20*timekeeper.Second)
+	require.Equal(t, stateRunning, s.state)
+	e.leave(s)
+	run(e, clock, 4*timekeeper.Second)
+	require.Equal(t, stateRunning, s.state)
+	run(e, clock, 2*timekeeper.Second)
+	require.Equal(t, stateOrphaned, s.state)
+	require.Zero(t, e.kvUsed)
+	run(e, clock, 2*timekeeper.Second)
+	require.Empty(t, e.streams)
+}
+
+func TestExpiredInQueueDidNotRun(t *testing.T) {
+	e, clock := newTestEngine(Config{Slots: 1})
+	begin(t, e, "long", 4, func(r *encoder.GenerateRequest) { r.MaxTokens = 1000 })
+	run(e, clock, 10)
+	s := begin(t, e, "late", 4, func(r *encoder.GenerateRequest) { r.DeadlineMS = 50 })
+	run(e, clock, 100)
+	require.Equal(t, stateExpired, s.state)
+	require.False(t, s.ran)
+	require.Equal(t, 1, e.Ledger().StreamsRun)
+}
+
+func TestFrozenEngineStandsStill(t *testing.T) {
+	e, clock := newTestEngine(Config{})
+	s := begin(t, e, "a", 4, nil)
+	e.SetFaults(func(f *Faults) { f.Freeze = true })
+	run(e, clock, 5*timekeeper.Second)
+	require.Empty(t, s.tokens)
+	e.SetFaults(func(f *Faults) { f.Freeze = false })
+	run(e, clock, 5*timekeeper.Second)
+	require.Equal(t, standin.Tokens("a", 10), s.tokens)
+}
+
+func TestExportTakesTheLinkInTurn(t *testing.T) {
+	e, clock := newTestEngine(Config{
+		KVBytesPerToken: 1000,
+		TransferRate:    100_000,
+	})
+	for _, name := range []identifier.StreamName{"a", "b"} {
+		begin(t, e, name, 99, func(r *encoder.GenerateRequest) { r.MaxTokens = 1000 })
+	}
+	for range 10 {
+		e.step(10 * time.Millisecond)
+	}
+	clock.Advance(100)
+	_, first, ok := e.snapshotKV("a")
+	require.True(t, ok)
+	_, second, ok := e.snapshotKV("b")
+	require.True(t, ok)
+	require.Greater(t, first, timekeeper.Second-1)
+	require.Greater(t, second, 2*first-100)
+}
--- a/internal/standin/engine/scheduler.go
+++ b/internal/standin/engine/scheduler.go
@@ -74,6 +74,7 @@
 		e.kvUsed += need
 		s.reserved = need
 		s.state = stateRunning
+		s.ran = true
 		s.prefillLeft = float64(e.prefillOf(s))
 		s.prefilled = identifier.Tokens(s.prefillLeft)
 		e.running = append(e.running, s)
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -28,6 +28,7 @@
 	request  encoder.GenerateRequest
 	prompt   string // what the tokens follow from
 	state    state
+	ran      bool
 	tokens   []string // the answer so far, what was given included
 	deadline timekeeper.Time
 	arrived  timekeeper.Time
--- a/internal/standin/hoster/group.go
+++ b/internal/standin/hoster/group.go
@@ -40,12 +40,20 @@
 
 func (e *GroupError) Unwrap() error { return e.Cause }
 
+// defaultLag is how old load reports and cache events are where the group says
+// nothing.
+const defaultLag = 500 * timekeeper.Millisecond
+
 // ParseGroup reads a group from text such as
 // "pool=reading,kind=model,count=10,model=report,slots=8".
 func ParseGroup(text string) (Group, error) {
 	g := Group{
 		Kind:  catalog.ModelService,
 		Count: 1,
+		Engine: engine.Config{
+			LoadLag:  defaultLag,
+			CacheLag: defaultLag,
+		},
 	}
 	for pair := range strings.SplitSeq(text, ",") {
 		key, value, _ := strings.Cut(pair, "=")
--- a/internal/standin/platform/cloud_http.go
+++ b/internal/standin/platform/cloud_http.go
@@ -102,6 +102,10 @@
 	if !standin.ReadJSON(w, r, &v) {
 		return
 	}
+	if v.VM == "" {
+		encoder.WriteProblem(w, http.StatusBadRequest, encoder.Problem{Error: "vm: missing"})
+		return
+	}
 	p.cloud.register(v)
 	encoder.WriteJSON(w, http.StatusOK, v)
 }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -60,12 +60,17 @@
 	listener net.Listener
 	http     *http.Server
 	cancel   context.CancelFunc
-	running  sync.WaitGroup
+	closing  sync.Once
+	ended    chan struct{} // one value for each goroutine that has ended
 }
 
+// goroutines is how many goroutines a Server owns.
+const goroutines = 3
+
 // Listen opens address and serves s there until Close or the end of ctx.
 func Listen(ctx context.Context, address string, s Service, gate *Gate) (*Server, error) {
-	listener, err := net.Listen("tcp", address)
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, &ListenError{Address: address, Cause: err}
 	}
@@ -78,40 +83,35 @@
 			ReadHeaderTimeout: 10 * time.Second,
 		},
 		cancel: cancel,
+		ended:  make(chan struct{}, goroutines),
 	}
-	server.running.Add(3)
-	go server.run(func() { s.Run(ctx) })
-	go server.run(func() { _ = server.http.Serve(listener) })
-	go server.run(func() {
+	go server.run(ctx, s.Run)
+	go server.run(ctx, func(context.Context) { _ = server.http.Serve(listener) })
+	go server.run(ctx, func(ctx context.Context) {
 		<-ctx.Done()
 		_ = server.http.Close()
 	})
 	return server, nil
 }
 
-func (s *Server) run(work func()) {
-	defer s.running.Done()
-	work()
+func (s *Server) run(ctx context.Context, work func(context.Context)) {
+	work(ctx)
+	s.ended <- struct{}{}
 }
 
 // Address returns the address at which the server listens.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// Close closes the listener and cuts every connection.
+// Close closes the listener, cuts every connection and waits for the server's
+// goroutines. A second Close does nothing.
 func (s *Server) Close() {
-	s.cancel()
-	_ = s.http.Close()
-	s.running.Wait()
-}
-
-// Done returns a channel that closes when the server has ended.
-func (s *Server) Done() <-chan struct{} {
-	done := make(chan struct{})
-	go func() {
-		s.running.Wait()
-		close(done)
-	}()
-	return done
+	s.closing.Do(func() {
+		s.cancel()
+		_ = s.http.Close()
+		for range goroutines {
+			<-s.ended
+		}
+	})
 }
 
 // ReadJSON decodes the body of r into v. On a fault it answers 400 and
