Agree on the configuration through the log

Cause: two operators may change one file at once, an append's answer may be lost, records expire, and nodes start, pause and end at any time; all nodes must still reach one verdict on each change and never go back. An operator restores a folder that the log and all nodes have lost. Conclusion: each rule's scenario holds, and objects with the rule off.

--- /dev/null
+++ b/internal/configurer/errors.go
@@ -0,0 +1,80 @@
+package configurer
+
+import (
+	"fmt"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/folderreader"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+)
+
+// RecordError reports a record that is none of ours. All nodes pass over it.
+type RecordError struct {
+	Offset identifier.Offset
+	Cause  error
+}
+
+func (e *RecordError) Error() string {
+	if e.Cause == nil {
+		return fmt.Sprintf("configuration record at offset %d: not well formed", e.Offset)
+	}
+	return fmt.Sprintf("configuration record at offset %d: %v", e.Offset, e.Cause)
+}
+
+func (e *RecordError) Unwrap() error { return e.Cause }
+
+// GapError reports that records expired before this node read them, and that
+// no snapshot covers them. The node keeps its last state and can't judge
+// changes until a snapshot, a peer's state or a restore covers the gap.
+type GapError struct {
+	// Have is the offset as of which the state is known, Lost the last offset
+	// that may have been missed.
+	Have identifier.Offset
+	Lost identifier.Offset
+}
+
+func (e *GapError) Error() string {
+	return fmt.Sprintf("configuration: records after offset %d up to %d expired unread and no snapshot covers them", e.Have, e.Lost)
+}
+
+// StateError reports a snapshot or a peer's state whose folder has faults by
+// the rules of this program, such as one of a later version.
+type StateError struct {
+	AsOf   identifier.Offset
+	Faults []folderreader.Fault
+}
+
+func (e *StateError) Error() string {
+	return fmt.Sprintf("configuration as of offset %d has faults, the first is: %s", e.AsOf, e.Faults[0])
+}
+
+// OlderStateError reports a peer's state that is not newer than our own.
+type OlderStateError struct {
+	Have  identifier.Offset
+	Given identifier.Offset
+}
+
+func (e *OlderStateError) Error() string {
+	return fmt.Sprintf("configuration as of offset %d is not newer than the one as of offset %d", e.Given, e.Have)
+}
+
+// ProposalError reports a change that no folder could take.
+type ProposalError struct{ Faults []folderreader.Fault }
+
+func (e *ProposalError) Error() string {
+	return (&folderreader.FaultsError{Faults: e.Faults}).Error()
+}
+
+// BusyError reports that too many changes wait for their verdicts.
+type BusyError struct{ Pending int }
+
+func (e *BusyError) Error() string {
+	return fmt.Sprintf("%d changes wait for their verdicts", e.Pending)
+}
+
+// NoGapError reports a restore that was asked for without need: the state is
+// whole, and a change of one file does not undo another operator's.
+type NoGapError struct{ Have identifier.Offset }
+
+func (e *NoGapError) Error() string {
+	return fmt.Sprintf("configuration is whole as of offset %d: change its files instead of restoring it", e.Have)
+}
--- /dev/null
+++ b/internal/configurer/proposal.go
@@ -0,0 +1,160 @@
+package configurer
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/folderreader"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// maxPending bounds the changes that wait for their verdicts.
+const maxPending = 16
+
+// proposal is a change of this node's operators that was not read back yet.
+type proposal struct {
+	nonce  identifier.Nonce
+	file   identifier.FileName
+	ticket identifier.Ticket
+	since  timekeeper.Time
+	data   []byte
+}
+
+// Propose returns the record to append for an operator's change. The nonce
+// must be fresh. The verdict comes with Absorb, or as unknown with Timeouts.
+// The error is a *ProposalError, *BusyError, *GapError or *StateError; with
+// each of them the change is not made.
+func (s *State) Propose(now timekeeper.Time, p messenger.ChangeProposed, nonce identifier.Nonce) ([]byte, error) {
+	if faults := proposalFaults(p); len(faults) > 0 {
+		return nil, &ProposalError{Faults: faults}
+	}
+	if err := s.Fault(); err != nil {
+		return nil, fmt.Errorf("propose a change: %w", err)
+	}
+	data := encode(record{
+		Change: &changeRecord{
+			Nonce:      nonce,
+			File:       p.File,
+			Content:    p.Content,
+			Delete:     p.Delete,
+			Saw:        p.Saw,
+			Generation: s.view.generation,
+		},
+	})
+	return s.wait(now, nonce, p.File, p.Ticket, data)
+}
+
+func proposalFaults(p messenger.ChangeProposed) []folderreader.Fault {
+	var faults []folderreader.Fault
+	if fault, bad := folderreader.NameFault(p.File); bad {
+		faults = append(faults, fault)
+	}
+	if len(p.Content) > folderreader.MaxFileBytes {
+		faults = append(faults, folderreader.Fault{
+			File:     p.File,
+			Expected: fmt.Sprintf("at most %d bytes", folderreader.MaxFileBytes),
+			Got:      fmt.Sprint(len(p.Content)),
+		})
+	}
+	return faults
+}
+
+// ProposeRestore returns the record that replaces the whole folder, for the
+// operator of a fleet whose log has lost the configuration and of which no
+// node has it. Such a fleet can't tell what its folder was, so an operator has
+// to. While the state is whole the error is a *NoGapError.
+func (s *State) ProposeRestore(now timekeeper.Time, files map[identifier.FileName][]byte, ticket identifier.Ticket, nonce identifier.Nonce) ([]byte, error) {
+	if !s.gap() {
+		return nil, &NoGapError{Have: s.view.asOf}
+	}
+	if _, faults := Check(files); len(faults) > 0 {
+		return nil, &ProposalError{Faults: faults}
+	}
+	data := encode(record{
+		Restore: &restoreRecord{
+			Nonce: nonce,
+			Files: files,
+		},
+	})
+	return s.wait(now, nonce, "", ticket, data)
+}
+
+func (s *State) wait(now timekeeper.Time, nonce identifier.Nonce, file identifier.FileName, ticket identifier.Ticket, data []byte) ([]byte, error) {
+	if len(s.pending) >= maxPending {
+		return nil, &BusyError{Pending: len(s.pending)}
+	}
+	s.pending = append(s.pending, proposal{
+		nonce:  nonce,
+		file:   file,
+		ticket: ticket,
+		since:  now,
+		data:   data,
+	})
+	return data, nil
+}
+
+// Again returns the record of a change that still waits for its verdict. It
+// may be appended again when the answer to its append was lost: its nonce
+// makes the copies count once.
+func (s *State) Again(nonce identifier.Nonce) ([]byte, bool) {
+	for _, p := range s.pending {
+		if p.nonce == nonce {
+			return p.data, true
+		}
+	}
+	return nil, false
+}
+
+// Timeouts returns the changes that have waited too long. Their verdict is
+// unknown, not negative: the record may stand in the log all the same, and the
+// operator finds the verdict in the history later.
+func (s *State) Timeouts(now timekeeper.Time) []Applied {
+	var applied []Applied
+	s.pending = slices.DeleteFunc(s.pending, func(p proposal) bool {
+		late := now.Sub(p.since) >= s.config.VerdictTimeout
+		if late {
+			applied = append(applied, Applied{
+				Nonce:   p.nonce,
+				File:    p.file,
+				Ticket:  p.ticket,
+				Verdict: messenger.ChangeVerdict{Unknown: true},
+			})
+		}
+		return late
+	})
+	return applied
+}
+
+// settle turns a judged change into its report and ends the wait for it.
+func (s *State) settle(c Change) Applied {
+	applied := Applied{
+		Nonce:    c.Nonce,
+		File:     c.File,
+		Revision: s.view.revision,
+		Verdict: messenger.ChangeVerdict{
+			Accepted: c.Accepted,
+			Revision: c.Revision,
+			Faults:   c.Faults,
+		},
+	}
+	s.pending = slices.DeleteFunc(s.pending, func(p proposal) bool {
+		if p.nonce == c.Nonce {
+			applied.Ticket = p.ticket
+		}
+		return p.nonce == c.Nonce
+	})
+	return applied
+}
+
+// settleRemembered reports the waiting changes that an adopted view has judged.
+func (s *State) settleRemembered() []Applied {
+	var applied []Applied
+	for _, p := range slices.Clone(s.pending) {
+		if verdict, ok := s.view.verdict(p.nonce); ok {
+			applied = append(applied, s.settle(verdict))
+		}
+	}
+	return applied
+}
--- /dev/null
+++ b/internal/configurer/record.go
@@ -0,0 +1,142 @@
+package configurer
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/folderreader"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// record is one record of the stream; just one of its parts is there.
+type record struct {
+	Change   *changeRecord   `json:"change,omitempty"`
+	Restore  *restoreRecord  `json:"restore,omitempty"`
+	Snapshot *snapshotRecord `json:"snapshot,omitempty"`
+}
+
+// changeRecord asks for a change of one file.
+type changeRecord struct {
+	Nonce   identifier.Nonce    `json:"nonce"`
+	File    identifier.FileName `json:"file"`
+	Content []byte              `json:"content,omitempty"`
+	Delete  bool                `json:"delete,omitempty"`
+	Saw     identifier.Revision `json:"saw"`
+	// Generation is the offset of the last restore that the proposer knew.
+	Generation identifier.Offset `json:"generation"`
+}
+
+// restoreRecord replaces the whole folder and all that was before it.
+type restoreRecord struct {
+	Nonce identifier.Nonce               `json:"nonce"`
+	Files map[identifier.FileName][]byte `json:"files"`
+}
+
+// snapshotRecord is the whole state as of an offset. It repeats what older
+// records say and decides nothing.
+type snapshotRecord struct {
+	AsOf       identifier.Offset                 `json:"as_of"`
+	Generation identifier.Offset                 `json:"generation"`
+	Revision   identifier.Revision               `json:"revision"`
+	Files      map[identifier.FileName]FileState `json:"files"`
+	Recent     []Change                          `json:"recent"`
+}
+
+// exportRecord is the state for a peer, with what times its next snapshot.
+type exportRecord struct {
+	Snapshot  *snapshotRecord   `json:"snapshot"`
+	CoveredTo identifier.Offset `json:"covered_to"`
+	Since     timekeeper.Time   `json:"since_ms"`
+}
+
+// FileState is one file of the folder as of its last accepted change.
+type FileState struct {
+	Content  []byte              `json:"content,omitempty"`
+	Revision identifier.Revision `json:"revision"`
+	// Deleted marks a tombstone: it keeps the revision of the deletion, so
+	// that a change from before it is seen to be stale.
+	Deleted bool `json:"deleted,omitempty"`
+}
+
+// Change is one judged change, for the operator's history.
+type Change struct {
+	// Offset is where the change stands in the log.
+	Offset identifier.Offset   `json:"offset"`
+	Nonce  identifier.Nonce    `json:"nonce"`
+	File   identifier.FileName `json:"file,omitempty"`
+	// Deleted tells that the change asked to delete the file, Restored that
+	// it replaced the whole folder.
+	Deleted  bool `json:"deleted,omitempty"`
+	Restored bool `json:"restored,omitempty"`
+	Accepted bool `json:"accepted"`
+	// Revision is the file's revision after the verdict: that of the change
+	// where it was accepted, and that of the file that stands otherwise.
+	Revision identifier.Revision `json:"revision"`
+	// Faults tell why the change was rejected.
+	Faults []string `json:"faults,omitempty"`
+	// Appended is the log's own time of the append.
+	Appended timekeeper.Time `json:"appended_ms"`
+}
+
+// encode returns r as it stands in the log.
+func encode(r any) []byte {
+	data, err := json.Marshal(r)
+	if err != nil {
+		// Plain structs of strings, numbers and bytes can always be written.
+		panic(&RecordError{Cause: err})
+	}
+	return data
+}
+
+// decode reads a record of the log. Its error is a *RecordError.
+func decode(offset identifier.Offset, data []byte) (record, error) {
+	var r record
+	if err := json.Unmarshal(data, &r); err != nil {
+		return record{}, &RecordError{
+			Offset: offset,
+			Cause:  err,
+		}
+	}
+	if !r.wellFormed(offset) {
+		return record{}, &RecordError{Offset: offset}
+	}
+	return r, nil
+}
+
+// maxName bounds the nonces and file names that the history keeps.
+const maxName = 128
+
+func (r record) wellFormed(offset identifier.Offset) bool {
+	switch {
+	case r.Change != nil:
+		return r.Restore == nil && r.Snapshot == nil &&
+			validNonce(r.Change.Nonce) && len(r.Change.File) <= maxName
+	case r.Restore != nil:
+		return r.Snapshot == nil && validNonce(r.Restore.Nonce)
+	default:
+		return r.Snapshot != nil && r.Snapshot.AsOf < offset
+	}
+}
+
+func validNonce(n identifier.Nonce) bool { return n != "" && len(n) <= maxName }
+
+// The bounds of the faults that a verdict carries. The history and each
+// snapshot keep them.
+const (
+	maxVerdictFaults = 8
+	maxVerdictText   = 300
+)
+
+func verdictFaults(faults []folderreader.Fault) []string {
+	var texts []string
+	for _, fault := range faults {
+		if len(texts) == maxVerdictFaults {
+			return append(texts, "and more: check the folder to see all")
+		}
+		text := fault.String()
+		text = text[:min(len(text), maxVerdictText)]
+		texts = append(texts, strings.ToValidUTF8(text, ""))
+	}
+	return texts
+}
--- /dev/null
+++ b/internal/configurer/state_test.go
@@ -0,0 +1,360 @@
+package configurer
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+const (
+	fileA = identifier.FileName("10-a.ini")
+	fileB = identifier.FileName("20-b.ini")
+)
+
+// TestSafeguards runs each scenario twice: with all rules it must hold, and
+// with its own rule off it must not, which shows that the check can object.
+func TestSafeguards(t *testing.T) {
+	cases := map[string]struct {
+		holds func(rules) bool
+		off   func(*rules)
+	}{
+		"race of two operators": {
+			holds: raceHolds,
+			off:   func(r *rules) { r.compareRevision = false },
+		},
+		"merged folder with faults": {
+			holds: mergedHolds,
+			off:   func(r *rules) { r.checkMerged = false },
+		},
+		"lost answer and second append": {
+			holds: lostAnswerHolds,
+			off:   func(r *rules) { r.countOnce = false },
+		},
+		"deleted file": {
+			holds: tombstoneHolds,
+			off:   func(r *rules) { r.keepTombstones = false },
+		},
+		"late snapshot": {
+			holds: lateSnapshotHolds,
+			off:   func(r *rules) { r.ignoreSeenSnapshots = false },
+		},
+		"late snapshot and new node": {
+			holds: lateSnapshotNewNodeHolds,
+			off:   func(r *rules) { r.replayFromAsOf = false },
+		},
+		"pause past the retention": {
+			holds: pauseHolds,
+			off:   func(r *rules) { r.detectGap = false },
+		},
+		"older peer": {
+			holds: olderPeerHolds,
+			off:   func(r *rules) { r.importOnlyNewer = false },
+		},
+		"fleet replaced for days": {
+			holds: replacedFleetHolds,
+			off:   func(r *rules) { r.appendSnapshots = false },
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			require.True(t, c.holds(allRules()))
+			weakened := allRules()
+			c.off(&weakened)
+			require.False(t, c.holds(weakened))
+		})
+	}
+}
+
+// Two operators change one file at once, through two nodes. Each has seen
+// revision 0; the first in log order is accepted, and the second operator is
+// told that the file has changed under their hands.
+func raceHolds(r rules) bool {
+	l := newTestLog()
+	one, two := l.ready(r), l.ready(r)
+	first, firstNonce := l.propose(one, proposalOf(one, fileA, zoneFile("x")))
+	second, secondNonce := l.propose(two, proposalOf(two, fileA, zoneFile("y")))
+	l.append(second)
+	l.append(first)
+	won, lost := verdictOf(l.read(two), secondNonce), verdictOf(l.read(one), firstNonce)
+	return won.Accepted && !lost.Accepted && len(lost.Faults) == 1 && content(one, fileA) == zoneFile("y")
+}
+
+// An operator deletes the zone that a price refers to. The file itself is
+// fine, the merged folder is not: nothing changes anywhere.
+func mergedHolds(r rules) bool {
+	l := newTestLog()
+	s := l.ready(r)
+	l.write(s, fileA, zoneFile("x"))
+	l.write(s, fileB, "[vm_class c]\n[price c x]\nreclaimable = 1\n")
+	verdict := l.write(s, fileA, "")
+	return !verdict.Accepted && len(verdict.Faults) == 1 && content(s, fileA) != ""
+}
+
+// The answer to an append is lost and the record is appended again. The first
+// copy was rejected, and its operator told so, because it refers to a zone
+// that is not there; the zone comes, then the second copy. Without the rule
+// the rejected change would come into force.
+func lostAnswerHolds(r rules) bool {
+	l := newTestLog()
+	s := l.ready(r)
+	data, nonce := l.propose(s, proposalOf(s, fileB, "[vm_class c]\n[price c x]\nreclaimable = 1\n"))
+	l.append(data)
+	rejected := verdictOf(l.read(s), nonce)
+	l.write(s, fileA, zoneFile("x"))
+	l.append(data)
+	again := l.read(s)
+	return !rejected.Accepted && len(again) == 0 && content(s, fileB) == "" && len(s.History()) == 2
+}
+
+// A creation is appended late, after another operator has created and deleted
+// the file. The tombstone's revision shows that it is stale.
+func tombstoneHolds(r rules) bool {
+	l := newTestLog()
+	s, slow := l.ready(r), l.ready(r)
+	stale, _ := l.propose(slow, proposalOf(slow, fileA, zoneFile("old")))
+	l.write(s, fileA, zoneFile("x"))
+	l.write(s, fileA, "")
+	l.append(stale)
+	l.read(s)
+	return content(s, fileA) == ""
+}
+
+// A node makes a snapshot and is paused; a change is accepted; then the
+// snapshot is appended. Nodes that have the change keep it.
+func lateSnapshotHolds(r rules) bool {
+	l := newTestLog()
+	s := l.ready(r)
+	l.write(s, fileA, zoneFile("x"))
+	snapshot := encode(record{Snapshot: s.view.snapshot()})
+	accepted := l.write(s, fileA, zoneFile("y"))
+	l.append(snapshot)
+	l.read(s)
+	return accepted.Accepted && content(s, fileA) == zoneFile("y") && s.Revision() == accepted.Revision
+}
+
+// The same late snapshot is the only one that a new node finds: what stands
+// before the snapshot's own offset has to be applied on top of it.
+func lateSnapshotNewNodeHolds(r rules) bool {
+	l := newTestLog()
+	s := l.ready(r)
+	l.write(s, fileA, zoneFile("x"))
+	asOf := s.AsOf()
+	snapshot := encode(record{Snapshot: s.view.snapshot()})
+	l.write(s, fileA, zoneFile("y"))
+	l.append(snapshot)
+	l.read(s)
+	l.expire(asOf + 1)
+	late := l.ready(r)
+	return late.Fault() == nil && same(late, s)
+}
+
+// A node is paused for longer than the retention. A change it has missed has
+// expired: it must not judge the next one by its old state, and says so until
+// a snapshot covers the gap.
+func pauseHolds(r rules) bool {
+	l := newTestLog()
+	s, paused := l.ready(r), l.ready(r)
+	l.write(s, fileA, zoneFile("x"))
+	for range 4 {
+		l.advance(testRetention / 4)
+		l.read(s)
+	}
+	l.write(s, fileB, zoneFile("y"))
+	l.read(paused)
+	faulty := paused.Fault() != nil && len(paused.History()) == 0
+	l.append(encode(record{Snapshot: s.view.snapshot()}))
+	l.read(s)
+	l.read(paused)
+	return faulty && paused.Fault() == nil && same(paused, s)
+}
+
+// A peer that lags gives its state to a node that has read further: the node
+// must not go below a revision that it has applied.
+func olderPeerHolds(r rules) bool {
+	l := newTestLog()
+	s := l.ready(r)
+	l.write(s, fileA, zoneFile("x"))
+	lagging := l.ready(r).Export()
+	l.write(s, fileA, zoneFile("y"))
+	_, err := s.Import(l.now, lagging)
+	return err != nil && content(s, fileA) == zoneFile("y")
+}
+
+// Each node of a fleet of three lives for a tenth of the retention, for twenty
+// retentions, and all appended snapshots of one in three fail. The one change
+// ever made stays in force on each new node.
+func replacedFleetHolds(r rules) bool {
+	l := newTestLog()
+	l.write(l.ready(r), fileA, zoneFile("x"))
+	fleet := []*State{l.ready(r), l.ready(r), l.ready(r)}
+	snapshots := 0
+	for round := range 200 {
+		fleet[round%len(fleet)] = l.ready(r)
+		for range 10 {
+			for i, s := range fleet {
+				l.read(s)
+				if data, due := s.SnapshotDue(l.now, l.rng); due && i > 0 {
+					l.append(data)
+					snapshots++
+				}
+			}
+			l.advance(testRetention / 100)
+		}
+	}
+	s := l.ready(r)
+	return s.Ready() && content(s, fileA) == zoneFile("x") && snapshots < 200
+}
+
+// A new node starts while the log is out. It takes the state of a peer, and
+// goes on from there once the log is back; nothing is judged twice.
+func TestNewNodeInAnOutage(t *testing.T) {
+	l := newTestLog()
+	s := l.ready(allRules())
+	l.write(s, fileA, zoneFile("x"))
+	fresh := l.node(allRules())
+	_, err := fresh.Import(l.now, s.Export())
+	require.NoError(t, err)
+	require.Equal(t, s.Catalog(), fresh.Catalog())
+	require.False(t, fresh.Ready())
+	l.write(s, fileB, zoneFile("y"))
+	require.Len(t, l.read(fresh), 1)
+	require.True(t, same(fresh, s))
+	require.True(t, fresh.Ready())
+}
+
+// An operator's change is not read back in time. The operator is told that the
+// verdict is unknown; the change stands in the log all the same, and later
+// comes into force and into the history.
+func TestUnknownVerdict(t *testing.T) {
+	l := newTestLog()
+	s := l.ready(allRules())
+	data, nonce := l.propose(s, proposalOf(s, fileA, zoneFile("x")))
+	again, waiting := s.Again(nonce)
+	require.True(t, waiting)
+	require.Equal(t, data, again)
+	require.Empty(t, s.Timeouts(l.now))
+	late := s.Timeouts(l.now.Add(DefaultVerdictTimeout))
+	require.Len(t, late, 1)
+	require.True(t, late[0].Verdict.Unknown)
+	require.Equal(t, identifier.Ticket(7), late[0].Ticket)
+	l.append(data)
+	applied := l.read(s)
+	require.True(t, applied[0].Verdict.Accepted)
+	require.Zero(t, applied[0].Ticket)
+	require.True(t, s.History()[0].Accepted)
+}
+
+// A node proposes a change and is paused past the retention. The change was
+// accepted meanwhile and has expired; a snapshot remembers its nonce, so the
+// operator is told the truth.
+func TestVerdictFromSnapshot(t *testing.T) {
+	l := newTestLog()
+	s, paused := l.ready(allRules()), l.ready(allRules())
+	data, nonce := l.propose(paused, proposalOf(paused, fileA, zoneFile("x")))
+	at := l.append(data)
+	l.read(s)
+	l.advance(testRetention)
+	l.append(encode(record{Snapshot: s.view.snapshot()}))
+	verdict := verdictOf(l.read(paused), nonce)
+	require.True(t, verdict.Accepted)
+	require.Equal(t, at, verdict.Revision)
+}
+
+// A whole fleet was off for longer than the retention: its folder is gone. New
+// nodes say so, and an operator restores the folder from their own copy.
+func TestRestore(t *testing.T) {
+	l := newTestLog()
+	l.write(l.ready(allRules()), fileA, zoneFile("x"))
+	l.advance(2 * testRetention)
+	one, two := l.ready(allRules()), l.ready(allRules())
+	var gap *GapError
+	_, err := one.Propose(l.now, proposalOf(one, fileA, zoneFile("x")), l.nonce())
+	require.ErrorAs(t, err, &gap)
+	folder := map[identifier.FileName][]byte{fileB: []byte(zoneFile("y"))}
+	data, err := one.ProposeRestore(l.now, folder, 9, l.nonce())
+	require.NoError(t, err)
+	l.append(data)
+	applied := l.read(one)
+	require.Equal(t, identifier.Ticket(9), applied[0].Ticket)
+	require.True(t, applied[0].Verdict.Accepted)
+	l.read(two)
+	require.True(t, same(one, two))
+	require.True(t, l.write(two, fileA, zoneFile("z")).Accepted)
+	_, err = two.ProposeRestore(l.now, folder, 9, l.nonce())
+	var whole *NoGapError
+	require.ErrorAs(t, err, &whole)
+}
+
+// Proposals that no folder could take are refused before they reach the log,
+// and records that are none of ours are passed over.
+func TestBadInput(t *testing.T) {
+	l := newTestLog()
+	s := l.ready(allRules())
+	var bad *ProposalError
+	_, err := s.Propose(l.now, messenger.ChangeProposed{File: "../x"}, l.nonce())
+	require.ErrorAs(t, err, &bad)
+	for _, data := range []string{"", "{}", `{"change":{}}`, `{"snapshot":{"as_of":99}}`, `[`} {
+		l.append([]byte(data))
+	}
+	require.Empty(t, l.read(s))
+	require.Equal(t, 5, s.Dropped().Malformed)
+	_, err = s.Import(l.now, []byte("{}"))
+	var malformed *RecordError
+	require.ErrorAs(t, err, &malformed)
+	for range maxPending {
+		l.propose(s, proposalOf(s, fileA, zoneFile("x")))
+	}
+	var busy *BusyError
+	_, err = s.Propose(l.now, proposalOf(s, fileA, zoneFile("x")), l.nonce())
+	require.ErrorAs(t, err, &busy)
+}
+
+// TestBounds: neither the history, nor the tombstones, nor the records past a
+// gap grow without end.
+func TestBounds(t *testing.T) {
+	l := newTestLog()
+	s := l.ready(allRules())
+	for range maxTombstones + 10 {
+		file := identifier.FileName(l.nonce()) + ".ini"
+		l.write(s, file, zoneFile("x"))
+		l.write(s, file, "")
+	}
+	require.Len(t, s.History(), maxRecent)
+	require.Len(t, s.Files(), maxTombstones)
+	l.advance(2 * testRetention)
+	gapped := l.ready(allRules())
+	for range 100 {
+		l.append(make([]byte, 64<<10))
+	}
+	l.read(gapped)
+	require.LessOrEqual(t, gapped.heldBytes, maxHeldBytes)
+	require.Positive(t, gapped.Dropped().Held)
+}
+
+// TestSnapshotTimers: nodes that wait for one timer do not append together; a
+// snapshot that is seen resets the timers of all.
+func TestSnapshotTimers(t *testing.T) {
+	l := newTestLog()
+	l.write(l.ready(allRules()), fileA, zoneFile("x"))
+	fleet := make([]*State, 50)
+	for i := range fleet {
+		fleet[i] = l.ready(allRules())
+	}
+	var appended []timekeeper.Time
+	for range 3600 {
+		l.advance(timekeeper.Second)
+		for _, s := range fleet {
+			l.read(s)
+			if data, due := s.SnapshotDue(l.now, l.rng); due {
+				l.append(data)
+				appended = append(appended, l.now)
+			}
+		}
+	}
+	require.GreaterOrEqual(t, len(appended), 2)
+	require.LessOrEqual(t, len(appended), 4)
+}
--- /dev/null
+++ b/internal/configurer/view.go
@@ -0,0 +1,226 @@
+package configurer
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/folderreader"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// The bounds of the agreed state. They are part of the rule: each node drops
+// the same entry at the same offset.
+const (
+	// maxRecent is how many judged changes the state remembers, for the
+	// history and to recognize a nonce.
+	maxRecent = 256
+	// maxTombstones is how many deleted files it remembers.
+	maxTombstones = 256
+)
+
+// view is the state that follows from the records up to an offset, and from
+// nothing else. Two nodes with the same asOf have the same view.
+type view struct {
+	asOf       identifier.Offset
+	generation identifier.Offset
+	revision   identifier.Revision
+	files      map[identifier.FileName]FileState
+	// recent holds the last judged changes, the oldest first.
+	recent  []Change
+	catalog *catalog.Catalog
+}
+
+func newView() view {
+	empty, _ := Check(nil)
+	return view{
+		files:   make(map[identifier.FileName]FileState),
+		catalog: empty,
+	}
+}
+
+// viewOf returns the view that a snapshot holds. Its error is a *StateError.
+func viewOf(s *snapshotRecord) (view, error) {
+	v := newView()
+	v.asOf = s.AsOf
+	v.generation = s.Generation
+	v.revision = s.Revision
+	v.recent = slices.Clone(s.Recent)
+	maps.Copy(v.files, s.Files)
+	built, faults := Check(v.contents())
+	if len(faults) > 0 {
+		return view{}, &StateError{
+			AsOf:   s.AsOf,
+			Faults: faults,
+		}
+	}
+	built.Revision = v.revision
+	v.catalog = built
+	return v, nil
+}
+
+// snapshot returns the view as a record.
+func (v *view) snapshot() *snapshotRecord {
+	return &snapshotRecord{
+		AsOf:       v.asOf,
+		Generation: v.generation,
+		Revision:   v.revision,
+		Files:      v.files,
+		Recent:     v.recent,
+	}
+}
+
+// contents returns the files that are not deleted.
+func (v *view) contents() map[identifier.FileName][]byte {
+	contents := make(map[identifier.FileName][]byte, len(v.files))
+	for name, file := range v.files {
+		if !file.Deleted {
+			contents[name] = file.Content
+		}
+	}
+	return contents
+}
+
+// verdict returns the judged change with the nonce, if it is remembered.
+func (v *view) verdict(nonce identifier.Nonce) (Change, bool) {
+	i := slices.IndexFunc(v.recent, func(c Change) bool { return c.Nonce == nonce })
+	if i < 0 {
+		return Change{}, false
+	}
+	return v.recent[i], true
+}
+
+// judge applies the change that stands at an offset, or rejects it. It reports
+// false for a change that was judged before.
+func (v *view) judge(at identifier.Offset, appended timekeeper.Time, c *changeRecord, r rules) (Change, bool) {
+	if _, seen := v.verdict(c.Nonce); seen && r.countOnce {
+		return Change{}, false
+	}
+	verdict := Change{
+		Offset:   at,
+		Nonce:    c.Nonce,
+		File:     c.File,
+		Deleted:  c.Delete,
+		Revision: v.files[c.File].Revision,
+		Appended: appended,
+	}
+	built, faults := v.consider(c, r)
+	if len(faults) > 0 {
+		verdict.Faults = faults
+	} else {
+		verdict.Accepted = true
+		verdict.Revision = at
+		v.accept(at, c, built, r)
+	}
+	v.remember(verdict)
+	return verdict, true
+}
+
+// consider returns the catalog with the change, or why it is rejected.
+func (v *view) consider(c *changeRecord, r rules) (*catalog.Catalog, []string) {
+	if fault, bad := folderreader.NameFault(c.File); bad {
+		return nil, verdictFaults([]folderreader.Fault{fault})
+	}
+	if stale := v.staleness(c); stale != "" && r.compareRevision {
+		return nil, []string{stale}
+	}
+	contents := v.contents()
+	if c.Delete {
+		delete(contents, c.File)
+	} else {
+		contents[c.File] = c.Content
+	}
+	built, faults := Check(contents)
+	if len(faults) > 0 && r.checkMerged {
+		return nil, verdictFaults(faults)
+	}
+	return built, nil
+}
+
+// staleness tells in which way the change is based on an old state.
+func (v *view) staleness(c *changeRecord) string {
+	if c.Generation != v.generation {
+		return fmt.Sprintf("%s: the folder was restored at offset %d: look again and repeat the change", c.File, v.generation)
+	}
+	file := v.files[c.File]
+	if c.Saw != file.Revision {
+		return fmt.Sprintf("%s: the change is based on revision %d, the file stands at %d: look again and repeat the change", c.File, c.Saw, file.Revision)
+	}
+	if c.Delete && (file.Deleted || file.Revision == 0) {
+		return fmt.Sprintf("%s: there is no such file", c.File)
+	}
+	return ""
+}
+
+func (v *view) accept(at identifier.Offset, c *changeRecord, built *catalog.Catalog, r rules) {
+	v.revision = at
+	v.files[c.File] = FileState{
+		Content:  c.Content,
+		Revision: at,
+		Deleted:  c.Delete,
+	}
+	if c.Delete && !r.keepTombstones {
+		delete(v.files, c.File)
+	}
+	v.boundTombstones()
+	if built != nil {
+		built.Revision = at
+		v.catalog = built
+	}
+}
+
+// boundTombstones forgets the oldest deletion when there are too many.
+func (v *view) boundTombstones() {
+	var deleted []identifier.FileName
+	for name, file := range v.files {
+		if file.Deleted {
+			deleted = append(deleted, name)
+		}
+	}
+	if len(deleted) <= maxTombstones {
+		return
+	}
+	oldest := slices.MinFunc(deleted, func(a, b identifier.FileName) int {
+		return cmp.Compare(v.files[a].Revision, v.files[b].Revision)
+	})
+	delete(v.files, oldest)
+}
+
+func (v *view) remember(c Change) {
+	v.recent = append(v.recent, c)
+	if len(v.recent) > maxRecent {
+		v.recent = slices.Clone(v.recent[len(v.recent)-maxRecent:])
+	}
+}
+
+// restored returns the view that follows from a restore. It depends on the
+// record alone, so that nodes with and without a gap come to the same state.
+// It reports false where the restored folder has faults.
+func restored(at identifier.Offset, appended timekeeper.Time, r *restoreRecord) (view, bool) {
+	built, faults := Check(r.Files)
+	if len(faults) > 0 {
+		return view{}, false
+	}
+	built.Revision = at
+	v := newView()
+	v.asOf, v.generation, v.revision = at, at, at
+	v.catalog = built
+	for name, content := range r.Files {
+		v.files[name] = FileState{
+			Content:  content,
+			Revision: at,
+		}
+	}
+	v.remember(Change{
+		Offset:   at,
+		Nonce:    r.Nonce,
+		Restored: true,
+		Accepted: true,
+		Revision: at,
+		Appended: appended,
+	})
+	return v, true
+}
