--- /dev/null
+++ b/internal/conductor/adopt.go
@@ -0,0 +1,149 @@
+package conductor
+
+import (
+	"fmt"
+	"sort"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+)
+
+// heldCopy is what this node keeps of a peer's long request. The runner keeps
+// the body and the answer so far.
+type heldCopy struct {
+	spec      messenger.RequestSpec
+	owner     identifier.VMID
+	attempt   identifier.AttemptNumber
+	server    identifier.VMID
+	stream    identifier.StreamName
+	delivered identifier.Tokens
+}
+
+// CopyHeld keeps or renews the copy of a peer's request.
+func (c *Conductor) CopyHeld(_ *World, e messenger.CopyHeld) []messenger.Effect {
+	if _, own := c.requests[e.Spec.Request]; own {
+		return nil
+	}
+	if c.copies[e.Spec.Request] == nil && len(c.copies) >= c.config.MaxCopies {
+		c.counters.CopiesRefused++
+		return []messenger.Effect{messenger.Forget{Request: e.Spec.Request}}
+	}
+	c.copies[e.Spec.Request] = &heldCopy{
+		spec:      e.Spec,
+		owner:     e.Owner,
+		attempt:   e.Attempt,
+		server:    e.Server,
+		stream:    e.Stream,
+		delivered: e.Delivered,
+	}
+	return nil
+}
+
+// CopyDropped forgets the copy of a request that has ended.
+func (c *Conductor) CopyDropped(_ *World, e messenger.CopyDropped) []messenger.Effect {
+	delete(c.copies, e.Request)
+	return nil
+}
+
+// NodeDead adopts the requests of a dead owner whose copies this node holds,
+// and finds new holders for the requests whose copies died with the node.
+func (c *Conductor) NodeDead(w *World, vm identifier.VMID) []messenger.Effect {
+	var out []messenger.Effect
+	if c.config.Safeguards.AdoptCopies {
+		for _, held := range c.copiesOf(vm) {
+			out = append(out, c.adopt(w, held)...)
+		}
+	}
+	return append(out, c.holderLost(w, vm)...)
+}
+
+// NodeLeaving finds new holders before the holder goes.
+func (c *Conductor) NodeLeaving(w *World, vm identifier.VMID) []messenger.Effect {
+	return c.holderLost(w, vm)
+}
+
+func (c *Conductor) copiesOf(owner identifier.VMID) []*heldCopy {
+	var out []*heldCopy
+	for _, held := range c.copies {
+		if held.owner == owner {
+			out = append(out, held)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].spec.Request < out[j].spec.Request })
+	return out
+}
+
+// adopt makes this node the owner of a request whose owner died. It resumes
+// the engine's stream, whose name the copy carries, so that nothing is
+// computed twice where the engine lives.
+func (c *Conductor) adopt(w *World, held *heldCopy) []messenger.Effect {
+	c.counters.Adopted++
+	out := []messenger.Effect{messenger.Adopt{Request: held.spec.Request}}
+	return append(out, c.takeOver(w, takenRequest{
+		spec:      held.spec,
+		attempt:   held.attempt,
+		server:    held.server,
+		stream:    held.stream,
+		delivered: held.delivered,
+		from:      held.owner,
+		how:       "adopted",
+	})...)
+}
+
+// RequestHandedOver goes on with a request of a leaving peer.
+func (c *Conductor) RequestHandedOver(w *World, e messenger.RequestHandedOver) []messenger.Effect {
+	if _, own := c.requests[e.Spec.Request]; own {
+		return nil
+	}
+	return c.takeOver(w, takenRequest{
+		spec:      e.Spec,
+		attempt:   e.Attempt,
+		server:    e.Server,
+		stream:    e.Stream,
+		delivered: e.Delivered,
+		from:      e.From,
+		how:       "taken_over",
+	})
+}
+
+// takenRequest is a request that comes to this node in the middle of its life.
+type takenRequest struct {
+	spec      messenger.RequestSpec
+	attempt   identifier.AttemptNumber
+	server    identifier.VMID
+	stream    identifier.StreamName
+	delivered identifier.Tokens
+	from      identifier.VMID
+	how       messenger.NoteKind
+}
+
+func (c *Conductor) takeOver(w *World, t takenRequest) []messenger.Effect {
+	delete(c.copies, t.spec.Request)
+	s, _ := service(w, t.spec.Service)
+	r := newRequest(t.spec, s)
+	r.accepted = true
+	r.mayHaveRun = true
+	r.phase = waiting
+	r.attempt = afterOwnerChange(t.attempt)
+	r.delivered = t.delivered
+	r.retryAt = w.Now
+	c.requests[t.spec.Request] = r
+	out := []messenger.Effect{c.note(t.how, r, fmt.Sprintf("from=%s delivered=%d", t.from, t.delivered))}
+	if r.spec.Long {
+		held, ok := c.sendHold(w, r)
+		if !ok {
+			held = c.goUnprotected(w, r)
+		}
+		out = append(out, held...)
+	}
+	if w.Catalog == nil {
+		return out // tickWaiting starts it once the configuration is known.
+	}
+	server, known := w.Members.Server(t.server)
+	if !known || !r.model() {
+		return append(out, c.startAttempt(w, r)...)
+	}
+	r.rejoined = true
+	r.rejoinedAt = r.delivered
+	return append(out, c.sendAttempt(w, r, server, messenger.StartResume, t.stream, rejoinWait)...)
+}
--- /dev/null
+++ b/internal/conductor/claim.go
@@ -0,0 +1,148 @@
+package conductor
+
+import (
+	"fmt"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/claimer"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+const (
+	// claimPatience is how long a request waits for its claim to be read
+	// back before it is given up as not_run.
+	claimPatience = 4 * timekeeper.Second
+	// claimAgain is the spacing of appends of one claim whose answer was
+	// lost. The records carry the same nonce, so that only the first counts.
+	claimAgain = 700 * timekeeper.Millisecond
+)
+
+// claimState is the claim of a non-idempotent request with a key.
+type claimState struct {
+	nonce    identifier.Nonce
+	stream   identifier.LogStream
+	giveUpAt timekeeper.Time
+	againAt  timekeeper.Time
+	// won tells that the log gave the key to this request. From then on this
+	// node alone may send it, once.
+	won bool
+}
+
+// beginClaim appends the claim of a request's key. Nothing leaves for a
+// backend server before the claim was read back as the first of its key:
+// another node may have been asked for the same key, and both would run it.
+func (c *Conductor) beginClaim(w *World, r *request) []messenger.Effect {
+	if entry, known := w.Claims.Lookup(r.spec.Account, r.spec.Key); known && !entry.Released {
+		return c.answerFromEntry(w, r, entry)
+	}
+	c.nextNote++
+	nonce := identifier.Nonce(fmt.Sprintf("%s.%d.%d", c.config.Self, c.config.Incarnation, c.nextNote))
+	stream, record, err := w.Claims.Begin(w.Now, r.spec.Request, r.spec.Account, r.spec.Key, nonce, r.service.KeyWindow)
+	if err != nil {
+		// The table is full. Running unclaimed could run the key twice.
+		return c.refuse(w, r, notRun(messenger.ReasonLogUnavailable, retryAfterLogOut))
+	}
+	r.phase = claiming
+	r.claim = claimState{
+		nonce:    nonce,
+		stream:   stream,
+		giveUpAt: w.Now.Add(claimPatience),
+		againAt:  w.Now.Add(claimAgain),
+	}
+	return []messenger.Effect{
+		messenger.AppendRecord{
+			Stream: stream,
+			Data:   record,
+		},
+		c.note("claim_appended", r, string(stream)),
+	}
+}
+
+// tickClaim appends an unanswered claim again and gives up an overdue one.
+func (c *Conductor) tickClaim(w *World, r *request) []messenger.Effect {
+	if !w.Now.Before(r.claim.giveUpAt) {
+		return c.refuse(w, r, notRun(messenger.ReasonLogUnavailable, retryAfterLogOut))
+	}
+	if w.Now.Before(r.claim.againAt) {
+		return nil
+	}
+	again, ok := w.Claims.Again(r.spec.Request)
+	if !ok {
+		return nil
+	}
+	r.claim.againAt = w.Now.Add(claimAgain)
+	return []messenger.Effect{
+		messenger.AppendRecord{
+			Stream: again.Stream,
+			Data:   again.Data,
+		},
+	}
+}
+
+// ClaimsDecided goes on with requests whose claims the log has settled.
+func (c *Conductor) ClaimsDecided(w *World, decisions []claimer.Decision) []messenger.Effect {
+	var out []messenger.Effect
+	for _, d := range decisions {
+		r, known := c.requests[d.Request]
+		if !known || r.phase != claiming {
+			continue
+		}
+		out = append(out, c.claimDecided(w, r, d)...)
+	}
+	return out
+}
+
+func (c *Conductor) claimDecided(w *World, r *request, d claimer.Decision) []messenger.Effect {
+	if d.Unsettled {
+		// An earlier claim of the key may have expired unread, and may have
+		// run: the request is neither sent nor called not_run.
+		return c.refuse(w, r, messenger.Refusal{
+			Reason:     messenger.ReasonLogUnavailable,
+			Outcome:    messenger.Unknown,
+			RetryAfter: retryAfterLogOut,
+		})
+	}
+	if !d.Won {
+		out := []messenger.Effect{
+			messenger.AnswerFrom{
+				Request:  r.spec.Request,
+				Winner:   d.Winner,
+				Recorded: d.Recorded,
+			},
+			c.note("claim_lost", r, fmt.Sprintf("winner=%s", d.Winner)),
+		}
+		c.remove(w, r, 0)
+		return out
+	}
+	r.claim.won = true
+	out := []messenger.Effect{c.note("claim_won", r, "")}
+	if c.draining {
+		return append(out, c.refuse(w, r, notRun(messenger.ReasonLeaving, retryAfterLeaving))...)
+	}
+	return append(out, c.afterClaim(w, r)...)
+}
+
+// answerFromEntry answers a request whose key the log has already given away.
+func (c *Conductor) answerFromEntry(w *World, r *request, e claimer.Entry) []messenger.Effect {
+	out := []messenger.Effect{
+		messenger.AnswerFrom{
+			Request:  r.spec.Request,
+			Winner:   e.Winner,
+			Recorded: e.Recorded,
+		},
+		c.note("claim_known", r, fmt.Sprintf("winner=%s", e.Winner)),
+	}
+	c.remove(w, r, 0)
+	return out
+}
+
+// releaseClaim frees the key of a request that this node gave up before
+// anything ran, so that the caller's next try is not blocked by it. Only the
+// claimant may do so: it alone knows that nothing ran. The table of claims
+// appends the release itself, until it is read back.
+func (c *Conductor) releaseClaim(w *World, r *request) {
+	if r.claim.nonce != "" {
+		w.Claims.Release(r.spec.Request)
+	}
+}
--- /dev/null
+++ b/internal/conductor/finish.go
@@ -0,0 +1,116 @@
+package conductor
+
+import (
+	"fmt"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// finish ends an accepted request.
+func (c *Conductor) finish(
+	w *World, r *request,
+	outcome messenger.Outcome, reason messenger.Reason, retryAfter timekeeper.Duration,
+) []messenger.Effect {
+	out := []messenger.Effect{
+		messenger.Finish{
+			Request:    r.spec.Request,
+			Outcome:    outcome,
+			Reason:     reason,
+			RetryAfter: retryAfter,
+		},
+		c.note("finished", r, fmt.Sprintf("outcome=%s reason=%s", outcome, reason)),
+	}
+	out = append(out, c.settleClaim(w, r, outcome)...)
+	out = append(out, c.unhold(r)...)
+	if outcome == messenger.Done {
+		c.counters.Done++
+	}
+	c.remove(w, r, r.spec.PromptTokens+r.delivered)
+	return out
+}
+
+// settleClaim records the outcome of a claimed request for those who repeat
+// its key, or frees the key where nothing ran.
+func (c *Conductor) settleClaim(w *World, r *request, outcome messenger.Outcome) []messenger.Effect {
+	if !r.claim.won {
+		return nil
+	}
+	if outcome == messenger.NotRun {
+		c.releaseClaim(w, r)
+		return nil
+	}
+	w.Claims.Drop(r.spec.Request)
+	return []messenger.Effect{
+		messenger.AppendOutcome{
+			Request: r.spec.Request,
+			Account: r.spec.Account,
+			Key:     r.spec.Key,
+			Nonce:   r.claim.nonce,
+			Stream:  r.claim.stream,
+			Outcome: outcome,
+		},
+	}
+}
+
+// remove forgets r, and returns to its account the tokens it did not use.
+func (c *Conductor) remove(w *World, r *request, used identifier.Tokens) {
+	c.leaveServer(r)
+	if r.reserved > 0 {
+		w.Limits.Settle(w.Now, r.spec.Account, r.reserved, used)
+	}
+	delete(c.requests, r.spec.Request)
+}
+
+// expire ends a request whose deadline has come.
+func (c *Conductor) expire(w *World, r *request) []messenger.Effect {
+	return c.giveUp(w, r, messenger.ReasonDeadlineExpired, messenger.Unknown)
+}
+
+// Cancel ends a request that its caller gave up.
+func (c *Conductor) Cancel(w *World, id identifier.RequestID) []messenger.Effect {
+	r, known := c.requests[id]
+	if !known {
+		return nil
+	}
+	return c.cancel(w, r)
+}
+
+func (c *Conductor) cancel(w *World, r *request) []messenger.Effect {
+	outcome := messenger.Unknown
+	if r.spec.Idempotent {
+		outcome = messenger.Cancelled
+	}
+	return c.giveUp(w, r, messenger.ReasonCancelled, outcome)
+}
+
+// giveUp ends r early: as not_run where nothing can have run, else with the
+// given outcome.
+func (c *Conductor) giveUp(w *World, r *request, reason messenger.Reason, ran messenger.Outcome) []messenger.Effect {
+	if r.untouched() || !c.config.Safeguards.TruthfulNotRun {
+		ran = messenger.NotRun
+	}
+	out := c.stop(r)
+	if r.accepted {
+		return append(out, c.finish(w, r, ran, reason, 0)...)
+	}
+	out = append(out, c.unhold(r)...)
+	return append(out, c.refuse(w, r, notRun(reason, 0))...)
+}
+
+// CallerGone notes that no caller follows the request any more.
+func (c *Conductor) CallerGone(w *World, id identifier.RequestID) []messenger.Effect {
+	if r, known := c.requests[id]; known {
+		r.goneAt = w.Now
+	}
+	return nil
+}
+
+// CallerAttached notes that a caller follows the request again.
+func (c *Conductor) CallerAttached(_ *World, id identifier.RequestID) []messenger.Effect {
+	if r, known := c.requests[id]; known {
+		r.goneAt = timekeeper.Never
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/conductor/hold.go
@@ -0,0 +1,208 @@
+package conductor
+
+import (
+	"fmt"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/placer"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+const (
+	// holdTries is how many peers a new long request is offered to.
+	holdTries = 3
+	// holdAgain is the spacing of tries to find a new holder for a request
+	// that lost its own.
+	holdAgain = 1 * timekeeper.Second
+	// holdPatience bounds the wait for the first holder's answer.
+	holdPatience = 2 * timekeeper.Second
+)
+
+// holdState is the off-node copy of a long request.
+type holdState struct {
+	holder  identifier.VMID
+	address string
+	acked   bool
+	tries   int
+	failed  map[identifier.VMID]bool
+	askedAt timekeeper.Time
+	againAt timekeeper.Time
+}
+
+// beginHold gives a peer in another zone a copy before the request is
+// accepted: this node may die without notice right after it promised the
+// answer, and then nobody else would know of the request.
+func (c *Conductor) beginHold(w *World, r *request) []messenger.Effect {
+	r.phase = holding
+	out, ok := c.sendHold(w, r)
+	if !ok {
+		return c.refuse(w, r, notRun(messenger.ReasonUnprotected, retryAfterNoHolder))
+	}
+	return out
+}
+
+// sendHold asks the next possible holder.
+func (c *Conductor) sendHold(w *World, r *request) ([]messenger.Effect, bool) {
+	holder, ok := c.nextHolder(w, r)
+	if !ok {
+		return nil, false
+	}
+	r.hold.holder = holder.VM
+	r.hold.address = holder.PeerAddress
+	r.hold.acked = false
+	r.hold.tries++
+	r.hold.askedAt = w.Now
+	return []messenger.Effect{
+		messenger.Hold{
+			Request: r.spec.Request,
+			Holder:  holder.VM,
+			Address: holder.PeerAddress,
+		},
+		c.note("hold_sent", r, fmt.Sprintf("holder=%s", holder.VM)),
+	}, true
+}
+
+// nextHolder returns the first node of the request's own order that has not
+// failed it, in another zone where there is one.
+func (c *Conductor) nextHolder(w *World, r *request) (gossiper.Node, bool) {
+	for _, n := range placer.Holders(r.spec.Request, w.Members.Nodes(), c.config.Self) {
+		if !r.hold.failed[n.VM] {
+			return n, true
+		}
+	}
+	return gossiper.Node{}, false
+}
+
+// tickHold moves on when a holder does not answer at all.
+func (c *Conductor) tickHold(w *World, r *request) []messenger.Effect {
+	if w.Now.Sub(r.hold.askedAt) < holdPatience {
+		return nil
+	}
+	return c.holdFailed(w, r)
+}
+
+// HoldAcked accepts a request whose copy now stands off the node.
+func (c *Conductor) HoldAcked(w *World, e messenger.HoldAcked) []messenger.Effect {
+	r, known := c.requests[e.Request]
+	if !known || r.hold.holder != e.Holder {
+		return nil
+	}
+	r.hold.acked = true
+	if r.phase != holding {
+		return nil
+	}
+	if c.draining {
+		return c.refuseHeld(w, r)
+	}
+	return c.accept(w, r)
+}
+
+// refuseHeld refuses a request that a holder has a copy of, and takes the
+// copy back: the holder must not adopt what was refused.
+func (c *Conductor) refuseHeld(w *World, r *request) []messenger.Effect {
+	out := c.unhold(r)
+	return append(out, c.refuse(w, r, notRun(messenger.ReasonLeaving, retryAfterLeaving))...)
+}
+
+// HoldFailed looks for another holder.
+func (c *Conductor) HoldFailed(w *World, e messenger.HoldFailed) []messenger.Effect {
+	r, known := c.requests[e.Request]
+	if !known || r.hold.holder != e.Holder {
+		return nil
+	}
+	return c.holdFailed(w, r)
+}
+
+func (c *Conductor) holdFailed(w *World, r *request) []messenger.Effect {
+	if r.hold.failed == nil {
+		r.hold.failed = map[identifier.VMID]bool{}
+	}
+	r.hold.failed[r.hold.holder] = true
+	// The failed holder may have the copy all the same; if this request is
+	// refused it must be told, so that it does not adopt it.
+	out := c.unhold(r)
+	if r.phase == holding && r.hold.tries >= holdTries {
+		return append(out, c.refuse(w, r, notRun(messenger.ReasonUnprotected, retryAfterNoHolder))...)
+	}
+	sent, ok := c.sendHold(w, r)
+	if ok {
+		return append(out, sent...)
+	}
+	if r.phase == holding {
+		return append(out, c.refuse(w, r, notRun(messenger.ReasonUnprotected, retryAfterNoHolder))...)
+	}
+	return append(out, c.goUnprotected(w, r)...)
+}
+
+// goUnprotected lets an accepted answer go out without a copy: every possible
+// holder failed, and keeping the answer back would make it late for certain.
+// The time line says so, and tickRunning goes on looking for a holder.
+func (c *Conductor) goUnprotected(w *World, r *request) []messenger.Effect {
+	r.hold.holder = ""
+	r.hold.acked = false
+	r.hold.failed = nil
+	r.hold.againAt = w.Now.Add(holdAgain)
+	return []messenger.Effect{
+		messenger.Unhold{
+			Request: r.spec.Request,
+			Holder:  "",
+			Address: "",
+		},
+		c.note("unprotected", r, ""),
+	}
+}
+
+// tickProtection finds a holder for an accepted long request without one.
+func (c *Conductor) tickProtection(w *World, r *request) []messenger.Effect {
+	if !r.spec.Long || r.hold.holder != "" || w.Now.Before(r.hold.againAt) {
+		return nil
+	}
+	r.hold.againAt = w.Now.Add(holdAgain)
+	out, _ := c.sendHold(w, r)
+	return out
+}
+
+// HoldRefused ends this node's part in a request that its holder has adopted.
+// This node was frozen or cut off for so long that it was taken for dead; were
+// it to go on, two nodes would answer one caller from different states.
+func (c *Conductor) HoldRefused(w *World, e messenger.HoldRefused) []messenger.Effect {
+	r, known := c.requests[e.Request]
+	if !known || r.hold.holder != e.Holder || !c.config.Safeguards.YieldToHolder {
+		return nil
+	}
+	out := []messenger.Effect{c.note("yielded", r, fmt.Sprintf("owner=%s", e.Holder))}
+	out = append(out, c.leaveStream(r)...)
+	out = append(out, messenger.Redirect{
+		Request: r.spec.Request,
+		To:      e.Holder,
+	})
+	c.remove(w, r, 0)
+	return out
+}
+
+// holderLost moves the copies that stood with a node that is dead or leaving.
+func (c *Conductor) holderLost(w *World, vm identifier.VMID) []messenger.Effect {
+	var out []messenger.Effect
+	for _, r := range c.sortedRequests() {
+		if r.hold.holder == vm && vm != "" {
+			out = append(out, c.holdFailed(w, r)...)
+		}
+	}
+	return out
+}
+
+// unhold takes the copy back from the holder, if there is one.
+func (c *Conductor) unhold(r *request) []messenger.Effect {
+	if r.hold.holder == "" {
+		return nil
+	}
+	return []messenger.Effect{
+		messenger.Unhold{
+			Request: r.spec.Request,
+			Holder:  r.hold.holder,
+			Address: r.hold.address,
+		},
+	}
+}
--- /dev/null
+++ b/internal/conductor/pool.go
@@ -0,0 +1,100 @@
+package conductor
+
+import (
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
+	"github.com/dotterelhollow/dotterelhollow/internal/provisioner"
+	"github.com/dotterelhollow/dotterelhollow/internal/router"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// Demand returns what this node's callers ask of a pool now, and how many
+// requests for it they ever sent.
+func (c *Conductor) Demand(name identifier.PoolName) provisioner.Demand {
+	d := provisioner.Demand{Arrivals: c.arrivals[name]}
+	for _, r := range c.requests {
+		if r.service.Pool != name {
+			continue
+		}
+		d.Busy++
+		if r.service.Priority == catalog.Interactive {
+			d.Interactive++
+		}
+	}
+	return d
+}
+
+// loadTooOld is the age past which a load report says nothing any more.
+const loadTooOld = 10 * timekeeper.Second
+
+// choose picks a server for the next attempt of r.
+func (c *Conductor) choose(w *World, r *request) (router.Choice, bool) {
+	if w.Catalog == nil {
+		return router.Choice{}, false
+	}
+	job := router.Job{
+		PromptTokens: r.spec.PromptTokens + r.delivered,
+		MaxTokens:    r.spec.MaxTokens - r.delivered,
+		Priority:     r.service.Priority,
+		Deadline:     r.spec.Deadline,
+		Target:       w.Catalog.Target(r.spec.Account, r.spec.Service),
+		AvoidZones:   r.failedZones,
+		AvoidServers: r.failedServers,
+	}
+	return router.Choose(w.Now, job, c.candidates(w, r), c.config.RoutingRules, w.Rand)
+}
+
+// candidates describes the servers of the request's pool to the router.
+func (c *Conductor) candidates(w *World, r *request) []router.Candidate {
+	pool := w.Catalog.Pools[r.service.Pool]
+	servers := w.Members.Servers(pool.Name)
+	out := make([]router.Candidate, 0, len(servers))
+	for _, s := range servers {
+		out = append(out, c.candidate(w, r, pool, s))
+	}
+	return out
+}
+
+func (c *Conductor) candidate(w *World, r *request, pool catalog.Pool, s gossiper.Server) router.Candidate {
+	price, _ := w.Catalog.Price(s.Class, s.Zone, s.Market)
+	load, fresh := w.Loads[s.VM]
+	fresh = fresh && w.Now.Sub(load.AsOf) < loadTooOld
+	return router.Candidate{
+		Server:           s.VM,
+		Zone:             s.Zone,
+		Market:           s.Market,
+		Price:            price,
+		Leaving:          s.Leaving && c.config.Safeguards.AvoidLeaving,
+		Suspect:          w.Suspicions.Suspect(w.Now, s.VM),
+		OwnInFlight:      c.onServer[s.VM],
+		OwnPrefill:       c.prefilling[s.VM],
+		Load:             load,
+		HasLoad:          fresh,
+		PrefixHit:        w.Hints.Hit(w.Now, s.VM, r.spec.Prefix),
+		Slots:            pool.Slots,
+		TokensPerSecond:  pool.TokensPerSecond,
+		PrefillPerSecond: pool.PrefillPerSecond,
+		SameZone:         s.Zone == c.config.Zone,
+	}
+}
+
+// poolLoad sums the free slots, all slots and the queue of a pool's servers
+// that take work.
+func (c *Conductor) poolLoad(w *World, name identifier.PoolName) (free, slots, queued int) {
+	pool := w.Catalog.Pools[name]
+	for _, s := range w.Members.Servers(name) {
+		if s.Leaving {
+			continue
+		}
+		busy := c.onServer[s.VM]
+		load, known := w.Loads[s.VM]
+		if known && w.Now.Sub(load.AsOf) < loadTooOld {
+			busy = max(busy, load.Running)
+			queued += load.Waiting
+		}
+		slots += pool.Slots
+		free += max(0, pool.Slots-busy)
+	}
+	return free, slots, queued
+}
--- /dev/null
+++ b/internal/conductor/receive.go
@@ -0,0 +1,172 @@
+package conductor
+
+import (
+	"fmt"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// When a refused caller should come back.
+const (
+	retryAfterLeaving  = 100 * timekeeper.Millisecond
+	retryAfterNoServer = 2 * timekeeper.Second
+	retryAfterLogOut   = 2 * timekeeper.Second
+	retryAfterNoHolder = 1 * timekeeper.Second
+	retryAfterStart    = 1 * timekeeper.Second
+)
+
+// Receive admits or refuses a request. What is refused ends here and at once.
+func (c *Conductor) Receive(w *World, spec messenger.RequestSpec) []messenger.Effect {
+	if _, known := c.requests[spec.Request]; known {
+		return nil
+	}
+	service, refusal := c.screen(w, spec)
+	if refusal.Reason != messenger.ReasonNone {
+		return c.refuseNew(spec, refusal)
+	}
+	c.arrivals[service.Pool]++
+	r := newRequest(spec, service)
+	if refusal := c.admit(w, r); refusal.Reason != messenger.ReasonNone {
+		return c.refuseNew(spec, refusal)
+	}
+	c.requests[spec.Request] = r
+	if r.claimed() && c.config.Safeguards.ClaimFirst {
+		return c.beginClaim(w, r)
+	}
+	return c.afterClaim(w, r)
+}
+
+// screen refuses what needs no look at the backend servers.
+func (c *Conductor) screen(w *World, spec messenger.RequestSpec) (catalog.Service, messenger.Refusal) {
+	switch {
+	case w.Catalog == nil:
+		return catalog.Service{}, notRun(messenger.ReasonNoConfiguration, retryAfterStart)
+	case c.draining:
+		return catalog.Service{}, notRun(messenger.ReasonLeaving, retryAfterLeaving)
+	case !w.Now.Before(spec.Deadline):
+		return catalog.Service{}, notRun(messenger.ReasonDeadlineExpired, 0)
+	case len(c.requests) >= c.config.MaxRequests:
+		return catalog.Service{}, notRun(messenger.ReasonOverload, retryAfterNoServer)
+	}
+	service, ok := w.Catalog.Services[spec.Service]
+	if !ok {
+		return catalog.Service{}, notRun(messenger.ReasonUnknownService, 0)
+	}
+	return service, messenger.Refusal{}
+}
+
+// admit asks the router whether the request can be served in time, and the
+// limiter whether its account may have it served now.
+func (c *Conductor) admit(w *World, r *request) messenger.Refusal {
+	choice, ok := c.choose(w, r)
+	if !ok {
+		return notRun(messenger.ReasonNoServer, retryAfterNoServer)
+	}
+	free, slots, queued := c.poolLoad(w, r.service.Pool)
+	r.reserved = r.spec.PromptTokens + r.spec.MaxTokens
+	verdict := w.Limits.Admit(w.Now, limiter.Ask{
+		Account:   r.spec.Account,
+		Service:   r.spec.Service,
+		Priority:  r.service.Priority,
+		Tokens:    r.reserved,
+		Deadline:  r.spec.Deadline,
+		Predicted: choice.Predicted.Completion,
+		Target:    w.Catalog.Target(r.spec.Account, r.spec.Service),
+		FreeSlots: free,
+		Slots:     slots,
+		Waiting:   queued,
+	})
+	if !verdict.OK {
+		return notRun(verdict.Reason, verdict.RetryAfter)
+	}
+	w.Budgets.Requested(w.Now, r.spec.Service, r.service.RetryPercent)
+	return messenger.Refusal{}
+}
+
+// afterClaim goes on with a request that needs no claim or has won it.
+func (c *Conductor) afterClaim(w *World, r *request) []messenger.Effect {
+	if r.spec.Long && c.config.Safeguards.HoldFirst {
+		return c.beginHold(w, r)
+	}
+	return c.accept(w, r)
+}
+
+// accept promises the whole answer and sends the first attempt.
+func (c *Conductor) accept(w *World, r *request) []messenger.Effect {
+	r.accepted = true
+	c.counters.Accepted++
+	out := []messenger.Effect{
+		messenger.Accept{Request: r.spec.Request},
+		c.note("accepted", r, ""),
+	}
+	return append(out, c.startAttempt(w, r)...)
+}
+
+// refuseNew refuses a request of which this node holds no claim.
+func (c *Conductor) refuseNew(spec messenger.RequestSpec, refusal messenger.Refusal) []messenger.Effect {
+	if spec.Key != "" && !spec.Idempotent && c.config.Safeguards.TruthfulNotRun {
+		// The caller may have sent the key to another node, which may be
+		// running it now. Told not_run, the caller would send the mail again
+		// under a new key. Unknown with Retry-After makes it repeat the same
+		// key, which is safe.
+		refusal.Outcome = messenger.Unknown
+	}
+	return c.sayRefused(spec, refusal)
+}
+
+func (c *Conductor) sayRefused(spec messenger.RequestSpec, refusal messenger.Refusal) []messenger.Effect {
+	c.counters.Refused++
+	return []messenger.Effect{
+		messenger.Refuse{
+			Request: spec.Request,
+			Refusal: refusal,
+		},
+		messenger.Note{
+			Kind:    "refused",
+			Request: spec.Request,
+			VM:      c.config.Self,
+			Detail:  fmt.Sprintf("reason=%s outcome=%s", refusal.Reason, refusal.Outcome),
+		},
+	}
+}
+
+// refuse ends a request that was not accepted and that nothing has run. The
+// holder of the claim alone knows that its key did not run: only it sends, and
+// it has just dropped the request for good.
+func (c *Conductor) refuse(w *World, r *request, refusal messenger.Refusal) []messenger.Effect {
+	var out []messenger.Effect
+	if r.claim.won {
+		out = c.sayRefused(r.spec, refusal)
+	} else {
+		out = c.refuseNew(r.spec, refusal)
+	}
+	c.releaseClaim(w, r)
+	c.remove(w, r, 0)
+	return out
+}
+
+func notRun(reason messenger.Reason, after timekeeper.Duration) messenger.Refusal {
+	return messenger.Refusal{
+		Reason:     reason,
+		Outcome:    messenger.NotRun,
+		RetryAfter: after,
+	}
+}
+
+// note puts an event of request r on the time line.
+func (c *Conductor) note(kind messenger.NoteKind, r *request, detail string) messenger.Note {
+	vm := r.server
+	if vm == "" {
+		vm = c.config.Self
+	}
+	return messenger.Note{
+		Kind:    kind,
+		Request: r.spec.Request,
+		Attempt: r.attempt,
+		VM:      vm,
+		Detail:  detail,
+	}
+}
--- /dev/null
+++ b/internal/conductor/request.go
@@ -0,0 +1,95 @@
+package conductor
+
+import (
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// phase is where a request stands in its life.
+type phase int
+
+const (
+	// claiming: its claim was appended and not yet read back.
+	claiming phase = iota
+	// holding: its copy is on the way to a holder; it is not yet accepted.
+	holding
+	// waiting: it is accepted and no attempt is under way.
+	waiting
+	// running: its current attempt is under way.
+	running
+)
+
+// request is a request in flight on this node.
+type request struct {
+	spec     messenger.RequestSpec
+	service  catalog.Service
+	phase    phase
+	accepted bool
+
+	claim claimState
+	hold  holdState
+
+	attempt  identifier.AttemptNumber
+	tries    int
+	server   identifier.VMID
+	zone     identifier.Zone
+	address  string
+	stream   identifier.StreamName
+	began    timekeeper.Time
+	started  bool
+	firstAt  timekeeper.Time
+	expected timekeeper.Duration // predicted completion of the attempt
+	perToken timekeeper.Duration
+	// awaited is the predicted time to the first token, or zero where the
+	// attempt joins a stream that is under way.
+	awaited timekeeper.Duration
+	retryAt timekeeper.Time
+	// delivered counts the tokens of the answer that stand with this node.
+	delivered identifier.Tokens
+	// mayHaveRun tells that an attempt may have had an effect. While it is
+	// false, and nothing is under way, not_run is true.
+	mayHaveRun bool
+	// rejoined tells that the current stream was already rejoined over a new
+	// connection without any progress since.
+	rejoined   bool
+	rejoinedAt identifier.Tokens
+	// failedZones and failedServers are avoided by the next attempt.
+	failedZones   map[identifier.Zone]bool
+	failedServers map[identifier.VMID]bool
+	move          moveState
+	handover      handoverState
+	goneAt        timekeeper.Time
+	reserved      identifier.Tokens
+}
+
+// newRequest returns a request that this node received or took over.
+func newRequest(spec messenger.RequestSpec, service catalog.Service) *request {
+	return &request{
+		spec:          spec,
+		service:       service,
+		failedZones:   map[identifier.Zone]bool{},
+		failedServers: map[identifier.VMID]bool{},
+		goneAt:        timekeeper.Never,
+	}
+}
+
+// claimed reports whether the request needs a claim before it may run.
+func (r *request) claimed() bool { return !r.spec.Idempotent && r.spec.Key != "" }
+
+// model reports whether the answer is a stream of tokens.
+func (r *request) model() bool { return r.service.Kind == catalog.ModelService }
+
+// untouched reports whether nothing of the request can have run.
+func (r *request) untouched() bool { return !r.mayHaveRun && r.phase != running }
+
+// ownerStride separates the attempt numbers of successive owners. A former
+// owner that was taken for dead may still start attempts; the stride keeps
+// its numbers, and so its stream names, apart from the new owner's.
+const ownerStride = 100
+
+// afterOwnerChange returns the last number that the former owner may use.
+func afterOwnerChange(n identifier.AttemptNumber) identifier.AttemptNumber {
+	return n - n%ownerStride + ownerStride
+}
--- /dev/null
+++ b/internal/conductor/wave.go
@@ -0,0 +1,219 @@
+package conductor
+
+import (
+	"fmt"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/planner"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// moveState is what the plan of a wave says of one stream.
+type moveState struct {
+	action  planner.Action
+	to      identifier.VMID
+	startAt timekeeper.Time
+	// sent tells that the KV export is under way.
+	sent bool
+}
+
+// ServersLeaving plans once for all streams of this node that run on servers
+// that are leaving. It is called again when a further notice comes in the
+// middle; exports under way are left alone.
+func (c *Conductor) ServersLeaving(w *World) []messenger.Effect {
+	if w.Catalog == nil {
+		return nil
+	}
+	byPool := map[identifier.PoolName][]planner.Stream{}
+	var pools []identifier.PoolName
+	for _, r := range c.sortedRequests() {
+		stream, ok := c.endangered(w, r)
+		if !ok {
+			continue
+		}
+		if byPool[r.service.Pool] == nil {
+			pools = append(pools, r.service.Pool)
+		}
+		byPool[r.service.Pool] = append(byPool[r.service.Pool], stream)
+	}
+	var out []messenger.Effect
+	for _, pool := range pools {
+		out = append(out, c.planPool(w, pool, byPool[pool])...)
+	}
+	return out
+}
+
+func (c *Conductor) planPool(w *World, pool identifier.PoolName, streams []planner.Stream) []messenger.Effect {
+	leaving := map[identifier.VMID]timekeeper.Time{}
+	var rooms []planner.Room
+	for _, s := range w.Members.Servers(pool) {
+		if s.Leaving {
+			leaving[s.VM] = s.LeaveBy
+			continue
+		}
+		rooms = append(rooms, c.room(w, pool, s))
+	}
+	rate := w.Catalog.Pools[pool].TransferRate
+	part := c.partOfWave(w, leaving, len(streams))
+	moves := planner.PlanWave(w.Now, leaving, part.Rate(rate), streams, part.Rooms(rooms), c.config.PlanRules)
+	var out []messenger.Effect
+	for _, m := range moves {
+		r := c.requests[m.Request]
+		r.move = moveState{
+			action:  m.Action,
+			to:      m.To,
+			startAt: m.Start,
+		}
+		out = append(out, c.note("move_planned", r, fmt.Sprintf("action=%s to=%s", m.Action, m.To)))
+		out = append(out, c.tickMove(w, r)...)
+	}
+	return out
+}
+
+// partOfWave says which part of the room and bandwidth this node plans with:
+// all nodes plan at the same moment, each for its own streams.
+func (c *Conductor) partOfWave(w *World, leaving map[identifier.VMID]timekeeper.Time, own int) planner.Part {
+	part := planner.Part{
+		Self: c.config.Self,
+		Own:  own,
+	}
+	for _, n := range w.Members.Nodes() {
+		if n.State == gossiper.Alive {
+			part.Nodes = append(part.Nodes, n.VM)
+		}
+	}
+	for vm := range leaving {
+		part.Running += w.Loads[vm].Running
+	}
+	return part
+}
+
+// endangered describes the stream of r to the planner if its server is
+// leaving and nothing is being done about it yet.
+func (c *Conductor) endangered(w *World, r *request) (planner.Stream, bool) {
+	if r.phase != running || !r.model() || r.move.sent {
+		return planner.Stream{}, false
+	}
+	server, known := w.Members.Server(r.server)
+	if !known || !server.Leaving {
+		return planner.Stream{}, false
+	}
+	pool := w.Catalog.Pools[r.service.Pool]
+	target := w.Catalog.Target(r.spec.Account, r.spec.Service)
+	context := r.spec.PromptTokens + r.delivered
+	return planner.Stream{
+		Request:   r.spec.Request,
+		Attempt:   r.attempt,
+		Server:    r.server,
+		Zone:      r.zone,
+		Remaining: r.spec.MaxTokens - r.delivered,
+		Pace:      r.pace(pool.TokensPerSecond),
+		Context:   context,
+		KV:        identifier.Bytes(context) * pool.KVBytesPerToken,
+		Penalty:   target.Penalty,
+		Target:    r.spec.Received.Add(target.Completion),
+		Deadline:  r.spec.Deadline,
+		Priority:  r.service.Priority,
+
+		PrefillPerSecond: pool.PrefillPerSecond,
+	}, true
+}
+
+// pace returns the tokens per second the stream is expected to make.
+func (r *request) pace(unloaded float64) float64 {
+	if r.perToken <= 0 {
+		return unloaded
+	}
+	return float64(timekeeper.Second) / float64(r.perToken)
+}
+
+func (c *Conductor) room(w *World, name identifier.PoolName, s gossiper.Server) planner.Room {
+	pool := w.Catalog.Pools[name]
+	load := w.Loads[s.VM]
+	busy := max(c.onServer[s.VM], load.Running)
+	return planner.Room{
+		Server:   s.VM,
+		Zone:     s.Zone,
+		Slots:    max(0, pool.Slots-busy),
+		KVTokens: load.FreeKVTokens,
+	}
+}
+
+// tickMove carries out the planned move of a stream when its time has come.
+func (c *Conductor) tickMove(w *World, r *request) []messenger.Effect {
+	if r.move.action == "" || r.move.sent || w.Now.Before(r.move.startAt) {
+		return nil
+	}
+	switch r.move.action {
+	case planner.Export:
+		return c.startExport(w, r)
+	case planner.Prefill:
+		return c.moveByPrefill(w, r)
+	}
+	r.move = moveState{}
+	return nil
+}
+
+func (c *Conductor) startExport(w *World, r *request) []messenger.Effect {
+	to, known := w.Members.Server(r.move.to)
+	if !known || to.Leaving {
+		return c.moveByPrefill(w, r)
+	}
+	r.move.sent = true
+	return []messenger.Effect{
+		messenger.MoveKV{
+			Request:     r.spec.Request,
+			Attempt:     r.attempt,
+			Stream:      r.stream,
+			FromAddress: r.address,
+			To:          to.VM,
+			ToAddress:   to.Address,
+		},
+		c.note("kv_export", r, fmt.Sprintf("to=%s", to.VM)),
+	}
+}
+
+// moveByPrefill ends the attempt on the leaving server and resumes elsewhere
+// from the prompt and the tokens delivered so far.
+func (c *Conductor) moveByPrefill(w *World, r *request) []messenger.Effect {
+	r.move = moveState{}
+	r.rejoined = false
+	out := c.stop(r)
+	return append(out, c.startAttempt(w, r)...)
+}
+
+// KVMoved continues a stream where its KV cache went, or by prefill.
+func (c *Conductor) KVMoved(w *World, e messenger.KVMoved) []messenger.Effect {
+	r, ok := c.current(e.Request, e.Attempt)
+	if !ok || r.phase != running || !r.move.sent {
+		return nil
+	}
+	to, known := w.Members.Server(e.To)
+	if !e.OK || !known || to.Leaving {
+		return c.moveByPrefill(w, r)
+	}
+	r.move = moveState{}
+	r.rejoined = false
+	stream := r.stream
+	out := c.stop(r)
+	return append(out, c.sendAttempt(w, r, to, messenger.StartImported, stream, rejoinWait)...)
+}
+
+// ServerGone ends the attempts on a server that the platform took away.
+func (c *Conductor) ServerGone(w *World, vm identifier.VMID) []messenger.Effect {
+	w.Suspicions.Forget(vm)
+	w.Hints.Forget(vm)
+	var out []messenger.Effect
+	for _, r := range c.sortedRequests() {
+		if r.phase != running || r.server != vm || !r.spec.Idempotent {
+			continue
+		}
+		r.failedServers[vm] = true
+		out = append(out, c.stop(r)...)
+		r.mayHaveRun = true
+		out = append(out, c.startAttempt(w, r)...)
+	}
+	return out
+}
--- a/internal/messenger/effect.go
+++ b/internal/messenger/effect.go
@@ -164,6 +164,8 @@
 		Request identifier.RequestID
 		Account identifier.AccountID
 		Key     identifier.IdempotencyKey
+		Nonce   identifier.Nonce
+		Stream  identifier.LogStream
 		Outcome Outcome
 	}
 	// BuyVM buys a VM. The client token names the slot and its generation, so
@@ -187,6 +189,12 @@
 		Ticket  identifier.Ticket
 		Verdict ChangeVerdict
 	}
+	// FetchConfiguration asks a peer for its state of the configuration,
+	// while the log is out.
+	FetchConfiguration struct {
+		Peer    identifier.VMID
+		Address string
+	}
 	// Note puts an event on the time line.
 	Note struct {
 		Kind    NoteKind
@@ -213,26 +221,27 @@
 // NoteKind is a kind of event on the time line.
 type NoteKind string
 
-func (Refuse) effect()        {}
-func (Accept) effect()        {}
-func (Finish) effect()        {}
-func (AnswerFrom) effect()    {}
-func (Redirect) effect()      {}
-func (SendAttempt) effect()   {}
-func (StopAttempt) effect()   {}
-func (MoveKV) effect()        {}
-func (PollServer) effect()    {}
-func (GiveOrder) effect()     {}
-func (Hold) effect()          {}
-func (Unhold) effect()        {}
-func (HandOver) effect()      {}
-func (Adopt) effect()         {}
-func (Forget) effect()        {}
-func (SendGossip) effect()    {}
-func (AppendRecord) effect()  {}
-func (AppendOutcome) effect() {}
-func (BuyVM) effect()         {}
-func (ReleaseVM) effect()     {}
-func (ReplyOperator) effect() {}
-func (Note) effect()          {}
-func (Exit) effect()          {}
+func (Refuse) effect()             {}
+func (Accept) effect()             {}
+func (Finish) effect()             {}
+func (AnswerFrom) effect()         {}
+func (Redirect) effect()           {}
+func (SendAttempt) effect()        {}
+func (StopAttempt) effect()        {}
+func (MoveKV) effect()             {}
+func (PollServer) effect()         {}
+func (GiveOrder) effect()          {}
+func (Hold) effect()               {}
+func (Unhold) effect()             {}
+func (HandOver) effect()           {}
+func (Adopt) effect()              {}
+func (Forget) effect()             {}
+func (SendGossip) effect()         {}
+func (AppendRecord) effect()       {}
+func (AppendOutcome) effect()      {}
+func (BuyVM) effect()              {}
+func (ReleaseVM) effect()          {}
+func (ReplyOperator) effect()      {}
+func (FetchConfiguration) effect() {}
+func (Note) effect()               {}
+func (Exit) effect()               {}
--- a/internal/messenger/event.go
+++ b/internal/messenger/event.go
@@ -188,6 +188,11 @@
 	}
 	// DrainStarted: a planned stop of this node began.
 	DrainStarted struct{ Deadline timekeeper.Time }
+	// ConfigurationReceived: a peer gave its state of the configuration.
+	ConfigurationReceived struct {
+		From identifier.VMID
+		Data []byte
+	}
 	// Tick: time has passed. The runner sends one every TickEvery.
 	Tick struct{}
 )
@@ -195,34 +200,35 @@
 // TickEvery is the spacing of Tick events.
 const TickEvery = 50 * timekeeper.Millisecond
 
-func (RequestReceived) eventBody()   {}
-func (RequestCancelled) eventBody()  {}
-func (CallerGone) eventBody()        {}
-func (CallerAttached) eventBody()    {}
-func (AttemptStarted) eventBody()    {}
-func (AttemptProgress) eventBody()   {}
-func (AttemptEnded) eventBody()      {}
-func (KVMoved) eventBody()           {}
-func (HoldAcked) eventBody()         {}
-func (HoldFailed) eventBody()        {}
-func (HoldRefused) eventBody()       {}
-func (CopyHeld) eventBody()          {}
-func (CopyDropped) eventBody()       {}
-func (RequestHandedOver) eventBody() {}
-func (HandoverAcked) eventBody()     {}
-func (HandoverFailed) eventBody()    {}
-func (LogRead) eventBody()           {}
-func (LogUnavailable) eventBody()    {}
-func (AppendEnded) eventBody()       {}
-func (ListRead) eventBody()          {}
-func (NoticeReceived) eventBody()    {}
-func (BuyEnded) eventBody()          {}
-func (OrderEnded) eventBody()        {}
-func (LoadReported) eventBody()      {}
-func (LoadMissed) eventBody()        {}
-func (CacheReported) eventBody()     {}
-func (GossipReceived) eventBody()    {}
-func (PeerFailed) eventBody()        {}
-func (ChangeProposed) eventBody()    {}
-func (DrainStarted) eventBody()      {}
-func (Tick) eventBody()              {}
+func (RequestReceived) eventBody()       {}
+func (RequestCancelled) eventBody()      {}
+func (CallerGone) eventBody()            {}
+func (CallerAttached) eventBody()        {}
+func (AttemptStarted) eventBody()        {}
+func (AttemptProgress) eventBody()       {}
+func (AttemptEnded) eventBody()          {}
+func (KVMoved) eventBody()               {}
+func (HoldAcked) eventBody()             {}
+func (HoldFailed) eventBody()            {}
+func (HoldRefused) eventBody()           {}
+func (CopyHeld) eventBody()              {}
+func (CopyDropped) eventBody()           {}
+func (RequestHandedOver) eventBody()     {}
+func (HandoverAcked) eventBody()         {}
+func (HandoverFailed) eventBody()        {}
+func (LogRead) eventBody()               {}
+func (LogUnavailable) eventBody()        {}
+func (AppendEnded) eventBody()           {}
+func (ListRead) eventBody()              {}
+func (NoticeReceived) eventBody()        {}
+func (BuyEnded) eventBody()              {}
+func (OrderEnded) eventBody()            {}
+func (LoadReported) eventBody()          {}
+func (LoadMissed) eventBody()            {}
+func (CacheReported) eventBody()         {}
+func (GossipReceived) eventBody()        {}
+func (PeerFailed) eventBody()            {}
+func (ChangeProposed) eventBody()        {}
+func (DrainStarted) eventBody()          {}
+func (ConfigurationReceived) eventBody() {}
+func (Tick) eventBody()                  {}
--- /dev/null
+++ b/internal/reducer/membership.go
@@ -0,0 +1,156 @@
+package reducer
+
+import (
+	"fmt"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/conductor"
+	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
+	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// How gossip runs, where nothing else is set.
+const (
+	gossipEvery        = 200 * timekeeper.Millisecond
+	gossipSuspectAfter = 1500 * timekeeper.Millisecond
+	gossipDeadAfter    = 4 * timekeeper.Second
+	gossipFanout       = 2
+	// gossipByteBudget keeps two messages every gossipEvery within the
+	// letter's 23 KB a second with room for the rest of control.
+	gossipByteBudget = 1200
+)
+
+func newMembers(c Config) *gossiper.Members {
+	return gossiper.New(gossiper.Config{
+		Self:          c.Self,
+		Incarnation:   c.Incarnation,
+		Zone:          c.Zone,
+		Region:        c.Region,
+		PeerAddress:   c.PeerAddress,
+		CallerAddress: c.CallerAddress,
+		Every:         gossipEvery,
+		SuspectAfter:  gossipSuspectAfter,
+		DeadAfter:     gossipDeadAfter,
+		Fanout:        gossipFanout,
+		ByteBudget:    gossipByteBudget,
+	})
+}
+
+// membersChanged passes changes of the membership on. Servers that are
+// leaving are planned for once, for the whole wave that one event brought.
+func (r *Reducer) membersChanged(w *conductor.World, changes []gossiper.Change) []messenger.Effect {
+	var out []messenger.Effect
+	wave := false
+	for _, ch := range changes {
+		out = append(out, noteChange(ch))
+		wave = wave || ch.Kind == gossiper.ServerLeaving
+		out = append(out, r.memberChanged(w, ch)...)
+	}
+	if wave {
+		out = append(out, r.requests.ServersLeaving(w)...)
+	}
+	return out
+}
+
+func (r *Reducer) memberChanged(w *conductor.World, ch gossiper.Change) []messenger.Effect {
+	switch ch.Kind {
+	case gossiper.NodeLeaving:
+		if ch.VM == r.config.Self {
+			r.provisioner.Stop()
+			return r.requests.Drain(w, ch.Deadline, false)
+		}
+		return r.requests.NodeLeaving(w, ch.VM)
+	case gossiper.NodeDead:
+		return r.requests.NodeDead(w, ch.VM)
+	case gossiper.ServerGone:
+		delete(r.loads, ch.VM)
+		return r.requests.ServerGone(w, ch.VM)
+	}
+	return nil
+}
+
+func noteChange(ch gossiper.Change) messenger.Note {
+	detail := ""
+	if ch.Kind == gossiper.NodeLeaving || ch.Kind == gossiper.ServerLeaving {
+		detail = fmt.Sprintf("deadline=%s", ch.Deadline)
+	}
+	return messenger.Note{
+		Kind:   messenger.NoteKind(ch.Kind),
+		VM:     ch.VM,
+		Detail: detail,
+	}
+}
+
+// copyHeld keeps a peer's copy. The owner may have died before the copy's
+// first record reached the reducer; then nobody would tell it so again.
+func (r *Reducer) copyHeld(w *conductor.World, e messenger.CopyHeld) []messenger.Effect {
+	out := r.requests.CopyHeld(w, e)
+	if owner, known := r.members.Node(e.Owner); known && owner.State == gossiper.Dead {
+		out = append(out, r.requests.NodeDead(w, e.Owner)...)
+	}
+	return out
+}
+
+func (r *Reducer) gossipReceived(w *conductor.World, e messenger.GossipReceived) []messenger.Effect {
+	changes, err := r.members.Receive(w.Now, e.From, e.Data)
+	if err != nil {
+		return []messenger.Effect{
+			messenger.Note{
+				Kind:   "gossip_unreadable",
+				VM:     e.From,
+				Detail: err.Error(),
+			},
+		}
+	}
+	return r.membersChanged(w, changes)
+}
+
+// drainStarted begins a planned stop: peers learn of it by the same mark as
+// of a reclaim, so that callers are sent elsewhere and copies move away.
+func (r *Reducer) drainStarted(w *conductor.World, e messenger.DrainStarted) []messenger.Effect {
+	r.provisioner.Stop()
+	out := r.requests.Drain(w, e.Deadline, true)
+	return append(out, r.membersChanged(w, r.members.MarkLeaving(w.Now, r.config.Self, e.Deadline))...)
+}
+
+// tickGossip sends this node's news and takes up what silence says.
+func (r *Reducer) tickGossip(w *conductor.World) []messenger.Effect {
+	r.members.SetNews(gossiper.News{
+		Revision: r.revision(),
+		Demand:   r.ownDemand(w.Now),
+	})
+	messages, changes := r.members.Tick(w.Now, r.rand)
+	var out []messenger.Effect
+	for _, m := range messages {
+		out = append(out, messenger.SendGossip{
+			Peer:    m.Peer,
+			Address: m.Address,
+			Data:    m.Data,
+		})
+	}
+	return append(out, r.membersChanged(w, changes)...)
+}
+
+func (r *Reducer) ownDemand(now timekeeper.Time) map[identifier.AccountID]gossiper.Demand {
+	own := r.limits.Demand(now)
+	out := make(map[identifier.AccountID]gossiper.Demand, len(own))
+	for account, d := range own {
+		out[account] = gossiper.Demand(d)
+	}
+	return out
+}
+
+// shareLimits divides the accounts' limits by the demand that peers report.
+func (r *Reducer) shareLimits(now timekeeper.Time) {
+	peers := map[identifier.VMID]map[identifier.AccountID]limiter.Demand{}
+	for vm, news := range r.members.NewsOf() {
+		demand := make(map[identifier.AccountID]limiter.Demand, len(news.Demand))
+		for account, d := range news.Demand {
+			demand[account] = limiter.Demand(d)
+		}
+		peers[vm] = demand
+	}
+	r.limits.SetPeers(now, peers)
+}
--- /dev/null
+++ b/internal/reducer/platformlog.go
@@ -0,0 +1,225 @@
+package reducer
+
+import (
+	"fmt"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/claimer"
+	"github.com/dotterelhollow/dotterelhollow/internal/conductor"
+	"github.com/dotterelhollow/dotterelhollow/internal/configurer"
+	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/provisioner"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// The streams of the platform's log.
+const (
+	configStream identifier.LogStream = "config"
+	leaseStream  identifier.LogStream = "leases"
+)
+
+func newFiles() *configurer.State {
+	return configurer.New(configurer.Config{})
+}
+
+func newClaims(c Config) *claimer.Table {
+	return claimer.New(claimer.Config{
+		Self:       c.Self,
+		Partitions: c.Partitions,
+		MaxEntries: defaultMaxClaims,
+		Retention:  c.LogRetention,
+	})
+}
+
+func newProvisioner(c Config) *provisioner.Provisioner {
+	return provisioner.New(provisioner.Config{
+		Self:        c.Self,
+		Incarnation: c.Incarnation,
+		Retention:   c.LogRetention,
+		LoadTime:    c.LoadTime,
+	})
+}
+
+// Streams returns the log streams that the node has to be fed, in order.
+func (r *Reducer) Streams() []identifier.LogStream {
+	return append([]identifier.LogStream{configStream, leaseStream}, r.claims.Streams()...)
+}
+
+func (r *Reducer) logRead(w *conductor.World, e messenger.LogRead) []messenger.Effect {
+	switch e.Stream {
+	case configStream:
+		return r.configRead(w, e)
+	case leaseStream:
+		r.provisioner.LogRead(w.Now, e)
+		return nil
+	}
+	return r.requests.ClaimsDecided(w, r.claims.Absorb(w.Now, e))
+}
+
+func (r *Reducer) configRead(w *conductor.World, e messenger.LogRead) []messenger.Effect {
+	before := r.revision()
+	r.timers.configOut = timekeeper.Never
+	out := r.changesJudged(r.files.Absorb(w.Now, e))
+	return append(out, r.configApplied(w, before)...)
+}
+
+// changesJudged tells the operators of this node what became of their changes.
+func (r *Reducer) changesJudged(applied []configurer.Applied) []messenger.Effect {
+	var out []messenger.Effect
+	for _, a := range applied {
+		out = append(out, messenger.Note{
+			Kind:   "config_decided",
+			VM:     r.config.Self,
+			Detail: fmt.Sprintf("revision=%d accepted=%t", a.Revision, a.Verdict.Accepted),
+		})
+		if a.Ticket != 0 {
+			out = append(out, messenger.ReplyOperator{
+				Ticket:  a.Ticket,
+				Verdict: a.Verdict,
+			})
+		}
+	}
+	return out
+}
+
+// configApplied lets the other slices see a configuration that just came into
+// force.
+func (r *Reducer) configApplied(w *conductor.World, before identifier.Revision) []messenger.Effect {
+	now := r.revision()
+	if now == before {
+		return nil
+	}
+	r.limits.SetCatalog(w.Now, r.files.Catalog())
+	return []messenger.Effect{
+		messenger.Note{
+			Kind:   "config_in_force",
+			VM:     r.config.Self,
+			Detail: fmt.Sprintf("revision=%d", now),
+		},
+	}
+}
+
+// revision returns the configuration in force, zero before the first.
+func (r *Reducer) revision() identifier.Revision {
+	if c := r.files.Catalog(); c != nil {
+		return c.Revision
+	}
+	return 0
+}
+
+func (r *Reducer) logUnavailable(w *conductor.World, e messenger.LogUnavailable) []messenger.Effect {
+	if e.Stream == configStream && r.timers.configOut == timekeeper.Never {
+		r.timers.configOut = w.Now
+	}
+	return nil
+}
+
+func (r *Reducer) changeProposed(w *conductor.World, e messenger.ChangeProposed) []messenger.Effect {
+	r.timers.proposals++
+	nonce := identifier.Nonce(fmt.Sprintf("%s.%d.%d", r.config.Self, r.config.Incarnation, r.timers.proposals))
+	record, err := r.files.Propose(w.Now, e, nonce)
+	if err != nil {
+		return []messenger.Effect{
+			messenger.ReplyOperator{
+				Ticket: e.Ticket,
+				Verdict: messenger.ChangeVerdict{
+					Faults: []string{err.Error()},
+				},
+			},
+		}
+	}
+	return []messenger.Effect{
+		messenger.AppendRecord{
+			Ticket: e.Ticket,
+			Stream: configStream,
+			Data:   record,
+		},
+	}
+}
+
+// tickConfig answers operators whose change the log does not settle, appends
+// a due snapshot, and asks a peer for the configuration while the log is out.
+func (r *Reducer) tickConfig(w *conductor.World) []messenger.Effect {
+	var out []messenger.Effect
+	for _, a := range r.files.Timeouts(w.Now) {
+		out = append(out, messenger.ReplyOperator{
+			Ticket:  a.Ticket,
+			Verdict: a.Verdict,
+		})
+	}
+	if record, due := r.files.SnapshotDue(w.Now, r.rand); due {
+		out = append(out, messenger.AppendRecord{
+			Stream: configStream,
+			Data:   record,
+		})
+	}
+	return append(out, r.tickFetch(w)...)
+}
+
+const (
+	// fetchAfter is how long the log is out before a peer is asked.
+	fetchAfter = 1 * timekeeper.Second
+	// fetchEvery is the spacing of such questions.
+	fetchEvery = 1 * timekeeper.Second
+)
+
+// tickFetch asks a peer that has a newer configuration. A node that starts
+// while the log is out would otherwise refuse everything, and one that was cut
+// off from the log alone would serve by old settings.
+func (r *Reducer) tickFetch(w *conductor.World) []messenger.Effect {
+	out := r.timers.configOut != timekeeper.Never && w.Now.Sub(r.timers.configOut) >= fetchAfter
+	if !out || w.Now.Before(r.timers.nextFetch) {
+		return nil
+	}
+	peer, ok := r.newerPeer()
+	if !ok {
+		return nil
+	}
+	r.timers.nextFetch = w.Now.Add(fetchEvery)
+	return []messenger.Effect{
+		messenger.FetchConfiguration{
+			Peer:    peer.VM,
+			Address: peer.PeerAddress,
+		},
+	}
+}
+
+// newerPeer returns the node with the newest configuration, if it is newer
+// than this node's own.
+func (r *Reducer) newerPeer() (gossiper.Node, bool) {
+	best := r.revision()
+	var found gossiper.Node
+	news := r.members.NewsOf()
+	for _, n := range r.members.Nodes() {
+		if rev := news[n.VM].Revision; n.VM != r.config.Self && rev > best {
+			best = rev
+			found = n
+		}
+	}
+	return found, found.VM != ""
+}
+
+func (r *Reducer) configurationReceived(w *conductor.World, e messenger.ConfigurationReceived) []messenger.Effect {
+	before := r.revision()
+	applied, err := r.files.Import(w.Now, e.Data)
+	if err != nil {
+		return []messenger.Effect{
+			messenger.Note{
+				Kind:   "config_unreadable",
+				VM:     e.From,
+				Detail: err.Error(),
+			},
+		}
+	}
+	return append(r.changesJudged(applied), r.configApplied(w, before)...)
+}
+
+// ExportConfiguration returns the state of the configuration for a peer, and
+// whether there is one.
+func (r *Reducer) ExportConfiguration() ([]byte, bool) {
+	if r.files.Catalog() == nil {
+		return nil, false
+	}
+	return r.files.Export(), true
+}
--- /dev/null
+++ b/internal/reducer/view.go
@@ -0,0 +1,112 @@
+package reducer
+
+import (
+	"slices"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/conductor"
+	"github.com/dotterelhollow/dotterelhollow/internal/configurer"
+	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/placer"
+	"github.com/dotterelhollow/dotterelhollow/internal/provisioner"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// AddressKeep is how long a caller may keep a list of addresses. It bounds how
+// long callers still come to a node that has left.
+const AddressKeep = 5 * timekeeper.Second
+
+// View is what this node sees of the system, for operators.
+type View struct {
+	Revision  identifier.Revision
+	Draining  bool
+	InFlight  int
+	Copies    int
+	Nodes     []gossiper.Node
+	Revisions map[identifier.VMID]identifier.Revision
+	Servers   []ServerView
+	Leases    []provisioner.LeaseView
+	Counters  conductor.Counters
+}
+
+// ServerView is a backend server as this node sees it.
+type ServerView struct {
+	gossiper.Server
+	Load    messenger.ServerLoad
+	HasLoad bool
+	Suspect bool
+}
+
+// Catalog returns the configuration in force, or nil before the first.
+func (r *Reducer) Catalog() *catalog.Catalog { return r.files.Catalog() }
+
+// Files returns the files of the configuration in force.
+func (r *Reducer) Files() map[identifier.FileName]configurer.FileState { return r.files.Files() }
+
+// History returns the changes of the configuration that the node knows.
+func (r *Reducer) History() []configurer.Change { return r.files.History() }
+
+// Nodes returns the members, this node included, without the dead.
+func (r *Reducer) Nodes() []gossiper.Node { return r.members.Nodes() }
+
+// Node returns a member by its VM, dead or not.
+func (r *Reducer) Node(vm identifier.VMID) (gossiper.Node, bool) { return r.members.Node(vm) }
+
+// Counters returns what the node did with requests so far.
+func (r *Reducer) Counters() conductor.Counters { return r.requests.Counters() }
+
+// Addresses returns the nodes that callers of an account should use, best
+// first. A node that is leaving, dead or only suspected of it is never among
+// them: a caller that keeps the list would connect to it for seconds to come.
+func (r *Reducer) Addresses(_ timekeeper.Time, account identifier.AccountID) []gossiper.Node {
+	nodes := r.members.Nodes()
+	return placer.Shard(account, nodes, len(nodes))
+}
+
+// View returns what the node sees at an instant.
+func (r *Reducer) View(now timekeeper.Time) View {
+	v := View{
+		Revision:  r.revision(),
+		Draining:  r.requests.Draining(),
+		InFlight:  r.requests.InFlight(),
+		Copies:    r.requests.Copies(),
+		Nodes:     r.members.Nodes(),
+		Revisions: map[identifier.VMID]identifier.Revision{r.config.Self: r.revision()},
+		Leases:    r.provisioner.View(now),
+		Counters:  r.requests.Counters(),
+	}
+	for vm, news := range r.members.NewsOf() {
+		v.Revisions[vm] = news.Revision
+	}
+	if c := r.files.Catalog(); c != nil {
+		for _, pool := range sortedPools(c) {
+			v.Servers = append(v.Servers, r.serverViews(now, pool)...)
+		}
+	}
+	return v
+}
+
+func (r *Reducer) serverViews(now timekeeper.Time, pool identifier.PoolName) []ServerView {
+	var out []ServerView
+	for _, s := range r.members.Servers(pool) {
+		load, known := r.loads[s.VM]
+		out = append(out, ServerView{
+			Server:  s,
+			Load:    load,
+			HasLoad: known,
+			Suspect: r.suspicions.Suspect(now, s.VM),
+		})
+	}
+	return out
+}
+
+func sortedPools(c *catalog.Catalog) []identifier.PoolName {
+	names := make([]identifier.PoolName, 0, len(c.Pools))
+	for name := range c.Pools {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
