--- /dev/null
+++ b/Makefile
@@ -0,0 +1,49 @@
+# The project's commands. A newcomer needs "make demo" and "make test".
+
+GO ?= go
+PACKAGES ?= ./...
+# Packages tested at once.
+PARALLEL ?= 6
+# The race detector needs a C compiler; without one the tests run without it.
+RACE ?= $(shell command -v $${CC:-cc} >/dev/null 2>&1 && echo -race)
+
+LINT_VERSION = 2.15.0
+LINT = $(shell $(GO) env GOPATH)/bin/golangci-lint
+BENCH_TIME ?= 1x
+
+.PHONY: all build test bench demo matrix lint fmt fmt-check vet clean
+
+all: build
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+vet:
+	$(GO) vet $(PACKAGES)
+
+test: vet
+	$(GO) test $(RACE) -count=1 -p $(PARALLEL) $(PACKAGES)
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchtime $(BENCH_TIME) -p 1 $(PACKAGES)
+
+matrix:
+	$(GO) test -count=1 -v -run 'Matrix' ./internal/matrix/...
+
+demo: build
+	scripts/demo.sh
+
+lint:
+	@"$(LINT)" version --short 2>/dev/null | grep -qx "$(LINT_VERSION)" || \
+		$(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v$(LINT_VERSION)
+	"$(LINT)" run $(PACKAGES)
+
+fmt:
+	gofmt -w $(shell git ls-files '*.go')
+
+fmt-check:
+	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); \
+	if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
+
+clean:
+	rm -rf bin
--- a/cmd/dotterelhollow/operator.go
+++ b/cmd/dotterelhollow/operator.go
@@ -59,7 +59,7 @@
 var _ error = (*problemError)(nil)
 
 func (e *problemError) Error() string {
-	text := e.Problem.Error()
+	text := fmt.Sprintf("%d %s: %s", e.Status, e.Reason, e.Detail)
 	for _, fault := range e.Faults {
 		text += "\n  " + fault
 	}
--- a/internal/server/problem.go
+++ b/internal/server/problem.go
@@ -49,12 +49,6 @@
 	RetryAfter timekeeper.Duration `json:"retry_after_ms,omitempty"`
 }
 
-var _ error = (*Problem)(nil)
-
-func (p *Problem) Error() string {
-	return fmt.Sprintf("%d %s: %s", p.Status, p.Reason, p.Detail)
-}
-
 // problemType is the prefix of the URI that names a kind of problem.
 const problemType = "urn:dotterelhollow:problem:"
 
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -19,7 +19,7 @@
 	Draining bool           `json:"draining"`
 	Requests RequestCounts  `json:"requests"`
 	Nodes    []NodeStatus   `json:"nodes"`
-	Servers  []ServerStatus `json:"servers"`
+	Servers  []BackendServerStatus `json:"servers"`
 	Leases   []LeaseStatus  `json:"leases"`
 }
 
@@ -40,8 +40,8 @@
 	Revision identifier.Revision `json:"revision"`
 }
 
-// ServerStatus is a backend server as a node sees it.
-type ServerStatus struct {
+// BackendServerStatus is a backend server as a node sees it.
+type BackendServerStatus struct {
 	VM      identifier.VMID     `json:"vm"`
 	Zone    identifier.Zone     `json:"zone"`
 	Pool    identifier.PoolName `json:"pool"`
