--- a/internal/detector/detector.go
+++ b/internal/detector/detector.go
@@ -86,7 +86,8 @@
 	}
 }
 
-// Config sets up Suspicions. Zero numbers mean the defaults; Rules has none.
+// Config sets up Suspicions. Zero fields mean the defaults; zero Rules
+// mean all rules.
 type Config struct {
 	Rules Rules
 	// HoldOff is the time without work after a first suspicion; it doubles up
@@ -103,6 +104,9 @@
 }
 
 func (c Config) withDefaults() Config {
+	if c.Rules == (Rules{}) {
+		c.Rules = AllRules()
+	}
 	if c.HoldOff <= 0 {
 		c.HoldOff = DefaultHoldOff
 	}
--- a/internal/detector/evidence.go
+++ b/internal/detector/evidence.go
@@ -55,8 +55,13 @@
 }
 
 // weighLatency compares a latency with its prediction. Predictions come from
-// the server's own reports, so that one that hides its load stands out.
+// the server's own reports, so that one that hides its load stands out. The
+// length of a stream says nothing: how much a model answers is not known.
 func (s *Suspicions) weighLatency(k *suspicion, o Observation) float64 {
+	k.streams = k.streams || o.Kind == FirstToken
+	if o.Kind == Completed && k.streams {
+		return 0
+	}
 	if !s.config.Rules.Slowness || o.Latency <= 0 || o.PredictedLatency <= 0 {
 		return 0
 	}
--- a/internal/detector/suspicion.go
+++ b/internal/detector/suspicion.go
@@ -44,6 +44,8 @@
 	good    int
 	// bySilence tells that missed polls alone made the server suspect.
 	bySilence bool
+	// streams tells that the server has sent first tokens.
+	streams bool
 	// ratio is the smoothed logarithm of observed by predicted latency.
 	ratio   float64
 	samples int
@@ -126,7 +128,7 @@
 			k.probing = true
 			k.probed = now
 		}
-	case kind == FirstToken, kind == Completed, kind == LoadOK && k.bySilence:
+	case k.goodProbe(kind):
 		k.probing = false
 		k.good++
 		if k.good >= c.Probes {
@@ -135,6 +137,21 @@
 	}
 }
 
+// goodProbe reports whether an observation without fault ends a probe well.
+// The tokens of attempts from before the suspicion do not count, nor does the
+// end of a stream whose first token did.
+func (k *suspicion) goodProbe(kind Kind) bool {
+	switch kind {
+	case FirstToken:
+		return k.probing
+	case Completed:
+		return k.probing || !k.streams
+	case LoadOK:
+		return k.bySilence
+	}
+	return false
+}
+
 func (k *suspicion) trust(now timekeeper.Time) {
 	k.state = trusted
 	k.level = 0
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -65,7 +65,7 @@
 	}
 }
 
-// Config sets up Limits.
+// Config sets up Limits. Zero Rules mean all rules.
 type Config struct {
 	Rules Rules
 }
@@ -111,6 +111,9 @@
 
 // New returns Limits without a catalog, which refuse everything.
 func New(c Config) *Limits {
+	if c.Rules == (Rules{}) {
+		c.Rules = AllRules()
+	}
 	return &Limits{
 		rules:    c.Rules,
 		accounts: make(map[identifier.AccountID]*account),
--- a/internal/retrier/budget.go
+++ b/internal/retrier/budget.go
@@ -121,8 +121,8 @@
 		longest += b.spread(s)
 	}
 	after := longest
-	if b.config.Rules.Jitter && longest > 0 {
-		after = timekeeper.Duration(rng.Int64N(int64(longest) + 1))
+	if b.config.Rules.Jitter {
+		after = jittered(longest, rng)
 	}
 	after = min(after, left/4)
 	if a.Attempts > 1 && a.RetryAfter > after {
@@ -131,6 +131,12 @@
 	return after, after < left
 }
 
+// jittered draws a pause of at most longest, so that requests that failed
+// together do not come back together.
+func jittered(longest timekeeper.Duration, rng *rand.Rand) timekeeper.Duration {
+	return timekeeper.Duration(rng.Int64N(int64(max(longest, 0)) + 1))
+}
+
 // backoff is the longest pause after so many attempts.
 func (b *Budgets) backoff(attempts int) timekeeper.Duration {
 	longest := b.config.Backoff
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -32,6 +32,9 @@
 	DefaultMaxServices = 1024
 )
 
+// maxMovePause bounds the pause before a planned move is tried again.
+const maxMovePause = 1 * timekeeper.Second
+
 // Rules switches the safeguards on and off, for measurement.
 type Rules struct {
 	// Budget bounds the retries of a service.
@@ -57,7 +60,8 @@
 	}
 }
 
-// Config sets up Budgets. Zero numbers mean the defaults; Rules has none.
+// Config sets up Budgets. Zero fields mean the defaults; zero Rules
+// mean all rules.
 type Config struct {
 	Rules Rules
 	// Backoff is the longest pause before the first retry; it doubles with
@@ -78,6 +82,9 @@
 }
 
 func (c Config) withDefaults() Config {
+	if c.Rules == (Rules{}) {
+		c.Rules = AllRules()
+	}
 	if c.Backoff <= 0 {
 		c.Backoff = DefaultBackoff
 	}
@@ -152,12 +159,23 @@
 	return b.retry(now, a, rng)
 }
 
-// move lets a planned move go on, out of budget.
+// move lets a planned move go on, out of budget and without a pause at first.
+//
+// A move whose next server refuses it too must not go round without end in
+// the meantime, so that later ones pause like retries, if not as long: their
+// request was accepted and is owed its answer.
 func (b *Budgets) move(now timekeeper.Time, a Ask, rng *rand.Rand) Verdict {
 	if !b.config.Rules.PlannedFree {
 		return b.retry(now, a, rng)
 	}
-	return Verdict{Again: true}
+	if a.Attempts <= 1 || !ProvablyNotRun(a.Result) {
+		return Verdict{Again: true}
+	}
+	longest := min(b.backoff(a.Attempts), maxMovePause, a.Deadline.Sub(now)/4)
+	return Verdict{
+		Again: true,
+		After: jittered(longest, rng),
+	}
 }
 
 func (b *Budgets) retry(now timekeeper.Time, a Ask, rng *rand.Rand) Verdict {
--- a/internal/router/choose.go
+++ b/internal/router/choose.go
@@ -9,14 +9,6 @@
 )
 
 const (
-	// fewest and most bound the number of servers that a draw is made among;
-	// between them it is a quarter of the candidates.
-	fewest = 3
-	most   = 16
-	// tolerance is the share, and slack the milliseconds, by which a score
-	// may exceed the best one and still be drawn.
-	tolerance = 0.10
-	slack     = 10.0
 	// reclaimsPerHour is the assumed rate at which a reclaimable VM is taken.
 	reclaimsPerHour = 0.2
 	// missCost is the cost in milliseconds of a sure miss of a target.
@@ -54,25 +46,22 @@
 	if best == tierNever {
 		return Choice{}, false
 	}
-	p := survey(now, &j, cs, r, best)
-	var few shortlist
-	few.limit = min(max(fewest, p.count/4), most)
-	for i := range cs {
-		if tierOf(&j, &cs[i], r) != best {
-			continue
-		}
-		s := predict(now, &j, &cs[i], r, p.load)
-		few.offer(entry{
-			index:     i,
-			score:     score(&j, &cs[i], r, s, p),
-			predicted: s,
-		})
-	}
-	drawn := few.draw(r, rng)
+	f := field{
+		now:     now,
+		job:     &j,
+		cs:      cs,
+		rules:   r,
+		tier:    best,
+		picture: survey(now, &j, cs, r, best),
+	}
+	winner := f.lowest()
+	if r.Spread {
+		winner = f.draw(rng)
+	}
 	return Choice{
-		Server:    cs[drawn.index].Server,
-		Predicted: drawn.predicted.rounded(),
-		Why:       explain(&cs[drawn.index], drawn, &few, p.count, best),
+		Server:    cs[winner.index].Server,
+		Predicted: winner.predicted.rounded(),
+		Why:       f.explain(winner),
 	}, true
 }
 
--- a/internal/router/predict.go
+++ b/internal/router/predict.go
@@ -16,7 +16,7 @@
 	typicalPrompt = 1024
 	// batchSlowdown is the share by which a full batch lengthens the time
 	// between tokens.
-	batchSlowdown = 1.0
+	batchSlowdown = 0.4
 	// plainServiceTime is the time of a call at an idle plain server.
 	plainServiceTime = 20.0
 	// zoneHopTime is a round trip to another availability zone.
@@ -58,12 +58,21 @@
 	if r.OwnInFlight {
 		own = float64(c.OwnInFlight)
 	}
-	present := own + othersLoad(now, c, r, prior)
+	ownPrefill := 0.0
+	if r.OwnInFlight {
+		ownPrefill = float64(c.OwnPrefill)
+	}
+	return predictAt(j, c, r, own+othersLoad(now, c, r, prior), ownPrefill)
+}
+
+// predictAt estimates with a given number of requests present on the server
+// and of tokens that it has to read first.
+func predictAt(j *Job, c *Candidate, r Rules, present, ownPrefill float64) span {
 	slots := float64(max(c.Slots, 1))
 	if c.TokensPerSecond <= 0 {
 		return predictPlain(present, slots, c, r)
 	}
-	return predictModel(j, present, slots, c, r)
+	return predictModel(j, present, ownPrefill, slots, c, r)
 }
 
 func predictPlain(present, slots float64, c *Candidate, r Rules) span {
@@ -79,14 +88,14 @@
 	}
 }
 
-func predictModel(j *Job, present, slots float64, c *Candidate, r Rules) span {
+func predictModel(j *Job, present, ownPrefill, slots float64, c *Candidate, r Rules) span {
 	perToken := 1000 / c.TokensPerSecond
 	if r.Slowdown {
 		perToken *= 1 + batchSlowdown*min(present/slots, 1)
 	}
 	queued := max(0, present+1-slots)
 	wait := queued / slots * typicalTokens * perToken * queueShare(j.Priority)
-	first := wait + prefillTime(j, queued, c, r) + perToken + hop(c, r)
+	first := wait + prefillTime(j, queued, ownPrefill, c, r) + perToken + hop(c, r)
 	return span{
 		first:    first,
 		perToken: perToken,
@@ -97,7 +106,7 @@
 // prefillTime is the time to read the prompts that stand before the job's
 // first token: this node's own ones, others' that wait, and the job's less
 // what the cache holds.
-func prefillTime(j *Job, queued float64, c *Candidate, r Rules) float64 {
+func prefillTime(j *Job, queued, ownPrefill float64, c *Candidate, r Rules) float64 {
 	if c.PrefillPerSecond <= 0 {
 		return 0
 	}
@@ -106,10 +115,7 @@
 		own -= min(c.PrefixHit, j.PromptTokens)
 	}
 	ahead := queued * typicalPrompt * queueShare(j.Priority)
-	if r.OwnInFlight {
-		ahead = max(ahead, float64(c.OwnPrefill))
-	}
-	return (float64(own) + ahead) / c.PrefillPerSecond * 1000
+	return (float64(own) + max(ahead, ownPrefill)) / c.PrefillPerSecond * 1000
 }
 
 // queueShare is the part of an engine's queue that stands before a request:
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -2,9 +2,9 @@
 //
 // Predict estimates when a server would give the first token and the last,
 // from what this node has in flight there, the server's last load report and
-// the prefix hints. Choose filters the candidates, scores the rest in
-// milliseconds, lower being better, and draws among the few best. Hints
-// remembers which server probably has which prompt prefix in its cache.
+// the prefix hints. Choose filters the candidates, draws a few of the rest and
+// takes the one with the lowest score, in milliseconds. Hints remembers which
+// server probably has which prompt prefix in its cache.
 //
 // Everything here is pure: time and randomness are arguments. Nothing is safe
 // for concurrent use.
--- a/internal/router/rules.go
+++ b/internal/router/rules.go
@@ -29,7 +29,7 @@
 	ReclaimRisk bool
 	// Price adds the VM's price, for batch work above all.
 	Price bool
-	// Spread draws at random among the few best.
+	// Spread compares two servers drawn at random and the favourite, not all.
 	Spread bool
 }
 
