--- a/cmd/dotterelhollow/ask.go
+++ b/cmd/dotterelhollow/ask.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"os/signal"
 	"strings"
@@ -23,6 +24,7 @@
 	_ flags.Commander   = (*askCommand)(nil)
 	_ flags.Unmarshaler = (*duration)(nil)
 	_ caller.Sink       = (*printer)(nil)
+	_ caller.Watcher    = (*printer)(nil)
 	_ error             = (*statusError)(nil)
 )
 
@@ -109,7 +111,7 @@
 	if len(c.Args.Prompt) > 0 {
 		return strings.Join(c.Args.Prompt, " "), nil
 	}
-	if c.Path != "" && c.Method == "GET" {
+	if c.Path != "" && c.Method == http.MethodGet {
 		return "", nil
 	}
 	data, err := io.ReadAll(c.stdin)
@@ -198,7 +200,7 @@
 		ContentType: c.ContentType,
 		Body:        []byte(body),
 	})
-	if err == nil && reply.Status >= 400 {
+	if err == nil && reply.Status >= http.StatusBadRequest {
 		err = &statusError{status: reply.Status}
 	}
 	if reply.Status != 0 && !c.JSON {
@@ -210,7 +212,9 @@
 // statusError reports a plain service's own refusal.
 type statusError struct{ status int }
 
-func (e *statusError) Error() string { return fmt.Sprintf("the service answered with status %d", e.status) }
+func (e *statusError) Error() string {
+	return fmt.Sprintf("the service answered with status %d", e.status)
+}
 
 // finish prints what is left to print, and passes err on.
 func (c *askCommand) finish(trace caller.Trace, answer string, status int, err error) error {
@@ -264,6 +268,11 @@
 	return p.out.Flush()
 }
 
+// Attached names the node that has the request.
+func (p *printer) Attached(request identifier.RequestID, node string) {
+	fmt.Fprintf(p.notes, "request %s at %s\n", request, node)
+}
+
 // Restart tells the reader that what was printed is void.
 func (p *printer) Restart() error {
 	p.text.Reset()
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -16,11 +16,11 @@
 	// Revision is the configuration in force on the node.
 	Revision identifier.Revision `json:"revision"`
 	// Draining tells that the node is leaving.
-	Draining bool           `json:"draining"`
-	Requests RequestCounts  `json:"requests"`
-	Nodes    []NodeStatus   `json:"nodes"`
+	Draining bool                  `json:"draining"`
+	Requests RequestCounts         `json:"requests"`
+	Nodes    []NodeStatus          `json:"nodes"`
 	Servers  []BackendServerStatus `json:"servers"`
-	Leases   []LeaseStatus  `json:"leases"`
+	Leases   []LeaseStatus         `json:"leases"`
 }
 
 // RequestCounts counts the requests that a node has now.
--- a/pkg/caller/config.go
+++ b/pkg/caller/config.go
@@ -46,7 +46,7 @@
 	DefaultAnswerTime  = 30 * timekeeper.Second
 	DefaultPatience    = 60 * timekeeper.Second
 	DefaultPause       = 250 * timekeeper.Millisecond
-	DefaultRestart     = 10 * timekeeper.Second
+	DefaultRestart     = 20 * timekeeper.Second
 )
 
 // idleTime bounds how long an unused connection is kept. It is short, because
--- a/pkg/caller/stream.go
+++ b/pkg/caller/stream.go
@@ -30,6 +30,12 @@
 	Restart() error
 }
 
+// Watcher is a Sink that also wants to know which node has the request.
+type Watcher interface {
+	// Attached tells that a node answers for the request from here on.
+	Attached(request identifier.RequestID, node string)
+}
+
 // Stream sends a request to a model service and gives sink the tokens of the
 // answer as they arrive. Its errors are a *RefusalError, a *NoNodeError, a
 // *LostError, a *ProtocolError, or the sink's own.
@@ -73,6 +79,9 @@
 }
 
 func (t *streamTaker) take(e *exchange, node string, response *http.Response) error {
+	if w, ok := t.sink.(Watcher); ok {
+		w.Attached(e.trace.Request, node)
+	}
 	lines := bufio.NewScanner(response.Body)
 	lines.Buffer(nil, maxLine)
 	var f frame
