Check that all nodes reach the same configuration in any order of events

Ruled out: comparing nodes with each other alone, which a common mistake would pass; a reference that reads each record at once judges too. Change: a property over random schedules, linearizability of the verdicts as compare-and-set of each file's revision, a control for each rule, and the page of all settings. Conclusion: nodes without a gap agree, no revision goes down, each control objects.

--- a/internal/configurer/check_test.go
+++ b/internal/configurer/check_test.go
@@ -92,6 +92,20 @@
 	require.Equal(t, "0.770000", price.String())
 }
 
+// TestSettingsPage requires that the page for operators knows each key.
+func TestSettingsPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/SETTINGS.md")
+	require.NoError(t, err)
+	for _, dir := range []string{"quillmark", "cooperative", "node"} {
+		var faults folderreader.Faults
+		for _, section := range folderreader.Merge(readDir(t, filepath.Join(examples, dir)), &faults) {
+			for key := range section.Keys {
+				require.Contains(t, string(page), "`"+key+"`")
+			}
+		}
+	}
+}
+
 func FuzzCheck(f *testing.F) {
 	for _, pattern := range []string{examples + "/*/*.ini", "testdata/check/*/*.ini"} {
 		paths, err := filepath.Glob(pattern)
--- /dev/null
+++ b/internal/configurer/property_test.go
@@ -0,0 +1,341 @@
+package configurer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// chooser draws a number below n: from rapid, which shrinks a failing
+// schedule, or from a plain generator for the controls.
+type chooser func(n int) int
+
+// trial is one run of nodes over one log, in any order of changes,
+// appends, snapshots, expiry, reading, replacement and copying from peers.
+type trial struct {
+	draw  chooser
+	rules rules
+	log   *testLog
+	nodes []*seen
+	// inFlight are records that were made and not appended yet; each may be
+	// appended more than once.
+	inFlight [][]byte
+	// reference reads each record as soon as it is appended.
+	reference *State
+	attempts  []porcupine.Operation
+	waiting   map[identifier.Nonce]int
+	fault     string
+}
+
+// seen is a node, and the revisions that it has applied.
+type seen struct {
+	state    *State
+	revision identifier.Revision
+	files    map[identifier.FileName]identifier.Revision
+}
+
+func newTrial(draw chooser, r rules) *trial {
+	p := &trial{
+		draw:    draw,
+		rules:   r,
+		log:     newTestLog(),
+		waiting: make(map[identifier.Nonce]int),
+	}
+	p.reference = p.log.ready(allRules())
+	for range 3 {
+		p.nodes = append(p.nodes, p.start())
+	}
+	return p
+}
+
+func (p *trial) start() *seen {
+	return &seen{
+		state: p.log.node(p.rules),
+		files: make(map[identifier.FileName]identifier.Revision),
+	}
+}
+
+// run takes so many steps, lets all nodes read to the end, and returns what
+// went wrong, if anything.
+func (p *trial) run(steps int) string {
+	actions := []func(){p.change, p.change, p.append, p.append, p.append, p.snapshot, p.read, p.read, p.read, p.expire, p.replace, p.copyState}
+	for range steps {
+		actions[p.draw(len(actions))]()
+		p.log.now = p.log.now.Add(timekeeper.Second)
+	}
+	for _, n := range p.nodes {
+		p.absorb(n, len(p.log.records)+1)
+		p.compare(n)
+	}
+	p.settleUntold()
+	return p.fault
+}
+
+// settleUntold completes the changes whose operators were told nothing: those
+// that took effect did so at some time after they were made.
+func (p *trial) settleUntold() {
+	for nonce, i := range p.waiting {
+		if c, judged := p.reference.view.verdict(nonce); judged && c.Accepted {
+			p.attempts[i].Output = swapped{
+				accepted: true,
+				revision: c.Revision,
+			}
+		}
+	}
+}
+
+func (p *trial) node() (int, *seen) {
+	i := p.draw(len(p.nodes))
+	return i, p.nodes[i]
+}
+
+func (p *trial) change() {
+	i, n := p.node()
+	file := identifier.FileName(fmt.Sprintf("%d.ini", p.draw(3)))
+	text := ""
+	if kind := p.draw(4); kind > 0 {
+		text = []string{zoneFile("x"), zoneFile("y"), "[service s]\n"}[kind-1]
+	}
+	proposed := proposalOf(n.state, file, text)
+	if p.draw(4) == 0 {
+		proposed.Saw = identifier.Offset(p.draw(int(p.log.next)))
+	}
+	data, nonce := p.log.propose(n.state, proposed)
+	if data == nil {
+		return
+	}
+	p.inFlight = append(p.inFlight, data)
+	p.waiting[nonce] = len(p.attempts)
+	p.attempts = append(p.attempts, porcupine.Operation{
+		ClientId: i,
+		Input: swap{
+			file: file,
+			saw:  proposed.Saw,
+		},
+		Call:   p.tick(),
+		Output: swapped{unknown: true},
+		Return: 1 << 60,
+	})
+}
+
+// tick returns a time for the linearizability check, in which each event of a
+// schedule has its own.
+func (p *trial) tick() int64 {
+	p.log.now++
+	return int64(p.log.now)
+}
+
+func (p *trial) append() {
+	if len(p.inFlight) == 0 {
+		return
+	}
+	i := p.draw(len(p.inFlight))
+	p.log.append(p.inFlight[i])
+	if p.draw(3) > 0 {
+		p.inFlight = append(p.inFlight[:i], p.inFlight[i+1:]...)
+	}
+	p.log.read(p.reference)
+}
+
+func (p *trial) snapshot() {
+	_, n := p.node()
+	if n.state.Fault() == nil {
+		p.inFlight = append(p.inFlight, encode(record{Snapshot: n.state.view.snapshot()}))
+	}
+}
+
+func (p *trial) read() {
+	_, n := p.node()
+	p.absorb(n, 1+p.draw(4))
+}
+
+// expire drops records. Most often it keeps what a fresh snapshot covers, as
+// the timers do; else nodes may be left with a gap, which they must report.
+func (p *trial) expire() {
+	if p.draw(4) > 0 {
+		p.log.append(encode(record{Snapshot: p.reference.view.snapshot()}))
+		p.log.read(p.reference)
+	}
+	back := identifier.Offset(p.draw(10))
+	if p.log.next > back {
+		p.log.expire(p.log.next - back)
+	}
+	// Records expire only long after they were appended.
+	p.log.now = p.log.now.Add(testRetention)
+	p.log.read(p.reference)
+}
+
+func (p *trial) replace() {
+	i, _ := p.node()
+	p.nodes[i] = p.start()
+}
+
+func (p *trial) copyState() {
+	_, from := p.node()
+	_, to := p.node()
+	applied, err := to.state.Import(p.log.now, from.state.Export())
+	if err == nil {
+		p.check(to, applied)
+	}
+}
+
+func (p *trial) absorb(n *seen, limit int) {
+	p.check(n, n.state.Absorb(p.log.now, p.log.kept(n.state.ReadFrom(), limit)))
+}
+
+// check requires that no revision goes down on a node.
+func (p *trial) check(n *seen, applied []Applied) {
+	for _, a := range applied {
+		p.settle(a)
+	}
+	if n.state.Revision() < n.revision {
+		p.fault = fmt.Sprintf("revision %d after %d", n.state.Revision(), n.revision)
+	}
+	n.revision = n.state.Revision()
+	for file, before := range n.files {
+		if now := n.state.Files()[file].Revision; now < before {
+			p.fault = fmt.Sprintf("%s at revision %d after %d", file, now, before)
+		}
+	}
+	for file, state := range n.state.Files() {
+		n.files[file] = state.Revision
+	}
+}
+
+// settle notes a verdict that an operator was told.
+func (p *trial) settle(a Applied) {
+	i, ok := p.waiting[a.Nonce]
+	if !ok || a.Ticket == 0 {
+		return
+	}
+	delete(p.waiting, a.Nonce)
+	invalid := !a.Verdict.Accepted && a.Verdict.Revision == p.attempts[i].Input.(swap).saw
+	p.attempts[i].Return = p.tick()
+	p.attempts[i].Output = swapped{
+		accepted: a.Verdict.Accepted,
+		invalid:  invalid,
+		revision: a.Verdict.Revision,
+	}
+}
+
+// compare requires that a node without a gap agrees with the reference.
+func (p *trial) compare(n *seen) {
+	if n.state.Fault() == nil && !same(n.state, p.reference) {
+		p.fault = fmt.Sprintf("a node has %v, the reference %v", n.state.History(), p.reference.History())
+	}
+}
+
+func TestNodesAgree(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		draw := func(n int) int { return rapid.IntRange(0, n-1).Draw(rt, "choice") }
+		p := newTrial(draw, allRules())
+		require.Empty(rt, p.run(60))
+		require.True(rt, linearizable(p.attempts))
+	})
+}
+
+// TestNodesAgreeControl turns each rule off in turn: some schedule must then
+// break the property or the linearizability of the verdicts.
+func TestNodesAgreeControl(t *testing.T) {
+	cases := map[string]func(*rules){
+		"compareRevision":     func(r *rules) { r.compareRevision = false },
+		"checkMerged":         func(r *rules) { r.checkMerged = false },
+		"countOnce":           func(r *rules) { r.countOnce = false },
+		"keepTombstones":      func(r *rules) { r.keepTombstones = false },
+		"ignoreSeenSnapshots": func(r *rules) { r.ignoreSeenSnapshots = false },
+		"replayFromAsOf":      func(r *rules) { r.replayFromAsOf = false },
+		"detectGap":           func(r *rules) { r.detectGap = false },
+		"importOnlyNewer":     func(r *rules) { r.importOnlyNewer = false },
+	}
+	for name, off := range cases {
+		t.Run(name, func(t *testing.T) {
+			weakened := allRules()
+			off(&weakened)
+			require.True(t, someTrialFails(weakened))
+		})
+	}
+}
+
+// TestSwapControl turns the comparison off on all nodes and in the reference:
+// they agree with each other, but the verdicts are those of no register.
+func TestSwapControl(t *testing.T) {
+	weakened := allRules()
+	weakened.compareRevision = false
+	objected := false
+	for seed := range uint64(200) {
+		p := newTrial(rand.New(rand.NewPCG(seed, 0)).IntN, weakened)
+		p.reference.rules = weakened
+		p.run(60)
+		objected = objected || !linearizable(p.attempts)
+	}
+	require.True(t, objected)
+}
+
+func someTrialFails(r rules) bool {
+	for seed := range uint64(2000) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		p := newTrial(rng.IntN, r)
+		if p.run(60) != "" || !linearizable(p.attempts) {
+			return true
+		}
+	}
+	return false
+}
+
+// swap is a compare-and-set of one file's revision, as an operator sees it.
+type swap struct {
+	file identifier.FileName
+	saw  identifier.Revision
+}
+
+type swapped struct {
+	unknown  bool
+	accepted bool
+	// invalid marks a rejection that was not for the revision.
+	invalid  bool
+	revision identifier.Revision
+}
+
+// linearizable reports whether the verdicts are those of one register a file.
+func linearizable(attempts []porcupine.Operation) bool {
+	return porcupine.CheckOperations(registers(), attempts)
+}
+
+// registers is one register a file; its state is the file's revision.
+func registers() porcupine.Model {
+	return porcupine.Model{
+		Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+			byFile := make(map[identifier.FileName][]porcupine.Operation)
+			for _, op := range history {
+				if out := op.Output.(swapped); !out.unknown {
+					file := op.Input.(swap).file
+					byFile[file] = append(byFile[file], op)
+				}
+			}
+			var parts [][]porcupine.Operation
+			for _, ops := range byFile {
+				parts = append(parts, ops)
+			}
+			return parts
+		},
+		Init: func() any { return identifier.Revision(0) },
+		Step: func(state, input, output any) (bool, any) {
+			stands, in, out := state.(identifier.Revision), input.(swap), output.(swapped)
+			switch {
+			case out.accepted:
+				return stands == in.saw && out.revision > stands, out.revision
+			case out.invalid:
+				return stands == in.saw, stands
+			default:
+				return stands != in.saw && out.revision == stands, stands
+			}
+		},
+	}
+}
