--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,318 @@
+#!/bin/bash
+# Runs the system as a newcomer would see it, on loopback addresses: stand-ins
+# for the platform and its pools, six nodes in Quillmark's four availability
+# zones, one request of each kind, and a zone that is reclaimed in the middle of
+# a manuscript report. Exits 0 only if every check held.
+#
+#   KILL_NODE=1 scripts/demo.sh   kills the report's node with no notice instead
+#   KEEP=1 scripts/demo.sh        keeps the logs
+#
+# It needs bash and the programs that "make build" puts into bin/, no more.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+readonly bin=$PWD/bin
+readonly kill_node=${KILL_NODE:-0}
+readonly keep=${KEEP:-0}
+readonly notice_ms=3000
+readonly report_tokens=400
+readonly operator_key=demo-operator
+readonly operator_key_hash=9437e87fae95c03d3778f2575bb18ce30e647e51d86a8c37963364e1fc4f374e
+readonly port=${DEMO_PORT:-18080}
+readonly peer_port=$((port + 1000))
+readonly platform=127.0.0.2:$((port + 1))
+readonly pool=127.0.0.3:$((port + 2))
+readonly zones=(boston-a boston-a boston-b boston-b providence portland-me)
+
+work=$(mktemp -d)
+readonly work
+stand_ins=()
+declare -A node_pid=()
+failures=0
+
+node_address() { echo "127.0.0.$((10 + $1)):$port"; }
+
+say() { printf '\n== %s\n' "$*"; }
+
+# check TEXT COMMAND... notes whether the command succeeds.
+check() {
+  local text=$1
+  shift
+  if "$@"; then
+    echo "   ok: $text"
+  else
+    echo "   FAILED: $text"
+    failures=$((failures + 1))
+  fi
+}
+
+# wait_for SECONDS COMMAND... repeats the command until it succeeds.
+wait_for() {
+  local tries=$(($1 * 10))
+  shift
+  for ((; tries > 0; tries--)); do
+    if "$@" >/dev/null 2>&1; then
+      return 0
+    fi
+    sleep 0.1
+  done
+  return 1
+}
+
+# http METHOD HOST:PORT PATH [BODY [HEADER]] prints the body of the response.
+http() {
+  local method=$1 address=$2 path=$3 body=${4-} header=${5-X-Demo: 1}
+  exec 3<>"/dev/tcp/${address%:*}/${address#*:}" || return 1
+  printf '%s %s HTTP/1.0\r\nHost: %s\r\nContent-Type: application/json\r\n%b\r\nContent-Length: %d\r\n\r\n%s' \
+    "$method" "$path" "$address" "$header" "${#body}" "$body" >&3
+  sed '1,/^\r$/d' <&3
+  exec 3>&-
+}
+
+# stop PID... ends processes that the demo started, and waits for them.
+stop() {
+  local pid
+  for pid in "$@"; do
+    kill -TERM "$pid" 2>/dev/null || true
+  done
+  for pid in "$@"; do
+    wait "$pid" 2>/dev/null || true
+  done
+}
+
+cleanup() {
+  local status=$?
+  trap - EXIT
+  for node in "${!node_pid[@]}"; do
+    kill -KILL "${node_pid[$node]}" 2>/dev/null || true
+    wait "${node_pid[$node]}" 2>/dev/null || true
+  done
+  stop "${stand_ins[@]}"
+  if [ "$status" -ne 0 ] || [ "$keep" = 1 ]; then
+    echo "logs are in $work"
+  else
+    rm -rf "$work"
+  fi
+  exit "$status"
+}
+trap cleanup EXIT
+trap 'exit 1' INT TERM
+
+start_stand_ins() {
+  "$bin/dotterelhollow-standin" platform --listen "$platform" >"$work/platform.log" 2>&1 &
+  stand_ins+=($!)
+  wait_for 5 http GET "$platform" /vms
+  local all=()
+  local zone
+  for zone in boston-a boston-b providence portland-me; do
+    all+=(--zone "$zone")
+  done
+  "$bin/dotterelhollow-standin" pool --listen "$pool" --platform "$platform" --host 127.0.0.3 "${all[@]}" \
+    --group pool=reading,kind=model,class=engine,model=reader-large,count=10,on_demand=2,slots=8,tokens_per_second=40,prefill_per_second=4000,kv_tokens=65536,kv_bytes_per_token=131072,transfer_rate=209715200,checks_fence=true \
+    --group pool=portal,kind=plain,class=small,count=4,on_demand=1,slots=32 \
+    >"$work/pool.log" 2>&1 &
+  stand_ins+=($!)
+  wait_for 5 http GET "$pool" /admin/vms
+}
+
+write_settings() {
+  local node=$1 folder=$2 address
+  address=127.0.0.$((10 + node))
+  mkdir -p "$folder"
+  cat >"$folder/10-node.ini" <<EOF
+[node]
+vm = entry-$node
+zone = ${zones[node - 1]}
+region = new-england
+drain_time = 20s
+log_level = info
+
+[caller_port]
+listen = $address:$port
+
+[peer_port]
+listen = $address:$peer_port
+
+[platform]
+address = $platform
+
+[operator]
+key_sha256 = $operator_key_hash
+EOF
+}
+
+start_node() {
+  local node=$1
+  write_settings "$node" "$work/entry-$node"
+  http POST "$platform" /admin/vms "{\"vm\":\"entry-$node\",\"zone\":\"${zones[node - 1]}\",\"class\":\"small\",\"market\":\"reclaimable\",\"address\":\"127.0.0.$((10 + node)):$peer_port\"}" >/dev/null
+  "$bin/dotterelhollow" serve --settings "$work/entry-$node" >"$work/entry-$node.log" 2>&1 &
+  node_pid[$node]=$!
+}
+
+operator() {
+  local command=$1
+  shift
+  local nodes=() node
+  for node in "${!node_pid[@]}"; do
+    nodes+=(--node "$(node_address "$node")")
+  done
+  # shellcheck disable=SC2086 # A command such as "config apply" is two words.
+  "$bin/dotterelhollow" $command --operator-key "$operator_key" "${nodes[@]}" "$@"
+}
+
+# ask ACCOUNT FLAG... asks as one of the demo's client accounts.
+ask() {
+  local account=$1
+  shift
+  local nodes=() node
+  for node in 1 2 3 4 5 6; do
+    nodes+=(--node "$(node_address "$node")")
+  done
+  "$bin/dotterelhollow" ask --key "demo-$account" "${nodes[@]}" "$@"
+}
+
+served() { ask portal --service "$1" --addresses; }
+
+# runs REQUEST prints how often the plain servers ran a request.
+runs() {
+  local request=$1 address total=0 count
+  while read -r address; do
+    count=$(http GET "$address" /ledger | grep -o "\"$request\":[0-9]*" | head -1 | cut -d: -f2 || true)
+    total=$((total + ${count:-0}))
+  done < <(http GET "$pool" /admin/vms | tr '{' '\n' | grep '"pool":"portal"' | grep -o '"address":"[^"]*"' | cut -d'"' -f4)
+  echo "$total"
+}
+
+# field NAME FILE prints a string field of a JSON file.
+field() { grep -o "\"$1\": *\"[^\"]*\"" "$2" | head -1 | cut -d'"' -f4; }
+
+words() { wc -w <"$1"; }
+
+at_least_words() { [ "$(words "$1")" -ge "$2" ]; }
+
+# home_of FILE prints the node that ask last said it is attached to.
+home_of() {
+  local address
+  address=$(grep -o 'at 127[^ ]*' "$1" | tail -1 | cut -d' ' -f2)
+  address=${address%:*}
+  echo $((${address##*.} - 10))
+}
+
+ask_report() {
+  ask monday_reports --service manuscript_report --max-tokens "$report_tokens" --idempotency-key "$1" \
+    "Report on the manuscript 'The Lighthouse Keeper's Ledger' for the Monday acquisitions meeting."
+}
+
+small_requests() {
+  say "A summary, a tag and a portal lookup"
+  ask portal --service query_summary --whole --max-tokens 40 "Summarize the query letter of a sea novel." \
+    >"$work/summary.txt" 2>"$work/summary.log"
+  check "the summary is whole" [ "$(words "$work/summary.txt")" -eq 40 ]
+  ask dashboard --service genre_tag --max-tokens 4 "Tag this submission." >"$work/tag.txt" 2>"$work/tag.log"
+  check "the tag is whole" [ "$(words "$work/tag.txt")" -eq 4 ]
+  ask dashboard --service portal_lookup --method GET --path /submissions/17 >"$work/lookup.txt" 2>"$work/lookup.log"
+  check "the lookup is answered" grep -q '"/call/submissions/17"' "$work/lookup.txt"
+}
+
+rejection_email() {
+  say "A rejection email, sent twice under one key to two nodes"
+  ask portal --service rejection_email --path /send --idempotency-key demo-email --json "Dear author, not this time." \
+    >"$work/email.json" 2>"$work/email.log"
+  email_request=$(field request_id "$work/email.json")
+  http POST "$(node_address 5)" /v1/services/rejection_email/send "Dear author, not this time." \
+    "Authorization: Bearer demo-portal\r\nIdempotency-Key: demo-email" >"$work/email-again.txt" || true
+  check "it ran once" [ "$(runs "$email_request")" -eq 1 ]
+}
+
+take_zone_away() {
+  local home=$1 zone=${zones[$1 - 1]} node
+  say "Zone $zone, with the report's node entry-$home, is reclaimed: ${notice_ms} ms of notice, then the end"
+  http POST "$platform" /admin/reclaim "{\"zone\":\"$zone\",\"on_demand\":true,\"notice_ms\":$notice_ms}"
+  echo
+  sleep "$((notice_ms / 1000))"
+  for node in 1 2 3 4 5 6; do
+    if [ "${zones[node - 1]}" = "$zone" ]; then
+      kill_entry "$node"
+    fi
+  done
+}
+
+# kill_entry NODE ends a node with no chance to do anything about it.
+kill_entry() {
+  kill -KILL "${node_pid[$1]}" 2>/dev/null || true
+  wait "${node_pid[$1]}" 2>/dev/null || true
+  unset "node_pid[$1]"
+  echo "   entry-$1 is gone"
+}
+
+stop_nodes() {
+  local node status
+  for node in "${!node_pid[@]}"; do
+    kill -TERM "${node_pid[$node]}"
+  done
+  for node in "${!node_pid[@]}"; do
+    status=0
+    wait "${node_pid[$node]}" || status=$?
+    unset "node_pid[$node]"
+    check "entry-$node stopped as planned" [ "$status" -eq 0 ]
+  done
+}
+
+say "Start the stand-ins and six nodes"
+start_stand_ins
+for node in 1 2 3 4 5 6; do
+  start_node "$node"
+done
+wait_for 10 operator status || { echo "the nodes did not start"; exit 1; }
+
+say "Apply Quillmark's folder"
+"$bin/dotterelhollow" config check examples/quillmark
+operator "config apply" examples/quillmark
+check "all nodes agree on the configuration and on who is there" wait_for 10 operator status --agree
+check "nodes give out addresses" wait_for 5 served manuscript_report
+served manuscript_report
+
+say "Start a manuscript report of $report_tokens tokens"
+ask_report demo-report >"$work/report.txt" 2>"$work/report.log" &
+report_pid=$!
+check "the report has begun" wait_for 10 at_least_words "$work/report.txt" 5
+
+small_requests
+rejection_email
+
+check "the report is in its middle" wait_for 20 at_least_words "$work/report.txt" $((report_tokens / 3))
+home=$(home_of "$work/report.log")
+if [ "$kill_node" = 1 ]; then
+  say "The report's node is killed with no notice"
+  kill_entry "$home"
+else
+  take_zone_away "$home"
+fi
+
+say "Wait for the report"
+report_status=0
+wait "$report_pid" || report_status=$?
+cat "$work/report.log"
+check "the report ended well" [ "$report_status" -eq 0 ]
+check "it has all its tokens" [ "$(words "$work/report.txt")" -eq "$report_tokens" ]
+check "another node went on with it" [ "$(home_of "$work/report.log")" -ne "$home" ]
+
+say "Compare it with an undisturbed report on the same manuscript"
+ask_report demo-twin >"$work/twin.txt" 2>"$work/twin.log" || true
+check "both read the same, word for word" cmp -s "$work/report.txt" "$work/twin.txt"
+check "the email still ran at most once" [ "$(runs "$email_request")" -le 1 ]
+
+say "The time line of the report"
+report_request=$(grep -o 'request [^ ]* at' "$work/report.log" | head -1 | cut -d' ' -f2)
+operator timeline --request "$report_request" 2>/dev/null
+
+say "Stop everything"
+stop_nodes
+stop "${stand_ins[@]}"
+stand_ins=()
+
+if [ "$failures" -gt 0 ]; then
+  say "$failures checks FAILED"
+  exit 1
+fi
+say "All checks held, in $SECONDS seconds"
