--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -162,14 +162,13 @@
 	l.refill(now, acc, spec)
 	acc.note(a.Tokens)
 	p := l.pool(service.Pool)
-	e := p.note(now, a)
 	if v := l.checkDeadline(now, a, p); !v.OK {
 		return v
 	}
 	if v := l.checkAccount(acc, spec, a); !v.OK {
 		return v
 	}
-	if v := l.checkPool(now, a, p, e); !v.OK {
+	if v := l.checkPool(now, a, p, p.note(now, a)); !v.OK {
 		return v
 	}
 	acc.requests.take(1)
--- a/internal/limiter/pool.go
+++ b/internal/limiter/pool.go
@@ -95,7 +95,8 @@
 	}
 }
 
-// note adds an ask to the pool's use.
+// note adds an ask to the pool's use. What the account's limit refuses never
+// gets here: shedding it would relieve the pool of nothing.
 func (p *pool) note(now timekeeper.Time, a Ask) *entry {
 	key := entryKey{
 		account: a.Account,
--- /dev/null
+++ b/internal/retrier/retrier_test.go
@@ -0,0 +1,209 @@
+package retrier
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+const testNow = timekeeper.Time(1_000_000)
+
+func seeded(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, seed)) }
+
+// broken is an idempotent request whose first attempt broke off.
+func broken(edit func(*Ask)) Ask {
+	a := Ask{
+		Service:    "report",
+		Idempotent: true,
+		Result:     messenger.AttemptBroken,
+		Attempts:   1,
+		Deadline:   testNow.Add(timekeeper.Minute),
+	}
+	if edit != nil {
+		edit(&a)
+	}
+	return a
+}
+
+func TestClassification(t *testing.T) {
+	// again tells that another attempt follows while budget and time last;
+	// outcome is what the caller is told when they don't.
+	cases := []struct {
+		result     messenger.AttemptResult
+		idempotent bool
+		again      bool
+		outcome    messenger.Outcome
+	}{
+		{result: messenger.AttemptComplete, idempotent: true, outcome: messenger.Done},
+		{result: messenger.AttemptComplete, outcome: messenger.Done},
+		{result: messenger.AttemptNotSent, idempotent: true, again: true, outcome: messenger.NotRun},
+		{result: messenger.AttemptNotSent, again: true, outcome: messenger.NotRun},
+		{result: messenger.AttemptRefused, idempotent: true, again: true, outcome: messenger.NotRun},
+		{result: messenger.AttemptRefused, again: true, outcome: messenger.NotRun},
+		{result: messenger.AttemptBroken, idempotent: true, again: true, outcome: messenger.Unknown},
+		{result: messenger.AttemptBroken, outcome: messenger.Unknown},
+		{result: messenger.AttemptSilent, idempotent: true, again: true, outcome: messenger.Unknown},
+		{result: messenger.AttemptSilent, outcome: messenger.Unknown},
+		{result: messenger.AttemptFailed, idempotent: true, again: true, outcome: messenger.Failed},
+		{result: messenger.AttemptFailed, outcome: messenger.Failed},
+		{result: "nonsense", idempotent: true, outcome: messenger.Unknown},
+	}
+	for _, tc := range cases {
+		a := broken(func(a *Ask) { a.Result, a.Idempotent = tc.result, tc.idempotent })
+		got := New(Config{}).Next(testNow, a, seeded(1))
+		require.Equal(t, tc.again, got.Again, "%+v", tc)
+		late := New(Config{}).Next(a.Deadline, a, seeded(1))
+		require.False(t, late.Again)
+		require.Equal(t, tc.outcome, late.Outcome, "%+v", tc)
+	}
+}
+
+// The caller is told not_run and sends the request again by hand. If the
+// attempt before the refused one had broken off, it may have run all the same.
+func TestNotRunIsSaidOnlyOfRequestsThatNeverRan(t *testing.T) {
+	last := func(edit func(*Ask)) messenger.Outcome {
+		a := broken(func(a *Ask) { a.Result, a.Attempts = messenger.AttemptRefused, DefaultMaxAttempts })
+		edit(&a)
+		return New(Config{}).Next(testNow, a, seeded(1)).Outcome
+	}
+	require.Equal(t, messenger.Unknown, last(func(*Ask) {}))
+	require.Equal(t, messenger.NotRun, last(func(a *Ask) { a.EarlierNotRun = true }))
+	require.Equal(t, messenger.Unknown, last(func(a *Ask) { a.EarlierNotRun, a.Delivered = true, 5 }))
+	require.Equal(t, messenger.NotRun, last(func(a *Ask) { a.Idempotent = false }))
+}
+
+func TestNextProperties(t *testing.T) {
+	results := []messenger.AttemptResult{
+		messenger.AttemptComplete, messenger.AttemptNotSent, messenger.AttemptRefused,
+		messenger.AttemptBroken, messenger.AttemptSilent, messenger.AttemptFailed,
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		b, rng := New(Config{}), seeded(rapid.Uint64().Draw(t, "seed"))
+		now := testNow
+		for range rapid.IntRange(1, 50).Draw(t, "steps") {
+			now = now.Add(timekeeper.Duration(rapid.IntRange(0, 2000).Draw(t, "pause")))
+			a := broken(func(a *Ask) {
+				a.Result = rapid.SampledFrom(results).Draw(t, "result")
+				a.Idempotent = rapid.Bool().Draw(t, "idempotent")
+				a.Planned = rapid.Bool().Draw(t, "planned")
+				a.Attempts = rapid.IntRange(1, 10).Draw(t, "attempts")
+				a.Delivered = 7
+				a.RetryAfter = timekeeper.Duration(rapid.IntRange(0, 5000).Draw(t, "retry_after"))
+				a.Deadline = now.Add(timekeeper.Duration(rapid.IntRange(-10, 10_000).Draw(t, "left")))
+			})
+			v := b.Next(now, a, rng)
+			if v.Again {
+				require.True(t, a.Idempotent || ProvablyNotRun(a.Result), "a second run")
+				require.True(t, now.Add(v.After).Before(a.Deadline), "an attempt after the deadline")
+				require.GreaterOrEqual(t, v.After, timekeeper.Duration(0))
+				require.Empty(t, v.Outcome)
+			} else {
+				require.NotEmpty(t, v.Outcome)
+			}
+			require.GreaterOrEqual(t, b.Left(now, a.Service), 0)
+		}
+	})
+}
+
+// retries has a service make requests of which each first attempt breaks, and
+// counts the retries over ten seconds.
+func retries(r Rules, perSecond, percent int) int {
+	b, rng, count := New(Config{Rules: r}), seeded(1), 0
+	for i := range 10 * perSecond {
+		now := testNow.Add(timekeeper.Duration(i * 1000 / perSecond))
+		b.Requested(now, "report", percent)
+		a := broken(func(a *Ask) { a.Deadline = now.Add(timekeeper.Minute) })
+		if b.Next(now, a, rng).Again {
+			count++
+		}
+	}
+	return count
+}
+
+// Every backend fails. Without a budget each request becomes two, and the
+// doubled load keeps the backends from coming back.
+func TestBudgetBoundsRetries(t *testing.T) {
+	rules := AllRules()
+	const floor = DefaultFloor + 2 // and what comes back in ten seconds
+	require.LessOrEqual(t, retries(rules, 100, 10), 100+floor)
+	require.GreaterOrEqual(t, retries(rules, 100, 10), 100)
+	require.Equal(t, DefaultFloor+1, retries(rules, 1, 0), "a service with little traffic has the floor, and one back after five seconds")
+	rules.Budget = false
+	require.Equal(t, 1000, retries(rules, 100, 10))
+}
+
+// An announced reclaim breaks streams while the budget is spent. They go on
+// at once all the same: their requests were accepted.
+func TestPlannedMovesCostNothing(t *testing.T) {
+	moved := func(r Rules) Verdict {
+		b := New(Config{Rules: r})
+		for range 20 {
+			b.Next(testNow, broken(nil), seeded(1))
+		}
+		require.Zero(t, b.Left(testNow, "report"))
+		return b.Next(testNow, broken(func(a *Ask) { a.Planned = true }), seeded(1))
+	}
+	rules := AllRules()
+	require.Equal(t, Verdict{Again: true}, moved(rules))
+	rules.PlannedFree = false
+	require.Equal(t, messenger.ReasonRetriesSpent, moved(rules).Reason)
+
+	b, rng := New(Config{}), seeded(1)
+	pause := timekeeper.Duration(0)
+	for range 20 {
+		pause = max(pause, b.Next(testNow, broken(func(a *Ask) {
+			a.Planned, a.Attempts, a.Result = true, 5, messenger.AttemptRefused
+		}), rng).After)
+	}
+	require.Positive(t, pause, "a move refused again and again does not go round without a pause")
+	require.LessOrEqual(t, pause, maxMovePause)
+}
+
+// longestPause is the longest pause among so many retries in one instant.
+func longestPause(r Rules, attempts, count int) timekeeper.Duration {
+	b, rng := New(Config{Rules: r, Floor: 1000}), seeded(1)
+	longest := timekeeper.Duration(0)
+	for range count {
+		v := b.Next(testNow, broken(func(a *Ask) { a.Attempts = attempts }), rng)
+		longest = max(longest, v.After)
+	}
+	return longest
+}
+
+// A zone goes and all its streams break in one instant. Retried together they
+// hit the surviving servers as one spike of prefills.
+func TestStormIsSpread(t *testing.T) {
+	rules := AllRules()
+	require.Greater(t, longestPause(rules, 1, 300), 2*timekeeper.Second)
+	rules.Spread = false
+	require.LessOrEqual(t, longestPause(rules, 1, 300), DefaultBackoff)
+}
+
+func TestBackoffGrowsWithJitter(t *testing.T) {
+	rules := AllRules()
+	rules.Spread = false
+	for attempts, bound := range map[int]timekeeper.Duration{1: 50, 2: 100, 3: 200, 6: 1600} {
+		longest := longestPause(rules, attempts, 100)
+		require.LessOrEqual(t, longest, bound)
+		require.Greater(t, longest, bound/2)
+	}
+	rules.Jitter = false
+	require.Equal(t, 200*timekeeper.Millisecond, longestPause(rules, 3, 1))
+	rules.Backoff = false
+	require.Zero(t, longestPause(rules, 3, 1))
+}
+
+func TestServicesAreBounded(t *testing.T) {
+	b := New(Config{MaxServices: 2})
+	b.Requested(testNow, "a", 10)
+	b.Requested(testNow+1, "b", 10)
+	b.Requested(testNow+2, "c", 10)
+	require.Len(t, b.services, 2)
+	require.NotContains(t, b.services, "a")
+	require.EqualValues(t, 1, b.Dropped())
+}
