--- a/internal/folderreader/folderreader.go
+++ b/internal/folderreader/folderreader.go
@@ -88,7 +88,7 @@
 			Cause: err,
 		}
 	}
-	defer file.Close()
+	defer func() { _ = file.Close() }() // nothing was written
 	content, err := io.ReadAll(io.LimitReader(file, MaxFileBytes+1))
 	if err != nil {
 		return nil, &ReadError{
