--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -149,7 +149,6 @@
 type safeguards struct {
 	trustView    bool
 	ignoreDrop   bool
-	ignoreNonce  bool
 	fixedWindow  bool
 	releaseBlind bool
 	localTime    bool
--- /dev/null
+++ b/internal/claimer/claimer_test.go
@@ -0,0 +1,216 @@
+package claimer
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+func ExampleStream() {
+	fmt.Println(Stream("quillmark", "rejection-17", 4))
+	// Output: claims-3
+}
+
+// bench is a log and some tables that read it.
+type bench struct {
+	log fakeLog
+}
+
+func (b *bench) claim(t testing.TB, table *Table, request identifier.RequestID) {
+	_, data, err := table.Begin(b.log.now, request, "account", "key", identifier.Nonce(request), testWindow)
+	require.NoError(t, err)
+	b.log.append(data)
+}
+
+func (b *bench) read(table *Table) []Decision {
+	return table.Absorb(b.log.now, b.log.read(0, math.MaxInt))
+}
+
+func (b *bench) appends(table *Table) int {
+	all := table.Appends(b.log.now)
+	for _, a := range all {
+		b.log.append(a.Data)
+	}
+	return len(all)
+}
+
+// A node says not_run of a key that it gave up before it saw its claim. The
+// caller repeats the key on the same node at once: the repeat waits for the
+// release of the first claim and then wins, instead of being lost to it.
+func TestRepeatAfterGiveUpWins(t *testing.T) {
+	b, a := &bench{log: fakeLog{now: 1}}, newTestTable("vm-a")
+	b.claim(t, a, "first")
+	a.Drop("first")
+	b.claim(t, a, "second")
+	require.Empty(t, b.read(a))
+	require.Equal(t, 1, b.appends(a), "the release")
+	require.Empty(t, b.read(a))
+	require.Equal(t, 1, b.appends(a), "the second claim, again")
+	got := b.read(a)
+	require.Len(t, got, 1)
+	require.True(t, got[0].Won)
+	require.Equal(t, identifier.RequestID("second"), got[0].Request)
+	require.Zero(t, b.appends(a))
+}
+
+// A winner's back end refuses the work, and the node says not_run. Claims of
+// other nodes that stand before the release stay lost; one after it wins.
+func TestReleaseByWinner(t *testing.T) {
+	b, a, c := &bench{log: fakeLog{now: 1}}, newTestTable("vm-a"), newTestTable("vm-c")
+	b.claim(t, a, "first")
+	require.True(t, b.read(a)[0].Won)
+	b.claim(t, c, "second")
+	require.Equal(t, []Decision{{
+		Request:       "second",
+		Winner:        "vm-a",
+		WinnerRequest: "first",
+	}}, b.read(c))
+	a.Release("first")
+	b.appends(a)
+	require.Empty(t, b.read(c))
+	b.claim(t, c, "third")
+	require.True(t, b.read(c)[0].Won)
+}
+
+// Node a wins a key, tries for long, and gives it up unsent. Node b's claim
+// lost to it, but b was frozen until a's claim had expired from the log and
+// holds its own for the first. Were b to release it, node c, which started
+// late, would take the key for free while a's release frees it for a: both
+// would send.
+func TestReleaseNeedsSettledView(t *testing.T) {
+	run := func(off safeguards) (sent int) {
+		s := &bench{log: fakeLog{now: 1}}
+		a, b, c := newTestTable("vm-a"), newTestTable("vm-b"), newTestTable("vm-c")
+		b.off = off
+		s.claim(t, a, "a1")
+		require.True(t, s.read(a)[0].Won)
+		s.log.now += 30_000
+		s.claim(t, b, "b1")
+		b.Drop("b1")
+		s.log.now += 31_000
+		s.read(b)
+		s.appends(b)
+		s.read(c)
+		s.claim(t, c, "c1")
+		a.Release("a1")
+		s.read(a)
+		s.appends(a)
+		s.claim(t, a, "a2")
+		for _, d := range append(s.read(a), s.read(c)...) {
+			if d.Won {
+				sent++
+			}
+		}
+		return sent
+	}
+	require.Equal(t, 1, run(safeguards{}))
+	require.Equal(t, 2, run(safeguards{releaseBlind: true}), "the check did not object")
+}
+
+// A node wins a claim only when its view has no gap: frozen past the log's
+// retention, it leaves its claim unsettled and counts the gap.
+func TestGapLeavesClaimUnsettled(t *testing.T) {
+	b, a := &bench{log: fakeLog{now: 1}}, newTestTable("vm-a")
+	require.False(t, a.Ready(partition(0)))
+	b.read(a)
+	require.True(t, a.Ready(partition(0)))
+	_, data, err := a.Begin(b.log.now, "r", "account", "key", "n", testWindow)
+	require.NoError(t, err)
+	b.log.append(record{Kind: clockKind}.encode())
+	b.log.now += timekeeper.Time(testRetention)
+	b.log.append(data)
+	require.Equal(t, []identifier.RequestID{"r"}, a.Waiting(b.log.now))
+	require.Equal(t, []Decision{{
+		Request:   "r",
+		Unsettled: true,
+	}}, b.read(a))
+	require.Equal(t, 1, a.Counts().Gaps)
+	require.Zero(t, b.appends(a))
+}
+
+func TestOutcomes(t *testing.T) {
+	b, a := &bench{log: fakeLog{now: 1}}, newTestTable("vm-a")
+	b.claim(t, a, "r")
+	b.read(a)
+	nonce, ok := a.Nonce("r")
+	require.True(t, ok)
+	large := []byte(strings.Repeat("x", int(MaxRecordedBody)+1))
+	b.log.append(OutcomeRecord("account", "key", "r", "other", messenger.Failed, 500, nil))
+	b.log.append(OutcomeRecord("account", "key", "r", nonce, messenger.Done, 200, large))
+	b.log.append(OutcomeRecord("account", "key", "r", nonce, messenger.Failed, 500, nil))
+	b.log.append([]byte(`{"version":2,"kind":"claim"}`))
+	b.read(a)
+	e, ok := a.Lookup("account", "key")
+	require.True(t, ok)
+	require.Equal(t, &messenger.RecordedOutcome{
+		Outcome:     messenger.Done,
+		Status:      200,
+		BodyOmitted: true,
+	}, e.Recorded)
+	require.Equal(t, 1, a.Counts().Ignored)
+	a.Release("r")
+	require.Zero(t, b.appends(a), "a key with an outcome is never released")
+}
+
+func TestBodiesAreBounded(t *testing.T) {
+	s := newBodies(10)
+	entries := make([]*entry, 4)
+	for i := range entries {
+		entries[i] = &entry{Entry: Entry{Recorded: &messenger.RecordedOutcome{Body: []byte("1234")}}}
+	}
+	require.Zero(t, s.add(entries[0])+s.add(entries[1]))
+	s.drop(entries[1])
+	require.Zero(t, s.add(entries[2]))
+	require.Equal(t, 1, s.add(entries[3]))
+	require.True(t, entries[0].Recorded.BodyOmitted)
+	require.Equal(t, identifier.Bytes(8), s.total)
+}
+
+// A full table refuses claims and forgets none. When the windows are over, a
+// clock record lets all nodes forget, and claims are taken again.
+func TestFullTableRefuses(t *testing.T) {
+	log := fakeLog{now: 1}
+	a := New(Config{
+		Self:       "vm-a",
+		Partitions: 1,
+		MaxEntries: 8,
+		Retention:  testRetention,
+	})
+	for i := range 10 {
+		log.append(foreignClaim(i))
+	}
+	a.Absorb(log.now, log.read(0, math.MaxInt))
+	require.Equal(t, 9, a.Len())
+	require.Equal(t, 1, a.Counts().Overflowed)
+	_, _, err := a.Begin(log.now, "r", "account", "key", "n", testWindow)
+	var full *FullError
+	require.ErrorAs(t, err, &full)
+	log.now = log.now.Add(testWindow + forgetAfter)
+	for _, r := range a.Appends(log.now) {
+		log.append(r.Data)
+	}
+	a.Absorb(log.now, log.read(0, math.MaxInt))
+	require.Zero(t, a.Len())
+	_, _, err = a.Begin(log.now, "r", "account", "key", "n", testRetention)
+	var window *WindowError
+	require.ErrorAs(t, err, &window)
+}
+
+func foreignClaim(i int) []byte {
+	return record{
+		Kind:     claimKind,
+		Account:  "account-17",
+		Key:      identifier.IdempotencyKey(fmt.Sprintf("rejection-%08d", i)),
+		Request:  identifier.RequestID(fmt.Sprintf("k%032d", i)),
+		Claimant: "vm-x",
+		Nonce:    identifier.Nonce(fmt.Sprintf("n%026d", i)),
+		Window:   testWindow,
+	}.encode()
+}
--- a/internal/claimer/fold.go
+++ b/internal/claimer/fold.go
@@ -38,7 +38,7 @@
 	held := ok && e.holdsAt(t.judgedAt(now, at))
 	c := t.nonces[r.Nonce]
 	switch {
-	case held && e.Nonce == r.Nonce && !t.off.ignoreNonce:
+	case held && e.Nonce == r.Nonce:
 		t.extend(now, s, e, at, r)
 	case held && !e.Released:
 		t.extend(now, s, e, at, r)
--- /dev/null
+++ b/internal/claimer/property_test.go
@@ -0,0 +1,351 @@
+package claimer
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// source draws an integer below n.
+type source func(n int) int
+
+func rapidSource(t *rapid.T) source {
+	return func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "draw") }
+}
+
+func seeded(seed uint64) source {
+	return rand.New(rand.NewPCG(seed, 1)).IntN
+}
+
+type node struct {
+	id    identifier.VMID
+	table *Table
+	from  identifier.Offset
+	// open are the requests that the node has neither sent nor given up.
+	open []identifier.RequestID
+}
+
+// operation is a claim, or a release, in the history of one key.
+type operation struct {
+	key     identifier.IdempotencyKey
+	request identifier.RequestID
+	release bool
+	// winner is empty while the decision is not known.
+	winner identifier.RequestID
+}
+
+type simulation struct {
+	draw    source
+	off     safeguards
+	steps   []timekeeper.Duration
+	log     fakeLog
+	nodes   []*node
+	flying  [][]byte
+	dropped map[identifier.RequestID]bool
+	ops     map[identifier.RequestID]*porcupine.Operation
+	order   []*porcupine.Operation
+	sent    []operation
+	moment  int64
+	fault   string
+}
+
+func newSimulation(draw source, off safeguards, steps []timekeeper.Duration) *simulation {
+	s := &simulation{
+		draw:    draw,
+		off:     off,
+		steps:   steps,
+		log:     fakeLog{now: 1},
+		dropped: make(map[identifier.RequestID]bool),
+		ops:     make(map[identifier.RequestID]*porcupine.Operation),
+	}
+	for i := range 3 {
+		n := &node{id: identifier.VMID(fmt.Sprintf("vm-%d", i))}
+		s.restart(n)
+		s.nodes = append(s.nodes, n)
+	}
+	return s
+}
+
+func (s *simulation) restart(n *node) {
+	n.table = newTestTable(n.id)
+	n.table.off = s.off
+	n.from = 0
+	n.open = nil
+}
+
+func (s *simulation) run(steps int) string {
+	for range steps {
+		s.moment++
+		s.step(s.nodes[s.draw(len(s.nodes))])
+		if s.fault != "" {
+			return s.fault
+		}
+	}
+	return ""
+}
+
+func (s *simulation) step(n *node) {
+	switch s.draw(13) {
+	case 0, 1:
+		s.begin(n)
+	case 2, 3, 4:
+		s.land()
+	case 5, 6, 7:
+		s.read(n, 1+s.draw(3))
+	case 8:
+		s.read(n, math.MaxInt)
+	case 9:
+		s.giveUp(n)
+	case 10:
+		for _, a := range n.table.Appends(s.log.now) {
+			s.flying = append(s.flying, a.Data)
+		}
+	case 11:
+		s.log.now = s.log.now.Add(s.steps[s.draw(len(s.steps))])
+	case 12:
+		if s.draw(8) == 0 {
+			s.restart(n)
+		}
+	}
+}
+
+func (s *simulation) begin(n *node) {
+	request := identifier.RequestID(fmt.Sprintf("r%d", s.moment))
+	k := identifier.IdempotencyKey([]string{"a", "b"}[s.draw(2)])
+	_, data, err := n.table.Begin(s.log.now, request, "account", k, identifier.Nonce(request), testWindow)
+	if err != nil {
+		s.fault = err.Error()
+		return
+	}
+	n.open = append(n.open, request)
+	s.flying = append(s.flying, data)
+	s.record(request, operation{
+		key:     k,
+		request: request,
+	})
+}
+
+func (s *simulation) record(id identifier.RequestID, o operation) {
+	op := &porcupine.Operation{
+		ClientId: len(s.order),
+		Input:    o,
+		Call:     2 * s.moment,
+		Output:   o,
+		Return:   math.MaxInt64,
+	}
+	s.ops[id] = op
+	s.order = append(s.order, op)
+}
+
+// land lets an append take effect, in any order, twice, or never.
+func (s *simulation) land() {
+	if len(s.flying) == 0 {
+		return
+	}
+	i := s.draw(len(s.flying))
+	data := s.flying[i]
+	fate := s.draw(8)
+	if fate != 0 {
+		s.flying = append(s.flying[:i:i], s.flying[i+1:]...)
+	}
+	if fate == 1 {
+		return
+	}
+	s.log.append(data)
+}
+
+func (s *simulation) read(n *node, limit int) {
+	read := s.log.read(n.from, limit)
+	decisions := n.table.Absorb(s.log.now, read)
+	if len(read.Records) > 0 {
+		n.from = read.Records[len(read.Records)-1].Offset + 1
+	}
+	for _, d := range decisions {
+		s.decided(n, d)
+	}
+}
+
+func (s *simulation) decided(n *node, d Decision) {
+	if d.Unsettled {
+		return
+	}
+	op := s.ops[d.Request]
+	o := op.Input.(operation)
+	o.winner = d.WinnerRequest
+	op.Output = o
+	op.Return = 2*s.moment + 1
+	if !d.Won {
+		return
+	}
+	if s.dropped[d.Request] {
+		s.fault = "a claim won that was given up"
+		return
+	}
+	if s.draw(3) == 0 {
+		n.table.Release(d.Request)
+		s.record("release "+d.Request, operation{
+			key:     o.key,
+			request: d.Request,
+			release: true,
+		})
+		return
+	}
+	s.send(o)
+}
+
+// send checks that no other request was sent under the key whose claim stands
+// in the log within the window.
+func (s *simulation) send(o operation) {
+	for _, other := range s.sent {
+		apart := s.appended(o.request).Sub(s.appended(other.request))
+		if other.key == o.key && max(apart, -apart) < testWindow {
+			s.fault = fmt.Sprintf("%s and %s were both sent under key %s, claimed %v apart", other.request, o.request, o.key, apart)
+		}
+	}
+	s.sent = append(s.sent, o)
+}
+
+func (s *simulation) appended(request identifier.RequestID) timekeeper.Time {
+	for _, r := range s.log.records {
+		var c record
+		if err := json.Unmarshal(r.Data, &c); err == nil && c.Kind == claimKind && c.Request == request {
+			return r.Appended
+		}
+	}
+	return timekeeper.Never
+}
+
+func (s *simulation) giveUp(n *node) {
+	if len(n.open) == 0 {
+		return
+	}
+	request := n.open[s.draw(len(n.open))]
+	if c := n.table.active[request]; c == nil || c.state != waiting {
+		return
+	}
+	n.table.Drop(request)
+	s.dropped[request] = true
+	o := s.ops[request].Input.(operation)
+	s.record("release "+request, operation{
+		key:     o.key,
+		request: request,
+		release: true,
+	})
+}
+
+// register is the model of a key: the first claim holds it until its release.
+// Claims whose decision is not known, and releases, may have had no effect.
+var register = porcupine.NondeterministicModel{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		parts := map[identifier.IdempotencyKey][]porcupine.Operation{}
+		for _, op := range history {
+			k := op.Input.(operation).key
+			parts[k] = append(parts[k], op)
+		}
+		return [][]porcupine.Operation{parts["a"], parts["b"]}
+	},
+	Init: func() []any { return []any{identifier.RequestID("")} },
+	Step: func(state, _, output any) []any {
+		holder, o := state.(identifier.RequestID), output.(operation)
+		switch {
+		case o.release && holder == o.request:
+			return []any{holder, identifier.RequestID("")}
+		case o.release:
+			return []any{holder}
+		case o.winner == "" && holder == "":
+			return []any{holder, o.request}
+		case o.winner == "":
+			return []any{holder}
+		case holder == "" && o.winner == o.request:
+			return []any{o.request}
+		case holder == o.winner && o.winner != o.request:
+			return []any{holder}
+		}
+		return nil
+	},
+}
+
+var (
+	anyPace  = []timekeeper.Duration{10, 10, 1 * timekeeper.Second, 7 * timekeeper.Second, 21 * timekeeper.Second, 39 * timekeeper.Second}
+	fastPace = []timekeeper.Duration{1, 10}
+)
+
+// TestKeyRunsAtMostOnce: callers give one key to several nodes at once and see
+// at most one run within the window. Appends land late, twice, out of order or
+// never; nodes read slowly, freeze past the log's retention, restart, give up.
+func TestKeyRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation(rapidSource(t), safeguards{}, anyPace)
+		require.Empty(t, s.run(300))
+	})
+}
+
+func TestManySeedsRunAtMostOnce(t *testing.T) {
+	sent := 0
+	for seed := range uint64(500) {
+		s := newSimulation(seeded(seed), safeguards{}, anyPace)
+		require.Empty(t, s.run(400), "seed %d", seed)
+		sent += len(s.sent)
+	}
+	require.Greater(t, sent, 500, "the simulation hardly ever sends")
+}
+
+// TestClaimsAreLinearizable: within one window each key behaves as a register
+// that its first writer holds, whatever becomes of the appends.
+func TestClaimsAreLinearizable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation(rapidSource(t), safeguards{}, fastPace)
+		require.Empty(t, s.run(80))
+		require.True(t, s.linearizable())
+	})
+}
+
+func TestModelObjectsToTwoWinners(t *testing.T) {
+	s := &simulation{ops: make(map[identifier.RequestID]*porcupine.Operation)}
+	for _, r := range []identifier.RequestID{"r1", "r2"} {
+		s.record(r, operation{
+			key:     "a",
+			request: r,
+			winner:  r,
+		})
+	}
+	require.False(t, s.linearizable())
+}
+
+func (s *simulation) linearizable() bool {
+	var history []porcupine.Operation
+	for _, op := range s.order {
+		history = append(history, *op)
+	}
+	return porcupine.CheckOperations(register.ToModel(), history)
+}
+
+// TestSafeguardsOfClaims: without one of the safeguards the same check objects.
+func TestSafeguardsOfClaims(t *testing.T) {
+	for name, off := range map[string]safeguards{
+		"trust a view with a gap":       {trustView: true},
+		"run what was given up":         {ignoreDrop: true},
+		"count the window from first":   {fixedWindow: true},
+		"forget by the node's own time": {localTime: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(3000) {
+				s := newSimulation(seeded(seed), off, anyPace)
+				if fault := s.run(400); fault != "" {
+					t.Logf("seed %d: %s", seed, fault)
+					return
+				}
+			}
+			require.Fail(t, "the check did not object")
+		})
+	}
+}
--- /dev/null
+++ b/internal/leaser/leaser_test.go
@@ -0,0 +1,324 @@
+package leaser
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+const (
+	testTTL       = 10 * timekeeper.Second
+	testRetention = 150 * timekeeper.Second
+	pool          = Name("pool-a")
+)
+
+type source func(n int) int
+
+func seeded(seed uint64) source { return rand.New(rand.NewPCG(seed, 1)).IntN }
+
+// fakeLog is a log of one stream that keeps records for testRetention.
+type fakeLog struct {
+	now     timekeeper.Time
+	records []messenger.Record
+}
+
+func (l *fakeLog) append(data []byte) {
+	l.records = append(l.records, messenger.Record{
+		Offset:   identifier.Offset(len(l.records) + 1),
+		Appended: l.now,
+		Data:     data,
+	})
+}
+
+func (l *fakeLog) read(from identifier.Offset, limit int) messenger.LogRead {
+	out := messenger.LogRead{
+		Stream: Stream,
+		First:  identifier.Offset(len(l.records) + 1),
+		End:    true,
+	}
+	for _, r := range l.records {
+		if l.now.Sub(r.Appended) >= testRetention {
+			continue
+		}
+		out.First = min(out.First, r.Offset)
+		if r.Offset < from {
+			continue
+		}
+		if len(out.Records) == limit {
+			out.End = false
+			break
+		}
+		out.Records = append(out.Records, r)
+	}
+	return out
+}
+
+// process is one start of the program on a VM, with a clock of its own.
+type process struct {
+	id     identifier.VMID
+	start  identifier.Incarnation
+	offset timekeeper.Time
+	// rate is the pace of the clock, in hundredths.
+	rate  timekeeper.Time
+	table *Table
+	from  identifier.Offset
+	// promised is the latest true time at which an order may leave, by fence.
+	promised map[identifier.Fence]timekeeper.Time
+}
+
+func (p *process) clock(now timekeeper.Time) timekeeper.Time { return p.offset + now*p.rate/100 }
+
+func (p *process) trueTime(local timekeeper.Time) timekeeper.Time {
+	return (local - p.offset) * 100 / p.rate
+}
+
+type simulation struct {
+	draw      source
+	off       safeguards
+	log       fakeLog
+	processes []*process
+	flying    [][]byte
+	starts    identifier.Incarnation
+	holding   map[*process]bool
+	history   []porcupine.Operation
+	tenures   int
+	fault     string
+}
+
+func newSimulation(draw source, off safeguards) *simulation {
+	s := &simulation{
+		draw:    draw,
+		off:     off,
+		log:     fakeLog{now: 1000},
+		holding: make(map[*process]bool),
+	}
+	for i := range 3 {
+		s.processes = append(s.processes, s.start(identifier.VMID(fmt.Sprintf("vm-%d", i))))
+	}
+	return s
+}
+
+func (s *simulation) start(id identifier.VMID) *process {
+	s.starts++
+	p := &process{
+		id:       id,
+		start:    s.starts,
+		offset:   timekeeper.Time(s.draw(20_000)),
+		rate:     timekeeper.Time(97 + s.draw(7)),
+		promised: make(map[identifier.Fence]timekeeper.Time),
+	}
+	p.table = New(Config{
+		Self:        id,
+		Incarnation: p.start,
+		TTL:         testTTL,
+		Retention:   testRetention,
+	})
+	p.table.off = s.off
+	p.table.Want(p.clock(s.log.now), pool)
+	return p
+}
+
+func (s *simulation) run(steps int) string {
+	for range steps {
+		s.step(s.draw(len(s.processes)))
+		s.observe()
+		if s.fault != "" {
+			return s.fault
+		}
+	}
+	if !porcupine.CheckOperations(lock, s.history) {
+		return "two processes held the lease at one instant"
+	}
+	return ""
+}
+
+func (s *simulation) step(i int) {
+	p := s.processes[i]
+	now := p.clock(s.log.now)
+	switch s.draw(16) {
+	case 0, 1, 2:
+		s.read(p, 1+s.draw(3))
+	case 3, 4, 5:
+		s.read(p, math.MaxInt)
+	case 6, 7, 8:
+		for _, a := range p.table.Tick(now, rand.New(rand.NewPCG(uint64(s.draw(100)), 1))) {
+			s.flying = append(s.flying, a.Data)
+		}
+	case 9, 10, 11, 12:
+		s.land()
+	case 13:
+		s.log.now = s.log.now.Add([]timekeeper.Duration{10, 300, 1000, 2500, 4000, 13_000, 45_000}[s.draw(7)])
+	case 14:
+		if s.draw(4) == 0 {
+			p.table.Release(pool)
+		} else {
+			p.table.Want(now, pool)
+		}
+	case 15:
+		if s.draw(8) == 0 {
+			s.processes[i] = s.start(p.id)
+			s.believe(p, false)
+		}
+	}
+}
+
+func (s *simulation) read(p *process, limit int) {
+	read := s.log.read(p.from, limit)
+	p.table.Absorb(p.clock(s.log.now), read)
+	if len(read.Records) > 0 {
+		p.from = read.Records[len(read.Records)-1].Offset + 1
+	}
+}
+
+// land lets an append take effect, in any order, twice, or never.
+func (s *simulation) land() {
+	if len(s.flying) == 0 {
+		return
+	}
+	i := s.draw(len(s.flying))
+	data := s.flying[i]
+	fate := s.draw(8)
+	if fate != 0 {
+		s.flying = append(s.flying[:i:i], s.flying[i+1:]...)
+	}
+	if fate != 1 {
+		s.log.append(data)
+	}
+}
+
+// observe notes who believes to hold the lease, those who no longer do first.
+func (s *simulation) observe() {
+	for _, belief := range []bool{false, true} {
+		for _, p := range s.processes {
+			fence, notAfter, ok := p.table.Held(pool, p.clock(s.log.now))
+			if ok == belief {
+				s.believe(p, ok)
+			}
+			if ok && belief {
+				p.promised[fence] = max(p.promised[fence], p.trueTime(notAfter))
+				s.checkWaitOut(p, fence)
+			}
+		}
+	}
+}
+
+// checkWaitOut objects if an order of an earlier tenure may still leave when
+// the holder takes it for over.
+func (s *simulation) checkWaitOut(holder *process, fence identifier.Fence) {
+	if holder.clock(s.log.now).Before(holder.table.SafeAfter(pool)) {
+		return
+	}
+	for _, p := range s.processes {
+		for f, until := range p.promised {
+			if p != holder && f < fence && s.log.now.Before(until) {
+				s.fault = fmt.Sprintf("%s ends its wait before an order under fence %d leaves", holder.id, f)
+			}
+		}
+	}
+}
+
+func (s *simulation) believe(p *process, holds bool) {
+	if s.holding[p] == holds {
+		return
+	}
+	s.holding[p] = holds
+	if holds {
+		s.tenures++
+	}
+	moment := int64(2 * len(s.history))
+	s.history = append(s.history, porcupine.Operation{
+		ClientId: int(p.start),
+		Input:    holds,
+		Call:     moment,
+		Output:   p.start,
+		Return:   moment + 1,
+	})
+}
+
+// lock is the model of a lease: one holder at a time.
+var lock = porcupine.Model{
+	Init: func() any { return identifier.Incarnation(0) },
+	Step: func(state, input, output any) (bool, any) {
+		if input.(bool) {
+			return state == identifier.Incarnation(0), output
+		}
+		return state == output, identifier.Incarnation(0)
+	},
+}
+
+// TestOneHolder: at no instant do two processes believe that they hold the
+// lease. Clocks differ and run at different rates, appends land late, twice or
+// never, processes freeze past their terms and past the log's retention.
+func TestOneHolder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "draw") }
+		require.Empty(t, newSimulation(draw, safeguards{}).run(300))
+	})
+}
+
+func TestManySeedsOneHolder(t *testing.T) {
+	tenures := 0
+	for seed := range uint64(1500) {
+		s := newSimulation(seeded(seed), safeguards{})
+		require.Empty(t, s.run(500), "seed %d", seed)
+		tenures += s.tenures
+	}
+	require.Greater(t, tenures, 1500, "the simulation hardly ever grants the lease")
+}
+
+// TestSafeguardsOfLeases: without one of the safeguards the same check objects.
+func TestSafeguardsOfLeases(t *testing.T) {
+	for name, off := range map[string]safeguards{
+		"count the own term from the read-back": {countFromRead: true},
+		"grant without naming the last record":  {ignoreFollows: true},
+		"hold without a look at the clock":      {ignoreClock: true},
+		"count others' terms without margin":    {noMargin: true},
+		"believe in what follows the unread":    {trustHidden: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(20000) {
+				if fault := newSimulation(seeded(seed), off).run(500); fault != "" {
+					t.Logf("seed %d: %s", seed, fault)
+					return
+				}
+			}
+			require.Fail(t, "the check did not object")
+		})
+	}
+}
+
+// TestLeaseComesBack: after any history, once the network is calm again, some
+// process holds the lease within a few terms.
+func TestLeaseComesBack(t *testing.T) {
+	for seed := range uint64(300) {
+		s := newSimulation(seeded(seed), safeguards{})
+		require.Empty(t, s.run(300), "seed %d", seed)
+		for range 120 {
+			s.log.now = s.log.now.Add(timekeeper.Second)
+			for _, p := range s.processes {
+				p.table.Want(p.clock(s.log.now), pool)
+				s.read(p, math.MaxInt)
+				for _, a := range p.table.Tick(p.clock(s.log.now), rand.New(rand.NewPCG(seed, 2))) {
+					s.log.append(a.Data)
+				}
+			}
+			s.observe()
+		}
+		holders := 0
+		for _, p := range s.processes {
+			if _, _, ok := p.table.Held(pool, p.clock(s.log.now)); ok {
+				holders++
+			}
+		}
+		require.Equal(t, 1, holders, "seed %d", seed)
+	}
+}
