Notice a log that keeps records for less than the folder says

Cause: with too long a retention in the folder, a node that was paused past the true one took an expired change for one that never was, and differed from its peers until it was replaced. Ruled out: trusting the figure, which is the operators' and can be wrong. Conclusion: the scenario holds, and objects with the rule off.

--- a/internal/configurer/rules.go
+++ b/internal/configurer/rules.go
@@ -33,6 +33,11 @@
 	// a node that was paused for longer than the retention judges changes by
 	// an old state and tells operators other verdicts than its peers.
 	detectGap bool
+	// learnRetention notices that the log drops records earlier than the folder
+	// says. Without it a folder that names too long a retention lets a paused
+	// node take lost records for records that never were. The record that
+	// dates the pause has expired too, so its age bounds the true retention.
+	learnRetention bool
 	// importOnlyNewer refuses a peer's state that is not newer. Without it a
 	// peer that lags takes a node below a revision that it has applied.
 	importOnlyNewer bool
@@ -51,6 +56,7 @@
 		ignoreSeenSnapshots: true,
 		replayFromAsOf:      true,
 		detectGap:           true,
+		learnRetention:      true,
 		importOnlyNewer:     true,
 		appendSnapshots:     true,
 	}
--- a/internal/configurer/snapshot.go
+++ b/internal/configurer/snapshot.go
@@ -103,7 +103,7 @@
 	if !s.Ready() || (empty && !s.schedule.wanted()) || !s.rules.appendSnapshots {
 		return nil, false
 	}
-	if now.Before(s.schedule.due(now, s.view.catalog.LogRetention, rng)) {
+	if now.Before(s.schedule.due(now, s.retention(), rng)) {
 		return nil, false
 	}
 	s.schedule.dueAt = now.Add(snapshotRetry + jitter(snapshotRetry, rng))
--- a/internal/configurer/state.go
+++ b/internal/configurer/state.go
@@ -40,8 +40,13 @@
 	endedAt  timekeeper.Time
 	pending  []proposal
 	schedule schedule
-	dropped  Dropped
-	problem  error
+	// last and lastAppended are the offset and time of the last record that
+	// was applied; shortest is the least age at which one was seen expired.
+	last         identifier.Offset
+	lastAppended timekeeper.Time
+	shortest     timekeeper.Duration
+	dropped      Dropped
+	problem      error
 }
 
 // Dropped counts what a State has dropped.
@@ -140,11 +145,12 @@
 	if first == 0 {
 		return
 	}
+	s.learnRetention(now, first)
 	s.schedule.expiredTo = max(s.schedule.expiredTo, first-1)
 	if first-1 <= s.view.asOf {
 		return
 	}
-	sure := s.caughtUp && !s.gap() && now.Sub(s.endedAt) < s.view.catalog.LogRetention/2
+	sure := s.caughtUp && !s.gap() && now.Sub(s.endedAt) < s.retention()/2
 	if sure || !s.rules.detectGap {
 		s.view.asOf = first - 1
 		return
@@ -152,6 +158,27 @@
 	s.lostTo = max(s.lostTo, first-1)
 }
 
+// learnRetention notes the age at which the log has dropped a record.
+func (s *State) learnRetention(now timekeeper.Time, first identifier.Offset) {
+	if s.last == 0 || first <= s.last || !s.rules.learnRetention {
+		return
+	}
+	age := now.Sub(s.lastAppended)
+	if s.shortest == 0 || age < s.shortest {
+		s.shortest = age
+	}
+}
+
+// retention returns how long the log keeps a record: as the operators say, or
+// as was seen where that is less.
+func (s *State) retention() timekeeper.Duration {
+	configured := s.view.catalog.LogRetention
+	if s.shortest == 0 {
+		return configured
+	}
+	return min(configured, max(s.shortest, minRetention))
+}
+
 // take takes in one record.
 func (s *State) take(now timekeeper.Time, rec messenger.Record) []Applied {
 	if rec.Offset <= s.seenTo || rec.Offset <= s.view.asOf {
@@ -169,6 +196,7 @@
 	s.view.asOf = rec.Offset
 	r, err := decode(rec.Offset, rec.Data)
 	appended := appendedAt(now, rec)
+	s.last, s.lastAppended = rec.Offset, appended
 	switch {
 	case err != nil:
 		s.dropped.Malformed++
--- a/internal/configurer/state_test.go
+++ b/internal/configurer/state_test.go
@@ -50,6 +50,10 @@
 			holds: pauseHolds,
 			off:   func(r *rules) { r.detectGap = false },
 		},
+		"folder names too long a retention": {
+			holds: wrongRetentionHolds,
+			off:   func(r *rules) { r.learnRetention = false },
+		},
 		"older peer": {
 			holds: olderPeerHolds,
 			off:   func(r *rules) { r.importOnlyNewer = false },
@@ -172,6 +176,26 @@
 	return faulty && paused.Fault() == nil && same(paused, s)
 }
 
+// The folder says that the log keeps records for a day; it keeps them for an
+// hour. A node is paused for two hours, within what the folder says, and misses
+// a change that has expired: it must notice, and not take its state for whole.
+func wrongRetentionHolds(r rules) bool {
+	l := newTestLog()
+	s, paused := l.ready(r), l.ready(r)
+	l.write(s, fileA, "[log]\nretention = 24h\n")
+	l.read(paused)
+	l.write(s, fileB, zoneFile("x"))
+	for range 120 {
+		l.advance(2 * testRetention / 120)
+		l.read(s)
+		if data, due := s.SnapshotDue(l.now, l.rng); due {
+			l.append(data)
+		}
+	}
+	l.read(paused)
+	return s.Fault() == nil && paused.Fault() == nil && same(s, paused)
+}
+
 // A peer that lags gives its state to a node that has read further: the node
 // must not go below a revision that it has applied.
 func olderPeerHolds(r rules) bool {
