Let zero rules mean off in all decision packages

Cause: router, planner and scaler took zero rules for off, the others for on, so that a baseline without rules would have had the detector. Change: limiter, retrier and detector take zero rules for off; callers ask for AllRules. Peers' demand of accounts that the catalog does not name is left out, which bounds the table before there is a catalog.

--- a/internal/detector/detector.go
+++ b/internal/detector/detector.go
@@ -86,8 +86,8 @@
 	}
 }
 
-// Config sets up Suspicions. Zero fields mean the defaults; zero Rules
-// mean all rules.
+// Config sets up Suspicions. Zero numbers mean the defaults, but zero Rules
+// mean that all rules are off: see AllRules.
 type Config struct {
 	Rules Rules
 	// HoldOff is the time without work after a first suspicion; it doubles up
@@ -104,9 +104,6 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.Rules == (Rules{}) {
-		c.Rules = AllRules()
-	}
 	if c.HoldOff <= 0 {
 		c.HoldOff = DefaultHoldOff
 	}
--- a/internal/detector/detector_test.go
+++ b/internal/detector/detector_test.go
@@ -16,7 +16,7 @@
 func TestEvidenceThatMakesSuspect(t *testing.T) {
 	check := func(name string, want bool, spaced timekeeper.Duration, kinds ...Kind) {
 		t.Helper()
-		s, now := New(Config{}), testNow
+		s, now := New(Config{Rules: AllRules()}), testNow
 		for _, k := range kinds {
 			now = now.Add(spaced)
 			s.Observe(now, "a", Observation{Kind: k})
@@ -178,7 +178,10 @@
 }
 
 func TestServersAreBounded(t *testing.T) {
-	s := New(Config{MaxServers: 3})
+	s := New(Config{
+		Rules:      AllRules(),
+		MaxServers: 3,
+	})
 	s.Observe(testNow, "a", Observation{Kind: NotSent})
 	s.Observe(testNow, "a", Observation{Kind: NotSent})
 	for i := range 10 {
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -65,7 +65,7 @@
 	}
 }
 
-// Config sets up Limits. Zero Rules mean all rules.
+// Config sets up Limits. Zero Rules mean that all rules are off: see AllRules.
 type Config struct {
 	Rules Rules
 }
@@ -111,9 +111,6 @@
 
 // New returns Limits without a catalog, which refuse everything.
 func New(c Config) *Limits {
-	if c.Rules == (Rules{}) {
-		c.Rules = AllRules()
-	}
 	return &Limits{
 		rules:    c.Rules,
 		accounts: make(map[identifier.AccountID]*account),
--- a/internal/limiter/share.go
+++ b/internal/limiter/share.go
@@ -53,16 +53,14 @@
 }
 
 // SetPeers takes in the demand at each live peer. Peers that are missing no
-// longer count as nodes.
+// longer count as nodes. Accounts that the catalog does not name are left out.
 func (l *Limits) SetPeers(_ timekeeper.Time, peers map[identifier.VMID]map[identifier.AccountID]Demand) {
 	l.nodes = len(peers) + 1
 	clear(l.others)
 	for _, vm := range sortedPeers(peers) {
 		for id, d := range peers[vm] {
-			if l.catalog != nil {
-				if _, ok := l.catalog.Accounts[id]; !ok {
-					continue
-				}
+			if !l.names(id) {
+				continue
 			}
 			sum := l.others[id]
 			sum.Requests += max(d.Requests, 0)
@@ -72,6 +70,14 @@
 	}
 }
 
+func (l *Limits) names(id identifier.AccountID) bool {
+	if l.catalog == nil {
+		return false
+	}
+	_, ok := l.catalog.Accounts[id]
+	return ok
+}
+
 // sortedPeers fixes the order of summation, because sums of floating-point
 // numbers depend on it.
 func sortedPeers(peers map[identifier.VMID]map[identifier.AccountID]Demand) []identifier.VMID {
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -60,8 +60,8 @@
 	}
 }
 
-// Config sets up Budgets. Zero fields mean the defaults; zero Rules
-// mean all rules.
+// Config sets up Budgets. Zero numbers mean the defaults, but zero Rules
+// mean that all rules are off: see AllRules.
 type Config struct {
 	Rules Rules
 	// Backoff is the longest pause before the first retry; it doubles with
@@ -82,9 +82,6 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.Rules == (Rules{}) {
-		c.Rules = AllRules()
-	}
 	if c.Backoff <= 0 {
 		c.Backoff = DefaultBackoff
 	}
--- a/internal/retrier/retrier_test.go
+++ b/internal/retrier/retrier_test.go
@@ -36,8 +36,8 @@
 	check := func(result messenger.AttemptResult, idempotent, again bool, outcome messenger.Outcome) {
 		t.Helper()
 		a := broken(func(a *Ask) { a.Result, a.Idempotent = result, idempotent })
-		require.Equal(t, again, New(Config{}).Next(testNow, a, seeded(1)).Again)
-		late := New(Config{}).Next(a.Deadline, a, seeded(1))
+		require.Equal(t, again, New(Config{Rules: AllRules()}).Next(testNow, a, seeded(1)).Again)
+		late := New(Config{Rules: AllRules()}).Next(a.Deadline, a, seeded(1))
 		require.False(t, late.Again)
 		require.Equal(t, outcome, late.Outcome)
 	}
@@ -58,7 +58,7 @@
 	last := func(edit func(*Ask)) messenger.Outcome {
 		a := broken(func(a *Ask) { a.Result, a.Attempts = messenger.AttemptRefused, DefaultMaxAttempts })
 		edit(&a)
-		return New(Config{}).Next(testNow, a, seeded(1)).Outcome
+		return New(Config{Rules: AllRules()}).Next(testNow, a, seeded(1)).Outcome
 	}
 	require.Equal(t, messenger.Unknown, last(func(*Ask) {}))
 	require.Equal(t, messenger.NotRun, last(func(a *Ask) { a.EarlierNotRun = true }))
@@ -72,7 +72,7 @@
 		messenger.AttemptBroken, messenger.AttemptSilent, messenger.AttemptFailed,
 	}
 	rapid.Check(t, func(t *rapid.T) {
-		b, rng := New(Config{}), seeded(rapid.Uint64().Draw(t, "seed"))
+		b, rng := New(Config{Rules: AllRules()}), seeded(rapid.Uint64().Draw(t, "seed"))
 		now := testNow
 		for range rapid.IntRange(1, 50).Draw(t, "steps") {
 			now = now.Add(timekeeper.Duration(rapid.IntRange(0, 2000).Draw(t, "pause")))
@@ -142,7 +142,7 @@
 	rules.PlannedFree = false
 	require.Equal(t, messenger.ReasonRetriesSpent, moved(rules).Reason)
 
-	b, rng := New(Config{}), seeded(1)
+	b, rng := New(Config{Rules: AllRules()}), seeded(1)
 	pause := timekeeper.Duration(0)
 	for range 20 {
 		pause = max(pause, b.Next(testNow, broken(func(a *Ask) {
