--- /dev/null
+++ b/internal/bencher/bencher_test.go
@@ -0,0 +1,41 @@
+package bencher
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Every request that arrives after the warm-up ends exactly once, and a run
+// follows from its seed.
+func TestRunAccountsForEveryRequest(t *testing.T) {
+	d := Deployments()[1]
+	first := Run(d, Policy(), 1)
+	arrived := 0
+	for _, r := range newArrivals(d, catalogOf(d), 1).all() {
+		if counts(r) {
+			arrived++
+		}
+	}
+	require.Equal(t, arrived, first.Requests+first.Beyond)
+	answered := 0
+	for _, l := range first.Latencies {
+		answered += int(l.Completion.TotalCount())
+	}
+	entitledRefused := first.Requests - answered - first.Expired - first.Failed
+	require.GreaterOrEqual(t, entitledRefused, 0)
+
+	again := Run(d, Policy(), 1)
+	require.Equal(t, first.Penalties, again.Penalties)
+	require.Equal(t, first.VMs, again.VMs)
+	require.InDelta(t, first.Recomputed, again.Recomputed, 0)
+}
+
+func TestVariantsHaveNamesOfTheirOwn(t *testing.T) {
+	seen := make(map[string]bool)
+	for _, v := range Variants() {
+		require.False(t, seen[v.Name], v.Name)
+		seen[v.Name] = true
+	}
+	require.Len(t, seen, len(Variants()))
+}
