Add the membership of nodes and servers by gossip

Cause: a leaving server must get no new work within seconds on every node, and a dead node's requests wait for it to be noticed, with no coordination service. Ruled out: believing claims that a peer is dead, which lets one cut-off node talk the others into it; a digest and answer per peer, which costs a round trip in each period; spreading whole records on every join, which took over 30 s to start 400 nodes at once. Change: heartbeats, leaving marks, news and a slice of the state in messages with a byte budget; marks go out at the next tick; late heartbeats are asked for; unknown keys are asked for; a new or thawed node asks for the state.

--- /dev/null
+++ b/internal/gossiper/cluster_test.go
@@ -0,0 +1,220 @@
+package gossiper
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// seedOfTests makes every run of the fake network the same.
+const seedOfTests = 7
+
+// start is when the fake networks begin.
+const start timekeeper.Time = 1_000_000
+
+// cluster drives several memberships through a fake network in virtual time.
+// A message takes one step of messenger.TickEvery.
+type cluster struct {
+	t       testing.TB
+	now     timekeeper.Time
+	rng     *rand.Rand
+	members []*Members
+	byVM    map[identifier.VMID]*Members
+	byAddr  map[string]identifier.VMID
+	off     map[identifier.VMID]bool
+	cut     map[link]bool
+	loss    float64
+	flying  []flight
+	sent    int
+	bytes   int
+	// changes holds all changes by the node that reported them.
+	changes map[identifier.VMID][]Change
+}
+
+type link struct{ from, to identifier.VMID }
+
+type flight struct {
+	link
+	data []byte
+}
+
+func entryVM(i int) identifier.VMID {
+	return identifier.VMID(fmt.Sprintf("quillmark-entry-%03d", i))
+}
+
+func engineVM(i int) identifier.VMID {
+	return identifier.VMID(fmt.Sprintf("quillmark-engine-%03d", i))
+}
+
+func zoneOf(i int) identifier.Zone {
+	return identifier.Zone([]string{"boston-a", "boston-b", "providence", "portland-me"}[i%4])
+}
+
+func configOf(i int) Config {
+	return Config{
+		Self:          entryVM(i),
+		Incarnation:   1_780_000_000_000,
+		Zone:          zoneOf(i),
+		Region:        "new-england",
+		PeerAddress:   fmt.Sprintf("10.0.%d.%d:7001", i/256, i%256),
+		CallerAddress: fmt.Sprintf("10.0.%d.%d:7000", i/256, i%256),
+	}
+}
+
+// listOf returns the platform's list of so many entry VMs and engines.
+func listOf(nodes, engines int) []messenger.VMState {
+	var vms []messenger.VMState
+	for i := range nodes {
+		vms = append(vms, messenger.VMState{
+			VM:      entryVM(i),
+			Zone:    zoneOf(i),
+			Address: configOf(i).PeerAddress,
+		})
+	}
+	for i := range engines {
+		vms = append(vms, messenger.VMState{
+			VM:      engineVM(i),
+			Zone:    zoneOf(i),
+			Class:   "gpu-small",
+			Market:  catalog.Reclaimable,
+			Pool:    "readers",
+			Address: fmt.Sprintf("10.1.%d.%d:8000", i/256, i%256),
+		})
+	}
+	return vms
+}
+
+// newCluster returns n nodes that have read one list and know one another.
+func newCluster(t testing.TB, n, engines int) *cluster {
+	c := &cluster{
+		t:       t,
+		now:     start,
+		rng:     rand.New(rand.NewPCG(seedOfTests, 0)),
+		byVM:    map[identifier.VMID]*Members{},
+		byAddr:  map[string]identifier.VMID{},
+		off:     map[identifier.VMID]bool{},
+		cut:     map[link]bool{},
+		changes: map[identifier.VMID][]Change{},
+	}
+	for i := range n {
+		c.add(New(configOf(i)))
+	}
+	for _, m := range c.members {
+		c.note(m, m.ListRead(c.now, c.now, listOf(n, engines)))
+	}
+	c.until("all know all", 30*timekeeper.Second, func() bool {
+		return c.all(func(m *Members) bool { return len(m.Nodes()) == n && !m.wantSync })
+	})
+	c.run(3 * timekeeper.Second)
+	return c
+}
+
+func (c *cluster) add(m *Members) {
+	c.members = append(c.members, m)
+	c.byVM[m.self.VM] = m
+	c.byAddr[m.self.PeerAddress] = m.self.VM
+}
+
+func (c *cluster) note(m *Members, changes []Change) {
+	c.changes[m.self.VM] = append(c.changes[m.self.VM], changes...)
+}
+
+func (c *cluster) saw(vm identifier.VMID, kind ChangeKind, about identifier.VMID) bool {
+	for _, ch := range c.changes[vm] {
+		if ch.Kind == kind && ch.VM == about {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *cluster) all(f func(*Members) bool) bool {
+	for _, m := range c.members {
+		if !c.off[m.self.VM] && !f(m) {
+			return false
+		}
+	}
+	return true
+}
+
+// step lets one tick pass: messages of the last step arrive, then nodes tick.
+func (c *cluster) step() {
+	c.now = c.now.Add(messenger.TickEvery)
+	arriving := c.flying
+	c.flying = nil
+	for _, f := range arriving {
+		c.deliver(f)
+	}
+	for i, m := range c.members {
+		// Nodes start at different instants of their periods.
+		if c.off[m.self.VM] || c.now < start.Add(messenger.TickEvery*timekeeper.Duration(i%10)) {
+			continue
+		}
+		messages, changes := m.Tick(c.now, c.rng)
+		c.note(m, changes)
+		for _, message := range messages {
+			c.send(m, message)
+		}
+	}
+}
+
+func (c *cluster) send(m *Members, message Message) {
+	c.sent++
+	c.bytes += len(message.Data)
+	c.flying = append(c.flying, flight{
+		link: link{
+			from: m.self.VM,
+			to:   c.byAddr[message.Address],
+		},
+		data: message.Data,
+	})
+}
+
+func (c *cluster) deliver(f flight) {
+	if c.off[f.to] || c.cut[f.link] || c.rng.Float64() < c.loss {
+		return
+	}
+	m := c.byVM[f.to]
+	if m == nil {
+		return
+	}
+	changes, err := m.Receive(c.now, f.from, f.data)
+	require.NoError(c.t, err)
+	c.note(m, changes)
+}
+
+func (c *cluster) run(d timekeeper.Duration) {
+	for end := c.now.Add(d); c.now < end; {
+		c.step()
+	}
+}
+
+// until runs until f holds and returns how long that took.
+func (c *cluster) until(what string, limit timekeeper.Duration, f func() bool) timekeeper.Duration {
+	began := c.now
+	for !f() {
+		if c.now.Sub(began) > limit {
+			require.FailNow(c.t, "not in time", "%s within %v", what, limit)
+		}
+		c.step()
+	}
+	return c.now.Sub(began)
+}
+
+// leavingEverywhere reports whether all nodes that are up take the server for
+// leaving.
+func (c *cluster) leavingEverywhere(vm identifier.VMID) bool {
+	return c.all(func(m *Members) bool { return isLeaving(m, vm) })
+}
+
+func isLeaving(m *Members, vm identifier.VMID) bool {
+	s, ok := m.Server(vm)
+	return !ok || s.Leaving
+}
--- a/internal/gossiper/node.go
+++ b/internal/gossiper/node.go
@@ -1,6 +1,10 @@
 package gossiper
 
 import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -20,6 +24,10 @@
 	Dead NodeState = "dead"
 )
 
+// forgetAfter is how long a dead node is remembered once the list does not
+// show it any more.
+const forgetAfter = 10 * timekeeper.Minute
+
 // Node is a member as this node knows it.
 type Node struct {
 	VM            identifier.VMID
@@ -34,3 +42,180 @@
 	// LastHeard is when news of it last arrived, directly or through others.
 	LastHeard timekeeper.Time
 }
+
+// nodeRecord is a node with what gossip needs to know of it. The counts of
+// sends tell for how many rounds a change was passed on.
+type nodeRecord struct {
+	Node
+	key       uint64
+	heartbeat uint64
+	// heartbeatSent tells that the present heartbeat was passed on, sentRound
+	// in which round any was.
+	heartbeatSent bool
+	sentRound     uint64
+	lateSends     int
+	news          News
+	newsVersion   uint64
+	newsSends     int
+}
+
+// seed is an entry VM that the platform's list shows.
+type seed struct {
+	vm      identifier.VMID
+	address string
+	asOf    timekeeper.Time
+}
+
+// keyOf is the short name of an incarnation of a node in messages.
+func keyOf(vm identifier.VMID, i identifier.Incarnation) uint64 {
+	return xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(vm), uint64(i)))
+}
+
+// Nodes returns the members, this node included and dead ones left out,
+// sorted by VM.
+func (m *Members) Nodes() []Node {
+	var found []Node
+	for _, r := range m.nodes.values() {
+		if r.State != Dead {
+			found = append(found, r.Node)
+		}
+	}
+	return found
+}
+
+// Node returns a member, also a dead one.
+func (m *Members) Node(vm identifier.VMID) (Node, bool) {
+	r := m.nodes.get(vm)
+	if r == nil {
+		return Node{}, false
+	}
+	return r.Node, true
+}
+
+// heard takes in a record of an incarnation of a node.
+func (m *Members) heard(now timekeeper.Time, n Node, heartbeat uint64) []Change {
+	if n.VM == m.self.VM {
+		return m.heardSelf(n.Incarnation)
+	}
+	known := m.nodes.get(n.VM)
+	switch {
+	case known == nil:
+		return m.join(now, n, heartbeat)
+	case n.Incarnation < known.Incarnation:
+		return nil
+	case n.Incarnation == known.Incarnation:
+		return m.beat(now, known, heartbeat)
+	}
+	var changes []Change
+	if known.State != Dead {
+		changes = append(changes, known.change(NodeDead))
+	}
+	delete(m.keys, known.key)
+	m.nodes.remove(n.VM)
+	return append(changes, m.join(now, n, heartbeat)...)
+}
+
+func (m *Members) heardSelf(i identifier.Incarnation) []Change {
+	if i <= m.self.Incarnation {
+		return nil
+	}
+	return []Change{m.self.change(NodeOutdated)}
+}
+
+func (m *Members) join(now timekeeper.Time, n Node, heartbeat uint64) []Change {
+	n.State = Alive
+	n.LeaveBy = timekeeper.Never
+	n.LastHeard = now
+	r := &nodeRecord{
+		Node:      n,
+		key:       keyOf(n.VM, n.Incarnation),
+		heartbeat: heartbeat,
+	}
+	if !m.nodes.put(n.VM, r) {
+		return nil
+	}
+	m.keys[r.key] = r
+	return append([]Change{r.change(NodeJoined)}, m.judge(now, r)...)
+}
+
+// beat takes in a heartbeat. Only one that is larger than the last is news:
+// the same one arrives many times, also long after the node has died.
+func (m *Members) beat(now timekeeper.Time, r *nodeRecord, heartbeat uint64) []Change {
+	if r == m.self || heartbeat <= r.heartbeat {
+		return nil
+	}
+	r.heartbeat = heartbeat
+	r.heartbeatSent = false
+	r.lateSends = 0
+	r.LastHeard = now
+	return m.judge(now, r)
+}
+
+// judge brings the state of a node up to date.
+func (m *Members) judge(now timekeeper.Time, r *nodeRecord) []Change {
+	before := r.State
+	r.State = m.stateOf(now, r)
+	if r.State == before {
+		return nil
+	}
+	r.lateSends = 0
+	switch r.State {
+	case Dead:
+		return []Change{r.change(NodeDead)}
+	case Suspect:
+		return []Change{r.change(NodeSuspect)}
+	case Leaving:
+		return []Change{r.change(NodeLeaving)}
+	}
+	return []Change{r.change(NodeAlive)}
+}
+
+func (m *Members) judgeAll(now timekeeper.Time) []Change {
+	var changes []Change
+	for _, r := range m.nodes.values() {
+		changes = append(changes, m.judge(now, r)...)
+	}
+	return changes
+}
+
+func (m *Members) stateOf(now timekeeper.Time, r *nodeRecord) NodeState {
+	r.LeaveBy = timekeeper.Never
+	mk := m.marks.get(r.VM)
+	leaving := mk != nil && mk.covers(r.Incarnation)
+	if leaving {
+		r.LeaveBy = mk.deadline
+	}
+	age := now.Sub(r.LastHeard)
+	switch {
+	case r != m.self && age >= m.deadAfter():
+		return Dead
+	case leaving:
+		return Leaving
+	case r != m.self && age >= m.suspectAfter():
+		return Suspect
+	}
+	return Alive
+}
+
+func (r *nodeRecord) change(k ChangeKind) Change {
+	c := Change{
+		Kind:        k,
+		VM:          r.VM,
+		Incarnation: r.Incarnation,
+	}
+	if k == NodeLeaving {
+		c.Deadline = r.LeaveBy
+	}
+	return c
+}
+
+// forgetNodes drops nodes that are long dead and not in the list.
+func (m *Members) forgetNodes(now timekeeper.Time) {
+	for _, r := range m.nodes.values() {
+		gone := r.State == Dead && now.Sub(r.LastHeard) >= forgetAfter
+		if gone && m.seeds.get(r.VM) == nil {
+			delete(m.keys, r.key)
+			m.nodes.remove(r.VM)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gossiper/size_test.go
@@ -0,0 +1,127 @@
+package gossiper
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// maxBytesPerSecond is what one node may send for gossip.
+const maxBytesPerSecond = 23_000
+
+var sizes = []struct{ nodes, servers int }{
+	{
+		nodes:   9,
+		servers: 14,
+	},
+	{
+		nodes:   400,
+		servers: 600,
+	},
+}
+
+// busyNews gives a node the demand of its shard of client accounts, which
+// changes every time.
+func busyNews(m *Members, rng *rand.Rand) {
+	demand := map[identifier.AccountID]Demand{}
+	for i := range 5 {
+		demand[identifier.AccountID(fmt.Sprintf("account-%03d", i))] = Demand{
+			Requests: rng.Float64() * 100,
+			Tokens:   rng.Float64() * 10000,
+		}
+	}
+	m.SetNews(News{
+		Revision: 12345,
+		Demand:   demand,
+	})
+}
+
+// All nodes run with the default settings, demand changes every second and a
+// tenth of the messages is lost. No node may take another for late, and the
+// gossip of a node must stay within its share of the network.
+func TestBytesPerSecond(t *testing.T) {
+	for _, size := range sizes {
+		t.Run(fmt.Sprintf("%d nodes", size.nodes), func(t *testing.T) {
+			c := newCluster(t, size.nodes, size.servers)
+			c.loss = 0.1
+			c.sent, c.bytes = 0, 0
+			c.changes = map[identifier.VMID][]Change{}
+			const seconds = 10
+			var oldest timekeeper.Duration
+			for range seconds {
+				for _, m := range c.members {
+					busyNews(m, c.rng)
+				}
+				c.run(timekeeper.Second)
+				oldest = max(oldest, c.oldestHeartbeat())
+			}
+			perSecond := c.bytes / seconds / size.nodes
+			t.Logf("%d bytes/s and %.1f messages/s per node, oldest heartbeat %v, suspect after %v",
+				perSecond, float64(c.sent)/seconds/float64(size.nodes), oldest, c.members[0].suspectAfter())
+			require.Less(t, perSecond, maxBytesPerSecond)
+			changes := slices.Concat(slices.Collect(maps.Values(c.changes))...)
+			require.Zero(t, len(changes), "nobody is late")
+		})
+	}
+}
+
+func (c *cluster) oldestHeartbeat() timekeeper.Duration {
+	var oldest timekeeper.Duration
+	for _, m := range c.members {
+		for _, n := range m.Nodes() {
+			oldest = max(oldest, c.now.Sub(n.LastHeard))
+		}
+	}
+	return oldest
+}
+
+func BenchmarkTick(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("%d_nodes", size.nodes), func(b *testing.B) {
+			m := newCluster(b, size.nodes, size.servers).members[0]
+			rng := rand.New(rand.NewPCG(seedOfTests, 1))
+			now := m.lastNow
+			sent, bytes := 0, 0
+			for b.Loop() {
+				now++
+				for _, r := range m.nodes.values() {
+					r.LastHeard = now
+					r.heartbeatSent = false
+				}
+				m.nextDue = now
+				messages, _ := m.Tick(now, rng)
+				for _, message := range messages {
+					sent++
+					bytes += len(message.Data)
+				}
+			}
+			b.ReportMetric(float64(bytes)/float64(sent), "bytes/message")
+		})
+	}
+}
+
+func BenchmarkReceive(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("%d_nodes", size.nodes), func(b *testing.B) {
+			c := newCluster(b, size.nodes, size.servers)
+			for len(c.flying) == 0 || c.flying[0].to == c.flying[0].from {
+				c.step()
+			}
+			f := c.flying[0]
+			to := c.byVM[f.to]
+			for b.Loop() {
+				if _, err := to.Receive(c.now, f.from, f.data); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(f.data)), "bytes/message")
+		})
+	}
+}
--- /dev/null
+++ b/internal/gossiper/tick.go
@@ -0,0 +1,181 @@
+package gossiper
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	pb "github.com/dotterelhollow/dotterelhollow/internal/gossiper/gossiperpb"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// askAgainAfter is how long a node waits for the whole state before it asks
+// another peer.
+const askAgainAfter = 2 * timekeeper.Second
+
+// Message is to be sent to a peer. Peer is empty where only the address of a
+// configured seed is known.
+type Message struct {
+	Peer    identifier.VMID
+	Address string
+	Data    []byte
+}
+
+// Tick lets time pass. It returns the messages to send now and what changed.
+// It is to be called several times in each period, and sends only when a
+// period has passed or a leaving mark is new.
+func (m *Members) Tick(now timekeeper.Time, rng *rand.Rand) ([]Message, []Change) {
+	changes := m.wake(now)
+	changes = append(changes, m.judgeAll(now)...)
+	changes = append(changes, m.dropEnded(now)...)
+	var messages []Message
+	switch {
+	case now >= m.nextDue:
+		m.nextDue = now.Add(m.config.Every)
+		m.forgetNodes(now)
+		m.forgetMarks(now)
+		messages = m.round(now, rng, false)
+	case m.urgent && m.guard.urgentMarks:
+		messages = m.round(now, rng, true)
+	}
+	messages = append(messages, m.answers(now)...)
+	return append(messages, m.syncPieces(now)...), changes
+}
+
+// wake notes that time has passed, and whether too much of it passed at once.
+//
+// Failure: a process that was frozen finds all heartbeats old when it thaws;
+// it would declare its peers dead and adopt their requests. The gap is its own
+// silence, so it is not held against the peers. And what it missed meanwhile
+// it asks for.
+func (m *Members) wake(now timekeeper.Time) []Change {
+	gap := now.Sub(m.lastNow)
+	first := m.lastNow == 0
+	m.lastNow = max(now, m.lastNow)
+	m.self.LastHeard = m.lastNow
+	if first || gap < m.config.SuspectAfter/2 {
+		return nil
+	}
+	if m.guard.graceOnThaw {
+		m.excuse(now, gap)
+	}
+	m.self.heartbeat++
+	m.wantSync = true
+	m.askedAt = 0
+	return []Change{m.self.change(NodeThawed)}
+}
+
+func (m *Members) excuse(now timekeeper.Time, gap timekeeper.Duration) {
+	for _, r := range m.nodes.values() {
+		r.LastHeard = min(now, r.LastHeard.Add(gap))
+	}
+}
+
+// round returns the messages of one round. An urgent one carries only leaving
+// marks and late nodes.
+func (m *Members) round(now timekeeper.Time, rng *rand.Rand, urgent bool) []Message {
+	m.self.heartbeat++
+	targets := m.targets(rng)
+	if len(targets) == 0 {
+		return nil
+	}
+	p := m.newPacker()
+	m.packMarks(p, now)
+	m.packLate(p, now)
+	if !urgent {
+		m.packHeartbeats(p)
+		m.packNews(p)
+		m.packSlice(p, now, rng)
+	}
+	data := p.encode()
+	var messages []Message
+	for _, t := range targets {
+		messages = append(messages, Message{
+			Peer:    t.vm,
+			Address: t.address,
+			Data:    m.forPeer(now, t.vm, data),
+		})
+	}
+	return messages
+}
+
+// forPeer adds to a message what only one peer is told: that it is taken for
+// late, so that it can show that it is not, and that it is asked for the whole
+// state.
+func (m *Members) forPeer(now timekeeper.Time, peer identifier.VMID, data []byte) []byte {
+	extra := &pb.Message{}
+	if r := m.nodes.get(peer); r != nil && m.old(now, r) {
+		extra.LateKeys = []uint64{r.key}
+		extra.LateHeartbeats = []uint64{r.heartbeat}
+	}
+	if m.wantSync && now.Sub(m.askedAt) >= askAgainAfter {
+		m.askedAt = now
+		extra.WantSync = true
+	}
+	return append(slices.Clone(data), marshal(extra)...)
+}
+
+type target struct {
+	vm      identifier.VMID
+	address string
+}
+
+// targets returns the peers of one round: random live ones. Where
+// these are too few the list's entry VMs and then the configured seeds stand in. One more goes to a VM that is listed but not
+// heard, so that two parts of a cluster that took each other for dead meet
+// again.
+func (m *Members) targets(rng *rand.Rand) []target {
+	live, silent := m.partition()
+	shuffle(rng, live)
+	shuffle(rng, silent)
+	chosen := live[:min(m.config.Fanout, len(live))]
+	missing := m.config.Fanout - len(chosen)
+	probes := silent[:min(max(missing, 1), len(silent))]
+	chosen = append(slices.Clone(chosen), probes...)
+	if len(chosen) == 0 {
+		chosen = m.configured(rng)
+	}
+	return chosen
+}
+
+// partition returns the peers that are heard, and the listed or dead ones that
+// are not.
+func (m *Members) partition() (live, silent []target) {
+	for _, r := range m.nodes.values() {
+		if r != m.self && r.State != Dead {
+			live = append(live, r.target())
+		}
+	}
+	for _, s := range m.seeds.values() {
+		r := m.nodes.get(s.vm)
+		if s.vm != m.self.VM && (r == nil || r.State == Dead) {
+			silent = append(silent, target{
+				vm:      s.vm,
+				address: s.address,
+			})
+		}
+	}
+	return live, silent
+}
+
+func (m *Members) configured(rng *rand.Rand) []target {
+	var found []target
+	for _, address := range m.config.Seeds {
+		if address != m.config.PeerAddress {
+			found = append(found, target{address: address})
+		}
+	}
+	shuffle(rng, found)
+	return found[:min(m.config.Fanout, len(found))]
+}
+
+func (r *nodeRecord) target() target {
+	return target{
+		vm:      r.VM,
+		address: r.PeerAddress,
+	}
+}
+
+func shuffle(rng *rand.Rand, ts []target) {
+	rng.Shuffle(len(ts), func(i, j int) { ts[i], ts[j] = ts[j], ts[i] })
+}
