--- a/internal/conductor/adopt.go
+++ b/internal/conductor/adopt.go
@@ -12,6 +12,7 @@
 // the body and the answer so far.
 type heldCopy struct {
 	spec      messenger.RequestSpec
+	epoch     identifier.Epoch
 	owner     identifier.VMID
 	attempt   identifier.AttemptNumber
 	server    identifier.VMID
@@ -19,24 +20,33 @@
 	delivered identifier.Tokens
 }
 
-// CopyHeld keeps or renews the copy of a peer's request.
-func (c *Conductor) CopyHeld(_ *World, e messenger.CopyHeld) []messenger.Effect {
-	if _, own := c.requests[e.Spec.Request]; own {
-		return nil
+// CopyHeld keeps or renews the copy of a peer's request. Where this node took
+// itself for the owner, the peer came after it: two nodes that both went on
+// would answer one caller from different states, and two that both yielded
+// would leave it without an answer, so the larger epoch decides.
+func (c *Conductor) CopyHeld(w *World, e messenger.CopyHeld) []messenger.Effect {
+	var out []messenger.Effect
+	if r, own := c.requests[e.Spec.Request]; own {
+		if !c.config.Safeguards.LaterOwner {
+			return nil
+		}
+		out = append(out, c.note("superseded", r, fmt.Sprintf("owner=%s", e.Owner)))
+		out = append(out, c.leaveTo(w, r, e.Owner)...)
 	}
 	if c.copies[e.Spec.Request] == nil && len(c.copies) >= c.config.MaxCopies {
 		c.counters.CopiesRefused++
-		return []messenger.Effect{messenger.Forget{Request: e.Spec.Request}}
+		return append(out, messenger.Forget{Request: e.Spec.Request})
 	}
 	c.copies[e.Spec.Request] = &heldCopy{
 		spec:      e.Spec,
+		epoch:     e.Epoch,
 		owner:     e.Owner,
 		attempt:   e.Attempt,
 		server:    e.Server,
 		stream:    e.Stream,
 		delivered: e.Delivered,
 	}
-	return nil
+	return out
 }
 
 // CopyDropped forgets the copy of a request that has ended.
@@ -78,9 +88,16 @@
 // computed twice where the engine lives.
 func (c *Conductor) adopt(w *World, held *heldCopy) []messenger.Effect {
 	c.counters.Adopted++
-	out := []messenger.Effect{messenger.Adopt{Request: held.spec.Request}}
+	epoch := held.epoch + takeoverStep
+	out := []messenger.Effect{
+		messenger.Adopt{
+			Request: held.spec.Request,
+			Epoch:   epoch,
+		},
+	}
 	return append(out, c.takeOver(w, takenRequest{
 		spec:      held.spec,
+		epoch:     epoch,
 		attempt:   held.attempt,
 		server:    held.server,
 		stream:    held.stream,
@@ -92,11 +109,19 @@
 
 // RequestHandedOver goes on with a request of a leaving peer.
 func (c *Conductor) RequestHandedOver(w *World, e messenger.RequestHandedOver) []messenger.Effect {
-	if _, own := c.requests[e.Spec.Request]; own {
-		return nil
+	if r, own := c.requests[e.Spec.Request]; own {
+		// The peer's first message took effect and its answer was lost.
+		r.epoch = max(r.epoch, e.Epoch+takeoverStep)
+		r.hold.confirm = true
+		if r.spec.Long && !r.hold.acked {
+			return nil
+		}
+		return c.confirm(r)
 	}
 	return c.takeOver(w, takenRequest{
 		spec:      e.Spec,
+		epoch:     e.Epoch + takeoverStep,
+		confirm:   true,
 		attempt:   e.Attempt,
 		server:    e.Server,
 		stream:    e.Stream,
@@ -109,6 +134,8 @@
 // takenRequest is a request that comes to this node in the middle of its life.
 type takenRequest struct {
 	spec      messenger.RequestSpec
+	epoch     identifier.Epoch
+	confirm   bool
 	attempt   identifier.AttemptNumber
 	server    identifier.VMID
 	stream    identifier.StreamName
@@ -124,7 +151,8 @@
 	r.accepted = true
 	r.mayHaveRun = true
 	r.phase = waiting
-	r.attempt = afterOwnerChange(t.attempt)
+	r.takenWith(t.epoch, t.attempt)
+	r.hold.confirm = t.confirm
 	r.delivered = t.delivered
 	r.retryAt = w.Now
 	c.requests[t.spec.Request] = r
@@ -132,9 +160,12 @@
 	if r.spec.Long {
 		held, ok := c.sendHold(w, r)
 		if !ok {
-			held = c.goUnprotected(w, r)
+			r.hold.againAt = w.Now.Add(holdAgain)
+			held = c.goUnprotected(r)
 		}
 		out = append(out, held...)
+	} else {
+		out = append(out, c.confirm(r)...)
 	}
 	if w.Catalog == nil {
 		return out // tickWaiting starts it once the configuration is known.
--- a/internal/conductor/attempt.go
+++ b/internal/conductor/attempt.go
@@ -90,13 +90,23 @@
 			From:         r.delivered,
 			Priority:     r.service.Priority,
 			Deadline:     r.spec.Deadline,
-			FirstSilence: detector.FirstSilence(firstToken),
+			FirstSilence: c.firstSilence(w, r, firstToken),
 			NextSilence:  detector.NextSilence(r.perToken),
 		},
 		c.note("attempt_sent", r, fmt.Sprintf("mode=%s from=%d stream=%s", mode, r.delivered, stream)),
 	}
 }
 
+// firstSilence bounds the wait for the first byte. A plain call that may not
+// be repeated is waited for to its deadline: to give it up earlier would turn
+// a slow answer into an unknown one, with nothing else to try.
+func (c *Conductor) firstSilence(w *World, r *request, firstToken timekeeper.Duration) timekeeper.Duration {
+	if !r.model() && !r.spec.Idempotent {
+		return r.spec.Deadline.Sub(w.Now)
+	}
+	return detector.FirstSilence(firstToken)
+}
+
 // countStart counts what the attempt makes servers compute again.
 func (c *Conductor) countStart(r *request, mode messenger.StartMode) {
 	switch {
@@ -198,7 +208,9 @@
 		Delivered:  r.delivered,
 		Model:      r.model(),
 		RetryAfter: e.RetryAfter,
-		Planned:    c.owed(w, r),
+
+		EarlierNotRun: !r.mayHaveRun,
+		Planned:       c.owed(w, r),
 	}, w.Rand)
 	if !verdict.Again {
 		outcome := c.truthful(r, verdict.Outcome)
@@ -265,6 +277,9 @@
 
 func (c *Conductor) tickWaiting(w *World, r *request) []messenger.Effect {
 	out := c.tickProtection(w, r)
+	if gone := c.tickStall(w, r); gone != nil {
+		return append(out, gone...)
+	}
 	if w.Now.Before(r.retryAt) {
 		return out
 	}
@@ -276,6 +291,9 @@
 		return c.cancel(w, r)
 	}
 	out := c.tickProtection(w, r)
+	if gone := c.tickStall(w, r); gone != nil {
+		return append(out, gone...)
+	}
 	return append(out, c.tickMove(w, r)...)
 }
 
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -79,6 +79,10 @@
 	HandOver bool
 	// YieldToHolder stops serving a request that its holder has adopted.
 	YieldToHolder bool
+	// StallAlone keeps an answer back that a node with a copy may adopt.
+	StallAlone bool
+	// LaterOwner lets the owner with the larger epoch go on, of two.
+	LaterOwner bool
 	// TruthfulNotRun says not_run only where nothing can have run.
 	TruthfulNotRun bool
 }
@@ -94,6 +98,8 @@
 		AdoptCopies:    true,
 		HandOver:       true,
 		YieldToHolder:  true,
+		StallAlone:     true,
+		LaterOwner:     true,
 		TruthfulNotRun: true,
 	}
 }
--- a/internal/conductor/drain.go
+++ b/internal/conductor/drain.go
@@ -92,12 +92,17 @@
 	if !c.mustGo(w, r) || w.Now.Before(r.handover.againAt) {
 		return nil
 	}
+	before := r.handover.successor
 	successor, ok := c.successor(w, r)
 	r.handover.againAt = w.Now.Add(handoverAgain)
 	if !ok {
 		r.handover.failed = nil
 		return nil
 	}
+	if before != "" && before != successor.VM {
+		// The one asked before may have taken it: the next comes after it.
+		r.epoch += renewalStep
+	}
 	r.handover.successor = successor.VM
 	r.handover.address = successor.PeerAddress
 	r.handover.asked++
@@ -106,6 +111,7 @@
 	return []messenger.Effect{
 		messenger.HandOver{
 			Request:   r.spec.Request,
+			Epoch:     r.epoch,
 			Successor: successor.VM,
 			Address:   successor.PeerAddress,
 			Attempt:   r.attempt,
@@ -172,16 +178,10 @@
 	}
 	c.counters.HandedOver++
 	out := []messenger.Effect{c.note("handed_over", r, fmt.Sprintf("to=%s", e.Successor))}
-	out = append(out, c.leaveStream(r)...)
-	out = append(out, messenger.Redirect{
-		Request: r.spec.Request,
-		To:      e.Successor,
-	})
 	if r.hold.holder != e.Successor {
 		out = append(out, c.unhold(r)...)
 	}
-	c.remove(w, r, r.spec.PromptTokens+r.delivered)
-	return out
+	return append(out, c.leaveTo(w, r, e.Successor)...)
 }
 
 // HandoverFailed lets the request be handed over again.
--- a/internal/conductor/hold.go
+++ b/internal/conductor/hold.go
@@ -18,6 +18,10 @@
 	holdAgain = 1 * timekeeper.Second
 	// holdPatience bounds the wait for the first holder's answer.
 	holdPatience = 2 * timekeeper.Second
+	// stallPatience is how long an answer is kept back for want of a holder
+	// before the node that had the copy is left to go on. It is longer than
+	// that node takes to declare this one dead.
+	stallPatience = 9 * timekeeper.Second
 )
 
 // holdState is the off-node copy of a long request.
@@ -29,6 +33,16 @@
 	failed  map[identifier.VMID]bool
 	askedAt timekeeper.Time
 	againAt timekeeper.Time
+	// exposed is the last holder that had a copy and may adopt it, unless it
+	// is known to be gone; exposedAt is its address.
+	exposed   identifier.VMID
+	exposedAt string
+	// stalledAt is when the answer stopped going out for want of a holder, or
+	// Never.
+	stalledAt timekeeper.Time
+	// confirm tells that the peer that handed the request over waits for the
+	// copy to stand.
+	confirm bool
 }
 
 // beginHold gives a peer in another zone a copy before the request is
@@ -57,6 +71,7 @@
 	return []messenger.Effect{
 		messenger.Hold{
 			Request: r.spec.Request,
+			Epoch:   r.epoch,
 			Holder:  holder.VM,
 			Address: holder.PeerAddress,
 		},
@@ -90,8 +105,11 @@
 		return nil
 	}
 	r.hold.acked = true
+	r.hold.exposed = r.hold.holder
+	r.hold.exposedAt = r.hold.address
+	r.hold.stalledAt = timekeeper.Never
 	if r.phase != holding {
-		return nil
+		return c.confirm(r)
 	}
 	if c.draining {
 		return c.refuseHeld(w, r)
@@ -109,13 +127,22 @@
 // HoldFailed looks for another holder.
 func (c *Conductor) HoldFailed(w *World, e messenger.HoldFailed) []messenger.Effect {
 	r, known := c.requests[e.Request]
-	if !known || r.hold.holder != e.Holder {
+	if !known {
+		return nil
+	}
+	if e.Gone && r.hold.exposed == e.Holder {
+		r.hold.exposed = ""
+	}
+	if r.hold.holder != e.Holder {
 		return nil
 	}
 	return c.holdFailed(w, r)
 }
 
 func (c *Conductor) holdFailed(w *World, r *request) []messenger.Effect {
+	if r.hold.acked {
+		r.epoch += renewalStep
+	}
 	if r.hold.failed == nil {
 		r.hold.failed = map[identifier.VMID]bool{}
 	}
@@ -133,37 +160,107 @@
 	if r.phase == holding {
 		return append(out, c.refuse(w, r, notRun(messenger.ReasonUnprotected, retryAfterNoHolder))...)
 	}
-	return append(out, c.goUnprotected(w, r)...)
-}
-
-// goUnprotected lets an accepted answer go out without a copy: every possible
-// holder failed, and keeping the answer back would make it late for certain.
-// The time line says so, and tickRunning goes on looking for a holder.
-func (c *Conductor) goUnprotected(w *World, r *request) []messenger.Effect {
 	r.hold.holder = ""
 	r.hold.acked = false
 	r.hold.failed = nil
 	r.hold.againAt = w.Now.Add(holdAgain)
-	return []messenger.Effect{
+	if r.hold.exposed != "" && c.config.Safeguards.StallAlone {
+		return append(out, c.stall(w, r)...)
+	}
+	return append(out, c.goUnprotected(r)...)
+}
+
+// stall keeps the answer back while no node confirms a copy and one that had
+// a copy may be alive. This node is then likely to be the one that is cut off,
+// and taken for dead: what it gave its caller now would not be known to the
+// node that adopts the request, which would go on differently from there.
+func (c *Conductor) stall(w *World, r *request) []messenger.Effect {
+	if r.hold.stalledAt != timekeeper.Never {
+		return nil
+	}
+	r.hold.stalledAt = w.Now
+	return []messenger.Effect{c.note("stalled", r, fmt.Sprintf("copy=%s", r.hold.exposed))}
+}
+
+// tickStall ends a stall that lasts: the node with the copy has adopted the
+// request by now, unless it hears this node; then it is told to take it over.
+func (c *Conductor) tickStall(w *World, r *request) []messenger.Effect {
+	if r.hold.stalledAt == timekeeper.Never {
+		return nil
+	}
+	stalled := w.Now.Sub(r.hold.stalledAt)
+	if stalled < stallPatience {
+		return nil
+	}
+	out := []messenger.Effect{
+		messenger.HandOver{
+			Request:   r.spec.Request,
+			Epoch:     r.epoch,
+			Successor: r.hold.exposed,
+			Address:   r.hold.exposedAt,
+			Attempt:   r.attempt,
+			Server:    r.server,
+			Stream:    r.stream,
+		},
+		c.note("yielded", r, fmt.Sprintf("owner=%s", r.hold.exposed)),
+	}
+	return append(out, c.leaveTo(w, r, r.hold.exposed)...)
+}
+
+// leaveTo ends this node's part in a request that another node has.
+func (c *Conductor) leaveTo(w *World, r *request, owner identifier.VMID) []messenger.Effect {
+	out := c.leaveStream(r)
+	out = append(out, messenger.Redirect{
+		Request: r.spec.Request,
+		To:      owner,
+	})
+	c.remove(w, r, r.spec.PromptTokens+r.delivered)
+	return out
+}
+
+// confirm tells the peer that handed r over that it is safe here.
+func (c *Conductor) confirm(r *request) []messenger.Effect {
+	if !r.hold.confirm {
+		return nil
+	}
+	r.hold.confirm = false
+	return []messenger.Effect{messenger.ConfirmHandover{Request: r.spec.Request}}
+}
+
+// goUnprotected lets an accepted answer go out without a copy: no node can
+// hold one, and none that had one is alive. The time line says so, and
+// tickProtection goes on looking for a holder.
+func (c *Conductor) goUnprotected(r *request) []messenger.Effect {
+	r.hold.stalledAt = timekeeper.Never
+	out := c.confirm(r)
+	return append(out, []messenger.Effect{
 		messenger.Unhold{
 			Request: r.spec.Request,
 			Holder:  "",
 			Address: "",
 		},
 		c.note("unprotected", r, ""),
-	}
+	}...)
 }
 
 // tickProtection finds a holder for an accepted long request without one.
 func (c *Conductor) tickProtection(w *World, r *request) []messenger.Effect {
 	if !r.spec.Long || r.hold.holder != "" || w.Now.Before(r.hold.againAt) {
-		return nil
+		return c.tickOverdue(w, r)
 	}
 	r.hold.againAt = w.Now.Add(holdAgain)
 	out, _ := c.sendHold(w, r)
 	return out
 }
 
+// tickOverdue gives up a holder of which nothing is heard at all.
+func (c *Conductor) tickOverdue(w *World, r *request) []messenger.Effect {
+	if r.hold.holder == "" || r.hold.acked || w.Now.Sub(r.hold.askedAt) < holdPatience {
+		return nil
+	}
+	return c.holdFailed(w, r)
+}
+
 // HoldRefused ends this node's part in a request that its holder has adopted.
 // This node was frozen or cut off for so long that it was taken for dead; were
 // it to go on, two nodes would answer one caller from different states.
@@ -173,13 +270,7 @@
 		return nil
 	}
 	out := []messenger.Effect{c.note("yielded", r, fmt.Sprintf("owner=%s", e.Holder))}
-	out = append(out, c.leaveStream(r)...)
-	out = append(out, messenger.Redirect{
-		Request: r.spec.Request,
-		To:      e.Holder,
-	})
-	c.remove(w, r, 0)
-	return out
+	return append(out, c.leaveTo(w, r, e.Holder)...)
 }
 
 // holderLost moves the copies that stood with a node that is dead or leaving.
--- a/internal/conductor/request.go
+++ b/internal/conductor/request.go
@@ -27,6 +27,7 @@
 	service  catalog.Service
 	phase    phase
 	accepted bool
+	epoch    identifier.Epoch
 
 	claim claimState
 	hold  holdState
@@ -72,6 +73,7 @@
 		failedZones:   map[identifier.Zone]bool{},
 		failedServers: map[identifier.VMID]bool{},
 		goneAt:        timekeeper.Never,
+		hold:          holdState{stalledAt: timekeeper.Never},
 	}
 }
 
@@ -89,7 +91,17 @@
 // its numbers, and so its stream names, apart from the new owner's.
 const ownerStride = 100
 
-// afterOwnerChange returns the last number that the former owner may use.
-func afterOwnerChange(n identifier.AttemptNumber) identifier.AttemptNumber {
-	return n - n%ownerStride + ownerStride
+// takenWith gives r to this node with an epoch.
+func (r *request) takenWith(e identifier.Epoch, last identifier.AttemptNumber) {
+	r.epoch = e
+	r.attempt = max(last, identifier.AttemptNumber(e)*ownerStride)
 }
+
+const (
+	// takeoverStep is how much larger the epoch of a new owner is.
+	takeoverStep = 1
+	// renewalStep is how much the owner's epoch grows when it leaves a holder
+	// or successor behind that may go on with the request. It is larger than
+	// takeoverStep, so that the owner still comes after that node.
+	renewalStep = 2
+)
--- a/internal/conductor/wave.go
+++ b/internal/conductor/wave.go
@@ -57,7 +57,9 @@
 	}
 	rate := w.Catalog.Pools[pool].TransferRate
 	part := c.partOfWave(w, leaving, len(streams))
-	moves := planner.PlanWave(w.Now, leaving, part.Rate(rate), streams, part.Rooms(rooms), c.config.PlanRules)
+	rules := c.config.PlanRules
+	rules.LinkShare = part.LinkShare()
+	moves := planner.PlanWave(w.Now, leaving, rate, streams, part.Rooms(rooms), rules)
 	var out []messenger.Effect
 	for _, m := range moves {
 		r := c.requests[m.Request]
--- a/internal/messenger/effect.go
+++ b/internal/messenger/effect.go
@@ -118,6 +118,7 @@
 	// Hold or Unhold.
 	Hold struct {
 		Request identifier.RequestID
+		Epoch   identifier.Epoch
 		Holder  identifier.VMID
 		Address string
 	}
@@ -128,9 +129,12 @@
 		Holder  identifier.VMID
 		Address string
 	}
-	// HandOver gives a request in flight to a successor.
+	// HandOver gives a request in flight to a successor. From here on nothing
+	// more goes to callers until HandoverFailed says NotTaken, or the answer
+	// ends here.
 	HandOver struct {
 		Request   identifier.RequestID
+		Epoch     identifier.Epoch
 		Successor identifier.VMID
 		Address   string
 		Attempt   identifier.AttemptNumber
@@ -138,8 +142,14 @@
 		// Stream is the engine's stream that the successor may resume.
 		Stream identifier.StreamName
 	}
+	// ConfirmHandover answers the peer that handed the request over: it is
+	// safe here now, also against the death of this node.
+	ConfirmHandover struct{ Request identifier.RequestID }
 	// Adopt makes this node the owner of a request whose copy it holds.
-	Adopt struct{ Request identifier.RequestID }
+	Adopt struct {
+		Request identifier.RequestID
+		Epoch   identifier.Epoch
+	}
 	// Forget drops what the runner keeps of a request or of its copy.
 	Forget struct{ Request identifier.RequestID }
 	// SendGossip sends a peer this node's news.
@@ -234,6 +244,7 @@
 func (Hold) effect()               {}
 func (Unhold) effect()             {}
 func (HandOver) effect()           {}
+func (ConfirmHandover) effect()    {}
 func (Adopt) effect()              {}
 func (Forget) effect()             {}
 func (SendGossip) effect()         {}
--- a/internal/messenger/event.go
+++ b/internal/messenger/event.go
@@ -57,20 +57,24 @@
 		Request identifier.RequestID
 		Holder  identifier.VMID
 	}
-	// HoldFailed: the holder could not be reached.
+	// HoldFailed: the holder did not confirm. Gone tells that nothing listens
+	// at its address: the process that may have had the copy is no more.
 	HoldFailed struct {
 		Request identifier.RequestID
 		Holder  identifier.VMID
+		Gone    bool
 	}
-	// HoldRefused: the holder took this node for dead and owns the request now.
+	// HoldRefused: the holder owns the request itself, with a larger epoch.
 	HoldRefused struct {
 		Request identifier.RequestID
 		Holder  identifier.VMID
 	}
 	// CopyHeld: a peer gave this node a copy of one of its requests, or
-	// renewed it.
+	// renewed it. Where this node took itself for the owner, the peer's epoch
+	// is the larger.
 	CopyHeld struct {
 		Spec      RequestSpec
+		Epoch     identifier.Epoch
 		Owner     identifier.VMID
 		Attempt   identifier.AttemptNumber
 		Server    identifier.VMID
@@ -82,6 +86,7 @@
 	// RequestHandedOver: a leaving peer gave this node a request to finish.
 	RequestHandedOver struct {
 		Spec      RequestSpec
+		Epoch     identifier.Epoch
 		From      identifier.VMID
 		Attempt   identifier.AttemptNumber
 		Server    identifier.VMID
@@ -93,10 +98,12 @@
 		Request   identifier.RequestID
 		Successor identifier.VMID
 	}
-	// HandoverFailed: the successor did not confirm.
+	// HandoverFailed: the successor did not confirm. Unless NotTaken is set it
+	// may have the request all the same, and the answer stays paused.
 	HandoverFailed struct {
 		Request   identifier.RequestID
 		Successor identifier.VMID
+		NotTaken  bool
 	}
 )
 
--- /dev/null
+++ b/internal/prover/matrix_test.go
@@ -0,0 +1,170 @@
+package prover
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/conductor"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+var (
+	printTable = flag.Bool("table", false, "print the matrix, a table for each scenario")
+	onlyCell   = flag.String("cell", "", "run the cells whose name contains this and print their stories")
+	seedFlag   = flag.Uint64("seed", 1, "seed of the worlds")
+)
+
+const (
+	workers = 4
+	// stepsOfKind bounds how many steps of one kind at one node get cells.
+	stepsOfKind = 2
+)
+
+// play runs a scenario, with a fault at a step where one is armed.
+func play(s scenario, armed *cell, seed uint64, guards conductor.Safeguards) *world {
+	w := newWorld(seed, guards)
+	w.armed = armed
+	start := w.now.Add(bootTime)
+	w.run(start, never)
+	w.faultAt = start
+	s.start(w)
+	end := start.Add(max(s.lasts, settled))
+	w.run(start.Add(horizon), func() bool { return w.now.After(end) && w.settledDown() })
+	w.judge()
+	if s.check != nil {
+		s.check(w)
+	}
+	return w
+}
+
+// settledDown reports whether all callers are done.
+func (w *world) settledDown() bool {
+	for _, c := range w.callers {
+		if !c.done {
+			return false
+		}
+	}
+	return true
+}
+
+// stepsOf lists the steps of a scenario, from a run without faults.
+func stepsOf(s scenario, seed uint64) ([]step, *world) {
+	w := play(s, nil, seed, conductor.AllSafeguards())
+	var out []step
+	for _, st := range w.trace {
+		if st.count <= stepsOfKind && s.keeps(st) {
+			out = append(out, st)
+		}
+	}
+	return out, w
+}
+
+type outcome struct {
+	cell       cell
+	scenario   scenario
+	objections []string
+	story      []string
+	lateWork   timekeeper.Duration
+	fired      bool
+}
+
+func (o outcome) name() string {
+	return fmt.Sprintf("%s / %s / %s", o.scenario.name, o.cell.step, o.cell.fault.name)
+}
+
+// runCells plays all cells of a scenario.
+func runCells(s scenario, steps []step, seed uint64, guards conductor.Safeguards) []outcome {
+	var cells []cell
+	for _, st := range steps {
+		for _, f := range faults {
+			cells = append(cells, cell{
+				step:  st,
+				fault: f,
+			})
+		}
+	}
+	out := make([]outcome, len(cells))
+	var wg sync.WaitGroup
+	for k := range workers {
+		wg.Go(func() {
+			for i := k; i < len(cells); i += workers {
+				out[i] = runCell(s, cells[i], seed, guards)
+			}
+		})
+	}
+	wg.Wait()
+	return out
+}
+
+func runCell(s scenario, c cell, seed uint64, guards conductor.Safeguards) outcome {
+	w := play(s, &c, seed, guards)
+	return outcome{
+		cell:       c,
+		scenario:   s,
+		objections: w.facts.objections,
+		story:      w.story,
+		lateWork:   w.facts.lateWork,
+		fired:      w.fired,
+	}
+}
+
+// TestMatrix plays every fault at every step of every scenario.
+func TestMatrix(t *testing.T) {
+	var worst timekeeper.Duration
+	total := 0
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			steps, base := stepsOf(s, *seedFlag)
+			require.Empty(t, base.facts.objections, "without any fault\n%s", strings.Join(base.story, "\n"))
+			require.NotEmpty(t, steps)
+			outcomes := runCells(s, steps, *seedFlag, conductor.AllSafeguards())
+			total += len(outcomes)
+			report(t, s, steps, outcomes)
+			for _, o := range outcomes {
+				worst = max(worst, o.lateWork)
+				require.True(t, o.fired, "%s: the fault never struck", o.name())
+			}
+		})
+	}
+	t.Logf("seed %d: %d cells; new work reached a leaving server at most %s after its notice", *seedFlag, total, worst)
+}
+
+func report(t *testing.T, s scenario, steps []step, outcomes []outcome) {
+	t.Helper()
+	if *printTable {
+		t.Log("\n" + table(s, steps, outcomes))
+	}
+	for _, o := range outcomes {
+		if *onlyCell != "" && strings.Contains(o.name(), *onlyCell) {
+			t.Logf("%s\n%s\n=> %v", o.name(), strings.Join(o.story, "\n"), o.objections)
+		}
+		if len(o.objections) > 0 {
+			t.Errorf("%s: %s", o.name(), strings.Join(o.objections, "; "))
+		}
+	}
+}
+
+// table draws steps against faults: a dot holds, an X does not.
+func table(s scenario, steps []step, outcomes []outcome) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "## %s\n\n%-28s", s.name, "")
+	for i := range faults {
+		fmt.Fprintf(&b, "%3d", i+1)
+	}
+	for i, st := range steps {
+		fmt.Fprintf(&b, "\n%-28s", st)
+		for j := range faults {
+			mark := "."
+			if len(outcomes[i*len(faults)+j].objections) > 0 {
+				mark = "X"
+			}
+			fmt.Fprintf(&b, "%3s", mark)
+		}
+	}
+	return b.String() + "\n"
+}
--- /dev/null
+++ b/internal/prover/node_test.go
@@ -0,0 +1,392 @@
+package prover
+
+import (
+	"fmt"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/claimer"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/reducer"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// node is a reducer with a small fake of its runner.
+type node struct {
+	w         *world
+	vm        identifier.VMID
+	zone      identifier.Zone
+	r         *reducer.Reducer
+	answers   map[identifier.RequestID]*answer
+	copies    map[identifier.RequestID]*answer
+	dead      bool
+	exited    bool
+	frozenTil timekeeper.Time
+	revision  identifier.Revision
+	tails     map[identifier.LogStream]identifier.Offset
+	// unconfirmed are the handovers that wait for ConfirmHandover.
+	unconfirmed map[identifier.RequestID][]func()
+}
+
+// answer is an answer in flight, or the copy of one.
+type answer struct {
+	spec     messenger.RequestSpec
+	epoch    identifier.Epoch
+	root     uint64
+	tokens   []token
+	released int
+	conn     *conn
+	place    messenger.SendAttempt
+	holder   identifier.VMID
+	blocked  bool
+	paused   bool
+	pushing  bool
+	pushed   int
+	acked    bool
+	verdict  *messenger.Refusal // a zero Refusal accepts
+	end      *messenger.Finish
+	movedTo  identifier.VMID
+	seen     bool
+	reply    bool
+}
+
+func (w *world) addNode(vm identifier.VMID, z identifier.Zone, seed uint64) *node {
+	n := &node{
+		w:       w,
+		vm:      vm,
+		zone:    z,
+		answers: map[identifier.RequestID]*answer{},
+		copies:  map[identifier.RequestID]*answer{},
+		tails:   map[identifier.LogStream]identifier.Offset{},
+
+		unconfirmed: map[identifier.RequestID][]func(){},
+	}
+	n.r = reducer.New(reducer.Config{
+		Self:          vm,
+		Incarnation:   identifier.Incarnation(w.now),
+		Zone:          z,
+		Region:        "r",
+		PeerAddress:   string(vm),
+		CallerAddress: string(vm),
+		Seed:          seed + uint64(len(w.nodes)),
+		LogRetention:  timekeeper.Hour,
+		LoadTime:      2 * timekeeper.Second,
+		Safeguards:    w.guards,
+	})
+	w.nodes = append(w.nodes, n)
+	n.ticks(timekeeper.Duration(len(w.nodes)))
+	for _, stream := range n.r.Streams() {
+		n.tail(stream)
+	}
+	return n
+}
+
+// later does something at this node after a while: when it is frozen, after
+// it thaws; when it is dead, never.
+func (n *node) later(d timekeeper.Duration, do func()) {
+	n.w.after(d, func() { n.whenThawed(do) })
+}
+
+func (n *node) whenThawed(do func()) {
+	switch {
+	case n.dead:
+	case n.w.now < n.frozenTil:
+		n.w.queue.add(n.frozenTil, func() { n.whenThawed(do) })
+	default:
+		do()
+	}
+}
+
+func (n *node) ticks(d timekeeper.Duration) {
+	n.later(d, func() {
+		n.apply(messenger.Tick{})
+		n.ticks(tickEvery)
+	})
+}
+
+// tail follows one stream of the log.
+func (n *node) tail(stream identifier.LogStream) {
+	n.later(30*timekeeper.Millisecond+n.w.log.latency()/2, func() {
+		n.readLog(stream)
+		n.tail(stream)
+	})
+}
+
+func (n *node) readLog(stream identifier.LogStream) {
+	if n.w.log.down() {
+		n.apply(messenger.LogUnavailable{Stream: stream})
+		return
+	}
+	read := n.w.log.read(stream, n.tails[stream]+1)
+	if k := len(read.Records); k > 0 {
+		n.tails[stream] = read.Records[k-1].Offset
+	}
+	n.apply(read)
+}
+
+func (n *node) kill(why string) {
+	if n.dead {
+		return
+	}
+	n.dead = true
+	n.w.tell("DEAD %s %s", n.vm, why)
+	for _, a := range n.answers {
+		if a.conn != nil {
+			a.conn.closed = true
+		}
+	}
+}
+
+func (n *node) freeze(d timekeeper.Duration) {
+	n.frozenTil = n.w.now.Add(d)
+	n.w.tell("FROZEN %s until %d", n.vm, n.frozenTil-1_000_000)
+}
+
+// apply gives the reducer an event and carries out its effects.
+func (n *node) apply(body messenger.EventBody) {
+	if n.dead {
+		return
+	}
+	effects := n.r.Apply(messenger.Event{
+		At:   n.w.now,
+		Body: body,
+	})
+	n.watchRevision()
+	for _, e := range effects {
+		if n.dead {
+			return
+		}
+		n.meet(e)
+	}
+}
+
+// watchRevision checks that the configuration in force never goes back.
+func (n *node) watchRevision() {
+	c := n.r.Catalog()
+	if c == nil {
+		return
+	}
+	if c.Revision < n.revision {
+		n.w.facts.object("configuration of %s reverted from %d to %d", n.vm, n.revision, c.Revision)
+	}
+	n.revision = c.Revision
+}
+
+// perform carries out an effect.
+func (n *node) perform(e messenger.Effect, fate fate) {
+	switch e := e.(type) {
+	case messenger.Refuse:
+		n.refused(e)
+	case messenger.Accept:
+		n.answers[e.Request].verdict = &messenger.Refusal{}
+	case messenger.Finish:
+		if a := n.answers[e.Request]; a != nil {
+			a.end = &e
+			a.paused = false
+			n.release(a)
+		}
+	case messenger.AnswerFrom:
+		n.answerFrom(e)
+	case messenger.Redirect:
+		if a := n.answers[e.Request]; a != nil {
+			a.movedTo = e.To
+		}
+	case messenger.SendAttempt:
+		n.sendAttempt(e, fate)
+	case messenger.StopAttempt:
+		n.stopAttempt(e, fate)
+	case messenger.MoveKV:
+		n.moveKV(e, fate)
+	case messenger.PollServer:
+		n.poll(e)
+	case messenger.GiveOrder:
+		n.giveOrder(e, fate)
+	case messenger.Hold:
+		n.hold(e)
+	case messenger.Unhold:
+		n.unhold(e)
+	case messenger.HandOver:
+		n.handOver(e, fate)
+	case messenger.Adopt:
+		if c := n.copies[e.Request]; c != nil {
+			delete(n.copies, e.Request)
+			c.epoch = e.Epoch
+			n.own(c)
+		}
+	case messenger.ConfirmHandover:
+		for _, tell := range n.unconfirmed[e.Request] {
+			tell()
+		}
+		delete(n.unconfirmed, e.Request)
+	case messenger.Forget:
+		delete(n.copies, e.Request)
+	case messenger.SendGossip:
+		n.gossip(e, fate)
+	case messenger.AppendRecord:
+		n.appendRecord(e.Ticket, e.Stream, e.Data, fate)
+	case messenger.AppendOutcome:
+		data := claimer.OutcomeRecord(e.Account, e.Key, e.Request, e.Nonce, e.Outcome, 200, nil)
+		n.appendRecord(0, e.Stream, data, fate)
+	case messenger.BuyVM:
+		n.buy(e, fate)
+	case messenger.ReleaseVM:
+		if n.w.now < e.NotAfter {
+			n.w.list.release(e.VM)
+		}
+	case messenger.ReplyOperator:
+		n.w.facts.verdicts[verdictKey{node: n.vm, ticket: e.Ticket}] = e.Verdict
+	case messenger.FetchConfiguration:
+		n.fetchConfiguration(e)
+	case messenger.Note:
+		n.w.tell("%s %-16s %s #%d %s %s", n.vm, e.Kind, e.Request, e.Attempt, e.VM, e.Detail)
+	case messenger.Exit:
+		n.exit()
+	}
+}
+
+func (n *node) refused(e messenger.Refuse) {
+	if a := n.answers[e.Request]; a != nil && a.verdict == nil {
+		a.verdict = &e.Refusal
+	}
+}
+
+// exit ends the process of a planned stop, after its callers were told.
+func (n *node) exit() {
+	n.exited = true
+	for id, a := range n.answers {
+		if a.end == nil && a.movedTo == "" && a.verdict != nil && a.verdict.Reason == "" {
+			n.w.facts.object("%s stopped as planned with %s in flight", n.vm, id)
+		}
+	}
+	n.later(timekeeper.Second, func() { n.kill("stopped as planned") })
+}
+
+// own makes a copy, or a request handed over, this node's own answer.
+func (n *node) own(a *answer) *answer {
+	a.verdict = &messenger.Refusal{}
+	a.holder = ""
+	a.blocked = false
+	a.released = len(a.tokens)
+	n.answers[a.spec.Request] = a
+	return a
+}
+
+// copyOf returns what a peer gets of an answer.
+func (a *answer) copyOf() *answer {
+	return &answer{
+		spec:   a.spec,
+		epoch:  a.epoch,
+		root:   a.root,
+		tokens: append([]token(nil), a.tokens...),
+		place:  a.place,
+	}
+}
+
+// submit takes a request from a caller, as the runner's Submit does.
+func (n *node) submit(spec messenger.RequestSpec) {
+	if a := n.answers[spec.Request]; a != nil && !startsAnew(a) {
+		return
+	}
+	n.answers[spec.Request] = &answer{
+		spec: spec,
+		root: promptOf(spec.Request),
+	}
+	n.apply(messenger.RequestReceived{Spec: spec})
+}
+
+func startsAnew(a *answer) bool {
+	if a.verdict != nil && a.verdict.Reason != "" {
+		return true
+	}
+	return a.end != nil && (a.end.Outcome == messenger.NotRun || a.spec.Idempotent && a.end.Outcome != messenger.Done)
+}
+
+func (n *node) appendRecord(t identifier.Ticket, stream identifier.LogStream, data []byte, fate fate) {
+	if fate == loseRequest {
+		return
+	}
+	n.w.log.append(n, stream, data, func(ok bool) {
+		if fate == loseAnswer {
+			return
+		}
+		n.apply(messenger.AppendEnded{
+			Ticket: t,
+			Stream: stream,
+			OK:     ok,
+		})
+	})
+}
+
+func (n *node) gossip(e messenger.SendGossip, fate fate) {
+	to := n.w.node(e.Peer)
+	n.w.rpc(n, to, fate, func() {
+		to.apply(messenger.GossipReceived{
+			From: n.vm,
+			Data: e.Data,
+		})
+	}, func(bool) {})
+}
+
+func (n *node) fetchConfiguration(e messenger.FetchConfiguration) {
+	to := n.w.node(e.Peer)
+	var data []byte
+	n.w.rpc(n, to, carry, func() { data, _ = to.r.ExportConfiguration() }, func(ok bool) {
+		if ok && data != nil {
+			n.apply(messenger.ConfigurationReceived{
+				From: e.Peer,
+				Data: data,
+			})
+		}
+	})
+}
+
+func (n *node) buy(e messenger.BuyVM, fate fate) {
+	if n.w.now >= e.NotAfter || fate == loseRequest {
+		n.apply(messenger.BuyEnded{
+			Ticket:    e.Ticket,
+			Ambiguous: true,
+		})
+		return
+	}
+	vm, ok := n.w.list.buy(e)
+	n.later(50*timekeeper.Millisecond, func() {
+		n.apply(messenger.BuyEnded{
+			Ticket:    e.Ticket,
+			VM:        vm,
+			Refused:   !ok,
+			Ambiguous: fate == loseAnswer,
+		})
+	})
+}
+
+func (n *node) giveOrder(e messenger.GiveOrder, fate fate) {
+	s := n.w.server(e.Server)
+	sent := n.w.now < e.NotAfter && fate != loseRequest && s != nil && !s.dead && n.w.passes(string(n.vm), string(s.vm))
+	if sent {
+		s.order(e.Order)
+	}
+	n.later(600*timekeeper.Millisecond, func() {
+		n.apply(messenger.OrderEnded{
+			Ticket: e.Ticket,
+			Server: e.Server,
+			OK:     sent && fate != loseAnswer,
+		})
+	})
+}
+
+func (n *node) poll(e messenger.PollServer) {
+	s := n.w.server(e.Server)
+	deaf := s == nil || s.dead || s.frozen() || !n.w.passes(string(n.vm), string(s.vm)) || !n.w.passes(string(s.vm), string(n.vm))
+	if deaf {
+		n.later(300*timekeeper.Millisecond, func() { n.apply(messenger.LoadMissed{Server: e.Server}) })
+		return
+	}
+	load := s.load()
+	n.later(2*hop, func() {
+		n.apply(messenger.LoadReported{
+			Server: e.Server,
+			Load:   load,
+		})
+	})
+}
+
+func (n *node) String() string { return fmt.Sprintf("%s(%s)", n.vm, n.zone) }
--- /dev/null
+++ b/internal/prover/platform_test.go
@@ -0,0 +1,299 @@
+package prover
+
+import (
+	"slices"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/configurer"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// fakeLog is the platform's log: records in one order, and the faults that
+// the brief names.
+type fakeLog struct {
+	w       *world
+	next    identifier.Offset
+	first   identifier.Offset
+	streams map[identifier.LogStream][]messenger.Record
+	downTil timekeeper.Time
+	slowTil timekeeper.Time
+	// lieNext counts appends that take effect and are answered "failed";
+	// muteNext counts those whose answer never comes.
+	lieNext  int
+	muteNext int
+}
+
+func newFakeLog(w *world) *fakeLog {
+	return &fakeLog{
+		w:       w,
+		next:    1,
+		first:   1,
+		streams: map[identifier.LogStream][]messenger.Record{},
+	}
+}
+
+func (l *fakeLog) down() bool { return l.w.now < l.downTil }
+
+func (l *fakeLog) latency() timekeeper.Duration {
+	if l.w.now < l.slowTil {
+		return 1500 * timekeeper.Millisecond
+	}
+	return 4 * timekeeper.Millisecond
+}
+
+// append appends for a node and answers it.
+func (l *fakeLog) append(n *node, stream identifier.LogStream, data []byte, done func(ok bool)) {
+	if l.down() {
+		n.later(hop, func() { done(false) })
+		return
+	}
+	l.w.after(l.latency()/2, func() {
+		if l.down() {
+			n.later(hop, func() { done(false) })
+			return
+		}
+		l.put(stream, data)
+		switch {
+		case l.lieNext > 0:
+			l.lieNext--
+			n.later(hop, func() { done(false) })
+		case l.muteNext > 0:
+			l.muteNext--
+		default:
+			n.later(hop, func() { done(true) })
+		}
+	})
+}
+
+func (l *fakeLog) put(stream identifier.LogStream, data []byte) {
+	l.streams[stream] = append(l.streams[stream], messenger.Record{
+		Offset:   l.next,
+		Appended: l.w.now,
+		Data:     slices.Clone(data),
+	})
+	l.next++
+}
+
+// read returns a stream's records from an offset on.
+func (l *fakeLog) read(stream identifier.LogStream, from identifier.Offset) messenger.LogRead {
+	read := messenger.LogRead{
+		Stream: stream,
+		First:  l.first,
+		End:    true,
+	}
+	for _, rec := range l.streams[stream] {
+		if rec.Offset >= from && rec.Offset >= l.first {
+			read.Records = append(read.Records, rec)
+		}
+	}
+	return read
+}
+
+// expire drops all records up to now. It stands for a retention that has
+// passed; the snapshot and the claims' windows have to survive it.
+func (l *fakeLog) expire() { l.first = l.next }
+
+// fakeList is the platform's lagging list of VMs and its cloud API.
+type fakeList struct {
+	w *world
+	// stale keeps a leaving VM live, and one live VM missing, on the list.
+	staleTil timekeeper.Time
+	hidden   identifier.VMID
+	refuse   bool
+	leaving  map[identifier.VMID]timekeeper.Time
+	bought   map[string]identifier.VMID
+	released map[identifier.VMID]bool
+}
+
+func newFakeList(w *world) *fakeList {
+	return &fakeList{
+		w:        w,
+		leaving:  map[identifier.VMID]timekeeper.Time{},
+		bought:   map[string]identifier.VMID{},
+		released: map[identifier.VMID]bool{},
+	}
+}
+
+const listLag = 1 * timekeeper.Second
+
+// refresh shows the list, as it was a while ago, to all nodes.
+func (l *fakeList) refresh() {
+	var vms []messenger.VMState
+	for _, n := range l.w.nodes {
+		if !n.dead {
+			vms = append(vms, l.state(n.vm, n.zone, ""))
+		}
+	}
+	for _, s := range l.w.servers {
+		if !s.dead && s.vm != l.hiddenNow() {
+			vms = append(vms, l.state(s.vm, s.zone, s.pool))
+		}
+	}
+	read := messenger.ListRead{
+		AsOf: l.w.now,
+		VMs:  vms,
+	}
+	l.w.after(listLag, func() { l.w.broadcast(read) })
+}
+
+func (l *fakeList) hiddenNow() identifier.VMID {
+	if l.w.now < l.staleTil {
+		return l.hidden
+	}
+	return ""
+}
+
+func (l *fakeList) state(vm identifier.VMID, z identifier.Zone, pool identifier.PoolName) messenger.VMState {
+	_, leaving := l.leaving[vm]
+	return messenger.VMState{
+		VM:      vm,
+		Zone:    z,
+		Class:   "engine",
+		Market:  catalog.Reclaimable,
+		Pool:    pool,
+		Address: string(vm),
+		Leaving: leaving && l.w.now >= l.staleTil,
+	}
+}
+
+// notice takes a VM away at the deadline, and says so to every node that
+// listens now.
+func (l *fakeList) notice(vm identifier.VMID, deadline timekeeper.Time) {
+	if _, known := l.leaving[vm]; known {
+		return
+	}
+	l.leaving[vm] = deadline
+	l.w.facts.noticed[vm] = l.w.now
+	l.w.tell("NOTICE %s until %d", vm, deadline-1_000_000)
+	l.w.broadcast(messenger.NoticeReceived{
+		VM:       vm,
+		Deadline: deadline,
+	})
+	l.w.queue.add(deadline, func() { l.w.takeAway(vm) })
+}
+
+// takeAway ends a VM without further ado.
+func (w *world) takeAway(vm identifier.VMID) {
+	if n := w.node(vm); n != nil {
+		n.kill("reclaimed")
+	}
+	if s := w.server(vm); s != nil {
+		s.kill()
+	}
+}
+
+// buy sells a VM for a client token, once.
+func (l *fakeList) buy(e messenger.BuyVM) (identifier.VMID, bool) {
+	if vm, known := l.bought[e.ClientToken]; known {
+		return vm, true
+	}
+	if l.refuse {
+		return "", false
+	}
+	vm := l.w.addServer(identifier.VMID("x"+e.ClientToken), e.Zone, e.Pool).vm
+	l.bought[e.ClientToken] = vm
+	l.w.tell("BOUGHT %s", vm)
+	return vm, true
+}
+
+func (l *fakeList) release(vm identifier.VMID) {
+	l.released[vm] = true
+	l.w.takeAway(vm)
+}
+
+// settings is the operators' folder of the world, as one file.
+const settings = `
+[log]
+retention = 1h
+[zone a]
+region = r
+[zone b]
+region = r
+[zone c]
+region = r
+[zone d]
+region = r
+[vm_class engine]
+[price engine a]
+reclaimable = 1
+on_demand = 3
+[price engine b]
+reclaimable = 1
+on_demand = 3
+[price engine c]
+reclaimable = 1
+on_demand = 3
+[price engine d]
+reclaimable = 1
+on_demand = 3
+[pool reading]
+kind = model
+vm_class = engine
+checks_fence = false
+order_time = 2s
+slots = 8
+tokens_per_second = 20
+prefill_per_second = 4000
+kv_bytes_per_token = 100
+transfer_rate = 200KiB
+min = 6
+max = 8
+[pool portal]
+kind = plain
+vm_class = engine
+slots = 8
+min = 3
+max = 4
+[service report]
+kind = model
+pool = reading
+model = reader
+priority = batch
+long = true
+deadline = 60s
+max_tokens = 200
+[service tag]
+kind = model
+pool = reading
+model = reader
+priority = interactive
+deadline = 30s
+max_tokens = 10
+[service lookup]
+kind = plain
+pool = portal
+priority = interactive
+idempotent = true
+deadline = 10s
+[service booking]
+kind = plain
+pool = portal
+priority = standard
+idempotent = false
+deadline = 20s
+key_window = 10m
+[client_account agent]
+key_sha256 = 507e228fbdb2a146671a2d2291141446a171f819078d3d55693abf664e0739c0
+requests_per_second = 100
+request_burst = 200
+tokens_per_second = 100000
+token_burst = 100000
+`
+
+// bootConfig puts the settings into the log before the nodes start, as an
+// operator's accepted change.
+func (w *world) bootConfig() {
+	state := configurer.New(configurer.Config{})
+	state.Absorb(w.now, w.log.read("config", 1))
+	record, err := state.Propose(w.now, messenger.ChangeProposed{
+		Ticket:  1,
+		File:    "10-world.ini",
+		Content: []byte(settings),
+	}, "boot")
+	if err != nil {
+		panic(err)
+	}
+	w.log.put("config", record)
+}
--- /dev/null
+++ b/internal/prover/server_test.go
@@ -0,0 +1,228 @@
+package prover
+
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+const (
+	prefillTime = 300 * timekeeper.Millisecond
+	decodeEvery = 100 * timekeeper.Millisecond
+	decodeStep  = 2 // tokens each time: 20 a second
+	callTime    = 60 * timekeeper.Millisecond
+	exportTime  = 400 * timekeeper.Millisecond
+)
+
+// token is a token of an answer. Each is bound to the one before it and to the
+// stream that made it: engines sample, so that two streams that start from the
+// same point go on differently, and a splice of two answers shows.
+type token struct {
+	prev uint64
+	self uint64
+}
+
+func promptOf(r identifier.RequestID) uint64 { return xxhash.Sum64String("prompt " + string(r)) }
+
+func (s *stream) mint() {
+	prev := s.root
+	if len(s.tokens) > 0 {
+		prev = s.tokens[len(s.tokens)-1].self
+	}
+	s.tokens = append(s.tokens, token{
+		prev: prev,
+		self: xxhash.Sum64String(fmt.Sprintf("%x %s", prev, s.salt)),
+	})
+}
+
+// stream is an engine's stream. It goes on without a reader.
+type stream struct {
+	root   uint64
+	salt   string
+	tokens []token
+	want   int
+	ready  timekeeper.Time
+	ended  bool
+}
+
+// server is a backend server: an engine or a plain server.
+type server struct {
+	w         *world
+	vm        identifier.VMID
+	zone      identifier.Zone
+	pool      identifier.PoolName
+	dead      bool
+	frozenTil timekeeper.Time
+	// overloaded refuses new work, and says that it did not run.
+	overloadedTil timekeeper.Time
+	streams       map[identifier.StreamName]*stream
+	imported      map[identifier.StreamName]*stream
+	conns         []*conn
+	model         identifier.ModelName
+	fence         identifier.Fence
+	birth         timekeeper.Time
+}
+
+func (w *world) addServer(vm identifier.VMID, z identifier.Zone, pool identifier.PoolName) *server {
+	s := &server{
+		w:        w,
+		vm:       vm,
+		zone:     z,
+		pool:     pool,
+		streams:  map[identifier.StreamName]*stream{},
+		imported: map[identifier.StreamName]*stream{},
+		model:    "reader",
+		birth:    w.now,
+	}
+	w.servers = append(w.servers, s)
+	w.every(decodeEvery, s.decode)
+	return s
+}
+
+func (s *server) frozen() bool { return s.w.now < s.frozenTil }
+
+func (s *server) kill() {
+	if s.dead {
+		return
+	}
+	s.dead = true
+	s.w.tell("GONE %s", s.vm)
+	for _, c := range s.conns {
+		c.breakOff()
+	}
+	s.conns = nil
+}
+
+// decode lets every stream make its tokens and sends them to its readers.
+func (s *server) decode() {
+	if s.dead || s.frozen() {
+		return
+	}
+	for _, st := range s.streams {
+		for range decodeStep {
+			if s.w.now >= st.ready && len(st.tokens) < st.want {
+				st.mint()
+			}
+		}
+		st.ended = len(st.tokens) >= st.want
+	}
+	live := s.conns[:0]
+	for _, c := range s.conns {
+		if !c.closed {
+			c.push()
+			live = append(live, c)
+		}
+	}
+	s.conns = live
+}
+
+// start begins or joins a stream. It returns the result that ends the attempt
+// at once, or none.
+func (s *server) start(e messenger.SendAttempt, root uint64, given []token, want int) (*stream, messenger.AttemptResult) {
+	if st, known := s.streams[e.Stream]; known {
+		return st, ""
+	}
+	if e.Mode == messenger.StartResume {
+		return nil, messenger.AttemptBroken
+	}
+	if s.w.now < s.overloadedTil {
+		return nil, messenger.AttemptRefused
+	}
+	s.w.facts.newWork(s, e.Request)
+	st := &stream{
+		root:   root,
+		salt:   fmt.Sprintf("%s@%s", e.Stream, s.vm),
+		tokens: append([]token(nil), given...),
+		want:   want,
+		ready:  s.w.now.Add(prefillTime),
+	}
+	if moved, ok := s.imported[e.Stream]; ok {
+		st.salt = moved.salt
+		st.ready = s.w.now
+		if len(moved.tokens) > len(given) {
+			st.tokens = append([]token(nil), moved.tokens...)
+		}
+	}
+	s.streams[e.Stream] = st
+	return st, ""
+}
+
+// call runs a plain call. The effect stands from this moment on.
+func (s *server) call(e messenger.SendAttempt, key string) messenger.AttemptResult {
+	if s.w.now < s.overloadedTil {
+		return messenger.AttemptRefused
+	}
+	s.w.facts.newWork(s, e.Request)
+	s.w.facts.ran(key, s.w.now)
+	return ""
+}
+
+// order takes an order to load a model. It ignores the fencing number, as the
+// settings of the world say.
+func (s *server) order(o messenger.Order) {
+	s.w.after(500*timekeeper.Millisecond, func() {
+		s.model = o.Model
+		s.fence = max(s.fence, o.Fence)
+	})
+}
+
+func (s *server) load() messenger.ServerLoad {
+	running := 0
+	for _, st := range s.streams {
+		if !st.ended {
+			running++
+		}
+	}
+	return messenger.ServerLoad{
+		AsOf:            s.w.now,
+		Running:         running,
+		Slots:           8,
+		FreeKVTokens:    100_000,
+		TokensPerSecond: 20,
+		Model:           s.model,
+		Fence:           s.fence,
+	}
+}
+
+// conn is an open connection from a node to a server, for one attempt.
+type conn struct {
+	n       *node
+	s       *server
+	effect  messenger.SendAttempt
+	stream  *stream
+	sent    int
+	closed  bool
+	silent  bool
+	heard   timekeeper.Time
+	started bool
+}
+
+// push sends the reader what it lacks.
+func (c *conn) push() {
+	if c.silent || c.stream == nil || !c.s.w.passes(string(c.s.vm), string(c.n.vm)) {
+		return
+	}
+	tokens, from := c.stream.tokens, c.sent
+	if from >= len(tokens) && !c.stream.ended {
+		return
+	}
+	if from > len(tokens) {
+		return
+	}
+	fresh := append([]token(nil), tokens[from:]...)
+	c.sent = len(tokens)
+	ended := c.stream.ended
+	c.n.later(hop, func() { c.n.received(c, from, fresh, ended) })
+}
+
+// breakOff ends the connection as the node sees it.
+func (c *conn) breakOff() {
+	if c.closed {
+		return
+	}
+	c.n.later(hop, func() { c.n.attemptOver(c, messenger.AttemptBroken) })
+}
--- /dev/null
+++ b/internal/prover/stream_test.go
@@ -0,0 +1,217 @@
+package prover
+
+import (
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// sendAttempt opens a connection and starts or joins the stream, or makes the
+// plain call.
+func (n *node) sendAttempt(e messenger.SendAttempt, fate fate) {
+	a := n.answers[e.Request]
+	if a == nil || a.place.Attempt >= e.Attempt {
+		return // The same attempt is never sent twice.
+	}
+	if a.conn != nil {
+		a.conn.closed = true
+	}
+	a.place = e
+	c := &conn{
+		n:      n,
+		effect: e,
+		s:      n.w.server(e.Server),
+		sent:   len(a.tokens),
+		heard:  n.w.now,
+	}
+	a.conn = c
+	if c.s == nil || c.s.dead {
+		n.later(hop, func() { n.attemptOver(c, messenger.AttemptNotSent) })
+		return
+	}
+	if !n.w.passes(string(n.vm), string(c.s.vm)) {
+		n.later(500*timekeeper.Millisecond, func() { n.attemptOver(c, messenger.AttemptNotSent) })
+		return
+	}
+	n.watchSilence(c)
+	if fate == loseRequest {
+		return
+	}
+	n.w.after(hop, func() { c.arrive(a, fate) })
+}
+
+// arrive is the attempt at the server.
+func (c *conn) arrive(a *answer, fate fate) {
+	s := c.s
+	if s.dead {
+		c.breakOff()
+		return
+	}
+	if s.frozen() {
+		s.w.queue.add(s.frozenTil, func() { c.arrive(a, fate) })
+		return
+	}
+	var refused messenger.AttemptResult
+	if s.pool == "portal" {
+		refused = c.call(a, fate)
+	} else {
+		c.stream, refused = s.start(c.effect, a.root, a.tokens[:min(c.sent, len(a.tokens))], int(a.spec.MaxTokens))
+	}
+	if refused != "" {
+		c.n.later(hop, func() { c.n.attemptOver(c, refused) })
+		return
+	}
+	if fate == loseAnswer {
+		c.silent = true
+		return
+	}
+	s.conns = append(s.conns, c)
+	c.n.later(hop, func() { c.n.started(c) })
+}
+
+// call makes a plain call and brings the reply after its time.
+func (c *conn) call(a *answer, fate fate) messenger.AttemptResult {
+	if refused := c.s.call(c.effect, runKey(a.spec)); refused != "" {
+		return refused
+	}
+	c.s.w.after(callTime, func() {
+		if c.s.dead || c.silent || fate == loseAnswer || !c.s.w.passes(string(c.s.vm), string(c.n.vm)) {
+			return
+		}
+		c.n.later(hop, func() {
+			if !c.closed {
+				a.reply = true
+				c.n.attemptOver(c, messenger.AttemptComplete)
+			}
+		})
+	})
+	return ""
+}
+
+// runKey names what runs: the caller's key, or the request.
+func runKey(s messenger.RequestSpec) string {
+	if s.Key != "" {
+		return string(s.Account) + "/" + string(s.Key)
+	}
+	return string(s.Request)
+}
+
+func (n *node) started(c *conn) {
+	if c.closed {
+		return
+	}
+	c.heard = n.w.now
+	c.started = true
+	n.apply(messenger.AttemptStarted{
+		Request: c.effect.Request,
+		Attempt: c.effect.Attempt,
+	})
+}
+
+// received takes tokens of a stream. As in the runner's answers, only the
+// current attempt's next token is taken.
+func (n *node) received(c *conn, from int, fresh []token, ended bool) {
+	a := n.answers[c.effect.Request]
+	if c.closed || a == nil || a.conn != c {
+		return
+	}
+	c.heard = n.w.now
+	for i, t := range fresh {
+		if from+i == len(a.tokens) {
+			a.tokens = append(a.tokens, t)
+		}
+	}
+	n.release(a)
+	n.push(a)
+	if len(fresh) > 0 {
+		n.apply(messenger.AttemptProgress{
+			Request:   c.effect.Request,
+			Attempt:   c.effect.Attempt,
+			Delivered: identifier.Tokens(len(a.tokens)),
+		})
+	}
+	if ended && a.conn == c && !c.closed {
+		n.attemptOver(c, messenger.AttemptComplete)
+	}
+}
+
+// release lets callers have what the holder has, or everything without one.
+func (n *node) release(a *answer) {
+	switch {
+	case a.paused:
+	case a.holder != "":
+		a.released = max(a.released, min(a.pushed, len(a.tokens)))
+	case !a.blocked:
+		a.released = len(a.tokens)
+	}
+}
+
+func (n *node) attemptOver(c *conn, result messenger.AttemptResult) {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	a := n.answers[c.effect.Request]
+	if a == nil {
+		return
+	}
+	n.apply(messenger.AttemptEnded{
+		Request:   c.effect.Request,
+		Attempt:   c.effect.Attempt,
+		Result:    result,
+		Delivered: identifier.Tokens(len(a.tokens)),
+	})
+}
+
+// watchSilence ends an attempt that hears nothing for too long.
+func (n *node) watchSilence(c *conn) {
+	n.later(200*timekeeper.Millisecond, func() {
+		if c.closed {
+			return
+		}
+		bound := c.effect.NextSilence
+		if c.sent == 0 || !c.started {
+			bound = c.effect.FirstSilence
+		}
+		if n.w.now.Sub(c.heard) > bound {
+			n.attemptOver(c, messenger.AttemptSilent)
+			return
+		}
+		n.watchSilence(c)
+	})
+}
+
+func (n *node) stopAttempt(e messenger.StopAttempt, fate fate) {
+	a := n.answers[e.Request]
+	if a != nil && a.conn != nil && a.conn.effect.Attempt == e.Attempt {
+		a.conn.closed = true
+	}
+	s := n.w.server(e.Server)
+	if e.Cancel && fate != loseRequest && s != nil && n.w.passes(string(n.vm), string(s.vm)) {
+		n.w.after(hop, func() { delete(s.streams, e.Stream) })
+	}
+}
+
+// moveKV copies a stream's KV cache and what it has made so far.
+func (n *node) moveKV(e messenger.MoveKV, fate fate) {
+	from, to := n.w.server(identifier.VMID(e.FromAddress)), n.w.server(e.To)
+	n.w.after(exportTime, func() {
+		ok := fate != loseRequest && from != nil && to != nil && !from.dead && !to.dead && !from.frozen() && !to.frozen()
+		if ok {
+			if st := from.streams[e.Stream]; st != nil {
+				to.imported[e.Stream] = &stream{
+					salt:   st.salt,
+					tokens: append([]token(nil), st.tokens...),
+				}
+			}
+		}
+		n.later(hop, func() {
+			n.apply(messenger.KVMoved{
+				Request: e.Request,
+				Attempt: e.Attempt,
+				To:      e.To,
+				OK:      ok && fate != loseAnswer,
+			})
+		})
+	})
+}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -91,7 +91,7 @@
 		loads:       map[identifier.VMID]messenger.ServerLoad{},
 		limits:      limiter.New(limiter.Config{Rules: limiter.AllRules()}),
 		budgets:     retrier.New(retrier.Config{Rules: retrier.AllRules()}),
-		suspicions:  detector.New(detector.Config{}),
+		suspicions:  detector.New(detector.Config{Rules: detector.AllRules()}),
 		hints:       router.NewHints(router.HintsConfig{}),
 		requests:    newConductor(c),
 		provisioner: newProvisioner(c),
--- a/pkg/identifier/identifier.go
+++ b/pkg/identifier/identifier.go
@@ -42,6 +42,11 @@
 // AttemptNumber counts the attempts of one request, from 1, over all nodes.
 type AttemptNumber uint32
 
+// Epoch orders the nodes that may take themselves for the owner of a request.
+// It grows with each change of owner or holder, and travels with the request:
+// of two nodes that both go on with it, the one with the smaller epoch yields.
+type Epoch uint32
+
 // StreamName names an attempt's stream towards an engine. It follows from the
 // request and the attempt, so that a node that adopts a request can name it.
 type StreamName string
