Count the time for which the machine is suspended

Cause: the clock was steadied by the monotonic clock, which stands still while a whole VM is suspended. A lease holder would resume with a lapsed lease, take it for valid and give orders beside the new holder. Ruled out: the wall clock, which an operator or a time daemon may set back; a guess of the suspension from the difference of both clocks, which can't tell it from a wall clock that was set.

--- a/pkg/timekeeper/clock.go
+++ b/pkg/timekeeper/clock.go
@@ -15,19 +15,27 @@
 	_ Clock = (*Manual)(nil)
 )
 
-// System is the wall clock of the machine, steadied by the monotonic clock:
-// it never goes back when the wall clock is set back, because lease and
-// deadline rules compare instants of one process.
+// System is the wall clock of the machine as it stood when the process started,
+// carried on by a steady clock: it never goes back when the wall clock is set
+// back, because lease and deadline rules compare instants of one process, and
+// it goes on while the machine is suspended.
 type System struct{}
 
-var processStart = time.Now()
+var (
+	processStart = time.Now()
+	steadyStart  = steady()
+)
 
-// Now returns the instant at which the process started plus the monotonic
-// time that has passed since.
+// Now returns the instant at which the process started plus the steady time
+// that has passed since.
 func (System) Now() Time {
-	return FromStd(processStart.Add(time.Since(processStart)))
+	return FromStd(processStart.Add(steady() - steadyStart))
 }
 
+// monotonic returns the time that the monotonic clock counted since the
+// process started.
+func monotonic() time.Duration { return time.Since(processStart) }
+
 // Manual is a clock that moves only when told to. It is safe for concurrent
 // use. The zero value stands at the epoch.
 type Manual struct {
