Say what is left to the fencing number

Cause: the comment of the steady clock spoke as if all servers checked it. Change: it names the wait of a new holder too. Conclusion: a comment only.

--- a/pkg/timekeeper/steady_linux.go
+++ b/pkg/timekeeper/steady_linux.go
@@ -14,8 +14,9 @@
 // holder. CLOCK_BOOTTIME goes on through a suspension and, like the monotonic
 // clock, is not moved by whoever sets the wall clock, so the first look at the
 // clock after the resume shows the lapse. That is enough because the holder
-// looks right before each order, and servers check the fencing number for the
-// instant between the look and the order.
+// looks right before each order; what passes between the look and the order is
+// left to the fencing number, and to the time a new holder waits out before it
+// orders servers that ignore it.
 func steady() time.Duration {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
