--- a/internal/answerer/answer.go
+++ b/internal/answerer/answer.go
@@ -81,16 +81,19 @@
 	released identifier.Tokens
 	// replyOut tells that the reply is released.
 	replyOut bool
-	// held gates release on a holder; paused stops it during a handover.
-	held    bool
-	paused  bool
-	verdict *Verdict
-	end     *End
-	movedTo identifier.VMID
-	size    identifier.Bytes
-	usage   *Usage        // nil once the answer is out of its store
-	seen    chan struct{} // closed once a reader has had the end
-	callers int
+	// held gates release on what a holder has acknowledged; paused stops it
+	// during a handover.
+	held       bool
+	paused     bool
+	acked      identifier.Tokens
+	replyAcked bool
+	verdict    *Verdict
+	end        *End
+	movedTo    identifier.VMID
+	size       identifier.Bytes
+	usage      *Usage        // nil once the answer is out of its store
+	seen       chan struct{} // closed once a reader has had the end
+	callers    int
 }
 
 // Config says what an Answer starts with.
@@ -116,7 +119,7 @@
 		pieces:   c.Pieces,
 		reply:    c.Reply,
 		released: identifier.Tokens(len(c.Pieces)),
-		replyOut: true,
+		replyOut: c.Reply != nil,
 		size:     c.Body.Size(),
 		seen:     make(chan struct{}),
 	}
--- /dev/null
+++ b/internal/answerer/answer_test.go
@@ -0,0 +1,204 @@
+package answerer_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/answerer"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+func newAnswer(request identifier.RequestID) *answerer.Answer {
+	return answerer.New(answerer.Config{
+		Spec: messenger.RequestSpec{
+			Request: request,
+			Account: "agency",
+		},
+		Body: answerer.Body{Prompt: "report"},
+	})
+}
+
+func place(n identifier.AttemptNumber) answerer.Place {
+	return answerer.Place{
+		Attempt: n,
+		Server:  "engine-1",
+	}
+}
+
+func ExampleAnswer_Read() {
+	a := newAnswer("r1")
+	a.Accept()
+	a.Begin(place(1))
+	a.Append(1, 1, "The ")
+	a.Append(1, 2, "end.")
+	a.Finish(answerer.End{Outcome: messenger.Done})
+	pieces, end, err := a.Read(context.Background(), 1)
+	fmt.Println(pieces, end.Outcome, err)
+	// Output: [{2 end.}] done <nil>
+}
+
+// The caller would see tokens of two attempts mixed in one answer. Attempt 1
+// goes silent, attempt 2 continues on another engine, then the connection of
+// attempt 1 speaks again. Only the current attempt's next piece is taken.
+func TestPiecesOfStaleAttemptAreDropped(t *testing.T) {
+	a := newAnswer("r1")
+	_, ok := a.Begin(place(1))
+	require.True(t, ok)
+	require.True(t, a.Append(1, 1, "a"))
+	have, ok := a.Begin(place(2))
+	require.True(t, ok)
+	require.EqualValues(t, 1, have)
+
+	require.False(t, a.Append(1, 2, "late"), "stale attempt")
+	require.False(t, a.Append(2, 1, "again"), "token that stands already")
+	require.False(t, a.Append(2, 3, "hole"), "token beyond the next")
+	require.True(t, a.Append(2, 2, "b"))
+	require.False(t, a.SetReply(1, answerer.Reply{Status: 200}))
+
+	_, ok = a.Begin(place(1))
+	require.False(t, ok, "an older attempt never becomes current again")
+	pieces, _, err := a.Read(t.Context(), 0)
+	require.NoError(t, err)
+	require.Equal(t, []answerer.Piece{{Index: 1, Text: "a"}, {Index: 2, Text: "b"}}, pieces)
+}
+
+// The caller would have a token that no survivor has. The node pushes tokens
+// to a holder; until the holder acknowledges one, no caller reads it, and the
+// end stays behind the last token.
+func TestHeldAnswerGivesOnlyWhatTheHolderHas(t *testing.T) {
+	a := newAnswer("r1")
+	a.Hold()
+	a.Begin(place(1))
+	a.Append(1, 1, "a")
+	a.Append(1, 2, "b")
+	a.Finish(answerer.End{Outcome: messenger.Done})
+	requireNothing(t, a, 0)
+
+	a.Release(1, false)
+	pieces, end, err := a.Read(t.Context(), 0)
+	require.NoError(t, err)
+	require.Len(t, pieces, 1)
+	require.Nil(t, end)
+	requireNothing(t, a, 1)
+
+	a.Release(2, false)
+	pieces, end, err = a.Read(t.Context(), 1)
+	require.NoError(t, err)
+	require.Len(t, pieces, 1)
+	require.Equal(t, messenger.Done, end.Outcome)
+}
+
+func requireNothing(t *testing.T, a *answerer.Answer, after identifier.Tokens) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel() // Read looks before it waits.
+	_, _, err := a.Read(ctx, after)
+	var wait *answerer.WaitError
+	require.ErrorAs(t, err, &wait)
+}
+
+func TestHeldReplyWaitsForTheHolder(t *testing.T) {
+	a := newAnswer("r1")
+	a.Hold()
+	a.Begin(place(1))
+	require.True(t, a.SetReply(1, answerer.Reply{Status: 201}))
+	a.Finish(answerer.End{Outcome: messenger.Done})
+	requireNothing(t, a, 0)
+	a.Release(0, true)
+	_, end, err := a.Read(t.Context(), 0)
+	require.NoError(t, err)
+	require.Equal(t, 201, end.Status)
+}
+
+// The caller would read a token that the successor then generates differently.
+// A handover takes its snapshot, the old stream goes on, then the handover
+// ends: with a redirect nothing beyond the snapshot was read; without one all
+// of it comes out, acknowledgements of the meantime included.
+func TestPauseKeepsBackWhatCameAfterTheSnapshot(t *testing.T) {
+	a := newAnswer("r1")
+	a.Hold()
+	a.Begin(place(1))
+	a.Pause()
+	a.Append(1, 1, "a")
+	a.Release(1, false)
+	requireNothing(t, a, 0)
+	a.Unpause()
+	pieces, _, err := a.Read(t.Context(), 0)
+	require.NoError(t, err)
+	require.Len(t, pieces, 1)
+
+	a.Pause()
+	a.Append(1, 2, "b")
+	a.Redirect("vm-2", "127.0.0.1:80")
+	pieces, end, err := a.Read(t.Context(), 1)
+	require.NoError(t, err)
+	require.Empty(t, pieces)
+	require.Equal(t, "127.0.0.1:80", end.MovedTo)
+}
+
+func TestExtendRefusesAHole(t *testing.T) {
+	a := newAnswer("r1")
+	require.True(t, a.Extend(answerer.Change{Pieces: []answerer.Piece{{Index: 1, Text: "a"}}}))
+	require.True(t, a.Extend(answerer.Change{Pieces: []answerer.Piece{{Index: 1, Text: "a"}, {Index: 2, Text: "b"}}}))
+	require.False(t, a.Extend(answerer.Change{Pieces: []answerer.Piece{{Index: 4, Text: "d"}}}))
+	require.EqualValues(t, 2, a.Delivered())
+}
+
+func TestRefusedAnswer(t *testing.T) {
+	a := newAnswer("r1")
+	a.Refuse(messenger.Refusal{
+		Reason:  messenger.ReasonOverload,
+		Outcome: messenger.NotRun,
+	})
+	v, err := a.Verdict(t.Context())
+	require.NoError(t, err)
+	require.False(t, v.Accepted)
+	require.Equal(t, messenger.ReasonOverload, v.Refusal.Reason)
+}
+
+func TestStoreKeepsEndedAnswersForTheGraceTime(t *testing.T) {
+	s := answerer.NewStore(answerer.StoreConfig{
+		Limit: 1000,
+		Grace: timekeeper.Minute,
+	})
+	keep := func(*answerer.Answer) bool { return true }
+	a, added, err := s.Add(newAnswer("r1"), keep)
+	require.NoError(t, err)
+	require.True(t, added)
+	again, added, err := s.Add(newAnswer("r1"), keep)
+	require.NoError(t, err)
+	require.False(t, added)
+	require.Same(t, a, again)
+
+	require.Zero(t, s.Sweep(1000), "a live answer stays")
+	a.Finish(answerer.End{Outcome: messenger.Done})
+	require.Zero(t, s.Sweep(2000))
+	require.Zero(t, s.Sweep(2000+timekeeper.Time(timekeeper.Minute)-1))
+	require.Equal(t, 1, s.Sweep(2000+timekeeper.Time(timekeeper.Minute)))
+	require.Zero(t, s.Bytes())
+}
+
+func TestStoreRefusesBeyondItsBytes(t *testing.T) {
+	s := answerer.NewStore(answerer.StoreConfig{
+		Limit: 10,
+		Grace: timekeeper.Minute,
+	})
+	keep := func(*answerer.Answer) bool { return true }
+	old, _, err := s.Add(newAnswer("r1"), keep)
+	require.NoError(t, err)
+	_, _, err = s.Add(newAnswer("r2"), keep)
+	var full *answerer.FullError
+	require.ErrorAs(t, err, &full, "a live answer never makes room")
+
+	old.Finish(answerer.End{Outcome: messenger.Done})
+	s.Sweep(1)
+	_, _, err = s.Add(newAnswer("r2"), keep)
+	require.NoError(t, err, "an ended one does")
+	_, ok := s.Get("r1")
+	require.False(t, ok)
+}
--- a/internal/answerer/write.go
+++ b/internal/answerer/write.go
@@ -77,7 +77,7 @@
 		Text:  text,
 	})
 	a.grow(len(text) + pieceOverhead)
-	a.releaseFreely()
+	a.release()
 	a.notify()
 	return true
 }
@@ -91,9 +91,8 @@
 		return false
 	}
 	a.reply = &r
-	a.replyOut = false
 	a.grow(len(r.Body))
-	a.releaseFreely()
+	a.release()
 	a.notify()
 	return true
 }
@@ -145,7 +144,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.held = false
-	a.releaseFreely()
+	a.release()
 	a.notify()
 }
 
@@ -163,7 +162,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.paused = false
-	a.releaseFreely()
+	a.release()
 	a.notify()
 }
 
@@ -172,23 +171,23 @@
 func (a *Answer) Release(upTo identifier.Tokens, reply bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.paused {
-		return
-	}
-	upTo = min(upTo, identifier.Tokens(len(a.pieces)))
-	a.released = max(a.released, upTo)
-	a.replyOut = a.replyOut || reply
+	a.acked = max(a.acked, min(upTo, identifier.Tokens(len(a.pieces))))
+	a.replyAcked = a.replyAcked || (reply && a.reply != nil)
+	a.release()
 	a.notify()
 }
 
-// releaseFreely lets out all that stands here where nothing gates it. The
-// caller holds a.mu.
-func (a *Answer) releaseFreely() {
-	if a.held || a.paused {
-		return
+// release lets out what may go out. The caller holds a.mu.
+func (a *Answer) release() {
+	switch {
+	case a.paused:
+	case a.held:
+		a.released = max(a.released, a.acked)
+		a.replyOut = a.replyOut || a.replyAcked
+	default:
+		a.released = identifier.Tokens(len(a.pieces))
+		a.replyOut = a.reply != nil
 	}
-	a.released = identifier.Tokens(len(a.pieces))
-	a.replyOut = true
 }
 
 // grow counts n more bytes. The caller holds a.mu.
@@ -280,7 +279,7 @@
 	if c.Place.Attempt > a.place.Attempt {
 		a.place = c.Place
 	}
-	a.releaseFreely()
+	a.release()
 	a.notify()
 	return true
 }
