Add the runner's core: loop, attempts, holders, log and peers

Cause: effects of the reducer need someone who carries them out. Change: one loop that owns the reducer, tasks with reported ends, lanes.

--- /dev/null
+++ b/internal/runner/effect.go
@@ -0,0 +1,161 @@
+package runner
+
+import (
+	"github.com/dotterelhollow/dotterelhollow/internal/answerer"
+	"github.com/dotterelhollow/dotterelhollow/internal/historian"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+)
+
+// carryOut does what an effect says, or starts the task that does it.
+func (r *Runner) carryOut(effect messenger.Effect) {
+	switch e := effect.(type) {
+	case messenger.Refuse:
+		r.metrics.refused(e.Refusal)
+		r.withAnswer(e.Request, func(a *answerer.Answer) { a.Refuse(e.Refusal) })
+	case messenger.Accept:
+		r.withAnswer(e.Request, (*answerer.Answer).Accept)
+	case messenger.Finish:
+		r.finish(e)
+	case messenger.AnswerFrom:
+		r.answerFrom(e)
+	case messenger.Redirect:
+		r.redirect(e)
+	case messenger.SendAttempt:
+		r.sendAttempt(e)
+	case messenger.StopAttempt:
+		r.stopAttempt(e)
+	case messenger.MoveKV:
+		r.moveKV(e)
+	case messenger.PollServer:
+		r.pollServer(e)
+	case messenger.GiveOrder:
+		r.giveOrder(e)
+	case messenger.Hold:
+		r.hold(e)
+	case messenger.Unhold:
+		r.unhold(e)
+	case messenger.HandOver:
+		r.handOver(e)
+	case messenger.Adopt:
+		r.adopt(e)
+	case messenger.Forget:
+		r.forget(e)
+	case messenger.SendGossip:
+		r.sendGossip(e)
+	case messenger.AppendRecord:
+		r.appendRecord(e)
+	case messenger.AppendOutcome:
+		r.appendOutcome(e)
+	case messenger.BuyVM:
+		r.buyVM(e)
+	case messenger.ReleaseVM:
+		r.releaseVM(e)
+	case messenger.ReplyOperator:
+		r.replyOperator(e)
+	case messenger.FetchConfiguration:
+		r.fetchConfiguration(e)
+	case messenger.Note:
+		r.note(e)
+	case messenger.Exit:
+		r.exit()
+	default:
+		r.logger.Error("effect of an unknown type was dropped", "effect", effect)
+	}
+}
+
+func (r *Runner) withAnswer(request identifier.RequestID, do func(*answerer.Answer)) {
+	if a, ok := r.answers.Get(request); ok {
+		do(a)
+	}
+}
+
+// finish ends an answer. A handover that is still under way has lost its
+// race: what stands here is the whole answer, so it may go out.
+func (r *Runner) finish(e messenger.Finish) {
+	r.metrics.outcome(e.Outcome)
+	r.withAnswer(e.Request, func(a *answerer.Answer) {
+		a.Finish(answerer.End{
+			Outcome:    e.Outcome,
+			Reason:     e.Reason,
+			RetryAfter: e.RetryAfter,
+		})
+		a.Unpause()
+	})
+	r.endAttempt(e.Request)
+}
+
+func (r *Runner) redirect(e messenger.Redirect) {
+	node, ok := r.config.Reducer.Node(e.To)
+	if !ok {
+		r.logger.Error("redirect to an unknown node", "request", e.Request, "node", e.To)
+		return
+	}
+	r.withAnswer(e.Request, func(a *answerer.Answer) { a.Redirect(e.To, node.CallerAddress) })
+	r.endAttempt(e.Request)
+}
+
+// forget drops what is kept of a request. An ended answer stays for its grace
+// time, because a caller may still come for it.
+func (r *Runner) forget(e messenger.Forget) {
+	r.copies.drop(e.Request)
+	a, ok := r.answers.Get(e.Request)
+	if !ok {
+		return
+	}
+	if _, ended := a.Ended(); ended {
+		return
+	}
+	a.Finish(answerer.End{Outcome: messenger.Unknown})
+	r.answers.Remove(e.Request)
+	r.endAttempt(e.Request)
+}
+
+// adopt makes the copy of a dead owner's request this node's own.
+func (r *Runner) adopt(e messenger.Adopt) {
+	a, ok := r.copies.take(e.Request)
+	if !ok {
+		r.logger.Error("adopting a request without its copy", "request", e.Request)
+		return
+	}
+	r.metrics.adopted.Add(1)
+	r.answers.Put(a)
+}
+
+func (r *Runner) note(e messenger.Note) {
+	entry := r.config.Historian.Record(e)
+	r.logger.Info(string(e.Kind),
+		"stamp", stampText(entry.Stamp),
+		"request", e.Request,
+		"attempt", e.Attempt,
+		"vm", e.VM,
+		"detail", e.Detail,
+	)
+}
+
+func stampText(s historian.Stamp) string { return s.Time.String() }
+
+func (r *Runner) replyOperator(e messenger.ReplyOperator) {
+	waiting, ok := r.proposals[e.Ticket]
+	if !ok {
+		return
+	}
+	delete(r.proposals, e.Ticket)
+	waiting <- e.Verdict // It has room for one, and gets only one.
+}
+
+// inLane runs work in the lane of key; where that is full, lost runs instead.
+func (r *Runner) inLane(key string, work job, lost func()) {
+	if r.lanes.push(key, work) {
+		return
+	}
+	r.metrics.droppedEffects.Add(1)
+	if lost != nil {
+		lost()
+	}
+}
+
+// report returns the end of a job that tells the reducer body.
+func (r *Runner) report(body messenger.EventBody) func() {
+	return func() { r.later(body) }
+}
--- /dev/null
+++ b/internal/runner/follow.go
@@ -0,0 +1,87 @@
+package runner
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+const (
+	// readLimit bounds the records of one read, readWait how long the log
+	// keeps a read waiting for the next record.
+	readLimit = 1000
+	readWait  = 5 * timekeeper.Second
+	// readSlack is what a read may take beyond its wait.
+	readSlack = 2 * time.Second
+	// retryFirst and retryMost bound the pause after a failure; half of each
+	// pause is random, so that nodes do not come back all at once.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 2 * time.Second
+)
+
+// backoff spaces tries that fail.
+type backoff struct {
+	rng  *rand.Rand
+	next time.Duration
+}
+
+func newBackoff(rng *rand.Rand) *backoff {
+	return &backoff{
+		rng:  rng,
+		next: retryFirst,
+	}
+}
+
+// reset begins anew after a success.
+func (b *backoff) reset() { b.next = retryFirst }
+
+// wait pauses, longer each time, or returns false when ctx ends first.
+func (b *backoff) wait(ctx context.Context) bool {
+	d := b.next/2 + time.Duration(b.rng.Int64N(int64(b.next/2)))
+	b.next = min(2*b.next, retryMost)
+	return sleep(ctx, d)
+}
+
+// startTailers starts a task for each stream that the reducer follows.
+func (r *Runner) startTailers() {
+	for _, s := range r.config.Reducer.Streams() {
+		if r.tailers[s] {
+			continue
+		}
+		r.tailers[s] = true
+		rng := jitter(r.config.Seed, string(s))
+		r.tasks.start(func(ctx context.Context) func() {
+			r.follow(ctx, s, newBackoff(rng))
+			return nil
+		})
+	}
+}
+
+// follow reads a stream of the log from its beginning on, for good.
+func (r *Runner) follow(ctx context.Context, s identifier.LogStream, pause *backoff) {
+	var from identifier.Offset
+	for ctx.Err() == nil {
+		read, err := r.readLog(ctx, s, from)
+		if err != nil {
+			r.emit(ctx, messenger.LogUnavailable{Stream: s})
+			pause.wait(ctx)
+			continue
+		}
+		pause.reset()
+		if n := len(read.Records); n > 0 {
+			from = read.Records[n-1].Offset + 1
+		}
+		read.Stream = s
+		r.emit(ctx, read)
+	}
+}
+
+func (r *Runner) readLog(ctx context.Context, s identifier.LogStream, from identifier.Offset) (messenger.LogRead, error) {
+	ctx, done := context.WithTimeout(ctx, readWait.Std()+readSlack)
+	defer done()
+	return r.config.Log.Read(ctx, s, from, readLimit, readWait)
+}
--- /dev/null
+++ b/internal/runner/metrics.go
@@ -0,0 +1,153 @@
+package runner
+
+import (
+	"encoding/json"
+	"expvar"
+	"sync/atomic"
+	"time"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+)
+
+// Metrics counts what a Runner did since its start. Its variable is a JSON
+// object; a name says its unit where it is not a plain count:
+//
+//	requests               requests that callers sent
+//	refusals               refused requests by reason
+//	outcomes               ended requests by outcome
+//	attempts               attempts by start mode
+//	attempt_results        ended attempts by result
+//	recomputed_tokens      tokens, prompt and answer, that a new attempt made a
+//	                       server compute again
+//	stale_pieces           pieces of late or crossed attempts that were dropped
+//	adopted, handed_over   requests taken from dead peers, given to successors
+//	append_calls           calls to the log; appended_records in them
+//	throttled_appends      calls that the log's rate limit refused
+//	lapsed_orders          orders not given because their lease had lapsed
+//	dropped_events         news dropped because the loop was behind
+//	dropped_effects        effects dropped because their lane was full
+//	evicted_answers        ended answers dropped after their grace time
+//	answers, answer_bytes  answers kept now, and their bytes
+//	copies, copy_bytes     copies held for peers now, and their bytes
+//	event_queue            events that wait for the loop now
+//	loop_lag_ms            the longest wait of an event in the last second or
+//	                       two
+type Metrics struct {
+	vars *expvar.Map
+
+	requests         expvar.Int
+	refusals         expvar.Map
+	outcomes         expvar.Map
+	attempts         expvar.Map
+	results          expvar.Map
+	recomputedTokens expvar.Int
+	stalePieces      expvar.Int
+	adopted          expvar.Int
+	handedOver       expvar.Int
+	appends          expvar.Int
+	appendedRecords  expvar.Int
+	throttledAppends expvar.Int
+	lapsedOrders     expvar.Int
+	droppedEvents    expvar.Int
+	droppedEffects   expvar.Int
+	evicted          expvar.Int
+	lags             lagWindow
+}
+
+func newMetrics() *Metrics {
+	m := &Metrics{vars: new(expvar.Map).Init()}
+	for name, v := range map[string]expvar.Var{
+		"requests":          &m.requests,
+		"refusals":          m.refusals.Init(),
+		"outcomes":          m.outcomes.Init(),
+		"attempts":          m.attempts.Init(),
+		"attempt_results":   m.results.Init(),
+		"recomputed_tokens": &m.recomputedTokens,
+		"stale_pieces":      &m.stalePieces,
+		"adopted":           &m.adopted,
+		"handed_over":       &m.handedOver,
+		"append_calls":      &m.appends,
+		"appended_records":  &m.appendedRecords,
+		"throttled_appends": &m.throttledAppends,
+		"lapsed_orders":     &m.lapsedOrders,
+		"dropped_events":    &m.droppedEvents,
+		"dropped_effects":   &m.droppedEffects,
+		"evicted_answers":   &m.evicted,
+		"loop_lag_ms":       &m.lags,
+	} {
+		m.vars.Set(name, v)
+	}
+	return m
+}
+
+// observe adds the figures that are read when they are asked for.
+func (m *Metrics) observe(r *Runner) {
+	gauges := map[string]func() int64{
+		"answers":      func() int64 { return int64(r.answers.Len()) },
+		"answer_bytes": func() int64 { return int64(r.answers.Bytes()) },
+		"copies": func() int64 {
+			n, _ := r.copies.size()
+			return int64(n)
+		},
+		"copy_bytes": func() int64 {
+			_, bytes := r.copies.size()
+			return int64(bytes)
+		},
+		"event_queue": func() int64 { return int64(len(r.events)) },
+	}
+	for name, read := range gauges {
+		m.vars.Set(name, expvar.Func(func() any { return read() }))
+	}
+}
+
+// Var returns the variable to publish.
+func (m *Metrics) Var() expvar.Var { return m.vars }
+
+func (m *Metrics) refused(r messenger.Refusal) {
+	m.refusals.Add(string(r.Reason), 1)
+	m.outcome(r.Outcome)
+}
+
+func (m *Metrics) outcome(o messenger.Outcome) { m.outcomes.Add(string(o), 1) }
+
+func (m *Metrics) attemptEnded(result messenger.AttemptResult) { m.results.Add(string(result), 1) }
+
+// started counts an attempt and what it makes a server compute again.
+func (m *Metrics) started(e messenger.SendAttempt, spec messenger.RequestSpec, from identifier.Tokens) {
+	m.attempts.Add(string(e.Mode), 1)
+	if e.Mode == messenger.StartPrefill {
+		m.recomputedTokens.Add(int64(spec.PromptTokens + from))
+	}
+}
+
+func (m *Metrics) lag(d time.Duration) { m.lags.add(time.Now(), d) }
+
+// lagWindow keeps the longest lag of the present and the last second.
+type lagWindow struct {
+	second  atomic.Int64
+	present atomic.Int64
+	last    atomic.Int64
+}
+
+var _ expvar.Var = (*lagWindow)(nil)
+
+// add is called by the loop only.
+func (w *lagWindow) add(now time.Time, d time.Duration) {
+	if s := now.Unix(); s != w.second.Load() {
+		w.second.Store(s)
+		w.last.Store(w.present.Swap(0))
+	}
+	if ms := d.Milliseconds(); ms > w.present.Load() {
+		w.present.Store(ms)
+	}
+}
+
+// String returns the longest lag in milliseconds, as JSON.
+func (w *lagWindow) String() string {
+	text, err := json.Marshal(max(w.present.Load(), w.last.Load()))
+	if err != nil {
+		return "0"
+	}
+	return string(text)
+}
