Run a node: wire the runner to ports, platform, engines and peers

Cause: the reducer's decisions need a process around them. Change: epochs and confirmed handovers in the runner; the command serve.

--- /dev/null
+++ b/cmd/dotterelhollow/serve.go
@@ -0,0 +1,291 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/adapter"
+	"github.com/dotterelhollow/dotterelhollow/internal/conductor"
+	"github.com/dotterelhollow/dotterelhollow/internal/historian"
+	"github.com/dotterelhollow/dotterelhollow/internal/reducer"
+	"github.com/dotterelhollow/dotterelhollow/internal/relayer"
+	"github.com/dotterelhollow/dotterelhollow/internal/runner"
+	"github.com/dotterelhollow/dotterelhollow/internal/server"
+	"github.com/dotterelhollow/dotterelhollow/internal/starter"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+var (
+	_ flags.Commander = (*serveCommand)(nil)
+	_ error           = (*listenError)(nil)
+	_ error           = (*portError)(nil)
+)
+
+// claimPartitions is the number of log streams that carry claims. All nodes
+// must have the same.
+const claimPartitions = 4
+
+// The bounds of connections from peers.
+const (
+	peerHeaderTime = 5 * time.Second
+	peerIdleTime   = 30 * time.Second
+)
+
+// serveCommand runs a node.
+type serveCommand struct {
+	Settings flags.Filename `long:"settings" value-name:"DIR" required:"yes" description:"Folder of the node's own INI files"`
+}
+
+func addServeCommand(p *flags.Parser) error {
+	_, err := p.AddCommand("serve", "Run a node",
+		"Checks all settings, then opens the ports. SIGTERM begins a planned stop: no request in flight is cut, and"+
+			" the process ends once each has ended or has a successor. A second signal stops at once."+exitHelp,
+		&serveCommand{})
+	return err
+}
+
+// listenError reports a port that could not be opened.
+type listenError struct {
+	port  string
+	cause error
+}
+
+func (e *listenError) Error() string { return fmt.Sprintf("%s port: %v", e.port, e.cause) }
+
+func (e *listenError) Unwrap() error { return e.cause }
+
+// portError reports a port that closed by itself.
+type portError struct {
+	port  string
+	cause error
+}
+
+func (e *portError) Error() string { return fmt.Sprintf("%s port closed: %v", e.port, e.cause) }
+
+func (e *portError) Unwrap() error { return e.cause }
+
+// Execute implements flags.Commander.
+func (c *serveCommand) Execute([]string) error {
+	settings, err := starter.Load(string(c.Settings))
+	if err != nil {
+		return err
+	}
+	node, err := newNode(settings)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	return node.serve(context.Background(), signals)
+}
+
+// node is one node's process: its runner, and a server on each port.
+type node struct {
+	settings *starter.Settings
+	logger   hclog.Logger
+	clock    timekeeper.Clock
+	runner   *runner.Runner
+	callers  *http.Server
+	peers    *http.Server
+	closers  []func()
+}
+
+// newNode builds a node from checked settings and opens nothing.
+func newNode(s *starter.Settings) (*node, error) {
+	clock := timekeeper.System{}
+	n := &node{
+		settings: s,
+		clock:    clock,
+		logger: hclog.New(&hclog.LoggerOptions{
+			Name:       "dotterelhollow",
+			Level:      hclog.LevelFromString(s.LogLevel),
+			Output:     os.Stderr,
+			JSONFormat: true,
+		}).With("node", s.VM),
+	}
+	line := historian.New(historian.Config{
+		Self:     s.VM,
+		Clock:    clock,
+		Capacity: s.TimelineCapacity,
+	})
+	n.runner = runner.New(n.runnerConfig(line))
+	front, err := server.New(server.Config{
+		Backend: n.runner,
+		Logger:  n.logger,
+		Clock:   clock,
+	})
+	if err != nil {
+		return nil, err
+	}
+	n.callers = front.HTTPServer()
+	n.peers = &http.Server{
+		Handler: relayer.NewHandler(relayer.HandlerConfig{
+			Self:  s.VM,
+			Peer:  n.runner,
+			Now:   clock,
+			Clock: line,
+		}),
+		ReadHeaderTimeout: peerHeaderTime,
+		IdleTimeout:       peerIdleTime,
+		ErrorLog:          n.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+	return n, nil
+}
+
+func (n *node) runnerConfig(line *historian.Historian) runner.Config {
+	s := n.settings
+	incarnation := identifier.Incarnation(n.clock.Now())
+	seed := xxhash.Sum64String(string(s.VM)) ^ uint64(incarnation)
+	platform := adapter.PlatformConfig{
+		Address: s.Platform.String(),
+		Clock:   n.clock,
+	}
+	servers := adapter.ServerConfig{Clock: n.clock}
+	log := adapter.NewLog(platform)
+	lister := adapter.NewLister(platform)
+	cloud := adapter.NewCloud(platform)
+	engines := adapter.NewEngine(servers)
+	plain := adapter.NewPlain(servers)
+	peers := relayer.NewClient(relayer.ClientConfig{
+		Self:  s.VM,
+		Now:   n.clock,
+		Clock: line,
+	})
+	n.closers = []func(){log.Close, lister.Close, cloud.Close, engines.Close, plain.Close, peers.Close}
+	return runner.Config{
+		Self:              s.VM,
+		Incarnation:       incarnation,
+		Zone:              s.Zone,
+		CallerAddress:     s.Caller.Advertised.String(),
+		OperatorKeyHashes: s.OperatorKeyHashes,
+		Seed:              seed,
+		Reducer: reducer.New(reducer.Config{
+			Self:          s.VM,
+			Incarnation:   incarnation,
+			Zone:          s.Zone,
+			Region:        s.Region,
+			PeerAddress:   s.Peer.Advertised.String(),
+			CallerAddress: s.Caller.Advertised.String(),
+			Seed:          seed,
+			Partitions:    claimPartitions,
+			Safeguards:    conductor.AllSafeguards(),
+		}),
+		Clock:          n.clock,
+		Historian:      line,
+		Logger:         n.logger,
+		Log:            log,
+		Lister:         lister,
+		Cloud:          cloud,
+		Engines:        engines,
+		PlainServers:   plain,
+		Peers:          peers,
+		CloseListeners: n.closePorts,
+	}
+}
+
+// serve runs the node until a planned stop is over, a second signal comes, or
+// a port fails.
+func (n *node) serve(ctx context.Context, signals <-chan os.Signal) error {
+	callers, err := listen("caller", n.settings.Caller.Listen)
+	if err != nil {
+		return err
+	}
+	peers, err := listen("peer", n.settings.Peer.Listen)
+	if err != nil {
+		_ = callers.Close()
+		return err
+	}
+	n.logger.Info("listening", "caller", callers.Addr().String(), "peer", peers.Addr().String())
+	expvar.Publish("dotterelhollow", n.runner.Metrics().Var())
+
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ended := make(chan error)
+	start := func(work func() error) { go func() { ended <- work() }() }
+	start(func() error { return servePort("peer", n.peers, peers) })
+	start(func() error { return servePort("caller", n.callers, callers) })
+	start(func() error {
+		n.watch(ctx, signals, cancel)
+		return nil
+	})
+	start(func() error {
+		n.runner.Run(ctx)
+		cancel()
+		_ = n.callers.Close()
+		_ = n.peers.Close()
+		return nil
+	})
+	var failed error
+	for range 4 {
+		if err := <-ended; err != nil {
+			failed = errors.Join(failed, err)
+			cancel()
+		}
+	}
+	for _, closeIdle := range n.closers {
+		closeIdle()
+	}
+	n.logger.Info("stopped")
+	return failed
+}
+
+// watch turns the first signal into a planned stop and the second into an
+// immediate one.
+func (n *node) watch(ctx context.Context, signals <-chan os.Signal, stop func()) {
+	for received := 0; ; received++ {
+		select {
+		case s := <-signals:
+			n.logger.Info("signal received", "signal", s.String())
+		case <-ctx.Done():
+			return
+		}
+		if received > 0 {
+			stop()
+			return
+		}
+		n.runner.Drain(n.clock.Now().Add(n.settings.DrainTime))
+	}
+}
+
+// closePorts closes both ports once the handlers of open requests have ended.
+func (n *node) closePorts(ctx context.Context) {
+	_ = n.callers.Shutdown(ctx)
+	_ = n.peers.Shutdown(ctx)
+}
+
+func listen(port string, address netip.AddrPort) (net.Listener, error) {
+	l, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, &listenError{
+			port:  port,
+			cause: err,
+		}
+	}
+	return l, nil
+}
+
+func servePort(port string, s *http.Server, l net.Listener) error {
+	err := s.Serve(l)
+	if err == nil || errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return &portError{
+		port:  port,
+		cause: err,
+	}
+}
--- a/internal/answerer/answer.go
+++ b/internal/answerer/answer.go
@@ -85,11 +85,14 @@
 	// during a handover.
 	held       bool
 	paused     bool
+	doubted    bool // another node may have the request
 	acked      identifier.Tokens
 	replyAcked bool
 	verdict    *Verdict
 	end        *End
+	over       chan struct{} // closed at the end
 	movedTo    identifier.VMID
+	epoch      identifier.Epoch
 	size       identifier.Bytes
 	usage      *Usage        // nil once the answer is out of its store
 	seen       chan struct{} // closed once a reader has had the end
@@ -105,6 +108,8 @@
 	Place  Place
 	Pieces []Piece
 	Reply  *Reply
+	// Epoch is the owner's.
+	Epoch identifier.Epoch
 	// Accepted is set where another node has accepted the request.
 	Accepted bool
 }
@@ -122,6 +127,8 @@
 		replyOut: c.Reply != nil,
 		size:     c.Body.Size(),
 		seen:     make(chan struct{}),
+		over:     make(chan struct{}),
+		epoch:    c.Epoch,
 	}
 	if c.Accepted {
 		a.verdict = &Verdict{Accepted: true}
@@ -189,6 +196,10 @@
 	return pieces, end, err
 }
 
+// Over returns a channel that is closed at the end, whether readers may have
+// it yet or not.
+func (a *Answer) Over() <-chan struct{} { return a.over }
+
 // Seen returns a channel that is closed once a reader has had the end.
 func (a *Answer) Seen() <-chan struct{} { return a.seen }
 
--- a/internal/answerer/write.go
+++ b/internal/answerer/write.go
@@ -29,12 +29,11 @@
 		Accepted: false,
 		Refusal:  r,
 	}
-	a.end = &End{
+	a.setEnd(End{
 		Outcome:    r.Outcome,
 		Reason:     r.Reason,
 		RetryAfter: r.RetryAfter,
-	}
-	a.notify()
+	})
 }
 
 // Begin makes the attempt at p the only one whose pieces are taken, and tells
@@ -108,6 +107,14 @@
 	if a.reply != nil && e.Status == 0 && e.MovedTo == "" {
 		e.Status, e.Header, e.Body = a.reply.Status, a.reply.Header, a.reply.Body
 	}
+	a.setEnd(e)
+}
+
+// setEnd ends the answer. The caller holds a.mu.
+func (a *Answer) setEnd(e End) {
+	if a.end == nil {
+		close(a.over)
+	}
 	a.end = &e
 	a.notify()
 }
@@ -121,8 +128,7 @@
 		return
 	}
 	a.movedTo = to
-	a.end = &End{MovedTo: address}
-	a.notify()
+	a.setEnd(End{MovedTo: address})
 }
 
 // MovedTo returns the node that has the request now, if it is another.
@@ -132,6 +138,20 @@
 	return a.movedTo, a.end != nil && a.end.MovedTo != ""
 }
 
+// RaiseEpoch sets the epoch of the answer's owner. It never goes down.
+func (a *Answer) RaiseEpoch(e identifier.Epoch) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.epoch = max(a.epoch, e)
+}
+
+// Epoch returns the epoch of the answer's owner.
+func (a *Answer) Epoch() identifier.Epoch {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.epoch
+}
+
 // Hold holds back what comes from now on until Release lets it out.
 func (a *Answer) Hold() {
 	a.mu.Lock()
@@ -157,13 +177,25 @@
 	a.paused = true
 }
 
-// Unpause ends a Pause.
-func (a *Answer) Unpause() {
+// Doubt notes that another node may have the request.
+func (a *Answer) Doubt() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.doubted = true
+}
+
+// Unpause ends a Pause, unless the answer has not ended and another node may
+// have the request. It reports whether the pause is over.
+func (a *Answer) Unpause() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.doubted && a.end == nil {
+		return false
+	}
 	a.paused = false
 	a.release()
 	a.notify()
+	return true
 }
 
 // Release lets out the pieces up to index upTo, and the reply if reply is
--- a/internal/runner/append.go
+++ b/internal/runner/append.go
@@ -9,6 +9,7 @@
 
 	"github.com/dotterelhollow/dotterelhollow/internal/adapter"
 	"github.com/dotterelhollow/dotterelhollow/internal/answerer"
+	"github.com/dotterelhollow/dotterelhollow/internal/claimer"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 )
@@ -209,7 +210,9 @@
 	r.appends.add(pendingAppend{
 		record: adapter.Record{
 			Stream: e.Stream,
-			Data:   r.config.OutcomeRecord(e, reply),
+			Data: claimer.OutcomeRecord(
+				e.Account, e.Key, e.Request, e.Nonce, e.Outcome, reply.Status, reply.Body,
+			),
 		},
 		tries: outcomeAppends,
 	})
--- a/internal/runner/backend.go
+++ b/internal/runner/backend.go
@@ -21,6 +21,8 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/historian"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/placer"
+	"github.com/dotterelhollow/dotterelhollow/internal/reducer"
+	"github.com/dotterelhollow/dotterelhollow/internal/relayer"
 	"github.com/dotterelhollow/dotterelhollow/internal/server"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
@@ -58,8 +60,12 @@
 
 // AuthenticateOperator reports whether key is the operators' key.
 func (r *Runner) AuthenticateOperator(key string) bool {
-	want := r.config.OperatorKeyHash
-	return want != "" && subtle.ConstantTimeCompare([]byte(keyHash(key)), []byte(want)) == 1
+	hash := []byte(keyHash(key))
+	known := 0
+	for _, want := range r.config.OperatorKeyHashes {
+		known |= subtle.ConstantTimeCompare(hash, []byte(want))
+	}
+	return known == 1
 }
 
 func keyHash(key string) string {
@@ -78,15 +84,22 @@
 }
 
 // Addresses returns the nodes to use for a service, best first.
-func (r *Runner) Addresses(service identifier.ServiceName) ([]server.NodeAddress, timekeeper.Duration) {
-	var (
-		nodes []server.NodeAddress
-		keep  timekeeper.Duration
-	)
+//
+// The order is drawn anew for each call. Callers keep it for a while, and one
+// order for all would send them all to the same node.
+func (r *Runner) Addresses(identifier.ServiceName) ([]server.NodeAddress, timekeeper.Duration) {
+	var nodes []server.NodeAddress
 	r.ask(context.Background(), func() {
-		nodes, keep = r.config.Reducer.Addresses(r.clock.Now(), service)
+		draw := identifier.AccountID(ulid.Make().String())
+		for _, n := range r.config.Reducer.Addresses(r.clock.Now(), draw) {
+			nodes = append(nodes, server.NodeAddress{
+				Node:    n.VM,
+				Zone:    n.Zone,
+				Address: n.CallerAddress,
+			})
+		}
 	})
-	return nodes, keep
+	return nodes, reducer.AddressKeep
 }
 
 // Submit takes a request in, or attaches to the answer that its key already
@@ -220,7 +233,7 @@
 	if a, ok := r.answers.Get(request); ok {
 		return own(a, account)
 	}
-	q := Question{
+	q := relayer.Question{
 		Request: request,
 		Account: account,
 	}
@@ -324,8 +337,16 @@
 
 // Files returns the configuration in force.
 func (r *Runner) Files() map[identifier.FileName]server.FileState {
-	var files map[identifier.FileName]server.FileState
-	r.ask(context.Background(), func() { files = r.config.Reducer.Files() })
+	files := make(map[identifier.FileName]server.FileState)
+	r.ask(context.Background(), func() {
+		for name, f := range r.config.Reducer.Files() {
+			files[name] = server.FileState{
+				Content:  f.Content,
+				Revision: f.Revision,
+				Deleted:  f.Deleted,
+			}
+		}
+	})
 	return files
 }
 
@@ -336,13 +357,6 @@
 	return changes
 }
 
-// Status returns the node's view of the system.
-func (r *Runner) Status() server.Status {
-	var status server.Status
-	r.ask(context.Background(), func() { status = r.config.Reducer.Status(r.clock.Now()) })
-	return status
-}
-
 // Timeline returns the events of this node that match f.
 func (r *Runner) Timeline(f historian.Filter) []historian.Entry { return r.config.Historian.Entries(f) }
 
--- a/internal/runner/claimed.go
+++ b/internal/runner/claimed.go
@@ -6,6 +6,7 @@
 
 	"github.com/dotterelhollow/dotterelhollow/internal/answerer"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/relayer"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
@@ -30,7 +31,7 @@
 	}
 	node, known := r.config.Reducer.Node(e.Winner)
 	if !known || e.Winner == r.config.Self {
-		r.answerWith(answer, Ending{State: EndingUnknown})
+		r.answerWith(answer, relayer.Ending{State: relayer.EndingUnknown})
 		return
 	}
 	r.tasks.start(func(ctx context.Context) func() {
@@ -45,9 +46,9 @@
 	return o.Outcome != messenger.Done || (o.Status != 0 && !o.BodyOmitted)
 }
 
-func recordedEnding(o *messenger.RecordedOutcome) Ending {
-	e := Ending{
-		State:   EndingKnown,
+func recordedEnding(o *messenger.RecordedOutcome) relayer.Ending {
+	e := relayer.Ending{
+		State:   relayer.EndingKnown,
 		Outcome: o.Outcome,
 	}
 	if o.Status != 0 {
@@ -61,7 +62,7 @@
 
 // askWinner asks the winner's node until it knows the end, the request's
 // deadline comes, or the node does not answer.
-func (r *Runner) askWinner(ctx context.Context, address string, a *answerer.Answer) Ending {
+func (r *Runner) askWinner(ctx context.Context, address string, a *answerer.Answer) relayer.Ending {
 	unanswered := 0
 	for unanswered < outcomeTries {
 		left := a.Spec().Deadline.Sub(r.clock.Now())
@@ -69,7 +70,7 @@
 			break
 		}
 		wait := min(left, outcomeWait)
-		ending, err := r.askOutcome(ctx, address, Question{
+		ending, err := r.askOutcome(ctx, address, relayer.Question{
 			Request: a.Request(),
 			Account: a.Account(),
 			Wait:    wait,
@@ -77,24 +78,24 @@
 		switch {
 		case err != nil:
 			unanswered++
-		case ending.State != EndingRunning:
+		case ending.State != relayer.EndingRunning:
 			return ending
 		default:
 			unanswered = 0
 		}
 	}
-	return Ending{State: EndingUnknown}
+	return relayer.Ending{State: relayer.EndingUnknown}
 }
 
-func (r *Runner) askOutcome(ctx context.Context, address string, q Question) (Ending, error) {
+func (r *Runner) askOutcome(ctx context.Context, address string, q relayer.Question) (relayer.Ending, error) {
 	ctx, done := context.WithTimeout(ctx, q.Wait.Std()+time.Second)
 	defer done()
 	return r.config.Peers.Outcome(ctx, address, q)
 }
 
 // answerWith gives the caller the winner's end.
-func (r *Runner) answerWith(a *answerer.Answer, e Ending) {
-	if e.State != EndingKnown {
+func (r *Runner) answerWith(a *answerer.Answer, e relayer.Ending) {
+	if e.State != relayer.EndingKnown {
 		e.Outcome = messenger.Unknown
 	}
 	r.metrics.outcome(e.Outcome)
--- a/internal/runner/copies.go
+++ b/internal/runner/copies.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/answerer"
+	"github.com/dotterelhollow/dotterelhollow/internal/relayer"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -38,18 +39,30 @@
 	}
 }
 
+// later reports whether owner a of a request comes after owner b.
+func later(epochA identifier.Epoch, a identifier.VMID, epochB identifier.Epoch, b identifier.VMID) bool {
+	if epochA != epochB {
+		return epochA > epochB
+	}
+	return a < b
+}
+
 // keep adds a push to the copy of its request. A push with the body makes a
-// new copy, whoever owned the old one; one without must join what is here.
-func (c *copies) keep(owner identifier.VMID, p Push) HoldAnswer {
+// new copy; one without must join what is here. The push of an owner that
+// another has come after is refused.
+func (c *copies) keep(owner identifier.VMID, p relayer.Push) relayer.HoldAnswer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	held := c.held[p.Spec.Request]
 	size := pushSize(p)
+	if held != nil && held.owner != owner && later(held.answer.Epoch(), held.owner, p.Epoch, owner) {
+		return relayer.HoldTaken
+	}
 	if p.Body == nil && (held == nil || held.owner != owner) {
-		return HoldBehind
+		return relayer.HoldBehind
 	}
 	if c.bytes+size > c.limit {
-		return HoldFull
+		return relayer.HoldFull
 	}
 	if p.Body != nil {
 		c.remove(p.Spec.Request)
@@ -58,6 +71,7 @@
 			answer: answerer.New(answerer.Config{
 				Spec:     p.Spec,
 				Body:     *p.Body,
+				Epoch:    p.Epoch,
 				Accepted: true,
 			}),
 		}
@@ -68,15 +82,16 @@
 		Pieces: p.Pieces,
 		Reply:  p.Reply,
 	}) {
-		return HoldBehind
+		return relayer.HoldBehind
 	}
+	held.answer.RaiseEpoch(p.Epoch)
 	now := held.answer.Size()
 	c.bytes += now - held.size
 	held.size = now
-	return HoldKept
+	return relayer.HoldKept
 }
 
-func pushSize(p Push) identifier.Bytes {
+func pushSize(p relayer.Push) identifier.Bytes {
 	var n identifier.Bytes
 	if p.Body != nil {
 		n += p.Body.Size()
--- a/internal/runner/effect.go
+++ b/internal/runner/effect.go
@@ -37,6 +37,8 @@
 		r.unhold(e)
 	case messenger.HandOver:
 		r.handOver(e)
+	case messenger.ConfirmHandover:
+		r.confirms.confirm(e.Request)
 	case messenger.Adopt:
 		r.adopt(e)
 	case messenger.Forget:
@@ -93,6 +95,7 @@
 	}
 	r.withAnswer(e.Request, func(a *answerer.Answer) { a.Redirect(e.To, node.CallerAddress) })
 	r.endAttempt(e.Request)
+	r.endHold(e.Request)
 }
 
 // forget drops what is kept of a request. An ended answer stays for its grace
@@ -109,6 +112,7 @@
 	a.Finish(answerer.End{Outcome: messenger.Unknown})
 	r.answers.Remove(e.Request)
 	r.endAttempt(e.Request)
+	r.endHold(e.Request)
 }
 
 // adopt makes the copy of a dead owner's request this node's own.
@@ -119,6 +123,7 @@
 		return
 	}
 	r.metrics.adopted.Add(1)
+	a.RaiseEpoch(e.Epoch)
 	r.answers.Put(a)
 }
 
--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 	"time"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/answerer"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/relayer"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 )
 
@@ -15,6 +17,9 @@
 	// a kept connection may be dead while a new one works.
 	pushTimeout = 800 * time.Millisecond
 	pushTries   = 2
+	// handoverTimeout bounds one handover: the successor answers once a holder
+	// of its own has the copy.
+	handoverTimeout = 2500 * time.Millisecond
 	// unseenTime is how long a holder keeps the copy of an answer that has
 	// ended but that no caller has read to its end.
 	unseenTime = 30 * time.Second
@@ -24,6 +29,8 @@
 type pusher struct {
 	effect messenger.Hold
 	answer *answerer.Answer
+	// before ends when the holder has been told to drop an earlier copy.
+	before <-chan struct{}
 	cancel context.CancelFunc
 	ended  chan struct{} // closed when the task has ended
 	failed bool
@@ -43,11 +50,16 @@
 		})
 		return
 	}
+	answer.RaiseEpoch(e.Epoch)
 	answer.Hold()
 	ctx, cancel := context.WithCancel(r.tasks.ctx)
 	p := &pusher{
 		effect: e,
 		answer: answer,
+		before: r.unholds[copyAt{
+			request: e.Request,
+			holder:  e.Holder,
+		}],
 		cancel: cancel,
 		ended:  make(chan struct{}),
 	}
@@ -80,6 +92,13 @@
 		behind  int
 		started bool
 	)
+	if p.before != nil {
+		select {
+		case <-p.before:
+		case <-ctx.Done():
+			return nil
+		}
+	}
 	for {
 		change := p.answer.Since(mark)
 		if !whole {
@@ -95,21 +114,22 @@
 		switch {
 		case ctx.Err() != nil:
 			return nil
-		case err == nil && answer == HoldTaken:
+		case err == nil && answer == relayer.HoldTaken:
 			return messenger.HoldRefused{
 				Request: p.effect.Request,
 				Holder:  p.effect.Holder,
 			}
-		case err == nil && answer == HoldBehind && behind == 0:
+		case err == nil && answer == relayer.HoldBehind && behind == 0:
 			mark, whole = answerer.Mark{}, true
 			behind++
 			continue
-		case err != nil || answer != HoldKept:
+		case err != nil || answer != relayer.HoldKept:
 			r.logger.Debug("push to holder failed", "request", p.effect.Request,
 				"holder", p.effect.Holder, "answer", answer, "error", err)
 			return messenger.HoldFailed{
 				Request: p.effect.Request,
 				Holder:  p.effect.Holder,
+				Gone:    errors.Is(err, syscall.ECONNREFUSED),
 			}
 		}
 		whole, behind = false, 0
@@ -138,9 +158,10 @@
 }
 
 // push makes one push, with a second try.
-func (r *Runner) push(ctx context.Context, p *pusher, c answerer.Change, whole bool) (HoldAnswer, error) {
-	push := Push{
+func (r *Runner) push(ctx context.Context, p *pusher, c answerer.Change, whole bool) (relayer.HoldAnswer, error) {
+	push := relayer.Push{
 		Spec:   p.answer.Spec(),
+		Epoch:  p.answer.Epoch(),
 		Place:  c.Place,
 		Pieces: c.Pieces,
 		Reply:  c.Reply,
@@ -163,20 +184,21 @@
 	return "", last
 }
 
-func (r *Runner) pushOnce(ctx context.Context, address string, p Push) (HoldAnswer, error) {
+func (r *Runner) pushOnce(ctx context.Context, address string, p relayer.Push) (relayer.HoldAnswer, error) {
 	ctx, done := context.WithTimeout(ctx, pushTimeout)
 	defer done()
 	return r.config.Peers.Hold(ctx, address, p)
 }
 
-// unhold ends delivery through a holder.
+// unhold ends delivery through a holder. Without a holder it lets the answer
+// go out unprotected; with one, the answer stays as it is until the next Hold,
+// unless it has ended.
 //
-// Where the answer has just ended, its last tokens may be neither with the
-// holder nor with a caller. The holder gets them first and keeps its copy
-// until a caller has read the end: else the death of this node in between
-// would cost the caller the rest of an accepted answer. A non-idempotent
-// request gets no such grace, because a holder that takes over its copy must
-// not run it again.
+// Where it has just ended, its last tokens may be neither with the holder nor
+// with a caller. The holder gets them first and keeps its copy until a caller
+// has read the end: else the death of this node in between would cost the
+// caller the rest of an accepted answer. A non-idempotent request gets no such
+// grace, because a holder that takes over its copy must not run it again.
 func (r *Runner) unhold(e messenger.Unhold) {
 	p := r.holds[e.Request]
 	delete(r.holds, e.Request)
@@ -188,12 +210,25 @@
 	if p != nil {
 		p.cancel()
 	}
-	if ok {
+	if ok && (e.Holder == "" || over(answer)) {
 		answer.Unhold()
 	}
 	r.dropCopy(e)
 }
 
+func over(a *answerer.Answer) bool {
+	_, ended := a.Ended()
+	return ended
+}
+
+// endHold ends the pushing of a request that another node has now.
+func (r *Runner) endHold(request identifier.RequestID) {
+	if p := r.holds[request]; p != nil {
+		p.cancel()
+		delete(r.holds, request)
+	}
+}
+
 func lingers(a *answerer.Answer) bool {
 	end, ended := a.Ended()
 	return ended && end.MovedTo == "" && end.Outcome == messenger.Done && a.Spec().Idempotent
@@ -227,15 +262,34 @@
 	})
 }
 
-// dropCopy tells a holder to drop its copy.
+// copyAt names a copy that a holder has.
+type copyAt struct {
+	request identifier.RequestID
+	holder  identifier.VMID
+}
+
+// dropCopy tells a holder to drop its copy. A later push of the same request
+// to the same holder waits for it, or the word could drop the new copy.
 func (r *Runner) dropCopy(e messenger.Unhold) {
 	if e.Holder == "" {
 		return
 	}
+	at := copyAt{
+		request: e.Request,
+		holder:  e.Holder,
+	}
+	told := make(chan struct{})
+	r.unholds[at] = told
+	ended := func() {
+		close(told)
+		if r.unholds[at] == told {
+			delete(r.unholds, at)
+		}
+	}
 	r.inLane("unhold/"+string(e.Holder), func(ctx context.Context) func() {
 		r.tellUnhold(ctx, e)
-		return nil
-	}, nil)
+		return ended
+	}, ended)
 }
 
 // tellUnhold tries a few times: where the word is lost, the holder keeps the
@@ -261,12 +315,14 @@
 		})
 		return
 	}
+	answer.RaiseEpoch(e.Epoch)
 	answer.Pause()
 	change := answer.Since(answerer.Mark{})
 	body := answer.Body()
-	push := Push{
-		Spec: answer.Spec(),
-		Body: &body,
+	push := relayer.Push{
+		Spec:  answer.Spec(),
+		Epoch: e.Epoch,
+		Body:  &body,
 		Place: answerer.Place{
 			Attempt: e.Attempt,
 			Server:  e.Server,
@@ -276,24 +332,17 @@
 		Reply:  change.Reply,
 	}
 	r.tasks.start(func(ctx context.Context) func() {
-		err := r.handOverTo(ctx, e.Address, push)
+		ctx, done := context.WithTimeout(ctx, handoverTimeout)
+		defer done()
+		err := r.config.Peers.HandOver(ctx, e.Address, push)
 		return func() { r.handedOver(e, answer, err) }
 	})
 }
 
-func (r *Runner) handOverTo(ctx context.Context, address string, p Push) error {
-	var err error
-	for range pushTries {
-		ctx, done := context.WithTimeout(ctx, pushTimeout)
-		err = r.config.Peers.HandOver(ctx, address, p)
-		done()
-		if err == nil {
-			return nil
-		}
-	}
-	return err
-}
-
+// handedOver tells the reducer of the end of a handover. Only where the
+// successor surely has not taken the request, this time or an earlier one, may
+// the answer go out from here again: a caller must not read two continuations
+// of one answer.
 func (r *Runner) handedOver(e messenger.HandOver, answer *answerer.Answer, err error) {
 	if err == nil {
 		r.metrics.handedOver.Add(1)
@@ -304,9 +353,14 @@
 		return
 	}
 	r.logger.Warn("handover failed", "request", e.Request, "successor", e.Successor, "error", err)
-	answer.Unpause()
+	var peer *relayer.PeerError
+	if !errors.As(err, &peer) || !peer.NoEffect() {
+		answer.Doubt()
+	}
+	notTaken := answer.Unpause()
 	r.later(messenger.HandoverFailed{
 		Request:   e.Request,
 		Successor: e.Successor,
+		NotTaken:  notTaken,
 	})
 }
--- a/internal/runner/outside.go
+++ b/internal/runner/outside.go
@@ -4,12 +4,12 @@
 	"context"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/adapter"
-	"github.com/dotterelhollow/dotterelhollow/internal/answerer"
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
 	"github.com/dotterelhollow/dotterelhollow/internal/configurer"
 	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
-	"github.com/dotterelhollow/dotterelhollow/internal/server"
+	"github.com/dotterelhollow/dotterelhollow/internal/reducer"
+	"github.com/dotterelhollow/dotterelhollow/internal/relayer"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -25,14 +25,17 @@
 	Nodes() []gossiper.Node
 	// Node returns a node, dead or alive.
 	Node(vm identifier.VMID) (gossiper.Node, bool)
-	Addresses(now timekeeper.Time, service identifier.ServiceName) ([]server.NodeAddress, timekeeper.Duration)
-	Status(now timekeeper.Time) server.Status
-	Files() map[identifier.FileName]server.FileState
+	// Addresses returns the nodes for the callers of an account, best first.
+	Addresses(now timekeeper.Time, account identifier.AccountID) []gossiper.Node
+	View(now timekeeper.Time) reducer.View
+	Files() map[identifier.FileName]configurer.FileState
 	History() []configurer.Change
 	// ExportConfiguration returns the state of the configuration for a peer.
 	ExportConfiguration() ([]byte, bool)
 }
 
+var _ Reducer = (*reducer.Reducer)(nil)
+
 // PlatformLog is the platform's append-only log.
 type PlatformLog interface {
 	// Append appends all records or none. With a *adapter.RateLimitedError
@@ -87,66 +90,17 @@
 // Peers speaks to other nodes at their peer addresses.
 type Peers interface {
 	Gossip(ctx context.Context, address string, data []byte) error
-	Hold(ctx context.Context, address string, p Push) (HoldAnswer, error)
+	Hold(ctx context.Context, address string, p relayer.Push) (relayer.HoldAnswer, error)
 	Unhold(ctx context.Context, address string, r identifier.RequestID) error
-	// HandOver returns nil once the peer owns the request.
-	HandOver(ctx context.Context, address string, p Push) error
-	// Locate returns what the peer knows of where a request is.
-	Locate(ctx context.Context, address string, q Question) (Location, bool, error)
-	// Configuration returns the peer's state of the configuration.
+	// HandOver returns nil once the peer owns the request. After an error for
+	// which relayer.PeerError.NoEffect is false it may own it too.
+	HandOver(ctx context.Context, address string, p relayer.Push) error
+	Locate(ctx context.Context, address string, q relayer.Question) (relayer.Location, bool, error)
+	Outcome(ctx context.Context, address string, q relayer.Question) (relayer.Ending, error)
 	Configuration(ctx context.Context, address string) ([]byte, error)
-	// Outcome returns how a request that the peer owns ended; it waits up to
-	// the question's Wait for that.
-	Outcome(ctx context.Context, address string, q Question) (Ending, error)
-}
-
-// Question asks a peer about a request of a client account.
-type Question struct {
-	Request identifier.RequestID
-	Account identifier.AccountID
-	Wait    timekeeper.Duration
 }
 
-// Push is a request, or a part of one, on its way to a peer.
-type Push struct {
-	Spec messenger.RequestSpec
-	// Body is left out once the peer has it.
-	Body   *answerer.Body
-	Place  answerer.Place
-	Pieces []answerer.Piece
-	Reply  *answerer.Reply
-}
-
-// HoldAnswer is what a holder says to a push.
-type HoldAnswer string
-
-// The answers of holders.
-const (
-	// HoldKept: the holder has all that was pushed.
-	HoldKept HoldAnswer = "kept"
-	// HoldTaken: the holder owns the request now.
-	HoldTaken HoldAnswer = "taken"
-	// HoldBehind: the holder lacks what came before and wants everything.
-	HoldBehind HoldAnswer = "behind"
-	// HoldFull: the holder has no room for it.
-	HoldFull HoldAnswer = "full"
-)
-
-// EndingState tells what a peer knows of the end of a request.
-type EndingState string
-
-// The states of endings.
-const (
-	EndingKnown   EndingState = "known"
-	EndingRunning EndingState = "running"
-	EndingUnknown EndingState = "unknown"
+var (
+	_ Peers        = (*relayer.Client)(nil)
+	_ relayer.Peer = (*Runner)(nil)
 )
-
-// Ending is how a request ended at a peer.
-type Ending struct {
-	State   EndingState
-	Outcome messenger.Outcome
-	Reason  messenger.Reason
-	Pieces  []answerer.Piece
-	Reply   *answerer.Reply
-}
--- a/internal/runner/peer.go
+++ b/internal/runner/peer.go
@@ -6,21 +6,52 @@
 
 	"github.com/dotterelhollow/dotterelhollow/internal/answerer"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/relayer"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 )
 
-// What follows answers the calls of peers. It runs in their handlers'
-// goroutines.
+// confirms are the handovers of peers that wait until the reducer says that
+// the request is safe here. It is safe for concurrent use.
+type confirms struct {
+	mu      sync.Mutex
+	waiting map[identifier.RequestID]map[chan struct{}]bool
+}
+
+func newConfirms() *confirms {
+	return &confirms{waiting: make(map[identifier.RequestID]map[chan struct{}]bool)}
+}
 
-// Location is what a node knows of where a request is.
-type Location struct {
-	// Address is the caller address to go to.
-	Address string
-	// Copy tells that the node has only a copy: it will own the request if
-	// the owner is dead.
-	Copy bool
+// await returns a channel that confirm closes, and what ends the wait.
+func (c *confirms) await(r identifier.RequestID) (safe <-chan struct{}, forget func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ch := make(chan struct{})
+	if c.waiting[r] == nil {
+		c.waiting[r] = make(map[chan struct{}]bool)
+	}
+	c.waiting[r][ch] = true
+	return ch, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.waiting[r], ch)
+		if len(c.waiting[r]) == 0 {
+			delete(c.waiting, r)
+		}
+	}
 }
 
+func (c *confirms) confirm(r identifier.RequestID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for ch := range c.waiting[r] {
+		close(ch)
+	}
+	delete(c.waiting, r)
+}
+
+// What follows answers the calls of peers. It runs in their handlers'
+// goroutines.
+
 // ReceiveGossip takes a peer's news. Where the loop is behind, the news is
 // dropped; the peer's next message makes up for it.
 func (r *Runner) ReceiveGossip(from identifier.VMID, data []byte) {
@@ -33,27 +64,25 @@
 // KeepCopy takes a push from the owner of a long request.
 //
 // An owner that was paused, taken for dead and thawed again still believes it
-// owns the request. Its push is refused where this node owns it now, so that
-// callers do not read two continuations of one answer.
-func (r *Runner) KeepCopy(ctx context.Context, from identifier.VMID, p Push) HoldAnswer {
-	if own, ok := r.answers.Get(p.Spec.Request); ok {
-		to, moved := own.MovedTo()
-		if !moved || to != from {
-			return HoldTaken
-		}
-		r.answers.Remove(p.Spec.Request)
+// owns the request. Its push is refused where this node came after it, or has
+// the whole answer, so that callers do not read two continuations of one
+// answer. Where the pusher came after this node, the reducer yields to it.
+func (r *Runner) KeepCopy(ctx context.Context, from identifier.VMID, p relayer.Push) relayer.HoldAnswer {
+	if own, ok := r.answers.Get(p.Spec.Request); ok && r.outranks(own, from, p.Epoch) {
+		return relayer.HoldTaken
 	}
 	answer := r.copies.keep(from, p)
-	if answer != HoldKept {
+	if answer != relayer.HoldKept {
 		return answer
 	}
 	kept, _, ok := r.copies.get(p.Spec.Request)
 	if !ok {
-		return HoldTaken
+		return relayer.HoldTaken
 	}
 	place := kept.Place()
 	held := messenger.CopyHeld{
 		Spec:      kept.Spec(),
+		Epoch:     kept.Epoch(),
 		Owner:     from,
 		Attempt:   place.Attempt,
 		Server:    place.Server,
@@ -61,9 +90,9 @@
 		Delivered: kept.Delivered(),
 	}
 	if !r.emit(ctx, held) {
-		return HoldFull
+		return relayer.HoldFull
 	}
-	return HoldKept
+	return relayer.HoldKept
 }
 
 // DropCopy drops the copy that from's request has here.
@@ -73,28 +102,51 @@
 	}
 }
 
-// TakeOver makes this node the owner of a leaving peer's request. A second
-// call for the same request changes nothing: the answer to the first may have
-// been lost.
-func (r *Runner) TakeOver(ctx context.Context, from identifier.VMID, p Push) error {
+// outranks reports whether this node's answer stands against a peer that takes
+// itself for the owner: it is whole, or this node came after the peer.
+func (r *Runner) outranks(own *answerer.Answer, from identifier.VMID, epoch identifier.Epoch) bool {
+	end, ended := own.Ended()
+	if ended && end.MovedTo == "" {
+		return true
+	}
+	if to, moved := own.MovedTo(); moved && to == from {
+		return false
+	}
+	return later(own.Epoch(), r.config.Self, epoch, from)
+}
+
+// TakeOver makes this node the owner of a leaving peer's request. It returns
+// once the request is safe here, a copy with a holder included. A second call
+// for the same request changes nothing: the answer to the first may have been
+// lost.
+func (r *Runner) TakeOver(ctx context.Context, from identifier.VMID, p relayer.Push) error {
 	answer := answerer.New(answerer.Config{
 		Spec:     p.Spec,
 		Body:     *p.Body,
+		Epoch:    p.Epoch,
 		Place:    p.Place,
 		Pieces:   p.Pieces,
 		Reply:    p.Reply,
 		Accepted: true,
 	})
-	_, added, err := r.answers.Add(answer, func(old *answerer.Answer) bool {
-		to, moved := old.MovedTo()
-		return !moved || to != from
+	answer, added, err := r.answers.Add(answer, func(old *answerer.Answer) bool {
+		_, moved := old.MovedTo()
+		return !moved || r.outranks(old, from, p.Epoch)
 	})
-	if err != nil || !added {
+	if err != nil {
 		return err
 	}
-	r.copies.drop(p.Spec.Request)
+	if over(answer) {
+		return nil // Whole here, or with a later owner, to which callers are sent.
+	}
+	if added {
+		r.copies.drop(p.Spec.Request)
+	}
+	safe, forget := r.confirms.await(p.Spec.Request)
+	defer forget()
 	taken := messenger.RequestHandedOver{
-		Spec:      p.Spec,
+		Spec:      answer.Spec(),
+		Epoch:     p.Epoch,
 		From:      from,
 		Attempt:   p.Place.Attempt,
 		Server:    p.Place.Server,
@@ -102,62 +154,74 @@
 		Delivered: answer.Delivered(),
 	}
 	if !r.emit(ctx, taken) {
-		r.answers.Remove(p.Spec.Request)
+		if added {
+			r.answers.Remove(p.Spec.Request)
+		}
 		return &answerer.StoppedError{}
 	}
-	return nil
+	select {
+	case <-safe:
+		return nil
+	case <-answer.Over():
+		return nil
+	case <-ctx.Done():
+		return &answerer.WaitError{
+			Request: p.Spec.Request,
+			Cause:   context.Cause(ctx),
+		}
+	case <-r.stopped:
+		return &answerer.WaitError{
+			Request: p.Spec.Request,
+			Cause:   context.Canceled,
+		}
+	}
 }
 
 // WhereIs tells a peer where a request of an account is, as far as this node
 // knows by itself.
-func (r *Runner) WhereIs(q Question) (Location, bool) {
+func (r *Runner) WhereIs(q relayer.Question) (relayer.Location, bool) {
 	if a, ok := r.answers.Get(q.Request); ok {
 		if a.Account() != q.Account {
-			return Location{}, false
+			return relayer.Location{}, false
 		}
 		if end, ended := a.Ended(); ended && end.MovedTo != "" {
-			return Location{Address: end.MovedTo}, true
+			return relayer.Location{Address: end.MovedTo}, true
 		}
-		return Location{Address: r.config.CallerAddress}, true
+		return relayer.Location{Address: r.config.CallerAddress}, true
 	}
 	if a, _, ok := r.copies.get(q.Request); ok && a.Account() == q.Account {
-		return Location{
+		return relayer.Location{
 			Address: r.config.CallerAddress,
 			Copy:    true,
 		}, true
 	}
-	return Location{}, false
+	return relayer.Location{}, false
 }
 
 // EndingOf waits up to q.Wait for the end of a request that this node owns
 // and tells a peer of it.
-func (r *Runner) EndingOf(ctx context.Context, q Question) Ending {
+func (r *Runner) EndingOf(ctx context.Context, q relayer.Question) relayer.Ending {
 	a, ok := r.answers.Get(q.Request)
 	if !ok || a.Account() != q.Account {
-		return Ending{State: EndingUnknown}
+		return relayer.Ending{State: relayer.EndingUnknown}
 	}
 	ctx, done := context.WithTimeout(ctx, q.Wait.Std())
 	defer done()
-	var after identifier.Tokens
-	for {
-		pieces, end, err := a.Read(ctx, after)
-		if err != nil {
-			return Ending{State: EndingRunning}
-		}
-		if end == nil {
-			after += identifier.Tokens(len(pieces))
-			continue
-		}
-		if end.MovedTo != "" {
-			return Ending{State: EndingUnknown}
-		}
-		return ending(a, end)
+	select {
+	case <-a.Over():
+	case <-ctx.Done():
+		return relayer.Ending{State: relayer.EndingRunning}
+	}
+	end, _ := a.Ended()
+	if end.MovedTo != "" {
+		return relayer.Ending{State: relayer.EndingUnknown}
 	}
+	return ending(a, end)
 }
 
-func ending(a *answerer.Answer, end *answerer.End) Ending {
-	e := Ending{
-		State:   EndingKnown,
+func ending(a *answerer.Answer, end answerer.End) relayer.Ending {
+	e := relayer.Ending{
+		State:   relayer.EndingKnown,
 		Outcome: end.Outcome,
 		Reason:  end.Reason,
 		Pieces:  a.Pieces(0),
@@ -170,12 +234,12 @@
 
 // locate asks peers where a request is, at most locateParallel at a time, and
 // returns the first owner named; else the first holder of a copy.
-func (r *Runner) locate(ctx context.Context, q Question, addresses []string) (Location, bool) {
+func (r *Runner) locate(ctx context.Context, q relayer.Question, addresses []string) (relayer.Location, bool) {
 	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
 	defer cancel()
 	var (
 		mu     sync.Mutex
-		best   Location
+		best   relayer.Location
 		found  bool
 		asking sync.WaitGroup
 		slots  = make(chan struct{}, locateParallel)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -19,11 +19,13 @@
 // Config says what a Runner works with.
 type Config struct {
 	Self          identifier.VMID
+	Incarnation   identifier.Incarnation
+	Zone          identifier.Zone
 	CallerAddress string
-	// OperatorKeyHash is the SHA-256 sum, in lower-case hexadecimal, of the
-	// operators' key.
-	OperatorKeyHash string
-	Seed            uint64
+	// OperatorKeyHashes are the SHA-256 sums, in lower-case hexadecimal, of
+	// the operators' keys.
+	OperatorKeyHashes []string
+	Seed              uint64
 
 	Reducer      Reducer
 	Clock        timekeeper.Clock
@@ -35,8 +37,6 @@
 	Engines      Engines
 	PlainServers PlainServers
 	Peers        Peers
-	// OutcomeRecord encodes the outcome of a claimed request for the log.
-	OutcomeRecord func(e messenger.AppendOutcome, reply answerer.Reply) []byte
 	// CloseListeners closes the ports gracefully: it returns once the
 	// handlers of open connections have ended, or with its context.
 	CloseListeners func(ctx context.Context)
@@ -105,6 +105,8 @@
 	answers *answerer.Store
 	copies  *copies
 	appends *appender
+	// confirms are the handovers that wait until the request is safe here.
+	confirms *confirms
 
 	// What follows belongs to the loop.
 	tasks     *tasks
@@ -112,6 +114,7 @@
 	backlog   []messenger.EventBody
 	attempts  map[identifier.RequestID]*attempt
 	holds     map[identifier.RequestID]*pusher
+	unholds   map[copyAt]chan struct{}
 	tailers   map[identifier.LogStream]bool
 	cursors   map[identifier.VMID]uint64
 	proposals map[identifier.Ticket]chan messenger.ChangeVerdict
@@ -157,6 +160,8 @@
 		appends:   newAppender(c.Log, jitter(c.Seed, "append"), metrics),
 		attempts:  make(map[identifier.RequestID]*attempt),
 		holds:     make(map[identifier.RequestID]*pusher),
+		unholds:   make(map[copyAt]chan struct{}),
+		confirms:  newConfirms(),
 		tailers:   make(map[identifier.LogStream]bool),
 		cursors:   make(map[identifier.VMID]uint64),
 		proposals: make(map[identifier.Ticket]chan messenger.ChangeVerdict),
