--- /dev/null
+++ b/internal/gauger/walltime.go
@@ -0,0 +1,7 @@
+package gauger
+
+import "time"
+
+var gaugingStart = time.Now()
+
+func wallTime() time.Duration { return time.Since(gaugingStart) }
