Show a reclaimed zone, two of them, and a killed node in the demo

Cause: the demo shared fixed ports, so two runs on one machine mixed their VMs, and it followed one report, whose engine was rarely in the lost zone. Change: ports differ by run; four reports run at once; WAVES=2 also reclaims the engine's zone a second later; the time line is read before and after the end of the nodes.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -5,7 +5,9 @@
 # a manuscript report. Exits 0 only if every check held.
 #
 #   KILL_NODE=1 scripts/demo.sh   kills the report's node with no notice instead
+#   WAVES=2 scripts/demo.sh       also reclaims the zone of the report's engine, a second later
 #   KEEP=1 scripts/demo.sh        keeps the logs
+#   DEMO_PORT=20000 scripts/demo.sh   takes ports from there; chosen at random without
 #
 # It needs bash and the programs that "make build" puts into bin/, no more.
 set -euo pipefail
@@ -14,12 +16,15 @@
 readonly bin=$PWD/bin
 readonly kill_node=${KILL_NODE:-0}
 readonly keep=${KEEP:-0}
+readonly waves=${WAVES:-1}
 readonly notice_ms=3000
 readonly report_tokens=400
+readonly reports=(harbor lighthouse orchard ferry)
 readonly operator_key=demo-operator
 readonly operator_key_hash=9437e87fae95c03d3778f2575bb18ce30e647e51d86a8c37963364e1fc4f374e
-readonly port=${DEMO_PORT:-18080}
-readonly peer_port=$((port + 1000))
+# Other ports at each run, so that two runs on one machine do not mix.
+readonly port=${DEMO_PORT:-$((10000 + RANDOM % 10000))}
+readonly peer_port=$((port + 10000))
 readonly platform=127.0.0.2:$((port + 1))
 readonly pool=127.0.0.3:$((port + 2))
 readonly zones=(boston-a boston-a boston-b boston-b providence portland-me)
@@ -113,6 +118,10 @@
     >"$work/pool.log" 2>&1 &
   stand_ins+=($!)
   wait_for 5 http GET "$pool" /admin/vms
+  local pid
+  for pid in "${stand_ins[@]}"; do
+    kill -0 "$pid"
+  done
 }
 
 write_settings() {
@@ -198,11 +207,17 @@
   echo $((${address##*.} - 10))
 }
 
+# ask_report KEY MANUSCRIPT asks for a report.
 ask_report() {
-  ask monday_reports --service manuscript_report --max-tokens "$report_tokens" --idempotency-key "$1" \
-    "Report on the manuscript 'The Lighthouse Keeper's Ledger' for the Monday acquisitions meeting."
+  ask monday_reports --service manuscript_report --max-tokens "$report_tokens" --deadline 60s \
+    --idempotency-key "$1-$2" "Report on the manuscript '$2' for the Monday acquisitions meeting."
 }
 
+# request_of FILE prints the id of the request that ask followed.
+request_of() { grep -o 'request [^ ]* at' "$1" | head -1 | cut -d' ' -f2; }
+
+timeline_of() { operator timeline --request "$1" 2>/dev/null | tr -s ' '; }
+
 small_requests() {
   say "A summary, a tag and a portal lookup"
   ask portal --service query_summary --whole --max-tokens 40 "Summarize the query letter of a sea novel." \
@@ -224,19 +239,51 @@
   check "it ran once" [ "$(runs "$email_request")" -eq 1 ]
 }
 
-take_zone_away() {
-  local home=$1 zone=${zones[$1 - 1]} node
-  say "Zone $zone, with the report's node entry-$home, is reclaimed: ${notice_ms} ms of notice, then the end"
-  http POST "$platform" /admin/reclaim "{\"zone\":\"$zone\",\"on_demand\":true,\"notice_ms\":$notice_ms}"
+# engine_zone prints the zone of the engine that runs the first report.
+engine_zone() {
+  local engine
+  engine=$(timeline_of "$report_request" | grep ' attempt_sent ' | tail -1 | cut -d' ' -f5)
+  engine=${engine#reading-}
+  echo "${engine%-*}"
+}
+
+# reclaim ZONE gives notice to all VMs of a zone.
+reclaim() {
+  http POST "$platform" /admin/reclaim "{\"zone\":\"$1\",\"on_demand\":true,\"notice_ms\":$notice_ms}"
   echo
-  sleep "$((notice_ms / 1000))"
+}
+
+# end_zone ZONE ends the entry VMs of a zone.
+end_zone() {
+  local node
   for node in 1 2 3 4 5 6; do
-    if [ "${zones[node - 1]}" = "$zone" ]; then
+    if [ "${zones[node - 1]}" = "$1" ]; then
       kill_entry "$node"
     fi
   done
 }
 
+take_zones_away() {
+  local home=$1 zone=${zones[$1 - 1]} second
+  second=$(engine_zone)
+  say "Zone $zone, with the report's node entry-$home, is reclaimed: $notice_ms ms of notice, then the end"
+  reclaim "$zone"
+  sleep 1
+  if [ "$waves" = 2 ] && [ "$second" != "$zone" ]; then
+    say "Zone $second, with the report's engine, is reclaimed too"
+    reclaim "$second"
+  fi
+  sleep "$((notice_ms / 1000 - 1))"
+  timeline_of "$report_request" >"$work/timeline.before"
+  end_zone "$zone"
+  if [ "$waves" = 2 ] && [ "$second" != "$zone" ]; then
+    sleep 1
+    timeline_of "$report_request" >>"$work/timeline.before"
+    sort -u -o "$work/timeline.before" "$work/timeline.before"
+    end_zone "$second"
+  fi
+}
+
 # kill_entry NODE ends a node with no chance to do anything about it.
 kill_entry() {
   kill -KILL "${node_pid[$1]}" 2>/dev/null || true
@@ -272,39 +319,61 @@
 check "nodes give out addresses" wait_for 5 served manuscript_report
 served manuscript_report
 
-say "Start a manuscript report of $report_tokens tokens"
-ask_report demo-report >"$work/report.txt" 2>"$work/report.log" &
-report_pid=$!
-check "the report has begun" wait_for 10 at_least_words "$work/report.txt" 5
+say "Start ${#reports[@]} manuscript reports of $report_tokens tokens"
+report_pids=()
+for name in "${reports[@]}"; do
+  ask_report demo "$name" >"$work/$name.txt" 2>"$work/$name.log" &
+  report_pids+=($!)
+done
+for name in "${reports[@]}"; do
+  check "the report on $name has begun" wait_for 10 at_least_words "$work/$name.txt" 5
+done
 
 small_requests
 rejection_email
 
-check "the report is in its middle" wait_for 20 at_least_words "$work/report.txt" $((report_tokens / 3))
-home=$(home_of "$work/report.log")
+readonly first=${reports[0]}
+check "the report on $first is in its middle" wait_for 20 at_least_words "$work/$first.txt" $((report_tokens / 3))
+home=$(home_of "$work/$first.log")
+report_request=$(request_of "$work/$first.log")
 if [ "$kill_node" = 1 ]; then
-  say "The report's node is killed with no notice"
+  say "The node of the report on $first is killed with no notice"
+  timeline_of "$report_request" >"$work/timeline.before"
   kill_entry "$home"
 else
-  take_zone_away "$home"
+  take_zones_away "$home"
 fi
 
-say "Wait for the report"
-report_status=0
-wait "$report_pid" || report_status=$?
-cat "$work/report.log"
-check "the report ended well" [ "$report_status" -eq 0 ]
-check "it has all its tokens" [ "$(words "$work/report.txt")" -eq "$report_tokens" ]
-check "another node went on with it" [ "$(home_of "$work/report.log")" -ne "$home" ]
-
-say "Compare it with an undisturbed report on the same manuscript"
-ask_report demo-twin >"$work/twin.txt" 2>"$work/twin.log" || true
-check "both read the same, word for word" cmp -s "$work/report.txt" "$work/twin.txt"
+say "Wait for the reports"
+for i in "${!reports[@]}"; do
+  name=${reports[i]}
+  report_status=0
+  wait "${report_pids[i]}" || report_status=$?
+  cat "$work/$name.log"
+  check "the report on $name ended well" [ "$report_status" -eq 0 ]
+  check "it has all its tokens" [ "$(words "$work/$name.txt")" -eq "$report_tokens" ]
+done
+check "another node went on with the one on $first" [ "$(home_of "$work/$first.log")" -ne "$home" ]
+
+say "Compare them with undisturbed reports on the same manuscripts"
+twin_pids=()
+for name in "${reports[@]}"; do
+  ask_report twin "$name" >"$work/$name.twin" 2>"$work/$name.twin.log" &
+  twin_pids+=($!)
+done
+for i in "${!reports[@]}"; do
+  name=${reports[i]}
+  wait "${twin_pids[i]}" || true
+  check "both on $name read the same, word for word" cmp -s "$work/$name.txt" "$work/$name.twin"
+done
 check "the email still ran at most once" [ "$(runs "$email_request")" -le 1 ]
 
-say "The time line of the report"
-report_request=$(grep -o 'request [^ ]* at' "$work/report.log" | head -1 | cut -d' ' -f2)
-operator timeline --request "$report_request" 2>/dev/null
+say "The time line of the report on $first"
+timeline_of "$report_request" >"$work/timeline.after"
+cat "$work/timeline.before"
+echo "-- from here on without the nodes that are gone"
+grep -vxFf "$work/timeline.before" "$work/timeline.after" || true
+check "the time line is there" [ -s "$work/timeline.after" ]
 
 say "Stop everything"
 stop_nodes
