Tell a refused connection to a peer from an unreachable one

Cause: an owner without a holder keeps an answer back while a copy may still be adopted; it has to know when the process with the copy is no more. Ruled out: the membership, which an isolated node can't trust. Conclusion: the test now tells the two apart.

--- a/internal/relayer/error.go
+++ b/internal/relayer/error.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"syscall"
 
 	"github.com/twitchtv/twirp"
 
@@ -19,6 +20,9 @@
 const (
 	// NotReached: no byte of the call has left.
 	NotReached Reach = "not_reached"
+	// Refused: nothing listens at the address, so that the process that
+	// listened there is no more, with all that it had in memory.
+	Refused Reach = "refused"
 	// Rejected: the peer says that the call took no effect.
 	Rejected Reach = "rejected"
 	// Ambiguous: the call may have taken effect, or may still.
@@ -61,6 +65,8 @@
 func reachOf(err error, p *progress) Reach {
 	var twirpError twirp.Error
 	switch {
+	case errors.Is(err, syscall.ECONNREFUSED) && !p.connected.Load():
+		return Refused
 	case !p.connected.Load():
 		return NotReached
 	case p.status.Load() != http.StatusOK && errors.As(err, &twirpError) && rejects(twirpError.Code()):
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -253,7 +253,7 @@
 		{
 			name:    "nobody there",
 			address: free.Addr().String(),
-			want:    NotReached,
+			want:    Refused,
 		},
 	}
 	for _, test := range tests {
