Prove the runner: stale tokens, silence, holders, appends, stops

Cause: what the runner promises to callers had no proof yet. Ruled out: a nil remaining time for requests without a deadline, which engines took for expired. Change: failure tests between fakes in a bubble of its own time, one against the engine stand-in; a stopped runner takes no event.

--- a/internal/runner/attempt.go
+++ b/internal/runner/attempt.go
@@ -192,7 +192,11 @@
 	}
 }
 
+// remaining is the time to the deadline; zero is none.
 func (a *attempt) remaining() timekeeper.Duration {
+	if a.effect.Deadline == timekeeper.Never {
+		return 0
+	}
 	return max(a.effect.Deadline.Sub(a.runner.clock.Now()), timekeeper.Millisecond)
 }
 
--- /dev/null
+++ b/internal/runner/backend_test.go
@@ -0,0 +1,220 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/answerer"
+	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/relayer"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+)
+
+func nodes(vms ...identifier.VMID) []gossiper.Node {
+	var out []gossiper.Node
+	for _, vm := range vms {
+		out = append(out, gossiper.Node{
+			VM:            vm,
+			PeerAddress:   string(vm) + ":peer",
+			CallerAddress: string(vm) + ":caller",
+			State:         gossiper.Alive,
+		})
+	}
+	return out
+}
+
+func TestRepeatedKey(t *testing.T) {
+	tests := []struct {
+		name    string
+		outcome messenger.Outcome
+		same    bool
+	}{
+		{"in flight", "", true},
+		{"done", messenger.Done, true},
+		{"not run", messenger.NotRun, false},
+		{"unknown, and safe to repeat", messenger.Unknown, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, f *fixture) {
+				first := f.submit()
+				if test.outcome != "" {
+					first.Finish(answerer.End{Outcome: test.outcome})
+				}
+				again, err := f.Submit(t.Context(), report("key-1"))
+				require.NoError(t, err)
+				require.Equal(t, first.Request(), again.Request())
+				require.Equal(t, test.same, first == again)
+				synctest.Wait()
+				received := eventsOf[messenger.RequestReceived](f.reducer)
+				require.Equal(t, test.same, len(received) == 1)
+			})
+		})
+	}
+}
+
+// A caller would read the answer to another request: its key stands for one
+// with other words. It is refused; under another account the key is free.
+func TestKeyOfAnotherRequest(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fixture) {
+		first := f.submit()
+		other := report("key-1")
+		other.Prompt = "another manuscript"
+		_, err := f.Submit(t.Context(), other)
+		var conflict *answerer.KeyConflictError
+		require.ErrorAs(t, err, &conflict)
+
+		other.Account = "rival"
+		theirs, err := f.Submit(t.Context(), other)
+		require.NoError(t, err)
+		require.NotEqual(t, first.Request(), theirs.Request())
+		var unknown *answerer.UnknownRequestError
+		_, err = f.Attach(t.Context(), first.Request(), "rival")
+		require.ErrorAs(t, err, &unknown)
+	})
+}
+
+func TestAttachElsewhere(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fixture) {
+		f.reducer.nodes = nodes("entry-1", "entry-2", "entry-3")
+		known := map[string]relayer.Location{"entry-2:peer": {Address: "entry-2:caller", Copy: true}}
+		f.peers.locate = func(address string) (relayer.Location, bool, error) {
+			at, ok := known[address]
+			return at, ok, nil
+		}
+		var elsewhere *answerer.ElsewhereError
+		_, err := f.Attach(t.Context(), "r1", "agency")
+		require.ErrorAs(t, err, &elsewhere)
+		require.Equal(t, "entry-2:caller", elsewhere.Address, "a copy is better than nothing")
+		known["entry-3:peer"] = relayer.Location{Address: "entry-3:caller"}
+		_, err = f.Attach(t.Context(), "r1", "agency")
+		require.ErrorAs(t, err, &elsewhere)
+		require.Equal(t, "entry-3:caller", elsewhere.Address, "the owner is better than a copy")
+		clear(known)
+		var unknown *answerer.UnknownRequestError
+		_, err = f.Attach(t.Context(), "r1", "agency")
+		require.ErrorAs(t, err, &unknown)
+	})
+}
+
+// The caller's node died and it comes to the holder before that one has
+// noticed. It is kept waiting, not told that the request is unknown; once the
+// node has adopted the request, the caller reads on.
+func TestAttachAtTheHolderWaitsForTheAdoption(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fixture) {
+		f.KeepCopy(t.Context(), "entry-2", push(1))
+		attached := make(chan *answerer.Answer, 1)
+		go func() {
+			a, err := f.Attach(t.Context(), "r1", "agency")
+			if err == nil {
+				attached <- a
+			}
+		}()
+		sleep(t.Context(), 3*time.Second)
+		require.Empty(t, attached)
+		f.do(messenger.Adopt{
+			Request: "r1",
+			Epoch:   9,
+		})
+		a := <-attached
+		require.EqualValues(t, 9, a.Epoch())
+		v, err := a.Verdict(t.Context())
+		require.NoError(t, err)
+		require.True(t, v.Accepted)
+	})
+}
+
+// A caller counts until its context ends; the reducer hears of the first that
+// comes and the last that leaves.
+func TestCallersAreCounted(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fixture) {
+		a := f.submit()
+		ctx, leave := context.WithCancel(t.Context())
+		_, err := f.Attach(ctx, a.Request(), "agency")
+		require.NoError(t, err)
+		leave()
+		synctest.Wait()
+		require.Len(t, eventsOf[messenger.CallerAttached](f.reducer), 1)
+		require.Empty(t, eventsOf[messenger.CallerGone](f.reducer))
+
+		ctx, leave = context.WithCancel(t.Context())
+		_, err = f.Submit(ctx, report("key-2"))
+		require.NoError(t, err)
+		leave()
+		synctest.Wait()
+		require.Len(t, eventsOf[messenger.CallerGone](f.reducer), 1)
+	})
+}
+
+// Two nodes got the same key and this one lost the claim. Its caller gets the
+// winner's answer, and where that is not to be had "unknown", never "not run".
+func TestAnswerOfALostClaim(t *testing.T) {
+	reply := &answerer.Reply{
+		Status: 201,
+		Body:   []byte("sent"),
+	}
+	tests := []struct {
+		name     string
+		recorded *messenger.RecordedOutcome
+		outcome  func() (relayer.Ending, error)
+		want     messenger.Outcome
+		status   int
+	}{
+		{"recorded", &messenger.RecordedOutcome{Outcome: messenger.Done, Status: 201}, nil, messenger.Done, 201},
+		{"too large to be recorded", &messenger.RecordedOutcome{Outcome: messenger.Done, Status: 201, BodyOmitted: true},
+			func() (relayer.Ending, error) {
+				return relayer.Ending{State: relayer.EndingKnown, Outcome: messenger.Done, Reply: reply}, nil
+			}, messenger.Done, 201},
+		{"winner silent", nil, func() (relayer.Ending, error) {
+			return relayer.Ending{}, &relayer.PeerError{}
+		}, messenger.Unknown, 0},
+		{"still running at the deadline", nil, func() (relayer.Ending, error) {
+			sleep(context.Background(), outcomeWait.Std())
+			return relayer.Ending{State: relayer.EndingRunning}, nil
+		}, messenger.Unknown, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, f *fixture) {
+				f.reducer.nodes = nodes("entry-1", "entry-2")
+				f.peers.outcome = test.outcome
+				a := f.submit()
+				f.do(messenger.AnswerFrom{
+					Request:  a.Request(),
+					Winner:   "entry-2",
+					Recorded: test.recorded,
+				})
+				_, end, err := a.Read(t.Context(), 0)
+				require.NoError(t, err)
+				require.Equal(t, test.want, end.Outcome)
+				require.Equal(t, test.status, end.Status)
+			})
+		})
+	}
+}
+
+func TestAuthenticate(t *testing.T) {
+	f := newFixture(t)
+	f.config.OperatorKeyHashes = []string{keyHash("old"), keyHash("new")}
+	account, ok := f.Authenticate("secret")
+	require.True(t, ok)
+	require.EqualValues(t, "agency", account)
+	_, ok = f.Authenticate("")
+	require.False(t, ok)
+	require.True(t, f.AuthenticateOperator("new"))
+	require.False(t, f.AuthenticateOperator("secret"))
+}
+
+func TestMetricsAreJSON(t *testing.T) {
+	f := newFixture(t)
+	var values map[string]any
+	require.NoError(t, json.Unmarshal([]byte(f.Metrics().Var().String()), &values))
+	require.Contains(t, values, "answer_bytes")
+	require.Contains(t, values, "loop_lag_ms")
+}
--- /dev/null
+++ b/internal/runner/fake_test.go
@@ -0,0 +1,377 @@
+package runner
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/adapter"
+	"github.com/dotterelhollow/dotterelhollow/internal/answerer"
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/configurer"
+	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
+	"github.com/dotterelhollow/dotterelhollow/internal/historian"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/reducer"
+	"github.com/dotterelhollow/dotterelhollow/internal/relayer"
+	"github.com/dotterelhollow/dotterelhollow/internal/server"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// bubbleClock follows the clock of the test's bubble.
+type bubbleClock struct{}
+
+func (bubbleClock) Now() timekeeper.Time { return timekeeper.FromStd(time.Now()) }
+
+// fakeReducer notes the events and answers each with what on says.
+type fakeReducer struct {
+	mu      sync.Mutex
+	events  []messenger.EventBody
+	on      func(messenger.EventBody) []messenger.Effect
+	streams []identifier.LogStream
+	nodes   []gossiper.Node
+}
+
+var _ Reducer = (*fakeReducer)(nil)
+
+func (f *fakeReducer) Apply(e messenger.Event) []messenger.Effect {
+	if _, tick := e.Body.(messenger.Tick); !tick {
+		f.mu.Lock()
+		f.events = append(f.events, e.Body)
+		f.mu.Unlock()
+	}
+	if f.on == nil {
+		return nil
+	}
+	return f.on(e.Body)
+}
+
+var testCatalog = &catalog.Catalog{
+	Services: map[identifier.ServiceName]catalog.Service{
+		"report": {
+			Name:       "report",
+			Kind:       catalog.ModelService,
+			Model:      "reader",
+			Idempotent: true,
+			Long:       true,
+			Deadline:   timekeeper.Minute,
+			MaxTokens:  100,
+		},
+		"email": {
+			Name:     "email",
+			Kind:     catalog.PlainService,
+			Deadline: timekeeper.Minute,
+		},
+	},
+	Accounts: map[identifier.AccountID]catalog.Account{
+		"agency": {
+			ID:        "agency",
+			KeyHashes: []string{keyHash("secret")},
+		},
+	},
+}
+
+func (f *fakeReducer) Catalog() *catalog.Catalog         { return testCatalog }
+func (f *fakeReducer) Streams() []identifier.LogStream   { return f.streams }
+func (f *fakeReducer) Nodes() []gossiper.Node            { return f.nodes }
+func (f *fakeReducer) View(timekeeper.Time) reducer.View { return reducer.View{Nodes: f.nodes} }
+func (f *fakeReducer) History() []configurer.Change      { return nil }
+func (f *fakeReducer) ExportConfiguration() ([]byte, bool) {
+	return nil, false
+}
+
+func (f *fakeReducer) Files() map[identifier.FileName]configurer.FileState { return nil }
+
+func (f *fakeReducer) Addresses(timekeeper.Time, identifier.AccountID) []gossiper.Node {
+	return f.nodes
+}
+
+func (f *fakeReducer) Node(vm identifier.VMID) (gossiper.Node, bool) {
+	for _, n := range f.nodes {
+		if n.VM == vm {
+			return n, true
+		}
+	}
+	return gossiper.Node{}, false
+}
+
+// eventsOf returns the events of type E so far.
+func eventsOf[E messenger.EventBody](f *fakeReducer) []E {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var found []E
+	for _, body := range f.events {
+		if e, ok := body.(E); ok {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+// fakeLog refuses or loses appends as told, and has nothing to read.
+type fakeLog struct {
+	mu      sync.Mutex
+	batches [][]adapter.Record
+	append  func(n int) error
+}
+
+func (l *fakeLog) Append(_ context.Context, records []adapter.Record) ([]identifier.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.batches = append(l.batches, records)
+	if l.append == nil {
+		return nil, nil
+	}
+	return nil, l.append(len(l.batches))
+}
+
+func (l *fakeLog) Read(
+	ctx context.Context, _ identifier.LogStream, _ identifier.Offset, _ int, wait timekeeper.Duration,
+) (messenger.LogRead, error) {
+	sleep(ctx, wait.Std())
+	return messenger.LogRead{End: true}, ctx.Err()
+}
+
+// fakeCloud sells nothing and lists nothing.
+type fakeCloud struct{ bought int }
+
+func (c *fakeCloud) List(context.Context) (messenger.ListRead, error) {
+	return messenger.ListRead{}, nil
+}
+
+func (c *fakeCloud) Notices(ctx context.Context, _ uint64, wait timekeeper.Duration) ([]adapter.Notice, error) {
+	sleep(ctx, wait.Std())
+	return nil, ctx.Err()
+}
+
+func (c *fakeCloud) Buy(context.Context, messenger.BuyVM) (identifier.VMID, error) {
+	c.bought++
+	return "vm-new", nil
+}
+
+func (c *fakeCloud) Release(context.Context, identifier.VMID) error { return nil }
+
+// fakeEngines hands each stream to run, which plays the engine.
+type fakeEngines struct {
+	Engines
+	run    func(ctx context.Context, stream identifier.StreamName, sink adapter.Sink) error
+	orders int
+}
+
+func (e *fakeEngines) Start(ctx context.Context, _ string, s adapter.Start, _ adapter.Patience, sink adapter.Sink) error {
+	return e.run(ctx, s.Stream, sink)
+}
+
+func (e *fakeEngines) Order(context.Context, string, messenger.Order) error {
+	e.orders++
+	return nil
+}
+
+// fakePeers answers each call as its hook says.
+type fakePeers struct {
+	Peers
+	mu       sync.Mutex
+	pushes   []relayer.Push
+	unholds  int
+	hold     func(ctx context.Context, p relayer.Push) (relayer.HoldAnswer, error)
+	unhold   func(ctx context.Context) error
+	handOver func(ctx context.Context) error
+	locate   func(address string) (relayer.Location, bool, error)
+	outcome  func() (relayer.Ending, error)
+}
+
+func (p *fakePeers) Hold(ctx context.Context, _ string, push relayer.Push) (relayer.HoldAnswer, error) {
+	p.mu.Lock()
+	p.pushes = append(p.pushes, push)
+	p.mu.Unlock()
+	if p.hold == nil {
+		return relayer.HoldKept, nil
+	}
+	return p.hold(ctx, push)
+}
+
+func (p *fakePeers) Unhold(ctx context.Context, _ string, _ identifier.RequestID) error {
+	if p.unhold != nil {
+		if err := p.unhold(ctx); err != nil {
+			return err
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unholds++
+	return nil
+}
+
+// pushed returns the pushes so far.
+func (p *fakePeers) pushed() []relayer.Push {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.pushes)
+}
+
+// unheld returns how often the holder was told to drop a copy.
+func (p *fakePeers) unheld() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.unholds
+}
+
+func (p *fakePeers) HandOver(ctx context.Context, _ string, _ relayer.Push) error {
+	return p.handOver(ctx)
+}
+
+func (p *fakePeers) Locate(_ context.Context, address string, _ relayer.Question) (relayer.Location, bool, error) {
+	return p.locate(address)
+}
+
+func (p *fakePeers) Outcome(context.Context, string, relayer.Question) (relayer.Ending, error) {
+	return p.outcome()
+}
+
+// fixture is a Runner between fakes.
+type fixture struct {
+	*Runner
+	t       *testing.T
+	reducer *fakeReducer
+	log     *fakeLog
+	cloud   *fakeCloud
+	engines *fakeEngines
+	peers   *fakePeers
+}
+
+// inBubble runs test with a running Runner, in a bubble of its own time.
+func inBubble(t *testing.T, test func(t *testing.T, f *fixture)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		synctest.Wait()
+		test(t, f)
+		cancel()
+		<-f.stopped
+	})
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{
+		t:       t,
+		reducer: &fakeReducer{},
+		log:     &fakeLog{},
+		cloud:   &fakeCloud{},
+		engines: &fakeEngines{},
+		peers:   &fakePeers{},
+	}
+	f.Runner = New(Config{
+		Self:          "entry-1",
+		CallerAddress: "127.0.0.1:1",
+		Reducer:       f.reducer,
+		Clock:         bubbleClock{},
+		Historian: historian.New(historian.Config{
+			Self:  "entry-1",
+			Clock: bubbleClock{},
+		}),
+		Log:     f.log,
+		Lister:  f.cloud,
+		Cloud:   f.cloud,
+		Engines: f.engines,
+		Peers:   f.peers,
+	})
+	return f
+}
+
+// do carries out effects in the loop and waits until nothing moves any more.
+func (f *fixture) do(effects ...messenger.Effect) {
+	f.t.Helper()
+	require.True(f.t, f.ask(f.t.Context(), func() {
+		for _, e := range effects {
+			f.carryOut(e)
+		}
+	}))
+	synctest.Wait()
+}
+
+// submit sends a report and returns its answer.
+func (f *fixture) submit() *answerer.Answer {
+	f.t.Helper()
+	a, err := f.Submit(f.t.Context(), report("key-1"))
+	require.NoError(f.t, err)
+	synctest.Wait()
+	return a
+}
+
+func report(key identifier.IdempotencyKey) server.Submission {
+	return server.Submission{
+		Account: "agency",
+		Service: "report",
+		Key:     key,
+		Prompt:  "a manuscript",
+	}
+}
+
+func attemptOf(a *answerer.Answer, n identifier.AttemptNumber) messenger.SendAttempt {
+	return messenger.SendAttempt{
+		Request:  a.Request(),
+		Attempt:  n,
+		Server:   "engine-1",
+		Mode:     messenger.StartFresh,
+		Stream:   identifier.Stream(a.Request(), n),
+		Deadline: a.Spec().Deadline,
+	}
+}
+
+func holdOf(a *answerer.Answer) messenger.Hold {
+	return messenger.Hold{
+		Request: a.Request(),
+		Epoch:   1,
+		Holder:  "entry-2",
+		Address: "entry-2:1",
+	}
+}
+
+func unholdOf(a *answerer.Answer) messenger.Unhold {
+	return messenger.Unhold{
+		Request: a.Request(),
+		Holder:  "entry-2",
+		Address: "entry-2:1",
+	}
+}
+
+// visible returns what a reader gets now, without waiting.
+func visible(t *testing.T, a *answerer.Answer) (string, *answerer.End) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	pieces, end, err := a.Read(ctx, 0)
+	if err != nil {
+		return "", nil
+	}
+	var text string
+	for _, p := range pieces {
+		text += p.Text
+	}
+	return text, end
+}
+
+// say gives a sink tokens from an index on.
+func say(sink adapter.Sink, from identifier.Tokens, texts ...string) error {
+	for i, text := range texts {
+		err := sink.Token(adapter.Token{
+			Index: from + identifier.Tokens(i),
+			Text:  text,
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -259,6 +259,11 @@
 // emit hands the loop an event, waiting for room. It returns false when the
 // task's context or the node ended first.
 func (r *Runner) emit(ctx context.Context, body messenger.EventBody) bool {
+	select {
+	case <-r.stopped:
+		return false // Even where there is room, nobody reads any more.
+	default:
+	}
 	e := queuedEvent{
 		body: body,
 		sent: time.Now(),
