Take a refused connection for a holder that is gone

Cause: the error number belongs to the relayer alone. Change: the runner asks relayer.PeerError for its reach. Conclusion: one place reads error numbers.

--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"syscall"
 	"time"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/answerer"
@@ -129,7 +128,7 @@
 			return messenger.HoldFailed{
 				Request: p.effect.Request,
 				Holder:  p.effect.Holder,
-				Gone:    errors.Is(err, syscall.ECONNREFUSED),
+				Gone:    refused(err),
 			}
 		}
 		whole, behind = false, 0
@@ -145,6 +144,12 @@
 	}
 }
 
+// refused reports whether nothing listens at the peer's address.
+func refused(err error) bool {
+	var peer *relayer.PeerError
+	return errors.As(err, &peer) && peer.Reach == relayer.Refused
+}
+
 func nothingNew(c answerer.Change, m answerer.Mark) bool {
 	return len(c.Pieces) == 0 && c.Reply == nil && c.Place.Attempt == m.Attempt
 }
--- a/internal/runner/hold_test.go
+++ b/internal/runner/hold_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -127,10 +126,7 @@
 		gone := true
 		f.peers.hold = func(context.Context, relayer.Push) (relayer.HoldAnswer, error) {
 			if gone {
-				return "", &relayer.PeerError{
-					Reach: relayer.NotReached,
-					Cause: syscall.ECONNREFUSED,
-				}
+				return "", &relayer.PeerError{Reach: relayer.Refused}
 			}
 			return relayer.HoldKept, nil
 		}
