Point bench, capacity and matrix at the programs that measure

Cause: the targets named packages that were planned and came out otherwise. Change: make bench, make capacity and make matrix; the README's layout.

--- a/Makefile
+++ b/Makefile
@@ -9,9 +9,8 @@
 
 LINT_VERSION = 2.15.0
 LINT = $(shell $(GO) env GOPATH)/bin/golangci-lint
-BENCH_TIME ?= 1x
 
-.PHONY: all build test bench demo matrix lint fmt fmt-check vet clean
+.PHONY: all build test bench capacity demo matrix lint fmt fmt-check vet clean
 
 all: build
 
@@ -24,11 +23,17 @@
 test: vet
 	$(GO) test $(RACE) -count=1 -p $(PARALLEL) $(PACKAGES)
 
-bench:
-	$(GO) test -run '^$$' -bench . -benchtime $(BENCH_TIME) -p 1 $(PACKAGES)
+# The policies compared, see docs/MEASUREMENTS.md.
+bench: build
+	bin/dotterelhollow-bench $(BENCH_FLAGS)
 
+# What a node costs by size, see docs/CAPACITY.md.
+capacity: build
+	bin/dotterelhollow-gauge $(GAUGE_FLAGS)
+
+# Every fault at every step, see docs/FAULTS.md.
 matrix:
-	$(GO) test -count=1 -v -run 'Matrix' ./internal/matrix/...
+	$(GO) test -count=1 -v -run '^TestMatrix$$' ./internal/prover -table
 
 demo: build
 	scripts/demo.sh
