Tell callers of a node without configuration so, and count them once

Cause: a node that has just started knew no key and answered 401, which callers take for final; and the server counted a caller a second time beside the runner, so that the runner could miss that the last one left. Ruled out: 503 for every bad key, because most keys that are refused are bad. Change: Backend.Configured, and no_configuration with Retry-After where it is false; only the runner counts callers.

--- a/internal/server/answer.go
+++ b/internal/server/answer.go
@@ -25,9 +25,6 @@
 
 // answer gives a caller its answer, or tells why there is none.
 func (s *Server) answer(ctx iris.Context, a *answerer.Answer, r reading) {
-	a.CallerCame()
-	defer a.CallerLeft()
-
 	verdict, err := s.awaitVerdict(ctx, a, r.verdict)
 	switch {
 	case err != nil:
--- a/internal/server/backend.go
+++ b/internal/server/backend.go
@@ -23,7 +23,10 @@
 	// Addresses returns the nodes to use for a service, best first, and how
 	// long a caller may keep the list.
 	Addresses(service identifier.ServiceName) ([]NodeAddress, timekeeper.Duration)
-	// Submit takes a request in. It does not wait for the verdict.
+	// Configured reports whether the node has a configuration.
+	Configured() bool
+	// Submit takes a request in. It does not wait for the verdict. Its caller
+	// counts as attached until ctx ends, as that of Attach does.
 	Submit(ctx context.Context, s Submission) (*answerer.Answer, error)
 	// Attach returns the answer of a request that an account sent earlier.
 	// Its error is an *answerer.ElsewhereError where another node has it, and
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -7,6 +7,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/kataras/iris/v12"
 
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -136,9 +137,21 @@
 }
 
 // caller authenticates a request before its body is read.
+//
+// A node that has no configuration yet knows no key. It says so, because a
+// caller takes "unauthorized" for final, and would give up on account of a
+// node that has only just started.
 func (s *Server) caller(next func(iris.Context, identifier.AccountID)) iris.Handler {
 	return func(ctx iris.Context) {
 		account, ok := s.backend.Authenticate(bearer(ctx.Request()))
+		if !ok && !s.backend.Configured() {
+			problemOf("", messenger.Refusal{
+				Reason:     messenger.ReasonNoConfiguration,
+				Outcome:    messenger.NotRun,
+				RetryAfter: timekeeper.Second,
+			}).write(ctx)
+			return
+		}
 		if !ok {
 			ctx.Header("WWW-Authenticate", "Bearer")
 			refused(http.StatusUnauthorized, ReasonUnauthorized, "no client account has this key").write(ctx)
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -32,6 +32,9 @@
 
 // fakeBackend is a node that decides nothing: a test drives the answers.
 type fakeBackend struct {
+	// empty stands for a node without a configuration.
+	empty bool
+
 	mu        sync.Mutex
 	answers   map[identifier.RequestID]*answerer.Answer
 	submitted []server.Submission
@@ -45,12 +48,17 @@
 var _ server.Backend = (*fakeBackend)(nil)
 
 func (b *fakeBackend) Authenticate(key string) (identifier.AccountID, bool) {
+	if b.empty {
+		return "", false
+	}
 	account, ok := strings.CutSuffix(key, "-key")
 	return identifier.AccountID(account), ok && (key == harborKey || key == tidelineKey)
 }
 
 func (b *fakeBackend) AuthenticateOperator(key string) bool { return key == operatorKey }
 
+func (b *fakeBackend) Configured() bool { return !b.empty }
+
 func (b *fakeBackend) Service(name identifier.ServiceName) (catalog.Service, bool) {
 	services := map[identifier.ServiceName]catalog.Service{
 		"report": {
@@ -86,7 +94,7 @@
 }
 
 func (b *fakeBackend) Attach(
-	_ context.Context, request identifier.RequestID, account identifier.AccountID,
+	ctx context.Context, request identifier.RequestID, account identifier.AccountID,
 ) (*answerer.Answer, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -97,6 +105,8 @@
 	if !ok || a.Account() != account {
 		return nil, &answerer.UnknownRequestError{Request: request}
 	}
+	a.CallerCame()
+	context.AfterFunc(ctx, func() { a.CallerLeft() })
 	return a, nil
 }
 
@@ -275,6 +285,19 @@
 	}
 }
 
+// A node that has just started knows no key yet. A caller that was told
+// "unauthorized" would give up for good; told the truth, it goes elsewhere or
+// comes back.
+func TestNodeWithoutConfiguration(t *testing.T) {
+	address := start(t, &fakeBackend{empty: true}, server.Limits{})
+	response, body := exchange(t, "POST", address, "/v1/chat/completions", chat, nil)
+	p := parseProblem(t, response, body)
+	require.Equal(t, http.StatusServiceUnavailable, p.Status)
+	require.Equal(t, messenger.ReasonNoConfiguration, p.Reason)
+	require.Equal(t, messenger.NotRun, p.Outcome)
+	require.NotZero(t, p.RetryAfter)
+}
+
 // A caller sends half of its body and then nothing. It is told so after the
 // bound on the body, and the node never sees the request.
 func TestHalfSentBodyIsBounded(t *testing.T) {
