Let streams run on until the last moment of a reclaim

Cause: the plan counts on the most tokens a stream may generate; streams moved at once by prefill were computed again although many would have ended, and links planned to the second idled.

--- a/internal/bencher/variant.go
+++ b/internal/bencher/variant.go
@@ -53,12 +53,15 @@
 	// ShareWave plans a wave with this node's part of room and bandwidth.
 	ShareWave   bool
 	AllOnDemand bool
-	Router      router.Rules
-	Limiter     limiter.Rules
-	Retrier     retrier.Rules
-	Detector    detector.Rules
-	Planner     planner.Rules
-	Scaler      scaler.Rules
+	// Silence bounds the wait for a silent server by what was predicted;
+	// without it a fixed time is waited.
+	Silence  bool
+	Router   router.Rules
+	Limiter  limiter.Rules
+	Retrier  retrier.Rules
+	Detector detector.Rules
+	Planner  planner.Rules
+	Scaler   scaler.Rules
 }
 
 // Policy is the policy with all its rules.
@@ -69,6 +72,7 @@
 		Routing:   PolicyRouting,
 		Reclaim:   Planned,
 		ShareWave: true,
+		Silence:   true,
 		Router:    router.AllRules(),
 		Limiter:   limiter.AllRules(),
 		Retrier:   retrier.AllRules(),
@@ -134,6 +138,7 @@
 	return []Variant{
 		off("planner (prefill at break)", func(v *Variant) { v.Reclaim = PrefillAtBreak }),
 		off("planner (restart at break)", func(v *Variant) { v.Reclaim = RestartAtBreak }),
+		off("detector.silence (30 s)", func(v *Variant) { v.Silence = false }),
 		off("planner.share_wave", func(v *Variant) { v.ShareWave = false }),
 		off("router (least in flight)", func(v *Variant) { v.Routing = LeastInFlight }),
 		off("scaler (all on demand)", func(v *Variant) { v.AllOnDemand = true }),
--- a/internal/planner/part.go
+++ b/internal/planner/part.go
@@ -24,15 +24,20 @@
 	Running int
 }
 
+// linkExcess is how far the nodes together plan beyond the links' time. Many
+// streams end before their turn, so that a link planned to its last second
+// would idle; and a link serves one export after the other, so that what was
+// planned in excess is what comes last, and runs on meanwhile.
+const linkExcess = 2
+
 // LinkShare returns the part of the links' time to plan with. One stream more
-// than this node has is counted: a part shorter than any transfer would leave
-// the link idle, and the links themselves serve one export after the other, so
-// that what was planned in excess is what comes last.
+// than this node has is counted, because a part shorter than any transfer
+// would be of no use.
 func (p Part) LinkShare() float64 {
-	if p.Own+1 >= p.Running {
+	if linkExcess*(p.Own+1) >= p.Running {
 		return 1
 	}
-	return float64(p.Own+1) / float64(p.Running)
+	return float64(linkExcess*(p.Own+1)) / float64(p.Running)
 }
 
 // Rooms returns the part of each room. The free slots of a server go round
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -5,8 +5,7 @@
 // each leaving server has a few seconds of bandwidth, which PlanWave spends on
 // KV cache exports in the order of what they save (the penalty at stake and
 // the tokens that need no recomputing) per second of transfer. What does not
-// fit is resumed elsewhere by prefill, and what finds no room keeps running
-// until the last moment.
+// fit runs on until the last moment and is then resumed elsewhere by prefill.
 //
 // A plan is a pure function of its inputs. A second notice in the middle of a
 // wave is a second call: transfers under way are in the streams, and servers
@@ -74,8 +73,7 @@
 }
 
 // Move is the part of a plan for one stream. An empty To with Prefill means
-// that no server has room: the stream runs on until Start, and is then routed
-// like any other request.
+// that no server has room: the stream is then routed like any other request.
 type Move struct {
 	Request identifier.RequestID
 	Attempt identifier.AttemptNumber
@@ -102,6 +100,9 @@
 	KeepRoom bool
 	// KeepBandwidth starts no export that cannot end before the deadline.
 	KeepBandwidth bool
+	// PrefillLate lets streams that resume by prefill run on until the last
+	// moment; without it they move at once.
+	PrefillLate bool
 	// TokenValue is what one recomputed token costs.
 	TokenValue identifier.Money
 	// LinkShare is the part of each link's time that the plan may use; see
@@ -124,6 +125,7 @@
 		AvoidLeaving:  true,
 		KeepRoom:      true,
 		KeepBandwidth: true,
+		PrefillLate:   true,
 		TokenValue:    DefaultTokenValue,
 	}
 }
--- a/internal/planner/wave.go
+++ b/internal/planner/wave.go
@@ -155,19 +155,24 @@
 	return true
 }
 
-// prefill gives the remaining room to the streams with the most to lose. They
-// start elsewhere at once: waiting only adds tokens to be recomputed. A stream
-// with no room anywhere gains by every token it still generates.
+// prefill gives the remaining room to the streams with the most to lose.
+//
+// They run on until the last moment. Streams are planned by the most tokens
+// that they may still generate, and many end before that: moved at once, they
+// would all be computed again. The few tokens more to read for the others cost
+// less.
 func (w *wave) prefill(streams []Stream) {
 	slices.SortFunc(streams, compareStakes)
 	for _, s := range streams {
+		start := w.now
+		if w.rules.PrefillLate {
+			start = max(w.now, w.lastStart(s))
+		}
 		to, _, ok := w.rooms.pick(s, w.now)
-		if !ok {
-			w.add(s, Prefill, "", max(w.now, w.lastStart(s)))
-			continue
+		if ok {
+			w.rooms.take(to, s)
 		}
-		w.rooms.take(to, s)
-		w.add(s, Prefill, to, w.now)
+		w.add(s, Prefill, to, start)
 	}
 }
 
