--- a/internal/conductor/hold.go
+++ b/internal/conductor/hold.go
@@ -81,7 +81,17 @@
 
 // nextHolder returns the first node of the request's own order that has not
 // failed it, in another zone where there is one.
+//
+// A stalled request goes to the node that may have adopted it and to no other.
+// With another holder this node would go on while that node serves the caller
+// from a different state as soon as this one dies; only its own answer tells
+// who has the request.
 func (c *Conductor) nextHolder(w *World, r *request) (gossiper.Node, bool) {
+	if r.hold.stalledAt != timekeeper.Never {
+		if n, known := w.Members.Node(r.hold.exposed); known && n.State == gossiper.Alive {
+			return n, !r.hold.failed[n.VM]
+		}
+	}
 	for _, n := range placer.Holders(r.spec.Request, w.Members.Nodes(), c.config.Self) {
 		if !r.hold.failed[n.VM] {
 			return n, true
--- a/internal/prover/caller_test.go
+++ b/internal/prover/caller_test.go
@@ -31,6 +31,11 @@
 	accepted timekeeper.Time
 	got      []token
 	reply    bool
+	// silence is how long the caller stays with a node that says nothing.
+	silence timekeeper.Duration
+	// fresh is when the caller last got something new.
+	fresh       timekeeper.Time
+	longestWait timekeeper.Duration
 	// answers lists all outcomes that the caller was told, in order.
 	told []told
 	done bool
@@ -53,6 +58,7 @@
 		service: service,
 		key:     key,
 		began:   w.now,
+		silence: callerSilence,
 	}
 	w.callers = append(w.callers, c)
 	c.submit(w.node(at))
@@ -111,7 +117,7 @@
 		return
 	}
 	if c.w.now < n.frozenTil {
-		if c.w.now.Sub(c.heard) > callerSilence {
+		if c.w.now.Sub(c.heard) > c.silence {
 			c.cutOff("silence")
 			return
 		}
@@ -138,6 +144,7 @@
 	}
 	if c.accepted == 0 {
 		c.accepted = c.w.now
+		c.fresh = c.w.now
 	}
 	if c.diverges(a) {
 		c.cutOff("another answer")
@@ -145,6 +152,8 @@
 	}
 	if a.released > len(c.got) {
 		c.got = append(c.got, a.tokens[len(c.got):a.released]...)
+		c.longestWait = max(c.longestWait, c.w.now.Sub(c.fresh))
+		c.fresh = c.w.now
 	}
 	switch {
 	case a.movedTo != "":
--- a/internal/prover/facts_test.go
+++ b/internal/prover/facts_test.go
@@ -27,6 +27,10 @@
 	ticket identifier.Ticket
 }
 
+// longestWait bounds the wait of an accepted long request's caller for its
+// next token.
+const longestWait = 25 * timekeeper.Second
+
 // newWorkBound is the "few seconds" after which a leaving server gets no new
 // work.
 const newWorkBound = 3 * timekeeper.Second
@@ -69,6 +73,9 @@
 
 func (w *world) judgeCaller(c *caller) {
 	w.judgeAnswer(c)
+	if c.spec.Long && c.accepted != 0 && c.longestWait > longestWait {
+		w.facts.object("%s: waited %s for the next token", c.name, c.longestWait)
+	}
 	finished := len(c.told) > 0 && c.told[len(c.told)-1].outcome == messenger.Done
 	switch {
 	case c.spec.Long && c.accepted != 0 && !finished:
--- a/internal/prover/fault_test.go
+++ b/internal/prover/fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"reflect"
 	"strings"
 
@@ -272,6 +273,14 @@
 			}
 		}}
 	}},
+	{name: "server killed at work", strike: func(w *world, _ *node, e messenger.Effect) strike {
+		return strike{then: func() {
+			if s := w.server(aimOf(e)); s != nil {
+				w.after(callTime/2, s.kill)
+			}
+		}}
+	}},
+	{name: "cut off, then server and node die", strike: isolated},
 	{name: "server frozen", strike: func(w *world, _ *node, e messenger.Effect) strike {
 		if s := w.server(aimOf(e)); s != nil {
 			s.frozenTil = w.now.Add(frozenFor)
@@ -289,12 +298,54 @@
 	}},
 }
 
+// both lets two faults strike at one step.
+func both(a, b fault) fault {
+	return fault{
+		name: a.name + " + " + b.name,
+		strike: func(w *world, n *node, e messenger.Effect) strike {
+			first, second := a.strike(w, n, e), b.strike(w, n, e)
+			return strike{
+				fate:  max(first.fate, second.fate),
+				skip:  first.skip || second.skip,
+				twice: first.twice || second.twice,
+				delay: max(first.delay, second.delay),
+				then: func() {
+					for _, s := range []strike{first, second} {
+						if s.then != nil {
+							s.then()
+						}
+					}
+				},
+			}
+		},
+	}
+}
+
 func nextZone(z identifier.Zone) identifier.Zone {
 	zones := "abcd"
 	i := strings.Index(zones, string(z))
 	return identifier.Zone(zones[(i+1)%len(zones)])
 }
 
+// isolated cuts a node off from all other nodes. Its engine dies, it goes on
+// elsewhere by itself, and then dies too.
+func isolated(w *world, n *node, _ messenger.Effect) strike {
+	for _, end := range links(w, n, messenger.Exit{}) {
+		w.cut(string(n.vm), end)
+		w.cut(end, string(n.vm))
+	}
+	return strike{then: func() {
+		w.after(timekeeper.Second, func() {
+			for _, a := range n.answers {
+				if s := w.server(a.place.Server); s != nil && a.end == nil {
+					s.kill()
+				}
+			}
+		})
+		w.after(8*timekeeper.Second, func() { n.kill("cut off") })
+	}}
+}
+
 // silence makes every open connection of the node go silent for good, while
 // new ones work.
 func (n *node) silence() {
@@ -313,24 +364,53 @@
 	})
 }
 
-// crossed brings the node late messages of attempts that are not the current
-// one and of holders and successors that are not the chosen ones.
+// crossed brings the node messages of attempts that are not the current one:
+// earlier ones of the request itself and those of all other requests; and
+// messages of peers that are not the chosen holder or successor.
 func crossed(w *world, n *node, e messenger.Effect) strike {
 	r := requestOf(e)
 	if r == "" {
 		return strike{}
 	}
 	return strike{then: func() {
-		for _, attempt := range []identifier.AttemptNumber{0, 7, 4000} {
-			for _, body := range strays(r, attempt) {
-				n.later(hop, func() { n.apply(body) })
-				n.later(2*timekeeper.Second, func() { n.apply(body) })
-			}
+		for _, d := range []timekeeper.Duration{hop, 300 * timekeeper.Millisecond, 2 * timekeeper.Second, 6 * timekeeper.Second} {
+			n.later(d, func() { n.cross(r) })
 		}
 	}}
 }
 
-func strays(r identifier.RequestID, attempt identifier.AttemptNumber) []messenger.EventBody {
+func (n *node) cross(r identifier.RequestID) {
+	a := n.answers[r]
+	if a == nil {
+		return
+	}
+	for attempt := range n.w.attemptsBut(a.place.Attempt) {
+		for _, body := range strayAttempt(r, attempt) {
+			n.apply(body)
+		}
+	}
+	for _, peer := range n.w.nodes {
+		for _, body := range strayPeer(r, peer.vm) {
+			if peer.vm != a.holder && peer.vm != a.successor {
+				n.apply(body)
+			}
+		}
+	}
+}
+
+// attemptsBut yields the numbers of all attempts of all requests so far, and
+// the neighbours of the current one, but not the current one itself.
+func (w *world) attemptsBut(current identifier.AttemptNumber) iter.Seq[identifier.AttemptNumber] {
+	return func(yield func(identifier.AttemptNumber) bool) {
+		for _, k := range append([]identifier.AttemptNumber{current - 1, current + 1}, w.attempts...) {
+			if k != current && !yield(k) {
+				return
+			}
+		}
+	}
+}
+
+func strayAttempt(r identifier.RequestID, attempt identifier.AttemptNumber) []messenger.EventBody {
 	return []messenger.EventBody{
 		messenger.AttemptStarted{
 			Request: r,
@@ -341,30 +421,47 @@
 			Attempt:   attempt,
 			Delivered: 150,
 		},
+		messenger.KVMoved{
+			Request: r,
+			Attempt: attempt,
+			To:      "e3",
+			OK:      true,
+		},
+		messenger.AttemptEnded{
+			Request: r,
+			Attempt: attempt,
+			Result:  messenger.AttemptFailed,
+		},
 		messenger.AttemptEnded{
 			Request:   r,
 			Attempt:   attempt,
 			Result:    messenger.AttemptComplete,
 			Delivered: 200,
 		},
-		messenger.AttemptEnded{
+	}
+}
+
+func strayPeer(r identifier.RequestID, peer identifier.VMID) []messenger.EventBody {
+	return []messenger.EventBody{
+		messenger.HoldAcked{
 			Request: r,
-			Attempt: attempt,
-			Result:  messenger.AttemptFailed,
+			Holder:  peer,
 		},
-		messenger.KVMoved{
+		messenger.HoldRefused{
 			Request: r,
-			Attempt: attempt,
-			To:      "e3",
-			OK:      true,
+			Holder:  peer,
 		},
-		messenger.HoldRefused{
+		messenger.HoldFailed{
 			Request: r,
-			Holder:  "n0",
+			Holder:  peer,
+		},
+		messenger.HandoverFailed{
+			Request:   r,
+			Successor: peer,
 		},
 		messenger.HandoverAcked{
 			Request:   r,
-			Successor: "n0",
+			Successor: peer,
 		},
 	}
 }
--- a/internal/prover/hold_test.go
+++ b/internal/prover/hold_test.go
@@ -48,6 +48,10 @@
 			Request: id,
 			Holder:  holder,
 		})
+	case !ok && a.end != nil:
+		a.holder = "" // The copy stands as it is; the caller need not wait.
+		a.blocked = false
+		n.release(a)
 	case !ok:
 		to := n.w.node(holder)
 		n.apply(messenger.HoldFailed{
@@ -101,7 +105,7 @@
 		n.farewell(a, e, n.w.now.Add(30*timekeeper.Second))
 		return
 	}
-	if a != nil {
+	if a != nil && (e.Holder == "" || a.end != nil) {
 		a.holder = ""
 		a.blocked = false
 		n.release(a)
@@ -140,6 +144,7 @@
 		return
 	}
 	a.paused = true
+	a.successor = e.Successor
 	image := a.copyOf()
 	to := n.w.node(e.Successor)
 	n.w.rpcLater(n, to, fate, func(answer func()) { to.takeOver(n.vm, e, image, answer) }, func(ok bool) {
--- a/internal/prover/matrix_test.go
+++ b/internal/prover/matrix_test.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	workers = 4
+	workers = 6
 	// stepsOfKind bounds how many steps of one kind at one node get cells.
 	stepsOfKind = 2
 )
@@ -78,7 +78,7 @@
 }
 
 // runCells plays all cells of a scenario.
-func runCells(s scenario, steps []step, seed uint64, guards conductor.Safeguards) []outcome {
+func runCells(s scenario, steps []step, faults []fault, seed uint64, guards conductor.Safeguards) []outcome {
 	var cells []cell
 	for _, st := range steps {
 		for _, f := range faults {
@@ -122,7 +122,7 @@
 			steps, base := stepsOf(s, *seedFlag)
 			require.Empty(t, base.facts.objections, "without any fault\n%s", strings.Join(base.story, "\n"))
 			require.NotEmpty(t, steps)
-			outcomes := runCells(s, steps, *seedFlag, conductor.AllSafeguards())
+			outcomes := runCells(s, steps, faults, *seedFlag, conductor.AllSafeguards())
 			total += len(outcomes)
 			report(t, s, steps, outcomes)
 			for _, o := range outcomes {
--- a/internal/prover/node_test.go
+++ b/internal/prover/node_test.go
@@ -37,16 +37,18 @@
 	conn     *conn
 	place    messenger.SendAttempt
 	holder   identifier.VMID
-	blocked  bool
-	paused   bool
-	pushing  bool
-	pushed   int
-	acked    bool
-	verdict  *messenger.Refusal // a zero Refusal accepts
-	end      *messenger.Finish
-	movedTo  identifier.VMID
-	seen     bool
-	reply    bool
+	// successor is the node that was last asked to take the request over.
+	successor identifier.VMID
+	blocked   bool
+	paused    bool
+	pushing   bool
+	pushed    int
+	acked     bool
+	verdict   *messenger.Refusal // a zero Refusal accepts
+	end       *messenger.Finish
+	movedTo   identifier.VMID
+	seen      bool
+	reply     bool
 }
 
 func (w *world) addNode(vm identifier.VMID, z identifier.Zone, seed uint64) *node {
@@ -103,9 +105,10 @@
 	})
 }
 
-// tail follows one stream of the log.
+// tail follows one stream of the log by long polls: a read returns when the
+// stream grows, which the log sees to, or when its wait is over.
 func (n *node) tail(stream identifier.LogStream) {
-	n.later(30*timekeeper.Millisecond+n.w.log.latency()/2, func() {
+	n.later(pollWait, func() {
 		n.readLog(stream)
 		n.tail(stream)
 	})
@@ -318,12 +321,15 @@
 
 func (n *node) gossip(e messenger.SendGossip, fate fate) {
 	to := n.w.node(e.Peer)
-	n.w.rpc(n, to, fate, func() {
+	if to == nil || fate == loseRequest || !n.w.passes(string(n.vm), string(to.vm)) {
+		return
+	}
+	to.later(hop, func() {
 		to.apply(messenger.GossipReceived{
 			From: n.vm,
 			Data: e.Data,
 		})
-	}, func(bool) {})
+	})
 }
 
 func (n *node) fetchConfiguration(e messenger.FetchConfiguration) {
--- a/internal/prover/platform_test.go
+++ b/internal/prover/platform_test.go
@@ -10,6 +10,13 @@
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
+const (
+	// readTime is how long a record takes to a node that waits for it, and
+	// pollWait how long a read waits for a record.
+	readTime = 15 * timekeeper.Millisecond
+	pollWait = 250 * timekeeper.Millisecond
+)
+
 // fakeLog is the platform's log: records in one order, and the faults that
 // the brief names.
 type fakeLog struct {
@@ -74,6 +81,9 @@
 		Data:     slices.Clone(data),
 	})
 	l.next++
+	for _, n := range l.w.nodes {
+		n.later(readTime+l.latency()/2, func() { n.readLog(stream) })
+	}
 }
 
 // read returns a stream's records from an offset on.
--- a/internal/prover/scenario_test.go
+++ b/internal/prover/scenario_test.go
@@ -1,6 +1,7 @@
 package prover
 
 import (
+	"fmt"
 	"strings"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
@@ -53,6 +54,23 @@
 		keeps: ofRequests,
 		start: func(w *world) { w.call("report", "report", "", "n1") },
 	},
+	{
+		name:  "long, with a patient caller",
+		keeps: ofRequests,
+		start: func(w *world) { w.call("report", "report", "", "n1").silence = 15 * timekeeper.Second },
+	},
+	{
+		name:  "requests while a zone leaves",
+		keeps: ofRequests,
+		start: func(w *world) {
+			w.notice(6*timekeeper.Second, w.zoneVMs("b")...)
+			for i := range 12 {
+				w.after(timekeeper.Duration(i)*400*timekeeper.Millisecond, func() {
+					w.call(fmt.Sprintf("tag%d", i), "tag", "", []identifier.VMID{"n1", "n3", "n4"}[i%3])
+				})
+			}
+		},
+	},
 	{
 		name:  "booking without key",
 		keeps: ofRequests,
--- a/internal/prover/stream_test.go
+++ b/internal/prover/stream_test.go
@@ -17,6 +17,7 @@
 		a.conn.closed = true
 	}
 	a.place = e
+	n.w.attempts = append(n.w.attempts, e.Attempt)
 	c := &conn{
 		n:      n,
 		effect: e,
--- a/internal/prover/world_test.go
+++ b/internal/prover/world_test.go
@@ -31,7 +31,9 @@
 	log     *fakeLog
 	list    *fakeList
 	cuts    map[[2]string]bool
-	guards  conductor.Safeguards
+	// attempts lists the numbers of all attempts that were sent.
+	attempts []identifier.AttemptNumber
+	guards   conductor.Safeguards
 
 	// armed is the fault of this run, or nil; steps counts the steps so far
 	// and trace lists them.
