--- a/internal/planner/wave_test.go
+++ b/internal/planner/wave_test.go
@@ -190,6 +190,11 @@
 		"short": "finish to old",
 	}, actions(moves))
 
+	require.Equal(t, leaving["old"].Add(-lastMoment), startOf(moves, "cheap"), "it may end before that")
+	early := AllRules()
+	early.PrefillLate = false
+	require.Equal(t, testNow, startOf(PlanWave(testNow, leaving, testRate, streams, rooms, early), "cheap"))
+
 	// The second notice takes the receiver in the middle of the export, and
 	// every replacement was refused: only the zone's own survivor has room.
 	streams[1].MovingTo, streams[1].MovingUntil = "away", testNow+3500
@@ -202,6 +207,15 @@
 	require.Equal(t, "prefill to ", actions(moves)["dear"])
 }
 
+func startOf(moves []Move, r identifier.RequestID) timekeeper.Time {
+	for _, m := range moves {
+		if m.Request == r {
+			return m.Start
+		}
+	}
+	return 0
+}
+
 func BenchmarkPlanWave(b *testing.B) {
 	for _, size := range []struct{ servers, leaving, streams int }{
 		{servers: 14, leaving: 4, streams: 200},
