Wait for nodes that have just started

Conclusion: the tests of pkg/caller pass ten times with the race detector; before, ask ended with exit code 3 while the configuration was on its way.

--- a/cmd/dotterelhollow/ask.go
+++ b/cmd/dotterelhollow/ask.go
@@ -218,6 +218,9 @@
 
 // finish prints what is left to print, and passes err on.
 func (c *askCommand) finish(trace caller.Trace, answer string, status int, err error) error {
+	if !c.JSON && trace.Request == "" {
+		return err
+	}
 	if !c.JSON {
 		fmt.Fprintf(c.stderr, "request %s: %d tokens in %s, first after %s, %d reattached, %d restarted, nodes %s\n",
 			trace.Request, trace.Tokens, trace.Total, trace.FirstToken, trace.Reattached, trace.Restarted,
@@ -283,7 +286,7 @@
 }
 
 func (p *printer) end() error {
-	if p.quiet {
+	if p.quiet || p.text.Len() == 0 {
 		return nil
 	}
 	fmt.Fprintln(p.out)
--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -31,6 +31,8 @@
 	mu     sync.Mutex
 	visits []visit
 	nodes  []*httptest.Server
+	// refuseAddresses counts the questions for addresses that are refused.
+	refuseAddresses int
 }
 
 // newCluster starts nodes that answer as handle says. Address lists name all
@@ -53,6 +55,13 @@
 }
 
 func (c *cluster) addresses(w http.ResponseWriter) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.refuseAddresses > 0 {
+		c.refuseAddresses--
+		problem(w, 503, "no_configuration", "not_run", 1)
+		return
+	}
 	list := struct {
 		Nodes []caller.Node `json:"nodes"`
 		Keep  int           `json:"keep_ms"`
@@ -386,6 +395,19 @@
 	require.ErrorAs(t, err, &none)
 }
 
+// All nodes have just started and know no service yet. They say when to come
+// back, and the caller does.
+func TestNodesThatHaveJustStarted(t *testing.T) {
+	c := newCluster(t, 2, func(_ *cluster, _ int, w http.ResponseWriter, _ *http.Request) {
+		open(w)
+		done(w)
+	})
+	c.refuseAddresses = 3
+	_, err := c.client(nil).Stream(t.Context(), report, &text{})
+	require.NoError(t, err)
+	require.Zero(t, c.refuseAddresses)
+}
+
 // The list is kept for as long as the node said, and asked for once.
 func TestAddressesAreKept(t *testing.T) {
 	c := newCluster(t, 2, nil)
--- a/pkg/caller/exchange.go
+++ b/pkg/caller/exchange.go
@@ -132,21 +132,40 @@
 		e.client.expire(e.message.service)
 	}
 	e.tried = true
-	nodes, err := e.client.Addresses(ctx, e.message.service)
-	var refusal *RefusalError
-	switch {
-	case errors.As(err, &refusal) && !e.ambiguous && e.trace.Request == "":
-		return err
-	case err != nil && ctx.Err() != nil:
+	nodes, err := e.addresses(ctx)
+	if err != nil {
 		return err
 	}
 	e.queue = e.client.everyNode(nodes)
 	if len(e.queue) == 0 {
-		return &NoNodeError{Cause: err}
+		return &NoNodeError{Cause: nil}
 	}
 	return nil
 }
 
+// addresses returns the nodes to use. A request that is on its way already
+// goes on with the configured nodes where none gives out addresses; a fresh
+// one comes back later, if a node says that this makes sense.
+func (e *exchange) addresses(ctx context.Context) ([]Node, error) {
+	for {
+		nodes, err := e.client.Addresses(ctx, e.message.service)
+		var refusal *RefusalError
+		switch {
+		case err == nil:
+			return nodes, nil
+		case ctx.Err() != nil:
+			return nil, err
+		case e.ambiguous || e.trace.Request != "" || !errors.As(err, &refusal):
+			return nil, nil
+		case refusal.RetryAfter == 0 || e.late(refusal.RetryAfter):
+			return nil, refusal
+		}
+		if err := pause(ctx, jittered(refusal.RetryAfter)); err != nil {
+			return nil, refusal
+		}
+	}
+}
+
 func pause(ctx context.Context, d timekeeper.Duration) error {
 	timer := time.NewTimer(d.Std())
 	defer timer.Stop()
