Lay literals out one field a line, and split a long function

Cause: house style and the linter. Change: layout only; the constants of the workload are the same. Conclusion: linter clean in these packages, tests pass.

--- a/internal/bencher/compare.go
+++ b/internal/bencher/compare.go
@@ -38,7 +38,10 @@
 	for v := range variants {
 		for s := range seeds {
 			select {
-			case jobs <- job{variant: v, seed: s}:
+			case jobs <- job{
+				variant: v,
+				seed:    s,
+			}:
 			case <-ctx.Done():
 			}
 		}
--- a/internal/bencher/deployment.go
+++ b/internal/bencher/deployment.go
@@ -14,66 +14,11 @@
 func quillmark() Deployment {
 	zones := []identifier.Zone{"boston-a", "boston-b", "providence", "portland-me"}
 	return Deployment{
-		Name:   "quillmark",
-		Nodes:  8,
-		Zones:  zones,
-		Notice: 20 * timekeeper.Second,
-		Kinds: []Kind{
-			plainKind("lookup", "portal", 30, 4*milliCoin, true),
-			plainKind("rejection", "portal", 0.5, 20*milliCoin, false),
-			{
-				Service: modelService("ask", "reading", catalog.Interactive, 10*timekeeper.Second, false),
-				Target: catalog.Target{
-					FirstToken: 700 * timekeeper.Millisecond,
-					Completion: 5 * timekeeper.Second,
-					Penalty:    5 * milliCoin,
-				},
-				Rate:          3,
-				Prompt:        [2]int{500, 900},
-				Answer:        [2]int{40, 80},
-				AccountBlocks: 6,
-			},
-			{
-				Service: modelService("tag", "reading", catalog.Standard, 15*timekeeper.Second, false),
-				Target: catalog.Target{
-					FirstToken: 1500 * timekeeper.Millisecond,
-					Completion: 3 * timekeeper.Second,
-					Penalty:    2 * milliCoin,
-				},
-				Rate:          7,
-				Prompt:        [2]int{600, 1200},
-				Answer:        [2]int{8, 16},
-				AccountBlocks: 6,
-			},
-			{
-				Service: modelService("summary", "reading", catalog.Standard, 40*timekeeper.Second, false),
-				Target: catalog.Target{
-					FirstToken: 1000 * timekeeper.Millisecond,
-					Completion: 12 * timekeeper.Second,
-					Penalty:    20 * milliCoin,
-				},
-				Rate:          9,
-				Prompt:        [2]int{1000, 2000},
-				Answer:        [2]int{100, 260},
-				AccountBlocks: 8,
-				Flash:         true,
-			},
-			{
-				Service: modelService("report", "reading", catalog.Batch, 5*timekeeper.Minute, true),
-				Target: catalog.Target{
-					FirstToken: 10 * timekeeper.Second,
-					Completion: 2 * timekeeper.Minute,
-					Penalty:    500 * milliCoin,
-				},
-				Rate:           1.5,
-				Prompt:         [2]int{8000, 10_000},
-				Answer:         [2]int{900, 2700},
-				AccountBlocks:  16,
-				DocumentBlocks: 96,
-				Documents:      40,
-				Uses:           4,
-			},
-		},
+		Name:     "quillmark",
+		Nodes:    8,
+		Zones:    zones,
+		Notice:   20 * timekeeper.Second,
+		Kinds:    quillmarkKinds(),
 		Accounts: accounts("harbor", "beacon", "acorn", "saltmarsh", "juniper"),
 		Pools: []catalog.Pool{
 			modelPool("reading", 20, 500_000_000),
@@ -92,6 +37,65 @@
 	}
 }
 
+func quillmarkKinds() []Kind {
+	return []Kind{
+		plainKind("lookup", "portal", 30, 4*milliCoin, true),
+		plainKind("rejection", "portal", 0.5, 20*milliCoin, false),
+		{
+			Service: modelService("ask", "reading", catalog.Interactive, 10*timekeeper.Second, false),
+			Target: catalog.Target{
+				FirstToken: 700 * timekeeper.Millisecond,
+				Completion: 5 * timekeeper.Second,
+				Penalty:    5 * milliCoin,
+			},
+			Rate:          3,
+			Prompt:        [2]int{500, 900},
+			Answer:        [2]int{40, 80},
+			AccountBlocks: 6,
+		},
+		{
+			Service: modelService("tag", "reading", catalog.Standard, 15*timekeeper.Second, false),
+			Target: catalog.Target{
+				FirstToken: 1500 * timekeeper.Millisecond,
+				Completion: 3 * timekeeper.Second,
+				Penalty:    2 * milliCoin,
+			},
+			Rate:          7,
+			Prompt:        [2]int{600, 1200},
+			Answer:        [2]int{8, 16},
+			AccountBlocks: 6,
+		},
+		{
+			Service: modelService("summary", "reading", catalog.Standard, 40*timekeeper.Second, false),
+			Target: catalog.Target{
+				FirstToken: 1000 * timekeeper.Millisecond,
+				Completion: 12 * timekeeper.Second,
+				Penalty:    20 * milliCoin,
+			},
+			Rate:          9,
+			Prompt:        [2]int{1000, 2000},
+			Answer:        [2]int{100, 260},
+			AccountBlocks: 8,
+			Flash:         true,
+		},
+		{
+			Service: modelService("report", "reading", catalog.Batch, 5*timekeeper.Minute, true),
+			Target: catalog.Target{
+				FirstToken: 10 * timekeeper.Second,
+				Completion: 2 * timekeeper.Minute,
+				Penalty:    500 * milliCoin,
+			},
+			Rate:           1.5,
+			Prompt:         [2]int{8000, 10_000},
+			Answer:         [2]int{900, 2700},
+			AccountBlocks:  16,
+			DocumentBlocks: 96,
+			Documents:      40,
+			Uses:           4,
+		},
+	}
+}
+
 func cooperative() Deployment {
 	zones := []identifier.Zone{"hobart-a", "hobart-b", "kingston", "huonville"}
 	return Deployment{
--- a/internal/planner/part_test.go
+++ b/internal/planner/part_test.go
@@ -25,7 +25,10 @@
 		}
 		slots, tokens := 0, identifier.Tokens(0)
 		for _, self := range nodes {
-			for _, r := range (Part{Self: self, Nodes: nodes}).Rooms([]Room{whole}) {
+			for _, r := range (Part{
+				Self:  self,
+				Nodes: nodes,
+			}).Rooms([]Room{whole}) {
 				slots += r.Slots
 				tokens += r.KVTokens
 			}
@@ -33,6 +36,12 @@
 		require.Equal(t, whole.Slots, slots)
 		require.LessOrEqual(t, tokens, whole.KVTokens)
 	})
-	require.InDelta(t, 0.5, Part{Own: 1, Running: 8}.LinkShare(), 0)
-	require.InDelta(t, 1, Part{Own: 2, Running: 1}.LinkShare(), 0)
+	require.InDelta(t, 0.5, Part{
+		Own:     1,
+		Running: 8,
+	}.LinkShare(), 0)
+	require.InDelta(t, 1, Part{
+		Own:     2,
+		Running: 1,
+	}.LinkShare(), 0)
 }
--- a/internal/planner/wave_test.go
+++ b/internal/planner/wave_test.go
@@ -180,8 +180,18 @@
 		stream("short", 100, 3500, identifier.Coin),
 	}
 	rooms := []Room{
-		{Server: "near", Zone: "a", Slots: 9, KVTokens: 90_000},
-		{Server: "away", Zone: "b", Slots: 9, KVTokens: 90_000},
+		{
+			Server:   "near",
+			Zone:     "a",
+			Slots:    9,
+			KVTokens: 90_000,
+		},
+		{
+			Server:   "away",
+			Zone:     "b",
+			Slots:    9,
+			KVTokens: 90_000,
+		},
 	}
 	moves := PlanWave(testNow, leaving, testRate, streams, rooms, AllRules())
 	require.Equal(t, map[identifier.RequestID]string{
@@ -218,8 +228,16 @@
 
 func BenchmarkPlanWave(b *testing.B) {
 	for _, size := range []struct{ servers, leaving, streams int }{
-		{servers: 14, leaving: 4, streams: 200},
-		{servers: 600, leaving: 60, streams: 5000},
+		{
+			servers: 14,
+			leaving: 4,
+			streams: 200,
+		},
+		{
+			servers: 600,
+			leaving: 60,
+			streams: 5000,
+		},
 	} {
 		b.Run(fmt.Sprintf("%d_servers_%d_streams", size.servers, size.streams), func(b *testing.B) {
 			leaving := make(map[identifier.VMID]timekeeper.Time)
--- a/internal/scaler/scaler_test.go
+++ b/internal/scaler/scaler_test.go
@@ -29,9 +29,19 @@
 			"x": {Targets: map[identifier.ServiceName]catalog.Target{"s": {Penalty: identifier.Coin}}},
 		},
 		Pools: map[identifier.PoolName]catalog.Pool{
-			"p": {Name: "p", Class: "gpu", Slots: 10, Min: 2, Max: 20, OnDemandPercent: 20},
+			"p": {
+				Name:            "p",
+				Class:           "gpu",
+				Slots:           10,
+				Min:             2,
+				Max:             20,
+				OnDemandPercent: 20,
+			},
 		},
-		Classes: map[identifier.VMClass]catalog.Class{"gpu": {Name: "gpu", Prices: prices}},
+		Classes: map[identifier.VMClass]catalog.Class{"gpu": {
+			Name:   "gpu",
+			Prices: prices,
+		}},
 	}
 }
 
@@ -93,7 +103,10 @@
 	// A swap has a server too many for a while, on purpose.
 	rules := AllRules()
 	rules.Swap = false
-	s := New(Config{Pool: "p", Rules: rules})
+	s := New(Config{
+		Pool:  "p",
+		Rules: rules,
+	})
 	fence, safe, asOf := identifier.Fence(1), start, start
 	for i := range rapid.IntRange(5, 60).Draw(t, "steps") {
 		now := start.Add(timekeeper.Duration(i) * 3 * timekeeper.Second)
@@ -101,7 +114,10 @@
 			c.listed, asOf = len(c.vms), now
 		}
 		if rapid.IntRange(0, 9).Draw(t, "holder") == 0 {
-			s, fence = New(Config{Pool: "p", Rules: rules}), fence+1
+			s, fence = New(Config{
+				Pool:  "p",
+				Rules: rules,
+			}), fence+1
 			if waitForList {
 				safe = now
 			}
@@ -140,7 +156,10 @@
 
 func TestMixAndSpread(t *testing.T) {
 	c := &cloud{byToken: make(map[string]identifier.VMID)}
-	s := New(Config{Pool: "p", Rules: AllRules()})
+	s := New(Config{
+		Pool:  "p",
+		Rules: AllRules(),
+	})
 	bought := buyAll(s, c)
 	require.Len(t, bought, 5)
 	zones := make(map[identifier.Zone]int)
@@ -160,7 +179,10 @@
 	rules.ZoneSpread = false
 	c = &cloud{byToken: make(map[string]identifier.VMID)}
 	inA := 0
-	for _, a := range buyAll(New(Config{Pool: "p", Rules: rules}), c) {
+	for _, a := range buyAll(New(Config{
+		Pool:  "p",
+		Rules: rules,
+	}), c) {
 		if a.Zone == "a" {
 			inA++
 		}
@@ -174,7 +196,10 @@
 func TestOnDemandOnlyWherePenaltiesAreDearer(t *testing.T) {
 	refuse := func(demand Demand) map[catalog.Market]int {
 		c := &cloud{byToken: make(map[string]identifier.VMID)}
-		s := New(Config{Pool: "p", Rules: AllRules()})
+		s := New(Config{
+			Pool:  "p",
+			Rules: AllRules(),
+		})
 		buyAll(s, c)
 		c.listed = len(c.vms)
 		asked := make(map[catalog.Market]int)
@@ -192,15 +217,24 @@
 		}
 		return asked
 	}
-	calm := refuse(Demand{Busy: 40, Arrivals: 50})
+	calm := refuse(Demand{
+		Busy:     40,
+		Arrivals: 50,
+	})
 	require.NotZero(t, calm[catalog.Reclaimable])
 	require.Zero(t, calm[catalog.OnDemand])
-	require.NotZero(t, refuse(Demand{Busy: 90, Arrivals: 50})[catalog.OnDemand])
+	require.NotZero(t, refuse(Demand{
+		Busy:     90,
+		Arrivals: 50,
+	})[catalog.OnDemand])
 }
 
 func TestReleaseWaitsForALastingSurplus(t *testing.T) {
 	c := &cloud{byToken: make(map[string]identifier.VMID)}
-	s := New(Config{Pool: "p", Rules: AllRules()})
+	s := New(Config{
+		Pool:  "p",
+		Rules: AllRules(),
+	})
 	buyAll(s, c)
 	c.listed = len(c.vms)
 	released := make(map[identifier.VMID]timekeeper.Duration)
--- a/internal/scaler/swap_test.go
+++ b/internal/scaler/swap_test.go
@@ -17,7 +17,11 @@
 func TestSwapAfterReclaimsWereSeen(t *testing.T) {
 	c := &cloud{byToken: make(map[string]identifier.VMID)}
 	const load = 60 * timekeeper.Second
-	config := Config{Pool: "p", Rules: AllRules(), LoadTime: load}
+	config := Config{
+		Pool:     "p",
+		Rules:    AllRules(),
+		LoadTime: load,
+	}
 	s, next := New(config), New(config)
 	boughtAt := make(map[identifier.VMID]timekeeper.Time)
 	fence := identifier.Fence(1)
