Open both connections for certain in the silent-connection test

Cause: the test failed about one run in ten: the second call could take the connection of the first, which had already ended, so that only one was open. Ruled out: the client, which behaved as told in each failing run. Change: the peer answers only once both calls have arrived, and the test goes on only once both connections are idle. The checks are the same.

--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -28,6 +29,7 @@
 	push     Push
 	question Question
 	answer   HoldAnswer
+	arrived  chan struct{}
 	gate     chan struct{}
 	takeOver func(ctx context.Context) error
 	ending   Ending
@@ -38,6 +40,7 @@
 
 func (p *fakePeer) ReceiveGossip(identifier.VMID, []byte) {
 	if p.gate != nil {
+		p.arrived <- struct{}{}
 		<-p.gate
 	}
 }
@@ -378,20 +381,33 @@
 // callsThatFail opens two connections to a peer, lets both go silent, and
 // returns how many calls in a row fail then.
 func callsThatFail(t *testing.T, renew bool) int {
-	p := &fakePeer{gate: make(chan struct{})}
+	p := &fakePeer{
+		arrived: make(chan struct{}, 16),
+		gate:    make(chan struct{}),
+	}
 	client, address := pair(t, p)
 	client.renewLinks = renew
 	m := newMuffler(t, address)
 	address = m.listener.Addr().String()
 
 	var calls sync.WaitGroup
+	idle := make(chan struct{}, 2)
+	traced := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{
+		PutIdleConn: func(error) { idle <- struct{}{} },
+	})
 	for range 2 {
-		calls.Go(func() { _ = client.Gossip(t.Context(), address, nil) })
+		calls.Go(func() { _ = client.Gossip(traced, address, nil) })
 	}
-	p.gate <- struct{}{}
-	p.gate <- struct{}{}
-	calls.Wait()
+	// Both calls are under way before either ends: the second would otherwise
+	// take the first one's connection.
+	<-p.arrived
+	<-p.arrived
 	close(p.gate)
+	calls.Wait()
+	// A call returns before its connection is idle. A call made in between
+	// would open a third one, which is never silent.
+	<-idle
+	<-idle
 	require.Equal(t, int64(2), m.accepted.Load())
 
 	m.hush()
