Leave a frozen node after one try on a new connection

Cause: a frozen node still takes connections, so a caller that reopened its silent stream there waited 30 s for headers, although the request had been adopted elsewhere after 5 s. Conclusion: the tests of pkg/caller pass ten times with the race detector.

--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -223,6 +223,33 @@
 	require.Zero(t, c.visits[1].node)
 }
 
+// The node freezes: the open connection goes silent, and a new one stands but
+// brings nothing. The caller must not wait on it for long, since another node
+// will have adopted the request by then.
+func TestFrozenNodeIsLeft(t *testing.T) {
+	c := newCluster(t, 2, func(c *cluster, node int, w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.Method == http.MethodPost:
+			open(w)
+			tokens(w, 1, 2)
+			<-r.Context().Done()
+		case node == 0:
+			<-r.Context().Done()
+		default:
+			open(w)
+			tokens(w, 3, 4)
+			done(w)
+		}
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), caller.DefaultAnswerTime.Std()/2)
+	defer cancel()
+	var got text
+	_, err := c.client(func(c *caller.Config) { c.Restart = timekeeper.Minute }).Stream(ctx, report, &got)
+	require.NoError(t, err)
+	require.Equal(t, "<1><2><3><4>", got.String())
+	require.Len(t, c.visits, 3)
+}
+
 // The node dies before its answer. Whether it ran the request nobody knows, so
 // the caller sends it again only under the same key.
 func TestLostResponseIsSentAgainUnderItsKey(t *testing.T) {
--- a/pkg/caller/exchange.go
+++ b/pkg/caller/exchange.go
@@ -183,7 +183,7 @@
 func (e *exchange) try(ctx context.Context, node string) error {
 	bounded, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	limit := e.answerTime()
+	limit := e.answerTime(node)
 	timer := time.AfterFunc(limit.Std(), func() { cancel(&silentError{after: limit}) })
 	defer timer.Stop()
 	e.beat = func() {
@@ -203,9 +203,13 @@
 }
 
 // answerTime bounds the wait for the headers of a response. Those of a whole
-// answer come only with its end.
-func (e *exchange) answerTime() timekeeper.Duration {
-	if !e.message.stream && e.message.terms.Deadline > 0 {
+// answer come only with its end. A node that has just gone silent gets less: a
+// frozen one takes new connections, too, and never answers on them.
+func (e *exchange) answerTime(node string) timekeeper.Duration {
+	switch {
+	case node == e.again:
+		return e.client.config.SilenceTime
+	case !e.message.stream && e.message.terms.Deadline > 0:
 		return e.message.terms.Deadline
 	}
 	return e.client.config.AnswerTime
