Keep an idle node within 32 MB

Cause: an idle node held 34 to 35 MB resident, more than a node may take. Ruled out: a collector at 20 percent, which saved under 1 MB more. Change: serve sets the collector to 40 percent.

--- a/cmd/dotterelhollow/serve.go
+++ b/cmd/dotterelhollow/serve.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -39,6 +40,11 @@
 // must have the same.
 const claimPartitions = 4
 
+// gcPercent makes the collector run earlier than Go's default of 100. A node
+// may take 32 MB, most of which is the program itself, while its processor
+// time has room.
+const gcPercent = 40
+
 // The bounds of connections from peers.
 const (
 	peerHeaderTime = 5 * time.Second
@@ -88,6 +94,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(gcPercent)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
