Widen the matrix: expiry, new nodes, stops of servers, cancels and deadlines

Cause: the table lacked faults and scenarios that the issue names. Reading for them showed four weak points in the reducer: copies of requests past their deadline stayed for good; a change whose append the log failed was never appended again; claims and leases took the log to keep records for 24 hours whatever the folder said, and a claim table that takes the retention for too long trusts a view with expired claims; the fault of a log that can't be followed was shown nowhere. Ruled out: appending a change at once on a failed append, which loops at the speed of the failing log. Change: overdue copies are dropped and forgotten; changes without a verdict are appended again each second under their nonce; the tables follow the folder's retention; View shows the fault. New faults: server stops as planned with only the list to tell, gossip lost, late and repeated, new node, new node in an outage, caller cancels, freeze past the deadline, a message 15 s on the wire. New scenarios: one key of two accounts, a repeat at a new node and late in the window of a short log, gossip as steps, rolling replacement of all nodes, a configuration that outlives its records, engines that check fences, a cloud API without client tokens. Orders ask for a third model, so that a late one is wrong. The fake node no longer carries out effects while it is frozen.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -213,6 +213,16 @@
 	return t
 }
 
+// SetRetention takes up the retention that the configuration says. A table
+// that takes it for longer than it is would trust a view of which claims had
+// expired unread, and run a key again.
+func (t *Table) SetRetention(d timekeeper.Duration) {
+	t.config.Retention = d
+	for _, s := range t.streams {
+		s.position.SetRetention(d)
+	}
+}
+
 // Streams returns the streams that the table follows.
 func (t *Table) Streams() []identifier.LogStream {
 	names := make([]identifier.LogStream, 0, t.config.Partitions)
--- a/internal/conductor/adopt.go
+++ b/internal/conductor/adopt.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
@@ -55,6 +57,22 @@
 	return nil
 }
 
+// dropOverdueCopies forgets the copies of requests whose deadline has passed.
+// Nothing is owed of them any more, and an owner that died after its answer
+// had ended, or whose word to drop the copy was lost, would leave its copies
+// here until the table is full.
+func (c *Conductor) dropOverdueCopies(w *World) []messenger.Effect {
+	var out []messenger.Effect
+	for _, id := range slices.Sorted(maps.Keys(c.copies)) {
+		if w.Now.Before(c.copies[id].spec.Deadline) {
+			continue
+		}
+		delete(c.copies, id)
+		out = append(out, messenger.Forget{Request: id})
+	}
+	return out
+}
+
 // NodeDead adopts the requests of a dead owner whose copies this node holds,
 // and finds new holders for the requests whose copies died with the node.
 func (c *Conductor) NodeDead(w *World, vm identifier.VMID) []messenger.Effect {
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -179,6 +179,7 @@
 	for _, r := range c.sortedRequests() {
 		out = append(out, c.tickRequest(w, r)...)
 	}
+	out = append(out, c.dropOverdueCopies(w)...)
 	return append(out, c.tickDrain(w)...)
 }
 
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -31,6 +31,9 @@
 // New returns a Stream of which nothing was read yet.
 func New(c Config) *Stream { return &Stream{retention: c.Retention} }
 
+// SetRetention takes up another least time for which the log keeps a record.
+func (s *Stream) SetRetention(d timekeeper.Duration) { s.retention = d }
+
 // Batch is what one read brought.
 type Batch struct {
 	// Records are the records that were not read before, in log order.
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -147,6 +147,14 @@
 	}
 }
 
+// SetRetention takes up the retention that the configuration says. A table
+// that takes it for longer than it is would trust a view of which records had
+// expired unread.
+func (t *Table) SetRetention(d timekeeper.Duration) {
+	t.config.Retention = d
+	t.position.SetRetention(d)
+}
+
 // Want makes the node try for a lease, and renew it once it has it. It is
 // false if the table has no room for the lease.
 //
--- a/internal/prover/caller_test.go
+++ b/internal/prover/caller_test.go
@@ -18,6 +18,7 @@
 // to come back, broken connections and moves.
 type caller struct {
 	w       *world
+	account identifier.AccountID
 	name    string
 	service identifier.ServiceName
 	key     identifier.IdempotencyKey
@@ -39,7 +40,9 @@
 	// answers lists all outcomes that the caller was told, in order.
 	told []told
 	done bool
-	lost int
+	// cancelled tells that the caller gave the request up.
+	cancelled bool
+	lost      int
 }
 
 // told is one final answer that a caller was given.
@@ -52,7 +55,12 @@
 
 // call makes a caller that sends its request to a node now.
 func (w *world) call(name string, service identifier.ServiceName, key identifier.IdempotencyKey, at identifier.VMID) *caller {
+	return w.callFor("agent", name, service, key, at)
+}
+
+func (w *world) callFor(account identifier.AccountID, name string, service identifier.ServiceName, key identifier.IdempotencyKey, at identifier.VMID) *caller {
 	c := &caller{
+		account: account,
 		w:       w,
 		name:    name,
 		service: service,
@@ -81,12 +89,12 @@
 func (c *caller) newSpec(n *node) messenger.RequestSpec {
 	id := identifier.RequestID(fmt.Sprintf("%s-%d", c.name, c.tries))
 	if c.key != "" {
-		id = identifier.RequestID("k-" + string(c.key))
+		id = identifier.RequestID("k-" + string(c.account) + "-" + string(c.key))
 	}
 	service := n.r.Catalog().Services[c.service]
 	return messenger.RequestSpec{
 		Request:      id,
-		Account:      "agent",
+		Account:      c.account,
 		Service:      c.service,
 		Key:          c.key,
 		Idempotent:   service.Idempotent,
@@ -184,7 +192,7 @@
 		reason:  reason,
 	})
 	c.w.tell("%s was told %s (%s) by %s", c.name, o, reason, n.vm)
-	again := o != messenger.Done && c.mayRepeat(o) && c.w.now.Sub(c.began) < callerPatient
+	again := !c.cancelled && o != messenger.Done && c.mayRepeat(o) && c.w.now.Sub(c.began) < callerPatient
 	if !again {
 		c.done = true
 		return
@@ -257,6 +265,8 @@
 
 func (c *caller) resend() {
 	switch {
+	case c.cancelled:
+		c.done = true
 	case c.spec.Long && c.accepted != 0:
 		c.locate(0) // It is owed: nothing but the answer will do.
 	case c.spec.Idempotent || c.key != "":
--- a/internal/prover/facts_test.go
+++ b/internal/prover/facts_test.go
@@ -78,6 +78,7 @@
 	}
 	finished := len(c.told) > 0 && c.told[len(c.told)-1].outcome == messenger.Done
 	switch {
+	case c.cancelled:
 	case c.spec.Long && c.accepted != 0 && !finished:
 		w.facts.object("%s: the accepted long request did not get its answer (%d tokens, told %v)", c.name, len(c.got), c.told)
 	case c.spec.Idempotent && !finished:
@@ -132,7 +133,7 @@
 // sentElsewhere reports whether another caller repeated the key after t.
 func (w *world) sentElsewhere(c *caller, t timekeeper.Time) bool {
 	for _, o := range w.callers {
-		if o != c && o.key == c.key && o.lastSent().After(t) {
+		if o != c && o.key == c.key && o.account == c.account && o.lastSent().After(t) {
 			return true
 		}
 	}
--- a/internal/prover/fault_test.go
+++ b/internal/prover/fault_test.go
@@ -50,6 +50,8 @@
 	skip  bool
 	twice bool
 	delay timekeeper.Duration
+	// thawed carries the effect out once the node has thawed.
+	thawed bool
 	// then happens after the effect.
 	then func()
 }
@@ -66,7 +68,7 @@
 func watched(e messenger.Effect) (string, bool) {
 	name := reflect.TypeOf(e).Name()
 	switch e := e.(type) {
-	case messenger.Note, messenger.PollServer, messenger.SendGossip:
+	case messenger.Note, messenger.PollServer:
 		return "", false
 	case messenger.AppendRecord:
 		stream, _, _ := strings.Cut(string(e.Stream), "-")
@@ -102,11 +104,15 @@
 func (n *node) struck(e messenger.Effect, s strike) {
 	switch {
 	case s.skip:
+	case s.thawed:
+		n.whenThawed(func() { n.perform(e, s.fate) })
 	case s.delay > 0:
 		n.later(s.delay, func() { n.perform(e, s.fate) })
 	default:
 		n.perform(e, s.fate)
-		if s.twice {
+		// A cloud API that ignores client tokens takes each call for a new
+		// one. Nothing repeats a call by itself there: it is a POST.
+		if _, buys := e.(messenger.BuyVM); s.twice && !(buys && n.w.list.tokensIgnored) {
 			n.perform(e, s.fate)
 		}
 	}
@@ -194,7 +200,7 @@
 	}},
 	{name: "frozen before", strike: func(_ *world, n *node, _ messenger.Effect) strike {
 		n.freeze(frozenFor)
-		return strike{delay: 1}
+		return strike{thawed: true}
 	}},
 	{name: "frozen after", strike: func(_ *world, n *node, _ messenger.Effect) strike {
 		return strike{then: func() { n.freeze(frozenFor) }}
@@ -226,9 +232,12 @@
 		w.log.muteNext = 3
 		return strike{}
 	}},
-	{name: "list stale", strike: func(w *world, _ *node, _ messenger.Effect) strike {
+	{name: "list stale", strike: func(w *world, _ *node, e messenger.Effect) strike {
 		w.list.staleTil = w.now.Add(staleFor)
 		w.list.hidden = "e2"
+		if s := w.server(aimOf(e)); s != nil {
+			w.list.hidden = s.vm
+		}
 		return strike{}
 	}},
 	{name: "replacement refused", strike: func(w *world, _ *node, _ messenger.Effect) strike {
@@ -293,6 +302,45 @@
 		}
 		return strike{}
 	}},
+	{name: "server stops as planned", strike: func(w *world, _ *node, e messenger.Effect) strike {
+		if s := w.server(aimOf(e)); s != nil {
+			w.list.stopPlanned(s.vm)
+		} else {
+			w.list.stopPlanned("e1")
+		}
+		return strike{}
+	}},
+	{name: "gossip lost, late, repeated", strike: func(w *world, _ *node, _ messenger.Effect) strike {
+		w.badGossipTil = w.now.Add(8 * timekeeper.Second)
+		return strike{}
+	}},
+	{name: "new node", strike: func(w *world, _ *node, _ messenger.Effect) strike {
+		w.addNode("n9", "d", 9)
+		return strike{}
+	}},
+	{name: "new node, log out", strike: func(w *world, _ *node, _ messenger.Effect) strike {
+		w.log.downTil = w.now.Add(3 * logOutFor)
+		w.addNode("n9", "d", 9)
+		return strike{}
+	}},
+	{name: "caller cancels", strike: cancelled},
+	{name: "frozen past the deadline", strike: func(w *world, n *node, e messenger.Effect) strike {
+		if a := n.answers[requestOf(e)]; a != nil {
+			n.freeze(a.spec.Deadline.Sub(w.now) + timekeeper.Second)
+		}
+		return strike{thawed: true}
+	}},
+	{name: "late on the wire", strike: func(w *world, n *node, e messenger.Effect) strike {
+		if o, ok := e.(messenger.GiveOrder); ok {
+			s := w.server(o.Server)
+			w.after(15*timekeeper.Second, func() { s.order(o.Order) })
+			return strike{fate: loseRequest}
+		}
+		if aimOf(e) == "" {
+			return strike{} // It travels nowhere, or to the log, where "late" has it.
+		}
+		return strike{delay: 15 * timekeeper.Second}
+	}},
 	{name: "planned stop", strike: func(w *world, n *node, _ messenger.Effect) strike {
 		return strike{then: func() { n.stopPlanned() }}
 	}},
@@ -305,10 +353,11 @@
 		strike: func(w *world, n *node, e messenger.Effect) strike {
 			first, second := a.strike(w, n, e), b.strike(w, n, e)
 			return strike{
-				fate:  max(first.fate, second.fate),
-				skip:  first.skip || second.skip,
-				twice: first.twice || second.twice,
-				delay: max(first.delay, second.delay),
+				fate:   max(first.fate, second.fate),
+				skip:   first.skip || second.skip,
+				twice:  first.twice || second.twice,
+				delay:  max(first.delay, second.delay),
+				thawed: first.thawed || second.thawed,
 				then: func() {
 					for _, s := range []strike{first, second} {
 						if s.then != nil {
@@ -321,6 +370,19 @@
 	}
 }
 
+// cancelled lets all callers of the request give it up.
+func cancelled(w *world, n *node, e messenger.Effect) strike {
+	id := requestOf(e)
+	return strike{then: func() {
+		for _, c := range w.callers {
+			if c.spec.Request == id {
+				c.cancelled = true
+			}
+		}
+		n.later(hop, func() { n.apply(messenger.RequestCancelled{Request: id}) })
+	}}
+}
+
 func nextZone(z identifier.Zone) identifier.Zone {
 	zones := "abcd"
 	i := strings.Index(zones, string(z))
--- a/internal/prover/matrix_test.go
+++ b/internal/prover/matrix_test.go
@@ -27,14 +27,14 @@
 
 // play runs a scenario, with a fault at a step where one is armed.
 func play(s scenario, armed *cell, seed uint64, guards conductor.Safeguards) *world {
-	w := newWorld(seed, guards)
+	w := newWorld(seed, guards, s)
 	w.armed = armed
 	start := w.now.Add(bootTime)
 	w.run(start, never)
 	w.faultAt = start
 	s.start(w)
 	end := start.Add(max(s.lasts, settled))
-	w.run(start.Add(horizon), func() bool { return w.now.After(end) && w.settledDown() })
+	w.run(start.Add(max(horizon, s.lasts+timekeeper.Second)), func() bool { return w.now.After(end) && w.settledDown() })
 	w.judge()
 	if s.check != nil {
 		s.check(w)
--- a/internal/prover/node_test.go
+++ b/internal/prover/node_test.go
@@ -19,6 +19,7 @@
 	answers   map[identifier.RequestID]*answer
 	copies    map[identifier.RequestID]*answer
 	dead      bool
+	birth     timekeeper.Time
 	exited    bool
 	frozenTil timekeeper.Time
 	revision  identifier.Revision
@@ -56,6 +57,7 @@
 		w:       w,
 		vm:      vm,
 		zone:    z,
+		birth:   w.now,
 		answers: map[identifier.RequestID]*answer{},
 		copies:  map[identifier.RequestID]*answer{},
 		tails:   map[identifier.LogStream]identifier.Offset{},
@@ -158,7 +160,7 @@
 		if n.dead {
 			return
 		}
-		n.meet(e)
+		n.whenThawed(func() { n.meet(e) })
 	}
 }
 
@@ -324,12 +326,23 @@
 	if to == nil || fate == loseRequest || !n.w.passes(string(n.vm), string(to.vm)) {
 		return
 	}
-	to.later(hop, func() {
-		to.apply(messenger.GossipReceived{
-			From: n.vm,
-			Data: e.Data,
+	for _, d := range n.w.gossipDelays() {
+		to.later(d, func() {
+			to.apply(messenger.GossipReceived{
+				From: n.vm,
+				Data: e.Data,
+			})
 		})
-	})
+	}
+}
+
+// gossipDelays tells when a message arrives: never, once or twice.
+func (w *world) gossipDelays() []timekeeper.Duration {
+	late := 2 * timekeeper.Second
+	if w.now < w.badGossipTil {
+		return [][]timekeeper.Duration{{}, {late}, {hop, late}, {hop}}[w.rng.IntN(4)]
+	}
+	return []timekeeper.Duration{hop}
 }
 
 func (n *node) fetchConfiguration(e messenger.FetchConfiguration) {
@@ -367,14 +380,13 @@
 func (n *node) giveOrder(e messenger.GiveOrder, fate fate) {
 	s := n.w.server(e.Server)
 	sent := n.w.now < e.NotAfter && fate != loseRequest && s != nil && !s.dead && n.w.passes(string(n.vm), string(s.vm))
-	if sent {
-		s.order(e.Order)
-	}
+	stale := sent && s.order(e.Order)
 	n.later(600*timekeeper.Millisecond, func() {
 		n.apply(messenger.OrderEnded{
 			Ticket: e.Ticket,
 			Server: e.Server,
-			OK:     sent && fate != loseAnswer,
+			OK:     sent && !stale && fate != loseAnswer,
+			Stale:  stale,
 		})
 	})
 }
--- a/internal/prover/platform_test.go
+++ b/internal/prover/platform_test.go
@@ -1,6 +1,7 @@
 package prover
 
 import (
+	"fmt"
 	"slices"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
@@ -30,6 +31,8 @@
 	// muteNext counts those whose answer never comes.
 	lieNext  int
 	muteNext int
+	// retention is how long the log keeps a record; zero is for ever.
+	retention timekeeper.Duration
 }
 
 func newFakeLog(w *world) *fakeLog {
@@ -88,6 +91,7 @@
 
 // read returns a stream's records from an offset on.
 func (l *fakeLog) read(stream identifier.LogStream, from identifier.Offset) messenger.LogRead {
+	l.expire()
 	read := messenger.LogRead{
 		Stream: stream,
 		First:  l.first,
@@ -101,9 +105,19 @@
 	return read
 }
 
-// expire drops all records up to now. It stands for a retention that has
-// passed; the snapshot and the claims' windows have to survive it.
-func (l *fakeLog) expire() { l.first = l.next }
+// expire drops the records that the log has kept for its retention.
+func (l *fakeLog) expire() {
+	if l.retention == 0 {
+		return
+	}
+	for name, records := range l.streams {
+		for len(records) > 0 && l.w.now.Sub(records[0].Appended) > l.retention {
+			l.first = max(l.first, records[0].Offset+1)
+			records = records[1:]
+		}
+		l.streams[name] = records
+	}
+}
 
 // fakeList is the platform's lagging list of VMs and its cloud API.
 type fakeList struct {
@@ -112,9 +126,12 @@
 	staleTil timekeeper.Time
 	hidden   identifier.VMID
 	refuse   bool
-	leaving  map[identifier.VMID]timekeeper.Time
-	bought   map[string]identifier.VMID
-	released map[identifier.VMID]bool
+	// tokensIgnored sells one VM for each call; sold counts them.
+	tokensIgnored bool
+	sold          map[string]int
+	leaving       map[identifier.VMID]timekeeper.Time
+	bought        map[string]identifier.VMID
+	released      map[identifier.VMID]bool
 }
 
 func newFakeList(w *world) *fakeList {
@@ -123,6 +140,7 @@
 		leaving:  map[identifier.VMID]timekeeper.Time{},
 		bought:   map[string]identifier.VMID{},
 		released: map[identifier.VMID]bool{},
+		sold:     map[string]int{},
 	}
 }
 
@@ -184,6 +202,18 @@
 	l.w.queue.add(deadline, func() { l.w.takeAway(vm) })
 }
 
+// stopPlanned takes a VM away without a notice: only the list says so.
+func (l *fakeList) stopPlanned(vm identifier.VMID) {
+	if _, known := l.leaving[vm]; known {
+		return
+	}
+	deadline := l.w.now.Add(15 * timekeeper.Second)
+	l.leaving[vm] = deadline
+	l.w.facts.noticed[vm] = l.w.now
+	l.w.tell("STOP %s planned for %d", vm, deadline-1_000_000)
+	l.w.queue.add(deadline, func() { l.w.takeAway(vm) })
+}
+
 // takeAway ends a VM without further ado.
 func (w *world) takeAway(vm identifier.VMID) {
 	if n := w.node(vm); n != nil {
@@ -196,13 +226,14 @@
 
 // buy sells a VM for a client token, once.
 func (l *fakeList) buy(e messenger.BuyVM) (identifier.VMID, bool) {
-	if vm, known := l.bought[e.ClientToken]; known {
+	if vm, known := l.bought[e.ClientToken]; known && !l.tokensIgnored {
 		return vm, true
 	}
 	if l.refuse {
 		return "", false
 	}
-	vm := l.w.addServer(identifier.VMID("x"+e.ClientToken), e.Zone, e.Pool).vm
+	l.sold[e.ClientToken]++
+	vm := l.w.addServer(identifier.VMID(fmt.Sprintf("x%s-%d", e.ClientToken, l.sold[e.ClientToken])), e.Zone, e.Pool).vm
 	l.bought[e.ClientToken] = vm
 	l.w.tell("BOUGHT %s", vm)
 	return vm, true
@@ -290,6 +321,12 @@
 request_burst = 200
 tokens_per_second = 100000
 token_burst = 100000
+[client_account baker]
+key_sha256 = 607e228fbdb2a146671a2d2291141446a171f819078d3d55693abf664e0739c0
+requests_per_second = 100
+request_burst = 200
+tokens_per_second = 100000
+token_burst = 100000
 `
 
 // bootConfig puts the settings into the log before the nodes start, as an
@@ -300,7 +337,7 @@
 	record, err := state.Propose(w.now, messenger.ChangeProposed{
 		Ticket:  1,
 		File:    "10-world.ini",
-		Content: []byte(settings),
+		Content: []byte(w.settings),
 	}, "boot")
 	if err != nil {
 		panic(err)
--- a/internal/prover/scenario_test.go
+++ b/internal/prover/scenario_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
@@ -19,6 +21,11 @@
 	// keeps names the effects that are steps; without it all watched ones of
 	// requests are.
 	keeps func(s step) bool
+	// settings holds pairs of what to replace in the world's settings, and by
+	// what.
+	settings []string
+	// tokensIgnored makes a cloud API that doesn't honour client tokens.
+	tokensIgnored bool
 	// lasts is how long the scenario runs at least.
 	lasts timekeeper.Duration
 }
@@ -26,9 +33,13 @@
 const settled = 15 * timekeeper.Second
 
 func ofRequests(s step) bool {
-	return !strings.HasPrefix(s.kind, "AppendRecord") || s.kind == "AppendRecord/claims"
+	return !ofGossip(s) && !strings.HasPrefix(s.kind, "AppendRecord") || s.kind == "AppendRecord/claims"
 }
 
+func ofGossip(s step) bool { return s.kind == "SendGossip" }
+
+func ofStops(s step) bool { return s.kind == "Exit" || s.kind == "HandOver" || s.kind == "Redirect" }
+
 func ofConfig(s step) bool {
 	return s.kind == "AppendRecord/config" || s.kind == "ReplyOperator" || s.kind == "FetchConfiguration"
 }
@@ -92,6 +103,43 @@
 			w.after(900*timekeeper.Millisecond, func() { w.call("two", "booking", "K", "n3") })
 		},
 	},
+	{
+		name:  "booking, one key of two accounts",
+		keeps: ofRequests,
+		start: func(w *world) {
+			w.call("one", "booking", "K", "n1")
+			w.callFor("baker", "two", "booking", "K", "n2")
+		},
+	},
+	{
+		name:  "booking repeated at a new node",
+		keeps: ofRequests,
+		start: func(w *world) {
+			w.call("one", "booking", "K", "n1")
+			w.after(500*timekeeper.Millisecond, func() { w.addNode("n7", "c", 7) })
+			w.after(3*timekeeper.Second, func() { w.call("two", "booking", "K", "n7") })
+		},
+	},
+	{
+		// Claims live in the log for 80 s here, and a key for 30 s.
+		name:     "booking repeated late in its window",
+		settings: shortRetention,
+		keeps:    ofRequests,
+		lasts:    30 * timekeeper.Second,
+		start: func(w *world) {
+			w.call("one", "booking", "K", "n1")
+			w.after(27*timekeeper.Second, func() { w.call("two", "booking", "K", "n3") })
+		},
+	},
+	{
+		name:  "gossip around a long one",
+		keeps: ofGossip,
+		lasts: 20 * timekeeper.Second,
+		start: func(w *world) {
+			w.call("report", "report", "", "n1")
+			w.after(3*timekeeper.Second, func() { w.notice(noticeTime, "n1") })
+		},
+	},
 	{
 		name:  "server of a long one reclaimed",
 		keeps: ofRequests,
@@ -135,6 +183,37 @@
 			w.after(2*timekeeper.Second, func() { w.node("n1").stopPlanned() })
 		},
 	},
+	{
+		name:  "rolling replacement of all nodes",
+		keeps: ofStops,
+		lasts: 35 * timekeeper.Second,
+		start: startRolling,
+		check: checkRolling,
+	},
+	{
+		name:     "configuration outlives its records",
+		settings: shortRetention,
+		keeps:    ofConfig,
+		lasts:    170 * timekeeper.Second,
+		start:    startExpiry,
+		check:    checkExpiry,
+	},
+	{
+		name:     "orders to engines that check fences",
+		settings: []string{"checks_fence = false", "checks_fence = true"},
+		keeps:    ofLeases,
+		lasts:    60 * timekeeper.Second,
+		start:    startOrders,
+		check:    checkOrders,
+	},
+	{
+		name:          "purchases without client tokens",
+		tokensIgnored: true,
+		keeps:         ofLeases,
+		lasts:         60 * timekeeper.Second,
+		start:         startOrders,
+		check:         checkOrders,
+	},
 	{
 		name:  "two operators change one file",
 		keeps: ofConfig,
@@ -151,6 +230,65 @@
 	},
 }
 
+// shortRetention makes the log drop records after 80 seconds.
+var shortRetention = []string{"retention = 1h", "retention = 80s", "key_window = 10m", "key_window = 30s"}
+
+// startRolling replaces all six nodes one by one: a new one joins, then an old
+// one stops as planned, while callers go on.
+func startRolling(w *world) {
+	for i := range 6 {
+		old := w.nodes[i]
+		w.after(timekeeper.Duration(i)*4*timekeeper.Second, func() {
+			w.addNode("m"+old.vm[1:], old.zone, uint64(10+i))
+		})
+		w.after(timekeeper.Duration(i)*4*timekeeper.Second+2*timekeeper.Second, old.stopPlanned)
+	}
+	for i := range 24 {
+		w.after(timekeeper.Duration(i)*timekeeper.Second+500*timekeeper.Millisecond, func() {
+			service := []identifier.ServiceName{"report", "tag", "booking"}[i%3]
+			w.call(fmt.Sprintf("c%d", i), service, "", w.listed(i))
+		})
+	}
+}
+
+// listed returns a node that the live nodes name to callers.
+func (w *world) listed(i int) identifier.VMID {
+	for _, n := range w.nodes {
+		if list := n.r.Addresses(w.now, "agent"); !n.dead && !n.exited && len(list) > 0 {
+			return list[i%len(list)].VM
+		}
+	}
+	return "n1"
+}
+
+// checkRolling requires that no planned stop cut a connection. A fault may.
+func checkRolling(w *world) {
+	for _, c := range w.callers {
+		if c.lost > 0 && w.armed == nil {
+			w.facts.object("%s was cut off by a planned stop", c.name)
+		}
+	}
+	w.judgeAgreement()
+}
+
+// startExpiry changes the configuration once, and lets a node start when the
+// records of the change have expired.
+func startExpiry(w *world) {
+	w.propose("n1", 11, firstText)
+	w.after(165*timekeeper.Second, func() { w.addNode("n7", "c", 7) })
+}
+
+func checkExpiry(w *world) {
+	if w.facts.verdicts[verdictKey{node: "n1", ticket: 11}].Accepted {
+		for _, n := range w.nodes {
+			if text := string(n.r.Files()[raceFile].Content); !n.dead && text != firstText {
+				w.facts.object("%s lacks the accepted change: it has %q", n.vm, text)
+			}
+		}
+	}
+	w.judgeAgreement()
+}
+
 // noticeServerOf announces the end of the server that runs a caller's stream.
 func (w *world) noticeServerOf(c *caller) {
 	for _, n := range w.nodes {
@@ -211,11 +349,19 @@
 	return !v.Accepted && !v.Unknown && len(v.Faults) > 0
 }
 
+// inForceBound is the "within seconds" after which a node has the
+// configuration.
+const inForceBound = 5 * timekeeper.Second
+
 // judgeAgreement requires one revision on all live nodes.
 func (w *world) judgeAgreement() {
 	seen := map[identifier.Revision]identifier.VMID{}
 	for _, n := range w.nodes {
-		if c := n.r.Catalog(); !n.dead && c != nil {
+		switch c := n.r.Catalog(); {
+		case n.dead || w.now.Sub(n.birth) < inForceBound:
+		case c == nil:
+			w.facts.object("%s has no configuration", n.vm)
+		default:
 			seen[c.Revision] = n.vm
 		}
 	}
@@ -229,16 +375,29 @@
 func startOrders(w *world) {
 	w.propose("n3", 13, "[service report]\nmodel = reader-2\n[service tag]\nmodel = reader-2\n")
 	w.after(2*timekeeper.Second, func() { w.notice(noticeTime, "e4") })
+	w.after(9*timekeeper.Second, func() {
+		w.propose("n3", 14, "[service report]\nmodel = reader-3\n[service tag]\nmodel = reader-3\n")
+	})
+}
+
+// modelInForce returns the model that the nodes' configuration asks for.
+func (w *world) modelInForce() identifier.ModelName {
+	for _, n := range w.nodes {
+		if c := n.r.Catalog(); !n.dead && c != nil {
+			return c.Services["report"].Model
+		}
+	}
+	return ""
 }
 
 func checkOrders(w *world) {
-	live := 0
+	live, wanted := 0, w.modelInForce()
 	for _, s := range w.servers {
 		if s.pool != "reading" || s.dead {
 			continue
 		}
 		live++
-		if s.model != "reader-2" {
+		if s.model != wanted {
 			w.facts.object("%s runs %s in the end", s.vm, s.model)
 		}
 	}
@@ -248,5 +407,10 @@
 	if live > 7 {
 		w.facts.object("%d engines in the end: bought too many", live)
 	}
+	for _, token := range slices.Sorted(maps.Keys(w.list.sold)) {
+		if w.list.sold[token] > 1 {
+			w.facts.object("%s was bought %d times", token, w.list.sold[token])
+		}
+	}
 	w.judgeAgreement()
 }
--- a/internal/prover/server_test.go
+++ b/internal/prover/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -161,13 +162,17 @@
 	return ""
 }
 
-// order takes an order to load a model. It ignores the fencing number, as the
-// settings of the world say.
-func (s *server) order(o messenger.Order) {
+// order takes an order to load a model. It looks at the fencing number only if
+// the settings of the world say so, and then reports an order that is stale.
+func (s *server) order(o messenger.Order) (stale bool) {
+	if o.Fence < s.fence && strings.Contains(s.w.settings, "checks_fence = true") {
+		return true
+	}
 	s.w.after(500*timekeeper.Millisecond, func() {
 		s.model = o.Model
 		s.fence = max(s.fence, o.Fence)
 	})
+	return false
 }
 
 func (s *server) load() messenger.ServerLoad {
--- a/internal/prover/world_test.go
+++ b/internal/prover/world_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/conductor"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
@@ -43,12 +45,15 @@
 	fired   bool
 	faultAt timekeeper.Time
 
-	facts facts
-	story []string
+	// badGossipTil is until when gossip is lost, late or repeated by chance.
+	badGossipTil timekeeper.Time
+	settings     string
+	facts        facts
+	story        []string
 }
 
 // newWorld returns a world whose nodes have just started.
-func newWorld(seed uint64, guards conductor.Safeguards) *world {
+func newWorld(seed uint64, guards conductor.Safeguards, s scenario) *world {
 	w := &world{
 		now:    1_000_000,
 		rng:    rand.New(rand.NewPCG(seed, 1)),
@@ -58,6 +63,11 @@
 	}
 	w.log = newFakeLog(w)
 	w.list = newFakeList(w)
+	w.list.tokensIgnored = s.tokensIgnored
+	w.settings = strings.NewReplacer(s.settings...).Replace(settings)
+	if slices.Equal(s.settings, shortRetention) {
+		w.log.retention = 80 * timekeeper.Second
+	}
 	w.facts = newFacts()
 	zones := []identifier.Zone{"a", "b", "c", "d"}
 	for i := range 6 {
--- a/internal/provisioner/provisioner.go
+++ b/internal/provisioner/provisioner.go
@@ -114,6 +114,9 @@
 	p.leases.Absorb(now, e)
 }
 
+// SetRetention takes up the retention of the log that the configuration says.
+func (p *Provisioner) SetRetention(d timekeeper.Duration) { p.leases.SetRetention(d) }
+
 // ListRead notes how old the platform's list is.
 func (p *Provisioner) ListRead(asOf timekeeper.Time) {
 	p.listAsOf = max(p.listAsOf, asOf)
--- a/internal/reducer/platformlog.go
+++ b/internal/reducer/platformlog.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/claimer"
 	"github.com/dotterelhollow/dotterelhollow/internal/conductor"
@@ -91,6 +93,8 @@
 		return nil
 	}
 	r.limits.SetCatalog(w.Now, r.files.Catalog())
+	r.claims.SetRetention(r.files.Catalog().LogRetention)
+	r.provisioner.SetRetention(r.files.Catalog().LogRetention)
 	return []messenger.Effect{
 		messenger.Note{
 			Kind:   "config_in_force",
@@ -129,15 +133,40 @@
 			},
 		}
 	}
-	return []messenger.Effect{
-		messenger.AppendRecord{
-			Ticket: e.Ticket,
-			Stream: configStream,
-			Data:   record,
-		},
+	r.timers.changes[e.Ticket] = nonce
+	return []messenger.Effect{r.appendChange(e.Ticket, record)}
+}
+
+func (r *Reducer) appendChange(t identifier.Ticket, record []byte) messenger.AppendRecord {
+	return messenger.AppendRecord{
+		Ticket: t,
+		Stream: configStream,
+		Data:   record,
 	}
 }
 
+// changeAgain is the spacing of appends of a change that has no verdict yet.
+const changeAgain = 1 * timekeeper.Second
+
+// tickChanges appends the changes without a verdict again: the log may have
+// failed the append or never had it. The nonce makes the copies count once.
+func (r *Reducer) tickChanges(w *conductor.World) []messenger.Effect {
+	if w.Now.Before(r.timers.nextChange) {
+		return nil
+	}
+	r.timers.nextChange = w.Now.Add(changeAgain)
+	var out []messenger.Effect
+	for _, t := range slices.Sorted(maps.Keys(r.timers.changes)) {
+		record, waits := r.files.Again(r.timers.changes[t])
+		if !waits {
+			delete(r.timers.changes, t)
+			continue
+		}
+		out = append(out, r.appendChange(t, record))
+	}
+	return out
+}
+
 // tickConfig answers operators whose change the log does not settle, appends
 // a due snapshot, and asks a peer for the configuration while the log is out.
 func (r *Reducer) tickConfig(w *conductor.World) []messenger.Effect {
@@ -148,6 +177,7 @@
 			Verdict: a.Verdict,
 		})
 	}
+	out = append(out, r.tickChanges(w)...)
 	if record, due := r.files.SnapshotDue(w.Now, r.rand); due {
 		out = append(out, messenger.AppendRecord{
 			Stream: configStream,
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -35,9 +35,9 @@
 	defaultMaxCopies   = 2048
 	defaultMaxClaims   = 200_000
 	defaultPartitions  = 4
-	// defaultRetention is cautious: the rules only need that the log keeps a
-	// record no shorter.
-	defaultRetention = 24 * timekeeper.Hour
+	// defaultRetention stands until the configuration says how long the log
+	// keeps a record.
+	defaultRetention = 1 * timekeeper.Hour
 )
 
 // Config says which node the reducer decides for.
@@ -95,7 +95,7 @@
 		hints:       router.NewHints(router.HintsConfig{}),
 		requests:    newConductor(c),
 		provisioner: newProvisioner(c),
-		timers:      timers{configOut: timekeeper.Never},
+		timers:      newTimers(),
 	}
 }
 
--- a/internal/reducer/tick.go
+++ b/internal/reducer/tick.go
@@ -28,6 +28,16 @@
 	// unreadable, or Never.
 	configOut timekeeper.Time
 	proposals uint64
+	// changes are the operators' changes of this node without a verdict.
+	changes    map[identifier.Ticket]identifier.Nonce
+	nextChange timekeeper.Time
+}
+
+func newTimers() timers {
+	return timers{
+		configOut: timekeeper.Never,
+		changes:   map[identifier.Ticket]identifier.Nonce{},
+	}
 }
 
 // tick lets time pass in every slice of the state.
--- a/internal/reducer/view.go
+++ b/internal/reducer/view.go
@@ -20,7 +20,9 @@
 
 // View is what this node sees of the system, for operators.
 type View struct {
-	Revision  identifier.Revision
+	Revision identifier.Revision
+	// Fault tells why the log's configuration can't be followed, or nil.
+	Fault     error
 	Draining  bool
 	InFlight  int
 	Copies    int
@@ -69,6 +71,7 @@
 func (r *Reducer) View(now timekeeper.Time) View {
 	v := View{
 		Revision:  r.revision(),
+		Fault:     r.files.Fault(),
 		Draining:  r.requests.Draining(),
 		InFlight:  r.requests.InFlight(),
 		Copies:    r.requests.Copies(),
