Rehearse the kill of a report's home node with real processes

Cause: that a kill -9 cuts no report was shown through the reducer and by the demo, not by a test that fails. Ruled out: a cluster inside one process, where a kill is no kill.

--- /dev/null
+++ b/internal/rehearser/main_test.go
@@ -0,0 +1,35 @@
+package rehearser
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+)
+
+// programs is the folder of the programs under test.
+var programs string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+// buildAndRun builds the programs once for all tests.
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "rehearser")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	programs = dir
+	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator),
+		"../../cmd/dotterelhollow", "../../cmd/dotterelhollow-standin")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "build:", err)
+		return 1
+	}
+	return m.Run()
+}
--- /dev/null
+++ b/internal/rehearser/process_test.go
@@ -0,0 +1,93 @@
+package rehearser
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// exitTime bounds the wait for the end of a process that was told to end.
+const exitTime = 40 * time.Second
+
+// process is a program that a test started. It is signalled by its own pid
+// only, and is gone when the test ends.
+type process struct {
+	name    string
+	command *exec.Cmd
+	log     string
+	// ended is closed once the process is gone; its exit code stands in code.
+	ended chan struct{}
+	code  atomic.Int64
+}
+
+// start runs a program of the project until the test ends.
+func start(t *testing.T, dir, name, program string, args ...string) *process {
+	t.Helper()
+	p := &process{
+		name:    name,
+		command: exec.Command(filepath.Join(programs, program), args...),
+		log:     filepath.Join(dir, name+".log"),
+		ended:   make(chan struct{}),
+	}
+	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(t, err)
+	p.command.Stdout = out
+	p.command.Stderr = out
+	require.NoError(t, p.command.Start())
+	go func() {
+		_ = p.command.Wait()
+		_ = out.Close()
+		p.code.Store(int64(p.command.ProcessState.ExitCode()))
+		close(p.ended)
+	}()
+	t.Cleanup(func() {
+		p.kill()
+		if t.Failed() {
+			t.Logf("%s, exit code %d:\n%s", name, p.code.Load(), lastLines(p.log))
+		}
+	})
+	return p
+}
+
+// signal sends s. A process that is gone already is no fault.
+func (p *process) signal(s syscall.Signal) { _ = p.command.Process.Signal(s) }
+
+// kill ends the process with no chance to do anything about it. It ends a
+// stopped one, too.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.ended
+}
+
+// terminate asks the process to stop and returns how long it took.
+func (p *process) terminate(t *testing.T) time.Duration {
+	t.Helper()
+	began := time.Now()
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.ended:
+	case <-time.After(exitTime):
+		require.FailNow(t, "the process does not stop", p.name)
+	}
+	require.Zero(t, p.code.Load(), "exit code of %s", p.name)
+	return time.Since(began)
+}
+
+// shownLines is how many lines of a log a failed test shows.
+const shownLines = 25
+
+func lastLines(file string) string {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	return strings.Join(lines[max(0, len(lines)-shownLines):], "\n")
+}
