--- a/internal/rehearser/report_test.go
+++ b/internal/rehearser/report_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/dotterelhollow/dotterelhollow/internal/adapter/encoder"
 	"github.com/dotterelhollow/dotterelhollow/internal/standin"
 	"github.com/dotterelhollow/dotterelhollow/internal/standin/engine"
 	"github.com/dotterelhollow/dotterelhollow/pkg/caller"
@@ -163,17 +165,20 @@
 	t.Helper()
 	var found []engine.Run
 	for _, vm := range c.servers(t, "reading") {
-		var ledger engine.Ledger
-		require.NoError(t, standin.Control{Address: vm.Address}.Get(t.Context(), "/ledger", &ledger))
-		for _, run := range ledger.Runs {
-			if strings.HasPrefix(string(run.Stream), string(request)+".") {
-				found = append(found, run)
-			}
-		}
+		found = append(found, c.runsAt(t, vm, request)...)
 	}
 	return found
 }
 
+func (c *cluster) runsAt(t *testing.T, vm encoder.VM, request identifier.RequestID) []engine.Run {
+	t.Helper()
+	var ledger engine.Ledger
+	require.NoError(t, standin.Control{Address: vm.Address}.Get(t.Context(), "/ledger", &ledger))
+	return slices.DeleteFunc(ledger.Runs, func(run engine.Run) bool {
+		return !strings.HasPrefix(string(run.Stream), string(request)+".")
+	})
+}
+
 // requireNoRestart checks that the answer was begun from nothing only once.
 func (c *cluster) requireNoRestart(t *testing.T, request identifier.RequestID) {
 	t.Helper()
