Let a refused key be repeated at the same node

Cause: with the log out a rejection email is refused as unknown, with a time to come back. The node kept that refusal as the answer of the key, so that every repeat there got it again within 2 ms, also 20 s after the log was back. Ruled out: dropping every unknown end. A mail that was accepted, or that lost its claim, may have run; its answer stays. Change: a refusal with a time to come back is not kept. Whether the key may run is decided by the claims in the log, at this node as at any other. Conclusion: the same key works at the same node once the log is back.

--- a/internal/answerer/answer.go
+++ b/internal/answerer/answer.go
@@ -176,6 +176,14 @@
 	return v, err
 }
 
+// Refused reports whether the request ended without having been accepted:
+// this node has sent it to no backend server.
+func (a *Answer) Refused() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.verdict != nil && !a.verdict.Accepted
+}
+
 // Read waits until pieces beyond after are released, or the answer has ended,
 // and returns both where both are there. The end comes only together with or
 // after the last piece. The pieces are the caller's to keep, not to change.
--- a/internal/runner/backend.go
+++ b/internal/runner/backend.go
@@ -127,12 +127,18 @@
 // worthKeeping reports whether a repeated request gets the old answer. It
 // runs anew where nothing has run, or where running again does no harm and
 // may bring the answer that the first run did not.
+//
+// A keyed request that must not run twice may be refused as unknown, because
+// another node may have its key, with a time to come back. Kept, that refusal
+// would be all that the caller hears until it is forgotten, long after the log
+// is back. Whether the key may run is for the claims in the log to decide, at
+// this node as at any other.
 func worthKeeping(old *answerer.Answer) bool {
 	end, ended := old.Ended()
 	switch {
 	case !ended || end.MovedTo != "" || end.Outcome == messenger.Done:
 		return true
-	case end.Outcome == messenger.NotRun:
+	case end.Outcome == messenger.NotRun, old.Refused() && end.RetryAfter > 0:
 		return false
 	default:
 		return !old.Spec().Idempotent
--- a/internal/runner/backend_test.go
+++ b/internal/runner/backend_test.go
@@ -13,7 +13,9 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/relayer"
+	"github.com/dotterelhollow/dotterelhollow/internal/server"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
 func nodes(vms ...identifier.VMID) []gossiper.Node {
@@ -59,6 +61,60 @@
 	}
 }
 
+// With the log out a mail is refused as unknown, with a time to come back. The
+// caller repeats its key at the same node, as told, and the claims decide anew:
+// kept, the refusal would be all that it hears, long after the log is back. A
+// mail that was accepted, or that lost its claim, is not tried again.
+func TestRepeatedKeyOfARefusedMail(t *testing.T) {
+	refusal := messenger.Refusal{
+		Reason:     messenger.ReasonLogUnavailable,
+		Outcome:    messenger.Unknown,
+		RetryAfter: 2 * timekeeper.Second,
+	}
+	tests := []struct {
+		name string
+		end  func(*answerer.Answer)
+		same bool
+	}{
+		{"refused with a time to come back", func(a *answerer.Answer) { a.Refuse(refusal) }, false},
+		{"refused for good", func(a *answerer.Answer) {
+			a.Refuse(messenger.Refusal{
+				Reason:  messenger.ReasonDuplicate,
+				Outcome: messenger.Unknown,
+			})
+		}, true},
+		{"accepted, and broken off", func(a *answerer.Answer) {
+			a.Accept()
+			a.Finish(answerer.End{
+				Outcome:    messenger.Unknown,
+				RetryAfter: 2 * timekeeper.Second,
+			})
+		}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, f *fixture) {
+				mail := server.Submission{
+					Account: "agency",
+					Service: "email",
+					Key:     "key-1",
+					Method:  "POST",
+					Path:    "/send",
+				}
+				first, err := f.Submit(t.Context(), mail)
+				require.NoError(t, err)
+				test.end(first)
+				again, err := f.Submit(t.Context(), mail)
+				require.NoError(t, err)
+				require.Equal(t, test.same, first == again)
+				synctest.Wait()
+				received := eventsOf[messenger.RequestReceived](f.reducer)
+				require.Equal(t, test.same, len(received) == 1)
+			})
+		})
+	}
+}
+
 // A caller would read the answer to another request: its key stands for one
 // with other words. It is refused; under another account the key is free.
 func TestKeyOfAnotherRequest(t *testing.T) {
