--- a/internal/rehearser/process_test.go
+++ b/internal/rehearser/process_test.go
@@ -1,6 +1,8 @@
 package rehearser
 
 import (
+	"encoding/json"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -81,13 +83,32 @@
 }
 
 // shownLines is how many lines of a log a failed test shows.
-const shownLines = 25
+const shownLines = 40
 
+// lastLines returns the end of a log, without what each node tells of the start
+// of every other VM.
 func lastLines(file string) string {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return err.Error()
 	}
-	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	var lines []string
+	for line := range strings.Lines(string(text)) {
+		var event struct {
+			Time    string `json:"@timestamp"`
+			Message string `json:"@message"`
+			VM      string `json:"vm"`
+			Request string `json:"request"`
+			Detail  string `json:"detail"`
+			Error   string `json:"error"`
+		}
+		switch err := json.Unmarshal([]byte(line), &event); {
+		case err != nil:
+			lines = append(lines, strings.TrimSpace(line))
+		case !strings.HasSuffix(event.Message, "_joined"):
+			lines = append(lines, fmt.Sprint(event.Time, " ", event.Message, " ", event.VM, " ",
+				event.Request, " ", event.Detail, event.Error))
+		}
+	}
 	return strings.Join(lines[max(0, len(lines)-shownLines):], "\n")
 }
