Never join two answers of one request

Cause: engines sample, so a node that adopted a request from an older copy may go on otherwise than the node that the caller comes from. The id of an event was a bare index, so the caller would have read a splice that looks whole. Ruled out: a digest computed by the caller, since it only repeats what the node said; a restart in place of the error, since the caller keeps a true beginning. A bare index is taken unchecked. Resume no longer sends an empty request where the first node is leaving.

--- a/cmd/dotterelhollow/ask.go
+++ b/cmd/dotterelhollow/ask.go
@@ -52,7 +52,7 @@
 	Method      string                    `long:"method" default:"POST" choice:"GET" choice:"POST" description:"Method of the call"`
 	ContentType string                    `long:"content-type" default:"text/plain" description:"Type of the call's body"`
 	Resume      identifier.RequestID      `long:"resume" value-name:"REQUEST" description:"Go on with the answer to this request"`
-	After       identifier.Tokens         `long:"after" description:"With --resume: the last token that is there already"`
+	After       caller.EventID            `long:"after" value-name:"EVENT" description:"With --resume: id of the last event that is there already, as the command told it; a bare index is not checked"`
 	Cancel      identifier.RequestID      `long:"cancel" value-name:"REQUEST" description:"Give this request up"`
 	Addresses   bool                      `long:"addresses" description:"Only print the nodes to use for the service"`
 	JSON        bool                      `long:"json" description:"Print one JSON object"`
@@ -225,6 +225,9 @@
 		fmt.Fprintf(c.stderr, "request %s: %d tokens in %s, first after %s, %d reattached, %d restarted, nodes %s\n",
 			trace.Request, trace.Tokens, trace.Total, trace.FirstToken, trace.Reattached, trace.Restarted,
 			strings.Join(trace.Nodes, " "))
+		if err != nil && trace.Last != "" {
+			fmt.Fprintf(c.stderr, "to go on: --resume %s --after %s\n", trace.Request, trace.Last)
+		}
 		return err
 	}
 	result := askResult{
--- a/cmd/dotterelhollow/exit.go
+++ b/cmd/dotterelhollow/exit.go
@@ -18,11 +18,13 @@
 	exitUnknown  = 4 // it may have run, or may be in force
 	exitFaults   = 5 // the folder has faults, or the change was rejected
 	exitDisagree = 6 // nodes disagree, or some did not answer
+	exitDiverged = 7 // what was printed is the beginning of an answer that no node has any more
 )
 
 // exitHelp is the paragraph on exit codes of the help texts.
 const exitHelp = " Exit codes: 0 done, 1 failed, 2 usage, 3 refused and not run, 4 outcome unknown," +
-	" 5 faults in the folder or change rejected, 6 nodes disagree or did not answer."
+	" 5 faults in the folder or change rejected, 6 nodes disagree or did not answer," +
+	" 7 the answer broke off and only another one is left."
 
 // exitCode returns the exit code for the error of a command.
 func exitCode(err error) int {
@@ -31,6 +33,7 @@
 		refusal  *caller.RefusalError
 		noNode   *caller.NoNodeError
 		lost     *caller.LostError
+		diverged *caller.DivergedError
 		problem  *problemError
 		faults   *folderreader.FaultsError
 		disagree *disagreeError
@@ -42,6 +45,8 @@
 		return exitDone
 	case errors.As(err, &usage):
 		return exitUsage
+	case errors.As(err, &diverged):
+		return exitDiverged
 	case errors.As(err, &lost), errors.As(err, &unsettle):
 		return exitUnknown
 	case errors.As(err, &refusal):
--- a/cmd/dotterelhollow/operator_test.go
+++ b/cmd/dotterelhollow/operator_test.go
@@ -158,6 +158,7 @@
 		exitUnknown:  {&caller.RefusalError{Outcome: caller.OutcomeUnknown}, &caller.LostError{}, &unsettledError{}},
 		exitFaults:   {&folderreader.FaultsError{}, &blockedError{}, rejected},
 		exitDisagree: {&disagreeError{}},
+		exitDiverged: {&caller.DivergedError{Cause: &caller.RefusalError{Outcome: caller.OutcomeUnknown}}},
 		exitFailed:   {&nodeError{}, &statusError{}, &caller.RefusalError{Outcome: caller.OutcomeFailed}},
 	} {
 		for _, err := range errs {
--- a/internal/answerer/answer.go
+++ b/internal/answerer/answer.go
@@ -58,6 +58,11 @@
 	MovedTo string
 }
 
+// whole reports whether e is the end of a whole answer.
+func (e *End) whole() bool {
+	return e != nil && e.MovedTo == "" && e.Outcome == messenger.Done
+}
+
 // Place tells where the current attempt runs.
 type Place struct {
 	Attempt identifier.AttemptNumber
@@ -65,8 +70,8 @@
 	Stream  identifier.StreamName
 }
 
-// pieceOverhead is the memory of a piece besides its text.
-const pieceOverhead = 24
+// pieceOverhead is the memory of a piece besides its text, its digest included.
+const pieceOverhead = 24 + digestSize
 
 // Answer is one request's answer. It is safe for concurrent use.
 type Answer struct {
@@ -77,6 +82,7 @@
 	changed  chan struct{} // closed and replaced at each change
 	place    Place
 	pieces   []Piece
+	digests  []Digest // of the pieces up to each
 	reply    *Reply
 	released identifier.Tokens
 	// replyOut tells that the reply is released.
@@ -121,7 +127,6 @@
 		body:     c.Body,
 		changed:  make(chan struct{}),
 		place:    c.Place,
-		pieces:   c.Pieces,
 		reply:    c.Reply,
 		released: identifier.Tokens(len(c.Pieces)),
 		replyOut: c.Reply != nil,
@@ -134,7 +139,7 @@
 		a.verdict = &Verdict{Accepted: true}
 	}
 	for _, p := range c.Pieces {
-		a.size += identifier.Bytes(len(p.Text) + pieceOverhead)
+		a.add(p)
 	}
 	if c.Reply != nil {
 		a.size += identifier.Bytes(len(c.Reply.Body))
--- a/internal/answerer/errors.go
+++ b/internal/answerer/errors.go
@@ -14,6 +14,8 @@
 	_ error = (*StoppedError)(nil)
 	_ error = (*KeyConflictError)(nil)
 	_ error = (*WaitError)(nil)
+	_ error = (*DivergedError)(nil)
+	_ error = (*DigestError)(nil)
 )
 
 // ElsewhereError reports that another node has the request.
@@ -70,3 +72,22 @@
 }
 
 func (e *WaitError) Unwrap() error { return e.Cause }
+
+// DivergedError reports an answer that differs from what its caller has of
+// it. Nothing of it may go to that caller.
+type DivergedError struct {
+	Request identifier.RequestID
+	// Index is the last token that the caller has.
+	Index identifier.Tokens
+}
+
+func (e *DivergedError) Error() string {
+	return fmt.Sprintf("the answer to request %s differs from the caller's up to token %d", e.Request, e.Index)
+}
+
+// DigestError reports a text that is no digest.
+type DigestError struct{ Text string }
+
+func (e *DigestError) Error() string {
+	return fmt.Sprintf("%q is no digest of %d hexadecimal digits", e.Text, 2*digestSize)
+}
--- a/internal/answerer/write.go
+++ b/internal/answerer/write.go
@@ -71,11 +71,10 @@
 	if n != a.place.Attempt || a.end != nil || index != identifier.Tokens(len(a.pieces))+1 {
 		return false
 	}
-	a.pieces = append(a.pieces, Piece{
+	a.add(Piece{
 		Index: index,
 		Text:  text,
 	})
-	a.grow(len(text) + pieceOverhead)
 	a.release()
 	a.notify()
 	return true
@@ -222,6 +221,14 @@
 	}
 }
 
+// add puts p behind what stands here. The caller holds a.mu.
+func (a *Answer) add(p Piece) {
+	last, _ := a.digestAt(identifier.Tokens(len(a.digests)))
+	a.pieces = append(a.pieces, p)
+	a.digests = append(a.digests, last.Next(p.Text))
+	a.grow(len(p.Text) + pieceOverhead)
+}
+
 // grow counts n more bytes. The caller holds a.mu.
 func (a *Answer) grow(n int) {
 	a.size += identifier.Bytes(n)
@@ -301,8 +308,7 @@
 		if p.Index <= have {
 			continue
 		}
-		a.pieces = append(a.pieces, p)
-		a.grow(len(p.Text) + pieceOverhead)
+		a.add(p)
 	}
 	if c.Reply != nil && a.reply == nil {
 		a.reply = c.Reply
--- a/internal/rehearser/events_test.go
+++ b/internal/rehearser/events_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/dotterelhollow/dotterelhollow/internal/answerer"
 	"github.com/dotterelhollow/dotterelhollow/internal/server"
 )
 
@@ -20,7 +21,10 @@
 	t.Helper()
 	blocks := strings.Split(string(body), "\n\n")
 	next := 1
-	var got strings.Builder
+	var (
+		got    strings.Builder
+		digest answerer.Digest
+	)
 	for _, block := range blocks[:len(blocks)-1] {
 		fields := make(map[string]string)
 		for line := range strings.SplitSeq(block, "\n") {
@@ -33,9 +37,11 @@
 		case fields["data"] == server.DataDone:
 			return got.String(), eventDone
 		case fields["id"] != "":
-			require.Equal(t, strconv.Itoa(next), fields["id"], "tokens come in order")
+			text := chunkText(t, fields["data"])
+			digest = digest.Next(text)
+			require.Equal(t, strconv.Itoa(next)+"-"+digest.String(), fields["id"], "tokens come in order")
 			next++
-			got.WriteString(chunkText(t, fields["data"]))
+			got.WriteString(text)
 		}
 	}
 	return got.String(), ""
--- a/internal/server/answer.go
+++ b/internal/server/answer.go
@@ -17,8 +17,8 @@
 // reading says how a caller reads an answer.
 type reading struct {
 	stream bool
-	// after is the index of the last token that the caller has.
-	after identifier.Tokens
+	// after is what the caller has of a stream.
+	after position
 	// verdict bounds the wait for the verdict.
 	verdict timekeeper.Duration
 }
--- a/internal/server/answer_test.go
+++ b/internal/server/answer_test.go
@@ -33,8 +33,8 @@
 	})
 	require.Equal(t, "r1", response.Header.Get("Request-Id"))
 	require.Equal(t, "text/event-stream", response.Header.Get("Content-Type"))
-	require.Regexp(t, `(?s)^: heartbeat\n\nid: 1\ndata: \{.*"content":"the ".*\}\n\n`+
-		`id: 2\ndata: \{.*"content":"ship".*\}\n\ndata: \{.*"finish_reason":"stop".*\}\n\ndata: \[DONE\]\n\n$`, body)
+	require.Regexp(t, `(?s)^: heartbeat\n\nid: 1-b207703ec039cadc\ndata: \{.*"content":"the ".*\}\n\n`+
+		`id: 2-fd11b1ba35f7741a\ndata: \{.*"content":"ship".*\}\n\ndata: \{.*"finish_reason":"stop".*\}\n\ndata: \[DONE\]\n\n$`, body)
 	require.Equal(t, []server.Submission{{
 		Account:   "harbor",
 		Service:   "report",
@@ -81,7 +81,7 @@
 	a.Redirect("entry-9", "127.0.0.9:7001")
 	address := start(t, &fakeBackend{submit: always(a)}, server.Limits{})
 	_, body := exchange(t, "POST", address, "/v1/chat/completions", streamChat, nil)
-	require.Contains(t, body, "id: 1\n")
+	require.Contains(t, body, "id: 1-b207703ec039cadc\n")
 	require.Contains(t, body, "event: moved\ndata: {\"request_id\":\"r1\",\"address\":\"127.0.0.9:7001\"}\n\n")
 	require.NotContains(t, body, "[DONE]")
 }
--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -154,7 +154,7 @@
 	}
 	s.answer(ctx, answer, reading{
 		stream:  stream,
-		after:   0,
+		after:   position{},
 		verdict: s.verdictTime(submission),
 	})
 }
--- a/internal/server/problem.go
+++ b/internal/server/problem.go
@@ -32,6 +32,7 @@
 	ReasonSawMissing      messenger.Reason = "saw_revision_missing"
 	ReasonChangeRejected  messenger.Reason = "change_rejected"
 	ReasonChangeUnsettled messenger.Reason = "change_unsettled"
+	ReasonAnswerDiverged  messenger.Reason = "answer_diverged"
 )
 
 // Problem is a refusal as a problem document.
@@ -97,6 +98,15 @@
 	return http.StatusServiceUnavailable
 }
 
+// divergedProblem refuses to go on with an answer of which the caller has
+// another beginning. It says nothing of what ran.
+func divergedProblem(request identifier.RequestID) *Problem {
+	p := refused(http.StatusConflict, ReasonAnswerDiverged, "this node's answer differs from what you have of it")
+	p.Outcome = messenger.Unknown
+	p.Request = request
+	return p
+}
+
 // write sends p as the whole response. Nothing may have been written before.
 func (p *Problem) write(ctx iris.Context) {
 	header := ctx.ResponseWriter().Header()
--- a/internal/server/request.go
+++ b/internal/server/request.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/dotterelhollow/dotterelhollow/internal/answerer"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
@@ -156,16 +157,53 @@
 	return timekeeper.Duration(value), nil
 }
 
-// parseLastEvent reads the index of the last token that a caller has.
-func parseLastEvent(h http.Header) (identifier.Tokens, *Problem) {
+// position is what a caller has of an answer.
+type position struct {
+	// index is the last token that it has.
+	index identifier.Tokens
+	// digest is that of the tokens up to index, where checked is set.
+	digest  answerer.Digest
+	checked bool
+}
+
+// String returns p as the id of an event.
+func (p position) String() string {
+	index := strconv.FormatInt(int64(p.index), 10)
+	if !p.checked {
+		return index
+	}
+	return index + positionMark + p.digest.String()
+}
+
+// positionMark stands between the index and the digest of an event's id.
+const positionMark = "-"
+
+// parseLastEvent reads what a caller has of an answer: the id of the last
+// event, or a bare index, which can't be checked.
+func parseLastEvent(h http.Header) (position, *Problem) {
 	text := h.Get(HeaderLastEventID)
 	if text == "" {
-		return 0, nil
+		return position{}, nil
 	}
-	value, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || value < 0 {
-		return 0, refused(http.StatusBadRequest, ReasonBadHeader,
-			"%s is %q, want the index of a token", HeaderLastEventID, text)
+	number, sum, checked := strings.Cut(text, positionMark)
+	index, err := strconv.ParseInt(number, 10, 64)
+	if err != nil || index < 0 {
+		return position{}, badLastEvent(text)
+	}
+	p := position{
+		index:   identifier.Tokens(index),
+		checked: checked,
+	}
+	if !checked {
+		return p, nil
 	}
-	return identifier.Tokens(value), nil
+	if p.digest, err = answerer.ParseDigest(sum); err != nil {
+		return position{}, badLastEvent(text)
+	}
+	return p, nil
+}
+
+func badLastEvent(text string) *Problem {
+	return refused(http.StatusBadRequest, ReasonBadHeader,
+		"%s is %q, want the id of an event", HeaderLastEventID, text)
 }
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -34,6 +34,8 @@
 type fakeBackend struct {
 	// empty stands for a node without a configuration.
 	empty bool
+	// nodes, where set, replaces the default list.
+	nodes []server.NodeAddress
 
 	mu        sync.Mutex
 	answers   map[identifier.RequestID]*answerer.Answer
@@ -79,6 +81,9 @@
 }
 
 func (b *fakeBackend) Addresses(identifier.ServiceName) ([]server.NodeAddress, timekeeper.Duration) {
+	if b.nodes != nil {
+		return b.nodes, 30 * timekeeper.Second
+	}
 	return []server.NodeAddress{{
 		Node:    "entry-1",
 		Zone:    "boston-a",
@@ -349,7 +354,7 @@
 	}, waitLimit, waitStep, "the handler of the slow reader never ended")
 
 	_, body := exchange(t, "GET", address, "/v1/requests/r1", "", map[string]string{"Last-Event-ID": "1990"})
-	require.Contains(t, body, "id: 2000\n")
-	require.NotContains(t, body, "id: 1990\n")
+	require.Contains(t, body, "id: 2000-")
+	require.NotContains(t, body, "id: 1990-")
 	require.True(t, strings.HasSuffix(body, "data: [DONE]\n\n"))
 }
--- a/internal/server/stream.go
+++ b/internal/server/stream.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"net/http"
-	"strconv"
 
 	"github.com/kataras/iris/v12"
 
@@ -45,8 +44,15 @@
 	buffer bytes.Buffer
 }
 
-// stream answers with server-sent events from the token after the given one.
-func (s *Server) stream(ctx iris.Context, a *answerer.Answer, after identifier.Tokens) {
+// stream answers with server-sent events from the token after the given
+// position. A caller whose tokens are not this answer's gets none of it.
+func (s *Server) stream(ctx iris.Context, a *answerer.Answer, after position) {
+	if after.checked {
+		if _, err := a.Check(after.index, after.digest); err != nil {
+			divergedProblem(a.Request()).write(ctx)
+			return
+		}
+	}
 	header := ctx.ResponseWriter().Header()
 	header.Set("Content-Type", contentTypeStream)
 	header.Set("Cache-Control", "no-store")
@@ -67,7 +73,11 @@
 	}
 }
 
-func (w *eventWriter) run(after identifier.Tokens) error {
+func (w *eventWriter) run(from position) error {
+	if err := w.check(from); err != nil {
+		return err
+	}
+	after := from.index
 	for {
 		pieces, end, err := w.read(after)
 		if err != nil {
@@ -85,24 +95,54 @@
 	}
 }
 
-// read waits for more of the answer, and meanwhile shows the caller that the
-// connection is alive: between a caller and a node something may lose track
-// of an open connection, and without heartbeats the caller could not tell
-// that from a slow model.
+// check waits until the answer is as long as what the caller has of it, and
+// ends the stream with a problem where the two differ. A node that adopted the
+// request from an older copy is shorter for a while, and may go on otherwise
+// than the node that the caller comes from.
+func (w *eventWriter) check(from position) error {
+	if !from.checked {
+		return nil
+	}
+	err := w.beating(func(ctx context.Context) error {
+		return w.answer.AwaitCheck(ctx, from.index, from.digest)
+	})
+	var diverged *answerer.DivergedError
+	if errors.As(err, &diverged) {
+		w.event(EventError, divergedProblem(w.answer.Request()))
+		return errors.Join(err, w.flush())
+	}
+	return err
+}
+
+// read waits for more of the answer.
 func (w *eventWriter) read(after identifier.Tokens) ([]answerer.Piece, *answerer.End, error) {
+	var (
+		pieces []answerer.Piece
+		end    *answerer.End
+	)
+	err := w.beating(func(ctx context.Context) error {
+		var err error
+		pieces, end, err = w.answer.Read(ctx, after)
+		return err
+	})
+	return pieces, end, err
+}
+
+// beating repeats a wait until it is over, and meanwhile shows the caller that
+// the connection is alive: between a caller and a node something may lose
+// track of an open connection, and without heartbeats the caller could not
+// tell that from a slow model.
+func (w *eventWriter) beating(wait func(context.Context) error) error {
 	caller := w.ctx.Request().Context()
 	for {
 		beat, cancel := context.WithTimeout(caller, w.server.limits.Heartbeat.Std())
-		pieces, end, err := w.answer.Read(beat, after)
+		err := wait(beat)
 		cancel()
-		if err == nil {
-			return pieces, end, nil
-		}
-		if caller.Err() != nil || !errors.Is(err, context.DeadlineExceeded) {
-			return nil, nil, err
+		if err == nil || caller.Err() != nil || !errors.Is(err, context.DeadlineExceeded) {
+			return err
 		}
 		if err := w.heartbeat(); err != nil {
-			return nil, nil, err
+			return err
 		}
 	}
 }
@@ -113,10 +153,18 @@
 }
 
 func (w *eventWriter) pieces(pieces []answerer.Piece) error {
+	if len(pieces) == 0 {
+		return nil
+	}
+	digest, _ := w.answer.Digest(pieces[0].Index - 1)
 	for _, p := range pieces {
-		w.buffer.WriteString("id: ")
-		w.buffer.WriteString(strconv.FormatInt(int64(p.Index), 10))
-		w.buffer.WriteByte('\n')
+		digest = digest.Next(p.Text)
+		id := position{
+			index:   p.Index,
+			digest:  digest,
+			checked: true,
+		}
+		w.buffer.WriteString("id: " + id.String() + "\n")
 		w.data(w.chunks.token(p.Text))
 		if w.buffer.Len() < writeSize {
 			continue
--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -362,6 +362,29 @@
 	}
 }
 
+// A caller resumes an earlier request and meets a node that is leaving. There
+// is no request that it could send again, so it asks the next node for the
+// answer, from the same place.
+func TestResumePassesALeavingNode(t *testing.T) {
+	c := newCluster(t, 2, func(_ *cluster, node int, w http.ResponseWriter, _ *http.Request) {
+		if node == 0 {
+			problem(w, 503, "node_leaving", "not_run", 1000)
+			return
+		}
+		open(w)
+		tokens(w, 3, 4)
+		done(w)
+	})
+	var got text
+	_, err := c.client(nil).Resume(t.Context(), "report", "r1", "2-0123456789abcdef", &got)
+	require.NoError(t, err)
+	require.Equal(t, "<3><4>", got.String())
+	for _, v := range c.visits {
+		require.Equal(t, "/v1/requests/r1", v.path)
+		require.Equal(t, "2-0123456789abcdef", v.last)
+	}
+}
+
 // An accepted request fails. The caller gets the typed end, and not half an
 // answer that looks whole.
 func TestErrorEvent(t *testing.T) {
--- a/pkg/caller/config.go
+++ b/pkg/caller/config.go
@@ -34,8 +34,10 @@
 	// Pause is the wait after all nodes were tried in vain.
 	Pause timekeeper.Duration
 	// Restart bounds the time for which a request that no node knows is
-	// looked for before it is sent again under its key. It is longer than
-	// nodes take to adopt a dead node's requests.
+	// looked for before it is sent again under its key, and for which a node
+	// is looked for that goes on with an answer of which another node has a
+	// different one. It is longer than nodes take to adopt a dead node's
+	// requests.
 	Restart timekeeper.Duration
 }
 
--- a/pkg/caller/errors.go
+++ b/pkg/caller/errors.go
@@ -10,6 +10,7 @@
 var (
 	_ error = (*RefusalError)(nil)
 	_ error = (*LostError)(nil)
+	_ error = (*DivergedError)(nil)
 	_ error = (*ProtocolError)(nil)
 	_ error = (*NoNodeError)(nil)
 	_ error = (*brokenError)(nil)
@@ -36,6 +37,7 @@
 const (
 	reasonUnknownRequest = "unknown_request"
 	reasonNodeLeaving    = "node_leaving"
+	reasonAnswerDiverged = "answer_diverged"
 )
 
 // RefusalError is a refusal, or an end without an answer, as a node's problem
@@ -76,6 +78,25 @@
 
 func (e *LostError) Unwrap() error { return e.Cause }
 
+// DivergedError reports that a node has another answer to the request than the
+// one whose first tokens arrived, and that no node turned up that could go on
+// with the latter. What did arrive is the true beginning of an answer, but its
+// end is gone. The request did run.
+type DivergedError struct {
+	Request identifier.RequestID
+	Key     identifier.IdempotencyKey
+	// Received is the number of tokens that did arrive.
+	Received identifier.Tokens
+	Cause    error
+}
+
+func (e *DivergedError) Error() string {
+	return fmt.Sprintf("request %s with key %s: no node goes on with the answer after its token %d: %v",
+		e.Request, e.Key, e.Received, e.Cause)
+}
+
+func (e *DivergedError) Unwrap() error { return e.Cause }
+
 // NoNodeError reports that no node could be reached. Nothing was sent.
 type NoNodeError struct{ Cause error }
 
--- a/pkg/caller/exchange.go
+++ b/pkg/caller/exchange.go
@@ -45,6 +45,9 @@
 	// lost is when the request was last attached to a node and fell off, or
 	// zero while it is attached.
 	lost timekeeper.Time
+	// diverged is when a node first said that its answer is not the one whose
+	// tokens were taken, or zero.
+	diverged timekeeper.Time
 	// ambiguous tells that a try was sent whose response never came.
 	ambiguous bool
 	// attached tells that a node answered since the request was last sent.
@@ -101,7 +104,7 @@
 		if e.since(e.progress) > e.client.config.Patience || ctx.Err() != nil {
 			return e.giveUp(err)
 		}
-		if err := e.restartIfLost(); err != nil {
+		if err := e.restartIfGone(); err != nil {
 			return err
 		}
 	}
@@ -217,7 +220,7 @@
 
 func (e *exchange) request(ctx context.Context, node string) (*http.Request, error) {
 	if e.trace.Request != "" {
-		return e.message.reattach(ctx, e.client, node, e.trace.Request, e.last)
+		return e.message.reattach(ctx, e.client, node, e.trace.Request, e.trace.Last)
 	}
 	remaining := e.message.terms.Deadline
 	if remaining > 0 {
@@ -271,6 +274,9 @@
 	switch {
 	case err == nil:
 		return true, nil
+	case hasDiverged(err):
+		e.markDiverged()
+		return false, err
 	case errors.As(err, &moved):
 		e.follow(moved.to)
 		return false, err
@@ -319,6 +325,30 @@
 	e.again = ""
 }
 
+// hasDiverged reports whether a node said that its answer differs from what
+// was taken.
+func hasDiverged(err error) bool {
+	var (
+		ended   *endError
+		refusal *RefusalError
+	)
+	if errors.As(err, &ended) {
+		refusal = ended.refusal
+	}
+	return (refusal != nil || errors.As(err, &refusal)) && refusal.Reason == reasonAnswerDiverged
+}
+
+// markDiverged notes that a node has another answer. Its tokens can't follow
+// those that were taken: engines sample, and the two would join to a text that
+// no model wrote. The other nodes are asked meanwhile: the node whose answer
+// it was may only have been out of reach.
+func (e *exchange) markDiverged() {
+	e.markLost()
+	if e.diverged == 0 {
+		e.diverged = e.now()
+	}
+}
+
 func (e *exchange) markLost() {
 	if e.lost == 0 {
 		e.lost = e.now()
@@ -342,8 +372,8 @@
 
 // judgeEnd handles an accepted request that ended without its answer.
 func (e *exchange) judgeEnd(ctx context.Context, refusal *RefusalError) (bool, error) {
-	if refusal.Outcome != OutcomeNotRun || e.last > 0 {
-		return true, refusal
+	if refusal.Outcome != OutcomeNotRun || e.last > 0 || e.message.path == "" {
+		return true, refusal // A resumed request can't be sent again.
 	}
 	e.attached = false
 	return e.judgeRefusal(ctx, refusal)
@@ -397,6 +427,27 @@
 	return refusal
 }
 
+// restartIfGone ends a request whose answer no node has gone on with for so
+// long that none will.
+func (e *exchange) restartIfGone() error {
+	if e.diverged == 0 {
+		return e.restartIfLost()
+	}
+	if e.since(e.diverged) < e.client.config.Restart {
+		return nil
+	}
+	return e.divergedError(e.cause)
+}
+
+func (e *exchange) divergedError(cause error) error {
+	return &DivergedError{
+		Request:  e.trace.Request,
+		Key:      e.message.terms.Key,
+		Received: e.last,
+		Cause:    cause,
+	}
+}
+
 // restartIfLost sends the request again under its key once no node has known
 // it for so long that none will adopt it any more.
 func (e *exchange) restartIfLost() error {
@@ -415,6 +466,7 @@
 	e.attached = false
 	e.lost = 0
 	e.last = 0
+	e.trace.Last = ""
 	return nil
 }
 
@@ -422,6 +474,8 @@
 func (e *exchange) giveUp(cause error) error {
 	var refusal *RefusalError
 	switch {
+	case e.diverged != 0:
+		return e.divergedError(cause)
 	case e.ambiguous || e.attached || e.trace.Request != "":
 		return e.lostError(cause)
 	case errors.As(cause, &refusal):
--- a/pkg/caller/request.go
+++ b/pkg/caller/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -54,6 +55,8 @@
 	Reattached int               `json:"reattached"`
 	Restarted  int               `json:"restarted"`
 	Tokens     identifier.Tokens `json:"tokens"`
+	// Last names the last token that was taken.
+	Last EventID `json:"last_event_id,omitempty"`
 	// FirstToken is the time from the start to the first token, Total that to
 	// the end.
 	FirstToken timekeeper.Duration `json:"first_token_ms"`
@@ -150,9 +153,9 @@
 }
 
 // reattach returns the HTTP request that goes on with the answer to m after
-// the given token.
+// the given one.
 func (m message) reattach(
-	ctx context.Context, c *Client, node string, request identifier.RequestID, after identifier.Tokens,
+	ctx context.Context, c *Client, node string, request identifier.RequestID, after EventID,
 ) (*http.Request, error) {
 	r, err := c.newRequest(ctx, http.MethodGet, node, requestPath(request), nil)
 	if err != nil {
@@ -160,7 +163,7 @@
 	}
 	if m.stream {
 		r.Header.Set("Accept", "text/event-stream")
-		r.Header.Set(headerLastEvent, strconv.FormatInt(int64(after), 10))
+		r.Header.Set(headerLastEvent, string(cmp.Or(after, "0")))
 	}
 	return r, nil
 }
--- a/pkg/caller/stream.go
+++ b/pkg/caller/stream.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 )
@@ -18,7 +19,31 @@
 // Token is one token of an answer. Indexes count from 1.
 type Token struct {
 	Index identifier.Tokens
-	Text  string
+	// ID names the answer up to this token; Resume goes on from it.
+	ID   EventID
+	Text string
+}
+
+// EventID is a place in one particular answer: the index of a token, and with
+// it a digest of the tokens up to there, as "<index>-<digest>". A node whose
+// own answer has another digest there does not go on from it. Of a bare index
+// the node can't tell; it goes on unchecked.
+type EventID string
+
+// Index returns the index of the token. Its error is a *ProtocolError.
+func (id EventID) Index() (identifier.Tokens, error) {
+	if id == "" {
+		return 0, nil
+	}
+	number, _, _ := strings.Cut(string(id), "-")
+	index, err := strconv.ParseInt(number, 10, 64)
+	if err != nil || index < 0 {
+		return 0, &ProtocolError{
+			Detail: "event id " + strconv.Quote(string(id)),
+			Cause:  err,
+		}
+	}
+	return identifier.Tokens(index), nil
 }
 
 // Sink takes the tokens of an answer as they arrive, each once and in order.
@@ -38,7 +63,7 @@
 
 // Stream sends a request to a model service and gives sink the tokens of the
 // answer as they arrive. Its errors are a *RefusalError, a *NoNodeError, a
-// *LostError, a *ProtocolError, or the sink's own.
+// *LostError, a *DivergedError, a *ProtocolError, or the sink's own.
 func (c *Client) Stream(ctx context.Context, p Prompt, sink Sink) (Trace, error) {
 	t := &streamTaker{sink: sink}
 	e := c.newExchange(p.message(true), t)
@@ -47,10 +72,14 @@
 }
 
 // Resume goes on with the answer to a request that was sent earlier, after
-// the given token. Its errors are those of Stream.
+// the given one. Its errors are those of Stream.
 func (c *Client) Resume(
-	ctx context.Context, service identifier.ServiceName, request identifier.RequestID, after identifier.Tokens, sink Sink,
+	ctx context.Context, service identifier.ServiceName, request identifier.RequestID, after EventID, sink Sink,
 ) (Trace, error) {
+	index, err := after.Index()
+	if err != nil {
+		return Trace{Request: request}, err
+	}
 	t := &streamTaker{sink: sink}
 	e := c.newExchange(message{
 		service: service,
@@ -58,9 +87,11 @@
 	}, t)
 	e.trace.Request = request
 	e.trace.Restarted = maxRestarts // There is no request to send again.
-	e.last = after
+	e.last = index
+	e.trace.Last = after
+	e.attached = true
 	e.markLost()
-	err := e.run(ctx)
+	err = e.run(ctx)
 	return e.trace, err
 }
 
@@ -184,15 +215,15 @@
 // it breaks the connection off, so that the missing tokens are asked for
 // again: passed over, the answer would look whole and not be.
 func (t *streamTaker) token(e *exchange, node string, f frame) error {
-	index, err := strconv.ParseInt(f.id, 10, 64)
+	id := EventID(f.id)
+	next, err := id.Index()
 	if err != nil {
 		return &ProtocolError{
 			Node:   node,
-			Detail: "event id",
+			Detail: "token",
 			Cause:  err,
 		}
 	}
-	next := identifier.Tokens(index)
 	switch {
 	case next <= e.last:
 		return nil
@@ -214,19 +245,22 @@
 			Cause:  err,
 		}
 	}
-	e.took(next)
+	e.took(next, id)
 	return t.sink.Token(Token{
 		Index: next,
+		ID:    id,
 		Text:  chunk.Choices[0].Delta.Content,
 	})
 }
 
 // took counts a token.
-func (e *exchange) took(index identifier.Tokens) {
+func (e *exchange) took(index identifier.Tokens, id EventID) {
 	if e.trace.Tokens == 0 {
 		e.trace.FirstToken = e.since(e.started)
 	}
 	e.last = index
+	e.diverged = 0
+	e.trace.Last = id
 	e.trace.Tokens = index
 }
 
