Give the callers of a client account the same few nodes

Cause: the order of nodes was drawn anew for each list over the whole fleet, so each account's limits were shared by all nodes. Ruled out: one order for an account, which sends all callers of a large account to one node; a shard alone in a small fleet, which takes away the last resort.

--- a/internal/runner/backend.go
+++ b/internal/runner/backend.go
@@ -21,11 +21,9 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/historian"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/placer"
-	"github.com/dotterelhollow/dotterelhollow/internal/reducer"
 	"github.com/dotterelhollow/dotterelhollow/internal/relayer"
 	"github.com/dotterelhollow/dotterelhollow/internal/server"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
-	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
 var _ server.Backend = (*Runner)(nil)
@@ -83,25 +81,6 @@
 	return s, ok
 }
 
-// Addresses returns the nodes to use for a service, best first.
-//
-// The order is drawn anew for each call. Callers keep it for a while, and one
-// order for all would send them all to the same node.
-func (r *Runner) Addresses(identifier.ServiceName) ([]server.NodeAddress, timekeeper.Duration) {
-	var nodes []server.NodeAddress
-	r.ask(context.Background(), func() {
-		draw := identifier.AccountID(ulid.Make().String())
-		for _, n := range r.config.Reducer.Addresses(r.clock.Now(), draw) {
-			nodes = append(nodes, server.NodeAddress{
-				Node:    n.VM,
-				Zone:    n.Zone,
-				Address: n.CallerAddress,
-			})
-		}
-	})
-	return nodes, reducer.AddressKeep
-}
-
 // Submit takes a request in, or attaches to the answer that its key already
 // has. The caller counts as gone when ctx ends.
 func (r *Runner) Submit(ctx context.Context, s server.Submission) (*answerer.Answer, error) {
--- a/internal/server/backend.go
+++ b/internal/server/backend.go
@@ -20,9 +20,9 @@
 	AuthenticateOperator(key string) bool
 	// Service returns the service of the given name.
 	Service(name identifier.ServiceName) (catalog.Service, bool)
-	// Addresses returns the nodes to use for a service, best first, and how
-	// long a caller may keep the list.
-	Addresses(service identifier.ServiceName) ([]NodeAddress, timekeeper.Duration)
+	// Addresses returns the nodes that the callers of an account use for a
+	// service, best first, and how long a caller may keep the list.
+	Addresses(account identifier.AccountID, service identifier.ServiceName) ([]NodeAddress, timekeeper.Duration)
 	// Configured reports whether the node has a configuration.
 	Configured() bool
 	// Submit takes a request in. It does not wait for the verdict. Its caller
--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -24,13 +24,13 @@
 	Keep timekeeper.Duration `json:"keep_ms"`
 }
 
-func (s *Server) addresses(ctx iris.Context, _ identifier.AccountID) {
+func (s *Server) addresses(ctx iris.Context, account identifier.AccountID) {
 	name := identifier.ServiceName(ctx.URLParam("service"))
 	if _, ok := s.backend.Service(name); !ok {
 		unknownService(name).write(ctx)
 		return
 	}
-	nodes, keep := s.backend.Addresses(name)
+	nodes, keep := s.backend.Addresses(account, name)
 	writeJSON(ctx, AddressList{
 		Nodes: nodes,
 		Keep:  keep,
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -80,7 +80,7 @@
 	return s, ok
 }
 
-func (b *fakeBackend) Addresses(identifier.ServiceName) ([]server.NodeAddress, timekeeper.Duration) {
+func (b *fakeBackend) Addresses(identifier.AccountID, identifier.ServiceName) ([]server.NodeAddress, timekeeper.Duration) {
 	if b.nodes != nil {
 		return b.nodes, 30 * timekeeper.Second
 	}
--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -445,6 +445,22 @@
 	require.ErrorAs(t, err, &none)
 }
 
+// The first node of the caller's list is gone: nothing listens there any more.
+// Nothing was sent, so the caller asks the next one at once.
+func TestFirstNodeIsGone(t *testing.T) {
+	c := newCluster(t, 2, func(_ *cluster, _ int, w http.ResponseWriter, _ *http.Request) {
+		open(w)
+		tokens(w, 1, 1)
+		done(w)
+	})
+	c.nodes[0].Close()
+	var got text
+	_, err := c.client(func(c *caller.Config) { c.Pause = timekeeper.Minute }).Stream(t.Context(), report, &got)
+	require.NoError(t, err)
+	require.Equal(t, "<1>", got.String())
+	require.Len(t, c.visits, 1)
+}
+
 // All nodes have just started and know no service yet. They say when to come
 // back, and the caller does.
 func TestNodesThatHaveJustStarted(t *testing.T) {
