Let only claims that have seen a release take a released key

Cause: TestClaimsAreLinearizable failed. A copy of a released claim that landed late held the key again, with nobody to send or release it; and a claim taken in before a release, landing after it, won a key of which its former claimant had said not_run. Ruled out: forgetting nonces of released claims (a node that starts late does not know them); never releasing, which blocks the caller's own retry for the whole window. Change: a claim carries the offset up to which its node had read when the request came, and competes for a released key only if that is past the release. A node's own later claim is appended again once it has read its own release; TestReleaseNeedsSettledView takes that second append in, with the same checks.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -14,9 +14,11 @@
 //   - A claim of a held key loses for good.
 //   - An outcome counts if it bears the holder's nonce, and only the first.
 //   - A release counts if it bears the holder's nonce and claimant and no
-//     outcome stands. From then on the key is free for claims that stand
-//     after the release; those between the claim and its release have lost,
-//     since their claimants were told so. Only a claimant that never sent, or
+//     outcome stands. From then on the key is free for claims whose claimants
+//     had read the release when the request came; all others have lost. Who
+//     released the key may have said not_run, and a request that another node
+//     took before that, or a copy of the claim that lands late, would make it
+//     false. Only a claimant that never sent, or
 //     whose back end said that it did not run, may release; a release that
 //     stands before its claim counts for nothing, so a node releases only
 //     what it has seen hold the key.
@@ -100,8 +102,10 @@
 	// Until is the log's time at which the key is forgotten, unless it is
 	// claimed again.
 	Until timekeeper.Time
-	// Released tells that the winner gave the key up without sending.
-	Released bool
+	// Released tells that the winner gave the key up without sending, and
+	// ReleasedAt where the log says so.
+	Released   bool
+	ReleasedAt identifier.Offset
 	// Recorded is the winner's outcome, or nil.
 	Recorded *messenger.RecordedOutcome
 }
@@ -147,6 +151,7 @@
 
 // safeguards are switched off one by one by negative controls.
 type safeguards struct {
+	ignoreSeen   bool // any claim after a release holds the key
 	trustView    bool
 	ignoreDrop   bool
 	fixedWindow  bool
--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -103,7 +103,10 @@
 		s.read(a)
 		s.appends(a)
 		s.claim(t, a, "a2")
-		for _, d := range append(s.read(a), s.read(c)...) {
+		decisions := append(s.read(a), s.read(c)...)
+		s.appends(a) // a2 again, now that a has read its own release
+		decisions = append(decisions, s.read(a)...)
+		for _, d := range decisions {
 			if d.Won {
 				sent++
 			}
@@ -214,3 +217,31 @@
 		Window:   testWindow,
 	}.encode()
 }
+
+// Node a wins a key, gives it up unsent, and its caller is told not_run. Node
+// c took the same key before it read the release, and its claim lands after
+// it. Were c to win, the request would run although not_run was said of it. A
+// claim begun after c read the release is another matter: the caller repeated
+// the key.
+func TestClaimBegunBeforeReleaseLoses(t *testing.T) {
+	run := func(off safeguards) (early, later bool) {
+		b, a, c := &bench{log: fakeLog{now: 1}}, newTestTable("vm-a"), newTestTable("vm-c")
+		c.off = off
+		b.claim(t, a, "a1")
+		require.True(t, b.read(a)[0].Won)
+		b.read(c)
+		_, data, err := c.Begin(b.log.now, "c1", "account", "key", "c1", testWindow)
+		require.NoError(t, err)
+		a.Release("a1")
+		b.appends(a)
+		b.log.append(data)
+		early = b.read(c)[0].Won
+		b.claim(t, c, "c2")
+		return early, b.read(c)[0].Won
+	}
+	early, later := run(safeguards{})
+	require.False(t, early)
+	require.True(t, later)
+	early, _ = run(safeguards{ignoreSeen: true})
+	require.True(t, early, "the check did not object")
+}
--- a/internal/claimer/fold.go
+++ b/internal/claimer/fold.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
@@ -26,7 +27,7 @@
 	case outcomeKind:
 		t.foldOutcome(r)
 	case releaseKind:
-		t.foldRelease(r)
+		t.foldRelease(at.Offset, r)
 	case clockKind:
 	default:
 		t.counts.Ignored++
@@ -40,7 +41,7 @@
 	switch {
 	case held && e.Nonce == r.Nonce:
 		t.extend(now, s, e, at, r)
-	case held && !e.Released:
+	case held && !t.free(e, r):
 		t.extend(now, s, e, at, r)
 		t.lose(s, c, e)
 	default:
@@ -49,6 +50,11 @@
 	}
 }
 
+// free reports whether a claim may hold a key that an earlier claim held.
+func (t *Table) free(e *entry, r record) bool {
+	return e.Released && (r.Seen > e.ReleasedAt || t.off.ignoreSeen)
+}
+
 // judgedAt returns the time by which a claim is judged: the log's, since all
 // nodes have to forget a key before the same claim.
 func (t *Table) judgedAt(now timekeeper.Time, at messenger.Record) timekeeper.Time {
@@ -125,6 +131,11 @@
 		t.loseToOwn(s, c, h)
 		return
 	}
+	if e.Released && e.Winner == t.config.Self {
+		// The request came after this node gave the key up itself.
+		c.behind = true
+		return
+	}
 	s.decide(c, Decision{
 		Winner:        e.Winner,
 		WinnerRequest: e.Request,
@@ -163,12 +174,13 @@
 	t.counts.BodiesDropped += t.bodies.add(e)
 }
 
-func (t *Table) foldRelease(r record) {
+func (t *Table) foldRelease(at identifier.Offset, r record) {
 	e, ok := t.entries[key{account: r.Account, key: r.Key}]
 	if !ok || e.Nonce != r.Nonce || e.Winner != r.Claimant || e.Recorded != nil {
 		return
 	}
 	e.Released = true
+	e.ReleasedAt = at
 	if c := t.nonces[r.Nonce]; c != nil && c.state == abandoned {
 		t.remove(c)
 	}
--- a/internal/claimer/own.go
+++ b/internal/claimer/own.go
@@ -22,6 +22,7 @@
 	id      key
 	nonce   identifier.Nonce
 	window  timekeeper.Duration
+	seen    identifier.Offset
 	stream  identifier.LogStream
 	began   timekeeper.Time
 	state   claimState
@@ -45,6 +46,7 @@
 		Claimant: self,
 		Nonce:    c.nonce,
 		Window:   c.window,
+		Seen:     c.seen,
 	}.encode()
 }
 
@@ -76,12 +78,18 @@
 		stream: Stream(account, k, t.config.Partitions),
 		began:  now,
 	}
+	c.seen = t.readTo(c.stream)
 	t.own = append(t.own, c)
 	t.nonces[nonce] = c
 	t.active[request] = c
 	return c.stream, c.data(t.config.Self), nil
 }
 
+// readTo returns the offset up to which a stream was read.
+func (t *Table) readTo(name identifier.LogStream) identifier.Offset {
+	return t.streams[name].position.Next()
+}
+
 // Again returns the record of a waiting claim once more, with the same nonce,
 // after an append that failed or was not answered.
 func (t *Table) Again(request identifier.RequestID) (Append, bool) {
@@ -213,6 +221,7 @@
 			Nonce:    c.nonce,
 		}.encode(), true
 	case c.state == waiting && c.behind && (!ok || e.Released):
+		c.seen = t.readTo(c.stream)
 		return c.data(t.config.Self), true
 	}
 	return nil, false
--- a/internal/claimer/record.go
+++ b/internal/claimer/record.go
@@ -33,18 +33,21 @@
 
 // record is one record of a claims stream.
 type record struct {
-	Version     int                       `json:"version"`
-	Kind        recordKind                `json:"kind"`
-	Account     identifier.AccountID      `json:"account,omitempty"`
-	Key         identifier.IdempotencyKey `json:"key,omitempty"`
-	Request     identifier.RequestID      `json:"request,omitempty"`
-	Claimant    identifier.VMID           `json:"claimant,omitempty"`
-	Nonce       identifier.Nonce          `json:"nonce,omitempty"`
-	Window      timekeeper.Duration       `json:"window_ms,omitempty"`
-	Outcome     messenger.Outcome         `json:"outcome,omitempty"`
-	Status      int                       `json:"status,omitempty"`
-	Body        []byte                    `json:"body,omitempty"`
-	BodyOmitted bool                      `json:"body_omitted,omitempty"`
+	Version  int                       `json:"version"`
+	Kind     recordKind                `json:"kind"`
+	Account  identifier.AccountID      `json:"account,omitempty"`
+	Key      identifier.IdempotencyKey `json:"key,omitempty"`
+	Request  identifier.RequestID      `json:"request,omitempty"`
+	Claimant identifier.VMID           `json:"claimant,omitempty"`
+	Nonce    identifier.Nonce          `json:"nonce,omitempty"`
+	Window   timekeeper.Duration       `json:"window_ms,omitempty"`
+	// Seen is the offset up to which the claimant had read the stream when
+	// the request came, that one not included.
+	Seen        identifier.Offset `json:"seen,omitempty"`
+	Outcome     messenger.Outcome `json:"outcome,omitempty"`
+	Status      int               `json:"status,omitempty"`
+	Body        []byte            `json:"body,omitempty"`
+	BodyOmitted bool              `json:"body_omitted,omitempty"`
 }
 
 func (r record) encode() []byte {
