Refuse a keyed request at once while the log is out

Cause: with the log out each node held such a request for 4.0 s, however long the outage had lasted, before it said log_unavailable: nothing told the claims of the outage. Ruled out: refusing at the first read that fails, which a single lost answer would cause. Change: the table of claims learns of reads that fail; after 300 ms of them it refuses new claims, and a claim that waits is given up.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -149,6 +149,10 @@
 	BodiesDropped int
 }
 
+// outAfter is how long reads have to fail before the log is taken to be out;
+// one that fails is no outage.
+const outAfter = 300 * timekeeper.Millisecond
+
 // safeguards are switched off one by one by negative controls.
 type safeguards struct {
 	ignoreSeen   bool // any claim after a release holds the key
@@ -193,6 +197,8 @@
 	blindUntil timekeeper.Time
 	expiry     expiryHeap
 	clockSent  timekeeper.Time
+	// failingSince is when reads began to fail, or Never.
+	failingSince timekeeper.Time
 	// held are decisions to deliver once the stream was replayed.
 	held []heldDecision
 }
@@ -213,6 +219,8 @@
 		t.streams[name] = &stream{
 			name:     name,
 			position: follower.New(follower.Config{Retention: c.Retention}),
+
+			failingSince: timekeeper.Never,
 		}
 	}
 	return t
@@ -264,6 +272,20 @@
 	return e.Entry, true
 }
 
+// Unavailable notes that a stream could not be read. Absorb takes it back.
+func (t *Table) Unavailable(now timekeeper.Time, name identifier.LogStream) {
+	if s, ok := t.streams[name]; ok {
+		s.failingSince = min(s.failingSince, now)
+	}
+}
+
+// Out reports whether a stream has not been readable for a while. A claim
+// begun now would wait in vain, and its caller with it.
+func (t *Table) Out(now timekeeper.Time, name identifier.LogStream) bool {
+	s, ok := t.streams[name]
+	return ok && s.failingSince != timekeeper.Never && now.Sub(s.failingSince) >= outAfter
+}
+
 // Absorb folds a read of the log into the table and returns the decisions on
 // this node's claims that it brings.
 func (t *Table) Absorb(now timekeeper.Time, read messenger.LogRead) []Decision {
@@ -271,6 +293,7 @@
 	if !ok {
 		return nil
 	}
+	s.failingSince = timekeeper.Never
 	batch := s.position.Absorb(now, read)
 	if batch.Gap {
 		t.gapSeen(s)
--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -245,3 +245,23 @@
 	early, _ = run(safeguards{ignoreSeen: true})
 	require.True(t, early, "the check did not object")
 }
+
+// With the log out a caller is told so at once; one read that fails is no
+// outage, and the next one that succeeds ends it.
+func TestClaimIsRefusedWhileTheLogIsOut(t *testing.T) {
+	b, a := &bench{log: fakeLog{now: 1}}, newTestTable("vm-a")
+	b.read(a)
+	begin := func(r identifier.RequestID) error {
+		_, _, err := a.Begin(b.log.now, r, "account", "key", identifier.Nonce(r), testWindow)
+		return err
+	}
+	a.Unavailable(b.log.now, partition(0))
+	require.NoError(t, begin("r1"))
+	b.log.now += timekeeper.Time(outAfter)
+	a.Unavailable(b.log.now, partition(0))
+	var out *LogOutError
+	require.ErrorAs(t, begin("r2"), &out)
+	require.True(t, a.Out(b.log.now, partition(0)))
+	b.read(a)
+	require.NoError(t, begin("r3"))
+}
--- a/internal/claimer/own.go
+++ b/internal/claimer/own.go
@@ -52,7 +52,8 @@
 
 // Begin starts a claim of a key and returns the record to append. The nonce
 // is fresh. An earlier claim for the same request that still waits is given
-// up. Its error is a *FullError or a *WindowError.
+// up. Its error is a *FullError, a *WindowError or a
+// *LogOutError.
 func (t *Table) Begin(now timekeeper.Time, request identifier.RequestID, account identifier.AccountID,
 	k identifier.IdempotencyKey, nonce identifier.Nonce, window timekeeper.Duration) (identifier.LogStream, []byte, error) {
 	if window > t.config.maxWindow() {
@@ -61,6 +62,9 @@
 			Retention: t.config.Retention,
 		}
 	}
+	if stream := Stream(account, k, t.config.Partitions); t.Out(now, stream) {
+		return "", nil, &LogOutError{Stream: stream}
+	}
 	t.sweep(now)
 	if t.Full() {
 		t.counts.Refused++
--- a/internal/claimer/record.go
+++ b/internal/claimer/record.go
@@ -100,6 +100,13 @@
 	return fmt.Sprintf("claims table is full at %d entries", e.MaxEntries)
 }
 
+// LogOutError refuses a claim because the log can't be read.
+type LogOutError struct{ Stream identifier.LogStream }
+
+func (e *LogOutError) Error() string {
+	return fmt.Sprintf("log stream %s can't be read", e.Stream)
+}
+
 // WindowError refuses a claim whose key would have to be remembered for about
 // as long as the log keeps records, or longer.
 type WindowError struct {
--- a/internal/conductor/claim.go
+++ b/internal/conductor/claim.go
@@ -40,7 +40,8 @@
 	nonce := identifier.Nonce(fmt.Sprintf("%s.%d.%d", c.config.Self, c.config.Incarnation, c.nextNote))
 	stream, record, err := w.Claims.Begin(w.Now, r.spec.Request, r.spec.Account, r.spec.Key, nonce, r.service.KeyWindow)
 	if err != nil {
-		// The table is full. Running unclaimed could run the key twice.
+		// The table is full or the log is out. Running unclaimed could run
+		// the key twice, and holding the caller would not help it.
 		return c.refuse(w, r, notRun(messenger.ReasonLogUnavailable, retryAfterLogOut))
 	}
 	r.phase = claiming
@@ -61,7 +62,7 @@
 
 // tickClaim appends an unanswered claim again and gives up an overdue one.
 func (c *Conductor) tickClaim(w *World, r *request) []messenger.Effect {
-	if !w.Now.Before(r.claim.giveUpAt) {
+	if !w.Now.Before(r.claim.giveUpAt) || w.Claims.Out(w.Now, r.claim.stream) {
 		return c.refuse(w, r, notRun(messenger.ReasonLogUnavailable, retryAfterLogOut))
 	}
 	if w.Now.Before(r.claim.againAt) {
--- a/internal/reducer/platformlog.go
+++ b/internal/reducer/platformlog.go
@@ -116,6 +116,7 @@
 	if e.Stream == configStream && r.timers.configOut == timekeeper.Never {
 		r.timers.configOut = w.Now
 	}
+	r.claims.Unavailable(w.Now, e.Stream)
 	return nil
 }
 
