Offer the restore of a lost configuration, and show its fault

Cause: the configuration could be restored in the decisions, but no command or API asked for it, and no page showed that a node can't follow the log. Ruled out: a restore while any node that answers has the configuration, since it would undo at all nodes what operators changed since their copy was made. The reducer does not pass the folder to the configuration yet; until then a restore is rejected.

--- a/cmd/dotterelhollow/config.go
+++ b/cmd/dotterelhollow/config.go
@@ -54,6 +54,13 @@
 				" made meanwhile by another operator is not overwritten." + exitHelp,
 			command: &configApplyCommand{},
 		},
+		{
+			name:  "restore",
+			short: "Replace a configuration that was lost",
+			long: "Puts a whole folder in force where no node and no record of the log has the configuration any more." +
+				" While a node has it, the command is refused: change its files instead." + exitHelp,
+			command: &configRestoreCommand{},
+		},
 		{
 			name:    "show",
 			short:   "Show the configuration in force",
--- a/cmd/dotterelhollow/exit.go
+++ b/cmd/dotterelhollow/exit.go
@@ -39,6 +39,7 @@
 		disagree *disagreeError
 		unsettle *unsettledError
 		blocked  *blockedError
+		whole    *wholeError
 	)
 	switch {
 	case err == nil, errors.As(err, &usage) && usage.Type == flags.ErrHelp:
@@ -55,7 +56,7 @@
 		return exitNotRun
 	case errors.As(err, &problem):
 		return problem.exitCode()
-	case errors.As(err, &faults), errors.As(err, &blocked):
+	case errors.As(err, &faults), errors.As(err, &blocked), errors.As(err, &whole):
 		return exitFaults
 	case errors.As(err, &disagree):
 		return exitDisagree
--- a/cmd/dotterelhollow/operator_test.go
+++ b/cmd/dotterelhollow/operator_test.go
@@ -156,7 +156,7 @@
 		exitDone:     {nil},
 		exitNotRun:   {&caller.RefusalError{Outcome: caller.OutcomeNotRun}, &caller.NoNodeError{}},
 		exitUnknown:  {&caller.RefusalError{Outcome: caller.OutcomeUnknown}, &caller.LostError{}, &unsettledError{}},
-		exitFaults:   {&folderreader.FaultsError{}, &blockedError{}, rejected},
+		exitFaults:   {&folderreader.FaultsError{}, &blockedError{}, &wholeError{}, rejected},
 		exitDisagree: {&disagreeError{}},
 		exitDiverged: {&caller.DivergedError{Cause: &caller.RefusalError{Outcome: caller.OutcomeUnknown}}},
 		exitFailed:   {&nodeError{}, &statusError{}, &caller.RefusalError{Outcome: caller.OutcomeFailed}},
--- a/cmd/dotterelhollow/status.go
+++ b/cmd/dotterelhollow/status.go
@@ -25,7 +25,7 @@
 // statusCommand shows the system as each node sees it.
 type statusCommand struct {
 	operatorFlags
-	Agree bool `long:"agree" description:"Exit with 6 unless all nodes answer and agree"`
+	Agree bool `long:"agree" description:"Exit with 6 unless all nodes answer, agree and can follow the configuration"`
 }
 
 // addStatusCommand adds the command to p.
@@ -39,10 +39,12 @@
 type disagreeError struct {
 	disagreements int
 	silent        int
+	faults        int
 }
 
 func (e *disagreeError) Error() string {
-	return fmt.Sprintf("nodes disagree on %d things, %d nodes did not answer", e.disagreements, e.silent)
+	return fmt.Sprintf("nodes disagree on %d things, %d nodes did not answer, %d can't follow the configuration",
+		e.disagreements, e.silent, e.faults)
 }
 
 // statusReport is the answer of the command as JSON.
@@ -67,15 +69,27 @@
 	if err := c.print(os.Stdout, report); err != nil {
 		return err
 	}
-	if len(report.Nodes) == 0 || c.Agree && len(report.Disagreements)+len(report.Silent) > 0 {
+	if len(report.Nodes) == 0 || c.Agree && len(report.Disagreements)+len(report.Silent)+report.faults() > 0 {
 		return &disagreeError{
 			disagreements: len(report.Disagreements),
 			silent:        len(report.Silent),
+			faults:        report.faults(),
 		}
 	}
 	return nil
 }
 
+// faults returns how many nodes can't follow the configuration in the log.
+func (r statusReport) faults() int {
+	count := 0
+	for _, s := range r.Nodes {
+		if s.Fault != "" {
+			count++
+		}
+	}
+	return count
+}
+
 func newStatusReport(answers []answerOf[server.Status]) statusReport {
 	report := statusReport{
 		Nodes:         []server.Status{},
@@ -159,6 +173,11 @@
 	for _, silent := range report.Silent {
 		fmt.Fprintf(table, "\nno answer: %s\n", silent)
 	}
+	for _, s := range report.Nodes {
+		if s.Fault != "" {
+			fmt.Fprintf(table, "\nfault at %s: %s\n", s.Node, s.Fault)
+		}
+	}
 	printDisagreements(table, report.Disagreements)
 	return errors.Join(table.Flush())
 }
--- a/internal/messenger/event.go
+++ b/internal/messenger/event.go
@@ -183,7 +183,8 @@
 
 // Events from operators and from the process itself.
 type (
-	// ChangeProposed: an operator wants one file to read so.
+	// ChangeProposed: an operator wants one file to read so, or the whole
+	// folder restored.
 	ChangeProposed struct {
 		Ticket identifier.Ticket
 		File   identifier.FileName
@@ -192,6 +193,10 @@
 		Delete  bool
 		// Saw is the file's revision that the operator's change is based on.
 		Saw identifier.Revision
+		// Restore, where it is not nil, holds all files of the folder that is
+		// to replace a configuration that was lost. The fields above but
+		// Ticket are empty then.
+		Restore map[identifier.FileName][]byte
 	}
 	// DrainStarted: a planned stop of this node began.
 	DrainStarted struct{ Deadline timekeeper.Time }
--- a/internal/runner/status.go
+++ b/internal/runner/status.go
@@ -25,6 +25,7 @@
 		Zone:        r.config.Zone,
 		Now:         now,
 		Revision:    view.Revision,
+		Fault:       faultText(view.Fault),
 		Draining:    view.Draining,
 		Requests: server.RequestCounts{
 			InFlight: view.InFlight,
@@ -36,6 +37,13 @@
 	}
 }
 
+func faultText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
 func nodeStatuses(v reducer.View) []server.NodeStatus {
 	var out []server.NodeStatus
 	for _, n := range v.Nodes {
--- a/internal/server/operator.go
+++ b/internal/server/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"expvar"
 	"maps"
@@ -21,6 +22,8 @@
 const (
 	// maxFile bounds one file of the configuration.
 	maxFile identifier.Bytes = folderreader.MaxFileBytes
+	// maxFolder bounds a whole folder as JSON, where a byte may take six.
+	maxFolder identifier.Bytes = 6 * folderreader.MaxFolderBytes
 	// proposeTime bounds the wait for the verdict on a change.
 	proposeTime = 15 * timekeeper.Second
 )
@@ -42,8 +45,9 @@
 
 // ChangeAnswer tells an operator what became of a change.
 type ChangeAnswer struct {
-	Accepted bool                `json:"accepted"`
-	File     identifier.FileName `json:"file"`
+	Accepted bool `json:"accepted"`
+	// File is empty for a restore, which is of all files.
+	File     identifier.FileName `json:"file,omitempty"`
 	Revision identifier.Revision `json:"revision"`
 }
 
@@ -112,6 +116,35 @@
 	})
 }
 
+// Restore is the whole folder that an operator restores.
+type Restore struct {
+	Files map[identifier.FileName]string `json:"files"`
+}
+
+// restore replaces a configuration that was lost. Whether it was, the node's
+// configuration decides: a whole one rejects the restore.
+func (s *Server) restore(ctx iris.Context) {
+	body, problem := s.readBody(ctx, maxFolder)
+	if problem != nil {
+		problem.write(ctx)
+		return
+	}
+	var wanted Restore
+	if err := json.Unmarshal(body, &wanted); err != nil {
+		refused(http.StatusBadRequest, ReasonBadJSON, "the body is not a folder: %v", err).write(ctx)
+		return
+	}
+	if len(wanted.Files) == 0 {
+		refused(http.StatusBadRequest, ReasonBadField, "files is empty").write(ctx)
+		return
+	}
+	files := make(map[identifier.FileName][]byte, len(wanted.Files))
+	for name, content := range wanted.Files {
+		files[name] = []byte(content)
+	}
+	s.propose(ctx, messenger.ChangeProposed{Restore: files})
+}
+
 // parseSaw reads the revision that a change is based on. It has no default:
 // an operator that left it out would overwrite a colleague's change unseen.
 func parseSaw(h http.Header) (identifier.Revision, *Problem) {
--- a/internal/server/operator_test.go
+++ b/internal/server/operator_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/server"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 )
 
 func asOperator(header map[string]string) map[string]string {
@@ -74,3 +75,45 @@
 		})
 	}
 }
+
+// The log has lost the configuration, and an operator sends the whole folder.
+// The node decides whether its configuration is lost, and a folder that says
+// nothing is turned away before it is asked.
+func TestOperatorRestores(t *testing.T) {
+	const folder = `{"files":{"10-zones.ini":"[zone x]","20-pools.ini":"# none"}}`
+	tests := []struct {
+		name    string
+		body    string
+		verdict messenger.ChangeVerdict
+		status  int
+		asked   int
+	}{
+		{"accepted", folder, messenger.ChangeVerdict{Accepted: true, Revision: 9}, 200, 1},
+		{"configuration is whole", folder, messenger.ChangeVerdict{Faults: []string{"configuration is whole"}}, 409, 1},
+		{"unsettled", folder, messenger.ChangeVerdict{Unknown: true}, 504, 1},
+		{"no files", `{"files":{}}`, messenger.ChangeVerdict{}, 400, 0},
+		{"no JSON", `[zone x]`, messenger.ChangeVerdict{}, 400, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := &fakeBackend{
+				propose: func(messenger.ChangeProposed) (messenger.ChangeVerdict, error) { return test.verdict, nil },
+			}
+			address := start(t, b, server.Limits{})
+			response, body := exchange(t, "POST", address, "/operator/v1/config/restore", test.body, asOperator(nil))
+			require.Equal(t, test.status, response.StatusCode, body)
+			require.Len(t, b.proposed, test.asked)
+			if test.status == http.StatusOK {
+				require.JSONEq(t, `{"accepted":true,"revision":9}`, body)
+				require.Equal(t, messenger.ChangeProposed{Restore: map[identifier.FileName][]byte{
+					"10-zones.ini": []byte("[zone x]"),
+					"20-pools.ini": []byte("# none"),
+				}}, b.proposed[0])
+				return
+			}
+			require.Equal(t, test.verdict.Faults, parseProblem(t, response, body).Faults)
+		})
+	}
+	response, _ := exchange(t, "POST", start(t, &fakeBackend{}, server.Limits{}), "/operator/v1/config/restore", folder, nil)
+	require.Equal(t, http.StatusUnauthorized, response.StatusCode, "a caller's key restores nothing")
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -127,6 +127,7 @@
 	operators := s.app.Party("/operator/v1", s.boundWrites, s.operatorOnly)
 	operators.Get("/config", s.showConfig)
 	operators.Get("/config/history", s.showHistory)
+	operators.Post("/config/restore", s.restore)
 	operators.Get("/config/{file:string}", s.showFile)
 	operators.Put("/config/{file:string}", s.putFile)
 	operators.Delete("/config/{file:string}", s.deleteFile)
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -15,6 +15,9 @@
 	Now timekeeper.Time `json:"now_ms"`
 	// Revision is the configuration in force on the node.
 	Revision identifier.Revision `json:"revision"`
+	// Fault tells why the node can't follow the configuration in the log; it
+	// is empty while it can.
+	Fault string `json:"fault,omitempty"`
 	// Draining tells that the node is leaving.
 	Draining bool                  `json:"draining"`
 	Requests RequestCounts         `json:"requests"`
