Let a key given up here be claimed again, and take restores

Cause: a repeat that met this node's own given-up claim was told unknown for good, though nothing had run; found by reading. A restore of a lost configuration had no way through the reducer. Ruled out: waiting for the release in the conductor; the table of claims already lets a claim wait behind its node's own. Change: only claims of other nodes, or with an outcome, answer a repeat.

--- a/internal/conductor/claim.go
+++ b/internal/conductor/claim.go
@@ -33,7 +33,7 @@
 // backend server before the claim was read back as the first of its key:
 // another node may have been asked for the same key, and both would run it.
 func (c *Conductor) beginClaim(w *World, r *request) []messenger.Effect {
-	if entry, known := w.Claims.Lookup(r.spec.Account, r.spec.Key); known && !entry.Released {
+	if entry, known := w.Claims.Lookup(r.spec.Account, r.spec.Key); known && c.settles(entry) {
 		return c.answerFromEntry(w, r, entry)
 	}
 	c.nextNote++
@@ -60,6 +60,13 @@
 	}
 }
 
+// settles reports whether an earlier claim of the key already answers the
+// request. One of this node may be given up and about to be released; then the
+// new claim waits for that.
+func (c *Conductor) settles(e claimer.Entry) bool {
+	return !e.Released && (e.Winner != c.config.Self || e.Recorded != nil)
+}
+
 // tickClaim appends an unanswered claim again and gives up an overdue one.
 func (c *Conductor) tickClaim(w *World, r *request) []messenger.Effect {
 	if !w.Now.Before(r.claim.giveUpAt) || w.Claims.Out(w.Now, r.claim.stream) {
--- a/internal/reducer/platformlog.go
+++ b/internal/reducer/platformlog.go
@@ -123,7 +123,7 @@
 func (r *Reducer) changeProposed(w *conductor.World, e messenger.ChangeProposed) []messenger.Effect {
 	r.timers.proposals++
 	nonce := identifier.Nonce(fmt.Sprintf("%s.%d.%d", r.config.Self, r.config.Incarnation, r.timers.proposals))
-	record, err := r.files.Propose(w.Now, e, nonce)
+	record, err := r.proposal(w.Now, e, nonce)
 	if err != nil {
 		return []messenger.Effect{
 			messenger.ReplyOperator{
@@ -168,6 +168,14 @@
 	return out
 }
 
+// proposal returns the record of an operator's change.
+func (r *Reducer) proposal(now timekeeper.Time, e messenger.ChangeProposed, nonce identifier.Nonce) ([]byte, error) {
+	if e.Restore != nil {
+		return r.files.ProposeRestore(now, e.Restore, e.Ticket, nonce)
+	}
+	return r.files.Propose(now, e, nonce)
+}
+
 // tickConfig answers operators whose change the log does not settle, appends
 // a due snapshot, and asks a peer for the configuration while the log is out.
 func (r *Reducer) tickConfig(w *conductor.World) []messenger.Effect {
