Release what ends stalled, and adopt copies that no event would adopt

A leaving holder went away with the copy of an owner that had died shortly before and was not yet declared dead. A copy that a thawed owner sent was adopted at once, since the holder still took the owner for dead, and two owners answered one caller. Ruled out: adopting each copy when this node leaves, which makes two owners wherever the first one lives. Change: a copy of an owner that is taken for dead waits 2 s, in which the owner may be heard of; a leaving node adopts the copies of silent owners 3 s before its end and hands them on; the end of a stalled answer goes out.

--- a/internal/conductor/adopt.go
+++ b/internal/conductor/adopt.go
@@ -6,8 +6,10 @@
 	"slices"
 	"sort"
 
+	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
 // heldCopy is what this node keeps of a peer's long request. The runner keeps
@@ -20,6 +22,7 @@
 	server    identifier.VMID
 	stream    identifier.StreamName
 	delivered identifier.Tokens
+	heldAt    timekeeper.Time
 }
 
 // CopyHeld keeps or renews the copy of a peer's request. Where this node took
@@ -47,6 +50,41 @@
 		server:    e.Server,
 		stream:    e.Stream,
 		delivered: e.Delivered,
+		heldAt:    w.Now,
+	}
+	return out
+}
+
+const (
+	// copyGrace is how long a copy of an owner that is taken for dead waits
+	// before it is adopted: its push was a sign of life.
+	copyGrace = 2 * timekeeper.Second
+	// rescueTime is kept free before this node's own end to adopt the copies
+	// of silent owners and hand them on.
+	rescueTime = 3 * timekeeper.Second
+	// rescueSilence is how long such an owner has not been heard of.
+	rescueSilence = 1500 * timekeeper.Millisecond
+)
+
+// tickCopies adopts copies that no event will adopt. One came after its owner
+// was declared dead: an owner that thawed sends it, and if it lives it takes
+// it back or is heard of, so that adopting at once would make two owners. Of
+// others the owner is silent while this node itself is leaving: by the time
+// that the owner is declared dead, the copy would be gone with this node.
+func (c *Conductor) tickCopies(w *World) []messenger.Effect {
+	if !c.config.Safeguards.AdoptCopies {
+		return nil
+	}
+	rescue := c.draining && w.Now.Add(rescueTime).After(c.drainBy)
+	var out []messenger.Effect
+	for _, id := range slices.Sorted(maps.Keys(c.copies)) {
+		held := c.copies[id]
+		owner, known := w.Members.Node(held.owner)
+		dead := known && owner.State == gossiper.Dead && w.Now.Sub(held.heldAt) >= copyGrace
+		silent := known && rescue && w.Now.Sub(max(owner.LastHeard, held.heldAt)) >= rescueSilence
+		if dead || silent {
+			out = append(out, c.adopt(w, held)...)
+		}
 	}
 	return out
 }
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -180,6 +180,7 @@
 		out = append(out, c.tickRequest(w, r)...)
 	}
 	out = append(out, c.dropOverdueCopies(w)...)
+	out = append(out, c.tickCopies(w)...)
 	return append(out, c.tickDrain(w)...)
 }
 
--- a/internal/conductor/finish.go
+++ b/internal/conductor/finish.go
@@ -23,7 +23,7 @@
 		c.note("finished", r, fmt.Sprintf("outcome=%s reason=%s", outcome, reason)),
 	}
 	out = append(out, c.settleClaim(w, r, outcome)...)
-	out = append(out, c.unhold(r)...)
+	out = append(out, c.releaseAnswer(r)...)
 	if outcome == messenger.Done {
 		c.counters.Done++
 	}
@@ -31,6 +31,16 @@
 	return out
 }
 
+// releaseAnswer lets the end of an answer go out. A stalled one has no holder
+// to take leave of, and would be kept back for good: nobody looks after it any
+// more. It is whole, so that no other node's part need follow it.
+func (c *Conductor) releaseAnswer(r *request) []messenger.Effect {
+	if r.hold.stalledAt == timekeeper.Never || r.hold.holder != "" {
+		return c.unhold(r)
+	}
+	return []messenger.Effect{messenger.Unhold{Request: r.spec.Request}}
+}
+
 // settleClaim records the outcome of a claimed request for those who repeat
 // its key, or frees the key where nothing ran.
 func (c *Conductor) settleClaim(w *World, r *request, outcome messenger.Outcome) []messenger.Effect {
--- a/internal/prover/facts_test.go
+++ b/internal/prover/facts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
@@ -63,7 +64,14 @@
 }
 
 // judge returns what the run did wrong.
+//
+// Where every node is dead nobody is left to answer, and what was accepted or
+// wanted is not asked for; what ran is judged all the same.
 func (w *world) judge() []string {
+	if !w.anyNode() {
+		w.judgeRuns()
+		return w.facts.objections
+	}
 	for _, c := range w.callers {
 		w.judgeCaller(c)
 	}
@@ -71,6 +79,10 @@
 	return w.facts.objections
 }
 
+func (w *world) anyNode() bool {
+	return slices.ContainsFunc(w.nodes, func(n *node) bool { return !n.dead })
+}
+
 func (w *world) judgeCaller(c *caller) {
 	w.judgeAnswer(c)
 	if c.spec.Long && c.accepted != 0 && c.longestWait > longestWait {
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -83,16 +83,6 @@
 	}
 }
 
-// copyHeld keeps a peer's copy. The owner may have died before the copy's
-// first record reached the reducer; then nobody would tell it so again.
-func (r *Reducer) copyHeld(w *conductor.World, e messenger.CopyHeld) []messenger.Effect {
-	out := r.requests.CopyHeld(w, e)
-	if owner, known := r.members.Node(e.Owner); known && owner.State == gossiper.Dead {
-		out = append(out, r.requests.NodeDead(w, e.Owner)...)
-	}
-	return out
-}
-
 func (r *Reducer) gossipReceived(w *conductor.World, e messenger.GossipReceived) []messenger.Effect {
 	changes, err := r.members.Receive(w.Now, e.From, e.Data)
 	if err != nil {
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -157,7 +157,7 @@
 	case messenger.HoldRefused:
 		return r.requests.HoldRefused(w, b)
 	case messenger.CopyHeld:
-		return r.copyHeld(w, b)
+		return r.requests.CopyHeld(w, b)
 	case messenger.CopyDropped:
 		return r.requests.CopyDropped(w, b)
 	case messenger.RequestHandedOver:
