--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -204,6 +204,9 @@
 	_, _, err = a.Begin(log.now, "r", "account", "key", "n", testRetention)
 	var window *WindowError
 	require.ErrorAs(t, err, &window)
+	a.SetRetention(testRetention / 4)
+	_, _, err = a.Begin(log.now, "r", "account", "key", "n", testRetention/2)
+	require.ErrorAs(t, err, &window, "a window that no longer fits")
 }
 
 func foreignClaim(i int) []byte {
--- /dev/null
+++ b/internal/prover/race_test.go
@@ -0,0 +1,9 @@
+//go:build race
+
+package prover
+
+// playEvery plays every sixth cell of each table under the race detector,
+// which makes a cell five times as slow. A world runs in one goroutine, so the
+// detector has nothing to find in a cell that it has not in the next; all
+// cells are played without it, by make matrix.
+const playEvery = 6
--- /dev/null
+++ b/internal/prover/whole_test.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package prover
+
+// playEvery plays every cell of the matrix.
+const playEvery = 1
