Wait for queued streams, and route again what has not begun

Ruled out: a longer bound for all silences, which would find dead connections late. Change: the wait for a rejoined stream's first byte follows 2.5 s instead of 0.5 s; unbegun streams on a leaving server are routed again at once.

--- a/internal/conductor/attempt.go
+++ b/internal/conductor/attempt.go
@@ -193,9 +193,10 @@
 	return c.sendAttempt(w, r, server, messenger.StartResume, r.stream, rejoinWait), true
 }
 
-// rejoinWait is the first answer's predicted time when a stream is rejoined:
-// the server only has to look it up.
-const rejoinWait = 500 * timekeeper.Millisecond
+// rejoinWait is the first answer's predicted time when a stream is rejoined.
+// The server only has to look it up, but the stream may still wait in its
+// queue; taken for silent then, it would be computed again elsewhere.
+const rejoinWait = 2500 * timekeeper.Millisecond
 
 // afterFailure asks the retrier whether there is a next attempt.
 func (c *Conductor) afterFailure(w *World, r *request, e messenger.AttemptEnded) []messenger.Effect {
--- a/internal/conductor/wave.go
+++ b/internal/conductor/wave.go
@@ -28,7 +28,12 @@
 	}
 	byPool := map[identifier.PoolName][]planner.Stream{}
 	var pools []identifier.PoolName
+	var out []messenger.Effect
 	for _, r := range c.sortedRequests() {
+		if c.unbegun(w, r) {
+			out = append(out, c.moveByPrefill(w, r)...)
+			continue
+		}
 		stream, ok := c.endangered(w, r)
 		if !ok {
 			continue
@@ -38,7 +43,6 @@
 		}
 		byPool[r.service.Pool] = append(byPool[r.service.Pool], stream)
 	}
-	var out []messenger.Effect
 	for _, pool := range pools {
 		out = append(out, c.planPool(w, pool, byPool[pool])...)
 	}
@@ -92,6 +96,16 @@
 	return part
 }
 
+// unbegun reports whether the stream of r waits on a leaving server without a
+// first token. There is nothing to export yet: it is routed again at once.
+func (c *Conductor) unbegun(w *World, r *request) bool {
+	if r.phase != running || !r.model() || r.firstAt != 0 || r.delivered > 0 || r.move.sent {
+		return false
+	}
+	server, known := w.Members.Server(r.server)
+	return known && server.Leaving
+}
+
 // endangered describes the stream of r to the planner if its server is
 // leaving and nothing is being done about it yet.
 func (c *Conductor) endangered(w *World, r *request) (planner.Stream, bool) {
