Read a quiet stream of the log at once after an outage

Cause: the first read after a failure waited up to 5 s for the next record, and until it ended the node took the log for out and refused emails; a node that had just started did not see for as long that records had expired unread. Ruled out: a shorter wait for all reads, which costs the log more reads. Change: the first read, and the first after a failure, does not wait.

--- a/internal/runner/fake_test.go
+++ b/internal/runner/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -122,6 +123,8 @@
 	mu      sync.Mutex
 	batches [][]adapter.Record
 	append  func(n int) error
+	// out makes reads fail.
+	out atomic.Bool
 }
 
 func (l *fakeLog) Append(_ context.Context, records []adapter.Record) ([]identifier.Offset, error) {
@@ -137,6 +140,9 @@
 func (l *fakeLog) Read(
 	ctx context.Context, _ identifier.LogStream, _ identifier.Offset, _ int, wait timekeeper.Duration,
 ) (messenger.LogRead, error) {
+	if l.out.Load() {
+		return messenger.LogRead{}, &adapter.UnavailableError{}
+	}
 	sleep(ctx, wait.Std())
 	return messenger.LogRead{End: true}, ctx.Err()
 }
--- a/internal/runner/follow.go
+++ b/internal/runner/follow.go
@@ -62,15 +62,25 @@
 }
 
 // follow reads a stream of the log from its beginning on, for good.
+//
+// The first read, and the first after a failure, does not wait for the next
+// record. A stream on which nothing happens would keep it for the whole wait,
+// and the node would meanwhile refuse requests as if the log were still out,
+// or not know that records expired before it could read them.
 func (r *Runner) follow(ctx context.Context, s identifier.LogStream, pause *backoff) {
-	var from identifier.Offset
+	var (
+		from identifier.Offset
+		wait timekeeper.Duration
+	)
 	for ctx.Err() == nil {
-		read, err := r.readLog(ctx, s, from)
+		read, err := r.readLog(ctx, s, from, wait)
 		if err != nil {
+			wait = 0
 			r.emit(ctx, messenger.LogUnavailable{Stream: s})
 			pause.wait(ctx)
 			continue
 		}
+		wait = readWait
 		pause.reset()
 		if n := len(read.Records); n > 0 {
 			from = read.Records[n-1].Offset + 1
@@ -80,8 +90,10 @@
 	}
 }
 
-func (r *Runner) readLog(ctx context.Context, s identifier.LogStream, from identifier.Offset) (messenger.LogRead, error) {
-	ctx, done := context.WithTimeout(ctx, readWait.Std()+readSlack)
+func (r *Runner) readLog(
+	ctx context.Context, s identifier.LogStream, from identifier.Offset, wait timekeeper.Duration,
+) (messenger.LogRead, error) {
+	ctx, done := context.WithTimeout(ctx, wait.Std()+readSlack)
 	defer done()
-	return r.config.Log.Read(ctx, s, from, readLimit, readWait)
+	return r.config.Log.Read(ctx, s, from, readLimit, wait)
 }
--- /dev/null
+++ b/internal/runner/follow_test.go
@@ -0,0 +1,53 @@
+package runner
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+)
+
+// The log is out and comes back, and nobody appends anything. The node must
+// learn so from its next read, within the pause between reads that fail: until
+// it does, it refuses each rejection email. A read that waits for the next
+// record would tell only after its wait. So would the first read of a node
+// that has just started.
+func TestQuietStreamIsReadAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.reducer.streams = []identifier.LogStream{"claims-0"}
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		reads := func() int {
+			synctest.Wait()
+			return len(eventsOf[messenger.LogRead](f.reducer))
+		}
+		require.Equal(t, 1, reads(), "the first read does not wait")
+
+		f.log.out.Store(true)
+		wait(t, readWait.Std()+time.Second) // The read under way ends.
+		require.NotEmpty(t, eventsOf[messenger.LogUnavailable](f.reducer))
+		before := reads()
+		wait(t, time.Minute)
+		require.Equal(t, before, reads(), "nothing can be read")
+
+		f.log.out.Store(false)
+		wait(t, retryMost)
+		require.Equal(t, before+1, reads())
+		wait(t, readWait.Std()-retryMost-time.Second)
+		require.Equal(t, before+1, reads(), "from then on reads wait")
+		cancel()
+		<-f.stopped
+	})
+}
+
+// wait lets the bubble's time pass.
+func wait(t *testing.T, d time.Duration) {
+	t.Helper()
+	sleep(t.Context(), d)
+}
