Ask again under the same key after an unknown that says when

Cause: a node that has not claimed a key refuses it as unknown with a time to come back, so that the caller repeats the key; the caller library gave up instead, though repeating a key is safe. Ruled out: a fresh key, which could double a booking. Change: unknown with Retry-After is followed like not_run with one. Conclusion: two rows more in TestRefusals.

--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -322,24 +322,27 @@
 
 func TestRefusals(t *testing.T) {
 	tests := []struct {
-		name   string
-		status int
-		reason string
-		retry  int
-		visits int
-		ok     bool
+		name    string
+		status  int
+		reason  string
+		outcome caller.Outcome
+		retry   int
+		visits  int
+		ok      bool
 	}{
-		{"final", 504, "deadline", 0, 1, false},
-		{"bad key", 401, "unauthorized", 0, 1, false},
-		{"comes back", 503, "overload", 5, 2, true},
-		{"next node at once", 503, "node_leaving", 60_000, 2, true},
-		{"too late to come back", 429, "account_limit", 60_000, 1, false},
+		{"final", 504, "deadline", caller.OutcomeNotRun, 0, 1, false},
+		{"bad key", 401, "unauthorized", caller.OutcomeNotRun, 0, 1, false},
+		{"comes back", 503, "overload", caller.OutcomeNotRun, 5, 2, true},
+		{"next node at once", 503, "node_leaving", caller.OutcomeNotRun, 60_000, 2, true},
+		{"too late to come back", 429, "account_limit", caller.OutcomeNotRun, 60_000, 1, false},
+		{"unknown, asks again under its key", 503, "log_unavailable", caller.OutcomeUnknown, 5, 2, true},
+		{"unknown for good", 409, "duplicate_key", caller.OutcomeUnknown, 0, 1, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := newCluster(t, 2, func(c *cluster, _ int, w http.ResponseWriter, _ *http.Request) {
 				if len(c.visits) == 1 {
-					problem(w, test.status, test.reason, "not_run", test.retry)
+					problem(w, test.status, test.reason, string(test.outcome), test.retry)
 					return
 				}
 				open(w)
@@ -357,7 +360,7 @@
 			var refusal *caller.RefusalError
 			require.ErrorAs(t, err, &refusal)
 			require.Equal(t, test.reason, refusal.Reason)
-			require.Equal(t, caller.OutcomeNotRun, refusal.Outcome)
+			require.Equal(t, test.outcome, refusal.Outcome)
 		})
 	}
 }
--- a/pkg/caller/exchange.go
+++ b/pkg/caller/exchange.go
@@ -386,7 +386,7 @@
 		return false, refusal
 	}
 	elsewhere := refusal.Reason == reasonNodeLeaving && len(e.queue) > 0
-	if refusal.Outcome != OutcomeNotRun || refusal.RetryAfter == 0 || !elsewhere && e.late(refusal.RetryAfter) {
+	if !mayRepeat(refusal) || !elsewhere && e.late(refusal.RetryAfter) {
 		return true, e.truth(refusal)
 	}
 	e.trace.Request = ""
@@ -400,6 +400,15 @@
 	return false, refusal
 }
 
+// mayRepeat reports whether a refused request may be sent again under its key.
+// A node that can't tell whether another one runs the key says unknown, with a
+// time to come back: the same key runs at most once, and the next node to take
+// it knows what became of it.
+func mayRepeat(refusal *RefusalError) bool {
+	known := refusal.Outcome == OutcomeNotRun || refusal.Outcome == OutcomeUnknown
+	return known && refusal.RetryAfter > 0
+}
+
 // jitterShare is the part of a wait that is added at random.
 const jitterShare = 4
 
