Rehearse two operators who change one file at the same moment

Ruled out: a winner by luck of timing; both changes stand on the same revision and go to two nodes at once. Change: the log keeps records for 12 s. One of two changes must be accepted and the other refused; all nodes have it; after all records of it have expired a new node has it, and one that starts while the log is out has it from its peers. Conclusion: an accepted change survives its records.

--- /dev/null
+++ b/internal/rehearser/operators_test.go
@@ -0,0 +1,146 @@
+package rehearser
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/adapter/encoder"
+	"github.com/dotterelhollow/dotterelhollow/internal/server"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+)
+
+const (
+	// shortRetention is how long the log of this test keeps a record.
+	shortRetention = 12 * time.Second
+	// inForceTime is what "within seconds" means for an accepted change.
+	inForceTime = 10 * time.Second
+
+	changedFile identifier.FileName = "60-targets.ini"
+)
+
+// shortLog is a file that tells the nodes of the short retention. Keys must be
+// remembered for at most half of it.
+func shortLog() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "[log]\nretention = %s\n", shortRetention)
+	for _, service := range []string{
+		"manuscript_report", "query_summary", "genre_tag", "portal_lookup", "status_ping", "rejection_email",
+	} {
+		fmt.Fprintf(&text, "[service %s]\nkey_window = 5s\n", service)
+	}
+	return text.String()
+}
+
+// TestTwoOperatorsChangeOneFile: two operators change one file at the same
+// moment through two nodes, each on the revision that both have seen. Log order
+// lets exactly one through, and each is told the truth. All nodes have the
+// winner's file within seconds. Then the log drops the records of the change,
+// and only the nodes' snapshots are left: a node that starts then has the same
+// configuration, and so has one that starts while the log is out, which gets it
+// from its peers.
+func TestTwoOperatorsChangeOneFile(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, options{
+		retention: shortRetention.String(),
+		overrides: map[string]string{"95-short-log.ini": shortLog()},
+	})
+	before, ok := c.nodes[0].file(changedFile)
+	require.True(t, ok)
+	won := c.raceChanges(t, before)
+	decided := time.Now()
+	c.requireInForce(t, c.nodes, won)
+	t.Logf("revision %d in force on all nodes after %s", won.Revision, time.Since(decided).Round(time.Millisecond))
+
+	require.Eventually(t, func() bool { return c.configSince(t, decided) }, 4*shortRetention, tick, "the change expires")
+	late := c.startNode(t, "entry-7", "providence")
+	c.requireInForce(t, []*node{late}, won)
+	c.requireInForce(t, c.nodes, won)
+
+	c.setFaults(t, map[string]any{"log_outage": true})
+	later := c.startNode(t, "entry-8", "portland-me")
+	c.requireInForce(t, []*node{later}, won)
+	c.requireInForce(t, c.nodes, won)
+	c.setFaults(t, map[string]any{"log_outage": false})
+}
+
+// changeAnswer is what one of the operators was told.
+type changeAnswer struct {
+	content string
+	status  int
+	body    []byte
+	err     error
+}
+
+// raceChanges lets two operators change a file at once, and returns the file as
+// the one who was told "accepted" left it.
+func (c *cluster) raceChanges(t *testing.T, before server.ConfigFile) server.ConfigFile {
+	t.Helper()
+	answers := make(chan changeAnswer, 2)
+	for i, n := range c.nodes[:2] {
+		content := fmt.Sprintf("%s\n# Seen by operator %d.\n", before.Content, i)
+		go func() {
+			header := http.Header{server.HeaderSawRevision: {fmt.Sprint(before.Revision)}}
+			a := changeAnswer{content: content}
+			a.status, _, a.body, a.err = n.operator(http.MethodPut, "/operator/v1/config/"+string(changedFile), header, []byte(content))
+			answers <- a
+		}()
+	}
+	var won []server.ConfigFile
+	for range 2 {
+		a := <-answers
+		require.NoError(t, a.err)
+		if a.status == http.StatusOK {
+			var told server.ChangeAnswer
+			require.NoError(t, json.Unmarshal(a.body, &told))
+			require.True(t, told.Accepted)
+			won = append(won, server.ConfigFile{
+				File:     changedFile,
+				Revision: told.Revision,
+				Content:  a.content,
+			})
+			continue
+		}
+		require.Equal(t, http.StatusConflict, a.status, "%s", a.body)
+		var problem server.Problem
+		require.NoError(t, json.Unmarshal(a.body, &problem))
+		require.Equal(t, server.ReasonChangeRejected, problem.Reason)
+	}
+	require.Len(t, won, 1, "exactly one operator is told accepted")
+	require.Greater(t, won[0].Revision, before.Revision)
+	return won[0]
+}
+
+// file returns a file of the configuration in force on a node.
+func (n *node) file(name identifier.FileName) (server.ConfigFile, bool) {
+	var f server.ConfigFile
+	code, _, body, err := n.operator(http.MethodGet, "/operator/v1/config/"+string(name), nil, nil)
+	return f, err == nil && code == http.StatusOK && json.Unmarshal(body, &f) == nil
+}
+
+// requireInForce waits until nodes have a file, and the configuration of which
+// it is the last change, in force.
+func (c *cluster) requireInForce(t *testing.T, nodes []*node, want server.ConfigFile) {
+	t.Helper()
+	for _, n := range nodes {
+		require.Eventually(t, func() bool {
+			got, ok := n.file(want.File)
+			s, answered := n.status()
+			return ok && answered && got == want && s.Revision == want.Revision
+		}, inForceTime, tick, "%s has revision %d in force", n.vm, want.Revision)
+	}
+}
+
+// configSince reports whether all that the log still has of the configuration
+// was appended after a moment.
+func (c *cluster) configSince(t *testing.T, moment time.Time) bool {
+	t.Helper()
+	var read encoder.ReadResponse
+	require.NoError(t, c.platform.Get(t.Context(), "/log/read?stream=config&from=0&limit=5000", &read))
+	return len(read.Records) > 0 && read.Records[0].AppendedMS > moment.UnixMilli()
+}
