End an outdated process, mark whole VMs, and watch pools without the lease

Cause: a frozen process whose VM runs a later one was only noted and went on unheard; a reclaim notice marked one incarnation of an entry VM, and a process restarted on it would have counted as staying; a new lease holder began without knowing the demand or the reclaims before it. Ruled out: ending a process that merely thawed, which peers take back. Change: NodeOutdated ends the process; notices mark the VM for good; nodes without a pool's lease feed its scaler.

--- a/internal/provisioner/provisioner.go
+++ b/internal/provisioner/provisioner.go
@@ -151,10 +151,16 @@
 	p.leases.Want(in.Now, lease)
 	fence, notAfter, held := p.leases.Held(lease, in.Now)
 	state := p.pool(name)
-	if !held || in.Now.Before(state.nextPlan) {
+	if in.Now.Before(state.nextPlan) {
 		return nil
 	}
 	state.nextPlan = in.Now.Add(planEvery)
+	if !held {
+		// The next holder may be this node: it has to know the demand and
+		// the reclaims that there were.
+		state.scaler.Watch(in.Now, p.scalerInput(in, name, state, commander.Lease{}))
+		return nil
+	}
 	tenure := commander.Lease{
 		Held:      true,
 		Fence:     fence,
--- a/internal/provisioner/purchase.go
+++ b/internal/provisioner/purchase.go
@@ -12,19 +12,23 @@
 
 // planVMs buys and releases VMs of a pool.
 func (p *Provisioner) planVMs(in Input, name identifier.PoolName, state *pool, tenure commander.Lease) []messenger.Effect {
-	actions := state.scaler.Plan(in.Now, scaler.Input{
+	actions := state.scaler.Plan(in.Now, p.scalerInput(in, name, state, tenure), in.Rand)
+	var out []messenger.Effect
+	for _, a := range actions {
+		out = append(out, p.carryOut(name, a, tenure)...)
+	}
+	return out
+}
+
+func (p *Provisioner) scalerInput(in Input, name identifier.PoolName, state *pool, tenure commander.Lease) scaler.Input {
+	return scaler.Input{
 		Catalog:   in.Catalog,
 		Fence:     tenure.Fence,
 		SafeAfter: tenure.SafeAfter.Add(purchaseTime),
 		ListAsOf:  p.listAsOf,
 		Servers:   scalerServers(in, name),
 		Demand:    p.demand(in, name, state),
-	}, in.Rand)
-	var out []messenger.Effect
-	for _, a := range actions {
-		out = append(out, p.carryOut(name, a, tenure)...)
 	}
-	return out
 }
 
 func (p *Provisioner) carryOut(name identifier.PoolName, a scaler.Action, tenure commander.Lease) []messenger.Effect {
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -64,6 +64,11 @@
 		return r.requests.NodeLeaving(w, ch.VM)
 	case gossiper.NodeDead:
 		return r.requests.NodeDead(w, ch.VM)
+	case gossiper.NodeOutdated:
+		// A later process on this VM has taken the name over: peers ignore
+		// this one for good, and what it told callers would be heard by them
+		// alone.
+		return []messenger.Effect{messenger.Exit{}}
 	case gossiper.ServerGone:
 		delete(r.loads, ch.VM)
 		return r.requests.ServerGone(w, ch.VM)
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -182,7 +182,7 @@
 		r.provisioner.ListRead(b.AsOf)
 		return r.membersChanged(w, r.members.ListRead(w.Now, b.AsOf, b.VMs))
 	case messenger.NoticeReceived:
-		return r.membersChanged(w, r.members.MarkLeaving(w.Now, b.VM, b.Deadline))
+		return r.membersChanged(w, r.members.MarkReclaimed(w.Now, b.VM, b.Deadline))
 	case messenger.GossipReceived:
 		return r.gossipReceived(w, b)
 	case messenger.PeerFailed:
