--- a/internal/rehearser/cluster_test.go
+++ b/internal/rehearser/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -67,6 +68,8 @@
 	retention string
 	// overrides are files that are applied after Quillmark's.
 	overrides map[string]string
+	// drainTime bounds a planned stop; empty is 20 s.
+	drainTime string
 	// relays puts a relay before each node's caller port and each engine.
 	relays bool
 }
@@ -199,10 +202,10 @@
 	}
 	settings := filepath.Join(c.dir, string(vm))
 	require.NoError(t, os.MkdirAll(settings, 0o700))
-	text := fmt.Sprintf("[node]\nvm = %s\nzone = %s\nregion = new-england\ndrain_time = 20s\n"+
+	text := fmt.Sprintf("[node]\nvm = %s\nzone = %s\nregion = new-england\ndrain_time = %s\n"+
 		"[caller_port]\nlisten = %s\nadvertise = %s\n[peer_port]\nlisten = %s:%d\n"+
 		"[platform]\naddress = %s\n[operator]\nkey_sha256 = %s\n",
-		vm, zone, listen, n.address, host, peerPort, c.platform.Address, operatorKeyHash)
+		vm, zone, cmp.Or(c.options.drainTime, "20s"), listen, n.address, host, peerPort, c.platform.Address, operatorKeyHash)
 	require.NoError(t, os.WriteFile(filepath.Join(settings, "10-node.ini"), []byte(text), 0o600))
 	c.register(t, encoder.VM{
 		VM:      vm,
--- a/internal/rehearser/email_test.go
+++ b/internal/rehearser/email_test.go
@@ -76,8 +76,8 @@
 	return answers
 }
 
-// emailRuns counts how often the plain servers ran anything with this text.
-func (c *cluster) emailRuns(t *testing.T, text string) int {
+// plainRuns counts how often the plain servers ran anything with this text.
+func (c *cluster) plainRuns(t *testing.T, text string) int {
 	t.Helper()
 	runs := 0
 	for _, vm := range c.servers(t, "portal") {
@@ -95,7 +95,7 @@
 // judgeEmail checks what the callers of one email were told against what ran.
 func (c *cluster) judgeEmail(t *testing.T, text string, answers []emailAnswer) (done int) {
 	t.Helper()
-	runs := c.emailRuns(t, text)
+	runs := c.plainRuns(t, text)
 	require.LessOrEqual(t, runs, 1, "%s ran %d times", text, runs)
 	for _, a := range answers {
 		switch {
@@ -179,7 +179,7 @@
 	last := "Dear author, this comes last."
 	require.Equal(t, 1, c.judgeEmail(t, last, []emailAnswer{sendEmail(c.nodes[0], t.Name(), last)}))
 	for _, round := range emailRounds {
-		require.LessOrEqual(t, c.emailRuns(t, round.text()), 1, "%s: it ran again later", round.name)
+		require.LessOrEqual(t, c.plainRuns(t, round.text()), 1, "%s: it ran again later", round.name)
 	}
 }
 
--- a/internal/rehearser/outage_test.go
+++ b/internal/rehearser/outage_test.go
@@ -39,13 +39,13 @@
 	r.waitWhole(t)
 	c.requireNoRestart(t, request)
 
-	require.Zero(t, c.emailRuns(t, text), "a refused email ran")
+	require.Zero(t, c.plainRuns(t, text), "a refused email ran")
 	c.setFaults(t, map[string]any{"log_outage": false})
 	c.eventually(t, "the key works once the log is back", func() bool {
 		a := sendEmail(c.nodes[0], t.Name(), text)
 		return a.err == nil && a.status == http.StatusOK
 	})
-	require.Equal(t, 1, c.emailRuns(t, text))
+	require.Equal(t, 1, c.plainRuns(t, text))
 }
 
 // requireLogRefusal checks that an email was refused because of the log. The
