--- a/scripts/gauge.sh
+++ b/scripts/gauge.sh
@@ -111,7 +111,8 @@
   sleep 8
 }
 
-tokens() { cat "$work"/report-* 2>/dev/null | wc -w; }
+# tokens counts what the reports have brought so far.
+tokens() { find "$work" -maxdepth 1 -name 'report-*' -exec cat {} + | wc -w; }
 
 # sockets prints purpose, bytes sent and bytes received by socket of the nodes.
 sockets() {
