--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -11,28 +11,7 @@
 )
 
 // Metrics counts what a Runner did since its start. Its variable is a JSON
-// object; a name says its unit where it is not a plain count:
-//
-//	requests               requests that callers sent
-//	refusals               refused requests by reason
-//	outcomes               ended requests by outcome
-//	attempts               attempts by start mode
-//	attempt_results        ended attempts by result
-//	recomputed_tokens      tokens, prompt and answer, that a new attempt made a
-//	                       server compute again
-//	stale_pieces           pieces of late or crossed attempts that were dropped
-//	adopted, handed_over   requests taken from dead peers, given to successors
-//	append_calls           calls to the log; appended_records in them
-//	throttled_appends      calls that the log's rate limit refused
-//	lapsed_orders          orders not given because their lease had lapsed
-//	dropped_events         news dropped because the loop was behind
-//	dropped_effects        effects dropped because their lane was full
-//	evicted_answers        ended answers dropped after their grace time
-//	answers, answer_bytes  answers kept now, and their bytes
-//	copies, copy_bytes     copies held for peers now, and their bytes
-//	event_queue            events that wait for the loop now
-//	loop_lag_ms            the longest wait of an event in the last second or
-//	                       two
+// object; docs/OPERATIONS.md gives the unit and the meaning of each field.
 type Metrics struct {
 	vars *expvar.Map
 
