--- a/scripts/gauge.sh
+++ b/scripts/gauge.sh
@@ -5,8 +5,8 @@
 #
 #   scripts/gauge.sh [NODES [ENGINES [PLAIN [REPORTS]]]]
 #
-# Needs bash, awk, ss and the programs that "make build" puts into bin/. In a
-# network namespace of its own (unshare -n) it may run beside other tests.
+# Needs bash, awk, ss and the programs that "make build" puts into bin/. It uses
+# the demo's ports: run one of the two at a time.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
