Require refusals at once from a node that knows of the log's outage

Ruled out: an old refusal that is served again; the request has a key of its own. Change: once the first refusals are out, one more must come within a second. Conclusion: what is refused is said at once.

--- a/internal/rehearser/outage_test.go
+++ b/internal/rehearser/outage_test.go
@@ -10,9 +10,13 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 )
 
-// firstRefusalTime bounds the wait of those that come when no node knows yet
-// that the log is out: a node waits 4 s for its claim to be read back.
-const firstRefusalTime = 6 * time.Second
+const (
+	// firstRefusalTime bounds the wait of those that come when no node knows yet
+	// that the log is out: a node waits 4 s for its claim to be read back.
+	firstRefusalTime = 6 * time.Second
+	// atOnce is what "at once" means later on.
+	atOnce = time.Second
+)
 
 // TestLogOutage: the log is out. A rejection email could only be sent without
 // its claim, and so twice: each node refuses it, says why and when to come back,
@@ -32,6 +36,13 @@
 		require.Less(t, a.took, firstRefusalTime)
 	}
 
+	// A node that has noticed does not make its callers wait.
+	c.eventually(t, "a refusal at once", func() bool {
+		a := sendEmail(c.nodes[0], t.Name()+"-later", text)
+		requireLogRefusal(t, a)
+		return a.took < atOnce
+	})
+
 	r := ask(t, c.client("monday_reports", nil), "Report on the manuscript 'Ferry'.", 400)
 	r.waitTokens(t, 100)
 	request, address := r.home()
