Give each concept of the conductor a file of its own

Cause: hold.go, attempt.go, wave.go, drain.go and adopt.go had each grown to hold two or three concepts, and what a request's step does was hard to find. Ruled out: sub-packages, because the steps share one table of requests. Change: declarations moved, none changed; the constants stand with what reads them. Conclusion: no behaviour changed.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -15,37 +15,15 @@
 package conductor
 
 import (
-	"math/rand/v2"
 	"sort"
 
-	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
-	"github.com/dotterelhollow/dotterelhollow/internal/claimer"
-	"github.com/dotterelhollow/dotterelhollow/internal/detector"
-	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
-	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/planner"
-	"github.com/dotterelhollow/dotterelhollow/internal/retrier"
 	"github.com/dotterelhollow/dotterelhollow/internal/router"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
-// World is what the conductor reads and updates of the rest of the state
-// while it handles one event.
-type World struct {
-	Now        timekeeper.Time
-	Catalog    *catalog.Catalog // nil until the first configuration is known
-	Members    *gossiper.Members
-	Limits     *limiter.Limits
-	Budgets    *retrier.Budgets
-	Suspicions *detector.Suspicions
-	Hints      *router.Hints
-	Claims     *claimer.Table
-	Loads      map[identifier.VMID]messenger.ServerLoad
-	Rand       *rand.Rand
-}
-
 // Config says which node the conductor works for and what it may use.
 type Config struct {
 	Self        identifier.VMID
@@ -60,50 +38,6 @@
 	PlanRules    planner.Rules
 }
 
-// Safeguards holds one switch for each safeguard. All are on in every
-// process; a test turns one off to show that its checker objects.
-type Safeguards struct {
-	// DropStale drops events of attempts that are not the current one.
-	DropStale bool
-	// ClaimFirst claims a non-idempotent key before the first byte leaves.
-	ClaimFirst bool
-	// HoldFirst accepts a long request only once a peer holds its copy.
-	HoldFirst bool
-	// RepeatOnlySafe never repeats what may have run and is not idempotent.
-	RepeatOnlySafe bool
-	// AvoidLeaving gives no new work to a server that is leaving.
-	AvoidLeaving bool
-	// AdoptCopies takes over the requests of a dead owner.
-	AdoptCopies bool
-	// HandOver gives requests in flight away when this node leaves.
-	HandOver bool
-	// YieldToHolder stops serving a request that its holder has adopted.
-	YieldToHolder bool
-	// StallAlone keeps an answer back that a node with a copy may adopt.
-	StallAlone bool
-	// LaterOwner lets the owner with the larger epoch go on, of two.
-	LaterOwner bool
-	// TruthfulNotRun says not_run only where nothing can have run.
-	TruthfulNotRun bool
-}
-
-// AllSafeguards returns the switches as every process has them.
-func AllSafeguards() Safeguards {
-	return Safeguards{
-		DropStale:      true,
-		ClaimFirst:     true,
-		HoldFirst:      true,
-		RepeatOnlySafe: true,
-		AvoidLeaving:   true,
-		AdoptCopies:    true,
-		HandOver:       true,
-		YieldToHolder:  true,
-		StallAlone:     true,
-		LaterOwner:     true,
-		TruthfulNotRun: true,
-	}
-}
-
 // Conductor is the table of requests of one node.
 type Conductor struct {
 	config   Config
@@ -200,3 +134,25 @@
 	}
 	return nil
 }
+
+func (c *Conductor) tickWaiting(w *World, r *request) []messenger.Effect {
+	out := c.tickProtection(w, r)
+	if gone := c.tickStall(w, r); gone != nil {
+		return append(out, gone...)
+	}
+	if w.Now.Before(r.retryAt) {
+		return out
+	}
+	return append(out, c.startAttempt(w, r)...)
+}
+
+func (c *Conductor) tickRunning(w *World, r *request) []messenger.Effect {
+	if !r.spec.Long && r.model() && r.goneAt != timekeeper.Never && w.Now.Sub(r.goneAt) > abandonedAfter {
+		return c.cancel(w, r)
+	}
+	out := c.tickProtection(w, r)
+	if gone := c.tickStall(w, r); gone != nil {
+		return append(out, gone...)
+	}
+	return append(out, c.tickMove(w, r)...)
+}
--- /dev/null
+++ b/internal/conductor/copy.go
@@ -0,0 +1,123 @@
+package conductor
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"sort"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// heldCopy is what this node keeps of a peer's long request. The runner keeps
+// the body and the answer so far.
+type heldCopy struct {
+	spec      messenger.RequestSpec
+	epoch     identifier.Epoch
+	owner     identifier.VMID
+	attempt   identifier.AttemptNumber
+	server    identifier.VMID
+	stream    identifier.StreamName
+	delivered identifier.Tokens
+	heldAt    timekeeper.Time
+}
+
+// CopyHeld keeps or renews the copy of a peer's request. Where this node took
+// itself for the owner, the peer came after it: two nodes that both went on
+// would answer one caller from different states, and two that both yielded
+// would leave it without an answer, so the larger epoch decides.
+func (c *Conductor) CopyHeld(w *World, e messenger.CopyHeld) []messenger.Effect {
+	var out []messenger.Effect
+	if r, own := c.requests[e.Spec.Request]; own {
+		if !c.config.Safeguards.LaterOwner {
+			return nil
+		}
+		out = append(out, c.note("superseded", r, fmt.Sprintf("owner=%s", e.Owner)))
+		out = append(out, c.leaveTo(w, r, e.Owner)...)
+	}
+	if c.copies[e.Spec.Request] == nil && len(c.copies) >= c.config.MaxCopies {
+		c.counters.CopiesRefused++
+		return append(out, messenger.Forget{Request: e.Spec.Request})
+	}
+	c.copies[e.Spec.Request] = &heldCopy{
+		spec:      e.Spec,
+		epoch:     e.Epoch,
+		owner:     e.Owner,
+		attempt:   e.Attempt,
+		server:    e.Server,
+		stream:    e.Stream,
+		delivered: e.Delivered,
+		heldAt:    w.Now,
+	}
+	return out
+}
+
+// CopyDropped forgets the copy of a request that has ended.
+func (c *Conductor) CopyDropped(_ *World, e messenger.CopyDropped) []messenger.Effect {
+	delete(c.copies, e.Request)
+	return nil
+}
+
+const (
+	// copyGrace is how long a copy of an owner that is taken for dead waits
+	// before it is adopted: its push was a sign of life.
+	copyGrace = 2 * timekeeper.Second
+	// rescueTime is kept free before this node's own end to adopt the copies
+	// of silent owners and hand them on.
+	rescueTime = 3 * timekeeper.Second
+	// rescueSilence is how long such an owner has not been heard of.
+	rescueSilence = 1500 * timekeeper.Millisecond
+)
+
+// tickCopies adopts copies that no event will adopt. One came after its owner
+// was declared dead: an owner that thawed sends it, and if it lives it takes
+// it back or is heard of, so that adopting at once would make two owners. Of
+// others the owner is silent while this node itself is leaving: by the time
+// that the owner is declared dead, the copy would be gone with this node.
+func (c *Conductor) tickCopies(w *World) []messenger.Effect {
+	if !c.config.Safeguards.AdoptCopies {
+		return nil
+	}
+	rescue := c.draining && w.Now.Add(rescueTime).After(c.drainBy)
+	var out []messenger.Effect
+	for _, id := range slices.Sorted(maps.Keys(c.copies)) {
+		held := c.copies[id]
+		owner, known := w.Members.Node(held.owner)
+		dead := known && owner.State == gossiper.Dead && w.Now.Sub(held.heldAt) >= copyGrace
+		silent := known && rescue && w.Now.Sub(max(owner.LastHeard, held.heldAt)) >= rescueSilence
+		if dead || silent {
+			out = append(out, c.adopt(w, held)...)
+		}
+	}
+	return out
+}
+
+// dropOverdueCopies forgets the copies of requests whose deadline has passed.
+// Nothing is owed of them any more, and an owner that died after its answer
+// had ended, or whose word to drop the copy was lost, would leave its copies
+// here until the table is full.
+func (c *Conductor) dropOverdueCopies(w *World) []messenger.Effect {
+	var out []messenger.Effect
+	for _, id := range slices.Sorted(maps.Keys(c.copies)) {
+		if w.Now.Before(c.copies[id].spec.Deadline) {
+			continue
+		}
+		delete(c.copies, id)
+		out = append(out, messenger.Forget{Request: id})
+	}
+	return out
+}
+
+func (c *Conductor) copiesOf(owner identifier.VMID) []*heldCopy {
+	var out []*heldCopy
+	for _, held := range c.copies {
+		if held.owner == owner {
+			out = append(out, held)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].spec.Request < out[j].spec.Request })
+	return out
+}
--- a/internal/conductor/finish.go
+++ b/internal/conductor/finish.go
@@ -31,16 +31,6 @@
 	return out
 }
 
-// releaseAnswer lets the end of an answer go out. A stalled one has no holder
-// to take leave of, and would be kept back for good: nobody looks after it any
-// more. It is whole, so that no other node's part need follow it.
-func (c *Conductor) releaseAnswer(r *request) []messenger.Effect {
-	if r.hold.stalledAt == timekeeper.Never || r.hold.holder != "" {
-		return c.unhold(r)
-	}
-	return []messenger.Effect{messenger.Unhold{Request: r.spec.Request}}
-}
-
 // settleClaim records the outcome of a claimed request for those who repeat
 // its key, or frees the key where nothing ran.
 func (c *Conductor) settleClaim(w *World, r *request, outcome messenger.Outcome) []messenger.Effect {
@@ -108,19 +98,3 @@
 	out = append(out, c.unhold(r)...)
 	return append(out, c.refuse(w, r, notRun(reason, 0))...)
 }
-
-// CallerGone notes that no caller follows the request any more.
-func (c *Conductor) CallerGone(w *World, id identifier.RequestID) []messenger.Effect {
-	if r, known := c.requests[id]; known {
-		r.goneAt = w.Now
-	}
-	return nil
-}
-
-// CallerAttached notes that a caller follows the request again.
-func (c *Conductor) CallerAttached(_ *World, id identifier.RequestID) []messenger.Effect {
-	if r, known := c.requests[id]; known {
-		r.goneAt = timekeeper.Never
-	}
-	return nil
-}
--- a/internal/conductor/hold.go
+++ b/internal/conductor/hold.go
@@ -18,10 +18,6 @@
 	holdAgain = 1 * timekeeper.Second
 	// holdPatience bounds the wait for the first holder's answer.
 	holdPatience = 2 * timekeeper.Second
-	// stallPatience is how long an answer is kept back for want of a holder
-	// before the node that had the copy is left to go on. It is longer than
-	// that node takes to declare this one dead.
-	stallPatience = 9 * timekeeper.Second
 )
 
 // holdState is the off-node copy of a long request.
@@ -180,79 +176,29 @@
 	return append(out, c.goUnprotected(r)...)
 }
 
-// stall keeps the answer back while no node confirms a copy and one that had
-// a copy may be alive. This node is then likely to be the one that is cut off,
-// and taken for dead: what it gave its caller now would not be known to the
-// node that adopts the request, which would go on differently from there.
-func (c *Conductor) stall(w *World, r *request) []messenger.Effect {
-	if r.hold.stalledAt != timekeeper.Never {
+// HoldRefused ends this node's part in a request that its holder has adopted.
+// This node was frozen or cut off for so long that it was taken for dead; were
+// it to go on, two nodes would answer one caller from different states.
+func (c *Conductor) HoldRefused(w *World, e messenger.HoldRefused) []messenger.Effect {
+	r, known := c.requests[e.Request]
+	if !known || r.hold.holder != e.Holder || !c.config.Safeguards.YieldToHolder {
 		return nil
 	}
-	r.hold.stalledAt = w.Now
-	return []messenger.Effect{c.note("stalled", r, fmt.Sprintf("copy=%s", r.hold.exposed))}
+	out := []messenger.Effect{c.note("yielded", r, fmt.Sprintf("owner=%s", e.Holder))}
+	return append(out, c.leaveTo(w, r, e.Holder)...)
 }
 
-// tickStall ends a stall that lasts: the node with the copy has adopted the
-// request by now, unless it hears this node; then it is told to take it over.
-func (c *Conductor) tickStall(w *World, r *request) []messenger.Effect {
-	if r.hold.stalledAt == timekeeper.Never {
-		return nil
-	}
-	stalled := w.Now.Sub(r.hold.stalledAt)
-	if stalled < stallPatience {
-		return nil
-	}
-	out := []messenger.Effect{
-		messenger.HandOver{
-			Request:   r.spec.Request,
-			Epoch:     r.epoch,
-			Successor: r.hold.exposed,
-			Address:   r.hold.exposedAt,
-			Attempt:   r.attempt,
-			Server:    r.server,
-			Stream:    r.stream,
-		},
-		c.note("yielded", r, fmt.Sprintf("owner=%s", r.hold.exposed)),
+// holderLost moves the copies that stood with a node that is dead or leaving.
+func (c *Conductor) holderLost(w *World, vm identifier.VMID) []messenger.Effect {
+	var out []messenger.Effect
+	for _, r := range c.sortedRequests() {
+		if r.hold.holder == vm && vm != "" {
+			out = append(out, c.holdFailed(w, r)...)
+		}
 	}
-	return append(out, c.leaveTo(w, r, r.hold.exposed)...)
-}
-
-// leaveTo ends this node's part in a request that another node has.
-func (c *Conductor) leaveTo(w *World, r *request, owner identifier.VMID) []messenger.Effect {
-	out := c.leaveStream(r)
-	out = append(out, messenger.Redirect{
-		Request: r.spec.Request,
-		To:      owner,
-	})
-	c.remove(w, r, r.spec.PromptTokens+r.delivered)
 	return out
 }
 
-// confirm tells the peer that handed r over that it is safe here.
-func (c *Conductor) confirm(r *request) []messenger.Effect {
-	if !r.hold.confirm {
-		return nil
-	}
-	r.hold.confirm = false
-	return []messenger.Effect{messenger.ConfirmHandover{Request: r.spec.Request}}
-}
-
-// goUnprotected lets an accepted answer go out without a copy: no node can
-// hold one, and none that had one is alive. The time line says so, and
-// tickProtection goes on looking for a holder.
-func (c *Conductor) goUnprotected(r *request) []messenger.Effect {
-	r.hold.stalledAt = timekeeper.Never
-	out := c.confirm(r)
-	return append(out, []messenger.Effect{
-		messenger.Unhold{
-			Request: r.spec.Request,
-			Holder:  "",
-			Address: "",
-		},
-		c.note("unprotected", r, ""),
-	}...)
-}
-
 // tickProtection finds a holder for an accepted long request without one.
 func (c *Conductor) tickProtection(w *World, r *request) []messenger.Effect {
 	if !r.spec.Long || r.hold.holder != "" || w.Now.Before(r.hold.againAt) {
@@ -271,29 +217,6 @@
 	return c.holdFailed(w, r)
 }
 
-// HoldRefused ends this node's part in a request that its holder has adopted.
-// This node was frozen or cut off for so long that it was taken for dead; were
-// it to go on, two nodes would answer one caller from different states.
-func (c *Conductor) HoldRefused(w *World, e messenger.HoldRefused) []messenger.Effect {
-	r, known := c.requests[e.Request]
-	if !known || r.hold.holder != e.Holder || !c.config.Safeguards.YieldToHolder {
-		return nil
-	}
-	out := []messenger.Effect{c.note("yielded", r, fmt.Sprintf("owner=%s", e.Holder))}
-	return append(out, c.leaveTo(w, r, e.Holder)...)
-}
-
-// holderLost moves the copies that stood with a node that is dead or leaving.
-func (c *Conductor) holderLost(w *World, vm identifier.VMID) []messenger.Effect {
-	var out []messenger.Effect
-	for _, r := range c.sortedRequests() {
-		if r.hold.holder == vm && vm != "" {
-			out = append(out, c.holdFailed(w, r)...)
-		}
-	}
-	return out
-}
-
 // unhold takes the copy back from the holder, if there is one.
 func (c *Conductor) unhold(r *request) []messenger.Effect {
 	if r.hold.holder == "" {
--- /dev/null
+++ b/internal/conductor/note.go
@@ -0,0 +1,20 @@
+package conductor
+
+import (
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+)
+
+// note puts an event of request r on the time line.
+func (c *Conductor) note(kind messenger.NoteKind, r *request, detail string) messenger.Note {
+	vm := r.server
+	if vm == "" {
+		vm = c.config.Self
+	}
+	return messenger.Note{
+		Kind:    kind,
+		Request: r.spec.Request,
+		Attempt: r.attempt,
+		VM:      vm,
+		Detail:  detail,
+	}
+}
--- /dev/null
+++ b/internal/conductor/progress.go
@@ -0,0 +1,180 @@
+package conductor
+
+import (
+	"fmt"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/detector"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/retrier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// current returns the request whose current attempt is n. Messages of any
+// other attempt are late or crossed: were they heeded, a request could be
+// ended by the failure of an attempt that it has long left behind, or be
+// given another attempt's answer.
+func (c *Conductor) current(id identifier.RequestID, n identifier.AttemptNumber) (*request, bool) {
+	r, known := c.requests[id]
+	if !known {
+		return nil, false
+	}
+	if c.config.Safeguards.DropStale && (r.phase != running || r.attempt != n) {
+		return nil, false
+	}
+	return r, true
+}
+
+// AttemptStarted records that the server took the attempt.
+func (c *Conductor) AttemptStarted(w *World, e messenger.AttemptStarted) []messenger.Effect {
+	r, ok := c.current(e.Request, e.Attempt)
+	if !ok {
+		return nil
+	}
+	r.started = true
+	r.mayHaveRun = true
+	c.observe(w, r, detector.Started, 0, 0)
+	return nil
+}
+
+// AttemptProgress records how much of the answer stands with this node.
+func (c *Conductor) AttemptProgress(w *World, e messenger.AttemptProgress) []messenger.Effect {
+	r, ok := c.current(e.Request, e.Attempt)
+	if !ok {
+		return nil
+	}
+	r.mayHaveRun = true
+	r.delivered = max(r.delivered, e.Delivered)
+	if r.firstAt == 0 {
+		r.firstAt = w.Now
+		c.firstToken(w, r)
+	}
+	return nil
+}
+
+func (c *Conductor) firstToken(w *World, r *request) {
+	c.prefilling[r.server] = max(0, c.prefilling[r.server]-r.spec.PromptTokens)
+	c.observe(w, r, detector.FirstToken, w.Now.Sub(r.began), r.awaited)
+}
+
+// AttemptEnded decides what follows an attempt.
+func (c *Conductor) AttemptEnded(w *World, e messenger.AttemptEnded) []messenger.Effect {
+	r, ok := c.current(e.Request, e.Attempt)
+	if !ok {
+		return nil
+	}
+	r.delivered = max(r.delivered, e.Delivered)
+	ranNow := e.Result != messenger.AttemptNotSent && e.Result != messenger.AttemptRefused
+	r.mayHaveRun = r.mayHaveRun || ranNow
+	c.leaveServer(r)
+	r.phase = waiting
+	out := []messenger.Effect{c.note("attempt_ended", r, fmt.Sprintf("result=%s delivered=%d", e.Result, r.delivered))}
+	if e.Result == messenger.AttemptComplete {
+		c.completed(w, r)
+		return append(out, c.finish(w, r, messenger.Done, messenger.ReasonNone, 0)...)
+	}
+	if effects, ok := c.rejoin(w, r, e.Result); ok {
+		return append(out, effects...)
+	}
+	c.blame(w, r, e.Result)
+	return append(out, c.afterFailure(w, r, e)...)
+}
+
+// rejoin resumes the stream on the same server over a new connection. An open
+// connection may be dead while new ones work: the stream then goes on at the
+// server and nothing need be computed again. It is tried once for each stretch
+// of progress, so that a server that is really gone costs one dial.
+func (c *Conductor) rejoin(w *World, r *request, result messenger.AttemptResult) ([]messenger.Effect, bool) {
+	cut := result == messenger.AttemptBroken || result == messenger.AttemptSilent
+	if !cut || !r.model() {
+		return nil, false
+	}
+	if r.rejoined && r.rejoinedAt == r.delivered {
+		return nil, false
+	}
+	server, known := w.Members.Server(r.server)
+	if !known {
+		return nil, false
+	}
+	r.rejoined = true
+	r.rejoinedAt = r.delivered
+	return c.sendAttempt(w, r, server, messenger.StartResume, r.stream, rejoinWait), true
+}
+
+// afterFailure asks the retrier whether there is a next attempt.
+func (c *Conductor) afterFailure(w *World, r *request, e messenger.AttemptEnded) []messenger.Effect {
+	verdict := w.Budgets.Next(w.Now, retrier.Ask{
+		Service:    r.spec.Service,
+		Idempotent: r.spec.Idempotent || !c.config.Safeguards.RepeatOnlySafe,
+		Result:     e.Result,
+		Attempts:   r.tries,
+		Deadline:   r.spec.Deadline,
+		Delivered:  r.delivered,
+		Model:      r.model(),
+		RetryAfter: e.RetryAfter,
+
+		EarlierNotRun: !r.mayHaveRun,
+		Planned:       c.owed(w, r),
+	}, w.Rand)
+	if !verdict.Again {
+		outcome := c.truthful(r, verdict.Outcome)
+		return c.finish(w, r, outcome, verdict.Reason, verdict.RetryAfter)
+	}
+	r.failedServers[r.server] = true
+	if e.Result != messenger.AttemptRefused {
+		r.failedZones[r.zone] = true
+	}
+	r.retryAt = w.Now.Add(verdict.After)
+	if verdict.After == 0 {
+		return c.startAttempt(w, r)
+	}
+	return nil
+}
+
+// owed reports whether the next attempt is owed and costs no budget: its
+// server was taken away, or the request was accepted as long and has to
+// survive that.
+func (c *Conductor) owed(w *World, r *request) bool {
+	server, known := w.Members.Server(r.server)
+	return r.spec.Long || !known || server.Leaving
+}
+
+// truthful turns not_run into unknown where something may have run.
+func (c *Conductor) truthful(r *request, o messenger.Outcome) messenger.Outcome {
+	if o == messenger.NotRun && r.mayHaveRun && c.config.Safeguards.TruthfulNotRun {
+		return messenger.Unknown
+	}
+	return o
+}
+
+// blame tells the detector what the server did.
+func (c *Conductor) blame(w *World, r *request, result messenger.AttemptResult) {
+	switch result {
+	case messenger.AttemptNotSent:
+		c.observe(w, r, detector.NotSent, 0, 0)
+	case messenger.AttemptBroken:
+		c.observe(w, r, detector.Broken, 0, 0)
+	case messenger.AttemptSilent:
+		c.observe(w, r, detector.Silent, 0, 0)
+	case messenger.AttemptFailed:
+		c.observe(w, r, detector.Failed, 0, 0)
+	}
+}
+
+// completed tells the detector of a whole answer. Only a plain one is timed: a
+// model's length is the request's doing, not the server's.
+func (c *Conductor) completed(w *World, r *request) {
+	if r.model() {
+		c.observe(w, r, detector.Completed, 0, 0)
+		return
+	}
+	c.observe(w, r, detector.Completed, w.Now.Sub(r.began), r.expected)
+}
+
+func (c *Conductor) observe(w *World, r *request, kind detector.Kind, latency, predicted timekeeper.Duration) {
+	w.Suspicions.Observe(w.Now, r.server, detector.Observation{
+		Kind:             kind,
+		Latency:          latency,
+		PredictedLatency: predicted,
+	})
+}
--- /dev/null
+++ b/internal/conductor/refuse.go
@@ -0,0 +1,68 @@
+package conductor
+
+import (
+	"fmt"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// When a refused caller should come back.
+const (
+	retryAfterLeaving  = 100 * timekeeper.Millisecond
+	retryAfterNoServer = 2 * timekeeper.Second
+	retryAfterLogOut   = 2 * timekeeper.Second
+	retryAfterNoHolder = 1 * timekeeper.Second
+	retryAfterStart    = 1 * timekeeper.Second
+)
+
+// refuse ends a request that was not accepted and that nothing has run. The
+// holder of the claim alone knows that its key did not run: only it sends, and
+// it has just dropped the request for good.
+func (c *Conductor) refuse(w *World, r *request, refusal messenger.Refusal) []messenger.Effect {
+	var out []messenger.Effect
+	if r.claim.won {
+		out = c.sayRefused(r.spec, refusal)
+	} else {
+		out = c.refuseNew(r.spec, refusal)
+	}
+	c.releaseClaim(w, r)
+	c.remove(w, r, 0)
+	return out
+}
+
+// refuseNew refuses a request of which this node holds no claim.
+func (c *Conductor) refuseNew(spec messenger.RequestSpec, refusal messenger.Refusal) []messenger.Effect {
+	if spec.Key != "" && !spec.Idempotent && c.config.Safeguards.TruthfulNotRun {
+		// The caller may have sent the key to another node, which may be
+		// running it now. Told not_run, the caller would send the mail again
+		// under a new key. Unknown with Retry-After makes it repeat the same
+		// key, which is safe.
+		refusal.Outcome = messenger.Unknown
+	}
+	return c.sayRefused(spec, refusal)
+}
+
+func (c *Conductor) sayRefused(spec messenger.RequestSpec, refusal messenger.Refusal) []messenger.Effect {
+	c.counters.Refused++
+	return []messenger.Effect{
+		messenger.Refuse{
+			Request: spec.Request,
+			Refusal: refusal,
+		},
+		messenger.Note{
+			Kind:    "refused",
+			Request: spec.Request,
+			VM:      c.config.Self,
+			Detail:  fmt.Sprintf("reason=%s outcome=%s", refusal.Reason, refusal.Outcome),
+		},
+	}
+}
+
+func notRun(reason messenger.Reason, after timekeeper.Duration) messenger.Refusal {
+	return messenger.Refusal{
+		Reason:     reason,
+		Outcome:    messenger.NotRun,
+		RetryAfter: after,
+	}
+}
--- a/internal/conductor/request.go
+++ b/internal/conductor/request.go
@@ -86,22 +86,10 @@
 // untouched reports whether nothing of the request can have run.
 func (r *request) untouched() bool { return !r.mayHaveRun && r.phase != running }
 
-// ownerStride separates the attempt numbers of successive owners. A former
-// owner that was taken for dead may still start attempts; the stride keeps
-// its numbers, and so its stream names, apart from the new owner's.
-const ownerStride = 100
-
-// takenWith gives r to this node with an epoch.
-func (r *request) takenWith(e identifier.Epoch, last identifier.AttemptNumber) {
-	r.epoch = e
-	r.attempt = max(last, identifier.AttemptNumber(e)*ownerStride)
+// pace returns the tokens per second the stream is expected to make.
+func (r *request) pace(unloaded float64) float64 {
+	if r.perToken <= 0 {
+		return unloaded
+	}
+	return float64(timekeeper.Second) / float64(r.perToken)
 }
-
-const (
-	// takeoverStep is how much larger the epoch of a new owner is.
-	takeoverStep = 1
-	// renewalStep is how much the owner's epoch grows when it leaves a holder
-	// or successor behind that may go on with the request. It is larger than
-	// takeoverStep, so that the owner still comes after that node.
-	renewalStep = 2
-)
--- /dev/null
+++ b/internal/conductor/stall.go
@@ -0,0 +1,88 @@
+package conductor
+
+import (
+	"fmt"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// stallPatience is how long an answer is kept back for want of a holder
+// before the node that had the copy is left to go on. It is longer than
+// that node takes to declare this one dead.
+const stallPatience = 9 * timekeeper.Second
+
+// stall keeps the answer back while no node confirms a copy and one that had
+// a copy may be alive. This node is then likely to be the one that is cut off,
+// and taken for dead: what it gave its caller now would not be known to the
+// node that adopts the request, which would go on differently from there.
+func (c *Conductor) stall(w *World, r *request) []messenger.Effect {
+	if r.hold.stalledAt != timekeeper.Never {
+		return nil
+	}
+	r.hold.stalledAt = w.Now
+	return []messenger.Effect{c.note("stalled", r, fmt.Sprintf("copy=%s", r.hold.exposed))}
+}
+
+// tickStall ends a stall that lasts: the node with the copy has adopted the
+// request by now, unless it hears this node; then it is told to take it over.
+func (c *Conductor) tickStall(w *World, r *request) []messenger.Effect {
+	if r.hold.stalledAt == timekeeper.Never {
+		return nil
+	}
+	stalled := w.Now.Sub(r.hold.stalledAt)
+	if stalled < stallPatience {
+		return nil
+	}
+	out := []messenger.Effect{
+		messenger.HandOver{
+			Request:   r.spec.Request,
+			Epoch:     r.epoch,
+			Successor: r.hold.exposed,
+			Address:   r.hold.exposedAt,
+			Attempt:   r.attempt,
+			Server:    r.server,
+			Stream:    r.stream,
+		},
+		c.note("yielded", r, fmt.Sprintf("owner=%s", r.hold.exposed)),
+	}
+	return append(out, c.leaveTo(w, r, r.hold.exposed)...)
+}
+
+// goUnprotected lets an accepted answer go out without a copy: no node can
+// hold one, and none that had one is alive. The time line says so, and
+// tickProtection goes on looking for a holder.
+func (c *Conductor) goUnprotected(r *request) []messenger.Effect {
+	r.hold.stalledAt = timekeeper.Never
+	out := c.confirm(r)
+	return append(out, []messenger.Effect{
+		messenger.Unhold{
+			Request: r.spec.Request,
+			Holder:  "",
+			Address: "",
+		},
+		c.note("unprotected", r, ""),
+	}...)
+}
+
+// releaseAnswer lets the end of an answer go out. A stalled one has no holder
+// to take leave of, and would be kept back for good: nobody looks after it any
+// more. It is whole, so that no other node's part need follow it.
+func (c *Conductor) releaseAnswer(r *request) []messenger.Effect {
+	if r.hold.stalledAt == timekeeper.Never || r.hold.holder != "" {
+		return c.unhold(r)
+	}
+	return []messenger.Effect{messenger.Unhold{Request: r.spec.Request}}
+}
+
+// leaveTo ends this node's part in a request that another node has.
+func (c *Conductor) leaveTo(w *World, r *request, owner identifier.VMID) []messenger.Effect {
+	out := c.leaveStream(r)
+	out = append(out, messenger.Redirect{
+		Request: r.spec.Request,
+		To:      owner,
+	})
+	c.remove(w, r, r.spec.PromptTokens+r.delivered)
+	return out
+}
--- a/internal/conductor/wave.go
+++ b/internal/conductor/wave.go
@@ -10,15 +10,6 @@
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
-// moveState is what the plan of a wave says of one stream.
-type moveState struct {
-	action  planner.Action
-	to      identifier.VMID
-	startAt timekeeper.Time
-	// sent tells that the KV export is under way.
-	sent bool
-}
-
 // ServersLeaving plans once for all streams of this node that run on servers
 // that are leaving. It is called again when a further notice comes in the
 // middle; exports under way are left alone.
@@ -137,14 +128,6 @@
 	}, true
 }
 
-// pace returns the tokens per second the stream is expected to make.
-func (r *request) pace(unloaded float64) float64 {
-	if r.perToken <= 0 {
-		return unloaded
-	}
-	return float64(timekeeper.Second) / float64(r.perToken)
-}
-
 func (c *Conductor) room(w *World, name identifier.PoolName, s gossiper.Server) planner.Room {
 	pool := w.Catalog.Pools[name]
 	load := w.Loads[s.VM]
@@ -156,80 +139,3 @@
 		KVTokens: load.FreeKVTokens,
 	}
 }
-
-// tickMove carries out the planned move of a stream when its time has come.
-func (c *Conductor) tickMove(w *World, r *request) []messenger.Effect {
-	if r.move.action == "" || r.move.sent || w.Now.Before(r.move.startAt) {
-		return nil
-	}
-	switch r.move.action {
-	case planner.Export:
-		return c.startExport(w, r)
-	case planner.Prefill:
-		return c.moveByPrefill(w, r)
-	}
-	r.move = moveState{}
-	return nil
-}
-
-func (c *Conductor) startExport(w *World, r *request) []messenger.Effect {
-	to, known := w.Members.Server(r.move.to)
-	if !known || to.Leaving {
-		return c.moveByPrefill(w, r)
-	}
-	r.move.sent = true
-	return []messenger.Effect{
-		messenger.MoveKV{
-			Request:     r.spec.Request,
-			Attempt:     r.attempt,
-			Stream:      r.stream,
-			FromAddress: r.address,
-			To:          to.VM,
-			ToAddress:   to.Address,
-		},
-		c.note("kv_export", r, fmt.Sprintf("to=%s", to.VM)),
-	}
-}
-
-// moveByPrefill ends the attempt on the leaving server and resumes elsewhere
-// from the prompt and the tokens delivered so far.
-func (c *Conductor) moveByPrefill(w *World, r *request) []messenger.Effect {
-	r.move = moveState{}
-	r.rejoined = false
-	out := c.stop(r)
-	return append(out, c.startAttempt(w, r)...)
-}
-
-// KVMoved continues a stream where its KV cache went, or by prefill.
-func (c *Conductor) KVMoved(w *World, e messenger.KVMoved) []messenger.Effect {
-	r, ok := c.current(e.Request, e.Attempt)
-	if !ok || r.phase != running || !r.move.sent {
-		return nil
-	}
-	to, known := w.Members.Server(e.To)
-	if !e.OK || !known || to.Leaving {
-		return c.moveByPrefill(w, r)
-	}
-	r.move = moveState{}
-	r.rejoined = false
-	stream := r.stream
-	out := c.stop(r)
-	return append(out, c.sendAttempt(w, r, to, messenger.StartImported, stream, rejoinWait)...)
-}
-
-// ServerGone ends the attempts on a server that the platform took away.
-func (c *Conductor) ServerGone(w *World, vm identifier.VMID) []messenger.Effect {
-	w.Suspicions.Forget(vm)
-	w.Hints.Forget(vm)
-	var out []messenger.Effect
-	for _, r := range c.sortedRequests() {
-		if r.phase != running || r.server != vm || !r.spec.Idempotent {
-			continue
-		}
-		r.failedServers[vm] = true
-		out = append(out, c.stop(r)...)
-		r.mayHaveRun = true
-		out = append(out, c.startAttempt(w, r)...)
-	}
-	return out
-}
