Hold an account's limit without refusing what is within it

Cause: shares of a limit followed the demand of the last 2 s, which for a small account is one request; the burst was split so far that one report did not fit; a bucket in debt refused calls that need no tokens; callers told to come back after up to 150 ms, twice, were late for a target of 300 ms; and an account over its limit lost reports like lookups, at a hundred times the penalty. Ruled out: the whole burst at each node (nodes together would break the factor of two); limits off (breaks the promise); floors alone (harm while news is late). Change: demand over 10 s; what no node is asked for is shared evenly, and lent beyond it as far as the burst pays for in the second that news takes; a node's last bit of a share is spent on one request of any size; ten percent of headroom; the burst dealt out twice; the last tenth of a burst is kept for the account's dear requests; callers come back after 200 ms and a little.

--- a/internal/bencher/variant.go
+++ b/internal/bencher/variant.go
@@ -94,6 +94,7 @@
 		Limiter: limiter.Rules{
 			AccountLimits: true,
 			ShareByDemand: true,
+			ShareUnused:   true,
 			SlowRise:      true,
 			Floor:         true,
 		},
--- a/internal/limiter/bucket.go
+++ b/internal/limiter/bucket.go
@@ -10,7 +10,8 @@
 //
 // golang.org/x/time/rate takes explicit times too, but not the rest: it
 // refuses for ever what exceeds its burst, while here a node's share of the
-// burst may be smaller than one request; it gives back only reservations that
+// burst may be smaller than one request, and its last bit is spent on a request
+// of any size; it gives back only reservations that
 // have not yet been acted on, while a request settles when it ends; and it
 // locks, which a pure package has no use for.
 type bucket struct {
@@ -35,13 +36,15 @@
 	b.level = min(b.level+b.rate*passed.Seconds(), b.capacity)
 }
 
-// wait is the time until n may be taken, zero for now. What exceeds the
-// capacity may be taken from a full bucket, which then goes into debt.
-func (b *bucket) wait(n float64) timekeeper.Duration {
-	if b.unlimited() {
+// wait is the time until n may be taken, zero for now. A bucket that is not
+// empty may go into debt by one request: the rest of a node's share is often
+// smaller than what the account, by all its shares, may have. What needs
+// nothing always passes. The part keep of the capacity is not to be touched.
+func (b *bucket) wait(n, keep float64) timekeeper.Duration {
+	if b.unlimited() || n <= 0 {
 		return 0
 	}
-	missing := min(n, b.capacity) - b.level
+	missing := min(n, 1) + keep*b.capacity - b.level
 	if missing <= roundingError {
 		return 0
 	}
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -31,10 +31,14 @@
 	// ShareByDemand shares a limit by demand; without it each node has the
 	// same part.
 	ShareByDemand bool
+	// ShareUnused shares evenly what no node is asked for.
+	ShareUnused bool
 	// SlowRise bounds how fast a node's share may grow.
 	SlowRise bool
 	// Floor gives every node a small part of each limit.
 	Floor bool
+	// DearFirst keeps the last of a limit for the account's dear requests.
+	DearFirst bool
 	// Deadline refuses what cannot be done in time.
 	Deadline bool
 	// Reserve keeps slots free for interactive work.
@@ -54,8 +58,10 @@
 	return Rules{
 		AccountLimits: true,
 		ShareByDemand: true,
+		ShareUnused:   true,
 		SlowRise:      true,
 		Floor:         true,
+		DearFirst:     true,
 		Deadline:      true,
 		Reserve:       true,
 		Shed:          true,
@@ -157,7 +163,7 @@
 	}
 	acc := l.account(now, a.Account)
 	l.refill(now, acc, spec)
-	acc.note(a.Tokens)
+	acc.note(a)
 	p := l.pool(service.Pool)
 	if v := l.checkDeadline(now, a, p); !v.OK {
 		return v
@@ -203,7 +209,11 @@
 	if !l.rules.AccountLimits {
 		return Verdict{OK: true}
 	}
-	wait := max(acc.requests.wait(1), acc.tokens.wait(float64(a.Tokens)))
+	keep := 0.0
+	if l.rules.DearFirst && !acc.dear(a) {
+		keep = dearPart
+	}
+	wait := max(acc.requests.wait(1, keep), acc.tokens.wait(float64(a.Tokens), keep))
 	if wait == 0 {
 		return Verdict{OK: true}
 	}
--- a/internal/limiter/returns.go
+++ b/internal/limiter/returns.go
@@ -8,13 +8,13 @@
 
 const (
 	// minRetry and maxRetry bound what refused callers are told.
-	minRetry = 100 * timekeeper.Millisecond
+	minRetry = 200 * timekeeper.Millisecond
 	maxRetry = 60 * timekeeper.Second
 	// unconfiguredRetry is the time in which a new node learns its
 	// configuration.
 	unconfiguredRetry = 2 * timekeeper.Second
 	// returnSpread is the share by which return times are spread.
-	returnSpread = 0.5
+	returnSpread = 0.15
 	// goldenPart is the fractional part of the golden ratio: its multiples
 	// fall evenly between 0 and 1 however many there are.
 	goldenPart = 0.6180339887498949
--- a/internal/limiter/share.go
+++ b/internal/limiter/share.go
@@ -10,25 +10,41 @@
 )
 
 const (
-	// demandWindow is the time over which demand is smoothed.
-	demandWindow = 2 * timekeeper.Second
-	// floorPart is the part of each limit that is shared evenly, so that a
-	// node without demand so far can admit its first requests.
+	// demandWindow is the time over which demand is smoothed. It is longer than
+	// the time between two requests of a small account at one node: over a
+	// shorter one the share jumps to whichever node was asked last.
+	demandWindow = 10 * timekeeper.Second
+	// floorPart is the part of each limit that is shared evenly even when the
+	// account asks for more than its limit.
 	floorPart = 0.1
+	// headroom is how far the nodes together let an account go beyond its
+	// limit for good, so that an error of the shares costs no account within
+	// its limit a request.
+	headroom = 1.1
 	// idleRequests and idleTokens are a demand so small that it tells
 	// nothing: below it the shares tend to equal ones.
 	idleRequests = 0.05
 	idleTokens   = 50
-	// doubling is the time in which a share may double. It is longer than
-	// news takes to reach all live nodes.
-	doubling = 1 * timekeeper.Second
+	// doubling is the time in which a share may double. In a second, by which
+	// news has reached all live nodes, it grows 1.8 times, which with the
+	// headroom stays below Overshoot.
+	doubling = 1200 * timekeeper.Millisecond
+	// lendTime is how late news of demand is at most. A node lends itself what
+	// no node asks for at a rate that the burst pays for in that time.
+	lendTime = 1 * timekeeper.Second
+	// dearPart is the part of a limit's burst that is kept for dear requests,
+	// and worthWeight the weight of the newest request in their mean.
+	dearPart    = 0.1
+	worthWeight = 0.01
 	// negligible is the demand below which an account is not reported.
 	negligible = 0.01
 )
 
-// Overshoot is the factor by which all nodes together may exceed a limit
-// while news of demand is on its way, bursts aside, where news takes no
-// longer than the doubling time of a share.
+// Overshoot is the factor by which all nodes together may exceed a limit, rate
+// and burst alike, and one request a node besides, where news of demand takes
+// no longer than a second. The rate is exceeded so far only while the news is
+// on its way; for good it is held to 1.1 times the limit. The burst is dealt
+// out twice, because callers wander between nodes and leave parts of it behind.
 const Overshoot = 2
 
 // Demand is what an account asks for at one node, per second, admitted or not.
@@ -39,8 +55,10 @@
 
 // account is the state of one client account on this node.
 type account struct {
-	at       timekeeper.Time
-	demand   Demand
+	at     timekeeper.Time
+	demand Demand
+	// worth follows the mean logarithm of the penalties of its requests.
+	worth    float64
 	requests limit
 	tokens   limit
 }
@@ -116,26 +134,49 @@
 	acc.demand = acc.demandAt(now)
 	acc.at = max(acc.at, now)
 	others := l.others[spec.ID]
-	share := l.share(acc.demand.Requests, others.Requests, idleRequests)
-	acc.requests.advance(passed, l.limitShare(share, &acc.requests, passed), spec.RequestsPerSecond, max(spec.RequestBurst, 1), 1)
-	share = l.share(acc.demand.Tokens, others.Tokens, idleTokens)
-	acc.tokens.advance(passed, l.limitShare(share, &acc.tokens, passed), spec.TokensPerSecond, spec.TokenBurst, 1)
+	share := l.share(acc.demand.Requests, others.Requests, idleRequests, spec.RequestsPerSecond)
+	acc.requests.advance(passed, l.limitShare(share, &acc.requests, passed), l.lent(acc.demand.Requests+others.Requests, spec.RequestsPerSecond, spec.RequestBurst), spec.RequestsPerSecond, max(spec.RequestBurst, 1), 1)
+	share = l.share(acc.demand.Tokens, others.Tokens, idleTokens, spec.TokensPerSecond)
+	acc.tokens.advance(passed, l.limitShare(share, &acc.tokens, passed), l.lent(acc.demand.Tokens+others.Tokens, spec.TokensPerSecond, spec.TokenBurst), spec.TokensPerSecond, spec.TokenBurst, 1)
 }
 
-func (l *limit) advance(passed timekeeper.Duration, share, rate, burst, least float64) {
+func (l *limit) advance(passed timekeeper.Duration, share, lent, rate, burst, least float64) {
 	l.refill(passed)
 	l.share = share
 	l.settled = true
-	l.set(rate*share, max(burst*share, least))
+	l.set(rate*share*headroom+lent, max(burst*min(share*Overshoot, 1), least))
 }
 
-// share is the part of a limit that this node's demand calls for.
-func (l *Limits) share(own, others, idle float64) float64 {
+// lent is the rate beyond its share that a node may admit because the account
+// leaves it unused.
+//
+// All of an account's callers may come to one node, whose share rises only with
+// the demand that it sees. Until then it takes what the others leave. They may
+// take the same at the same moment, so the rates lent add up to no more than
+// the account's burst by the time that all know of each other's demand.
+func (l *Limits) lent(asked, rate, burst float64) float64 {
+	if !l.rules.ShareUnused || l.nodes < 2 {
+		return 0
+	}
+	others := float64(l.nodes - 1)
+	return max(0, min((rate-asked)*others/(others+1), burst/(others*lendTime.Seconds())))
+}
+
+// share is the part of a limit that this node's demand calls for: what it is
+// asked for, and an equal part of what no node is asked for.
+//
+// Shares in proportion to demand alone leave a node almost nothing until it
+// has seen demand, and callers who wander from node to node are refused at
+// each new one although their account uses a fraction of its limit.
+func (l *Limits) share(own, others, idle, limit float64) float64 {
 	nodes := float64(l.nodes)
 	equal := 1 / nodes
 	if !l.rules.ShareByDemand {
 		return equal
 	}
+	if l.rules.ShareUnused {
+		idle = max(idle, (limit-own-others)/nodes)
+	}
 	part := (own + idle) / (own + others + idle*nodes)
 	if !l.rules.Floor {
 		return part
@@ -170,7 +211,23 @@
 }
 
 // note adds one request to the demand.
-func (a *account) note(tokens identifier.Tokens) {
+func (a *account) note(ask Ask) {
 	a.demand.Requests += 1 / demandWindow.Seconds()
-	a.demand.Tokens += float64(tokens) / demandWindow.Seconds()
+	a.demand.Tokens += float64(ask.Tokens) / demandWindow.Seconds()
+	worth := worthOf(ask)
+	if a.worth == 0 {
+		a.worth = worth
+	}
+	a.worth += worthWeight * (worth - a.worth)
 }
+
+// dear tells whether a request carries no less penalty than the account's
+// others, by their geometric mean: in the arithmetic one a few reports
+// outweigh all the rest.
+//
+// The requests of one account compete for its limit, and the limit says nothing
+// of which to refuse. In a crowd of lookups a report would be refused like any
+// of them, at a hundred times the penalty.
+func (a *account) dear(ask Ask) bool { return worthOf(ask) >= a.worth }
+
+func worthOf(ask Ask) float64 { return math.Log(max(float64(ask.Target.Penalty), 1)) }
