Name the conductor's steps, and say what each safeguard prevents

Cause: names such as owed, mustGo and endangered, and one tick function for each state, had to be explained; sendAttempt took seven parameters; two effects and the order of requests stood twice; safeguards did not say their symptom. Ruled out: one state object for each phase, because a request keeps its hold and its handover through several phases. Change: functions are named for what they do when they are due; an attempt that is about to be sent is a struct; takeOver and ServersLeaving are split; a field that was only written is gone; the package comment leads through the files. Conclusion: no behaviour changed.

--- a/internal/conductor/adopt.go
+++ b/internal/conductor/adopt.go
@@ -61,8 +61,31 @@
 	how       messenger.NoteKind
 }
 
+// takeOver makes this node the owner of t and goes on with it.
 func (c *Conductor) takeOver(w *World, t takenRequest) []messenger.Effect {
 	delete(c.copies, t.spec.Request)
+	r := c.own(w, t)
+	out := []messenger.Effect{c.note(t.how, r, fmt.Sprintf("from=%s delivered=%d", t.from, t.delivered))}
+	out = append(out, c.protect(w, r)...)
+	if w.Catalog == nil {
+		return out // advanceWaiting starts it once the configuration is known.
+	}
+	server, known := w.Members.Server(t.server)
+	if !known || !r.model() {
+		return append(out, c.startAttempt(w, r)...)
+	}
+	r.markRejoined()
+	return append(out, c.sendAttempt(w, r, plannedAttempt{
+		server:     server,
+		mode:       messenger.StartResume,
+		stream:     t.stream,
+		firstToken: rejoinWait,
+	})...)
+}
+
+// own puts t into the table of this node's requests. Another node may have
+// sent it, so it is taken to have run.
+func (c *Conductor) own(w *World, t takenRequest) *request {
 	s, _ := service(w, t.spec.Service)
 	r := newRequest(t.spec, s)
 	r.accepted = true
@@ -73,25 +96,20 @@
 	r.delivered = t.delivered
 	r.retryAt = w.Now
 	c.requests[t.spec.Request] = r
-	out := []messenger.Effect{c.note(t.how, r, fmt.Sprintf("from=%s delivered=%d", t.from, t.delivered))}
-	if r.spec.Long {
-		held, ok := c.sendHold(w, r)
-		if !ok {
-			r.hold.againAt = w.Now.Add(holdAgain)
-			held = c.goUnprotected(r)
-		}
-		out = append(out, held...)
-	} else {
-		out = append(out, c.confirm(r)...)
-	}
-	if w.Catalog == nil {
-		return out // tickWaiting starts it once the configuration is known.
+	return r
+}
+
+// protect gives a request that was taken over a holder of this node's own. The
+// peer that handed a long request over is told so only once the copy stands:
+// were it told before, the death of this node would lose the request.
+func (c *Conductor) protect(w *World, r *request) []messenger.Effect {
+	if !r.spec.Long {
+		return c.confirm(r)
 	}
-	server, known := w.Members.Server(t.server)
-	if !known || !r.model() {
-		return append(out, c.startAttempt(w, r)...)
+	out, ok := c.sendHold(w, r)
+	if !ok {
+		r.hold.againAt = w.Now.Add(holdAgain)
+		return c.goUnprotected(r)
 	}
-	r.rejoined = true
-	r.rejoinedAt = r.delivered
-	return append(out, c.sendAttempt(w, r, server, messenger.StartResume, t.stream, rejoinWait)...)
+	return out
 }
--- a/internal/conductor/attempt.go
+++ b/internal/conductor/attempt.go
@@ -12,16 +12,29 @@
 
 const (
 	// noServerPause is the wait before servers are looked for again; it is
-	// jittered by up to its own length.
+	// jittered by up to its own length, so that the requests that wait for one
+	// server do not all fall on it at once.
 	noServerPause = 200 * timekeeper.Millisecond
-	// abandonedAfter is how long a short request runs on without a caller.
-	abandonedAfter = 10 * timekeeper.Second
+	// rejoinWait is the predicted wait for the first answer of a stream that is
+	// joined. The server only has to look it up, but the stream may still wait
+	// in its queue; taken for silent then, it would be computed again elsewhere.
+	rejoinWait = 2500 * timekeeper.Millisecond
 )
 
-// rejoinWait is the first answer's predicted time when a stream is rejoined.
-// The server only has to look it up, but the stream may still wait in its
-// queue; taken for silent then, it would be computed again elsewhere.
-const rejoinWait = 2500 * timekeeper.Millisecond
+// plannedAttempt is an attempt that is about to be sent.
+type plannedAttempt struct {
+	server gossiper.Server
+	mode   messenger.StartMode
+	stream identifier.StreamName
+	// firstToken is the predicted wait for the first token or byte.
+	firstToken timekeeper.Duration
+}
+
+// joins reports whether the attempt joins a stream that is under way, so that
+// its first token says nothing of the server's speed.
+func (p plannedAttempt) joins() bool {
+	return p.mode == messenger.StartResume || p.mode == messenger.StartImported
+}
 
 // startAttempt sends the next attempt to the server that the router chooses.
 func (c *Conductor) startAttempt(w *World, r *request) []messenger.Effect {
@@ -33,18 +46,27 @@
 	if !ok {
 		return c.pause(w, r)
 	}
-	server, _ := w.Members.Server(choice.Server)
-	mode := messenger.StartFresh
-	if r.model() && r.delivered > 0 {
-		mode = messenger.StartPrefill
-	}
 	r.expected = choice.Predicted.Completion
 	r.perToken = choice.Predicted.PerToken
-	next := r.attempt + 1
-	out := c.sendAttempt(w, r, server, mode, identifier.Stream(r.spec.Request, next), choice.Predicted.FirstToken)
+	server, _ := w.Members.Server(choice.Server)
+	out := c.sendAttempt(w, r, plannedAttempt{
+		server:     server,
+		mode:       r.startMode(),
+		stream:     identifier.Stream(r.spec.Request, r.attempt+1),
+		firstToken: choice.Predicted.FirstToken,
+	})
 	return append(out, c.note("routed", r, choice.Why))
 }
 
+// startMode says how an attempt on a server that has nothing of the stream
+// begins.
+func (r *request) startMode() messenger.StartMode {
+	if r.model() && r.delivered > 0 {
+		return messenger.StartPrefill
+	}
+	return messenger.StartFresh
+}
+
 // pause waits for a server to come back, or for the list to show a new one.
 func (c *Conductor) pause(w *World, r *request) []messenger.Effect {
 	r.phase = waiting
@@ -56,48 +78,46 @@
 	return nil
 }
 
-// sendAttempt makes a new current attempt of r at the server.
-func (c *Conductor) sendAttempt(
-	w *World, r *request, s gossiper.Server,
-	mode messenger.StartMode, stream identifier.StreamName, firstToken timekeeper.Duration,
-) []messenger.Effect {
-	r.attempt++
-	r.tries++
-	r.phase = running
-	r.server = s.VM
-	r.zone = s.Zone
-	r.address = s.Address
-	r.stream = stream
-	r.began = w.Now
-	r.started = false
-	r.firstAt = 0
-	r.awaited = firstToken
-	if mode == messenger.StartResume || mode == messenger.StartImported {
-		r.awaited = 0
-	}
-	r.move = moveState{}
-	c.counters.Attempts++
-	c.countStart(r, mode)
-	c.onServer[s.VM]++
-	c.prefilling[s.VM] += r.spec.PromptTokens
+// sendAttempt makes p the current attempt of r.
+func (c *Conductor) sendAttempt(w *World, r *request, p plannedAttempt) []messenger.Effect {
+	r.begin(w.Now, p)
+	c.countAttempt(r, p)
 	c.observe(w, r, detector.Sent, 0, 0)
-	w.Hints.Routed(w.Now, s.VM, r.spec.Prefix)
+	w.Hints.Routed(w.Now, r.server, r.spec.Prefix)
 	return []messenger.Effect{
 		messenger.SendAttempt{
 			Request:      r.spec.Request,
 			Attempt:      r.attempt,
-			Server:       s.VM,
-			Address:      s.Address,
-			Mode:         mode,
-			Stream:       stream,
+			Server:       r.server,
+			Address:      r.address,
+			Mode:         p.mode,
+			Stream:       r.stream,
 			From:         r.delivered,
 			Priority:     r.service.Priority,
 			Deadline:     r.spec.Deadline,
-			FirstSilence: c.firstSilence(w, r, firstToken),
+			FirstSilence: c.firstSilence(w, r, p.firstToken),
 			NextSilence:  detector.NextSilence(r.perToken),
 		},
-		c.note("attempt_sent", r, fmt.Sprintf("mode=%s from=%d stream=%s", mode, r.delivered, stream)),
+		c.note("attempt_sent", r, fmt.Sprintf("mode=%s from=%d stream=%s", p.mode, r.delivered, r.stream)),
+	}
+}
+
+// begin takes up p as the current attempt.
+func (r *request) begin(now timekeeper.Time, p plannedAttempt) {
+	r.attempt++
+	r.tries++
+	r.phase = running
+	r.server = p.server.VM
+	r.zone = p.server.Zone
+	r.address = p.server.Address
+	r.stream = p.stream
+	r.began = now
+	r.firstAt = 0
+	r.awaited = p.firstToken
+	if p.joins() {
+		r.awaited = 0
 	}
+	r.move = moveState{}
 }
 
 // firstSilence bounds the wait for the first byte. A plain call that may not
@@ -110,10 +130,14 @@
 	return detector.FirstSilence(firstToken)
 }
 
-// countStart counts what the attempt makes servers compute again.
-func (c *Conductor) countStart(r *request, mode messenger.StartMode) {
+// countAttempt counts the attempt at its server, and what it makes the server
+// compute again.
+func (c *Conductor) countAttempt(r *request, p plannedAttempt) {
+	c.counters.Attempts++
+	c.onServer[r.server]++
+	c.prefilling[r.server] += r.spec.PromptTokens
 	switch {
-	case mode == messenger.StartResume || mode == messenger.StartImported:
+	case p.joins():
 		c.counters.Resumed++
 	case r.mayHaveRun && r.model():
 		c.counters.RecomputedTokens += r.spec.PromptTokens + r.delivered
--- a/internal/conductor/claim.go
+++ b/internal/conductor/claim.go
@@ -36,8 +36,8 @@
 	if entry, known := w.Claims.Lookup(r.spec.Account, r.spec.Key); known && c.settles(entry) {
 		return c.answerFromEntry(w, r, entry)
 	}
-	c.nextNote++
-	nonce := identifier.Nonce(fmt.Sprintf("%s.%d.%d", c.config.Self, c.config.Incarnation, c.nextNote))
+	c.nonces++
+	nonce := identifier.Nonce(fmt.Sprintf("%s.%d.%d", c.config.Self, c.config.Incarnation, c.nonces))
 	stream, record, err := w.Claims.Begin(w.Now, r.spec.Request, r.spec.Account, r.spec.Key, nonce, r.service.KeyWindow)
 	if err != nil {
 		// The table is full or the log is out. Running unclaimed could run
@@ -67,8 +67,8 @@
 	return !e.Released && (e.Winner != c.config.Self || e.Recorded != nil)
 }
 
-// tickClaim appends an unanswered claim again and gives up an overdue one.
-func (c *Conductor) tickClaim(w *World, r *request) []messenger.Effect {
+// retryClaim appends an unanswered claim again and gives up an overdue one.
+func (c *Conductor) retryClaim(w *World, r *request) []messenger.Effect {
 	if !w.Now.Before(r.claim.giveUpAt) || w.Claims.Out(w.Now, r.claim.stream) {
 		return c.refuse(w, r, notRun(messenger.ReasonLogUnavailable, retryAfterLogOut))
 	}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -1,13 +1,28 @@
 // Package conductor leads each request through its life on this node:
 //
 //	received -> refused
-//	received -> claiming -> holding -> running -> ended
+//	received -> claiming -> holding -> running <-> waiting -> finished
 //
-// Only a non-idempotent request with a key is claimed, and only a long one is
-// held by a peer before it is accepted. A running request has at most one
-// current attempt; between two attempts it waits. A request leaves the node
-// early when it is handed over to a successor, and enters it late when the
-// node adopts the copy of a dead owner.
+// Each step has its file:
+//
+//   - receive.go admits a request or refuses it, and refuse.go says what a
+//     refusal may truthfully call it.
+//   - claim.go claims a non-idempotent request with a key through the log, so
+//     that it runs at most once over all nodes.
+//   - hold.go gives a long request's copy to a peer, the holder, before the
+//     request is accepted; copy.go is the holder's side. stall.go says what
+//     becomes of the answer while there is no holder.
+//   - attempt.go sends the current attempt to a backend server, and progress.go
+//     decides what follows from its events. A running request has one current
+//     attempt; between two attempts it waits.
+//   - wave.go plans for the streams on servers that are leaving, and move.go
+//     carries the plan out.
+//   - finish.go ends a request, and caller.go notes who reads its answer.
+//
+// A request leaves the node early when it is handed over to a successor
+// (drain.go, handover.go), and enters it in the middle of its life when a peer
+// hands it over or the node adopts the copy of a dead owner (adopt.go). Two
+// nodes may then take themselves for the owner; epoch.go says who yields.
 //
 // The package decides and does nothing: its methods change the Conductor's
 // tables and return effects. It reads the other slices of the state through a
@@ -15,7 +30,8 @@
 package conductor
 
 import (
-	"sort"
+	"maps"
+	"slices"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/planner"
@@ -50,26 +66,33 @@
 	prefilling map[identifier.VMID]identifier.Tokens
 	// arrivals counts the requests received for each pool.
 	arrivals map[identifier.PoolName]int
+	// draining tells that this node leaves, by drainBy.
 	draining bool
 	drainBy  timekeeper.Time
-	// planned tells that the drain ends the process itself.
-	planned  bool
-	exited   bool
-	nextNote uint64
+	// planned tells that the drain ends the process itself, and exited that
+	// it was told so.
+	planned bool
+	exited  bool
+	// nonces counts the nonces of this process's claims.
+	nonces   uint64
 	counters Counters
 }
 
 // Counters counts what the conductor did, for metrics and measurements.
 type Counters struct {
-	Accepted         int64
-	Refused          int64
-	Done             int64
-	Attempts         int64
-	Resumed          int64
-	Adopted          int64
-	HandedOver       int64
+	Accepted int64
+	Refused  int64
+	Done     int64
+	Attempts int64
+	// Resumed counts the attempts that joined a stream under way.
+	Resumed    int64
+	Adopted    int64
+	HandedOver int64
+	// RecomputedTokens counts what attempts after the first made servers read
+	// or make again.
 	RecomputedTokens identifier.Tokens
-	CopiesRefused    int64
+	// CopiesRefused counts the copies for which there was no room.
+	CopiesRefused int64
 }
 
 // New returns a conductor without requests.
@@ -100,10 +123,9 @@
 // same events always give the same effects.
 func (c *Conductor) sortedRequests() []*request {
 	all := make([]*request, 0, len(c.requests))
-	for _, r := range c.requests {
-		all = append(all, r)
+	for _, id := range slices.Sorted(maps.Keys(c.requests)) {
+		all = append(all, c.requests[id])
 	}
-	sort.Slice(all, func(i, j int) bool { return all[i].spec.Request < all[j].spec.Request })
 	return all
 }
 
@@ -111,34 +133,36 @@
 func (c *Conductor) Tick(w *World) []messenger.Effect {
 	var out []messenger.Effect
 	for _, r := range c.sortedRequests() {
-		out = append(out, c.tickRequest(w, r)...)
+		out = append(out, c.advance(w, r)...)
 	}
 	out = append(out, c.dropOverdueCopies(w)...)
-	out = append(out, c.tickCopies(w)...)
-	return append(out, c.tickDrain(w)...)
+	out = append(out, c.adoptOrphans(w)...)
+	return append(out, c.advanceDrain(w)...)
 }
 
-func (c *Conductor) tickRequest(w *World, r *request) []messenger.Effect {
+// advance does what is due for r: its deadline first, then the work of its
+// phase.
+func (c *Conductor) advance(w *World, r *request) []messenger.Effect {
 	if !w.Now.Before(r.spec.Deadline) {
 		return c.expire(w, r)
 	}
 	switch r.phase {
 	case claiming:
-		return c.tickClaim(w, r)
+		return c.retryClaim(w, r)
 	case holding:
-		return c.tickHold(w, r)
+		return c.checkFirstHold(w, r)
 	case waiting:
-		return c.tickWaiting(w, r)
+		return c.advanceWaiting(w, r)
 	case running:
-		return c.tickRunning(w, r)
+		return c.advanceRunning(w, r)
 	}
 	return nil
 }
 
-func (c *Conductor) tickWaiting(w *World, r *request) []messenger.Effect {
-	out := c.tickProtection(w, r)
-	if gone := c.tickStall(w, r); gone != nil {
-		return append(out, gone...)
+func (c *Conductor) advanceWaiting(w *World, r *request) []messenger.Effect {
+	out := c.keepHeld(w, r)
+	if yielded := c.yieldLongStall(w, r); yielded != nil {
+		return append(out, yielded...)
 	}
 	if w.Now.Before(r.retryAt) {
 		return out
@@ -146,13 +170,13 @@
 	return append(out, c.startAttempt(w, r)...)
 }
 
-func (c *Conductor) tickRunning(w *World, r *request) []messenger.Effect {
-	if !r.spec.Long && r.model() && r.goneAt != timekeeper.Never && w.Now.Sub(r.goneAt) > abandonedAfter {
+func (c *Conductor) advanceRunning(w *World, r *request) []messenger.Effect {
+	if r.abandoned(w.Now) {
 		return c.cancel(w, r)
 	}
-	out := c.tickProtection(w, r)
-	if gone := c.tickStall(w, r); gone != nil {
-		return append(out, gone...)
+	out := c.keepHeld(w, r)
+	if yielded := c.yieldLongStall(w, r); yielded != nil {
+		return append(out, yielded...)
 	}
-	return append(out, c.tickMove(w, r)...)
+	return append(out, c.startDueMove(w, r)...)
 }
--- a/internal/conductor/copy.go
+++ b/internal/conductor/copy.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"sort"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
@@ -72,12 +71,15 @@
 	rescueSilence = 1500 * timekeeper.Millisecond
 )
 
-// tickCopies adopts copies that no event will adopt. One came after its owner
-// was declared dead: an owner that thawed sends it, and if it lives it takes
-// it back or is heard of, so that adopting at once would make two owners. Of
-// others the owner is silent while this node itself is leaving: by the time
-// that the owner is declared dead, the copy would be gone with this node.
-func (c *Conductor) tickCopies(w *World) []messenger.Effect {
+// adoptOrphans adopts copies that no event will adopt:
+//
+//   - Those that came after their owner was declared dead. An owner that thawed
+//     sends them, and if it lives it takes them back or is heard of, so that
+//     adopting at once would make two owners.
+//   - Those of an owner that is silent while this node itself is leaving. By
+//     the time that the owner is declared dead, they would be gone with this
+//     node.
+func (c *Conductor) adoptOrphans(w *World) []messenger.Effect {
 	if !c.config.Safeguards.AdoptCopies {
 		return nil
 	}
@@ -111,13 +113,13 @@
 	return out
 }
 
+// copiesOf returns the copies of an owner's requests, by request.
 func (c *Conductor) copiesOf(owner identifier.VMID) []*heldCopy {
 	var out []*heldCopy
-	for _, held := range c.copies {
-		if held.owner == owner {
+	for _, id := range slices.Sorted(maps.Keys(c.copies)) {
+		if held := c.copies[id]; held.owner == owner {
 			out = append(out, held)
 		}
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].spec.Request < out[j].spec.Request })
 	return out
 }
--- a/internal/conductor/drain.go
+++ b/internal/conductor/drain.go
@@ -31,7 +31,7 @@
 	for _, r := range c.sortedRequests() {
 		out = append(out, c.drainUnaccepted(w, r)...)
 	}
-	return append(out, c.tickDrain(w)...)
+	return append(out, c.advanceDrain(w)...)
 }
 
 // drainUnaccepted refuses what was not yet promised. A claim that is still
@@ -43,16 +43,16 @@
 	return c.refuseHeld(w, r)
 }
 
-// tickDrain hands over what cannot end here in time, and ends a planned stop
+// advanceDrain hands over what cannot end here in time, and ends a planned stop
 // when nothing is left.
-func (c *Conductor) tickDrain(w *World) []messenger.Effect {
+func (c *Conductor) advanceDrain(w *World) []messenger.Effect {
 	if !c.draining {
 		return nil
 	}
 	var out []messenger.Effect
 	if c.config.Safeguards.HandOver {
 		for _, r := range c.sortedRequests() {
-			out = append(out, c.tickHandover(w, r)...)
+			out = append(out, c.handOverIfDue(w, r)...)
 		}
 	}
 	if c.planned && !c.exited && len(c.requests) == 0 {
--- a/internal/conductor/handover.go
+++ b/internal/conductor/handover.go
@@ -24,18 +24,21 @@
 
 // handoverState is a request's way to a successor.
 type handoverState struct {
+	// successor is the node asked last, or empty, and asked how often.
 	successor identifier.VMID
-	address   string
 	asked     int
-	againAt   timekeeper.Time
+	// againAt is when the next try is due.
+	againAt timekeeper.Time
 	// pending tells that no answer has come yet; overdueAt ends the wait.
 	pending   bool
 	overdueAt timekeeper.Time
-	failed    map[identifier.VMID]bool
+	// failed names the nodes that were asked in vain.
+	failed map[identifier.VMID]bool
 }
 
-func (c *Conductor) tickHandover(w *World, r *request) []messenger.Effect {
-	if !c.mustGo(w, r) || w.Now.Before(r.handover.againAt) {
+// handOverIfDue gives r to a successor where it can't end here in time.
+func (c *Conductor) handOverIfDue(w *World, r *request) []messenger.Effect {
+	if !c.needsHandover(w, r) || w.Now.Before(r.handover.againAt) {
 		return nil
 	}
 	before := r.handover.successor
@@ -50,27 +53,32 @@
 		r.epoch += renewalStep
 	}
 	r.handover.successor = successor.VM
-	r.handover.address = successor.PeerAddress
 	r.handover.asked++
 	r.handover.pending = true
 	r.handover.overdueAt = w.Now.Add(handoverPatience)
 	return []messenger.Effect{
-		messenger.HandOver{
-			Request:   r.spec.Request,
-			Epoch:     r.epoch,
-			Successor: successor.VM,
-			Address:   successor.PeerAddress,
-			Attempt:   r.attempt,
-			Server:    r.server,
-			Stream:    r.stream,
-		},
+		r.handOverTo(successor.VM, successor.PeerAddress),
 		c.note("handover_sent", r, fmt.Sprintf("successor=%s", successor.VM)),
 	}
 }
 
-// mustGo reports whether r is to be handed over. What may not be repeated
-// stays: its one attempt is bound to this node's connection.
-func (c *Conductor) mustGo(w *World, r *request) bool {
+// handOverTo returns the order to give r, and the stream of its current
+// attempt, to another node.
+func (r *request) handOverTo(vm identifier.VMID, address string) messenger.HandOver {
+	return messenger.HandOver{
+		Request:   r.spec.Request,
+		Epoch:     r.epoch,
+		Successor: vm,
+		Address:   address,
+		Attempt:   r.attempt,
+		Server:    r.server,
+		Stream:    r.stream,
+	}
+}
+
+// needsHandover reports whether r is to be handed over. What may not be
+// repeated stays: its one attempt is bound to this node's connection.
+func (c *Conductor) needsHandover(w *World, r *request) bool {
 	asked := r.handover.pending && w.Now.Before(r.handover.overdueAt)
 	if !r.accepted || !r.spec.Idempotent || asked {
 		return false
@@ -85,17 +93,12 @@
 // successor stays with the node asked last while it may still answer, then
 // prefers the holder, which has the copy already.
 func (c *Conductor) successor(w *World, r *request) (gossiper.Node, bool) {
-	nodes := placer.Successors(r.spec.Request, w.Members.Nodes(), c.config.Self, map[identifier.Zone]bool{c.config.Zone: true})
+	leavingZones := map[identifier.Zone]bool{c.config.Zone: true}
+	nodes := placer.Successors(r.spec.Request, w.Members.Nodes(), c.config.Self, leavingZones)
 	if n, ok := find(nodes, r.handover.successor); ok && r.handover.asked < handoverTries {
 		return n, true
 	}
-	if r.handover.successor != "" {
-		if r.handover.failed == nil {
-			r.handover.failed = map[identifier.VMID]bool{}
-		}
-		r.handover.failed[r.handover.successor] = true
-		r.handover.asked = 0
-	}
+	r.handover.giveUpSuccessor()
 	if n, ok := find(nodes, r.hold.holder); ok && !r.handover.failed[n.VM] {
 		return n, true
 	}
@@ -107,6 +110,18 @@
 	return gossiper.Node{}, false
 }
 
+// giveUpSuccessor passes the node asked last over from here on.
+func (h *handoverState) giveUpSuccessor() {
+	if h.successor == "" {
+		return
+	}
+	if h.failed == nil {
+		h.failed = map[identifier.VMID]bool{}
+	}
+	h.failed[h.successor] = true
+	h.asked = 0
+}
+
 func find(nodes []gossiper.Node, vm identifier.VMID) (gossiper.Node, bool) {
 	for _, n := range nodes {
 		if n.VM == vm && vm != "" {
--- a/internal/conductor/hold.go
+++ b/internal/conductor/hold.go
@@ -22,17 +22,21 @@
 
 // holdState is the off-node copy of a long request.
 type holdState struct {
+	// holder is the peer that was asked last, or empty. With acked set it has
+	// the copy.
 	holder  identifier.VMID
 	address string
 	acked   bool
+	askedAt timekeeper.Time
+	// tries counts the peers asked, failed names those that did not answer,
+	// and againAt is when another is looked for.
 	tries   int
 	failed  map[identifier.VMID]bool
-	askedAt timekeeper.Time
 	againAt timekeeper.Time
 	// exposed is the last holder that had a copy and may adopt it, unless it
-	// is known to be gone; exposedAt is its address.
-	exposed   identifier.VMID
-	exposedAt string
+	// is known to be gone.
+	exposed        identifier.VMID
+	exposedAddress string
 	// stalledAt is when the answer stopped going out for want of a holder, or
 	// Never.
 	stalledAt timekeeper.Time
@@ -96,8 +100,8 @@
 	return gossiper.Node{}, false
 }
 
-// tickHold moves on when a holder does not answer at all.
-func (c *Conductor) tickHold(w *World, r *request) []messenger.Effect {
+// checkFirstHold moves on when a holder does not answer at all.
+func (c *Conductor) checkFirstHold(w *World, r *request) []messenger.Effect {
 	if w.Now.Sub(r.hold.askedAt) < holdPatience {
 		return nil
 	}
@@ -112,7 +116,7 @@
 	}
 	r.hold.acked = true
 	r.hold.exposed = r.hold.holder
-	r.hold.exposedAt = r.hold.address
+	r.hold.exposedAddress = r.hold.address
 	r.hold.stalledAt = timekeeper.Never
 	if r.phase != holding {
 		return c.confirm(r)
@@ -199,18 +203,18 @@
 	return out
 }
 
-// tickProtection finds a holder for an accepted long request without one.
-func (c *Conductor) tickProtection(w *World, r *request) []messenger.Effect {
+// keepHeld finds a holder for an accepted long request without one.
+func (c *Conductor) keepHeld(w *World, r *request) []messenger.Effect {
 	if !r.spec.Long || r.hold.holder != "" || w.Now.Before(r.hold.againAt) {
-		return c.tickOverdue(w, r)
+		return c.dropSilentHolder(w, r)
 	}
 	r.hold.againAt = w.Now.Add(holdAgain)
 	out, _ := c.sendHold(w, r)
 	return out
 }
 
-// tickOverdue gives up a holder of which nothing is heard at all.
-func (c *Conductor) tickOverdue(w *World, r *request) []messenger.Effect {
+// dropSilentHolder gives up a holder of which nothing is heard at all.
+func (c *Conductor) dropSilentHolder(w *World, r *request) []messenger.Effect {
 	if r.hold.holder == "" || r.hold.acked || w.Now.Sub(r.hold.askedAt) < holdPatience {
 		return nil
 	}
--- a/internal/conductor/move.go
+++ b/internal/conductor/move.go
@@ -18,8 +18,8 @@
 	sent bool
 }
 
-// tickMove carries out the planned move of a stream when its time has come.
-func (c *Conductor) tickMove(w *World, r *request) []messenger.Effect {
+// startDueMove carries out the planned move of a stream when its time has come.
+func (c *Conductor) startDueMove(w *World, r *request) []messenger.Effect {
 	if r.move.action == "" || r.move.sent || w.Now.Before(r.move.startAt) {
 		return nil
 	}
@@ -71,11 +71,14 @@
 	if !e.OK || !known || to.Leaving {
 		return c.moveByPrefill(w, r)
 	}
-	r.move = moveState{}
 	r.rejoined = false
-	stream := r.stream
 	out := c.stop(r)
-	return append(out, c.sendAttempt(w, r, to, messenger.StartImported, stream, rejoinWait)...)
+	return append(out, c.sendAttempt(w, r, plannedAttempt{
+		server:     to,
+		mode:       messenger.StartImported,
+		stream:     r.stream,
+		firstToken: rejoinWait,
+	})...)
 }
 
 // ServerGone ends the attempts on a server that the platform took away.
--- a/internal/conductor/progress.go
+++ b/internal/conductor/progress.go
@@ -31,7 +31,6 @@
 	if !ok {
 		return nil
 	}
-	r.started = true
 	r.mayHaveRun = true
 	c.observe(w, r, detector.Started, 0, 0)
 	return nil
@@ -90,31 +89,40 @@
 		return nil, false
 	}
 	if r.rejoined && r.rejoinedAt == r.delivered {
-		return nil, false
+		return nil, false // tried already, with no progress since
 	}
 	server, known := w.Members.Server(r.server)
 	if !known {
 		return nil, false
 	}
+	r.markRejoined()
+	return c.sendAttempt(w, r, plannedAttempt{
+		server:     server,
+		mode:       messenger.StartResume,
+		stream:     r.stream,
+		firstToken: rejoinWait,
+	}), true
+}
+
+// markRejoined notes that the stream is joined at what is delivered now.
+func (r *request) markRejoined() {
 	r.rejoined = true
 	r.rejoinedAt = r.delivered
-	return c.sendAttempt(w, r, server, messenger.StartResume, r.stream, rejoinWait), true
 }
 
 // afterFailure asks the retrier whether there is a next attempt.
 func (c *Conductor) afterFailure(w *World, r *request, e messenger.AttemptEnded) []messenger.Effect {
 	verdict := w.Budgets.Next(w.Now, retrier.Ask{
-		Service:    r.spec.Service,
-		Idempotent: r.spec.Idempotent || !c.config.Safeguards.RepeatOnlySafe,
-		Result:     e.Result,
-		Attempts:   r.tries,
-		Deadline:   r.spec.Deadline,
-		Delivered:  r.delivered,
-		Model:      r.model(),
-		RetryAfter: e.RetryAfter,
-
+		Service:       r.spec.Service,
+		Idempotent:    r.spec.Idempotent || !c.config.Safeguards.RepeatOnlySafe,
+		Result:        e.Result,
+		Attempts:      r.tries,
+		Deadline:      r.spec.Deadline,
+		Delivered:     r.delivered,
+		Model:         r.model(),
+		RetryAfter:    e.RetryAfter,
+		Planned:       c.budgetFree(w, r),
 		EarlierNotRun: !r.mayHaveRun,
-		Planned:       c.owed(w, r),
 	}, w.Rand)
 	if !verdict.Again {
 		outcome := c.truthful(r, verdict.Outcome)
@@ -131,10 +139,10 @@
 	return nil
 }
 
-// owed reports whether the next attempt is owed and costs no budget: its
-// server was taken away, or the request was accepted as long and has to
-// survive that.
-func (c *Conductor) owed(w *World, r *request) bool {
+// budgetFree reports whether the next attempt costs no retry budget: its server
+// was taken away, or the request is long. Both were accepted before, and a wave
+// of reclaims that used the budget up would end them.
+func (c *Conductor) budgetFree(w *World, r *request) bool {
 	server, known := w.Members.Server(r.server)
 	return r.spec.Long || !known || server.Leaving
 }
--- a/internal/conductor/refuse.go
+++ b/internal/conductor/refuse.go
@@ -35,9 +35,9 @@
 func (c *Conductor) refuseNew(spec messenger.RequestSpec, refusal messenger.Refusal) []messenger.Effect {
 	if spec.Key != "" && !spec.Idempotent && c.config.Safeguards.TruthfulNotRun {
 		// The caller may have sent the key to another node, which may be
-		// running it now. Told not_run, the caller would send the mail again
-		// under a new key. Unknown with Retry-After makes it repeat the same
-		// key, which is safe.
+		// running it now. Told not_run, the caller would repeat the request
+		// under a new key, and both would run. Unknown with Retry-After makes
+		// it repeat the same key, which is safe.
 		refusal.Outcome = messenger.Unknown
 	}
 	return c.sayRefused(spec, refusal)
--- a/internal/conductor/request.go
+++ b/internal/conductor/request.go
@@ -28,41 +28,51 @@
 	phase    phase
 	accepted bool
 	epoch    identifier.Epoch
+	// reserved are the tokens that count against the account's limit.
+	reserved identifier.Tokens
+	// callerGoneAt is when the last caller detached, or Never.
+	callerGoneAt timekeeper.Time
 
-	claim claimState
-	hold  holdState
+	claim    claimState
+	hold     holdState
+	move     moveState
+	handover handoverState
 
-	attempt  identifier.AttemptNumber
-	tries    int
-	server   identifier.VMID
-	zone     identifier.Zone
-	address  string
-	stream   identifier.StreamName
-	began    timekeeper.Time
-	started  bool
-	firstAt  timekeeper.Time
-	expected timekeeper.Duration // predicted completion of the attempt
+	// attempt is the number of the current or last attempt; tries counts
+	// those of this node.
+	attempt identifier.AttemptNumber
+	tries   int
+	// server, zone, address and stream tell where the attempt runs.
+	server  identifier.VMID
+	zone    identifier.Zone
+	address string
+	stream  identifier.StreamName
+	// began is when the attempt was sent, and firstAt when its first token
+	// came, or zero.
+	began   timekeeper.Time
+	firstAt timekeeper.Time
+	// expected is the predicted completion of the attempt, perToken its
+	// predicted pace.
+	expected timekeeper.Duration
 	perToken timekeeper.Duration
 	// awaited is the predicted time to the first token, or zero where the
 	// attempt joins a stream that is under way.
 	awaited timekeeper.Duration
-	retryAt timekeeper.Time
 	// delivered counts the tokens of the answer that stand with this node.
 	delivered identifier.Tokens
 	// mayHaveRun tells that an attempt may have had an effect. While it is
 	// false, and nothing is under way, not_run is true.
 	mayHaveRun bool
-	// rejoined tells that the current stream was already rejoined over a new
-	// connection without any progress since.
+
+	// retryAt is when the next attempt is due, in the phase waiting.
+	retryAt timekeeper.Time
+	// rejoined tells that the current stream was rejoined over a new
+	// connection, at rejoinedAt tokens.
 	rejoined   bool
 	rejoinedAt identifier.Tokens
 	// failedZones and failedServers are avoided by the next attempt.
 	failedZones   map[identifier.Zone]bool
 	failedServers map[identifier.VMID]bool
-	move          moveState
-	handover      handoverState
-	goneAt        timekeeper.Time
-	reserved      identifier.Tokens
 }
 
 // newRequest returns a request that this node received or took over.
@@ -70,9 +80,9 @@
 	return &request{
 		spec:          spec,
 		service:       service,
+		callerGoneAt:  timekeeper.Never,
 		failedZones:   map[identifier.Zone]bool{},
 		failedServers: map[identifier.VMID]bool{},
-		goneAt:        timekeeper.Never,
 		hold:          holdState{stalledAt: timekeeper.Never},
 	}
 }
--- a/internal/conductor/stall.go
+++ b/internal/conductor/stall.go
@@ -25,26 +25,15 @@
 	return []messenger.Effect{c.note("stalled", r, fmt.Sprintf("copy=%s", r.hold.exposed))}
 }
 
-// tickStall ends a stall that lasts: the node with the copy has adopted the
-// request by now, unless it hears this node; then it is told to take it over.
-func (c *Conductor) tickStall(w *World, r *request) []messenger.Effect {
-	if r.hold.stalledAt == timekeeper.Never {
-		return nil
-	}
-	stalled := w.Now.Sub(r.hold.stalledAt)
-	if stalled < stallPatience {
+// yieldLongStall ends a stall that lasts: the node with the copy has adopted
+// the request by now, unless it hears this node; then it is told to take it
+// over.
+func (c *Conductor) yieldLongStall(w *World, r *request) []messenger.Effect {
+	if r.hold.stalledAt == timekeeper.Never || w.Now.Sub(r.hold.stalledAt) < stallPatience {
 		return nil
 	}
 	out := []messenger.Effect{
-		messenger.HandOver{
-			Request:   r.spec.Request,
-			Epoch:     r.epoch,
-			Successor: r.hold.exposed,
-			Address:   r.hold.exposedAt,
-			Attempt:   r.attempt,
-			Server:    r.server,
-			Stream:    r.stream,
-		},
+		r.handOverTo(r.hold.exposed, r.hold.exposedAddress),
 		c.note("yielded", r, fmt.Sprintf("owner=%s", r.hold.exposed)),
 	}
 	return append(out, c.leaveTo(w, r, r.hold.exposed)...)
@@ -52,18 +41,14 @@
 
 // goUnprotected lets an accepted answer go out without a copy: no node can
 // hold one, and none that had one is alive. The time line says so, and
-// tickProtection goes on looking for a holder.
+// keepHeld goes on looking for a holder.
 func (c *Conductor) goUnprotected(r *request) []messenger.Effect {
 	r.hold.stalledAt = timekeeper.Never
 	out := c.confirm(r)
-	return append(out, []messenger.Effect{
-		messenger.Unhold{
-			Request: r.spec.Request,
-			Holder:  "",
-			Address: "",
-		},
+	return append(out,
+		messenger.Unhold{Request: r.spec.Request},
 		c.note("unprotected", r, ""),
-	}...)
+	)
 }
 
 // releaseAnswer lets the end of an answer go out. A stalled one has no holder
--- a/internal/conductor/wave.go
+++ b/internal/conductor/wave.go
@@ -21,18 +21,18 @@
 	var pools []identifier.PoolName
 	var out []messenger.Effect
 	for _, r := range c.sortedRequests() {
-		if c.unbegun(w, r) {
-			out = append(out, c.moveByPrefill(w, r)...)
+		if !r.onLeaving(w) {
 			continue
 		}
-		stream, ok := c.endangered(w, r)
-		if !ok {
+		if !r.begun() {
+			// It waits in the server's queue, with nothing to export yet.
+			out = append(out, c.moveByPrefill(w, r)...)
 			continue
 		}
 		if byPool[r.service.Pool] == nil {
 			pools = append(pools, r.service.Pool)
 		}
-		byPool[r.service.Pool] = append(byPool[r.service.Pool], stream)
+		byPool[r.service.Pool] = append(byPool[r.service.Pool], plannerStream(w, r))
 	}
 	for _, pool := range pools {
 		out = append(out, c.planPool(w, pool, byPool[pool])...)
@@ -64,7 +64,7 @@
 			startAt: m.Start,
 		}
 		out = append(out, c.note("move_planned", r, fmt.Sprintf("action=%s to=%s", m.Action, m.To)))
-		out = append(out, c.tickMove(w, r)...)
+		out = append(out, c.startDueMove(w, r)...)
 	}
 	return out
 }
@@ -87,45 +87,39 @@
 	return part
 }
 
-// unbegun reports whether the stream of r waits on a leaving server without a
-// first token. There is nothing to export yet: it is routed again at once.
-func (c *Conductor) unbegun(w *World, r *request) bool {
-	if r.phase != running || !r.model() || r.firstAt != 0 || r.delivered > 0 || r.move.sent {
+// onLeaving reports whether the stream of r runs on a server that is leaving
+// and is not on its way to another.
+func (r *request) onLeaving(w *World) bool {
+	if r.phase != running || !r.model() || r.move.sent {
 		return false
 	}
 	server, known := w.Members.Server(r.server)
 	return known && server.Leaving
 }
 
-// endangered describes the stream of r to the planner if its server is
-// leaving and nothing is being done about it yet.
-func (c *Conductor) endangered(w *World, r *request) (planner.Stream, bool) {
-	if r.phase != running || !r.model() || r.move.sent {
-		return planner.Stream{}, false
-	}
-	server, known := w.Members.Server(r.server)
-	if !known || !server.Leaving {
-		return planner.Stream{}, false
-	}
+// begun reports whether r has a token of its answer.
+func (r *request) begun() bool { return r.firstAt != 0 || r.delivered > 0 }
+
+// plannerStream describes the stream of r to the planner.
+func plannerStream(w *World, r *request) planner.Stream {
 	pool := w.Catalog.Pools[r.service.Pool]
 	target := w.Catalog.Target(r.spec.Account, r.spec.Service)
 	context := r.spec.PromptTokens + r.delivered
 	return planner.Stream{
-		Request:   r.spec.Request,
-		Attempt:   r.attempt,
-		Server:    r.server,
-		Zone:      r.zone,
-		Remaining: r.spec.MaxTokens - r.delivered,
-		Pace:      r.pace(pool.TokensPerSecond),
-		Context:   context,
-		KV:        identifier.Bytes(context) * pool.KVBytesPerToken,
-		Penalty:   target.Penalty,
-		Target:    r.spec.Received.Add(target.Completion),
-		Deadline:  r.spec.Deadline,
-		Priority:  r.service.Priority,
-
+		Request:          r.spec.Request,
+		Attempt:          r.attempt,
+		Server:           r.server,
+		Zone:             r.zone,
+		Remaining:        r.spec.MaxTokens - r.delivered,
+		Pace:             r.pace(pool.TokensPerSecond),
+		Context:          context,
+		KV:               identifier.Bytes(context) * pool.KVBytesPerToken,
+		Penalty:          target.Penalty,
+		Target:           r.spec.Received.Add(target.Completion),
+		Deadline:         r.spec.Deadline,
+		Priority:         r.service.Priority,
 		PrefillPerSecond: pool.PrefillPerSecond,
-	}, true
+	}
 }
 
 func (c *Conductor) room(w *World, name identifier.PoolName, s gossiper.Server) planner.Room {
