Let a refusal not stand against the request's later owner

Cause: a node that refused a long request for the moment took itself for its owner as long as it kept the refusal. The next node, which accepted the request under the same key, was told that it is taken, sent its caller back, and the caller looked for the request for 20 s and began anew. A handover to such a node was answered with yes and the request dropped. Ruled out: not keeping refusals at all, since a caller may come back for its refusal. Change: a request that ended without having run outranks no peer, and gives way to its copy.

--- a/internal/answerer/store.go
+++ b/internal/answerer/store.go
@@ -103,6 +103,15 @@
 	s.remove(r)
 }
 
+// Discard drops a, unless the request has another answer by now.
+func (s *Store) Discard(a *Answer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if k, ok := s.answers[a.Request()]; ok && k.answer == a {
+		s.remove(a.Request())
+	}
+}
+
 func (s *Store) remove(r identifier.RequestID) {
 	k, ok := s.answers[r]
 	if !ok {
--- a/internal/runner/hold_test.go
+++ b/internal/runner/hold_test.go
@@ -269,6 +269,46 @@
 	})
 }
 
+// A node refuses a long request for the moment. The caller takes the same key to
+// a second node, which accepts it and asks the first one to hold the copy, or
+// hands the request over to it. The refusal must not stand in the way: the
+// first node would send the caller round in a circle, or drop the request that
+// it has just said yes to. A caller that asks here finds the request.
+func TestRefusalDoesNotStandAgainstAnOwner(t *testing.T) {
+	refuse := func(f *fixture) {
+		a := answerer.New(answerer.Config{Spec: push(5).Spec})
+		a.Refuse(messenger.Refusal{
+			Reason:     messenger.ReasonAccountLimit,
+			Outcome:    messenger.NotRun,
+			RetryAfter: timekeeper.Second,
+		})
+		f.answers.Put(a)
+	}
+	t.Run("copy", func(t *testing.T) {
+		inBubble(t, func(t *testing.T, f *fixture) {
+			refuse(f)
+			require.Equal(t, relayer.HoldKept, f.KeepCopy(t.Context(), "entry-2", push(1)))
+			at, ok := f.WhereIs(relayer.Question{
+				Request: "r1",
+				Account: "agency",
+			})
+			require.True(t, ok)
+			require.True(t, at.Copy, "it is not here, its copy is")
+		})
+	})
+	t.Run("handover", func(t *testing.T) {
+		inBubble(t, func(t *testing.T, f *fixture) {
+			refuse(f)
+			ended := make(chan error, 1)
+			go func() { ended <- f.TakeOver(t.Context(), "entry-2", push(1)) }()
+			synctest.Wait()
+			require.Len(t, eventsOf[messenger.RequestHandedOver](f.reducer), 1)
+			f.do(messenger.ConfirmHandover{Request: "r1"})
+			require.NoError(t, <-ended)
+		})
+	})
+}
+
 func TestWhoOutranksWhom(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/internal/runner/peer.go
+++ b/internal/runner/peer.go
@@ -68,13 +68,18 @@
 // the whole answer, so that callers do not read two continuations of one
 // answer. Where the pusher came after this node, the reducer yields to it.
 func (r *Runner) KeepCopy(ctx context.Context, from identifier.VMID, p relayer.Push) relayer.HoldAnswer {
-	if own, ok := r.answers.Get(p.Spec.Request); ok && r.outranks(own, from, p.Epoch) {
+	own, ok := r.answers.Get(p.Spec.Request)
+	if ok && r.outranks(own, from, p.Epoch) {
 		return relayer.HoldTaken
 	}
 	answer := r.copies.keep(from, p)
 	if answer != relayer.HoldKept {
 		return answer
 	}
+	if ok && neverRan(own) {
+		// Callers that ask for the request are to find the copy's owner.
+		r.answers.Discard(own)
+	}
 	kept, _, ok := r.copies.get(p.Spec.Request)
 	if !ok {
 		return relayer.HoldTaken
@@ -104,7 +109,15 @@
 
 // outranks reports whether this node's answer stands against a peer that takes
 // itself for the owner: it is whole, or this node came after the peer.
+//
+// A refusal does not stand. Its caller goes on to the next node under the same
+// key; were that node told that the request is taken here, it would send the
+// caller back to a node that has nothing, and the caller would look for its
+// request until it gives up. Nothing ran here, so the peer is the only owner.
 func (r *Runner) outranks(own *answerer.Answer, from identifier.VMID, epoch identifier.Epoch) bool {
+	if neverRan(own) {
+		return false
+	}
 	end, ended := own.Ended()
 	if ended && end.MovedTo == "" {
 		return true
@@ -115,6 +128,12 @@
 	return later(own.Epoch(), r.config.Self, epoch, from)
 }
 
+// neverRan reports whether a request ended here without having run.
+func neverRan(a *answerer.Answer) bool {
+	end, ended := a.Ended()
+	return ended && end.MovedTo == "" && (a.Refused() || end.Outcome == messenger.NotRun)
+}
+
 // TakeOver makes this node the owner of a leaving peer's request. It returns
 // once the request is safe here, a copy with a holder included. A second call
 // for the same request changes nothing: the answer to the first may have been
@@ -131,7 +150,7 @@
 	})
 	answer, added, err := r.answers.Add(answer, func(old *answerer.Answer) bool {
 		_, moved := old.MovedTo()
-		return !moved || r.outranks(old, from, p.Epoch)
+		return !neverRan(old) && (!moved || r.outranks(old, from, p.Epoch))
 	})
 	if err != nil {
 		return err
