Tell peers that an idle node stops, before it ends

Cause: a planned stop with no request in flight ended in the step that began it, so that its leaving mark never left. Peers gave the node out and chose it as a holder until they suspected it. Ruled out: the notice of the cloud, there is none for a planned stop; a pause before the end, which would only make it likely. Conclusion: tests in reducer and runner, red before.

--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/conductor"
 	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
@@ -106,8 +107,11 @@
 // of a reclaim, so that callers are sent elsewhere and copies move away.
 func (r *Reducer) drainStarted(w *conductor.World, e messenger.DrainStarted) []messenger.Effect {
 	r.provisioner.Stop()
-	out := r.requests.Drain(w, e.Deadline, true)
-	return append(out, r.membersChanged(w, r.members.MarkLeaving(w.Now, r.config.Self, e.Deadline))...)
+	began := r.requests.Drain(w, e.Deadline, true)
+	marked := r.membersChanged(w, r.members.MarkLeaving(w.Now, r.config.Self, e.Deadline))
+	// A node with nothing in flight ends at once. Peers that learned of it only
+	// by its silence would give it out until then, so they are told first.
+	return slices.Concat(r.tickGossip(w), began, marked)
 }
 
 // tickGossip sends this node's news and takes up what silence says.
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -209,6 +209,8 @@
 	panic(&UnknownEventError{Body: e.Body})
 }
 
+var _ error = (*UnknownEventError)(nil)
+
 // UnknownEventError is the broken invariant that an event type has no case in
 // Apply.
 type UnknownEventError struct{ Body messenger.EventBody }
--- /dev/null
+++ b/internal/reducer/stop_test.go
@@ -0,0 +1,76 @@
+package reducer
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// A node with no request in flight is told to stop, and ends in the same step.
+// Were its peers not told before, they would give it out to callers, and choose
+// it as a holder, until they miss its heartbeats more than a second later.
+func TestIdleNodeTellsPeersThatItStops(t *testing.T) {
+	stopping := New(Config{
+		Self:        "n1",
+		Incarnation: 1,
+		Zone:        "a",
+		PeerAddress: "n1",
+	})
+	peer := member("n2", 1, "n1")
+	heard(t, stopping, peer)
+
+	effects := stopping.Apply(messenger.Event{
+		At:   1100,
+		Body: messenger.DrainStarted{Deadline: timekeeper.Time(1000).Add(timekeeper.Minute)},
+	})
+	told := slices.IndexFunc(effects, isA[messenger.SendGossip])
+	ended := slices.IndexFunc(effects, isA[messenger.Exit])
+	require.NotEqual(t, -1, ended)
+	require.NotEqual(t, -1, told)
+	require.Less(t, told, ended)
+
+	_, err := peer.Receive(1100, "n1", effects[told].(messenger.SendGossip).Data)
+	require.NoError(t, err)
+	n, known := peer.Node("n1")
+	require.True(t, known)
+	require.Equal(t, gossiper.Leaving, n.State)
+}
+
+// heard lets both sides know of each other.
+func heard(t *testing.T, r *Reducer, peer *gossiper.Members) {
+	t.Helper()
+	message := func() []byte {
+		messages, _ := peer.Tick(1000, rand.New(rand.NewPCG(1, 1)))
+		require.NotEmpty(t, messages)
+		return messages[0].Data
+	}
+	r.Apply(messenger.Event{
+		At: 1000,
+		Body: messenger.GossipReceived{
+			From: "n2",
+			Data: message(),
+		},
+	})
+	for _, e := range r.Apply(messenger.Event{
+		At:   1000,
+		Body: messenger.Tick{},
+	}) {
+		if gossip, ok := e.(messenger.SendGossip); ok {
+			_, err := peer.Receive(1000, "n1", gossip.Data)
+			require.NoError(t, err)
+		}
+	}
+	_, known := peer.Node("n1")
+	require.True(t, known)
+}
+
+func isA[E messenger.Effect](e messenger.Effect) bool {
+	_, ok := e.(E)
+	return ok
+}
--- a/internal/runner/fake_test.go
+++ b/internal/runner/fake_test.go
@@ -190,6 +190,7 @@
 	unholds  int
 	hold     func(ctx context.Context, p relayer.Push) (relayer.HoldAnswer, error)
 	unhold   func(ctx context.Context) error
+	gossip   func(ctx context.Context) error
 	handOver func(ctx context.Context) error
 	locate   func(address string) (relayer.Location, bool, error)
 	outcome  func() (relayer.Ending, error)
@@ -231,6 +232,8 @@
 	return p.unholds
 }
 
+func (p *fakePeers) Gossip(ctx context.Context, _ string, _ []byte) error { return p.gossip(ctx) }
+
 func (p *fakePeers) HandOver(ctx context.Context, _ string, _ relayer.Push) error {
 	return p.handOver(ctx)
 }
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -143,14 +143,30 @@
 		r.metrics.droppedEffects.Add(1)
 		return
 	}
+	farewell := !r.exiting
+	if farewell {
+		r.farewells++
+	}
 	r.inLane(key, func(ctx context.Context) func() {
 		ctx, done := context.WithTimeout(ctx, gossipTimeout)
 		defer done()
-		if err := r.config.Peers.Gossip(ctx, e.Address, e.Data); err != nil {
-			return r.report(messenger.PeerFailed{Peer: e.Peer})
-		}
-		return nil
-	}, nil)
+		err := r.config.Peers.Gossip(ctx, e.Address, e.Data)
+		return func() { r.gossipEnded(e.Peer, err, farewell) }
+	}, func() { r.gossipEnded(e.Peer, nil, farewell) })
+}
+
+// gossipEnded takes note of the end of a message to a peer. The node's end
+// waits for those that began before it: one of them tells that the node is
+// leaving, and a peer that never got it would go on giving the node out.
+// Later ones are not waited for, else a silent peer would keep the node.
+func (r *Runner) gossipEnded(peer identifier.VMID, err error, farewell bool) {
+	if err != nil {
+		r.later(messenger.PeerFailed{Peer: peer})
+	}
+	if farewell {
+		r.farewells--
+		r.finishIfAlone()
+	}
 }
 
 // fetchConfiguration asks a peer for its state of the configuration.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -119,7 +119,7 @@
 	cursors   map[identifier.VMID]uint64
 	proposals map[identifier.Ticket]chan messenger.ChangeVerdict
 	proposed  identifier.Ticket
-	farewells int
+	farewells int           // what peers are to be told before the node ends
 	leaving   chan struct{} // closed when listeners are closed for good
 	draining  bool
 	exiting   bool
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -134,6 +134,50 @@
 	})
 }
 
+// A node with no request in flight is told to stop, so that Exit comes in the
+// same step as the message that tells a peer of it. The peer takes a while to
+// answer. Were the node to end before, the message would be cut, and the peer
+// would go on giving the node out to callers until it missed its heartbeats.
+func TestPlannedStopTellsPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const answerTime = 300 * time.Millisecond
+		f := newFixture(t)
+		told := false
+		f.peers.gossip = func(ctx context.Context) error {
+			told = sleep(ctx, answerTime)
+			return nil
+		}
+		go f.Run(t.Context())
+		f.do(messenger.SendGossip{
+			Peer:    "entry-2",
+			Address: "127.0.0.1:2",
+		}, messenger.Exit{})
+		<-f.stopped
+		require.True(t, told)
+	})
+}
+
+// The peer never answers. The node ends all the same, once its patience with
+// one message is over; messages that it begins meanwhile do not prolong it.
+func TestSilentPeerDoesNotKeepTheNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.peers.gossip = func(ctx context.Context) error {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		send := messenger.SendGossip{
+			Peer:    "entry-2",
+			Address: "127.0.0.1:2",
+		}
+		go f.Run(t.Context())
+		began := time.Now()
+		f.do(send, messenger.Exit{}, send)
+		<-f.stopped
+		require.Equal(t, gossipTimeout, time.Since(began))
+	})
+}
+
 // The reducer never says Exit. The node stops by itself a little after the
 // deadline, although a handler hangs.
 func TestPlannedStopHasAnEnd(t *testing.T) {
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -20,8 +20,8 @@
 }
 
 // exit ends the node once nothing is left to wait for: first the listeners,
-// whose handlers still need the loop, then the copies that holders keep of
-// ended requests, then the loop.
+// whose handlers still need the loop, then what is left to tell peers: of
+// copies that they may drop, and that this node leaves; then the loop.
 func (r *Runner) exit() {
 	if r.exiting {
 		return
