Send lookups at their full rate and prompts at a fifth

Cause: at 0.4 of the rates of package bencher the example accounts ran out of tokens, and the run measured their limits. Change: factors of their own for plain and model services; late answers are listed shortly.

--- a/cmd/dotterelhollow-load/main.go
+++ b/cmd/dotterelhollow-load/main.go
@@ -41,7 +41,8 @@
 	Drain      duration `long:"drain" default:"90s" description:"how long those on their way are waited for afterwards"`
 	Requests   int      `long:"requests" default:"5000" description:"bound on the requests of the run"`
 	InFlight   int      `long:"in-flight" default:"1000" description:"bound on the requests on their way at once"`
-	Rate       float64  `long:"rate" default:"0.4" description:"factor to the rates of the deployment's work, but for keyed calls"`
+	PlainRate  float64  `long:"plain-rate" default:"1" description:"factor to the rates of the deployment's lookups"`
+	ModelRate  float64  `long:"model-rate" default:"0.2" description:"factor to the rates of the deployment's prompts"`
 	LongAnswer float64  `long:"long-answer" default:"0.3" description:"factor to the length of long answers"`
 	Seed       uint64   `long:"seed" default:"1" description:"seed of the arrivals"`
 	KeyPrefix  string   `long:"key-prefix" default:"demo-" description:"what stands before an account's name in its key"`
@@ -99,7 +100,8 @@
 		return loader.Report{}, err
 	}
 	mix, err := loader.NewMix(o.Deployment, c, loader.Scale{
-		Rate:       o.Rate,
+		Plain:      o.PlainRate,
+		Model:      o.ModelRate,
 		LongAnswer: o.LongAnswer,
 	})
 	if err != nil {
--- a/internal/loader/mix.go
+++ b/internal/loader/mix.go
@@ -40,9 +40,10 @@
 // Scale thins the work of package bencher out, whose pools are larger than
 // those of the example folders.
 type Scale struct {
-	// Rate is a factor to the rates of all kinds but the keyed ones, of which
-	// there are few.
-	Rate float64
+	// Plain and Model are factors to the rates of plain and of model services.
+	// Keyed calls keep their rate, of which there are few.
+	Plain float64
+	Model float64
 	// LongAnswer is a factor to the answers of long services, so that a short
 	// run sees their ends.
 	LongAnswer float64
@@ -174,8 +175,12 @@
 		k.DocumentBlocks = from.DocumentBlocks
 		k.Documents = from.Documents
 	}
-	if !k.Keyed() {
-		k.Rate *= scale.Rate
+	switch {
+	case k.Keyed():
+	case service.Kind == catalog.PlainService:
+		k.Rate *= scale.Plain
+	default:
+		k.Rate *= scale.Model
 	}
 	if service.Long {
 		k.Answer = [2]int{
@@ -200,12 +205,3 @@
 	}
 	return senders
 }
-
-// DefaultScale is what pools at the sizes of the example folders carry with
-// room to spare.
-func DefaultScale() Scale {
-	return Scale{
-		Rate:       0.4,
-		LongAnswer: 0.3,
-	}
-}
--- a/internal/loader/report.go
+++ b/internal/loader/report.go
@@ -148,12 +148,7 @@
 	} else {
 		fmt.Fprintln(w, "keyed calls: no ledger was read")
 	}
-	for _, i := range r.Incidents {
-		fmt.Fprintf(w, "%s: %s\n", i.What, i)
-	}
-	if r.Dropped > 0 {
-		fmt.Fprintf(w, "and %d more\n", r.Dropped)
-	}
+	r.writeIncidents(w)
 	if r.Kept() {
 		fmt.Fprintln(w, "kept: no answer wrong or lost, no keyed call run twice")
 	} else {
@@ -161,6 +156,24 @@
 	}
 }
 
+// maxLateShown bounds the late answers in the text; the JSON has more.
+const maxLateShown = 10
+
+func (r Report) writeIncidents(w io.Writer) {
+	late := 0
+	for _, i := range r.Incidents {
+		if i.What == lateAnswer {
+			late++
+		}
+		if i.What != lateAnswer || late <= maxLateShown {
+			fmt.Fprintf(w, "%s: %s\n", i.What, i)
+		}
+	}
+	if more := r.Dropped + max(late-maxLateShown, 0); more > 0 {
+		fmt.Fprintf(w, "and %d more\n", more)
+	}
+}
+
 func (r Row) refusals() int {
 	total := 0
 	for _, n := range r.Refused {
--- a/internal/loader/tally.go
+++ b/internal/loader/tally.go
@@ -217,10 +217,13 @@
 
 // The bounds of what the report lists one by one.
 const (
-	maxIncidents = 60
-	maxLate      = 30
+	maxIncidents = 300
+	maxLate      = 200
 )
 
+// lateAnswer marks an incident that is a whole answer past its target.
+const lateAnswer = "late"
+
 // note keeps what somebody will want to look up on the time line.
 func (t *tally) note(r Result, f fate, late bool) {
 	if f == fateWhole && !late || f == fateRefused && refusedOutright(r.Err) {
@@ -230,7 +233,7 @@
 	what := string(f)
 	if late {
 		bound = maxLate
-		what = "late"
+		what = lateAnswer
 	}
 	if len(t.incidents) >= bound {
 		t.dropped++
