--- a/cmd/dotterelhollow/ask.go
+++ b/cmd/dotterelhollow/ask.go
@@ -222,11 +222,10 @@
 		return err
 	}
 	if !c.JSON {
-		fmt.Fprintf(c.stderr, "request %s: %d tokens in %s, first after %s, %d reattached, %d restarted, nodes %s\n",
-			trace.Request, trace.Tokens, trace.Total, trace.FirstToken, trace.Reattached, trace.Restarted,
-			strings.Join(trace.Nodes, " "))
+		fmt.Fprintf(c.stderr, "request %s: %s, %d reattached, %d restarted, nodes %s\n",
+			trace.Request, progress(trace), trace.Reattached, trace.Restarted, strings.Join(trace.Nodes, " "))
 		if err != nil && trace.Last != "" {
-			fmt.Fprintf(c.stderr, "to go on: --resume %s --after %s\n", trace.Request, trace.Last)
+			fmt.Fprintf(c.stderr, "to go on: --service %s --resume %s --after %s\n", c.Service, trace.Request, trace.Last)
 		}
 		return err
 	}
@@ -242,6 +241,18 @@
 	return errors.Join(err, writeJSON(c.stdout, result))
 }
 
+// progress tells how much came and how fast. A call to a plain service has no
+// tokens, and a whole answer no first one.
+func progress(trace caller.Trace) string {
+	switch {
+	case trace.Tokens == 0:
+		return fmt.Sprintf("ended after %s", trace.Total)
+	case trace.FirstToken == 0:
+		return fmt.Sprintf("%d tokens in %s", trace.Tokens, trace.Total)
+	}
+	return fmt.Sprintf("%d tokens in %s, first after %s", trace.Tokens, trace.Total, trace.FirstToken)
+}
+
 func outcomeOf(err error) caller.Outcome {
 	switch exitCode(err) {
 	case exitDone:
--- a/cmd/dotterelhollow/config.go
+++ b/cmd/dotterelhollow/config.go
@@ -137,6 +137,12 @@
 	}
 	if c.Args.File != "" {
 		view.Files = slices.DeleteFunc(view.Files, func(f server.ConfigFile) bool { return f.File != c.Args.File })
+		if len(view.Files) == 0 {
+			return &unknownFileError{
+				file:     c.Args.File,
+				revision: view.Revision,
+			}
+		}
 	}
 	if c.JSON {
 		return writeJSON(os.Stdout, view)
@@ -152,6 +158,19 @@
 	return nil
 }
 
+// unknownFileError reports that the configuration has no such file. Without it
+// a mistyped name would look like an empty file.
+type unknownFileError struct {
+	file     identifier.FileName
+	revision identifier.Revision
+}
+
+var _ error = (*unknownFileError)(nil)
+
+func (e *unknownFileError) Error() string {
+	return fmt.Sprintf("the configuration has no file %q at revision %d", e.file, e.revision)
+}
+
 // config returns the configuration in force, and the node that told it. Of
 // several nodes the one with the latest revision counts.
 func (c *operatorClient) config(ctx context.Context) (server.ConfigView, string, error) {
--- a/cmd/dotterelhollow/explain.go
+++ b/cmd/dotterelhollow/explain.go
@@ -1,12 +1,17 @@
 package main
 
 import (
+	"fmt"
 	"net/url"
+	"os"
 
 	"github.com/jessevdk/go-flags"
 )
 
-var _ flags.Commander = (*explainCommand)(nil)
+var (
+	_ flags.Commander = (*explainCommand)(nil)
+	_ error           = (*unexplainedError)(nil)
+)
 
 // explainCommand shows why a request went the way it went.
 type explainCommand struct {
@@ -28,5 +33,20 @@
 func (c *explainCommand) Execute([]string) error {
 	ctx, stop := interruptible()
 	defer stop()
-	return c.showEntries(ctx, get("/operator/v1/explain/"+url.PathEscape(c.Args.Request), nil))
+	entries, err := c.client().entries(ctx, get("/operator/v1/explain/"+url.PathEscape(c.Args.Request), nil))
+	if err != nil {
+		return err
+	}
+	if len(entries) == 0 {
+		return &unexplainedError{request: c.Args.Request}
+	}
+	return c.printEntries(os.Stdout, entries)
+}
+
+// unexplainedError reports that no node that answered has an event of a
+// request. Without it a mistyped id would look like an uneventful request.
+type unexplainedError struct{ request string }
+
+func (e *unexplainedError) Error() string {
+	return fmt.Sprintf("no node that answered has an event of request %q", e.request)
 }
--- a/cmd/dotterelhollow/operator_test.go
+++ b/cmd/dotterelhollow/operator_test.go
@@ -147,6 +147,42 @@
 	}, disagreements(nodes))
 }
 
+// An operator mistypes a request or a file. An empty answer with exit code 0
+// would be read as "nothing happened to it".
+func TestMistypedNamesAreTold(t *testing.T) {
+	node := &lossyNode{status: server.Status{Node: "entry-1"}}
+	flags := operatorFlags{Nodes: []string{node.start(t)}}
+
+	explain := &explainCommand{operatorFlags: flags}
+	explain.Args.Request = "nosuch"
+	var unexplained *unexplainedError
+	require.ErrorAs(t, explain.Execute(nil), &unexplained)
+
+	show := &configShowCommand{operatorFlags: flags}
+	show.Args.File = "nosuch.ini"
+	var unknown *unknownFileError
+	require.ErrorAs(t, show.Execute(nil), &unknown)
+}
+
+func TestProgress(t *testing.T) {
+	for want, trace := range map[string]caller.Trace{
+		"ended after 2ms": {
+			Total: 2,
+		},
+		"3 tokens in 54ms": {
+			Tokens: 3,
+			Total:  54,
+		},
+		"3 tokens in 54ms, first after 2ms": {
+			Tokens:     3,
+			Total:      54,
+			FirstToken: 2,
+		},
+	} {
+		require.Equal(t, want, progress(trace))
+	}
+}
+
 func TestExitCodes(t *testing.T) {
 	rejected := &problemError{Problem: server.Problem{
 		Reason:  server.ReasonChangeRejected,
@@ -159,7 +195,13 @@
 		exitFaults:   {&folderreader.FaultsError{}, &blockedError{}, &wholeError{}, rejected},
 		exitDisagree: {&disagreeError{}},
 		exitDiverged: {&caller.DivergedError{Cause: &caller.RefusalError{Outcome: caller.OutcomeUnknown}}},
-		exitFailed:   {&nodeError{}, &statusError{}, &caller.RefusalError{Outcome: caller.OutcomeFailed}},
+		exitFailed: {
+			&nodeError{},
+			&statusError{},
+			&unexplainedError{},
+			&unknownFileError{},
+			&caller.RefusalError{Outcome: caller.OutcomeFailed},
+		},
 	} {
 		for _, err := range errs {
 			require.Equal(t, code, exitCode(err), "%T", err)
--- a/cmd/dotterelhollow/timeline.go
+++ b/cmd/dotterelhollow/timeline.go
@@ -45,15 +45,19 @@
 			query.Set(name, value)
 		}
 	}
-	return c.showEntries(ctx, get("/operator/v1/timeline", query))
+	entries, err := c.client().entries(ctx, get("/operator/v1/timeline", query))
+	if err != nil {
+		return err
+	}
+	return c.printEntries(os.Stdout, entries)
 }
 
-// showEntries asks every node q and prints the merged entries.
-func (f operatorFlags) showEntries(ctx context.Context, q question) error {
-	client := f.client()
-	nodes, failed := client.everyNode(ctx)
+// entries asks every node q and merges the answers. Nodes that do not answer
+// are warned of; it fails where none does.
+func (c *operatorClient) entries(ctx context.Context, q question) ([]historian.Entry, error) {
+	nodes, failed := c.everyNode(ctx)
 	var lines [][]historian.Entry
-	for _, a := range askAll[[]historian.Entry](ctx, client, nodes, q) {
+	for _, a := range askAll[[]historian.Entry](ctx, c, nodes, q) {
 		if a.err != nil {
 			failed = append(failed, a.err)
 			continue
@@ -62,9 +66,9 @@
 	}
 	warn(failed)
 	if len(lines) == 0 {
-		return &disagreeError{silent: len(failed)}
+		return nil, &disagreeError{silent: len(failed)}
 	}
-	return f.printEntries(os.Stdout, historian.Merge(lines))
+	return historian.Merge(lines), nil
 }
 
 func (f operatorFlags) printEntries(out io.Writer, entries []historian.Entry) error {
--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -368,6 +368,23 @@
 // A caller resumes an earlier request and meets a node that is leaving. There
 // is no request that it could send again, so it asks the next node for the
 // answer, from the same place.
+// A caller resumes a request that it sent in an earlier life. The request is
+// not at hand, so it is never sent again: the trace tells of no restart, and of
+// no key that was never used.
+func TestResumeIsNoRestart(t *testing.T) {
+	c := newCluster(t, 1, func(_ *cluster, _ int, w http.ResponseWriter, _ *http.Request) {
+		open(w)
+		tokens(w, 1, 3)
+		done(w)
+	})
+	var got text
+	trace, err := c.client(nil).Resume(t.Context(), "manuscript_report", "r1", "0", &got)
+	require.NoError(t, err)
+	require.Equal(t, "<1><2><3>", got.String())
+	require.Zero(t, trace.Restarted)
+	require.Empty(t, trace.Key)
+}
+
 func TestResumePassesALeavingNode(t *testing.T) {
 	c := newCluster(t, 2, func(_ *cluster, node int, w http.ResponseWriter, _ *http.Request) {
 		if node == 0 {
--- a/pkg/caller/exchange.go
+++ b/pkg/caller/exchange.go
@@ -48,6 +48,9 @@
 	// diverged is when a node first said that its answer is not the one whose
 	// tokens were taken, or zero.
 	diverged timekeeper.Time
+	// sentEarlier tells that the request itself is not at hand, so that it
+	// can't be sent again.
+	sentEarlier bool
 	// ambiguous tells that a try was sent whose response never came.
 	ambiguous bool
 	// attached tells that a node answered since the request was last sent.
@@ -463,7 +466,7 @@
 	if e.lost == 0 || e.since(e.lost) < e.client.config.Restart {
 		return nil
 	}
-	if e.trace.Restarted == maxRestarts {
+	if e.sentEarlier || e.trace.Restarted == maxRestarts {
 		return e.lostError(e.cause)
 	}
 	if err := e.taker.restart(); err != nil {
--- a/pkg/caller/stream.go
+++ b/pkg/caller/stream.go
@@ -86,7 +86,9 @@
 		stream:  true,
 	}, t)
 	e.trace.Request = request
-	e.trace.Restarted = maxRestarts // There is no request to send again.
+	e.sentEarlier = true
+	e.message.terms.Key = ""
+	e.trace.Key = ""
 	e.last = index
 	e.trace.Last = after
 	e.attached = true
