--- a/internal/runner/backend.go
+++ b/internal/runner/backend.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"reflect"
 	"slices"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/oklog/ulid/v2"
@@ -17,29 +16,19 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/adapter/encoder"
 	"github.com/dotterelhollow/dotterelhollow/internal/answerer"
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
-	"github.com/dotterelhollow/dotterelhollow/internal/configurer"
-	"github.com/dotterelhollow/dotterelhollow/internal/historian"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
-	"github.com/dotterelhollow/dotterelhollow/internal/placer"
-	"github.com/dotterelhollow/dotterelhollow/internal/relayer"
 	"github.com/dotterelhollow/dotterelhollow/internal/server"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 )
 
 var _ server.Backend = (*Runner)(nil)
 
-const (
-	// locateParallel bounds the peers asked at a time where a request is,
-	// locateMost those asked at all, and locateTimeout the whole search.
-	locateParallel = 4
-	locateMost     = 16
-	locateTimeout  = 2 * time.Second
-	// adoptPatience is how long a caller that came to the holder of a copy is
-	// kept waiting while the owner's death is established; adoptCheck is the
-	// spacing of looks.
-	adoptPatience = 15 * time.Second
-	adoptCheck    = 50 * time.Millisecond
-)
+// Configured reports whether the node has a configuration with an account. A
+// node that has just started has an empty one.
+func (r *Runner) Configured() bool {
+	c := r.catalog.Load()
+	return c != nil && len(c.Accounts) > 0
+}
 
 // Authenticate returns the client account that key belongs to.
 func (r *Runner) Authenticate(key string) (identifier.AccountID, bool) {
@@ -199,156 +188,5 @@
 	})
 }
 
-// Attach returns the answer of a request that an account sent earlier.
-func (r *Runner) Attach(
-	ctx context.Context, request identifier.RequestID, account identifier.AccountID,
-) (*answerer.Answer, error) {
-	a, err := r.find(ctx, request, account)
-	if err != nil {
-		return nil, err
-	}
-	r.attachCaller(ctx, a)
-	return a, nil
-}
-
-// find returns this node's own answer, or tells where the request is.
-func (r *Runner) find(
-	ctx context.Context, request identifier.RequestID, account identifier.AccountID,
-) (*answerer.Answer, error) {
-	if a, ok := r.answers.Get(request); ok {
-		return own(a, account)
-	}
-	q := relayer.Question{
-		Request: request,
-		Account: account,
-	}
-	at, found := r.locate(ctx, q, r.peerAddresses(ctx, request))
-	if found && !at.Copy {
-		return nil, &answerer.ElsewhereError{
-			Request: request,
-			Address: at.Address,
-		}
-	}
-	if copied, _, ok := r.copies.get(request); ok && copied.Account() == account {
-		return r.awaitAdoption(ctx, request, account)
-	}
-	if found {
-		return nil, &answerer.ElsewhereError{
-			Request: request,
-			Address: at.Address,
-		}
-	}
-	return nil, &answerer.UnknownRequestError{Request: request}
-}
-
-// own returns the answer if it is the account's and still here.
-func own(a *answerer.Answer, account identifier.AccountID) (*answerer.Answer, error) {
-	if a.Account() != account {
-		return nil, &answerer.UnknownRequestError{Request: a.Request()}
-	}
-	if end, ended := a.Ended(); ended && end.MovedTo != "" {
-		return nil, &answerer.ElsewhereError{
-			Request: a.Request(),
-			Address: end.MovedTo,
-		}
-	}
-	return a, nil
-}
-
-// awaitAdoption keeps a caller waiting whose request's owner is silent and
-// whose copy is here: this node is about to adopt it, or the owner comes back.
-func (r *Runner) awaitAdoption(
-	ctx context.Context, request identifier.RequestID, account identifier.AccountID,
-) (*answerer.Answer, error) {
-	ctx, done := context.WithTimeout(ctx, adoptPatience)
-	defer done()
-	for sleep(ctx, adoptCheck) {
-		if a, ok := r.answers.Get(request); ok {
-			return own(a, account)
-		}
-		if _, _, ok := r.copies.get(request); !ok {
-			break
-		}
-	}
-	return nil, &answerer.UnknownRequestError{Request: request}
-}
-
-// peerAddresses returns the peer addresses of the nodes that may have a
-// request, likeliest first.
-func (r *Runner) peerAddresses(ctx context.Context, request identifier.RequestID) []string {
-	var addresses []string
-	r.ask(ctx, func() {
-		for _, n := range placer.Candidates(request, r.config.Reducer.Nodes()) {
-			if n.VM != r.config.Self && len(addresses) < locateMost {
-				addresses = append(addresses, n.PeerAddress)
-			}
-		}
-	})
-	return addresses
-}
-
-// Cancel gives a request up.
-func (r *Runner) Cancel(ctx context.Context, request identifier.RequestID, account identifier.AccountID) error {
-	if _, err := r.find(ctx, request, account); err != nil {
-		return err
-	}
-	if !r.emit(ctx, messenger.RequestCancelled{Request: request}) {
-		return &answerer.StoppedError{}
-	}
-	return nil
-}
-
-// Propose changes one file of the configuration and waits for the verdict.
-func (r *Runner) Propose(ctx context.Context, change messenger.ChangeProposed) (messenger.ChangeVerdict, error) {
-	verdict := make(chan messenger.ChangeVerdict, 1)
-	ok := r.ask(ctx, func() {
-		r.proposed++
-		change.Ticket = r.proposed
-		r.proposals[change.Ticket] = verdict
-		r.later(change)
-	})
-	if !ok {
-		return messenger.ChangeVerdict{}, &answerer.StoppedError{}
-	}
-	select {
-	case v := <-verdict:
-		return v, nil
-	case <-ctx.Done():
-	case <-r.stopped:
-	}
-	r.ask(context.Background(), func() { delete(r.proposals, change.Ticket) })
-	return messenger.ChangeVerdict{Unknown: true}, nil
-}
-
-// Files returns the configuration in force.
-func (r *Runner) Files() map[identifier.FileName]server.FileState {
-	files := make(map[identifier.FileName]server.FileState)
-	r.ask(context.Background(), func() {
-		for name, f := range r.config.Reducer.Files() {
-			files[name] = server.FileState{
-				Content:  f.Content,
-				Revision: f.Revision,
-				Deleted:  f.Deleted,
-			}
-		}
-	})
-	return files
-}
-
-// History returns the changes that this node knows, oldest first.
-func (r *Runner) History() []configurer.Change {
-	var changes []configurer.Change
-	r.ask(context.Background(), func() { changes = r.config.Reducer.History() })
-	return changes
-}
-
-// Timeline returns the events of this node that match f.
-func (r *Runner) Timeline(f historian.Filter) []historian.Entry { return r.config.Historian.Entries(f) }
-
-// Explain returns the events that led to the end of a request.
-func (r *Runner) Explain(request identifier.RequestID) []historian.Entry {
-	return r.config.Historian.Entries(historian.Filter{Request: request})
-}
-
 // Metrics returns what the Runner counts.
 func (r *Runner) Metrics() *Metrics { return r.metrics }
--- a/internal/runner/backend_test.go
+++ b/internal/runner/backend_test.go
@@ -140,7 +140,7 @@
 	inBubble(t, func(t *testing.T, f *fixture) {
 		f.reducer.nodes = nodes("entry-1", "entry-2", "entry-3")
 		known := map[string]relayer.Location{"entry-2:peer": {Address: "entry-2:caller", Copy: true}}
-		f.peers.locate = func(address string) (relayer.Location, bool, error) {
+		f.peers.locate = func(_ context.Context, address string) (relayer.Location, bool, error) {
 			at, ok := known[address]
 			return at, ok, nil
 		}
@@ -159,6 +159,28 @@
 	})
 }
 
+// A caller comes to a node that does not have its request. One peer is frozen,
+// another one is the owner. The caller is sent there at once, and is not kept
+// until the frozen peer has been given up.
+func TestOwnerIsFoundBesideAFrozenPeer(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fixture) {
+		f.reducer.nodes = nodes("entry-1", "entry-2", "entry-3")
+		f.peers.locate = func(ctx context.Context, address string) (relayer.Location, bool, error) {
+			if address == "entry-2:peer" {
+				<-ctx.Done()
+				return relayer.Location{}, false, ctx.Err()
+			}
+			return relayer.Location{Address: "entry-3:caller"}, true, nil
+		}
+		began := time.Now()
+		var elsewhere *answerer.ElsewhereError
+		_, err := f.Attach(t.Context(), "r1", "agency")
+		require.ErrorAs(t, err, &elsewhere)
+		require.Equal(t, "entry-3:caller", elsewhere.Address)
+		require.Zero(t, time.Since(began))
+	})
+}
+
 // The caller's node died and it comes to the holder before that one has
 // noticed. It is kept waiting, not told that the request is unknown; once the
 // node has adopted the request, the caller reads on.
--- /dev/null
+++ b/internal/runner/confirm.go
@@ -0,0 +1,46 @@
+package runner
+
+import (
+	"sync"
+
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+)
+
+// confirms are the handovers of peers that wait until the reducer says that
+// the request is safe here. It is safe for concurrent use.
+type confirms struct {
+	mu      sync.Mutex
+	waiting map[identifier.RequestID]map[chan struct{}]bool
+}
+
+func newConfirms() *confirms {
+	return &confirms{waiting: make(map[identifier.RequestID]map[chan struct{}]bool)}
+}
+
+// await returns a channel that confirm closes, and what ends the wait.
+func (c *confirms) await(r identifier.RequestID) (safe <-chan struct{}, forget func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ch := make(chan struct{})
+	if c.waiting[r] == nil {
+		c.waiting[r] = make(map[chan struct{}]bool)
+	}
+	c.waiting[r][ch] = true
+	return ch, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.waiting[r], ch)
+		if len(c.waiting[r]) == 0 {
+			delete(c.waiting, r)
+		}
+	}
+}
+
+func (c *confirms) confirm(r identifier.RequestID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for ch := range c.waiting[r] {
+		close(ch)
+	}
+	delete(c.waiting, r)
+}
--- a/internal/runner/fake_test.go
+++ b/internal/runner/fake_test.go
@@ -192,7 +192,7 @@
 	unhold   func(ctx context.Context) error
 	gossip   func(ctx context.Context) error
 	handOver func(ctx context.Context) error
-	locate   func(address string) (relayer.Location, bool, error)
+	locate   func(ctx context.Context, address string) (relayer.Location, bool, error)
 	outcome  func() (relayer.Ending, error)
 }
 
@@ -238,8 +238,8 @@
 	return p.handOver(ctx)
 }
 
-func (p *fakePeers) Locate(_ context.Context, address string, _ relayer.Question) (relayer.Location, bool, error) {
-	return p.locate(address)
+func (p *fakePeers) Locate(ctx context.Context, address string, _ relayer.Question) (relayer.Location, bool, error) {
+	return p.locate(ctx, address)
 }
 
 func (p *fakePeers) Outcome(context.Context, string, relayer.Question) (relayer.Ending, error) {
--- a/internal/runner/peer.go
+++ b/internal/runner/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/answerer"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
@@ -10,45 +9,6 @@
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 )
 
-// confirms are the handovers of peers that wait until the reducer says that
-// the request is safe here. It is safe for concurrent use.
-type confirms struct {
-	mu      sync.Mutex
-	waiting map[identifier.RequestID]map[chan struct{}]bool
-}
-
-func newConfirms() *confirms {
-	return &confirms{waiting: make(map[identifier.RequestID]map[chan struct{}]bool)}
-}
-
-// await returns a channel that confirm closes, and what ends the wait.
-func (c *confirms) await(r identifier.RequestID) (safe <-chan struct{}, forget func()) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	ch := make(chan struct{})
-	if c.waiting[r] == nil {
-		c.waiting[r] = make(map[chan struct{}]bool)
-	}
-	c.waiting[r][ch] = true
-	return ch, func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		delete(c.waiting[r], ch)
-		if len(c.waiting[r]) == 0 {
-			delete(c.waiting, r)
-		}
-	}
-}
-
-func (c *confirms) confirm(r identifier.RequestID) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for ch := range c.waiting[r] {
-		close(ch)
-	}
-	delete(c.waiting, r)
-}
-
 // What follows answers the calls of peers. It runs in their handlers'
 // goroutines.
 
@@ -251,40 +211,6 @@
 	return e
 }
 
-// locate asks peers where a request is, at most locateParallel at a time, and
-// returns the first owner named; else the first holder of a copy.
-func (r *Runner) locate(ctx context.Context, q relayer.Question, addresses []string) (relayer.Location, bool) {
-	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
-	defer cancel()
-	var (
-		mu     sync.Mutex
-		best   relayer.Location
-		found  bool
-		asking sync.WaitGroup
-		slots  = make(chan struct{}, locateParallel)
-	)
-	for _, address := range addresses {
-		asking.Go(func() {
-			slots <- struct{}{}
-			defer func() { <-slots }()
-			at, ok, err := r.config.Peers.Locate(ctx, address, q)
-			if err != nil || !ok {
-				return
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			if !found || (best.Copy && !at.Copy) {
-				best, found = at, true
-			}
-			if !best.Copy {
-				cancel()
-			}
-		})
-	}
-	asking.Wait()
-	return best, found
-}
-
 // ExportConfiguration gives a peer this node's state of the configuration.
 func (r *Runner) ExportConfiguration(ctx context.Context) ([]byte, bool) {
 	var (
