--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 LINT_VERSION = 2.15.0
 LINT = $(shell $(GO) env GOPATH)/bin/golangci-lint
 
-.PHONY: all build test bench capacity demo matrix lint fmt fmt-check vet clean
+.PHONY: all build test bench capacity demo load matrix lint fmt fmt-check vet clean
 
 all: build
 
@@ -41,6 +41,10 @@
 demo: build
 	scripts/demo.sh
 
+# Load on running nodes, every answer checked, see docs/LOAD.md.
+load: build
+	scripts/load.sh $(LOAD_FLAGS)
+
 lint:
 	@"$(LINT)" version --short 2>/dev/null | grep -qx "$(LINT_VERSION)" || \
 		$(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v$(LINT_VERSION)
--- a/cmd/dotterelhollow-load/main.go
+++ b/cmd/dotterelhollow-load/main.go
@@ -129,12 +129,7 @@
 
 func write(report loader.Report, o options) error {
 	if o.JSONFile != "" {
-		file, err := os.Create(o.JSONFile)
-		if err != nil {
-			return fmt.Errorf("write the report: %w", err)
-		}
-		defer file.Close()
-		if err := report.WriteJSON(file); err != nil {
+		if err := writeFile(report, o.JSONFile); err != nil {
 			return err
 		}
 	}
@@ -144,6 +139,17 @@
 	return report.WriteText(os.Stdout)
 }
 
+func writeFile(report loader.Report, name string) error {
+	file, err := os.Create(name)
+	if err != nil {
+		return fmt.Errorf("write the report: %w", err)
+	}
+	if err := errors.Join(report.WriteJSON(file), file.Close()); err != nil {
+		return fmt.Errorf("write the report: %w", err)
+	}
+	return nil
+}
+
 func readCatalog(folder string) (*catalog.Catalog, error) {
 	files, err := folderreader.ReadDir(folder)
 	if err != nil {
