Write literals with one field a line, and name rows of a table

Cause: rows of the tables of faults and controls, keys of the claims and some tests held several fields on a line; two literals set a trailing field apart by a blank line; the rows of the follower's test were told apart by their time. Ruled out: constructors for rows, which hide what a value is. Change: layout, and names for those rows; no assertion changed. Conclusion: no behaviour changed.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -217,9 +217,8 @@
 	for n := range c.Partitions {
 		name := partition(n)
 		t.streams[name] = &stream{
-			name:     name,
-			position: follower.New(follower.Config{Retention: c.Retention}),
-
+			name:         name,
+			position:     follower.New(follower.Config{Retention: c.Retention}),
 			failingSince: timekeeper.Never,
 		}
 	}
@@ -265,7 +264,10 @@
 
 // Lookup returns what the log says of a key within its window.
 func (t *Table) Lookup(account identifier.AccountID, k identifier.IdempotencyKey) (Entry, bool) {
-	e, ok := t.entries[key{account: account, key: k}]
+	e, ok := t.entries[key{
+		account: account,
+		key:     k,
+	}]
 	if !ok || !e.holdsAt(t.streams[e.stream].now) {
 		return Entry{}, false
 	}
--- a/internal/claimer/fold.go
+++ b/internal/claimer/fold.go
@@ -35,7 +35,10 @@
 }
 
 func (t *Table) foldClaim(now timekeeper.Time, s *stream, at messenger.Record, r record) {
-	e, ok := t.entries[key{account: r.Account, key: r.Key}]
+	e, ok := t.entries[key{
+		account: r.Account,
+		key:     r.Key,
+	}]
 	held := ok && e.holdsAt(t.judgedAt(now, at))
 	c := t.nonces[r.Nonce]
 	switch {
@@ -161,7 +164,10 @@
 }
 
 func (t *Table) foldOutcome(r record) {
-	e, ok := t.entries[key{account: r.Account, key: r.Key}]
+	e, ok := t.entries[key{
+		account: r.Account,
+		key:     r.Key,
+	}]
 	if !ok || e.Nonce != r.Nonce || e.Released || e.Recorded != nil {
 		return
 	}
@@ -175,7 +181,10 @@
 }
 
 func (t *Table) foldRelease(at identifier.Offset, r record) {
-	e, ok := t.entries[key{account: r.Account, key: r.Key}]
+	e, ok := t.entries[key{
+		account: r.Account,
+		key:     r.Key,
+	}]
 	if !ok || e.Nonce != r.Nonce || e.Winner != r.Claimant || e.Recorded != nil {
 		return
 	}
--- a/internal/commander/commander_test.go
+++ b/internal/commander/commander_test.go
@@ -55,19 +55,67 @@
 		in     Input
 		orders int
 	}{
-		"another model":              {now: 20_000, in: input(true, engine("b", "a", 1, 7)), orders: 1},
-		"never reported":             {now: 20_000, in: input(true, Server{VM: "vm-1", Wanted: "b"}), orders: 1},
-		"settled":                    {now: 20_000, in: input(true, engine("b", "b", 1, 7))},
-		"old fence":                  {now: 20_000, in: input(true, engine("b", "b", 1, 6)), orders: 1},
-		"old fence, ignored":         {now: 20_000, in: input(false, engine("b", "b", 1, 0))},
-		"nothing wanted":             {now: 20_000, in: input(true, engine("", "a", 1, 7))},
-		"leaving":                    {now: 20_000, in: input(true, leaving)},
-		"lease over":                 {now: 20_000, in: lapsed},
-		"no lease":                   {now: 20_000, in: without},
-		"earlier order may land":     {now: 14_999, in: input(false, engine("b", "a", 1, 0))},
-		"earlier order has landed":   {now: 15_000, in: input(false, engine("b", "a", 1, 0)), orders: 1},
-		"earlier order, checked":     {now: 1, in: input(true, engine("b", "a", 1, 0)), orders: 1},
-		"more servers than may load": {now: 20_000, in: input(true, many(9)...), orders: DefaultMaxInFlight},
+		"another model": {
+			now:    20_000,
+			in:     input(true, engine("b", "a", 1, 7)),
+			orders: 1,
+		},
+		"never reported": {
+			now: 20_000,
+			in: input(true, Server{
+				VM:     "vm-1",
+				Wanted: "b",
+			}),
+			orders: 1,
+		},
+		"settled": {
+			now: 20_000,
+			in:  input(true, engine("b", "b", 1, 7)),
+		},
+		"old fence": {
+			now:    20_000,
+			in:     input(true, engine("b", "b", 1, 6)),
+			orders: 1,
+		},
+		"old fence, ignored": {
+			now: 20_000,
+			in:  input(false, engine("b", "b", 1, 0)),
+		},
+		"nothing wanted": {
+			now: 20_000,
+			in:  input(true, engine("", "a", 1, 7)),
+		},
+		"leaving": {
+			now: 20_000,
+			in:  input(true, leaving),
+		},
+		"lease over": {
+			now: 20_000,
+			in:  lapsed,
+		},
+		"no lease": {
+			now: 20_000,
+			in:  without,
+		},
+		"earlier order may land": {
+			now: 14_999,
+			in:  input(false, engine("b", "a", 1, 0)),
+		},
+		"earlier order has landed": {
+			now:    15_000,
+			in:     input(false, engine("b", "a", 1, 0)),
+			orders: 1,
+		},
+		"earlier order, checked": {
+			now:    1,
+			in:     input(true, engine("b", "a", 1, 0)),
+			orders: 1,
+		},
+		"more servers than may load": {
+			now:    20_000,
+			in:     input(true, many(9)...),
+			orders: DefaultMaxInFlight,
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			orders := New(Config{}).Plan(c.now, c.in)
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -27,24 +27,63 @@
 func TestStream(t *testing.T) {
 	s := New(Config{Retention: timekeeper.Minute})
 	for _, step := range []struct {
+		name   string
 		now    timekeeper.Time
 		read   messenger.LogRead
 		fresh  int
 		gap    bool
 		replay bool
 	}{
-		{now: 0, read: read(10, false, 12, 15), fresh: 2},
-		{now: 1, read: read(10, true, 15, 17), fresh: 1, replay: true},
-		{now: 2, read: read(10, true, 15, 17), replay: true},
-		{now: 29_000, read: read(40, true), replay: true},
-		{now: 58_000, read: read(60, false, 61), fresh: 1, replay: true},
-		{now: 59_001, read: read(70, false, 71), fresh: 1, gap: true},
-		{now: 59_002, read: read(72, true), replay: true},
+		{
+			name:  "a first read, short of the end",
+			now:   0,
+			read:  read(10, false, 12, 15),
+			fresh: 2,
+		},
+		{
+			name:   "an overlap that reaches the end",
+			now:    1,
+			read:   read(10, true, 15, 17),
+			fresh:  1,
+			replay: true,
+		},
+		{
+			name:   "the same read again",
+			now:    2,
+			read:   read(10, true, 15, 17),
+			replay: true,
+		},
+		{
+			name:   "a quiet stream, passed by the oldest kept offset",
+			now:    29_000,
+			read:   read(40, true),
+			replay: true,
+		},
+		{
+			name:   "a record after a quiet while",
+			now:    58_000,
+			read:   read(60, false, 61),
+			fresh:  1,
+			replay: true,
+		},
+		{
+			name:  "a record after a while too long",
+			now:   59_001,
+			read:  read(70, false, 71),
+			fresh: 1,
+			gap:   true,
+		},
+		{
+			name:   "the end again",
+			now:    59_002,
+			read:   read(72, true),
+			replay: true,
+		},
 	} {
 		b := s.Absorb(step.now, step.read)
-		require.Len(t, b.Records, step.fresh, "at %v", step.now)
-		require.Equal(t, step.gap, b.Gap, "at %v", step.now)
-		require.Equal(t, step.replay, s.Replayed(), "at %v", step.now)
+		require.Len(t, b.Records, step.fresh, step.name)
+		require.Equal(t, step.gap, b.Gap, step.name)
+		require.Equal(t, step.replay, s.Replayed(), step.name)
 	}
 	require.Equal(t, identifier.Offset(72), s.Next())
 }
--- a/internal/prover/control_test.go
+++ b/internal/prover/control_test.go
@@ -20,17 +20,72 @@
 }
 
 var controls = []control{
-	{safeguard: "DropStale", scenario: "long", fault: "crossed", objection: "told done with"},
-	{safeguard: "ClaimFirst", scenario: "booking, one key at two nodes", fault: "killed after", objection: "ran 2 times"},
-	{safeguard: "HoldFirst", scenario: "long", fault: "link cut + zone wave, log out", objection: "did not get its answer"},
-	{safeguard: "RepeatOnlySafe", scenario: "booking without key", fault: "server killed at work", objection: "ran 2 times"},
-	{safeguard: "AvoidLeaving", scenario: "requests while a zone leaves", fault: "request lost", objection: "after its notice"},
-	{safeguard: "AdoptCopies", scenario: "long", fault: "killed after", objection: "did not get its answer"},
-	{safeguard: "HandOver", scenario: "home of a long one reclaimed", fault: "killed before", objection: "did not get its answer"},
-	{safeguard: "YieldToHolder", scenario: "long, with a patient caller", fault: "frozen after", objection: "for the next token"},
-	{safeguard: "StallAlone", scenario: "long", fault: "cut off, then server and node die", objection: "did not get its answer"},
-	{safeguard: "LaterOwner", scenario: "zone of home and server reclaimed", fault: "link cut in", objection: "did not get its answer"},
-	{safeguard: "TruthfulNotRun", scenario: "booking repeated later", fault: "log down", objection: "was told not_run"},
+	{
+		safeguard: "DropStale",
+		scenario:  "long",
+		fault:     "crossed",
+		objection: "told done with",
+	},
+	{
+		safeguard: "ClaimFirst",
+		scenario:  "booking, one key at two nodes",
+		fault:     "killed after",
+		objection: "ran 2 times",
+	},
+	{
+		safeguard: "HoldFirst",
+		scenario:  "long",
+		fault:     "link cut + zone wave, log out",
+		objection: "did not get its answer",
+	},
+	{
+		safeguard: "RepeatOnlySafe",
+		scenario:  "booking without key",
+		fault:     "server killed at work",
+		objection: "ran 2 times",
+	},
+	{
+		safeguard: "AvoidLeaving",
+		scenario:  "requests while a zone leaves",
+		fault:     "request lost",
+		objection: "after its notice",
+	},
+	{
+		safeguard: "AdoptCopies",
+		scenario:  "long",
+		fault:     "killed after",
+		objection: "did not get its answer",
+	},
+	{
+		safeguard: "HandOver",
+		scenario:  "home of a long one reclaimed",
+		fault:     "killed before",
+		objection: "did not get its answer",
+	},
+	{
+		safeguard: "YieldToHolder",
+		scenario:  "long, with a patient caller",
+		fault:     "frozen after",
+		objection: "for the next token",
+	},
+	{
+		safeguard: "StallAlone",
+		scenario:  "long",
+		fault:     "cut off, then server and node die",
+		objection: "did not get its answer",
+	},
+	{
+		safeguard: "LaterOwner",
+		scenario:  "zone of home and server reclaimed",
+		fault:     "link cut in",
+		objection: "did not get its answer",
+	},
+	{
+		safeguard: "TruthfulNotRun",
+		scenario:  "booking repeated later",
+		fault:     "log down",
+		objection: "was told not_run",
+	},
 }
 
 // TestControls plays cells with one safeguard off. Every safeguard has a
--- a/internal/prover/fault_test.go
+++ b/internal/prover/fault_test.go
@@ -196,156 +196,275 @@
 
 // faults is the table of faults.
 var faults = []fault{
-	{name: "killed before", deadly: true, strike: func(_ *world, n *node, _ messenger.Effect) strike {
-		n.kill("fault")
-		return strike{skip: true}
-	}},
-	{name: "killed after", deadly: true, strike: func(_ *world, n *node, _ messenger.Effect) strike {
-		return strike{then: func() { n.kill("fault") }}
-	}},
-	{name: "frozen before", strike: func(_ *world, n *node, _ messenger.Effect) strike {
-		n.freeze(frozenFor)
-		return strike{thawed: true}
-	}},
-	{name: "frozen after", strike: func(_ *world, n *node, _ messenger.Effect) strike {
-		return strike{then: func() { n.freeze(frozenFor) }}
-	}},
-	{name: "link cut", strike: cutLinks(true, true)},
-	{name: "link cut out", strike: cutLinks(true, false)},
-	{name: "link cut in", strike: cutLinks(false, true)},
-	{name: "silent connections", strike: func(w *world, n *node, _ messenger.Effect) strike {
-		return strike{then: func() { n.silence() }}
-	}},
-	{name: "request lost", strike: func(*world, *node, messenger.Effect) strike { return strike{fate: loseRequest} }},
-	{name: "answer lost", strike: func(*world, *node, messenger.Effect) strike { return strike{fate: loseAnswer} }},
-	{name: "late", strike: func(_ *world, _ *node, e messenger.Effect) strike { return lateBy(e, 3*timekeeper.Second) }},
-	{name: "repeated", strike: func(*world, *node, messenger.Effect) strike { return strike{twice: true} }},
-	{name: "crossed", strike: crossed},
-	{name: "log down", strike: func(w *world, _ *node, _ messenger.Effect) strike {
-		w.log.downTil = w.now.Add(logOutFor)
-		return strike{}
-	}},
-	{name: "log slow", strike: func(w *world, _ *node, _ messenger.Effect) strike {
-		w.log.slowTil = w.now.Add(logOutFor)
-		return strike{}
-	}},
-	{name: "log lies", strike: func(w *world, _ *node, _ messenger.Effect) strike {
-		w.log.lieNext = 3
-		return strike{}
-	}},
-	{name: "log mute", strike: func(w *world, _ *node, _ messenger.Effect) strike {
-		w.log.muteNext = 3
-		return strike{}
-	}},
-	{name: "list stale", strike: func(w *world, _ *node, e messenger.Effect) strike {
-		w.list.staleTil = w.now.Add(staleFor)
-		w.list.hidden = "e2"
-		if s := w.server(aimOf(e)); s != nil {
-			w.list.hidden = s.vm
-		}
-		return strike{}
-	}},
-	{name: "replacement refused", strike: func(w *world, _ *node, _ messenger.Effect) strike {
-		w.list.refuse = true
-		return strike{}
-	}},
-	{name: "notice to server", strike: func(w *world, _ *node, e messenger.Effect) strike {
-		if s := w.server(aimOf(e)); s != nil {
-			w.notice(noticeTime, s.vm)
-		} else {
-			w.notice(noticeTime, "e1", "p1")
-		}
-		return strike{}
-	}},
-	{name: "notice to node", strike: func(w *world, n *node, _ messenger.Effect) strike {
-		w.notice(noticeTime, n.vm)
-		return strike{}
-	}},
-	{name: "notice, then death", deadly: true, strike: func(w *world, n *node, _ messenger.Effect) strike {
-		w.notice(noticeTime, n.vm)
-		w.after(timekeeper.Second, func() { n.kill("died partway") })
-		return strike{}
-	}},
-	{name: "notice to zone", strike: func(w *world, n *node, _ messenger.Effect) strike {
-		w.notice(noticeTime, w.zoneVMs(n.zone)...)
-		return strike{}
-	}},
-	{name: "zone wave, log out", strike: func(w *world, n *node, _ messenger.Effect) strike {
-		w.log.downTil = w.now.Add(3 * logOutFor)
-		w.notice(noticeTime, w.zoneVMs(n.zone)...)
-		return strike{}
-	}},
-	{name: "two zones, one after the other", strike: func(w *world, n *node, _ messenger.Effect) strike {
-		w.notice(noticeTime, w.zoneVMs(n.zone)...)
-		w.after(2*timekeeper.Second, func() { w.notice(noticeTime, w.zoneVMs(nextZone(n.zone))...) })
-		return strike{}
-	}},
-	{name: "server killed", strike: func(w *world, _ *node, e messenger.Effect) strike {
-		return strike{then: func() {
+	{
+		name:   "killed before",
+		deadly: true,
+		strike: func(_ *world, n *node, _ messenger.Effect) strike {
+			n.kill("fault")
+			return strike{skip: true}
+		},
+	},
+	{
+		name:   "killed after",
+		deadly: true,
+		strike: func(_ *world, n *node, _ messenger.Effect) strike {
+			return strike{then: func() { n.kill("fault") }}
+		},
+	},
+	{
+		name: "frozen before",
+		strike: func(_ *world, n *node, _ messenger.Effect) strike {
+			n.freeze(frozenFor)
+			return strike{thawed: true}
+		},
+	},
+	{
+		name: "frozen after",
+		strike: func(_ *world, n *node, _ messenger.Effect) strike {
+			return strike{then: func() { n.freeze(frozenFor) }}
+		},
+	},
+	{
+		name:   "link cut",
+		strike: cutLinks(true, true),
+	},
+	{
+		name:   "link cut out",
+		strike: cutLinks(true, false),
+	},
+	{
+		name:   "link cut in",
+		strike: cutLinks(false, true),
+	},
+	{
+		name: "silent connections",
+		strike: func(w *world, n *node, _ messenger.Effect) strike {
+			return strike{then: func() { n.silence() }}
+		},
+	},
+	{
+		name:   "request lost",
+		strike: func(*world, *node, messenger.Effect) strike { return strike{fate: loseRequest} },
+	},
+	{
+		name:   "answer lost",
+		strike: func(*world, *node, messenger.Effect) strike { return strike{fate: loseAnswer} },
+	},
+	{
+		name:   "late",
+		strike: func(_ *world, _ *node, e messenger.Effect) strike { return lateBy(e, 3*timekeeper.Second) },
+	},
+	{
+		name:   "repeated",
+		strike: func(*world, *node, messenger.Effect) strike { return strike{twice: true} },
+	},
+	{
+		name:   "crossed",
+		strike: crossed,
+	},
+	{
+		name: "log down",
+		strike: func(w *world, _ *node, _ messenger.Effect) strike {
+			w.log.downTil = w.now.Add(logOutFor)
+			return strike{}
+		},
+	},
+	{
+		name: "log slow",
+		strike: func(w *world, _ *node, _ messenger.Effect) strike {
+			w.log.slowTil = w.now.Add(logOutFor)
+			return strike{}
+		},
+	},
+	{
+		name: "log lies",
+		strike: func(w *world, _ *node, _ messenger.Effect) strike {
+			w.log.lieNext = 3
+			return strike{}
+		},
+	},
+	{
+		name: "log mute",
+		strike: func(w *world, _ *node, _ messenger.Effect) strike {
+			w.log.muteNext = 3
+			return strike{}
+		},
+	},
+	{
+		name: "list stale",
+		strike: func(w *world, _ *node, e messenger.Effect) strike {
+			w.list.staleTil = w.now.Add(staleFor)
+			w.list.hidden = "e2"
 			if s := w.server(aimOf(e)); s != nil {
-				w.after(200*timekeeper.Millisecond, s.kill)
+				w.list.hidden = s.vm
 			}
-		}}
-	}},
-	{name: "server killed at work", strike: func(w *world, _ *node, e messenger.Effect) strike {
-		return strike{then: func() {
+			return strike{}
+		},
+	},
+	{
+		name: "replacement refused",
+		strike: func(w *world, _ *node, _ messenger.Effect) strike {
+			w.list.refuse = true
+			return strike{}
+		},
+	},
+	{
+		name: "notice to server",
+		strike: func(w *world, _ *node, e messenger.Effect) strike {
 			if s := w.server(aimOf(e)); s != nil {
-				w.after(callTime/2, s.kill)
+				w.notice(noticeTime, s.vm)
+			} else {
+				w.notice(noticeTime, "e1", "p1")
 			}
-		}}
-	}},
-	{name: "cut off, then server and node die", deadly: true, strike: isolated},
-	{name: "server frozen", strike: func(w *world, _ *node, e messenger.Effect) strike {
-		if s := w.server(aimOf(e)); s != nil {
-			s.frozenTil = w.now.Add(frozenFor)
-		}
-		return strike{}
-	}},
-	{name: "servers overloaded", strike: func(w *world, _ *node, _ messenger.Effect) strike {
-		for _, s := range w.servers {
-			s.overloadedTil = w.now.Add(2 * timekeeper.Second)
-		}
-		return strike{}
-	}},
-	{name: "server stops as planned", strike: func(w *world, _ *node, e messenger.Effect) strike {
-		if s := w.server(aimOf(e)); s != nil {
-			w.list.stopPlanned(s.vm)
-		} else {
-			w.list.stopPlanned("e1")
-		}
-		return strike{}
-	}},
-	{name: "gossip lost, late, repeated", strike: func(w *world, _ *node, _ messenger.Effect) strike {
-		w.badGossipTil = w.now.Add(8 * timekeeper.Second)
-		return strike{}
-	}},
-	{name: "new node", strike: func(w *world, _ *node, _ messenger.Effect) strike {
-		w.addNode("n9", "d", 9)
-		return strike{}
-	}},
-	{name: "new node, log out", strike: func(w *world, _ *node, _ messenger.Effect) strike {
-		w.log.downTil = w.now.Add(3 * logOutFor)
-		w.addNode("n9", "d", 9)
-		return strike{}
-	}},
-	{name: "caller cancels", strike: cancelled},
-	{name: "frozen past the deadline", deadly: true, strike: func(w *world, n *node, e messenger.Effect) strike {
-		if a := n.answers[requestOf(e)]; a != nil {
-			n.freeze(a.spec.Deadline.Sub(w.now) + timekeeper.Second)
-		}
-		return strike{thawed: true}
-	}},
-	{name: "late on the wire", strike: func(w *world, n *node, e messenger.Effect) strike {
-		if o, ok := e.(messenger.GiveOrder); ok {
-			s := w.server(o.Server)
-			w.after(15*timekeeper.Second, func() { s.order(o.Order) })
-			return strike{fate: loseRequest}
-		}
-		return lateBy(e, 15*timekeeper.Second)
-	}},
-	{name: "planned stop", strike: func(w *world, n *node, _ messenger.Effect) strike {
-		return strike{then: func() { n.stopPlanned() }}
-	}},
+			return strike{}
+		},
+	},
+	{
+		name: "notice to node",
+		strike: func(w *world, n *node, _ messenger.Effect) strike {
+			w.notice(noticeTime, n.vm)
+			return strike{}
+		},
+	},
+	{
+		name:   "notice, then death",
+		deadly: true,
+		strike: func(w *world, n *node, _ messenger.Effect) strike {
+			w.notice(noticeTime, n.vm)
+			w.after(timekeeper.Second, func() { n.kill("died partway") })
+			return strike{}
+		},
+	},
+	{
+		name: "notice to zone",
+		strike: func(w *world, n *node, _ messenger.Effect) strike {
+			w.notice(noticeTime, w.zoneVMs(n.zone)...)
+			return strike{}
+		},
+	},
+	{
+		name: "zone wave, log out",
+		strike: func(w *world, n *node, _ messenger.Effect) strike {
+			w.log.downTil = w.now.Add(3 * logOutFor)
+			w.notice(noticeTime, w.zoneVMs(n.zone)...)
+			return strike{}
+		},
+	},
+	{
+		name: "two zones, one after the other",
+		strike: func(w *world, n *node, _ messenger.Effect) strike {
+			w.notice(noticeTime, w.zoneVMs(n.zone)...)
+			w.after(2*timekeeper.Second, func() { w.notice(noticeTime, w.zoneVMs(nextZone(n.zone))...) })
+			return strike{}
+		},
+	},
+	{
+		name: "server killed",
+		strike: func(w *world, _ *node, e messenger.Effect) strike {
+			return strike{then: func() {
+				if s := w.server(aimOf(e)); s != nil {
+					w.after(200*timekeeper.Millisecond, s.kill)
+				}
+			}}
+		},
+	},
+	{
+		name: "server killed at work",
+		strike: func(w *world, _ *node, e messenger.Effect) strike {
+			return strike{then: func() {
+				if s := w.server(aimOf(e)); s != nil {
+					w.after(callTime/2, s.kill)
+				}
+			}}
+		},
+	},
+	{
+		name:   "cut off, then server and node die",
+		deadly: true,
+		strike: isolated,
+	},
+	{
+		name: "server frozen",
+		strike: func(w *world, _ *node, e messenger.Effect) strike {
+			if s := w.server(aimOf(e)); s != nil {
+				s.frozenTil = w.now.Add(frozenFor)
+			}
+			return strike{}
+		},
+	},
+	{
+		name: "servers overloaded",
+		strike: func(w *world, _ *node, _ messenger.Effect) strike {
+			for _, s := range w.servers {
+				s.overloadedTil = w.now.Add(2 * timekeeper.Second)
+			}
+			return strike{}
+		},
+	},
+	{
+		name: "server stops as planned",
+		strike: func(w *world, _ *node, e messenger.Effect) strike {
+			if s := w.server(aimOf(e)); s != nil {
+				w.list.stopPlanned(s.vm)
+			} else {
+				w.list.stopPlanned("e1")
+			}
+			return strike{}
+		},
+	},
+	{
+		name: "gossip lost, late, repeated",
+		strike: func(w *world, _ *node, _ messenger.Effect) strike {
+			w.badGossipTil = w.now.Add(8 * timekeeper.Second)
+			return strike{}
+		},
+	},
+	{
+		name: "new node",
+		strike: func(w *world, _ *node, _ messenger.Effect) strike {
+			w.addNode("n9", "d", 9)
+			return strike{}
+		},
+	},
+	{
+		name: "new node, log out",
+		strike: func(w *world, _ *node, _ messenger.Effect) strike {
+			w.log.downTil = w.now.Add(3 * logOutFor)
+			w.addNode("n9", "d", 9)
+			return strike{}
+		},
+	},
+	{
+		name:   "caller cancels",
+		strike: cancelled,
+	},
+	{
+		name:   "frozen past the deadline",
+		deadly: true,
+		strike: func(w *world, n *node, e messenger.Effect) strike {
+			if a := n.answers[requestOf(e)]; a != nil {
+				n.freeze(a.spec.Deadline.Sub(w.now) + timekeeper.Second)
+			}
+			return strike{thawed: true}
+		},
+	},
+	{
+		name: "late on the wire",
+		strike: func(w *world, n *node, e messenger.Effect) strike {
+			if o, ok := e.(messenger.GiveOrder); ok {
+				s := w.server(o.Server)
+				w.after(15*timekeeper.Second, func() { s.order(o.Order) })
+				return strike{fate: loseRequest}
+			}
+			return lateBy(e, 15*timekeeper.Second)
+		},
+	},
+	{
+		name: "planned stop",
+		strike: func(w *world, n *node, _ messenger.Effect) strike {
+			return strike{then: func() { n.stopPlanned() }}
+		},
+	},
 }
 
 // both lets two faults strike at one step.
--- a/internal/prover/node_test.go
+++ b/internal/prover/node_test.go
@@ -54,14 +54,13 @@
 
 func (w *world) addNode(vm identifier.VMID, z identifier.Zone, seed uint64) *node {
 	n := &node{
-		w:       w,
-		vm:      vm,
-		zone:    z,
-		birth:   w.now,
-		answers: map[identifier.RequestID]*answer{},
-		copies:  map[identifier.RequestID]*answer{},
-		tails:   map[identifier.LogStream]identifier.Offset{},
-
+		w:           w,
+		vm:          vm,
+		zone:        z,
+		birth:       w.now,
+		answers:     map[identifier.RequestID]*answer{},
+		copies:      map[identifier.RequestID]*answer{},
+		tails:       map[identifier.LogStream]identifier.Offset{},
 		unconfirmed: map[identifier.RequestID][]func(){},
 	}
 	n.r = reducer.New(reducer.Config{
@@ -238,7 +237,10 @@
 			n.w.list.release(e.VM)
 		}
 	case messenger.ReplyOperator:
-		n.w.facts.verdicts[verdictKey{node: n.vm, ticket: e.Ticket}] = e.Verdict
+		n.w.facts.verdicts[verdictKey{
+			node:   n.vm,
+			ticket: e.Ticket,
+		}] = e.Verdict
 	case messenger.FetchConfiguration:
 		n.fetchConfiguration(e)
 	case messenger.Note:
--- a/internal/prover/scenario_test.go
+++ b/internal/prover/scenario_test.go
@@ -278,7 +278,10 @@
 }
 
 func checkExpiry(w *world) {
-	if w.facts.verdicts[verdictKey{node: "n1", ticket: 11}].Accepted {
+	if w.facts.verdicts[verdictKey{
+		node:   "n1",
+		ticket: 11,
+	}].Accepted {
 		for _, n := range w.nodes {
 			if text := string(n.r.Files()[raceFile].Content); !n.dead && text != firstText {
 				w.facts.object("%s lacks the accepted change: it has %q", n.vm, text)
@@ -324,8 +327,14 @@
 // checkRace requires that at most one of the two was accepted, that what was
 // accepted is in force on every live node, and that what was rejected is not.
 func checkRace(w *world) {
-	first := w.facts.verdicts[verdictKey{node: "n1", ticket: 11}]
-	second := w.facts.verdicts[verdictKey{node: "n2", ticket: 12}]
+	first := w.facts.verdicts[verdictKey{
+		node:   "n1",
+		ticket: 11,
+	}]
+	second := w.facts.verdicts[verdictKey{
+		node:   "n2",
+		ticket: 12,
+	}]
 	if first.Accepted && second.Accepted {
 		w.facts.object("both operators were told that their change was accepted")
 	}
--- a/pkg/timekeeper/time.go
+++ b/pkg/timekeeper/time.go
@@ -85,7 +85,10 @@
 func ParseDuration(s string) (Duration, error) {
 	d, err := time.ParseDuration(s)
 	if err != nil {
-		return 0, &DurationError{Text: s, Cause: err}
+		return 0, &DurationError{
+			Text:  s,
+			Cause: err,
+		}
 	}
 	return DurationOf(d), nil
 }
