Assert that the failures' types are errors

Cause: types that implement error stood without their compile-time assertion in four packages. Ruled out: leaving it to the places that return them, which may change. Change: the assertions.

--- a/internal/claimer/record.go
+++ b/internal/claimer/record.go
@@ -120,5 +120,6 @@
 
 var (
 	_ error = (*FullError)(nil)
+	_ error = (*LogOutError)(nil)
 	_ error = (*WindowError)(nil)
 )
--- a/internal/configurer/errors.go
+++ b/internal/configurer/errors.go
@@ -78,3 +78,13 @@
 func (e *NoGapError) Error() string {
 	return fmt.Sprintf("configuration is whole as of offset %d: change its files instead of restoring it", e.Have)
 }
+
+var (
+	_ error = (*RecordError)(nil)
+	_ error = (*GapError)(nil)
+	_ error = (*StateError)(nil)
+	_ error = (*OlderStateError)(nil)
+	_ error = (*ProposalError)(nil)
+	_ error = (*BusyError)(nil)
+	_ error = (*NoGapError)(nil)
+)
--- a/internal/folderreader/fault.go
+++ b/internal/folderreader/fault.go
@@ -33,6 +33,8 @@
 	return b.String()
 }
 
+var _ error = (*FaultsError)(nil)
+
 // FaultsError is a folder's faults as an error.
 type FaultsError struct{ Faults []Fault }
 
--- a/internal/folderreader/folderreader.go
+++ b/internal/folderreader/folderreader.go
@@ -30,6 +30,11 @@
 	MaxFiles       = 256
 )
 
+var (
+	_ error = (*ReadError)(nil)
+	_ error = (*EntryError)(nil)
+)
+
 // ReadError reports a folder or file that could not be read.
 type ReadError struct {
 	Path  string
--- a/pkg/timekeeper/time.go
+++ b/pkg/timekeeper/time.go
@@ -68,6 +68,8 @@
 // DurationOf returns the span d, cut to whole milliseconds.
 func DurationOf(d time.Duration) Duration { return Duration(d.Milliseconds()) }
 
+var _ error = (*DurationError)(nil)
+
 // DurationError reports a span that could not be read from text.
 type DurationError struct {
 	Text  string
