Say backend server and VM where the comments said otherwise

Ruled out: changing the names of the clock's own terms. Change: comments only. Conclusion: one word for one thing.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -18,10 +18,10 @@
 //     had read the release when the request came; all others have lost. Who
 //     released the key may have said not_run, and a request that another node
 //     took before that, or a copy of the claim that lands late, would make it
-//     false. Only a claimant that never sent, or
-//     whose back end said that it did not run, may release; a release that
-//     stands before its claim counts for nothing, so a node releases only
-//     what it has seen hold the key.
+//     false. Only a claimant that never sent, or whose backend server said
+//     that it did not run, may release; a release that stands before its claim
+//     counts for nothing, so a node releases only what it has seen hold the
+//     key.
 //
 // Each claim is decided by its own claimant alone. Where an earlier claim of
 // the key may have expired unread, the claimant takes its own for unsettled:
--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -60,7 +60,7 @@
 	require.Zero(t, b.appends(a))
 }
 
-// A winner's back end refuses the work, and the node says not_run. Claims of
+// A winner's backend server refuses the work, and the node says not_run. Claims of
 // other nodes that stand before the release stay lost; one after it wins.
 func TestReleaseByWinner(t *testing.T) {
 	b, a, c := &bench{log: fakeLog{now: 1}}, newTestTable("vm-a"), newTestTable("vm-c")
--- a/internal/claimer/own.go
+++ b/internal/claimer/own.go
@@ -138,8 +138,8 @@
 }
 
 // Release ends a claim, won or not, under which nothing ran and nothing will:
-// no byte was sent, or the back end said that it did not run. The key becomes
-// free for later claims.
+// no byte was sent, or the backend server said that it did not run. The key
+// becomes free for later claims.
 func (t *Table) Release(request identifier.RequestID) {
 	c, ok := t.active[request]
 	if !ok {
--- a/internal/messenger/vocabulary.go
+++ b/internal/messenger/vocabulary.go
@@ -40,7 +40,7 @@
 	NotRun Outcome = "not_run"
 	// Unknown means that it may have run.
 	Unknown Outcome = "unknown"
-	// Failed means that it ran, and the back end said that it failed.
+	// Failed means that it ran, and the backend server said that it failed.
 	Failed Outcome = "failed"
 	// Cancelled means that the caller gave it up.
 	Cancelled Outcome = "cancelled"
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -18,8 +18,8 @@
 	gossipSuspectAfter = 1500 * timekeeper.Millisecond
 	gossipDeadAfter    = 4 * timekeeper.Second
 	gossipFanout       = 2
-	// gossipByteBudget keeps two messages every gossipEvery within the
-	// letter's 23 KB a second with room for the rest of control.
+	// gossipByteBudget keeps two messages every gossipEvery at 12 KB a second,
+	// about half of what a node may spend on control: see docs/CAPACITY.md.
 	gossipByteBudget = 1200
 )
 
--- a/pkg/timekeeper/clock.go
+++ b/pkg/timekeeper/clock.go
@@ -15,10 +15,10 @@
 	_ Clock = (*Manual)(nil)
 )
 
-// System is the wall clock of the machine as it stood when the process started,
+// System is the wall clock of the VM as it stood when the process started,
 // carried on by a steady clock: it never goes back when the wall clock is set
 // back, because lease and deadline rules compare instants of one process, and
-// it goes on while the machine is suspended.
+// it goes on while the VM is suspended.
 type System struct{}
 
 var (
--- a/pkg/timekeeper/steady_linux.go
+++ b/pkg/timekeeper/steady_linux.go
@@ -6,7 +6,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// steady returns the time since the machine booted, suspensions included.
+// steady returns the time since the VM booted, suspensions included.
 //
 // The monotonic clock of package time stands still while a whole VM is
 // suspended. A lease holder on such a VM would resume with a lease that has
--- a/pkg/timekeeper/steady_linux_test.go
+++ b/pkg/timekeeper/steady_linux_test.go
@@ -10,7 +10,7 @@
 
 // A lease holder's VM is suspended and resumed after its lease has lapsed. The
 // holder must see the lapse at its next look at the clock, or it gives orders
-// beside the new holder. A test can't suspend the machine; it pins down that
+// beside the new holder. A test can't suspend the VM; it pins down that
 // the clock read is the one that goes on meanwhile.
 func TestSystemFollowsTheClockThatCountsSuspensions(t *testing.T) {
 	before := boottime(t)
--- a/pkg/timekeeper/steady_other.go
+++ b/pkg/timekeeper/steady_other.go
@@ -5,6 +5,6 @@
 import "time"
 
 // steady returns the monotonic time. On a system where that clock stands still
-// while the machine is suspended, a lease holder can believe in a lapsed lease
+// while the VM is suspended, a lease holder can believe in a lapsed lease
 // after a resume; such systems are for development only.
 func steady() time.Duration { return monotonic() }
