Let the test of orders read a load from after the orders

Cause: the engine stand-in measures its load at most every 50 ms. Where its scheduler measured between start and the first order, the test read that measurement and failed. Change: the test runs the engine by a manual clock and moves it on before it reads; every assertion stays. Conclusion: the test no longer depends on the scheduler's timing.

--- a/internal/adapter/engine_test.go
+++ b/internal/adapter/engine_test.go
@@ -267,7 +267,11 @@
 		},
 	}
 	for _, c := range cases {
-		_, address := startEngine(t, engine.Config{ChecksFence: c.checks})
+		clock := timekeeper.NewManual(1_000_000)
+		_, address := startEngine(t, engine.Config{
+			ChecksFence: c.checks,
+			Clock:       clock,
+		})
 		client := adapter.NewEngine(adapter.ServerConfig{})
 		ctx := context.Background()
 		give := func(model identifier.ModelName, fence identifier.Fence) error {
@@ -281,6 +285,9 @@
 		err := give("old", 8)
 		var stale *adapter.StaleFenceError
 		require.Equal(t, c.checks, errorsAs(err, &stale))
+		// The engine measures its load now and then; a measurement from before
+		// the orders must be too old by now.
+		clock.Advance(timekeeper.Second)
 		load, err := client.Load(ctx, address)
 		require.NoError(t, err)
 		require.Equal(t, c.model, load.Model)
