--- a/scripts/load.sh
+++ b/scripts/load.sh
@@ -7,8 +7,8 @@
 #
 #   scripts/load.sh [quillmark|cooperative] [zone|kill|stop|none] [FLAG...]
 #
-#   zone   a whole availability zone is reclaimed, with notice
-#   kill   one node is killed with SIGKILL
+#   zone   the availability zone of the busiest node is reclaimed, with notice
+#   kill   the busiest node is killed with SIGKILL
 #   stop   all nodes are stopped as planned and started again, one by one
 #   none   nothing happens
 #
@@ -16,7 +16,7 @@
 # NOTICE_MS is the notice of the zone, EVENT_AT the second of the event,
 # LOAD_PORT takes ports from there, BIN is where the programs are.
 #
-# It needs bash, sha256sum and the programs that "make build" puts into bin/.
+# It needs bash, awk, sha256sum and the programs that "make build" puts into bin/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -210,8 +210,33 @@
   say "entry-$1 is gone"
 }
 
+# under_way NODE prints how many long requests a node has given a holder and
+# not ended.
+under_way() {
+  awk '
+    !match($0, /"request":"[^"]*"/) { next }
+    { request = substr($0, RSTART, RLENGTH) }
+    /"@message":"hold_sent"/ { held[request] = 1 }
+    /"@message":"finished"/ { ended[request] = 1 }
+    END { for (request in held) n += !(request in ended); print n + 0 }' "$work/entry-$1.log"
+}
+
+# busiest_node prints the node with the most long requests under way.
+busiest_node() {
+  local node count most=-1 busiest=1
+  for node in "${nodes[@]}"; do
+    count=$(under_way "$node")
+    if [ "$count" -gt "$most" ]; then
+      most=$count
+      busiest=$node
+    fi
+  done
+  echo "$busiest"
+}
+
 reclaim_zone() {
-  local zone=${all_zones[0]} node
+  local zone node
+  zone=$(zone_of "$(busiest_node)")
   say "zone $zone is reclaimed, with $notice_ms ms of notice"
   http POST "$platform" /admin/reclaim "{\"zone\":\"$zone\",\"on_demand\":true,\"notice_ms\":$notice_ms}"
   echo
@@ -242,7 +267,7 @@
 happen() {
   case $event in
   zone) reclaim_zone ;;
-  kill) kill_entry 3 ;;
+  kill) kill_entry "$(busiest_node)" ;;
   stop) replace_nodes ;;
   none) ;;
   esac
