--- a/internal/adapter/engine_test.go
+++ b/internal/adapter/engine_test.go
@@ -14,6 +14,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/standin"
 	"github.com/dotterelhollow/dotterelhollow/internal/standin/engine"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
 var patience = adapter.Patience{
