--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync/atomic"
@@ -72,21 +73,11 @@
 )
 
 func (l Limits) withDefaults() Limits {
-	if l.AnswerBytes == 0 {
-		l.AnswerBytes = defaultAnswerBytes
-	}
-	if l.CopyBytes == 0 {
-		l.CopyBytes = defaultCopyBytes
-	}
-	if l.EndedGrace == 0 {
-		l.EndedGrace = defaultEndedGrace
-	}
-	if l.StopMargin == 0 {
-		l.StopMargin = defaultStopMargin
-	}
-	if l.ListEvery == 0 {
-		l.ListEvery = defaultListEvery
-	}
+	l.AnswerBytes = cmp.Or(l.AnswerBytes, defaultAnswerBytes)
+	l.CopyBytes = cmp.Or(l.CopyBytes, defaultCopyBytes)
+	l.EndedGrace = cmp.Or(l.EndedGrace, defaultEndedGrace)
+	l.StopMargin = cmp.Or(l.StopMargin, defaultStopMargin)
+	l.ListEvery = cmp.Or(l.ListEvery, defaultListEvery)
 	return l
 }
 
--- a/internal/server/limits.go
+++ b/internal/server/limits.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"cmp"
+
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -43,21 +45,14 @@
 )
 
 func (l Limits) withDefaults() Limits {
-	setDefault(&l.HeaderTime, DefaultHeaderTime)
-	setDefault(&l.HeaderSize, DefaultHeaderSize)
-	setDefault(&l.BodyTime, DefaultBodyTime)
-	setDefault(&l.MaxBody, DefaultMaxBody)
-	setDefault(&l.WriteTime, DefaultWriteTime)
-	setDefault(&l.IdleTime, DefaultIdleTime)
-	setDefault(&l.Heartbeat, DefaultHeartbeat)
-	setDefault(&l.MaxDeadline, DefaultMaxDeadline)
-	setDefault(&l.VerdictGrace, DefaultVerdictGrace)
+	l.HeaderTime = cmp.Or(l.HeaderTime, DefaultHeaderTime)
+	l.HeaderSize = cmp.Or(l.HeaderSize, DefaultHeaderSize)
+	l.BodyTime = cmp.Or(l.BodyTime, DefaultBodyTime)
+	l.MaxBody = cmp.Or(l.MaxBody, DefaultMaxBody)
+	l.WriteTime = cmp.Or(l.WriteTime, DefaultWriteTime)
+	l.IdleTime = cmp.Or(l.IdleTime, DefaultIdleTime)
+	l.Heartbeat = cmp.Or(l.Heartbeat, DefaultHeartbeat)
+	l.MaxDeadline = cmp.Or(l.MaxDeadline, DefaultMaxDeadline)
+	l.VerdictGrace = cmp.Or(l.VerdictGrace, DefaultVerdictGrace)
 	return l
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -25,6 +25,7 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync"
@@ -90,27 +91,20 @@
 	if c.Clock == nil {
 		c.Clock = timekeeper.System{}
 	}
-	setDefault(&c.Slots, DefaultSlots)
-	setDefault(&c.MaxWaiting, DefaultMaxWaiting)
-	setDefault(&c.TokensPerSecond, DefaultTokensPerSecond)
-	setDefault(&c.BatchSlowdown, DefaultBatchSlowdown)
-	setDefault(&c.PrefillPerSecond, DefaultPrefillPerSecond)
-	setDefault(&c.KVTokens, DefaultKVTokens)
-	setDefault(&c.CacheBlocks, int(c.KVTokens)/2/blockTokens)
-	setDefault(&c.KVBytesPerToken, DefaultKVBytesPerToken)
-	setDefault(&c.TransferRate, DefaultTransferRate)
-	setDefault(&c.OrphanAfter, DefaultOrphanAfter)
-	setDefault(&c.KeepFor, DefaultKeepFor)
+	c.Slots = cmp.Or(c.Slots, DefaultSlots)
+	c.MaxWaiting = cmp.Or(c.MaxWaiting, DefaultMaxWaiting)
+	c.TokensPerSecond = cmp.Or(c.TokensPerSecond, DefaultTokensPerSecond)
+	c.BatchSlowdown = cmp.Or(c.BatchSlowdown, DefaultBatchSlowdown)
+	c.PrefillPerSecond = cmp.Or(c.PrefillPerSecond, DefaultPrefillPerSecond)
+	c.KVTokens = cmp.Or(c.KVTokens, DefaultKVTokens)
+	c.CacheBlocks = cmp.Or(c.CacheBlocks, int(c.KVTokens)/2/blockTokens)
+	c.KVBytesPerToken = cmp.Or(c.KVBytesPerToken, DefaultKVBytesPerToken)
+	c.TransferRate = cmp.Or(c.TransferRate, DefaultTransferRate)
+	c.OrphanAfter = cmp.Or(c.OrphanAfter, DefaultOrphanAfter)
+	c.KeepFor = cmp.Or(c.KeepFor, DefaultKeepFor)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Faults are the engine's fault switches.
 type Faults struct {
 	standin.ConnFaults
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -23,6 +23,7 @@
 package platform
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"strconv"
@@ -61,18 +62,10 @@
 	if c.Clock == nil {
 		c.Clock = timekeeper.System{}
 	}
-	if c.Retention == 0 {
-		c.Retention = DefaultRetention
-	}
-	if c.AppendRate == 0 {
-		c.AppendRate = DefaultAppendRate
-	}
-	if c.WeightBytes == 0 {
-		c.WeightBytes = DefaultWeightBytes
-	}
-	if c.WeightRate == 0 {
-		c.WeightRate = DefaultWeightRate
-	}
+	c.Retention = cmp.Or(c.Retention, DefaultRetention)
+	c.AppendRate = cmp.Or(c.AppendRate, DefaultAppendRate)
+	c.WeightBytes = cmp.Or(c.WeightBytes, DefaultWeightBytes)
+	c.WeightRate = cmp.Or(c.WeightRate, DefaultWeightRate)
 	return c
 }
 
--- a/pkg/caller/config.go
+++ b/pkg/caller/config.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"net"
 	"net/http"
 	"time"
@@ -60,24 +61,18 @@
 	if c.Clock == nil {
 		c.Clock = timekeeper.System{}
 	}
-	setDefault(&c.DialTime, DefaultDialTime)
-	setDefault(&c.SilenceTime, DefaultSilenceTime)
-	setDefault(&c.AnswerTime, DefaultAnswerTime)
-	setDefault(&c.Patience, DefaultPatience)
-	setDefault(&c.Pause, DefaultPause)
-	setDefault(&c.Restart, DefaultRestart)
+	c.DialTime = cmp.Or(c.DialTime, DefaultDialTime)
+	c.SilenceTime = cmp.Or(c.SilenceTime, DefaultSilenceTime)
+	c.AnswerTime = cmp.Or(c.AnswerTime, DefaultAnswerTime)
+	c.Patience = cmp.Or(c.Patience, DefaultPatience)
+	c.Pause = cmp.Or(c.Pause, DefaultPause)
+	c.Restart = cmp.Or(c.Restart, DefaultRestart)
 	if c.Transport == nil {
 		c.Transport = newTransport(c)
 	}
 	return c
 }
 
-func setDefault(d *timekeeper.Duration, value timekeeper.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
-
 func newTransport(c Config) *http.Transport {
 	dialer := &net.Dialer{Timeout: c.DialTime.Std()}
 	return &http.Transport{
