Share what the platform's clients have in common

Cause: Log and Cloud had the same fields, constructor and Close, and five reads built the same call by hand. Ruled out: merging the error types of errors.go: equal in shape, they differ in what the caller may do next. Change: platformClient and client.get; PlatformConfig has a file of its own.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -22,6 +22,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -57,12 +58,8 @@
 }
 
 func (b Bounds) withDefaults() Bounds {
-	if b.Dial == 0 {
-		b.Dial = DefaultDialTimeout
-	}
-	if b.Call == 0 {
-		b.Call = DefaultTimeout
-	}
+	b.Dial = cmp.Or(b.Dial, DefaultDialTimeout)
+	b.Call = cmp.Or(b.Call, DefaultTimeout)
 	return b
 }
 
@@ -200,6 +197,15 @@
 	return c.exchange(ctx, wanted, reply)
 }
 
+// get is exchangeBounded for a call without a body.
+func (c *client) get(ctx context.Context, address, path string, reply any, extra timekeeper.Duration) error {
+	return c.exchangeBounded(ctx, call{
+		method:  http.MethodGet,
+		address: address,
+		path:    path,
+	}, reply, extra)
+}
+
 // statusError reads an answer that is not a success.
 func statusError(address string, response *http.Response) *StatusError {
 	body, _ := io.ReadAll(io.LimitReader(response.Body, maxProblem))
--- a/internal/adapter/cloud.go
+++ b/internal/adapter/cloud.go
@@ -37,12 +37,7 @@
 func (l *Lister) List(ctx context.Context) (messenger.ListRead, error) {
 	asked := l.config.clock().Now()
 	var reply encoder.ListResponse
-	wanted := call{
-		method:  http.MethodGet,
-		address: l.config.Address,
-		path:    "/vms",
-	}
-	if err := l.client.exchangeBounded(ctx, wanted, &reply, 0); err != nil {
+	if err := l.client.get(ctx, l.config.Address, "/vms", &reply, 0); err != nil {
 		return messenger.ListRead{}, readError(err)
 	}
 	read := messenger.ListRead{
@@ -67,26 +62,10 @@
 
 // Cloud is the client of the platform's cloud API. It is safe for concurrent
 // use.
-type Cloud struct {
-	config  PlatformConfig
-	readers *client
-	writers *client
-}
+type Cloud struct{ platformClient }
 
 // NewCloud returns a client of the cloud API.
-func NewCloud(c PlatformConfig) *Cloud {
-	return &Cloud{
-		config:  c,
-		readers: newClient(c.Bounds),
-		writers: newFreshClient(c.Bounds),
-	}
-}
-
-// Close ends the idle connections.
-func (c *Cloud) Close() {
-	c.readers.close()
-	c.writers.close()
-}
+func NewCloud(c PlatformConfig) *Cloud { return &Cloud{platformClient: newPlatformClient(c)} }
 
 // Buy buys a VM. Its errors are *BuyRefusedError and *UnavailableError, when
 // nothing was bought, and *AmbiguousError. The caller checks its lease before.
@@ -143,13 +122,9 @@
 	values := url.Values{}
 	values.Set("after", strconv.FormatUint(after, 10))
 	values.Set("wait_ms", strconv.FormatInt(int64(wait), 10))
-	wanted := call{
-		method:  http.MethodGet,
-		address: c.config.Address,
-		path:    "/cloud/notices?" + values.Encode(),
-	}
 	var reply encoder.NoticesResponse
-	if err := c.readers.exchangeBounded(ctx, wanted, &reply, wait); err != nil {
+	path := "/cloud/notices?" + values.Encode()
+	if err := c.readers.get(ctx, c.config.Address, path, &reply, wait); err != nil {
 		return nil, readError(err)
 	}
 	now := c.config.clock().Now()
--- a/internal/adapter/engine.go
+++ b/internal/adapter/engine.go
@@ -173,12 +173,8 @@
 // last state.
 func (e *Engine) CacheEvents(ctx context.Context, address string, after uint64) (CacheEvents, error) {
 	var reply encoder.CacheEventsResponse
-	err := e.polls.exchangeBounded(ctx, call{
-		method:  http.MethodGet,
-		address: address,
-		path:    "/cache_events?after=" + strconv.FormatUint(after, 10),
-	}, &reply, 0)
-	if err != nil {
+	path := "/cache_events?after=" + strconv.FormatUint(after, 10)
+	if err := e.polls.get(ctx, address, path, &reply, 0); err != nil {
 		return CacheEvents{}, serverError(err)
 	}
 	return foldCacheEvents(reply.Events, after), nil
@@ -244,12 +240,7 @@
 func pollLoad(ctx context.Context, c *client, clock timekeeper.Clock, address string) (messenger.ServerLoad, error) {
 	asked := clock.Now()
 	var reply encoder.Load
-	err := c.exchangeBounded(ctx, call{
-		method:  http.MethodGet,
-		address: address,
-		path:    "/load",
-	}, &reply, 0)
-	if err != nil {
+	if err := c.get(ctx, address, "/load", &reply, 0); err != nil {
 		return messenger.ServerLoad{}, serverError(err)
 	}
 	return messenger.ServerLoad{
--- a/internal/adapter/log.go
+++ b/internal/adapter/log.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"net/url"
 	"strconv"
 
@@ -12,22 +11,6 @@
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
-// PlatformConfig configures the clients of the platform.
-type PlatformConfig struct {
-	// Address is the platform's host:port.
-	Address string
-	Bounds  Bounds
-	// Clock dates what the platform reports by age or by time left.
-	Clock timekeeper.Clock
-}
-
-func (c PlatformConfig) clock() timekeeper.Clock {
-	if c.Clock == nil {
-		return timekeeper.System{}
-	}
-	return c.Clock
-}
-
 // Record is a record to append.
 type Record struct {
 	Stream identifier.LogStream
@@ -36,26 +19,10 @@
 
 // Log is the client of the platform's append-only log. It is safe for
 // concurrent use.
-type Log struct {
-	config  PlatformConfig
-	readers *client
-	writers *client
-}
+type Log struct{ platformClient }
 
 // NewLog returns a client of the log.
-func NewLog(c PlatformConfig) *Log {
-	return &Log{
-		config:  c,
-		readers: newClient(c.Bounds),
-		writers: newFreshClient(c.Bounds),
-	}
-}
-
-// Close ends the idle connections.
-func (l *Log) Close() {
-	l.readers.close()
-	l.writers.close()
-}
+func NewLog(c PlatformConfig) *Log { return &Log{platformClient: newPlatformClient(c)} }
 
 // Append appends the records together and in order, or not at all. Its errors
 // are *RateLimitedError and *UnavailableError, when nothing was appended, and
@@ -89,12 +56,8 @@
 	values.Set("limit", strconv.Itoa(limit))
 	values.Set("wait_ms", strconv.FormatInt(int64(wait), 10))
 	var reply encoder.ReadResponse
-	wanted := call{
-		method:  http.MethodGet,
-		address: l.config.Address,
-		path:    "/log/read?" + values.Encode(),
-	}
-	if err := l.readers.exchangeBounded(ctx, wanted, &reply, wait); err != nil {
+	path := "/log/read?" + values.Encode()
+	if err := l.readers.get(ctx, l.config.Address, path, &reply, wait); err != nil {
 		return messenger.LogRead{}, readError(err)
 	}
 	read := messenger.LogRead{
