Say how a request ends in one value, and what epochs are for

Ruled out: the refusal of a request as the type: an accepted one is not refused. Change: the type ending, becomeOwner, a comment. Conclusion: no behaviour changed.

--- a/internal/conductor/adopt.go
+++ b/internal/conductor/adopt.go
@@ -91,7 +91,7 @@
 	r.accepted = true
 	r.mayHaveRun = true
 	r.phase = waiting
-	r.takenWith(t.epoch, t.attempt)
+	r.becomeOwner(t.epoch, t.attempt)
 	r.hold.confirm = t.confirm
 	r.delivered = t.delivered
 	r.retryAt = w.Now
--- a/internal/conductor/epoch.go
+++ b/internal/conductor/epoch.go
@@ -1,9 +1,12 @@
 package conductor
 
-import (
-	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
-)
+import "github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 
+// Epochs order the nodes that take themselves for the owner of a request. One
+// that was frozen or cut off does not know that it was taken for dead: both
+// would go on, and the caller read two answers joined. Of two the one with the
+// larger epoch goes on and the other redirects its callers; without an order
+// both could yield, and the answer would be lost.
 const (
 	// takeoverStep is how much larger the epoch of a new owner is.
 	takeoverStep = 1
@@ -18,8 +21,9 @@
 // its numbers, and so its stream names, apart from the new owner's.
 const ownerStride = 100
 
-// takenWith gives r to this node with an epoch.
-func (r *request) takenWith(e identifier.Epoch, last identifier.AttemptNumber) {
+// becomeOwner makes this node the owner of r with epoch e, after attempt last of
+// the former owner.
+func (r *request) becomeOwner(e identifier.Epoch, last identifier.AttemptNumber) {
 	r.epoch = e
 	r.attempt = max(last, identifier.AttemptNumber(e)*ownerStride)
 }
--- a/internal/conductor/finish.go
+++ b/internal/conductor/finish.go
@@ -8,23 +8,27 @@
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
+// ending is how an accepted request ends.
+type ending struct {
+	outcome    messenger.Outcome
+	reason     messenger.Reason
+	retryAfter timekeeper.Duration
+}
+
 // finish ends an accepted request.
-func (c *Conductor) finish(
-	w *World, r *request,
-	outcome messenger.Outcome, reason messenger.Reason, retryAfter timekeeper.Duration,
-) []messenger.Effect {
+func (c *Conductor) finish(w *World, r *request, e ending) []messenger.Effect {
 	out := []messenger.Effect{
 		messenger.Finish{
 			Request:    r.spec.Request,
-			Outcome:    outcome,
-			Reason:     reason,
-			RetryAfter: retryAfter,
+			Outcome:    e.outcome,
+			Reason:     e.reason,
+			RetryAfter: e.retryAfter,
 		},
-		c.note("finished", r, fmt.Sprintf("outcome=%s reason=%s", outcome, reason)),
+		c.note("finished", r, fmt.Sprintf("outcome=%s reason=%s", e.outcome, e.reason)),
 	}
-	out = append(out, c.settleClaim(w, r, outcome)...)
+	out = append(out, c.settleClaim(w, r, e.outcome)...)
 	out = append(out, c.releaseAnswer(r)...)
-	if outcome == messenger.Done {
+	if e.outcome == messenger.Done {
 		c.counters.Done++
 	}
 	c.remove(w, r, r.spec.PromptTokens+r.delivered)
@@ -93,7 +97,10 @@
 	}
 	out := c.stop(r)
 	if r.accepted {
-		return append(out, c.finish(w, r, ran, reason, 0)...)
+		return append(out, c.finish(w, r, ending{
+			outcome: ran,
+			reason:  reason,
+		})...)
 	}
 	out = append(out, c.unhold(r)...)
 	return append(out, c.refuse(w, r, notRun(reason, 0))...)
--- a/internal/conductor/harness_test.go
+++ b/internal/conductor/harness_test.go
@@ -248,7 +248,9 @@
 }
 
 // end reports the end of an attempt.
-func (f *fixture) end(a messenger.SendAttempt, result messenger.AttemptResult, retryAfter timekeeper.Duration) []messenger.Effect {
+func (f *fixture) end(
+	a messenger.SendAttempt, result messenger.AttemptResult, retryAfter timekeeper.Duration,
+) []messenger.Effect {
 	return f.c.AttemptEnded(f.w, messenger.AttemptEnded{
 		Request:    id,
 		Attempt:    a.Attempt,
--- a/internal/conductor/progress.go
+++ b/internal/conductor/progress.go
@@ -70,7 +70,7 @@
 	out := []messenger.Effect{c.note("attempt_ended", r, fmt.Sprintf("result=%s delivered=%d", e.Result, r.delivered))}
 	if e.Result == messenger.AttemptComplete {
 		c.completed(w, r)
-		return append(out, c.finish(w, r, messenger.Done, messenger.ReasonNone, 0)...)
+		return append(out, c.finish(w, r, ending{outcome: messenger.Done})...)
 	}
 	if effects, ok := c.rejoin(w, r, e.Result); ok {
 		return append(out, effects...)
@@ -125,8 +125,11 @@
 		EarlierNotRun: !r.mayHaveRun,
 	}, w.Rand)
 	if !verdict.Again {
-		outcome := c.truthful(r, verdict.Outcome)
-		return c.finish(w, r, outcome, verdict.Reason, verdict.RetryAfter)
+		return c.finish(w, r, ending{
+			outcome:    c.truthful(r, verdict.Outcome),
+			reason:     verdict.Reason,
+			retryAfter: verdict.RetryAfter,
+		})
 	}
 	r.failedServers[r.server] = true
 	if e.Result != messenger.AttemptRefused {
