Call what a peer is to be sent a reply

Cause: debt, owe and pay were a metaphor for the messages that peers wait for, and plant one for noting a seed. Ruled out: one queue of messages, which could not merge what a peer asked for. Change: names, and comments on the functions renamed. Conclusion: no behaviour changed.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -121,9 +121,9 @@
 	nextDue timekeeper.Time
 	// urgent tells that the next Tick sends though no period has passed.
 	urgent bool
-	// debts are the peers that get a message with the next Tick, and askedKeys
+	// replies are the peers that get a message with the next Tick, and askedKeys
 	// when a record was last asked for.
-	debts     table[debt]
+	replies   table[reply]
 	askedKeys map[uint64]timekeeper.Time
 	// wantSync tells that the whole state is still to be asked for.
 	wantSync bool
@@ -150,7 +150,7 @@
 		seeds:     newTable[seed](maxNodes),
 		servers:   newTable[serverRecord](maxServers),
 		marks:     newTable[mark](maxMarks),
-		debts:     newTable[debt](maxNodes),
+		replies:   newTable[reply](maxNodes),
 		askedKeys: map[uint64]timekeeper.Time{},
 		wantSync:  true,
 		syncs:     newTable[syncState](maxSyncs),
--- a/internal/gossiper/receive.go
+++ b/internal/gossiper/receive.go
@@ -92,9 +92,9 @@
 		case r == nil:
 		case r == m.self:
 			m.self.heartbeat = max(m.self.heartbeat, message.GetLateHeartbeats()[i]) + 1
-			m.owe(from)
+			m.replyTo(from)
 		case r.heartbeat > message.GetLateHeartbeats()[i]:
-			m.owe(from).tell(r.VM)
+			m.replyTo(from).addBeat(r.VM)
 		}
 	}
 }
--- a/internal/gossiper/debt.go
+++ b/internal/gossiper/reply.go
@@ -17,29 +17,31 @@
 	askKeyAgainAfter = timekeeper.Second
 )
 
-// debt is what a peer is to be sent with the next Tick, beside this node's own
+// reply is what a peer is to be sent with the next Tick, beside this node's own
 // record: heartbeats that it takes for late, records that it asked for, and keys
 // to ask it for.
-type debt struct {
+type reply struct {
 	beats   []identifier.VMID
 	records []identifier.VMID
 	asks    []uint64
 }
 
-func (d *debt) tell(vm identifier.VMID) {
-	if len(d.beats) < maxQuestions {
-		d.beats = append(d.beats, vm)
+// addBeat adds the heartbeat of a node that the peer takes for late.
+func (rep *reply) addBeat(vm identifier.VMID) {
+	if len(rep.beats) < maxQuestions {
+		rep.beats = append(rep.beats, vm)
 	}
 }
 
-// owe returns what the peer is owed, from now on at least a message.
-func (m *Members) owe(peer identifier.VMID) *debt {
-	d := m.debts.get(peer)
-	if d == nil {
-		d = &debt{}
-		m.debts.put(peer, d)
+// replyTo returns what a peer is to be sent with the next Tick, from now on at
+// least a message.
+func (m *Members) replyTo(peer identifier.VMID) *reply {
+	rep := m.replies.get(peer)
+	if rep == nil {
+		rep = &reply{}
+		m.replies.put(peer, rep)
 	}
-	return d
+	return rep
 }
 
 // ask notes that this node has no record of a key that a peer knows.
@@ -48,15 +50,15 @@
 	if at, ok := m.askedKeys[key]; ok && now.Sub(at) < askKeyAgainAfter {
 		return
 	}
-	d := m.owe(peer)
-	if len(d.asks) >= maxAsks {
+	rep := m.replyTo(peer)
+	if len(rep.asks) >= maxAsks {
 		return
 	}
 	if len(m.askedKeys) >= maxAskedKeys {
 		clear(m.askedKeys)
 	}
 	m.askedKeys[key] = now
-	d.asks = append(d.asks, key)
+	rep.asks = append(rep.asks, key)
 }
 
 // wanted notes the records that a peer asked for.
@@ -66,19 +68,19 @@
 		if r == nil {
 			continue
 		}
-		d := m.owe(peer)
-		if len(d.records) < maxAsks && !slices.Contains(d.records, r.VM) {
-			d.records = append(d.records, r.VM)
+		rep := m.replyTo(peer)
+		if len(rep.records) < maxAsks && !slices.Contains(rep.records, r.VM) {
+			rep.records = append(rep.records, r.VM)
 		}
 	}
 }
 
-// answers returns the messages that peers are owed.
+// answers returns the messages to the peers that wait for one.
 func (m *Members) answers(now timekeeper.Time) []Message {
 	var messages []Message
-	for _, peer := range slices.Clone(m.debts.order) {
-		d := m.debts.get(peer)
-		m.debts.remove(peer)
+	for _, peer := range slices.Clone(m.replies.order) {
+		rep := m.replies.get(peer)
+		m.replies.remove(peer)
 		r := m.nodes.get(peer)
 		if r == nil {
 			continue
@@ -86,25 +88,26 @@
 		messages = append(messages, Message{
 			Peer:    peer,
 			Address: r.PeerAddress,
-			Data:    m.forPeer(now, peer, m.pay(d)),
+			Data:    m.forPeer(now, peer, m.packReply(rep)),
 		})
 	}
 	return messages
 }
 
-func (m *Members) pay(d *debt) []byte {
+// packReply encodes what a peer is to be sent.
+func (m *Members) packReply(rep *reply) []byte {
 	p := m.newPacker()
-	for _, key := range d.asks {
+	for _, key := range rep.asks {
 		if p.take(keySize) {
 			p.message.WantKeys = append(p.message.WantKeys, key)
 		}
 	}
-	for _, vm := range d.beats {
+	for _, vm := range rep.beats {
 		if r := m.nodes.get(vm); r != nil {
 			p.addBeat(r)
 		}
 	}
-	for _, vm := range d.records {
+	for _, vm := range rep.records {
 		if r := m.nodes.get(vm); r != nil {
 			p.addNode(m, r)
 		}
--- a/internal/gossiper/server.go
+++ b/internal/gossiper/server.go
@@ -74,7 +74,7 @@
 	m.listAsOf = asOf
 	for _, vm := range vms {
 		if vm.Pool == "" {
-			m.plant(asOf, vm)
+			m.addSeed(asOf, vm)
 			continue
 		}
 		changes = append(changes, m.listed(now, asOf, vm)...)
@@ -92,7 +92,8 @@
 	}
 }
 
-func (m *Members) plant(asOf timekeeper.Time, vm messenger.VMState) {
+// addSeed notes or renews the peer address of an entry VM on the list.
+func (m *Members) addSeed(asOf timekeeper.Time, vm messenger.VMState) {
 	if s := m.seeds.get(vm.VM); s != nil {
 		s.address = vm.Address
 		s.asOf = asOf
