Let refused work come back while it can be in time, and keep limits for the dear

Cause: after a wave the pool is short for minutes. Refused reports were told the time in which a queue drains, were back within seconds, refused again and given up, with minutes to spare. Ruled out: a longer time for all refusals (lookups have 300 ms in all). Change: an overload's Retry-After is at least a third of the time that the target leaves.

--- a/internal/limiter/bucket.go
+++ b/internal/limiter/bucket.go
@@ -39,12 +39,13 @@
 // wait is the time until n may be taken, zero for now. A bucket that is not
 // empty may go into debt by one request: the rest of a node's share is often
 // smaller than what the account, by all its shares, may have. What needs
-// nothing always passes. The part keep of the capacity is not to be touched.
+// nothing always passes. The part keep of the capacity is not to be touched, as
+// far as one request or token is left beside it.
 func (b *bucket) wait(n, keep float64) timekeeper.Duration {
 	if b.unlimited() || n <= 0 {
 		return 0
 	}
-	missing := min(n, 1) + keep*b.capacity - b.level
+	missing := min(n, 1) + min(keep*b.capacity, b.capacity-1) - b.level
 	if missing <= roundingError {
 		return 0
 	}
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -210,7 +210,7 @@
 		return Verdict{OK: true}
 	}
 	keep := 0.0
-	if l.rules.DearFirst && !acc.dear(a) {
+	if l.rules.DearFirst && !acc.dear(a) && acc.expectsDear {
 		keep = dearPart
 	}
 	wait := max(acc.requests.wait(1, keep), acc.tokens.wait(float64(a.Tokens), keep))
--- a/internal/limiter/pool.go
+++ b/internal/limiter/pool.go
@@ -29,6 +29,9 @@
 	planFor = 100 * timekeeper.Millisecond
 	// smoothing is the weight of the newest ask in an entry's means.
 	smoothing = 0.1
+	// patienceParts is how many times a caller may be refused, the first time
+	// included, before the time that its target leaves is used up.
+	patienceParts = 3
 	// activePart is the part of a pool's use below which an account does not
 	// count as one that the pool is shared with.
 	activePart = 0.005
@@ -172,10 +175,23 @@
 	return float64(a.FreeSlots) < part*float64(a.Slots)
 }
 
+// patience is a third of the time that the request's target leaves.
+//
+// An overload lasts as long as new servers take to load. Work with minutes to
+// spare that is told the time in which a queue drains is back at once, is
+// refused again, and its caller gives up while it could still be in time.
+func patience(a Ask) timekeeper.Duration {
+	spare := a.Target.Completion - a.Predicted
+	if a.Target.FirstToken > 0 {
+		spare = min(spare, a.Target.FirstToken)
+	}
+	return max(spare, 0) / patienceParts
+}
+
 // drainTime is the time in which the pool works off what waits.
 func (p *pool) drainTime(a Ask) timekeeper.Duration {
 	ms := float64(a.Waiting+1) / float64(max(a.Slots, 1)) * p.serviceTime
-	return min(max(timekeeper.Duration(ms), minRetry), maxRetry)
+	return min(max(timekeeper.Duration(ms), minRetry, patience(a)), maxRetry)
 }
 
 // sheds reports whether overload costs this request its admission.
--- a/internal/limiter/returns.go
+++ b/internal/limiter/returns.go
@@ -14,7 +14,7 @@
 	// configuration.
 	unconfiguredRetry = 2 * timekeeper.Second
 	// returnSpread is the share by which return times are spread.
-	returnSpread = 0.15
+	returnSpread = 0.1
 	// goldenPart is the fractional part of the golden ratio: its multiples
 	// fall evenly between 0 and 1 however many there are.
 	goldenPart = 0.6180339887498949
