Keep spare slots where penalties outweigh their price

And a reclaim was believed to cost a fraction of what it does: weights load one after the other, so that the pool is short for several load times. Change: the busy share falls from 0.7 to 0.5 where a twentieth of the penalties on a server outweighs its price; a reclaim counts three times as dear.

--- a/internal/scaler/scaler.go
+++ b/internal/scaler/scaler.go
@@ -44,6 +44,8 @@
 	// RiskPrice raises the price of a reclaimable VM by the expected cost of
 	// its reclaims.
 	RiskPrice bool
+	// Spare keeps more slots free where penalties are dear against VMs.
+	Spare bool
 	// ZoneSpread bounds how many servers stand in one zone.
 	ZoneSpread bool
 	// PriceThreshold buys on demand after refusals only where the penalties
@@ -62,6 +64,7 @@
 		Ahead:          true,
 		Flash:          true,
 		RiskPrice:      true,
+		Spare:          true,
 		ZoneSpread:     true,
 		PriceThreshold: true,
 		Swap:           true,
--- a/internal/scaler/size.go
+++ b/internal/scaler/size.go
@@ -15,13 +15,20 @@
 	// releaseBusy is the share that must suffice after a release. The gap to
 	// targetBusy keeps a pool at its edge from buying and releasing in turn.
 	releaseBusy = 0.60
+	// spareShare lowers both where spare slots are worth their price: where the
+	// penalties that a server's work carries, times spareMiss, outweigh it.
+	// spareMiss is the part of the work that is late at targetBusy and is not
+	// at the lower share.
+	spareShare = 5.0 / 7
+	spareMiss  = 0.05
 	// fullBusy is the share past which work is counted as missing targets.
 	fullBusy = 0.90
 	// movedMiss is the part of a reclaimed server's streams that miss their
-	// target by being moved. shortMiss is the part of the pool's work that
-	// misses until replacements serve, when a zone goes.
-	movedMiss = 0.05
-	shortMiss = 0.40
+	// target by being moved. shortMiss is the part of the pool's work of one
+	// load time that misses when a zone goes. It exceeds one, because weights
+	// load one after the other: the last replacement serves after several.
+	movedMiss = 0.15
+	shortMiss = 1.2
 )
 
 // sizing is the pool's numbers for one plan.
@@ -58,12 +65,30 @@
 	}
 	z.zones = max(1, len(z.class.Prices))
 	z.safe = servers(f.interactive, pool, fullBusy)
-	z.want = z.bounded(servers(z.busy, pool, targetBusy), r)
-	z.keep = z.bounded(servers(z.busy, pool, releaseBusy), r)
+	z.want = z.bounded(servers(z.busy, pool, targetBusy*z.spare(r)), r)
+	z.keep = z.bounded(servers(z.busy, pool, releaseBusy*z.spare(r)), r)
 	z.reclaimCost = z.lossOf(s.config.LoadTime)
 	return z
 }
 
+// spare returns the factor by which the busy share of the slots is lowered.
+func (z sizing) spare(r Rules) float64 {
+	atStake := float64(z.pool.Slots) * z.perSlot * timekeeper.Hour.Seconds() * z.penalty
+	if !r.Spare || spareMiss*atStake <= z.dearest() {
+		return 1
+	}
+	return spareShare
+}
+
+// dearest returns the highest price of an hour of the pool's class.
+func (z sizing) dearest() float64 {
+	var dearest identifier.Money
+	for _, prices := range z.class.Prices {
+		dearest = max(dearest, prices[catalog.OnDemand], prices[catalog.Reclaimable])
+	}
+	return float64(dearest)
+}
+
 // bounded raises n so that interactive requests outlive the loss of a zone,
 // and keeps it within the pool's bounds.
 func (z sizing) bounded(n int, r Rules) int {
@@ -95,11 +120,7 @@
 // meanwhile. Reclaims come by the zone, and what the others take over makes
 // them all late; so that part is the whole pool's, over the servers of a zone.
 func (z sizing) lossOf(loadTime timekeeper.Duration) float64 {
-	var dearest identifier.Money
-	for _, prices := range z.class.Prices {
-		dearest = max(dearest, prices[catalog.OnDemand], prices[catalog.Reclaimable])
-	}
-	loading := float64(dearest) * float64(loadTime) / float64(timekeeper.Hour)
+	loading := z.dearest() * float64(loadTime) / float64(timekeeper.Hour)
 	moved := float64(z.pool.Slots) * targetBusy * movedMiss
 	meanwhile := z.busy * z.perSlot * loadTime.Seconds() * shortMiss
 	inZone := float64(max(z.want, 1)) / float64(z.zones)
