Route by this node's own requests, and take four rules out of the router

Cause: of the routing, least in flight was the better half: a report that is a second late includes the node's own requests of then, so subtracting those of now hides them; a server that lies looks idle to all; two drawn servers are often not the best. Price put long streams on servers that are reclaimed. The prefix drew requests about one document to one server, where they were lost together. Ruled out: more draws (3, 4, 5), no draw but reports, reports without the subtraction, a dearer reclaim risk (x5, x20, x60), a dearer prefill (x3, x10): all within the spread or worse. Change: Price, Reports, AgeReports and the draw are taken out; Spread now only breaks ties at random; a prefix counts among the servers with the fewest own requests.

--- a/internal/bencher/cloud.go
+++ b/internal/bencher/cloud.go
@@ -278,6 +278,9 @@
 	for _, a := range broken {
 		a.request.node.failed(a, messenger.AttemptBroken)
 	}
+	for _, n := range c.world.nodes {
+		n.forget(s)
+	}
 }
 
 // scheduleFaults draws the faults of a run.
--- a/internal/router/choose.go
+++ b/internal/router/choose.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"strconv"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
@@ -46,87 +47,101 @@
 	if best == tierNever {
 		return Choice{}, false
 	}
-	f := field{
-		now:     now,
-		job:     &j,
-		cs:      cs,
-		rules:   r,
-		tier:    best,
-		picture: survey(now, &j, cs, r, best),
-	}
-	winner := f.lowest()
+	// Nodes that all begin with the same server would all send it the first
+	// request after a quiet moment.
+	first := 0
 	if r.Spread {
-		winner = f.draw(rng)
+		first = rng.IntN(len(cs))
+	}
+	left := timeLeft(now, &j)
+	least := leastInFlight(&j, cs, r, best)
+	winner := scored{score: math.Inf(1)}
+	for i := range cs {
+		k := (first + i) % len(cs)
+		if tierOf(&j, &cs[k], r) != best {
+			continue
+		}
+		c := cs[k]
+		if c.OwnInFlight > least {
+			c.PrefixHit = 0
+		}
+		s := predict(&j, &c, r)
+		if cost := score(&j, &c, r, s, left); cost < winner.score {
+			winner = scored{
+				index:     k,
+				score:     cost,
+				predicted: s,
+			}
+		}
 	}
 	return Choice{
 		Server:    cs[winner.index].Server,
 		Predicted: winner.predicted.rounded(),
-		Why:       f.explain(winner),
+		Why:       explain(winner, &cs[winner.index], best),
 	}, true
 }
 
-func bestTier(j *Job, cs []Candidate, r Rules) tier {
-	best := tierNever
+// leastInFlight returns the fewest of this node's requests on a server of the
+// tier. Only there do cached prefixes count: they save a part of a second, and
+// the requests about one document that follow them to a busier server are lost
+// together when it goes.
+func leastInFlight(j *Job, cs []Candidate, r Rules, t tier) int {
+	least := math.MaxInt
 	for i := range cs {
-		best = min(best, tierOf(j, &cs[i], r))
+		if tierOf(j, &cs[i], r) == t {
+			least = min(least, cs[i].OwnInFlight)
+		}
 	}
-	return best
+	return least
+}
+
+// scored is a candidate with its cost in milliseconds.
+type scored struct {
+	index     int
+	score     float64
+	predicted span
 }
 
-// picture is what the candidates of one tier have in common.
-type picture struct {
-	count int
-	// load is the mean load by others, each report weighed by its trust.
-	load float64
-	// price is the mean price of an hour.
-	price float64
-	// left is the time to the job's deadline; zero means that it has none.
-	left timekeeper.Duration
+// explain tells the choice in a line for operators.
+func explain(s scored, c *Candidate, t tier) string {
+	var buf [160]byte
+	b := append(buf[:0], "score="...)
+	b = strconv.AppendFloat(b, s.score, 'f', 1, 64)
+	b = append(b, " own="...)
+	b = strconv.AppendInt(b, int64(c.OwnInFlight), 10)
+	b = append(b, " reported="...)
+	b = strconv.AppendInt(b, int64(c.Load.Running+c.Load.Waiting), 10)
+	b = append(b, " prefix="...)
+	b = strconv.AppendInt(b, int64(c.PrefixHit), 10)
+	switch t {
+	case tierAvoidedZone:
+		b = append(b, " only=avoided_zone"...)
+	case tierDoubtful:
+		b = append(b, " only=doubtful"...)
+	}
+	return string(b)
 }
 
-func survey(now timekeeper.Time, j *Job, cs []Candidate, r Rules, t tier) picture {
-	p := picture{left: timeLeft(now, j)}
-	var weight, load, priced, price float64
+func bestTier(j *Job, cs []Candidate, r Rules) tier {
+	best := tierNever
 	for i := range cs {
-		c := &cs[i]
-		if tierOf(j, c, r) != t {
-			continue
-		}
-		p.count++
-		if c.HasLoad {
-			trust := reportTrust(now, c)
-			weight += trust
-			load += trust * reportedByOthers(c)
-		}
-		if c.Price > 0 {
-			priced++
-			price += float64(c.Price)
-		}
-	}
-	if weight > 0 {
-		p.load = load / weight
-	}
-	if priced > 0 {
-		p.price = price / priced
+		best = min(best, tierOf(j, &cs[i], r))
 	}
-	return p
+	return best
 }
 
 // score is the cost of the candidate in milliseconds.
-func score(j *Job, c *Candidate, r Rules, s span, p picture) float64 {
+func score(j *Job, c *Candidate, r Rules, s span, left timekeeper.Duration) float64 {
 	cost := s.first
 	if r.Completion {
 		cost += completionWeight(j.Priority) * s.total
 	}
 	if r.Target {
-		cost += missCost * lateness(s, j.Target, p.left)
+		cost += missCost * lateness(s, j.Target, left)
 	}
 	if r.ReclaimRisk && c.Market == catalog.Reclaimable {
 		cost += expectedLoss(j, c, s)
 	}
-	if r.Price && p.price > 0 && c.Price > 0 {
-		cost += priceWeight(j.Priority) * s.total * (float64(c.Price)/p.price - 1)
-	}
 	return cost
 }
 
@@ -141,17 +156,6 @@
 	}
 }
 
-func priceWeight(p catalog.Priority) float64 {
-	switch {
-	case p >= catalog.Interactive:
-		return 0
-	case p == catalog.Standard:
-		return 0.05
-	default:
-		return 0.3
-	}
-}
-
 // timeLeft is the time to the job's deadline, at least a millisecond, or zero
 // for none.
 func timeLeft(now timekeeper.Time, j *Job) timekeeper.Duration {
--- a/internal/router/predict.go
+++ b/internal/router/predict.go
@@ -8,10 +8,8 @@
 )
 
 const (
-	// reportHalfLife is the age at which a load report counts half.
-	reportHalfLife = 2 * timekeeper.Second
-	// typicalTokens and typicalPrompt stand for requests of other nodes, of
-	// which only the number is known.
+	// typicalTokens and typicalPrompt stand for requests that wait, of which
+	// only the number is known.
 	typicalTokens = 256
 	typicalPrompt = 1024
 	// batchSlowdown is the share by which a full batch lengthens the time
@@ -25,11 +23,15 @@
 	maxSpan = float64(24 * timekeeper.Hour)
 )
 
-// Predict estimates the job's times on the candidate. Without a report, or
-// with an old one, the unseen load counts as nothing; Choose assumes the mean
-// of the other candidates instead.
-func Predict(now timekeeper.Time, j Job, c Candidate, r Rules) Prediction {
-	return predict(now, &j, &c, r, 0).rounded()
+// Predict estimates the job's times on the candidate, by this node's own
+// requests there.
+//
+// What servers report of the others' requests is not counted. Reports are late,
+// and each node that acts on them corrects what the others have corrected
+// already; a server that lies draws the requests of all. Where each node
+// balances its own requests, the sum is balanced too.
+func Predict(_ timekeeper.Time, j Job, c Candidate, r Rules) Prediction {
+	return predict(&j, &c, r).rounded()
 }
 
 // span is a prediction in fractional milliseconds.
@@ -51,23 +53,11 @@
 	return timekeeper.Duration(math.Ceil(min(ms, maxSpan)))
 }
 
-// predict estimates with a prior: the load by others that is assumed where no
-// fresh report tells.
-func predict(now timekeeper.Time, j *Job, c *Candidate, r Rules, prior float64) span {
-	own := 0.0
+func predict(j *Job, c *Candidate, r Rules) span {
+	present, ownPrefill := 0.0, 0.0
 	if r.OwnInFlight {
-		own = float64(c.OwnInFlight)
+		present, ownPrefill = float64(c.OwnInFlight), float64(c.OwnPrefill)
 	}
-	ownPrefill := 0.0
-	if r.OwnInFlight {
-		ownPrefill = float64(c.OwnPrefill)
-	}
-	return predictAt(j, c, r, own+othersLoad(now, c, r, prior), ownPrefill)
-}
-
-// predictAt estimates with a given number of requests present on the server
-// and of tokens that it has to read first.
-func predictAt(j *Job, c *Candidate, r Rules, present, ownPrefill float64) span {
 	slots := float64(max(c.Slots, 1))
 	if c.TokensPerSecond <= 0 {
 		return predictPlain(present, slots, c, r)
@@ -131,35 +121,6 @@
 	}
 }
 
-// othersLoad estimates the requests of other nodes on the server. A report
-// includes this node's own requests, which are counted apart. The older the
-// report, the closer the estimate comes to the prior.
-func othersLoad(now timekeeper.Time, c *Candidate, r Rules, prior float64) float64 {
-	if !r.Reports {
-		return 0
-	}
-	if !c.HasLoad {
-		return prior
-	}
-	reported := reportedByOthers(c)
-	if !r.AgeReports {
-		return reported
-	}
-	trust := reportTrust(now, c)
-	return trust*reported + (1-trust)*prior
-}
-
-func reportedByOthers(c *Candidate) float64 {
-	return float64(max(c.Load.Running+c.Load.Waiting-c.OwnInFlight, 0))
-}
-
-// reportTrust is 1 for a report of this instant and halves with each
-// half-life.
-func reportTrust(now timekeeper.Time, c *Candidate) float64 {
-	age := max(now.Sub(c.Load.AsOf), 0)
-	return math.Exp2(-float64(age) / float64(reportHalfLife))
-}
-
 func hop(c *Candidate, r Rules) float64 {
 	if c.SameZone || !r.ZoneHop {
 		return 0
--- a/internal/router/rules.go
+++ b/internal/router/rules.go
@@ -4,14 +4,10 @@
 // can tell what each is worth. Leaving servers are never chosen; no switch
 // changes that.
 type Rules struct {
-	// OwnInFlight counts this node's own requests on the server, which no
-	// report shows yet.
+	// OwnInFlight counts this node's own requests on the server.
 	OwnInFlight bool
-	// Reports counts the load that servers report.
-	Reports bool
-	// AgeReports trusts a report less the older it is.
-	AgeReports bool
-	// Prefix skips the prefill of tokens that the server has cached.
+	// Prefix skips the prefill of tokens that the server has cached, among the
+	// servers with the fewest of this node's requests.
 	Prefix bool
 	// Slowdown lets the pace fall with the size of the batch.
 	Slowdown bool
@@ -27,9 +23,7 @@
 	ZoneHop bool
 	// ReclaimRisk adds the expected loss of work on a reclaimable VM.
 	ReclaimRisk bool
-	// Price adds the VM's price, for batch work above all.
-	Price bool
-	// Spread compares two servers drawn at random and the favourite, not all.
+	// Spread begins the comparison at a random server, which wins ties.
 	Spread bool
 }
 
@@ -37,8 +31,6 @@
 func AllRules() Rules {
 	return Rules{
 		OwnInFlight: true,
-		Reports:     true,
-		AgeReports:  true,
 		Prefix:      true,
 		Slowdown:    true,
 		Avoid:       true,
@@ -47,7 +39,6 @@
 		Target:      true,
 		ZoneHop:     true,
 		ReclaimRisk: true,
-		Price:       true,
 		Spread:      true,
 	}
 }
