Name the fields in the tables of tests, one a line

Cause: the house style asks for field names, one a line; tables of tests and a few literals of the stand-ins had neither. Ruled out: nothing else: the change is one of layout. Change: rows by field names; fields at their zero value are left out. Figure: each file has the same number of each assertion as before.

--- a/cmd/dotterelhollow/operator_test.go
+++ b/cmd/dotterelhollow/operator_test.go
@@ -47,10 +47,26 @@
 	view := server.ConfigView{
 		Revision: 9,
 		Files: []server.ConfigFile{
-			{File: "10.ini", Revision: 3, Content: "[zone a]\nregion = r\n"},
-			{File: "20.ini", Revision: 7, Content: "[zone b]\nregion = r\n"},
-			{File: "30.ini", Revision: 8, Content: "[zone c]\nregion = r\n"},
-			{File: "40.ini", Revision: 9, Deleted: true},
+			{
+				File:     "10.ini",
+				Revision: 3,
+				Content:  "[zone a]\nregion = r\n",
+			},
+			{
+				File:     "20.ini",
+				Revision: 7,
+				Content:  "[zone b]\nregion = r\n",
+			},
+			{
+				File:     "30.ini",
+				Revision: 8,
+				Content:  "[zone c]\nregion = r\n",
+			},
+			{
+				File:     "40.ini",
+				Revision: 9,
+				Deleted:  true,
+			},
 		},
 	}
 	wanted := map[identifier.FileName][]byte{
@@ -61,9 +77,21 @@
 	plan, err := planChanges(view, wanted, true)
 	require.NoError(t, err)
 	require.Equal(t, []fileChange{
-		{File: "20.ini", Saw: 7, content: wanted["20.ini"]},
-		{File: "40.ini", Saw: 9, content: wanted["40.ini"]},
-		{File: "30.ini", Saw: 8, Delete: true},
+		{
+			File:    "20.ini",
+			Saw:     7,
+			content: wanted["20.ini"],
+		},
+		{
+			File:    "40.ini",
+			Saw:     9,
+			content: wanted["40.ini"],
+		},
+		{
+			File:   "30.ini",
+			Saw:    8,
+			Delete: true,
+		},
 	}, plan)
 	plan, err = planChanges(view, wanted, false)
 	require.NoError(t, err)
@@ -126,13 +154,29 @@
 		{
 			Node:     "entry-1",
 			Revision: 4,
-			Nodes:    []server.NodeStatus{{VM: "entry-1", State: "alive"}, {VM: "entry-2", State: "alive"}},
-			Leases:   []server.LeaseStatus{{Lease: "reading", Holder: "entry-1", Fence: 3}},
+			Nodes: []server.NodeStatus{{
+				VM:    "entry-1",
+				State: "alive",
+			}, {
+				VM:    "entry-2",
+				State: "alive",
+			}},
+			Leases: []server.LeaseStatus{{
+				Lease:  "reading",
+				Holder: "entry-1",
+				Fence:  3,
+			}},
 		},
 		{
 			Node:     "entry-2",
 			Revision: 4,
-			Nodes:    []server.NodeStatus{{VM: "entry-1", State: "leaving"}, {VM: "entry-2", State: "alive"}},
+			Nodes: []server.NodeStatus{{
+				VM:    "entry-1",
+				State: "leaving",
+			}, {
+				VM:    "entry-2",
+				State: "alive",
+			}},
 		},
 	}
 	require.Equal(t, []disagreement{
--- a/cmd/dotterelhollow/restore_test.go
+++ b/cmd/dotterelhollow/restore_test.go
@@ -115,9 +115,15 @@
 		Fault: gap,
 	}
 	for name, statuses := range map[string][]server.Status{
-		"another node has it": {lost, {Node: "entry-2", Revision: 40}},
-		"all are whole":       {{Node: "entry-1", Revision: 40}},
-		"just started":        {{Node: "entry-1"}},
+		"another node has it": {lost, {
+			Node:     "entry-2",
+			Revision: 40,
+		}},
+		"all are whole": {{
+			Node:     "entry-1",
+			Revision: 40,
+		}},
+		"just started": {{Node: "entry-1"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var addresses []string
--- a/internal/answerer/answer_test.go
+++ b/internal/answerer/answer_test.go
@@ -64,7 +64,13 @@
 	require.False(t, ok, "an older attempt never becomes current again")
 	pieces, _, err := a.Read(t.Context(), 0)
 	require.NoError(t, err)
-	require.Equal(t, []answerer.Piece{{Index: 1, Text: "a"}, {Index: 2, Text: "b"}}, pieces)
+	require.Equal(t, []answerer.Piece{{
+		Index: 1,
+		Text:  "a",
+	}, {
+		Index: 2,
+		Text:  "b",
+	}}, pieces)
 }
 
 // The caller would have a token that no survivor has. The node pushes tokens
@@ -143,9 +149,21 @@
 
 func TestExtendRefusesAHole(t *testing.T) {
 	a := newAnswer("r1")
-	require.True(t, a.Extend(answerer.Change{Pieces: []answerer.Piece{{Index: 1, Text: "a"}}}))
-	require.True(t, a.Extend(answerer.Change{Pieces: []answerer.Piece{{Index: 1, Text: "a"}, {Index: 2, Text: "b"}}}))
-	require.False(t, a.Extend(answerer.Change{Pieces: []answerer.Piece{{Index: 4, Text: "d"}}}))
+	require.True(t, a.Extend(answerer.Change{Pieces: []answerer.Piece{{
+		Index: 1,
+		Text:  "a",
+	}}}))
+	require.True(t, a.Extend(answerer.Change{Pieces: []answerer.Piece{{
+		Index: 1,
+		Text:  "a",
+	}, {
+		Index: 2,
+		Text:  "b",
+	}}}))
+	require.False(t, a.Extend(answerer.Change{Pieces: []answerer.Piece{{
+		Index: 4,
+		Text:  "d",
+	}}}))
 	require.EqualValues(t, 2, a.Delivered())
 }
 
--- a/internal/runner/attempt_test.go
+++ b/internal/runner/attempt_test.go
@@ -101,7 +101,10 @@
 			if e.Result == messenger.AttemptSilent {
 				return []messenger.Effect{send(2, messenger.StartResume, e.Request)}
 			}
-			return []messenger.Effect{messenger.Finish{Request: e.Request, Outcome: messenger.Done}}
+			return []messenger.Effect{messenger.Finish{
+				Request: e.Request,
+				Outcome: messenger.Done,
+			}}
 		}
 		return nil
 	}
--- a/internal/runner/backend_test.go
+++ b/internal/runner/backend_test.go
@@ -37,10 +37,23 @@
 		outcome messenger.Outcome
 		same    bool
 	}{
-		{"in flight", "", true},
-		{"done", messenger.Done, true},
-		{"not run", messenger.NotRun, false},
-		{"unknown, and safe to repeat", messenger.Unknown, false},
+		{
+			name: "in flight",
+			same: true,
+		},
+		{
+			name:    "done",
+			outcome: messenger.Done,
+			same:    true,
+		},
+		{
+			name:    "not run",
+			outcome: messenger.NotRun,
+		},
+		{
+			name:    "unknown, and safe to repeat",
+			outcome: messenger.Unknown,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -76,20 +89,31 @@
 		end  func(*answerer.Answer)
 		same bool
 	}{
-		{"refused with a time to come back", func(a *answerer.Answer) { a.Refuse(refusal) }, false},
-		{"refused for good", func(a *answerer.Answer) {
-			a.Refuse(messenger.Refusal{
-				Reason:  messenger.ReasonDuplicate,
-				Outcome: messenger.Unknown,
-			})
-		}, true},
-		{"accepted, and broken off", func(a *answerer.Answer) {
-			a.Accept()
-			a.Finish(answerer.End{
-				Outcome:    messenger.Unknown,
-				RetryAfter: 2 * timekeeper.Second,
-			})
-		}, true},
+		{
+			name: "refused with a time to come back",
+			end:  func(a *answerer.Answer) { a.Refuse(refusal) },
+		},
+		{
+			name: "refused for good",
+			end: func(a *answerer.Answer) {
+				a.Refuse(messenger.Refusal{
+					Reason:  messenger.ReasonDuplicate,
+					Outcome: messenger.Unknown,
+				})
+			},
+			same: true,
+		},
+		{
+			name: "accepted, and broken off",
+			end: func(a *answerer.Answer) {
+				a.Accept()
+				a.Finish(answerer.End{
+					Outcome:    messenger.Unknown,
+					RetryAfter: 2 * timekeeper.Second,
+				})
+			},
+			same: true,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -139,7 +163,10 @@
 func TestAttachElsewhere(t *testing.T) {
 	inBubble(t, func(t *testing.T, f *fixture) {
 		f.reducer.nodes = nodes("entry-1", "entry-2", "entry-3")
-		known := map[string]relayer.Location{"entry-2:peer": {Address: "entry-2:caller", Copy: true}}
+		known := map[string]relayer.Location{"entry-2:peer": {
+			Address: "entry-2:caller",
+			Copy:    true,
+		}}
 		f.peers.locate = func(_ context.Context, address string) (relayer.Location, bool, error) {
 			at, ok := known[address]
 			return at, ok, nil
@@ -244,18 +271,47 @@
 		want     messenger.Outcome
 		status   int
 	}{
-		{"recorded", &messenger.RecordedOutcome{Outcome: messenger.Done, Status: 201}, nil, messenger.Done, 201},
-		{"too large to be recorded", &messenger.RecordedOutcome{Outcome: messenger.Done, Status: 201, BodyOmitted: true},
-			func() (relayer.Ending, error) {
-				return relayer.Ending{State: relayer.EndingKnown, Outcome: messenger.Done, Reply: reply}, nil
-			}, messenger.Done, 201},
-		{"winner silent", nil, func() (relayer.Ending, error) {
-			return relayer.Ending{}, &relayer.PeerError{}
-		}, messenger.Unknown, 0},
-		{"still running at the deadline", nil, func() (relayer.Ending, error) {
-			sleep(context.Background(), outcomeWait.Std())
-			return relayer.Ending{State: relayer.EndingRunning}, nil
-		}, messenger.Unknown, 0},
+		{
+			name: "recorded",
+			recorded: &messenger.RecordedOutcome{
+				Outcome: messenger.Done,
+				Status:  201,
+			},
+			want:   messenger.Done,
+			status: 201,
+		},
+		{
+			name: "too large to be recorded",
+			recorded: &messenger.RecordedOutcome{
+				Outcome:     messenger.Done,
+				Status:      201,
+				BodyOmitted: true,
+			},
+			outcome: func() (relayer.Ending, error) {
+				return relayer.Ending{
+					State:   relayer.EndingKnown,
+					Outcome: messenger.Done,
+					Reply:   reply,
+				}, nil
+			},
+			want:   messenger.Done,
+			status: 201,
+		},
+		{
+			name: "winner silent",
+			outcome: func() (relayer.Ending, error) {
+				return relayer.Ending{}, &relayer.PeerError{}
+			},
+			want: messenger.Unknown,
+		},
+		{
+			name: "still running at the deadline",
+			outcome: func() (relayer.Ending, error) {
+				sleep(context.Background(), outcomeWait.Std())
+				return relayer.Ending{State: relayer.EndingRunning}, nil
+			},
+			want: messenger.Unknown,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/runner/hold_test.go
+++ b/internal/runner/hold_test.go
@@ -203,9 +203,19 @@
 		tries []error
 		out   string
 	}{
-		{"not taken", []error{refused}, "a"},
-		{"lost", []error{lost}, ""},
-		{"lost, then not taken", []error{lost, refused}, ""},
+		{
+			name:  "not taken",
+			tries: []error{refused},
+			out:   "a",
+		},
+		{
+			name:  "lost",
+			tries: []error{lost},
+		},
+		{
+			name:  "lost, then not taken",
+			tries: []error{lost, refused},
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -317,15 +327,53 @@
 		epoch identifier.Epoch
 		want  relayer.HoldAnswer
 	}{
-		{"later peer", nil, "entry-2", 6, relayer.HoldKept},
-		{"earlier peer", nil, "entry-2", 4, relayer.HoldTaken},
-		{"same epoch, larger name", nil, "entry-2", 5, relayer.HoldTaken},
-		{"same epoch, smaller name", nil, "entry-0", 5, relayer.HoldKept},
-		{"whole answer here", func(a *answerer.Answer) {
-			a.Finish(answerer.End{Outcome: messenger.Done})
-		}, "entry-2", 9, relayer.HoldTaken},
-		{"moved to the peer", func(a *answerer.Answer) { a.Redirect("entry-2", "x") }, "entry-2", 4, relayer.HoldKept},
-		{"moved elsewhere", func(a *answerer.Answer) { a.Redirect("entry-3", "x") }, "entry-2", 4, relayer.HoldTaken},
+		{
+			name:  "later peer",
+			from:  "entry-2",
+			epoch: 6,
+			want:  relayer.HoldKept,
+		},
+		{
+			name:  "earlier peer",
+			from:  "entry-2",
+			epoch: 4,
+			want:  relayer.HoldTaken,
+		},
+		{
+			name:  "same epoch, larger name",
+			from:  "entry-2",
+			epoch: 5,
+			want:  relayer.HoldTaken,
+		},
+		{
+			name:  "same epoch, smaller name",
+			from:  "entry-0",
+			epoch: 5,
+			want:  relayer.HoldKept,
+		},
+		{
+			name: "whole answer here",
+			own: func(a *answerer.Answer) {
+				a.Finish(answerer.End{Outcome: messenger.Done})
+			},
+			from:  "entry-2",
+			epoch: 9,
+			want:  relayer.HoldTaken,
+		},
+		{
+			name:  "moved to the peer",
+			own:   func(a *answerer.Answer) { a.Redirect("entry-2", "x") },
+			from:  "entry-2",
+			epoch: 4,
+			want:  relayer.HoldKept,
+		},
+		{
+			name:  "moved elsewhere",
+			own:   func(a *answerer.Answer) { a.Redirect("entry-3", "x") },
+			from:  "entry-2",
+			epoch: 4,
+			want:  relayer.HoldTaken,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -352,9 +400,12 @@
 	c := newCopies(100)
 	whole := push(1)
 	part := relayer.Push{
-		Spec:   whole.Spec,
-		Epoch:  1,
-		Pieces: []answerer.Piece{{Index: 1, Text: "a"}},
+		Spec:  whole.Spec,
+		Epoch: 1,
+		Pieces: []answerer.Piece{{
+			Index: 1,
+			Text:  "a",
+		}},
 	}
 	require.Equal(t, relayer.HoldBehind, c.keep("entry-2", part))
 	require.Equal(t, relayer.HoldKept, c.keep("entry-2", whole))
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -201,8 +201,11 @@
 				return nil
 			}
 			return []messenger.Effect{messenger.ReplyOperator{
-				Ticket:  e.Ticket,
-				Verdict: messenger.ChangeVerdict{Accepted: true, Revision: 7},
+				Ticket: e.Ticket,
+				Verdict: messenger.ChangeVerdict{
+					Accepted: true,
+					Revision: 7,
+				},
 			}}
 		}
 		v, err := f.Propose(t.Context(), messenger.ChangeProposed{File: "10.ini"})
--- a/internal/server/answer_test.go
+++ b/internal/server/answer_test.go
@@ -169,12 +169,30 @@
 		reason messenger.Reason
 		status int
 	}{
-		{messenger.ReasonAccountLimit, 429},
-		{messenger.ReasonOverload, 503},
-		{messenger.ReasonDeadline, 504},
-		{messenger.ReasonDuplicate, 409},
-		{messenger.ReasonLogUnavailable, 503},
-		{messenger.ReasonRetriesSpent, 502},
+		{
+			reason: messenger.ReasonAccountLimit,
+			status: 429,
+		},
+		{
+			reason: messenger.ReasonOverload,
+			status: 503,
+		},
+		{
+			reason: messenger.ReasonDeadline,
+			status: 504,
+		},
+		{
+			reason: messenger.ReasonDuplicate,
+			status: 409,
+		},
+		{
+			reason: messenger.ReasonLogUnavailable,
+			status: 503,
+		},
+		{
+			reason: messenger.ReasonRetriesSpent,
+			status: 502,
+		},
 	}
 	for _, test := range tests {
 		t.Run(string(test.reason), func(t *testing.T) {
--- a/internal/server/diverged_test.go
+++ b/internal/server/diverged_test.go
@@ -191,14 +191,50 @@
 		status int
 		reason messenger.Reason
 	}{
-		{"same", "", 200, ""},
-		{"other digest", "2-0000000000000001", 409, server.ReasonAnswerDiverged},
-		{"beyond the whole answer", "9-0000000000000001", 409, server.ReasonAnswerDiverged},
-		{"bare index", "2", 200, ""},
-		{"from the start", "0", 200, ""},
-		{"short digest", "2-1", 400, server.ReasonBadHeader},
-		{"no index", "-0000000000000001", 400, server.ReasonBadHeader},
-		{"negative", "-1", 400, server.ReasonBadHeader},
+		{
+			name:   "same",
+			status: 200,
+		},
+		{
+			name:   "other digest",
+			last:   "2-0000000000000001",
+			status: 409,
+			reason: server.ReasonAnswerDiverged,
+		},
+		{
+			name:   "beyond the whole answer",
+			last:   "9-0000000000000001",
+			status: 409,
+			reason: server.ReasonAnswerDiverged,
+		},
+		{
+			name:   "bare index",
+			last:   "2",
+			status: 200,
+		},
+		{
+			name:   "from the start",
+			last:   "0",
+			status: 200,
+		},
+		{
+			name:   "short digest",
+			last:   "2-1",
+			status: 400,
+			reason: server.ReasonBadHeader,
+		},
+		{
+			name:   "no index",
+			last:   "-0000000000000001",
+			status: 400,
+			reason: server.ReasonBadHeader,
+		},
+		{
+			name:   "negative",
+			last:   "-1",
+			status: 400,
+			reason: server.ReasonBadHeader,
+		},
 	}
 	a := finished(newAnswer("r1", "the ", "ship ", "sails"))
 	digest, ok := a.Digest(2)
--- a/internal/server/operator_test.go
+++ b/internal/server/operator_test.go
@@ -49,11 +49,43 @@
 		outcome messenger.Outcome
 		asked   int
 	}{
-		{"accepted", "7", messenger.ChangeVerdict{Accepted: true, Revision: 9}, 200, "", 1},
-		{"rejected", "6", messenger.ChangeVerdict{Faults: []string{"10-zones.ini is at 7"}}, 409, messenger.NotRun, 1},
-		{"unsettled", "7", messenger.ChangeVerdict{Unknown: true}, 504, messenger.Unknown, 1},
-		{"no revision", "", messenger.ChangeVerdict{}, 428, messenger.NotRun, 0},
-		{"bad revision", "-1", messenger.ChangeVerdict{}, 400, messenger.NotRun, 0},
+		{
+			name: "accepted",
+			saw:  "7",
+			verdict: messenger.ChangeVerdict{
+				Accepted: true,
+				Revision: 9,
+			},
+			status: 200,
+			asked:  1,
+		},
+		{
+			name:    "rejected",
+			saw:     "6",
+			verdict: messenger.ChangeVerdict{Faults: []string{"10-zones.ini is at 7"}},
+			status:  409,
+			outcome: messenger.NotRun,
+			asked:   1,
+		},
+		{
+			name:    "unsettled",
+			saw:     "7",
+			verdict: messenger.ChangeVerdict{Unknown: true},
+			status:  504,
+			outcome: messenger.Unknown,
+			asked:   1,
+		},
+		{
+			name:    "no revision",
+			status:  428,
+			outcome: messenger.NotRun,
+		},
+		{
+			name:    "bad revision",
+			saw:     "-1",
+			status:  400,
+			outcome: messenger.NotRun,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -88,11 +120,40 @@
 		status  int
 		asked   int
 	}{
-		{"accepted", folder, messenger.ChangeVerdict{Accepted: true, Revision: 9}, 200, 1},
-		{"configuration is whole", folder, messenger.ChangeVerdict{Faults: []string{"configuration is whole"}}, 409, 1},
-		{"unsettled", folder, messenger.ChangeVerdict{Unknown: true}, 504, 1},
-		{"no files", `{"files":{}}`, messenger.ChangeVerdict{}, 400, 0},
-		{"no JSON", `[zone x]`, messenger.ChangeVerdict{}, 400, 0},
+		{
+			name: "accepted",
+			body: folder,
+			verdict: messenger.ChangeVerdict{
+				Accepted: true,
+				Revision: 9,
+			},
+			status: 200,
+			asked:  1,
+		},
+		{
+			name:    "configuration is whole",
+			body:    folder,
+			verdict: messenger.ChangeVerdict{Faults: []string{"configuration is whole"}},
+			status:  409,
+			asked:   1,
+		},
+		{
+			name:    "unsettled",
+			body:    folder,
+			verdict: messenger.ChangeVerdict{Unknown: true},
+			status:  504,
+			asked:   1,
+		},
+		{
+			name:   "no files",
+			body:   `{"files":{}}`,
+			status: 400,
+		},
+		{
+			name:   "no JSON",
+			body:   `[zone x]`,
+			status: 400,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/standin/gate.go
+++ b/internal/standin/gate.go
@@ -123,7 +123,11 @@
 		if !g.wait(r.Context()) || !Pause(r.Context(), g.delay()) {
 			panic(http.ErrAbortHandler)
 		}
-		next.ServeHTTP(&gatedWriter{ResponseWriter: w, gate: g, ctx: r.Context()}, r)
+		next.ServeHTTP(&gatedWriter{
+			ResponseWriter: w,
+			gate:           g,
+			ctx:            r.Context(),
+		}, r)
 	})
 }
 
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -72,7 +72,10 @@
 	var config net.ListenConfig
 	listener, err := config.Listen(ctx, "tcp", address)
 	if err != nil {
-		return nil, &ListenError{Address: address, Cause: err}
+		return nil, &ListenError{
+			Address: address,
+			Cause:   err,
+		}
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	server := &Server{
--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -330,13 +330,62 @@
 		visits  int
 		ok      bool
 	}{
-		{"final", 504, "deadline", caller.OutcomeNotRun, 0, 1, false},
-		{"bad key", 401, "unauthorized", caller.OutcomeNotRun, 0, 1, false},
-		{"comes back", 503, "overload", caller.OutcomeNotRun, 5, 2, true},
-		{"next node at once", 503, "node_leaving", caller.OutcomeNotRun, 60_000, 2, true},
-		{"too late to come back", 429, "account_limit", caller.OutcomeNotRun, 60_000, 1, false},
-		{"unknown, asks again under its key", 503, "log_unavailable", caller.OutcomeUnknown, 5, 2, true},
-		{"unknown for good", 409, "duplicate_key", caller.OutcomeUnknown, 0, 1, false},
+		{
+			name:    "final",
+			status:  504,
+			reason:  "deadline",
+			outcome: caller.OutcomeNotRun,
+			visits:  1,
+		},
+		{
+			name:    "bad key",
+			status:  401,
+			reason:  "unauthorized",
+			outcome: caller.OutcomeNotRun,
+			visits:  1,
+		},
+		{
+			name:    "comes back",
+			status:  503,
+			reason:  "overload",
+			outcome: caller.OutcomeNotRun,
+			retry:   5,
+			visits:  2,
+			ok:      true,
+		},
+		{
+			name:    "next node at once",
+			status:  503,
+			reason:  "node_leaving",
+			outcome: caller.OutcomeNotRun,
+			retry:   60_000,
+			visits:  2,
+			ok:      true,
+		},
+		{
+			name:    "too late to come back",
+			status:  429,
+			reason:  "account_limit",
+			outcome: caller.OutcomeNotRun,
+			retry:   60_000,
+			visits:  1,
+		},
+		{
+			name:    "unknown, asks again under its key",
+			status:  503,
+			reason:  "log_unavailable",
+			outcome: caller.OutcomeUnknown,
+			retry:   5,
+			visits:  2,
+			ok:      true,
+		},
+		{
+			name:    "unknown for good",
+			status:  409,
+			reason:  "duplicate_key",
+			outcome: caller.OutcomeUnknown,
+			visits:  1,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
