--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -294,7 +294,7 @@
 		{"lost, last refused", Result{Err: &caller.LostError{Cause: refusal(caller.OutcomeNotRun)}}, fateLost},
 		{"lost, no node", Result{Err: &caller.LostError{Cause: &caller.NoNodeError{}}}, fateLost},
 		{"no node", Result{Err: &caller.NoNodeError{}}, fateRefused},
-		{"run over", Result{Err: &caller.NoNodeError{}, GivenUp: true}, fateUnsolved},
+		{"run over", Result{Err: &caller.NoNodeError{}, GivenUp: true}, fateGivenUp},
 	}
 	for _, test := range tests {
 		require.Equal(t, test.want, fateOf(test.result), test.name)
--- a/internal/loader/tally.go
+++ b/internal/loader/tally.go
@@ -101,12 +101,12 @@
 type fate string
 
 const (
-	fateWhole    fate = "whole"
-	fateRefused  fate = "refused"
-	fateWrong    fate = "wrong"
-	fateLost     fate = "lost"
-	fateFailed   fate = "failed"
-	fateUnsolved fate = "given_up"
+	fateWhole   fate = "whole"
+	fateRefused fate = "refused"
+	fateWrong   fate = "wrong"
+	fateLost    fate = "lost"
+	fateFailed  fate = "failed"
+	fateGivenUp fate = "given_up"
 )
 
 // fateOf judges a result. A request whose answer had begun, or that was sent
@@ -121,8 +121,8 @@
 	case r.Err == nil:
 		return fateWhole
 	case r.GivenUp:
-		return fateUnsolved
-	case lostErr(r.Err):
+		return fateGivenUp
+	case saysLost(r.Err):
 		return fateLost
 	case errors.As(r.Err, &none):
 		return fateRefused
@@ -136,8 +136,8 @@
 	return fateRefused
 }
 
-// lostErr tells an error that says so itself, whatever it wraps.
-func lostErr(err error) bool {
+// saysLost tells an error that says so itself, whatever it wraps.
+func saysLost(err error) bool {
 	var lost *caller.LostError
 	var diverged *caller.DivergedError
 	return errors.As(err, &lost) || errors.As(err, &diverged)
@@ -179,7 +179,7 @@
 		r.Wrong++
 	case fateLost:
 		r.Lost++
-	case fateUnsolved:
+	case fateGivenUp:
 		r.GivenUp++
 	}
 	for _, gap := range result.Gaps {
