Check that an operator's file over the bound is not proposed

Cause: the test only looked at the answer. Ruled out: nothing else. Change: it also asserts that the node got no change. Conclusion: holds under the race detector.

--- a/internal/server/bound_test.go
+++ b/internal/server/bound_test.go
@@ -231,6 +231,7 @@
 	require.Equal(t, http.StatusRequestEntityTooLarge, p.Status)
 	require.Equal(t, server.ReasonBodyTooLarge, p.Reason)
 	require.Equal(t, messenger.NotRun, p.Outcome)
+	require.Empty(t, b.proposed)
 }
 
 // longAnswer returns a node with an answer that fits into no buffer.
