Assert beside each type which interface it implements

Cause: error types, readers, writers and stringers of these packages had none. Change: compile-time assertions; errors.go and error.go have one block each.

--- a/internal/adapter/errors.go
+++ b/internal/adapter/errors.go
@@ -11,6 +11,22 @@
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
+var (
+	_ error = (*NotSentError)(nil)
+	_ error = (*RefusedError)(nil)
+	_ error = (*BrokenError)(nil)
+	_ error = (*SilentError)(nil)
+	_ error = (*StatusError)(nil)
+	_ error = (*FailedError)(nil)
+	_ error = (*OutOfStepError)(nil)
+	_ error = (*UnknownStreamError)(nil)
+	_ error = (*StaleFenceError)(nil)
+	_ error = (*AmbiguousError)(nil)
+	_ error = (*RateLimitedError)(nil)
+	_ error = (*UnavailableError)(nil)
+	_ error = (*BuyRefusedError)(nil)
+)
+
 // NotSentError reports that no byte of a request left this process.
 type NotSentError struct {
 	Address string
--- a/internal/adapter/plain.go
+++ b/internal/adapter/plain.go
@@ -119,6 +119,8 @@
 	address string
 }
 
+var _ io.Reader = (*hearingReader)(nil)
+
 func (r *hearingReader) Read(b []byte) (int, error) {
 	n, err := r.reader.Read(b)
 	if n > 0 {
--- a/internal/adapter/stream.go
+++ b/internal/adapter/stream.go
@@ -29,6 +29,8 @@
 // ProtocolError reports bytes that no engine should send.
 type ProtocolError struct{ Text string }
 
+var _ error = (*ProtocolError)(nil)
+
 func (e *ProtocolError) Error() string { return "protocol: " + e.Text }
 
 // follow makes the call and reads the stream that answers it.
--- a/internal/answerer/digest.go
+++ b/internal/answerer/digest.go
@@ -21,6 +21,8 @@
 // digest at the index shows whether two answers agree so far.
 type Digest uint64
 
+var _ fmt.Stringer = Digest(0)
+
 // digestSize is the length of a Digest in bytes.
 const digestSize = 8
 
--- a/internal/relayer/client.go
+++ b/internal/relayer/client.go
@@ -318,6 +318,8 @@
 	most identifier.Bytes
 }
 
+var _ io.ReadCloser = (*boundedBody)(nil)
+
 func (b *boundedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	b.left -= identifier.Bytes(n)
--- a/internal/relayer/error.go
+++ b/internal/relayer/error.go
@@ -13,6 +13,12 @@
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 )
 
+var (
+	_ error = (*PeerError)(nil)
+	_ error = (*TooLargeError)(nil)
+	_ error = (*NoConfigurationError)(nil)
+)
+
 // Reach tells how far a call that failed can have come.
 type Reach string
 
--- a/internal/server/request.go
+++ b/internal/server/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -166,6 +167,8 @@
 	checked bool
 }
 
+var _ fmt.Stringer = position{}
+
 // String returns p as the id of an event.
 func (p position) String() string {
 	index := strconv.FormatInt(int64(p.index), 10)
--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -24,6 +24,8 @@
 	Cause  error
 }
 
+var _ error = (*ControlError)(nil)
+
 func (e *ControlError) Error() string {
 	if e.Cause != nil {
 		return fmt.Sprintf("%s %s: %v", e.Method, e.URL, e.Cause)
--- a/internal/standin/engine/kv.go
+++ b/internal/standin/engine/kv.go
@@ -90,6 +90,8 @@
 	Status  string
 }
 
+var _ error = (*ImportError)(nil)
+
 func (e *ImportError) Error() string { return "import at " + e.Address + ": " + e.Status }
 
 // push gives the copy to the other engine.
--- a/internal/standin/engine/stream_http.go
+++ b/internal/standin/engine/stream_http.go
@@ -41,11 +41,15 @@
 	Fault string
 }
 
+var _ error = (*FieldError)(nil)
+
 func (e *FieldError) Error() string { return e.Field + ": " + e.Fault }
 
 // RefusalError tells why the engine does not take a stream up.
 type RefusalError struct{ Why string }
 
+var _ error = (*RefusalError)(nil)
+
 func (e *RefusalError) Error() string { return e.Why }
 
 // check fills in what the request leaves out. Its error is a *FieldError.
--- a/internal/standin/gate.go
+++ b/internal/standin/gate.go
@@ -138,6 +138,8 @@
 	ctx  context.Context
 }
 
+var _ http.ResponseWriter = (*gatedWriter)(nil)
+
 // Unwrap lets http.ResponseController reach the connection.
 func (w *gatedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
--- a/internal/standin/hoster/group.go
+++ b/internal/standin/hoster/group.go
@@ -31,6 +31,8 @@
 	Cause error
 }
 
+var _ error = (*GroupError)(nil)
+
 func (e *GroupError) Error() string {
 	if e.Cause != nil {
 		return fmt.Sprintf("group: %s=%s: %v", e.Key, e.Value, e.Cause)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -40,6 +40,8 @@
 	Cause   error
 }
 
+var _ error = (*ListenError)(nil)
+
 func (e *ListenError) Error() string {
 	return fmt.Sprintf("listen on %s: %v", e.Address, e.Cause)
 }
--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -320,6 +320,52 @@
 	require.Equal(t, 1, trace.Restarted)
 }
 
+// The node of a short request dies, and no other has a copy. All nodes that can
+// be reached say so, for a while, and the caller sends the request again long
+// before a long request would have been given up. While one of them still
+// sends it on to the silent node, it waits: that node may have the request.
+func TestRequestThatAllNodesDenyStartsAgainSoon(t *testing.T) {
+	for _, elsewhere := range []bool{false, true} {
+		t.Run(fmt.Sprintf("sent on: %v", elsewhere), func(t *testing.T) {
+			c := newCluster(t, 3, func(c *cluster, node int, w http.ResponseWriter, r *http.Request) {
+				switch {
+				case r.Method == http.MethodPost && node == 0 && len(c.visits) == 1:
+					open(w)
+					tokens(w, 1, 2)
+					cut()
+				case r.Method == http.MethodPost:
+					open(w)
+					tokens(w, 1, 3)
+					done(w)
+				case node == 0:
+					cut()
+				case node == 1 && elsewhere:
+					w.Header().Set("Location", "http://"+c.address(0)+"/v1/requests/r1")
+					w.WriteHeader(http.StatusTemporaryRedirect)
+				default:
+					problem(w, 404, "unknown_request", "unknown", 0)
+				}
+			})
+			client := c.client(func(config *caller.Config) {
+				config.Nodes = config.Nodes[1:]
+				config.Restart = timekeeper.Minute
+				config.Patience = timekeeper.Second
+				config.Forgotten = 100 * timekeeper.Millisecond
+			})
+			var got text
+			trace, err := client.Stream(t.Context(), report, &got)
+			if elsewhere {
+				require.Error(t, err)
+				require.Zero(t, trace.Restarted)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, "<1><2><3>", got.String())
+			require.Equal(t, 1, trace.Restarted)
+		})
+	}
+}
+
 func TestRefusals(t *testing.T) {
 	tests := []struct {
 		name    string
--- a/pkg/caller/config.go
+++ b/pkg/caller/config.go
@@ -40,6 +40,9 @@
 	// different one. It is longer than nodes take to adopt a dead node's
 	// requests.
 	Restart timekeeper.Duration
+	// Forgotten bounds the same time for a request of which, all that time
+	// long, every node that can be reached says that it does not know it.
+	Forgotten timekeeper.Duration
 }
 
 // The defaults of a Config.
@@ -50,6 +53,7 @@
 	DefaultPatience    = 60 * timekeeper.Second
 	DefaultPause       = 250 * timekeeper.Millisecond
 	DefaultRestart     = 20 * timekeeper.Second
+	DefaultForgotten   = 5 * timekeeper.Second
 )
 
 // idleTime bounds how long an unused connection is kept. It is short, because
--- a/pkg/caller/exchange.go
+++ b/pkg/caller/exchange.go
@@ -51,6 +51,9 @@
 	// sentEarlier tells that the request itself is not at hand, so that it
 	// can't be sent again.
 	sentEarlier bool
+	// denied is since when every node that answered said that it does not know
+	// the request, or zero.
+	denied timekeeper.Time
 	// ambiguous tells that a try was sent whose response never came.
 	ambiguous bool
 	// attached tells that a node answered since the request was last sent.
@@ -261,6 +264,7 @@
 	e.trace.Nodes = append(e.trace.Nodes, node)
 	e.attached = true
 	e.lost = 0
+	e.denied = 0
 	e.hops = 0
 	e.beat()
 }
@@ -301,6 +305,7 @@
 // owner, while news travels, are left after a few turns.
 func (e *exchange) follow(node string) {
 	e.markLost()
+	e.denied = 0
 	e.hops++
 	if e.hops > maxRedirects {
 		e.hops = 0
@@ -313,8 +318,9 @@
 // anew to the same node first: the node is more likely to be well than not,
 // and it has the answer.
 func (e *exchange) fellOff(broken *brokenError) {
-	if broken.sent && e.trace.Request == "" {
-		e.ambiguous = true
+	if broken.sent {
+		e.denied = 0
+		e.ambiguous = e.ambiguous || e.trace.Request == ""
 	}
 	if e.trace.Request != "" {
 		e.markLost()
@@ -352,6 +358,12 @@
 	}
 }
 
+func (e *exchange) markDenied() {
+	if e.denied == 0 {
+		e.denied = e.now()
+	}
+}
+
 func (e *exchange) markLost() {
 	if e.lost == 0 {
 		e.lost = e.now()
@@ -362,9 +374,12 @@
 // What it says is about itself: the request is looked for at other nodes.
 func (e *exchange) judgeReattach(refusal *RefusalError) (bool, error) {
 	e.markLost()
-	switch {
-	case refusal.Reason == reasonUnknownRequest:
+	if refusal.Reason == reasonUnknownRequest {
+		e.markDenied()
 		return false, refusal
+	}
+	e.denied = 0
+	switch {
 	case refusal.Outcome != OutcomeNotRun:
 		return true, refusal
 	case refusal.Status >= http.StatusInternalServerError, refusal.Status == http.StatusTooManyRequests:
@@ -463,7 +478,7 @@
 // restartIfLost sends the request again under its key once no node has known
 // it for so long that none will adopt it any more.
 func (e *exchange) restartIfLost() error {
-	if e.lost == 0 || e.since(e.lost) < e.client.config.Restart {
+	if e.lost == 0 || e.since(e.lost) < e.client.config.Restart && !e.forgotten() {
 		return nil
 	}
 	if e.sentEarlier || e.trace.Restarted == maxRestarts {
@@ -477,11 +492,22 @@
 	e.ambiguous = true
 	e.attached = false
 	e.lost = 0
+	e.denied = 0
 	e.last = 0
 	e.trace.Last = ""
 	return nil
 }
 
+// forgotten reports whether the request can be taken to have ended with its
+// node. Only long requests have a copy elsewhere, and a node that is asked asks
+// its peers for the copy. So a short request of a dead node has no node that
+// will adopt it; to look for it for as long as for a long one makes it late.
+// A node that is out of reach and may have it answers nobody, and then neither
+// its silence nor a redirect to it counts as a denial.
+func (e *exchange) forgotten() bool {
+	return e.denied != 0 && e.message.path != "" && e.since(e.denied) >= e.client.config.Forgotten
+}
+
 // giveUp returns the error for a request whose answer did not come in time.
 func (e *exchange) giveUp(cause error) error {
 	var refusal *RefusalError
--- a/pkg/caller/whole.go
+++ b/pkg/caller/whole.go
@@ -50,6 +50,8 @@
 	beat func()
 }
 
+var _ io.Reader = (*beatReader)(nil)
+
 func (r *beatReader) Read(p []byte) (int, error) {
 	n, err := r.Reader.Read(p)
 	r.beat()
