Bound one event of an engine's stream

Cause: each line of a stream was bounded, but not the lines of one event: an engine that sends data lines without an empty one made the node keep them all until its patience was over. Ruled out: the bound on the answer: it counts tokens, and none arrives. Change: the data of one event has the bound of a line; beyond it the attempt is broken. Conclusion: memory per engine stream is bounded at both levels.

--- a/internal/adapter/engine_test.go
+++ b/internal/adapter/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -253,6 +254,32 @@
 	}
 }
 
+// An engine goes wrong and sends lines of one event without end. The attempt
+// ends as broken once the event is over its bound; else the node would keep
+// the lines in memory until its patience is over.
+func TestEndlessEventIsCutOff(t *testing.T) {
+	const line = "data: xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\n"
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for r.Context().Err() == nil {
+			if _, err := io.WriteString(w, line); err != nil {
+				return
+			}
+		}
+	}))
+	defer server.Close()
+	client := adapter.NewEngine(adapter.ServerConfig{})
+	long := adapter.Patience{
+		First: timekeeper.Hour,
+		Next:  timekeeper.Hour,
+	}
+	var sink recorder
+	err := client.Start(t.Context(), server.Listener.Addr().String(), start("a.1", 9), long, &sink)
+	require.Equal(t, messenger.AttemptBroken, adapter.Result(err))
+	var wrong *adapter.ProtocolError
+	require.ErrorAs(t, err, &wrong)
+	require.Empty(t, sink.tokens)
+}
+
 func TestOrdersAndFences(t *testing.T) {
 	cases := []struct {
 		checks bool
--- a/internal/adapter/stream.go
+++ b/internal/adapter/stream.go
@@ -15,7 +15,7 @@
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 )
 
-// maxLine bounds a line of a stream.
+// maxLine bounds a line of a stream, and the lines of one event together.
 const maxLine = 64 << 10
 
 // reading is the state of reading one stream.
@@ -95,6 +95,9 @@
 		case "event":
 			e.name = value
 		case "data":
+			if len(e.data)+len(value) > maxLine {
+				return event{}, &ProtocolError{Text: "event too long"}
+			}
 			e.data += value
 		case "":
 			if lines.Text() == "" && e != (event{}) {
