Print a fault without a file without a leading space

Cause: serve with a folder that lacks a whole section printed its faults behind a space, as if a file name were missing. Ruled out: naming a file: none has the section. Change: the parts of the place that are known are joined; the comment says when there is no file. Conclusion: a test of the three forms.

--- a/internal/folderreader/fault.go
+++ b/internal/folderreader/fault.go
@@ -11,6 +11,7 @@
 
 // Fault is one thing that is wrong with a folder.
 type Fault struct {
+	// File is empty where no file has the section that is needed.
 	File identifier.FileName `json:"file"`
 	// Section and Key are empty where the fault is not in one of them.
 	Section  string `json:"section"`
@@ -21,16 +22,17 @@
 
 // String returns the fault as one line.
 func (f Fault) String() string {
-	var b strings.Builder
-	b.WriteString(string(f.File))
+	var place []string
+	if f.File != "" {
+		place = append(place, string(f.File))
+	}
 	if f.Section != "" {
-		fmt.Fprintf(&b, " [%s]", f.Section)
+		place = append(place, "["+f.Section+"]")
 	}
 	if f.Key != "" {
-		fmt.Fprintf(&b, " %s", f.Key)
+		place = append(place, f.Key)
 	}
-	fmt.Fprintf(&b, ": expected %s, got %s", f.Expected, f.Got)
-	return b.String()
+	return fmt.Sprintf("%s: expected %s, got %s", strings.Join(place, " "), f.Expected, f.Got)
 }
 
 var _ error = (*FaultsError)(nil)
--- a/internal/folderreader/folderreader_test.go
+++ b/internal/folderreader/folderreader_test.go
@@ -46,3 +46,29 @@
 	var entry *folderreader.EntryError
 	require.ErrorAs(t, err, &entry)
 }
+
+// A fault reads from left to right whatever part of its place is known.
+func TestFaultAsText(t *testing.T) {
+	for want, fault := range map[string]folderreader.Fault{
+		"10.ini [node] vm: expected a name, got nothing": {
+			File:     "10.ini",
+			Section:  "node",
+			Key:      "vm",
+			Expected: "a name",
+			Got:      "nothing",
+		},
+		"[node] vm: expected a name, got nothing": {
+			Section:  "node",
+			Key:      "vm",
+			Expected: "a name",
+			Got:      "nothing",
+		},
+		"10.ini: expected a smaller file, got 70000 bytes": {
+			File:     "10.ini",
+			Expected: "a smaller file",
+			Got:      "70000 bytes",
+		},
+	} {
+		require.Equal(t, want, fault.String())
+	}
+}
