--- a/internal/starter/starter_test.go
+++ b/internal/starter/starter_test.go
@@ -42,8 +42,8 @@
 		lines = append(lines, fault.String())
 	}
 	require.Equal(t, []string{
-		` [operator] key_sha256: expected 1 to 8 SHA-256 sums in lower-case hexadecimal, got nothing`,
-		` [platform] address: expected an IP number with a port, such as 10.0.0.7:8080, that others can connect to, got nothing`,
+		`[operator] key_sha256: expected 1 to 8 SHA-256 sums in lower-case hexadecimal, got nothing`,
+		`[platform] address: expected an IP number with a port, such as 10.0.0.7:8080, that others can connect to, got nothing`,
 		`a.ini [caller_port] advertise: expected an IP number with a port, such as 10.0.0.7:8080, that others can connect to, got nothing`,
 		`a.ini [node] colour: expected one of drain_time, log_level, region, vm, zone, got unknown key "colour"`,
 		`a.ini [node] region: expected a name of letters, digits, . _ -, got nothing`,
