Have a configuration in the expiry scenarios, and windows that outlast deadlines

Cause: the settings of two scenarios of the matrix had faults, so that they played without any configuration and could not object, and the reducer never said that it had none. With valid settings a booking ran twice: its key was remembered for 15 s, its deadline was 20 s, and a caller that was told unknown at the deadline repeated a forgotten key. Ruled out: a longer patience in the claims; the window is the operators' to set, and the folder can't know that they meant less than a deadline.

--- a/internal/configurer/crosscheck.go
+++ b/internal/configurer/crosscheck.go
@@ -80,6 +80,10 @@
 	}
 }
 
+// windowDeadlines is how many deadlines the window of a key that may run once
+// has to hold.
+const windowDeadlines = 2
+
 // checkKeyWindow keeps the window of idempotency keys well inside the log's
 // retention. A claim that expired while its key still counted would let the
 // same booking run a second time; half of the retention leaves the other half
@@ -90,6 +94,12 @@
 		expected := fmt.Sprintf("at most half of the log's retention, %s", bound)
 		f.Fault("key_window", expected, service.KeyWindow.String())
 	}
+	// A call may end as unknown at its deadline, and its caller then repeats
+	// the key. Were the key forgotten by then, the call would run again.
+	if least := windowDeadlines * service.Deadline; !service.Idempotent && service.KeyWindow < least {
+		expected := fmt.Sprintf("at least two deadlines of a service that is not idempotent, %s", least)
+		f.Fault("key_window", expected, service.KeyWindow.String())
+	}
 }
 
 func (b *builder) checkTargets(account catalog.Account) {
--- a/internal/reducer/apply_test.go
+++ b/internal/reducer/apply_test.go
@@ -97,6 +97,24 @@
 	})
 }
 
+// A node has just started and has read no configuration. It says so, with a
+// time to come back; told of an unknown service, a caller would give up for
+// good. It has nothing to give to a peer that asks for the configuration.
+func TestBeforeTheFirstConfiguration(t *testing.T) {
+	r := newReducer(1)
+	require.Nil(t, r.Catalog())
+	effects := r.Apply(messenger.Event{
+		At:   start,
+		Body: messenger.RequestReceived{Spec: request(0)},
+	})
+	refuse, ok := effects[0].(messenger.Refuse)
+	require.True(t, ok)
+	require.Equal(t, messenger.ReasonNoConfiguration, refuse.Refusal.Reason)
+	require.Positive(t, refuse.Refusal.RetryAfter)
+	_, ok = r.ExportConfiguration()
+	require.False(t, ok)
+}
+
 // declaredEvents returns the types that package messenger declares as events.
 func declaredEvents(t *testing.T) []string {
 	t.Helper()
--- a/internal/reducer/platformlog.go
+++ b/internal/reducer/platformlog.go
@@ -105,12 +105,7 @@
 }
 
 // revision returns the configuration in force, zero before the first.
-func (r *Reducer) revision() identifier.Revision {
-	if c := r.files.Catalog(); c != nil {
-		return c.Revision
-	}
-	return 0
-}
+func (r *Reducer) revision() identifier.Revision { return r.files.Catalog().Revision }
 
 func (r *Reducer) logUnavailable(w *conductor.World, e messenger.LogUnavailable) []messenger.Effect {
 	if e.Stream == configStream && r.timers.configOut == timekeeper.Never {
@@ -257,7 +252,7 @@
 // ExportConfiguration returns the state of the configuration for a peer, and
 // whether there is one.
 func (r *Reducer) ExportConfiguration() ([]byte, bool) {
-	if r.files.Catalog() == nil {
+	if r.Catalog() == nil {
 		return nil, false
 	}
 	return r.files.Export(), true
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -223,7 +223,7 @@
 func (r *Reducer) world(now timekeeper.Time) *conductor.World {
 	return &conductor.World{
 		Now:        now,
-		Catalog:    r.files.Catalog(),
+		Catalog:    r.Catalog(),
 		Members:    r.members,
 		Limits:     r.limits,
 		Budgets:    r.budgets,
--- a/internal/reducer/view.go
+++ b/internal/reducer/view.go
@@ -41,8 +41,15 @@
 	Suspect bool
 }
 
-// Catalog returns the configuration in force, or nil before the first.
-func (r *Reducer) Catalog() *catalog.Catalog { return r.files.Catalog() }
+// Catalog returns the configuration in force, or nil before the first. Until
+// then the folder is empty, which is not what the operators want: a request
+// judged by it would be refused for good as one of an unknown service.
+func (r *Reducer) Catalog() *catalog.Catalog {
+	if r.revision() == 0 {
+		return nil
+	}
+	return r.files.Catalog()
+}
 
 // Files returns the files of the configuration in force.
 func (r *Reducer) Files() map[identifier.FileName]configurer.FileState { return r.files.Files() }
@@ -83,7 +90,7 @@
 	for vm, news := range r.members.NewsOf() {
 		v.Revisions[vm] = news.Revision
 	}
-	if c := r.files.Catalog(); c != nil {
+	if c := r.Catalog(); c != nil {
 		for _, pool := range sortedPools(c) {
 			v.Servers = append(v.Servers, r.serverViews(now, pool)...)
 		}
--- a/internal/rehearser/operators_test.go
+++ b/internal/rehearser/operators_test.go
@@ -34,6 +34,12 @@
 	} {
 		fmt.Fprintf(&text, "[service %s]\nkey_window = 5s\n", service)
 	}
+	// A key that may run once is remembered for two deadlines at least, and a
+	// target is no later than the deadline.
+	text.WriteString("deadline = 2500ms\n") // of rejection_email, the last one above
+	for _, account := range []string{"portal", "dashboard"} {
+		fmt.Fprintf(&text, "[target %s rejection_email]\ncompletion = 2s\n", account)
+	}
 	return text.String()
 }
 
