Tell callers within half a second that the log is out

Cause: the first keyed requests of an outage waited 3.8 to 4.0 s for their refusal: reads that wait for new records learn of an outage seconds late, and failed appends were ignored. Ruled out: shorter reads, which cost each node more polls all the time; trusting one failed append, which may have taken effect. Change: appends that fail for 500 ms, with a second try in between, refuse new claims; after 2 s without a try the next claim tries again. A claim is appended again after 400 ms. The rehearsal's bound for the first refusal falls from 6 s to 2 s.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -153,6 +153,15 @@
 // one that fails is no outage.
 const outAfter = 300 * timekeeper.Millisecond
 
+const (
+	// unplacedAfter is how long appends have to fail for the same; a claim is
+	// appended again within it.
+	unplacedAfter = 500 * timekeeper.Millisecond
+	// probeAfter is how long after the last append that failed the next one
+	// is tried.
+	probeAfter = 2 * timekeeper.Second
+)
+
 // safeguards are switched off one by one by negative controls.
 type safeguards struct {
 	ignoreSeen   bool // any claim after a release holds the key
@@ -199,6 +208,10 @@
 	clockSent  timekeeper.Time
 	// failingSince is when reads began to fail, or Never.
 	failingSince timekeeper.Time
+	// unplacedSince is when appends began to fail, or Never, and unplacedAt
+	// when one failed last.
+	unplacedSince timekeeper.Time
+	unplacedAt    timekeeper.Time
 	// held are decisions to deliver once the stream was replayed.
 	held []heldDecision
 }
@@ -217,9 +230,10 @@
 	for n := range c.Partitions {
 		name := partition(n)
 		t.streams[name] = &stream{
-			name:         name,
-			position:     follower.New(follower.Config{Retention: c.Retention}),
-			failingSince: timekeeper.Never,
+			name:          name,
+			position:      follower.New(follower.Config{Retention: c.Retention}),
+			failingSince:  timekeeper.Never,
+			unplacedSince: timekeeper.Never,
 		}
 	}
 	return t
@@ -285,7 +299,34 @@
 // begun now would wait in vain, and its caller with it.
 func (t *Table) Out(now timekeeper.Time, name identifier.LogStream) bool {
 	s, ok := t.streams[name]
-	return ok && s.failingSince != timekeeper.Never && now.Sub(s.failingSince) >= outAfter
+	return ok && (s.unreadable(now) || s.unplaceable(now))
+}
+
+func (s *stream) unreadable(now timekeeper.Time) bool {
+	return s.failingSince != timekeeper.Never && now.Sub(s.failingSince) >= outAfter
+}
+
+// unplaceable reports whether appends have failed for a while, and lately.
+// When none was tried for probeAfter, the next claim tries whether they do.
+func (s *stream) unplaceable(now timekeeper.Time) bool {
+	return s.unplacedSince != timekeeper.Never &&
+		now.Sub(s.unplacedSince) >= unplacedAfter && now.Sub(s.unplacedAt) < probeAfter
+}
+
+// AppendEnded notes how an append to a stream ended. In an outage appends fail
+// at once, while a read that waits for new records learns of it seconds later;
+// callers would be held for so long. Whether an append that failed took effect
+// is for reading back alone: this decides only whether to begin new claims.
+func (t *Table) AppendEnded(now timekeeper.Time, name identifier.LogStream, placed bool) {
+	s, ok := t.streams[name]
+	switch {
+	case !ok:
+	case placed:
+		s.unplacedSince = timekeeper.Never
+	default:
+		s.unplacedSince = min(s.unplacedSince, now)
+		s.unplacedAt = now
+	}
 }
 
 // Absorb folds a read of the log into the table and returns the decisions on
@@ -296,6 +337,9 @@
 		return nil
 	}
 	s.failingSince = timekeeper.Never
+	if len(read.Records) > 0 {
+		s.unplacedSince = timekeeper.Never
+	}
 	batch := s.position.Absorb(now, read)
 	if batch.Gap {
 		t.gapSeen(s)
--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -268,3 +268,24 @@
 	b.read(a)
 	require.NoError(t, begin("r3"))
 }
+
+// In an outage appends fail at once, and the read that waits for records does
+// not return yet: a caller that comes half a second later is refused at once.
+// One append that fails is no outage, and after a while the next is tried.
+func TestClaimIsRefusedWhileAppendsFail(t *testing.T) {
+	b, a := &bench{log: fakeLog{now: 1}}, newTestTable("vm-a")
+	b.read(a)
+	out := func(after timekeeper.Duration) bool {
+		b.log.now = b.log.now.Add(after)
+		return a.Out(b.log.now, partition(0))
+	}
+	a.AppendEnded(b.log.now, partition(0), false)
+	require.False(t, out(unplacedAfter-1))
+	a.AppendEnded(b.log.now, partition(0), false)
+	require.True(t, out(1))
+	require.False(t, out(probeAfter), "the next claim tries the log")
+	a.AppendEnded(b.log.now, partition(0), false)
+	require.True(t, out(0))
+	a.AppendEnded(b.log.now, partition(0), true)
+	require.False(t, out(0))
+}
--- a/internal/conductor/claim.go
+++ b/internal/conductor/claim.go
@@ -15,7 +15,7 @@
 	claimPatience = 4 * timekeeper.Second
 	// claimAgain is the spacing of appends of one claim whose answer was
 	// lost. The records carry the same nonce, so that only the first counts.
-	claimAgain = 700 * timekeeper.Millisecond
+	claimAgain = 400 * timekeeper.Millisecond
 )
 
 // claimState is the claim of a non-idempotent request with a key.
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -172,7 +172,9 @@
 	case messenger.LogUnavailable:
 		return r.logUnavailable(w, b)
 	case messenger.AppendEnded:
-		return nil // Only reading the log back settles an append.
+		// Only reading the log back settles an append.
+		r.claims.AppendEnded(w.Now, b.Stream, b.OK)
+		return nil
 	case messenger.ChangeProposed:
 		return r.changeProposed(w, b)
 	case messenger.ConfigurationReceived:
--- a/internal/rehearser/outage_test.go
+++ b/internal/rehearser/outage_test.go
@@ -12,8 +12,8 @@
 
 const (
 	// firstRefusalTime bounds the wait of those that come when no node knows yet
-	// that the log is out: a node waits 4 s for its claim to be read back.
-	firstRefusalTime = 6 * time.Second
+	// that the log is out: a node tries its claim for half a second.
+	firstRefusalTime = 2 * time.Second
 	// atOnce is what "at once" means later on.
 	atOnce = time.Second
 )
