--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -154,9 +154,9 @@
 const outAfter = 300 * timekeeper.Millisecond
 
 const (
-	// unplacedAfter is how long appends have to fail for the same; a claim is
-	// appended again within it.
-	unplacedAfter = 500 * timekeeper.Millisecond
+	// unplacedAfter is how far apart appends have to fail for the same, with
+	// none that succeeds in between.
+	unplacedAfter = 400 * timekeeper.Millisecond
 	// probeAfter is how long after the last append that failed the next one
 	// is tried.
 	probeAfter = 2 * timekeeper.Second
@@ -306,11 +306,12 @@
 	return s.failingSince != timekeeper.Never && now.Sub(s.failingSince) >= outAfter
 }
 
-// unplaceable reports whether appends have failed for a while, and lately.
-// When none was tried for probeAfter, the next claim tries whether they do.
+// unplaceable reports whether appends went on failing for a while, and did so
+// lately. A few that fail at one moment are no outage, however long none is
+// tried after them. When none was tried for probeAfter, the next claim tries.
 func (s *stream) unplaceable(now timekeeper.Time) bool {
 	return s.unplacedSince != timekeeper.Never &&
-		now.Sub(s.unplacedSince) >= unplacedAfter && now.Sub(s.unplacedAt) < probeAfter
+		s.unplacedAt.Sub(s.unplacedSince) >= unplacedAfter && now.Sub(s.unplacedAt) < probeAfter
 }
 
 // AppendEnded notes how an append to a stream ended. In an outage appends fail
@@ -323,6 +324,8 @@
 	case !ok:
 	case placed:
 		s.unplacedSince = timekeeper.Never
+	case now.Sub(s.unplacedAt) >= probeAfter:
+		s.unplacedSince, s.unplacedAt = now, now
 	default:
 		s.unplacedSince = min(s.unplacedSince, now)
 		s.unplacedAt = now
