Take out what the router was told and never read

Ruled out: Load, which the explanation of a choice still tells. Change: the two fields and what filled them; the property test no longer draws a field that is gone, and keeps its assertions.

--- a/internal/conductor/pool.go
+++ b/internal/conductor/pool.go
@@ -57,20 +57,15 @@
 }
 
 func (c *Conductor) candidate(w *World, r *request, pool catalog.Pool, s gossiper.Server) router.Candidate {
-	price, _ := w.Catalog.Price(s.Class, s.Zone, s.Market)
-	load, fresh := w.Loads[s.VM]
-	fresh = fresh && w.Now.Sub(load.AsOf) < loadTooOld
 	return router.Candidate{
 		Server:           s.VM,
 		Zone:             s.Zone,
 		Market:           s.Market,
-		Price:            price,
 		Leaving:          s.Leaving && c.config.Safeguards.AvoidLeaving,
 		Suspect:          w.Suspicions.Suspect(w.Now, s.VM),
 		OwnInFlight:      c.onServer[s.VM],
 		OwnPrefill:       c.prefilling[s.VM],
-		Load:             load,
-		HasLoad:          fresh,
+		Load:             w.Loads[s.VM],
 		PrefixHit:        w.Hints.Hit(w.Now, s.VM, r.spec.Prefix),
 		Slots:            pool.Slots,
 		TokensPerSecond:  pool.TokensPerSecond,
--- a/internal/router/choose_test.go
+++ b/internal/router/choose_test.go
@@ -25,9 +25,7 @@
 		Server:           id,
 		Zone:             "boston-a",
 		Market:           catalog.OnDemand,
-		Price:            identifier.Coin,
 		Load:             messenger.ServerLoad{AsOf: testNow},
-		HasLoad:          true,
 		Slots:            8,
 		TokensPerSecond:  50,
 		PrefillPerSecond: 4000,
@@ -248,7 +246,6 @@
 				c.Leaving = rapid.Bool().Draw(t, "leaving")
 				c.Suspect = rapid.Bool().Draw(t, "suspect")
 				c.Slots = rapid.IntRange(0, 16).Draw(t, "slots")
-				c.HasLoad = rapid.Bool().Draw(t, "has_load")
 				c.Load.Running = rapid.IntRange(0, 100).Draw(t, "running")
 				c.Load.AsOf = testNow.Add(timekeeper.Duration(rapid.IntRange(-100_000, 1000).Draw(t, "age")))
 				c.OwnInFlight = rapid.IntRange(0, 100).Draw(t, "own")
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -21,20 +21,18 @@
 type Candidate struct {
 	Server identifier.VMID
 	Zone   identifier.Zone
-	Market catalog.Market
-	// Price is the price of an hour, or zero where it is not known. It moves no
-	// choice: the cheap servers are those that are reclaimed.
-	Price   identifier.Money
+	// Market tells how likely the server is reclaimed. Its price is not asked
+	// for: the cheap servers are those that are reclaimed.
+	Market  catalog.Market
 	Leaving bool
 	Suspect bool
 	// OwnInFlight counts this node's own requests on the server; OwnPrefill
 	// is the part of their prompts that it has still to read.
 	OwnInFlight int
 	OwnPrefill  identifier.Tokens
-	// Load is the last report, where HasLoad. It is told in the explanation and
+	// Load is the last report, or zero. It is told in the explanation and
 	// moves no choice; see Predict.
-	Load    messenger.ServerLoad
-	HasLoad bool
+	Load messenger.ServerLoad
 	// PrefixHit is the expected number of prompt tokens in the cache.
 	PrefixHit identifier.Tokens
 	Slots     int
