--- /dev/null
+++ b/cmd/dotterelhollow/gateway.go
@@ -0,0 +1,301 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/conductor"
+	"github.com/dotterelhollow/dotterelhollow/internal/forwarder"
+	"github.com/dotterelhollow/dotterelhollow/internal/historian"
+	"github.com/dotterelhollow/dotterelhollow/internal/reducer"
+	"github.com/dotterelhollow/dotterelhollow/internal/relayer"
+	"github.com/dotterelhollow/dotterelhollow/internal/runner"
+	"github.com/dotterelhollow/dotterelhollow/internal/starter"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+	"github.com/dotterelhollow/dotterelhollow/platform"
+)
+
+const (
+	// listPause is the spacing of reads of the list of nodes. It only serves
+	// to find peers that gossip has lost, so a node reads it seldom.
+	listPause = 20 * timekeeper.Second
+	// memoryShare is the part of a process's memory that the collector keeps
+	// it below, where it can.
+	memoryShare = 0.7
+	megabyte    = 1 << 20
+)
+
+// gateway is the process of a node that serves opaque exchanges.
+type gateway struct {
+	path      string
+	settings  *starter.Settings
+	logger    hclog.Logger
+	clock     timekeeper.Clock
+	runner    *runner.Runner
+	forwarder *forwarder.Forwarder
+	ports     []*gatewayPort
+	closers   []func()
+}
+
+// gatewayPort is one port and what serves it.
+type gatewayPort struct {
+	name     string
+	settings starter.Port
+	server   *http.Server
+	listener net.Listener
+}
+
+// serveGateway runs such a node until it is stopped.
+func serveGateway(path string, s *starter.Settings) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.Gateway.MemoryLimit) * megabyte))
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	return newGateway(path, s).serve(context.Background(), signals)
+}
+
+func newGateway(path string, s *starter.Settings) *gateway {
+	g := &gateway{
+		path:     path,
+		settings: s,
+		clock:    timekeeper.System{},
+		logger: hclog.New(&hclog.LoggerOptions{
+			Name:       "dotterelhollow",
+			Level:      hclog.LevelFromString(s.LogLevel),
+			Output:     os.Stdout,
+			JSONFormat: true,
+		}).With("node", s.VM),
+	}
+	line := historian.New(historian.Config{
+		Self:     s.VM,
+		Clock:    g.clock,
+		Capacity: s.TimelineCapacity,
+	})
+	store := platform.NewStore(platform.StoreConfig{
+		Address:     s.Platform.String(),
+		Self:        s.VM,
+		Zone:        s.Zone,
+		PeerAddress: s.Peer.Advertised.String(),
+		Clock:       g.clock,
+		Logger:      g.logger,
+	})
+	cloud := platform.NewCloud(platform.CloudConfig{
+		Address: s.Gateway.Cloud.String(),
+		Self:    s.VM,
+		Logger:  g.logger,
+	})
+	peers := relayer.NewClient(relayer.ClientConfig{
+		Self:  s.VM,
+		Now:   g.clock,
+		Clock: line,
+	})
+	incarnation := identifier.Incarnation(g.clock.Now())
+	seed := xxhash.Sum64String(string(s.VM)) ^ uint64(incarnation)
+	g.runner = runner.New(runner.Config{
+		Self:           s.VM,
+		Incarnation:    incarnation,
+		Zone:           s.Zone,
+		CallerAddress:  s.Caller.Advertised.String(),
+		Seed:           seed,
+		Reducer:        reducer.New(g.reducerConfig(incarnation, seed)),
+		Clock:          g.clock,
+		Historian:      line,
+		Logger:         g.logger,
+		Log:            store,
+		Lister:         store,
+		Store:          store,
+		Duties:         cloud,
+		Peers:          peers,
+		CloseListeners: g.closeCallers,
+		Limits:         runner.Limits{ListEvery: listPause},
+	})
+	metrics := forwarder.NewMetrics()
+	g.forwarder = forwarder.New(forwarder.Config{
+		Decider:  g.runner,
+		Protocol: platform.Protocol{},
+		Clock:    g.clock,
+		Logger:   g.logger,
+		Metrics:  metrics,
+		MaxBody:  g.runner.MaxBody,
+	})
+	g.closers = []func(){store.Close, cloud.Close, peers.Close, g.forwarder.Close}
+	expvar.Publish("dotterelhollow", g.runner.Metrics().Var())
+	expvar.Publish("exchanges", metrics.Var())
+	g.ports = g.portsOf(line)
+	return g
+}
+
+func (g *gateway) reducerConfig(incarnation identifier.Incarnation, seed uint64) reducer.Config {
+	s := g.settings
+	seeds := make([]string, 0, len(s.Gateway.Seeds))
+	for _, a := range s.Gateway.Seeds {
+		seeds = append(seeds, a.String())
+	}
+	return reducer.Config{
+		Self:          s.VM,
+		Incarnation:   incarnation,
+		Zone:          s.Zone,
+		Region:        s.Region,
+		PeerAddress:   s.Peer.Advertised.String(),
+		CallerAddress: s.Caller.Advertised.String(),
+		Seed:          seed,
+		Seeds:         seeds,
+		LogRetention:  s.Gateway.LogRetention,
+		Safeguards:    conductor.AllSafeguards(),
+		Gateway: &reducer.GatewayConfig{
+			UsageWindow: s.Gateway.UsageWindow,
+			UsageLate:   s.Gateway.UsageLate,
+		},
+	}
+}
+
+// portsOf returns the ports. The one of callers comes first: it is closed
+// before the others.
+func (g *gateway) portsOf(line *historian.Historian) []*gatewayPort {
+	s := g.settings
+	return []*gatewayPort{
+		{
+			name:     "caller",
+			settings: s.Caller,
+			server:   g.forwarder.Server(),
+		},
+		{
+			name:     "peer",
+			settings: s.Peer,
+			server: &http.Server{
+				Handler: relayer.NewHandler(relayer.HandlerConfig{
+					Self:  s.VM,
+					Peer:  g.runner,
+					Now:   g.clock,
+					Clock: line,
+				}),
+				ReadHeaderTimeout: peerHeaderTime,
+				IdleTimeout:       peerIdleTime,
+			},
+		},
+		{
+			name:     "directory",
+			settings: s.Gateway.Directory,
+			server:   platform.NewServer(platform.NewDirectory(g.runner)),
+		},
+		{
+			name:     "readiness",
+			settings: s.Gateway.Readiness,
+			server:   platform.NewServer(platform.NewReadiness(g.runner)),
+		},
+		{
+			name:     "metrics",
+			settings: s.Gateway.Metrics,
+			server:   platform.NewServer(expvar.Handler()),
+		},
+	}
+}
+
+// serve runs the node until a planned stop is over, a second signal comes, or
+// a port fails.
+func (g *gateway) serve(ctx context.Context, signals <-chan os.Signal) error {
+	if err := g.listen(); err != nil {
+		return err
+	}
+	g.logger.Info("started", "pid", os.Getpid(), "caller", g.settings.Caller.Listen.String())
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ended := make(chan error)
+	start := func(work func() error) { go func() { ended <- work() }() }
+	for _, p := range g.ports {
+		start(func() error { return servePort(p.name, p.server, p.listener) })
+	}
+	start(func() error {
+		g.watch(ctx, signals, cancel)
+		return nil
+	})
+	start(func() error {
+		g.runner.Run(ctx)
+		cancel()
+		for _, p := range g.ports {
+			_ = p.server.Close()
+		}
+		return nil
+	})
+	var failed error
+	for range len(g.ports) + 2 {
+		if err := <-ended; err != nil {
+			failed = errors.Join(failed, err)
+			cancel()
+		}
+	}
+	for _, closeIdle := range g.closers {
+		closeIdle()
+	}
+	g.logger.Info("stopped")
+	return failed
+}
+
+func (g *gateway) listen() error {
+	for i, p := range g.ports {
+		l, err := listen(p.name, p.settings.Listen)
+		if err != nil {
+			for _, open := range g.ports[:i] {
+				_ = open.listener.Close()
+			}
+			return err
+		}
+		p.listener = l
+	}
+	return nil
+}
+
+// watch carries out signals: a changed settings file is looked at, the first
+// wish to stop begins a planned stop, and the second stops at once.
+func (g *gateway) watch(ctx context.Context, signals <-chan os.Signal, stop func()) {
+	stopping := false
+	for {
+		var s os.Signal
+		select {
+		case s = <-signals:
+		case <-ctx.Done():
+			return
+		}
+		g.logger.Info("signal received", "signal", s.String())
+		switch {
+		case s == syscall.SIGHUP:
+			g.reload()
+		case stopping:
+			stop()
+			return
+		default:
+			stopping = true
+			g.forwarder.Leave()
+			g.runner.Drain(g.clock.Now().Add(g.settings.DrainTime))
+		}
+	}
+}
+
+// reload reads the settings file again. Of what it says only the log level can
+// change while the process runs; a file with a fault changes nothing.
+func (g *gateway) reload() {
+	s, err := starter.Load(g.path)
+	if err != nil {
+		g.logger.Error("settings not reloaded, the last good ones stay in force", "error", err)
+		return
+	}
+	g.logger.SetLevel(hclog.LevelFromString(s.LogLevel))
+	g.logger.Info("settings reloaded", "log_level", s.LogLevel)
+}
+
+// closeCallers closes the callers' port once the handlers of open requests have
+// ended.
+func (g *gateway) closeCallers(ctx context.Context) {
+	_ = g.ports[0].server.Shutdown(ctx)
+}
--- a/cmd/dotterelhollow/serve.go
+++ b/cmd/dotterelhollow/serve.go
@@ -53,7 +53,7 @@
 
 // serveCommand runs a node.
 type serveCommand struct {
-	Settings flags.Filename `long:"settings" value-name:"DIR" required:"yes" description:"Folder of the node's own INI files"`
+	Settings flags.Filename `long:"settings" env:"DOTTERELHOLLOW_CONFIG" value-name:"PATH" required:"yes" description:"Folder of the node's own INI files, or one such file"`
 }
 
 func addServeCommand(p *flags.Parser) error {
@@ -90,6 +90,9 @@
 	if err != nil {
 		return err
 	}
+	if settings.Gateway != nil {
+		return serveGateway(string(c.Settings), settings)
+	}
 	node, err := newNode(settings)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/accountant/accountant.go
@@ -0,0 +1,269 @@
+// Package accountant counts, by windows of wall time, the requests of client
+// accounts that began to run, and decides when a window is reported.
+//
+// Each node counts its own requests and tells its peers its counts, so every
+// node knows those of all, and the death of a node loses only what it counted
+// since it last told. The holder of the lease reports a window some time after
+// its end.
+//
+// A window must never be reported with two different counts, also where the
+// holder changes in between or a report is carried out late. So the holder
+// first appends what it is going to report to a stream of the platform's log,
+// and what is sent, by whomever, is the first record of the window in log
+// order: nothing else decides.
+//
+// Everything is pure: time is an argument. Nothing is safe for concurrent use.
+package accountant
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// Stream is the stream of the log that holds what is reported.
+const Stream identifier.LogStream = "usage"
+
+const (
+	// settleTime is how long after a window's end its counts are complete:
+	// peers tell theirs twice a second, and one message may be lost.
+	settleTime = 2 * timekeeper.Second
+	// againAfter is the spacing of repeated appends and reports. Both may be
+	// repeated without harm.
+	againAfter = 1 * timekeeper.Second
+	// keptWindows bounds the windows that are remembered.
+	keptWindows = 12
+	// toldWindows is how many windows a node tells its peers of: the present
+	// one, and those that are not yet reported.
+	toldWindows = 4
+	maxNodes    = 4096
+)
+
+// Config sets up an Accountant. Both spans are the users'.
+type Config struct {
+	// Window is the length of a window.
+	Window timekeeper.Duration
+	// Late is how long after its end a report still counts.
+	Late timekeeper.Duration
+}
+
+// counts is requests by account.
+type counts map[identifier.AccountID]int
+
+// Accountant is the usage as one node knows it.
+type Accountant struct {
+	config Config
+	own    map[identifier.UsageWindow]counts
+	// others holds what each process of a peer told last.
+	others map[process]map[identifier.UsageWindow]counts
+	// agreed holds the first record of each window in the log.
+	agreed map[identifier.UsageWindow]counts
+	sent   map[identifier.UsageWindow]timekeeper.Time
+	done   map[identifier.UsageWindow]bool
+	// ignored counts records that could not be read.
+	ignored int
+}
+
+type process struct {
+	vm          identifier.VMID
+	incarnation identifier.Incarnation
+}
+
+// New returns an Accountant that has counted nothing.
+func New(c Config) *Accountant {
+	return &Accountant{
+		config: c,
+		own:    map[identifier.UsageWindow]counts{},
+		others: map[process]map[identifier.UsageWindow]counts{},
+		agreed: map[identifier.UsageWindow]counts{},
+		sent:   map[identifier.UsageWindow]timekeeper.Time{},
+		done:   map[identifier.UsageWindow]bool{},
+	}
+}
+
+// window returns the window of an instant.
+func (a *Accountant) window(now timekeeper.Time) identifier.UsageWindow {
+	return identifier.UsageWindow(int64(now) / int64(a.config.Window))
+}
+
+// end returns the end of a window.
+func (a *Accountant) end(w identifier.UsageWindow) timekeeper.Time {
+	return timekeeper.Time((int64(w) + 1) * int64(a.config.Window))
+}
+
+// Began counts a request that began to run now.
+func (a *Accountant) Began(now timekeeper.Time, account identifier.AccountID) {
+	if a.config.Window <= 0 {
+		return
+	}
+	w := a.window(now)
+	if a.own[w] == nil {
+		a.own[w] = counts{}
+		a.forget(w)
+	}
+	a.own[w][account]++
+}
+
+// forget drops windows that nobody asks for any more.
+func (a *Accountant) forget(now identifier.UsageWindow) {
+	old := func(w identifier.UsageWindow) bool { return w < now-keptWindows }
+	maps.DeleteFunc(a.own, func(w identifier.UsageWindow, _ counts) bool { return old(w) })
+	maps.DeleteFunc(a.agreed, func(w identifier.UsageWindow, _ counts) bool { return old(w) })
+	maps.DeleteFunc(a.sent, func(w identifier.UsageWindow, _ timekeeper.Time) bool { return old(w) })
+	maps.DeleteFunc(a.done, func(w identifier.UsageWindow, _ bool) bool { return old(w) })
+	for p, told := range a.others {
+		maps.DeleteFunc(told, func(w identifier.UsageWindow, _ counts) bool { return old(w) })
+		if len(told) == 0 {
+			delete(a.others, p)
+		}
+	}
+}
+
+// Own returns this node's counts of the last windows, for its peers.
+func (a *Accountant) Own(now timekeeper.Time) []messenger.UsageCount {
+	if a.config.Window <= 0 {
+		return nil
+	}
+	var out []messenger.UsageCount
+	for w := a.window(now) - toldWindows + 1; w <= a.window(now); w++ {
+		for _, account := range slices.Sorted(maps.Keys(a.own[w])) {
+			out = append(out, messenger.UsageCount{
+				Window:  w,
+				Account: account,
+				Count:   a.own[w][account],
+			})
+		}
+	}
+	return out
+}
+
+// Told takes in the counts of a peer's process. Counts only grow, so of two
+// messages that crossed each other the larger count is the newer.
+func (a *Accountant) Told(vm identifier.VMID, i identifier.Incarnation, told []messenger.UsageCount) {
+	p := process{
+		vm:          vm,
+		incarnation: i,
+	}
+	if a.others[p] == nil {
+		if len(a.others) >= maxNodes {
+			return
+		}
+		a.others[p] = map[identifier.UsageWindow]counts{}
+	}
+	for _, c := range told {
+		if a.others[p][c.Window] == nil {
+			a.others[p][c.Window] = counts{}
+		}
+		of := a.others[p][c.Window]
+		of[c.Account] = max(of[c.Account], c.Count)
+	}
+}
+
+// total returns the counts of a window over all nodes.
+func (a *Accountant) total(w identifier.UsageWindow) counts {
+	sum := maps.Clone(a.own[w])
+	if sum == nil {
+		sum = counts{}
+	}
+	for _, told := range a.others {
+		for account, n := range told[w] {
+			sum[account] += n
+		}
+	}
+	return sum
+}
+
+// record is one record of the usage stream.
+type record struct {
+	Window identifier.UsageWindow `json:"window"`
+	Counts counts                 `json:"counts"`
+}
+
+// Absorb takes in records of the usage stream, in log order.
+func (a *Accountant) Absorb(read messenger.LogRead) {
+	for _, r := range read.Records {
+		var rec record
+		if err := json.Unmarshal(r.Data, &rec); err != nil {
+			a.ignored++
+			continue
+		}
+		if _, first := a.agreed[rec.Window]; !first {
+			a.agreed[rec.Window] = rec.Counts
+		}
+	}
+}
+
+// Ignored returns how many records could not be read.
+func (a *Accountant) Ignored() int { return a.ignored }
+
+// Tick returns what the holder of the lease has to append and to report.
+func (a *Accountant) Tick(now timekeeper.Time, fence identifier.Fence, notAfter timekeeper.Time) []messenger.Effect {
+	if a.config.Window <= 0 {
+		return nil
+	}
+	var out []messenger.Effect
+	for w := a.window(now) - keptWindows; w < a.window(now); w++ {
+		if e := a.due(now, w, fence, notAfter); e != nil {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// due returns what a window needs now, or nil.
+func (a *Accountant) due(now timekeeper.Time, w identifier.UsageWindow, fence identifier.Fence, notAfter timekeeper.Time) messenger.Effect {
+	since := now.Sub(a.end(w))
+	if a.done[w] || since < settleTime || since > a.config.Late {
+		return nil
+	}
+	if sent, ok := a.sent[w]; ok && now.Sub(sent) < againAfter {
+		return nil
+	}
+	agreed, ok := a.agreed[w]
+	if ok {
+		a.sent[w] = now
+		return messenger.ReportUsage{
+			Window:   w,
+			Counts:   maps.Clone(agreed),
+			Fence:    fence,
+			NotAfter: notAfter,
+		}
+	}
+	sum := a.total(w)
+	if len(sum) == 0 {
+		return nil
+	}
+	a.sent[w] = now
+	data, err := json.Marshal(record{
+		Window: w,
+		Counts: sum,
+	})
+	if err != nil {
+		a.ignored++ // Numbers and names always encode.
+		return nil
+	}
+	return messenger.AppendRecord{
+		Stream: Stream,
+		Data:   data,
+	}
+}
+
+// Agreed makes a window that was just agreed on due at once.
+func (a *Accountant) Agreed() {
+	for w := range a.agreed {
+		if !a.done[w] {
+			delete(a.sent, w)
+		}
+	}
+}
+
+// Reported takes in the end of a report.
+func (a *Accountant) Reported(w identifier.UsageWindow, result messenger.DutyResult) {
+	if result == messenger.DutyDone || result == messenger.DutyRefused {
+		a.done[w] = true
+	}
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -21,6 +21,8 @@
 	// LogRetention is how long the platform's log keeps a record, as the
 	// operators were told by the platform.
 	LogRetention timekeeper.Duration
+	// Routing is nil where no routes of opaque exchanges are published.
+	Routing *Routing
 }
 
 // ServiceKind tells what stands behind a service.
--- /dev/null
+++ b/internal/catalog/route.go
@@ -0,0 +1,151 @@
+package catalog
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// Repetition tells which requests of a route may run more than once.
+type Repetition string
+
+// The kinds of repetition.
+const (
+	// Repeatable requests may run any number of times.
+	Repeatable Repetition = "repeatable"
+	// Once requests may run at most once, whoever asks.
+	Once Repetition = "once"
+	// Resumed requests are streams: a later run may go on behind the last
+	// event that was delivered, and never starts over behind it.
+	Resumed Repetition = "resumed"
+)
+
+// Route says what becomes of the requests of one host under one path prefix.
+// Their bodies are opaque: they go to a backend server of a service unchanged,
+// and so does its answer.
+type Route struct {
+	Name       identifier.RouteName
+	Host       string
+	PathPrefix string
+	Repetition Repetition
+	// Stream tells that answers are streams of events.
+	Stream bool
+	// Timeout is the longest time for which a request is kept waiting.
+	Timeout timekeeper.Duration
+	// Target is the time within which an answer, or its first event, earns
+	// its full worth.
+	Target timekeeper.Duration
+	// MaxGap is the longest pause between events of a stream that is on time.
+	MaxGap timekeeper.Duration
+	// Attempts bounds the backend servers that one request may be sent to.
+	Attempts int
+	// Rank orders routes when there is not room for all; zero goes first.
+	Rank int
+	// Public routes need no key.
+	Public bool
+	Split  []Split
+}
+
+// Split is a service's part of a route.
+type Split struct {
+	Service identifier.ServiceName
+	Weight  float64
+}
+
+// Service returns the service for a request that fell on point, in [0, 1).
+func (r *Route) Service(point float64) identifier.ServiceName {
+	total := 0.0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	rest := point * total
+	for _, s := range r.Split {
+		if rest < s.Weight {
+			return s.Service
+		}
+		rest -= s.Weight
+	}
+	if len(r.Split) == 0 {
+		return ""
+	}
+	return r.Split[len(r.Split)-1].Service
+}
+
+// Fleet bounds the backend servers of a service that may be ordered, in each
+// availability zone.
+type Fleet struct {
+	Min int
+	Max int
+	// BootTime is the time from an order until a new server serves.
+	BootTime timekeeper.Duration
+	// ReclaimablePrice is the price of a reclaimable server as a part of that
+	// of another.
+	ReclaimablePrice float64
+	// ZonePrices holds the price of a second of a server by zone.
+	ZonePrices map[identifier.Zone]float64
+}
+
+// Backend is what is published of the servers behind a service.
+type Backend struct {
+	// Slots is how many requests one server runs at once; zero for plain
+	// services, whose servers say so themselves.
+	Slots int
+	// Connections bounds the connections to one server, of all nodes.
+	Connections int
+	// Model tells that the servers are model engines.
+	Model bool
+	// Fleet is nil where the servers can't be ordered.
+	Fleet *Fleet
+}
+
+// Routing is the part of a catalog by which opaque exchanges are routed.
+type Routing struct {
+	routes   map[string][]*Route
+	accounts map[string]identifier.AccountID
+	Backends map[identifier.ServiceName]Backend
+	// PlainTokens is what a request counts that says nothing of its tokens,
+	// by account.
+	PlainTokens map[identifier.AccountID]identifier.Tokens
+	// Ranks order the accounts; zero goes first.
+	Ranks   map[identifier.AccountID]int
+	MaxBody identifier.Bytes
+}
+
+// NewRouting indexes routes by host and keys by account.
+func NewRouting(routes []*Route, keys map[string]identifier.AccountID) *Routing {
+	r := &Routing{
+		routes:      map[string][]*Route{},
+		accounts:    keys,
+		Backends:    map[identifier.ServiceName]Backend{},
+		PlainTokens: map[identifier.AccountID]identifier.Tokens{},
+		Ranks:       map[identifier.AccountID]int{},
+	}
+	for _, route := range routes {
+		r.routes[route.Host] = append(r.routes[route.Host], route)
+	}
+	for _, of := range r.routes {
+		slices.SortStableFunc(of, func(a, b *Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
+	}
+	return r
+}
+
+// Find returns the route of a host with the longest prefix of a path.
+func (r *Routing) Find(host, path string) (*Route, bool) {
+	for _, route := range r.routes[strings.ToLower(host)] {
+		if strings.HasPrefix(path, route.PathPrefix) {
+			return route, true
+		}
+	}
+	return nil, false
+}
+
+// Account returns the account that holds a key.
+func (r *Routing) Account(key string) (identifier.AccountID, bool) {
+	a, ok := r.accounts[key]
+	return a, ok
+}
+
+// NeedsKeys reports whether requests need a key unless their route is public.
+func (r *Routing) NeedsKeys() bool { return len(r.Ranks) > 0 }
--- /dev/null
+++ b/internal/dispatcher/dispatcher.go
@@ -0,0 +1,202 @@
+// Package dispatcher leads opaque exchanges through their life on this node:
+//
+//	received -> refused
+//	received -> sent <-> attempt ended -> ended
+//
+// A request whose bytes mean nothing to the system is matched to a route,
+// counted against its account's limit and sent to a backend server of the
+// route's service. What may follow an attempt that fails hangs on what the
+// route allows and on what the attempt can have done:
+//
+//   - receive.go admits a request or refuses it.
+//   - choose.go picks the server.
+//   - repeat.go decides what follows an attempt.
+//   - load.go keeps what is in flight at the servers, of this node and others.
+//
+// Everything is pure: time and randomness are arguments. Nothing is safe for
+// concurrent use.
+package dispatcher
+
+import (
+	"math/rand/v2"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/detector"
+	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/registrar"
+	"github.com/dotterelhollow/dotterelhollow/internal/retrier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// defaultMaxExchanges bounds the exchanges of one node: the descriptors of a
+// node allow for fewer connections.
+const defaultMaxExchanges = 4096
+
+// Config says which node the dispatcher works for.
+type Config struct {
+	Self identifier.VMID
+	Zone identifier.Zone
+	// MaxExchanges bounds the exchanges at a time; zero stands for a default.
+	MaxExchanges int
+}
+
+// World is what the dispatcher reads and updates of the rest of the state
+// while it handles one event.
+type World struct {
+	Now        timekeeper.Time
+	Catalog    *catalog.Catalog // nil until the first configuration is known
+	Servers    *registrar.Table
+	Limits     *limiter.Limits
+	Budgets    *retrier.Budgets
+	Suspicions *detector.Suspicions
+	Rand       *rand.Rand
+	// Began is called with the account of each request that began to run.
+	Began func(identifier.AccountID)
+	// Stale tells that a newer configuration may be in force elsewhere.
+	Stale bool
+}
+
+// Dispatcher is the exchanges of one node.
+type Dispatcher struct {
+	config    Config
+	exchanges map[identifier.ExchangeID]*exchange
+	loads     loads
+	services  map[identifier.ServiceName]*demand
+	// refuseAfter is the instant from which new requests are refused because
+	// the node is leaving, or Never.
+	refuseAfter timekeeper.Time
+	leaving     bool
+	counters    Counters
+}
+
+// Counters is what a node did with exchanges so far.
+type Counters struct {
+	Received  uint64
+	Refused   uint64
+	Attempts  uint64
+	Repeats   uint64
+	Completed uint64
+	Failed    uint64
+}
+
+// exchange is one request on its way.
+type exchange struct {
+	spec    messenger.ExchangeSpec
+	route   *catalog.Route
+	service identifier.ServiceName
+	account identifier.AccountID
+	urgency int
+	// deadline is the end of the caller's patience or of the route's timeout.
+	deadline timekeeper.Time
+	attempt  identifier.AttemptNumber
+	// counted is the number of servers that may have run it and still exist.
+	counted int
+	tried   []identifier.VMID
+	// mayHaveRun tells that an attempt may have run.
+	mayHaveRun bool
+	begun      bool
+	current    *flight
+}
+
+// flight is an attempt under way.
+type flight struct {
+	server    identifier.VMID
+	sent      timekeeper.Time
+	predicted timekeeper.Duration
+	// unread is the prompt tokens that the server has to read first; zero
+	// once the answer began.
+	unread identifier.Tokens
+	began  bool
+}
+
+// New returns a dispatcher without exchanges.
+func New(c Config) *Dispatcher {
+	if c.MaxExchanges == 0 {
+		c.MaxExchanges = defaultMaxExchanges
+	}
+	return &Dispatcher{
+		config:      c,
+		exchanges:   map[identifier.ExchangeID]*exchange{},
+		loads:       newLoads(),
+		services:    map[identifier.ServiceName]*demand{},
+		refuseAfter: timekeeper.Never,
+	}
+}
+
+// Counters returns what the node did so far.
+func (d *Dispatcher) Counters() Counters { return d.counters }
+
+// InFlight returns the number of exchanges that have not ended.
+func (d *Dispatcher) InFlight() int { return len(d.exchanges) }
+
+// Leave begins a planned stop: requests that arrive after an instant are
+// refused, because they might not end before the node does.
+func (d *Dispatcher) Leave(refuseAfter timekeeper.Time) {
+	d.leaving = true
+	d.refuseAfter = refuseAfter
+}
+
+// Began notes the first byte, or the first event, of an answer.
+func (d *Dispatcher) Began(w World, e messenger.ExchangeBegan) {
+	x, ok := d.current(e.Exchange, e.Attempt)
+	if !ok || x.current.began {
+		return
+	}
+	f := x.current
+	f.began = true
+	d.loads.read(f.server, f.unread)
+	f.unread = 0
+	w.Suspicions.Observe(w.Now, f.server, detector.Observation{
+		Kind:             detector.FirstToken,
+		Latency:          w.Now.Sub(f.sent),
+		PredictedLatency: f.predicted,
+	})
+	d.count(w, x)
+}
+
+// count counts a request once as one that began to run.
+func (d *Dispatcher) count(w World, x *exchange) {
+	if x.begun {
+		return
+	}
+	x.begun = true
+	if x.account != "" && w.Began != nil {
+		w.Began(x.account)
+	}
+}
+
+// Ended drops an exchange of which nothing more follows.
+func (d *Dispatcher) Ended(w World, e messenger.ExchangeEnded) {
+	x, ok := d.exchanges[e.Exchange]
+	if !ok {
+		return
+	}
+	delete(d.exchanges, e.Exchange)
+	if x.current != nil {
+		if e.Result == messenger.AttemptComplete {
+			w.Suspicions.Observe(w.Now, x.current.server, detector.Observation{Kind: detector.Completed})
+		}
+		d.land(x)
+	}
+	if e.Result == messenger.AttemptComplete {
+		d.counters.Completed++
+	}
+}
+
+// land takes the current attempt out of the count of what is in flight.
+func (d *Dispatcher) land(x *exchange) {
+	d.loads.landed(x.current.server, x.current.unread)
+	d.demand(x.service).running--
+	x.current = nil
+}
+
+// current returns an exchange whose current attempt is the given one.
+func (d *Dispatcher) current(id identifier.ExchangeID, n identifier.AttemptNumber) (*exchange, bool) {
+	x, ok := d.exchanges[id]
+	if !ok || x.current == nil || x.attempt != n {
+		return nil, false
+	}
+	return x, true
+}
--- /dev/null
+++ b/internal/dispatcher/load.go
@@ -0,0 +1,177 @@
+package dispatcher
+
+import (
+	"math"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+const (
+	// peerLoadAge is the age past which a peer's report of its requests says
+	// nothing: peers report twice a second, and most requests end within it.
+	peerLoadAge = 2 * timekeeper.Second
+	// demandMemory is the time over which a service's demand is smoothed: long
+	// enough for a clump of requests, short enough for a burst to show.
+	demandMemory = 3 * timekeeper.Second
+	maxPeers     = 4096
+)
+
+// loads is what is in flight at the backend servers.
+type loads struct {
+	own   map[identifier.VMID]*ownLoad
+	peers map[identifier.VMID]peerLoad
+}
+
+// ownLoad is this node's part of a server's load.
+type ownLoad struct {
+	running int
+	// unread is the prompt tokens of requests whose answer has not begun.
+	unread identifier.Tokens
+}
+
+// peerLoad is what a peer told of its requests.
+type peerLoad struct {
+	at      timekeeper.Time
+	running map[identifier.VMID]int
+	demand  map[identifier.ServiceName]messenger.ServiceDemand
+}
+
+func newLoads() loads {
+	return loads{
+		own:   map[identifier.VMID]*ownLoad{},
+		peers: map[identifier.VMID]peerLoad{},
+	}
+}
+
+func (l *loads) sent(server identifier.VMID, unread identifier.Tokens) {
+	o := l.own[server]
+	if o == nil {
+		o = &ownLoad{}
+		l.own[server] = o
+	}
+	o.running++
+	o.unread += unread
+}
+
+func (l *loads) read(server identifier.VMID, tokens identifier.Tokens) {
+	if o := l.own[server]; o != nil {
+		o.unread -= tokens
+	}
+}
+
+func (l *loads) landed(server identifier.VMID, unread identifier.Tokens) {
+	o := l.own[server]
+	if o == nil {
+		return
+	}
+	o.running--
+	o.unread -= unread
+	if o.running <= 0 {
+		delete(l.own, server)
+	}
+}
+
+// at returns the requests at a server, of all nodes, and this node's prompt
+// tokens that it has not read.
+func (l *loads) at(now timekeeper.Time, server identifier.VMID) (running int, unread identifier.Tokens) {
+	if o := l.own[server]; o != nil {
+		running, unread = o.running, o.unread
+	}
+	for _, p := range l.peers {
+		if now.Sub(p.at) <= peerLoadAge {
+			running += p.running[server]
+		}
+	}
+	return running, unread
+}
+
+// demand is what this node's callers ask of one service.
+type demand struct {
+	at      timekeeper.Time
+	running int
+	work    float64
+	refused float64
+}
+
+func (d *Dispatcher) demand(service identifier.ServiceName) *demand {
+	s := d.services[service]
+	if s == nil {
+		s = &demand{}
+		d.services[service] = s
+	}
+	return s
+}
+
+// decay brings the smoothed rates to the present.
+func (s *demand) decay(now timekeeper.Time) {
+	passed := now.Sub(s.at)
+	if passed <= 0 {
+		return
+	}
+	s.at = now
+	keep := math.Exp(-float64(passed) / float64(demandMemory))
+	s.work *= keep
+	s.refused *= keep
+}
+
+func (s *demand) note(now timekeeper.Time, work float64) {
+	s.decay(now)
+	s.work += work / demandMemory.Seconds()
+}
+
+func (s *demand) noteRefusal(now timekeeper.Time) {
+	s.decay(now)
+	s.refused += 1 / demandMemory.Seconds()
+}
+
+// PeerLoad takes in what a peer told of its requests.
+func (d *Dispatcher) PeerLoad(now timekeeper.Time, peer identifier.VMID, s messenger.Share) {
+	if _, known := d.loads.peers[peer]; !known && len(d.loads.peers) >= maxPeers {
+		return
+	}
+	d.loads.peers[peer] = peerLoad{
+		at:      now,
+		running: s.InFlight,
+		demand:  s.Demand,
+	}
+}
+
+// OwnLoad returns this node's requests by server, and its callers' demand by
+// service.
+func (d *Dispatcher) OwnLoad(now timekeeper.Time) (map[identifier.VMID]int, map[identifier.ServiceName]messenger.ServiceDemand) {
+	running := make(map[identifier.VMID]int, len(d.loads.own))
+	for server, o := range d.loads.own {
+		running[server] = o.running
+	}
+	services := make(map[identifier.ServiceName]messenger.ServiceDemand, len(d.services))
+	for name, s := range d.services {
+		services[name] = s.report(now)
+	}
+	return running, services
+}
+
+func (s *demand) report(now timekeeper.Time) messenger.ServiceDemand {
+	s.decay(now)
+	return messenger.ServiceDemand{
+		Running: s.running,
+		Work:    s.work,
+		Refused: s.refused,
+	}
+}
+
+// Demand returns what the callers of all nodes ask of a service.
+func (d *Dispatcher) Demand(now timekeeper.Time, service identifier.ServiceName) messenger.ServiceDemand {
+	sum := d.demand(service).report(now)
+	for _, p := range d.loads.peers {
+		if now.Sub(p.at) > peerLoadAge {
+			continue
+		}
+		one := p.demand[service]
+		sum.Running += one.Running
+		sum.Work += one.Work
+		sum.Refused += one.Refused
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/dispatcher/receive.go
@@ -0,0 +1,210 @@
+package dispatcher
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/detector"
+	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+const (
+	// retryPercent is the share of requests that may be sent once more. The
+	// users' bound is 20 in 100 over all nodes; the rest is room for nodes
+	// whose requests are few and for what a resumed stream needs.
+	retryPercent = 12
+	// soon is when a refused caller may come back where nothing better is
+	// known: by then peers' news has reached this node, and other callers are
+	// spread over as long again.
+	soon = 200 * timekeeper.Millisecond
+	// bootWait is the same where no server is left: a new one takes seconds.
+	bootWait = 1 * timekeeper.Second
+	// leavingWait sends a caller to another node at once.
+	leavingWait = 20 * timekeeper.Millisecond
+	// maxUrgency is the last rank that servers know.
+	maxUrgency = 9
+	// rankStep is the room that an account's rank leaves to those of routes.
+	rankStep = 3
+	// leastTime is the time below which an attempt can't end in time.
+	leastTime = 5 * timekeeper.Millisecond
+)
+
+// Receive admits a request and sends it, or refuses it.
+func (d *Dispatcher) Receive(w World, spec messenger.ExchangeSpec) messenger.Effect {
+	d.counters.Received++
+	x, refusal := d.match(w, spec)
+	if refusal != nil {
+		return d.refuse(spec.Exchange, *refusal)
+	}
+	c, ok := d.choose(w, x)
+	if !ok {
+		d.demand(x.service).noteRefusal(w.Now)
+		return d.refuse(spec.Exchange, messenger.Refusal{
+			Reason:     messenger.ReasonNoServer,
+			Outcome:    messenger.NotRun,
+			RetryAfter: spread(w, bootWait),
+		})
+	}
+	if refusal := d.admit(w, x); refusal != nil {
+		return d.refuse(spec.Exchange, *refusal)
+	}
+	d.exchanges[spec.Exchange] = x
+	w.Budgets.Requested(w.Now, x.service, retryPercent)
+	d.demand(x.service).note(w.Now, work(spec, c.unread))
+	return d.send(w, x, c)
+}
+
+// work is the time that a server is busy with a request, in seconds.
+func work(spec messenger.ExchangeSpec, unread identifier.Tokens) float64 {
+	// tokenCost is the share of an engine that one generated token takes, in
+	// milliseconds: a step of 3 to 10 ms makes one token of each of the
+	// requests that run, ten of them for instance.
+	const tokenCost = 0.6
+	prefill := float64(unread) / prefillPerMillisecond
+	return (prefill + float64(spec.MaxTokens)*tokenCost) / 1000
+}
+
+// match finds a request's route, account, service and deadline.
+func (d *Dispatcher) match(w World, spec messenger.ExchangeSpec) (*exchange, *messenger.Refusal) {
+	if w.Catalog == nil || w.Catalog.Routing == nil {
+		return nil, notRun(messenger.ReasonNoConfiguration, spread(w, soon))
+	}
+	if len(d.exchanges) >= d.config.MaxExchanges {
+		return nil, notRun(messenger.ReasonOverload, spread(w, soon))
+	}
+	routing := w.Catalog.Routing
+	route, ok := routing.Find(spec.Host, spec.Path)
+	if !ok {
+		return nil, unknown(w, messenger.ReasonUnknownRoute)
+	}
+	account, ok := accountOf(routing, route, spec.Key)
+	if !ok {
+		return nil, unknown(w, messenger.ReasonUnknownKey)
+	}
+	x := &exchange{
+		spec:     spec,
+		route:    route,
+		account:  account,
+		service:  route.Service(point(spec.Request)),
+		urgency:  urgency(routing, route, account),
+		deadline: deadline(spec, route),
+	}
+	switch {
+	case x.deadline.Sub(w.Now) < leastTime:
+		return nil, notRun(messenger.ReasonDeadline, 0)
+	case d.leaving && w.Now.After(d.refuseAfter):
+		return nil, notRun(messenger.ReasonLeaving, leavingWait)
+	}
+	return x, nil
+}
+
+// unknown refuses a request that the configuration does not know. Where a
+// newer one may be in force elsewhere that would be a guess, so the caller is
+// told to come back instead.
+func unknown(w World, reason messenger.Reason) *messenger.Refusal {
+	if w.Stale {
+		return notRun(messenger.ReasonNoConfiguration, spread(w, soon))
+	}
+	return notRun(reason, 0)
+}
+
+func notRun(reason messenger.Reason, after timekeeper.Duration) *messenger.Refusal {
+	return &messenger.Refusal{
+		Reason:     reason,
+		Outcome:    messenger.NotRun,
+		RetryAfter: after,
+	}
+}
+
+func accountOf(routing *catalog.Routing, route *catalog.Route, key string) (identifier.AccountID, bool) {
+	if account, ok := routing.Account(key); ok {
+		return account, true
+	}
+	return "", route.Public || !routing.NeedsKeys()
+}
+
+// point maps a request to [0, 1), the same for each of its attempts.
+func point(r identifier.RequestID) float64 {
+	const bits = 53 // what a float64 holds exactly
+	return float64(xxhash.Sum64String(string(r))>>(64-bits)) / (1 << bits)
+}
+
+func urgency(routing *catalog.Routing, route *catalog.Route, account identifier.AccountID) int {
+	return min(max(routing.Ranks[account]*rankStep+route.Rank, 0), maxUrgency)
+}
+
+func deadline(spec messenger.ExchangeSpec, route *catalog.Route) timekeeper.Time {
+	wait := route.Timeout
+	if spec.Patience > 0 && (wait <= 0 || spec.Patience < wait) {
+		wait = spec.Patience
+	}
+	return spec.Received.Add(wait)
+}
+
+// admit counts a request against its account's limit.
+func (d *Dispatcher) admit(w World, x *exchange) *messenger.Refusal {
+	if x.account == "" {
+		return nil
+	}
+	tokens := x.spec.PromptTokens + x.spec.MaxTokens
+	if tokens == 0 {
+		tokens = w.Catalog.Routing.PlainTokens[x.account]
+	}
+	v := w.Limits.Admit(w.Now, limiter.Ask{
+		Account:  x.account,
+		Service:  x.service,
+		Tokens:   tokens,
+		Deadline: x.deadline,
+	})
+	if v.OK {
+		return nil
+	}
+	return notRun(v.Reason, v.RetryAfter)
+}
+
+// send starts an attempt.
+func (d *Dispatcher) send(w World, x *exchange, c choice) messenger.Effect {
+	d.counters.Attempts++
+	x.attempt++
+	x.counted++
+	x.tried = append(x.tried, c.server.Server)
+	x.current = &flight{
+		server:    c.server.Server,
+		sent:      w.Now,
+		predicted: c.predicted,
+		unread:    c.unread,
+	}
+	d.loads.sent(c.server.Server, c.unread)
+	d.demand(x.service).running++
+	w.Suspicions.Observe(w.Now, c.server.Server, detector.Observation{Kind: detector.Sent})
+	first, next := d.silence(x)
+	return messenger.SendExchange{
+		Exchange:     x.spec.Exchange,
+		Attempt:      x.attempt,
+		Server:       c.server.Server,
+		Address:      c.server.Address,
+		Account:      x.account,
+		Route:        x.route,
+		Urgency:      x.urgency,
+		Deadline:     x.deadline,
+		FirstSilence: first,
+		NextSilence:  next,
+	}
+}
+
+func (d *Dispatcher) refuse(id identifier.ExchangeID, r messenger.Refusal) messenger.Effect {
+	d.counters.Refused++
+	return messenger.RefuseExchange{
+		Exchange: id,
+		Refusal:  r,
+	}
+}
+
+// spread draws a wait between one and two times base, so that refused callers
+// don't come back all at once.
+func spread(w World, base timekeeper.Duration) timekeeper.Duration {
+	return base + timekeeper.Duration(w.Rand.Int64N(int64(base)))
+}
--- /dev/null
+++ b/internal/dispatcher/repeat.go
@@ -0,0 +1,129 @@
+package dispatcher
+
+import (
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/detector"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/retrier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+const (
+	// A server that says nothing for so many times the target, within the
+	// bounds, is given up where another may take over. The first event of an
+	// unloaded engine takes a quarter of the target.
+	firstSilenceTargets = 1.5
+	minFirstSilence     = 250 * timekeeper.Millisecond
+	maxFirstSilence     = 2500 * timekeeper.Millisecond
+	// A stream is late from one gap on, and callers leave after eight.
+	nextSilenceGaps = 4
+	minNextSilence  = 1 * timekeeper.Second
+)
+
+// kinds maps the ends of attempts to the evidence that they are.
+var kinds = map[messenger.AttemptResult]detector.Kind{
+	messenger.AttemptNotSent: detector.NotSent,
+	messenger.AttemptBroken:  detector.Broken,
+	messenger.AttemptSilent:  detector.Silent,
+	messenger.AttemptFailed:  detector.Failed,
+}
+
+// AttemptEnded decides what follows an attempt that brought no whole answer.
+func (d *Dispatcher) AttemptEnded(w World, e messenger.ExchangeAttemptEnded) messenger.Effect {
+	x, ok := d.current(e.Exchange, e.Attempt)
+	if !ok {
+		return d.end(w, nil, e, messenger.ReasonServerFailed)
+	}
+	if kind, known := kinds[e.Result]; known {
+		w.Suspicions.Observe(w.Now, x.current.server, detector.Observation{Kind: kind})
+	}
+	d.settle(w, x, e)
+	if !d.mayRepeat(x, e) {
+		return d.end(w, x, e, messenger.ReasonServerFailed)
+	}
+	if x.deadline.Sub(w.Now) < leastTime {
+		return d.end(w, x, e, messenger.ReasonDeadlineExpired)
+	}
+	c, ok := d.choose(w, x)
+	if !ok {
+		return d.end(w, x, e, messenger.ReasonNoServer)
+	}
+	if e.Result != messenger.AttemptNotSent && !w.Budgets.Spend(w.Now, x.service) {
+		return d.end(w, x, e, messenger.ReasonRetriesSpent)
+	}
+	d.counters.Repeats++
+	return d.send(w, x, c)
+}
+
+// settle takes up what an attempt's end says of the request.
+func (d *Dispatcher) settle(w World, x *exchange, e messenger.ExchangeAttemptEnded) {
+	server, known := w.Servers.Server(x.current.server)
+	departed := known && server.State != messenger.ServerReady
+	d.land(x)
+	switch {
+	case e.Result == messenger.AttemptNotSent:
+		x.counted--
+		return
+	case retrier.ProvablyNotRun(e.Result):
+		return
+	case departed:
+		// The operators bound the servers that a request burdens; one that
+		// left while it ran burdens nobody any more.
+		x.counted--
+	}
+	x.mayHaveRun = true
+	if e.Result == messenger.AttemptBroken || e.Result == messenger.AttemptFailed {
+		d.count(w, x)
+	}
+}
+
+// mayRepeat reports whether another server may get the request.
+func (d *Dispatcher) mayRepeat(x *exchange, e messenger.ExchangeAttemptEnded) bool {
+	if x.counted >= x.route.Attempts {
+		return false
+	}
+	if retrier.ProvablyNotRun(e.Result) {
+		return true
+	}
+	switch x.route.Repetition {
+	case catalog.Repeatable:
+		return !e.Streaming
+	case catalog.Resumed:
+		return true
+	}
+	return false
+}
+
+// end gives an exchange up. Only where no attempt can have run is the caller
+// told so, with a time to come back.
+func (d *Dispatcher) end(w World, x *exchange, e messenger.ExchangeAttemptEnded, reason messenger.Reason) messenger.Effect {
+	d.counters.Failed++
+	delete(d.exchanges, e.Exchange)
+	if x != nil && !x.mayHaveRun && !e.Streaming && !x.spec.Resumes {
+		d.demand(x.service).noteRefusal(w.Now)
+		return d.refuse(e.Exchange, messenger.Refusal{
+			Reason:     reason,
+			Outcome:    messenger.NotRun,
+			RetryAfter: max(spread(w, soon), e.RetryAfter),
+		})
+	}
+	return messenger.EndExchange{
+		Exchange: e.Exchange,
+		Reason:   reason,
+	}
+}
+
+// silence returns how long a server may say nothing before its first event and
+// between events. Where no other server may take over there is no bound: the
+// answer may yet come.
+func (d *Dispatcher) silence(x *exchange) (first, next timekeeper.Duration) {
+	if x.route.Repetition == catalog.Once || x.counted >= x.route.Attempts {
+		return 0, 0
+	}
+	target := timekeeper.Duration(float64(x.route.Target) * firstSilenceTargets)
+	first = min(max(target, minFirstSilence), maxFirstSilence)
+	if x.route.Stream {
+		next = max(nextSilenceGaps*x.route.MaxGap, minNextSilence)
+	}
+	return first, next
+}
--- a/internal/folderreader/folderreader.go
+++ b/internal/folderreader/folderreader.go
@@ -79,6 +79,21 @@
 	return files, nil
 }
 
+// ReadPath returns the files of a folder, or the one file at path, whatever
+// its suffix. Its error is a *ReadError or an *EntryError.
+func ReadPath(path string) (map[identifier.FileName][]byte, error) {
+	info, err := os.Stat(path)
+	if err != nil || info.IsDir() {
+		return ReadDir(path)
+	}
+	content, err := readFile(path)
+	if err != nil {
+		return nil, err
+	}
+	name := strings.TrimSuffix(filepath.Base(path), filepath.Ext(path)) + ".ini"
+	return map[identifier.FileName][]byte{identifier.FileName(name): content}, nil
+}
+
 // readFile reads at most one byte over the bound, which is enough for Merge to
 // see that the file is too large.
 func readFile(path string) ([]byte, error) {
--- a/internal/folderreader/value.go
+++ b/internal/folderreader/value.go
@@ -167,6 +167,24 @@
 	})
 }
 
+// AddrPorts reads a list of IP numbers with ports, which may be empty.
+func (v Value) AddrPorts() []netip.AddrPort {
+	return read(v, "IP numbers with ports, separated by commas", func(s string) ([]netip.AddrPort, bool) {
+		if strings.TrimSpace(s) == "" {
+			return nil, true
+		}
+		var out []netip.AddrPort
+		for _, text := range splitList(s) {
+			a, err := netip.ParseAddrPort(text)
+			if err != nil || a.Port() == 0 {
+				return nil, false
+			}
+			out = append(out, a)
+		}
+		return out, true
+	})
+}
+
 func splitList(s string) []string {
 	list := strings.Split(s, ",")
 	for i := range list {
--- /dev/null
+++ b/internal/forwarder/answer.go
@@ -0,0 +1,173 @@
+package forwarder
+
+import (
+	"net"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// refusedAgain is when a caller may come back that this node could not serve
+// for reasons of its own.
+const refusedAgain = 200 * timekeeper.Millisecond
+
+// statuses maps the reasons of refusals to what callers understand. Those of
+// 429 and 503 are promises: nothing ran, and nothing will.
+var statuses = map[messenger.Reason]int{
+	messenger.ReasonUnknownRoute: http.StatusNotFound,
+	messenger.ReasonUnknownKey:   http.StatusUnauthorized,
+	messenger.ReasonAccountLimit: http.StatusTooManyRequests,
+}
+
+// hopByHop are the headers that concern one connection only.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// passed returns the headers that are passed on.
+func passed(in http.Header) http.Header {
+	out := in.Clone()
+	for _, line := range in["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			out.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	return out
+}
+
+// writeHead writes the head of a server's answer.
+func (x *exchange) writeHead(status int, header http.Header) {
+	out := x.w.Header()
+	for name, values := range passed(header) {
+		out[name] = values
+	}
+	// The library would add these where the server gave none.
+	for _, name := range []string{"Date", "Content-Type"} {
+		if _, ok := out[name]; !ok {
+			out[name] = nil
+		}
+	}
+	x.status = status
+	x.w.WriteHeader(status)
+}
+
+// writeHeld writes an answer that is whole.
+func (x *exchange) writeHeld(a *held) {
+	a.header.Set("Content-Length", strconv.Itoa(len(a.body)))
+	if a.status == http.StatusNoContent || a.status == http.StatusNotModified {
+		a.header.Del("Content-Length")
+	}
+	x.writeHead(a.status, a.header)
+	if x.r.Method != http.MethodHead {
+		// A caller that is gone learns nothing from the error either.
+		_, _ = x.w.Write(a.body)
+	}
+}
+
+// writeStatus answers with a status of the system's own, without a body.
+func (x *exchange) writeStatus(status int) {
+	x.status = status
+	x.w.Header().Set("Content-Length", "0")
+	x.w.WriteHeader(status)
+}
+
+// refuse answers a request of which nothing ran.
+func (x *exchange) refuse(r messenger.Refusal) {
+	status, ok := statuses[r.Reason]
+	if !ok {
+		status = http.StatusServiceUnavailable
+	}
+	if r.RetryAfter > 0 {
+		x.forwarder.config.Protocol.WriteRetryAfter(x.w.Header(), r.RetryAfter)
+	}
+	x.writeStatus(status)
+	x.log(messenger.AttemptRefused, string(r.Reason))
+}
+
+// unavailable refuses a request before anything was decided on it.
+func (x *exchange) unavailable(reason string, again timekeeper.Duration) {
+	x.forwarder.config.Protocol.WriteRetryAfter(x.w.Header(), again)
+	x.writeStatus(http.StatusServiceUnavailable)
+	x.log(messenger.AttemptRefused, reason)
+}
+
+// reject answers a request that is not proper.
+func (x *exchange) reject(status int, err error) {
+	x.w.Header().Set("Connection", "close")
+	x.writeStatus(status)
+	reason := http.StatusText(status)
+	if err != nil {
+		reason = err.Error()
+	}
+	x.log(messenger.AttemptRefused, reason)
+}
+
+// fail ends a request that ran, or may have. A server's own failure is passed
+// on; an answer that was begun is broken off, so that it does not look whole.
+func (x *exchange) fail(reason messenger.Reason) {
+	switch {
+	case x.answering:
+		x.log(messenger.AttemptBroken, string(reason))
+		panic(http.ErrAbortHandler)
+	case x.failure != nil:
+		x.writeHeld(x.failure)
+	case reason == messenger.ReasonDeadlineExpired:
+		x.writeStatus(http.StatusGatewayTimeout)
+	default:
+		x.writeStatus(http.StatusBadGateway)
+	}
+	x.log(messenger.AttemptFailed, string(reason))
+}
+
+// hostOf returns a host without its port, in lower case.
+func hostOf(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
+// pathOf returns the path as the caller wrote it.
+func pathOf(r *http.Request) string {
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return path
+}
+
+// log tells how an exchange ended.
+func (x *exchange) log(result messenger.AttemptResult, reason string) {
+	f := x.forwarder
+	took := f.config.Clock.Now().Sub(x.received)
+	f.config.Metrics.ended(x.status, result, took)
+	f.config.Logger.Info("exchange ended",
+		"request", x.head.Request,
+		"route", x.route,
+		"account", x.account,
+		"server", x.server,
+		"attempts", x.attempts,
+		"result", result,
+		"status", x.status,
+		"reason", reason,
+		"last_event", x.lastEvent,
+		"took_ms", int64(took),
+	)
+}
+
+func (x *exchange) logAttempt(s messenger.SendExchange, e ending) {
+	x.forwarder.config.Logger.Info("attempt ended",
+		"request", x.head.Request,
+		"attempt", s.Attempt,
+		"server", s.Server,
+		"address", s.Address,
+		"result", e.result,
+		"reason", e.reason,
+		"last_event", x.lastEvent,
+	)
+}
--- /dev/null
+++ b/internal/forwarder/metrics.go
@@ -0,0 +1,92 @@
+package forwarder
+
+import (
+	"encoding/json"
+	"expvar"
+	"strconv"
+	"sync"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+const (
+	// longestLatency and latencyDigits set the histograms' range and
+	// precision: two minutes, to a tenth.
+	longestLatency = int64(2 * timekeeper.Minute)
+	latencyDigits  = 1
+)
+
+// Metrics counts exchanges. It is safe for concurrent use.
+type Metrics struct {
+	vars     *expvar.Map
+	requests expvar.Int
+	results  expvar.Map
+	statuses expvar.Map
+	firsts   latencies
+	whole    latencies
+}
+
+// NewMetrics returns Metrics that have counted nothing.
+func NewMetrics() *Metrics {
+	m := &Metrics{vars: new(expvar.Map).Init()}
+	m.results.Init()
+	m.statuses.Init()
+	m.firsts.init()
+	m.whole.init()
+	m.vars.Set("requests", &m.requests)
+	m.vars.Set("results", &m.results)
+	m.vars.Set("statuses", &m.statuses)
+	m.vars.Set("first_event_ms", &m.firsts)
+	m.vars.Set("whole_ms", &m.whole)
+	return m
+}
+
+// Var returns the variable to publish.
+func (m *Metrics) Var() expvar.Var { return m.vars }
+
+func (m *Metrics) received() { m.requests.Add(1) }
+
+func (m *Metrics) first(d timekeeper.Duration) { m.firsts.record(d) }
+
+func (m *Metrics) ended(status int, result messenger.AttemptResult, took timekeeper.Duration) {
+	m.statuses.Add(strconv.Itoa(status), 1)
+	m.results.Add(string(result), 1)
+	m.whole.record(took)
+}
+
+// latencies is a histogram as a variable: its quantiles in milliseconds.
+type latencies struct {
+	mu sync.Mutex
+	h  *hdrhistogram.Histogram
+}
+
+var _ expvar.Var = (*latencies)(nil)
+
+func (l *latencies) init() { l.h = hdrhistogram.New(1, longestLatency, latencyDigits) }
+
+func (l *latencies) record(d timekeeper.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	// Out of range are only times beyond every bound, which count as that.
+	_ = l.h.RecordValue(min(max(int64(d), 1), longestLatency))
+}
+
+// String returns count and quantiles as JSON.
+func (l *latencies) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	text, err := json.Marshal(map[string]int64{
+		"count": l.h.TotalCount(),
+		"p50":   l.h.ValueAtQuantile(50),
+		"p95":   l.h.ValueAtQuantile(95),
+		"p99":   l.h.ValueAtQuantile(99),
+		"max":   l.h.Max(),
+	})
+	if err != nil {
+		return "{}"
+	}
+	return string(text)
+}
--- /dev/null
+++ b/internal/forwarder/request.go
@@ -0,0 +1,153 @@
+package forwarder
+
+import (
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// exchange is one request and its answer.
+type exchange struct {
+	forwarder *Forwarder
+	id        identifier.ExchangeID
+	w         http.ResponseWriter
+	r         *http.Request
+	received  timekeeper.Time
+	head      Head
+	body      []byte
+
+	route    string
+	account  identifier.AccountID
+	attempts int
+	server   identifier.VMID
+	// lastEvent is the last event that the caller has, over all attempts, and
+	// resumed tells that an attempt goes on behind it.
+	lastEvent string
+	// answering tells that the head of the answer went to the caller.
+	answering bool
+	// failure is a server's own answer that it failed, for the caller if
+	// nothing better comes.
+	failure *held
+	began   bool
+	status  int
+}
+
+// read takes the whole request in, so that a caller that breaks off in the
+// middle leaves nothing at a server. It returns false once the caller is
+// answered.
+func (x *exchange) read() bool {
+	head, err := x.forwarder.config.Protocol.ReadHead(x.r)
+	if err != nil {
+		x.reject(http.StatusBadRequest, err)
+		return false
+	}
+	x.head = head
+	x.lastEvent = head.LastEvent
+	most := x.forwarder.maxBody()
+	if x.r.ContentLength > int64(most) {
+		x.reject(http.StatusRequestEntityTooLarge, nil)
+		return false
+	}
+	if x.forwarder.held.Load() > int64(maxHeld) {
+		x.unavailable("bodies_held", refusedAgain)
+		return false
+	}
+	x.body, err = io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, int64(most)))
+	x.forwarder.held.Add(int64(len(x.body)))
+	if err == nil {
+		return true
+	}
+	x.forwarder.held.Add(-int64(len(x.body)))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		x.reject(http.StatusRequestEntityTooLarge, err)
+		return false
+	}
+	// The caller broke off, or sent what is no body.
+	x.reject(http.StatusBadRequest, err)
+	return false
+}
+
+func (f *Forwarder) maxBody() identifier.Bytes {
+	if f.config.MaxBody != nil {
+		if n := f.config.MaxBody(); n > 0 {
+			return n
+		}
+	}
+	return defaultMaxBody
+}
+
+func (x *exchange) spec() messenger.ExchangeSpec {
+	return messenger.ExchangeSpec{
+		Exchange:     x.id,
+		Request:      x.head.Request,
+		Host:         hostOf(x.r.Host),
+		Path:         pathOf(x.r),
+		Key:          x.head.Key,
+		Received:     x.received,
+		Patience:     x.head.Patience,
+		Size:         identifier.Bytes(len(x.body)),
+		PromptTokens: x.head.PromptTokens,
+		MaxTokens:    x.head.MaxTokens,
+		Prefix:       x.head.Prefix,
+		Resumes:      x.head.LastEvent != "",
+	}
+}
+
+// run carries out what the decider says until the caller is answered.
+func (x *exchange) run() {
+	f := x.forwarder
+	ctx := x.r.Context()
+	decision := f.config.Decider.Receive(ctx, x.spec())
+	for {
+		send, ok := decision.(messenger.SendExchange)
+		if !ok {
+			x.close(decision)
+			return
+		}
+		x.attempts++
+		x.server = send.Server
+		x.route = string(send.Route.Name)
+		x.account = send.Account
+		end := x.attempt(ctx, send)
+		if end.over {
+			f.config.Decider.Ended(messenger.ExchangeEnded{
+				Exchange: x.id,
+				Result:   end.result,
+			})
+			x.log(end.result, end.reason)
+			if end.abort {
+				panic(http.ErrAbortHandler)
+			}
+			return
+		}
+		x.logAttempt(send, end)
+		decision = f.config.Decider.AttemptEnded(ctx, messenger.ExchangeAttemptEnded{
+			Exchange:   x.id,
+			Attempt:    send.Attempt,
+			Result:     end.result,
+			Streaming:  x.answering,
+			RetryAfter: end.retryAfter,
+		})
+	}
+}
+
+// close answers the caller where no attempt follows.
+func (x *exchange) close(decision messenger.Effect) {
+	switch d := decision.(type) {
+	case messenger.RefuseExchange:
+		x.refuse(d.Refusal)
+	case messenger.EndExchange:
+		x.fail(d.Reason)
+	default:
+		if x.attempts > 0 {
+			x.fail(messenger.ReasonLeaving)
+			return
+		}
+		x.unavailable(string(messenger.ReasonLeaving), refusedAgain)
+	}
+}
--- /dev/null
+++ b/internal/messenger/exchange.go
@@ -0,0 +1,264 @@
+package messenger
+
+import (
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// ExchangeSpec is what an opaque exchange asks for. The bytes stay with the
+// connection that they came on.
+type ExchangeSpec struct {
+	Exchange identifier.ExchangeID
+	// Request is the caller's own name of this attempt of its request.
+	Request identifier.RequestID
+	Host    string
+	Path    string
+	Key     string
+	// Received is when the head of the request arrived.
+	Received timekeeper.Time
+	// Patience is how long the caller waits, or zero where it did not say.
+	Patience timekeeper.Duration
+	Size     identifier.Bytes
+	// PromptTokens and MaxTokens are zero where the caller did not say.
+	PromptTokens identifier.Tokens
+	MaxTokens    identifier.Tokens
+	// Prefix lists the parts of the prompt in order.
+	Prefix []PromptPart
+	// Resumes tells that the caller has a part of the answer already.
+	Resumes bool
+}
+
+// PromptPart is a part of a prompt that other requests may share.
+type PromptPart struct {
+	Hash   identifier.PrefixHash
+	Tokens identifier.Tokens
+}
+
+// Events of opaque exchanges.
+type (
+	// ExchangeReceived: a whole request arrived.
+	ExchangeReceived struct{ Spec ExchangeSpec }
+	// ExchangeBegan: the first byte of the answer, or the first event of a
+	// stream, arrived from the current attempt.
+	ExchangeBegan struct {
+		Exchange identifier.ExchangeID
+		Attempt  identifier.AttemptNumber
+	}
+	// ExchangeAttemptEnded: an attempt ended without an answer that could be
+	// given to the caller as it is.
+	ExchangeAttemptEnded struct {
+		Exchange identifier.ExchangeID
+		Attempt  identifier.AttemptNumber
+		Result   AttemptResult
+		// Streaming tells that a part of the answer went to the caller.
+		Streaming bool
+		// RetryAfter is the server's own wish, or zero.
+		RetryAfter timekeeper.Duration
+	}
+	// ExchangeEnded: nothing more follows for the caller.
+	ExchangeEnded struct {
+		Exchange identifier.ExchangeID
+		// Result is how the last attempt ended; empty where the caller left.
+		Result AttemptResult
+	}
+)
+
+// Effects of opaque exchanges. Each event above but ExchangeBegan and
+// ExchangeEnded is followed by exactly one of them.
+type (
+	// RefuseExchange answers a request of which nothing ran.
+	RefuseExchange struct {
+		Exchange identifier.ExchangeID
+		Refusal  Refusal
+	}
+	// SendExchange sends the request to a backend server.
+	SendExchange struct {
+		Exchange identifier.ExchangeID
+		Attempt  identifier.AttemptNumber
+		Server   identifier.VMID
+		Address  string
+		Account  identifier.AccountID
+		Route    *catalog.Route
+		// Urgency goes to the server: zero goes first.
+		Urgency  int
+		Deadline timekeeper.Time
+		// FirstSilence and NextSilence bound the wait for the first event and
+		// between events, where another server could go on; else they are
+		// zero.
+		FirstSilence timekeeper.Duration
+		NextSilence  timekeeper.Duration
+	}
+	// EndExchange ends a request without a further attempt. Whether it ran is
+	// not known, or it ran and failed.
+	EndExchange struct {
+		Exchange identifier.ExchangeID
+		Reason   Reason
+	}
+)
+
+// ServerState tells whether a published backend server takes new work.
+type ServerState string
+
+// The states of published servers.
+const (
+	ServerReady   ServerState = "ready"
+	ServerLeaving ServerState = "leaving"
+	// ServerRemoved: the platform has taken the entry of the server away.
+	ServerRemoved ServerState = "removed"
+)
+
+// PublishedServer is the entry of a backend server in the platform's store.
+type PublishedServer struct {
+	Server identifier.VMID
+	// Offset is where the entry stands in the store: of two entries of one
+	// server the one with the larger offset is the newer.
+	Offset  identifier.Offset
+	Service identifier.ServiceName
+	Address string
+	Zone    identifier.Zone
+	Slots   int
+	State   ServerState
+	// LeavesIn is the time that a leaving server has left, or zero where it
+	// is not known.
+	LeavesIn timekeeper.Duration
+	Market   catalog.Market
+}
+
+// Share is what a node tells its peers beside the gossip of membership.
+type Share struct {
+	Incarnation identifier.Incarnation
+	// Servers are entries that changed lately; with All set they are all.
+	Servers []PublishedServer
+	All     bool
+	// ServersAge is how old the sender's knowledge of the entries is.
+	ServersAge timekeeper.Duration
+	// ConfigurationAge is how long ago the sender knew that no configuration
+	// is newer than its own.
+	ConfigurationAge timekeeper.Duration
+	Revision         identifier.Revision
+	// InFlight is the sender's own requests at each server.
+	InFlight map[identifier.VMID]int
+	Usage    []UsageCount
+	// Demand is what the sender's callers ask of each service.
+	Demand map[identifier.ServiceName]ServiceDemand
+}
+
+// ServiceDemand is what one node's callers ask of a service.
+type ServiceDemand struct {
+	// Running is the requests in flight.
+	Running int
+	// Work is the smoothed work asked for, in server seconds a second.
+	Work float64
+	// Refused counts the requests turned away for want of servers, a second.
+	Refused float64
+}
+
+// UsageCount is the requests of an account that began in a window at a node.
+type UsageCount struct {
+	Window  identifier.UsageWindow
+	Account identifier.AccountID
+	Count   int
+}
+
+// Events from the platform's store and cloud, and from peers.
+type (
+	// CatalogPublished: a configuration was read, from the store or a peer.
+	CatalogPublished struct {
+		Catalog *catalog.Catalog
+		// Data is the configuration as the store has it, for peers.
+		Data []byte
+		// Direct tells that it came from the store.
+		Direct bool
+	}
+	// CatalogConfirmed: the store has no newer configuration than this node.
+	CatalogConfirmed struct{}
+	// ServersPublished: entries were read from the store, none of which need
+	// be new.
+	ServersPublished struct {
+		Servers []PublishedServer
+		// All tells that servers that are missing have no entry.
+		All bool
+	}
+	// StoreFailed: a read of the entries or of the configuration failed.
+	StoreFailed struct{}
+	// ShareReceived: a peer told what it knows.
+	ShareReceived struct {
+		From  identifier.VMID
+		Share Share
+	}
+	// ServersOrdered: an order for servers ended.
+	ServersOrdered struct {
+		Order  ServerOrder
+		Result DutyResult
+	}
+	// UsageReported: a report of usage ended.
+	UsageReported struct {
+		Window identifier.UsageWindow
+		Result DutyResult
+	}
+)
+
+// DutyResult is what became of a call under a lease.
+type DutyResult string
+
+// The results of duty calls.
+const (
+	DutyDone DutyResult = "done"
+	// DutyFenced: a later holder was there first.
+	DutyFenced DutyResult = "fenced"
+	// DutyRefused: the call was understood and can't be met now.
+	DutyRefused DutyResult = "refused"
+	// DutyUnknown: it may have been carried out, or may be yet.
+	DutyUnknown DutyResult = "unknown"
+)
+
+// ServerOrder asks for a number of servers, whatever there are.
+type ServerOrder struct {
+	Service identifier.ServiceName
+	Zone    identifier.Zone
+	Market  catalog.Market
+	Count   int
+}
+
+// Effects towards the platform's cloud, and peers.
+type (
+	// OrderServers gives an order under a lease.
+	OrderServers struct {
+		Order    ServerOrder
+		Fence    identifier.Fence
+		NotAfter timekeeper.Time
+	}
+	// ReportUsage reports a window's requests by account under a lease.
+	ReportUsage struct {
+		Window   identifier.UsageWindow
+		Counts   map[identifier.AccountID]int
+		Fence    identifier.Fence
+		NotAfter timekeeper.Time
+	}
+	// SendShare tells a peer what this node knows.
+	SendShare struct {
+		Peer    identifier.VMID
+		Address string
+		Share   Share
+	}
+)
+
+func (ExchangeReceived) eventBody()     {}
+func (ExchangeBegan) eventBody()        {}
+func (ExchangeAttemptEnded) eventBody() {}
+func (ExchangeEnded) eventBody()        {}
+func (CatalogPublished) eventBody()     {}
+func (CatalogConfirmed) eventBody()     {}
+func (ServersPublished) eventBody()     {}
+func (StoreFailed) eventBody()          {}
+func (ShareReceived) eventBody()        {}
+func (ServersOrdered) eventBody()       {}
+func (UsageReported) eventBody()        {}
+
+func (RefuseExchange) effect() {}
+func (SendExchange) effect()   {}
+func (EndExchange) effect()    {}
+func (OrderServers) effect()   {}
+func (ReportUsage) effect()    {}
+func (SendShare) effect()      {}
--- a/internal/messenger/vocabulary.go
+++ b/internal/messenger/vocabulary.go
@@ -67,6 +67,10 @@
 	ReasonUnprotected       Reason = "no_off_node_record"
 	ReasonNoConfiguration   Reason = "no_configuration"
 	ReasonServerRefusedWork Reason = "server_refused"
+	// ReasonUnknownRoute: no route has the host and path.
+	ReasonUnknownRoute Reason = "unknown_route"
+	// ReasonUnknownKey: no account holds the key.
+	ReasonUnknownKey Reason = "unknown_key"
 )
 
 // Refusal is the final answer of a request that ends without its answer.
--- a/internal/reducer/apply_test.go
+++ b/internal/reducer/apply_test.go
@@ -55,6 +55,17 @@
 	messenger.DrainStarted{},
 	messenger.ConfigurationReceived{},
 	messenger.Tick{},
+	messenger.ExchangeReceived{},
+	messenger.ExchangeBegan{},
+	messenger.ExchangeAttemptEnded{},
+	messenger.ExchangeEnded{},
+	messenger.CatalogPublished{},
+	messenger.CatalogConfirmed{},
+	messenger.ServersPublished{},
+	messenger.StoreFailed{},
+	messenger.ShareReceived{},
+	messenger.ServersOrdered{},
+	messenger.UsageReported{},
 }
 
 func newReducer(seed uint64) *reducer.Reducer {
@@ -118,15 +129,17 @@
 // declaredEvents returns the types that package messenger declares as events.
 func declaredEvents(t *testing.T) []string {
 	t.Helper()
-	file, err := parser.ParseFile(token.NewFileSet(), "../messenger/event.go", nil, parser.SkipObjectResolution)
-	require.NoError(t, err)
 	var names []string
-	for _, d := range file.Decls {
-		method, ok := d.(*ast.FuncDecl)
-		if !ok || method.Name.Name != "eventBody" {
-			continue
+	for _, path := range []string{"../messenger/event.go", "../messenger/exchange.go"} {
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
+		require.NoError(t, err)
+		for _, d := range file.Decls {
+			method, ok := d.(*ast.FuncDecl)
+			if !ok || method.Name.Name != "eventBody" {
+				continue
+			}
+			names = append(names, method.Recv.List[0].Type.(*ast.Ident).Name)
 		}
-		names = append(names, method.Recv.List[0].Type.(*ast.Ident).Name)
 	}
 	return names
 }
--- /dev/null
+++ b/internal/reducer/duty.go
@@ -0,0 +1,150 @@
+package reducer
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/accountant"
+	"github.com/dotterelhollow/dotterelhollow/internal/conductor"
+	"github.com/dotterelhollow/dotterelhollow/internal/leaser"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/sizer"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// gatewayLogRead takes in records of the streams of the duties.
+func (r *Reducer) gatewayLogRead(w *conductor.World, e messenger.LogRead) []messenger.Effect {
+	g := r.gateway
+	switch e.Stream {
+	case leaser.Stream:
+		g.leases.Absorb(w.Now, e)
+	case accountant.Stream:
+		g.usage.Absorb(e)
+		g.usage.Agreed()
+		return r.tickUsage(w)
+	}
+	return nil
+}
+
+// tickDuties tries for the lease of the duties and, while it is held, does
+// them.
+func (r *Reducer) tickDuties(w *conductor.World) []messenger.Effect {
+	g := r.gateway
+	if !g.draining && chosen(g.self, string(dutyLease), r.members, dutyNodes) {
+		g.leases.Want(w.Now, dutyLease)
+	}
+	var out []messenger.Effect
+	for _, a := range g.leases.Tick(w.Now, r.rand) {
+		out = append(out, messenger.AppendRecord{
+			Stream: a.Stream,
+			Data:   a.Data,
+		})
+	}
+	out = append(out, r.noteTenure(w)...)
+	out = append(out, r.tickUsage(w)...)
+	return append(out, r.tickSizes(w)...)
+}
+
+// noteTenure tells the time line when this node comes to hold the lease, or no
+// longer does. Another holder may have ordered in between.
+func (r *Reducer) noteTenure(w *conductor.World) []messenger.Effect {
+	g := r.gateway
+	fence, _, held := g.leases.Held(dutyLease, w.Now)
+	if !held {
+		fence = 0
+	}
+	if fence == g.holding {
+		return nil
+	}
+	g.holding = fence
+	g.sizes.Forget()
+	kind := messenger.NoteKind("duties_held")
+	if !held {
+		kind = "duties_lost"
+	}
+	return []messenger.Effect{
+		messenger.Note{
+			Kind:   kind,
+			VM:     r.config.Self,
+			Detail: fmt.Sprintf("fence=%d", fence),
+		},
+	}
+}
+
+func (r *Reducer) tickUsage(w *conductor.World) []messenger.Effect {
+	fence, notAfter, held := r.gateway.leases.Held(dutyLease, w.Now)
+	if !held {
+		return nil
+	}
+	return r.gateway.usage.Tick(w.Now, fence, notAfter)
+}
+
+// tickSizes orders the backend servers that the demand takes.
+func (r *Reducer) tickSizes(w *conductor.World) []messenger.Effect {
+	g := r.gateway
+	fence, notAfter, held := g.leases.Held(dutyLease, w.Now)
+	if !held || g.catalog == nil || w.Now.Before(g.nextPlan) {
+		return nil
+	}
+	g.nextPlan = w.Now.Add(planEvery)
+	var out []messenger.Effect
+	for _, service := range slices.Sorted(maps.Keys(g.catalog.Routing.Backends)) {
+		out = append(out, r.plan(w, service, fence, notAfter)...)
+	}
+	return out
+}
+
+func (r *Reducer) plan(w *conductor.World, service identifier.ServiceName, fence identifier.Fence, notAfter timekeeper.Time) []messenger.Effect {
+	g := r.gateway
+	orders := g.sizes.Plan(sizer.Input{
+		Now:     w.Now,
+		Service: service,
+		Fleet:   g.catalog.Routing.Backends[service].Fleet,
+		Servers: g.servers.Of(service),
+		Demand:  g.exchanges.Demand(w.Now, service),
+	})
+	var out []messenger.Effect
+	for _, o := range orders {
+		out = append(out, messenger.OrderServers{
+			Order:    o,
+			Fence:    fence,
+			NotAfter: notAfter,
+		})
+	}
+	return out
+}
+
+func (r *Reducer) serversOrdered(e messenger.ServersOrdered) []messenger.Effect {
+	g := r.gateway
+	g.sizes.Ordered(e.Order, e.Result)
+	if e.Result == messenger.DutyFenced {
+		g.leases.Release(dutyLease)
+	}
+	return []messenger.Effect{
+		messenger.Note{
+			Kind: "servers_ordered",
+			VM:   r.config.Self,
+			Detail: fmt.Sprintf("service=%s zone=%s market=%s count=%d result=%s",
+				e.Order.Service, e.Order.Zone, e.Order.Market, e.Order.Count, e.Result),
+		},
+	}
+}
+
+func (r *Reducer) usageReported(e messenger.UsageReported) []messenger.Effect {
+	g := r.gateway
+	g.usage.Reported(e.Window, e.Result)
+	if e.Result == messenger.DutyFenced {
+		// A later holder was there first: this one has lost the lease and did
+		// not know it yet.
+		g.leases.Release(dutyLease)
+	}
+	return []messenger.Effect{
+		messenger.Note{
+			Kind:   "usage_reported",
+			VM:     r.config.Self,
+			Detail: fmt.Sprintf("window=%d result=%s", e.Window, e.Result),
+		},
+	}
+}
--- /dev/null
+++ b/internal/reducer/gateway.go
@@ -0,0 +1,406 @@
+package reducer
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/accountant"
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/conductor"
+	"github.com/dotterelhollow/dotterelhollow/internal/detector"
+	"github.com/dotterelhollow/dotterelhollow/internal/dispatcher"
+	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
+	"github.com/dotterelhollow/dotterelhollow/internal/leaser"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/placer"
+	"github.com/dotterelhollow/dotterelhollow/internal/registrar"
+	"github.com/dotterelhollow/dotterelhollow/internal/retrier"
+	"github.com/dotterelhollow/dotterelhollow/internal/sizer"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+const (
+	// gatewayHoldOff and gatewayMaxHoldOff bound the time without work of a
+	// suspected server: it is one of a dozen, and faults last some seconds.
+	gatewayHoldOff    = 1 * timekeeper.Second
+	gatewayMaxHoldOff = 8 * timekeeper.Second
+	gatewayProbeTime  = 3 * timekeeper.Second
+	gatewayProbes     = 2
+	// gatewayRetryFloor is the retries of a service with little traffic at one
+	// node, earned back in ten times gatewayRetryEvery. At nine nodes these are
+	// 27 of the 52 in ten seconds that the users allow beyond a share.
+	gatewayRetryFloor = 3
+	gatewayRetryEvery = 3300 * timekeeper.Millisecond
+
+	// dutyLease is the lease of all duties.
+	dutyLease leaser.Name = "duties"
+	// leaseTerm is how long a holder that died keeps others out. Its renewals,
+	// three a term, are calls to the store that are paid for.
+	leaseTerm = 4 * timekeeper.Second
+	// dutyNodes is how many nodes follow the lease and may come to hold it:
+	// a zone's loss and one failure more leave one.
+	dutyNodes = 3
+	// serverReaders and configReaders are how many nodes read the store while
+	// peers hear from them; each read is paid for.
+	serverReaders = 2
+	configReaders = 4
+	// serversStale and configStale are the ages of what peers tell past which
+	// a node reads the store itself. Servers that are leaving must get nothing
+	// two seconds after their notice, and configurations be in force in two.
+	serversStale = 1100 * timekeeper.Millisecond
+	configStale  = 4 * timekeeper.Second
+	// configDoubt is the age past which unknown routes and keys are not
+	// refused for good.
+	configDoubt = 6 * timekeeper.Second
+
+	// shareEachTime is the spacing of the shares to each peer.
+	shareEachTime = 500 * timekeeper.Millisecond
+	// shareWindow is for how long a changed entry is told again: each peer
+	// hears of it four times.
+	shareWindow = 2 * timekeeper.Second
+	// sharePeers bounds the peers that get a share at a time.
+	sharePeers = 16
+	planEvery  = 500 * timekeeper.Millisecond
+	// fetchPause is the spacing of fetches of a peer's configuration.
+	fetchPause = 300 * timekeeper.Millisecond
+	// acceptWhileLeaving is how long a leaving node takes new requests. Callers
+	// keep its address for some seconds; one that is refused comes back
+	// elsewhere, which costs it one of its few tries.
+	acceptWhileLeaving = 3 * timekeeper.Second
+	// lingerLeaving is how long a leaving node without requests stays: callers
+	// that have not heard of the stop would find its port closed.
+	lingerLeaving = 2500 * timekeeper.Millisecond
+)
+
+// GatewayConfig sets up a node that serves opaque exchanges.
+type GatewayConfig struct {
+	UsageWindow timekeeper.Duration
+	UsageLate   timekeeper.Duration
+}
+
+func (*GatewayConfig) suspicions() detector.Config {
+	return detector.Config{
+		Rules:        detector.AllRules(),
+		HoldOff:      gatewayHoldOff,
+		MaxHoldOff:   gatewayMaxHoldOff,
+		ProbeTimeout: gatewayProbeTime,
+		Probes:       gatewayProbes,
+	}
+}
+
+func (*GatewayConfig) budgets() retrier.Config {
+	return retrier.Config{
+		Rules:      retrier.AllRules(),
+		Floor:      gatewayRetryFloor,
+		FloorEvery: gatewayRetryEvery,
+	}
+}
+
+// gateway is the part of the state that opaque exchanges need.
+type gateway struct {
+	self        identifier.VMID
+	incarnation identifier.Incarnation
+	catalog     *catalog.Catalog
+	data        []byte
+	// confirmed is the instant as of which no newer configuration was known.
+	confirmed timekeeper.Time
+	servers   *registrar.Table
+	exchanges *dispatcher.Dispatcher
+	usage     *accountant.Accountant
+	sizes     *sizer.Sizer
+	leases    *leaser.Table
+	holding   identifier.Fence
+	nextShare timekeeper.Time
+	nextPlan  timekeeper.Time
+	nextFetch timekeeper.Time
+	draining  bool
+	leaveAt   timekeeper.Time
+	exiting   bool
+	// stores is the last instant at which a read of the store failed.
+	storeFailed timekeeper.Time
+}
+
+func newGateway(c Config) *gateway {
+	return &gateway{
+		self:        c.Self,
+		incarnation: c.Incarnation,
+		servers:     registrar.New(),
+		exchanges: dispatcher.New(dispatcher.Config{
+			Self: c.Self,
+			Zone: c.Zone,
+		}),
+		usage: accountant.New(accountant.Config{
+			Window: c.Gateway.UsageWindow,
+			Late:   c.Gateway.UsageLate,
+		}),
+		sizes: sizer.New(),
+		leases: leaser.New(leaser.Config{
+			Self:        c.Self,
+			Incarnation: c.Incarnation,
+			TTL:         leaseTerm,
+			Retention:   c.LogRetention,
+		}),
+	}
+}
+
+func (g *gateway) revision() identifier.Revision {
+	if g.catalog == nil {
+		return 0
+	}
+	return g.catalog.Revision
+}
+
+// streams returns the streams of the log that the node follows: those of the
+// duties, where it may come to hold them.
+func (g *gateway) streams(self identifier.VMID, members *gossiper.Members) []identifier.LogStream {
+	if !chosen(self, string(dutyLease), members, dutyNodes) {
+		return nil
+	}
+	return []identifier.LogStream{leaser.Stream, accountant.Stream}
+}
+
+// chosen reports whether a node is one of the first n for a purpose.
+func chosen(self identifier.VMID, purpose string, members *gossiper.Members, n int) bool {
+	var alive []gossiper.Node
+	for _, node := range members.Nodes() {
+		if node.State == gossiper.Alive || node.VM == self {
+			alive = append(alive, node)
+		}
+	}
+	ranked := placer.Candidates(identifier.RequestID(purpose), alive)
+	return slices.ContainsFunc(ranked[:min(n, len(ranked))], func(node gossiper.Node) bool {
+		return node.VM == self
+	})
+}
+
+// Following tells which records of the platform's store a node reads itself.
+type Following struct {
+	Servers       bool
+	Configuration bool
+}
+
+// Following returns what the node reads itself now: its part of what the nodes
+// read for one another, and what its peers have not told it of for long.
+func (r *Reducer) Following(now timekeeper.Time) Following {
+	g := r.gateway
+	if g == nil {
+		return Following{}
+	}
+	return Following{
+		Servers: now.Sub(g.servers.AsOf()) > serversStale ||
+			chosen(g.self, "published_servers", r.members, serverReaders),
+		Configuration: now.Sub(g.confirmed) > configStale ||
+			chosen(g.self, "published_configuration", r.members, configReaders),
+	}
+}
+
+// Ready reports whether callers may be sent to this node.
+func (r *Reducer) Ready() bool {
+	return r.gateway != nil && r.gateway.catalog != nil && !r.gateway.draining
+}
+
+// ReadyNodes returns the nodes that callers may be sent to.
+func (r *Reducer) ReadyNodes() []gossiper.Node {
+	news := r.members.NewsOf()
+	var out []gossiper.Node
+	for _, n := range r.members.Nodes() {
+		if n.State != gossiper.Alive {
+			continue
+		}
+		if n.VM == r.config.Self && r.Ready() || news[n.VM].Revision > 0 {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// gatewayEvent hands an event to the parts that serve opaque exchanges.
+func (r *Reducer) gatewayEvent(w *conductor.World, body messenger.EventBody) []messenger.Effect {
+	g := r.gateway
+	if g == nil {
+		return nil
+	}
+	switch b := body.(type) {
+	case messenger.ExchangeReceived:
+		return []messenger.Effect{g.exchanges.Receive(r.exchangeWorld(w), b.Spec)}
+	case messenger.ExchangeBegan:
+		g.exchanges.Began(r.exchangeWorld(w), b)
+	case messenger.ExchangeAttemptEnded:
+		return []messenger.Effect{g.exchanges.AttemptEnded(r.exchangeWorld(w), b)}
+	case messenger.ExchangeEnded:
+		g.exchanges.Ended(r.exchangeWorld(w), b)
+	case messenger.CatalogPublished:
+		return r.catalogPublished(w, b)
+	case messenger.CatalogConfirmed:
+		g.confirmed = w.Now
+	case messenger.ServersPublished:
+		return r.serversChanged(w, g.servers.Read(w.Now, b.Servers, b.All), true)
+	case messenger.StoreFailed:
+		g.storeFailed = w.Now
+	case messenger.ShareReceived:
+		return r.shareReceived(w, b)
+	case messenger.ServersOrdered:
+		return r.serversOrdered(b)
+	case messenger.UsageReported:
+		return r.usageReported(b)
+	}
+	return nil
+}
+
+func (r *Reducer) exchangeWorld(w *conductor.World) dispatcher.World {
+	g := r.gateway
+	return dispatcher.World{
+		Now:        w.Now,
+		Catalog:    g.catalog,
+		Servers:    g.servers,
+		Limits:     r.limits,
+		Budgets:    r.budgets,
+		Suspicions: r.suspicions,
+		Rand:       r.rand,
+		Began:      func(a identifier.AccountID) { g.usage.Began(w.Now, a) },
+		Stale:      w.Now.Sub(g.confirmed) > configDoubt,
+	}
+}
+
+// catalogPublished puts a configuration in force if it is newer than the one
+// that is, whatever path it came by. An older one never comes back.
+func (r *Reducer) catalogPublished(w *conductor.World, e messenger.CatalogPublished) []messenger.Effect {
+	g := r.gateway
+	if e.Direct {
+		g.confirmed = w.Now
+	}
+	if e.Catalog == nil || e.Catalog.Revision <= g.revision() {
+		return nil
+	}
+	g.catalog = e.Catalog
+	g.data = e.Data
+	r.limits.SetCatalog(w.Now, e.Catalog)
+	out := []messenger.Effect{
+		messenger.Note{
+			Kind:   "config_in_force",
+			VM:     r.config.Self,
+			Detail: fmt.Sprintf("revision=%d direct=%t", e.Catalog.Revision, e.Direct),
+		},
+	}
+	if e.Direct {
+		out = append(out, r.shareNow(w)...)
+	}
+	return out
+}
+
+// serversChanged tells the time line, and the peers where this node heard of
+// the change first.
+func (r *Reducer) serversChanged(w *conductor.World, changed []messenger.PublishedServer, direct bool) []messenger.Effect {
+	if len(changed) == 0 {
+		return nil
+	}
+	var out []messenger.Effect
+	for _, s := range changed {
+		out = append(out, messenger.Note{
+			Kind: messenger.NoteKind("server_" + string(s.State)),
+			VM:   s.Server,
+			Detail: fmt.Sprintf("service=%s zone=%s market=%s offset=%d leaves_in=%s direct=%t",
+				s.Service, s.Zone, s.Market, s.Offset, s.LeavesIn, direct),
+		})
+		if s.State == messenger.ServerRemoved {
+			r.suspicions.Forget(s.Server)
+		}
+	}
+	if direct {
+		out = append(out, r.shareNow(w)...)
+	}
+	return out
+}
+
+func (r *Reducer) shareReceived(w *conductor.World, e messenger.ShareReceived) []messenger.Effect {
+	g := r.gateway
+	s := e.Share
+	g.exchanges.PeerLoad(w.Now, e.From, s)
+	g.usage.Told(e.From, s.Incarnation, s.Usage)
+	changed := g.servers.Told(w.Now, w.Now.Add(-s.ServersAge), s.Servers)
+	out := r.serversChanged(w, changed, false)
+	if s.Revision == g.revision() {
+		g.confirmed = max(g.confirmed, w.Now.Add(-s.ConfigurationAge))
+	}
+	if s.Revision <= g.revision() || w.Now.Before(g.nextFetch) {
+		return out
+	}
+	node, known := r.members.Node(e.From)
+	if !known {
+		return out
+	}
+	g.nextFetch = w.Now.Add(fetchPause)
+	return append(out, messenger.FetchConfiguration{
+		Peer:    e.From,
+		Address: node.PeerAddress,
+	})
+}
+
+// tickGateway lets time pass for the exchanges and the duties.
+func (r *Reducer) tickGateway(w *conductor.World) []messenger.Effect {
+	g := r.gateway
+	out := r.serversChanged(w, g.servers.Tick(w.Now), true)
+	if !w.Now.Before(r.timers.nextShare) {
+		r.timers.nextShare = w.Now.Add(shareEvery)
+		r.shareLimits(w.Now)
+	}
+	if !w.Now.Before(g.nextShare) {
+		out = append(out, r.shareNow(w)...)
+	}
+	out = append(out, r.tickDuties(w)...)
+	if g.draining && !g.exiting && !w.Now.Before(g.leaveAt) && g.exchanges.InFlight() == 0 {
+		g.exiting = true
+		out = append(out, messenger.Exit{})
+	}
+	return out
+}
+
+// shareNow tells the peers what this node knows.
+func (r *Reducer) shareNow(w *conductor.World) []messenger.Effect {
+	g := r.gateway
+	g.nextShare = w.Now.Add(shareEachTime)
+	share := g.share(w.Now)
+	peers := r.peers()
+	r.rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	var out []messenger.Effect
+	for _, p := range peers[:min(sharePeers, len(peers))] {
+		out = append(out, messenger.SendShare{
+			Peer:    p.VM,
+			Address: p.PeerAddress,
+			Share:   share,
+		})
+	}
+	return out
+}
+
+func (g *gateway) share(now timekeeper.Time) messenger.Share {
+	running, demand := g.exchanges.OwnLoad(now)
+	return messenger.Share{
+		Incarnation:      g.incarnation,
+		Servers:          g.servers.ChangedSince(now.Add(-shareWindow)),
+		ServersAge:       now.Sub(g.servers.AsOf()),
+		ConfigurationAge: now.Sub(g.confirmed),
+		Revision:         g.revision(),
+		InFlight:         running,
+		Usage:            g.usage.Own(now),
+		Demand:           demand,
+	}
+}
+
+// peers returns the other nodes that are not dead.
+func (r *Reducer) peers() []gossiper.Node {
+	return slices.DeleteFunc(r.members.Nodes(), func(n gossiper.Node) bool { return n.VM == r.config.Self })
+}
+
+// gatewayDrain begins a planned stop: callers are sent elsewhere at once, and
+// the node stays until what it took has ended.
+func (r *Reducer) gatewayDrain(w *conductor.World, e messenger.DrainStarted) []messenger.Effect {
+	g := r.gateway
+	g.draining = true
+	g.leaveAt = w.Now.Add(lingerLeaving)
+	g.exchanges.Leave(w.Now.Add(acceptWhileLeaving))
+	g.leases.ReleaseAll()
+	marked := r.membersChanged(w, r.members.MarkLeaving(w.Now, r.config.Self, e.Deadline))
+	return append(r.tickGossip(w), marked...)
+}
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -31,6 +31,7 @@
 		Region:        c.Region,
 		PeerAddress:   c.PeerAddress,
 		CallerAddress: c.CallerAddress,
+		Seeds:         c.Seeds,
 		Every:         gossipEvery,
 		SuspectAfter:  gossipSuspectAfter,
 		DeadAfter:     gossipDeadAfter,
@@ -56,6 +57,9 @@
 }
 
 func (r *Reducer) memberChanged(w *conductor.World, ch gossiper.Change) []messenger.Effect {
+	if r.gateway != nil && ch.Kind != gossiper.NodeOutdated {
+		return nil // Nothing of an opaque exchange stands with another node.
+	}
 	switch ch.Kind {
 	case gossiper.NodeLeaving:
 		if ch.VM == r.config.Self {
@@ -106,6 +110,9 @@
 // drainStarted begins a planned stop: peers learn of it by the same mark as
 // of a reclaim, so that callers are sent elsewhere and copies move away.
 func (r *Reducer) drainStarted(w *conductor.World, e messenger.DrainStarted) []messenger.Effect {
+	if r.gateway != nil {
+		return r.gatewayDrain(w, e)
+	}
 	r.provisioner.Stop()
 	began := r.requests.Drain(w, e.Deadline, true)
 	marked := r.membersChanged(w, r.members.MarkLeaving(w.Now, r.config.Self, e.Deadline))
--- a/internal/reducer/platformlog.go
+++ b/internal/reducer/platformlog.go
@@ -45,10 +45,16 @@
 
 // Streams returns the log streams that the node has to be fed, in order.
 func (r *Reducer) Streams() []identifier.LogStream {
+	if r.gateway != nil {
+		return r.gateway.streams(r.config.Self, r.members)
+	}
 	return append([]identifier.LogStream{configStream, leaseStream}, r.claims.Streams()...)
 }
 
 func (r *Reducer) logRead(w *conductor.World, e messenger.LogRead) []messenger.Effect {
+	if r.gateway != nil {
+		return r.gatewayLogRead(w, e)
+	}
 	switch e.Stream {
 	case configStream:
 		return r.configRead(w, e)
@@ -105,9 +111,17 @@
 }
 
 // revision returns the configuration in force, zero before the first.
-func (r *Reducer) revision() identifier.Revision { return r.files.Catalog().Revision }
+func (r *Reducer) revision() identifier.Revision {
+	if r.gateway != nil {
+		return r.gateway.revision()
+	}
+	return r.files.Catalog().Revision
+}
 
 func (r *Reducer) logUnavailable(w *conductor.World, e messenger.LogUnavailable) []messenger.Effect {
+	if r.gateway != nil {
+		return nil // Leases lapse by themselves.
+	}
 	if e.Stream == configStream && r.timers.configOut == timekeeper.Never {
 		r.timers.configOut = w.Now
 	}
@@ -252,6 +266,9 @@
 // ExportConfiguration returns the state of the configuration for a peer, and
 // whether there is one.
 func (r *Reducer) ExportConfiguration() ([]byte, bool) {
+	if r.gateway != nil {
+		return r.gateway.data, r.gateway.catalog != nil
+	}
 	if r.Catalog() == nil {
 		return nil, false
 	}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -60,6 +60,12 @@
 	// LoadTime is how long a new VM takes until it serves.
 	LoadTime   timekeeper.Duration
 	Safeguards conductor.Safeguards
+	// Gateway makes the node serve the opaque exchanges of a configuration and
+	// of backend servers that the platform publishes, in place of operators'
+	// folders and bought VMs; nil where it does not.
+	Gateway *GatewayConfig
+	// Seeds are peer addresses to try while the node knows no peer.
+	Seeds []string
 }
 
 // Reducer is the state of one node. It is not safe for concurrent use.
@@ -77,12 +83,13 @@
 	requests    *conductor.Conductor
 	provisioner *provisioner.Provisioner
 	timers      timers
+	gateway     *gateway
 }
 
 // New returns the state of a node that knows nothing yet.
 func New(c Config) *Reducer {
 	c = c.withDefaults()
-	return &Reducer{
+	r := &Reducer{
 		config:      c,
 		rand:        rand.New(rand.NewPCG(c.Seed, uint64(c.Incarnation))),
 		files:       newFiles(),
@@ -97,6 +104,12 @@
 		provisioner: newProvisioner(c),
 		timers:      newTimers(),
 	}
+	if c.Gateway != nil {
+		r.gateway = newGateway(c)
+		r.suspicions = detector.New(c.Gateway.suspicions())
+		r.budgets = retrier.New(c.Gateway.budgets())
+	}
+	return r
 }
 
 func (c Config) withDefaults() Config {
@@ -200,6 +213,12 @@
 		r.hints.Learn(w.Now, b.Server, b.Held, b.Gone, b.Gap)
 		return nil
 
+	case messenger.ExchangeReceived, messenger.ExchangeBegan, messenger.ExchangeAttemptEnded,
+		messenger.ExchangeEnded, messenger.CatalogPublished, messenger.CatalogConfirmed,
+		messenger.ServersPublished, messenger.StoreFailed, messenger.ShareReceived,
+		messenger.ServersOrdered, messenger.UsageReported:
+		return r.gatewayEvent(w, b)
+
 	case messenger.BuyEnded:
 		return r.provisioner.BuyEnded(w.Now, b)
 	case messenger.OrderEnded:
--- a/internal/reducer/tick.go
+++ b/internal/reducer/tick.go
@@ -43,6 +43,9 @@
 // tick lets time pass in every slice of the state.
 func (r *Reducer) tick(w *conductor.World) []messenger.Effect {
 	out := r.tickGossip(w)
+	if r.gateway != nil {
+		return append(out, r.tickGateway(w)...)
+	}
 	out = append(out, r.requests.Tick(w)...)
 	out = append(out, r.tickConfig(w)...)
 	out = append(out, r.tickPolls(w)...)
--- a/internal/reducer/view.go
+++ b/internal/reducer/view.go
@@ -45,6 +45,9 @@
 // then the folder is empty, which is not what the operators want: a request
 // judged by it would be refused for good as one of an unknown service.
 func (r *Reducer) Catalog() *catalog.Catalog {
+	if r.gateway != nil {
+		return r.gateway.catalog
+	}
 	if r.revision() == 0 {
 		return nil
 	}
--- /dev/null
+++ b/internal/registrar/registrar.go
@@ -0,0 +1,273 @@
+// Package registrar keeps the backend servers that the platform's store
+// publishes, as one node knows them from the store and from its peers.
+//
+// Each entry bears the offset at which the store has it, so that the same
+// entries in any order, over any path, any number of times, give the same
+// table: of two entries of a server the one with the larger offset counts.
+// Leaving is final: no later entry makes a leaving server ready again.
+//
+// Everything is pure: time is an argument. Nothing is safe for concurrent use.
+package registrar
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+const (
+	// lapseGrace is how long a server is kept whose entry was found missing
+	// right after the store was away. The platform promises that an entry that
+	// lapsed meanwhile is back within two seconds if the server lives.
+	lapseGrace = 2200 * timekeeper.Millisecond
+	// outage is the time without a read after which the store counts as away:
+	// several reads in a row were missed.
+	outage = 1500 * timekeeper.Millisecond
+	// removedKeep is how long a removed server is remembered, so that peers'
+	// older entries do not bring it back; they travel for a second at most.
+	removedKeep = timekeeper.Minute
+	// maxServers bounds the table.
+	maxServers = 8192
+)
+
+// Server is a published backend server.
+type Server struct {
+	messenger.PublishedServer
+	// Changed is when this node learned of the entry, and Since when the
+	// server first showed as ready.
+	Changed timekeeper.Time
+	Since   timekeeper.Time
+	// LeaveBy is the end of a leaving server that told it, else Never.
+	LeaveBy timekeeper.Time
+}
+
+// Table is the published servers as one node knows them.
+type Table struct {
+	servers map[identifier.VMID]*Server
+	// doubtful are removals that hold only if no newer entry comes in time.
+	doubtful map[identifier.VMID]removal
+	// readAt is the last read of the store by this node; asOf is the instant
+	// up to which the entries are known, over any path.
+	readAt     timekeeper.Time
+	asOf       timekeeper.Time
+	trustAfter timekeeper.Time
+	dropped    int
+}
+
+type removal struct {
+	entry messenger.PublishedServer
+	at    timekeeper.Time
+}
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{
+		servers:  map[identifier.VMID]*Server{},
+		doubtful: map[identifier.VMID]removal{},
+	}
+}
+
+// Read takes in entries that this node read from the store. With all set they
+// are everything that the store has. It returns what changed.
+func (t *Table) Read(now timekeeper.Time, entries []messenger.PublishedServer, all bool) []messenger.PublishedServer {
+	if t.readAt != 0 && now.Sub(t.readAt) > outage {
+		t.trustAfter = now.Add(lapseGrace)
+	}
+	t.readAt = now
+	t.asOf = now
+	if all {
+		entries = append(slices.Clone(entries), t.missing(entries)...)
+	}
+	var changed []messenger.PublishedServer
+	for _, e := range entries {
+		if e.State == messenger.ServerRemoved && now.Before(t.trustAfter) {
+			t.doubt(e)
+			continue
+		}
+		if t.merge(now, e) {
+			changed = append(changed, e)
+		}
+	}
+	return changed
+}
+
+// missing returns removals of the servers that a whole read does not show.
+func (t *Table) missing(entries []messenger.PublishedServer) []messenger.PublishedServer {
+	shown := make(map[identifier.VMID]bool, len(entries))
+	var newest identifier.Offset
+	for _, e := range entries {
+		shown[e.Server] = true
+		newest = max(newest, e.Offset)
+	}
+	var out []messenger.PublishedServer
+	for _, id := range slices.Sorted(maps.Keys(t.servers)) {
+		s := t.servers[id]
+		if shown[id] || s.Offset >= newest || s.State == messenger.ServerRemoved {
+			continue
+		}
+		removed := s.PublishedServer
+		removed.State = messenger.ServerRemoved
+		removed.Offset++
+		out = append(out, removed)
+	}
+	return out
+}
+
+// doubt keeps a removal back for lapseGrace.
+//
+// While the store is away it drops the entries of servers that can't renew
+// them. Taken for gone, all servers would be left alone at the moment of the
+// store's return, and every request refused until the entries are back.
+func (t *Table) doubt(e messenger.PublishedServer) {
+	known, ok := t.servers[e.Server]
+	if !ok || e.Offset <= known.Offset || t.doubtful[e.Server].at != 0 {
+		return
+	}
+	t.doubtful[e.Server] = removal{
+		entry: e,
+		at:    t.trustAfter,
+	}
+}
+
+// Tick applies the removals whose grace is over and returns them.
+func (t *Table) Tick(now timekeeper.Time) []messenger.PublishedServer {
+	var changed []messenger.PublishedServer
+	for _, id := range slices.Sorted(maps.Keys(t.doubtful)) {
+		d := t.doubtful[id]
+		if now.Before(d.at) {
+			continue
+		}
+		delete(t.doubtful, id)
+		if t.merge(now, d.entry) {
+			changed = append(changed, d.entry)
+		}
+	}
+	for id, s := range t.servers {
+		if s.State == messenger.ServerRemoved && now.Sub(s.Changed) > removedKeep {
+			delete(t.servers, id)
+		}
+	}
+	return changed
+}
+
+// Told takes in entries that a peer knew as of an instant.
+func (t *Table) Told(now, asOf timekeeper.Time, entries []messenger.PublishedServer) []messenger.PublishedServer {
+	t.asOf = max(t.asOf, min(asOf, now))
+	var changed []messenger.PublishedServer
+	for _, e := range entries {
+		if t.merge(now, e) {
+			changed = append(changed, e)
+		}
+	}
+	return changed
+}
+
+// merge takes in one entry and reports whether it says anything new.
+func (t *Table) merge(now timekeeper.Time, e messenger.PublishedServer) bool {
+	known, ok := t.servers[e.Server]
+	if !ok {
+		return t.add(now, e)
+	}
+	if e.Offset <= known.Offset {
+		return false
+	}
+	delete(t.doubtful, e.Server)
+	before := known.PublishedServer
+	if before.State == messenger.ServerLeaving && e.State == messenger.ServerReady {
+		// A late copy of a record from before the notice.
+		e.State = messenger.ServerLeaving
+		e.LeavesIn = before.LeavesIn
+	}
+	if e.State == messenger.ServerRemoved {
+		// A removal says nothing but that.
+		gone := before
+		gone.State = e.State
+		gone.Offset = e.Offset
+		e = gone
+	}
+	known.PublishedServer = e
+	before.Offset = e.Offset
+	before.LeavesIn = e.LeavesIn
+	if before == e {
+		return false
+	}
+	known.changed(now)
+	return true
+}
+
+func (t *Table) add(now timekeeper.Time, e messenger.PublishedServer) bool {
+	if e.Address == "" || e.State == messenger.ServerRemoved {
+		return false
+	}
+	if len(t.servers) >= maxServers {
+		t.dropped++
+		return false
+	}
+	s := &Server{
+		PublishedServer: e,
+		Since:           now,
+	}
+	s.changed(now)
+	t.servers[e.Server] = s
+	return true
+}
+
+func (s *Server) changed(now timekeeper.Time) {
+	s.Changed = now
+	s.LeaveBy = timekeeper.Never
+	if s.State == messenger.ServerLeaving && s.LeavesIn > 0 {
+		s.LeaveBy = now.Add(s.LeavesIn)
+	}
+}
+
+// AsOf returns the instant up to which the entries are known.
+func (t *Table) AsOf() timekeeper.Time { return t.asOf }
+
+// ReadAt returns when this node last read the store itself, or zero.
+func (t *Table) ReadAt() timekeeper.Time { return t.readAt }
+
+// Server returns a server, removed ones included.
+func (t *Table) Server(id identifier.VMID) (*Server, bool) {
+	s, ok := t.servers[id]
+	return s, ok
+}
+
+// Of returns the servers of a service that are not removed, sorted by id.
+func (t *Table) Of(service identifier.ServiceName) []*Server {
+	var found []*Server
+	for _, s := range t.servers {
+		if s.Service == service && s.State != messenger.ServerRemoved {
+			found = append(found, s)
+		}
+	}
+	slices.SortFunc(found, func(a, b *Server) int {
+		if a.Server < b.Server {
+			return -1
+		}
+		return 1
+	})
+	return found
+}
+
+// All returns every entry that is remembered, sorted by id.
+func (t *Table) All() []messenger.PublishedServer {
+	out := make([]messenger.PublishedServer, 0, len(t.servers))
+	for _, id := range slices.Sorted(maps.Keys(t.servers)) {
+		out = append(out, t.servers[id].PublishedServer)
+	}
+	return out
+}
+
+// ChangedSince returns the entries that this node learned after an instant.
+func (t *Table) ChangedSince(since timekeeper.Time) []messenger.PublishedServer {
+	var out []messenger.PublishedServer
+	for _, id := range slices.Sorted(maps.Keys(t.servers)) {
+		if t.servers[id].Changed.After(since) {
+			out = append(out, t.servers[id].PublishedServer)
+		}
+	}
+	return out
+}
--- a/internal/relayer/client.go
+++ b/internal/relayer/client.go
@@ -12,6 +12,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	pb "github.com/dotterelhollow/dotterelhollow/internal/relayer/relayerpb"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
@@ -99,6 +100,14 @@
 	return err
 }
 
+// Share tells a peer what this node knows of opaque exchanges.
+func (c *Client) Share(ctx context.Context, address string, s messenger.Share) error {
+	request := encodeShare(s)
+	request.Envelope = c.envelope()
+	_, err := call(ctx, c, address, "share", request, pb.Peers.Share)
+	return err
+}
+
 // Hold pushes a request, or what was added to its answer, to a holder.
 func (c *Client) Hold(ctx context.Context, address string, p Push) (HoldAnswer, error) {
 	reply, err := call(ctx, c, address, "hold", c.push(p), pb.Peers.Hold)
--- a/internal/relayer/handler.go
+++ b/internal/relayer/handler.go
@@ -107,6 +107,12 @@
 	return reply, nil
 }
 
+// Share implements pb.Peers.
+func (h *handler) Share(_ context.Context, q *pb.ShareRequest) (*pb.ShareReply, error) {
+	h.config.Peer.ReceiveShare(h.open(q.GetEnvelope()), decodeShare(q))
+	return &pb.ShareReply{Envelope: h.envelope()}, nil
+}
+
 // Configuration implements pb.Peers.
 func (h *handler) Configuration(ctx context.Context, q *pb.ConfigurationRequest) (*pb.ConfigurationReply, error) {
 	h.open(q.GetEnvelope())
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -33,6 +33,7 @@
 	WhereIs(q Question) (Location, bool)
 	EndingOf(ctx context.Context, q Question) Ending
 	ExportConfiguration(ctx context.Context) ([]byte, bool)
+	ReceiveShare(from identifier.VMID, s messenger.Share)
 }
 
 // Clock is the hybrid logical clock of the node's time line.
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -25,6 +25,7 @@
 
 // fakePeer records what it is asked. Hooks decide what it says.
 type fakePeer struct {
+	share    messenger.Share
 	from     identifier.VMID
 	push     Push
 	question Question
@@ -65,6 +66,8 @@
 	}, q.Account == "quillmark"
 }
 
+func (p *fakePeer) ReceiveShare(_ identifier.VMID, s messenger.Share) { p.share = s }
+
 func (p *fakePeer) EndingOf(context.Context, Question) Ending { return p.ending }
 
 func (p *fakePeer) ExportConfiguration(context.Context) ([]byte, bool) {
--- /dev/null
+++ b/internal/relayer/share.go
@@ -0,0 +1,107 @@
+package relayer
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	pb "github.com/dotterelhollow/dotterelhollow/internal/relayer/relayerpb"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+func encodeShare(s messenger.Share) *pb.ShareRequest {
+	out := &pb.ShareRequest{
+		Incarnation:        uint64(s.Incarnation),
+		ServersAgeMs:       int64(s.ServersAge),
+		ConfigurationAgeMs: int64(s.ConfigurationAge),
+		Revision:           uint64(s.Revision),
+	}
+	for _, e := range s.Servers {
+		out.Servers = append(out.Servers, encodePublishedServer(e))
+	}
+	for _, vm := range slices.Sorted(maps.Keys(s.InFlight)) {
+		out.InFlight = append(out.InFlight, &pb.ServerLoad{
+			Server:  string(vm),
+			Running: int64(s.InFlight[vm]),
+		})
+	}
+	for _, u := range s.Usage {
+		out.Usage = append(out.Usage, &pb.UsageCount{
+			Window:  int64(u.Window),
+			Account: string(u.Account),
+			Count:   int64(u.Count),
+		})
+	}
+	for _, service := range slices.Sorted(maps.Keys(s.Demand)) {
+		d := s.Demand[service]
+		out.Demand = append(out.Demand, &pb.ServiceDemand{
+			Service: string(service),
+			Running: int64(d.Running),
+			Work:    d.Work,
+			Refused: d.Refused,
+		})
+	}
+	return out
+}
+
+func encodePublishedServer(e messenger.PublishedServer) *pb.PublishedServer {
+	return &pb.PublishedServer{
+		Server:     string(e.Server),
+		Offset:     uint64(e.Offset),
+		Service:    string(e.Service),
+		Address:    e.Address,
+		Zone:       string(e.Zone),
+		Slots:      int64(e.Slots),
+		State:      string(e.State),
+		LeavesInMs: int64(e.LeavesIn),
+		Market:     string(e.Market),
+	}
+}
+
+func decodeShare(q *pb.ShareRequest) messenger.Share {
+	s := messenger.Share{
+		Incarnation:      identifier.Incarnation(q.GetIncarnation()),
+		ServersAge:       timekeeper.Duration(q.GetServersAgeMs()),
+		ConfigurationAge: timekeeper.Duration(q.GetConfigurationAgeMs()),
+		Revision:         identifier.Revision(q.GetRevision()),
+		InFlight:         make(map[identifier.VMID]int, len(q.GetInFlight())),
+		Demand:           make(map[identifier.ServiceName]messenger.ServiceDemand, len(q.GetDemand())),
+	}
+	for _, e := range q.GetServers() {
+		s.Servers = append(s.Servers, decodePublishedServer(e))
+	}
+	for _, l := range q.GetInFlight() {
+		s.InFlight[identifier.VMID(l.GetServer())] = int(max(l.GetRunning(), 0))
+	}
+	for _, u := range q.GetUsage() {
+		s.Usage = append(s.Usage, messenger.UsageCount{
+			Window:  identifier.UsageWindow(u.GetWindow()),
+			Account: identifier.AccountID(u.GetAccount()),
+			Count:   int(max(u.GetCount(), 0)),
+		})
+	}
+	for _, d := range q.GetDemand() {
+		s.Demand[identifier.ServiceName(d.GetService())] = messenger.ServiceDemand{
+			Running: int(max(d.GetRunning(), 0)),
+			Work:    max(d.GetWork(), 0),
+			Refused: max(d.GetRefused(), 0),
+		}
+	}
+	return s
+}
+
+func decodePublishedServer(e *pb.PublishedServer) messenger.PublishedServer {
+	return messenger.PublishedServer{
+		Server:   identifier.VMID(e.GetServer()),
+		Offset:   identifier.Offset(e.GetOffset()),
+		Service:  identifier.ServiceName(e.GetService()),
+		Address:  e.GetAddress(),
+		Zone:     identifier.Zone(e.GetZone()),
+		Slots:    int(e.GetSlots()),
+		State:    messenger.ServerState(e.GetState()),
+		LeavesIn: timekeeper.Duration(e.GetLeavesInMs()),
+		Market:   catalog.Market(e.GetMarket()),
+	}
+}
--- a/internal/retrier/budget.go
+++ b/internal/retrier/budget.go
@@ -51,6 +51,12 @@
 	return int(b.service(now, service).balance)
 }
 
+// Spend takes one retry from the service's budget and reports whether there
+// was one.
+func (b *Budgets) Spend(now timekeeper.Time, service identifier.ServiceName) bool {
+	return b.service(now, service).spend()
+}
+
 // Dropped returns how many services were forgotten for lack of room.
 func (b *Budgets) Dropped() uint64 { return b.dropped }
 
--- a/internal/runner/effect.go
+++ b/internal/runner/effect.go
@@ -53,6 +53,18 @@
 		r.buyVM(e)
 	case messenger.ReleaseVM:
 		r.releaseVM(e)
+	case messenger.RefuseExchange:
+		r.decided(e.Exchange, e)
+	case messenger.SendExchange:
+		r.decided(e.Exchange, e)
+	case messenger.EndExchange:
+		r.decided(e.Exchange, e)
+	case messenger.SendShare:
+		r.sendShare(e)
+	case messenger.OrderServers:
+		r.orderServers(e)
+	case messenger.ReportUsage:
+		r.reportUsage(e)
 	case messenger.ReplyOperator:
 		r.replyOperator(e)
 	case messenger.FetchConfiguration:
--- a/internal/runner/fake_test.go
+++ b/internal/runner/fake_test.go
@@ -86,6 +86,11 @@
 func (f *fakeReducer) Nodes() []gossiper.Node            { return f.nodes }
 func (f *fakeReducer) View(timekeeper.Time) reducer.View { return reducer.View{Nodes: f.nodes} }
 func (f *fakeReducer) History() []configurer.Change      { return nil }
+func (f *fakeReducer) Following(timekeeper.Time) reducer.Following {
+	return reducer.Following{}
+}
+func (f *fakeReducer) Ready() bool                 { return true }
+func (f *fakeReducer) ReadyNodes() []gossiper.Node { return f.nodes }
 func (f *fakeReducer) ExportConfiguration() ([]byte, bool) {
 	return nil, false
 }
--- a/internal/runner/outside.go
+++ b/internal/runner/outside.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/adapter"
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
@@ -32,6 +33,12 @@
 	History() []configurer.Change
 	// ExportConfiguration returns the state of the configuration for a peer.
 	ExportConfiguration() ([]byte, bool)
+	// Following returns which records of the platform's store to read.
+	Following(now timekeeper.Time) reducer.Following
+	// Ready reports whether callers of opaque exchanges may come here, and
+	// ReadyNodes where else they may go.
+	Ready() bool
+	ReadyNodes() []gossiper.Node
 }
 
 var _ Reducer = (*reducer.Reducer)(nil)
@@ -59,6 +66,48 @@
 	Release(ctx context.Context, vm identifier.VMID) error
 }
 
+// PublishedStore is the platform's store of what operators and backend servers
+// publish. An *ExpiredError means that records after the offset are gone: the
+// whole has to be read anew.
+type PublishedStore interface {
+	// AllServers returns all entries, and the offset to go on from.
+	AllServers(ctx context.Context) ([]messenger.PublishedServer, identifier.Offset, error)
+	// ServersFrom returns the entries from an offset on, which may be none.
+	ServersFrom(ctx context.Context, from identifier.Offset) ([]messenger.PublishedServer, identifier.Offset, error)
+	// Configuration returns the newest configuration, or nil where there is
+	// none yet.
+	Configuration(ctx context.Context) (*Published, identifier.Offset, error)
+	// ConfigurationFrom waits for a configuration from an offset on; nil
+	// means that none came in time.
+	ConfigurationFrom(ctx context.Context, from identifier.Offset, wait timekeeper.Duration) (*Published, identifier.Offset, error)
+	// Decode reads a configuration that a peer had from the store.
+	Decode(data []byte) (*Published, error)
+}
+
+// Published is a configuration, decoded and as the store has it.
+type Published struct {
+	Catalog *catalog.Catalog
+	Data    []byte
+}
+
+// Duties are the calls to the platform that one node at a time makes. They say
+// truthfully what became of each.
+type Duties interface {
+	ReportUsage(ctx context.Context, e messenger.ReportUsage) messenger.DutyResult
+	OrderServers(ctx context.Context, e messenger.OrderServers) messenger.DutyResult
+}
+
+// ExpiredError reports that records which were to be read next are gone.
+type ExpiredError struct {
+	First identifier.Offset
+}
+
+var _ error = (*ExpiredError)(nil)
+
+func (e *ExpiredError) Error() string {
+	return fmt.Sprintf("records before offset %d have expired", e.First)
+}
+
 // Engines speaks to model engines.
 type Engines interface {
 	Start(ctx context.Context, address string, s adapter.Start, p adapter.Patience, sink adapter.Sink) error
@@ -90,6 +139,7 @@
 // Peers speaks to other nodes at their peer addresses.
 type Peers interface {
 	Gossip(ctx context.Context, address string, data []byte) error
+	Share(ctx context.Context, address string, s messenger.Share) error
 	Hold(ctx context.Context, address string, p relayer.Push) (relayer.HoldAnswer, error)
 	Unhold(ctx context.Context, address string, r identifier.RequestID) error
 	// HandOver returns nil once the peer owns the request. After an error for
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -31,6 +31,10 @@
 		r.pollList(ctx, listPause)
 		return nil
 	})
+	r.startFollowers()
+	if r.config.Cloud == nil {
+		return
+	}
 	noticePause := newBackoff(jitter(r.config.Seed, "notices"))
 	r.tasks.start(func(ctx context.Context) func() {
 		r.pollNotices(ctx, noticePause)
@@ -178,6 +182,9 @@
 		if err != nil {
 			return nil
 		}
+		if r.config.Store != nil {
+			return r.publishedByPeer(e.Peer, data)
+		}
 		return r.report(messenger.ConfigurationReceived{
 			From: e.Peer,
 			Data: data,
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -38,6 +38,10 @@
 	Engines      Engines
 	PlainServers PlainServers
 	Peers        Peers
+	// Store and Duties are what a node that serves opaque exchanges needs of
+	// the platform; nil where it serves none.
+	Store  PublishedStore
+	Duties Duties
 	// CloseListeners closes the ports gracefully: it returns once the
 	// handlers of open connections have ended, or with its context.
 	CloseListeners func(ctx context.Context)
@@ -110,8 +114,10 @@
 	cursors   map[identifier.VMID]uint64
 	proposals map[identifier.Ticket]chan messenger.ChangeVerdict
 	proposed  identifier.Ticket
+	exchanges map[identifier.ExchangeID]chan messenger.Effect
 	farewells int           // what peers are to be told before the node ends
 	leaving   chan struct{} // closed when listeners are closed for good
+	following following
 	draining  bool
 	exiting   bool
 	finished  bool
@@ -156,6 +162,7 @@
 		tailers:   make(map[identifier.LogStream]bool),
 		cursors:   make(map[identifier.VMID]uint64),
 		proposals: make(map[identifier.Ticket]chan messenger.ChangeVerdict),
+		exchanges: make(map[identifier.ExchangeID]chan messenger.Effect),
 		leaving:   make(chan struct{}),
 	}
 	r.metrics.observe(r)
@@ -240,6 +247,7 @@
 func (r *Runner) tick() {
 	now := r.clock.Now()
 	r.step(messenger.Tick{})
+	r.noteFollowing(now)
 	r.startTailers()
 	r.metrics.evicted.Add(int64(r.answers.Sweep(now)))
 	for _, dropped := range r.copies.sweep(now) {
--- /dev/null
+++ b/internal/sizer/sizer.go
@@ -0,0 +1,262 @@
+// Package sizer decides how many backend servers of a service are ordered in
+// each availability zone, reclaimable ones and others. It runs on the holder of
+// the lease.
+//
+// A reclaimable server costs a fraction of another, and goes with all of its
+// zone at a few seconds' notice, when none can be had for a while. So the
+// demand is covered by reclaimable servers that are spread over the zones with
+// room for the loss of some zones at once; servers that can't be taken away are
+// ordered only while too few others are left.
+//
+// Orders are absolute: repeating one does no harm, and one that was carried out
+// late is overruled by the next. Everything is pure: time is an argument.
+package sizer
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/registrar"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+const (
+	// lostZones is how many zones' reclaimable servers may be gone at once
+	// with the rest still covering the demand: reclaims came in pairs of
+	// zones, some seconds apart, each lasting 12 to 15 s.
+	lostZones = 2
+	// busyShare is the part of a server's time that may be taken, so that a
+	// clump of requests finds room.
+	busyShare = 0.5
+	// runningPerServer is how many requests a server runs without making
+	// their tokens late.
+	runningPerServer = 12
+	// leastPerZone is the number of reclaimable servers a zone has at least,
+	// where the users' bounds allow it: a zone with one has none for a while
+	// whenever that one fails.
+	leastPerZone = 2
+	// shrinkAfter is how long fewer servers must have been enough before any
+	// is given up: one that is ordered again takes seconds to serve.
+	shrinkAfter = 12 * timekeeper.Second
+	// refusedPause is the pause after a refused order, and unknownPause that
+	// after one of which nothing was heard.
+	refusedPause = 1500 * timekeeper.Millisecond
+	unknownPause = 1 * timekeeper.Second
+	// bootSlack is what a server may take beyond its boot time to show up.
+	bootSlack = 2 * timekeeper.Second
+)
+
+// Input is what a plan for one service reads.
+type Input struct {
+	Now     timekeeper.Time
+	Service identifier.ServiceName
+	Fleet   *catalog.Fleet
+	Servers []*registrar.Server
+	Demand  messenger.ServiceDemand
+}
+
+// Sizer is what the holder of the lease ordered so far.
+type Sizer struct {
+	orders   map[key]*order
+	services map[identifier.ServiceName]*need
+}
+
+// key names what an order counts.
+type key struct {
+	service identifier.ServiceName
+	zone    identifier.Zone
+	market  catalog.Market
+}
+
+type order struct {
+	count   int
+	sent    timekeeper.Time
+	pending bool
+	result  messenger.DutyResult
+}
+
+// need is the servers that a service's demand takes.
+type need struct {
+	servers int
+	// since is when fewer began to be enough, and peak the most that was
+	// needed since.
+	since timekeeper.Time
+	peak  int
+}
+
+// New returns a Sizer that has ordered nothing.
+func New() *Sizer {
+	return &Sizer{
+		orders:   map[key]*order{},
+		services: map[identifier.ServiceName]*need{},
+	}
+}
+
+// Forget drops what was ordered: another node may have ordered since.
+func (s *Sizer) Forget() {
+	clear(s.orders)
+}
+
+// Plan returns the orders to give now.
+func (s *Sizer) Plan(in Input) []messenger.ServerOrder {
+	if in.Fleet == nil {
+		return nil
+	}
+	need := s.need(in)
+	zones := slices.Sorted(maps.Keys(in.Fleet.ZonePrices))
+	if len(zones) == 0 {
+		return nil
+	}
+	spot := perZone(need, len(zones), in.Fleet)
+	missing := need - s.ready(in, catalog.Reclaimable)
+	firm := s.firm(in, zones, missing, spot)
+	var out []messenger.ServerOrder
+	for _, zone := range zones {
+		out = append(out, s.order(in, zone, catalog.Reclaimable, min(spot, in.Fleet.Max-firm[zone]))...)
+		out = append(out, s.order(in, zone, catalog.OnDemand, firm[zone])...)
+	}
+	return out
+}
+
+// need returns how many servers the demand takes, and shrinks only after it
+// was less for a while.
+func (s *Sizer) need(in Input) int {
+	byWork := in.Demand.Work / busyShare
+	byRunning := float64(in.Demand.Running) / runningPerServer
+	now := max(1, int(math.Ceil(max(byWork, byRunning))))
+	n := s.services[in.Service]
+	if n == nil {
+		n = &need{}
+		s.services[in.Service] = n
+	}
+	if now >= n.servers {
+		n.servers = now
+		n.since = in.Now
+		n.peak = 0
+		return n.servers
+	}
+	n.peak = max(n.peak, now)
+	if in.Now.Sub(n.since) >= shrinkAfter {
+		n.servers = n.peak
+		n.since = in.Now
+		n.peak = 0
+	}
+	return n.servers
+}
+
+// perZone returns the reclaimable servers that each zone needs for the rest to
+// cover the need while lostZones are gone.
+func perZone(need, zones int, f *catalog.Fleet) int {
+	left := max(zones-lostZones, 1)
+	n := (need + left - 1) / left
+	return min(max(n, leastPerZone, f.Min), f.Max)
+}
+
+// ready counts the service's servers of a market that serve.
+func (s *Sizer) ready(in Input, market catalog.Market) int {
+	n := 0
+	for _, server := range in.Servers {
+		if server.Market == market && server.State == messenger.ServerReady {
+			n++
+		}
+	}
+	return n
+}
+
+// firm returns the servers by zone that can't be taken away: as many as are
+// missing, in the cheapest zones, and in each zone those that keep the users'
+// least number where it has none of the others.
+func (s *Sizer) firm(in Input, zones []identifier.Zone, missing, spot int) map[identifier.Zone]int {
+	out := map[identifier.Zone]int{}
+	cheap := slices.Clone(zones)
+	slices.SortStableFunc(cheap, func(a, b identifier.Zone) int {
+		return cmp.Compare(in.Fleet.ZonePrices[a], in.Fleet.ZonePrices[b])
+	})
+	for _, zone := range cheap {
+		room := max(in.Fleet.Max-spot, 0)
+		n := min(max(missing, 0), room)
+		out[zone] = n
+		missing -= n
+	}
+	return out
+}
+
+// order returns the order for one zone and market, if one is due.
+func (s *Sizer) order(in Input, zone identifier.Zone, market catalog.Market, count int) []messenger.ServerOrder {
+	k := key{
+		service: in.Service,
+		zone:    zone,
+		market:  market,
+	}
+	have := countReady(in.Servers, zone, market)
+	o := s.orders[k]
+	if o == nil {
+		if have == count {
+			return nil
+		}
+		o = &order{}
+		s.orders[k] = o
+	}
+	if !o.due(in.Now, in.Fleet, count, have) {
+		return nil
+	}
+	o.count = count
+	o.sent = in.Now
+	o.pending = true
+	return []messenger.ServerOrder{
+		{
+			Service: in.Service,
+			Zone:    zone,
+			Market:  market,
+			Count:   count,
+		},
+	}
+}
+
+// countReady counts the servers of a zone and market that are not leaving.
+func countReady(servers []*registrar.Server, zone identifier.Zone, market catalog.Market) int {
+	n := 0
+	for _, s := range servers {
+		if s.Zone == zone && s.Market == market && s.State == messenger.ServerReady {
+			n++
+		}
+	}
+	return n
+}
+
+// due reports whether the order has to be given again.
+func (o *order) due(now timekeeper.Time, f *catalog.Fleet, count, have int) bool {
+	if o.sent == 0 {
+		return true
+	}
+	age := now.Sub(o.sent)
+	if o.pending {
+		return age >= unknownPause && o.count != count || age >= 2*unknownPause
+	}
+	switch o.result {
+	case messenger.DutyRefused:
+		return age >= refusedPause && have < count || o.count != count
+	case messenger.DutyUnknown, messenger.DutyFenced:
+		return age >= unknownPause
+	}
+	return o.count != count || have != count && age >= f.BootTime+bootSlack
+}
+
+// Ordered takes in the end of an order.
+func (s *Sizer) Ordered(e messenger.ServerOrder, result messenger.DutyResult) {
+	o := s.orders[key{
+		service: e.Service,
+		zone:    e.Zone,
+		market:  e.Market,
+	}]
+	if o == nil || o.count != e.Count {
+		return
+	}
+	o.pending = false
+	o.result = result
+}
--- a/internal/starter/starter.go
+++ b/internal/starter/starter.go
@@ -8,6 +8,7 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/folderreader"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
@@ -32,6 +33,9 @@
 	// TimelineCapacity is how many events the node keeps.
 	TimelineCapacity int
 	LogLevel         string
+	// Gateway is set where the node serves opaque exchanges on a platform
+	// that publishes its configuration and backend servers; nil elsewhere.
+	Gateway *Gateway
 }
 
 // Port is one port that the node listens on.
@@ -48,10 +52,10 @@
 	maxCapacity  = 1 << 20
 )
 
-// Load reads the folder dir. Its error is a *folderreader.FaultsError with all
+// Load reads the folder, or the one file, at path. Its error is a *folderreader.FaultsError with all
 // faults, or one of the errors of folderreader.ReadDir.
-func Load(dir string) (*Settings, error) {
-	files, err := folderreader.ReadDir(dir)
+func Load(path string) (*Settings, error) {
+	files, err := folderreader.ReadPath(path)
 	if err != nil {
 		return nil, err
 	}
@@ -67,6 +71,9 @@
 	var faults folderreader.Faults
 	sections := folderreader.Merge(files, &faults)
 	settings := &Settings{}
+	if slices.ContainsFunc(sections, func(s *folderreader.Section) bool { return s.Title() == gatewaySection }) {
+		settings.Gateway = &Gateway{}
+	}
 	for _, kind := range settings.kinds() {
 		form := folderreader.NewForm(find(kind.name, sections), &faults)
 		kind.read(form)
@@ -96,7 +103,7 @@
 }
 
 func (s *Settings) kinds() []sectionKind {
-	return []sectionKind{
+	kinds := []sectionKind{
 		{
 			name: "node",
 			read: s.node,
@@ -113,15 +120,19 @@
 			name: "platform",
 			read: s.platform,
 		},
-		{
+	}
+	if s.Gateway != nil {
+		kinds = append(kinds, s.Gateway.kinds()...)
+	} else {
+		kinds = append(kinds, sectionKind{
 			name: "operator",
 			read: s.operator,
-		},
-		{
-			name: "timeline",
-			read: s.timeline,
-		},
+		})
 	}
+	return append(kinds, sectionKind{
+		name: "timeline",
+		read: s.timeline,
+	})
 }
 
 func (s *Settings) node(f *folderreader.Form) {
--- a/pkg/identifier/identifier.go
+++ b/pkg/identifier/identifier.go
@@ -106,3 +106,14 @@
 	}
 	return fmt.Sprintf("%s%d.%06d", sign, m/Coin, m%Coin)
 }
+
+// RouteName names a route of a published configuration.
+type RouteName string
+
+// ExchangeID names an exchange within one process. It is never used twice
+// there.
+type ExchangeID uint64
+
+// UsageWindow numbers the spans of wall time by which usage is counted, from
+// the epoch on.
+type UsageWindow int64
