Grant account limits centrally under the lease, and in equal parts beside it

Ruled out: tighter shares, since a small account sends one request in five seconds to a node. The lease holder grants; nodes that can't hear it grant equal parts.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -1,7 +1,7 @@
 // Package dispatcher leads opaque exchanges through their life on this node:
 //
 //	received -> refused
-//	received -> sent <-> attempt ended -> ended
+//	received -> asking the limit -> sent <-> attempt ended -> ended
 //
 // A request whose bytes mean nothing to the system is matched to a route,
 // counted against its account's limit and sent to a backend server of the
@@ -9,6 +9,7 @@
 // route allows and on what the attempt can have done:
 //
 //   - receive.go admits a request or refuses it.
+//   - limit.go counts it against its account's limit.
 //   - choose.go picks the server.
 //   - repeat.go decides what follows an attempt.
 //   - load.go keeps what is in flight at the servers, of this node and others.
@@ -45,10 +46,15 @@
 // World is what the dispatcher reads and updates of the rest of the state
 // while it handles one event.
 type World struct {
-	Now        timekeeper.Time
-	Catalog    *catalog.Catalog // nil until the first configuration is known
-	Servers    *registrar.Table
-	Limits     *limiter.Limits
+	Now     timekeeper.Time
+	Catalog *catalog.Catalog // nil until the first configuration is known
+	Servers *registrar.Table
+	// Local is this node's own part of the accounts' limits, and Central what
+	// it may grant where it is the node that grants centrally; nil elsewhere.
+	Local   *limiter.Buckets
+	Central *limiter.Buckets
+	// Granter is the node that grants centrally, as far as is known.
+	Granter    *Granter
 	Budgets    *retrier.Budgets
 	Suspicions *detector.Suspicions
 	Rand       *rand.Rand
@@ -58,6 +64,12 @@
 	Stale bool
 }
 
+// Granter is the node that grants the limits of accounts centrally.
+type Granter struct {
+	Node    identifier.VMID
+	Address string
+}
+
 // Dispatcher is the exchanges of one node.
 type Dispatcher struct {
 	config    Config
--- /dev/null
+++ b/internal/dispatcher/limit.go
@@ -0,0 +1,97 @@
+package dispatcher
+
+import (
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// unaskedRetry is when a caller may come back whose account has used up this
+// node's own part of its limit while the central node can't be asked.
+const unaskedRetry = 300 * timekeeper.Millisecond
+
+// admit counts a request against its account's limit: first against this
+// node's own part, then against the central one.
+//
+// Requests are often larger than a node's fair share of a second, and an
+// account's callers meet some nodes more than others, so that shares alone
+// refuse accounts that stay within their limits. The central part is granted
+// to whichever node asks first.
+func (d *Dispatcher) admit(w World, x *exchange) messenger.Effect {
+	spec, limited := w.Catalog.Accounts[x.account]
+	if !limited {
+		return d.start(w, x)
+	}
+	tokens := x.tokens(w)
+	after, ok := w.Local.Take(w.Now, spec, tokens)
+	if ok {
+		return d.start(w, x)
+	}
+	if w.Central != nil {
+		if after, ok = w.Central.Take(w.Now, spec, tokens); ok {
+			return d.start(w, x)
+		}
+		return d.refuseOverLimit(w, x, after)
+	}
+	if w.Granter == nil {
+		return d.refuseOverLimit(w, x, max(after, unaskedRetry))
+	}
+	return messenger.AskLimit{
+		Exchange: x.spec.Exchange,
+		Peer:     w.Granter.Node,
+		Address:  w.Granter.Address,
+		Account:  x.account,
+		Tokens:   tokens,
+	}
+}
+
+// tokens returns what a request counts.
+func (x *exchange) tokens(w World) identifier.Tokens {
+	if sum := x.spec.PromptTokens + x.spec.MaxTokens; sum > 0 {
+		return sum
+	}
+	return w.Catalog.Routing.PlainTokens[x.account]
+}
+
+// LimitAnswered goes on with a request whose account's limit was asked for.
+func (d *Dispatcher) LimitAnswered(w World, e messenger.LimitAnswered) messenger.Effect {
+	x, ok := d.exchanges[e.Exchange]
+	if !ok || x.attempt > 0 {
+		return messenger.EndExchange{
+			Exchange: e.Exchange,
+			Reason:   messenger.ReasonCancelled,
+		}
+	}
+	if e.Granted {
+		return d.start(w, x)
+	}
+	after := e.RetryAfter
+	if e.Unknown {
+		after = unaskedRetry
+	}
+	return d.refuseOverLimit(w, x, after)
+}
+
+func (d *Dispatcher) refuseOverLimit(w World, x *exchange, after timekeeper.Duration) messenger.Effect {
+	return d.refuse(x.spec.Exchange, messenger.Refusal{
+		Reason:     messenger.ReasonAccountLimit,
+		Outcome:    messenger.NotRun,
+		RetryAfter: spread(w, after),
+	})
+}
+
+// Grant answers a peer that asks for a part of an account's limit.
+func Grant(w World, account identifier.AccountID, tokens identifier.Tokens) messenger.LimitAnswered {
+	if w.Central == nil || w.Catalog == nil {
+		return messenger.LimitAnswered{Unknown: true}
+	}
+	spec, ok := w.Catalog.Accounts[account]
+	if !ok {
+		return messenger.LimitAnswered{Unknown: true}
+	}
+	after, granted := w.Central.Take(w.Now, spec, tokens)
+	return messenger.LimitAnswered{
+		Granted:    granted,
+		RetryAfter: after,
+	}
+}
--- a/internal/dispatcher/load.go
+++ b/internal/dispatcher/load.go
@@ -138,6 +138,17 @@
 	}
 }
 
+// Heard returns the number of peers that told of their requests within a span.
+func (d *Dispatcher) Heard(now timekeeper.Time, within timekeeper.Duration) int {
+	n := 0
+	for _, p := range d.loads.peers {
+		if now.Sub(p.at) <= within {
+			n++
+		}
+	}
+	return n
+}
+
 // OwnLoad returns this node's requests by server, and its callers' demand by
 // service.
 func (d *Dispatcher) OwnLoad(now timekeeper.Time) (map[identifier.VMID]int, map[identifier.ServiceName]messenger.ServiceDemand) {
--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -5,7 +5,6 @@
 
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
 	"github.com/dotterelhollow/dotterelhollow/internal/detector"
-	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
@@ -32,31 +31,41 @@
 	leastTime = 5 * timekeeper.Millisecond
 )
 
-// Receive admits a request and sends it, or refuses it.
+// Receive admits a request and sends it, asks for a part of its account's
+// limit, or refuses it.
 func (d *Dispatcher) Receive(w World, spec messenger.ExchangeSpec) messenger.Effect {
 	d.counters.Received++
 	x, refusal := d.match(w, spec)
 	if refusal != nil {
 		return d.refuse(spec.Exchange, *refusal)
 	}
+	if _, ok := d.choose(w, x); !ok {
+		return d.refuseForServers(w, x)
+	}
+	d.exchanges[spec.Exchange] = x
+	return d.admit(w, x)
+}
+
+// start sends an admitted request for the first time.
+func (d *Dispatcher) start(w World, x *exchange) messenger.Effect {
 	c, ok := d.choose(w, x)
 	if !ok {
-		d.demand(x.service).noteRefusal(w.Now)
-		return d.refuse(spec.Exchange, messenger.Refusal{
-			Reason:     messenger.ReasonNoServer,
-			Outcome:    messenger.NotRun,
-			RetryAfter: spread(w, bootWait),
-		})
-	}
-	if refusal := d.admit(w, x); refusal != nil {
-		return d.refuse(spec.Exchange, *refusal)
+		return d.refuseForServers(w, x)
 	}
-	d.exchanges[spec.Exchange] = x
 	w.Budgets.Requested(w.Now, x.service, retryPercent)
-	d.demand(x.service).note(w.Now, work(spec, c.unread))
+	d.demand(x.service).note(w.Now, work(x.spec, c.unread))
 	return d.send(w, x, c)
 }
 
+func (d *Dispatcher) refuseForServers(w World, x *exchange) messenger.Effect {
+	d.demand(x.service).noteRefusal(w.Now)
+	return d.refuse(x.spec.Exchange, messenger.Refusal{
+		Reason:     messenger.ReasonNoServer,
+		Outcome:    messenger.NotRun,
+		RetryAfter: spread(w, bootWait),
+	})
+}
+
 // work is the time that a server is busy with a request, in seconds.
 func work(spec messenger.ExchangeSpec, unread identifier.Tokens) float64 {
 	// tokenCost is the share of an engine that one generated token takes, in
@@ -144,27 +153,6 @@
 	return spec.Received.Add(wait)
 }
 
-// admit counts a request against its account's limit.
-func (d *Dispatcher) admit(w World, x *exchange) *messenger.Refusal {
-	if x.account == "" {
-		return nil
-	}
-	tokens := x.spec.PromptTokens + x.spec.MaxTokens
-	if tokens == 0 {
-		tokens = w.Catalog.Routing.PlainTokens[x.account]
-	}
-	v := w.Limits.Admit(w.Now, limiter.Ask{
-		Account:  x.account,
-		Service:  x.service,
-		Tokens:   tokens,
-		Deadline: x.deadline,
-	})
-	if v.OK {
-		return nil
-	}
-	return notRun(v.Reason, v.RetryAfter)
-}
-
 // send starts an attempt.
 func (d *Dispatcher) send(w World, x *exchange, c choice) messenger.Effect {
 	d.counters.Attempts++
@@ -196,6 +184,7 @@
 }
 
 func (d *Dispatcher) refuse(id identifier.ExchangeID, r messenger.Refusal) messenger.Effect {
+	delete(d.exchanges, id)
 	d.counters.Refused++
 	return messenger.RefuseExchange{
 		Exchange: id,
--- a/internal/gossiper/node.go
+++ b/internal/gossiper/node.go
@@ -83,6 +83,18 @@
 	return found
 }
 
+// Count returns the number of members that were heard of within a span, this
+// node included. Some that are dead by now may only be cut off.
+func (m *Members) Count(now timekeeper.Time, within timekeeper.Duration) int {
+	n := 0
+	for _, r := range m.nodes.values() {
+		if r == m.self || now.Sub(r.LastHeard) <= within {
+			n++
+		}
+	}
+	return n
+}
+
 // Node returns a member, also a dead one.
 func (m *Members) Node(vm identifier.VMID) (Node, bool) {
 	r := m.nodes.get(vm)
--- a/internal/limiter/bucket.go
+++ b/internal/limiter/bucket.go
@@ -32,6 +32,12 @@
 	b.level = min(b.level, capacity)
 }
 
+// begin starts a bucket at a level instead of full.
+func (b *bucket) begin(level float64) {
+	b.level = level
+	b.started = true
+}
+
 func (b *bucket) refill(passed timekeeper.Duration) {
 	b.level = min(b.level+b.rate*passed.Seconds(), b.capacity)
 }
--- /dev/null
+++ b/internal/limiter/central.go
@@ -0,0 +1,131 @@
+package limiter
+
+import (
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+const (
+	// centralPart is the part of each limit that the central node grants, and
+	// localPart what all nodes together grant beside it. Their sum is above
+	// one by less than the users' window tolerates, which is a tenth and
+	// 140,000 tokens in eight seconds, so that an account within its limit is
+	// not refused for what the parts leave over.
+	centralPart = 0.85
+	localPart   = 0.20
+	// alonePart is what all nodes together grant that can't ask the central
+	// node.
+	alonePart = 1.0
+	// startPart is the part of a burst that a new central node begins with: it
+	// does not know what the one before it granted in the last seconds.
+	startPart = 0.25
+	// localBurst is the part of a second of its rate that a node may save up.
+	localBurst = 0.5
+	// leastRetry and mostRetry bound the time after which a refused caller may
+	// come back.
+	leastRetry = 100 * timekeeper.Millisecond
+	mostRetry  = 3 * timekeeper.Second
+)
+
+// Buckets is one node's part of the accounts' limits: the central part, which
+// one node at a time grants, as it holds a lease, or one of the equal local
+// parts. It is pure and not safe for concurrent use.
+type Buckets struct {
+	// part and burst are the parts of rate and burst that it may grant.
+	part  float64
+	burst float64
+	start float64
+	limit map[identifier.AccountID]*limits
+}
+
+// limits are an account's two buckets.
+type limits struct {
+	at       timekeeper.Time
+	requests bucket
+	tokens   bucket
+}
+
+// NewCentral returns the buckets of the central node.
+func NewCentral() *Buckets {
+	return &Buckets{
+		part:  centralPart,
+		burst: centralPart,
+		start: startPart,
+		limit: map[identifier.AccountID]*limits{},
+	}
+}
+
+// SetHeard tells the central node how many of the nodes, itself included, it
+// heard of lately. What it does not hear of may be cut off from it and granting
+// by itself, so that part of the limits is not its own to grant.
+//
+// A node grants alone only once it has not heard of the central node for longer
+// than the central node waits before it takes the node's part off. So the parts
+// never sum to more than the larger of alonePart and centralPart + localPart,
+// also while nodes are cut off, killed and restarted.
+func (b *Buckets) SetHeard(heard, nodes int) {
+	b.part = centralPart * float64(heard) / float64(max(nodes, heard, 1))
+	b.burst = b.part
+}
+
+// NewLocal returns the buckets of one of a number of nodes. They begin empty: a
+// node that is killed again and again must not save up anew each time.
+func NewLocal() *Buckets {
+	return &Buckets{
+		limit: map[identifier.AccountID]*limits{},
+	}
+}
+
+// SetNodes sets the number of nodes that share the local part, and whether this
+// one is alone: it can't ask the central node. The number has to count nodes
+// that were not heard for a while: they may only be cut off.
+func (b *Buckets) SetNodes(nodes int, alone bool) {
+	all := localPart
+	if alone {
+		all = alonePart
+	}
+	b.part = all / float64(max(nodes, 1))
+	b.burst = b.part * localBurst
+}
+
+// Take grants a request and its tokens to an account, or says when coming back
+// makes sense. A bucket that is not empty goes into debt by one request, as
+// requests are often larger than what a node has at a time.
+func (b *Buckets) Take(now timekeeper.Time, spec catalog.Account, tokens identifier.Tokens) (timekeeper.Duration, bool) {
+	l := b.limits(now, spec)
+	wait := max(l.requests.wait(1, 0), l.tokens.wait(float64(tokens), 0))
+	if wait > 0 {
+		return min(max(wait, leastRetry), mostRetry), false
+	}
+	l.requests.take(1)
+	l.tokens.take(float64(tokens))
+	return 0, true
+}
+
+// limits brings an account's buckets to the present.
+func (b *Buckets) limits(now timekeeper.Time, spec catalog.Account) *limits {
+	l := b.limit[spec.ID]
+	if l == nil {
+		l = &limits{at: now}
+		l.requests.begin(spec.RequestBurst * b.burst * b.start)
+		l.tokens.begin(spec.TokenBurst * b.burst * b.start)
+		b.limit[spec.ID] = l
+	}
+	passed := max(now.Sub(l.at), 0)
+	l.at = max(l.at, now)
+	l.requests.refill(passed)
+	l.tokens.refill(passed)
+	l.requests.set(spec.RequestsPerSecond*b.part, max(spec.RequestBurst*b.burst, 1))
+	l.tokens.set(spec.TokensPerSecond*b.part, max(spec.TokenBurst*b.burst, 1))
+	return l
+}
+
+// Forget drops accounts that a catalog no longer names.
+func (b *Buckets) Forget(c *catalog.Catalog) {
+	for id := range b.limit {
+		if _, ok := c.Accounts[id]; !ok {
+			delete(b.limit, id)
+		}
+	}
+}
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -97,6 +97,37 @@
 	}
 )
 
+// Asking the central node for a part of an account's limit.
+type (
+	// AskLimit asks the node that grants the limits of accounts centrally.
+	AskLimit struct {
+		Exchange identifier.ExchangeID
+		Peer     identifier.VMID
+		Address  string
+		Account  identifier.AccountID
+		Tokens   identifier.Tokens
+	}
+	// LimitAnswered: the central node granted the request or refused it, or
+	// with Unknown set could not be asked.
+	LimitAnswered struct {
+		Exchange   identifier.ExchangeID
+		Granted    bool
+		Unknown    bool
+		RetryAfter timekeeper.Duration
+	}
+	// LimitAsked: a peer asks this node for a part of an account's limit.
+	LimitAsked struct {
+		Ticket  identifier.Ticket
+		Account identifier.AccountID
+		Tokens  identifier.Tokens
+	}
+	// AnswerLimit answers a peer that asked.
+	AnswerLimit struct {
+		Ticket identifier.Ticket
+		Answer LimitAnswered
+	}
+)
+
 // ServerState tells whether a published backend server takes new work.
 type ServerState string
 
@@ -142,6 +173,8 @@
 	Usage    []UsageCount
 	// Demand is what the sender's callers ask of each service.
 	Demand map[identifier.ServiceName]ServiceDemand
+	// Fence is that of the lease that the sender holds, or zero.
+	Fence identifier.Fence
 }
 
 // ServiceDemand is what one node's callers ask of a service.
@@ -255,6 +288,8 @@
 func (ShareReceived) eventBody()        {}
 func (ServersOrdered) eventBody()       {}
 func (UsageReported) eventBody()        {}
+func (LimitAnswered) eventBody()        {}
+func (LimitAsked) eventBody()           {}
 
 func (RefuseExchange) effect() {}
 func (SendExchange) effect()   {}
@@ -262,3 +297,5 @@
 func (OrderServers) effect()   {}
 func (ReportUsage) effect()    {}
 func (SendShare) effect()      {}
+func (AskLimit) effect()       {}
+func (AnswerLimit) effect()    {}
--- a/internal/reducer/apply_test.go
+++ b/internal/reducer/apply_test.go
@@ -66,6 +66,8 @@
 	messenger.ShareReceived{},
 	messenger.ServersOrdered{},
 	messenger.UsageReported{},
+	messenger.LimitAnswered{},
+	messenger.LimitAsked{},
 }
 
 func newReducer(seed uint64) *reducer.Reducer {
--- a/internal/reducer/duty.go
+++ b/internal/reducer/duty.go
@@ -8,6 +8,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/accountant"
 	"github.com/dotterelhollow/dotterelhollow/internal/conductor"
 	"github.com/dotterelhollow/dotterelhollow/internal/leaser"
+	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/sizer"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
@@ -60,6 +61,7 @@
 	}
 	g.holding = fence
 	g.sizes.Forget()
+	g.central = limiter.NewCentral()
 	kind := messenger.NoteKind("duties_held")
 	if !held {
 		kind = "duties_lost"
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/dispatcher"
 	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
 	"github.com/dotterelhollow/dotterelhollow/internal/leaser"
+	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/placer"
 	"github.com/dotterelhollow/dotterelhollow/internal/registrar"
@@ -37,7 +38,7 @@
 	dutyLease leaser.Name = "duties"
 	// leaseTerm is how long a holder that died keeps others out. Its renewals,
 	// three a term, are calls to the store that are paid for.
-	leaseTerm = 4 * timekeeper.Second
+	leaseTerm = 3 * timekeeper.Second
 	// dutyNodes is how many nodes follow the lease and may come to hold it:
 	// a zone's loss and one failure more leave one.
 	dutyNodes = 3
@@ -62,6 +63,15 @@
 	// sharePeers bounds the peers that get a share at a time.
 	sharePeers = 16
 	planEvery  = 500 * timekeeper.Millisecond
+	// granterAge is how long a peer that holds the lease is asked for limits
+	// after it was last heard; then this node grants its part alone. It is
+	// longer than granteeAge, after which that peer takes this node's part off
+	// its own. Both are two or three times the spacing of shares.
+	granterAge = 1600 * timekeeper.Millisecond
+	granteeAge = 1100 * timekeeper.Millisecond
+	// cutMemory is how long a silent node's part of the limits is kept for
+	// it: it may be cut off and serve callers on its side.
+	cutMemory = 15 * timekeeper.Second
 	// fetchPause is the spacing of fetches of a peer's configuration.
 	fetchPause = 300 * timekeeper.Millisecond
 	// acceptWhileLeaving is how long a leaving node takes new requests. Callers
@@ -111,12 +121,19 @@
 	sizes     *sizer.Sizer
 	leases    *leaser.Table
 	holding   identifier.Fence
-	nextShare timekeeper.Time
-	nextPlan  timekeeper.Time
-	nextFetch timekeeper.Time
-	draining  bool
-	leaveAt   timekeeper.Time
-	exiting   bool
+	local     *limiter.Buckets
+	// central is what this node grants while it holds the lease.
+	central *limiter.Buckets
+	// granter is the peer that was heard last to hold the lease.
+	granter      identifier.VMID
+	granterFence identifier.Fence
+	granterHeard timekeeper.Time
+	nextShare    timekeeper.Time
+	nextPlan     timekeeper.Time
+	nextFetch    timekeeper.Time
+	draining     bool
+	leaveAt      timekeeper.Time
+	exiting      bool
 	// stores is the last instant at which a read of the store failed.
 	storeFailed timekeeper.Time
 }
@@ -135,6 +152,7 @@
 			Late:   c.Gateway.UsageLate,
 		}),
 		sizes: sizer.New(),
+		local: limiter.NewLocal(),
 		leases: leaser.New(leaser.Config{
 			Self:        c.Self,
 			Incarnation: c.Incarnation,
@@ -244,23 +262,44 @@
 		return r.serversOrdered(b)
 	case messenger.UsageReported:
 		return r.usageReported(b)
+	case messenger.LimitAnswered:
+		return []messenger.Effect{g.exchanges.LimitAnswered(r.exchangeWorld(w), b)}
+	case messenger.LimitAsked:
+		return []messenger.Effect{
+			messenger.AnswerLimit{
+				Ticket: b.Ticket,
+				Answer: dispatcher.Grant(r.exchangeWorld(w), b.Account, b.Tokens),
+			},
+		}
 	}
 	return nil
 }
 
 func (r *Reducer) exchangeWorld(w *conductor.World) dispatcher.World {
 	g := r.gateway
-	return dispatcher.World{
+	out := dispatcher.World{
 		Now:        w.Now,
 		Catalog:    g.catalog,
 		Servers:    g.servers,
-		Limits:     r.limits,
+		Local:      g.local,
 		Budgets:    r.budgets,
 		Suspicions: r.suspicions,
 		Rand:       r.rand,
 		Began:      func(a identifier.AccountID) { g.usage.Began(w.Now, a) },
 		Stale:      w.Now.Sub(g.confirmed) > configDoubt,
 	}
+	if _, _, held := g.leases.Held(dutyLease, w.Now); held {
+		out.Central = g.central
+		return out
+	}
+	node, known := r.members.Node(g.granter)
+	if known && w.Now.Sub(g.granterHeard) <= granterAge {
+		out.Granter = &dispatcher.Granter{
+			Node:    g.granter,
+			Address: node.PeerAddress,
+		}
+	}
+	return out
 }
 
 // catalogPublished puts a configuration in force if it is newer than the one
@@ -275,7 +314,7 @@
 	}
 	g.catalog = e.Catalog
 	g.data = e.Data
-	r.limits.SetCatalog(w.Now, e.Catalog)
+	g.local.Forget(e.Catalog)
 	out := []messenger.Effect{
 		messenger.Note{
 			Kind:   "config_in_force",
@@ -318,6 +357,11 @@
 	s := e.Share
 	g.exchanges.PeerLoad(w.Now, e.From, s)
 	g.usage.Told(e.From, s.Incarnation, s.Usage)
+	if s.Fence > 0 && s.Fence >= g.granterFence {
+		g.granter = e.From
+		g.granterFence = s.Fence
+		g.granterHeard = w.Now
+	}
 	changed := g.servers.Told(w.Now, w.Now.Add(-s.ServersAge), s.Servers)
 	out := r.serversChanged(w, changed, false)
 	if s.Revision == g.revision() {
@@ -341,10 +385,7 @@
 func (r *Reducer) tickGateway(w *conductor.World) []messenger.Effect {
 	g := r.gateway
 	out := r.serversChanged(w, g.servers.Tick(w.Now), true)
-	if !w.Now.Before(r.timers.nextShare) {
-		r.timers.nextShare = w.Now.Add(shareEvery)
-		r.shareLimits(w.Now)
-	}
+	r.shareGrants(w)
 	if !w.Now.Before(g.nextShare) {
 		out = append(out, r.shareNow(w)...)
 	}
@@ -356,11 +397,23 @@
 	return out
 }
 
+// shareGrants sets this node's parts of the accounts' limits by whom it hears.
+func (r *Reducer) shareGrants(w *conductor.World) {
+	g := r.gateway
+	nodes := r.members.Count(w.Now, cutMemory)
+	_, _, held := g.leases.Held(dutyLease, w.Now)
+	g.local.SetNodes(nodes, !held && w.Now.Sub(g.granterHeard) > granterAge)
+	if g.central != nil {
+		g.central.SetHeard(1+g.exchanges.Heard(w.Now, granteeAge), nodes)
+	}
+}
+
 // shareNow tells the peers what this node knows.
 func (r *Reducer) shareNow(w *conductor.World) []messenger.Effect {
 	g := r.gateway
 	g.nextShare = w.Now.Add(shareEachTime)
 	share := g.share(w.Now)
+	share.Fence, _, _ = g.leases.Held(dutyLease, w.Now)
 	peers := r.peers()
 	r.rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	var out []messenger.Effect
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -140,6 +140,9 @@
 }
 
 func (r *Reducer) ownDemand(now timekeeper.Time) map[identifier.AccountID]gossiper.Demand {
+	if r.gateway != nil {
+		return nil // Limits are granted centrally, not shared by demand.
+	}
 	own := r.limits.Demand(now)
 	out := make(map[identifier.AccountID]gossiper.Demand, len(own))
 	for account, d := range own {
--- a/internal/relayer/client.go
+++ b/internal/relayer/client.go
@@ -108,6 +108,21 @@
 	return err
 }
 
+// Limit asks the node that grants limits centrally for a request of an account.
+func (c *Client) Limit(ctx context.Context, address string, account identifier.AccountID, tokens identifier.Tokens) (messenger.LimitAnswered, error) {
+	request := &pb.LimitRequest{
+		Envelope: c.envelope(),
+		Account:  string(account),
+		Tokens:   int64(tokens),
+	}
+	reply, err := call(ctx, c, address, "limit", request, pb.Peers.Limit)
+	return messenger.LimitAnswered{
+		Granted:    reply.GetGranted(),
+		Unknown:    reply.GetUnknown(),
+		RetryAfter: timekeeper.Duration(reply.GetRetryAfterMs()),
+	}, err
+}
+
 // Hold pushes a request, or what was added to its answer, to a holder.
 func (c *Client) Hold(ctx context.Context, address string, p Push) (HoldAnswer, error) {
 	reply, err := call(ctx, c, address, "hold", c.push(p), pb.Peers.Hold)
--- a/internal/relayer/handler.go
+++ b/internal/relayer/handler.go
@@ -113,6 +113,18 @@
 	return &pb.ShareReply{Envelope: h.envelope()}, nil
 }
 
+// Limit implements pb.Peers.
+func (h *handler) Limit(ctx context.Context, q *pb.LimitRequest) (*pb.LimitReply, error) {
+	h.open(q.GetEnvelope())
+	answer := h.config.Peer.GrantLimit(ctx, identifier.AccountID(q.GetAccount()), identifier.Tokens(max(q.GetTokens(), 0)))
+	return &pb.LimitReply{
+		Envelope:     h.envelope(),
+		Granted:      answer.Granted,
+		Unknown:      answer.Unknown,
+		RetryAfterMs: int64(answer.RetryAfter),
+	}, nil
+}
+
 // Configuration implements pb.Peers.
 func (h *handler) Configuration(ctx context.Context, q *pb.ConfigurationRequest) (*pb.ConfigurationReply, error) {
 	h.open(q.GetEnvelope())
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -34,6 +34,8 @@
 	EndingOf(ctx context.Context, q Question) Ending
 	ExportConfiguration(ctx context.Context) ([]byte, bool)
 	ReceiveShare(from identifier.VMID, s messenger.Share)
+	// GrantLimit grants a request of an account, where this node does that.
+	GrantLimit(ctx context.Context, account identifier.AccountID, tokens identifier.Tokens) messenger.LimitAnswered
 }
 
 // Clock is the hybrid logical clock of the node's time line.
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/answerer"
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
 	"github.com/dotterelhollow/dotterelhollow/internal/historian"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
@@ -66,6 +67,13 @@
 	}, q.Account == "quillmark"
 }
 
+func (p *fakePeer) GrantLimit(_ context.Context, account identifier.AccountID, tokens identifier.Tokens) messenger.LimitAnswered {
+	return messenger.LimitAnswered{
+		Granted:    account == "agency" && tokens < 100,
+		RetryAfter: timekeeper.Second,
+	}
+}
+
 func (p *fakePeer) ReceiveShare(_ identifier.VMID, s messenger.Share) { p.share = s }
 
 func (p *fakePeer) EndingOf(context.Context, Question) Ending { return p.ending }
@@ -217,6 +225,52 @@
 	var missing *NoConfigurationError
 	require.ErrorAs(t, err, &missing)
 	require.NoError(t, client.Unhold(t.Context(), address, "r1"))
+
+	share := messenger.Share{
+		Incarnation: 7,
+		Servers: []messenger.PublishedServer{
+			{
+				Server:   "i-1",
+				Offset:   3,
+				Service:  "reader",
+				Address:  "10.0.0.9:80",
+				Zone:     "boston-a",
+				Slots:    64,
+				State:    messenger.ServerLeaving,
+				LeavesIn: 2500,
+				Market:   catalog.Reclaimable,
+			},
+		},
+		ServersAge:       120,
+		ConfigurationAge: 340,
+		Revision:         12,
+		InFlight:         map[identifier.VMID]int{"i-1": 4},
+		Usage: []messenger.UsageCount{
+			{
+				Window:  9,
+				Account: "agency",
+				Count:   17,
+			},
+		},
+		Demand: map[identifier.ServiceName]messenger.ServiceDemand{
+			"reader": {
+				Running: 4,
+				Work:    1.5,
+				Refused: 0.25,
+			},
+		},
+		Fence: 41,
+	}
+	require.NoError(t, client.Share(t.Context(), address, share))
+	require.Equal(t, share, p.share)
+
+	granted, err := client.Limit(t.Context(), address, "agency", 99)
+	require.NoError(t, err)
+	require.True(t, granted.Granted)
+	refused, err := client.Limit(t.Context(), address, "agency", 100)
+	require.NoError(t, err)
+	require.False(t, refused.Granted)
+	require.Equal(t, timekeeper.Second, refused.RetryAfter)
 }
 
 // A leaving node hands a request over and gets no answer, or a refusal. It may
--- a/internal/relayer/share.go
+++ b/internal/relayer/share.go
@@ -17,6 +17,7 @@
 		ServersAgeMs:       int64(s.ServersAge),
 		ConfigurationAgeMs: int64(s.ConfigurationAge),
 		Revision:           uint64(s.Revision),
+		Fence:              uint64(s.Fence),
 	}
 	for _, e := range s.Servers {
 		out.Servers = append(out.Servers, encodePublishedServer(e))
@@ -66,6 +67,7 @@
 		ServersAge:       timekeeper.Duration(q.GetServersAgeMs()),
 		ConfigurationAge: timekeeper.Duration(q.GetConfigurationAgeMs()),
 		Revision:         identifier.Revision(q.GetRevision()),
+		Fence:            identifier.Fence(q.GetFence()),
 		InFlight:         make(map[identifier.VMID]int, len(q.GetInFlight())),
 		Demand:           make(map[identifier.ServiceName]messenger.ServiceDemand, len(q.GetDemand())),
 	}
--- a/internal/runner/effect.go
+++ b/internal/runner/effect.go
@@ -59,6 +59,10 @@
 		r.decided(e.Exchange, e)
 	case messenger.EndExchange:
 		r.decided(e.Exchange, e)
+	case messenger.AskLimit:
+		r.askLimit(e)
+	case messenger.AnswerLimit:
+		r.answerLimit(e)
 	case messenger.SendShare:
 		r.sendShare(e)
 	case messenger.OrderServers:
--- a/internal/runner/exchange.go
+++ b/internal/runner/exchange.go
@@ -36,13 +36,12 @@
 func (r *Runner) Ended(e messenger.ExchangeEnded) { r.emit(context.Background(), e) }
 
 // decide applies an event and returns the effect that answers it, or nil where
-// the node ended first.
+// the node or ctx ended first. The answer may take a call to a peer.
 func (r *Runner) decide(ctx context.Context, id identifier.ExchangeID, body messenger.EventBody) messenger.Effect {
 	answer := make(chan messenger.Effect, 1)
 	applied := r.ask(ctx, func() {
 		r.exchanges[id] = answer
 		r.step(body)
-		delete(r.exchanges, id)
 	})
 	if !applied {
 		return nil
@@ -50,7 +49,7 @@
 	select {
 	case effect := <-answer:
 		return effect
-	default:
+	case <-r.stopped:
 		return nil
 	}
 }
@@ -62,11 +61,48 @@
 		r.logger.Error("decision on an exchange that nobody waits for", "exchange", id)
 		return
 	}
-	select {
-	case waiting <- effect:
-	default:
-		r.logger.Error("second decision on an exchange", "exchange", id)
+	delete(r.exchanges, id)
+	waiting <- effect // It has room for one, and gets only one.
+}
+
+// limitTimeout bounds a question to the node that grants limits: two ways
+// within a region, and room for a node that is slow for a moment.
+const limitTimeout = 150 * timekeeper.Millisecond
+
+// askLimit asks a peer for a part of an account's limit. The caller waits for
+// the answer, so it does not share a lane with others.
+func (r *Runner) askLimit(e messenger.AskLimit) {
+	r.tasks.start(func(ctx context.Context) func() {
+		ctx, done := context.WithTimeout(ctx, limitTimeout.Std())
+		defer done()
+		answer, err := r.config.Peers.Limit(ctx, e.Address, e.Account, e.Tokens)
+		answer.Unknown = answer.Unknown || err != nil
+		answer.Exchange = e.Exchange
+		return r.report(answer)
+	})
+}
+
+// GrantLimit implements relayer.Peer.
+func (r *Runner) GrantLimit(ctx context.Context, account identifier.AccountID, tokens identifier.Tokens) messenger.LimitAnswered {
+	answer := make(chan messenger.LimitAnswered, 1)
+	applied := r.ask(ctx, func() {
+		r.limitAsked++
+		r.limitAsks[r.limitAsked] = answer
+		r.step(messenger.LimitAsked{
+			Ticket:  r.limitAsked,
+			Account: account,
+			Tokens:  tokens,
+		})
+	})
+	if !applied {
+		return messenger.LimitAnswered{Unknown: true}
 	}
+	return <-answer
+}
+
+func (r *Runner) answerLimit(e messenger.AnswerLimit) {
+	r.limitAsks[e.Ticket] <- e.Answer // It has room for one, and gets only one.
+	delete(r.limitAsks, e.Ticket)
 }
 
 // Ready reports whether callers may be sent to this node.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -115,13 +115,16 @@
 	proposals map[identifier.Ticket]chan messenger.ChangeVerdict
 	proposed  identifier.Ticket
 	exchanges map[identifier.ExchangeID]chan messenger.Effect
-	farewells int           // what peers are to be told before the node ends
-	leaving   chan struct{} // closed when listeners are closed for good
-	following following
-	draining  bool
-	exiting   bool
-	finished  bool
-	hardStop  <-chan time.Time
+	// limitAsks are the peers that wait for a part of an account's limit.
+	limitAsks  map[identifier.Ticket]chan messenger.LimitAnswered
+	limitAsked identifier.Ticket
+	farewells  int           // what peers are to be told before the node ends
+	leaving    chan struct{} // closed when listeners are closed for good
+	following  following
+	draining   bool
+	exiting    bool
+	finished   bool
+	hardStop   <-chan time.Time
 }
 
 // queuedEvent is an event on its way to the loop.
@@ -163,6 +166,7 @@
 		cursors:   make(map[identifier.VMID]uint64),
 		proposals: make(map[identifier.Ticket]chan messenger.ChangeVerdict),
 		exchanges: make(map[identifier.ExchangeID]chan messenger.Effect),
+		limitAsks: make(map[identifier.Ticket]chan messenger.LimitAnswered),
 		leaving:   make(chan struct{}),
 	}
 	r.metrics.observe(r)
