--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -58,6 +58,9 @@
 }
 
 func (d *Dispatcher) refuseForServers(w World, x *exchange) messenger.Effect {
+	// What was asked for in vain is still asked for: without it the demand
+	// would vanish with the servers, and no new ones be ordered.
+	d.demand(x.service).note(w.Now, work(x.spec, x.spec.PromptTokens))
 	d.demand(x.service).noteRefusal(w.Now)
 	return d.refuse(x.spec.Exchange, messenger.Refusal{
 		Reason:     messenger.ReasonNoServer,
--- a/internal/limiter/central.go
+++ b/internal/limiter/central.go
@@ -12,8 +12,8 @@
 	// one by less than the users' window tolerates, which is a tenth and
 	// 140,000 tokens in eight seconds, so that an account within its limit is
 	// not refused for what the parts leave over.
-	centralPart = 0.85
-	localPart   = 0.20
+	centralPart = 0.95
+	localPart   = 0.12
 	// alonePart is what all nodes together grant that can't ask the central
 	// node.
 	alonePart = 1.0
--- a/internal/reducer/duty.go
+++ b/internal/reducer/duty.go
@@ -118,9 +118,9 @@
 	return out
 }
 
-func (r *Reducer) serversOrdered(e messenger.ServersOrdered) []messenger.Effect {
+func (r *Reducer) serversOrdered(w *conductor.World, e messenger.ServersOrdered) []messenger.Effect {
 	g := r.gateway
-	g.sizes.Ordered(e.Order, e.Result)
+	g.sizes.Ordered(w.Now, e.Order, e.Result)
 	if e.Result == messenger.DutyFenced {
 		g.leases.Release(dutyLease)
 	}
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -259,7 +259,7 @@
 	case messenger.ShareReceived:
 		return r.shareReceived(w, b)
 	case messenger.ServersOrdered:
-		return r.serversOrdered(b)
+		return r.serversOrdered(w, b)
 	case messenger.UsageReported:
 		return r.usageReported(b)
 	case messenger.LimitAnswered:
--- a/internal/sizer/sizer.go
+++ b/internal/sizer/sizer.go
@@ -30,12 +30,13 @@
 	// with the rest still covering the demand: reclaims came in pairs of
 	// zones, some seconds apart, each lasting 12 to 15 s.
 	lostZones = 2
-	// busyShare is the part of a server's time that may be taken, so that a
-	// clump of requests finds room.
-	busyShare = 0.5
-	// runningPerServer is how many requests a server runs without making
-	// their tokens late.
+	// runningPerServer is how many requests a server runs on average. An
+	// engine takes 64, but clumps of requests are three times the average and
+	// a zone's loss doubles it.
 	runningPerServer = 12
+	// runTime is about how long a request runs, in seconds: what is refused
+	// for want of servers would run that long if there were any.
+	runTime = 1.2
 	// leastPerZone is the number of reclaimable servers a zone has at least,
 	// where the users' bounds allow it: a zone with one has none for a while
 	// whenever that one fails.
@@ -47,6 +48,9 @@
 	// after one of which nothing was heard.
 	refusedPause = 1500 * timekeeper.Millisecond
 	unknownPause = 1 * timekeeper.Second
+	// dryTime is how long a zone counts as one without reclaimable servers
+	// after an order for some was refused there: two more orders.
+	dryTime = 2*refusedPause + 500*timekeeper.Millisecond
 	// bootSlack is what a server may take beyond its boot time to show up.
 	bootSlack = 2 * timekeeper.Second
 )
@@ -62,7 +66,9 @@
 
 // Sizer is what the holder of the lease ordered so far.
 type Sizer struct {
-	orders   map[key]*order
+	orders map[key]*order
+	// dryUntil is until when a zone counts as one without reclaimable servers.
+	dryUntil map[key]timekeeper.Time
 	services map[identifier.ServiceName]*need
 }
 
@@ -93,6 +99,7 @@
 func New() *Sizer {
 	return &Sizer{
 		orders:   map[key]*order{},
+		dryUntil: map[key]timekeeper.Time{},
 		services: map[identifier.ServiceName]*need{},
 	}
 }
@@ -100,6 +107,7 @@
 // Forget drops what was ordered: another node may have ordered since.
 func (s *Sizer) Forget() {
 	clear(s.orders)
+	clear(s.dryUntil)
 }
 
 // Plan returns the orders to give now.
@@ -113,8 +121,10 @@
 		return nil
 	}
 	spot := perZone(need, len(zones), in.Fleet)
-	missing := need - s.ready(in, catalog.Reclaimable)
-	firm := s.firm(in, zones, missing, spot)
+	missing := need - s.soon(in, zones, spot)
+	// Servers that can't be taken away are kept until the others serve.
+	kept := min(s.ordered(in.Service, catalog.OnDemand), need-countReady(in.Servers, "", catalog.Reclaimable))
+	firm := s.firm(in, zones, spot, max(missing, kept))
 	var out []messenger.ServerOrder
 	for _, zone := range zones {
 		out = append(out, s.order(in, zone, catalog.Reclaimable, min(spot, in.Fleet.Max-firm[zone]))...)
@@ -126,9 +136,8 @@
 // need returns how many servers the demand takes, and shrinks only after it
 // was less for a while.
 func (s *Sizer) need(in Input) int {
-	byWork := in.Demand.Work / busyShare
-	byRunning := float64(in.Demand.Running) / runningPerServer
-	now := max(1, int(math.Ceil(max(byWork, byRunning))))
+	running := float64(in.Demand.Running) + in.Demand.Refused*runTime
+	now := max(1, int(math.Ceil(running/runningPerServer)))
 	n := s.services[in.Service]
 	if n == nil {
 		n = &need{}
@@ -157,35 +166,62 @@
 	return min(max(n, leastPerZone, f.Min), f.Max)
 }
 
-// ready counts the service's servers of a market that serve.
-func (s *Sizer) ready(in Input, market catalog.Market) int {
+// soon counts the reclaimable servers that serve or will as soon as any other
+// that was ordered now.
+func (s *Sizer) soon(in Input, zones []identifier.Zone, spot int) int {
 	n := 0
-	for _, server := range in.Servers {
-		if server.Market == market && server.State == messenger.ServerReady {
-			n++
+	for _, zone := range zones {
+		have := countReady(in.Servers, zone, catalog.Reclaimable)
+		if !s.dry(in, zone) {
+			have = max(have, spot)
 		}
+		n += have
 	}
 	return n
 }
 
 // firm returns the servers by zone that can't be taken away: as many as are
-// missing, in the cheapest zones, and in each zone those that keep the users'
-// least number where it has none of the others.
-func (s *Sizer) firm(in Input, zones []identifier.Zone, missing, spot int) map[identifier.Zone]int {
+// missing, in the cheapest zones that have room. Where no reclaimable servers
+// are to be had they leave room for all but those that there are.
+func (s *Sizer) firm(in Input, zones []identifier.Zone, spot, missing int) map[identifier.Zone]int {
 	out := map[identifier.Zone]int{}
 	cheap := slices.Clone(zones)
 	slices.SortStableFunc(cheap, func(a, b identifier.Zone) int {
 		return cmp.Compare(in.Fleet.ZonePrices[a], in.Fleet.ZonePrices[b])
 	})
 	for _, zone := range cheap {
-		room := max(in.Fleet.Max-spot, 0)
-		n := min(max(missing, 0), room)
+		held := spot
+		if s.dry(in, zone) {
+			// One is always asked for, so that it shows when there are some.
+			held = max(countReady(in.Servers, zone, catalog.Reclaimable), 1)
+		}
+		n := min(max(missing, 0), max(in.Fleet.Max-held, 0))
 		out[zone] = n
 		missing -= n
 	}
 	return out
 }
 
+// dry reports whether a zone had no reclaimable servers to be had lately.
+func (s *Sizer) dry(in Input, zone identifier.Zone) bool {
+	return in.Now.Before(s.dryUntil[key{
+		service: in.Service,
+		zone:    zone,
+		market:  catalog.Reclaimable,
+	}])
+}
+
+// ordered returns how many servers of a market were ordered last, in all zones.
+func (s *Sizer) ordered(service identifier.ServiceName, market catalog.Market) int {
+	n := 0
+	for k, o := range s.orders {
+		if k.service == service && k.market == market {
+			n += o.count
+		}
+	}
+	return n
+}
+
 // order returns the order for one zone and market, if one is due.
 func (s *Sizer) order(in Input, zone identifier.Zone, market catalog.Market, count int) []messenger.ServerOrder {
 	k := key{
@@ -218,11 +254,12 @@
 	}
 }
 
-// countReady counts the servers of a zone and market that are not leaving.
+// countReady counts the servers of a market that serve and are not leaving, in
+// one zone or, where that is empty, in all.
 func countReady(servers []*registrar.Server, zone identifier.Zone, market catalog.Market) int {
 	n := 0
 	for _, s := range servers {
-		if s.Zone == zone && s.Market == market && s.State == messenger.ServerReady {
+		if (zone == "" || s.Zone == zone) && s.Market == market && s.State == messenger.ServerReady {
 			n++
 		}
 	}
@@ -248,12 +285,16 @@
 }
 
 // Ordered takes in the end of an order.
-func (s *Sizer) Ordered(e messenger.ServerOrder, result messenger.DutyResult) {
-	o := s.orders[key{
+func (s *Sizer) Ordered(now timekeeper.Time, e messenger.ServerOrder, result messenger.DutyResult) {
+	k := key{
 		service: e.Service,
 		zone:    e.Zone,
 		market:  e.Market,
-	}]
+	}
+	if result == messenger.DutyRefused {
+		s.dryUntil[k] = now.Add(dryTime)
+	}
+	o := s.orders[k]
 	if o == nil || o.count != e.Count {
 		return
 	}
