--- a/internal/dispatcher/choose.go
+++ b/internal/dispatcher/choose.go
@@ -23,6 +23,10 @@
 	// fullCost is what each request beyond an engine's slots costs: it waits
 	// until one of them ends.
 	fullCost = 40.0
+	// rereadWeight is how much dearer a prompt token is that some server has
+	// read already than one that none has: it takes another server's time
+	// from requests that could use it.
+	rereadWeight = 1.0
 	// plainCost and plainFullCost are the same at a plain server, which takes
 	// about 15 ms a request: below its slots the request waits for nothing.
 	plainCost     = 0.7
@@ -107,8 +111,9 @@
 		}
 	}
 	own := x.spec.PromptTokens - cached(x.spec.Prefix, home)
+	again := cached(x.spec.Prefix, true) - cached(x.spec.Prefix, home)
 	cost += float64(running)*runningCost + float64(waiting)*fullCost
-	cost += float64(own+unread) / prefillPerMillisecond
+	cost += (float64(own+unread) + float64(again)*(rereadWeight-1)) / prefillPerMillisecond
 	return choice{
 		server:    s,
 		predicted: timekeeper.Duration(cost + 0.5),
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -156,7 +156,10 @@
 		"status", x.status,
 		"reason", reason,
 		"last_event", x.lastEvent,
+		"first_ms", int64(x.first),
+		"longest_gap_ms", int64(x.gap),
 		"took_ms", int64(took),
+		"prompt_tokens", x.head.PromptTokens,
 	)
 }
 
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -282,9 +282,11 @@
 	return t
 }
 
+// beganNow notes the first byte, or the first event, of an attempt's answer.
 func (x *exchange) beganNow(ctx context.Context, s messenger.SendExchange) {
 	if !x.began {
-		x.forwarder.config.Metrics.first(x.forwarder.config.Clock.Now().Sub(x.received))
+		x.first = x.forwarder.config.Clock.Now().Sub(x.received)
+		x.forwarder.config.Metrics.first(x.first)
 	}
 	x.began = true
 	x.forwarder.config.Decider.Began(ctx, messenger.ExchangeBegan{
@@ -292,3 +294,12 @@
 		Attempt:  s.Attempt,
 	})
 }
+
+// heardEvents notes the pause before events.
+func (x *exchange) heardEvents() {
+	now := x.forwarder.config.Clock.Now()
+	if x.lastAt != 0 {
+		x.gap = max(x.gap, now.Sub(x.lastAt))
+	}
+	x.lastAt = now
+}
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -34,6 +34,11 @@
 	failure *held
 	began   bool
 	status  int
+	// first is the time to the first byte or event, lastAt when the last event
+	// arrived, and gap the longest pause between two events.
+	first  timekeeper.Duration
+	lastAt timekeeper.Time
+	gap    timekeeper.Duration
 }
 
 // read takes the whole request in, so that a caller that breaks off in the
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -43,6 +43,7 @@
 				x.beganNow(ctx, s)
 			}
 			bound.heard(s.NextSilence)
+			x.heardEvents()
 			if end, failed := x.passOn(response, pending[:cut], resumed); failed {
 				return end
 			}
--- a/internal/limiter/central.go
+++ b/internal/limiter/central.go
@@ -20,8 +20,12 @@
 	// startPart is the part of a burst that a new central node begins with: it
 	// does not know what the one before it granted in the last seconds.
 	startPart = 0.25
-	// localBurst is the part of a second of its rate that a node may save up.
+	// localBurst is the part of its part of a burst that a node may save up
+	// beside the central node, and localStart what a node begins with: all
+	// nodes may have been killed at once, and a node that is killed again and
+	// again must not save up anew each time.
 	localBurst = 0.5
+	localStart = 0.5
 	// leastRetry and mostRetry bound the time after which a refused caller may
 	// come back.
 	leastRetry = 100 * timekeeper.Millisecond
@@ -69,10 +73,10 @@
 	b.burst = b.part
 }
 
-// NewLocal returns the buckets of one of a number of nodes. They begin empty: a
-// node that is killed again and again must not save up anew each time.
+// NewLocal returns the buckets of one of a number of nodes.
 func NewLocal() *Buckets {
 	return &Buckets{
+		start: localStart,
 		limit: map[identifier.AccountID]*limits{},
 	}
 }
@@ -81,12 +85,12 @@
 // one is alone: it can't ask the central node. The number has to count nodes
 // that were not heard for a while: they may only be cut off.
 func (b *Buckets) SetNodes(nodes int, alone bool) {
-	all := localPart
+	b.part = localPart / float64(max(nodes, 1))
+	b.burst = b.part * localBurst
 	if alone {
-		all = alonePart
+		b.part = alonePart / float64(max(nodes, 1))
+		b.burst = b.part
 	}
-	b.part = all / float64(max(nodes, 1))
-	b.burst = b.part * localBurst
 }
 
 // Take grants a request and its tokens to an account, or says when coming back
--- a/internal/reducer/duty.go
+++ b/internal/reducer/duty.go
@@ -33,7 +33,7 @@
 // them.
 func (r *Reducer) tickDuties(w *conductor.World) []messenger.Effect {
 	g := r.gateway
-	if !g.draining && chosen(g.self, string(dutyLease), r.members, dutyNodes) {
+	if !g.draining && g.settled && chosen(g.self, string(dutyLease), r.members, dutyNodes) {
 		g.leases.Want(w.Now, dutyLease)
 	}
 	var out []messenger.Effect
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -42,6 +42,11 @@
 	// dutyNodes is how many nodes follow the lease and may come to hold it:
 	// a zone's loss and one failure more leave one.
 	dutyNodes = 3
+	// settleTime is how long a node that has just started waits before it takes
+	// itself for one of the first for a purpose: until it hears of its peers
+	// it is the first of all. A lease that its last holder left behind lapses
+	// later than that.
+	settleTime = 1500 * timekeeper.Millisecond
 	// serverReaders and configReaders are how many nodes read the store while
 	// peers hear from them; each read is paid for.
 	serverReaders = 2
@@ -128,12 +133,16 @@
 	granter      identifier.VMID
 	granterFence identifier.Fence
 	granterHeard timekeeper.Time
-	nextShare    timekeeper.Time
-	nextPlan     timekeeper.Time
-	nextFetch    timekeeper.Time
-	draining     bool
-	leaveAt      timekeeper.Time
-	exiting      bool
+	// startedAt is the first tick, and settled tells that the node has had
+	// time to hear of its peers since.
+	startedAt timekeeper.Time
+	settled   bool
+	nextShare timekeeper.Time
+	nextPlan  timekeeper.Time
+	nextFetch timekeeper.Time
+	draining  bool
+	leaveAt   timekeeper.Time
+	exiting   bool
 	// stores is the last instant at which a read of the store failed.
 	storeFailed timekeeper.Time
 }
@@ -172,7 +181,7 @@
 // streams returns the streams of the log that the node follows: those of the
 // duties, where it may come to hold them.
 func (g *gateway) streams(self identifier.VMID, members *gossiper.Members) []identifier.LogStream {
-	if !chosen(self, string(dutyLease), members, dutyNodes) {
+	if !g.settled || !chosen(self, string(dutyLease), members, dutyNodes) {
 		return nil
 	}
 	return []identifier.LogStream{leaser.Stream, accountant.Stream}
@@ -207,9 +216,9 @@
 	}
 	return Following{
 		Servers: now.Sub(g.servers.AsOf()) > serversStale ||
-			chosen(g.self, "published_servers", r.members, serverReaders),
+			g.settled && chosen(g.self, "published_servers", r.members, serverReaders),
 		Configuration: now.Sub(g.confirmed) > configStale ||
-			chosen(g.self, "published_configuration", r.members, configReaders),
+			g.settled && chosen(g.self, "published_configuration", r.members, configReaders),
 	}
 }
 
@@ -385,6 +394,10 @@
 func (r *Reducer) tickGateway(w *conductor.World) []messenger.Effect {
 	g := r.gateway
 	out := r.serversChanged(w, g.servers.Tick(w.Now), true)
+	if g.startedAt == 0 {
+		g.startedAt = w.Now
+	}
+	g.settled = g.settled || w.Now.Sub(g.startedAt) >= settleTime
 	r.shareGrants(w)
 	if !w.Now.Before(g.nextShare) {
 		out = append(out, r.shareNow(w)...)
--- a/internal/runner/published.go
+++ b/internal/runner/published.go
@@ -16,7 +16,7 @@
 	// serversEvery is the spacing of reads of the servers' entries. These
 	// change many times a second, mostly to say that a server still lives; a
 	// read that waits would return at once and cost a call each time.
-	serversEvery = 300 * time.Millisecond
+	serversEvery = 400 * time.Millisecond
 	// configWait is how long a read waits for a new configuration: half the
 	// age past which other nodes doubt what they know.
 	configWait = 2 * timekeeper.Second
--- a/internal/sizer/sizer.go
+++ b/internal/sizer/sizer.go
@@ -33,7 +33,7 @@
 	// runningPerServer is how many requests a server runs on average. An
 	// engine takes 64, but clumps of requests are three times the average and
 	// a zone's loss doubles it.
-	runningPerServer = 12
+	runningPerServer = 10
 	// runTime is about how long a request runs, in seconds: what is refused
 	// for want of servers would run that long if there were any.
 	runTime = 1.2
@@ -41,12 +41,17 @@
 	// where the users' bounds allow it: a zone with one has none for a while
 	// whenever that one fails.
 	leastPerZone = 2
+	// firstPart is the part of the servers found at first that are taken for
+	// needed until the demand has shown, which takes firstTime: operators
+	// start a fleet that is large enough.
+	firstPart = 0.67
+	firstTime = 30 * timekeeper.Second
 	// shrinkAfter is how long fewer servers must have been enough before any
 	// is given up: one that is ordered again takes seconds to serve.
 	shrinkAfter = 12 * timekeeper.Second
 	// refusedPause is the pause after a refused order, and unknownPause that
 	// after one of which nothing was heard.
-	refusedPause = 1500 * timekeeper.Millisecond
+	refusedPause = 2 * timekeeper.Second
 	unknownPause = 1 * timekeeper.Second
 	// dryTime is how long a zone counts as one without reclaimable servers
 	// after an order for some was refused there: two more orders.
@@ -112,7 +117,8 @@
 
 // Plan returns the orders to give now.
 func (s *Sizer) Plan(in Input) []messenger.ServerOrder {
-	if in.Fleet == nil {
+	if in.Fleet == nil || len(in.Servers) == 0 && s.services[in.Service] == nil {
+		// Without its first servers a service's size is not known yet.
 		return nil
 	}
 	need := s.need(in)
@@ -140,7 +146,11 @@
 	now := max(1, int(math.Ceil(running/runningPerServer)))
 	n := s.services[in.Service]
 	if n == nil {
-		n = &need{}
+		found := countReady(in.Servers, "", catalog.Reclaimable) + countReady(in.Servers, "", catalog.OnDemand)
+		n = &need{
+			servers: int(math.Ceil(float64(found) * firstPart)),
+			since:   in.Now.Add(firstTime - shrinkAfter),
+		}
 		s.services[in.Service] = n
 	}
 	if now >= n.servers {
