Let the buckets of limits begin with their start

Cause: a new bucket was refilled before it had a capacity, which cut its start to zero; after a kill of all nodes accounts within their limits were refused for seconds. Ruled out: the time until another node grants centrally, which is unchanged.

--- /dev/null
+++ b/internal/accountant/accountant_test.go
@@ -0,0 +1,148 @@
+package accountant_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/accountant"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+const (
+	window = 5 * timekeeper.Second
+	// first is the window that the tests count in, and begins its start.
+	first  identifier.UsageWindow = 200
+	begins                        = timekeeper.Time(int64(first) * int64(window))
+)
+
+func newAccountant() *accountant.Accountant {
+	return accountant.New(accountant.Config{
+		Window: window,
+		Late:   10 * timekeeper.Second,
+	})
+}
+
+func holderTick(a *accountant.Accountant, now timekeeper.Time) []messenger.Effect {
+	return a.Tick(now, 7, now.Add(1000))
+}
+
+// logged puts appended records into a log in order and lets all read it.
+func logged(effects []messenger.Effect, readers ...*accountant.Accountant) {
+	read := messenger.LogRead{Stream: accountant.Stream}
+	for _, e := range effects {
+		if appended, ok := e.(messenger.AppendRecord); ok {
+			read.Records = append(read.Records, messenger.Record{Data: appended.Data})
+		}
+	}
+	for _, r := range readers {
+		r.Absorb(read)
+		r.Agreed()
+	}
+}
+
+func reports(effects []messenger.Effect) []messenger.ReportUsage {
+	var out []messenger.ReportUsage
+	for _, e := range effects {
+		if report, ok := e.(messenger.ReportUsage); ok {
+			out = append(out, report)
+		}
+	}
+	return out
+}
+
+// A holder appends its counts, sends them and dies before it knows whether they
+// arrived. The next holder knows of more requests by then. Sent with its own
+// counts, the window would be reported twice and differently, so it sends what
+// the log has first, whatever it appended itself.
+func TestTwoHoldersReportTheSame(t *testing.T) {
+	one, two := newAccountant(), newAccountant()
+	one.Began(begins, "agency")
+	two.Began(begins, "agency")
+	two.Began(begins+1, "agency")
+	late := begins.Add(window + 2000)
+	appends := append(holderTick(one, late), holderTick(two, late)...)
+	require.Len(t, appends, 2)
+	logged(appends, one, two)
+
+	ofOne, ofTwo := reports(holderTick(one, late)), reports(holderTick(two, late))
+	require.Len(t, ofOne, 1)
+	require.Equal(t, ofOne, ofTwo)
+	require.Equal(t, map[identifier.AccountID]int{"agency": 1}, ofOne[0].Counts)
+}
+
+// Nothing is reported before it stands in the log, before all peers had time to
+// tell their counts, after its time, or again once it is done.
+func TestWhenAWindowIsDue(t *testing.T) {
+	a := newAccountant()
+	a.Began(begins, "agency")
+	end := begins.Add(window)
+	require.Empty(t, holderTick(a, end.Add(1900)))
+	appends := holderTick(a, end.Add(2000))
+	require.Len(t, appends, 1)
+	require.Empty(t, reports(appends))
+	require.Empty(t, holderTick(a, end.Add(2100)), "the append is under way")
+	require.Len(t, holderTick(a, end.Add(3100)), 1, "it may have been lost")
+	logged(appends, a)
+	require.Len(t, reports(holderTick(a, end.Add(3200))), 1)
+	require.Empty(t, holderTick(a, end.Add(3300)))
+	require.Len(t, reports(holderTick(a, end.Add(4300))), 1, "no answer came")
+	a.Reported(first, messenger.DutyDone)
+	require.Empty(t, holderTick(a, end.Add(9000)))
+
+	late := newAccountant()
+	late.Began(begins, "agency")
+	require.Empty(t, holderTick(late, end.Add(10_100)))
+}
+
+// A peer's counts arrive again and again, crossed, and from two processes on
+// one VM. Each request counts once.
+func TestPeersCounts(t *testing.T) {
+	a := newAccountant()
+	a.Began(begins, "agency")
+	told := func(i identifier.Incarnation, n int) {
+		a.Told("entry-2", i, []messenger.UsageCount{
+			{
+				Window:  first,
+				Account: "agency",
+				Count:   n,
+			},
+		})
+	}
+	told(1, 4)
+	told(1, 3)
+	told(2, 2)
+	told(2, 2)
+	appends := holderTick(a, begins.Add(window+2000))
+	logged(appends, a)
+	report := reports(holderTick(a, begins.Add(window+2100)))
+	require.Equal(t, map[identifier.AccountID]int{"agency": 7}, report[0].Counts)
+}
+
+// A node tells its peers of the present window and those not yet reported.
+func TestOwn(t *testing.T) {
+	a := newAccountant()
+	a.Began(begins, "agency")
+	a.Began(begins.Add(window), "portal")
+	require.Equal(t, []messenger.UsageCount{
+		{
+			Window:  first,
+			Account: "agency",
+			Count:   1,
+		},
+		{
+			Window:  first + 1,
+			Account: "portal",
+			Count:   1,
+		},
+	}, a.Own(begins.Add(window)))
+	require.Empty(t, a.Own(begins.Add(10*window)))
+}
+
+func TestUnreadableRecordIsCounted(t *testing.T) {
+	a := newAccountant()
+	a.Absorb(messenger.LogRead{Records: []messenger.Record{{Data: []byte("{")}}})
+	require.Equal(t, 1, a.Ignored())
+}
--- a/internal/limiter/central.go
+++ b/internal/limiter/central.go
@@ -73,12 +73,14 @@
 	b.burst = b.part
 }
 
-// NewLocal returns the buckets of one of a number of nodes.
+// NewLocal returns the buckets of one of a number of nodes: see SetNodes.
 func NewLocal() *Buckets {
-	return &Buckets{
+	b := &Buckets{
 		start: localStart,
 		limit: map[identifier.AccountID]*limits{},
 	}
+	b.SetNodes(1, false)
+	return b
 }
 
 // SetNodes sets the number of nodes that share the local part, and whether this
@@ -114,15 +116,21 @@
 		l = &limits{at: now}
 		l.requests.begin(spec.RequestBurst * b.burst * b.start)
 		l.tokens.begin(spec.TokenBurst * b.burst * b.start)
+		b.set(l, spec)
 		b.limit[spec.ID] = l
 	}
 	passed := max(now.Sub(l.at), 0)
 	l.at = max(l.at, now)
 	l.requests.refill(passed)
 	l.tokens.refill(passed)
+	b.set(l, spec)
+	return l
+}
+
+// set gives an account's buckets their present rates and capacities.
+func (b *Buckets) set(l *limits, spec catalog.Account) {
 	l.requests.set(spec.RequestsPerSecond*b.part, max(spec.RequestBurst*b.burst, 1))
 	l.tokens.set(spec.TokensPerSecond*b.part, max(spec.TokenBurst*b.burst, 1))
-	return l
 }
 
 // Forget drops accounts that a catalog no longer names.
--- /dev/null
+++ b/internal/limiter/central_test.go
@@ -0,0 +1,217 @@
+package limiter_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+const (
+	grantStart timekeeper.Time = 1_000_000
+	grantNodes                 = 9
+	// The users judge windows of eight seconds, and tolerate a tenth and
+	// 140,000 tokens more than the limit.
+	judgedWindow    = 8 * timekeeper.Second
+	toleratedPart   = 1.1
+	toleratedTokens = 140_000
+)
+
+var heavyAccount = catalog.Account{
+	ID:              "agency",
+	TokensPerSecond: 150_000,
+	TokenBurst:      150_000,
+}
+
+// grants is nodes that grant one account as much as they may, over time.
+type grants struct {
+	now     timekeeper.Time
+	central *limiter.Buckets
+	local   []*limiter.Buckets
+	granted []float64 // by tick of 50 ms
+	// heardAll makes the central node take all nodes for heard.
+	heardAll bool
+}
+
+const grantTick = 50 * timekeeper.Millisecond
+
+func newGrants() *grants {
+	g := &grants{
+		now:     grantStart,
+		central: limiter.NewCentral(),
+	}
+	for range grantNodes {
+		g.local = append(g.local, limiter.NewLocal())
+	}
+	return g
+}
+
+// run lets time pass while every node is asked for far more than there is. The
+// first cut nodes neither hear the central node nor are heard by it; with
+// central false nobody grants centrally.
+func (g *grants) run(span timekeeper.Duration, cut int, central bool) {
+	const request = identifier.Tokens(6000)
+	for end := g.now.Add(span); g.now.Before(end); g.now = g.now.Add(grantTick) {
+		sum := 0.0
+		heard := grantNodes - cut
+		if g.heardAll {
+			heard = grantNodes
+		}
+		g.central.SetHeard(heard, grantNodes)
+		for i, local := range g.local {
+			alone := i < cut || !central
+			local.SetNodes(grantNodes, alone)
+			for range 4 {
+				_, ok := local.Take(g.now, heavyAccount, request)
+				if !ok && !alone {
+					_, ok = g.central.Take(g.now, heavyAccount, request)
+				}
+				if ok {
+					sum += float64(request)
+				}
+			}
+		}
+		g.granted = append(g.granted, sum)
+	}
+}
+
+// most returns the most that was granted in any judged window.
+func (g *grants) most() float64 {
+	ticks := int(judgedWindow / grantTick)
+	most := 0.0
+	for from := range g.granted {
+		sum := 0.0
+		for _, n := range g.granted[from:min(from+ticks, len(g.granted))] {
+			sum += n
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+func tolerated() float64 {
+	limit := heavyAccount.TokensPerSecond*judgedWindow.Seconds() + heavyAccount.TokenBurst
+	return limit*toleratedPart + toleratedTokens
+}
+
+// An account asks for many times its limit, while nodes are cut off from the
+// node that grants centrally, that node dies and another takes over, and all
+// nodes are killed at once. In no window may the nodes together grant more than
+// the users tolerate, and an account that asks must get about its limit.
+func TestSumOfGrants(t *testing.T) {
+	tests := []struct {
+		name string
+		play func(*grants)
+	}{
+		{
+			name: "all calm",
+			play: func(g *grants) { g.run(30*timekeeper.Second, 0, true) },
+		},
+		{
+			name: "a third cut off and back",
+			play: func(g *grants) {
+				g.run(10*timekeeper.Second, 0, true)
+				g.run(10*timekeeper.Second, 3, true)
+				g.run(10*timekeeper.Second, 0, true)
+			},
+		},
+		{
+			name: "all but one cut off",
+			play: func(g *grants) {
+				g.run(10*timekeeper.Second, 0, true)
+				g.run(10*timekeeper.Second, grantNodes-1, true)
+			},
+		},
+		{
+			name: "another node takes over",
+			play: func(g *grants) {
+				g.run(10*timekeeper.Second, 0, true)
+				g.run(3*timekeeper.Second, 0, false)
+				g.central = limiter.NewCentral()
+				g.run(10*timekeeper.Second, 0, true)
+			},
+		},
+		{
+			name: "handed on at once",
+			play: func(g *grants) {
+				g.run(10*timekeeper.Second, 0, true)
+				g.central = limiter.NewCentral()
+				g.run(10*timekeeper.Second, 0, true)
+			},
+		},
+		{
+			name: "all killed at once",
+			play: func(g *grants) {
+				g.run(10*timekeeper.Second, 0, true)
+				for i := range g.local {
+					g.local[i] = limiter.NewLocal()
+				}
+				g.run(4*timekeeper.Second, 0, false)
+				g.central = limiter.NewCentral()
+				g.run(10*timekeeper.Second, 0, true)
+			},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := newGrants()
+			test.play(g)
+			require.LessOrEqual(t, g.most(), tolerated())
+			require.GreaterOrEqual(t, g.most(), heavyAccount.TokensPerSecond*judgedWindow.Seconds())
+		})
+	}
+}
+
+// The central node grants its whole part while nodes that it does not hear of
+// grant alone. The sum is then above what the users tolerate, so that the test
+// above would notice.
+func TestSumOfGrantsWithoutTakingOff(t *testing.T) {
+	g := newGrants()
+	g.heardAll = true
+	g.run(10*timekeeper.Second, 0, true)
+	g.run(10*timekeeper.Second, 5, true)
+	require.Greater(t, g.most(), tolerated())
+}
+
+// An account within its limit sends requests that are larger than any node's
+// equal share of a second. None of them may be refused.
+func TestAccountWithinItsLimit(t *testing.T) {
+	small := catalog.Account{
+		ID:              "ferry",
+		TokensPerSecond: 36_000,
+		TokenBurst:      36_000,
+	}
+	central := limiter.NewCentral()
+	local := limiter.NewLocal()
+	local.SetNodes(grantNodes, false)
+	now := grantStart
+	for range 40 {
+		_, ok := local.Take(now, small, 12_000)
+		if !ok {
+			_, ok = central.Take(now, small, 12_000)
+		}
+		require.True(t, ok)
+		now = now.Add(500) // two thirds of the limit
+	}
+}
+
+// What a catalog no longer names is forgotten, and a refusal says when coming
+// back makes sense.
+func TestRefusedGrant(t *testing.T) {
+	local := limiter.NewLocal()
+	local.SetNodes(1, true)
+	_, ok := local.Take(grantStart, heavyAccount, 400_000)
+	require.True(t, ok, "a bucket that is not empty goes into debt")
+	after, ok := local.Take(grantStart, heavyAccount, 1)
+	require.False(t, ok)
+	require.Positive(t, after)
+	_, ok = local.Take(grantStart.Add(after), heavyAccount, 1)
+	require.True(t, ok)
+	local.Forget(&catalog.Catalog{})
+	_, ok = local.Take(grantStart.Add(after), heavyAccount, 1)
+	require.True(t, ok)
+}
--- /dev/null
+++ b/internal/registrar/registrar_test.go
@@ -0,0 +1,158 @@
+package registrar_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/registrar"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+const start timekeeper.Time = 1_000_000
+
+func entry(id identifier.VMID, offset identifier.Offset, state messenger.ServerState) messenger.PublishedServer {
+	e := messenger.PublishedServer{
+		Server: id,
+		Offset: offset,
+		State:  state,
+	}
+	if state != messenger.ServerRemoved {
+		e.Service = "reader"
+		e.Address = "10.0.0.1:80"
+		e.Zone = "boston-a"
+	}
+	return e
+}
+
+func states(t *registrar.Table) map[identifier.VMID]messenger.ServerState {
+	out := map[identifier.VMID]messenger.ServerState{}
+	for _, s := range t.Of("reader") {
+		out[s.Server] = s.State
+	}
+	return out
+}
+
+// The same entries reach two nodes over different paths, in another order and
+// more than once. Both must come to the same table, or they send requests to
+// different servers for good.
+func TestOrderAndRepetitionDoNotMatter(t *testing.T) {
+	entries := []messenger.PublishedServer{
+		entry("i-1", 1, messenger.ServerReady),
+		entry("i-2", 2, messenger.ServerReady),
+		entry("i-1", 3, messenger.ServerLeaving),
+		entry("i-2", 4, messenger.ServerRemoved),
+		entry("i-3", 5, messenger.ServerReady),
+	}
+	forward, backward := registrar.New(), registrar.New()
+	forward.Read(start, entries, false)
+	for i := len(entries) - 1; i >= 0; i-- {
+		backward.Told(start, start, entries[i:i+1])
+		backward.Told(start, start, entries[i:])
+	}
+	want := map[identifier.VMID]messenger.ServerState{
+		"i-1": messenger.ServerLeaving,
+		"i-3": messenger.ServerReady,
+	}
+	require.Equal(t, want, states(forward))
+	require.Equal(t, want, states(backward))
+}
+
+// A server told of its end, and a record from before that comes late, with a
+// larger offset. New work to it would be cut off.
+func TestLeavingIsFinal(t *testing.T) {
+	table := registrar.New()
+	table.Read(start, []messenger.PublishedServer{entry("i-1", 1, messenger.ServerLeaving)}, false)
+	changed := table.Read(start, []messenger.PublishedServer{entry("i-1", 2, messenger.ServerReady)}, false)
+	require.Empty(t, changed)
+	require.Equal(t, messenger.ServerLeaving, states(table)["i-1"])
+}
+
+// The store was away, dropped the entries of servers that could not renew them,
+// and has them back a second after its return. Had the node taken the servers
+// for gone, it would have refused every request meanwhile.
+func TestEntriesThatLapsedWithTheStoreAway(t *testing.T) {
+	tests := []struct {
+		name string
+		away timekeeper.Duration
+		back bool
+		// gone tells whether the server is out of the table at once, and
+		// goneAtLast whether it is after the grace.
+		gone       bool
+		goneAtLast bool
+	}{
+		{
+			name:       "no outage",
+			away:       400,
+			gone:       true,
+			goneAtLast: true,
+		},
+		{
+			name: "outage, and the entry is back",
+			away: 5000,
+			back: true,
+		},
+		{
+			name:       "outage, and the server is gone",
+			away:       5000,
+			goneAtLast: true,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			table := registrar.New()
+			table.Read(start, []messenger.PublishedServer{entry("i-1", 1, messenger.ServerReady)}, true)
+			now := start.Add(test.away)
+			table.Read(now, []messenger.PublishedServer{entry("i-1", 2, messenger.ServerRemoved)}, false)
+			require.Equal(t, test.gone, len(table.Of("reader")) == 0)
+			if test.back {
+				table.Read(now.Add(1000), []messenger.PublishedServer{entry("i-1", 3, messenger.ServerReady)}, false)
+			}
+			table.Tick(now.Add(2500))
+			require.Equal(t, test.goneAtLast, len(table.Of("reader")) == 0)
+		})
+	}
+}
+
+// A node fell behind what the store keeps and reads the whole anew: a server
+// whose removal it missed must go, one that only a peer told of, with a newer
+// record than the whole shows, must stay.
+func TestWholeReadShowsWhatIsMissing(t *testing.T) {
+	table := registrar.New()
+	table.Read(start, []messenger.PublishedServer{
+		entry("i-1", 1, messenger.ServerReady),
+		entry("i-2", 2, messenger.ServerReady),
+	}, true)
+	table.Told(start, start, []messenger.PublishedServer{entry("i-3", 9, messenger.ServerReady)})
+	table.Read(start.Add(400), []messenger.PublishedServer{entry("i-2", 7, messenger.ServerReady)}, true)
+	require.Equal(t, map[identifier.VMID]messenger.ServerState{
+		"i-2": messenger.ServerReady,
+		"i-3": messenger.ServerReady,
+	}, states(table))
+}
+
+// What a node knows is as old as the freshest path it came by.
+func TestAsOf(t *testing.T) {
+	table := registrar.New()
+	table.Read(start, nil, true)
+	table.Told(start.Add(500), start.Add(300), nil)
+	require.Equal(t, start.Add(300), table.AsOf())
+	table.Told(start.Add(600), start.Add(100), nil)
+	require.Equal(t, start.Add(300), table.AsOf())
+	require.Equal(t, start, table.ReadAt())
+}
+
+func TestChangedSince(t *testing.T) {
+	table := registrar.New()
+	table.Read(start, []messenger.PublishedServer{entry("i-1", 1, messenger.ServerReady)}, true)
+	table.Read(start.Add(400), []messenger.PublishedServer{
+		entry("i-1", 2, messenger.ServerReady),
+		entry("i-2", 3, messenger.ServerReady),
+	}, false)
+	changed := table.ChangedSince(start)
+	require.Len(t, changed, 1)
+	require.Equal(t, identifier.VMID("i-2"), changed[0].Server)
+	require.Len(t, table.All(), 2)
+}
