--- a/cmd/dotterelhollow/gateway.go
+++ b/cmd/dotterelhollow/gateway.go
@@ -44,6 +44,7 @@
 	clock     timekeeper.Clock
 	runner    *runner.Runner
 	forwarder *forwarder.Forwarder
+	metrics   *forwarder.Metrics
 	ports     []*gatewayPort
 	closers   []func()
 }
@@ -62,7 +63,10 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	return newGateway(path, s).serve(context.Background(), signals)
+	g := newGateway(path, s)
+	expvar.Publish("dotterelhollow", g.runner.Metrics().Var())
+	expvar.Publish("exchanges", g.metrics.Var())
+	return g.serve(context.Background(), signals)
 }
 
 func newGateway(path string, s *starter.Settings) *gateway {
@@ -120,18 +124,16 @@
 		CloseListeners: g.closeCallers,
 		Limits:         runner.Limits{ListEvery: listPause},
 	})
-	metrics := forwarder.NewMetrics()
+	g.metrics = forwarder.NewMetrics()
 	g.forwarder = forwarder.New(forwarder.Config{
 		Decider:  g.runner,
 		Protocol: platform.Protocol{},
 		Clock:    g.clock,
 		Logger:   g.logger,
-		Metrics:  metrics,
+		Metrics:  g.metrics,
 		MaxBody:  g.runner.MaxBody,
 	})
 	g.closers = []func(){store.Close, cloud.Close, peers.Close, g.forwarder.Close}
-	expvar.Publish("dotterelhollow", g.runner.Metrics().Var())
-	expvar.Publish("exchanges", metrics.Var())
 	g.ports = g.portsOf(line)
 	return g
 }
--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -14,7 +14,7 @@
 	// retryPercent is the share of requests that may be sent once more. The
 	// users' bound is 20 in 100 over all nodes; the rest is room for nodes
 	// whose requests are few and for what a resumed stream needs.
-	retryPercent = 12
+	retryPercent = 15
 	// soon is when a refused caller may come back where nothing better is
 	// known: by then peers' news has reached this node, and other callers are
 	// spread over as long again.
--- /dev/null
+++ b/internal/forwarder/forwarder_test.go
@@ -0,0 +1,661 @@
+package forwarder_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/forwarder"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// script is a decider that sends an exchange to the given servers in turn and
+// notes what it is told.
+type script struct {
+	servers []string
+	route   catalog.Route
+	// first and next bound a server's silence.
+	first    timekeeper.Duration
+	next     timekeeper.Duration
+	patience timekeeper.Duration
+	refusal  *messenger.Refusal
+
+	mu      sync.Mutex
+	specs   []messenger.ExchangeSpec
+	ends    []messenger.ExchangeAttemptEnded
+	ended   chan messenger.ExchangeEnded
+	began   int
+	attempt int
+}
+
+func newScript(servers ...string) *script {
+	return &script{
+		servers:  servers,
+		patience: 5 * timekeeper.Second,
+		ended:    make(chan messenger.ExchangeEnded, 16),
+	}
+}
+
+func (s *script) Receive(_ context.Context, spec messenger.ExchangeSpec) messenger.Effect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.specs = append(s.specs, spec)
+	if s.refusal != nil {
+		return messenger.RefuseExchange{
+			Exchange: spec.Exchange,
+			Refusal:  *s.refusal,
+		}
+	}
+	return s.send(spec.Exchange)
+}
+
+func (s *script) send(id identifier.ExchangeID) messenger.Effect {
+	if s.attempt >= len(s.servers) {
+		return messenger.EndExchange{
+			Exchange: id,
+			Reason:   messenger.ReasonServerFailed,
+		}
+	}
+	s.attempt++
+	return messenger.SendExchange{
+		Exchange:     id,
+		Attempt:      identifier.AttemptNumber(s.attempt),
+		Server:       "i-1",
+		Address:      s.servers[s.attempt-1],
+		Account:      "agency",
+		Route:        &s.route,
+		Deadline:     timekeeper.System{}.Now().Add(s.patience),
+		FirstSilence: s.first,
+		NextSilence:  s.next,
+	}
+}
+
+func (s *script) Began(context.Context, messenger.ExchangeBegan) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.began++
+}
+
+func (s *script) AttemptEnded(_ context.Context, e messenger.ExchangeAttemptEnded) messenger.Effect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ends = append(s.ends, e)
+	return s.send(e.Exchange)
+}
+
+func (s *script) Ended(e messenger.ExchangeEnded) { s.ended <- e }
+
+func (s *script) results() []messenger.AttemptResult {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []messenger.AttemptResult
+	for _, e := range s.ends {
+		out = append(out, e.Result)
+	}
+	return out
+}
+
+// plainProtocol has names of its own, so that the tests show that the
+// forwarder knows none.
+type plainProtocol struct{}
+
+func (plainProtocol) ReadHead(r *http.Request) (forwarder.Head, error) {
+	if r.Header.Get("Id") == "" {
+		return forwarder.Head{}, errors.New("no id")
+	}
+	return forwarder.Head{
+		Request:   identifier.RequestID(r.Header.Get("Id")),
+		LastEvent: r.Header.Get("After"),
+	}, nil
+}
+
+func (plainProtocol) WriteHead(h http.Header, s messenger.SendExchange, _ timekeeper.Duration, lastEvent string) {
+	h.Set("Account", string(s.Account))
+	if lastEvent != "" {
+		h.Set("After", lastEvent)
+	}
+}
+
+func (plainProtocol) ReadReply(_ int, h http.Header) forwarder.Reply {
+	return forwarder.Reply{
+		Request: identifier.RequestID(h.Get("Id")),
+		NotRun:  h.Get("Not-Run") != "",
+		Signed:  h.Get("Signature") != "",
+	}
+}
+
+func (plainProtocol) WriteRetryAfter(h http.Header, d timekeeper.Duration) {
+	h.Set("Again", strconv.FormatInt(int64(d), 10))
+}
+
+// front serves a script and returns its address.
+func front(t *testing.T, s *script) string {
+	t.Helper()
+	f := forwarder.New(forwarder.Config{
+		Decider:  s,
+		Protocol: plainProtocol{},
+		Clock:    timekeeper.System{},
+		MaxBody:  func() identifier.Bytes { return 1 << 10 },
+	})
+	server := httptest.NewUnstartedServer(f)
+	server.Config = f.Server()
+	server.Start()
+	t.Cleanup(server.Close)
+	t.Cleanup(f.Close)
+	return server.Listener.Addr().String()
+}
+
+// backend serves a handler and returns its address.
+func backend(t *testing.T, h http.HandlerFunc) string {
+	t.Helper()
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// raw is a server that writes bytes of its own after it has read a request.
+func raw(t *testing.T, answer func(net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					answer(c)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func signed(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Signature", "s")
+	w.Header().Set("Id", r.Header.Get("Id"))
+}
+
+func request(t *testing.T, method, target string, body io.Reader) *http.Request {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), method, target, body)
+	require.NoError(t, err)
+	r.Header.Set("Id", "r-1")
+	return r
+}
+
+// got is an answer, and the error that ended its body.
+type got struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func do(t *testing.T, r *http.Request) got {
+	t.Helper()
+	client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
+	defer client.CloseIdleConnections()
+	response, err := client.Do(r)
+	if err != nil {
+		return got{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return got{
+		status: response.StatusCode,
+		header: response.Header,
+		body:   string(body),
+		err:    err,
+	}
+}
+
+// What a server gets is what the caller sent, to the byte, but for what
+// concerns one connection only; and so is the answer.
+func TestPassesThrough(t *testing.T) {
+	var seen *http.Request
+	var seenBody []byte
+	server := backend(t, func(w http.ResponseWriter, r *http.Request) {
+		seen = r
+		seenBody, _ = io.ReadAll(r.Body)
+		signed(w, r)
+		w.Header().Set("X-Own", "kept")
+		w.WriteHeader(http.StatusCreated)
+		_, _ = w.Write([]byte("answer"))
+	})
+	s := newScript(server)
+	r := request(t, http.MethodPut, "http://"+front(t, s)+"/a%2Fb/../c?x=1&y=%20", strings.NewReader("body"))
+	r.Host = "api.example"
+	r.Header.Set("X-Caller", "kept")
+	r.Header.Set("Connection", "X-Hop")
+	r.Header.Set("X-Hop", "dropped")
+	answer := do(t, r)
+	require.NoError(t, answer.err)
+	require.Equal(t, http.StatusCreated, answer.status)
+	require.Equal(t, "answer", answer.body)
+	require.Equal(t, "kept", answer.header.Get("X-Own"))
+	require.Equal(t, "s", answer.header.Get("Signature"))
+	require.Equal(t, http.MethodPut, seen.Method)
+	require.Equal(t, "/a%2Fb/../c?x=1&y=%20", seen.RequestURI)
+	require.Equal(t, "api.example", seen.Host)
+	require.Equal(t, "body", string(seenBody))
+	require.Equal(t, "kept", seen.Header.Get("X-Caller"))
+	require.Equal(t, "agency", seen.Header.Get("Account"))
+	require.NotContains(t, seen.Header, "X-Hop")
+	require.NotContains(t, seen.Header, "Accept-Encoding")
+	require.Equal(t, "/a%2Fb/../c", s.specs[0].Path)
+	require.Equal(t, messenger.AttemptComplete, (<-s.ended).Result)
+	require.Equal(t, 1, s.began)
+}
+
+// Ends of attempts as the decider must hear of them: what it takes for not run
+// may be sent again, so a wrong word books a slot twice.
+func TestEndsOfAttempts(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, closed.Close())
+	tests := []struct {
+		name   string
+		server func(t *testing.T) string
+		want   messenger.AttemptResult
+		status int
+	}{
+		{
+			name:   "nothing listens",
+			server: func(*testing.T) string { return closed.Addr().String() },
+			want:   messenger.AttemptNotSent,
+			status: http.StatusBadGateway,
+		},
+		{
+			name: "the server says that it did not run it",
+			server: func(t *testing.T) string {
+				return backend(t, func(w http.ResponseWriter, _ *http.Request) {
+					w.Header().Set("Not-Run", "1")
+					w.WriteHeader(http.StatusServiceUnavailable)
+				})
+			},
+			want:   messenger.AttemptRefused,
+			status: http.StatusBadGateway,
+		},
+		{
+			name: "the connection closes without an answer",
+			server: func(t *testing.T) string {
+				return raw(t, func(net.Conn) {})
+			},
+			want:   messenger.AttemptBroken,
+			status: http.StatusBadGateway,
+		},
+		{
+			name: "bytes that are no answer",
+			server: func(t *testing.T) string {
+				return raw(t, func(c net.Conn) { _, _ = c.Write([]byte("garbage\r\n\r\n")) })
+			},
+			want:   messenger.AttemptBroken,
+			status: http.StatusBadGateway,
+		},
+		{
+			name: "a body shorter than it says",
+			server: func(t *testing.T) string {
+				return raw(t, func(c net.Conn) {
+					_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 100\r\n\r\nshort"))
+				})
+			},
+			want:   messenger.AttemptBroken,
+			status: http.StatusBadGateway,
+		},
+		{
+			name: "the answer of another request",
+			server: func(t *testing.T) string {
+				return backend(t, func(w http.ResponseWriter, r *http.Request) {
+					signed(w, r)
+					w.Header().Set("Id", "r-0")
+				})
+			},
+			want:   messenger.AttemptBroken,
+			status: http.StatusBadGateway,
+		},
+		{
+			name: "a success without a signature",
+			server: func(t *testing.T) string {
+				return backend(t, func(http.ResponseWriter, *http.Request) {})
+			},
+			want:   messenger.AttemptBroken,
+			status: http.StatusBadGateway,
+		},
+		{
+			name: "the server failed, and its answer is passed on",
+			server: func(t *testing.T) string {
+				return backend(t, func(w http.ResponseWriter, r *http.Request) {
+					signed(w, r)
+					w.WriteHeader(http.StatusInsufficientStorage)
+				})
+			},
+			want:   messenger.AttemptFailed,
+			status: http.StatusInsufficientStorage,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newScript(test.server(t))
+			answer := do(t, request(t, http.MethodGet, "http://"+front(t, s)+"/", nil))
+			require.NoError(t, answer.err)
+			require.Equal(t, test.status, answer.status)
+			require.Equal(t, []messenger.AttemptResult{test.want}, s.results())
+		})
+	}
+}
+
+// A connection that was kept closes as the next request arrives on it. The
+// library would send a request without a body once more by itself, which for a
+// booking is once too often.
+func TestLibraryRepeatsNothing(t *testing.T) {
+	var mu sync.Mutex
+	requests := 0
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				in := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					if _, err := http.ReadRequest(in); err != nil {
+						return
+					}
+					mu.Lock()
+					requests++
+					mu.Unlock()
+					if n > 0 {
+						return
+					}
+					_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 0\r\n\r\n"))
+				}
+			}()
+		}
+	}()
+	address := l.Addr().String()
+	s := newScript(address, address)
+	at := front(t, s)
+	require.Equal(t, http.StatusOK, do(t, request(t, http.MethodGet, "http://"+at+"/", nil)).status)
+	s.servers = s.servers[:2]
+	require.Equal(t, http.StatusBadGateway, do(t, request(t, http.MethodGet, "http://"+at+"/", nil)).status)
+	require.Equal(t, []messenger.AttemptResult{messenger.AttemptBroken}, s.results())
+	mu.Lock()
+	defer mu.Unlock()
+	require.Equal(t, 2, requests)
+}
+
+// A model engine dies in the middle of an event. The caller must get each event
+// once, whole and in order: another server goes on behind the last whole one,
+// and what it says again is left out.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	first := raw(t, func(c net.Conn) {
+		_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nSignature: first\r\nContent-Type: text/event-stream\r\n\r\n"+
+			"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda")
+	})
+	var after string
+	second := backend(t, func(w http.ResponseWriter, r *http.Request) {
+		after = r.Header.Get("After")
+		signed(w, r)
+		_, _ = fmt.Fprint(w, "id: 2\ndata: b\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n")
+	})
+	s := newScript(first, second)
+	s.route.Stream = true
+	answer := do(t, request(t, http.MethodPost, "http://"+front(t, s)+"/", strings.NewReader("prompt")))
+	require.NoError(t, answer.err)
+	require.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n", answer.body)
+	require.Equal(t, "first", answer.header.Get("Signature"), "the answer keeps the head of its first server")
+	require.Equal(t, "2", after)
+	require.Equal(t, messenger.AttemptComplete, (<-s.ended).Result)
+	require.True(t, s.ends[0].Streaming)
+}
+
+// Nobody may go on with a stream that broke off. The caller must see that it is
+// not whole, or it takes half a report for a whole one.
+func TestTornStreamDoesNotLookWhole(t *testing.T) {
+	first := raw(t, func(c net.Conn) {
+		_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nSignature: s\r\n\r\nid: 1\ndata: a\n\nid: 2\nda")
+	})
+	s := newScript(first)
+	s.route.Stream = true
+	answer := do(t, request(t, http.MethodGet, "http://"+front(t, s)+"/", nil))
+	require.Equal(t, http.StatusOK, answer.status)
+	require.Equal(t, "id: 1\ndata: a\n\n", answer.body)
+	require.Error(t, answer.err)
+}
+
+// A server says nothing, or stops saying anything, while its connection stays
+// open. Another takes over after the bound.
+func TestSilentServer(t *testing.T) {
+	tests := []struct {
+		name   string
+		before string
+	}{
+		{
+			name: "before the first event",
+		},
+		{
+			name:   "between events",
+			before: "id: 1\ndata: a\n\n",
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			silent := backend(t, func(w http.ResponseWriter, r *http.Request) {
+				signed(w, r)
+				_, _ = io.WriteString(w, test.before)
+				_ = http.NewResponseController(w).Flush()
+				<-r.Context().Done()
+			})
+			second := backend(t, func(w http.ResponseWriter, r *http.Request) {
+				signed(w, r)
+				_, _ = io.WriteString(w, "id: 2\ndata: b\n\n")
+			})
+			s := newScript(silent, second)
+			s.route.Stream = true
+			s.first = 100
+			s.next = 100
+			answer := do(t, request(t, http.MethodGet, "http://"+front(t, s)+"/", nil))
+			require.NoError(t, answer.err)
+			require.Equal(t, test.before+"id: 2\ndata: b\n\n", answer.body)
+			require.Equal(t, []messenger.AttemptResult{messenger.AttemptSilent}, s.results())
+		})
+	}
+}
+
+// The caller's time, or its route's, is over. It hears so at once, and the
+// server's work ends.
+func TestDeadline(t *testing.T) {
+	stopped := make(chan struct{})
+	server := backend(t, func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(stopped)
+	})
+	s := newScript(server)
+	s.patience = 100
+	answer := do(t, request(t, http.MethodGet, "http://"+front(t, s)+"/", nil))
+	require.Equal(t, http.StatusGatewayTimeout, answer.status)
+	<-stopped
+	require.Equal(t, messenger.AttemptSilent, (<-s.ended).Result)
+}
+
+// The caller leaves in the middle. The server must not go on working for it.
+func TestCallerLeaves(t *testing.T) {
+	arrived, stopped := make(chan struct{}), make(chan struct{})
+	server := backend(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		<-r.Context().Done()
+		close(stopped)
+	})
+	s := newScript(server)
+	ctx, leave := context.WithCancel(t.Context())
+	r := request(t, http.MethodGet, "http://"+front(t, s)+"/", nil).WithContext(ctx)
+	go func() {
+		<-arrived
+		leave()
+	}()
+	require.Error(t, do(t, r).err)
+	<-stopped
+	require.Empty(t, (<-s.ended).Result)
+}
+
+// What is refused before anything is decided, and how a refusal reads.
+func TestRefusedRequests(t *testing.T) {
+	tests := []struct {
+		name    string
+		refusal *messenger.Refusal
+		raw     string
+		status  string
+		again   string
+	}{
+		{
+			name:   "no id",
+			raw:    "GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+			status: "400",
+		},
+		{
+			name:   "a body that is too long",
+			raw:    "POST / HTTP/1.1\r\nHost: a\r\nId: r\r\nContent-Length: 2000\r\n\r\n",
+			status: "413",
+		},
+		{
+			name: "a body in pieces that is too long",
+			raw: "POST / HTTP/1.1\r\nHost: a\r\nId: r\r\nTransfer-Encoding: chunked\r\n\r\n" +
+				"800\r\n" + strings.Repeat("x", 0x800) + "\r\n0\r\n\r\n",
+			status: "413",
+		},
+		{
+			name:   "half a body",
+			raw:    "POST / HTTP/1.1\r\nHost: a\r\nId: r\r\nContent-Length: 20\r\n\r\nhalf",
+			status: "400",
+		},
+		{
+			name:   "two lengths",
+			raw:    "POST / HTTP/1.1\r\nHost: a\r\nId: r\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+			status: "400",
+		},
+		{
+			name:    "unknown route",
+			refusal: &messenger.Refusal{Reason: messenger.ReasonUnknownRoute},
+			raw:     "GET / HTTP/1.1\r\nHost: a\r\nId: r\r\n\r\n",
+			status:  "404",
+		},
+		{
+			name:    "unknown key",
+			refusal: &messenger.Refusal{Reason: messenger.ReasonUnknownKey},
+			raw:     "GET / HTTP/1.1\r\nHost: a\r\nId: r\r\n\r\n",
+			status:  "401",
+		},
+		{
+			name: "over the limit",
+			refusal: &messenger.Refusal{
+				Reason:     messenger.ReasonAccountLimit,
+				RetryAfter: 300,
+			},
+			raw:    "GET / HTTP/1.1\r\nHost: a\r\nId: r\r\n\r\n",
+			status: "429",
+			again:  "300",
+		},
+		{
+			name: "no server",
+			refusal: &messenger.Refusal{
+				Reason:     messenger.ReasonNoServer,
+				RetryAfter: 700,
+			},
+			raw:    "GET / HTTP/1.1\r\nHost: a\r\nId: r\r\n\r\n",
+			status: "503",
+			again:  "700",
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			reached := false
+			server := backend(t, func(http.ResponseWriter, *http.Request) { reached = true })
+			s := newScript(server)
+			s.refusal = test.refusal
+			c, err := net.Dial("tcp", front(t, s))
+			require.NoError(t, err)
+			defer func() { _ = c.Close() }()
+			_, err = io.WriteString(c, test.raw)
+			require.NoError(t, err)
+			require.NoError(t, c.(*net.TCPConn).CloseWrite())
+			require.NoError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+			response, err := http.ReadResponse(bufio.NewReader(c), nil)
+			require.NoError(t, err)
+			require.Equal(t, test.status, strconv.Itoa(response.StatusCode))
+			require.Equal(t, test.again, response.Header.Get("Again"))
+			require.False(t, reached)
+		})
+	}
+}
+
+// A second request hides behind the body of the first, by two contradicting
+// lengths. Only one may reach a server, with one body.
+func TestSmuggledRequest(t *testing.T) {
+	var mu sync.Mutex
+	var ids []string
+	server := backend(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		mu.Lock()
+		ids = append(ids, r.Header.Get("Id")+":"+string(body))
+		mu.Unlock()
+		signed(w, r)
+	})
+	s := newScript(server, server)
+	c, err := net.Dial("tcp", front(t, s))
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	hidden := "GET /hidden HTTP/1.1\r\nHost: a\r\nId: hidden\r\n\r\n"
+	_, err = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: a\r\nId: r\r\nContent-Length: %d\r\n"+
+		"Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n3\r\nabc\r\n0\r\n\r\n%s", 13+len(hidden), hidden)
+	require.NoError(t, err)
+	_, _ = io.ReadAll(c)
+	mu.Lock()
+	defer mu.Unlock()
+	for _, id := range ids {
+		require.Equal(t, "r:abc", id)
+	}
+}
+
+// A leaving node makes callers use other connections.
+func TestLeavingClosesConnections(t *testing.T) {
+	server := backend(t, signed)
+	s := newScript(server)
+	f := forwarder.New(forwarder.Config{
+		Decider:  s,
+		Protocol: plainProtocol{},
+		Clock:    timekeeper.System{},
+	})
+	f.Leave()
+	recorder := httptest.NewRecorder()
+	r := httptest.NewRequest(http.MethodGet, "/", nil)
+	r.Header.Set("Id", "r-1")
+	f.ServeHTTP(recorder, r)
+	require.Equal(t, http.StatusOK, recorder.Code)
+	require.Equal(t, "close", recorder.Header().Get("Connection"))
+}
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -159,9 +159,9 @@
 // Share is what a node tells its peers beside the gossip of membership.
 type Share struct {
 	Incarnation identifier.Incarnation
-	// Servers are entries that changed lately; with All set they are all.
+	// Servers are entries that changed lately, or all for a peer that may know
+	// none.
 	Servers []PublishedServer
-	All     bool
 	// ServersAge is how old the sender's knowledge of the entries is.
 	ServersAge timekeeper.Duration
 	// ConfigurationAge is how long ago the sender knew that no configuration
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -28,11 +28,10 @@
 	gatewayMaxHoldOff = 8 * timekeeper.Second
 	gatewayProbeTime  = 3 * timekeeper.Second
 	gatewayProbes     = 2
-	// gatewayRetryFloor is the retries of a service with little traffic at one
-	// node, earned back in ten times gatewayRetryEvery. At nine nodes these are
-	// 27 of the 52 in ten seconds that the users allow beyond a share.
-	gatewayRetryFloor = 3
-	gatewayRetryEvery = 3300 * timekeeper.Millisecond
+	// retryFloor is the retries of a service in retryWindow, of all nodes
+	// together, beyond a share of its requests. The users allow 52 and more.
+	retryFloor  = 40
+	retryWindow = 10 * timekeeper.Second
 
 	// dutyLease is the lease of all duties.
 	dutyLease leaser.Name = "duties"
@@ -62,6 +61,9 @@
 
 	// shareEachTime is the spacing of the shares to each peer.
 	shareEachTime = 500 * timekeeper.Millisecond
+	// newcomerTime is for how long a peer that joined or came back is told all
+	// entries: it may not reach the store, and would know no server.
+	newcomerTime = 2 * timekeeper.Second
 	// shareWindow is for how long a changed entry is told again: each peer
 	// hears of it four times.
 	shareWindow = 2 * timekeeper.Second
@@ -105,11 +107,7 @@
 }
 
 func (*GatewayConfig) budgets() retrier.Config {
-	return retrier.Config{
-		Rules:      retrier.AllRules(),
-		Floor:      gatewayRetryFloor,
-		FloorEvery: gatewayRetryEvery,
-	}
+	return retrier.Config{Rules: retrier.AllRules()}
 }
 
 // gateway is the part of the state that opaque exchanges need.
@@ -140,6 +138,9 @@
 	nextShare timekeeper.Time
 	nextPlan  timekeeper.Time
 	nextFetch timekeeper.Time
+	// newcomers are the peers that joined or came back lately, with the
+	// instant until which they are told all entries.
+	newcomers map[identifier.VMID]timekeeper.Time
 	draining  bool
 	leaveAt   timekeeper.Time
 	exiting   bool
@@ -152,6 +153,7 @@
 		self:        c.Self,
 		incarnation: c.Incarnation,
 		servers:     registrar.New(),
+		newcomers:   map[identifier.VMID]timekeeper.Time{},
 		exchanges: dispatcher.New(dispatcher.Config{
 			Self: c.Self,
 			Zone: c.Zone,
@@ -410,11 +412,14 @@
 	return out
 }
 
-// shareGrants sets this node's parts of the accounts' limits by whom it hears.
+// shareGrants sets this node's parts of the accounts' limits and of the retries
+// by whom it hears.
 func (r *Reducer) shareGrants(w *conductor.World) {
 	g := r.gateway
 	nodes := r.members.Count(w.Now, cutMemory)
 	_, _, held := g.leases.Held(dutyLease, w.Now)
+	floor := retryFloor / float64(nodes)
+	r.budgets.SetFloor(floor, timekeeper.Duration(float64(retryWindow)/floor))
 	g.local.SetNodes(nodes, !held && w.Now.Sub(g.granterHeard) > granterAge)
 	if g.central != nil {
 		g.central.SetHeard(1+g.exchanges.Heard(w.Now, granteeAge), nodes)
@@ -431,11 +436,18 @@
 	r.rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	var out []messenger.Effect
 	for _, p := range peers[:min(sharePeers, len(peers))] {
-		out = append(out, messenger.SendShare{
+		send := messenger.SendShare{
 			Peer:    p.VM,
 			Address: p.PeerAddress,
 			Share:   share,
-		})
+		}
+		if until, ok := g.newcomers[p.VM]; ok {
+			send.Share.Servers = g.servers.All()
+			if !w.Now.Before(until) {
+				delete(g.newcomers, p.VM)
+			}
+		}
+		out = append(out, send)
 	}
 	return out
 }
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -58,7 +58,11 @@
 
 func (r *Reducer) memberChanged(w *conductor.World, ch gossiper.Change) []messenger.Effect {
 	if r.gateway != nil && ch.Kind != gossiper.NodeOutdated {
-		return nil // Nothing of an opaque exchange stands with another node.
+		// Nothing of an opaque exchange stands with another node.
+		if ch.Kind == gossiper.NodeJoined || ch.Kind == gossiper.NodeAlive {
+			r.gateway.newcomers[ch.VM] = w.Now.Add(newcomerTime)
+		}
+		return nil
 	}
 	switch ch.Kind {
 	case gossiper.NodeLeaving:
--- a/internal/retrier/budget.go
+++ b/internal/retrier/budget.go
@@ -51,6 +51,13 @@
 	return int(b.service(now, service).balance)
 }
 
+// SetFloor sets the number of retries that a service with little traffic may
+// make at once, and the time in which it gets one back.
+func (b *Budgets) SetFloor(floor float64, every timekeeper.Duration) {
+	b.config.Floor = floor
+	b.config.FloorEvery = every
+}
+
 // Spend takes one retry from the service's budget and reports whether there
 // was one.
 func (b *Budgets) Spend(now timekeeper.Time, service identifier.ServiceName) bool {
