Log from a bounded queue, with what each decision was based on

Cause: log lines went straight to standard output, which blocks once nobody reads it, and did not say what a decision knew. Lost and regained store: one line each. Ruled out: writing fewer lines, which explain less.

--- a/cmd/dotterelhollow/gateway.go
+++ b/cmd/dotterelhollow/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"expvar"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -17,6 +18,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/conductor"
 	"github.com/dotterelhollow/dotterelhollow/internal/forwarder"
 	"github.com/dotterelhollow/dotterelhollow/internal/historian"
+	"github.com/dotterelhollow/dotterelhollow/internal/logwriter"
 	"github.com/dotterelhollow/dotterelhollow/internal/reducer"
 	"github.com/dotterelhollow/dotterelhollow/internal/relayer"
 	"github.com/dotterelhollow/dotterelhollow/internal/runner"
@@ -63,13 +65,20 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	g := newGateway(path, s)
+	ctx, cancel := context.WithCancel(context.Background())
+	lines := logwriter.New(os.Stdout)
+	go lines.Run(ctx)
+	defer func() {
+		cancel()
+		<-lines.Ended()
+	}()
+	g := newGateway(path, s, lines)
 	expvar.Publish("dotterelhollow", g.runner.Metrics().Var())
 	expvar.Publish("exchanges", g.metrics.Var())
-	return g.serve(context.Background(), signals)
+	return g.serve(ctx, signals)
 }
 
-func newGateway(path string, s *starter.Settings) *gateway {
+func newGateway(path string, s *starter.Settings, log io.Writer) *gateway {
 	g := &gateway{
 		path:     path,
 		settings: s,
@@ -77,7 +86,7 @@
 		logger: hclog.New(&hclog.LoggerOptions{
 			Name:       "dotterelhollow",
 			Level:      hclog.LevelFromString(s.LogLevel),
-			Output:     os.Stdout,
+			Output:     log,
 			JSONFormat: true,
 		}).With("node", s.VM),
 	}
--- a/cmd/dotterelhollow/gateway_test.go
+++ b/cmd/dotterelhollow/gateway_test.go
@@ -133,7 +133,7 @@
 		s.Gateway.Seeds = []netip.AddrPort{seed}
 	}
 	n := &gatewayNode{
-		gateway: newGateway("", s),
+		gateway: newGateway("", s, io.Discard),
 		signals: make(chan os.Signal, 2),
 		ended:   make(chan error, 1),
 	}
--- a/internal/dispatcher/choose.go
+++ b/internal/dispatcher/choose.go
@@ -43,6 +43,8 @@
 	server    *registrar.Server
 	predicted timekeeper.Duration
 	unread    identifier.Tokens
+	// candidates is how many servers there were to choose from.
+	candidates int
 }
 
 // choose picks the server for an exchange's next attempt. Servers that it was
@@ -84,7 +86,9 @@
 			near = append(near, c)
 		}
 	}
-	return near[w.Rand.IntN(len(near))]
+	drawn := near[w.Rand.IntN(len(near))]
+	drawn.candidates = len(cs)
+	return drawn
 }
 
 // weigh predicts when a server's answer to an exchange would begin.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -62,6 +62,8 @@
 	Began func(identifier.AccountID)
 	// Stale tells that a newer configuration may be in force elsewhere.
 	Stale bool
+	// Basis is what the node knows, for its log.
+	Basis messenger.Basis
 }
 
 // Granter is the node that grants the limits of accounts centrally.
--- a/internal/dispatcher/limit.go
+++ b/internal/dispatcher/limit.go
@@ -73,7 +73,7 @@
 }
 
 func (d *Dispatcher) refuseOverLimit(w World, x *exchange, after timekeeper.Duration) messenger.Effect {
-	return d.refuse(x.spec.Exchange, messenger.Refusal{
+	return d.refuse(w, x.spec.Exchange, messenger.Refusal{
 		Reason:     messenger.ReasonAccountLimit,
 		Outcome:    messenger.NotRun,
 		RetryAfter: spread(w, after),
--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -37,7 +37,7 @@
 	d.counters.Received++
 	x, refusal := d.match(w, spec)
 	if refusal != nil {
-		return d.refuse(spec.Exchange, *refusal)
+		return d.refuse(w, spec.Exchange, *refusal)
 	}
 	if _, ok := d.choose(w, x); !ok {
 		return d.refuseForServers(w, x)
@@ -62,7 +62,7 @@
 	// would vanish with the servers, and no new ones be ordered.
 	d.demand(x.service).note(w.Now, work(x.spec, x.spec.PromptTokens))
 	d.demand(x.service).noteRefusal(w.Now)
-	return d.refuse(x.spec.Exchange, messenger.Refusal{
+	return d.refuse(w, x.spec.Exchange, messenger.Refusal{
 		Reason:     messenger.ReasonNoServer,
 		Outcome:    messenger.NotRun,
 		RetryAfter: spread(w, bootWait),
@@ -172,7 +172,11 @@
 	d.demand(x.service).running++
 	w.Suspicions.Observe(w.Now, c.server.Server, detector.Observation{Kind: detector.Sent})
 	first, next := d.silence(x)
+	basis := w.Basis
+	basis.Candidates = c.candidates
+	basis.Predicted = c.predicted
 	return messenger.SendExchange{
+		Basis:        basis,
 		Exchange:     x.spec.Exchange,
 		Attempt:      x.attempt,
 		Server:       c.server.Server,
@@ -186,12 +190,13 @@
 	}
 }
 
-func (d *Dispatcher) refuse(id identifier.ExchangeID, r messenger.Refusal) messenger.Effect {
+func (d *Dispatcher) refuse(w World, id identifier.ExchangeID, r messenger.Refusal) messenger.Effect {
 	delete(d.exchanges, id)
 	d.counters.Refused++
 	return messenger.RefuseExchange{
 		Exchange: id,
 		Refusal:  r,
+		Basis:    w.Basis,
 	}
 }
 
--- a/internal/dispatcher/repeat.go
+++ b/internal/dispatcher/repeat.go
@@ -101,7 +101,7 @@
 	delete(d.exchanges, e.Exchange)
 	if x != nil && !x.mayHaveRun && !e.Streaming && !x.spec.Resumes {
 		d.demand(x.service).noteRefusal(w.Now)
-		return d.refuse(e.Exchange, messenger.Refusal{
+		return d.refuse(w, e.Exchange, messenger.Refusal{
 			Reason:     reason,
 			Outcome:    messenger.NotRun,
 			RetryAfter: max(spread(w, soon), e.RetryAfter),
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -160,6 +160,11 @@
 		"longest_gap_ms", int64(x.gap),
 		"took_ms", int64(took),
 		"prompt_tokens", x.head.PromptTokens,
+		"revision", x.basis.Revision,
+		"revision_age_ms", int64(x.basis.RevisionAge),
+		"servers_age_ms", int64(x.basis.ServersAge),
+		"candidates", x.basis.Candidates,
+		"predicted_ms", int64(x.basis.Predicted),
 	)
 }
 
@@ -172,5 +177,9 @@
 		"result", e.result,
 		"reason", e.reason,
 		"last_event", x.lastEvent,
+		"revision", x.basis.Revision,
+		"servers_age_ms", int64(x.basis.ServersAge),
+		"candidates", x.basis.Candidates,
+		"predicted_ms", int64(x.basis.Predicted),
 	)
 }
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -34,6 +34,8 @@
 	failure *held
 	began   bool
 	status  int
+	// basis is what the last decision was made on.
+	basis messenger.Basis
 	// first is the time to the first byte or event, lastAt when the last event
 	// arrived, and gap the longest pause between two events.
 	first  timekeeper.Duration
@@ -118,6 +120,7 @@
 		x.server = send.Server
 		x.route = string(send.Route.Name)
 		x.account = send.Account
+		x.basis = send.Basis
 		end := x.attempt(ctx, send)
 		if end.over {
 			f.config.Decider.Ended(messenger.ExchangeEnded{
@@ -145,6 +148,7 @@
 func (x *exchange) close(decision messenger.Effect) {
 	switch d := decision.(type) {
 	case messenger.RefuseExchange:
+		x.basis = d.Basis
 		x.refuse(d.Refusal)
 	case messenger.EndExchange:
 		x.fail(d.Reason)
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -64,6 +64,19 @@
 	}
 )
 
+// Basis is what the node knew when it decided on an exchange, for its log.
+type Basis struct {
+	Revision identifier.Revision
+	// RevisionAge is how long ago the node knew that no configuration is
+	// newer, ServersAge how old its knowledge of the servers was.
+	RevisionAge timekeeper.Duration
+	ServersAge  timekeeper.Duration
+	// Candidates is how many servers could have had the request, and Predicted
+	// when the chosen one's answer should begin.
+	Candidates int
+	Predicted  timekeeper.Duration
+}
+
 // Effects of opaque exchanges. Each event above but ExchangeBegan and
 // ExchangeEnded is followed by exactly one of them.
 type (
@@ -71,6 +84,7 @@
 	RefuseExchange struct {
 		Exchange identifier.ExchangeID
 		Refusal  Refusal
+		Basis    Basis
 	}
 	// SendExchange sends the request to a backend server.
 	SendExchange struct {
@@ -88,6 +102,7 @@
 		// zero.
 		FirstSilence timekeeper.Duration
 		NextSilence  timekeeper.Duration
+		Basis        Basis
 	}
 	// EndExchange ends a request without a further attempt. Whether it ran is
 	// not known, or it ran and failed.
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -298,6 +298,11 @@
 		Rand:       r.rand,
 		Began:      func(a identifier.AccountID) { g.usage.Began(w.Now, a) },
 		Stale:      w.Now.Sub(g.confirmed) > configDoubt,
+		Basis: messenger.Basis{
+			Revision:    g.revision(),
+			RevisionAge: w.Now.Sub(g.confirmed),
+			ServersAge:  w.Now.Sub(g.servers.AsOf()),
+		},
 	}
 	if _, _, held := g.leases.Held(dutyLease, w.Now); held {
 		out.Central = g.central
--- a/internal/runner/published.go
+++ b/internal/runner/published.go
@@ -64,7 +64,7 @@
 func (r *Runner) followServers(ctx context.Context, rng *rand.Rand) {
 	pause := newBackoff(rng)
 	var next identifier.Offset
-	whole := true
+	whole, failed := true, false
 	for ctx.Err() == nil {
 		if !whole && !r.following.servers.Load() {
 			sleep(ctx, idleCheck)
@@ -77,10 +77,11 @@
 			whole = true
 			continue
 		case err != nil:
-			r.storeFailed(ctx, "servers", err)
+			r.storeFailed(ctx, "servers", &failed, err)
 			pause.wait(ctx)
 			continue
 		}
+		r.storeServed("servers", &failed)
 		pause.reset()
 		r.emit(ctx, messenger.ServersPublished{
 			Servers: entries,
@@ -105,7 +106,7 @@
 func (r *Runner) followConfiguration(ctx context.Context, rng *rand.Rand) {
 	pause := newBackoff(rng)
 	var next identifier.Offset
-	whole := true
+	whole, failed := true, false
 	for ctx.Err() == nil {
 		if !whole && !r.following.configuration.Load() {
 			sleep(ctx, idleCheck)
@@ -118,10 +119,11 @@
 			whole = true
 			continue
 		case err != nil:
-			r.storeFailed(ctx, "configuration", err)
+			r.storeFailed(ctx, "configuration", &failed, err)
 			pause.wait(ctx)
 			continue
 		}
+		r.storeServed("configuration", &failed)
 		pause.reset()
 		whole = published == nil && end == 0
 		next = end
@@ -168,10 +170,21 @@
 
 // storeFailed notes a read that failed. The log has a line when reads begin to
 // fail and one when they succeed again, not one for each.
-func (r *Runner) storeFailed(ctx context.Context, what string, err error) {
+func (r *Runner) storeFailed(ctx context.Context, what string, failed *bool, err error) {
 	if ctx.Err() != nil {
 		return
 	}
-	r.logger.Warn("store not read", "records", what, "error", err)
+	if !*failed {
+		r.logger.Warn("store lost", "records", what, "error", err)
+	}
+	*failed = true
 	r.emit(ctx, messenger.StoreFailed{})
 }
+
+// storeServed notes a read that succeeded.
+func (r *Runner) storeServed(what string, failed *bool) {
+	if *failed {
+		r.logger.Info("store regained", "records", what)
+	}
+	*failed = false
+}
