Read the lease's stream at the start of a node

A node read the lease only 1.5 s after its start and counted the dead holder's term from there, into an outage of the store.

--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -135,6 +135,8 @@
 	// time to hear of its peers since.
 	startedAt timekeeper.Time
 	settled   bool
+	// candidate tells that the node was ever one that may hold the duties.
+	candidate bool
 	nextShare timekeeper.Time
 	nextPlan  timekeeper.Time
 	nextFetch timekeeper.Time
@@ -182,8 +184,13 @@
 
 // streams returns the streams of the log that the node follows: those of the
 // duties, where it may come to hold them.
-func (g *gateway) streams(self identifier.VMID, members *gossiper.Members) []identifier.LogStream {
-	if !g.settled || !chosen(self, string(dutyLease), members, dutyNodes) {
+//
+// A node that has just started reads them too: where all nodes were killed at
+// once, the time that the last holder's lease still runs is counted from this
+// read. One that may hold the duties goes on for good, so that it need not
+// learn the lease's state anew each time the membership changes.
+func (g *gateway) streams() []identifier.LogStream {
+	if g.settled && !g.candidate {
 		return nil
 	}
 	return []identifier.LogStream{leaser.Stream, accountant.Stream}
@@ -405,6 +412,9 @@
 		g.startedAt = w.Now
 	}
 	g.settled = g.settled || w.Now.Sub(g.startedAt) >= settleTime
+	if g.settled && !g.candidate {
+		g.candidate = chosen(g.self, string(dutyLease), r.members, dutyNodes)
+	}
 	r.shareGrants(w)
 	if !w.Now.Before(g.nextShare) {
 		out = append(out, r.shareNow(w)...)
--- a/internal/reducer/platformlog.go
+++ b/internal/reducer/platformlog.go
@@ -46,7 +46,7 @@
 // Streams returns the log streams that the node has to be fed, in order.
 func (r *Reducer) Streams() []identifier.LogStream {
 	if r.gateway != nil {
-		return r.gateway.streams(r.config.Self, r.members)
+		return r.gateway.streams()
 	}
 	return append([]identifier.LogStream{configStream, leaseStream}, r.claims.Streams()...)
 }
--- a/internal/runner/follow.go
+++ b/internal/runner/follow.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
@@ -46,16 +48,23 @@
 	return sleep(ctx, d)
 }
 
-// startTailers starts a task for each stream that the reducer follows.
+// startTailers starts a task for each stream that the reducer follows, and
+// pauses those of streams that it no longer does.
 func (r *Runner) startTailers() {
-	for _, s := range r.config.Reducer.Streams() {
-		if r.tailers[s] {
+	wanted := r.config.Reducer.Streams()
+	for s, following := range r.tailers {
+		following.Store(slices.Contains(wanted, s))
+	}
+	for _, s := range wanted {
+		if r.tailers[s] != nil {
 			continue
 		}
-		r.tailers[s] = true
+		following := &atomic.Bool{}
+		following.Store(true)
+		r.tailers[s] = following
 		rng := jitter(r.config.Seed, string(s))
 		r.tasks.start(func(ctx context.Context) func() {
-			r.follow(ctx, s, newBackoff(rng))
+			r.follow(ctx, s, following, newBackoff(rng))
 			return nil
 		})
 	}
@@ -67,12 +76,17 @@
 // record. A stream on which nothing happens would keep it for the whole wait,
 // and the node would meanwhile refuse requests as if the log were still out,
 // or not know that records expired before it could read them.
-func (r *Runner) follow(ctx context.Context, s identifier.LogStream, pause *backoff) {
+func (r *Runner) follow(ctx context.Context, s identifier.LogStream, following *atomic.Bool, pause *backoff) {
 	var (
 		from identifier.Offset
 		wait timekeeper.Duration
 	)
 	for ctx.Err() == nil {
+		if !following.Load() {
+			wait = 0
+			sleep(ctx, idleCheck)
+			continue
+		}
 		read, err := r.readLog(ctx, s, from, wait)
 		if err != nil {
 			wait = 0
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -104,13 +104,14 @@
 	confirms *confirms
 
 	// What follows belongs to the loop.
-	tasks     *tasks
-	lanes     *lanes
-	backlog   []messenger.EventBody
-	attempts  map[identifier.RequestID]*attempt
-	holds     map[identifier.RequestID]*pusher
-	unholds   map[copyAt]chan struct{}
-	tailers   map[identifier.LogStream]bool
+	tasks    *tasks
+	lanes    *lanes
+	backlog  []messenger.EventBody
+	attempts map[identifier.RequestID]*attempt
+	holds    map[identifier.RequestID]*pusher
+	unholds  map[copyAt]chan struct{}
+	// tailers tells of each stream that was ever followed whether it still is.
+	tailers   map[identifier.LogStream]*atomic.Bool
 	cursors   map[identifier.VMID]uint64
 	proposals map[identifier.Ticket]chan messenger.ChangeVerdict
 	proposed  identifier.Ticket
@@ -162,7 +163,7 @@
 		holds:     make(map[identifier.RequestID]*pusher),
 		unholds:   make(map[copyAt]chan struct{}),
 		confirms:  newConfirms(),
-		tailers:   make(map[identifier.LogStream]bool),
+		tailers:   make(map[identifier.LogStream]*atomic.Bool),
 		cursors:   make(map[identifier.VMID]uint64),
 		proposals: make(map[identifier.Ticket]chan messenger.ChangeVerdict),
 		exchanges: make(map[identifier.ExchangeID]chan messenger.Effect),
