Prove opaque exchanges in the matrix of faults

17 faults at ten steps, each alone and beside a second one, over four nodes in virtual time; controls for each thing the checker looks at object.

--- /dev/null
+++ b/internal/prover/gateway_test.go
@@ -0,0 +1,798 @@
+package prover
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/conductor"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/reducer"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// The matrix of opaque exchanges: the reducers of a few nodes, and fakes of the
+// store, the cloud and the backend servers, in virtual time and one goroutine.
+// Every fault strikes at every step of a day of some seconds. A checker sees
+// what callers, servers and the platform could see.
+
+const (
+	exchangeStart timekeeper.Time = 1_000_000_000
+	exchangeDay                   = 24 * timekeeper.Second
+	exchangeNodes                 = 4
+	exchangeEvery                 = 60 * timekeeper.Millisecond
+	// leaveBound is how long after its notice a server may get new work, and
+	// revisionBound how long a configuration may take to be in force.
+	leaveBound    = 2 * timekeeper.Second
+	revisionBound = 2 * timekeeper.Second
+)
+
+// task is something that happens at an instant.
+type task struct {
+	at  timekeeper.Time
+	seq int
+	do  func()
+}
+
+type tasks []task
+
+func (q tasks) Len() int { return len(q) }
+func (q tasks) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(q[i].at, q[j].at), cmp.Compare(q[i].seq, q[j].seq)) < 0
+}
+func (q tasks) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *tasks) Push(x any)   { *q = append(*q, x.(task)) }
+func (q *tasks) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// gatewayNode is one node's process.
+type gatewayNode struct {
+	vm          identifier.VMID
+	r           *reducer.Reducer
+	incarnation identifier.Incarnation
+	alive       bool
+	frozen      timekeeper.Time
+	// cut tells that it reaches no peer, offStore that it does not reach the
+	// store.
+	cut      bool
+	offStore bool
+	read     map[identifier.LogStream]int
+	servers  int
+	revision identifier.Revision
+	began    timekeeper.Time
+}
+
+// exchangeWorld is the nodes and the fakes around them.
+type exchangeWorld struct {
+	t     *testing.T
+	now   timekeeper.Time
+	seq   int
+	queue tasks
+	rng   *rand.Rand
+	nodes map[identifier.VMID]*gatewayNode
+
+	streams   map[identifier.LogStream][]messenger.Record
+	entries   []messenger.PublishedServer
+	catalogs  []*catalog.Catalog
+	published timekeeper.Time
+	storeDown bool
+	lateWrite timekeeper.Duration
+
+	// ran holds where each request ran.
+	ran      map[identifier.RequestID][]identifier.VMID
+	kinds    map[identifier.RequestID]catalog.Repetition
+	requests map[identifier.ExchangeID]identifier.RequestID
+	left     map[identifier.VMID]timekeeper.Time
+	fences   map[string]identifier.Fence
+	holders  map[identifier.Fence]process
+	reports  map[identifier.UsageWindow]map[identifier.AccountID]int
+	answered int
+	refused  int
+	faults   []string
+	// serverFault is how servers answer; empty means well.
+	serverFault messenger.AttemptResult
+	next        identifier.ExchangeID
+}
+
+type process struct {
+	vm          identifier.VMID
+	incarnation identifier.Incarnation
+}
+
+func newExchangeWorld(t *testing.T, seed uint64) *exchangeWorld {
+	w := &exchangeWorld{
+		t:        t,
+		now:      exchangeStart,
+		rng:      rand.New(rand.NewPCG(seed, 7)),
+		nodes:    map[identifier.VMID]*gatewayNode{},
+		streams:  map[identifier.LogStream][]messenger.Record{},
+		ran:      map[identifier.RequestID][]identifier.VMID{},
+		kinds:    map[identifier.RequestID]catalog.Repetition{},
+		requests: map[identifier.ExchangeID]identifier.RequestID{},
+		left:     map[identifier.VMID]timekeeper.Time{},
+		fences:   map[string]identifier.Fence{},
+		holders:  map[identifier.Fence]process{},
+		reports:  map[identifier.UsageWindow]map[identifier.AccountID]int{},
+	}
+	w.publish(1)
+	for i := range 6 {
+		w.enter(exchangeServer(i), messenger.ServerReady)
+	}
+	for i := range exchangeNodes {
+		w.start(exchangeNode(i))
+	}
+	for at := timekeeper.Duration(3000); at < exchangeDay; at += exchangeEvery {
+		w.at(at, w.ask)
+	}
+	return w
+}
+
+func exchangeServer(i int) identifier.VMID { return identifier.VMID(fmt.Sprintf("i-%d", i)) }
+func exchangeNode(i int) identifier.VMID   { return identifier.VMID(fmt.Sprintf("entry-%d", i)) }
+
+func (w *exchangeWorld) at(after timekeeper.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.queue, task{
+		at:  exchangeStart.Add(after),
+		seq: w.seq,
+		do:  do,
+	})
+}
+
+func (w *exchangeWorld) after(d timekeeper.Duration, do func()) {
+	w.at(w.now.Sub(exchangeStart)+d, do)
+}
+
+func (w *exchangeWorld) fault(format string, args ...any) {
+	w.faults = append(w.faults, fmt.Sprintf("%6d: ", w.now.Sub(exchangeStart))+fmt.Sprintf(format, args...))
+}
+
+// publish puts a new configuration into the store.
+func (w *exchangeWorld) publish(revision identifier.Revision) {
+	var routes []*catalog.Route
+	for _, r := range []catalog.Repetition{catalog.Once, catalog.Repeatable, catalog.Resumed} {
+		routes = append(routes, &catalog.Route{
+			Name:       identifier.RouteName(r),
+			Host:       "api.example",
+			PathPrefix: "/" + string(r) + "/",
+			Repetition: r,
+			Stream:     r == catalog.Resumed,
+			Timeout:    5 * timekeeper.Second,
+			Target:     timekeeper.Second,
+			MaxGap:     400,
+			Attempts:   2,
+			Split: []catalog.Split{
+				{
+					Service: "reader",
+					Weight:  1,
+				},
+			},
+		})
+	}
+	routing := catalog.NewRouting(routes, map[string]identifier.AccountID{"secret": "agency"})
+	routing.Ranks["agency"] = 0
+	routing.PlainTokens["agency"] = 1
+	routing.Backends["reader"] = catalog.Backend{
+		Model: true,
+		Slots: 16,
+		Fleet: &catalog.Fleet{
+			Min:        1,
+			Max:        6,
+			BootTime:   4 * timekeeper.Second,
+			ZonePrices: map[identifier.Zone]float64{"boston-a": 1},
+		},
+	}
+	w.published = w.now
+	w.catalogs = append(w.catalogs, &catalog.Catalog{
+		Revision: revision,
+		Accounts: map[identifier.AccountID]catalog.Account{
+			"agency": {
+				ID:              "agency",
+				TokensPerSecond: 10_000,
+				TokenBurst:      10_000,
+			},
+		},
+		Routing: routing,
+	})
+}
+
+// enter puts a server's entry into the store.
+func (w *exchangeWorld) enter(vm identifier.VMID, state messenger.ServerState) {
+	if state != messenger.ServerReady {
+		w.left[vm] = w.now
+	}
+	w.entries = append(w.entries, messenger.PublishedServer{
+		Server:  vm,
+		Offset:  identifier.Offset(len(w.entries) + 1),
+		Service: "reader",
+		Address: string(vm),
+		Zone:    "boston-a",
+		Slots:   16,
+		State:   state,
+		Market:  catalog.Reclaimable,
+	})
+}
+
+// start starts a node's process.
+func (w *exchangeWorld) start(vm identifier.VMID) {
+	incarnation := identifier.Incarnation(w.now)
+	var seeds []string
+	for i := range exchangeNodes {
+		seeds = append(seeds, string(exchangeNode(i)))
+	}
+	n := &gatewayNode{
+		vm:          vm,
+		incarnation: incarnation,
+		alive:       true,
+		began:       w.now,
+		read:        map[identifier.LogStream]int{},
+		r: reducer.New(reducer.Config{
+			Self:          vm,
+			Incarnation:   incarnation,
+			Zone:          "boston-a",
+			Region:        "new-england",
+			PeerAddress:   string(vm),
+			CallerAddress: string(vm),
+			Seed:          uint64(incarnation) + uint64(len(vm)),
+			Seeds:         seeds,
+			LogRetention:  20 * timekeeper.Second,
+			Safeguards:    conductor.AllSafeguards(),
+			Gateway: &reducer.GatewayConfig{
+				UsageWindow: 2 * timekeeper.Second,
+				UsageLate:   8 * timekeeper.Second,
+			},
+		}),
+	}
+	w.nodes[vm] = n
+	w.every(n, messenger.TickEvery, func() { w.apply(n, messenger.Tick{}) })
+	w.every(n, 400, func() { w.readServers(n) })
+	w.every(n, 200, func() { w.readConfiguration(n) })
+	w.every(n, 100, func() { w.readStreams(n) })
+}
+
+// every does something again and again while the process lives.
+func (w *exchangeWorld) every(n *gatewayNode, d timekeeper.Duration, do func()) {
+	w.after(d, func() {
+		if !n.alive {
+			return
+		}
+		if !w.now.Before(n.frozen) {
+			do()
+		}
+		w.every(n, d, do)
+	})
+}
+
+func (w *exchangeWorld) readServers(n *gatewayNode) {
+	first := n.servers == 0
+	if !first && !n.r.Following(w.now).Servers {
+		return
+	}
+	if w.storeDown || n.offStore {
+		w.apply(n, messenger.StoreFailed{})
+		return
+	}
+	entries := slices.Clone(w.entries[n.servers:])
+	n.servers = len(w.entries)
+	w.apply(n, messenger.ServersPublished{
+		Servers: entries,
+		All:     first,
+	})
+}
+
+func (w *exchangeWorld) readConfiguration(n *gatewayNode) {
+	if n.r.Catalog() != nil && !n.r.Following(w.now).Configuration {
+		return
+	}
+	if w.storeDown || n.offStore {
+		w.apply(n, messenger.StoreFailed{})
+		return
+	}
+	w.apply(n, messenger.CatalogPublished{
+		Catalog: w.catalogs[len(w.catalogs)-1],
+		Data:    []byte{byte(len(w.catalogs) - 1)},
+		Direct:  true,
+	})
+}
+
+func (w *exchangeWorld) readStreams(n *gatewayNode) {
+	if w.storeDown || n.offStore {
+		return
+	}
+	for _, s := range n.r.Streams() {
+		records := w.streams[s][n.read[s]:]
+		n.read[s] = len(w.streams[s])
+		w.apply(n, messenger.LogRead{
+			Stream:  s,
+			First:   1,
+			Records: slices.Clone(records),
+			End:     true,
+		})
+	}
+}
+
+// apply gives a node an event and carries its effects out.
+func (w *exchangeWorld) apply(n *gatewayNode, body messenger.EventBody) {
+	if !n.alive {
+		return
+	}
+	effects := n.r.Apply(messenger.Event{
+		At:   w.now,
+		Body: body,
+	})
+	if c := n.r.Catalog(); c != nil {
+		if c.Revision < n.revision {
+			w.fault("%s goes back from revision %d to %d", n.vm, n.revision, c.Revision)
+		}
+		n.revision = c.Revision
+	}
+	for _, e := range effects {
+		w.carryOut(n, e)
+	}
+}
+
+// deliver gives a peer an event, unless one of both is cut off or gone.
+func (w *exchangeWorld) deliver(n *gatewayNode, address string, event func(to *gatewayNode) messenger.EventBody) {
+	w.after(1, func() {
+		to := w.nodes[identifier.VMID(address)]
+		if n.cut || to == nil || to.cut || !to.alive || w.now.Before(to.frozen) {
+			return
+		}
+		w.apply(to, event(to))
+	})
+}
+
+func (w *exchangeWorld) carryOut(n *gatewayNode, effect messenger.Effect) {
+	switch e := effect.(type) {
+	case messenger.SendShare:
+		w.deliver(n, e.Address, func(*gatewayNode) messenger.EventBody {
+			return messenger.ShareReceived{
+				From:  n.vm,
+				Share: e.Share,
+			}
+		})
+	case messenger.SendGossip:
+		w.deliver(n, e.Address, func(*gatewayNode) messenger.EventBody {
+			return messenger.GossipReceived{
+				From: n.vm,
+				Data: e.Data,
+			}
+		})
+	case messenger.FetchConfiguration:
+		w.deliver(n, e.Address, func(to *gatewayNode) messenger.EventBody {
+			if data, ok := to.r.ExportConfiguration(); ok {
+				w.deliver(to, string(n.vm), func(*gatewayNode) messenger.EventBody {
+					return messenger.CatalogPublished{
+						Catalog: w.catalogs[data[0]],
+						Data:    data,
+					}
+				})
+			}
+			return messenger.Tick{}
+		})
+	case messenger.AskLimit:
+		w.askLimit(n, e)
+	case messenger.AppendRecord:
+		w.append(n, e)
+	case messenger.OrderServers:
+		w.duty(n, "scale/"+string(e.Order.Zone), e.Fence, e.NotAfter)
+	case messenger.ReportUsage:
+		if w.duty(n, "usage", e.Fence, e.NotAfter) {
+			w.report(e)
+		}
+	case messenger.SendExchange:
+		w.serve(n, e)
+	case messenger.RefuseExchange:
+		w.refuse(e)
+	}
+}
+
+func (w *exchangeWorld) askLimit(n *gatewayNode, e messenger.AskLimit) {
+	answered := false
+	answer := func(a messenger.LimitAnswered) {
+		if !answered {
+			answered = true
+			a.Exchange = e.Exchange
+			w.apply(n, a)
+		}
+	}
+	w.deliver(n, e.Address, func(to *gatewayNode) messenger.EventBody {
+		for _, effect := range to.r.Apply(messenger.Event{
+			At: w.now,
+			Body: messenger.LimitAsked{
+				Account: e.Account,
+				Tokens:  e.Tokens,
+			},
+		}) {
+			if a, ok := effect.(messenger.AnswerLimit); ok {
+				w.after(1, func() { answer(a.Answer) })
+			}
+		}
+		return messenger.Tick{}
+	})
+	w.after(150, func() { answer(messenger.LimitAnswered{Unknown: true}) })
+}
+
+// append appends a record, late where appends are; while the store is down
+// nothing is.
+func (w *exchangeWorld) append(n *gatewayNode, e messenger.AppendRecord) {
+	w.after(4+w.lateWrite, func() {
+		if w.storeDown || n.offStore {
+			return
+		}
+		w.streams[e.Stream] = append(w.streams[e.Stream], messenger.Record{
+			Offset:   identifier.Offset(len(w.streams[e.Stream]) + 1),
+			Appended: w.now,
+			Data:     e.Data,
+		})
+	})
+}
+
+// duty is a call under a fence, as the cloud takes it.
+func (w *exchangeWorld) duty(n *gatewayNode, subject string, fence identifier.Fence, notAfter timekeeper.Time) bool {
+	if !w.now.Before(notAfter) || n.offStore && n.cut {
+		return false
+	}
+	holder := process{
+		vm:          n.vm,
+		incarnation: n.incarnation,
+	}
+	if other, used := w.holders[fence]; used && other != holder {
+		w.fault("fence %d used by %v and %v", fence, other, holder)
+	}
+	w.holders[fence] = holder
+	if fence < w.fences[subject] {
+		return false
+	}
+	w.fences[subject] = fence
+	return true
+}
+
+func (w *exchangeWorld) report(e messenger.ReportUsage) {
+	if before, ok := w.reports[e.Window]; ok && !maps.Equal(before, e.Counts) {
+		w.fault("window %d reported as %v and %v", e.Window, before, e.Counts)
+	}
+	w.reports[e.Window] = e.Counts
+}
+
+// ask sends a request to a node that callers would be sent to.
+func (w *exchangeWorld) ask() {
+	var ready []*gatewayNode
+	for _, vm := range slices.Sorted(maps.Keys(w.nodes)) {
+		if n := w.nodes[vm]; n.alive && n.r.Ready() && !w.now.Before(n.frozen) {
+			ready = append(ready, n)
+		}
+	}
+	if len(ready) == 0 {
+		return
+	}
+	n := ready[w.rng.IntN(len(ready))]
+	kinds := []catalog.Repetition{catalog.Once, catalog.Repeatable, catalog.Resumed}
+	kind := kinds[w.rng.IntN(len(kinds))]
+	w.next++
+	id := identifier.RequestID(fmt.Sprintf("r-%d", w.next))
+	w.kinds[id] = kind
+	w.requests[w.next] = id
+	w.apply(n, messenger.ExchangeReceived{
+		Spec: messenger.ExchangeSpec{
+			Exchange:     w.next,
+			Request:      id,
+			Host:         "api.example",
+			Path:         "/" + string(kind) + "/1",
+			Key:          "secret",
+			Received:     w.now,
+			Patience:     5 * timekeeper.Second,
+			PromptTokens: 100,
+			MaxTokens:    20,
+		},
+	})
+}
+
+// serve is a backend server with an attempt.
+func (w *exchangeWorld) serve(n *gatewayNode, e messenger.SendExchange) {
+	id := w.requests[e.Exchange]
+	if left, leaving := w.left[e.Server]; leaving && w.now.Sub(left) > leaveBound && !n.cut && !n.offStore {
+		w.fault("%s sends %s to %s, which left %d ms ago", n.vm, id, e.Server, w.now.Sub(left))
+	}
+	result := messenger.AttemptComplete
+	if w.serverFault != "" && w.rng.IntN(2) == 0 {
+		result = w.serverFault
+	}
+	if result != messenger.AttemptNotSent && result != messenger.AttemptRefused {
+		w.ran[id] = append(w.ran[id], e.Server)
+		if w.kinds[id] == catalog.Once && len(w.ran[id]) > 1 {
+			w.fault("%s ran at %v", id, w.ran[id])
+		}
+	}
+	w.after(20, func() {
+		if result == messenger.AttemptComplete {
+			w.answered++
+			w.apply(n, messenger.ExchangeBegan{
+				Exchange: e.Exchange,
+				Attempt:  e.Attempt,
+			})
+			w.apply(n, messenger.ExchangeEnded{
+				Exchange: e.Exchange,
+				Result:   result,
+			})
+			return
+		}
+		w.apply(n, messenger.ExchangeAttemptEnded{
+			Exchange: e.Exchange,
+			Attempt:  e.Attempt,
+			Result:   result,
+		})
+	})
+}
+
+func (w *exchangeWorld) refuse(e messenger.RefuseExchange) {
+	w.refused++
+	if id := w.requests[e.Exchange]; len(w.ran[id]) > 0 {
+		w.fault("%s was refused and ran at %v", id, w.ran[id])
+	}
+}
+
+// holder returns the node that gave the last order, or some node.
+func (w *exchangeWorld) holder() *gatewayNode {
+	var last identifier.Fence
+	for fence := range w.holders {
+		last = max(last, fence)
+	}
+	if n := w.nodes[w.holders[last].vm]; n != nil {
+		return n
+	}
+	return w.nodes[exchangeNode(0)]
+}
+
+func (w *exchangeWorld) kill(n *gatewayNode, down timekeeper.Duration) {
+	n.alive = false
+	w.after(down, func() { w.start(n.vm) })
+}
+
+// run plays the day and looks at its end.
+func (w *exchangeWorld) run() {
+	for w.queue.Len() > 0 && w.queue[0].at.Before(exchangeStart.Add(exchangeDay)) {
+		next := heap.Pop(&w.queue).(task)
+		w.now = max(w.now, next.at)
+		next.do()
+	}
+	for _, n := range w.nodes {
+		behind := n.alive && n.revision < w.catalogs[len(w.catalogs)-1].Revision
+		if behind && w.now.Sub(w.published) > revisionBound && w.now.Sub(n.began) > revisionBound && !w.now.Before(n.frozen) {
+			w.fault("%s has revision %d long after %d", n.vm, n.revision, w.catalogs[len(w.catalogs)-1].Revision)
+		}
+	}
+	if w.answered < 200 {
+		w.fault("only %d requests answered, %d refused", w.answered, w.refused)
+	}
+	if len(w.reports) < 4 {
+		w.fault("only %d windows reported", len(w.reports))
+	}
+}
+
+// exchangeFault is a fault of the matrix.
+type exchangeFault struct {
+	name   string
+	strike func(*exchangeWorld)
+}
+
+// lasting is how long faults that pass last.
+const lasting = 4 * timekeeper.Second
+
+var exchangeFaults = []exchangeFault{
+	{
+		name:   "none",
+		strike: func(*exchangeWorld) {},
+	},
+	{
+		name:   "the holder of the duties dies",
+		strike: func(w *exchangeWorld) { w.kill(w.holder(), lasting) },
+	},
+	{
+		name:   "the holder of the duties restarts at once",
+		strike: func(w *exchangeWorld) { w.kill(w.holder(), 300) },
+	},
+	{
+		name: "all nodes die",
+		strike: func(w *exchangeWorld) {
+			for _, vm := range slices.Sorted(maps.Keys(w.nodes)) {
+				w.kill(w.nodes[vm], 500)
+			}
+		},
+	},
+	{
+		name:   "the holder freezes",
+		strike: func(w *exchangeWorld) { w.holder().frozen = w.now.Add(lasting) },
+	},
+	{
+		name: "the holder is cut off from its peers",
+		strike: func(w *exchangeWorld) {
+			n := w.holder()
+			n.cut = true
+			w.after(lasting, func() { n.cut = false })
+		},
+	},
+	{
+		name: "the holder is cut off from the store",
+		strike: func(w *exchangeWorld) {
+			n := w.holder()
+			n.offStore = true
+			w.after(lasting, func() { n.offStore = false })
+		},
+	},
+	{
+		name: "the store is down",
+		strike: func(w *exchangeWorld) {
+			w.storeDown = true
+			w.after(lasting, func() { w.storeDown = false })
+		},
+	},
+	{
+		name: "appends are carried out late",
+		strike: func(w *exchangeWorld) {
+			w.lateWrite = 2 * timekeeper.Second
+			w.after(lasting, func() { w.lateWrite = 0 })
+		},
+	},
+	{
+		name: "half of the servers leave while a node is cut off from the store",
+		strike: func(w *exchangeWorld) {
+			n := w.nodes[exchangeNode(1)]
+			n.offStore = true
+			w.after(lasting, func() { n.offStore = false })
+			for i := range 3 {
+				w.enter(exchangeServer(i), messenger.ServerLeaving)
+				w.after(2500, func() { w.enter(exchangeServer(i), messenger.ServerRemoved) })
+			}
+		},
+	},
+	{
+		name: "a change while a node is cut off from the store",
+		strike: func(w *exchangeWorld) {
+			n := w.nodes[exchangeNode(2)]
+			n.offStore = true
+			w.publish(w.catalogs[len(w.catalogs)-1].Revision + 3)
+		},
+	},
+	{
+		name: "two changes, and a node starts in between",
+		strike: func(w *exchangeWorld) {
+			w.publish(w.catalogs[len(w.catalogs)-1].Revision + 1)
+			w.kill(w.nodes[exchangeNode(3)], 100)
+			w.after(200, func() { w.publish(w.catalogs[len(w.catalogs)-1].Revision + 1) })
+		},
+	},
+	serverFault(messenger.AttemptBroken),
+	serverFault(messenger.AttemptSilent),
+	serverFault(messenger.AttemptRefused),
+	serverFault(messenger.AttemptNotSent),
+	serverFault(messenger.AttemptFailed),
+}
+
+// serverFault makes every other attempt end so for a while.
+func serverFault(result messenger.AttemptResult) exchangeFault {
+	return exchangeFault{
+		name: "servers: " + string(result),
+		strike: func(w *exchangeWorld) {
+			w.serverFault = result
+			w.after(lasting, func() { w.serverFault = "" })
+		},
+	}
+}
+
+// exchangeSteps are the instants at which faults strike: among the first reads,
+// around grants, renewals and reports, and in steady state.
+var exchangeSteps = []timekeeper.Duration{
+	40, 700, 1600, 2300, 3050, 4100, 5333, 6000, 7777, 9001,
+}
+
+// Each fault strikes at each step, and a second one strikes beside it. Callers
+// and servers, the cloud and the operators must see no promise broken: a request
+// that may run once runs once, what was refused has not run and never will, a
+// leaving server gets no new work, a configuration is in force soon and never
+// goes back, no fence serves two processes, and no window is reported twice with
+// different counts.
+func TestMatrixOfExchanges(t *testing.T) {
+	for _, fault := range exchangeFaults {
+		t.Run(fault.name, func(t *testing.T) {
+			for i, step := range exchangeSteps {
+				second := exchangeFaults[(i*7+len(fault.name))%len(exchangeFaults)]
+				for _, beside := range []exchangeFault{exchangeFaults[0], second} {
+					w := newExchangeWorld(t, uint64(i))
+					w.at(step, func() { fault.strike(w) })
+					w.at(step+lasting/2, func() { beside.strike(w) })
+					w.run()
+					require.Empty(t, w.faults, "at %d, beside %q", step, beside.name)
+				}
+			}
+		})
+	}
+}
+
+// The checker objects to what must not be, so that its silence means something.
+func TestControlsOfExchanges(t *testing.T) {
+	tests := []struct {
+		name   string
+		strike func(*exchangeWorld)
+		want   string
+	}{
+		{
+			name: "a server runs what it says it refused",
+			strike: func(w *exchangeWorld) {
+				w.serverFault = messenger.AttemptRefused
+				w.ran["r-1"] = []identifier.VMID{"i-0"}
+				for id := range 400 {
+					w.ran[identifier.RequestID(fmt.Sprintf("r-%d", id))] = []identifier.VMID{"i-0"}
+				}
+			},
+			want: "ran at",
+		},
+		{
+			name: "leaving servers are never published",
+			strike: func(w *exchangeWorld) {
+				for i := range 6 {
+					w.left[exchangeServer(i)] = w.now
+				}
+			},
+			want: "which left",
+		},
+		{
+			name: "a node hears of no change",
+			strike: func(w *exchangeWorld) {
+				n := w.nodes[exchangeNode(2)]
+				n.offStore = true
+				n.cut = true
+				w.publish(9)
+			},
+			want: "long after",
+		},
+		{
+			name: "two processes use one fence",
+			strike: func(w *exchangeWorld) {
+				for fence := range identifier.Fence(200) {
+					w.holders[fence] = process{vm: "entry-9"}
+				}
+			},
+			want: "used by",
+		},
+		{
+			name: "a window is reported by counts of one's own",
+			strike: func(w *exchangeWorld) {
+				for window := range identifier.UsageWindow(20) {
+					w.reports[identifier.UsageWindow(int64(exchangeStart)/2000)+window] = map[identifier.AccountID]int{"agency": 1}
+				}
+			},
+			want: "reported as",
+		},
+		{
+			name: "nothing is served",
+			strike: func(w *exchangeWorld) {
+				for i := range 6 {
+					w.enter(exchangeServer(i), messenger.ServerRemoved)
+				}
+			},
+			want: "only",
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newExchangeWorld(t, 1)
+			w.at(3500, func() { test.strike(w) })
+			w.run()
+			require.NotEmpty(t, w.faults)
+			require.Contains(t, fmt.Sprint(w.faults), test.want)
+		})
+	}
+}
