--- a/docs/operations_test.go
+++ b/docs/operations_test.go
@@ -2,11 +2,16 @@
 package docs_test
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
 	"go/ast"
 	"go/parser"
 	"go/token"
 	"io/fs"
+	"maps"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -15,10 +20,15 @@
 	"strings"
 	"testing"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/forwarder"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/runner"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+	"github.com/dotterelhollow/dotterelhollow/platform"
 )
 
 const page = "OPERATIONS.md"
@@ -223,3 +233,87 @@
 	}
 	return ""
 }
+
+// The lines of the page are those that a node writes: the same keys, so that a
+// reader finds in a log what the page points at.
+func TestLinesOfFailedRequests(t *testing.T) {
+	text, err := os.ReadFile(page)
+	require.NoError(t, err)
+	_, section, found := strings.Cut(string(text), "\n## Explain a failed request\n")
+	require.True(t, found)
+	section, _, _ = strings.Cut(section, "\n## ")
+	want := loggedKeys(t)
+	seen := map[string]int{}
+	for line := range strings.Lines(section) {
+		line = strings.TrimSpace(line)
+		if !strings.HasPrefix(line, "{") {
+			continue
+		}
+		keys, message := keysOf(t, line)
+		seen[message]++
+		require.Equal(t, want[message], keys, message)
+	}
+	require.Equal(t, map[string]int{
+		"attempt ended":  2,
+		"exchange ended": 2,
+	}, seen)
+}
+
+// keysOf returns the keys of a line of the log, but for the node's, and its
+// message.
+func keysOf(t *testing.T, line string) ([]string, string) {
+	t.Helper()
+	var entry map[string]any
+	require.NoError(t, json.Unmarshal([]byte(line), &entry))
+	delete(entry, "node")
+	return slices.Sorted(maps.Keys(entry)), entry["@message"].(string)
+}
+
+// loggedKeys returns the keys of the lines that a failed request leaves, by
+// message.
+func loggedKeys(t *testing.T) map[string][]string {
+	t.Helper()
+	var log bytes.Buffer
+	f := forwarder.New(forwarder.Config{
+		Decider:  &oneAttempt{},
+		Protocol: platform.Protocol{},
+		Clock:    timekeeper.System{},
+		Logger: hclog.New(&hclog.LoggerOptions{
+			Name:       "dotterelhollow",
+			Output:     &log,
+			JSONFormat: true,
+		}),
+	})
+	r := httptest.NewRequest(http.MethodGet, "/", nil)
+	r.Header.Set("Dotterelhollow-Request-Id", "r-1")
+	f.ServeHTTP(httptest.NewRecorder(), r)
+	out := map[string][]string{}
+	for line := range strings.Lines(log.String()) {
+		keys, message := keysOf(t, line)
+		out[message] = keys
+	}
+	return out
+}
+
+// oneAttempt sends a request to an address where nothing listens, and gives up.
+type oneAttempt struct{}
+
+func (*oneAttempt) Receive(_ context.Context, spec messenger.ExchangeSpec) messenger.Effect {
+	return messenger.SendExchange{
+		Exchange: spec.Exchange,
+		Address:  "127.0.0.1:1",
+		Route:    &catalog.Route{},
+		Deadline: timekeeper.System{}.Now().Add(timekeeper.Minute),
+	}
+}
+
+func (*oneAttempt) Began(context.Context, messenger.ExchangeBegan) {}
+
+func (*oneAttempt) AttemptEnded(_ context.Context, e messenger.ExchangeAttemptEnded) messenger.Effect {
+	return messenger.EndExchange{
+		Exchange: e.Exchange,
+		Reason:   messenger.ReasonServerFailed,
+	}
+}
+
+func (*oneAttempt) Ended(messenger.ExchangeEnded) {}
--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -63,10 +63,15 @@
 	// would vanish with the servers, and no new ones be ordered.
 	d.demand(x.service).note(w.Now, work(x.spec, x.spec.PromptTokens))
 	d.demand(x.service).noteRefusal(w.Now)
+	again := bootWait
+	if w.Basis.ServersAge < 0 {
+		// This node has just started and hears of the servers in a moment.
+		again = soon
+	}
 	return d.refuse(w, x.spec.Exchange, messenger.Refusal{
 		Reason:     messenger.ReasonNoServer,
 		Outcome:    messenger.NotRun,
-		RetryAfter: spread(w, bootWait),
+		RetryAfter: spread(w, again),
 	})
 }
 
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -231,9 +231,11 @@
 	}
 }
 
-// Ready reports whether callers may be sent to this node.
+// Ready reports whether callers may be sent to this node: it knows what is
+// published, and does not leave.
 func (r *Reducer) Ready() bool {
-	return r.gateway != nil && r.gateway.catalog != nil && !r.gateway.draining
+	g := r.gateway
+	return g != nil && g.catalog != nil && g.servers.AsOf() != 0 && !g.draining
 }
 
 // ReadyNodes returns the nodes that callers may be sent to.
