--- a/cmd/dotterelhollow/config.go
+++ b/cmd/dotterelhollow/config.go
@@ -97,9 +97,9 @@
 
 // Execute checks the folder.
 func (c *configCheckCommand) Execute([]string) error {
-	files, err := folderreader.ReadDir(c.Args.Folder)
-	if err != nil {
-		return err
+	files, unread := folderreader.ReadDir(c.Args.Folder)
+	if unread != nil && len(files) == 0 {
+		return unread
 	}
 	_, faults := configurer.Check(files)
 	if c.JSON {
@@ -112,7 +112,10 @@
 		}
 	}
 	if len(faults) > 0 {
-		return &folderreader.FaultsError{Faults: faults}
+		return errors.Join(unread, &folderreader.FaultsError{Faults: faults})
+	}
+	if unread != nil {
+		return unread
 	}
 	if !c.JSON {
 		fmt.Printf("%d files, no faults\n", len(files))
--- a/internal/folderreader/folderreader.go
+++ b/internal/folderreader/folderreader.go
@@ -13,6 +13,7 @@
 package folderreader
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -55,7 +56,9 @@
 // ReadDir returns the files of the folder dir by name. Hidden files and
 // Markdown pages are left out; any other entry is part of the folder, so that
 // a misspelt suffix shows as a fault instead of being passed over.
-// Its error is a *ReadError or an *EntryError.
+// Entries that can't be read are left out, and its error joins a *ReadError or an
+// *EntryError for each, so that their faults and those of the others can be
+// named in one run.
 func ReadDir(dir string) (map[identifier.FileName][]byte, error) {
 	entries, err := os.ReadDir(dir)
 	if err != nil {
@@ -65,6 +68,7 @@
 		}
 	}
 	files := make(map[identifier.FileName][]byte)
+	var failed []error
 	for _, entry := range entries {
 		name := entry.Name()
 		if strings.HasPrefix(name, ".") || strings.HasSuffix(name, ".md") {
@@ -72,11 +76,12 @@
 		}
 		content, err := readFile(filepath.Join(dir, name))
 		if err != nil {
-			return nil, err
+			failed = append(failed, err)
+			continue
 		}
 		files[identifier.FileName(name)] = content
 	}
-	return files, nil
+	return files, errors.Join(failed...)
 }
 
 // ReadPath returns the files of a folder, or the one file at path, whatever
--- a/internal/folderreader/folderreader_test.go
+++ b/internal/folderreader/folderreader_test.go
@@ -42,9 +42,13 @@
 	folderreader.Merge(files, &faults)
 	require.Len(t, faults.Sorted(), 2)
 	require.NoError(t, os.Mkdir(filepath.Join(dir, "c.ini"), 0o700))
-	_, err = folderreader.ReadDir(dir)
+	require.NoError(t, os.Mkdir(filepath.Join(dir, "d.ini"), 0o700))
+	files, err = folderreader.ReadDir(dir)
 	var entry *folderreader.EntryError
 	require.ErrorAs(t, err, &entry)
+	require.ErrorContains(t, err, "c.ini")
+	require.ErrorContains(t, err, "d.ini", "all that can't be read are named")
+	require.Len(t, files, 2, "the others are read all the same")
 }
 
 // A fault reads from left to right whatever part of its place is known.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -110,13 +109,18 @@
 	return out
 }
 
+// noIDError reports a request without an id.
+type noIDError struct{}
+
+func (*noIDError) Error() string { return "no id" }
+
 // plainProtocol has names of its own, so that the tests show that the
 // forwarder knows none.
 type plainProtocol struct{}
 
 func (plainProtocol) ReadHead(r *http.Request) (forwarder.Head, error) {
 	if r.Header.Get("Id") == "" {
-		return forwarder.Head{}, errors.New("no id")
+		return forwarder.Head{}, &noIDError{}
 	}
 	return forwarder.Head{
 		Request:   identifier.RequestID(r.Header.Get("Id")),
--- a/internal/limiter/central_test.go
+++ b/internal/limiter/central_test.go
@@ -11,9 +11,10 @@
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
+const grantStart timekeeper.Time = 1_000_000
+
 const (
-	grantStart timekeeper.Time = 1_000_000
-	grantNodes                 = 9
+	grantNodes = 9
 	// The users judge windows of eight seconds, and tolerate a tenth and
 	// 140,000 tokens more than the limit.
 	judgedWindow    = 8 * timekeeper.Second
