Tell peers at once of long prompts, and reckon their time with its square

Ruled out: engines that are slow; the late ones stood at one engine in each case, within two seconds of such a prompt.

--- a/internal/dispatcher/choose.go
+++ b/internal/dispatcher/choose.go
@@ -15,6 +15,10 @@
 	// prefillPerMillisecond is how many prompt tokens an engine reads in a
 	// millisecond: 92.1 on the users' engines, by their sheets.
 	prefillPerMillisecond = 90.0
+	// pairsPerMillisecond is how many pairs of tokens an engine weighs in a
+	// millisecond: 0.35 ms a million, by the sheets. It makes a prompt of 50,000
+	// tokens take half as long again.
+	pairsPerMillisecond = 1e6 / 0.35
 	// runningCost is what one more running request costs a new one at a model
 	// engine, in milliseconds until its first event: its prompt may be read
 	// first, and it slows each step. With it, a shared prompt of 5,000 tokens
@@ -23,10 +27,6 @@
 	// fullCost is what each request beyond an engine's slots costs: it waits
 	// until one of them ends.
 	fullCost = 40.0
-	// rereadWeight is how much dearer a prompt token is that some server has
-	// read already than one that none has: it takes another server's time
-	// from requests that could use it.
-	rereadWeight = 1.0
 	// plainCost and plainFullCost are the same at a plain server, which takes
 	// about 15 ms a request: below its slots the request waits for nothing.
 	plainCost     = 0.7
@@ -42,7 +42,8 @@
 type choice struct {
 	server    *registrar.Server
 	predicted timekeeper.Duration
-	unread    identifier.Tokens
+	// prefill is the time that the server needs to read the prompt.
+	prefill timekeeper.Duration
 	// candidates is how many servers there were to choose from.
 	candidates int
 }
@@ -93,7 +94,7 @@
 
 // weigh predicts when a server's answer to an exchange would begin.
 func (d *Dispatcher) weigh(w World, x *exchange, s *registrar.Server, home bool) choice {
-	running, unread := d.loads.at(w.Now, s.Server)
+	running, prefill := d.loads.at(w.Now, s.Server)
 	backend := w.Catalog.Routing.Backends[x.service]
 	slots := s.Slots
 	if backend.Slots > 0 {
@@ -114,17 +115,23 @@
 			predicted: timekeeper.Duration(cost + 0.5),
 		}
 	}
-	own := x.spec.PromptTokens - cached(x.spec.Prefix, home)
-	again := cached(x.spec.Prefix, true) - cached(x.spec.Prefix, home)
+	own := prefillTime(x.spec.PromptTokens, cached(x.spec.Prefix, home))
 	cost += float64(running)*runningCost + float64(waiting)*fullCost
-	cost += (float64(own+unread) + float64(again)*(rereadWeight-1)) / prefillPerMillisecond
 	return choice{
 		server:    s,
-		predicted: timekeeper.Duration(cost + 0.5),
-		unread:    own,
+		predicted: timekeeper.Duration(cost+0.5) + prefill + own,
+		prefill:   own,
 	}
 }
 
+// prefillTime is how long an engine reads a prompt of which it has a part in
+// its cache.
+func prefillTime(prompt, cached identifier.Tokens) timekeeper.Duration {
+	unread := float64(max(prompt-cached, 0))
+	pairs := unread * (float64(cached) + unread/2)
+	return timekeeper.Duration(unread/prefillPerMillisecond + pairs/pairsPerMillisecond + 0.5)
+}
+
 // homeOf returns the server at which the requests that share a prompt's
 // beginning meet: the one with the largest hash of server and deepest shared
 // part. All nodes choose alike without a message, so that the shared part is
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -90,7 +90,22 @@
 	// the node is leaving, or Never.
 	refuseAfter timekeeper.Time
 	leaving     bool
-	counters    Counters
+	// tell is set when a long prompt was sent, or read, since TellPeers.
+	tell     bool
+	counters Counters
+}
+
+// longPrefill is the time to read a prompt from which on peers are told of it
+// at once: others that are sent to its server meanwhile wait behind it, on a
+// calm day over a second where a prompt of 50,000 tokens was.
+const longPrefill = 120 * timekeeper.Millisecond
+
+// TellPeers reports whether peers should hear at once of what this node has at
+// the servers, and forgets that.
+func (d *Dispatcher) TellPeers() bool {
+	tell := d.tell
+	d.tell = false
+	return tell
 }
 
 // Counters is what a node did with exchanges so far.
@@ -129,10 +144,9 @@
 	server    identifier.VMID
 	sent      timekeeper.Time
 	predicted timekeeper.Duration
-	// unread is the prompt tokens that the server has to read first; zero
-	// once the answer began.
-	unread identifier.Tokens
-	began  bool
+	// prefill is the time to read the prompt; zero once the answer began.
+	prefill timekeeper.Duration
+	began   bool
 }
 
 // New returns a dispatcher without exchanges.
@@ -170,8 +184,9 @@
 	}
 	f := x.current
 	f.began = true
-	d.loads.read(f.server, f.unread)
-	f.unread = 0
+	d.loads.read(f.server, f.prefill)
+	d.tell = d.tell || f.prefill >= longPrefill
+	f.prefill = 0
 	w.Suspicions.Observe(w.Now, f.server, detector.Observation{
 		Kind:             detector.FirstToken,
 		Latency:          w.Now.Sub(f.sent),
@@ -211,7 +226,7 @@
 
 // land takes the current attempt out of the count of what is in flight.
 func (d *Dispatcher) land(x *exchange) {
-	d.loads.landed(x.current.server, x.current.unread)
+	d.loads.landed(x.current.server, x.current.prefill)
 	d.demand(x.service).running--
 	x.current = nil
 }
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -460,7 +460,11 @@
 // until what the peer told is old.
 func TestPeersLoad(t *testing.T) {
 	n := newNode(2)
-	n.PeerLoad(start, "entry-2", messenger.Share{InFlight: map[identifier.VMID]int{serverID(0): 50}})
+	n.PeerLoad(start, "entry-2", messenger.Share{
+		InFlight: map[identifier.VMID]messenger.InFlight{
+			serverID(0): {Running: 50},
+		},
+	})
 	for range 5 {
 		require.Equal(t, serverID(1), n.sent(t, "/report/1").Server)
 	}
@@ -468,6 +472,34 @@
 	require.Equal(t, serverID(0), n.sent(t, "/report/1").Server)
 }
 
+// A peer sent a prompt of 50,000 tokens to a server. Requests that are sent there
+// meanwhile wait behind it for over a second, so this node is told at once and
+// sends them elsewhere, until the server has read it.
+func TestLongPromptOfAPeer(t *testing.T) {
+	n, peer := newNode(2), newNode(1)
+	spec := peer.spec("/report/1")
+	spec.PromptTokens = 50_000
+	send, ok := peer.Receive(peer.world, spec).(messenger.SendExchange)
+	require.True(t, ok)
+	require.True(t, peer.TellPeers())
+	require.False(t, peer.TellPeers())
+	told := func() messenger.Share {
+		running, _ := peer.OwnLoad(start)
+		return messenger.Share{InFlight: running}
+	}
+	n.PeerLoad(start, "entry-2", told())
+	for range 5 {
+		require.Equal(t, serverID(1), n.sent(t, "/report/1").Server)
+	}
+	peer.Began(peer.world, messenger.ExchangeBegan{
+		Exchange: send.Exchange,
+		Attempt:  send.Attempt,
+	})
+	require.True(t, peer.TellPeers())
+	n.PeerLoad(start, "entry-2", told())
+	require.Equal(t, serverID(0), n.sent(t, "/report/1").Server)
+}
+
 // A server that fails again and again gets no work while others can do it, and
 // gets some where it is the only one.
 func TestSuspectedServersComeLast(t *testing.T) {
@@ -611,5 +643,6 @@
 		Attempt:  first.Attempt,
 	})
 	running, _ := n.OwnLoad(n.world.Now)
-	require.Equal(t, map[identifier.VMID]int{second.Server: 1}, running)
+	require.Len(t, running, 1)
+	require.Equal(t, 1, running[second.Server].Running)
 }
--- a/internal/dispatcher/load.go
+++ b/internal/dispatcher/load.go
@@ -27,14 +27,15 @@
 // ownLoad is this node's part of a server's load.
 type ownLoad struct {
 	running int
-	// unread is the prompt tokens of requests whose answer has not begun.
-	unread identifier.Tokens
+	// prefill is the time to read the prompts of requests whose answer has
+	// not begun.
+	prefill timekeeper.Duration
 }
 
 // peerLoad is what a peer told of its requests.
 type peerLoad struct {
 	at      timekeeper.Time
-	running map[identifier.VMID]int
+	servers map[identifier.VMID]messenger.InFlight
 	demand  map[identifier.ServiceName]messenger.ServiceDemand
 }
 
@@ -45,46 +46,51 @@
 	}
 }
 
-func (l *loads) sent(server identifier.VMID, unread identifier.Tokens) {
+func (l *loads) sent(server identifier.VMID, prefill timekeeper.Duration) {
 	o := l.own[server]
 	if o == nil {
 		o = &ownLoad{}
 		l.own[server] = o
 	}
 	o.running++
-	o.unread += unread
+	o.prefill += prefill
 }
 
-func (l *loads) read(server identifier.VMID, tokens identifier.Tokens) {
+func (l *loads) read(server identifier.VMID, prefill timekeeper.Duration) {
 	if o := l.own[server]; o != nil {
-		o.unread -= tokens
+		o.prefill -= prefill
 	}
 }
 
-func (l *loads) landed(server identifier.VMID, unread identifier.Tokens) {
+func (l *loads) landed(server identifier.VMID, prefill timekeeper.Duration) {
 	o := l.own[server]
 	if o == nil {
 		return
 	}
 	o.running--
-	o.unread -= unread
+	o.prefill -= prefill
 	if o.running <= 0 {
 		delete(l.own, server)
 	}
 }
 
-// at returns the requests at a server, of all nodes, and this node's prompt
-// tokens that it has not read.
-func (l *loads) at(now timekeeper.Time, server identifier.VMID) (running int, unread identifier.Tokens) {
+// at returns the requests at a server, of all nodes, and the time that it needs
+// to read the prompts of those that wait. What a peer told of prompts grows old
+// as the server reads them.
+func (l *loads) at(now timekeeper.Time, server identifier.VMID) (running int, prefill timekeeper.Duration) {
 	if o := l.own[server]; o != nil {
-		running, unread = o.running, o.unread
+		running, prefill = o.running, o.prefill
 	}
 	for _, p := range l.peers {
-		if now.Sub(p.at) <= peerLoadAge {
-			running += p.running[server]
+		age := now.Sub(p.at)
+		if age > peerLoadAge {
+			continue
 		}
+		at := p.servers[server]
+		running += at.Running
+		prefill += max(at.Prefill-age, 0)
 	}
-	return running, unread
+	return running, prefill
 }
 
 // demand is what this node's callers ask of one service.
@@ -133,7 +139,7 @@
 	}
 	d.loads.peers[peer] = peerLoad{
 		at:      now,
-		running: s.InFlight,
+		servers: s.InFlight,
 		demand:  s.Demand,
 	}
 }
@@ -151,10 +157,13 @@
 
 // OwnLoad returns this node's requests by server, and its callers' demand by
 // service.
-func (d *Dispatcher) OwnLoad(now timekeeper.Time) (map[identifier.VMID]int, map[identifier.ServiceName]messenger.ServiceDemand) {
-	running := make(map[identifier.VMID]int, len(d.loads.own))
+func (d *Dispatcher) OwnLoad(now timekeeper.Time) (map[identifier.VMID]messenger.InFlight, map[identifier.ServiceName]messenger.ServiceDemand) {
+	running := make(map[identifier.VMID]messenger.InFlight, len(d.loads.own))
 	for server, o := range d.loads.own {
-		running[server] = o.running
+		running[server] = messenger.InFlight{
+			Running: o.running,
+			Prefill: o.prefill,
+		}
 	}
 	services := make(map[identifier.ServiceName]messenger.ServiceDemand, len(d.services))
 	for name, s := range d.services {
--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -54,14 +54,14 @@
 		return d.refuseForServers(w, x)
 	}
 	w.Budgets.Requested(w.Now, x.service, retryPercent)
-	d.demand(x.service).note(w.Now, work(x.spec, c.unread))
+	d.demand(x.service).note(w.Now, work(x.spec, c.prefill))
 	return d.send(w, x, c)
 }
 
 func (d *Dispatcher) refuseForServers(w World, x *exchange) messenger.Effect {
 	// What was asked for in vain is still asked for: without it the demand
 	// would vanish with the servers, and no new ones be ordered.
-	d.demand(x.service).note(w.Now, work(x.spec, x.spec.PromptTokens))
+	d.demand(x.service).note(w.Now, work(x.spec, prefillTime(x.spec.PromptTokens, 0)))
 	d.demand(x.service).noteRefusal(w.Now)
 	again := bootWait
 	if w.Basis.ServersAge < 0 {
@@ -76,13 +76,12 @@
 }
 
 // work is the time that a server is busy with a request, in seconds.
-func work(spec messenger.ExchangeSpec, unread identifier.Tokens) float64 {
+func work(spec messenger.ExchangeSpec, prefill timekeeper.Duration) float64 {
 	// tokenCost is the share of an engine that one generated token takes, in
 	// milliseconds: a step of 3 to 10 ms makes one token of each of the
 	// requests that run, ten of them for instance.
 	const tokenCost = 0.6
-	prefill := float64(unread) / prefillPerMillisecond
-	return (prefill + float64(spec.MaxTokens)*tokenCost) / 1000
+	return (float64(prefill) + float64(spec.MaxTokens)*tokenCost) / 1000
 }
 
 // match finds a request's route, account, service and deadline.
@@ -172,9 +171,10 @@
 		server:    c.server.Server,
 		sent:      w.Now,
 		predicted: c.predicted,
-		unread:    c.unread,
+		prefill:   c.prefill,
 	}
-	d.loads.sent(c.server.Server, c.unread)
+	d.loads.sent(c.server.Server, c.prefill)
+	d.tell = d.tell || c.prefill >= longPrefill
 	d.demand(x.service).running++
 	w.Suspicions.Observe(w.Now, c.server.Server, detector.Observation{Kind: detector.Sent})
 	first, next := d.silence(x)
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -207,7 +207,7 @@
 	ConfigurationAge timekeeper.Duration
 	Revision         identifier.Revision
 	// InFlight is the sender's own requests at each server.
-	InFlight map[identifier.VMID]int
+	InFlight map[identifier.VMID]InFlight
 	Usage    []UsageCount
 	// Demand is what the sender's callers ask of each service.
 	Demand map[identifier.ServiceName]ServiceDemand
@@ -215,6 +215,14 @@
 	Fence identifier.Fence
 }
 
+// InFlight is one node's requests at a server.
+type InFlight struct {
+	Running int
+	// Prefill is the time that the server needs to read the prompts of those
+	// whose answer has not begun.
+	Prefill timekeeper.Duration
+}
+
 // ServiceDemand is what one node's callers ask of a service.
 type ServiceDemand struct {
 	// Running is the requests in flight.
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -261,11 +261,12 @@
 	}
 	switch b := body.(type) {
 	case messenger.ExchangeReceived:
-		return []messenger.Effect{g.exchanges.Receive(r.exchangeWorld(w), b.Spec)}
+		return r.told(w, g.exchanges.Receive(r.exchangeWorld(w), b.Spec))
 	case messenger.ExchangeBegan:
 		g.exchanges.Began(r.exchangeWorld(w), b)
+		return r.told(w)
 	case messenger.ExchangeAttemptEnded:
-		return []messenger.Effect{g.exchanges.AttemptEnded(r.exchangeWorld(w), b)}
+		return r.told(w, g.exchanges.AttemptEnded(r.exchangeWorld(w), b))
 	case messenger.ExchangeEnded:
 		g.exchanges.Ended(r.exchangeWorld(w), b)
 	case messenger.CatalogPublished:
@@ -283,7 +284,7 @@
 	case messenger.UsageReported:
 		return r.usageReported(b)
 	case messenger.LimitAnswered:
-		return []messenger.Effect{g.exchanges.LimitAnswered(r.exchangeWorld(w), b)}
+		return r.told(w, g.exchanges.LimitAnswered(r.exchangeWorld(w), b))
 	case messenger.LimitAsked:
 		return []messenger.Effect{
 			messenger.AnswerLimit{
@@ -295,6 +296,14 @@
 	return nil
 }
 
+// told adds to effects what peers are told at once.
+func (r *Reducer) told(w *conductor.World, effects ...messenger.Effect) []messenger.Effect {
+	if r.gateway.exchanges.TellPeers() {
+		return append(effects, r.shareNow(w)...)
+	}
+	return effects
+}
+
 func (r *Reducer) exchangeWorld(w *conductor.World) dispatcher.World {
 	g := r.gateway
 	out := dispatcher.World{
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -244,7 +244,12 @@
 		ServersAge:       120,
 		ConfigurationAge: 340,
 		Revision:         12,
-		InFlight:         map[identifier.VMID]int{"i-1": 4},
+		InFlight: map[identifier.VMID]messenger.InFlight{
+			"i-1": {
+				Running: 4,
+				Prefill: 250,
+			},
+		},
 		Usage: []messenger.UsageCount{
 			{
 				Window:  9,
--- a/internal/relayer/share.go
+++ b/internal/relayer/share.go
@@ -24,8 +24,9 @@
 	}
 	for _, vm := range slices.Sorted(maps.Keys(s.InFlight)) {
 		out.InFlight = append(out.InFlight, &pb.ServerLoad{
-			Server:  string(vm),
-			Running: int64(s.InFlight[vm]),
+			Server:    string(vm),
+			Running:   int64(s.InFlight[vm].Running),
+			PrefillMs: int64(s.InFlight[vm].Prefill),
 		})
 	}
 	for _, u := range s.Usage {
@@ -68,14 +69,17 @@
 		ConfigurationAge: timekeeper.Duration(q.GetConfigurationAgeMs()),
 		Revision:         identifier.Revision(q.GetRevision()),
 		Fence:            identifier.Fence(q.GetFence()),
-		InFlight:         make(map[identifier.VMID]int, len(q.GetInFlight())),
+		InFlight:         make(map[identifier.VMID]messenger.InFlight, len(q.GetInFlight())),
 		Demand:           make(map[identifier.ServiceName]messenger.ServiceDemand, len(q.GetDemand())),
 	}
 	for _, e := range q.GetServers() {
 		s.Servers = append(s.Servers, decodePublishedServer(e))
 	}
 	for _, l := range q.GetInFlight() {
-		s.InFlight[identifier.VMID(l.GetServer())] = int(max(l.GetRunning(), 0))
+		s.InFlight[identifier.VMID(l.GetServer())] = messenger.InFlight{
+			Running: int(max(l.GetRunning(), 0)),
+			Prefill: timekeeper.Duration(max(l.GetPrefillMs(), 0)),
+		}
 	}
 	for _, u := range q.GetUsage() {
 		s.Usage = append(s.Usage, messenger.UsageCount{
