Take out what opaque exchanges were told and never read, and share what stood twice

Demand in server seconds, counters, connection limits, prices of reclaimable servers and instants of entries were kept and decided nothing since sizes follow the requests that run. The two loops that read the store are one, and the rendezvous weight is placer's. No decision changes.

--- a/internal/catalog/route.go
+++ b/internal/catalog/route.go
@@ -80,9 +80,6 @@
 	Max int
 	// BootTime is the time from an order until a new server serves.
 	BootTime timekeeper.Duration
-	// ReclaimablePrice is the price of a reclaimable server as a part of that
-	// of another.
-	ReclaimablePrice float64
 	// ZonePrices holds the price of a second of a server by zone.
 	ZonePrices map[identifier.Zone]float64
 }
@@ -92,8 +89,6 @@
 	// Slots is how many requests one server runs at once; zero for plain
 	// services, whose servers say so themselves.
 	Slots int
-	// Connections bounds the connections to one server, of all nodes.
-	Connections int
 	// Model tells that the servers are model engines.
 	Model bool
 	// Fleet is nil where the servers can't be ordered.
--- a/internal/dispatcher/choose.go
+++ b/internal/dispatcher/choose.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/placer"
 	"github.com/dotterelhollow/dotterelhollow/internal/registrar"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
@@ -148,7 +149,7 @@
 		if s.State != messenger.ServerReady {
 			continue
 		}
-		if h := mix(shared ^ xxhash.Sum64String(string(s.Server))); h >= most {
+		if h := placer.Weight(shared, xxhash.Sum64String(string(s.Server))); h >= most {
 			most = h
 			home = s.Server
 		}
@@ -156,14 +157,6 @@
 	return home
 }
 
-// mix spreads a hash: the exclusive or of two hashes alone would order servers
-// alike for near keys.
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // cached returns how many tokens of a prompt a server probably has in its
 // cache: all shared parts at home, and elsewhere the first, which many requests
 // share. The last part is the request's own.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -91,8 +91,7 @@
 	refuseAfter timekeeper.Time
 	leaving     bool
 	// tell is set when a long prompt was sent, or read, since TellPeers.
-	tell     bool
-	counters Counters
+	tell bool
 }
 
 // longPrefill is the time to read a prompt from which on peers are told of it
@@ -108,16 +107,6 @@
 	return tell
 }
 
-// Counters is what a node did with exchanges so far.
-type Counters struct {
-	Received  uint64
-	Refused   uint64
-	Attempts  uint64
-	Repeats   uint64
-	Completed uint64
-	Failed    uint64
-}
-
 // exchange is one request on its way.
 type exchange struct {
 	spec    messenger.ExchangeSpec
@@ -163,9 +152,6 @@
 	}
 }
 
-// Counters returns what the node did so far.
-func (d *Dispatcher) Counters() Counters { return d.counters }
-
 // InFlight returns the number of exchanges that have not ended.
 func (d *Dispatcher) InFlight() int { return len(d.exchanges) }
 
@@ -219,9 +205,6 @@
 		}
 		d.land(x)
 	}
-	if e.Result == messenger.AttemptComplete {
-		d.counters.Completed++
-	}
 }
 
 // land takes the current attempt out of the count of what is in flight.
--- a/internal/dispatcher/load.go
+++ b/internal/dispatcher/load.go
@@ -12,8 +12,8 @@
 	// peerLoadAge is the age past which a peer's report of its requests says
 	// nothing: peers report twice a second, and most requests end within it.
 	peerLoadAge = 2 * timekeeper.Second
-	// demandMemory is the time over which a service's demand is smoothed: long
-	// enough for a clump of requests, short enough for a burst to show.
+	// demandMemory is the time over which refusals are smoothed: long enough
+	// for a clump of requests, short enough for an outage to show.
 	demandMemory = 3 * timekeeper.Second
 	maxPeers     = 4096
 )
@@ -97,7 +97,6 @@
 type demand struct {
 	at      timekeeper.Time
 	running int
-	work    float64
 	refused float64
 }
 
@@ -110,7 +109,7 @@
 	return s
 }
 
-// decay brings the smoothed rates to the present.
+// decay brings the smoothed rate to the present.
 func (s *demand) decay(now timekeeper.Time) {
 	passed := now.Sub(s.at)
 	if passed <= 0 {
@@ -118,15 +117,9 @@
 	}
 	s.at = now
 	keep := math.Exp(-float64(passed) / float64(demandMemory))
-	s.work *= keep
 	s.refused *= keep
 }
 
-func (s *demand) note(now timekeeper.Time, work float64) {
-	s.decay(now)
-	s.work += work / demandMemory.Seconds()
-}
-
 func (s *demand) noteRefusal(now timekeeper.Time) {
 	s.decay(now)
 	s.refused += 1 / demandMemory.Seconds()
@@ -176,7 +169,6 @@
 	s.decay(now)
 	return messenger.ServiceDemand{
 		Running: s.running,
-		Work:    s.work,
 		Refused: s.refused,
 	}
 }
@@ -190,7 +182,6 @@
 		}
 		one := p.demand[service]
 		sum.Running += one.Running
-		sum.Work += one.Work
 		sum.Refused += one.Refused
 	}
 	return sum
--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -34,7 +34,6 @@
 // Receive admits a request and sends it, asks for a part of its account's
 // limit, or refuses it.
 func (d *Dispatcher) Receive(w World, spec messenger.ExchangeSpec) messenger.Effect {
-	d.counters.Received++
 	x, refusal := d.match(w, spec)
 	if refusal != nil {
 		return d.refuse(w, spec.Exchange, *refusal)
@@ -54,14 +53,12 @@
 		return d.refuseForServers(w, x)
 	}
 	w.Budgets.Requested(w.Now, x.service, retryPercent)
-	d.demand(x.service).note(w.Now, work(x.spec, c.prefill))
 	return d.send(w, x, c)
 }
 
 func (d *Dispatcher) refuseForServers(w World, x *exchange) messenger.Effect {
 	// What was asked for in vain is still asked for: without it the demand
 	// would vanish with the servers, and no new ones be ordered.
-	d.demand(x.service).note(w.Now, work(x.spec, prefillTime(x.spec.PromptTokens, 0)))
 	d.demand(x.service).noteRefusal(w.Now)
 	again := bootWait
 	if w.Basis.ServersAge < 0 {
@@ -75,15 +72,6 @@
 	})
 }
 
-// work is the time that a server is busy with a request, in seconds.
-func work(spec messenger.ExchangeSpec, prefill timekeeper.Duration) float64 {
-	// tokenCost is the share of an engine that one generated token takes, in
-	// milliseconds: a step of 3 to 10 ms makes one token of each of the
-	// requests that run, ten of them for instance.
-	const tokenCost = 0.6
-	return (float64(prefill) + float64(spec.MaxTokens)*tokenCost) / 1000
-}
-
 // match finds a request's route, account, service and deadline.
 func (d *Dispatcher) match(w World, spec messenger.ExchangeSpec) (*exchange, *messenger.Refusal) {
 	if w.Catalog == nil || w.Catalog.Routing == nil {
@@ -163,7 +151,6 @@
 
 // send starts an attempt.
 func (d *Dispatcher) send(w World, x *exchange, c choice) messenger.Effect {
-	d.counters.Attempts++
 	x.attempt++
 	x.counted++
 	x.tried = append(x.tried, c.server.Server)
@@ -198,7 +185,6 @@
 
 func (d *Dispatcher) refuse(w World, id identifier.ExchangeID, r messenger.Refusal) messenger.Effect {
 	delete(d.exchanges, id)
-	d.counters.Refused++
 	return messenger.RefuseExchange{
 		Exchange: id,
 		Refusal:  r,
--- a/internal/dispatcher/repeat.go
+++ b/internal/dispatcher/repeat.go
@@ -52,7 +52,6 @@
 	if e.Result != messenger.AttemptNotSent && !w.Budgets.Spend(w.Now, x.service) {
 		return d.end(w, x, e, messenger.ReasonRetriesSpent)
 	}
-	d.counters.Repeats++
 	return d.send(w, x, c)
 }
 
@@ -98,7 +97,6 @@
 // end gives an exchange up. Only where no attempt can have run is the caller
 // told so, with a time to come back.
 func (d *Dispatcher) end(w World, x *exchange, e messenger.ExchangeAttemptEnded, reason messenger.Reason) messenger.Effect {
-	d.counters.Failed++
 	delete(d.exchanges, e.Exchange)
 	if x != nil && !x.mayHaveRun && !e.Streaming && !x.spec.Resumes {
 		d.demand(x.service).noteRefusal(w.Now)
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -95,7 +95,6 @@
 		Key:          x.head.Key,
 		Received:     x.received,
 		Patience:     x.head.Patience,
-		Size:         identifier.Bytes(len(x.body)),
 		PromptTokens: x.head.PromptTokens,
 		MaxTokens:    x.head.MaxTokens,
 		Prefix:       x.head.Prefix,
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -19,7 +19,6 @@
 	Received timekeeper.Time
 	// Patience is how long the caller waits, or zero where it did not say.
 	Patience timekeeper.Duration
-	Size     identifier.Bytes
 	// PromptTokens and MaxTokens are zero where the caller did not say.
 	PromptTokens identifier.Tokens
 	MaxTokens    identifier.Tokens
@@ -227,8 +226,6 @@
 type ServiceDemand struct {
 	// Running is the requests in flight.
 	Running int
-	// Work is the smoothed work asked for, in server seconds a second.
-	Work float64
 	// Refused counts the requests turned away for want of servers, a second.
 	Refused float64
 }
@@ -259,8 +256,6 @@
 		// All tells that servers that are missing have no entry.
 		All bool
 	}
-	// StoreFailed: a read of the entries or of the configuration failed.
-	StoreFailed struct{}
 	// ShareReceived: a peer told what it knows.
 	ShareReceived struct {
 		From  identifier.VMID
@@ -330,7 +325,6 @@
 func (CatalogPublished) eventBody()     {}
 func (CatalogConfirmed) eventBody()     {}
 func (ServersPublished) eventBody()     {}
-func (StoreFailed) eventBody()          {}
 func (ShareReceived) eventBody()        {}
 func (ServersOrdered) eventBody()       {}
 func (UsageReported) eventBody()        {}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -102,7 +102,7 @@
 	sum := xxhash.Sum64String(key)
 	weights := make(map[identifier.VMID]uint64, len(nodes))
 	for _, n := range nodes {
-		weights[n.VM] = weight(sum, xxhash.Sum64String(string(n.VM)))
+		weights[n.VM] = Weight(sum, xxhash.Sum64String(string(n.VM)))
 	}
 	found := slices.Clone(nodes)
 	slices.SortFunc(found, func(a, b gossiper.Node) int {
@@ -115,9 +115,10 @@
 	return found
 }
 
-// weight mixes the hashes of a key and a node. The finalizer is that of
+// Weight mixes the hashes of a key and of what may be chosen for it: the largest
+// weight is the rendezvous choice. The finalizer is that of
 // SplitMix64: a plain exclusive or would order nodes alike for near keys.
-func weight(key, node uint64) uint64 {
+func Weight(key, node uint64) uint64 {
 	x := key ^ node
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
--- a/internal/placer/subset.go
+++ b/internal/placer/subset.go
@@ -35,10 +35,10 @@
 
 // watches reports whether own is among the first n nodes of the server.
 func watches(server, own uint64, others []uint64, n int) bool {
-	mine := weight(server, own)
+	mine := Weight(server, own)
 	ahead := 0
 	for _, other := range others {
-		if weight(server, other) <= mine {
+		if Weight(server, other) <= mine {
 			continue
 		}
 		ahead++
--- a/internal/prover/gateway_test.go
+++ b/internal/prover/gateway_test.go
@@ -281,7 +281,6 @@
 		return
 	}
 	if w.storeDown || n.offStore {
-		w.apply(n, messenger.StoreFailed{})
 		return
 	}
 	entries := slices.Clone(w.entries[n.servers:])
@@ -297,7 +296,6 @@
 		return
 	}
 	if w.storeDown || n.offStore {
-		w.apply(n, messenger.StoreFailed{})
 		return
 	}
 	w.apply(n, messenger.CatalogPublished{
--- a/internal/reducer/apply_test.go
+++ b/internal/reducer/apply_test.go
@@ -62,7 +62,6 @@
 	messenger.CatalogPublished{},
 	messenger.CatalogConfirmed{},
 	messenger.ServersPublished{},
-	messenger.StoreFailed{},
 	messenger.ShareReceived{},
 	messenger.ServersOrdered{},
 	messenger.UsageReported{},
--- a/internal/reducer/duty.go
+++ b/internal/reducer/duty.go
@@ -22,9 +22,18 @@
 	case leaser.Stream:
 		g.leases.Absorb(w.Now, e)
 	case accountant.Stream:
+		unreadable := g.usage.Ignored()
 		g.usage.Absorb(e)
 		g.usage.Agreed()
-		return r.tickUsage(w)
+		out := r.tickUsage(w)
+		if n := g.usage.Ignored() - unreadable; n > 0 {
+			out = append(out, messenger.Note{
+				Kind:   "usage_unreadable",
+				VM:     r.config.Self,
+				Detail: fmt.Sprintf("records=%d", n),
+			})
+		}
+		return out
 	}
 	return nil
 }
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -146,8 +146,6 @@
 	draining  bool
 	leaveAt   timekeeper.Time
 	exiting   bool
-	// stores is the last instant at which a read of the store failed.
-	storeFailed timekeeper.Time
 }
 
 func newGateway(c Config) *gateway {
@@ -275,8 +273,6 @@
 		g.confirmed = w.Now
 	case messenger.ServersPublished:
 		return r.serversChanged(w, g.servers.Read(w.Now, b.Servers, b.All), true)
-	case messenger.StoreFailed:
-		g.storeFailed = w.Now
 	case messenger.ShareReceived:
 		return r.shareReceived(w, b)
 	case messenger.ServersOrdered:
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -215,7 +215,7 @@
 
 	case messenger.ExchangeReceived, messenger.ExchangeBegan, messenger.ExchangeAttemptEnded,
 		messenger.ExchangeEnded, messenger.CatalogPublished, messenger.CatalogConfirmed,
-		messenger.ServersPublished, messenger.StoreFailed, messenger.ShareReceived,
+		messenger.ServersPublished, messenger.ShareReceived,
 		messenger.ServersOrdered, messenger.UsageReported, messenger.LimitAnswered, messenger.LimitAsked:
 		return r.gatewayEvent(w, b)
 
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -36,12 +36,8 @@
 // Server is a published backend server.
 type Server struct {
 	messenger.PublishedServer
-	// Changed is when this node learned of the entry, and Since when the
-	// server first showed as ready.
+	// Changed is when this node learned of the entry.
 	Changed timekeeper.Time
-	Since   timekeeper.Time
-	// LeaveBy is the end of a leaving server that told it, else Never.
-	LeaveBy timekeeper.Time
 }
 
 // Table is the published servers as one node knows them.
@@ -54,7 +50,6 @@
 	readAt     timekeeper.Time
 	asOf       timekeeper.Time
 	trustAfter timekeeper.Time
-	dropped    int
 }
 
 type removal struct {
@@ -194,7 +189,7 @@
 	if before == e {
 		return false
 	}
-	known.changed(now)
+	known.Changed = now
 	return true
 }
 
@@ -203,32 +198,18 @@
 		return false
 	}
 	if len(t.servers) >= maxServers {
-		t.dropped++
 		return false
 	}
-	s := &Server{
+	t.servers[e.Server] = &Server{
 		PublishedServer: e,
-		Since:           now,
+		Changed:         now,
 	}
-	s.changed(now)
-	t.servers[e.Server] = s
 	return true
 }
 
-func (s *Server) changed(now timekeeper.Time) {
-	s.Changed = now
-	s.LeaveBy = timekeeper.Never
-	if s.State == messenger.ServerLeaving && s.LeavesIn > 0 {
-		s.LeaveBy = now.Add(s.LeavesIn)
-	}
-}
-
 // AsOf returns the instant up to which the entries are known.
 func (t *Table) AsOf() timekeeper.Time { return t.asOf }
 
-// ReadAt returns when this node last read the store itself, or zero.
-func (t *Table) ReadAt() timekeeper.Time { return t.readAt }
-
 // Server returns a server, removed ones included.
 func (t *Table) Server(id identifier.VMID) (*Server, bool) {
 	s, ok := t.servers[id]
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -141,7 +141,6 @@
 	require.Equal(t, start.Add(300), table.AsOf())
 	table.Told(start.Add(600), start.Add(100), nil)
 	require.Equal(t, start.Add(300), table.AsOf())
-	require.Equal(t, start, table.ReadAt())
 }
 
 func TestChangedSince(t *testing.T) {
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -260,7 +260,6 @@
 		Demand: map[identifier.ServiceName]messenger.ServiceDemand{
 			"reader": {
 				Running: 4,
-				Work:    1.5,
 				Refused: 0.25,
 			},
 		},
--- a/internal/relayer/share.go
+++ b/internal/relayer/share.go
@@ -41,7 +41,6 @@
 		out.Demand = append(out.Demand, &pb.ServiceDemand{
 			Service: string(service),
 			Running: int64(d.Running),
-			Work:    d.Work,
 			Refused: d.Refused,
 		})
 	}
@@ -91,7 +90,6 @@
 	for _, d := range q.GetDemand() {
 		s.Demand[identifier.ServiceName(d.GetService())] = messenger.ServiceDemand{
 			Running: int(max(d.GetRunning(), 0)),
-			Work:    max(d.GetWork(), 0),
 			Refused: max(d.GetRefused(), 0),
 		}
 	}
--- a/internal/runner/published.go
+++ b/internal/runner/published.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -49,110 +48,103 @@
 	if r.config.Store == nil {
 		return
 	}
-	servers, configuration := jitter(r.config.Seed, "servers"), jitter(r.config.Seed, "configuration")
-	r.tasks.start(func(ctx context.Context) func() {
-		r.followServers(ctx, servers)
-		return nil
-	})
-	r.tasks.start(func(ctx context.Context) func() {
-		r.followConfiguration(ctx, configuration)
-		return nil
-	})
+	for _, records := range []published{
+		{
+			name:   "servers",
+			wanted: &r.following.servers,
+			pause:  serversEvery,
+			read:   r.readServers,
+		},
+		{
+			name:   "configuration",
+			wanted: &r.following.configuration,
+			read:   r.readConfiguration,
+		},
+	} {
+		rng := jitter(r.config.Seed, records.name)
+		r.tasks.start(func(ctx context.Context) func() {
+			r.followPublished(ctx, records, newBackoff(rng))
+			return nil
+		})
+	}
+}
+
+// published is a kind of records of the store.
+type published struct {
+	name   string
+	wanted *atomic.Bool
+	// pause is the time between reads that do not wait by themselves.
+	pause time.Duration
+	// read reads the whole, or what is new from an offset on, and returns the
+	// event that tells of it and the offset to go on from, zero to read the
+	// whole again.
+	read func(ctx context.Context, from identifier.Offset, whole bool) (messenger.EventBody, identifier.Offset, error)
 }
 
-// followServers reads the entries of backend servers.
-func (r *Runner) followServers(ctx context.Context, rng *rand.Rand) {
-	pause := newBackoff(rng)
+// followPublished reads records again and again.
+func (r *Runner) followPublished(ctx context.Context, records published, pause *backoff) {
 	var next identifier.Offset
-	whole, failed := true, false
+	failed := false
 	for ctx.Err() == nil {
-		if !whole && !r.following.servers.Load() {
+		if next != 0 && !records.wanted.Load() {
 			sleep(ctx, idleCheck)
 			continue
 		}
-		entries, end, err := r.readServers(ctx, next, whole)
+		event, end, err := records.read(ctx, next, next == 0)
 		var expired *ExpiredError
 		switch {
 		case errors.As(err, &expired):
-			whole = true
+			next = 0
 			continue
 		case err != nil:
-			r.storeFailed(ctx, "servers", &failed, err)
+			r.storeFailed(ctx, records.name, &failed, err)
 			pause.wait(ctx)
 			continue
 		}
-		r.storeServed("servers", &failed)
+		r.storeServed(records.name, &failed)
 		pause.reset()
-		r.emit(ctx, messenger.ServersPublished{
-			Servers: entries,
-			All:     whole,
-		})
-		whole = false
 		next = end
-		sleep(ctx, serversEvery)
+		r.emit(ctx, event)
+		if records.pause > 0 {
+			sleep(ctx, records.pause)
+		}
 	}
 }
 
-func (r *Runner) readServers(ctx context.Context, from identifier.Offset, whole bool) ([]messenger.PublishedServer, identifier.Offset, error) {
+func (r *Runner) readServers(ctx context.Context, from identifier.Offset, whole bool) (messenger.EventBody, identifier.Offset, error) {
 	ctx, done := context.WithTimeout(ctx, storeTimeout)
 	defer done()
-	if whole {
-		return r.config.Store.AllServers(ctx)
-	}
-	return r.config.Store.ServersFrom(ctx, from)
-}
-
-// followConfiguration reads the operators' configuration.
-func (r *Runner) followConfiguration(ctx context.Context, rng *rand.Rand) {
-	pause := newBackoff(rng)
-	var next identifier.Offset
-	whole, failed := true, false
-	for ctx.Err() == nil {
-		if !whole && !r.following.configuration.Load() {
-			sleep(ctx, idleCheck)
-			continue
+	read := func() ([]messenger.PublishedServer, identifier.Offset, error) {
+		if whole {
+			return r.config.Store.AllServers(ctx)
 		}
-		published, end, err := r.readConfiguration(ctx, next, whole)
-		var expired *ExpiredError
-		switch {
-		case errors.As(err, &expired):
-			whole = true
-			continue
-		case err != nil:
-			r.storeFailed(ctx, "configuration", &failed, err)
-			pause.wait(ctx)
-			continue
-		}
-		r.storeServed("configuration", &failed)
-		pause.reset()
-		whole = published == nil && end == 0
-		next = end
-		r.published(ctx, published)
+		return r.config.Store.ServersFrom(ctx, from)
 	}
+	entries, end, err := read()
+	return messenger.ServersPublished{
+		Servers: entries,
+		All:     whole,
+	}, end, err
 }
 
-func (r *Runner) readConfiguration(ctx context.Context, from identifier.Offset, whole bool) (*Published, identifier.Offset, error) {
-	if whole {
-		ctx, done := context.WithTimeout(ctx, storeTimeout)
-		defer done()
-		return r.config.Store.Configuration(ctx)
-	}
+func (r *Runner) readConfiguration(ctx context.Context, from identifier.Offset, whole bool) (messenger.EventBody, identifier.Offset, error) {
 	ctx, done := context.WithTimeout(ctx, configWait.Std()+storeTimeout)
 	defer done()
-	return r.config.Store.ConfigurationFrom(ctx, from, configWait)
-}
-
-// published reports what a read of the configuration brought.
-func (r *Runner) published(ctx context.Context, p *Published) {
+	read := func() (*Published, identifier.Offset, error) {
+		if whole {
+			return r.config.Store.Configuration(ctx)
+		}
+		return r.config.Store.ConfigurationFrom(ctx, from, configWait)
+	}
+	p, end, err := read()
 	if p == nil {
-		r.emit(ctx, messenger.CatalogConfirmed{})
-		return
+		return messenger.CatalogConfirmed{}, end, err
 	}
-	r.emit(ctx, messenger.CatalogPublished{
+	return messenger.CatalogPublished{
 		Catalog: p.Catalog,
 		Data:    p.Data,
 		Direct:  true,
-	})
+	}, end, err
 }
 
 // publishedByPeer reports a configuration that a peer had.
@@ -178,7 +170,6 @@
 		r.logger.Warn("store lost", "records", what, "error", err)
 	}
 	*failed = true
-	r.emit(ctx, messenger.StoreFailed{})
 }
 
 // storeServed notes a read that succeeded.
--- a/internal/sizer/sizer_test.go
+++ b/internal/sizer/sizer_test.go
@@ -49,10 +49,9 @@
 		dry:   map[identifier.Zone]bool{},
 		have:  map[key]int{},
 		fleet: &catalog.Fleet{
-			Min:              1,
-			Max:              6,
-			BootTime:         4 * timekeeper.Second,
-			ReclaimablePrice: 0.18,
+			Min:      1,
+			Max:      6,
+			BootTime: 4 * timekeeper.Second,
 			ZonePrices: map[identifier.Zone]float64{
 				"boston-a":    1,
 				"boston-b":    0.8,
