--- a/cmd/dotterelhollow/gateway.go
+++ b/cmd/dotterelhollow/gateway.go
@@ -61,7 +61,7 @@
 
 // serveGateway runs such a node until it is stopped.
 func serveGateway(path string, s *starter.Settings) error {
-	debug.SetMemoryLimit(int64(memoryShare * float64(s.Gateway.MemoryLimit) * megabyte))
+	debug.SetMemoryLimit(int64(memoryShare * s.Gateway.MemoryLimit * megabyte))
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
@@ -165,6 +165,7 @@
 		LogRetention:  s.Gateway.LogRetention,
 		Safeguards:    conductor.AllSafeguards(),
 		Gateway: &reducer.GatewayConfig{
+			Duties:      s.Gateway.Cloud.IsValid(),
 			UsageWindow: s.Gateway.UsageWindow,
 			UsageLate:   s.Gateway.UsageLate,
 		},
--- a/cmd/dotterelhollow/gateway_test.go
+++ b/cmd/dotterelhollow/gateway_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"syscall"
 	"testing"
@@ -321,7 +322,8 @@
 		"{{bounds.usage_late_s}}", "10",
 		"{{limits.memory_mb}}", "284",
 	)
-	text := fill.Replace(string(template))
+	sections := regexp.MustCompile(`(?m)^\{\{[#/].*\}\}\n`)
+	text := fill.Replace(sections.ReplaceAllString(string(template), ""))
 	require.NotContains(t, text, "{{")
 	path := filepath.Join(t.TempDir(), "settings.toml")
 	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
@@ -332,6 +334,13 @@
 	require.Equal(t, 5*timekeeper.Second, settings.Gateway.UsageWindow)
 	require.Equal(t, 8*timekeeper.Second, settings.DrainTime)
 
+	optional := regexp.MustCompile(`(?ms)^\{\{#.*?^\{\{/[^\n]*\n`)
+	least := fill.Replace(optional.ReplaceAllString(string(template), ""))
+	require.NoError(t, os.WriteFile(path, []byte(least), 0o600))
+	settings, err = starter.Load(path)
+	require.NoError(t, err, "a platform without duties is served too")
+	require.False(t, settings.Gateway.Cloud.IsValid())
+
 	broken := strings.NewReplacer("usage_window = 5s", "usage_window = soon", "10.1.0.14:8220", "nowhere").Replace(text)
 	require.NoError(t, os.WriteFile(path, []byte(broken), 0o600))
 	_, err = starter.Load(path)
--- a/internal/reducer/duty.go
+++ b/internal/reducer/duty.go
@@ -53,6 +53,9 @@
 		})
 	}
 	out = append(out, r.noteTenure(w)...)
+	if !g.config.Duties {
+		return out
+	}
 	out = append(out, r.tickUsage(w)...)
 	return append(out, r.tickSizes(w)...)
 }
@@ -86,7 +89,7 @@
 
 func (r *Reducer) tickUsage(w *conductor.World) []messenger.Effect {
 	fence, notAfter, held := r.gateway.leases.Held(dutyLease, w.Now)
-	if !held {
+	if !held || !r.gateway.config.Duties {
 		return nil
 	}
 	return r.gateway.usage.Tick(w.Now, fence, notAfter)
--- /dev/null
+++ b/internal/reducer/following.go
@@ -0,0 +1,83 @@
+package reducer
+
+import (
+	"slices"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/accountant"
+	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
+	"github.com/dotterelhollow/dotterelhollow/internal/leaser"
+	"github.com/dotterelhollow/dotterelhollow/internal/placer"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// streams returns the streams of the log that the node follows: those of the
+// duties, where it may come to hold them.
+//
+// A node that has just started reads them too: where all nodes were killed at
+// once, the time that the last holder's lease still runs is counted from this
+// read. One that may hold the duties goes on for good, so that it need not
+// learn the lease's state anew each time the membership changes.
+func (g *gateway) streams() []identifier.LogStream {
+	if g.settled && !g.candidate {
+		return nil
+	}
+	return []identifier.LogStream{leaser.Stream, accountant.Stream}
+}
+
+// chosen reports whether a node is one of the first n for a purpose.
+func chosen(self identifier.VMID, purpose string, members *gossiper.Members, n int) bool {
+	var alive []gossiper.Node
+	for _, node := range members.Nodes() {
+		if node.State == gossiper.Alive || node.VM == self {
+			alive = append(alive, node)
+		}
+	}
+	ranked := placer.Candidates(identifier.RequestID(purpose), alive)
+	return slices.ContainsFunc(ranked[:min(n, len(ranked))], func(node gossiper.Node) bool {
+		return node.VM == self
+	})
+}
+
+// Following tells which records of the platform's store a node reads itself.
+type Following struct {
+	Servers       bool
+	Configuration bool
+}
+
+// Following returns what the node reads itself now: its part of what the nodes
+// read for one another, and what its peers have not told it of for long.
+func (r *Reducer) Following(now timekeeper.Time) Following {
+	g := r.gateway
+	if g == nil {
+		return Following{}
+	}
+	return Following{
+		Servers: now.Sub(g.servers.AsOf()) > serversStale ||
+			g.settled && chosen(g.self, "published_servers", r.members, serverReaders),
+		Configuration: now.Sub(g.confirmed) > configStale ||
+			g.settled && chosen(g.self, "published_configuration", r.members, configReaders),
+	}
+}
+
+// Ready reports whether callers may be sent to this node: it knows what is
+// published, and does not leave.
+func (r *Reducer) Ready() bool {
+	g := r.gateway
+	return g != nil && g.catalog != nil && g.servers.AsOf() != 0 && !g.draining
+}
+
+// ReadyNodes returns the nodes that callers may be sent to.
+func (r *Reducer) ReadyNodes() []gossiper.Node {
+	news := r.members.NewsOf()
+	var out []gossiper.Node
+	for _, n := range r.members.Nodes() {
+		if n.State != gossiper.Alive {
+			continue
+		}
+		if n.VM == r.config.Self && r.Ready() || news[n.VM].Revision > 0 {
+			out = append(out, n)
+		}
+	}
+	return out
+}
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -2,18 +2,15 @@
 
 import (
 	"fmt"
-	"slices"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/accountant"
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
 	"github.com/dotterelhollow/dotterelhollow/internal/conductor"
 	"github.com/dotterelhollow/dotterelhollow/internal/detector"
 	"github.com/dotterelhollow/dotterelhollow/internal/dispatcher"
-	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
 	"github.com/dotterelhollow/dotterelhollow/internal/leaser"
 	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
-	"github.com/dotterelhollow/dotterelhollow/internal/placer"
 	"github.com/dotterelhollow/dotterelhollow/internal/registrar"
 	"github.com/dotterelhollow/dotterelhollow/internal/retrier"
 	"github.com/dotterelhollow/dotterelhollow/internal/sizer"
@@ -92,6 +89,9 @@
 
 // GatewayConfig sets up a node that serves opaque exchanges.
 type GatewayConfig struct {
+	// Duties tells that the platform takes orders for servers and reports of
+	// usage.
+	Duties      bool
 	UsageWindow timekeeper.Duration
 	UsageLate   timekeeper.Duration
 }
@@ -112,6 +112,7 @@
 
 // gateway is the part of the state that opaque exchanges need.
 type gateway struct {
+	config      GatewayConfig
 	self        identifier.VMID
 	incarnation identifier.Incarnation
 	catalog     *catalog.Catalog
@@ -150,6 +151,7 @@
 
 func newGateway(c Config) *gateway {
 	return &gateway{
+		config:      *c.Gateway,
 		self:        c.Self,
 		incarnation: c.Incarnation,
 		servers:     registrar.New(),
@@ -180,77 +182,6 @@
 	return g.catalog.Revision
 }
 
-// streams returns the streams of the log that the node follows: those of the
-// duties, where it may come to hold them.
-//
-// A node that has just started reads them too: where all nodes were killed at
-// once, the time that the last holder's lease still runs is counted from this
-// read. One that may hold the duties goes on for good, so that it need not
-// learn the lease's state anew each time the membership changes.
-func (g *gateway) streams() []identifier.LogStream {
-	if g.settled && !g.candidate {
-		return nil
-	}
-	return []identifier.LogStream{leaser.Stream, accountant.Stream}
-}
-
-// chosen reports whether a node is one of the first n for a purpose.
-func chosen(self identifier.VMID, purpose string, members *gossiper.Members, n int) bool {
-	var alive []gossiper.Node
-	for _, node := range members.Nodes() {
-		if node.State == gossiper.Alive || node.VM == self {
-			alive = append(alive, node)
-		}
-	}
-	ranked := placer.Candidates(identifier.RequestID(purpose), alive)
-	return slices.ContainsFunc(ranked[:min(n, len(ranked))], func(node gossiper.Node) bool {
-		return node.VM == self
-	})
-}
-
-// Following tells which records of the platform's store a node reads itself.
-type Following struct {
-	Servers       bool
-	Configuration bool
-}
-
-// Following returns what the node reads itself now: its part of what the nodes
-// read for one another, and what its peers have not told it of for long.
-func (r *Reducer) Following(now timekeeper.Time) Following {
-	g := r.gateway
-	if g == nil {
-		return Following{}
-	}
-	return Following{
-		Servers: now.Sub(g.servers.AsOf()) > serversStale ||
-			g.settled && chosen(g.self, "published_servers", r.members, serverReaders),
-		Configuration: now.Sub(g.confirmed) > configStale ||
-			g.settled && chosen(g.self, "published_configuration", r.members, configReaders),
-	}
-}
-
-// Ready reports whether callers may be sent to this node: it knows what is
-// published, and does not leave.
-func (r *Reducer) Ready() bool {
-	g := r.gateway
-	return g != nil && g.catalog != nil && g.servers.AsOf() != 0 && !g.draining
-}
-
-// ReadyNodes returns the nodes that callers may be sent to.
-func (r *Reducer) ReadyNodes() []gossiper.Node {
-	news := r.members.NewsOf()
-	var out []gossiper.Node
-	for _, n := range r.members.Nodes() {
-		if n.State != gossiper.Alive {
-			continue
-		}
-		if n.VM == r.config.Self && r.Ready() || news[n.VM].Revision > 0 {
-			out = append(out, n)
-		}
-	}
-	return out
-}
-
 // gatewayEvent hands an event to the parts that serve opaque exchanges.
 func (r *Reducer) gatewayEvent(w *conductor.World, body messenger.EventBody) []messenger.Effect {
 	g := r.gateway
@@ -292,14 +223,6 @@
 	return nil
 }
 
-// told adds to effects what peers are told at once.
-func (r *Reducer) told(w *conductor.World, effects ...messenger.Effect) []messenger.Effect {
-	if r.gateway.exchanges.TellPeers() {
-		return append(effects, r.shareNow(w)...)
-	}
-	return effects
-}
-
 func (r *Reducer) exchangeWorld(w *conductor.World) dispatcher.World {
 	g := r.gateway
 	out := dispatcher.World{
@@ -390,35 +313,6 @@
 	return out
 }
 
-func (r *Reducer) shareReceived(w *conductor.World, e messenger.ShareReceived) []messenger.Effect {
-	g := r.gateway
-	s := e.Share
-	g.exchanges.PeerLoad(w.Now, e.From, s)
-	g.usage.Told(e.From, s.Incarnation, s.Usage)
-	if s.Fence > 0 && s.Fence >= g.granterFence {
-		g.granter = e.From
-		g.granterFence = s.Fence
-		g.granterHeard = w.Now
-	}
-	changed := g.servers.Told(w.Now, w.Now.Add(-s.ServersAge), s.Servers)
-	out := r.serversChanged(w, changed, false)
-	if s.Revision == g.revision() {
-		g.confirmed = max(g.confirmed, w.Now.Add(-s.ConfigurationAge))
-	}
-	if s.Revision <= g.revision() || w.Now.Before(g.nextFetch) {
-		return out
-	}
-	node, known := r.members.Node(e.From)
-	if !known {
-		return out
-	}
-	g.nextFetch = w.Now.Add(fetchPause)
-	return append(out, messenger.FetchConfiguration{
-		Peer:    e.From,
-		Address: node.PeerAddress,
-	})
-}
-
 // tickGateway lets time pass for the exchanges and the duties.
 func (r *Reducer) tickGateway(w *conductor.World) []messenger.Effect {
 	g := r.gateway
@@ -442,65 +336,6 @@
 	return out
 }
 
-// shareGrants sets this node's parts of the accounts' limits and of the retries
-// by whom it hears.
-func (r *Reducer) shareGrants(w *conductor.World) {
-	g := r.gateway
-	nodes := r.members.Count(w.Now, cutMemory)
-	_, _, held := g.leases.Held(dutyLease, w.Now)
-	floor := retryFloor / float64(nodes)
-	r.budgets.SetFloor(floor, timekeeper.Duration(float64(retryWindow)/floor))
-	g.local.SetNodes(nodes, !held && w.Now.Sub(g.granterHeard) > granterAge)
-	if g.central != nil {
-		g.central.SetHeard(1+g.exchanges.Heard(w.Now, granteeAge), nodes)
-	}
-}
-
-// shareNow tells the peers what this node knows.
-func (r *Reducer) shareNow(w *conductor.World) []messenger.Effect {
-	g := r.gateway
-	g.nextShare = w.Now.Add(shareEachTime)
-	share := g.share(w.Now)
-	share.Fence, _, _ = g.leases.Held(dutyLease, w.Now)
-	peers := r.peers()
-	r.rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	var out []messenger.Effect
-	for _, p := range peers[:min(sharePeers, len(peers))] {
-		send := messenger.SendShare{
-			Peer:    p.VM,
-			Address: p.PeerAddress,
-			Share:   share,
-		}
-		if until, ok := g.newcomers[p.VM]; ok {
-			send.Share.Servers = g.servers.All()
-			if !w.Now.Before(until) {
-				delete(g.newcomers, p.VM)
-			}
-		}
-		out = append(out, send)
-	}
-	return out
-}
-
-func (g *gateway) share(now timekeeper.Time) messenger.Share {
-	running, demand := g.exchanges.OwnLoad(now)
-	return messenger.Share{
-		Incarnation:      g.incarnation,
-		Servers:          g.servers.ChangedSince(now.Add(-shareWindow)),
-		ServersAge:       now.Sub(g.servers.AsOf()),
-		ConfigurationAge: now.Sub(g.confirmed),
-		Revision:         g.revision(),
-		InFlight:         running,
-		Usage:            g.usage.Own(now),
-		Demand:           demand,
-	}
-}
-
-// peers returns the other nodes that are not dead.
-func (r *Reducer) peers() []gossiper.Node {
-	return slices.DeleteFunc(r.members.Nodes(), func(n gossiper.Node) bool { return n.VM == r.config.Self })
-}
-
 // gatewayDrain begins a planned stop: callers are sent elsewhere at once, and
 // the node stays until what it took has ended.
 func (r *Reducer) gatewayDrain(w *conductor.World, e messenger.DrainStarted) []messenger.Effect {
--- a/internal/starter/gateway.go
+++ b/internal/starter/gateway.go
@@ -19,18 +19,19 @@
 	Directory Port
 	Readiness Port
 	Metrics   Port
-	// Cloud is the address of the calls that one node at a time makes.
+	// Cloud is the address of the calls that one node at a time makes. It is not
+	// valid where the platform takes none.
 	Cloud netip.AddrPort
 	// Seeds are peer addresses of other nodes, which may be stale.
 	Seeds []netip.AddrPort
-	// UsageWindow is the length of the windows by which usage is reported,
-	// UsageLate how long after its end a report still counts.
+	// UsageWindow is the length of the windows by which usage is reported, zero
+	// where it is not; UsageLate is how long after its end a report still counts.
 	UsageWindow timekeeper.Duration
 	UsageLate   timekeeper.Duration
 	// LogRetention is how long the platform's store keeps a record.
 	LogRetention timekeeper.Duration
 	// MemoryLimit is the memory the process may take, in megabytes.
-	MemoryLimit int
+	MemoryLimit float64
 }
 
 // The bounds of these settings.
@@ -62,10 +63,13 @@
 }
 
 func (g *Gateway) read(f *folderreader.Form) {
-	g.Cloud = f.Need("cloud").AddrPort(true)
+	if f.Has("cloud") {
+		g.Cloud = f.Need("cloud").AddrPort(true)
+	}
+	f.Known("cloud")
 	g.Seeds = f.Get("seeds", "").AddrPorts()
-	g.UsageWindow = f.Need("usage_window").Duration(1*timekeeper.Second, maxWindow)
-	g.UsageLate = f.Need("usage_late").Duration(0, maxWindow)
-	g.LogRetention = f.Need("log_retention").Duration(1*timekeeper.Second, maxRetention)
-	g.MemoryLimit = f.Need("memory_mb").Count(1, maxMemory)
+	g.UsageWindow = f.Get("usage_window", "0s").Duration(0, maxWindow)
+	g.UsageLate = f.Get("usage_late", "10s").Duration(0, maxWindow)
+	g.LogRetention = f.Get("log_retention", "20s").Duration(1*timekeeper.Second, maxRetention)
+	g.MemoryLimit = f.Get("memory_mb", "256").Number(1, maxMemory)
 }
