Judge an outage of the store by what any node read, not by this node's own reads

The two nodes that read for the others were turned away; the others read by themselves after 1.1 s, took the minute since their own last read for an outage, and kept removed servers for the 2.2 s in which lapsed entries may come back. TestRemovalFoundByOneThatReadsSeldom failed first.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -23,9 +23,11 @@
 	// right after the store was away. The platform promises that an entry that
 	// lapsed meanwhile is back within two seconds if the server lives.
 	lapseGrace = 2200 * timekeeper.Millisecond
-	// outage is the time without a read after which the store counts as away:
-	// several reads in a row were missed.
-	outage = 1500 * timekeeper.Millisecond
+	// outage is the time for which no node has read the store, as far as this
+	// one has heard, after which the store counts as away. Where only the nodes
+	// that read for others are turned away, the rest read after 1.1 s; an
+	// outage that lets entries lapse lasts for several of their renewals.
+	outage = 2 * timekeeper.Second
 	// removedKeep is how long a removed server is remembered, so that peers'
 	// older entries do not bring it back; they travel for a second at most.
 	removedKeep = timekeeper.Minute
@@ -45,9 +47,7 @@
 	servers map[identifier.VMID]*Server
 	// doubtful are removals that hold only if no newer entry comes in time.
 	doubtful map[identifier.VMID]removal
-	// readAt is the last read of the store by this node; asOf is the instant
-	// up to which the entries are known, over any path.
-	readAt     timekeeper.Time
+	// asOf is the instant up to which the entries are known, over any path.
 	asOf       timekeeper.Time
 	trustAfter timekeeper.Time
 }
@@ -68,10 +68,9 @@
 // Read takes in entries that this node read from the store. With all set they
 // are everything that the store has. It returns what changed.
 func (t *Table) Read(now timekeeper.Time, entries []messenger.PublishedServer, all bool) []messenger.PublishedServer {
-	if t.readAt != 0 && now.Sub(t.readAt) > outage {
+	if t.asOf != 0 && now.Sub(t.asOf) > outage {
 		t.trustAfter = now.Add(lapseGrace)
 	}
-	t.readAt = now
 	t.asOf = now
 	if all {
 		entries = append(slices.Clone(entries), t.missing(entries)...)
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -116,6 +116,20 @@
 	}
 }
 
+// The two nodes that read for the others are turned away by the store. This one
+// reads by itself for the first time since its start, a second after it last
+// heard of a fresh read, and finds a server gone. It took the long time since its
+// own last read for an outage and kept the server for two seconds more, in which
+// requests went to it.
+func TestRemovalFoundByOneThatReadsSeldom(t *testing.T) {
+	table := registrar.New()
+	table.Read(start, []messenger.PublishedServer{entry("i-1", 1, messenger.ServerReady)}, true)
+	table.Told(start.Add(60_000), start.Add(59_900), nil)
+	changed := table.Read(start.Add(61_200), []messenger.PublishedServer{entry("i-1", 2, messenger.ServerRemoved)}, false)
+	require.Len(t, changed, 1)
+	require.Empty(t, table.Of("reader"))
+}
+
 // A node fell behind what the store keeps and reads the whole anew: a server
 // whose removal it missed must go, one that only a peer told of, with a newer
 // record than the whole shows, must stay.
