--- a/internal/reducer/share.go
+++ b/internal/reducer/share.go
@@ -17,6 +17,8 @@
 	return effects
 }
 
+// shareReceived takes in what a peer knows, and fetches its configuration where
+// that is newer.
 func (r *Reducer) shareReceived(w *conductor.World, e messenger.ShareReceived) []messenger.Effect {
 	g := r.gateway
 	s := e.Share
@@ -86,6 +88,7 @@
 	return out
 }
 
+// share is what this node tells its peers.
 func (g *gateway) share(now timekeeper.Time) messenger.Share {
 	running, demand := g.exchanges.OwnLoad(now)
 	return messenger.Share{
