--- a/internal/dispatcher/limit.go
+++ b/internal/dispatcher/limit.go
@@ -78,11 +78,7 @@
 }
 
 func (d *Dispatcher) refuseOverLimit(w World, x *exchange, after timekeeper.Duration) messenger.Effect {
-	return d.refuse(w.about(x), x.spec.Exchange, messenger.Refusal{
-		Reason:     messenger.ReasonAccountLimit,
-		Outcome:    messenger.NotRun,
-		RetryAfter: spread(w, after),
-	})
+	return d.refuse(w.about(x), x.spec.Exchange, notRun(messenger.ReasonAccountLimit, spread(w, after)))
 }
 
 // Grant answers a peer that asks for a part of an account's limit.
--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -36,7 +36,7 @@
 func (d *Dispatcher) Receive(w World, spec messenger.ExchangeSpec) messenger.Effect {
 	x, refusal := d.match(w, spec)
 	if refusal != nil {
-		return d.refuse(w, spec.Exchange, *refusal)
+		return d.refuse(w, spec.Exchange, refusal)
 	}
 	w = w.about(x)
 	if _, ok := d.choose(w, x); !ok {
@@ -65,11 +65,7 @@
 		// This node has just started and hears of the servers in a moment.
 		again = soon
 	}
-	return d.refuse(w, x.spec.Exchange, messenger.Refusal{
-		Reason:     messenger.ReasonNoServer,
-		Outcome:    messenger.NotRun,
-		RetryAfter: spread(w, again),
-	})
+	return d.refuse(w, x.spec.Exchange, notRun(messenger.ReasonNoServer, spread(w, again)))
 }
 
 // match finds a request's route, account, service and deadline.
@@ -183,11 +179,11 @@
 	}
 }
 
-func (d *Dispatcher) refuse(w World, id identifier.ExchangeID, r messenger.Refusal) messenger.Effect {
+func (d *Dispatcher) refuse(w World, id identifier.ExchangeID, r *messenger.Refusal) messenger.Effect {
 	delete(d.exchanges, id)
 	return messenger.RefuseExchange{
 		Exchange: id,
-		Refusal:  r,
+		Refusal:  *r,
 		Basis:    w.Basis,
 	}
 }
--- a/internal/dispatcher/repeat.go
+++ b/internal/dispatcher/repeat.go
@@ -100,11 +100,7 @@
 	delete(d.exchanges, e.Exchange)
 	if x != nil && !x.mayHaveRun && !e.Streaming && !x.spec.Resumes {
 		d.demand(x.service).noteRefusal(w.Now)
-		return d.refuse(w, e.Exchange, messenger.Refusal{
-			Reason:     reason,
-			Outcome:    messenger.NotRun,
-			RetryAfter: max(spread(w, soon), e.RetryAfter),
-		})
+		return d.refuse(w, e.Exchange, notRun(reason, max(spread(w, soon), e.RetryAfter)))
 	}
 	return messenger.EndExchange{
 		Exchange: e.Exchange,
