Keep a small part of an account's limit for its lightest requests

A prompt of 50,000 tokens takes its bucket into debt for two seconds, and lookups of 200 tokens that come meanwhile are refused, or late as their callers come back.

Change: 3 in 100 of each limit are kept for requests of up to 0.5 in 100 of a burst; what they leave goes to the others. The sum of the parts is as before.

--- a/internal/limiter/bucket.go
+++ b/internal/limiter/bucket.go
@@ -38,8 +38,11 @@
 	b.started = true
 }
 
-func (b *bucket) refill(passed timekeeper.Duration) {
-	b.level = min(b.level+b.rate*passed.Seconds(), b.capacity)
+// refill adds what came in a span, and returns what the bucket has no room for.
+func (b *bucket) refill(passed timekeeper.Duration) float64 {
+	full := b.level + b.rate*passed.Seconds()
+	b.level = min(full, b.capacity)
+	return full - b.level
 }
 
 // wait is the time until n may be taken, zero for now. A bucket that is not
--- a/internal/limiter/central.go
+++ b/internal/limiter/central.go
@@ -26,6 +26,14 @@
 	// again must not save up anew each time.
 	localBurst = 0.5
 	localStart = 0.5
+	// lightPart is the part of a limit in tokens that is kept for light requests,
+	// and lightSize the part of a burst up to which a request is light. An
+	// account at its limit asks now for 50,000 tokens, now for 200: one prompt
+	// took its bucket into debt for two seconds, and all lookups that came
+	// meanwhile were refused or late, though they weigh a fiftieth of the limit
+	// together. What light requests leave goes to the others.
+	lightPart = 0.03
+	lightSize = 0.005
 	// leastRetry and mostRetry bound the time after which a refused caller may
 	// come back.
 	leastRetry = 100 * timekeeper.Millisecond
@@ -43,11 +51,13 @@
 	limit map[identifier.AccountID]*limits
 }
 
-// limits are an account's two buckets.
+// limits are an account's buckets. Light requests take their tokens from a
+// bucket of their own first.
 type limits struct {
 	at       timekeeper.Time
 	requests bucket
 	tokens   bucket
+	light    bucket
 }
 
 // NewCentral returns the buckets of the central node.
@@ -100,22 +110,32 @@
 // requests are often larger than what a node has at a time.
 func (b *Buckets) Take(now timekeeper.Time, spec catalog.Account, tokens identifier.Tokens) (timekeeper.Duration, bool) {
 	l := b.limits(now, spec)
-	wait := max(l.requests.wait(1, 0), l.tokens.wait(float64(tokens), 0))
+	from := l.bucketFor(spec, tokens)
+	wait := max(l.requests.wait(1, 0), from.wait(float64(tokens), 0))
 	if wait > 0 {
 		return min(max(wait, leastRetry), mostRetry), false
 	}
 	l.requests.take(1)
-	l.tokens.take(float64(tokens))
+	from.take(float64(tokens))
 	return 0, true
 }
 
+// bucketFor returns the bucket that a request takes its tokens from.
+func (l *limits) bucketFor(spec catalog.Account, tokens identifier.Tokens) *bucket {
+	if float64(tokens) <= spec.TokenBurst*lightSize && l.light.wait(float64(tokens), 0) == 0 {
+		return &l.light
+	}
+	return &l.tokens
+}
+
 // limits brings an account's buckets to the present.
 func (b *Buckets) limits(now timekeeper.Time, spec catalog.Account) *limits {
 	l := b.limit[spec.ID]
 	if l == nil {
 		l = &limits{at: now}
 		l.requests.begin(spec.RequestBurst * b.burst * b.start)
-		l.tokens.begin(spec.TokenBurst * b.burst * b.start)
+		l.tokens.begin(spec.TokenBurst * b.burst * b.start * (1 - lightPart))
+		l.light.begin(spec.TokenBurst * b.burst * b.start * lightPart)
 		b.set(l, spec)
 		b.limit[spec.ID] = l
 	}
@@ -123,6 +143,7 @@
 	l.at = max(l.at, now)
 	l.requests.refill(passed)
 	l.tokens.refill(passed)
+	l.tokens.giveBack(l.light.refill(passed))
 	b.set(l, spec)
 	return l
 }
@@ -130,7 +151,8 @@
 // set gives an account's buckets their present rates and capacities.
 func (b *Buckets) set(l *limits, spec catalog.Account) {
 	l.requests.set(spec.RequestsPerSecond*b.part, max(spec.RequestBurst*b.burst, 1))
-	l.tokens.set(spec.TokensPerSecond*b.part, max(spec.TokenBurst*b.burst, 1))
+	l.tokens.set(spec.TokensPerSecond*b.part*(1-lightPart), max(spec.TokenBurst*b.burst*(1-lightPart), 1))
+	l.light.set(spec.TokensPerSecond*b.part*lightPart, max(spec.TokenBurst*b.burst*lightPart, 1))
 }
 
 // Forget drops accounts that a catalog no longer names.
