Raise the zones that are left once some are out, and don't shrink meanwhile

Two were allowed for.

Ruled out: late orders (they left within half a second of each notice).

Change: while a zone is out, the others are sized to stand one more loss, and no size shrinks. The stand-in cloud of the tests now takes boots away with their zone, as the platform does; the tests' bounds are the same.

--- a/internal/sizer/sizer.go
+++ b/internal/sizer/sizer.go
@@ -28,8 +28,10 @@
 const (
 	// lostZones is how many zones' reclaimable servers may be gone at once
 	// with the rest still covering the demand: reclaims came in pairs of
-	// zones, some seconds apart, each lasting 12 to 15 s.
-	lostZones = 2
+	// zones, some seconds apart, each lasting 12 to 15 s. While a zone is out,
+	// one more may follow: three of four went within six seconds.
+	lostZones     = 2
+	lostZonesMore = 1
 	// runningPerServer is how many requests a server runs on average. An
 	// engine takes 64, but clumps of requests are three times the average and
 	// a zone's loss doubles it.
@@ -172,7 +174,7 @@
 	if len(zones) == 0 {
 		return nil
 	}
-	spot := perZone(need, len(zones), in.Fleet)
+	spot := perZone(need, len(zones), s.zonesOut(in, zones), in.Fleet)
 	missing := need - s.soon(in, zones, spot)
 	firm := s.firm(in, zones, spot, max(missing, s.kept(in, need)))
 	var out []messenger.ServerOrder
@@ -222,7 +224,7 @@
 		return
 	}
 	n.peak = max(n.peak, now)
-	if in.Now.Sub(n.since) >= shrinkAfter {
+	if in.Now.Sub(n.since) >= shrinkAfter && s.zonesOut(in, slices.Collect(maps.Keys(in.Fleet.ZonePrices))) == 0 {
 		n.servers = n.peak
 		n.since = in.Now
 		n.peak = 0
@@ -239,14 +241,41 @@
 	return int(math.Ceil(float64(found) * firstPart))
 }
 
-// perZone returns the reclaimable servers that each zone needs for the rest to
-// cover the need while lostZones are gone.
-func perZone(need, zones int, f *catalog.Fleet) int {
-	left := max(zones-lostZones, 1)
+// perZone returns the reclaimable servers that each of the zones that have some
+// needs for the rest to cover the need while more of them are lost.
+func perZone(need, zones, out int, f *catalog.Fleet) int {
+	lost := lostZones
+	if out > 0 {
+		lost = lostZonesMore
+	}
+	left := max(zones-out-lost, 1)
 	n := (need + left - 1) / left
 	return min(max(n, leastPerZone, f.Min), f.Max)
 }
 
+// zonesOut counts the zones that have no reclaimable servers now, or lose them.
+func (s *Sizer) zonesOut(in Input, zones []identifier.Zone) int {
+	n := 0
+	for _, zone := range zones {
+		if s.out(in, zone) {
+			n++
+		}
+	}
+	return n
+}
+
+// out reports whether a zone has no reclaimable servers to be had, or is losing
+// those that it has.
+func (s *Sizer) out(in Input, zone identifier.Zone) bool {
+	if s.dry(in, zone) {
+		return true
+	}
+	return slices.ContainsFunc(in.Servers, func(server *registrar.Server) bool {
+		return server.Zone == zone && server.Market == catalog.Reclaimable &&
+			server.State == messenger.ServerLeaving && server.LeavesIn > 0
+	})
+}
+
 // soon counts the reclaimable servers that serve or will as soon as any other
 // that was ordered now.
 func (s *Sizer) soon(in Input, zones []identifier.Zone, spot int) int {
--- a/internal/sizer/sizer_test.go
+++ b/internal/sizer/sizer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -146,13 +147,16 @@
 	return messenger.DutyDone
 }
 
-// reclaim takes all reclaimable servers of a zone away, with none to be had.
+// reclaim takes all reclaimable servers of a zone away, those that boot too,
+// with none to be had.
 func (c *cloud) reclaim(zone identifier.Zone) {
-	c.dry[zone] = true
-	c.have[key{
+	k := key{
 		zone:   zone,
 		market: catalog.Reclaimable,
-	}] = 0
+	}
+	c.dry[zone] = true
+	c.have[k] = 0
+	c.boots = slices.DeleteFunc(c.boots, func(b boot) bool { return b.key == k })
 }
 
 func (c *cloud) total(market catalog.Market) int {
@@ -193,6 +197,22 @@
 	require.Zero(t, c.total(catalog.OnDemand))
 }
 
+// Three zones of four are reclaimed, four and two seconds apart. Once two are
+// out, the others are raised to carry the demand each alone: callers had a third
+// of the servers they needed for ten seconds, until dear ones had booted.
+func TestThirdZoneLost(t *testing.T) {
+	c := newCloud(t, 9)
+	c.fleet.Max = 46
+	c.run(40*timekeeper.Second, 480)
+	c.reclaim("portland-me")
+	c.run(4*timekeeper.Second, 480)
+	c.reclaim("providence")
+	c.run(5*timekeeper.Second, 480)
+	c.reclaim("boston-a")
+	c.run(500, 480)
+	require.GreaterOrEqual(t, c.total(catalog.Reclaimable), 46)
+}
+
 // All four zones are reclaimed in turn, and nothing reclaimable is to be had
 // anywhere. Callers were refused for 14 seconds, since orders for reclaimable
 // servers took all the room that the zones have. Others take that room, and
