Read the leases again within two seconds where a read hangs

Cause: while the store dropped its history a read of the stream of leases hung for its whole wait of 5 s.

Ruled out: the store turning the holder away (its appends were acknowledged), and a slow node.

Change: a stream on which records come every second is read with a wait of 1.2 s and 0.8 s of slack. A read woken by a record each second costs no further call.

--- a/cmd/dotterelhollow/gateway.go
+++ b/cmd/dotterelhollow/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/conductor"
 	"github.com/dotterelhollow/dotterelhollow/internal/forwarder"
 	"github.com/dotterelhollow/dotterelhollow/internal/historian"
+	"github.com/dotterelhollow/dotterelhollow/internal/leaser"
 	"github.com/dotterelhollow/dotterelhollow/internal/logwriter"
 	"github.com/dotterelhollow/dotterelhollow/internal/reducer"
 	"github.com/dotterelhollow/dotterelhollow/internal/relayer"
@@ -132,6 +133,7 @@
 		Peers:          peers,
 		CloseListeners: g.closeCallers,
 		Limits:         runner.Limits{ListEvery: listPause},
+		PromptStreams:  []identifier.LogStream{leaser.Stream},
 	})
 	g.metrics = forwarder.NewMetrics()
 	g.forwarder = forwarder.New(forwarder.Config{
--- a/internal/runner/fake_test.go
+++ b/internal/runner/fake_test.go
@@ -128,8 +128,10 @@
 	mu      sync.Mutex
 	batches [][]adapter.Record
 	append  func(n int) error
-	// out makes reads fail.
-	out atomic.Bool
+	// out makes reads fail, and mute makes them hang as on a connection that
+	// went silent.
+	out  atomic.Bool
+	mute atomic.Bool
 }
 
 func (l *fakeLog) Append(_ context.Context, records []adapter.Record) ([]identifier.Offset, error) {
@@ -148,6 +150,9 @@
 	if l.out.Load() {
 		return messenger.LogRead{}, &adapter.UnavailableError{}
 	}
+	if l.mute.Load() {
+		<-ctx.Done()
+	}
 	sleep(ctx, wait.Std())
 	return messenger.LogRead{End: true}, ctx.Err()
 }
--- a/internal/runner/follow.go
+++ b/internal/runner/follow.go
@@ -19,6 +19,13 @@
 	readWait  = 5 * timekeeper.Second
 	// readSlack is what a read may take beyond its wait.
 	readSlack = 2 * time.Second
+	// promptWait and promptSlack are the same for streams on which something
+	// happens every second. A read that the log, or a connection that went
+	// silent, keeps waiting in vain ends within two seconds, so that a lease of
+	// three seconds that is renewed every second outlives it. With the longer
+	// times the lease was lost for 2.4 s, and all accounts were refused.
+	promptWait  = 1200 * timekeeper.Millisecond
+	promptSlack = 800 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failure; half of each
 	// pause is random, so that nodes do not come back all at once.
 	retryFirst = 100 * time.Millisecond
@@ -81,20 +88,24 @@
 		from identifier.Offset
 		wait timekeeper.Duration
 	)
+	longest, slack := readWait, readSlack
+	if slices.Contains(r.config.PromptStreams, s) {
+		longest, slack = promptWait, promptSlack
+	}
 	for ctx.Err() == nil {
 		if !following.Load() {
 			wait = 0
 			sleep(ctx, idleCheck)
 			continue
 		}
-		read, err := r.readLog(ctx, s, from, wait)
+		read, err := r.readLog(ctx, s, from, wait, slack)
 		if err != nil {
 			wait = 0
 			r.emit(ctx, messenger.LogUnavailable{Stream: s})
 			pause.wait(ctx)
 			continue
 		}
-		wait = readWait
+		wait = longest
 		pause.reset()
 		if n := len(read.Records); n > 0 {
 			from = read.Records[n-1].Offset + 1
@@ -105,9 +116,9 @@
 }
 
 func (r *Runner) readLog(
-	ctx context.Context, s identifier.LogStream, from identifier.Offset, wait timekeeper.Duration,
+	ctx context.Context, s identifier.LogStream, from identifier.Offset, wait timekeeper.Duration, slack time.Duration,
 ) (messenger.LogRead, error) {
-	ctx, done := context.WithTimeout(ctx, wait.Std()+readSlack)
+	ctx, done := context.WithTimeout(ctx, wait.Std()+slack)
 	defer done()
 	return r.config.Log.Read(ctx, s, from, readLimit, wait)
 }
--- a/internal/runner/follow_test.go
+++ b/internal/runner/follow_test.go
@@ -46,6 +46,31 @@
 	})
 }
 
+// The connection on which a node reads the stream of leases goes silent, right
+// after a renewal was read. The node appends its next renewal a second later,
+// but does not read it back while the read hangs. It must read again before its
+// lease of three seconds lapses; with the wait of other streams it lost the
+// lease, and nobody granted accounts their limits until it had it again.
+func TestSilentReadOfPromptStreamEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.reducer.streams = []identifier.LogStream{"leases"}
+		f.config.PromptStreams = f.reducer.streams
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		wait(t, 10*time.Millisecond)
+		f.log.mute.Store(true)
+		wait(t, promptWait.Std())
+		f.log.mute.Store(false)
+		before := len(eventsOf[messenger.LogRead](f.reducer))
+		const leaseLeft = 2500 * time.Millisecond
+		wait(t, leaseLeft)
+		require.Greater(t, len(eventsOf[messenger.LogRead](f.reducer)), before)
+		cancel()
+		<-f.stopped
+	})
+}
+
 // wait lets the bubble's time pass.
 func wait(t *testing.T, d time.Duration) {
 	t.Helper()
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -46,6 +46,10 @@
 	// handlers of open connections have ended, or with its context.
 	CloseListeners func(ctx context.Context)
 
+	// PromptStreams are streams of the log on which records come every second
+	// and are acted on within seconds.
+	PromptStreams []identifier.LogStream
+
 	Limits Limits
 }
 
