Keep dear servers by the demand of now, and until two zones serve

Ruled out: placing (healthy from second 24 to 37, also through a wave).

Change: dear servers are kept as far as the demand of now is not covered by the others without their largest zone; those that serve keep their place but for one; a size allows for two zones more while some are out.

--- a/internal/sizer/sizer.go
+++ b/internal/sizer/sizer.go
@@ -28,10 +28,9 @@
 const (
 	// lostZones is how many zones' reclaimable servers may be gone at once
 	// with the rest still covering the demand: reclaims came in pairs of
-	// zones, some seconds apart, each lasting 12 to 15 s. While a zone is out,
-	// one more may follow: three of four went within six seconds.
-	lostZones     = 2
-	lostZonesMore = 1
+	// zones, some seconds apart, each lasting 12 to 15 s. While zones are out as
+	// many more may follow: three of four went within six seconds.
+	lostZones = 2
 	// runningPerServer is how many requests a server runs on average. An
 	// engine takes 64, but clumps of requests are three times the average and
 	// a zone's loss doubles it.
@@ -176,7 +175,7 @@
 	}
 	spot := perZone(need, len(zones), s.zonesOut(in, zones), in.Fleet)
 	missing := need - s.soon(in, zones, spot)
-	firm := s.firm(in, zones, spot, max(missing, s.kept(in, need)))
+	firm := s.firm(in, zones, spot, max(missing, s.kept(in, zones)))
 	var out []messenger.ServerOrder
 	for _, zone := range zones {
 		out = append(out, s.order(in, zone, catalog.Reclaimable, min(spot, in.Fleet.Max-firm[zone]))...)
@@ -188,14 +187,27 @@
 }
 
 // kept returns how many servers that can't be taken away are kept until the
-// others serve: those that were ordered, and of those that the operators
-// started what the demand of now takes. Without the second a service that is
-// taken over under load has no server until the first ones have booted.
-func (s *Sizer) kept(in Input, need int) int {
-	cheap := countReady(in.Servers, "", catalog.Reclaimable)
-	ordered := min(s.ordered(in.Service, catalog.OnDemand), need-cheap)
-	found := min(countReady(in.Servers, "", catalog.OnDemand), demanded(in.Demand)-cheap)
-	return max(ordered, found)
+// others serve: of those that were ordered, and of those that the operators
+// started, what the demand of now takes. Without the second a service that is
+// taken over under load has no server until the first ones have booted. The
+// size that the service had lately does not count: while servers lack, requests
+// pile up, and dear servers for all of them were kept 18 seconds too long.
+//
+// The others have to cover the demand also without the zone that has most.
+// Right after a reclaim all that serve may stand in one zone; dear servers given
+// up then were missed two seconds later, when that zone was reclaimed too.
+func (s *Sizer) kept(in Input, zones []identifier.Zone) int {
+	cheap, most := 0, 0
+	for _, zone := range zones {
+		n := countReady(in.Servers, zone, catalog.Reclaimable)
+		cheap += n
+		most = max(most, n)
+	}
+	if len(zones) > 1 {
+		cheap -= most
+	}
+	dear := max(s.ordered(in.Service, catalog.OnDemand), countReady(in.Servers, "", catalog.OnDemand))
+	return min(dear, demanded(in.Demand)-cheap)
 }
 
 // demanded returns how many servers the demand of now takes.
@@ -244,11 +256,7 @@
 // perZone returns the reclaimable servers that each of the zones that have some
 // needs for the rest to cover the need while more of them are lost.
 func perZone(need, zones, out int, f *catalog.Fleet) int {
-	lost := lostZones
-	if out > 0 {
-		lost = lostZonesMore
-	}
-	left := max(zones-out-lost, 1)
+	left := max(zones-out-lostZones, 1)
 	n := (need + left - 1) / left
 	return min(max(n, leastPerZone, f.Min), f.Max)
 }
@@ -272,7 +280,7 @@
 	}
 	return slices.ContainsFunc(in.Servers, func(server *registrar.Server) bool {
 		return server.Zone == zone && server.Market == catalog.Reclaimable &&
-			server.State == messenger.ServerLeaving && server.LeavesIn > 0
+			server.State == messenger.ServerLeaving && in.Now.Sub(server.Changed) <= server.LeavesIn
 	})
 }
 
@@ -316,10 +324,13 @@
 		missing -= n
 	}
 	for _, zone := range cheap {
-		take(zone, min(countReady(in.Servers, zone, catalog.OnDemand), room[zone]))
+		// What serves is not given up for reclaimable servers that have yet to
+		// boot, but for one, so that it shows when there are some.
+		beside := in.Fleet.Max - max(countReady(in.Servers, zone, catalog.Reclaimable), 1)
+		take(zone, min(countReady(in.Servers, zone, catalog.OnDemand), beside))
 	}
 	for _, zone := range cheap {
-		take(zone, room[zone])
+		take(zone, max(room[zone], 0))
 	}
 	return out
 }
--- a/internal/sizer/sizer_test.go
+++ b/internal/sizer/sizer_test.go
@@ -321,3 +321,51 @@
 	require.Equal(t, size, c.total(catalog.Reclaimable))
 	require.Equal(t, 8, size)
 }
+
+// All zones were reclaimed, and dear servers serve. Reclaimable ones are to be
+// had again in one zone only, which can be reclaimed within seconds: the dear
+// ones stay until another zone has some, and none that serves makes way for one
+// that has yet to boot.
+func TestDearServersStayUntilTwoZonesServe(t *testing.T) {
+	c := newCloud(t, 9)
+	c.fleet.Max = 12
+	c.run(40*timekeeper.Second, 100)
+	for _, zone := range zones {
+		c.reclaim(zone)
+	}
+	c.run(20*timekeeper.Second, 100)
+	require.GreaterOrEqual(t, c.total(catalog.OnDemand), 10)
+
+	delete(c.dry, "providence")
+	for range 40 {
+		c.run(500, 100)
+		require.GreaterOrEqual(t, c.total(catalog.OnDemand), 10)
+	}
+	require.GreaterOrEqual(t, c.total(catalog.Reclaimable), 10)
+
+	clear(c.dry)
+	for range 40 {
+		c.run(500, 100)
+		require.GreaterOrEqual(t, c.total(catalog.OnDemand)+c.total(catalog.Reclaimable), 10)
+	}
+	require.Zero(t, c.total(catalog.OnDemand))
+}
+
+// All servers were lost while callers kept asking, and requests piled up at the
+// first dear ones. Once the pile is worked off and reclaimable servers are to be
+// had, dear ones go as those serve, not when the size at the pile's time lapses.
+func TestPileUpGivesDearServersBack(t *testing.T) {
+	c := newCloud(t, 9)
+	c.run(40*timekeeper.Second, 80)
+	for _, zone := range zones {
+		c.reclaim(zone)
+	}
+	c.run(10*timekeeper.Second, 200)
+	require.GreaterOrEqual(t, c.total(catalog.OnDemand), 19)
+	clear(c.dry)
+	c.run(6*timekeeper.Second, 80)
+	require.LessOrEqual(t, c.total(catalog.OnDemand), 8)
+	c.run(8*timekeeper.Second, 80)
+	require.Zero(t, c.total(catalog.OnDemand))
+	require.GreaterOrEqual(t, c.total(catalog.Reclaimable), 16)
+}
