Pass load and the lease's holder on by relays where nodes are many

Cause: with 61 nodes each told 16 drawn peers twice a second.

Ruled out: telling all 60 peers (3,660 messages each half second over the nodes), and telling the holder alone, which leaves the load unknown.

Change: two relays a zone, by rendezvous hash, hear their zone, tell each other's zones the sum, and tell each node of their zone the sum over all others. All nodes tell the three that may hold the lease directly. Who holds it is passed on with its age. Up to 17 nodes tell one another directly as before.

A holder that answers that it no longer grants, or leaves two questions unanswered for 0.7 s, is no longer asked: nodes go on with their equal parts at once.

--- a/internal/dispatcher/limit.go
+++ b/internal/dispatcher/limit.go
@@ -70,6 +70,9 @@
 		return d.start(w, x)
 	}
 	after := e.RetryAfter
+	if e.NotGranting {
+		return d.admitAlone(w, x)
+	}
 	if e.Unknown {
 		x.limit = messenger.LimitPeerSilent
 		after = unaskedRetry
@@ -77,13 +80,31 @@
 	return d.refuseOverLimit(w, x, after)
 }
 
+// admitAlone counts a request against this node's own part, which is an equal
+// part of the whole limit while no node grants centrally.
+func (d *Dispatcher) admitAlone(w World, x *exchange) messenger.Effect {
+	x.limit = messenger.LimitNoPeer
+	spec, limited := w.Catalog.Accounts[x.account]
+	if !limited {
+		return d.start(w, x)
+	}
+	after, ok := w.Local.Take(w.Now, spec, x.tokens(w))
+	if ok {
+		return d.start(w, x)
+	}
+	return d.refuseOverLimit(w, x, max(after, unaskedRetry))
+}
+
 func (d *Dispatcher) refuseOverLimit(w World, x *exchange, after timekeeper.Duration) messenger.Effect {
 	return d.refuse(w.about(x), x.spec.Exchange, notRun(messenger.ReasonAccountLimit, spread(w, after)))
 }
 
 // Grant answers a peer that asks for a part of an account's limit.
 func Grant(w World, account identifier.AccountID, tokens identifier.Tokens) messenger.LimitAnswered {
-	if w.Central == nil || w.Catalog == nil {
+	if w.Central == nil {
+		return messenger.LimitAnswered{NotGranting: true}
+	}
+	if w.Catalog == nil {
 		return messenger.LimitAnswered{Unknown: true}
 	}
 	spec, ok := w.Catalog.Accounts[account]
--- a/internal/dispatcher/load.go
+++ b/internal/dispatcher/load.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"iter"
 	"math"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
@@ -12,6 +13,9 @@
 	// peerLoadAge is the age past which a peer's report of its requests says
 	// nothing: peers report twice a second, and most requests end within it.
 	peerLoadAge = 2 * timekeeper.Second
+	// othersAge is the same for a relay's sum over all nodes, which comes four
+	// times a second from each of two relays.
+	othersAge = 1 * timekeeper.Second
 	// demandMemory is the time over which refusals are smoothed: long enough
 	// for a clump of requests, short enough for an outage to show.
 	demandMemory = 3 * timekeeper.Second
@@ -22,6 +26,11 @@
 type loads struct {
 	own   map[identifier.VMID]*ownLoad
 	peers map[identifier.VMID]peerLoad
+	// zones is what relays told of the nodes of other zones, and others what
+	// one told of all nodes but this one. While others is fresh it counts in
+	// place of what single peers told.
+	zones  map[identifier.Zone]peerLoad
+	others peerLoad
 }
 
 // ownLoad is this node's part of a server's load.
@@ -43,6 +52,7 @@
 	return loads{
 		own:   map[identifier.VMID]*ownLoad{},
 		peers: map[identifier.VMID]peerLoad{},
+		zones: map[identifier.Zone]peerLoad{},
 	}
 }
 
@@ -81,18 +91,29 @@
 	if o := l.own[server]; o != nil {
 		running, prefill = o.running, o.prefill
 	}
-	for _, p := range l.peers {
-		age := now.Sub(p.at)
-		if age > peerLoadAge {
-			continue
-		}
+	for p := range l.told(now) {
 		at := p.servers[server]
 		running += at.Running
-		prefill += max(at.Prefill-age, 0)
+		prefill += max(at.Prefill-now.Sub(p.at), 0)
 	}
 	return running, prefill
 }
 
+// told yields what counts of what other nodes told.
+func (l *loads) told(now timekeeper.Time) iter.Seq[peerLoad] {
+	return func(yield func(peerLoad) bool) {
+		if now.Sub(l.others.at) <= othersAge {
+			yield(l.others)
+			return
+		}
+		for _, p := range l.peers {
+			if now.Sub(p.at) <= peerLoadAge && !yield(p) {
+				return
+			}
+		}
+	}
+}
+
 // demand is what this node's callers ask of one service.
 type demand struct {
 	at      timekeeper.Time
@@ -125,16 +146,25 @@
 	s.refused += 1 / demandMemory.Seconds()
 }
 
-// PeerLoad takes in what a peer told of its requests.
+// PeerLoad takes in what a peer told of its requests, or of those of others.
 func (d *Dispatcher) PeerLoad(now timekeeper.Time, peer identifier.VMID, s messenger.Share) {
-	if _, known := d.loads.peers[peer]; !known && len(d.loads.peers) >= maxPeers {
-		return
-	}
-	d.loads.peers[peer] = peerLoad{
+	told := peerLoad{
 		at:      now,
 		servers: s.InFlight,
 		demand:  s.Demand,
 	}
+	switch s.Scope {
+	case messenger.ShareZone:
+		if _, known := d.loads.zones[s.Zone]; known || len(d.loads.zones) < maxPeers {
+			d.loads.zones[s.Zone] = told
+		}
+	case messenger.ShareOthers:
+		d.loads.others = told
+	default:
+		if _, known := d.loads.peers[peer]; known || len(d.loads.peers) < maxPeers {
+			d.loads.peers[peer] = told
+		}
+	}
 }
 
 // Heard returns the number of peers that told of their requests within a span.
@@ -176,10 +206,7 @@
 // Demand returns what the callers of all nodes ask of a service.
 func (d *Dispatcher) Demand(now timekeeper.Time, service identifier.ServiceName) messenger.ServiceDemand {
 	sum := d.demand(service).report(now)
-	for _, p := range d.loads.peers {
-		if now.Sub(p.at) > peerLoadAge {
-			continue
-		}
+	for p := range d.loads.told(now) {
 		one := p.demand[service]
 		sum.Running += one.Running
 		sum.Refused += one.Refused
--- /dev/null
+++ b/internal/dispatcher/sum.go
@@ -0,0 +1,96 @@
+package dispatcher
+
+import (
+	"maps"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// Sum is the requests of several nodes by server, and what their callers ask by
+// service. A relay makes it for nodes that do not hear all others themselves.
+type Sum struct {
+	InFlight map[identifier.VMID]messenger.InFlight
+	Demand   map[identifier.ServiceName]messenger.ServiceDemand
+}
+
+func newSum() Sum {
+	return Sum{
+		InFlight: map[identifier.VMID]messenger.InFlight{},
+		Demand:   map[identifier.ServiceName]messenger.ServiceDemand{},
+	}
+}
+
+// add adds what a node told, and with sign -1 takes it off again. The time to
+// read prompts has passed since it was told.
+func (s Sum) add(p peerLoad, age timekeeper.Duration, sign int) {
+	for server, told := range p.servers {
+		sum := s.InFlight[server]
+		sum.Running += sign * told.Running
+		sum.Prefill += timekeeper.Duration(sign) * max(told.Prefill-age, 0)
+		s.InFlight[server] = sum
+	}
+	for service, told := range p.demand {
+		sum := s.Demand[service]
+		sum.Running += sign * told.Running
+		sum.Refused += float64(sign) * told.Refused
+		s.Demand[service] = sum
+	}
+}
+
+// ZoneSum returns the requests of this node and of the given peers, its
+// neighbours in its availability zone.
+func (d *Dispatcher) ZoneSum(now timekeeper.Time, neighbours []identifier.VMID) Sum {
+	sum := newSum()
+	sum.addFresh(now, d.told(now, d.config.Self), 1)
+	for _, peer := range neighbours {
+		sum.addFresh(now, d.loads.peers[peer], 1)
+	}
+	return sum
+}
+
+func (s Sum) addFresh(now timekeeper.Time, p peerLoad, sign int) {
+	if age := now.Sub(p.at); age <= peerLoadAge {
+		s.add(p, age, sign)
+	}
+}
+
+// WithZones returns a zone's sum with those that relays of other zones told.
+func (d *Dispatcher) WithZones(now timekeeper.Time, zone Sum) Sum {
+	all := zone.clone()
+	for name, z := range d.loads.zones {
+		if name != d.config.Zone {
+			all.addFresh(now, z, 1)
+		}
+	}
+	return all
+}
+
+// Without returns the sum less what one node of the zone told: it counts its own
+// requests itself, as they are now.
+func (d *Dispatcher) Without(now timekeeper.Time, all Sum, node identifier.VMID) Sum {
+	rest := all.clone()
+	rest.addFresh(now, d.told(now, node), -1)
+	return rest
+}
+
+// told returns what a node of this zone told last, or has now if it is this one.
+func (d *Dispatcher) told(now timekeeper.Time, node identifier.VMID) peerLoad {
+	if node != d.config.Self {
+		return d.loads.peers[node]
+	}
+	servers, demand := d.OwnLoad(now)
+	return peerLoad{
+		at:      now,
+		servers: servers,
+		demand:  demand,
+	}
+}
+
+func (s Sum) clone() Sum {
+	return Sum{
+		InFlight: maps.Clone(s.InFlight),
+		Demand:   maps.Clone(s.Demand),
+	}
+}
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -145,11 +145,13 @@
 		Tokens   identifier.Tokens
 	}
 	// LimitAnswered: the central node granted the request or refused it, or
-	// with Unknown set could not be asked.
+	// with Unknown set could not be asked. With NotGranting set it answered that
+	// it no longer grants.
 	LimitAnswered struct {
-		Exchange   identifier.ExchangeID
-		Granted    bool
-		Unknown    bool
+		Exchange    identifier.ExchangeID
+		Granted     bool
+		Unknown     bool
+		NotGranting bool
 		RetryAfter timekeeper.Duration
 	}
 	// LimitAsked: a peer asks this node for a part of an account's limit.
@@ -205,15 +207,36 @@
 	// is newer than its own.
 	ConfigurationAge timekeeper.Duration
 	Revision         identifier.Revision
-	// InFlight is the sender's own requests at each server.
+	// Scope tells whose requests InFlight and Demand are.
+	Scope ShareScope
+	// Zone is the availability zone of a share over one.
+	Zone identifier.Zone
+	// InFlight is the requests at each server.
 	InFlight map[identifier.VMID]InFlight
 	Usage    []UsageCount
-	// Demand is what the sender's callers ask of each service.
+	// Demand is what callers ask of each service.
 	Demand map[identifier.ServiceName]ServiceDemand
-	// Fence is that of the lease that the sender holds, or zero.
-	Fence identifier.Fence
+	// Holder is the node that holds the lease of the duties, as far as the
+	// sender knows, with its fence; HolderAge is how long ago it said so. It is
+	// empty where none is known.
+	Holder    identifier.VMID
+	Fence     identifier.Fence
+	HolderAge timekeeper.Duration
 }
 
+// ShareScope tells whose requests a share counts.
+type ShareScope string
+
+// The scopes of shares.
+const (
+	// ShareOwn: the sender's.
+	ShareOwn ShareScope = ""
+	// ShareZone: those of all nodes of an availability zone.
+	ShareZone ShareScope = "zone"
+	// ShareOthers: those of all nodes but the receiver.
+	ShareOthers ShareScope = "others"
+)
+
 // InFlight is one node's requests at a server.
 type InFlight struct {
 	Running int
--- a/internal/reducer/following.go
+++ b/internal/reducer/following.go
@@ -1,8 +1,6 @@
 package reducer
 
 import (
-	"slices"
-
 	"github.com/dotterelhollow/dotterelhollow/internal/accountant"
 	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
 	"github.com/dotterelhollow/dotterelhollow/internal/leaser"
@@ -27,6 +25,11 @@
 
 // chosen reports whether a node is one of the first n for a purpose.
 func chosen(self identifier.VMID, purpose string, members *gossiper.Members, n int) bool {
+	return has(firstFor(purpose, self, members, n), self)
+}
+
+// firstFor returns the first n nodes for a purpose, as a node sees them.
+func firstFor(purpose string, self identifier.VMID, members *gossiper.Members, n int) []gossiper.Node {
 	var alive []gossiper.Node
 	for _, node := range members.Nodes() {
 		if node.State == gossiper.Alive || node.VM == self {
@@ -34,9 +37,7 @@
 		}
 	}
 	ranked := placer.Candidates(identifier.RequestID(purpose), alive)
-	return slices.ContainsFunc(ranked[:min(n, len(ranked))], func(node gossiper.Node) bool {
-		return node.VM == self
-	})
+	return ranked[:min(n, len(ranked))]
 }
 
 // Following tells which records of the platform's store a node reads itself.
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -64,7 +64,8 @@
 	// shareWindow is for how long a changed entry is told again: each peer
 	// hears of it four times.
 	shareWindow = 2 * timekeeper.Second
-	// sharePeers bounds the peers that get a share at a time.
+	// sharePeers is the most peers that a node tells all of them what it knows;
+	// where there are more, relays pass it on.
 	sharePeers = 16
 	planEvery  = 500 * timekeeper.Millisecond
 	// granterAge is how long a peer that holds the lease is asked for limits
@@ -73,6 +74,11 @@
 	// its own. Both are two or three times the spacing of shares.
 	granterAge = 1600 * timekeeper.Millisecond
 	granteeAge = 1100 * timekeeper.Millisecond
+	// deafAge is how long after it was last heard that peer counts as gone which
+	// left silentAsks questions unanswered since: one whose VM was taken away is
+	// asked in vain for a second less.
+	deafAge    = 700 * timekeeper.Millisecond
+	silentAsks = 2
 	// cutMemory is how long a silent node's part of the limits is kept for
 	// it: it may be cut off and serve callers on its side.
 	cutMemory = 15 * timekeeper.Second
@@ -132,6 +138,8 @@
 	granter      identifier.VMID
 	granterFence identifier.Fence
 	granterHeard timekeeper.Time
+	// silent counts the questions that it did not answer since.
+	silent int
 	// startedAt is the first tick, and settled tells that the node has had
 	// time to hear of its peers since.
 	startedAt timekeeper.Time
@@ -139,6 +147,7 @@
 	// candidate tells that the node was ever one that may hold the duties.
 	candidate bool
 	nextShare timekeeper.Time
+	nextRelay timekeeper.Time
 	nextPlan  timekeeper.Time
 	nextFetch timekeeper.Time
 	// newcomers are the peers that joined or came back lately, with the
@@ -211,6 +220,16 @@
 	case messenger.UsageReported:
 		return r.usageReported(b)
 	case messenger.LimitAnswered:
+		if b.NotGranting {
+			// Nobody grants until a node has the lease. All nodes go on with
+			// equal parts at once: waiting until the old holder counts as silent
+			// refused all accounts for two seconds.
+			g.granterHeard = 0
+			r.shareGrants(w)
+		}
+		if b.Unknown {
+			g.silent++
+		}
 		return r.told(w, g.exchanges.LimitAnswered(r.exchangeWorld(w), b))
 	case messenger.LimitAsked:
 		return []messenger.Effect{
@@ -246,7 +265,7 @@
 		return out
 	}
 	node, known := r.members.Node(g.granter)
-	if known && w.Now.Sub(g.granterHeard) <= granterAge {
+	if known && g.granterThere(w.Now) {
 		out.Granter = &dispatcher.Granter{
 			Node:    g.granter,
 			Address: node.PeerAddress,
@@ -255,6 +274,12 @@
 	return out
 }
 
+// granterThere reports whether the node that grants centrally can be asked.
+func (g *gateway) granterThere(now timekeeper.Time) bool {
+	age := now.Sub(g.granterHeard)
+	return age <= granterAge && (age <= deafAge || g.silent < silentAsks)
+}
+
 // age returns how long ago an instant was, or a negative span where it is none.
 func age(now, at timekeeper.Time) timekeeper.Duration {
 	if at == 0 {
@@ -328,6 +353,7 @@
 	if !w.Now.Before(g.nextShare) {
 		out = append(out, r.shareNow(w)...)
 	}
+	out = append(out, r.relayNow(w)...)
 	out = append(out, r.tickDuties(w)...)
 	if g.draining && !g.exiting && !w.Now.Before(g.leaveAt) && g.exchanges.InFlight() == 0 {
 		g.exiting = true
--- /dev/null
+++ b/internal/reducer/relay_test.go
@@ -0,0 +1,279 @@
+package reducer
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+const (
+	fleetStart timekeeper.Time = 1_000_000
+	fleetStep                  = 50 * timekeeper.Millisecond
+	fleetZones                 = 4
+	fleetDuty                  = identifier.Fence(7)
+)
+
+// fleet is the reducers of many nodes, with gossip and shares between them that
+// arrive one step later. The first node's lease is a given fact: there is no
+// log.
+type fleet struct {
+	now   timekeeper.Time
+	nodes map[identifier.VMID]*Reducer
+	ids   []identifier.VMID
+	down  map[identifier.VMID]bool
+	mail  []letter
+	// shares counts those that were sent.
+	shares int
+}
+
+type letter struct {
+	to   identifier.VMID
+	body messenger.EventBody
+}
+
+func newFleet(nodes int) *fleet {
+	f := &fleet{
+		now:   fleetStart,
+		nodes: map[identifier.VMID]*Reducer{},
+		down:  map[identifier.VMID]bool{},
+	}
+	for i := range nodes {
+		id := identifier.VMID(fmt.Sprintf("entry-%d", i))
+		f.ids = append(f.ids, id)
+		f.nodes[id] = New(Config{
+			Self:          id,
+			Incarnation:   1,
+			Zone:          identifier.Zone(fmt.Sprintf("zone-%d", i%fleetZones)),
+			PeerAddress:   string(id),
+			CallerAddress: string(id),
+			Seed:          uint64(i),
+			Seeds:         []string{"entry-0"},
+			Gateway:       &GatewayConfig{},
+		})
+	}
+	return f
+}
+
+// apply hands one node an event and posts what it sends to others.
+func (f *fleet) apply(id identifier.VMID, body messenger.EventBody) {
+	effects := f.nodes[id].Apply(messenger.Event{
+		At:   f.now,
+		Body: body,
+	})
+	for _, e := range effects {
+		switch e := e.(type) {
+		case messenger.SendGossip:
+			f.mail = append(f.mail, letter{
+				to: identifier.VMID(e.Address),
+				body: messenger.GossipReceived{
+					From: id,
+					Data: e.Data,
+				},
+			})
+		case messenger.SendShare:
+			f.shares++
+			f.mail = append(f.mail, letter{
+				to: identifier.VMID(e.Address),
+				body: messenger.ShareReceived{
+					From:  id,
+					Share: e.Share,
+				},
+			})
+		}
+	}
+}
+
+func (f *fleet) run(span timekeeper.Duration) {
+	for end := f.now.Add(span); f.now.Before(end); f.now = f.now.Add(fleetStep) {
+		mail := f.mail
+		f.mail = nil
+		for _, m := range mail {
+			if !f.down[m.to] {
+				f.apply(m.to, m.body)
+			}
+		}
+		for _, id := range f.ids {
+			if !f.down[id] {
+				f.apply(id, messenger.Tick{})
+			}
+		}
+	}
+}
+
+// serve publishes one server and a configuration, and sends every node as many
+// requests as its number in the fleet.
+func (f *fleet) serve() int {
+	sum := 0
+	for i, id := range f.ids {
+		f.apply(id, messenger.CatalogPublished{Catalog: fleetCatalog()})
+		f.apply(id, messenger.ServersPublished{
+			Servers: []messenger.PublishedServer{
+				{
+					Server:  "reader-1",
+					Offset:  1,
+					Service: "reader",
+					Address: "reader-1",
+					Zone:    "zone-0",
+					State:   messenger.ServerReady,
+				},
+			},
+			All: true,
+		})
+		for n := range i {
+			f.apply(id, messenger.ExchangeReceived{
+				Spec: messenger.ExchangeSpec{
+					Exchange: identifier.ExchangeID(n + 1),
+					Request:  identifier.RequestID(fmt.Sprintf("r-%d-%d", i, n)),
+					Host:     "api.example",
+					Path:     "/report/",
+					Received: f.now,
+				},
+			})
+		}
+		sum += i
+	}
+	return sum
+}
+
+func fleetCatalog() *catalog.Catalog {
+	routing := catalog.NewRouting([]*catalog.Route{
+		{
+			Name:       "report",
+			Host:       "api.example",
+			PathPrefix: "/report/",
+			Repetition: catalog.Resumed,
+			Stream:     true,
+			Timeout:    timekeeper.Minute,
+			Target:     timekeeper.Second,
+			Attempts:   2,
+			Public:     true,
+			Split: []catalog.Split{
+				{
+					Service: "reader",
+					Weight:  1,
+				},
+			},
+		},
+	}, nil)
+	routing.Backends["reader"] = catalog.Backend{Model: true}
+	return &catalog.Catalog{
+		Revision: 1,
+		Routing:  routing,
+	}
+}
+
+// Callers of 61 nodes ask for one service. Each node heard 16 of the others at a
+// time and knew half of the load, so that it chose servers that were full. Now
+// each knows all requests within two seconds, and sends a few messages a second.
+func TestManyNodesKnowAllLoad(t *testing.T) {
+	f := newFleet(61)
+	f.run(6 * timekeeper.Second)
+	sum := f.serve()
+	f.run(2 * timekeeper.Second)
+	for _, id := range f.ids {
+		demand := f.nodes[id].gateway.exchanges.Demand(f.now, "reader")
+		require.Equal(t, sum, demand.Running, "at %s", id)
+	}
+	f.shares = 0
+	f.run(4 * timekeeper.Second)
+	require.Less(t, f.shares, 4*61*30)
+}
+
+// One relay of a zone dies. The nodes of the zone still hear of all requests, by
+// the other relay.
+func TestRelayDies(t *testing.T) {
+	f := newFleet(61)
+	f.run(6 * timekeeper.Second)
+	sum := f.serve()
+	f.run(2 * timekeeper.Second)
+	dead := f.nodes[f.ids[0]].relays("zone-1")[0].VM
+	lost := f.nodes[dead].gateway.exchanges.InFlight()
+	f.down[dead] = true
+	f.run(3 * timekeeper.Second)
+	for _, id := range f.ids {
+		if f.down[id] {
+			continue
+		}
+		demand := f.nodes[id].gateway.exchanges.Demand(f.now, "reader")
+		require.Equal(t, sum-lost, demand.Running, "at %s", id)
+	}
+}
+
+// The holder of the lease is told by all nodes directly, and all know who it is:
+// it takes the parts of nodes that it does not hear off what it grants.
+func TestHolderHearsAllNodes(t *testing.T) {
+	f := newFleet(61)
+	f.run(6 * timekeeper.Second)
+	holder := firstFor(string(dutyLease), f.ids[0], f.nodes[f.ids[0]].members, dutyNodes)[0].VM
+	for range 40 {
+		for _, id := range f.ids {
+			if id != holder {
+				f.nodes[id].gateway.heardOfHolder(f.now, messenger.Share{
+					Holder: holder,
+					Fence:  fleetDuty,
+				})
+			}
+		}
+		f.run(fleetStep)
+		require.Equal(t, len(f.ids)-1, f.nodes[holder].gateway.exchanges.Heard(f.now, granteeAge))
+	}
+}
+
+// The holder is heard of through relays, and with its age on the way: nodes stop
+// asking it as soon as they would if they heard it themselves.
+func TestHolderIsHeardThroughRelays(t *testing.T) {
+	f := newFleet(61)
+	f.run(6 * timekeeper.Second)
+	relay := f.nodes[f.ids[0]].relays("zone-0")[0].VM
+	f.nodes[relay].gateway.heardOfHolder(f.now, messenger.Share{
+		Holder: "entry-60",
+		Fence:  fleetDuty,
+	})
+	heardAt := f.now
+	// The time on the way between two nodes does not count as age.
+	const hops = 4
+	f.run(1 * timekeeper.Second)
+	for _, id := range f.ids[:60] {
+		g := f.nodes[id].gateway
+		require.Equal(t, identifier.VMID("entry-60"), g.granter, "at %s", id)
+		require.LessOrEqual(t, g.granterHeard, heardAt.Add(hops*fleetStep), "at %s", id)
+	}
+}
+
+// The VM of the lease's holder is taken away. Its peers ask it in vain, and
+// refuse what they asked for. After two such questions, with no news of it for
+// longer than its shares are apart, they go on with their own parts, and ask it
+// again once they hear of it.
+func TestSilentHolderIsNoLongerAsked(t *testing.T) {
+	f := newFleet(3)
+	f.run(2 * timekeeper.Second)
+	g := f.nodes["entry-1"].gateway
+	hear := func() {
+		g.heardOfHolder(f.now, messenger.Share{
+			Holder: "entry-2",
+			Fence:  fleetDuty,
+		})
+	}
+	hear()
+	require.True(t, g.granterThere(f.now))
+	unanswered := messenger.LimitAnswered{
+		Exchange: 1,
+		Unknown:  true,
+	}
+	f.apply("entry-1", unanswered)
+	f.apply("entry-1", unanswered)
+	require.True(t, g.granterThere(f.now), "heard a moment ago")
+	f.now = f.now.Add(deafAge + 1)
+	require.False(t, g.granterThere(f.now))
+	hear()
+	require.True(t, g.granterThere(f.now))
+	f.now = f.now.Add(deafAge + 1)
+	f.apply("entry-1", unanswered)
+	require.True(t, g.granterThere(f.now), "one answer may be lost")
+}
--- a/internal/reducer/share.go
+++ b/internal/reducer/share.go
@@ -24,12 +24,11 @@
 	s := e.Share
 	g.exchanges.PeerLoad(w.Now, e.From, s)
 	g.usage.Told(e.From, s.Incarnation, s.Usage)
-	if s.Fence > 0 && s.Fence >= g.granterFence {
-		g.granter = e.From
-		g.granterFence = s.Fence
-		g.granterHeard = w.Now
-	}
+	g.heardOfHolder(w.Now, s)
 	changed := g.servers.Told(w.Now, w.Now.Add(-s.ServersAge), s.Servers)
+	if len(changed) > 0 {
+		g.nextRelay = w.Now
+	}
 	out := r.serversChanged(w, changed, false)
 	if s.Revision == g.revision() {
 		g.confirmed = max(g.confirmed, w.Now.Add(-s.ConfigurationAge))
@@ -48,6 +47,22 @@
 	})
 }
 
+// heardOfHolder takes in who holds the lease of the duties, from that node or
+// from one that heard of it.
+func (g *gateway) heardOfHolder(now timekeeper.Time, s messenger.Share) {
+	if s.Holder == "" || s.Holder == g.self || s.Fence < g.granterFence {
+		return
+	}
+	heard := now.Add(-s.HolderAge)
+	if s.Fence == g.granterFence && !heard.After(g.granterHeard) {
+		return
+	}
+	g.granter = s.Holder
+	g.granterFence = s.Fence
+	g.granterHeard = heard
+	g.silent = 0
+}
+
 // shareGrants sets this node's parts of the accounts' limits and of the retries
 // by whom it hears.
 func (r *Reducer) shareGrants(w *conductor.World) {
@@ -56,51 +71,68 @@
 	_, _, held := g.leases.Held(dutyLease, w.Now)
 	floor := retryFloor / float64(nodes)
 	r.budgets.SetFloor(floor, timekeeper.Duration(float64(retryWindow)/floor))
-	g.local.SetNodes(nodes, !held && w.Now.Sub(g.granterHeard) > granterAge)
+	g.local.SetNodes(nodes, !held && !g.granterThere(w.Now))
 	if g.central != nil {
 		g.central.SetHeard(1+g.exchanges.Heard(w.Now, granteeAge), nodes)
 	}
 }
 
-// shareNow tells the peers what this node knows.
+// shareNow tells peers what this node knows: all of them, or where they are many
+// those that pass it on.
 func (r *Reducer) shareNow(w *conductor.World) []messenger.Effect {
 	g := r.gateway
 	g.nextShare = w.Now.Add(shareEachTime)
 	share := g.share(w.Now)
-	share.Fence, _, _ = g.leases.Held(dutyLease, w.Now)
 	peers := r.peers()
-	r.rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	var out []messenger.Effect
-	for _, p := range peers[:min(sharePeers, len(peers))] {
-		send := messenger.SendShare{
-			Peer:    p.VM,
-			Address: p.PeerAddress,
-			Share:   share,
-		}
-		if until, ok := g.newcomers[p.VM]; ok {
-			send.Share.Servers = g.servers.All()
-			if !w.Now.Before(until) {
-				delete(g.newcomers, p.VM)
-			}
-		}
-		out = append(out, send)
+	if len(peers) > sharePeers {
+		peers = r.fewPeers(peers)
+	}
+	out := make([]messenger.Effect, 0, len(peers))
+	for _, p := range peers {
+		out = append(out, g.send(w.Now, p, share))
 	}
 	return out
 }
 
+// send tells one peer; one that joined lately is told all entries of servers.
+func (g *gateway) send(now timekeeper.Time, peer gossiper.Node, share messenger.Share) messenger.SendShare {
+	if until, ok := g.newcomers[peer.VM]; ok {
+		share.Servers = g.servers.All()
+		if !now.Before(until) {
+			delete(g.newcomers, peer.VM)
+		}
+	}
+	return messenger.SendShare{
+		Peer:    peer.VM,
+		Address: peer.PeerAddress,
+		Share:   share,
+	}
+}
+
 // share is what this node tells its peers.
 func (g *gateway) share(now timekeeper.Time) messenger.Share {
 	running, demand := g.exchanges.OwnLoad(now)
-	return messenger.Share{
+	s := g.news(now)
+	s.InFlight = running
+	s.Usage = g.usage.Own(now)
+	s.Demand = demand
+	return s
+}
+
+// news is what this node knows that is not of its own requests.
+func (g *gateway) news(now timekeeper.Time) messenger.Share {
+	s := messenger.Share{
 		Incarnation:      g.incarnation,
 		Servers:          g.servers.ChangedSince(now.Add(-shareWindow)),
 		ServersAge:       now.Sub(g.servers.AsOf()),
 		ConfigurationAge: now.Sub(g.confirmed),
 		Revision:         g.revision(),
-		InFlight:         running,
-		Usage:            g.usage.Own(now),
-		Demand:           demand,
 	}
+	if fence, _, held := g.leases.Held(dutyLease, now); held {
+		s.Holder = g.self
+		s.Fence = fence
+	}
+	return s
 }
 
 // peers returns the other nodes that are not dead.
--- a/internal/relayer/client.go
+++ b/internal/relayer/client.go
@@ -117,9 +117,10 @@
 	}
 	reply, err := call(ctx, c, address, "limit", request, pb.Peers.Limit)
 	return messenger.LimitAnswered{
-		Granted:    reply.GetGranted(),
-		Unknown:    reply.GetUnknown(),
-		RetryAfter: timekeeper.Duration(reply.GetRetryAfterMs()),
+		Granted:     reply.GetGranted(),
+		Unknown:     reply.GetUnknown(),
+		NotGranting: reply.GetNotGranting(),
+		RetryAfter:  timekeeper.Duration(reply.GetRetryAfterMs()),
 	}, err
 }
 
--- a/internal/relayer/handler.go
+++ b/internal/relayer/handler.go
@@ -121,6 +121,7 @@
 		Envelope:     h.envelope(),
 		Granted:      answer.Granted,
 		Unknown:      answer.Unknown,
+		NotGranting:  answer.NotGranting,
 		RetryAfterMs: int64(answer.RetryAfter),
 	}, nil
 }
--- a/internal/relayer/share.go
+++ b/internal/relayer/share.go
@@ -18,6 +18,10 @@
 		ConfigurationAgeMs: int64(s.ConfigurationAge),
 		Revision:           uint64(s.Revision),
 		Fence:              uint64(s.Fence),
+		Holder:             string(s.Holder),
+		HolderAgeMs:        int64(s.HolderAge),
+		Scope:              string(s.Scope),
+		Zone:               string(s.Zone),
 	}
 	for _, e := range s.Servers {
 		out.Servers = append(out.Servers, encodePublishedServer(e))
@@ -68,6 +72,10 @@
 		ConfigurationAge: timekeeper.Duration(q.GetConfigurationAgeMs()),
 		Revision:         identifier.Revision(q.GetRevision()),
 		Fence:            identifier.Fence(q.GetFence()),
+		Holder:           identifier.VMID(q.GetHolder()),
+		HolderAge:        timekeeper.Duration(max(q.GetHolderAgeMs(), 0)),
+		Scope:            messenger.ShareScope(q.GetScope()),
+		Zone:             identifier.Zone(q.GetZone()),
 		InFlight:         make(map[identifier.VMID]messenger.InFlight, len(q.GetInFlight())),
 		Demand:           make(map[identifier.ServiceName]messenger.ServiceDemand, len(q.GetDemand())),
 	}
