Run both kinds of node by one process with its ports

The gateway and the node of the product's own interface opened, served and closed their ports by two loops of the same shape. process.go has it once. Records of usage that were just agreed on are due at once by Absorb alone; a second call that always followed it is gone.

--- a/cmd/dotterelhollow/gateway.go
+++ b/cmd/dotterelhollow/gateway.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"expvar"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -48,18 +46,10 @@
 	runner    *runner.Runner
 	forwarder *forwarder.Forwarder
 	metrics   *forwarder.Metrics
-	ports     []*gatewayPort
+	ports     []*port
 	closers   []func()
 }
 
-// gatewayPort is one port and what serves it.
-type gatewayPort struct {
-	name     string
-	settings starter.Port
-	server   *http.Server
-	listener net.Listener
-}
-
 // serveGateway runs such a node until it is stopped.
 func serveGateway(path string, s *starter.Settings) error {
 	debug.SetMemoryLimit(int64(memoryShare * s.Gateway.MemoryLimit * megabyte))
@@ -176,17 +166,17 @@
 
 // portsOf returns the ports. The one of callers comes first: it is closed
 // before the others.
-func (g *gateway) portsOf(line *historian.Historian) []*gatewayPort {
+func (g *gateway) portsOf(line *historian.Historian) []*port {
 	s := g.settings
-	return []*gatewayPort{
+	return []*port{
 		{
-			name:     "caller",
-			settings: s.Caller,
-			server:   g.forwarder.Server(),
+			name:    "caller",
+			address: s.Caller.Listen,
+			server:  g.forwarder.Server(),
 		},
 		{
-			name:     "peer",
-			settings: s.Peer,
+			name:    "peer",
+			address: s.Peer.Listen,
 			server: &http.Server{
 				Handler: relayer.NewHandler(relayer.HandlerConfig{
 					Self:  s.VM,
@@ -199,19 +189,19 @@
 			},
 		},
 		{
-			name:     "directory",
-			settings: s.Gateway.Directory,
-			server:   platform.NewServer(platform.NewDirectory(g.runner)),
+			name:    "directory",
+			address: s.Gateway.Directory.Listen,
+			server:  platform.NewServer(platform.NewDirectory(g.runner)),
 		},
 		{
-			name:     "readiness",
-			settings: s.Gateway.Readiness,
-			server:   platform.NewServer(platform.NewReadiness(g.runner)),
+			name:    "readiness",
+			address: s.Gateway.Readiness.Listen,
+			server:  platform.NewServer(platform.NewReadiness(g.runner)),
 		},
 		{
-			name:     "metrics",
-			settings: s.Gateway.Metrics,
-			server:   platform.NewServer(expvar.Handler()),
+			name:    "metrics",
+			address: s.Gateway.Metrics.Listen,
+			server:  platform.NewServer(expvar.Handler()),
 		},
 	}
 }
@@ -219,57 +209,21 @@
 // serve runs the node until a planned stop is over, a second signal comes, or
 // a port fails.
 func (g *gateway) serve(ctx context.Context, signals <-chan os.Signal) error {
-	if err := g.listen(); err != nil {
+	p := &process{
+		ports:   g.ports,
+		run:     g.runner.Run,
+		watch:   func(ctx context.Context, stop func()) { g.watch(ctx, signals, stop) },
+		closers: g.closers,
+	}
+	if err := p.listen(); err != nil {
 		return err
 	}
 	g.logger.Info("started", "pid", os.Getpid(), "caller", g.settings.Caller.Listen.String())
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	ended := make(chan error)
-	start := func(work func() error) { go func() { ended <- work() }() }
-	for _, p := range g.ports {
-		start(func() error { return servePort(p.name, p.server, p.listener) })
-	}
-	start(func() error {
-		g.watch(ctx, signals, cancel)
-		return nil
-	})
-	start(func() error {
-		g.runner.Run(ctx)
-		cancel()
-		for _, p := range g.ports {
-			_ = p.server.Close()
-		}
-		return nil
-	})
-	var failed error
-	for range len(g.ports) + 2 {
-		if err := <-ended; err != nil {
-			failed = errors.Join(failed, err)
-			cancel()
-		}
-	}
-	for _, closeIdle := range g.closers {
-		closeIdle()
-	}
+	failed := p.serve(ctx)
 	g.logger.Info("stopped")
 	return failed
 }
 
-func (g *gateway) listen() error {
-	for i, p := range g.ports {
-		l, err := listen(p.name, p.settings.Listen)
-		if err != nil {
-			for _, open := range g.ports[:i] {
-				_ = open.listener.Close()
-			}
-			return err
-		}
-		p.listener = l
-	}
-	return nil
-}
-
 // watch carries out signals: a changed settings file is looked at, the first
 // wish to stop begins a planned stop, and the second stops at once.
 func (g *gateway) watch(ctx context.Context, signals <-chan os.Signal, stop func()) {
--- a/cmd/dotterelhollow/serve.go
+++ b/cmd/dotterelhollow/serve.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"expvar"
 	"fmt"
-	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -211,45 +208,30 @@
 // serve runs the node until a planned stop is over, a second signal comes, or
 // a port fails.
 func (n *node) serve(ctx context.Context, signals <-chan os.Signal) error {
-	callers, err := listen("caller", n.settings.Caller.Listen)
-	if err != nil {
-		return err
+	p := &process{
+		ports: []*port{
+			{
+				name:    "caller",
+				address: n.settings.Caller.Listen,
+				server:  n.callers,
+			},
+			{
+				name:    "peer",
+				address: n.settings.Peer.Listen,
+				server:  n.peers,
+			},
+		},
+		run:     n.runner.Run,
+		watch:   func(ctx context.Context, stop func()) { n.watch(ctx, signals, stop) },
+		closers: n.closers,
 	}
-	peers, err := listen("peer", n.settings.Peer.Listen)
-	if err != nil {
-		_ = callers.Close()
+	if err := p.listen(); err != nil {
 		return err
 	}
-	n.logger.Info("listening", "caller", callers.Addr().String(), "peer", peers.Addr().String())
+	n.logger.Info("listening",
+		"caller", p.ports[0].listener.Addr().String(), "peer", p.ports[1].listener.Addr().String())
 	expvar.Publish("dotterelhollow", n.runner.Metrics().Var())
-
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	ended := make(chan error)
-	start := func(work func() error) { go func() { ended <- work() }() }
-	start(func() error { return servePort("peer", n.peers, peers) })
-	start(func() error { return servePort("caller", n.callers, callers) })
-	start(func() error {
-		n.watch(ctx, signals, cancel)
-		return nil
-	})
-	start(func() error {
-		n.runner.Run(ctx)
-		cancel()
-		_ = n.callers.Close()
-		_ = n.peers.Close()
-		return nil
-	})
-	var failed error
-	for range 4 {
-		if err := <-ended; err != nil {
-			failed = errors.Join(failed, err)
-			cancel()
-		}
-	}
-	for _, closeIdle := range n.closers {
-		closeIdle()
-	}
+	failed := p.serve(ctx)
 	n.logger.Info("stopped")
 	return failed
 }
@@ -277,25 +259,3 @@
 	_ = n.callers.Shutdown(ctx)
 	_ = n.peers.Shutdown(ctx)
 }
-
-func listen(port string, address netip.AddrPort) (net.Listener, error) {
-	l, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return nil, &listenError{
-			port:  port,
-			cause: err,
-		}
-	}
-	return l, nil
-}
-
-func servePort(port string, s *http.Server, l net.Listener) error {
-	err := s.Serve(l)
-	if err == nil || errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return &portError{
-		port:  port,
-		cause: err,
-	}
-}
--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -183,7 +183,8 @@
 	Counts counts                 `json:"counts"`
 }
 
-// Absorb takes in records of the usage stream, in log order.
+// Absorb takes in records of the usage stream, in log order. A window that was
+// just agreed on is due at once.
 func (a *Accountant) Absorb(read messenger.LogRead) {
 	for _, r := range read.Records {
 		var rec record
@@ -191,9 +192,11 @@
 			a.ignored++
 			continue
 		}
-		if _, first := a.agreed[rec.Window]; !first {
-			a.agreed[rec.Window] = rec.Counts
+		if _, known := a.agreed[rec.Window]; known {
+			continue
 		}
+		a.agreed[rec.Window] = rec.Counts
+		delete(a.sent, rec.Window)
 	}
 }
 
@@ -252,15 +255,6 @@
 	}
 }
 
-// Agreed makes a window that was just agreed on due at once.
-func (a *Accountant) Agreed() {
-	for w := range a.agreed {
-		if !a.done[w] {
-			delete(a.sent, w)
-		}
-	}
-}
-
 // Reported takes in the end of a report.
 func (a *Accountant) Reported(w identifier.UsageWindow, result messenger.DutyResult) {
 	if result == messenger.DutyDone || result == messenger.DutyRefused {
--- a/internal/accountant/accountant_test.go
+++ b/internal/accountant/accountant_test.go
@@ -39,7 +39,6 @@
 	}
 	for _, r := range readers {
 		r.Absorb(read)
-		r.Agreed()
 	}
 }
 
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -152,7 +152,7 @@
 		Granted     bool
 		Unknown     bool
 		NotGranting bool
-		RetryAfter timekeeper.Duration
+		RetryAfter  timekeeper.Duration
 	}
 	// LimitAsked: a peer asks this node for a part of an account's limit.
 	LimitAsked struct {
--- a/internal/reducer/duty.go
+++ b/internal/reducer/duty.go
@@ -25,7 +25,6 @@
 	case accountant.Stream:
 		unreadable := g.usage.Ignored()
 		g.usage.Absorb(e)
-		g.usage.Agreed()
 		out := r.tickUsage(w)
 		if n := g.usage.Ignored() - unreadable; n > 0 {
 			out = append(out, messenger.Note{
