Give work for all nodes to VMs that can carry it

Cause: on the grown deployment 8 VMs of 61 have 0.8 of a core and 200 megabits a second, the others 0.19 and 10. The holder of the lease, which all nodes ask for limits, was any of them.

Change: a node's settings say its processor and link, gossip carries what the VM can carry, and the nodes that hold the lease, read the store or relay come first from those with at least half of the most. Where nothing is known all are alike. A relay leaves out servers with nothing in flight.

--- a/cmd/dotterelhollow/gateway.go
+++ b/cmd/dotterelhollow/gateway.go
@@ -152,6 +152,7 @@
 		Region:        s.Region,
 		PeerAddress:   s.Peer.Advertised.String(),
 		CallerAddress: s.Caller.Advertised.String(),
+		Capacity:      capacity(s.Gateway),
 		Seed:          seed,
 		Seeds:         seeds,
 		LogRetention:  s.Gateway.LogRetention,
@@ -164,6 +165,14 @@
 	}
 }
 
+// capacity sums up what a VM can carry: the scarcer of its processor, in
+// thousandths of a core, and of its link, which a thousandth of a core fills
+// with a quarter of a megabit a second.
+func capacity(g *starter.Gateway) uint32 {
+	const linkPerThousandth = 0.25
+	return uint32(min(g.CPU*1000, g.Link/linkPerThousandth))
+}
+
 // portsOf returns the ports. The one of callers comes first: it is closed
 // before the others.
 func (g *gateway) portsOf(line *historian.Historian) []*port {
--- a/cmd/dotterelhollow/gateway_test.go
+++ b/cmd/dotterelhollow/gateway_test.go
@@ -321,6 +321,8 @@
 		"{{bounds.usage_window_s}}", "5",
 		"{{bounds.usage_late_s}}", "10",
 		"{{limits.memory_mb}}", "284",
+		"{{limits.cpu_share}}", "0.8",
+		"{{limits.link_speed_mbps}}", "200.0",
 	)
 	sections := regexp.MustCompile(`(?m)^\{\{[#/].*\}\}\n`)
 	text := fill.Replace(sections.ReplaceAllString(string(template), ""))
@@ -333,6 +335,7 @@
 	require.Len(t, settings.Gateway.Seeds, 2)
 	require.Equal(t, 5*timekeeper.Second, settings.Gateway.UsageWindow)
 	require.Equal(t, 8*timekeeper.Second, settings.DrainTime)
+	require.Equal(t, uint32(800), capacity(settings.Gateway), "both the processor and the link")
 
 	optional := regexp.MustCompile(`(?ms)^\{\{#.*?^\{\{/[^\n]*\n`)
 	least := fill.Replace(optional.ReplaceAllString(string(template), ""))
@@ -340,6 +343,7 @@
 	settings, err = starter.Load(path)
 	require.NoError(t, err, "a platform without duties is served too")
 	require.False(t, settings.Gateway.Cloud.IsValid())
+	require.Zero(t, capacity(settings.Gateway))
 
 	broken := strings.NewReplacer("usage_window = 5s", "usage_window = soon", "10.1.0.14:8220", "nowhere").Replace(text)
 	require.NoError(t, os.WriteFile(path, []byte(broken), 0o600))
--- a/internal/dispatcher/sum.go
+++ b/internal/dispatcher/sum.go
@@ -72,6 +72,9 @@
 func (d *Dispatcher) Without(now timekeeper.Time, all Sum, node identifier.VMID) Sum {
 	rest := all.clone()
 	rest.addFresh(now, d.told(now, node), -1)
+	maps.DeleteFunc(rest.InFlight, func(_ identifier.VMID, n messenger.InFlight) bool {
+		return n.Running <= 0 && n.Prefill <= 0
+	})
 	return rest
 }
 
--- /dev/null
+++ b/internal/dispatcher/sum_test.go
@@ -0,0 +1,72 @@
+package dispatcher_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// told is what a node or a relay tells of one server.
+func told(scope messenger.ShareScope, zone identifier.Zone, server string, running int, prefill timekeeper.Duration) messenger.Share {
+	return messenger.Share{
+		Scope: scope,
+		Zone:  zone,
+		InFlight: map[identifier.VMID]messenger.InFlight{
+			identifier.VMID(server): {
+				Running: running,
+				Prefill: prefill,
+			},
+		},
+		Demand: map[identifier.ServiceName]messenger.ServiceDemand{
+			"reader": {Running: running},
+		},
+	}
+}
+
+// A relay sums up its zone, adds the other zone, and leaves out the receiver,
+// which knows its own requests better. Prompts are read while the news travels;
+// what was told too long ago no longer counts.
+func TestSumsOfARelay(t *testing.T) {
+	n := newNode(0)
+	now := start.Add(200)
+	n.PeerLoad(start, "entry-2", told(messenger.ShareOwn, "", "i-1", 3, 500))
+	n.PeerLoad(start, "entry-3", told(messenger.ShareOwn, "", "i-2", 4, 0))
+	n.PeerLoad(start.Add(-3*timekeeper.Second), "entry-4", told(messenger.ShareOwn, "", "i-3", 9, 0))
+	n.PeerLoad(start, "relay-9", told(messenger.ShareZone, "zone-1", "i-1", 10, 100))
+
+	zone := n.ZoneSum(now, []identifier.VMID{"entry-2", "entry-3", "entry-4"})
+	require.Equal(t, map[identifier.VMID]messenger.InFlight{
+		"i-1": {
+			Running: 3,
+			Prefill: 300,
+		},
+		"i-2": {Running: 4},
+	}, zone.InFlight)
+
+	all := n.WithZones(now, zone)
+	require.Equal(t, 17, all.Demand["reader"].Running)
+	rest := n.Without(now, all, "entry-3")
+	require.Equal(t, map[identifier.VMID]messenger.InFlight{
+		"i-1": {
+			Running: 13,
+			Prefill: 300,
+		},
+	}, rest.InFlight)
+	require.Equal(t, 13, rest.Demand["reader"].Running)
+	require.Equal(t, 4, zone.InFlight["i-2"].Running, "the zone's sum is not touched")
+}
+
+// A relay's sum over all others counts in place of what single peers told, as
+// long as it is fresh.
+func TestSumReplacesSinglePeers(t *testing.T) {
+	n := newNode(0)
+	n.PeerLoad(start, "entry-2", told(messenger.ShareOwn, "", "i-1", 3, 0))
+	require.Equal(t, 3, n.Demand(start, "reader").Running)
+	n.PeerLoad(start, "relay-9", told(messenger.ShareOthers, "", "i-1", 40, 0))
+	require.Equal(t, 40, n.Demand(start, "reader").Running)
+	require.Equal(t, 3, n.Demand(start.Add(1500), "reader").Running)
+}
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -60,6 +60,9 @@
 	Region        identifier.Region
 	PeerAddress   string
 	CallerAddress string
+	// Capacity is what the VM can carry beside others; zero where it is not
+	// known.
+	Capacity uint32
 	// Seeds are peer addresses to try while the node knows no peer.
 	Seeds []string
 	// Every is the gossip period.
@@ -163,6 +166,7 @@
 			Region:        c.Region,
 			PeerAddress:   c.PeerAddress,
 			CallerAddress: c.CallerAddress,
+			Capacity:      c.Capacity,
 			State:         Alive,
 			LeaveBy:       timekeeper.Never,
 		},
--- a/internal/gossiper/node.go
+++ b/internal/gossiper/node.go
@@ -36,7 +36,10 @@
 	Region        identifier.Region
 	PeerAddress   string
 	CallerAddress string
-	State         NodeState
+	// Capacity is what the VM can carry beside others, in a unit that all nodes
+	// share; zero where it is not known.
+	Capacity uint32
+	State    NodeState
 	// LeaveBy is the end of a leaving node, else Never.
 	LeaveBy timekeeper.Time
 	// LastHeard is when news of it last arrived, directly or through others.
--- a/internal/gossiper/pack.go
+++ b/internal/gossiper/pack.go
@@ -244,6 +244,7 @@
 		Region:        string(r.Region),
 		PeerAddress:   r.PeerAddress,
 		CallerAddress: r.CallerAddress,
+		Capacity:      r.Capacity,
 	}
 }
 
--- a/internal/gossiper/receive.go
+++ b/internal/gossiper/receive.go
@@ -121,6 +121,7 @@
 		Region:        identifier.Region(e.GetRegion()),
 		PeerAddress:   e.GetPeerAddress(),
 		CallerAddress: e.GetCallerAddress(),
+		Capacity:      e.GetCapacity(),
 	}
 }
 
--- a/internal/reducer/following.go
+++ b/internal/reducer/following.go
@@ -1,6 +1,8 @@
 package reducer
 
 import (
+	"slices"
+
 	"github.com/dotterelhollow/dotterelhollow/internal/accountant"
 	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
 	"github.com/dotterelhollow/dotterelhollow/internal/leaser"
@@ -36,8 +38,32 @@
 			alive = append(alive, node)
 		}
 	}
-	ranked := placer.Candidates(identifier.RequestID(purpose), alive)
-	return ranked[:min(n, len(ranked))]
+	return ranked(purpose, alive, n)
+}
+
+// ranked returns the first n of nodes for a purpose, by rendezvous hash among
+// those that can carry much beside the others.
+//
+// On VMs with a link of 10 megabits a second beside others with 200, a holder of
+// the lease on a small one left the questions of all nodes for limits unanswered
+// while callers pressed it: 504 of the 1,046 requests of two seconds were refused.
+func ranked(purpose string, nodes []gossiper.Node, n int) []gossiper.Node {
+	var most uint32
+	for _, node := range nodes {
+		most = max(most, node.Capacity)
+	}
+	var strong, weak []gossiper.Node
+	for _, node := range nodes {
+		if 2*node.Capacity >= most {
+			strong = append(strong, node)
+			continue
+		}
+		weak = append(weak, node)
+	}
+	first := slices.Concat(
+		placer.Candidates(identifier.RequestID(purpose), strong),
+		placer.Candidates(identifier.RequestID(purpose), weak))
+	return first[:min(n, len(first))]
 }
 
 // Following tells which records of the platform's store a node reads itself.
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -31,6 +31,7 @@
 		Region:        c.Region,
 		PeerAddress:   c.PeerAddress,
 		CallerAddress: c.CallerAddress,
+		Capacity:      c.Capacity,
 		Seeds:         c.Seeds,
 		Every:         gossipEvery,
 		SuspectAfter:  gossipSuspectAfter,
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -48,6 +48,9 @@
 	Region        identifier.Region
 	PeerAddress   string
 	CallerAddress string
+	// Capacity is what the VM can carry beside others; zero where it is not
+	// known.
+	Capacity uint32
 	// Seed starts the random source. Two nodes should not share it.
 	Seed uint64
 	// Partitions is the number of log streams that carry claims. It is the
--- a/internal/reducer/relay.go
+++ b/internal/reducer/relay.go
@@ -7,7 +7,6 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/dispatcher"
 	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
-	"github.com/dotterelhollow/dotterelhollow/internal/placer"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -37,8 +36,7 @@
 	alive := slices.DeleteFunc(r.members.Nodes(), func(n gossiper.Node) bool {
 		return n.Zone != zone || n.State != gossiper.Alive && n.VM != r.config.Self
 	})
-	ranked := placer.Candidates("relay", alive)
-	return ranked[:min(relaysPerZone, len(ranked))]
+	return ranked("relay", alive, relaysPerZone)
 }
 
 // fewPeers returns the peers that hear this node directly: the relays of its
--- a/internal/reducer/relay_test.go
+++ b/internal/reducer/relay_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
@@ -277,3 +278,34 @@
 	f.apply("entry-1", unanswered)
 	require.True(t, g.granterThere(f.now), "one answer may be lost")
 }
+
+// A few VMs have much more processor and bandwidth than the rest. Work for all
+// nodes goes to them, in different zones where it can, and to others only where
+// they are too few.
+func TestStrongNodesComeFirst(t *testing.T) {
+	node := func(i int, capacity uint32) gossiper.Node {
+		return gossiper.Node{
+			VM:       identifier.VMID(fmt.Sprintf("entry-%d", i)),
+			Zone:     identifier.Zone(fmt.Sprintf("zone-%d", i%fleetZones)),
+			Capacity: capacity,
+		}
+	}
+	var nodes []gossiper.Node
+	for i := range 60 {
+		capacity := uint32(40)
+		if i < 8 {
+			capacity = 800
+		}
+		nodes = append(nodes, node(i, capacity))
+	}
+	zones := map[identifier.Zone]bool{}
+	for _, n := range ranked("duties", nodes, fleetZones) {
+		require.Equal(t, uint32(800), n.Capacity)
+		zones[n.Zone] = true
+	}
+	require.Len(t, zones, fleetZones)
+	require.Len(t, ranked("duties", nodes, 12), 12)
+
+	unknown := []gossiper.Node{node(0, 0), node(1, 0), node(2, 0)}
+	require.Len(t, ranked("duties", unknown, 2), 2)
+}
--- a/internal/starter/gateway.go
+++ b/internal/starter/gateway.go
@@ -32,6 +32,10 @@
 	LogRetention timekeeper.Duration
 	// MemoryLimit is the memory the process may take, in megabytes.
 	MemoryLimit float64
+	// CPU is the part of a core that the VM has, and Link its bandwidth in
+	// megabits a second; zero where it is not known.
+	CPU  float64
+	Link float64
 }
 
 // The bounds of these settings.
@@ -39,6 +43,8 @@
 	maxWindow    = timekeeper.Hour
 	maxRetention = 24 * timekeeper.Hour
 	maxMemory    = 1 << 20
+	maxCPU       = 1 << 10
+	maxLink      = 1 << 20
 )
 
 func (g *Gateway) kinds() []sectionKind {
@@ -72,4 +78,6 @@
 	g.UsageLate = f.Get("usage_late", "10s").Duration(0, maxWindow)
 	g.LogRetention = f.Get("log_retention", "20s").Duration(1*timekeeper.Second, maxRetention)
 	g.MemoryLimit = f.Get("memory_mb", "256").Number(1, maxMemory)
+	g.CPU = f.Get("cpu", "0").Number(0, maxCPU)
+	g.Link = f.Get("link_mbps", "0").Number(0, maxLink)
 }
