--- a/internal/reducer/following.go
+++ b/internal/reducer/following.go
@@ -44,9 +44,10 @@
 // ranked returns the first n of nodes for a purpose, by rendezvous hash among
 // those that can carry much beside the others.
 //
-// On VMs with a link of 10 megabits a second beside others with 200, a holder of
-// the lease on a small one left the questions of all nodes for limits unanswered
-// while callers pressed it: 504 of the 1,046 requests of two seconds were refused.
+// The holder of the lease answers the questions of all nodes for limits, and a
+// relay tells all nodes of its zone. Where some VMs have a link of 10 megabits a
+// second and others 200, that would choke one of the small ones while callers
+// press it: on one play 504 of the 1,046 requests of two seconds were refused.
 func ranked(purpose string, nodes []gossiper.Node, n int) []gossiper.Node {
 	var most uint32
 	for _, node := range nodes {
