Wait for long prompts as long as their reading is predicted to take

Cause: prompts of 58,000 tokens and more take an engine 1.5 s alone, which is also how long a silent engine was waited for where another may take over.

Ruled out: slow engines (one attempt more on an idle one took as long).

Change: the first silence allowed is twice the prediction where that is longer.

--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -666,3 +666,18 @@
 	require.Len(t, running, 1)
 	require.Equal(t, 1, running[second.Server].Running)
 }
+
+// A prompt of 62,000 tokens takes an engine 1.5 s to read, as long as a silent
+// engine is waited for otherwise. Given up then, it is read anew elsewhere, and
+// its first event comes twice as late.
+func TestLongPromptsAreWaitedFor(t *testing.T) {
+	n := newNode(2)
+	short := n.sent(t, "/report/1")
+	require.Equal(t, 1500*timekeeper.Millisecond, short.FirstSilence)
+	long := n.spec("/report/2")
+	long.PromptTokens = 62_000
+	send, ok := n.Receive(n.world, long).(messenger.SendExchange)
+	require.True(t, ok)
+	require.Greater(t, send.Basis.Predicted, 1300*timekeeper.Millisecond)
+	require.Equal(t, 2*send.Basis.Predicted, send.FirstSilence)
+}
--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -160,7 +160,7 @@
 	d.tell = d.tell || c.prefill >= longPrefill
 	d.demand(x.service).running++
 	w.Suspicions.Observe(w.Now, c.server.Server, detector.Observation{Kind: detector.Sent})
-	first, next := d.silence(x)
+	first, next := d.silence(x, c.predicted)
 	basis := w.about(x).Basis
 	basis.Candidates = c.candidates
 	basis.Predicted = c.predicted
--- a/internal/dispatcher/repeat.go
+++ b/internal/dispatcher/repeat.go
@@ -15,6 +15,13 @@
 	firstSilenceTargets = 1.5
 	minFirstSilence     = 250 * timekeeper.Millisecond
 	maxFirstSilence     = 2500 * timekeeper.Millisecond
+	// A server that has to read a long prompt first is waited for so many times
+	// as long as that was predicted to take: the steps of other requests come
+	// between, which took up to 1.5 times the prediction. Prompts of 58,000
+	// tokens and more, which take 1.5 s alone, were given up just before their
+	// first event and read anew elsewhere: 3 s instead of 1.5, and twice the
+	// work.
+	firstSilencePredictions = 2
 	// A stream is late from one gap on, and callers leave after eight.
 	nextSilenceGaps = 4
 	minNextSilence  = 1 * timekeeper.Second
@@ -111,12 +118,13 @@
 // silence returns how long a server may say nothing before its first event and
 // between events. Where no other server may take over there is no bound: the
 // answer may yet come.
-func (d *Dispatcher) silence(x *exchange) (first, next timekeeper.Duration) {
+func (d *Dispatcher) silence(x *exchange, predicted timekeeper.Duration) (first, next timekeeper.Duration) {
 	if x.route.Repetition == catalog.Once || x.counted >= x.route.Attempts {
 		return 0, 0
 	}
 	target := timekeeper.Duration(float64(x.route.Target) * firstSilenceTargets)
 	first = min(max(target, minFirstSilence), maxFirstSilence)
+	first = max(first, firstSilencePredictions*predicted)
 	if x.route.Stream {
 		next = max(nextSilenceGaps*x.route.MaxGap, minNextSilence)
 	}
