--- a/internal/sizer/sizer.go
+++ b/internal/sizer/sizer.go
@@ -8,14 +8,16 @@
 // room for the loss of some zones at once; servers that can't be taken away are
 // ordered only while too few others are left.
 //
+//   - size.go says how many servers the demand takes.
+//   - spread.go says how they are spread over zones and kinds.
+//   - sizer.go gives the orders and follows them up.
+//
 // Orders are absolute: repeating one does no harm, and one that was carried out
 // late is overruled by the next. Everything is pure: time is an argument.
 package sizer
 
 import (
-	"cmp"
 	"maps"
-	"math"
 	"slices"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
@@ -95,13 +97,6 @@
 	found    map[identifier.ServiceName]*finding
 }
 
-// finding is the servers of a service that appeared before its first plan.
-type finding struct {
-	servers int
-	last    timekeeper.Time
-	whole   bool
-}
-
 // key names what an order counts.
 type key struct {
 	service identifier.ServiceName
@@ -116,15 +111,6 @@
 	result  messenger.DutyResult
 }
 
-// need is the servers that a service's demand takes.
-type need struct {
-	servers int
-	// since is when fewer began to be enough, and peak the most that was
-	// needed since.
-	since timekeeper.Time
-	peak  int
-}
-
 // New returns a Sizer that has ordered nothing.
 func New() *Sizer {
 	return &Sizer{
@@ -135,25 +121,6 @@
 	}
 }
 
-// Watch takes in the servers and the demand of a service. A node calls it also
-// while it does not hold the lease: one that comes to hold it goes on with the
-// size that the service has, where it would else size it anew by what is allowed.
-func (s *Sizer) Watch(in Input) {
-	f := s.found[in.Service]
-	if f == nil {
-		f = &finding{}
-		s.found[in.Service] = f
-	}
-	if len(in.Servers) > f.servers {
-		f.servers = len(in.Servers)
-		f.last = in.Now
-	}
-	f.whole = f.whole || f.servers > 0 && in.Now.Sub(f.last) >= appearTime
-	if in.Fleet != nil && f.servers > 0 {
-		s.size(in)
-	}
-}
-
 // Forget drops what was ordered: another node may have ordered since.
 func (s *Sizer) Forget() {
 	clear(s.orders)
@@ -186,164 +153,6 @@
 	return out
 }
 
-// kept returns how many servers that can't be taken away are kept until the
-// others serve: of those that were ordered, and of those that the operators
-// started, what the demand of now takes. Without the second a service that is
-// taken over under load has no server until the first ones have booted. The
-// size that the service had lately does not count: while servers lack, requests
-// pile up, and dear servers for all of them were kept 18 seconds too long.
-//
-// The others have to cover the demand also without the zone that has most.
-// Right after a reclaim all that serve may stand in one zone; dear servers given
-// up then were missed two seconds later, when that zone was reclaimed too.
-func (s *Sizer) kept(in Input, zones []identifier.Zone) int {
-	cheap, most := 0, 0
-	for _, zone := range zones {
-		n := countReady(in.Servers, zone, catalog.Reclaimable)
-		cheap += n
-		most = max(most, n)
-	}
-	if len(zones) > 1 {
-		cheap -= most
-	}
-	dear := max(s.ordered(in.Service, catalog.OnDemand), countReady(in.Servers, "", catalog.OnDemand))
-	return min(dear, demanded(in.Demand)-cheap)
-}
-
-// demanded returns how many servers the demand of now takes.
-func demanded(d messenger.ServiceDemand) int {
-	running := float64(d.Running) + d.Refused*runTime
-	return int(math.Ceil(running / runningPerServer))
-}
-
-// size brings up to date how many servers the demand takes: at once where it
-// takes more, and where it takes fewer only after it did so for a while.
-func (s *Sizer) size(in Input) {
-	now := max(1, demanded(in.Demand))
-	n := s.services[in.Service]
-	first := n == nil
-	if first {
-		n = &need{since: in.Now.Add(firstTime - shrinkAfter)}
-		s.services[in.Service] = n
-	}
-	if first || !s.found[in.Service].whole {
-		n.servers = max(n.servers, firstNeed(in))
-	}
-	if now >= n.servers {
-		n.servers = now
-		n.since = in.Now
-		n.peak = 0
-		return
-	}
-	n.peak = max(n.peak, now)
-	if in.Now.Sub(n.since) >= shrinkAfter && s.zonesOut(in, slices.Collect(maps.Keys(in.Fleet.ZonePrices))) == 0 {
-		n.servers = n.peak
-		n.since = in.Now
-		n.peak = 0
-	}
-}
-
-// firstNeed returns how many servers a service is taken to need before its
-// demand has shown.
-func firstNeed(in Input) int {
-	if in.Allowed > 0 {
-		return int(math.Ceil(in.Allowed / allowedPerServer))
-	}
-	found := countReady(in.Servers, "", catalog.Reclaimable) + countReady(in.Servers, "", catalog.OnDemand)
-	return int(math.Ceil(float64(found) * firstPart))
-}
-
-// perZone returns the reclaimable servers that each of the zones that have some
-// needs for the rest to cover the need while more of them are lost.
-func perZone(need, zones, out int, f *catalog.Fleet) int {
-	left := max(zones-out-lostZones, 1)
-	n := (need + left - 1) / left
-	return min(max(n, leastPerZone, f.Min), f.Max)
-}
-
-// zonesOut counts the zones that have no reclaimable servers now, or lose them.
-func (s *Sizer) zonesOut(in Input, zones []identifier.Zone) int {
-	n := 0
-	for _, zone := range zones {
-		if s.out(in, zone) {
-			n++
-		}
-	}
-	return n
-}
-
-// out reports whether a zone has no reclaimable servers to be had, or is losing
-// those that it has.
-func (s *Sizer) out(in Input, zone identifier.Zone) bool {
-	if s.dry(in, zone) {
-		return true
-	}
-	return slices.ContainsFunc(in.Servers, func(server *registrar.Server) bool {
-		return server.Zone == zone && server.Market == catalog.Reclaimable &&
-			server.State == messenger.ServerLeaving && in.Now.Sub(server.Changed) <= server.LeavesIn
-	})
-}
-
-// soon counts the reclaimable servers that serve or will as soon as any other
-// that was ordered now.
-func (s *Sizer) soon(in Input, zones []identifier.Zone, spot int) int {
-	n := 0
-	for _, zone := range zones {
-		have := countReady(in.Servers, zone, catalog.Reclaimable)
-		if !s.dry(in, zone) {
-			have = max(have, spot)
-		}
-		n += have
-	}
-	return n
-}
-
-// firm returns the servers by zone that can't be taken away: as many as are
-// missing, first where there are some, which serve already, and then in the
-// cheapest zones that have room. Where no reclaimable servers are to be had they
-// leave room for all but those that there are.
-func (s *Sizer) firm(in Input, zones []identifier.Zone, spot, missing int) map[identifier.Zone]int {
-	out := map[identifier.Zone]int{}
-	room := map[identifier.Zone]int{}
-	cheap := slices.Clone(zones)
-	slices.SortStableFunc(cheap, func(a, b identifier.Zone) int {
-		return cmp.Compare(in.Fleet.ZonePrices[a], in.Fleet.ZonePrices[b])
-	})
-	for _, zone := range cheap {
-		held := spot
-		if s.dry(in, zone) {
-			// One is always asked for, so that it shows when there are some.
-			held = max(countReady(in.Servers, zone, catalog.Reclaimable), 1)
-		}
-		room[zone] = max(in.Fleet.Max-held, 0)
-	}
-	take := func(zone identifier.Zone, most int) {
-		n := min(max(missing, 0), most)
-		out[zone] += n
-		room[zone] -= n
-		missing -= n
-	}
-	for _, zone := range cheap {
-		// What serves is not given up for reclaimable servers that have yet to
-		// boot, but for one, so that it shows when there are some.
-		beside := in.Fleet.Max - max(countReady(in.Servers, zone, catalog.Reclaimable), 1)
-		take(zone, min(countReady(in.Servers, zone, catalog.OnDemand), beside))
-	}
-	for _, zone := range cheap {
-		take(zone, max(room[zone], 0))
-	}
-	return out
-}
-
-// dry reports whether a zone had no reclaimable servers to be had lately.
-func (s *Sizer) dry(in Input, zone identifier.Zone) bool {
-	return in.Now.Before(s.dryUntil[key{
-		service: in.Service,
-		zone:    zone,
-		market:  catalog.Reclaimable,
-	}])
-}
-
 // ordered returns how many servers of a market were ordered last, in all zones.
 func (s *Sizer) ordered(service identifier.ServiceName, market catalog.Market) int {
 	n := 0
--- /dev/null
+++ b/internal/sizer/spread.go
@@ -0,0 +1,126 @@
+package sizer
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/registrar"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+)
+
+// kept returns how many servers that can't be taken away are kept until the
+// others serve: of those that were ordered, and of those that the operators
+// started, what the demand of now takes. Without the second a service that is
+// taken over under load has no server until the first ones have booted. The
+// size that the service had lately does not count: while servers lack, requests
+// pile up, and dear servers for all of them were kept 18 seconds too long.
+//
+// The others have to cover the demand also without the zone that has most.
+// Right after a reclaim all that serve may stand in one zone; dear servers given
+// up then were missed two seconds later, when that zone was reclaimed too.
+func (s *Sizer) kept(in Input, zones []identifier.Zone) int {
+	cheap, most := 0, 0
+	for _, zone := range zones {
+		n := countReady(in.Servers, zone, catalog.Reclaimable)
+		cheap += n
+		most = max(most, n)
+	}
+	if len(zones) > 1 {
+		cheap -= most
+	}
+	dear := max(s.ordered(in.Service, catalog.OnDemand), countReady(in.Servers, "", catalog.OnDemand))
+	return min(dear, demanded(in.Demand)-cheap)
+}
+
+// perZone returns the reclaimable servers that each of the zones that have some
+// needs for the rest to cover the need while more of them are lost.
+func perZone(need, zones, out int, f *catalog.Fleet) int {
+	left := max(zones-out-lostZones, 1)
+	n := (need + left - 1) / left
+	return min(max(n, leastPerZone, f.Min), f.Max)
+}
+
+// zonesOut counts the zones that have no reclaimable servers now, or lose them.
+func (s *Sizer) zonesOut(in Input, zones []identifier.Zone) int {
+	n := 0
+	for _, zone := range zones {
+		if s.out(in, zone) {
+			n++
+		}
+	}
+	return n
+}
+
+// out reports whether a zone has no reclaimable servers to be had, or is losing
+// those that it has.
+func (s *Sizer) out(in Input, zone identifier.Zone) bool {
+	if s.dry(in, zone) {
+		return true
+	}
+	return slices.ContainsFunc(in.Servers, func(server *registrar.Server) bool {
+		return server.Zone == zone && server.Market == catalog.Reclaimable &&
+			server.State == messenger.ServerLeaving && in.Now.Sub(server.Changed) <= server.LeavesIn
+	})
+}
+
+// soon counts the reclaimable servers that serve or will as soon as any other
+// that was ordered now.
+func (s *Sizer) soon(in Input, zones []identifier.Zone, spot int) int {
+	n := 0
+	for _, zone := range zones {
+		have := countReady(in.Servers, zone, catalog.Reclaimable)
+		if !s.dry(in, zone) {
+			have = max(have, spot)
+		}
+		n += have
+	}
+	return n
+}
+
+// firm returns the servers by zone that can't be taken away: as many as are
+// missing, first where there are some, which serve already, and then in the
+// cheapest zones that have room. Where no reclaimable servers are to be had they
+// leave room for all but those that there are.
+func (s *Sizer) firm(in Input, zones []identifier.Zone, spot, missing int) map[identifier.Zone]int {
+	out := map[identifier.Zone]int{}
+	room := map[identifier.Zone]int{}
+	cheap := slices.Clone(zones)
+	slices.SortStableFunc(cheap, func(a, b identifier.Zone) int {
+		return cmp.Compare(in.Fleet.ZonePrices[a], in.Fleet.ZonePrices[b])
+	})
+	for _, zone := range cheap {
+		held := spot
+		if s.dry(in, zone) {
+			// One is always asked for, so that it shows when there are some.
+			held = max(countReady(in.Servers, zone, catalog.Reclaimable), 1)
+		}
+		room[zone] = max(in.Fleet.Max-held, 0)
+	}
+	take := func(zone identifier.Zone, most int) {
+		n := min(max(missing, 0), most)
+		out[zone] += n
+		room[zone] -= n
+		missing -= n
+	}
+	for _, zone := range cheap {
+		// What serves is not given up for reclaimable servers that have yet to
+		// boot, but for one, so that it shows when there are some.
+		beside := in.Fleet.Max - max(countReady(in.Servers, zone, catalog.Reclaimable), 1)
+		take(zone, min(countReady(in.Servers, zone, catalog.OnDemand), beside))
+	}
+	for _, zone := range cheap {
+		take(zone, max(room[zone], 0))
+	}
+	return out
+}
+
+// dry reports whether a zone had no reclaimable servers to be had lately.
+func (s *Sizer) dry(in Input, zone identifier.Zone) bool {
+	return in.Now.Before(s.dryUntil[key{
+		service: in.Service,
+		zone:    zone,
+		market:  catalog.Reclaimable,
+	}])
+}
