Order dear servers for the requests of now, not for a pile that is gone

The size that a pile seems to take is kept for 12 s and while zones are out.

Ruled out: a lost lease (held from second 20 to 55), and servers that failed.

Change: what dear servers are ordered for is the demand of now, at most the size.

--- a/internal/sizer/sizer.go
+++ b/internal/sizer/sizer.go
@@ -141,7 +141,10 @@
 		return nil
 	}
 	spot := perZone(need, len(zones), s.zonesOut(in, zones), in.Fleet)
-	missing := need - s.soon(in, zones, spot)
+	// Dear servers are for the demand of now. While servers lack, requests pile
+	// up, and the size that they seem to take lasts beyond the pile: 19 dear
+	// servers were ordered for the demand of ten.
+	missing := min(need, demanded(in.Demand)) - s.soon(in, zones, spot)
 	firm := s.firm(in, zones, spot, max(missing, s.kept(in, zones)))
 	var out []messenger.ServerOrder
 	for _, zone := range zones {
--- a/internal/sizer/sizer_test.go
+++ b/internal/sizer/sizer_test.go
@@ -29,6 +29,8 @@
 	dry   map[identifier.Zone]bool
 	have  map[key]int
 	boots []boot
+	// silent makes the cloud carry out nothing and answer nothing.
+	silent bool
 	// allowed is what the accounts' limits sum up to, in tokens a second.
 	allowed float64
 	// watcher is a node that does not hold the lease; nil where there is none.
@@ -130,6 +132,9 @@
 		zone:   o.Zone,
 		market: o.Market,
 	}
+	if c.silent {
+		return messenger.DutyUnknown
+	}
 	require.GreaterOrEqual(c.t, o.Count, 0)
 	require.LessOrEqual(c.t, o.Count, c.fleet.Max)
 	if o.Market == catalog.Reclaimable && c.dry[o.Zone] && o.Count > c.have[k] {
@@ -369,3 +374,20 @@
 	require.Zero(t, c.total(catalog.OnDemand))
 	require.GreaterOrEqual(t, c.total(catalog.Reclaimable), 16)
 }
+
+// Requests pile up while the cloud answers no order, and the pile is worked off
+// before it does. The dear servers that are ordered then are for the callers of
+// now, not for the pile.
+func TestNoDearServersForAPileThatIsGone(t *testing.T) {
+	c := newCloud(t, 9)
+	c.run(40*timekeeper.Second, 80)
+	for _, zone := range zones {
+		c.reclaim(zone)
+	}
+	c.silent = true
+	c.run(6*timekeeper.Second, 250)
+	c.run(2*timekeeper.Second, 100)
+	c.silent = false
+	c.run(8*timekeeper.Second, 100)
+	require.InDelta(t, 10, c.total(catalog.OnDemand), 1)
+}
