--- a/internal/dispatcher/limit.go
+++ b/internal/dispatcher/limit.go
@@ -66,18 +66,16 @@
 			Reason:   messenger.ReasonCancelled,
 		}
 	}
-	if e.Granted {
+	switch {
+	case e.Granted:
 		return d.start(w, x)
-	}
-	after := e.RetryAfter
-	if e.NotGranting {
+	case e.NotGranting:
 		return d.admitAlone(w, x)
-	}
-	if e.Unknown {
+	case e.Unknown:
 		x.limit = messenger.LimitPeerSilent
-		after = unaskedRetry
+		return d.refuseOverLimit(w, x, unaskedRetry)
 	}
-	return d.refuseOverLimit(w, x, after)
+	return d.refuseOverLimit(w, x, e.RetryAfter)
 }
 
 // admitAlone counts a request against this node's own part, which is an equal
--- a/internal/reducer/relay.go
+++ b/internal/reducer/relay.go
@@ -75,28 +75,22 @@
 	if len(peers) <= sharePeers || !has(r.relays(r.config.Zone), g.self) {
 		return nil
 	}
-	var neighbours []gossiper.Node
-	var ids []identifier.VMID
-	var zones []identifier.Zone
-	for _, p := range peers {
-		if p.Zone != r.config.Zone {
-			zones = append(zones, p.Zone)
-			continue
-		}
-		neighbours = append(neighbours, p)
-		ids = append(ids, p.VM)
-	}
-	zone := g.exchanges.ZoneSum(w.Now, ids)
+	neighbours, zones := r.divide(peers)
+	zone := g.exchanges.ZoneSum(w.Now, neighbours)
 	all := g.exchanges.WithZones(w.Now, zone)
-	g.exchanges.PeerLoad(w.Now, g.self, g.sums(w.Now, messenger.ShareOthers, g.exchanges.Without(w.Now, all, g.self)))
+	withoutOne := func(vm identifier.VMID) messenger.Share {
+		return g.sums(w.Now, messenger.ShareOthers, g.exchanges.Without(w.Now, all, vm))
+	}
+	g.exchanges.PeerLoad(w.Now, g.self, withoutOne(g.self))
 	var out []messenger.Effect
-	for _, p := range neighbours {
-		out = append(out, g.send(w.Now, p, g.sums(w.Now, messenger.ShareOthers, g.exchanges.Without(w.Now, all, p.VM))))
+	for _, p := range peers {
+		if p.Zone == r.config.Zone {
+			out = append(out, g.send(w.Now, p, withoutOne(p.VM)))
+		}
 	}
 	toZones := g.sums(w.Now, messenger.ShareZone, zone)
 	toZones.Zone = r.config.Zone
-	slices.Sort(zones)
-	for _, other := range slices.Compact(zones) {
+	for _, other := range zones {
 		for _, p := range r.relays(other) {
 			out = append(out, g.send(w.Now, p, toZones))
 		}
@@ -104,6 +98,19 @@
 	return out
 }
 
+// divide returns the peers of this node's zone, and the other zones in order.
+func (r *Reducer) divide(peers []gossiper.Node) (neighbours []identifier.VMID, zones []identifier.Zone) {
+	for _, p := range peers {
+		if p.Zone == r.config.Zone {
+			neighbours = append(neighbours, p.VM)
+			continue
+		}
+		zones = append(zones, p.Zone)
+	}
+	slices.Sort(zones)
+	return neighbours, slices.Compact(zones)
+}
+
 // sums is what a relay tells. It passes on who holds the lease; other nodes say
 // so only of themselves, so that hearsay does not go round.
 func (g *gateway) sums(now timekeeper.Time, scope messenger.ShareScope, sum dispatcher.Sum) messenger.Share {
