--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -69,8 +69,9 @@
 
 func (p *fakePeer) GrantLimit(_ context.Context, account identifier.AccountID, tokens identifier.Tokens) messenger.LimitAnswered {
 	return messenger.LimitAnswered{
-		Granted:    account == "agency" && tokens < 100,
-		RetryAfter: timekeeper.Second,
+		Granted:     account == "agency" && tokens < 100,
+		NotGranting: account == "nobody",
+		RetryAfter:  timekeeper.Second,
 	}
 }
 
@@ -263,7 +264,11 @@
 				Refused: 0.25,
 			},
 		},
-		Fence: 41,
+		Fence:     41,
+		Holder:    "entry-2",
+		HolderAge: 650,
+		Scope:     messenger.ShareZone,
+		Zone:      "boston-a",
 	}
 	require.NoError(t, client.Share(t.Context(), address, share))
 	require.Equal(t, share, p.share)
@@ -275,6 +280,10 @@
 	require.NoError(t, err)
 	require.False(t, refused.Granted)
 	require.Equal(t, timekeeper.Second, refused.RetryAfter)
+	require.False(t, refused.NotGranting)
+	silent, err := client.Limit(t.Context(), address, "nobody", 1)
+	require.NoError(t, err)
+	require.True(t, silent.NotGranting)
 }
 
 // A leaving node hands a request over and gets no answer, or a refusal. It may
