--- a/internal/reducer/relay_test.go
+++ b/internal/reducer/relay_test.go
@@ -18,6 +18,10 @@
 	fleetStep                  = 50 * timekeeper.Millisecond
 	fleetZones                 = 4
 	fleetDuty                  = identifier.Fence(7)
+	// Of many nodes the first strongNodes can carry much more than the rest.
+	strongNodes = 8
+	strong      = uint32(800)
+	weak        = uint32(40)
 )
 
 // fleet is the reducers of many nodes, with gossip and shares between them that
@@ -47,12 +51,17 @@
 	for i := range nodes {
 		id := identifier.VMID(fmt.Sprintf("entry-%d", i))
 		f.ids = append(f.ids, id)
+		capacity := weak
+		if i < strongNodes {
+			capacity = strong
+		}
 		f.nodes[id] = New(Config{
 			Self:          id,
 			Incarnation:   1,
 			Zone:          identifier.Zone(fmt.Sprintf("zone-%d", i%fleetZones)),
 			PeerAddress:   string(id),
 			CallerAddress: string(id),
+			Capacity:      capacity,
 			Seed:          uint64(i),
 			Seeds:         []string{"entry-0"},
 			Gateway:       &GatewayConfig{},
@@ -175,6 +184,9 @@
 func TestManyNodesKnowAllLoad(t *testing.T) {
 	f := newFleet(61)
 	f.run(6 * timekeeper.Second)
+	for _, n := range f.nodes["entry-60"].relays("zone-3") {
+		require.Equal(t, strong, n.Capacity, "relays are strong nodes")
+	}
 	sum := f.serve()
 	f.run(2 * timekeeper.Second)
 	for _, id := range f.ids {
@@ -292,15 +304,15 @@
 	}
 	var nodes []gossiper.Node
 	for i := range 60 {
-		capacity := uint32(40)
-		if i < 8 {
-			capacity = 800
+		capacity := weak
+		if i < strongNodes {
+			capacity = strong
 		}
 		nodes = append(nodes, node(i, capacity))
 	}
 	zones := map[identifier.Zone]bool{}
 	for _, n := range ranked("duties", nodes, fleetZones) {
-		require.Equal(t, uint32(800), n.Capacity)
+		require.Equal(t, strong, n.Capacity)
 		zones[n.Zone] = true
 	}
 	require.Len(t, zones, fleetZones)
