Bound the room for dear servers once, where it is used

The room of a zone was kept from falling below zero where it was set, and again where it is taken, which alone is needed: places that are kept may take more. No behaviour changes; the sizer's tests are as before.

--- a/internal/sizer/spread.go
+++ b/internal/sizer/spread.go
@@ -96,7 +96,7 @@
 			// One is always asked for, so that it shows when there are some.
 			held = max(countReady(in.Servers, zone, catalog.Reclaimable), 1)
 		}
-		room[zone] = max(in.Fleet.Max-held, 0)
+		room[zone] = in.Fleet.Max - held
 	}
 	take := func(zone identifier.Zone, most int) {
 		n := min(max(missing, 0), most)
