Tell the starts of a backend server apart

Cause: a server may start again under the id that it had. The table took the notice of its earlier start for final, so that it was never used again, and load, suspicion and homes of prompts were kept by id alone. Ruled out: a field beside the id in every map, which each new map could forget. Change: the VMID of a backend server names one start of it. A later start ends the earlier one; entries of the earlier one count no more, over any path. A notice outlives a lapse of the entry.

--- a/internal/prover/gateway_test.go
+++ b/internal/prover/gateway_test.go
@@ -225,6 +225,15 @@
 	})
 }
 
+// restart lets a server leave and start again under its id. The entry of its
+// earlier start is written once more after that of its later one.
+func (w *exchangeWorld) restart(vm identifier.VMID) {
+	again := identifier.ServerStart(vm.Instance(), identifier.Incarnation(w.now))
+	w.enter(vm, messenger.ServerLeaving)
+	w.after(900, func() { w.enter(again, messenger.ServerReady) })
+	w.after(1500, func() { w.enter(vm, messenger.ServerLeaving) })
+}
+
 // start starts a node's process.
 func (w *exchangeWorld) start(vm identifier.VMID) {
 	incarnation := identifier.Incarnation(w.now)
@@ -657,6 +666,14 @@
 			}
 		},
 	},
+	{
+		name: "all servers leave and start again under their ids",
+		strike: func(w *exchangeWorld) {
+			for i := range 6 {
+				w.restart(exchangeServer(i))
+			}
+		},
+	},
 	{
 		name: "a change while a node is cut off from the store",
 		strike: func(w *exchangeWorld) {
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -6,6 +6,10 @@
 // table: of two entries of a server the one with the larger offset counts.
 // Leaving is final: no later entry makes a leaving server ready again.
 //
+// A server may start again under the id that it had. Each start is a server of
+// its own here, and a later start ends the earlier ones: their entries, which
+// may come late and with larger offsets, count no more.
+//
 // Everything is pure: time is an argument. Nothing is safe for concurrent use.
 package registrar
 
@@ -40,11 +44,15 @@
 	messenger.PublishedServer
 	// Changed is when this node learned of the entry.
 	Changed timekeeper.Time
+	// left tells that it was ever leaving.
+	left bool
 }
 
 // Table is the published servers as one node knows them.
 type Table struct {
 	servers map[identifier.VMID]*Server
+	// newest is the last start of each server in the table.
+	newest map[identifier.InstanceID]identifier.VMID
 	// doubtful are removals that hold only if no newer entry comes in time.
 	doubtful map[identifier.VMID]removal
 	// asOf is the instant up to which the entries are known, over any path.
@@ -61,6 +69,7 @@
 func New() *Table {
 	return &Table{
 		servers:  map[identifier.VMID]*Server{},
+		newest:   map[identifier.InstanceID]identifier.VMID{},
 		doubtful: map[identifier.VMID]removal{},
 	}
 }
@@ -77,29 +86,38 @@
 	}
 	var changed []messenger.PublishedServer
 	for _, e := range entries {
+		e = t.resolve(e)
 		if e.State == messenger.ServerRemoved && now.Before(t.trustAfter) {
 			t.doubt(e)
 			continue
 		}
-		if t.merge(now, e) {
-			changed = append(changed, e)
-		}
+		changed = append(changed, t.merge(now, e)...)
 	}
 	return changed
 }
 
+// resolve names the start of a server that a removal ends: the store drops the
+// entry of an id and says no more.
+func (t *Table) resolve(e messenger.PublishedServer) messenger.PublishedServer {
+	instance, start := e.Server.Start()
+	if newest, ok := t.newest[instance]; ok && e.State == messenger.ServerRemoved && start == 0 {
+		e.Server = newest
+	}
+	return e
+}
+
 // missing returns removals of the servers that a whole read does not show.
 func (t *Table) missing(entries []messenger.PublishedServer) []messenger.PublishedServer {
-	shown := make(map[identifier.VMID]bool, len(entries))
+	shown := make(map[identifier.InstanceID]bool, len(entries))
 	var newest identifier.Offset
 	for _, e := range entries {
-		shown[e.Server] = true
+		shown[e.Server.Instance()] = true
 		newest = max(newest, e.Offset)
 	}
 	var out []messenger.PublishedServer
 	for _, id := range slices.Sorted(maps.Keys(t.servers)) {
 		s := t.servers[id]
-		if shown[id] || s.Offset >= newest || s.State == messenger.ServerRemoved {
+		if shown[id.Instance()] || s.Offset >= newest || s.State == messenger.ServerRemoved {
 			continue
 		}
 		removed := s.PublishedServer
@@ -135,13 +153,11 @@
 			continue
 		}
 		delete(t.doubtful, id)
-		if t.merge(now, d.entry) {
-			changed = append(changed, d.entry)
-		}
+		changed = append(changed, t.merge(now, d.entry)...)
 	}
 	for id, s := range t.servers {
 		if s.State == messenger.ServerRemoved && now.Sub(s.Changed) > removedKeep {
-			delete(t.servers, id)
+			t.drop(id)
 		}
 	}
 	return changed
@@ -152,15 +168,43 @@
 	t.asOf = max(t.asOf, min(asOf, now))
 	var changed []messenger.PublishedServer
 	for _, e := range entries {
-		if t.merge(now, e) {
-			changed = append(changed, e)
+		changed = append(changed, t.merge(now, e)...)
+	}
+	return changed
+}
+
+func (t *Table) drop(id identifier.VMID) {
+	delete(t.servers, id)
+	if instance := id.Instance(); t.newest[instance] == id {
+		delete(t.newest, instance)
+	}
+}
+
+// merge takes in one entry and returns what it says that is new: the entry, and
+// the end of the server's earlier start where it shows a later one.
+func (t *Table) merge(now timekeeper.Time, e messenger.PublishedServer) []messenger.PublishedServer {
+	instance, start := e.Server.Start()
+	var changed []messenger.PublishedServer
+	if newest, ok := t.newest[instance]; ok && newest != e.Server {
+		if _, last := newest.Start(); start < last {
+			return nil
 		}
+		ended := t.servers[newest].PublishedServer
+		ended.State = messenger.ServerRemoved
+		ended.Offset = max(ended.Offset+1, e.Offset)
+		if t.mergeStart(now, ended) {
+			changed = append(changed, ended)
+		}
+	}
+	if t.mergeStart(now, e) {
+		changed = append(changed, e)
 	}
 	return changed
 }
 
-// merge takes in one entry and reports whether it says anything new.
-func (t *Table) merge(now timekeeper.Time, e messenger.PublishedServer) bool {
+// mergeStart takes in one entry of a start of a server and reports whether it
+// says anything new.
+func (t *Table) mergeStart(now timekeeper.Time, e messenger.PublishedServer) bool {
 	known, ok := t.servers[e.Server]
 	if !ok {
 		return t.add(now, e)
@@ -170,7 +214,8 @@
 	}
 	delete(t.doubtful, e.Server)
 	before := known.PublishedServer
-	if before.State == messenger.ServerLeaving && e.State == messenger.ServerReady {
+	known.left = known.left || before.State == messenger.ServerLeaving
+	if known.left && e.State == messenger.ServerReady {
 		// A late copy of a record from before the notice.
 		e.State = messenger.ServerLeaving
 		e.LeavesIn = before.LeavesIn
@@ -203,6 +248,7 @@
 		PublishedServer: e,
 		Changed:         now,
 	}
+	t.newest[e.Server.Instance()] = e.Server
 	return true
 }
 
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -169,3 +169,79 @@
 	require.Equal(t, identifier.VMID("i-2"), changed[0].Server)
 	require.Len(t, table.All(), 2)
 }
+
+// A server is reclaimed, and starts again under the id that it had. Callers
+// would get no answer from it for good if its notice were held against its next
+// start, or if an entry of its earlier start that comes late marked it as leaving.
+func TestServerStartsAgainUnderItsID(t *testing.T) {
+	first := identifier.ServerStart("i-1", 1000)
+	second := identifier.ServerStart("i-1", 9000)
+	leaving := entry(first, 2, messenger.ServerLeaving)
+	reborn := entry(second, 3, messenger.ServerReady)
+	late := entry(first, 4, messenger.ServerLeaving)
+	old := entry(first, 5, messenger.ServerReady)
+	tests := []struct {
+		name    string
+		entries []messenger.PublishedServer
+	}{
+		{
+			name:    "in order",
+			entries: []messenger.PublishedServer{leaving, reborn, late, old},
+		},
+		{
+			name:    "the earlier start's last entries come first",
+			entries: []messenger.PublishedServer{leaving, old, late, reborn},
+		},
+		{
+			name:    "the earlier start was never seen",
+			entries: []messenger.PublishedServer{reborn, leaving, old, late},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			direct, told := registrar.New(), registrar.New()
+			direct.Read(start, test.entries, false)
+			told.Told(start, start, test.entries)
+			want := map[identifier.VMID]messenger.ServerState{second: messenger.ServerReady}
+			require.Equal(t, want, states(direct))
+			require.Equal(t, want, states(told))
+		})
+	}
+}
+
+// A server crashes and starts again before its entry lapsed. What was sent to
+// the earlier start is lost, which peers have to hear as its end; the platform's
+// removal of the id names no start and means the last one.
+func TestLaterStartEndsTheEarlier(t *testing.T) {
+	first := identifier.ServerStart("i-1", 1000)
+	second := identifier.ServerStart("i-1", 9000)
+	table := registrar.New()
+	table.Read(start, []messenger.PublishedServer{entry(first, 1, messenger.ServerReady)}, false)
+	changed := table.Read(start, []messenger.PublishedServer{entry(second, 2, messenger.ServerReady)}, false)
+	require.Len(t, changed, 2)
+	require.Equal(t, first, changed[0].Server)
+	require.Equal(t, messenger.ServerRemoved, changed[0].State)
+	require.Equal(t, second, changed[1].Server)
+
+	changed = table.Read(start, []messenger.PublishedServer{entry("i-1", 3, messenger.ServerRemoved)}, false)
+	require.Len(t, changed, 1)
+	require.Equal(t, second, changed[0].Server)
+	require.Empty(t, states(table))
+
+	peer := registrar.New()
+	peer.Told(start, start, []messenger.PublishedServer{entry(second, 2, messenger.ServerReady)})
+	peer.Told(start, start, []messenger.PublishedServer{entry(first, 9, messenger.ServerRemoved)})
+	require.Equal(t, messenger.ServerReady, states(peer)[second])
+}
+
+// A server gave notice, its entry lapsed, and a record from before the notice
+// comes late. Work sent to it would be cut off.
+func TestLeavingOutlivesTheEntry(t *testing.T) {
+	table := registrar.New()
+	table.Read(start, []messenger.PublishedServer{
+		entry("i-1", 1, messenger.ServerLeaving),
+		entry("i-1", 2, messenger.ServerRemoved),
+		entry("i-1", 3, messenger.ServerReady),
+	}, false)
+	require.NotEqual(t, messenger.ServerReady, states(table)["i-1"])
+}
--- a/pkg/identifier/identifier.go
+++ b/pkg/identifier/identifier.go
@@ -2,12 +2,55 @@
 // other packages share. It depends on nothing else of the project.
 package identifier
 
-import "fmt"
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
 
 // VMID names a virtual machine, entry VM and backend server alike. The cloud
 // never gives an id to a second VM.
+//
+// A backend server may start again under the id that it had. It then holds
+// nothing of what it held, so that each start has a VMID of its own, made by
+// ServerStart: what is known of one start says nothing of another.
 type VMID string
 
+// InstanceID is the id under which a backend server publishes itself, the same
+// for all of its starts.
+type InstanceID string
+
+// startMark stands between the InstanceID and the Incarnation in a VMID.
+const startMark = "@"
+
+// ServerStart returns the VMID of one start of a backend server. Zero stands
+// for a start of which the instant is not known.
+func ServerStart(id InstanceID, start Incarnation) VMID {
+	if start == 0 && !strings.Contains(string(id), startMark) {
+		return VMID(id)
+	}
+	return VMID(string(id) + startMark + strconv.FormatUint(uint64(start), 10))
+}
+
+// Start returns what ServerStart made the id of.
+func (id VMID) Start() (InstanceID, Incarnation) {
+	i := strings.LastIndex(string(id), startMark)
+	if i < 0 {
+		return InstanceID(id), 0
+	}
+	start, err := strconv.ParseUint(string(id[i+len(startMark):]), 10, 64)
+	if err != nil {
+		return InstanceID(id), 0
+	}
+	return InstanceID(id[:i]), Incarnation(start)
+}
+
+// Instance returns the id under which the backend server publishes itself.
+func (id VMID) Instance() InstanceID {
+	instance, _ := id.Start()
+	return instance
+}
+
 // Incarnation counts the process starts on one VM; the later start has the
 // larger number. It is the start time of the process in milliseconds.
 type Incarnation uint64
