Remember which servers keep which parts of prompts

Cause: a request was sent to the home of its prompt's shared beginning by hash, taken to be kept there. Change: package indexer. A node notes what it sends where and its peers tell what is new; a request goes where its first event is predicted soonest, and the server copies what it lacks from the one that keeps it, a leaving one included. The hash is left for parts that nobody is known to keep.

--- a/internal/catalog/route.go
+++ b/internal/catalog/route.go
@@ -91,6 +91,12 @@
 	Slots int
 	// Model tells that the servers are model engines.
 	Model bool
+	// Memory is how many tokens of prompts and answers an engine keeps; zero
+	// where that is not known.
+	Memory identifier.Tokens
+	// CopyRate is how many tokens of a prompt an engine copies in a millisecond
+	// from another one that keeps them; zero where engines can't.
+	CopyRate float64
 	// Fleet is nil where the servers can't be ordered.
 	Fleet *Fleet
 }
--- a/internal/dispatcher/choose.go
+++ b/internal/dispatcher/choose.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/dotterelhollow/dotterelhollow/internal/indexer"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/placer"
 	"github.com/dotterelhollow/dotterelhollow/internal/registrar"
@@ -37,14 +38,28 @@
 	// tieWidth is the difference in milliseconds up to which servers are alike:
 	// one is drawn, so that nodes with the same picture don't all pick one.
 	tieWidth = 1.5
+	// copySetup is the time before an engine begins to copy kept parts, and
+	// copyWeight how much more a copy weighs than its time: it is paid for.
+	copySetup  = 3 * timekeeper.Millisecond
+	copyWeight = 2
+	// leastCopy is the tokens below which a copy is not worth its setup.
+	leastCopy identifier.Tokens = 512
+	// keptPercent is the part of an engine's memory that its kept parts are
+	// taken to have: running requests need the rest.
+	keptPercent = 70
 )
 
 // choice is the server for an attempt, and when its answer should begin.
 type choice struct {
 	server    *registrar.Server
 	predicted timekeeper.Duration
+	// cost is what servers are ranked by.
+	cost timekeeper.Duration
 	// prefill is the time that the server needs to read the prompt.
 	prefill timekeeper.Duration
+	// copyFrom is a server that probably keeps what this one lacks of the
+	// prompt; nil where none is known.
+	copyFrom *registrar.Server
 	// candidates is how many servers there were to choose from.
 	candidates int
 }
@@ -54,13 +69,13 @@
 // leaving gets nothing.
 func (d *Dispatcher) choose(w World, x *exchange) (choice, bool) {
 	servers := w.Servers.Of(x.service)
-	home := homeOf(x.spec.Prefix, servers)
+	k := d.keepersOf(x.spec.Prefix, servers)
 	var trusted, suspected []choice
-	for _, s := range servers {
+	for i, s := range servers {
 		if s.State != messenger.ServerReady || slices.Contains(x.tried, s.Server) {
 			continue
 		}
-		c := d.weigh(w, x, s, s.Server == home)
+		c := d.weigh(w, x, s, k.of(i))
 		if w.Suspicions.Suspect(w.Now, s.Server) {
 			suspected = append(suspected, c)
 			continue
@@ -78,13 +93,13 @@
 
 // draw returns one of the choices that are about as good as the best.
 func draw(w World, cs []choice) choice {
-	best := cs[0].predicted
+	best := cs[0].cost
 	for _, c := range cs {
-		best = min(best, c.predicted)
+		best = min(best, c.cost)
 	}
 	near := cs[:0:0]
 	for _, c := range cs {
-		if float64(c.predicted-best) <= tieWidth {
+		if float64(c.cost-best) <= tieWidth {
 			near = append(near, c)
 		}
 	}
@@ -94,7 +109,7 @@
 }
 
 // weigh predicts when a server's answer to an exchange would begin.
-func (d *Dispatcher) weigh(w World, x *exchange, s *registrar.Server, home bool) choice {
+func (d *Dispatcher) weigh(w World, x *exchange, s *registrar.Server, k keeping) choice {
 	running, prefill := d.loads.at(w.Now, s.Server)
 	backend := w.Catalog.Routing.Backends[x.service]
 	slots := s.Slots
@@ -111,18 +126,36 @@
 	}
 	if !backend.Model {
 		cost += float64(running)*plainCost + float64(waiting)*plainFullCost
+		predicted := timekeeper.Duration(cost + 0.5)
 		return choice{
 			server:    s,
-			predicted: timekeeper.Duration(cost + 0.5),
+			predicted: predicted,
+			cost:      predicted,
 		}
 	}
-	own := prefillTime(x.spec.PromptTokens, cached(x.spec.Prefix, home))
+	kept := k.tokens
+	var copying timekeeper.Duration
+	if k.copyFrom != nil && backend.CopyRate > 0 {
+		copying = copySetup + timekeeper.Duration(float64(k.copied-kept)/backend.CopyRate)
+		kept = k.copied
+	}
+	own := prefillTime(x.spec.PromptTokens, kept) + copying
 	cost += float64(running)*runningCost + float64(waiting)*fullCost
-	return choice{
+	predicted := timekeeper.Duration(cost+0.5) + prefill + own
+	c := choice{
 		server:    s,
-		predicted: timekeeper.Duration(cost+0.5) + prefill + own,
+		predicted: predicted,
+		cost:      predicted + copyWeight*copying,
 		prefill:   own,
 	}
+	if copying > 0 {
+		c.copyFrom = k.copyFrom
+	}
+	if k.home {
+		// Nobody knows who keeps the shared parts: all nodes send them there.
+		c.cost -= prefillTime(x.spec.PromptTokens, 0) - prefillTime(x.spec.PromptTokens, indexer.Shared(x.spec.Prefix))
+	}
+	return c
 }
 
 // prefillTime is how long an engine reads a prompt of which it has a part in
@@ -133,44 +166,83 @@
 	return timekeeper.Duration(unread/prefillPerMillisecond + pairs/pairsPerMillisecond + 0.5)
 }
 
-// homeOf returns the server at which the requests that share a prompt's
-// beginning meet: the one with the largest hash of server and deepest shared
-// part. All nodes choose alike without a message, so that the shared part is
-// read once and not once a node; and when a server comes or goes only the
-// parts that fall on it move.
-func homeOf(prefix []messenger.PromptPart, servers []*registrar.Server) identifier.VMID {
+// keeping is what is known of a prompt's shared parts at one server.
+type keeping struct {
+	tokens identifier.Tokens
+	// copyFrom is the server that keeps most of them, and copied how many
+	// tokens; nil where that is not worth a copy.
+	copyFrom *registrar.Server
+	copied   identifier.Tokens
+	// home tells that no server is known to keep any, and that all nodes choose
+	// this one for them.
+	home bool
+}
+
+// keepers is what is known of a prompt's shared parts at the servers, in their
+// order.
+type keepers struct {
+	servers []*registrar.Server
+	tokens  []identifier.Tokens
+	// most is the server that keeps most, or -1.
+	most int
+	// home is the server at which requests meet whose shared parts nobody is
+	// known to keep, or -1.
+	home int
+}
+
+// keepersOf looks up who keeps the shared parts of a prompt.
+func (d *Dispatcher) keepersOf(prefix []messenger.PromptPart, servers []*registrar.Server) keepers {
+	k := keepers{
+		servers: servers,
+		tokens:  make([]identifier.Tokens, len(servers)),
+		most:    -1,
+		home:    -1,
+	}
+	for i, s := range servers {
+		k.tokens[i] = d.index.Kept(s.Server, prefix)
+		if k.tokens[i] > 0 && (k.most < 0 || k.tokens[i] > k.tokens[k.most]) {
+			k.most = i
+		}
+	}
+	if k.most < 0 {
+		k.home = homeOf(prefix, servers)
+	}
+	return k
+}
+
+// of returns what is known of one server.
+func (k keepers) of(i int) keeping {
+	out := keeping{
+		tokens: k.tokens[i],
+		home:   i == k.home,
+	}
+	if k.most >= 0 && k.tokens[k.most]-k.tokens[i] >= leastCopy {
+		out.copyFrom = k.servers[k.most]
+		out.copied = k.tokens[k.most]
+	}
+	return out
+}
+
+// homeOf returns the index of the server at which the requests meet that share
+// a prompt's beginning while none is known to keep it: the one with the largest
+// hash of server and deepest shared part. All nodes choose alike without a
+// message, so that the shared part is read once and not once a node, also after
+// all nodes have started anew.
+func homeOf(prefix []messenger.PromptPart, servers []*registrar.Server) int {
+	home := -1
 	if len(prefix) < 2 {
-		return ""
+		return home
 	}
 	shared := uint64(prefix[len(prefix)-2].Hash)
-	var home identifier.VMID
 	var most uint64
-	for _, s := range servers {
+	for i, s := range servers {
 		if s.State != messenger.ServerReady {
 			continue
 		}
 		if h := placer.Weight(shared, xxhash.Sum64String(string(s.Server))); h >= most {
 			most = h
-			home = s.Server
+			home = i
 		}
 	}
 	return home
 }
-
-// cached returns how many tokens of a prompt a server probably has in its
-// cache: all shared parts at home, and elsewhere the first, which many requests
-// share. The last part is the request's own.
-func cached(prefix []messenger.PromptPart, home bool) identifier.Tokens {
-	if len(prefix) < 2 {
-		return 0
-	}
-	shared := prefix[:len(prefix)-1]
-	if !home {
-		shared = shared[:len(shared)-1]
-	}
-	var sum identifier.Tokens
-	for _, p := range shared {
-		sum += p.Tokens
-	}
-	return sum
-}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -23,6 +23,7 @@
 
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
 	"github.com/dotterelhollow/dotterelhollow/internal/detector"
+	"github.com/dotterelhollow/dotterelhollow/internal/indexer"
 	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/registrar"
@@ -85,6 +86,7 @@
 	config    Config
 	exchanges map[identifier.ExchangeID]*exchange
 	loads     loads
+	index     *indexer.Index
 	services  map[identifier.ServiceName]*demand
 	// refuseAfter is the instant from which new requests are refused because
 	// the node is leaving, or Never.
@@ -147,6 +149,7 @@
 		config:      c,
 		exchanges:   map[identifier.ExchangeID]*exchange{},
 		loads:       newLoads(),
+		index:       indexer.New(),
 		services:    map[identifier.ServiceName]*demand{},
 		refuseAfter: timekeeper.Never,
 	}
@@ -200,6 +203,9 @@
 	}
 	delete(d.exchanges, e.Exchange)
 	if x.current != nil {
+		if !x.current.began {
+			d.index.Drop(x.current.server, x.spec.Prefix)
+		}
 		if e.Result == messenger.AttemptComplete {
 			w.Suspicions.Observe(w.Now, x.current.server, detector.Observation{Kind: detector.Completed})
 		}
@@ -222,3 +228,30 @@
 	}
 	return x, true
 }
+
+// keeps is how many tokens of shared parts a server is taken to keep; zero
+// where that is not known.
+func (w World) keeps(server identifier.VMID) identifier.Tokens {
+	s, ok := w.Servers.Server(server)
+	if !ok || w.Catalog == nil || w.Catalog.Routing == nil {
+		return 0
+	}
+	return w.Catalog.Routing.Backends[s.Service].Memory * keptPercent / 100
+}
+
+// Kept takes in which parts of prompts servers keep, as a peer told. A node that
+// relays passes on what is new.
+func (d *Dispatcher) Kept(w World, parts []messenger.KeptPart, passOn bool) {
+	for _, p := range parts {
+		if s, ok := w.Servers.Server(p.Server); ok && s.State != messenger.ServerRemoved {
+			d.index.Told(w.Now, p, w.keeps(p.Server), passOn)
+		}
+	}
+}
+
+// NewlyKept returns the parts of prompts of which peers are told that servers
+// keep them.
+func (d *Dispatcher) NewlyKept(now timekeeper.Time) []messenger.KeptPart { return d.index.News(now) }
+
+// Gone forgets what a server kept that is no more.
+func (d *Dispatcher) Gone(server identifier.VMID) { d.index.Forget(server) }
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -418,35 +418,121 @@
 	require.LessOrEqual(t, repeats, requests*20/100)
 }
 
+// shared is a request whose prompt begins with 5,500 tokens that others share.
+func (n *node) shared() messenger.ExchangeSpec {
+	s := n.spec("/report/1")
+	s.PromptTokens = 6000
+	s.Prefix = []messenger.PromptPart{
+		{
+			Hash:   1,
+			Tokens: 500,
+		},
+		{
+			Hash:   77,
+			Tokens: 5000,
+		},
+		{
+			Hash:   identifier.PrefixHash(1000 + n.next),
+			Tokens: 500,
+		},
+	}
+	return s
+}
+
+// sentShared sends a request with a shared beginning, whose answer begins and
+// ends at once.
+func (n *node) sentShared(t *testing.T) messenger.SendExchange {
+	t.Helper()
+	send, ok := n.Receive(n.world, n.shared()).(messenger.SendExchange)
+	require.True(t, ok)
+	n.complete(send)
+	return send
+}
+
+// complete brings the whole answer of an attempt.
+func (n *node) complete(s messenger.SendExchange) {
+	n.Began(n.world, messenger.ExchangeBegan{
+		Exchange: s.Exchange,
+		Attempt:  s.Attempt,
+	})
+	n.Ended(n.world, messenger.ExchangeEnded{
+		Exchange: s.Exchange,
+		Result:   messenger.AttemptComplete,
+	})
+}
+
+// Servers start, as they do after each reclaim. Requests stay with the server
+// that keeps their prompt's beginning: read anew at each server that the hash
+// now names, one in eight of them waited nine times as long as predicted.
+func TestSharedPromptsStayWhereTheyAreKept(t *testing.T) {
+	n := newNode(2)
+	keeper := n.sentShared(t).Server
+	for i := 2; i < 30; i++ {
+		n.publish(i, messenger.ServerReady)
+	}
+	for range 10 {
+		send := n.sentShared(t)
+		require.Equal(t, keeper, send.Server)
+		require.Empty(t, send.CopyFrom)
+	}
+}
+
+// A peer's requests were read at a server that the hash does not name. This node
+// hears so and sends its own there.
+func TestPeersTellWhatServersKeep(t *testing.T) {
+	n, peer := newNode(8), newNode(1)
+	keeper := peer.sentShared(t).Server
+	home := newNode(8).sentShared(t).Server
+	require.NotEqual(t, home, keeper)
+	n.Kept(n.world, peer.NewlyKept(start), false)
+	require.Equal(t, keeper, n.sentShared(t).Server)
+}
+
+// A server that keeps much gives notice. Its requests go elsewhere, and while it
+// is there the other server copies what they share from it: reading 13,000
+// tokens takes 215 ms of an engine, copying them 35.
+func TestKeptPartsOutliveTheirServer(t *testing.T) {
+	n := newNode(3)
+	backend := n.world.Catalog.Routing.Backends["reader"]
+	backend.CopyRate = 400
+	n.world.Catalog.Routing.Backends["reader"] = backend
+	first := n.sentShared(t)
+	require.Empty(t, first.CopyFrom, "nobody keeps it yet")
+	for i := range 3 {
+		if serverID(i) == first.Server {
+			n.publish(i, messenger.ServerLeaving)
+		}
+	}
+	second := n.sentShared(t)
+	require.NotEqual(t, first.Server, second.Server)
+	require.Equal(t, first.Address, second.CopyFrom)
+	third := n.sentShared(t)
+	require.Equal(t, second.Server, third.Server)
+	require.Empty(t, third.CopyFrom)
+}
+
+// A server broke off before it had read a prompt. It is not taken to keep it.
+func TestPromptThatWasNotRead(t *testing.T) {
+	n := newNode(8)
+	send, ok := n.Receive(n.world, n.shared()).(messenger.SendExchange)
+	require.True(t, ok)
+	again, ok := n.ended(send, messenger.AttemptBroken, false).(messenger.SendExchange)
+	require.True(t, ok)
+	require.NotEqual(t, send.Server, again.Server)
+	n.complete(again)
+	require.Equal(t, again.Server, n.sentShared(t).Server)
+}
+
 // Requests that share a prompt's beginning meet at one server, on every node
 // alike, so that it is read once; when that server has much more to do than
 // others they go elsewhere.
 func TestSharedPromptsMeet(t *testing.T) {
-	shared := func(n *node) messenger.ExchangeSpec {
-		s := n.spec("/report/1")
-		s.PromptTokens = 6000
-		s.Prefix = []messenger.PromptPart{
-			{
-				Hash:   1,
-				Tokens: 500,
-			},
-			{
-				Hash:   77,
-				Tokens: 5000,
-			},
-			{
-				Hash:   identifier.PrefixHash(1000 + n.next),
-				Tokens: 500,
-			},
-		}
-		return s
-	}
 	one, two := newNode(8), newNode(8)
-	home := one.Receive(one.world, shared(one)).(messenger.SendExchange).Server
-	require.Equal(t, home, two.Receive(two.world, shared(two)).(messenger.SendExchange).Server)
+	home := one.Receive(one.world, one.shared()).(messenger.SendExchange).Server
+	require.Equal(t, home, two.Receive(two.world, two.shared()).(messenger.SendExchange).Server)
 	elsewhere := false
 	for range 40 {
-		send := one.Receive(one.world, shared(one)).(messenger.SendExchange)
+		send := one.Receive(one.world, one.shared()).(messenger.SendExchange)
 		one.Began(one.world, messenger.ExchangeBegan{
 			Exchange: send.Exchange,
 			Attempt:  send.Attempt,
--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -157,6 +157,7 @@
 		prefill:   c.prefill,
 	}
 	d.loads.sent(c.server.Server, c.prefill)
+	d.index.Note(w.Now, c.server.Server, x.spec.Prefix, w.keeps(c.server.Server))
 	d.tell = d.tell || c.prefill >= longPrefill
 	d.demand(x.service).running++
 	w.Suspicions.Observe(w.Now, c.server.Server, detector.Observation{Kind: detector.Sent})
@@ -164,7 +165,12 @@
 	basis := w.about(x).Basis
 	basis.Candidates = c.candidates
 	basis.Predicted = c.predicted
+	copyFrom := ""
+	if c.copyFrom != nil {
+		copyFrom = c.copyFrom.Address
+	}
 	return messenger.SendExchange{
+		CopyFrom:     copyFrom,
 		Basis:        basis,
 		Exchange:     x.spec.Exchange,
 		Attempt:      x.attempt,
--- a/internal/dispatcher/repeat.go
+++ b/internal/dispatcher/repeat.go
@@ -66,6 +66,9 @@
 func (d *Dispatcher) settle(w World, x *exchange, e messenger.ExchangeAttemptEnded) {
 	server, known := w.Servers.Server(x.current.server)
 	departed := known && server.State != messenger.ServerReady
+	if !x.current.began {
+		d.index.Drop(x.current.server, x.spec.Prefix)
+	}
 	d.land(x)
 	switch {
 	case e.Result == messenger.AttemptNotSent:
--- /dev/null
+++ b/internal/indexer/indexer.go
@@ -0,0 +1,187 @@
+// Package indexer remembers which backend servers probably keep which shared
+// parts of prompts, so that a request goes where little of its prompt has to be
+// read, or copies from there what its own server lacks.
+//
+// A node notes the parts of each prompt that it sends, and its peers tell what
+// they noted. Of a server it remembers as much as that keeps: the parts that
+// were used least recently give way, as they do there. What is remembered may
+// be wrong: a server may keep less, which costs the time to read it again.
+//
+// Everything is pure: time is an argument. Nothing is safe for concurrent use.
+package indexer
+
+import (
+	"math"
+	"slices"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+const (
+	// maxParts bounds the parts remembered of one server, and maxServers the
+	// servers: 600 servers of 4,096 parts take some 100 MB at worst, which only
+	// parts of less than 150 tokens would reach.
+	maxParts   = 4096
+	maxServers = 1024
+	// leastTokens is the size below which a part is not remembered: it is read
+	// in less time than two servers' loads differ by.
+	leastTokens = 512
+	// newsTime is for how long a part is told to peers: each share goes out
+	// within it at least twice.
+	newsTime = 1100 * timekeeper.Millisecond
+	// maxNews bounds the parts that are told at a time.
+	maxNews = 256
+)
+
+// Index is what one node remembers of all servers.
+type Index struct {
+	servers map[identifier.VMID]*kept
+	news    []item
+}
+
+// kept is the parts of one server.
+type kept struct {
+	parts  *simplelru.LRU[identifier.PrefixHash, identifier.Tokens]
+	tokens identifier.Tokens
+}
+
+// item is a part that peers are told of.
+type item struct {
+	at   timekeeper.Time
+	part messenger.KeptPart
+}
+
+// New returns an Index that remembers nothing.
+func New() *Index {
+	return &Index{servers: map[identifier.VMID]*kept{}}
+}
+
+// Note takes in that a server has read the shared parts of a prompt, or will
+// have before it reads another prompt. Peers are told of those that were not
+// remembered. Capacity is how many tokens the server keeps; zero where that is
+// not known.
+func (x *Index) Note(now timekeeper.Time, server identifier.VMID, prefix []messenger.PromptPart, capacity identifier.Tokens) {
+	for _, p := range shared(prefix) {
+		if x.add(server, p, capacity) {
+			x.tell(now, server, p)
+		}
+	}
+}
+
+// Told takes in what a peer told. With passOn set this node's own peers are
+// told of it too, if it is new.
+func (x *Index) Told(now timekeeper.Time, p messenger.KeptPart, capacity identifier.Tokens, passOn bool) {
+	if x.add(p.Server, p.Part, capacity) && passOn {
+		x.tell(now, p.Server, p.Part)
+	}
+}
+
+// add reports whether the part was not remembered.
+func (x *Index) add(server identifier.VMID, p messenger.PromptPart, capacity identifier.Tokens) bool {
+	if p.Tokens < leastTokens {
+		return false
+	}
+	k := x.servers[server]
+	if k == nil {
+		if len(x.servers) >= maxServers {
+			return false
+		}
+		k = newKept()
+		x.servers[server] = k
+	}
+	if _, known := k.parts.Get(p.Hash); known {
+		return false
+	}
+	k.parts.Add(p.Hash, p.Tokens)
+	k.tokens += p.Tokens
+	for capacity > 0 && k.tokens > capacity && k.parts.Len() > 1 {
+		k.parts.RemoveOldest()
+	}
+	return true
+}
+
+func newKept() *kept {
+	k := &kept{}
+	parts, err := simplelru.NewLRU(maxParts, func(_ identifier.PrefixHash, n identifier.Tokens) { k.tokens -= n })
+	if err != nil {
+		// Only a size that is not positive is an error.
+		panic(err)
+	}
+	k.parts = parts
+	return k
+}
+
+func (x *Index) tell(now timekeeper.Time, server identifier.VMID, p messenger.PromptPart) {
+	x.news = append(x.news, item{
+		at: now,
+		part: messenger.KeptPart{
+			Server: server,
+			Part:   p,
+		},
+	})
+}
+
+// Kept returns how many tokens of a prompt's shared parts a server keeps. A
+// part counts only if all before it are kept too.
+func (x *Index) Kept(server identifier.VMID, prefix []messenger.PromptPart) identifier.Tokens {
+	k := x.servers[server]
+	if k == nil {
+		return 0
+	}
+	var sum identifier.Tokens
+	for _, p := range shared(prefix) {
+		if p.Tokens >= leastTokens && !k.parts.Contains(p.Hash) {
+			break
+		}
+		sum += p.Tokens
+	}
+	return sum
+}
+
+// Drop forgets what a prompt's server was noted to keep of it: the server did
+// not read it.
+func (x *Index) Drop(server identifier.VMID, prefix []messenger.PromptPart) {
+	k := x.servers[server]
+	if k == nil {
+		return
+	}
+	for _, p := range shared(prefix) {
+		k.parts.Remove(p.Hash)
+	}
+}
+
+// Forget drops a server that is gone.
+func (x *Index) Forget(server identifier.VMID) { delete(x.servers, server) }
+
+// News returns what peers are told, the newest last.
+func (x *Index) News(now timekeeper.Time) []messenger.KeptPart {
+	x.news = slices.DeleteFunc(x.news, func(i item) bool { return now.Sub(i.at) > newsTime })
+	x.news = x.news[max(len(x.news)-maxNews, 0):]
+	out := make([]messenger.KeptPart, 0, len(x.news))
+	for _, i := range x.news {
+		out = append(out, i.part)
+	}
+	return out
+}
+
+// shared returns the parts of a prompt that other requests may share: all but
+// the last, which is the request's own.
+func shared(prefix []messenger.PromptPart) []messenger.PromptPart {
+	if len(prefix) < 2 {
+		return nil
+	}
+	return prefix[:len(prefix)-1]
+}
+
+// Shared returns the tokens of a prompt's shared parts.
+func Shared(prefix []messenger.PromptPart) identifier.Tokens {
+	var sum identifier.Tokens
+	for _, p := range shared(prefix) {
+		sum += min(p.Tokens, math.MaxInt32)
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/indexer/indexer_test.go
@@ -0,0 +1,141 @@
+package indexer_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/indexer"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+const (
+	start    timekeeper.Time   = 1_000_000
+	capacity identifier.Tokens = 50_000
+)
+
+// prompt has two shared parts, named by their hashes, and one of its own.
+func prompt(first, second identifier.PrefixHash) []messenger.PromptPart {
+	return []messenger.PromptPart{
+		{
+			Hash:   first,
+			Tokens: 2000,
+		},
+		{
+			Hash:   second,
+			Tokens: 10_000,
+		},
+		{
+			Hash:   99,
+			Tokens: 700,
+		},
+	}
+}
+
+func TestKept(t *testing.T) {
+	x := indexer.New()
+	x.Note(start, "i-1", prompt(1, 2), capacity)
+	tests := []struct {
+		name   string
+		server identifier.VMID
+		prefix []messenger.PromptPart
+		want   identifier.Tokens
+	}{
+		{
+			name:   "all shared parts",
+			server: "i-1",
+			prefix: prompt(1, 2),
+			want:   12_000,
+		},
+		{
+			name:   "the first part",
+			server: "i-1",
+			prefix: prompt(1, 3),
+			want:   2000,
+		},
+		{
+			name:   "a part without the one before it",
+			server: "i-1",
+			prefix: prompt(3, 2),
+		},
+		{
+			name:   "another server",
+			server: "i-2",
+			prefix: prompt(1, 2),
+		},
+		{
+			name:   "a request that says nothing of its prompt",
+			server: "i-1",
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			require.Equal(t, test.want, x.Kept(test.server, test.prefix))
+		})
+	}
+}
+
+// A server has read more than it keeps. The parts that were used least recently
+// are gone there; a request that counted on one would wait for it to be read.
+func TestLeastRecentlyUsedGivesWay(t *testing.T) {
+	x := indexer.New()
+	for hash := identifier.PrefixHash(10); hash < 14; hash++ {
+		x.Note(start, "i-1", prompt(1, hash), capacity)
+	}
+	x.Note(start, "i-1", prompt(1, 10), capacity)
+	x.Note(start, "i-1", prompt(1, 14), capacity)
+	require.Equal(t, identifier.Tokens(12_000), x.Kept("i-1", prompt(1, 10)))
+	require.Equal(t, identifier.Tokens(2000), x.Kept("i-1", prompt(1, 11)))
+	require.Equal(t, identifier.Tokens(12_000), x.Kept("i-1", prompt(1, 14)))
+}
+
+// Peers are told what is new, for as long as a share goes out twice. What a peer
+// told goes no further, but from a node that relays: else it would go round.
+func TestNews(t *testing.T) {
+	x, peer, relay := indexer.New(), indexer.New(), indexer.New()
+	x.Note(start, "i-1", prompt(1, 2), capacity)
+	require.Len(t, x.News(start), 2)
+	x.Note(start.Add(500), "i-1", prompt(1, 3), capacity)
+	require.Len(t, x.News(start.Add(1000)), 3)
+	require.Len(t, x.News(start.Add(1500)), 1)
+	for _, p := range x.News(start.Add(1500)) {
+		for range 2 {
+			peer.Told(start, p, capacity, false)
+			relay.Told(start, p, capacity, true)
+		}
+	}
+	require.Empty(t, peer.News(start))
+	require.Len(t, relay.News(start), 1)
+	require.Zero(t, peer.Kept("i-1", prompt(1, 3)), "the first part was told before")
+	require.Empty(t, x.News(start.Add(timekeeper.Minute)))
+}
+
+// A server was sent a prompt that it never read, or ended. What was noted of it
+// would draw requests to a server that has to read all of them.
+func TestForgotten(t *testing.T) {
+	x := indexer.New()
+	x.Note(start, "i-1", prompt(1, 2), capacity)
+	x.Drop("i-1", prompt(1, 2))
+	require.Zero(t, x.Kept("i-1", prompt(1, 2)))
+	x.Note(start, "i-1", prompt(1, 2), capacity)
+	x.Forget("i-1")
+	require.Zero(t, x.Kept("i-1", prompt(1, 2)))
+}
+
+// A peer may tell anything. What one node remembers stays bounded.
+func TestBounded(t *testing.T) {
+	x := indexer.New()
+	for i := range 20_000 {
+		part := messenger.KeptPart{
+			Server: identifier.VMID(rune('a' + i%3)),
+			Part: messenger.PromptPart{
+				Hash:   identifier.PrefixHash(i),
+				Tokens: 1 << 40,
+			},
+		}
+		x.Told(start, part, 0, true)
+	}
+	require.LessOrEqual(t, len(x.News(start)), 256)
+}
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -119,6 +119,10 @@
 		// Urgency goes to the server: zero goes first.
 		Urgency  int
 		Deadline timekeeper.Time
+		// CopyFrom is the address of a server that probably keeps parts of the
+		// prompt that the chosen one lacks, which copies them from there
+		// instead of reading them; empty where none is known.
+		CopyFrom string
 		// FirstSilence and NextSilence bound the wait for the first event and
 		// between events, where another server could go on; else they are
 		// zero.
@@ -216,6 +220,8 @@
 	Usage    []UsageCount
 	// Demand is what callers ask of each service.
 	Demand map[identifier.ServiceName]ServiceDemand
+	// Kept is parts of prompts that servers have read lately.
+	Kept []KeptPart
 	// Holder is the node that holds the lease of the duties, as far as the
 	// sender knows, with its fence; HolderAge is how long ago it said so. It is
 	// empty where none is known.
@@ -237,6 +243,12 @@
 	ShareOthers ShareScope = "others"
 )
 
+// KeptPart is a part of a prompt that a server keeps.
+type KeptPart struct {
+	Server identifier.VMID
+	Part   PromptPart
+}
+
 // InFlight is one node's requests at a server.
 type InFlight struct {
 	Running int
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -332,6 +332,7 @@
 		})
 		if s.State == messenger.ServerRemoved {
 			r.suspicions.Forget(s.Server)
+			r.gateway.exchanges.Gone(s.Server)
 		}
 	}
 	if direct {
--- a/internal/reducer/share.go
+++ b/internal/reducer/share.go
@@ -30,6 +30,7 @@
 		g.nextRelay = w.Now
 	}
 	out := r.serversChanged(w, changed, false)
+	g.exchanges.Kept(r.exchangeWorld(w), s.Kept, g.relaySince != 0)
 	if s.Revision == g.revision() {
 		g.confirmed = max(g.confirmed, w.Now.Add(-s.ConfigurationAge))
 	}
@@ -127,6 +128,7 @@
 		ServersAge:       now.Sub(g.servers.AsOf()),
 		ConfigurationAge: now.Sub(g.confirmed),
 		Revision:         g.revision(),
+		Kept:             g.exchanges.NewlyKept(now),
 	}
 	if fence, _, held := g.leases.Held(dutyLease, now); held {
 		s.Holder = g.self
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -251,6 +251,22 @@
 				Prefill: 250,
 			},
 		},
+		Kept: []messenger.KeptPart{
+			{
+				Server: "i-1",
+				Part: messenger.PromptPart{
+					Hash:   1 << 63,
+					Tokens: 5000,
+				},
+			},
+			{
+				Server: "i-1",
+				Part: messenger.PromptPart{
+					Hash:   7,
+					Tokens: 600,
+				},
+			},
+		},
 		Usage: []messenger.UsageCount{
 			{
 				Window:  9,
--- a/internal/relayer/share.go
+++ b/internal/relayer/share.go
@@ -33,6 +33,7 @@
 			PrefillMs: int64(s.InFlight[vm].Prefill),
 		})
 	}
+	out.Kept = encodeKept(s.Kept)
 	for _, u := range s.Usage {
 		out.Usage = append(out.Usage, &pb.UsageCount{
 			Window:  int64(u.Window),
@@ -88,6 +89,7 @@
 			Prefill: timekeeper.Duration(max(l.GetPrefillMs(), 0)),
 		}
 	}
+	s.Kept = decodeKept(q.GetKept())
 	for _, u := range q.GetUsage() {
 		s.Usage = append(s.Usage, messenger.UsageCount{
 			Window:  identifier.UsageWindow(u.GetWindow()),
@@ -117,3 +119,43 @@
 		Market:   catalog.Market(e.GetMarket()),
 	}
 }
+
+// encodeKept groups parts by server.
+func encodeKept(parts []messenger.KeptPart) []*pb.KeptParts {
+	var out []*pb.KeptParts
+	at := map[identifier.VMID]*pb.KeptParts{}
+	for _, p := range parts {
+		k := at[p.Server]
+		if k == nil {
+			k = &pb.KeptParts{Server: string(p.Server)}
+			at[p.Server] = k
+			out = append(out, k)
+		}
+		k.Hashes = append(k.Hashes, uint64(p.Part.Hash))
+		k.Tokens = append(k.Tokens, int64(p.Part.Tokens))
+	}
+	return out
+}
+
+// decodeKept leaves out what can't be true: lists of different lengths, and
+// parts without tokens.
+func decodeKept(groups []*pb.KeptParts) []messenger.KeptPart {
+	var out []messenger.KeptPart
+	for _, k := range groups {
+		if len(k.GetHashes()) != len(k.GetTokens()) {
+			continue
+		}
+		for i, hash := range k.GetHashes() {
+			if tokens := k.GetTokens()[i]; tokens > 0 {
+				out = append(out, messenger.KeptPart{
+					Server: identifier.VMID(k.GetServer()),
+					Part: messenger.PromptPart{
+						Hash:   identifier.PrefixHash(hash),
+						Tokens: identifier.Tokens(tokens),
+					},
+				})
+			}
+		}
+	}
+	return out
+}
