Learn the rates of servers from their answers

Cause: the time to a first event was predicted by two deployments' rates (90 tokens a ms, 2.9 million pairs, 8 ms a running request, 0.7 and 6 ms of plain servers). Change: package estimator fits the wait of requests that had nothing to read ahead of them: base, tokens, pairs, running and waiting requests, by recursive least squares with bounded steps, and a factor of each server.

--- a/internal/dispatcher/choose.go
+++ b/internal/dispatcher/choose.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/dotterelhollow/dotterelhollow/internal/estimator"
 	"github.com/dotterelhollow/dotterelhollow/internal/indexer"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/placer"
@@ -14,27 +15,8 @@
 )
 
 const (
-	// prefillPerMillisecond is how many prompt tokens an engine reads in a
-	// millisecond: 92.1 on the users' engines, by their sheets.
-	prefillPerMillisecond = 90.0
-	// pairsPerMillisecond is how many pairs of tokens an engine weighs in a
-	// millisecond: 0.35 ms a million, by the sheets. It makes a prompt of 50,000
-	// tokens take half as long again.
-	pairsPerMillisecond = 1e6 / 0.35
-	// runningCost is what one more running request costs a new one at a model
-	// engine, in milliseconds until its first event: its prompt may be read
-	// first, and it slows each step. With it, a shared prompt of 5,000 tokens
-	// stays with its server until that has about 7 requests more than others.
-	runningCost = 8.0
-	// fullCost is what each request beyond an engine's slots costs: it waits
-	// until one of them ends.
-	fullCost = 40.0
-	// plainCost and plainFullCost are the same at a plain server, which takes
-	// about 15 ms a request: below its slots the request waits for nothing.
-	plainCost     = 0.7
-	plainFullCost = 6.0
 	// zoneCost is the way to another zone and back, in milliseconds.
-	zoneCost = 1.0
+	zoneCost = 1 * timekeeper.Millisecond
 	// tieWidth is the difference in milliseconds up to which servers are alike:
 	// one is drawn, so that nodes with the same picture don't all pick one.
 	tieWidth = 1.5
@@ -57,9 +39,14 @@
 	cost timekeeper.Duration
 	// prefill is the time that the server needs to read the prompt.
 	prefill timekeeper.Duration
+	// work is what the prediction is of, beside what the server has to read
+	// ahead of it.
+	work  estimator.Work
+	ahead timekeeper.Duration
 	// copyFrom is a server that probably keeps what this one lacks of the
-	// prompt; nil where none is known.
+	// prompt, nil where none is known, and copying the time to copy that.
 	copyFrom *registrar.Server
+	copying  timekeeper.Duration
 	// candidates is how many servers there were to choose from.
 	candidates int
 }
@@ -120,50 +107,48 @@
 	if slots > 0 {
 		waiting = max(running-slots+1, 0)
 	}
-	cost := 0.0
+	cost := timekeeper.Duration(0)
 	if s.Zone != d.config.Zone {
 		cost = zoneCost
 	}
-	if !backend.Model {
-		cost += float64(running)*plainCost + float64(waiting)*plainFullCost
-		predicted := timekeeper.Duration(cost + 0.5)
-		return choice{
-			server:    s,
-			predicted: predicted,
-			cost:      predicted,
-		}
-	}
-	kept := k.tokens
-	var copying timekeeper.Duration
-	if k.copyFrom != nil && backend.CopyRate > 0 {
-		copying = copySetup + timekeeper.Duration(float64(k.copied-kept)/backend.CopyRate)
-		kept = k.copied
+	learned := d.estimator(x.service)
+	work := estimator.Work{
+		Unread:  max(x.spec.PromptTokens-k.tokens, 0),
+		Kept:    k.tokens,
+		Running: running,
+		Waiting: waiting,
 	}
-	own := prefillTime(x.spec.PromptTokens, kept) + copying
-	cost += float64(running)*runningCost + float64(waiting)*fullCost
-	predicted := timekeeper.Duration(cost+0.5) + prefill + own
 	c := choice{
-		server:    s,
-		predicted: predicted,
-		cost:      predicted + copyWeight*copying,
-		prefill:   own,
+		server: s,
+		work:   work,
 	}
-	if copying > 0 {
+	if k.copyFrom != nil && backend.CopyRate > 0 {
 		c.copyFrom = k.copyFrom
-	}
+		c.copying = copySetup + timekeeper.Duration(float64(k.copied-k.tokens)/backend.CopyRate)
+		c.work.Unread = max(x.spec.PromptTokens-k.copied, 0)
+		c.work.Kept = k.copied
+	}
+	c.prefill = learned.Reading(s.Server, c.work) + c.copying
+	c.ahead = prefill
+	c.predicted = cost + learned.Wait(s.Server, c.work) + prefill + c.copying
+	c.cost = c.predicted + copyWeight*c.copying
 	if k.home {
 		// Nobody knows who keeps the shared parts: all nodes send them there.
-		c.cost -= prefillTime(x.spec.PromptTokens, 0) - prefillTime(x.spec.PromptTokens, indexer.Shared(x.spec.Prefix))
+		work.Kept = indexer.Shared(x.spec.Prefix)
+		work.Unread = max(x.spec.PromptTokens-work.Kept, 0)
+		c.cost -= c.prefill - learned.Reading(s.Server, work)
 	}
 	return c
 }
 
-// prefillTime is how long an engine reads a prompt of which it has a part in
-// its cache.
-func prefillTime(prompt, cached identifier.Tokens) timekeeper.Duration {
-	unread := float64(max(prompt-cached, 0))
-	pairs := unread * (float64(cached) + unread/2)
-	return timekeeper.Duration(unread/prefillPerMillisecond + pairs/pairsPerMillisecond + 0.5)
+// estimator returns what was learned of a service's servers.
+func (d *Dispatcher) estimator(service identifier.ServiceName) *estimator.Estimator {
+	e := d.estimators[service]
+	if e == nil {
+		e = estimator.New()
+		d.estimators[service] = e
+	}
+	return e
 }
 
 // keeping is what is known of a prompt's shared parts at one server.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -23,6 +23,7 @@
 
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
 	"github.com/dotterelhollow/dotterelhollow/internal/detector"
+	"github.com/dotterelhollow/dotterelhollow/internal/estimator"
 	"github.com/dotterelhollow/dotterelhollow/internal/indexer"
 	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
@@ -87,7 +88,9 @@
 	exchanges map[identifier.ExchangeID]*exchange
 	loads     loads
 	index     *indexer.Index
-	services  map[identifier.ServiceName]*demand
+	// estimators are what was learned of each service's servers.
+	estimators map[identifier.ServiceName]*estimator.Estimator
+	services   map[identifier.ServiceName]*demand
 	// refuseAfter is the instant from which new requests are refused because
 	// the node is leaving, or Never.
 	refuseAfter timekeeper.Time
@@ -137,7 +140,11 @@
 	predicted timekeeper.Duration
 	// prefill is the time to read the prompt; zero once the answer began.
 	prefill timekeeper.Duration
-	began   bool
+	// work is what the prediction was of; learn tells that nothing else was
+	// ahead of it, so that the rates of the server show in its answer.
+	work  estimator.Work
+	learn bool
+	began bool
 }
 
 // New returns a dispatcher without exchanges.
@@ -150,6 +157,7 @@
 		exchanges:   map[identifier.ExchangeID]*exchange{},
 		loads:       newLoads(),
 		index:       indexer.New(),
+		estimators:  map[identifier.ServiceName]*estimator.Estimator{},
 		services:    map[identifier.ServiceName]*demand{},
 		refuseAfter: timekeeper.Never,
 	}
@@ -176,6 +184,9 @@
 	d.loads.read(f.server, f.prefill)
 	d.tell = d.tell || f.prefill >= longPrefill
 	f.prefill = 0
+	if f.learn {
+		d.estimator(x.service).Learn(f.server, f.work, w.Now.Sub(f.sent))
+	}
 	w.Suspicions.Observe(w.Now, f.server, detector.Observation{
 		Kind:             detector.FirstToken,
 		Latency:          w.Now.Sub(f.sent),
@@ -254,4 +265,9 @@
 func (d *Dispatcher) NewlyKept(now timekeeper.Time) []messenger.KeptPart { return d.index.News(now) }
 
 // Gone forgets what a server kept that is no more.
-func (d *Dispatcher) Gone(server identifier.VMID) { d.index.Forget(server) }
+func (d *Dispatcher) Gone(server identifier.VMID) {
+	d.index.Forget(server)
+	for _, e := range d.estimators {
+		e.Forget(server)
+	}
+}
--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -27,6 +27,9 @@
 	maxUrgency = 9
 	// rankStep is the room that an account's rank leaves to those of routes.
 	rankStep = 3
+	// learnAhead is the time that a server may have to read ahead of a request
+	// from whose answer its rates are learned.
+	learnAhead = 10 * timekeeper.Millisecond
 	// leastTime is the time below which an attempt can't end in time.
 	leastTime = 5 * timekeeper.Millisecond
 )
@@ -155,6 +158,8 @@
 		sent:      w.Now,
 		predicted: c.predicted,
 		prefill:   c.prefill,
+		work:      c.work,
+		learn:     c.ahead <= learnAhead && c.copying == 0,
 	}
 	d.loads.sent(c.server.Server, c.prefill)
 	d.index.Note(w.Now, c.server.Server, x.spec.Prefix, w.keeps(c.server.Server))
