Size fleets by the work of reading, and order ahead of the next reclaim

Cause: the size at rest followed requests in flight by ten a server and accounts' limits by 60,000 tokens a server, figures of two deployments; orders in a wave came after the third notice. A zone that refused more servers counted as lost though some served there; after a kill of all nodes amid a wave the next holder sized by what was left and gave up servers that could not be had again; a count of -1 was ordered where a zone had more servers than it may. Change: nodes tell how many servers their requests keep busy, refused ones included. Need is that at 65 in 100 at rest, grown after three seconds, with room for two zones; 75 in 100 while zones are out. With two zones left the loss of the next is prepared for by on-demand servers, held for a boot time. The first size is half of what operators allow. While zones are out no server is given up.

--- a/internal/dispatcher/choose.go
+++ b/internal/dispatcher/choose.go
@@ -39,6 +39,8 @@
 	cost timekeeper.Duration
 	// prefill is the time that the server needs to read the prompt.
 	prefill timekeeper.Duration
+	// occupied is for how long the request takes the server.
+	occupied timekeeper.Duration
 	// work is what the prediction is of, beside what the server has to read
 	// ahead of it.
 	work  estimator.Work
@@ -129,6 +131,10 @@
 		c.work.Kept = k.copied
 	}
 	c.prefill = learned.Reading(s.Server, c.work) + c.copying
+	c.occupied = c.prefill
+	if !backend.Model && slots > 0 {
+		c.occupied = learned.Wait(s.Server, estimator.Work{}) / timekeeper.Duration(slots)
+	}
 	c.ahead = prefill
 	c.predicted = cost + learned.Wait(s.Server, c.work) + prefill + c.copying
 	c.cost = c.predicted + copyWeight*c.copying
--- a/internal/dispatcher/load.go
+++ b/internal/dispatcher/load.go
@@ -16,9 +16,10 @@
 	// othersAge is the same for a relay's sum over all nodes, which comes four
 	// times a second from each of two relays.
 	othersAge = 1 * timekeeper.Second
-	// demandMemory is the time over which refusals are smoothed: long enough
-	// for a clump of requests, short enough for an outage to show.
-	demandMemory = 3 * timekeeper.Second
+	// demandMemory is the time over which the work that callers ask for is
+	// smoothed: long enough for a clump of requests and a few long prompts, short
+	// enough for the loss of a zone to show, which is read anew elsewhere.
+	demandMemory = 4 * timekeeper.Second
 	maxPeers     = 4096
 )
 
@@ -118,7 +119,9 @@
 type demand struct {
 	at      timekeeper.Time
 	running int
-	refused float64
+	// busy is the servers that the requests keep busy, those included that were
+	// refused for want of servers.
+	busy float64
 }
 
 func (d *Dispatcher) demand(service identifier.ServiceName) *demand {
@@ -130,7 +133,7 @@
 	return s
 }
 
-// decay brings the smoothed rate to the present.
+// decay brings the smoothed work to the present.
 func (s *demand) decay(now timekeeper.Time) {
 	passed := now.Sub(s.at)
 	if passed <= 0 {
@@ -138,12 +141,13 @@
 	}
 	s.at = now
 	keep := math.Exp(-float64(passed) / float64(demandMemory))
-	s.refused *= keep
+	s.busy *= keep
 }
 
-func (s *demand) noteRefusal(now timekeeper.Time) {
+// note adds a request that takes a server for so long.
+func (s *demand) note(now timekeeper.Time, work timekeeper.Duration) {
 	s.decay(now)
-	s.refused += 1 / demandMemory.Seconds()
+	s.busy += float64(work) / float64(demandMemory)
 }
 
 // PeerLoad takes in what a peer told of its requests, or of those of others.
@@ -199,7 +203,7 @@
 	s.decay(now)
 	return messenger.ServiceDemand{
 		Running: s.running,
-		Refused: s.refused,
+		Busy:    s.busy,
 	}
 }
 
@@ -209,7 +213,7 @@
 	for p := range d.loads.told(now) {
 		one := p.demand[service]
 		sum.Running += one.Running
-		sum.Refused += one.Refused
+		sum.Busy += one.Busy
 	}
 	return sum
 }
--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -5,6 +5,8 @@
 
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
 	"github.com/dotterelhollow/dotterelhollow/internal/detector"
+	"github.com/dotterelhollow/dotterelhollow/internal/estimator"
+	"github.com/dotterelhollow/dotterelhollow/internal/indexer"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
@@ -62,7 +64,7 @@
 func (d *Dispatcher) refuseForServers(w World, x *exchange) messenger.Effect {
 	// What was asked for in vain is still asked for: without it the demand
 	// would vanish with the servers, and no new ones be ordered.
-	d.demand(x.service).noteRefusal(w.Now)
+	d.noteRefusal(w, x)
 	again := bootWait
 	if w.Basis.ServersAge < 0 {
 		// This node has just started and hears of the servers in a moment.
@@ -71,6 +73,17 @@
 	return d.refuse(w, x.spec.Exchange, notRun(messenger.ReasonNoServer, spread(w, again)))
 }
 
+// noteRefusal counts a request that was refused as if a server had taken it that
+// keeps the shared parts of its prompt.
+func (d *Dispatcher) noteRefusal(w World, x *exchange) {
+	kept := indexer.Shared(x.spec.Prefix)
+	work := estimator.Work{
+		Unread: max(x.spec.PromptTokens-kept, 0),
+		Kept:   kept,
+	}
+	d.demand(x.service).note(w.Now, d.estimator(x.service).Reading("", work))
+}
+
 // match finds a request's route, account, service and deadline.
 func (d *Dispatcher) match(w World, spec messenger.ExchangeSpec) (*exchange, *messenger.Refusal) {
 	if w.Catalog == nil || w.Catalog.Routing == nil {
@@ -165,6 +178,7 @@
 	d.index.Note(w.Now, c.server.Server, x.spec.Prefix, w.keeps(c.server.Server))
 	d.tell = d.tell || c.prefill >= longPrefill
 	d.demand(x.service).running++
+	d.demand(x.service).note(w.Now, c.occupied)
 	w.Suspicions.Observe(w.Now, c.server.Server, detector.Observation{Kind: detector.Sent})
 	first, next := d.silence(x, c.predicted)
 	basis := w.about(x).Basis
--- a/internal/dispatcher/repeat.go
+++ b/internal/dispatcher/repeat.go
@@ -109,7 +109,7 @@
 func (d *Dispatcher) end(w World, x *exchange, e messenger.ExchangeAttemptEnded, reason messenger.Reason) messenger.Effect {
 	delete(d.exchanges, e.Exchange)
 	if x != nil && !x.mayHaveRun && !e.Streaming && !x.spec.Resumes {
-		d.demand(x.service).noteRefusal(w.Now)
+		d.noteRefusal(w, x)
 		return d.refuse(w, e.Exchange, notRun(reason, max(spread(w, soon), e.RetryAfter)))
 	}
 	return messenger.EndExchange{
--- a/internal/dispatcher/sum.go
+++ b/internal/dispatcher/sum.go
@@ -34,7 +34,7 @@
 	for service, told := range p.demand {
 		sum := s.Demand[service]
 		sum.Running += sign * told.Running
-		sum.Refused += float64(sign) * told.Refused
+		sum.Busy += float64(sign) * told.Busy
 		s.Demand[service] = sum
 	}
 }
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -261,8 +261,9 @@
 type ServiceDemand struct {
 	// Running is the requests in flight.
 	Running int
-	// Refused counts the requests turned away for want of servers, a second.
-	Refused float64
+	// Busy is how many servers the callers' requests keep busy, those included
+	// that were turned away for want of servers.
+	Busy float64
 }
 
 // UsageCount is the requests of an account that began in a window at a node.
--- a/internal/reducer/duty.go
+++ b/internal/reducer/duty.go
@@ -6,7 +6,6 @@
 	"slices"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/accountant"
-	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
 	"github.com/dotterelhollow/dotterelhollow/internal/conductor"
 	"github.com/dotterelhollow/dotterelhollow/internal/leaser"
 	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
@@ -110,7 +109,12 @@
 			g.sizes.Watch(in)
 			continue
 		}
-		for _, o := range g.sizes.Plan(in) {
+		before := g.sizes.Need(service)
+		orders := g.sizes.Plan(in)
+		if need := g.sizes.Need(service); need != before {
+			out = append(out, r.sized(in, need))
+		}
+		for _, o := range orders {
 			out = append(out, messenger.OrderServers{
 				Order:    o,
 				Fence:    fence,
@@ -121,6 +125,15 @@
 	return out
 }
 
+// sized tells the time line what a service's size follows from.
+func (r *Reducer) sized(in sizer.Input, need int) messenger.Note {
+	return messenger.Note{
+		Kind:   "service_sized",
+		VM:     r.config.Self,
+		Detail: fmt.Sprintf("service=%s need=%d busy=%.2f running=%d", in.Service, need, in.Demand.Busy, in.Demand.Running),
+	}
+}
+
 // sizing is what a service is sized by.
 func (g *gateway) sizing(now timekeeper.Time, service identifier.ServiceName) sizer.Input {
 	return sizer.Input{
@@ -129,27 +142,7 @@
 		Fleet:   g.catalog.Routing.Backends[service].Fleet,
 		Servers: g.servers.Of(service),
 		Demand:  g.exchanges.Demand(now, service),
-		Allowed: allowed(g.catalog),
-	}
-}
-
-// allowed returns how many tokens a second all accounts together may ask of one
-// of the services whose servers can be ordered; zero where one has no limit.
-func allowed(c *catalog.Catalog) float64 {
-	services := 0
-	for _, b := range c.Routing.Backends {
-		if b.Fleet != nil {
-			services++
-		}
-	}
-	sum := 0.0
-	for _, a := range c.Accounts {
-		if a.TokensPerSecond <= 0 {
-			return 0
-		}
-		sum += a.TokensPerSecond
 	}
-	return sum / float64(max(services, 1))
 }
 
 func (r *Reducer) serversOrdered(w *conductor.World, e messenger.ServersOrdered) []messenger.Effect {
--- a/internal/relayer/share.go
+++ b/internal/relayer/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
@@ -11,6 +12,9 @@
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
+// maxBusy bounds the servers that one node can be told to keep busy.
+const maxBusy = 1e5
+
 func encodeShare(s messenger.Share) *pb.ShareRequest {
 	out := &pb.ShareRequest{
 		Incarnation:        uint64(s.Incarnation),
@@ -46,7 +50,7 @@
 		out.Demand = append(out.Demand, &pb.ServiceDemand{
 			Service: string(service),
 			Running: int64(d.Running),
-			Refused: d.Refused,
+			Busy:    d.Busy,
 		})
 	}
 	return out
@@ -100,7 +104,7 @@
 	for _, d := range q.GetDemand() {
 		s.Demand[identifier.ServiceName(d.GetService())] = messenger.ServiceDemand{
 			Running: int(max(d.GetRunning(), 0)),
-			Refused: max(d.GetRefused(), 0),
+			Busy:    busy(d.GetBusy()),
 		}
 	}
 	return s
@@ -159,3 +163,11 @@
 	}
 	return out
 }
+
+// busy leaves out what can't be true.
+func busy(servers float64) float64 {
+	if math.IsNaN(servers) || servers < 0 || servers > maxBusy {
+		return 0
+	}
+	return servers
+}
--- a/internal/sizer/size.go
+++ b/internal/sizer/size.go
@@ -6,84 +6,135 @@
 	"slices"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
-	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/registrar"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
-// finding is the servers of a service that appeared before its first plan.
-type finding struct {
-	servers int
-	last    timekeeper.Time
-	whole   bool
-}
-
 // need is the servers that a service's demand takes.
 type need struct {
 	servers int
-	// since is when fewer began to be enough, and peak the most that was
-	// needed since.
-	since timekeeper.Time
-	peak  int
+	// fewer and more are since when fewer and more than that were enough and
+	// needed, zero where they are not, with the most and the least of them.
+	fewer, more timekeeper.Time
+	most, least int
+	// firm is the on-demand servers ordered last, and raised when their number
+	// last rose.
+	firm   int
+	raised timekeeper.Time
+}
+
+// hold returns how many on-demand servers are ordered where so many are missing.
+// Ones that were ordered are not given up before they can have served: the demand
+// that is measured goes up and down with single long prompts.
+func (n *need) hold(in Input, missing int) int {
+	missing = max(missing, 0)
+	if missing >= n.firm {
+		if missing > n.firm {
+			n.raised = in.Now
+		}
+		n.firm = missing
+		return missing
+	}
+	if in.Now.Sub(n.raised) >= in.Fleet.BootTime+bootSlack {
+		n.firm = missing
+	}
+	return n.firm
 }
 
 // Watch takes in the servers and the demand of a service. A node calls it also
 // while it does not hold the lease: one that comes to hold it goes on with the
 // size that the service has, where it would else size it anew by what is allowed.
 func (s *Sizer) Watch(in Input) {
-	f := s.found[in.Service]
-	if f == nil {
-		f = &finding{}
-		s.found[in.Service] = f
-	}
-	if len(in.Servers) > f.servers {
-		f.servers = len(in.Servers)
-		f.last = in.Now
-	}
-	f.whole = f.whole || f.servers > 0 && in.Now.Sub(f.last) >= appearTime
-	if in.Fleet != nil && f.servers > 0 {
+	if in.Fleet != nil && (len(in.Servers) > 0 || s.services[in.Service] != nil) {
 		s.size(in)
 	}
 }
 
-// demanded returns how many servers the demand of now takes.
-func demanded(d messenger.ServiceDemand) int {
-	running := float64(d.Running) + d.Refused*runTime
-	return int(math.Ceil(running / runningPerServer))
+// demanded returns how many servers the demand of now takes, where each may be
+// kept busy for so much of the time.
+func demanded(in Input, busy float64) int {
+	n := math.Ceil(in.Demand.Busy / busy)
+	if slots := slots(in.Servers); slots > 0 {
+		n = max(n, math.Ceil(float64(in.Demand.Running)/(slots*slotsInUse)))
+	}
+	return int(n)
+}
+
+// slots is how many requests a server runs at once.
+func slots(servers []*registrar.Server) float64 {
+	most := 0
+	for _, s := range servers {
+		most = max(most, s.Slots)
+	}
+	return float64(most)
 }
 
-// size brings up to date how many servers the demand takes: at once where it
-// takes more, and where it takes fewer only after it did so for a while.
+// size brings up to date how many servers the demand takes, where it took more
+// or fewer for a while.
 func (s *Sizer) size(in Input) {
-	now := max(1, demanded(in.Demand))
+	now := max(1, demanded(in, restBusy))
 	n := s.services[in.Service]
-	first := n == nil
-	if first {
-		n = &need{since: in.Now.Add(firstTime - shrinkAfter)}
+	if n == nil {
+		n = &need{
+			servers: firstNeed(in),
+			fewer:   in.Now.Add(firstTime - shrinkAfter),
+		}
 		s.services[in.Service] = n
 	}
-	if first || !s.found[in.Service].whole {
-		n.servers = max(n.servers, firstNeed(in))
+	switch {
+	case now > n.servers:
+		n.grow(in, now)
+	case now < n.servers:
+		n.shrink(in, now, s.zonesOut(in, slices.Collect(maps.Keys(in.Fleet.ZonePrices))))
+	default:
+		n.fewer, n.more = 0, 0
+	}
+}
+
+// grow takes in that more servers are needed. Where the demand takes all that
+// serve it does not wait.
+func (n *need) grow(in Input, now int) {
+	n.fewer = 0
+	if n.more == 0 {
+		n.more = in.Now
+		n.least = now
 	}
-	if now >= n.servers {
-		n.servers = now
-		n.since = in.Now
-		n.peak = 0
+	n.least = min(n.least, now)
+	serving := countReady(in.Servers, "", catalog.Reclaimable) + countReady(in.Servers, "", catalog.OnDemand)
+	if now < serving && in.Now.Sub(n.more) < growAfter {
 		return
 	}
-	n.peak = max(n.peak, now)
-	if in.Now.Sub(n.since) >= shrinkAfter && s.zonesOut(in, slices.Collect(maps.Keys(in.Fleet.ZonePrices))) == 0 {
-		n.servers = n.peak
-		n.since = in.Now
-		n.peak = 0
+	n.servers = max(n.least, min(now, serving))
+	n.more = 0
+}
+
+// shrink takes in that fewer servers are enough. While zones are out none is
+// given up.
+func (n *need) shrink(in Input, now, out int) {
+	n.more = 0
+	if n.fewer == 0 {
+		n.fewer = in.Now
+		n.most = 0
+	}
+	n.most = max(n.most, now)
+	if out == 0 && in.Now.Sub(n.fewer) >= shrinkAfter {
+		n.servers = n.most
+		n.fewer = 0
 	}
 }
 
 // firstNeed returns how many servers a service is taken to need before its
-// demand has shown.
+// demand has shown: as many reclaimable ones as an earlier holder of the lease
+// ordered for it, by the zone that has most, since others may be out; and where
+// there are none a part of what operators allow.
 func firstNeed(in Input) int {
-	if in.Allowed > 0 {
-		return int(math.Ceil(in.Allowed / allowedPerServer))
+	zones := len(in.Fleet.ZonePrices)
+	ordered := 0
+	for zone := range in.Fleet.ZonePrices {
+		ordered = max(ordered, countReady(in.Servers, zone, catalog.Reclaimable))
+	}
+	if ordered == 0 {
+		ordered = int(math.Ceil(float64(in.Fleet.Max) * firstPart))
 	}
-	found := countReady(in.Servers, "", catalog.Reclaimable) + countReady(in.Servers, "", catalog.OnDemand)
-	return int(math.Ceil(float64(found) * firstPart))
+	return ordered * max(zones-lostZones, 1)
 }
--- a/internal/sizer/sizer.go
+++ b/internal/sizer/sizer.go
@@ -33,35 +33,34 @@
 	// zones, some seconds apart, each lasting 12 to 15 s. While zones are out as
 	// many more may follow: three of four went within six seconds.
 	lostZones = 2
-	// runningPerServer is how many requests a server runs on average. An
-	// engine takes 64, but clumps of requests are three times the average and
-	// a zone's loss doubles it.
-	runningPerServer = 10
-	// runTime is about how long a request runs, in seconds: what is refused
-	// for want of servers would run that long if there were any.
-	runTime = 1.2
+	// restBusy is the part of the time for which a server may be kept busy that
+	// the demand takes, with the spare ones for lost zones gone: at 0.45 a
+	// request waits for nine tenths of another's reading in the mean.
+	restBusy = 0.65
+	// bearBusy is the same while zones are out: callers wait for three others'
+	// reading, which most response-time goals leave room for.
+	bearBusy = 0.75
+	// slotsInUse is the part of a server's slots that may be in use.
+	slotsInUse = 0.5
+	// exposedZones is the number of zones that are not out from which on down
+	// the loss of a further one is prepared for.
+	exposedZones = 2
 	// leastPerZone is the number of reclaimable servers a zone has at least,
 	// where the users' bounds allow it: a zone with one has none for a while
 	// whenever that one fails.
 	leastPerZone = 2
-	// allowedPerServer is how many tokens a second of the accounts' limits one
-	// server is taken to carry until the demand has shown, which takes
-	// firstTime. Limits are nearly twice what accounts ask; the users' fleets
-	// have 34,000 to 37,000 a server, on days on which two thirds of them were
-	// enough.
-	allowedPerServer = 60_000
-	firstTime        = 20 * timekeeper.Second
-	// firstPart is the part of the servers found at first that are taken for
-	// needed where accounts have no limits: operators start a fleet that is
-	// large enough.
-	firstPart = 2.0 / 3
-	// appearTime is how long no further server of a service may have appeared
-	// before any is given up: a heartbeat of the users' servers and a read, in
-	// which each that runs has published itself. A plan made on the first 16 of
-	// 90 servers took the rest of them away, and a calm day began with a quarter
-	// of the servers that it needed. Each second more is a second of all of the
-	// operators' dear servers.
-	appearTime = 1400 * timekeeper.Millisecond
+	// firstTime is how long a service has the size that it is taken to need
+	// until its demand has shown.
+	firstTime = 20 * timekeeper.Second
+	// firstPart is the part of the servers that operators allow that is ordered
+	// at first: they allow two to three times what a fleet needs. Sized by the
+	// servers that have published themselves so far, a fleet of 90 was taken for
+	// one of 16, and waiting for all of them costs seconds of each.
+	firstPart = 0.5
+	// growAfter is how long more servers must have been needed before any are
+	// ordered for that: the first prompts of a day are all read, and a few long
+	// ones come together. The spare ones for lost zones bear it meanwhile.
+	growAfter = 3 * timekeeper.Second
 	// shrinkAfter is how long fewer servers must have been enough before any
 	// is given up: one that is ordered again takes seconds to serve.
 	shrinkAfter = 12 * timekeeper.Second
@@ -83,18 +82,18 @@
 	Fleet   *catalog.Fleet
 	Servers []*registrar.Server
 	Demand  messenger.ServiceDemand
-	// Allowed is how many tokens a second all accounts together may ask of the
-	// service; zero where one has no limit.
-	Allowed float64
 }
 
+// idle reports whether no caller asks for anything: servers are given up then
+// that have not published themselves yet, a second of each earlier.
+func (in Input) idle() bool { return in.Demand.Running == 0 && in.Demand.Busy == 0 }
+
 // Sizer is what the holder of the lease ordered so far.
 type Sizer struct {
 	orders map[key]*order
 	// dryUntil is until when a zone counts as one without reclaimable servers.
 	dryUntil map[key]timekeeper.Time
 	services map[identifier.ServiceName]*need
-	found    map[identifier.ServiceName]*finding
 }
 
 // key names what an order counts.
@@ -105,7 +104,9 @@
 }
 
 type order struct {
-	count   int
+	count int
+	// more tells that it asked for more servers than there were.
+	more    bool
 	sent    timekeeper.Time
 	pending bool
 	result  messenger.DutyResult
@@ -117,7 +118,6 @@
 		orders:   map[key]*order{},
 		dryUntil: map[key]timekeeper.Time{},
 		services: map[identifier.ServiceName]*need{},
-		found:    map[identifier.ServiceName]*finding{},
 	}
 }
 
@@ -127,6 +127,15 @@
 	clear(s.dryUntil)
 }
 
+// Need returns how many servers a service is taken to need; zero before its
+// first ones are known.
+func (s *Sizer) Need(service identifier.ServiceName) int {
+	if n := s.services[service]; n != nil {
+		return n.servers
+	}
+	return 0
+}
+
 // Plan returns the orders to give now.
 func (s *Sizer) Plan(in Input) []messenger.ServerOrder {
 	s.Watch(in)
@@ -140,18 +149,16 @@
 	if len(zones) == 0 {
 		return nil
 	}
-	spot := perZone(need, len(zones), s.zonesOut(in, zones), in.Fleet)
+	spot := s.spot(in, zones, need)
 	// Dear servers are for the demand of now. While servers lack, requests pile
 	// up, and the size that they seem to take lasts beyond the pile: 19 dear
 	// servers were ordered for the demand of ten.
-	missing := min(need, demanded(in.Demand)) - s.soon(in, zones, spot)
-	firm := s.firm(in, zones, spot, max(missing, s.kept(in, zones)))
+	missing := demanded(in, bearBusy) - s.sure(in, zones, spot)
+	firm := s.firm(in, zones, spot, size.hold(in, max(missing, s.kept(in, zones))))
 	var out []messenger.ServerOrder
 	for _, zone := range zones {
-		out = append(out, s.order(in, zone, catalog.Reclaimable, min(spot, in.Fleet.Max-firm[zone]))...)
-		if s.found[in.Service].whole || in.Allowed > 0 {
-			out = append(out, s.order(in, zone, catalog.OnDemand, firm[zone])...)
-		}
+		out = append(out, s.order(in, zone, catalog.Reclaimable, min(spot[zone], in.Fleet.Max-firm[zone]))...)
+		out = append(out, s.order(in, zone, catalog.OnDemand, firm[zone])...)
 	}
 	return out
 }
@@ -177,7 +184,7 @@
 	have := countReady(in.Servers, zone, market)
 	o := s.orders[k]
 	if o == nil {
-		if have == count {
+		if have == count && !in.idle() {
 			return nil
 		}
 		o = &order{}
@@ -187,6 +194,7 @@
 		return nil
 	}
 	o.count = count
+	o.more = count > have
 	o.sent = in.Now
 	o.pending = true
 	return []messenger.ServerOrder{
@@ -236,13 +244,16 @@
 		zone:    e.Zone,
 		market:  e.Market,
 	}
+	o := s.orders[k]
 	if result == messenger.DutyRefused {
 		s.dryUntil[k] = now.Add(dryTime)
 	}
-	o := s.orders[k]
 	if o == nil || o.count != e.Count {
 		return
 	}
+	if result == messenger.DutyDone && o.more {
+		delete(s.dryUntil, k)
+	}
 	o.pending = false
 	o.result = result
 }
--- a/internal/sizer/spread.go
+++ b/internal/sizer/spread.go
@@ -31,7 +31,7 @@
 		cheap -= most
 	}
 	dear := max(s.ordered(in.Service, catalog.OnDemand), countReady(in.Servers, "", catalog.OnDemand))
-	return min(dear, demanded(in.Demand)-cheap)
+	return min(dear, demanded(in, bearBusy)-cheap)
 }
 
 // perZone returns the reclaimable servers that each of the zones that have some
@@ -42,6 +42,25 @@
 	return min(max(n, leastPerZone, f.Min), f.Max)
 }
 
+// spot returns the reclaimable servers by zone. While zones are out the others
+// may carry the demand alone, and none of them gives servers up: right after a
+// reclaim no more may be to be had anywhere.
+func (s *Sizer) spot(in Input, zones []identifier.Zone, need int) map[identifier.Zone]int {
+	out := s.zonesOut(in, zones)
+	counts := map[identifier.Zone]int{}
+	for _, zone := range zones {
+		if s.out(in, zone) {
+			counts[zone] = perZone(need, len(zones), 0, in.Fleet)
+			continue
+		}
+		counts[zone] = perZone(need, len(zones), out, in.Fleet)
+		if out > 0 {
+			counts[zone] = max(counts[zone], countReady(in.Servers, zone, catalog.Reclaimable))
+		}
+	}
+	return counts
+}
+
 // zonesOut counts the zones that have no reclaimable servers now, or lose them.
 func (s *Sizer) zonesOut(in Input, zones []identifier.Zone) int {
 	n := 0
@@ -53,10 +72,11 @@
 	return n
 }
 
-// out reports whether a zone has no reclaimable servers to be had, or is losing
-// those that it has.
+// out reports whether a zone has no reclaimable servers and none are to be had
+// there, or is losing those that it has. One that has some, and no more to give,
+// is not out: while one zone is reclaimed the others may refuse further ones.
 func (s *Sizer) out(in Input, zone identifier.Zone) bool {
-	if s.dry(in, zone) {
+	if s.dry(in, zone) && countReady(in.Servers, zone, catalog.Reclaimable) == 0 {
 		return true
 	}
 	return slices.ContainsFunc(in.Servers, func(server *registrar.Server) bool {
@@ -65,25 +85,35 @@
 	})
 }
 
-// soon counts the reclaimable servers that serve or will as soon as any other
-// that was ordered now.
-func (s *Sizer) soon(in Input, zones []identifier.Zone, spot int) int {
-	n := 0
+// sure counts the reclaimable servers on which the demand can count: those that
+// serve, or will as soon as any other that was ordered now, in zones that are
+// not out. With few zones left the next may follow before another server has
+// booted, so that the largest of them does not count then: of four zones that
+// went in turn, the third went 2.3 s and the fourth 6 s after the second.
+func (s *Sizer) sure(in Input, zones []identifier.Zone, spot map[identifier.Zone]int) int {
+	sum, most, left := 0, 0, 0
 	for _, zone := range zones {
 		have := countReady(in.Servers, zone, catalog.Reclaimable)
-		if !s.dry(in, zone) {
-			have = max(have, spot)
+		if !s.out(in, zone) {
+			left++
+			if !s.dry(in, zone) {
+				have = max(have, spot[zone])
+			}
 		}
-		n += have
+		sum += have
+		most = max(most, have)
 	}
-	return n
+	if len(zones) > 1 && left <= exposedZones {
+		sum -= most
+	}
+	return sum
 }
 
 // firm returns the servers by zone that can't be taken away: as many as are
-// missing, first where there are some, which serve already, and then in the
+// missing, first where there are some, or were ordered, and then in the
 // cheapest zones that have room. Where no reclaimable servers are to be had they
 // leave room for all but those that there are.
-func (s *Sizer) firm(in Input, zones []identifier.Zone, spot, missing int) map[identifier.Zone]int {
+func (s *Sizer) firm(in Input, zones []identifier.Zone, spot map[identifier.Zone]int, missing int) map[identifier.Zone]int {
 	out := map[identifier.Zone]int{}
 	room := map[identifier.Zone]int{}
 	cheap := slices.Clone(zones)
@@ -91,7 +121,7 @@
 		return cmp.Compare(in.Fleet.ZonePrices[a], in.Fleet.ZonePrices[b])
 	})
 	for _, zone := range cheap {
-		held := spot
+		held := spot[zone]
 		if s.dry(in, zone) {
 			// One is always asked for, so that it shows when there are some.
 			held = max(countReady(in.Servers, zone, catalog.Reclaimable), 1)
@@ -107,8 +137,16 @@
 	for _, zone := range cheap {
 		// What serves is not given up for reclaimable servers that have yet to
 		// boot, but for one, so that it shows when there are some.
-		beside := in.Fleet.Max - max(countReady(in.Servers, zone, catalog.Reclaimable), 1)
-		take(zone, min(countReady(in.Servers, zone, catalog.OnDemand), beside))
+		beside := max(in.Fleet.Max-max(countReady(in.Servers, zone, catalog.Reclaimable), 1), 0)
+		have := countReady(in.Servers, zone, catalog.OnDemand)
+		if o := s.orders[key{
+			service: in.Service,
+			zone:    zone,
+			market:  catalog.OnDemand,
+		}]; o != nil {
+			have = max(have, o.count)
+		}
+		take(zone, min(have, beside))
 	}
 	for _, zone := range cheap {
 		take(zone, max(room[zone], 0))
