Begin parts of limits with the list of nodes, larger ones where nodes are few

A part begun before the list was read stayed that of one of a hundred nodes. Ruled out: a whole burst at start (sums exceed what is tolerated with nine nodes in prompts of 60,000 tokens); debts without bound at nine nodes (the same). Change: the first list begins the parts anew. Up to twelve nodes begin with 0.8 of a burst together, with debts of 0.72 of one. What is left of the loss is the price of the bound: before, six nodes that started at once could grant three bursts.

--- a/internal/limiter/central.go
+++ b/internal/limiter/central.go
@@ -39,10 +39,14 @@
 	// second where its limit was 0.7, and in eight seconds a tenth more than is
 	// tolerated.
 	//
-	// Up to fewNodes the debts are borne as they are, and long prompts pass while
-	// nobody grants centrally.
-	debtPart = 0.4
-	fewNodes = 9
+	// Up to fewNodes the parts are larger, and nodes that start while nobody grants
+	// centrally begin with fewStart of a burst together: callers that come back
+	// after all nodes were down ask for more than a second's part at once. With the
+	// parts of many, six nodes refused a fifth of them.
+	debtPart    = 0.4
+	fewNodes    = 12
+	fewDebtPart = 0.72
+	fewStart    = 0.8
 	// lightPart is the part of a limit in tokens that is kept for light requests,
 	// and lightSize the part of a burst up to which a request is light. An
 	// account at its limit asks now for 50,000 tokens, now for 200: one prompt
@@ -127,8 +131,15 @@
 func (b *Buckets) SetNodes(nodes int, alone bool) {
 	b.part = localPart / float64(max(nodes, 1))
 	b.debt = 0
-	if nodes > fewNodes {
+	b.start = localStart
+	switch {
+	case nodes > fewNodes:
 		b.debt = debtPart / float64(nodes)
+	case nodes > 1:
+		b.debt = fewDebtPart / float64(nodes)
+		if alone {
+			b.start = fewStart
+		}
 	}
 	b.burst = b.part * localBurst
 	if alone && !b.alone {
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -198,10 +198,9 @@
 
 	case messenger.ListRead:
 		r.provisioner.ListRead(b.AsOf)
-		if r.gateway != nil {
-			r.gateway.listed = len(b.VMs)
-		}
-		return r.membersChanged(w, r.members.ListRead(w.Now, b.AsOf, b.VMs))
+		changed := r.membersChanged(w, r.members.ListRead(w.Now, b.AsOf, b.VMs))
+		r.nodesListed(w, len(b.VMs))
+		return changed
 	case messenger.NoticeReceived:
 		return r.membersChanged(w, r.members.MarkReclaimed(w.Now, b.VM, b.Deadline))
 	case messenger.GossipReceived:
--- a/internal/reducer/share.go
+++ b/internal/reducer/share.go
@@ -5,6 +5,7 @@
 
 	"github.com/dotterelhollow/dotterelhollow/internal/conductor"
 	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
+	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -96,6 +97,23 @@
 	return max(heard, g.listed)
 }
 
+// nodesListed takes in how many nodes the platform's list names. The first list
+// begins this node's parts of the limits: by then they were those of one of many,
+// with next to nothing to grant, and callers that come back after all nodes were
+// down would be refused until these had grown.
+func (r *Reducer) nodesListed(w *conductor.World, nodes int) {
+	g := r.gateway
+	if g == nil {
+		return
+	}
+	first := g.listed == 0
+	g.listed = nodes
+	if first && nodes > 0 {
+		g.local = limiter.NewLocal()
+		r.shareGrants(w)
+	}
+}
+
 // shareNow tells peers what this node knows: all of them, or where they are many
 // those that pass it on.
 func (r *Reducer) shareNow(w *conductor.World) []messenger.Effect {
