Tell a node that joins all that is remembered of kept parts

Cause: a node that starts remembers nothing of what servers keep, and its peers told it only what was new: after each planned restart it sent prompts to homes by hash, where they were read anew. Change: for its first two seconds peers tell it all that they remember.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -264,6 +264,10 @@
 // keep them.
 func (d *Dispatcher) NewlyKept(now timekeeper.Time) []messenger.KeptPart { return d.index.News(now) }
 
+// AllKept returns all that is remembered of what servers keep, for a peer that
+// joined.
+func (d *Dispatcher) AllKept() []messenger.KeptPart { return d.index.All() }
+
 // Gone forgets what a server kept that is no more.
 func (d *Dispatcher) Gone(server identifier.VMID) {
 	d.index.Forget(server)
--- a/internal/indexer/indexer.go
+++ b/internal/indexer/indexer.go
@@ -11,6 +11,7 @@
 package indexer
 
 import (
+	"maps"
 	"math"
 	"slices"
 
@@ -33,8 +34,10 @@
 	// newsTime is for how long a part is told to peers: each share goes out
 	// within it at least twice.
 	newsTime = 1100 * timekeeper.Millisecond
-	// maxNews bounds the parts that are told at a time.
+	// maxNews bounds the parts that are told at a time, and maxAll those that a
+	// peer is told which joined: some 40 KB.
 	maxNews = 256
+	maxAll  = 2048
 )
 
 // Index is what one node remembers of all servers.
@@ -168,6 +171,29 @@
 	return out
 }
 
+// All returns what is remembered of all servers, up to a bound, for a peer that
+// remembers nothing.
+func (x *Index) All() []messenger.KeptPart {
+	var out []messenger.KeptPart
+	for _, server := range slices.Sorted(maps.Keys(x.servers)) {
+		k := x.servers[server]
+		for _, hash := range k.parts.Keys() {
+			if len(out) == maxAll {
+				return out
+			}
+			tokens, _ := k.parts.Peek(hash)
+			out = append(out, messenger.KeptPart{
+				Server: server,
+				Part: messenger.PromptPart{
+					Hash:   hash,
+					Tokens: tokens,
+				},
+			})
+		}
+	}
+	return out
+}
+
 // shared returns the parts of a prompt that other requests may share: all but
 // the last, which is the request's own.
 func shared(prefix []messenger.PromptPart) []messenger.PromptPart {
--- a/internal/indexer/indexer_test.go
+++ b/internal/indexer/indexer_test.go
@@ -139,3 +139,17 @@
 	}
 	require.LessOrEqual(t, len(x.News(start)), 256)
 }
+
+// A node joins and remembers nothing. Told all that a peer remembers it finds the
+// servers that keep its callers' prompts.
+func TestAllForANewcomer(t *testing.T) {
+	x, newcomer := indexer.New(), indexer.New()
+	x.Note(start, "i-1", prompt(1, 2), capacity)
+	x.Note(start, "i-2", prompt(1, 3), capacity)
+	for _, p := range x.All() {
+		newcomer.Told(start, p, capacity, false)
+	}
+	require.Equal(t, identifier.Tokens(12_000), newcomer.Kept("i-1", prompt(1, 2)))
+	require.Equal(t, identifier.Tokens(12_000), newcomer.Kept("i-2", prompt(1, 3)))
+	require.Empty(t, newcomer.News(start))
+}
--- a/internal/reducer/share.go
+++ b/internal/reducer/share.go
@@ -135,6 +135,7 @@
 func (g *gateway) send(now timekeeper.Time, peer gossiper.Node, share messenger.Share) messenger.SendShare {
 	if until, ok := g.newcomers[peer.VM]; ok {
 		share.Servers = g.servers.All()
+		share.Kept = g.exchanges.AllKept()
 		if !now.Before(until) {
 			delete(g.newcomers, peer.VM)
 		}
