Call servers on-demand or reclaimable, and news reported, throughout

One name for one thing: servers that can't be taken away had been dear, firm and on-demand, the others cheap, spot and reclaimable, a zone without capacity dry, what peers send told. No behaviour changes: the tests of the packages pass as they were, with names alone changed.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -3,7 +3,7 @@
 //
 // Each node counts its own requests and tells its peers its counts, so every
 // node knows those of all, and the death of a node loses only what it counted
-// since it last told. The holder of the lease reports a window some time after
+// since it last reported. The holder of the lease reports a window some time after
 // its end.
 //
 // A window must never be reported with two different counts, also where the
@@ -58,7 +58,7 @@
 type Accountant struct {
 	config Config
 	own    map[identifier.UsageWindow]counts
-	// others holds what each process of a peer told last.
+	// others holds what each process of a peer reported last.
 	others map[process]map[identifier.UsageWindow]counts
 	// agreed holds the first record of each window in the log.
 	agreed map[identifier.UsageWindow]counts
@@ -115,9 +115,9 @@
 	maps.DeleteFunc(a.agreed, func(w identifier.UsageWindow, _ counts) bool { return old(w) })
 	maps.DeleteFunc(a.sent, func(w identifier.UsageWindow, _ timekeeper.Time) bool { return old(w) })
 	maps.DeleteFunc(a.done, func(w identifier.UsageWindow, _ bool) bool { return old(w) })
-	for p, told := range a.others {
-		maps.DeleteFunc(told, func(w identifier.UsageWindow, _ counts) bool { return old(w) })
-		if len(told) == 0 {
+	for p, windows := range a.others {
+		maps.DeleteFunc(windows, func(w identifier.UsageWindow, _ counts) bool { return old(w) })
+		if len(windows) == 0 {
 			delete(a.others, p)
 		}
 	}
@@ -141,9 +141,9 @@
 	return out
 }
 
-// Told takes in the counts of a peer's process. Counts only grow, so of two
+// PeerCounts takes in the counts of a peer's process. Counts only grow, so of two
 // messages that crossed each other the larger count is the newer.
-func (a *Accountant) Told(vm identifier.VMID, i identifier.Incarnation, told []messenger.UsageCount) {
+func (a *Accountant) PeerCounts(vm identifier.VMID, i identifier.Incarnation, reported []messenger.UsageCount) {
 	p := process{
 		vm:          vm,
 		incarnation: i,
@@ -154,7 +154,7 @@
 		}
 		a.others[p] = map[identifier.UsageWindow]counts{}
 	}
-	for _, c := range told {
+	for _, c := range reported {
 		if a.others[p][c.Window] == nil {
 			a.others[p][c.Window] = counts{}
 		}
@@ -169,8 +169,8 @@
 	if sum == nil {
 		sum = counts{}
 	}
-	for _, told := range a.others {
-		for account, n := range told[w] {
+	for _, windows := range a.others {
+		for account, n := range windows[w] {
 			sum[account] += n
 		}
 	}
--- a/internal/accountant/accountant_test.go
+++ b/internal/accountant/accountant_test.go
@@ -102,7 +102,7 @@
 	a := newAccountant()
 	a.Began(begins, "agency")
 	told := func(i identifier.Incarnation, n int) {
-		a.Told("entry-2", i, []messenger.UsageCount{
+		a.PeerCounts("entry-2", i, []messenger.UsageCount{
 			{
 				Window:  first,
 				Account: "agency",
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -99,7 +99,7 @@
 	tell bool
 }
 
-// longPrefill is the time to read a prompt from which on peers are told of it
+// longPrefill is the time to read a prompt from which on peers hear of it
 // at once: others that are sent to its server meanwhile wait behind it, on a
 // calm day over a second where a prompt of 50,000 tokens was.
 const longPrefill = 120 * timekeeper.Millisecond
@@ -250,17 +250,17 @@
 	return w.Catalog.Routing.Backends[s.Service].Memory * keptPercent / 100
 }
 
-// Kept takes in which parts of prompts servers keep, as a peer told. A node that
+// Kept takes in which parts of prompts servers keep, as a peer reported. A node that
 // relays passes on what is new.
 func (d *Dispatcher) Kept(w World, parts []messenger.KeptPart, passOn bool) {
 	for _, p := range parts {
 		if s, ok := w.Servers.Server(p.Server); ok && s.State != messenger.ServerRemoved {
-			d.index.Told(w.Now, p, w.keeps(p.Server), passOn)
+			d.index.Reported(w.Now, p, w.keeps(p.Server), passOn)
 		}
 	}
 }
 
-// NewlyKept returns the parts of prompts of which peers are told that servers
+// NewlyKept returns the parts of prompts of which peers hear that servers
 // keep them.
 func (d *Dispatcher) NewlyKept(now timekeeper.Time) []messenger.KeptPart { return d.index.News(now) }
 
--- a/internal/dispatcher/load.go
+++ b/internal/dispatcher/load.go
@@ -27,9 +27,9 @@
 type loads struct {
 	own   map[identifier.VMID]*ownLoad
 	peers map[identifier.VMID]peerLoad
-	// zones is what relays told of the nodes of other zones, and others what
-	// one told of all nodes but this one. While others is fresh it counts in
-	// place of what single peers told.
+	// zones is what relays reported of the nodes of other zones, and others
+	// what one reported of all nodes but this one. While others is fresh it
+	// counts in place of what single peers reported.
 	zones  map[identifier.Zone]peerLoad
 	others peerLoad
 }
@@ -42,7 +42,7 @@
 	prefill timekeeper.Duration
 }
 
-// peerLoad is what a peer told of its requests.
+// peerLoad is what a peer reported of its requests.
 type peerLoad struct {
 	at      timekeeper.Time
 	servers map[identifier.VMID]messenger.InFlight
@@ -86,13 +86,13 @@
 }
 
 // at returns the requests at a server, of all nodes, and the time that it needs
-// to read the prompts of those that wait. What a peer told of prompts grows old
+// to read the prompts of those that wait. What a peer reported of prompts grows old
 // as the server reads them.
 func (l *loads) at(now timekeeper.Time, server identifier.VMID) (running int, prefill timekeeper.Duration) {
 	if o := l.own[server]; o != nil {
 		running, prefill = o.running, o.prefill
 	}
-	for p := range l.told(now) {
+	for p := range l.reports(now) {
 		at := p.servers[server]
 		running += at.Running
 		prefill += max(at.Prefill-now.Sub(p.at), 0)
@@ -100,8 +100,8 @@
 	return running, prefill
 }
 
-// told yields what counts of what other nodes told.
-func (l *loads) told(now timekeeper.Time) iter.Seq[peerLoad] {
+// reports yields what counts of what other nodes reported.
+func (l *loads) reports(now timekeeper.Time) iter.Seq[peerLoad] {
 	return func(yield func(peerLoad) bool) {
 		if now.Sub(l.others.at) <= othersAge {
 			yield(l.others)
@@ -150,9 +150,9 @@
 	s.busy += float64(work) / float64(demandMemory)
 }
 
-// PeerLoad takes in what a peer told of its requests, or of those of others.
+// PeerLoad takes in what a peer reported of its requests, or of those of others.
 func (d *Dispatcher) PeerLoad(now timekeeper.Time, peer identifier.VMID, s messenger.Share) {
-	told := peerLoad{
+	report := peerLoad{
 		at:      now,
 		servers: s.InFlight,
 		demand:  s.Demand,
@@ -160,18 +160,18 @@
 	switch s.Scope {
 	case messenger.ShareZone:
 		if _, known := d.loads.zones[s.Zone]; known || len(d.loads.zones) < maxPeers {
-			d.loads.zones[s.Zone] = told
+			d.loads.zones[s.Zone] = report
 		}
 	case messenger.ShareOthers:
-		d.loads.others = told
+		d.loads.others = report
 	default:
 		if _, known := d.loads.peers[peer]; known || len(d.loads.peers) < maxPeers {
-			d.loads.peers[peer] = told
+			d.loads.peers[peer] = report
 		}
 	}
 }
 
-// Heard returns the number of peers that told of their requests within a span.
+// Heard returns the number of peers that reported their requests within a span.
 func (d *Dispatcher) Heard(now timekeeper.Time, within timekeeper.Duration) int {
 	n := 0
 	for _, p := range d.loads.peers {
@@ -210,7 +210,7 @@
 // Demand returns what the callers of all nodes ask of a service.
 func (d *Dispatcher) Demand(now timekeeper.Time, service identifier.ServiceName) messenger.ServiceDemand {
 	sum := d.demand(service).report(now)
-	for p := range d.loads.told(now) {
+	for p := range d.loads.reports(now) {
 		one := p.demand[service]
 		sum.Running += one.Running
 		sum.Busy += one.Busy
--- a/internal/dispatcher/sum.go
+++ b/internal/dispatcher/sum.go
@@ -22,19 +22,19 @@
 	}
 }
 
-// add adds what a node told, and with sign -1 takes it off again. The time to
-// read prompts has passed since it was told.
+// add adds what a node reported, and with sign -1 takes it off again. The time to
+// read prompts has passed since.
 func (s Sum) add(p peerLoad, age timekeeper.Duration, sign int) {
-	for server, told := range p.servers {
+	for server, load := range p.servers {
 		sum := s.InFlight[server]
-		sum.Running += sign * told.Running
-		sum.Prefill += timekeeper.Duration(sign) * max(told.Prefill-age, 0)
+		sum.Running += sign * load.Running
+		sum.Prefill += timekeeper.Duration(sign) * max(load.Prefill-age, 0)
 		s.InFlight[server] = sum
 	}
-	for service, told := range p.demand {
+	for service, asked := range p.demand {
 		sum := s.Demand[service]
-		sum.Running += sign * told.Running
-		sum.Busy += float64(sign) * told.Busy
+		sum.Running += sign * asked.Running
+		sum.Busy += float64(sign) * asked.Busy
 		s.Demand[service] = sum
 	}
 }
@@ -43,7 +43,7 @@
 // neighbours in its availability zone.
 func (d *Dispatcher) ZoneSum(now timekeeper.Time, neighbours []identifier.VMID) Sum {
 	sum := newSum()
-	sum.addFresh(now, d.told(now, d.config.Self), 1)
+	sum.addFresh(now, d.lastReport(now, d.config.Self), 1)
 	for _, peer := range neighbours {
 		sum.addFresh(now, d.loads.peers[peer], 1)
 	}
@@ -56,7 +56,7 @@
 	}
 }
 
-// WithZones returns a zone's sum with those that relays of other zones told.
+// WithZones returns a zone's sum with those that relays of other zones reported.
 func (d *Dispatcher) WithZones(now timekeeper.Time, zone Sum) Sum {
 	all := zone.clone()
 	for name, z := range d.loads.zones {
@@ -67,19 +67,19 @@
 	return all
 }
 
-// Without returns the sum less what one node of the zone told: it counts its own
+// Without returns the sum less what one node of the zone reported: it counts its own
 // requests itself, as they are now.
 func (d *Dispatcher) Without(now timekeeper.Time, all Sum, node identifier.VMID) Sum {
 	rest := all.clone()
-	rest.addFresh(now, d.told(now, node), -1)
+	rest.addFresh(now, d.lastReport(now, node), -1)
 	maps.DeleteFunc(rest.InFlight, func(_ identifier.VMID, n messenger.InFlight) bool {
 		return n.Running <= 0 && n.Prefill <= 0
 	})
 	return rest
 }
 
-// told returns what a node of this zone told last, or has now if it is this one.
-func (d *Dispatcher) told(now timekeeper.Time, node identifier.VMID) peerLoad {
+// lastReport returns what a node of this zone reported last, or has now if it is this one.
+func (d *Dispatcher) lastReport(now timekeeper.Time, node identifier.VMID) peerLoad {
 	if node != d.config.Self {
 		return d.loads.peers[node]
 	}
--- a/internal/indexer/indexer.go
+++ b/internal/indexer/indexer.go
@@ -2,7 +2,7 @@
 // parts of prompts, so that a request goes where little of its prompt has to be
 // read, or copies from there what its own server lacks.
 //
-// A node notes the parts of each prompt that it sends, and its peers tell what
+// A node notes the parts of each prompt that it sends, and its peers report what
 // they noted. Of a server it remembers as much as that keeps: the parts that
 // were used least recently give way, as they do there. What is remembered may
 // be wrong: a server may keep less, which costs the time to read it again.
@@ -31,11 +31,11 @@
 	// leastTokens is the size below which a part is not remembered: it is read
 	// in less time than two servers' loads differ by.
 	leastTokens = 512
-	// newsTime is for how long a part is told to peers: each share goes out
+	// newsTime is for how long a part is reported to peers: each share goes out
 	// within it at least twice.
 	newsTime = 1100 * timekeeper.Millisecond
-	// maxNews bounds the parts that are told at a time, and maxAll those that a
-	// peer is told which joined: some 40 KB.
+	// maxNews bounds the parts that are reported at a time, and maxAll those that
+	// a peer hears of which joined: some 40 KB.
 	maxNews = 256
 	maxAll  = 2048
 )
@@ -52,7 +52,7 @@
 	tokens identifier.Tokens
 }
 
-// item is a part that peers are told of.
+// item is a part that peers hear of.
 type item struct {
 	at   timekeeper.Time
 	part messenger.KeptPart
@@ -64,7 +64,7 @@
 }
 
 // Note takes in that a server has read the shared parts of a prompt, or will
-// have before it reads another prompt. Peers are told of those that were not
+// have before it reads another prompt. Peers hear of those that were not
 // remembered. Capacity is how many tokens the server keeps; zero where that is
 // not known.
 func (x *Index) Note(now timekeeper.Time, server identifier.VMID, prefix []messenger.PromptPart, capacity identifier.Tokens) {
@@ -75,9 +75,9 @@
 	}
 }
 
-// Told takes in what a peer told. With passOn set this node's own peers are
-// told of it too, if it is new.
-func (x *Index) Told(now timekeeper.Time, p messenger.KeptPart, capacity identifier.Tokens, passOn bool) {
+// Reported takes in what a peer reported. With passOn set this node's own peers
+// hear of it too, if it is new.
+func (x *Index) Reported(now timekeeper.Time, p messenger.KeptPart, capacity identifier.Tokens, passOn bool) {
 	if x.add(p.Server, p.Part, capacity) && passOn {
 		x.tell(now, p.Server, p.Part)
 	}
@@ -160,7 +160,7 @@
 // Forget drops a server that is gone.
 func (x *Index) Forget(server identifier.VMID) { delete(x.servers, server) }
 
-// News returns what peers are told, the newest last.
+// News returns what peers hear of, the newest last.
 func (x *Index) News(now timekeeper.Time) []messenger.KeptPart {
 	x.news = slices.DeleteFunc(x.news, func(i item) bool { return now.Sub(i.at) > newsTime })
 	x.news = x.news[max(len(x.news)-maxNews, 0):]
--- a/internal/indexer/indexer_test.go
+++ b/internal/indexer/indexer_test.go
@@ -91,8 +91,8 @@
 	require.Equal(t, identifier.Tokens(12_000), x.Kept("i-1", prompt(1, 14)))
 }
 
-// Peers are told what is new, for as long as a share goes out twice. What a peer
-// told goes no further, but from a node that relays: else it would go round.
+// Peers hear what is new, for as long as a share goes out twice. What a peer
+// reported goes no further, but from a node that relays: else it would go round.
 func TestNews(t *testing.T) {
 	x, peer, relay := indexer.New(), indexer.New(), indexer.New()
 	x.Note(start, "i-1", prompt(1, 2), capacity)
@@ -102,13 +102,13 @@
 	require.Len(t, x.News(start.Add(1500)), 1)
 	for _, p := range x.News(start.Add(1500)) {
 		for range 2 {
-			peer.Told(start, p, capacity, false)
-			relay.Told(start, p, capacity, true)
+			peer.Reported(start, p, capacity, false)
+			relay.Reported(start, p, capacity, true)
 		}
 	}
 	require.Empty(t, peer.News(start))
 	require.Len(t, relay.News(start), 1)
-	require.Zero(t, peer.Kept("i-1", prompt(1, 3)), "the first part was told before")
+	require.Zero(t, peer.Kept("i-1", prompt(1, 3)), "the first part was reported before")
 	require.Empty(t, x.News(start.Add(timekeeper.Minute)))
 }
 
@@ -135,19 +135,19 @@
 				Tokens: 1 << 40,
 			},
 		}
-		x.Told(start, part, 0, true)
+		x.Reported(start, part, 0, true)
 	}
 	require.LessOrEqual(t, len(x.News(start)), 256)
 }
 
-// A node joins and remembers nothing. Told all that a peer remembers it finds the
+// A node joins and remembers nothing. With all that a peer remembers it finds the
 // servers that keep its callers' prompts.
 func TestAllForANewcomer(t *testing.T) {
 	x, newcomer := indexer.New(), indexer.New()
 	x.Note(start, "i-1", prompt(1, 2), capacity)
 	x.Note(start, "i-2", prompt(1, 3), capacity)
 	for _, p := range x.All() {
-		newcomer.Told(start, p, capacity, false)
+		newcomer.Reported(start, p, capacity, false)
 	}
 	require.Equal(t, identifier.Tokens(12_000), newcomer.Kept("i-1", prompt(1, 2)))
 	require.Equal(t, identifier.Tokens(12_000), newcomer.Kept("i-2", prompt(1, 3)))
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -58,10 +58,10 @@
 
 	// shareEachTime is the spacing of the shares to each peer.
 	shareEachTime = 500 * timekeeper.Millisecond
-	// newcomerTime is for how long a peer that joined or came back is told all
+	// newcomerTime is for how long a peer that joined or came back hears of all
 	// entries: it may not reach the store, and would know no server.
 	newcomerTime = 2 * timekeeper.Second
-	// shareWindow is for how long a changed entry is told again: each peer
+	// shareWindow is for how long a changed entry is reported again: each peer
 	// hears of it four times.
 	shareWindow = 2 * timekeeper.Second
 	// sharePeers is the most peers that a node tells all of them what it knows;
@@ -158,7 +158,7 @@
 	nextPlan   timekeeper.Time
 	nextFetch  timekeeper.Time
 	// newcomers are the peers that joined or came back lately, with the
-	// instant until which they are told all entries.
+	// instant until which they hear of all entries.
 	newcomers map[identifier.VMID]timekeeper.Time
 	draining  bool
 	leaveAt   timekeeper.Time
@@ -206,12 +206,12 @@
 	}
 	switch b := body.(type) {
 	case messenger.ExchangeReceived:
-		return r.told(w, g.exchanges.Receive(r.exchangeWorld(w), b.Spec))
+		return r.withNews(w, g.exchanges.Receive(r.exchangeWorld(w), b.Spec))
 	case messenger.ExchangeBegan:
 		g.exchanges.Began(r.exchangeWorld(w), b)
-		return r.told(w)
+		return r.withNews(w)
 	case messenger.ExchangeAttemptEnded:
-		return r.told(w, g.exchanges.AttemptEnded(r.exchangeWorld(w), b))
+		return r.withNews(w, g.exchanges.AttemptEnded(r.exchangeWorld(w), b))
 	case messenger.ExchangeEnded:
 		g.exchanges.Ended(r.exchangeWorld(w), b)
 	case messenger.CatalogPublished:
@@ -237,7 +237,7 @@
 		if b.Unknown {
 			g.silent++
 		}
-		return r.told(w, g.exchanges.LimitAnswered(r.exchangeWorld(w), b))
+		return r.withNews(w, g.exchanges.LimitAnswered(r.exchangeWorld(w), b))
 	case messenger.LimitAsked:
 		return []messenger.Effect{
 			messenger.AnswerLimit{
--- a/internal/reducer/relay.go
+++ b/internal/reducer/relay.go
@@ -27,8 +27,8 @@
 	// of the store, news is younger than serversStale everywhere.
 	relayEvery = 250 * timekeeper.Millisecond
 	// relayWarmUp is how long a node has been a relay before it tells sums: all
-	// nodes of its zone, and the relays of others, have told it theirs by then.
-	// One that took over from a dead relay at once told a sixth of the load, in
+	// nodes of its zone, and the relays of others, have reported theirs by then.
+	// One that took over from a dead relay at once reported a sixth of the load, in
 	// place of what the other relay of its zone knew.
 	relayWarmUp = 1500 * timekeeper.Millisecond
 	// strayPeers is how many further peers hear a node directly: news travels
@@ -68,7 +68,7 @@
 	return append(few, rest[:min(strayPeers, len(rest))]...)
 }
 
-// relayNow passes on what the nodes of this zone told, where this node is one of
+// relayNow passes on what the nodes of this zone reported, where this node is one of
 // the zone's relays.
 func (r *Reducer) relayNow(w *conductor.World) []messenger.Effect {
 	g := r.gateway
--- a/internal/reducer/share.go
+++ b/internal/reducer/share.go
@@ -10,8 +10,8 @@
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
-// told adds to effects what peers are told at once.
-func (r *Reducer) told(w *conductor.World, effects ...messenger.Effect) []messenger.Effect {
+// withNews adds to effects what peers hear of at once.
+func (r *Reducer) withNews(w *conductor.World, effects ...messenger.Effect) []messenger.Effect {
 	if r.gateway.exchanges.TellPeers() {
 		return append(effects, r.shareNow(w)...)
 	}
@@ -24,9 +24,9 @@
 	g := r.gateway
 	s := e.Share
 	g.exchanges.PeerLoad(w.Now, e.From, s)
-	g.usage.Told(e.From, s.Incarnation, s.Usage)
+	g.usage.PeerCounts(e.From, s.Incarnation, s.Usage)
 	g.heardOfHolder(w.Now, s)
-	changed := g.servers.Told(w.Now, w.Now.Add(-s.ServersAge), s.Servers)
+	changed := g.servers.Reported(w.Now, w.Now.Add(-s.ServersAge), s.Servers)
 	if len(changed) > 0 {
 		g.nextRelay = w.Now
 	}
@@ -131,7 +131,7 @@
 	return out
 }
 
-// send tells one peer; one that joined lately is told all entries of servers.
+// send tells one peer; one that joined lately hears of all entries of servers.
 func (g *gateway) send(now timekeeper.Time, peer gossiper.Node, share messenger.Share) messenger.SendShare {
 	if until, ok := g.newcomers[peer.VM]; ok {
 		share.Servers = g.servers.All()
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -163,8 +163,8 @@
 	return changed
 }
 
-// Told takes in entries that a peer knew as of an instant.
-func (t *Table) Told(now, asOf timekeeper.Time, entries []messenger.PublishedServer) []messenger.PublishedServer {
+// Reported takes in entries that a peer knew as of an instant.
+func (t *Table) Reported(now, asOf timekeeper.Time, entries []messenger.PublishedServer) []messenger.PublishedServer {
 	t.asOf = max(t.asOf, min(asOf, now))
 	var changed []messenger.PublishedServer
 	for _, e := range entries {
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -49,8 +49,8 @@
 	forward, backward := registrar.New(), registrar.New()
 	forward.Read(start, entries, false)
 	for i := len(entries) - 1; i >= 0; i-- {
-		backward.Told(start, start, entries[i:i+1])
-		backward.Told(start, start, entries[i:])
+		backward.Reported(start, start, entries[i:i+1])
+		backward.Reported(start, start, entries[i:])
 	}
 	want := map[identifier.VMID]messenger.ServerState{
 		"i-1": messenger.ServerLeaving,
@@ -124,7 +124,7 @@
 func TestRemovalFoundByOneThatReadsSeldom(t *testing.T) {
 	table := registrar.New()
 	table.Read(start, []messenger.PublishedServer{entry("i-1", 1, messenger.ServerReady)}, true)
-	table.Told(start.Add(60_000), start.Add(59_900), nil)
+	table.Reported(start.Add(60_000), start.Add(59_900), nil)
 	changed := table.Read(start.Add(61_200), []messenger.PublishedServer{entry("i-1", 2, messenger.ServerRemoved)}, false)
 	require.Len(t, changed, 1)
 	require.Empty(t, table.Of("reader"))
@@ -139,7 +139,7 @@
 		entry("i-1", 1, messenger.ServerReady),
 		entry("i-2", 2, messenger.ServerReady),
 	}, true)
-	table.Told(start, start, []messenger.PublishedServer{entry("i-3", 9, messenger.ServerReady)})
+	table.Reported(start, start, []messenger.PublishedServer{entry("i-3", 9, messenger.ServerReady)})
 	table.Read(start.Add(400), []messenger.PublishedServer{entry("i-2", 7, messenger.ServerReady)}, true)
 	require.Equal(t, map[identifier.VMID]messenger.ServerState{
 		"i-2": messenger.ServerReady,
@@ -151,9 +151,9 @@
 func TestAsOf(t *testing.T) {
 	table := registrar.New()
 	table.Read(start, nil, true)
-	table.Told(start.Add(500), start.Add(300), nil)
+	table.Reported(start.Add(500), start.Add(300), nil)
 	require.Equal(t, start.Add(300), table.AsOf())
-	table.Told(start.Add(600), start.Add(100), nil)
+	table.Reported(start.Add(600), start.Add(100), nil)
 	require.Equal(t, start.Add(300), table.AsOf())
 }
 
@@ -201,7 +201,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			direct, told := registrar.New(), registrar.New()
 			direct.Read(start, test.entries, false)
-			told.Told(start, start, test.entries)
+			told.Reported(start, start, test.entries)
 			want := map[identifier.VMID]messenger.ServerState{second: messenger.ServerReady}
 			require.Equal(t, want, states(direct))
 			require.Equal(t, want, states(told))
@@ -229,8 +229,8 @@
 	require.Empty(t, states(table))
 
 	peer := registrar.New()
-	peer.Told(start, start, []messenger.PublishedServer{entry(second, 2, messenger.ServerReady)})
-	peer.Told(start, start, []messenger.PublishedServer{entry(first, 9, messenger.ServerRemoved)})
+	peer.Reported(start, start, []messenger.PublishedServer{entry(second, 2, messenger.ServerReady)})
+	peer.Reported(start, start, []messenger.PublishedServer{entry(first, 9, messenger.ServerRemoved)})
 	require.Equal(t, messenger.ServerReady, states(peer)[second])
 }
 
--- a/internal/relayer/share.go
+++ b/internal/relayer/share.go
@@ -12,7 +12,7 @@
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
-// maxBusy bounds the servers that one node can be told to keep busy.
+// maxBusy bounds the servers that one report can give.
 const maxBusy = 1e5
 
 func encodeShare(s messenger.Share) *pb.ShareRequest {
--- a/internal/sizer/size.go
+++ b/internal/sizer/size.go
@@ -17,10 +17,10 @@
 	// needed, zero where they are not, with the most and the least of them.
 	fewer, more timekeeper.Time
 	most, least int
-	// firm is the on-demand servers ordered last, and raised when their number
-	// last rose.
-	firm   int
-	raised timekeeper.Time
+	// onDemand is the on-demand servers ordered last, and raised when their
+	// number last rose.
+	onDemand int
+	raised   timekeeper.Time
 }
 
 // hold returns how many on-demand servers are ordered where so many are missing.
@@ -28,17 +28,17 @@
 // that is measured goes up and down with single long prompts.
 func (n *need) hold(in Input, missing int) int {
 	missing = max(missing, 0)
-	if missing >= n.firm {
-		if missing > n.firm {
+	if missing >= n.onDemand {
+		if missing > n.onDemand {
 			n.raised = in.Now
 		}
-		n.firm = missing
+		n.onDemand = missing
 		return missing
 	}
 	if in.Now.Sub(n.raised) >= in.Fleet.BootTime+bootSlack {
-		n.firm = missing
+		n.onDemand = missing
 	}
-	return n.firm
+	return n.onDemand
 }
 
 // Watch takes in the servers and the demand of a service. A node calls it also
--- a/internal/sizer/sizer.go
+++ b/internal/sizer/sizer.go
@@ -68,9 +68,9 @@
 	// after one of which nothing was heard.
 	refusedPause = 2 * timekeeper.Second
 	unknownPause = 1 * timekeeper.Second
-	// dryTime is how long a zone counts as one without reclaimable servers
+	// outTime is how long a zone counts as one without reclaimable servers
 	// after an order for some was refused there: two more orders.
-	dryTime = 2*refusedPause + 500*timekeeper.Millisecond
+	outTime = 2*refusedPause + 500*timekeeper.Millisecond
 	// bootSlack is what a server may take beyond its boot time to show up.
 	bootSlack = 2 * timekeeper.Second
 )
@@ -91,8 +91,8 @@
 // Sizer is what the holder of the lease ordered so far.
 type Sizer struct {
 	orders map[key]*order
-	// dryUntil is until when a zone counts as one without reclaimable servers.
-	dryUntil map[key]timekeeper.Time
+	// outUntil is until when a zone counts as one without reclaimable servers.
+	outUntil map[key]timekeeper.Time
 	services map[identifier.ServiceName]*need
 }
 
@@ -116,7 +116,7 @@
 func New() *Sizer {
 	return &Sizer{
 		orders:   map[key]*order{},
-		dryUntil: map[key]timekeeper.Time{},
+		outUntil: map[key]timekeeper.Time{},
 		services: map[identifier.ServiceName]*need{},
 	}
 }
@@ -124,7 +124,7 @@
 // Forget drops what was ordered: another node may have ordered since.
 func (s *Sizer) Forget() {
 	clear(s.orders)
-	clear(s.dryUntil)
+	clear(s.outUntil)
 }
 
 // Need returns how many servers a service is taken to need; zero before its
@@ -149,16 +149,16 @@
 	if len(zones) == 0 {
 		return nil
 	}
-	spot := s.spot(in, zones, need)
-	// Dear servers are for the demand of now. While servers lack, requests pile
-	// up, and the size that they seem to take lasts beyond the pile: 19 dear
+	reclaimable := s.reclaimable(in, zones, need)
+	// On-demand servers are for the demand of now. While servers lack, requests pile
+	// up, and the size that they seem to take lasts beyond the pile: 19 on-demand
 	// servers were ordered for the demand of ten.
-	missing := demanded(in, bearBusy) - s.sure(in, zones, spot)
-	firm := s.firm(in, zones, spot, size.hold(in, max(missing, s.kept(in, zones))))
+	missing := demanded(in, bearBusy) - s.sure(in, zones, reclaimable)
+	onDemand := s.onDemand(in, zones, reclaimable, size.hold(in, max(missing, s.kept(in, zones))))
 	var out []messenger.ServerOrder
 	for _, zone := range zones {
-		out = append(out, s.order(in, zone, catalog.Reclaimable, min(spot[zone], in.Fleet.Max-firm[zone]))...)
-		out = append(out, s.order(in, zone, catalog.OnDemand, firm[zone])...)
+		out = append(out, s.order(in, zone, catalog.Reclaimable, min(reclaimable[zone], in.Fleet.Max-onDemand[zone]))...)
+		out = append(out, s.order(in, zone, catalog.OnDemand, onDemand[zone])...)
 	}
 	return out
 }
@@ -246,13 +246,13 @@
 	}
 	o := s.orders[k]
 	if result == messenger.DutyRefused {
-		s.dryUntil[k] = now.Add(dryTime)
+		s.outUntil[k] = now.Add(outTime)
 	}
 	if o == nil || o.count != e.Count {
 		return
 	}
 	if result == messenger.DutyDone && o.more {
-		delete(s.dryUntil, k)
+		delete(s.outUntil, k)
 	}
 	o.pending = false
 	o.result = result
--- a/internal/sizer/sizer_test.go
+++ b/internal/sizer/sizer_test.go
@@ -32,7 +32,7 @@
 	now   timekeeper.Time
 	fleet *catalog.Fleet
 	sizer *sizer.Sizer
-	dry   map[identifier.Zone]bool
+	out   map[identifier.Zone]bool
 	have  map[key]int
 	boots []boot
 	// silent makes the cloud carry out nothing and answer nothing.
@@ -57,7 +57,7 @@
 		t:     t,
 		now:   start,
 		sizer: sizer.New(),
-		dry:   map[identifier.Zone]bool{},
+		out:   map[identifier.Zone]bool{},
 		have:  map[key]int{},
 		fleet: &catalog.Fleet{
 			Min:      1,
@@ -143,7 +143,7 @@
 	}
 	require.GreaterOrEqual(c.t, o.Count, 0)
 	require.LessOrEqual(c.t, o.Count, c.fleet.Max)
-	if o.Market == catalog.Reclaimable && c.dry[o.Zone] && o.Count > c.have[k] {
+	if o.Market == catalog.Reclaimable && c.out[o.Zone] && o.Count > c.have[k] {
 		return messenger.DutyRefused
 	}
 	if o.Count < c.have[k] {
@@ -165,7 +165,7 @@
 		zone:   zone,
 		market: catalog.Reclaimable,
 	}
-	c.dry[zone] = true
+	c.out[zone] = true
 	c.have[k] = 0
 	c.boots = slices.DeleteFunc(c.boots, func(b boot) bool { return b.key == k })
 }
@@ -181,8 +181,8 @@
 }
 
 // The operators start servers that can't be taken away. They give way to
-// cheaper ones, spread over the zones, once the demand is known.
-func TestCheapServersTakeOver(t *testing.T) {
+// reclaimable ones, spread over the zones, once the demand is known.
+func TestReclaimableServersTakeOver(t *testing.T) {
 	c := newCloud(t, 9)
 	c.run(40*timekeeper.Second, 40)
 	require.Zero(t, c.total(catalog.OnDemand))
@@ -196,7 +196,7 @@
 }
 
 // Two zones are reclaimed within seconds. What is left covers the demand
-// without a dear server.
+// without an on-demand server.
 func TestTwoZonesLost(t *testing.T) {
 	c := newCloud(t, 9)
 	c.run(40*timekeeper.Second, 60)
@@ -210,7 +210,7 @@
 
 // Three zones of four are reclaimed, four and two seconds apart. Once two are
 // out, the others are raised to carry the demand each alone: callers had a third
-// of the servers they needed for ten seconds, until dear ones had booted.
+// of the servers they needed for ten seconds, until on-demand ones had booted.
 func TestThirdZoneLost(t *testing.T) {
 	c := newCloud(t, 9)
 	c.fleet.Max = 46
@@ -227,7 +227,7 @@
 // All four zones are reclaimed in turn, and nothing reclaimable is to be had
 // anywhere. Callers were refused for 14 seconds, since orders for reclaimable
 // servers took all the room that the zones have. Others take that room, and
-// give it back once the cheap ones serve again.
+// give it back once the reclaimable ones serve again.
 func TestAllZonesLost(t *testing.T) {
 	c := newCloud(t, 9)
 	c.run(40*timekeeper.Second, 100)
@@ -238,7 +238,7 @@
 	c.run(10*timekeeper.Second, 100)
 	require.Zero(t, c.total(catalog.Reclaimable))
 	require.GreaterOrEqual(t, c.total(catalog.OnDemand), 9)
-	clear(c.dry)
+	clear(c.out)
 	c.run(30*timekeeper.Second, 100)
 	require.GreaterOrEqual(t, c.total(catalog.Reclaimable), 10)
 	require.Zero(t, c.total(catalog.OnDemand))
@@ -310,7 +310,7 @@
 }
 
 // The system takes over a fleet that is serving callers. The servers that the
-// operators started go only as cheaper ones serve, not when those are ordered.
+// operators started go only as reclaimable ones serve, not when those are ordered.
 func TestServersUnderLoadAreKept(t *testing.T) {
 	c := newCloud(t, 9)
 	c.run(3*timekeeper.Second, 60)
@@ -345,11 +345,11 @@
 	require.Equal(t, 8, size)
 }
 
-// All zones were reclaimed, and dear servers serve. Reclaimable ones are to be
-// had again in one zone only, which can be reclaimed within seconds: the dear
+// All zones were reclaimed, and on-demand servers serve. Reclaimable ones are to be
+// had again in one zone only, which can be reclaimed within seconds: the on-demand
 // ones stay until another zone has some, and none that serves makes way for one
 // that has yet to boot.
-func TestDearServersStayUntilTwoZonesServe(t *testing.T) {
+func TestOnDemandServersStayUntilTwoZonesServe(t *testing.T) {
 	c := newCloud(t, 9)
 	c.fleet.Max = 12
 	c.run(40*timekeeper.Second, 100)
@@ -359,14 +359,14 @@
 	c.run(20*timekeeper.Second, 100)
 	require.GreaterOrEqual(t, c.total(catalog.OnDemand), 9)
 
-	delete(c.dry, "providence")
+	delete(c.out, "providence")
 	for range 40 {
 		c.run(500, 100)
 		require.GreaterOrEqual(t, c.total(catalog.OnDemand), 9)
 	}
 	require.GreaterOrEqual(t, c.total(catalog.Reclaimable), 9)
 
-	clear(c.dry)
+	clear(c.out)
 	for range 40 {
 		c.run(500, 100)
 		require.GreaterOrEqual(t, c.total(catalog.OnDemand)+c.total(catalog.Reclaimable), 9)
@@ -375,9 +375,9 @@
 }
 
 // All servers were lost while callers kept asking, and requests piled up at the
-// first dear ones. Once the pile is worked off and reclaimable servers are to be
-// had, dear ones go as those serve, not when the size at the pile's time lapses.
-func TestPileUpGivesDearServersBack(t *testing.T) {
+// first on-demand ones. Once the pile is worked off and reclaimable servers are to be
+// had, on-demand ones go as those serve, not when the size at the pile's time lapses.
+func TestPileUpGivesOnDemandServersBack(t *testing.T) {
 	c := newCloud(t, 9)
 	c.run(40*timekeeper.Second, 80)
 	for _, zone := range zones {
@@ -385,7 +385,7 @@
 	}
 	c.run(10*timekeeper.Second, 200)
 	require.GreaterOrEqual(t, c.total(catalog.OnDemand), 18)
-	clear(c.dry)
+	clear(c.out)
 	c.run(6*timekeeper.Second, 80)
 	require.LessOrEqual(t, c.total(catalog.OnDemand), 8)
 	c.run(8*timekeeper.Second, 80)
@@ -394,9 +394,9 @@
 }
 
 // Requests pile up while the cloud answers no order, and the pile is worked off
-// before it does. The dear servers that are ordered then are for the callers of
+// before it does. The on-demand servers that are ordered then are for the callers of
 // now, not for the pile.
-func TestNoDearServersForAPileThatIsGone(t *testing.T) {
+func TestNoOnDemandServersForAPileThatIsGone(t *testing.T) {
 	c := newCloud(t, 9)
 	c.run(40*timekeeper.Second, 80)
 	for _, zone := range zones {
@@ -432,8 +432,8 @@
 	c.run(60*timekeeper.Second, 60)
 	c.reclaim("boston-a")
 	c.reclaim("boston-b")
-	c.dry["providence"] = true
-	c.dry["portland-me"] = true
+	c.out["providence"] = true
+	c.out["portland-me"] = true
 	c.run(3*timekeeper.Second, 60)
 	size := c.total(catalog.Reclaimable)
 	require.Positive(t, size)
@@ -453,7 +453,7 @@
 	c.run(5*timekeeper.Second, 60)
 	require.Zero(t, c.total(catalog.OnDemand))
 	for _, zone := range zones {
-		c.dry[zone] = true
+		c.out[zone] = true
 	}
 	c.reclaim("boston-b")
 	c.run(5*timekeeper.Second, 60)
--- a/internal/sizer/spread.go
+++ b/internal/sizer/spread.go
@@ -15,23 +15,23 @@
 // started, what the demand of now takes. Without the second a service that is
 // taken over under load has no server until the first ones have booted. The
 // size that the service had lately does not count: while servers lack, requests
-// pile up, and dear servers for all of them were kept 18 seconds too long.
+// pile up, and on-demand servers for all of them were kept 18 seconds too long.
 //
 // The others have to cover the demand also without the zone that has most.
-// Right after a reclaim all that serve may stand in one zone; dear servers given
+// Right after a reclaim all that serve may stand in one zone; on-demand servers given
 // up then were missed two seconds later, when that zone was reclaimed too.
 func (s *Sizer) kept(in Input, zones []identifier.Zone) int {
-	cheap, most := 0, 0
+	reclaimable, most := 0, 0
 	for _, zone := range zones {
 		n := countReady(in.Servers, zone, catalog.Reclaimable)
-		cheap += n
+		reclaimable += n
 		most = max(most, n)
 	}
 	if len(zones) > 1 {
-		cheap -= most
+		reclaimable -= most
 	}
-	dear := max(s.ordered(in.Service, catalog.OnDemand), countReady(in.Servers, "", catalog.OnDemand))
-	return min(dear, demanded(in, bearBusy)-cheap)
+	onDemand := max(s.ordered(in.Service, catalog.OnDemand), countReady(in.Servers, "", catalog.OnDemand))
+	return min(onDemand, demanded(in, bearBusy)-reclaimable)
 }
 
 // perZone returns the reclaimable servers that each of the zones that have some
@@ -42,10 +42,10 @@
 	return min(max(n, leastPerZone, f.Min), f.Max)
 }
 
-// spot returns the reclaimable servers by zone. While zones are out the others
+// reclaimable returns the reclaimable servers by zone. While zones are out the others
 // may carry the demand alone, and none of them gives servers up: right after a
 // reclaim no more may be to be had anywhere.
-func (s *Sizer) spot(in Input, zones []identifier.Zone, need int) map[identifier.Zone]int {
+func (s *Sizer) reclaimable(in Input, zones []identifier.Zone, need int) map[identifier.Zone]int {
 	out := s.zonesOut(in, zones)
 	counts := map[identifier.Zone]int{}
 	for _, zone := range zones {
@@ -76,7 +76,7 @@
 // there, or is losing those that it has. One that has some, and no more to give,
 // is not out: while one zone is reclaimed the others may refuse further ones.
 func (s *Sizer) out(in Input, zone identifier.Zone) bool {
-	if s.dry(in, zone) && countReady(in.Servers, zone, catalog.Reclaimable) == 0 {
+	if s.outOfCapacity(in, zone) && countReady(in.Servers, zone, catalog.Reclaimable) == 0 {
 		return true
 	}
 	return slices.ContainsFunc(in.Servers, func(server *registrar.Server) bool {
@@ -90,14 +90,14 @@
 // not out. With few zones left the next may follow before another server has
 // booted, so that the largest of them does not count then: of four zones that
 // went in turn, the third went 2.3 s and the fourth 6 s after the second.
-func (s *Sizer) sure(in Input, zones []identifier.Zone, spot map[identifier.Zone]int) int {
+func (s *Sizer) sure(in Input, zones []identifier.Zone, reclaimable map[identifier.Zone]int) int {
 	sum, most, left := 0, 0, 0
 	for _, zone := range zones {
 		have := countReady(in.Servers, zone, catalog.Reclaimable)
 		if !s.out(in, zone) {
 			left++
-			if !s.dry(in, zone) {
-				have = max(have, spot[zone])
+			if !s.outOfCapacity(in, zone) {
+				have = max(have, reclaimable[zone])
 			}
 		}
 		sum += have
@@ -109,20 +109,20 @@
 	return sum
 }
 
-// firm returns the servers by zone that can't be taken away: as many as are
+// onDemand returns the servers by zone that can't be taken away: as many as are
 // missing, first where there are some, or were ordered, and then in the
 // cheapest zones that have room. Where no reclaimable servers are to be had they
 // leave room for all but those that there are.
-func (s *Sizer) firm(in Input, zones []identifier.Zone, spot map[identifier.Zone]int, missing int) map[identifier.Zone]int {
+func (s *Sizer) onDemand(in Input, zones []identifier.Zone, reclaimable map[identifier.Zone]int, missing int) map[identifier.Zone]int {
 	out := map[identifier.Zone]int{}
 	room := map[identifier.Zone]int{}
-	cheap := slices.Clone(zones)
-	slices.SortStableFunc(cheap, func(a, b identifier.Zone) int {
+	byPrice := slices.Clone(zones)
+	slices.SortStableFunc(byPrice, func(a, b identifier.Zone) int {
 		return cmp.Compare(in.Fleet.ZonePrices[a], in.Fleet.ZonePrices[b])
 	})
-	for _, zone := range cheap {
-		held := spot[zone]
-		if s.dry(in, zone) {
+	for _, zone := range byPrice {
+		held := reclaimable[zone]
+		if s.outOfCapacity(in, zone) {
 			// One is always asked for, so that it shows when there are some.
 			held = max(countReady(in.Servers, zone, catalog.Reclaimable), 1)
 		}
@@ -134,7 +134,7 @@
 		room[zone] -= n
 		missing -= n
 	}
-	for _, zone := range cheap {
+	for _, zone := range byPrice {
 		// What serves is not given up for reclaimable servers that have yet to
 		// boot, but for one, so that it shows when there are some.
 		beside := max(in.Fleet.Max-max(countReady(in.Servers, zone, catalog.Reclaimable), 1), 0)
@@ -148,15 +148,15 @@
 		}
 		take(zone, min(have, beside))
 	}
-	for _, zone := range cheap {
+	for _, zone := range byPrice {
 		take(zone, max(room[zone], 0))
 	}
 	return out
 }
 
-// dry reports whether a zone had no reclaimable servers to be had lately.
-func (s *Sizer) dry(in Input, zone identifier.Zone) bool {
-	return in.Now.Before(s.dryUntil[key{
+// outOfCapacity reports whether a zone had no reclaimable servers to be had lately.
+func (s *Sizer) outOfCapacity(in Input, zone identifier.Zone) bool {
+	return in.Now.Before(s.outUntil[key{
 		service: in.Service,
 		zone:    zone,
 		market:  catalog.Reclaimable,
