Copy kept parts from a leaving server for two seconds only

Cause: a server that is reclaimed is gone seconds before its entry is, and was still named as the one to copy from: the other server, and the caller, waited for nothing. Change: two seconds after its notice it is no longer copied from.

--- a/internal/dispatcher/choose.go
+++ b/internal/dispatcher/choose.go
@@ -24,6 +24,10 @@
 	// copyWeight how much more a copy weighs than its time: it is paid for.
 	copySetup  = 3 * timekeeper.Millisecond
 	copyWeight = 2
+	// copyWindow is how long after its notice a leaving server is copied from. It
+	// may be gone seconds before its entry is, and a copy from it then waits for
+	// nothing.
+	copyWindow = 2 * timekeeper.Second
 	// leastCopy is the tokens below which a copy is not worth its setup.
 	leastCopy identifier.Tokens = 512
 	// keptPercent is the part of an engine's memory that its kept parts are
@@ -58,7 +62,7 @@
 // leaving gets nothing.
 func (d *Dispatcher) choose(w World, x *exchange) (choice, bool) {
 	servers := w.Servers.Of(x.service)
-	k := d.keepersOf(x.spec.Prefix, servers)
+	k := d.keepersOf(w.Now, x.spec.Prefix, servers)
 	var trusted, suspected []choice
 	for i, s := range servers {
 		if s.State != messenger.ServerReady || slices.Contains(x.tried, s.Server) {
@@ -182,7 +186,7 @@
 }
 
 // keepersOf looks up who keeps the shared parts of a prompt.
-func (d *Dispatcher) keepersOf(prefix []messenger.PromptPart, servers []*registrar.Server) keepers {
+func (d *Dispatcher) keepersOf(now timekeeper.Time, prefix []messenger.PromptPart, servers []*registrar.Server) keepers {
 	k := keepers{
 		servers: servers,
 		tokens:  make([]identifier.Tokens, len(servers)),
@@ -190,6 +194,9 @@
 		home:    -1,
 	}
 	for i, s := range servers {
+		if s.State == messenger.ServerLeaving && now.Sub(s.Changed) > copyWindow {
+			continue
+		}
 		k.tokens[i] = d.index.Kept(s.Server, prefix)
 		if k.tokens[i] > 0 && (k.most < 0 || k.tokens[i] > k.tokens[k.most]) {
 			k.most = i
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -511,6 +511,25 @@
 	require.Empty(t, third.CopyFrom)
 }
 
+// A server gave notice and is gone seconds before its entry is. A server that is to
+// copy from it would wait for nothing, and the caller with it.
+func TestNoCopyFromServersThatMayBeGone(t *testing.T) {
+	n := newNode(3)
+	backend := n.world.Catalog.Routing.Backends["reader"]
+	backend.CopyRate = 400
+	n.world.Catalog.Routing.Backends["reader"] = backend
+	first := n.sentShared(t)
+	for i := range 3 {
+		if serverID(i) == first.Server {
+			n.publish(i, messenger.ServerLeaving)
+		}
+	}
+	n.world.Now = start.Add(2100)
+	second := n.sentShared(t)
+	require.NotEqual(t, first.Server, second.Server)
+	require.Empty(t, second.CopyFrom)
+}
+
 // A server broke off before it had read a prompt. It is not taken to keep it.
 func TestPromptThatWasNotRead(t *testing.T) {
 	n := newNode(8)
