--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -449,6 +449,24 @@
 	return send
 }
 
+// newCopyingNode returns a node of three servers that copy kept parts.
+func newCopyingNode() *node {
+	n := newNode(3)
+	backend := n.world.Catalog.Routing.Backends["reader"]
+	backend.CopyRate = 400
+	n.world.Catalog.Routing.Backends["reader"] = backend
+	return n
+}
+
+// leave lets one of three servers give notice.
+func (n *node) leave(server identifier.VMID) {
+	for i := range 3 {
+		if serverID(i) == server {
+			n.publish(i, messenger.ServerLeaving)
+		}
+	}
+}
+
 // complete brings the whole answer of an attempt.
 func (n *node) complete(s messenger.SendExchange) {
 	n.Began(n.world, messenger.ExchangeBegan{
@@ -492,17 +510,10 @@
 // is there the other server copies what they share from it: reading 13,000
 // tokens takes 215 ms of an engine, copying them 35.
 func TestKeptPartsOutliveTheirServer(t *testing.T) {
-	n := newNode(3)
-	backend := n.world.Catalog.Routing.Backends["reader"]
-	backend.CopyRate = 400
-	n.world.Catalog.Routing.Backends["reader"] = backend
+	n := newCopyingNode()
 	first := n.sentShared(t)
 	require.Empty(t, first.CopyFrom, "nobody keeps it yet")
-	for i := range 3 {
-		if serverID(i) == first.Server {
-			n.publish(i, messenger.ServerLeaving)
-		}
-	}
+	n.leave(first.Server)
 	second := n.sentShared(t)
 	require.NotEqual(t, first.Server, second.Server)
 	require.Equal(t, first.Address, second.CopyFrom)
@@ -514,16 +525,9 @@
 // A server gave notice and is gone seconds before its entry is. A server that is to
 // copy from it would wait for nothing, and the caller with it.
 func TestNoCopyFromServersThatMayBeGone(t *testing.T) {
-	n := newNode(3)
-	backend := n.world.Catalog.Routing.Backends["reader"]
-	backend.CopyRate = 400
-	n.world.Catalog.Routing.Backends["reader"] = backend
+	n := newCopyingNode()
 	first := n.sentShared(t)
-	for i := range 3 {
-		if serverID(i) == first.Server {
-			n.publish(i, messenger.ServerLeaving)
-		}
-	}
+	n.leave(first.Server)
 	n.world.Now = start.Add(2100)
 	second := n.sentShared(t)
 	require.NotEqual(t, first.Server, second.Server)
