Work out who does what for all when the membership changes, not in each tick

Cause: each tick, 20 times a second, ranked all nodes by hash for the duties, the readers of the store, the relays and the followers, and copied the list of members for each. Of the reducers' time at 195 nodes 87% was there (a profile), and the collector took as much again. Ruled out: gossip itself, whose cost is a tenth.

Change: package ranker keeps what follows from the membership alone until the membership's version changes; a tick judges only nodes that can have changed; the few peers that hear a node are gathered without copying all.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -110,8 +110,10 @@
 	config Config
 	guard  safeguards
 
-	self    *nodeRecord
-	nodes   table[nodeRecord]
+	self  *nodeRecord
+	nodes table[nodeRecord]
+	// version is raised with each change of who is a member, and as what.
+	version uint64
 	keys    map[uint64]*nodeRecord
 	seeds   table[seed]
 	servers table[serverRecord]
--- a/internal/gossiper/mark.go
+++ b/internal/gossiper/mark.go
@@ -116,6 +116,7 @@
 	}
 	r.LeaveBy = k.deadline
 	r.State = Leaving
+	m.version++
 	return []Change{r.change(NodeLeaving)}
 }
 
--- a/internal/gossiper/node.go
+++ b/internal/gossiper/node.go
@@ -86,6 +86,11 @@
 	return found
 }
 
+// Version changes with each change of what Nodes returns, but for when a member
+// was last heard. What follows from the membership alone need not be worked out
+// anew while it stands.
+func (m *Members) Version() uint64 { return m.version }
+
 // Count returns the number of members that were heard of within a span, this
 // node included. Some that are dead by now may only be cut off.
 func (m *Members) Count(now timekeeper.Time, within timekeeper.Duration) int {
@@ -127,6 +132,7 @@
 	}
 	delete(m.keys, known.key)
 	m.nodes.remove(n.VM)
+	m.version++
 	return append(changes, m.join(now, n, heartbeat)...)
 }
 
@@ -150,6 +156,7 @@
 		return nil
 	}
 	m.keys[r.key] = r
+	m.version++
 	return append([]Change{r.change(NodeJoined)}, m.judge(now, r)...)
 }
 
@@ -173,6 +180,7 @@
 	if r.State == before {
 		return nil
 	}
+	m.version++
 	r.lateSends = 0
 	switch r.State {
 	case Dead:
@@ -185,10 +193,18 @@
 	return []Change{r.change(NodeAlive)}
 }
 
+// judgeAll brings the states of all nodes up to date. It runs in every tick, so
+// those whose state can't have changed since it was last judged cost a look at
+// the clock: marks are applied as they come.
 func (m *Members) judgeAll(now timekeeper.Time) []Change {
+	suspect, dead := m.suspectAfter(), m.deadAfter()
 	var changes []Change
 	for _, r := range m.nodes.values() {
-		changes = append(changes, m.judge(now, r)...)
+		age := now.Sub(r.LastHeard)
+		same := r.State == Alive && age < suspect || r.State == Dead && age >= dead
+		if !same || r == m.self {
+			changes = append(changes, m.judge(now, r)...)
+		}
 	}
 	return changes
 }
--- /dev/null
+++ b/internal/ranker/ranker_test.go
@@ -0,0 +1,142 @@
+package ranker_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
+	"github.com/dotterelhollow/dotterelhollow/internal/ranker"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+)
+
+const (
+	zones = 4
+	// Of many nodes the first strongNodes can carry much more than the rest.
+	strongNodes = 8
+	strong      = uint32(800)
+	weak        = uint32(40)
+)
+
+// members is a membership that counts how often it is read.
+type members struct {
+	nodes   []gossiper.Node
+	version uint64
+	reads   int
+}
+
+var _ ranker.Members = (*members)(nil)
+
+func (m *members) Nodes() []gossiper.Node {
+	m.reads++
+	return m.nodes
+}
+
+func (m *members) Version() uint64 { return m.version }
+
+func (m *members) change(nodes []gossiper.Node) {
+	m.nodes = nodes
+	m.version++
+}
+
+func node(i int, capacity uint32) gossiper.Node {
+	return gossiper.Node{
+		VM:       identifier.VMID(fmt.Sprintf("entry-%d", i)),
+		Zone:     identifier.Zone(fmt.Sprintf("zone-%d", i%zones)),
+		Capacity: capacity,
+		State:    gossiper.Alive,
+	}
+}
+
+func ExampleRank() {
+	few := ranker.Rank("duties", []gossiper.Node{node(0, strong), node(1, weak), node(2, strong)}, 2)
+	fmt.Println(len(few), ranker.Has(few, "entry-1"))
+	// Output: 2 false
+}
+
+// A few VMs have much more processor and bandwidth than the rest. Work for all
+// nodes goes to them, in different zones where it can, and to others only where
+// they are too few.
+func TestStrongNodesComeFirst(t *testing.T) {
+	var nodes []gossiper.Node
+	for i := range 60 {
+		capacity := weak
+		if i < strongNodes {
+			capacity = strong
+		}
+		nodes = append(nodes, node(i, capacity))
+	}
+	seen := map[identifier.Zone]bool{}
+	for _, n := range ranker.Rank("duties", nodes, zones) {
+		require.Equal(t, strong, n.Capacity)
+		seen[n.Zone] = true
+	}
+	require.Len(t, seen, zones)
+	require.Len(t, ranker.Rank("duties", nodes, 12), 12)
+
+	unknown := []gossiper.Node{node(0, 0), node(1, 0), node(2, 0)}
+	require.Len(t, ranker.Rank("duties", unknown, 2), 2)
+}
+
+// A node leaves, and another dies. What was chosen before counts no more from that
+// moment on: a node that took the dead one for a relay would report to nobody.
+// While nothing changes the membership is not read again.
+func TestFollowsTheMembership(t *testing.T) {
+	var nodes []gossiper.Node
+	for i := range 12 {
+		nodes = append(nodes, node(i, weak))
+	}
+	m := &members{}
+	m.change(nodes)
+	r := ranker.New(ranker.Config{
+		Self:    "entry-0",
+		Zone:    "zone-0",
+		Members: m,
+	})
+	relays := r.FirstOf("zone-1", "relay", 2)
+	require.Len(t, relays, 2)
+	for _, n := range relays {
+		require.Equal(t, identifier.Zone("zone-1"), n.Zone)
+	}
+	for range 100 {
+		require.Equal(t, relays, r.FirstOf("zone-1", "relay", 2))
+		require.Len(t, r.Peers(), 11)
+	}
+	require.Equal(t, 1, m.reads)
+	require.Equal(t, []identifier.VMID{"entry-4", "entry-8"}, r.Neighbours())
+	require.Equal(t, []identifier.Zone{"zone-1", "zone-2", "zone-3"}, r.OtherZones())
+
+	var left []gossiper.Node
+	for _, n := range nodes {
+		if n.VM == relays[0].VM {
+			continue
+		}
+		if n.VM == relays[1].VM {
+			n.State = gossiper.Leaving
+		}
+		left = append(left, n)
+	}
+	m.change(left)
+	after := r.FirstOf("zone-1", "relay", 2)
+	require.Len(t, after, 1)
+	require.NotContains(t, relays, after[0])
+	require.Len(t, r.Peers(), 10, "one that leaves still hears")
+	require.Equal(t, 2, m.reads)
+}
+
+// A node that leaves, or is alone, still has its own part of the work to finish,
+// and asks itself whether it is chosen.
+func TestSelfIsAlwaysEligible(t *testing.T) {
+	self := node(0, weak)
+	self.State = gossiper.Leaving
+	m := &members{}
+	m.change([]gossiper.Node{self})
+	r := ranker.New(ranker.Config{
+		Self:    self.VM,
+		Zone:    self.Zone,
+		Members: m,
+	})
+	require.True(t, r.Chosen("duties", 3))
+	require.Empty(t, r.Peers())
+}
--- a/internal/reducer/duty.go
+++ b/internal/reducer/duty.go
@@ -41,7 +41,7 @@
 // them.
 func (r *Reducer) tickDuties(w *conductor.World) []messenger.Effect {
 	g := r.gateway
-	if !g.draining && g.settled && chosen(g.self, string(dutyLease), r.members, dutyNodes) {
+	if !g.draining && g.settled && r.ranking.Chosen(string(dutyLease), dutyNodes) {
 		g.leases.Want(w.Now, dutyLease)
 	}
 	var out []messenger.Effect
--- a/internal/reducer/following.go
+++ b/internal/reducer/following.go
@@ -1,12 +1,9 @@
 package reducer
 
 import (
-	"slices"
-
 	"github.com/dotterelhollow/dotterelhollow/internal/accountant"
 	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
 	"github.com/dotterelhollow/dotterelhollow/internal/leaser"
-	"github.com/dotterelhollow/dotterelhollow/internal/placer"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -25,48 +22,6 @@
 	return []identifier.LogStream{leaser.Stream, accountant.Stream}
 }
 
-// chosen reports whether a node is one of the first n for a purpose.
-func chosen(self identifier.VMID, purpose string, members *gossiper.Members, n int) bool {
-	return has(firstFor(purpose, self, members, n), self)
-}
-
-// firstFor returns the first n nodes for a purpose, as a node sees them.
-func firstFor(purpose string, self identifier.VMID, members *gossiper.Members, n int) []gossiper.Node {
-	var alive []gossiper.Node
-	for _, node := range members.Nodes() {
-		if node.State == gossiper.Alive || node.VM == self {
-			alive = append(alive, node)
-		}
-	}
-	return ranked(purpose, alive, n)
-}
-
-// ranked returns the first n of nodes for a purpose, by rendezvous hash among
-// those that can carry much beside the others.
-//
-// The holder of the lease answers the questions of all nodes for limits, and a
-// relay tells all nodes of its zone. Where some VMs have a link of 10 megabits a
-// second and others 200, that would choke one of the small ones while callers
-// press it: on one play 504 of the 1,046 requests of two seconds were refused.
-func ranked(purpose string, nodes []gossiper.Node, n int) []gossiper.Node {
-	var most uint32
-	for _, node := range nodes {
-		most = max(most, node.Capacity)
-	}
-	var strong, weak []gossiper.Node
-	for _, node := range nodes {
-		if 2*node.Capacity >= most {
-			strong = append(strong, node)
-			continue
-		}
-		weak = append(weak, node)
-	}
-	first := slices.Concat(
-		placer.Candidates(identifier.RequestID(purpose), strong),
-		placer.Candidates(identifier.RequestID(purpose), weak))
-	return first[:min(n, len(first))]
-}
-
 // Following tells which records of the platform's store a node reads itself.
 type Following struct {
 	Servers       bool
@@ -82,9 +37,9 @@
 	}
 	return Following{
 		Servers: now.Sub(g.servers.AsOf()) > serversStale ||
-			g.settled && chosen(g.self, "published_servers", r.members, serverReaders),
+			g.settled && r.ranking.Chosen("published_servers", serverReaders),
 		Configuration: now.Sub(g.confirmed) > configStale ||
-			g.settled && chosen(g.self, "published_configuration", r.members, configReaders),
+			g.settled && r.ranking.Chosen("published_configuration", configReaders),
 	}
 }
 
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -355,7 +355,7 @@
 	}
 	g.settled = g.settled || w.Now.Sub(g.startedAt) >= settleTime
 	if g.settled && !g.candidate {
-		g.candidate = chosen(g.self, string(dutyLease), r.members, dutyNodes)
+		g.candidate = r.ranking.Chosen(string(dutyLease), dutyNodes)
 	}
 	r.shareGrants(w)
 	if !w.Now.Before(g.nextShare) {
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -23,6 +23,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/planner"
 	"github.com/dotterelhollow/dotterelhollow/internal/provisioner"
+	"github.com/dotterelhollow/dotterelhollow/internal/ranker"
 	"github.com/dotterelhollow/dotterelhollow/internal/retrier"
 	"github.com/dotterelhollow/dotterelhollow/internal/router"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
@@ -78,6 +79,7 @@
 	files       *configurer.State
 	claims      *claimer.Table
 	members     *gossiper.Members
+	ranking     *ranker.Ranking
 	loads       map[identifier.VMID]messenger.ServerLoad
 	limits      *limiter.Limits
 	budgets     *retrier.Budgets
@@ -107,6 +109,11 @@
 		provisioner: newProvisioner(c),
 		timers:      newTimers(),
 	}
+	r.ranking = ranker.New(ranker.Config{
+		Self:    c.Self,
+		Zone:    c.Zone,
+		Members: r.members,
+	})
 	if c.Gateway != nil {
 		r.gateway = newGateway(c)
 		r.suspicions = detector.New(c.Gateway.suspicions())
--- a/internal/reducer/relay.go
+++ b/internal/reducer/relay.go
@@ -1,12 +1,11 @@
 package reducer
 
 import (
-	"slices"
-
 	"github.com/dotterelhollow/dotterelhollow/internal/conductor"
 	"github.com/dotterelhollow/dotterelhollow/internal/dispatcher"
 	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/ranker"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -38,10 +37,7 @@
 
 // relays returns the nodes of a zone that pass on what its nodes tell.
 func (r *Reducer) relays(zone identifier.Zone) []gossiper.Node {
-	alive := slices.DeleteFunc(r.members.Nodes(), func(n gossiper.Node) bool {
-		return n.Zone != zone || n.State != gossiper.Alive && n.VM != r.config.Self
-	})
-	return ranked("relay", alive, relaysPerZone)
+	return r.ranking.FirstOf(zone, "relay", relaysPerZone)
 }
 
 // fewPeers returns the peers that hear this node directly: the relays of its
@@ -49,23 +45,27 @@
 // it limits, and a few drawn ones.
 func (r *Reducer) fewPeers(peers []gossiper.Node) []gossiper.Node {
 	g := r.gateway
-	named := map[identifier.VMID]bool{g.granter: true}
-	for _, n := range r.relays(r.config.Zone) {
-		named[n.VM] = true
+	relays := r.relays(r.config.Zone)
+	duties := r.ranking.First(string(dutyLease), dutyNodes)
+	few := make([]gossiper.Node, 0, len(relays)+len(duties)+1+strayPeers)
+	add := func(n gossiper.Node) {
+		if n.VM != g.self && !ranker.Has(few, n.VM) {
+			few = append(few, n)
+		}
 	}
-	for _, n := range firstFor(string(dutyLease), g.self, r.members, dutyNodes) {
-		named[n.VM] = true
+	for _, n := range relays {
+		add(n)
 	}
-	var few, rest []gossiper.Node
-	for _, p := range peers {
-		if named[p.VM] {
-			few = append(few, p)
-			continue
-		}
-		rest = append(rest, p)
+	for _, n := range duties {
+		add(n)
 	}
-	r.rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
-	return append(few, rest[:min(strayPeers, len(rest))]...)
+	if granter, known := r.members.Node(g.granter); known && granter.State != gossiper.Dead {
+		add(granter)
+	}
+	for range strayPeers {
+		add(peers[r.rand.IntN(len(peers))])
+	}
+	return few
 }
 
 // relayNow passes on what the nodes of this zone reported, where this node is one of
@@ -76,8 +76,8 @@
 		return nil
 	}
 	g.nextRelay = w.Now.Add(relayEvery)
-	peers := r.peers()
-	if len(peers) <= sharePeers || !has(r.relays(r.config.Zone), g.self) {
+	peers := r.ranking.Peers()
+	if len(peers) <= sharePeers || !ranker.Has(r.relays(r.config.Zone), g.self) {
 		g.relaySince = 0
 		return nil
 	}
@@ -87,8 +87,7 @@
 	if w.Now.Sub(g.relaySince) < relayWarmUp {
 		return nil
 	}
-	neighbours, zones := r.divide(peers)
-	zone := g.exchanges.ZoneSum(w.Now, neighbours)
+	zone := g.exchanges.ZoneSum(w.Now, r.ranking.Neighbours())
 	all := g.exchanges.WithZones(w.Now, zone)
 	withoutOne := func(vm identifier.VMID) messenger.Share {
 		return g.sums(w.Now, messenger.ShareOthers, g.exchanges.Without(w.Now, all, vm))
@@ -102,7 +101,7 @@
 	}
 	toZones := g.sums(w.Now, messenger.ShareZone, zone)
 	toZones.Zone = r.config.Zone
-	for _, other := range zones {
+	for _, other := range r.ranking.OtherZones() {
 		for _, p := range r.relays(other) {
 			out = append(out, g.send(w.Now, p, toZones))
 		}
@@ -110,19 +109,6 @@
 	return out
 }
 
-// divide returns the peers of this node's zone, and the other zones in order.
-func (r *Reducer) divide(peers []gossiper.Node) (neighbours []identifier.VMID, zones []identifier.Zone) {
-	for _, p := range peers {
-		if p.Zone == r.config.Zone {
-			neighbours = append(neighbours, p.VM)
-			continue
-		}
-		zones = append(zones, p.Zone)
-	}
-	slices.Sort(zones)
-	return neighbours, slices.Compact(zones)
-}
-
 // sums is what a relay tells. It passes on who holds the lease; other nodes say
 // so only of themselves, so that hearsay does not go round.
 func (g *gateway) sums(now timekeeper.Time, scope messenger.ShareScope, sum dispatcher.Sum) messenger.Share {
@@ -137,7 +123,3 @@
 	}
 	return s
 }
-
-func has(nodes []gossiper.Node, vm identifier.VMID) bool {
-	return slices.ContainsFunc(nodes, func(n gossiper.Node) bool { return n.VM == vm })
-}
--- a/internal/reducer/relay_test.go
+++ b/internal/reducer/relay_test.go
@@ -7,7 +7,6 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
-	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
@@ -233,7 +232,7 @@
 func TestHolderHearsAllNodes(t *testing.T) {
 	f := newFleet(61)
 	f.run(6 * timekeeper.Second)
-	holder := firstFor(string(dutyLease), f.ids[0], f.nodes[f.ids[0]].members, dutyNodes)[0].VM
+	holder := f.nodes[f.ids[0]].ranking.First(string(dutyLease), dutyNodes)[0].VM
 	for range 40 {
 		for _, id := range f.ids {
 			if id != holder {
@@ -301,37 +300,6 @@
 	require.True(t, g.granterThere(f.now), "one answer may be lost")
 }
 
-// A few VMs have much more processor and bandwidth than the rest. Work for all
-// nodes goes to them, in different zones where it can, and to others only where
-// they are too few.
-func TestStrongNodesComeFirst(t *testing.T) {
-	node := func(i int, capacity uint32) gossiper.Node {
-		return gossiper.Node{
-			VM:       identifier.VMID(fmt.Sprintf("entry-%d", i)),
-			Zone:     identifier.Zone(fmt.Sprintf("zone-%d", i%fleetZones)),
-			Capacity: capacity,
-		}
-	}
-	var nodes []gossiper.Node
-	for i := range 60 {
-		capacity := weak
-		if i < strongNodes {
-			capacity = strong
-		}
-		nodes = append(nodes, node(i, capacity))
-	}
-	zones := map[identifier.Zone]bool{}
-	for _, n := range ranked("duties", nodes, fleetZones) {
-		require.Equal(t, strong, n.Capacity)
-		zones[n.Zone] = true
-	}
-	require.Len(t, zones, fleetZones)
-	require.Len(t, ranked("duties", nodes, 12), 12)
-
-	unknown := []gossiper.Node{node(0, 0), node(1, 0), node(2, 0)}
-	require.Len(t, ranked("duties", unknown, 2), 2)
-}
-
 // All nodes are killed at once and start again. For a quarter of a second each has
 // heard of no other, and callers of an account that asks for many times its limit
 // are back at once. A node that took the whole of the limit for its own part let
--- a/internal/reducer/share.go
+++ b/internal/reducer/share.go
@@ -1,8 +1,6 @@
 package reducer
 
 import (
-	"slices"
-
 	"github.com/dotterelhollow/dotterelhollow/internal/conductor"
 	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
 	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
@@ -120,7 +118,7 @@
 	g := r.gateway
 	g.nextShare = w.Now.Add(shareEachTime)
 	share := g.share(w.Now)
-	peers := r.peers()
+	peers := r.ranking.Peers()
 	if len(peers) > sharePeers {
 		peers = r.fewPeers(peers)
 	}
@@ -173,8 +171,3 @@
 	}
 	return s
 }
-
-// peers returns the other nodes that are not dead.
-func (r *Reducer) peers() []gossiper.Node {
-	return slices.DeleteFunc(r.members.Nodes(), func(n gossiper.Node) bool { return n.VM == r.config.Self })
-}
