Keep gossip and sums of many nodes to few messages and connections

Cause: at 195 nodes two thirds of the gossip went to a peer without a connection, and 22 shares a node and second were sent, each an HTTP call at both ends; a profile of the real processes shows HTTP at the head once ranking is gone. At a start of n nodes each wrote a line for each other node and server.

Change: rounds of gossip go to 16 partners, one of which is drawn anew every two seconds (a notice still goes to all); the relays of a zone take turns; a node tells the relays and the granter twice a second, others once; a long prompt is told to relays alone; news of servers goes through relays at once; lines about other VMs are summed up beyond twelve of a kind in two seconds (package summarizer).

Before and after: shares a node and second at 61 nodes 22.5 -> at most 17 (TestMessagesOfManyNodes).

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -133,6 +133,10 @@
 	// wantSync tells that the whole state is still to be asked for.
 	wantSync bool
 	askedAt  timekeeper.Time
+	// partners are the peers that rounds are sent to, oldest first, where there
+	// are many, and partnerRounds the rounds so far.
+	partners      []identifier.VMID
+	partnerRounds int
 	// syncs holds the peers that are being given the whole state, and the
 	// position of the next piece.
 	syncs   table[syncState]
--- a/internal/gossiper/size_test.go
+++ b/internal/gossiper/size_test.go
@@ -132,3 +132,30 @@
 		})
 	}
 }
+
+// One node among 195 runs for ten seconds. Each round of its gossip went to two
+// peers drawn from all, mostly ones without a connection, and opening one cost
+// both ends more processor time than the message. Now it keeps to a few peers, of
+// which it replaces one every two seconds, and still hears of all.
+func TestRoundsKeepToFewPeers(t *testing.T) {
+	const nodes = 195
+	c := newCluster(t, nodes, 0)
+	c.run(2 * timekeeper.Second)
+	m := c.members[7]
+	const rounds = 10 * 5
+	heard := map[identifier.VMID]bool{}
+	for range rounds {
+		for _, to := range m.targets(c.rng, false) {
+			heard[to.vm] = true
+		}
+	}
+	require.LessOrEqual(t, len(heard), partners+rounds/roundsPerPartner+1)
+	require.GreaterOrEqual(t, len(heard), partners)
+	urgent := map[identifier.VMID]bool{}
+	for range rounds {
+		for _, to := range m.targets(c.rng, true) {
+			urgent[to.vm] = true
+		}
+	}
+	require.Greater(t, len(urgent), 2*partners, "a notice goes to all, not to the same few")
+}
--- a/internal/gossiper/tick.go
+++ b/internal/gossiper/tick.go
@@ -13,6 +13,16 @@
 // another peer.
 const askAgainAfter = 2 * timekeeper.Second
 
+const (
+	// partners is how many peers a node sends its rounds to for a time. With 16
+	// drawn by each of 400 nodes, that one of them is drawn by nobody happens once
+	// in 20,000 draws of all.
+	partners = 16
+	// roundsPerPartner is the rounds after which the oldest partner is replaced:
+	// a peer that is reached badly is not one for long.
+	roundsPerPartner = 10
+)
+
 // Message is to be sent to a peer. Peer is empty where only the address of a
 // configured seed is known.
 type Message struct {
@@ -75,7 +85,7 @@
 // marks and late nodes.
 func (m *Members) round(now timekeeper.Time, rng *rand.Rand, urgent bool) []Message {
 	m.self.heartbeat++
-	targets := m.targets(rng)
+	targets := m.targets(rng, urgent)
 	if len(targets) == 0 {
 		return nil
 	}
@@ -115,17 +125,58 @@
 	return append(slices.Clone(data), marshal(extra)...)
 }
 
+// partnersOf returns the live peers that this node gossips with for now: all
+// where they are few, else some that were drawn, one of which is drawn anew from
+// time to time.
+//
+// Drawn anew in each round, two thirds of the messages among 195 nodes went to a
+// peer without a connection, as many as are kept, and cost both ends one: a
+// connection takes more processor time than ten messages.
+func (m *Members) partnersOf(rng *rand.Rand, live []target) []target {
+	if len(live) <= partners {
+		m.partners = m.partners[:0]
+		return live
+	}
+	at := make(map[identifier.VMID]int, len(live))
+	for i, t := range live {
+		at[t.vm] = i
+	}
+	m.partners = slices.DeleteFunc(m.partners, func(vm identifier.VMID) bool {
+		_, there := at[vm]
+		return !there
+	})
+	m.partnerRounds++
+	if m.partnerRounds%roundsPerPartner == 0 && len(m.partners) == partners {
+		m.partners = slices.Delete(m.partners, 0, 1)
+	}
+	for len(m.partners) < partners {
+		drawn := live[rng.IntN(len(live))].vm
+		if !slices.Contains(m.partners, drawn) {
+			m.partners = append(m.partners, drawn)
+		}
+	}
+	found := make([]target, 0, partners)
+	for _, vm := range m.partners {
+		found = append(found, live[at[vm]])
+	}
+	return found
+}
+
 type target struct {
 	vm      identifier.VMID
 	address string
 }
 
-// targets returns the peers of one round: random live ones. Where
-// these are too few the list's entry VMs and then the configured seeds stand in. One more goes to a VM that is listed but not
-// heard, so that two parts of a cluster that took each other for dead meet
-// again.
-func (m *Members) targets(rng *rand.Rand) []target {
+// targets returns the peers of one round: random live ones, of all where it is
+// urgent, since a notice must reach everybody within a few rounds. Where these are
+// too few the list's entry VMs and then the configured seeds stand in. One more
+// goes to a VM that is listed but not heard, so that two parts of a cluster that
+// took each other for dead meet again.
+func (m *Members) targets(rng *rand.Rand, urgent bool) []target {
 	live, silent := m.partition()
+	if !urgent {
+		live = m.partnersOf(rng, live)
+	}
 	shuffle(rng, live)
 	shuffle(rng, silent)
 	chosen := live[:min(m.config.Fanout, len(live))]
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -153,6 +153,10 @@
 	candidate bool
 	nextShare timekeeper.Time
 	nextRelay timekeeper.Time
+	// shareRounds counts the shares that were sent.
+	shareRounds int
+	// relayNews tells that a server's entry changed since the last sums.
+	relayNews bool
 	// relaySince is when this node became a relay, or zero while it is none.
 	relaySince timekeeper.Time
 	nextPlan   timekeeper.Time
@@ -327,6 +331,8 @@
 	if len(changed) == 0 {
 		return nil
 	}
+	r.gateway.nextRelay = w.Now
+	r.gateway.relayNews = true
 	var out []messenger.Effect
 	for _, s := range changed {
 		out = append(out, messenger.Note{
--- a/internal/reducer/relay.go
+++ b/internal/reducer/relay.go
@@ -1,6 +1,8 @@
 package reducer
 
 import (
+	"slices"
+
 	"github.com/dotterelhollow/dotterelhollow/internal/conductor"
 	"github.com/dotterelhollow/dotterelhollow/internal/dispatcher"
 	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
@@ -33,6 +35,10 @@
 	// strayPeers is how many further peers hear a node directly: news travels
 	// on if all relays of a zone die at once.
 	strayPeers = 2
+	// shareRoundsOfAll is in how many of its shares, one, a node tells more than
+	// the relays and the granter. Those that may hold the duties next need its
+	// counts of usage within the seconds in which these are due.
+	shareRoundsOfAll = 2
 )
 
 // relays returns the nodes of a zone that pass on what its nodes tell.
@@ -41,31 +47,39 @@
 }
 
 // fewPeers returns the peers that hear this node directly: the relays of its
-// zone, the nodes that may hold the duties, which count its requests and grant
-// it limits, and a few drawn ones.
+// zone and the node that grants limits, which takes this node's part off what it
+// grants, and every other time the nodes that may come to hold the duties, which
+// keep its counts of usage, and a few drawn ones.
 func (r *Reducer) fewPeers(peers []gossiper.Node) []gossiper.Node {
 	g := r.gateway
-	relays := r.relays(r.config.Zone)
-	duties := r.ranking.First(string(dutyLease), dutyNodes)
-	few := make([]gossiper.Node, 0, len(relays)+len(duties)+1+strayPeers)
-	add := func(n gossiper.Node) {
-		if n.VM != g.self && !ranker.Has(few, n.VM) {
-			few = append(few, n)
-		}
-	}
-	for _, n := range relays {
-		add(n)
-	}
-	for _, n := range duties {
-		add(n)
-	}
+	g.shareRounds++
+	few := peerSet{self: g.self}
+	few.add(r.relays(r.config.Zone)...)
 	if granter, known := r.members.Node(g.granter); known && granter.State != gossiper.Dead {
-		add(granter)
+		few.add(granter)
+	}
+	if g.shareRounds%shareRoundsOfAll != 0 {
+		return few.nodes
 	}
+	few.add(r.ranking.First(string(dutyLease), dutyNodes)...)
 	for range strayPeers {
-		add(peers[r.rand.IntN(len(peers))])
+		few.add(peers[r.rand.IntN(len(peers))])
+	}
+	return few.nodes
+}
+
+// peerSet gathers peers, each once.
+type peerSet struct {
+	self  identifier.VMID
+	nodes []gossiper.Node
+}
+
+func (s *peerSet) add(nodes ...gossiper.Node) {
+	for _, n := range nodes {
+		if n.VM != s.self && !ranker.Has(s.nodes, n.VM) {
+			s.nodes = append(s.nodes, n)
+		}
 	}
-	return few
 }
 
 // relayNow passes on what the nodes of this zone reported, where this node is one of
@@ -76,8 +90,8 @@
 		return nil
 	}
 	g.nextRelay = w.Now.Add(relayEvery)
-	peers := r.ranking.Peers()
-	if len(peers) <= sharePeers || !ranker.Has(r.relays(r.config.Zone), g.self) {
+	relays := r.relays(r.config.Zone)
+	if len(r.ranking.Peers()) <= sharePeers || !ranker.Has(relays, g.self) {
 		g.relaySince = 0
 		return nil
 	}
@@ -89,21 +103,49 @@
 	}
 	zone := g.exchanges.ZoneSum(w.Now, r.ranking.Neighbours())
 	all := g.exchanges.WithZones(w.Now, zone)
-	withoutOne := func(vm identifier.VMID) messenger.Share {
-		return g.sums(w.Now, messenger.ShareOthers, g.exchanges.Without(w.Now, all, vm))
+	g.exchanges.PeerLoad(w.Now, g.self, r.sumWithout(w.Now, all, g.self))
+	out := r.tellZones(w.Now, zone)
+	if g.relayNews || r.relayTurn(w.Now, relays) {
+		out = append(out, r.tellNeighbours(w.Now, all)...)
 	}
-	g.exchanges.PeerLoad(w.Now, g.self, withoutOne(g.self))
+	g.relayNews = false
+	return out
+}
+
+// relayTurn reports whether it is this relay's turn to tell its neighbours: the
+// relays of a zone take turns by the clock, so that a node hears one of them in
+// each relayEvery, and half as many messages as if both told it each time.
+func (r *Reducer) relayTurn(now timekeeper.Time, relays []gossiper.Node) bool {
+	at := slices.IndexFunc(relays, func(n gossiper.Node) bool { return n.VM == r.gateway.self })
+	return int64(now)/int64(relayEvery)%int64(len(relays)) == int64(at)
+}
+
+// tellNeighbours tells each node of this zone the sum over all others.
+func (r *Reducer) tellNeighbours(now timekeeper.Time, all dispatcher.Sum) []messenger.Effect {
 	var out []messenger.Effect
-	for _, p := range peers {
+	for _, p := range r.ranking.Peers() {
 		if p.Zone == r.config.Zone {
-			out = append(out, g.send(w.Now, p, withoutOne(p.VM)))
+			out = append(out, r.gateway.send(now, p, r.sumWithout(now, all, p.VM)))
 		}
 	}
-	toZones := g.sums(w.Now, messenger.ShareZone, zone)
-	toZones.Zone = r.config.Zone
+	return out
+}
+
+// sumWithout is what a relay tells one node.
+func (r *Reducer) sumWithout(now timekeeper.Time, all dispatcher.Sum, vm identifier.VMID) messenger.Share {
+	g := r.gateway
+	return g.sums(now, messenger.ShareOthers, g.exchanges.Without(now, all, vm))
+}
+
+// tellZones tells the relays of the other zones the sum over this one.
+func (r *Reducer) tellZones(now timekeeper.Time, zone dispatcher.Sum) []messenger.Effect {
+	g := r.gateway
+	share := g.sums(now, messenger.ShareZone, zone)
+	share.Zone = r.config.Zone
+	var out []messenger.Effect
 	for _, other := range r.ranking.OtherZones() {
 		for _, p := range r.relays(other) {
-			out = append(out, g.send(w.Now, p, toZones))
+			out = append(out, g.send(now, p, share))
 		}
 	}
 	return out
--- a/internal/reducer/relay_test.go
+++ b/internal/reducer/relay_test.go
@@ -197,6 +197,49 @@
 	require.Less(t, f.shares, 4*61*30)
 }
 
+// What a node sends for shares hardly grows with the nodes. Told by both relays of
+// its zone four times a second, and telling seven others twice, the nodes sent 22.5
+// each a second at 61 nodes where 17 do.
+func TestMessagesOfManyNodes(t *testing.T) {
+	const seconds = 4
+	for _, nodes := range []int{61, 195} {
+		f := newFleet(nodes)
+		f.run(6 * timekeeper.Second)
+		f.serve()
+		f.run(2 * timekeeper.Second)
+		f.shares = 0
+		f.run(seconds * timekeeper.Second)
+		require.LessOrEqual(t, f.shares, seconds*nodes*17, "%d nodes", nodes)
+	}
+}
+
+// A server's entry changes, and one node reads so. All others know within half a
+// second: relays pass that on at once, whosever turn it is.
+func TestNewsOfServersIsPassedOnAtOnce(t *testing.T) {
+	f := newFleet(61)
+	f.run(6 * timekeeper.Second)
+	f.serve()
+	f.run(2 * timekeeper.Second)
+	f.apply("entry-60", messenger.ServersPublished{
+		Servers: []messenger.PublishedServer{
+			{
+				Server:  "reader-1",
+				Offset:  2,
+				Service: "reader",
+				Address: "reader-1",
+				Zone:    "zone-0",
+				State:   messenger.ServerLeaving,
+			},
+		},
+	})
+	f.run(500 * timekeeper.Millisecond)
+	for _, id := range f.ids {
+		s, known := f.nodes[id].gateway.servers.Server("reader-1")
+		require.True(t, known)
+		require.Equal(t, messenger.ServerLeaving, s.State, "at %s", id)
+	}
+}
+
 // One relay of a zone dies, and another node takes its place. It has heard
 // nobody yet; were it to tell sums at once, the nodes of its zone would take a
 // sixth of the load for all. They hear all requests throughout, by the other
--- a/internal/reducer/share.go
+++ b/internal/reducer/share.go
@@ -10,10 +10,26 @@
 
 // withNews adds to effects what peers hear of at once.
 func (r *Reducer) withNews(w *conductor.World, effects ...messenger.Effect) []messenger.Effect {
-	if r.gateway.exchanges.TellPeers() {
+	if !r.gateway.exchanges.TellPeers() {
+		return effects
+	}
+	if len(r.ranking.Peers()) <= sharePeers {
 		return append(effects, r.shareNow(w)...)
 	}
-	return effects
+	return append(effects, r.tellRelays(w)...)
+}
+
+// tellRelays tells the relays of this zone alone what this node has at the
+// servers. Its next share to others follows within shareEachTime.
+func (r *Reducer) tellRelays(w *conductor.World) []messenger.Effect {
+	share := r.gateway.share(w.Now)
+	relays := peerSet{self: r.gateway.self}
+	relays.add(r.relays(r.config.Zone)...)
+	out := make([]messenger.Effect, 0, len(relays.nodes))
+	for _, p := range relays.nodes {
+		out = append(out, r.gateway.send(w.Now, p, share))
+	}
+	return out
 }
 
 // shareReceived takes in what a peer knows, and fetches its configuration where
@@ -25,9 +41,6 @@
 	g.usage.PeerCounts(e.From, s.Incarnation, s.Usage)
 	g.heardOfHolder(w.Now, s)
 	changed := g.servers.Reported(w.Now, w.Now.Add(-s.ServersAge), s.Servers)
-	if len(changed) > 0 {
-		g.nextRelay = w.Now
-	}
 	out := r.serversChanged(w, changed, false)
 	g.exchanges.Kept(r.exchangeWorld(w), s.Kept, g.relaySince != 0)
 	if s.Revision == g.revision() {
--- a/internal/runner/effect.go
+++ b/internal/runner/effect.go
@@ -5,6 +5,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/historian"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
 // carryOut does what an effect says, or starts the task that does it.
@@ -143,8 +144,15 @@
 	r.answers.Put(a)
 }
 
+// note puts an event on the time line and writes it to the log. Those about other
+// VMs come by hundreds when many nodes start, or a zone goes, and are summed up
+// then; what this node decides is not.
 func (r *Runner) note(e messenger.Note) {
 	entry := r.config.Historian.Record(e)
+	ofOthers := e.Request == "" && e.VM != r.config.Self
+	if ofOthers && !r.summaries.Admit(r.clock.Now(), e.Kind, e.VM) {
+		return
+	}
 	r.logger.Info(string(e.Kind),
 		"stamp", stampText(entry.Stamp),
 		"request", e.Request,
@@ -154,6 +162,18 @@
 	)
 }
 
+// writeSums writes what was summed up.
+func (r *Runner) writeSums(now timekeeper.Time) {
+	for _, sum := range r.summaries.Due(now) {
+		r.logger.Info("events_summed",
+			"kind", sum.Kind,
+			"count", sum.Count,
+			"since", sum.Since.String(),
+			"vms", sum.VMs,
+		)
+	}
+}
+
 func stampText(s historian.Stamp) string { return s.Time.String() }
 
 func (r *Runner) replyOperator(e messenger.ReplyOperator) {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -13,6 +13,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
 	"github.com/dotterelhollow/dotterelhollow/internal/historian"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/summarizer"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -126,6 +127,7 @@
 	farewells  int           // what peers are to be told before the node ends
 	leaving    chan struct{} // closed when listeners are closed for good
 	following  following
+	summaries  *summarizer.Summarizer
 	draining   bool
 	exiting    bool
 	finished   bool
@@ -173,6 +175,7 @@
 		exchanges: make(map[identifier.ExchangeID]chan messenger.Effect),
 		limitAsks: make(map[identifier.Ticket]chan messenger.LimitAnswered),
 		leaving:   make(chan struct{}),
+		summaries: summarizer.New(),
 	}
 	r.metrics.observe(r)
 	r.catalog.Store(c.Reducer.Catalog())
@@ -258,6 +261,7 @@
 	r.step(messenger.Tick{})
 	r.noteFollowing(now)
 	r.startTailers()
+	r.writeSums(now)
 	r.metrics.evicted.Add(int64(r.answers.Sweep(now)))
 	for _, dropped := range r.copies.sweep(now) {
 		r.later(messenger.CopyDropped{Request: dropped})
