Keep the servers of a service sorted, and tell newcomers all through relays alone

Cause: each request gathered and sorted the servers of its service twice, 9.4 us and 2.2 KB with 84 servers; and at a start of all each node told all entries of servers and kept parts to each of the seven peers that it tells, for two seconds.

Change: the registrar keeps what it looked up until an entry changes; where nodes are many the relays alone tell a newcomer all, gathered once for all that they tell.

Before and after: BenchmarkOf 9.4 us -> 14 ns. A message between nodes costs both ends 51 us, a sum over 84 servers 124 us (BenchmarkGossip, BenchmarkShare).

--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -164,9 +164,11 @@
 	// newcomers are the peers that joined or came back lately, with the
 	// instant until which they hear of all entries.
 	newcomers map[identifier.VMID]timekeeper.Time
-	draining  bool
-	leaveAt   timekeeper.Time
-	exiting   bool
+	// gathered is what newcomers were told last.
+	gathered *entries
+	draining bool
+	leaveAt  timekeeper.Time
+	exiting  bool
 }
 
 func newGateway(c Config) *gateway {
--- a/internal/reducer/share.go
+++ b/internal/reducer/share.go
@@ -22,14 +22,9 @@
 // tellRelays tells the relays of this zone alone what this node has at the
 // servers. Its next share to others follows within shareEachTime.
 func (r *Reducer) tellRelays(w *conductor.World) []messenger.Effect {
-	share := r.gateway.share(w.Now)
 	relays := peerSet{self: r.gateway.self}
 	relays.add(r.relays(r.config.Zone)...)
-	out := make([]messenger.Effect, 0, len(relays.nodes))
-	for _, p := range relays.nodes {
-		out = append(out, r.gateway.send(w.Now, p, share))
-	}
-	return out
+	return r.gateway.tellAlike(relays.nodes, r.gateway.share(w.Now))
 }
 
 // shareReceived takes in what a peer knows, and fetches its configuration where
@@ -130,11 +125,11 @@
 func (r *Reducer) shareNow(w *conductor.World) []messenger.Effect {
 	g := r.gateway
 	g.nextShare = w.Now.Add(shareEachTime)
-	share := g.share(w.Now)
 	peers := r.ranking.Peers()
 	if len(peers) > sharePeers {
-		peers = r.fewPeers(peers)
+		return g.tellAlike(r.fewPeers(peers), g.share(w.Now))
 	}
+	share := g.share(w.Now)
 	out := make([]messenger.Effect, 0, len(peers))
 	for _, p := range peers {
 		out = append(out, g.send(w.Now, p, share))
@@ -142,11 +137,29 @@
 	return out
 }
 
+// tellAlike tells peers the same, whether they joined lately or not.
+//
+// Where nodes are many those that joined hear of all entries from the relays of
+// their zone. Were they told so by each node, a relay that starts with 194 others
+// would hear of all servers, and of all kept parts of prompts, from each of them.
+func (g *gateway) tellAlike(peers []gossiper.Node, share messenger.Share) []messenger.Effect {
+	out := make([]messenger.Effect, 0, len(peers))
+	for _, p := range peers {
+		out = append(out, messenger.SendShare{
+			Peer:    p.VM,
+			Address: p.PeerAddress,
+			Share:   share,
+		})
+	}
+	return out
+}
+
 // send tells one peer; one that joined lately hears of all entries of servers.
 func (g *gateway) send(now timekeeper.Time, peer gossiper.Node, share messenger.Share) messenger.SendShare {
 	if until, ok := g.newcomers[peer.VM]; ok {
-		share.Servers = g.servers.All()
-		share.Kept = g.exchanges.AllKept()
+		all := g.all(now)
+		share.Servers = all.servers
+		share.Kept = all.kept
 		if !now.Before(until) {
 			delete(g.newcomers, peer.VM)
 		}
@@ -158,6 +171,25 @@
 	}
 }
 
+// entries is all that a node knows of servers and of what they keep, at an instant.
+type entries struct {
+	at      timekeeper.Time
+	servers []messenger.PublishedServer
+	kept    []messenger.KeptPart
+}
+
+// all gathers the entries, once for all peers that are told at an instant.
+func (g *gateway) all(now timekeeper.Time) *entries {
+	if g.gathered == nil || g.gathered.at != now {
+		g.gathered = &entries{
+			at:      now,
+			servers: g.servers.All(),
+			kept:    g.exchanges.AllKept(),
+		}
+	}
+	return g.gathered
+}
+
 // share is what this node tells its peers.
 func (g *gateway) share(now timekeeper.Time) messenger.Share {
 	running, demand := g.exchanges.OwnLoad(now)
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -14,6 +14,7 @@
 package registrar
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -51,6 +52,9 @@
 // Table is the published servers as one node knows them.
 type Table struct {
 	servers map[identifier.VMID]*Server
+	// ofService are the servers of each service that are not removed, sorted by
+	// id, as far as they were asked for since the last change.
+	ofService map[identifier.ServiceName][]*Server
 	// newest is the last start of each server in the table.
 	newest map[identifier.InstanceID]identifier.VMID
 	// doubtful are removals that hold only if no newer entry comes in time.
@@ -68,9 +72,10 @@
 // New returns an empty table.
 func New() *Table {
 	return &Table{
-		servers:  map[identifier.VMID]*Server{},
-		newest:   map[identifier.InstanceID]identifier.VMID{},
-		doubtful: map[identifier.VMID]removal{},
+		servers:   map[identifier.VMID]*Server{},
+		ofService: map[identifier.ServiceName][]*Server{},
+		newest:    map[identifier.InstanceID]identifier.VMID{},
+		doubtful:  map[identifier.VMID]removal{},
 	}
 }
 
@@ -175,6 +180,7 @@
 
 func (t *Table) drop(id identifier.VMID) {
 	delete(t.servers, id)
+	clear(t.ofService)
 	if instance := id.Instance(); t.newest[instance] == id {
 		delete(t.newest, instance)
 	}
@@ -228,6 +234,7 @@
 		e = gone
 	}
 	known.PublishedServer = e
+	clear(t.ofService)
 	before.Offset = e.Offset
 	before.LeavesIn = e.LeavesIn
 	if before == e {
@@ -249,6 +256,7 @@
 		Changed:         now,
 	}
 	t.newest[e.Server.Instance()] = e.Server
+	clear(t.ofService)
 	return true
 }
 
@@ -261,20 +269,23 @@
 	return s, ok
 }
 
-// Of returns the servers of a service that are not removed, sorted by id.
+// Of returns the servers of a service that are not removed, sorted by id. The
+// caller must not change the slice.
+//
+// It is asked for twice for each request, and entries change seldom: gathered and
+// sorted each time, 84 servers took 9.4 us and 2.2 KB; see BenchmarkOf.
 func (t *Table) Of(service identifier.ServiceName) []*Server {
-	var found []*Server
+	found, known := t.ofService[service]
+	if known {
+		return found
+	}
 	for _, s := range t.servers {
 		if s.Service == service && s.State != messenger.ServerRemoved {
 			found = append(found, s)
 		}
 	}
-	slices.SortFunc(found, func(a, b *Server) int {
-		if a.Server < b.Server {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(found, func(a, b *Server) int { return cmp.Compare(a.Server, b.Server) })
+	t.ofService[service] = found
 	return found
 }
 
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -1,6 +1,7 @@
 package registrar_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -245,3 +246,59 @@
 	}, false)
 	require.NotEqual(t, messenger.ServerReady, states(table)["i-1"])
 }
+
+// BenchmarkOf gives the time to look up the servers of a service, as each request
+// does twice, where 84 stand and none changed: 9.4 us and 2.2 KB before they were kept
+// sorted, 14 ns and nothing with it.
+func BenchmarkOf(b *testing.B) {
+	table := registrar.New()
+	for i := range 84 {
+		table.Read(start, []messenger.PublishedServer{
+			{
+				Server:  identifier.VMID(fmt.Sprintf("s-%d", i)),
+				Offset:  identifier.Offset(i + 1),
+				Service: "reader",
+				Address: "10.0.0.1:80",
+				State:   messenger.ServerReady,
+			},
+		}, false)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if len(table.Of("reader")) != 84 {
+			b.Fatal("servers are missing")
+		}
+	}
+}
+
+// A request is placed, then the server leaves and another appears under the same
+// service. What was looked up before the change must not be used after it: the
+// next request would go to a server that is gone.
+func TestServersOfServiceFollowEachChange(t *testing.T) {
+	table := registrar.New()
+	entry := func(id identifier.VMID, offset identifier.Offset, state messenger.ServerState) messenger.PublishedServer {
+		return messenger.PublishedServer{
+			Server:  id,
+			Offset:  offset,
+			Service: "reader",
+			Address: "10.0.0.1:80",
+			State:   state,
+		}
+	}
+	ids := func() []identifier.VMID {
+		var out []identifier.VMID
+		for _, s := range table.Of("reader") {
+			out = append(out, s.Server)
+		}
+		return out
+	}
+	require.Empty(t, ids())
+	table.Read(start, []messenger.PublishedServer{entry("s-1", 1, messenger.ServerReady)}, false)
+	require.Equal(t, []identifier.VMID{"s-1"}, ids())
+	table.Read(start, []messenger.PublishedServer{entry("s-0", 2, messenger.ServerReady)}, false)
+	require.Equal(t, []identifier.VMID{"s-0", "s-1"}, ids())
+	table.Read(start, []messenger.PublishedServer{entry("s-1", 3, messenger.ServerRemoved)}, false)
+	require.Equal(t, []identifier.VMID{"s-0"}, ids())
+	table.Read(start, []messenger.PublishedServer{entry("s-0", 4, messenger.ServerLeaving)}, false)
+	require.Equal(t, messenger.ServerLeaving, table.Of("reader")[0].State)
+}
--- /dev/null
+++ b/internal/relayer/cost_test.go
@@ -0,0 +1,69 @@
+package relayer
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// sharing returns a client and the address of a peer that takes what it is told.
+func sharing(b *testing.B) (*Client, string) {
+	server := httptest.NewServer(NewHandler(HandlerConfig{
+		Self:  "server",
+		Peer:  &fakePeer{},
+		Now:   timekeeper.NewManual(serverNow),
+		Clock: line("server", serverNow),
+	}))
+	b.Cleanup(server.Close)
+	client := NewClient(ClientConfig{
+		Self:  "client",
+		Now:   timekeeper.NewManual(clientNow),
+		Clock: line("client", clientNow),
+	})
+	b.Cleanup(client.Close)
+	return client, server.Listener.Addr().String()
+}
+
+// BenchmarkShare gives what a share costs both ends together, client, server and
+// encoding, where so many servers have requests.
+func BenchmarkShare(b *testing.B) {
+	for _, servers := range []int{2, 84, 600} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			client, address := sharing(b)
+			s := messenger.Share{
+				InFlight: map[identifier.VMID]messenger.InFlight{},
+				Demand: map[identifier.ServiceName]messenger.ServiceDemand{
+					"reader": {
+						Running: servers,
+					},
+				},
+			}
+			for i := range servers {
+				s.InFlight[identifier.VMID(fmt.Sprintf("i-%012x", i))] = messenger.InFlight{
+					Running: 3,
+					Prefill: 120,
+				}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				require.NoError(b, client.Share(b.Context(), address, s))
+			}
+		})
+	}
+}
+
+// BenchmarkGossip gives what a message of gossip costs both ends together.
+func BenchmarkGossip(b *testing.B) {
+	client, address := sharing(b)
+	data := make([]byte, 1200)
+	b.ReportAllocs()
+	for b.Loop() {
+		require.NoError(b, client.Gossip(b.Context(), address, data))
+	}
+}
