Draw among servers by what others have probably sent there unseen

The logs of all nodes show the median as predicted and one in ten seven to ten times as late: news of others is some tenths of a second old, all nodes take the same few servers for the best and queue prompts there, while four fifths of the servers are idle. Ruled out: too few servers (78 for a load of some 17), rates not learned yet (the median is right from the first seconds), suspicion.

Change: where relays pass news on, a server that is worse than the best by as much work as was probably sent since, is drawn a third as often. Where peers tell one another directly nothing changes.

--- a/internal/dispatcher/choose.go
+++ b/internal/dispatcher/choose.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,9 +18,13 @@
 const (
 	// zoneCost is the way to another zone and back, in milliseconds.
 	zoneCost = 1 * timekeeper.Millisecond
-	// tieWidth is the difference in milliseconds up to which servers are alike:
-	// one is drawn, so that nodes with the same picture don't all pick one.
+	// tieWidth is the difference in milliseconds up to which servers are about
+	// alike however fresh the news is: one is drawn, so that nodes with the same
+	// picture don't all pick one.
 	tieWidth = 1.5
+	// leastUnseen stands for no unseen work, in milliseconds: what is worse by a
+	// millisecond more than a tie is never drawn.
+	leastUnseen = 1e-3
 	// copySetup is the time before an engine begins to copy kept parts, and
 	// copyWeight how much more a copy weighs than its time: it is paid for.
 	copySetup  = 3 * timekeeper.Millisecond
@@ -81,22 +86,46 @@
 	if len(trusted) == 0 {
 		return choice{}, false
 	}
-	return draw(w, trusted), true
+	return draw(w, trusted, d.unseen(w, x.service, len(trusted))), true
 }
 
-// draw returns one of the choices that are about as good as the best.
-func draw(w World, cs []choice) choice {
+// unseen is the work, in milliseconds of each server's time, that other nodes have
+// probably sent to the servers of a service since what this node knows of them.
+//
+// Where relays pass news on it is some tenths of a second old. All of 195 nodes
+// then took the same few servers for the best, and sent prompts there one behind
+// the other that take half a second each to read: one answer in ten began ten
+// times as late as predicted, while four fifths of the servers were idle.
+func (d *Dispatcher) unseen(w World, service identifier.ServiceName, servers int) float64 {
+	age, relayed := d.loads.relayedAge(w.Now)
+	if !relayed || !w.Catalog.Routing.Backends[service].Model {
+		return 0
+	}
+	return d.Demand(w.Now, service).Busy * float64(age) / float64(servers)
+}
+
+// draw returns one of the choices. Those that are about as good as the best are
+// drawn alike; of the others, a server that is worse by as much as was probably
+// sent unseen is taken a third as often, and none where nothing was.
+func draw(w World, cs []choice, unseen float64) choice {
 	best := cs[0].cost
 	for _, c := range cs {
 		best = min(best, c.cost)
 	}
-	near := cs[:0:0]
-	for _, c := range cs {
-		if float64(c.cost-best) <= tieWidth {
-			near = append(near, c)
+	weights := make([]float64, len(cs))
+	sum := 0.0
+	for i, c := range cs {
+		weights[i] = math.Exp(-max(float64(c.cost-best)-tieWidth, 0) / max(unseen, leastUnseen))
+		sum += weights[i]
+	}
+	at := w.Rand.Float64() * sum
+	drawn := cs[len(cs)-1]
+	for i, weight := range weights {
+		if at -= weight; at < 0 {
+			drawn = cs[i]
+			break
 		}
 	}
-	drawn := near[w.Rand.IntN(len(near))]
 	drawn.candidates = len(cs)
 	return drawn
 }
--- a/internal/dispatcher/load.go
+++ b/internal/dispatcher/load.go
@@ -16,6 +16,9 @@
 	// othersAge is the same for a relay's sum over all nodes, which comes four
 	// times a second from each of two relays.
 	othersAge = 1 * timekeeper.Second
+	// relayDelay is how old a relay's sum is when it arrives, in the mean: half of
+	// the spacing of its node's shares, of the relays' and of their turns.
+	relayDelay = 300 * timekeeper.Millisecond
 	// demandMemory is the time over which the work that callers ask for is
 	// smoothed: long enough for a clump of requests and a few long prompts, short
 	// enough for the loss of a zone to show, which is read anew elsewhere.
@@ -115,6 +118,13 @@
 	}
 }
 
+// relayedAge returns how old what relays report of other nodes is in the mean, and
+// whether it is what counts.
+func (l *loads) relayedAge(now timekeeper.Time) (timekeeper.Duration, bool) {
+	since := now.Sub(l.others.at)
+	return since + relayDelay, since <= othersAge
+}
+
 // demand is what this node's callers ask of one service.
 type demand struct {
 	at      timekeeper.Time
