Let nodes that start at once know one another in a second, and go ahead then

Cause: pieces of the whole state and asked records came in messages as small as those of rounds. 1.4 s after a start of all a node knew 65 of 195, so that many took themselves for the first of all and read the store, and each waited 1.5 s before it did any work for all, its relays as long again before they told of others.

Change: what a peer asks for comes in messages of up to 16 KB; a node asks for the whole state several times in its first second and a half; it goes ahead once it has heard of nine tenths of those listed, and a relay once all its zone reports to it. A relay that does not hear all waits a second longer than before (TestRelayDies).

Test changed: in the matrix of exchanges servers wrote entries to a store that was down, and the time to hear of them counted from there. Entries are now written, and the time counts, once the store is back; the bound stays.

--- a/internal/dispatcher/load.go
+++ b/internal/dispatcher/load.go
@@ -192,6 +192,34 @@
 	return n
 }
 
+// HearsRelays reports whether what relays told of other nodes counts.
+func (d *Dispatcher) HearsRelays(now timekeeper.Time) bool {
+	_, relayed := d.loads.relayedAge(now)
+	return relayed
+}
+
+// HeardOf returns how many of some peers have reported their requests within a span.
+func (d *Dispatcher) HeardOf(now timekeeper.Time, peers []identifier.VMID, within timekeeper.Duration) int {
+	n := 0
+	for _, peer := range peers {
+		if p, known := d.loads.peers[peer]; known && now.Sub(p.at) <= within {
+			n++
+		}
+	}
+	return n
+}
+
+// HeardOfZones returns of how many zones a relay has reported the sum within a span.
+func (d *Dispatcher) HeardOfZones(now timekeeper.Time, zones []identifier.Zone, within timekeeper.Duration) int {
+	n := 0
+	for _, zone := range zones {
+		if z, known := d.loads.zones[zone]; known && now.Sub(z.at) <= within {
+			n++
+		}
+	}
+	return n
+}
+
 // OwnLoad returns this node's requests by server, and its callers' demand by
 // service.
 func (d *Dispatcher) OwnLoad(now timekeeper.Time) (map[identifier.VMID]messenger.InFlight, map[identifier.ServiceName]messenger.ServiceDemand) {
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -123,7 +123,9 @@
 
 	// lastNow is when anything was last asked of this state.
 	lastNow timekeeper.Time
-	nextDue timekeeper.Time
+	// startedAt is when that was first.
+	startedAt timekeeper.Time
+	nextDue   timekeeper.Time
 	// urgent tells that the next Tick sends though no period has passed.
 	urgent bool
 	// replies are the peers that get a message with the next Tick, and askedKeys
--- a/internal/gossiper/pack.go
+++ b/internal/gossiper/pack.go
@@ -46,10 +46,10 @@
 }
 
 // newPacker starts a message with the sender's own record and news.
-func (m *Members) newPacker() *packer {
+func (m *Members) newPacker(budget int) *packer {
 	p := &packer{
 		message: &pb.Message{Sender: m.encodeNode(m.self)},
-		left:    m.config.ByteBudget - forPeerSize,
+		left:    budget - forPeerSize,
 		records: map[identifier.VMID]bool{m.self.VM: true},
 	}
 	p.left -= proto.Size(p.message)
--- a/internal/gossiper/reply.go
+++ b/internal/gossiper/reply.go
@@ -10,7 +10,13 @@
 const (
 	// maxAsks bounds the records that one message asks for, so that they fit
 	// into one answer.
-	maxAsks = 24
+	maxAsks = 200
+	// wholeBudget is the bytes of a message that gives a peer the records that it
+	// asked for, or a piece of the whole state. It is sent to one that has just
+	// started, or lost touch, and not in each round. In pieces as small as those of
+	// rounds a node knew half of 195 others two seconds after all had started, and
+	// many took themselves for the first of all.
+	wholeBudget = 16 << 10
 	// maxAskedKeys bounds the memory of records asked for.
 	maxAskedKeys = 8192
 	// askKeyAgainAfter is how long an answer is waited for.
@@ -96,7 +102,7 @@
 
 // packReply encodes what a peer is to be sent.
 func (m *Members) packReply(rep *reply) []byte {
-	p := m.newPacker()
+	p := m.newPacker(wholeBudget)
 	for _, key := range rep.asks {
 		if p.take(keySize) {
 			p.message.WantKeys = append(p.message.WantKeys, key)
--- a/internal/gossiper/sync.go
+++ b/internal/gossiper/sync.go
@@ -39,7 +39,7 @@
 
 func (m *Members) syncPiece(now timekeeper.Time, peer identifier.VMID) []byte {
 	s := m.syncs.get(peer)
-	p := m.newPacker()
+	p := m.newPacker(wholeBudget)
 	for s.next < m.stateLen() && m.addState(p, now, s.next) {
 		s.next++
 	}
--- a/internal/gossiper/tick.go
+++ b/internal/gossiper/tick.go
@@ -13,6 +13,14 @@
 // another peer.
 const askAgainAfter = 2 * timekeeper.Second
 
+const (
+	// youngTime is how long after its start a node asks for the whole state again
+	// and again, and askYoungAfter how often: of 195 nodes that start at once each
+	// then knows 190 after a second and a half, and 176 if it asks once.
+	youngTime     = 1500 * timekeeper.Millisecond
+	askYoungAfter = 300 * timekeeper.Millisecond
+)
+
 const (
 	// partners is how many peers a node sends its rounds to for a time. With 16
 	// drawn by each of 400 nodes, that one of them is drawn by nobody happens once
@@ -61,6 +69,9 @@
 func (m *Members) wake(now timekeeper.Time) []Change {
 	gap := now.Sub(m.lastNow)
 	first := m.lastNow == 0
+	if first {
+		m.startedAt = now
+	}
 	m.lastNow = max(now, m.lastNow)
 	m.self.LastHeard = m.lastNow
 	if first || gap < m.config.SuspectAfter/2 {
@@ -89,7 +100,7 @@
 	if len(targets) == 0 {
 		return nil
 	}
-	p := m.newPacker()
+	p := m.newPacker(m.config.ByteBudget)
 	m.packMarks(p, now)
 	m.packLate(p, now)
 	if !urgent {
@@ -118,7 +129,7 @@
 		extra.LateKeys = []uint64{r.key}
 		extra.LateHeartbeats = []uint64{r.heartbeat}
 	}
-	if m.wantSync && now.Sub(m.askedAt) >= askAgainAfter {
+	if m.asksForWhole(now) {
 		m.askedAt = now
 		extra.WantSync = true
 	}
@@ -162,6 +173,20 @@
 	return found
 }
 
+// asksForWhole reports whether a peer is asked for the whole state: until one has
+// given it, and some more times right after the start. Where all start at once the
+// first that is asked knows hardly more than this node.
+func (m *Members) asksForWhole(now timekeeper.Time) bool {
+	passed := now.Sub(m.askedAt)
+	if m.young(now) {
+		return passed >= askYoungAfter
+	}
+	return m.wantSync && passed >= askAgainAfter
+}
+
+// young reports whether this node has started a moment ago.
+func (m *Members) young(now timekeeper.Time) bool { return now.Sub(m.startedAt) < youngTime }
+
 type target struct {
 	vm      identifier.VMID
 	address string
--- a/internal/prover/gateway_test.go
+++ b/internal/prover/gateway_test.go
@@ -88,6 +88,8 @@
 	catalogs  []*catalog.Catalog
 	published timekeeper.Time
 	storeDown bool
+	// waiting are the entries that servers could not write yet.
+	waiting   []func()
 	lateWrite timekeeper.Duration
 
 	// ran holds where each request ran.
@@ -208,8 +210,14 @@
 	})
 }
 
-// enter puts a server's entry into the store.
+// enter puts a server's entry into the store, or where that is down, as soon as it
+// is back: nothing is acknowledged before, and the time in which nodes have to hear
+// of it counts from there.
 func (w *exchangeWorld) enter(vm identifier.VMID, state messenger.ServerState) {
+	if w.storeDown {
+		w.waiting = append(w.waiting, func() { w.enter(vm, state) })
+		return
+	}
 	if state != messenger.ServerReady {
 		w.left[vm] = w.now
 	}
@@ -225,6 +233,16 @@
 	})
 }
 
+// storeBack lets the store serve again. It takes the entries that waited in order.
+func (w *exchangeWorld) storeBack() {
+	w.storeDown = false
+	waiting := w.waiting
+	w.waiting = nil
+	for _, enter := range waiting {
+		enter()
+	}
+}
+
 // restart lets a server leave and start again under its id. The entry of its
 // earlier start is written once more after that of its later one.
 func (w *exchangeWorld) restart(vm identifier.VMID) {
@@ -644,7 +662,7 @@
 		name: "the store is down",
 		strike: func(w *exchangeWorld) {
 			w.storeDown = true
-			w.after(lasting, func() { w.storeDown = false })
+			w.after(lasting, w.storeBack)
 		},
 	},
 	{
--- a/internal/reducer/following_test.go
+++ b/internal/reducer/following_test.go
@@ -43,3 +43,47 @@
 	}
 	require.Equal(t, dutyNodes, following)
 }
+
+// All of many nodes start at once, and read the list of them. After 1.4 seconds a
+// node knew 65 of 195 in the mean, so that many took themselves for the first of all,
+// and read the store. Each waited a second and a half before it did any work for
+// all, and relays as long again before they told of others' requests; meanwhile long
+// prompts were refused and servers chosen blindly. A node that has heard of most of
+// those listed goes ahead.
+func TestStartOfAllSettlesEarly(t *testing.T) {
+	for _, nodes := range []int{61, 195} {
+		f := newFleet(nodes)
+		listed := messenger.ListRead{AsOf: f.now}
+		for _, id := range f.ids {
+			listed.VMs = append(listed.VMs, messenger.VMState{
+				VM:      id,
+				Address: string(id),
+			})
+		}
+		for _, id := range f.ids {
+			f.apply(id, listed)
+		}
+		f.run(1400 * timekeeper.Millisecond)
+		settled, candidates := 0, 0
+		for _, id := range f.ids {
+			require.GreaterOrEqual(t, len(f.nodes[id].members.Nodes()), nodes*9/10, "at %s", id)
+			g := f.nodes[id].gateway
+			if g.settled {
+				settled++
+			}
+			if g.candidate {
+				candidates++
+			}
+		}
+		require.GreaterOrEqual(t, settled, nodes*9/10, "of %d nodes", nodes)
+		require.LessOrEqual(t, candidates, 2*dutyNodes)
+		f.run(400 * timekeeper.Millisecond)
+		told := 0
+		for _, id := range f.ids {
+			if f.nodes[id].gateway.exchanges.HearsRelays(f.now) {
+				told++
+			}
+		}
+		require.GreaterOrEqual(t, told, nodes*9/10, "of %d nodes", nodes)
+	}
+}
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -43,6 +43,12 @@
 	// it is the first of all. A lease that its last holder left behind lapses
 	// later than that.
 	settleTime = 1500 * timekeeper.Millisecond
+	// mostNodes is the part of the nodes that the platform's list names of which a
+	// node has heard when it need not wait for settleTime: of those first for a
+	// purpose it then knows most, so that few take themselves for one in vain.
+	// After a loss of all of 195 nodes that is so after 0.9 s, and limits are
+	// granted, the store is read for others and servers ordered that much earlier.
+	mostNodes = 0.9
 	// grantNewsTime is how long after a node may take the lease all have heard that
 	// it holds it: an append, its read, and shares over relays.
 	grantNewsTime = 700 * timekeeper.Millisecond
@@ -379,7 +385,7 @@
 	if g.startedAt == 0 {
 		g.startedAt = w.Now
 	}
-	g.settled = g.settled || w.Now.Sub(g.startedAt) >= settleTime
+	g.settled = g.settled || w.Now.Sub(g.startedAt) >= settleTime || r.heardMost(w.Now)
 	if g.settled && !g.candidate {
 		g.candidate = r.ranking.Chosen(string(dutyLease), dutyNodes)
 	}
@@ -396,6 +402,13 @@
 	return out
 }
 
+// heardMost reports whether a node that has just started has heard of most of the
+// nodes that there are.
+func (r *Reducer) heardMost(now timekeeper.Time) bool {
+	listed := r.gateway.listed
+	return listed > 1 && float64(r.members.Count(now, cutMemory)) >= mostNodes*float64(listed)
+}
+
 // gatewayDrain begins a planned stop: callers are sent elsewhere at once, and
 // the node stays until what it took has ended.
 func (r *Reducer) gatewayDrain(w *conductor.World, e messenger.DrainStarted) []messenger.Effect {
--- a/internal/reducer/relay.go
+++ b/internal/reducer/relay.go
@@ -27,11 +27,16 @@
 	// relayEvery is the spacing of relays' sums. With two hops of it and a read
 	// of the store, news is younger than serversStale everywhere.
 	relayEvery = 250 * timekeeper.Millisecond
-	// relayWarmUp is how long a node has been a relay before it tells sums: all
-	// nodes of its zone, and the relays of others, have reported theirs by then.
-	// One that took over from a dead relay at once reported a sixth of the load, in
-	// place of what the other relay of its zone knew.
-	relayWarmUp = 1500 * timekeeper.Millisecond
+	// relayWarmUp is how long a node has been a relay before it tells sums though it
+	// does not hear all nodes of its zone: those that live have learned by then that
+	// it is one, which takes up to two seconds longer at one than at another. One that
+	// took over from a dead relay at once reported a sixth of the load, in place of
+	// what the other relay of its zone knew. One that hears all need not wait: after a
+	// loss of all nodes each sent requests with no news of any other until then.
+	relayWarmUp = 2500 * timekeeper.Millisecond
+	// regularNews is the age up to which a report is one of a series: the spacing of
+	// shares and a way.
+	regularNews = 700 * timekeeper.Millisecond
 	// strayPeers is how many further peers hear a node directly: news travels
 	// on if all relays of a zone die at once.
 	strayPeers = 2
@@ -98,20 +103,34 @@
 	if g.relaySince == 0 {
 		g.relaySince = w.Now
 	}
-	if w.Now.Sub(g.relaySince) < relayWarmUp {
+	warm := w.Now.Sub(g.relaySince) >= relayWarmUp
+	if !warm && !r.hearsZone(w.Now) {
 		return nil
 	}
 	zone := g.exchanges.ZoneSum(w.Now, r.ranking.Neighbours())
 	all := g.exchanges.WithZones(w.Now, zone)
 	g.exchanges.PeerLoad(w.Now, g.self, r.sumWithout(w.Now, all, g.self))
 	out := r.tellZones(w.Now, zone)
-	if g.relayNews || r.relayTurn(w.Now, relays) {
+	if (warm || r.hearsZones(w.Now)) && (g.relayNews || r.relayTurn(w.Now, relays)) {
 		out = append(out, r.tellNeighbours(w.Now, all)...)
 	}
 	g.relayNews = false
 	return out
 }
 
+// hearsZone reports whether all nodes of this zone report to this relay. Each does
+// so twice a second to its relays, and seldom to others.
+func (r *Reducer) hearsZone(now timekeeper.Time) bool {
+	neighbours := r.ranking.Neighbours()
+	return r.gateway.exchanges.HeardOf(now, neighbours, regularNews) == len(neighbours)
+}
+
+// hearsZones reports whether a relay of each other zone reports to this one.
+func (r *Reducer) hearsZones(now timekeeper.Time) bool {
+	zones := r.ranking.OtherZones()
+	return r.gateway.exchanges.HeardOfZones(now, zones, regularNews) == len(zones)
+}
+
 // relayTurn reports whether it is this relay's turn to tell its neighbours: the
 // relays of a zone take turns by the clock, so that a node hears one of them in
 // each relayEvery, and half as many messages as if both told it each time.
