Give the division of limits among nodes a file of its own

No change of what it does: constants and functions move out of gateway.go and share.go; reports heard of peers and of zones are counted in one place.

--- a/internal/dispatcher/load.go
+++ b/internal/dispatcher/load.go
@@ -200,20 +200,19 @@
 
 // HeardOf returns how many of some peers have reported their requests within a span.
 func (d *Dispatcher) HeardOf(now timekeeper.Time, peers []identifier.VMID, within timekeeper.Duration) int {
-	n := 0
-	for _, peer := range peers {
-		if p, known := d.loads.peers[peer]; known && now.Sub(p.at) <= within {
-			n++
-		}
-	}
-	return n
+	return countFresh(d.loads.peers, peers, now.Add(-within))
 }
 
 // HeardOfZones returns of how many zones a relay has reported the sum within a span.
 func (d *Dispatcher) HeardOfZones(now timekeeper.Time, zones []identifier.Zone, within timekeeper.Duration) int {
+	return countFresh(d.loads.zones, zones, now.Add(-within))
+}
+
+// countFresh counts those of some names whose report came at an instant or later.
+func countFresh[K comparable](reports map[K]peerLoad, names []K, since timekeeper.Time) int {
 	n := 0
-	for _, zone := range zones {
-		if z, known := d.loads.zones[zone]; known && now.Sub(z.at) <= within {
+	for _, name := range names {
+		if report, known := reports[name]; known && !report.at.Before(since) {
 			n++
 		}
 	}
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -49,9 +49,6 @@
 	// After a loss of all of 195 nodes that is so after 0.9 s, and limits are
 	// granted, the store is read for others and servers ordered that much earlier.
 	mostNodes = 0.9
-	// grantNewsTime is how long after a node may take the lease all have heard that
-	// it holds it: an append, its read, and shares over relays.
-	grantNewsTime = 700 * timekeeper.Millisecond
 	// serverReaders and configReaders are how many nodes read the store while
 	// peers hear from them; each read is paid for.
 	serverReaders = 2
@@ -77,23 +74,6 @@
 	// where there are more, relays pass it on.
 	sharePeers = 16
 	planEvery  = 500 * timekeeper.Millisecond
-	// granterAge is how long a peer that holds the lease is asked for limits
-	// after it was last heard; then this node grants its part alone. It is
-	// longer than granteeAge, after which that peer takes this node's part off
-	// its own. Both are two or three times the spacing of shares.
-	granterAge = 1600 * timekeeper.Millisecond
-	granteeAge = 1100 * timekeeper.Millisecond
-	// deafAge is how long after it was last heard that peer counts as gone which
-	// left silentAsks questions unanswered since: one whose VM was taken away is
-	// asked in vain for a second less.
-	deafAge    = 700 * timekeeper.Millisecond
-	silentAsks = 2
-	// cutMemory is how long a silent node's part of the limits is kept for
-	// it: it may be cut off and serve callers on its side.
-	cutMemory = 15 * timekeeper.Second
-	// unlistedNodes is how many nodes are taken to share the limits until the
-	// platform's list or a peer says how many there are.
-	unlistedNodes = 100
 	// fetchPause is the spacing of fetches of a peer's configuration.
 	fetchPause = 300 * timekeeper.Millisecond
 	// acceptWhileLeaving is how long a leaving node takes new requests. Callers
@@ -300,23 +280,6 @@
 	return out
 }
 
-// granterDue returns when a node probably grants centrally again that this one has
-// heard of: once those that may hold the lease have settled, and the lease of the
-// last holder has lapsed, which it can't renew any more.
-func (g *gateway) granterDue() timekeeper.Time {
-	due := g.startedAt.Add(settleTime + grantNewsTime)
-	if g.granterHeard != 0 {
-		due = max(due, g.granterHeard.Add(leaseTerm+grantNewsTime))
-	}
-	return due
-}
-
-// granterThere reports whether the node that grants centrally can be asked.
-func (g *gateway) granterThere(now timekeeper.Time) bool {
-	age := now.Sub(g.granterHeard)
-	return age <= granterAge && (age <= deafAge || g.silent < silentAsks)
-}
-
 // age returns how long ago an instant was, or a negative span where it is none.
 func age(now, at timekeeper.Time) timekeeper.Duration {
 	if at == 0 {
--- a/internal/reducer/share.go
+++ b/internal/reducer/share.go
@@ -3,7 +3,6 @@
 import (
 	"github.com/dotterelhollow/dotterelhollow/internal/conductor"
 	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
-	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -55,71 +54,6 @@
 	})
 }
 
-// heardOfHolder takes in who holds the lease of the duties, from that node or
-// from one that heard of it.
-func (g *gateway) heardOfHolder(now timekeeper.Time, s messenger.Share) {
-	if s.Holder == "" || s.Holder == g.self || s.Fence < g.granterFence {
-		return
-	}
-	heard := now.Add(-s.HolderAge)
-	if s.Fence == g.granterFence && !heard.After(g.granterHeard) {
-		return
-	}
-	g.granter = s.Holder
-	g.granterFence = s.Fence
-	g.granterHeard = heard
-	g.silent = 0
-}
-
-// shareGrants sets this node's parts of the accounts' limits and of the retries
-// by whom it hears.
-func (r *Reducer) shareGrants(w *conductor.World) {
-	g := r.gateway
-	nodes := r.nodesToShare(w)
-	_, _, held := g.leases.Held(dutyLease, w.Now)
-	floor := retryFloor / float64(nodes)
-	r.budgets.SetFloor(floor, timekeeper.Duration(float64(retryWindow)/floor))
-	g.local.SetNodes(nodes, !held && !g.granterThere(w.Now))
-	if g.central != nil {
-		g.central.SetHeard(1+g.exchanges.Heard(w.Now, granteeAge), nodes)
-	}
-}
-
-// nodesToShare returns the number of nodes that may grant a part of the limits.
-//
-// A node that has just started has heard of no other, and would take the whole
-// of each limit for its own part. Where all nodes start at once each of them
-// does, for the quarter of a second until they hear of one another. Until those
-// that were killed would be forgotten, all that the platform's list names count.
-func (r *Reducer) nodesToShare(w *conductor.World) int {
-	g := r.gateway
-	heard := r.members.Count(w.Now, cutMemory)
-	if g.startedAt != 0 && w.Now.Sub(g.startedAt) > cutMemory {
-		return heard
-	}
-	if g.listed == 0 && heard == 1 && w.Now.Sub(g.startedAt) < settleTime {
-		return unlistedNodes
-	}
-	return max(heard, g.listed)
-}
-
-// nodesListed takes in how many nodes the platform's list names. The first list
-// begins this node's parts of the limits: by then they were those of one of many,
-// with next to nothing to grant, and callers that come back after all nodes were
-// down would be refused until these had grown.
-func (r *Reducer) nodesListed(w *conductor.World, nodes int) {
-	g := r.gateway
-	if g == nil {
-		return
-	}
-	first := g.listed == 0
-	g.listed = nodes
-	if first && nodes > 0 {
-		g.local = limiter.NewLocal()
-		r.shareGrants(w)
-	}
-}
-
 // shareNow tells peers what this node knows: all of them, or where they are many
 // those that pass it on.
 func (r *Reducer) shareNow(w *conductor.World) []messenger.Effect {
