Let relays of a zone take turns also towards other zones

Cause: both relays of a zone told both of each other one the same sum four times a second. Change: they take turns, once warm.

--- a/internal/reducer/relay.go
+++ b/internal/reducer/relay.go
@@ -110,11 +110,14 @@
 	zone := g.exchanges.ZoneSum(w.Now, r.ranking.Neighbours())
 	all := g.exchanges.WithZones(w.Now, zone)
 	g.exchanges.PeerLoad(w.Now, g.self, r.sumWithout(w.Now, all, g.self))
+	if warm && !g.relayNews && !r.relayTurn(w.Now, relays) {
+		return nil
+	}
+	g.relayNews = false
 	out := r.tellZones(w.Now, zone)
-	if (warm || r.hearsZones(w.Now)) && (g.relayNews || r.relayTurn(w.Now, relays)) {
+	if warm || r.hearsZones(w.Now) {
 		out = append(out, r.tellNeighbours(w.Now, all)...)
 	}
-	g.relayNews = false
 	return out
 }
 
@@ -131,9 +134,10 @@
 	return r.gateway.exchanges.HeardOfZones(now, zones, regularNews) == len(zones)
 }
 
-// relayTurn reports whether it is this relay's turn to tell its neighbours: the
-// relays of a zone take turns by the clock, so that a node hears one of them in
-// each relayEvery, and half as many messages as if both told it each time.
+// relayTurn reports whether it is this relay's turn to tell sums: the relays of a
+// zone take turns by the clock, so that its nodes, and the relays of other zones,
+// hear one of them in each relayEvery, and half as many messages as if both told
+// each time.
 func (r *Reducer) relayTurn(now timekeeper.Time, relays []gossiper.Node) bool {
 	at := slices.IndexFunc(relays, func(n gossiper.Node) bool { return n.VM == r.gateway.self })
 	return int64(now)/int64(relayEvery)%int64(len(relays)) == int64(at)
--- a/internal/reducer/relay_test.go
+++ b/internal/reducer/relay_test.go
@@ -218,7 +218,7 @@
 
 // What a node sends for shares hardly grows with the nodes. Told by both relays of
 // its zone four times a second, and telling seven others twice, the nodes sent 22.5
-// each a second at 61 nodes where 17 do.
+// each a second at 61 nodes where 13 do.
 func TestMessagesOfManyNodes(t *testing.T) {
 	const seconds = 4
 	for _, nodes := range []int{61, 195} {
@@ -228,7 +228,8 @@
 		f.run(2 * timekeeper.Second)
 		f.shares = 0
 		f.run(seconds * timekeeper.Second)
-		require.LessOrEqual(t, f.shares, seconds*nodes*17, "%d nodes", nodes)
+		t.Logf("%d nodes: %.1f shares a node and second", nodes, float64(f.shares)/seconds/float64(nodes))
+		require.LessOrEqual(t, f.shares, seconds*nodes*14, "%d nodes", nodes)
 	}
 }
 
