Wait seven tenths of a second before any work for all nodes

Cause: where all start for the first time the list that the first of them read names hardly anyone, and they took themselves for settled after 0.35 s.

--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -49,6 +49,9 @@
 	// After a loss of all of 195 nodes that is so after 0.9 s, and limits are
 	// granted, the store is read for others and servers ordered that much earlier.
 	mostNodes = 0.9
+	// leastSettle is how long it waits in any case: where all start for the first
+	// time, the list that the first of them read names hardly anyone.
+	leastSettle = 700 * timekeeper.Millisecond
 	// serverReaders and configReaders are how many nodes read the store while
 	// peers hear from them; each read is paid for.
 	serverReaders = 2
@@ -369,7 +372,8 @@
 // nodes that there are.
 func (r *Reducer) heardMost(now timekeeper.Time) bool {
 	listed := r.gateway.listed
-	return listed > 1 && float64(r.members.Count(now, cutMemory)) >= mostNodes*float64(listed)
+	return listed > 1 && now.Sub(r.gateway.startedAt) >= leastSettle &&
+		float64(r.members.Count(now, cutMemory)) >= mostNodes*float64(listed)
 }
 
 // gatewayDrain begins a planned stop: callers are sent elsewhere at once, and
