--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -39,7 +39,6 @@
 	version uint64
 	fresh   bool
 
-	nodes []gossiper.Node
 	// eligible are the nodes that work can be given to: those that are alive,
 	// and this one.
 	eligible   []gossiper.Node
@@ -73,10 +72,9 @@
 		config:  r.config,
 		version: version,
 		fresh:   true,
-		nodes:   r.config.Members.Nodes(),
 		chosen:  map[choice][]gossiper.Node{},
 	}
-	for _, n := range r.nodes {
+	for _, n := range r.config.Members.Nodes() {
 		if n.State == gossiper.Alive || n.VM == r.config.Self {
 			r.eligible = append(r.eligible, n)
 		}
@@ -94,13 +92,6 @@
 	r.zones = slices.Compact(r.zones)
 }
 
-// Nodes returns the members, this node included and dead ones left out. Their
-// LastHeard is that of the last change.
-func (r *Ranking) Nodes() []gossiper.Node {
-	r.refresh()
-	return r.nodes
-}
-
 // Peers returns the other nodes that are not dead.
 func (r *Ranking) Peers() []gossiper.Node {
 	r.refresh()
