Tell in the log what a request asks, and whether its server ended

Cause: the logs could not tell apart the hypotheses on the queries of death: no line had what a request is apart from the id of one try, and a broken attempt did not say whether the server ended or the connection alone broke. Change: each exchange has a hash of method, host, path and body (the query where there is no body), and an attempt that broke asks the server's address whether anything still listens there; both stand in the lines of attempts and ends. No decision uses them yet.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -148,6 +148,7 @@
 	f.config.Metrics.ended(x.status, result, took)
 	f.config.Logger.Info("exchange ended",
 		"request", x.head.Request,
+		"content", x.content.String(),
 		"route", x.basis.Route,
 		"account", x.basis.Account,
 		"limit", x.basis.Limit,
@@ -172,10 +173,12 @@
 func (x *exchange) logAttempt(s messenger.SendExchange, e ending) {
 	x.forwarder.config.Logger.Info("attempt ended",
 		"request", x.head.Request,
+		"content", x.content.String(),
 		"attempt", s.Attempt,
 		"server", s.Server,
 		"address", s.Address,
 		"result", e.result,
+		"server_ended", e.serverEnded,
 		"reason", e.reason,
 		"last_event", x.lastEvent,
 		"revision", x.basis.Revision,
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dotterelhollow/dotterelhollow/internal/dialer"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -24,6 +25,8 @@
 	over       bool
 	abort      bool
 	retryAfter timekeeper.Duration
+	// serverEnded tells that nothing listens at the server's address any more.
+	serverEnded bool
 }
 
 // held is an answer that was read to its end.
@@ -98,7 +101,7 @@
 	}
 	response, err := x.forwarder.transport.RoundTrip(request)
 	if err != nil {
-		return x.broken(bound, t, err)
+		return x.broken(s, bound, t, err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	reply := x.forwarder.config.Protocol.ReadReply(response.StatusCode, response.Header)
@@ -133,8 +136,8 @@
 
 func succeeded(status int) bool { return status >= 200 && status < 300 }
 
-// broken classifies an attempt that brought no answer.
-func (x *exchange) broken(bound *watch, t *trail, err error) ending {
+// broken classifies an attempt that brought no answer, or no whole one.
+func (x *exchange) broken(s messenger.SendExchange, bound *watch, t *trail, err error) ending {
 	e := ending{
 		result: messenger.AttemptBroken,
 		reason: err.Error(),
@@ -153,9 +156,23 @@
 	if !e.over && !t.written.Load() {
 		e.result = messenger.AttemptNotSent
 	}
+	e.serverEnded = x.serverEnded(s, e.result, err)
 	return e
 }
 
+// serverEnded reports whether the server's process is gone after an attempt that
+// ended with err. A connection that breaks does not say so by itself: it may have
+// been reset, or the server's answer torn.
+func (x *exchange) serverEnded(s messenger.SendExchange, result messenger.AttemptResult, err error) bool {
+	switch result {
+	case messenger.AttemptNotSent:
+		return dialer.Refused(err)
+	case messenger.AttemptBroken:
+		return dialer.RefusedAt(x.r.Context(), s.Address)
+	}
+	return false
+}
+
 // expire answers a caller whose time, or whose route's, is over.
 func (x *exchange) expire() ending {
 	e := ending{
@@ -219,7 +236,7 @@
 func (x *exchange) whole(ctx context.Context, s messenger.SendExchange, bound *watch, response *http.Response) ending {
 	body, err := io.ReadAll(io.LimitReader(response.Body, int64(maxAnswer)+1))
 	if err != nil {
-		return x.broken(bound, wasWritten(), err)
+		return x.broken(s, bound, wasWritten(), err)
 	}
 	if int64(len(body)) > int64(maxAnswer) {
 		return x.long(ctx, s, bound, response, body)
@@ -254,10 +271,11 @@
 	}
 	if _, err := io.Copy(x.w, response.Body); err != nil {
 		return ending{
-			result: messenger.AttemptBroken,
-			reason: err.Error(),
-			over:   true,
-			abort:  true,
+			result:      messenger.AttemptBroken,
+			reason:      err.Error(),
+			over:        true,
+			abort:       true,
+			serverEnded: x.serverEnded(s, messenger.AttemptBroken, err),
 		}
 	}
 	return ending{
--- /dev/null
+++ b/internal/forwarder/content_test.go
@@ -0,0 +1,100 @@
+package forwarder_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+)
+
+// A caller asks again under another id, with less time left and behind the last
+// event that it has. Nothing else told the nodes that it was the same request, so
+// that what they had learned of it was lost with each answer.
+func TestSameContentUnderAnyID(t *testing.T) {
+	s := newScript()
+	at := front(t, s)
+	content := func(method, target, body, id string) identifier.ContentHash {
+		r := request(t, method, "http://"+at+target, strings.NewReader(body))
+		r.Header.Set("Id", id)
+		r.Header.Set("After", id)
+		do(t, r)
+		return s.specs[len(s.specs)-1].Content
+	}
+	want := content(http.MethodPost, "/report/1?try=1", "prompt", "r-1")
+	require.NotZero(t, want)
+	require.Equal(t, want, content(http.MethodPost, "/report/1?try=2", "prompt", "r-2"))
+	require.NotEqual(t, want, content(http.MethodPost, "/report/2?try=1", "prompt", "r-3"))
+	require.NotEqual(t, want, content(http.MethodPost, "/report/1?try=1", "other", "r-4"))
+	require.NotEqual(t, content(http.MethodGet, "/stock?item=1", "", "r-5"),
+		content(http.MethodGet, "/stock?item=2", "", "r-6"), "without a body the query is what is asked")
+}
+
+// endingServer is a server whose process ends when it has a request: the listener is
+// closed before the connection is, or stays where the connection alone breaks.
+func endingServer(t *testing.T, ends bool, answer string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = fmt.Fprint(c, answer)
+			}
+			if ends {
+				_ = l.Close()
+			}
+			_ = c.Close()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// A server ends under a request. For the caller, and for the node, that looked like a
+// connection that broke: nothing told the two apart until the server's entry lapsed
+// seconds later.
+func TestServerThatEnded(t *testing.T) {
+	stream := "HTTP/1.1 200 OK\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, test := range []struct {
+		name   string
+		ends   bool
+		answer string
+	}{
+		{
+			name: "before an answer",
+			ends: true,
+		},
+		{
+			name:   "in its answer",
+			ends:   true,
+			answer: stream,
+		},
+		{
+			name: "the connection alone broke",
+		},
+		{
+			name:   "the connection alone broke, in the answer",
+			answer: stream,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newScript(endingServer(t, test.ends, test.answer))
+			s.route.Stream = true
+			do(t, request(t, http.MethodPost, "http://"+front(t, s)+"/", strings.NewReader("prompt")))
+			require.Len(t, s.ends, 1)
+			require.Equal(t, messenger.AttemptBroken, s.ends[0].Result)
+			require.Equal(t, test.ends, s.ends[0].ServerEnded)
+		})
+	}
+}
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
@@ -19,6 +21,7 @@
 	received  timekeeper.Time
 	head      Head
 	body      []byte
+	content   identifier.ContentHash
 
 	attempts int
 	server   identifier.VMID
@@ -64,6 +67,7 @@
 	x.body, err = io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, int64(most)))
 	x.forwarder.held.Add(int64(len(x.body)))
 	if err == nil {
+		x.content = contentOf(x.r, x.body)
 		return true
 	}
 	x.forwarder.held.Add(-int64(len(x.body)))
@@ -99,7 +103,27 @@
 		MaxTokens:    x.head.MaxTokens,
 		Prefix:       x.head.Prefix,
 		Resumes:      x.head.LastEvent != "",
+		Content:      x.content,
+	}
+}
+
+// contentOf stands for what a request asks. Headers are left out, since a caller
+// that asks again sends others: its id, the time left, the last event that it has.
+// So is the query, but for a request without a body, of which it is all that tells
+// it from others on its path.
+func contentOf(r *http.Request, body []byte) identifier.ContentHash {
+	asked := pathOf(r)
+	if len(body) == 0 {
+		asked = r.RequestURI
+	}
+	h := xxhash.New()
+	for _, part := range []string{r.Method, hostOf(r.Host), asked} {
+		// Neither write fails.
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
 	}
+	_, _ = h.Write(body)
+	return identifier.ContentHash(h.Sum64())
 }
 
 // run carries out what the decider says until the caller is answered.
@@ -119,8 +143,9 @@
 		end := x.attempt(ctx, send)
 		if end.over {
 			f.config.Decider.Ended(messenger.ExchangeEnded{
-				Exchange: x.id,
-				Result:   end.result,
+				Exchange:    x.id,
+				Result:      end.result,
+				ServerEnded: end.serverEnded,
 			})
 			x.log(end.result, end.reason)
 			if end.abort {
@@ -130,11 +155,12 @@
 		}
 		x.logAttempt(send, end)
 		decision = f.config.Decider.AttemptEnded(ctx, messenger.ExchangeAttemptEnded{
-			Exchange:   x.id,
-			Attempt:    send.Attempt,
-			Result:     end.result,
-			Streaming:  x.answering,
-			RetryAfter: end.retryAfter,
+			Exchange:    x.id,
+			Attempt:     send.Attempt,
+			Result:      end.result,
+			Streaming:   x.answering,
+			RetryAfter:  end.retryAfter,
+			ServerEnded: end.serverEnded,
 		})
 	}
 }
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -58,7 +58,7 @@
 				over:   true,
 			}
 		}
-		return x.broken(bound, wasWritten(), streamError(err))
+		return x.broken(s, bound, wasWritten(), streamError(err))
 	}
 }
 
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -26,6 +26,8 @@
 	Prefix []PromptPart
 	// Resumes tells that the caller has a part of the answer already.
 	Resumes bool
+	// Content stands for host, path and body.
+	Content identifier.ContentHash
 }
 
 // PromptPart is a part of a prompt that other requests may share.
@@ -54,12 +56,16 @@
 		Streaming bool
 		// RetryAfter is the server's own wish, or zero.
 		RetryAfter timekeeper.Duration
+		// ServerEnded tells that nothing listens at the server's address any more.
+		ServerEnded bool
 	}
 	// ExchangeEnded: nothing more follows for the caller.
 	ExchangeEnded struct {
 		Exchange identifier.ExchangeID
 		// Result is how the last attempt ended; empty where the caller left.
 		Result AttemptResult
+		// ServerEnded tells that nothing listens at the server's address any more.
+		ServerEnded bool
 	}
 )
 
--- a/pkg/identifier/identifier.go
+++ b/pkg/identifier/identifier.go
@@ -126,6 +126,13 @@
 // PrefixHash names a block of prompt tokens together with all before it.
 type PrefixHash uint64
 
+// ContentHash stands for what a request asks: a request that comes again, by any
+// node and under any request id, has the same one. Zero where it is not known.
+type ContentHash uint64
+
+// String returns the hash as logs show it.
+func (h ContentHash) String() string { return fmt.Sprintf("%016x", uint64(h)) }
+
 // Tokens is a number of model tokens.
 type Tokens int64
 
