--- a/internal/messenger/vocabulary.go
+++ b/internal/messenger/vocabulary.go
@@ -71,6 +71,9 @@
 	ReasonUnknownRoute Reason = "unknown_route"
 	// ReasonUnknownKey: no account holds the key.
 	ReasonUnknownKey Reason = "unknown_key"
+	// ReasonServersEnded: backend servers ended, one after another, under the same
+	// request.
+	ReasonServersEnded Reason = "servers_ended"
 )
 
 // Refusal is the final answer of a request that ends without its answer.
--- a/internal/prover/gateway_test.go
+++ b/internal/prover/gateway_test.go
@@ -72,6 +72,8 @@
 	servers  int
 	revision identifier.Revision
 	began    timekeeper.Time
+	// troubled is when the node or its ways were last harmed.
+	troubled timekeeper.Time
 }
 
 // exchangeWorld is the nodes and the fakes around them.
@@ -105,7 +107,10 @@
 	faults   []string
 	// serverFault is how servers answer; empty means well.
 	serverFault messenger.AttemptResult
-	next        identifier.ExchangeID
+	// work is how long a server needs for a request.
+	work timekeeper.Duration
+	endings
+	next identifier.ExchangeID
 }
 
 type process struct {
@@ -127,6 +132,8 @@
 		fences:   map[string]identifier.Fence{},
 		holders:  map[identifier.Fence]process{},
 		reports:  map[identifier.UsageWindow]map[identifier.AccountID]int{},
+		work:     20,
+		endings:  newEndings(),
 	}
 	w.publish(1)
 	for i := range 6 {
@@ -422,6 +429,8 @@
 		w.serve(n, e)
 	case messenger.RefuseExchange:
 		w.refuse(e)
+	case messenger.EndExchange:
+		w.failed[w.contents[w.requests[e.Exchange]]]++
 	}
 }
 
@@ -493,8 +502,8 @@
 	w.reports[e.Window] = e.Counts
 }
 
-// ask sends a request to a node that callers would be sent to.
-func (w *exchangeWorld) ask() {
+// anyReady returns a node that callers would be sent to, or nil.
+func (w *exchangeWorld) anyReady() *gatewayNode {
 	var ready []*gatewayNode
 	for _, vm := range slices.Sorted(maps.Keys(w.nodes)) {
 		if n := w.nodes[vm]; n.alive && n.r.Ready() && !w.now.Before(n.frozen) {
@@ -502,15 +511,29 @@
 		}
 	}
 	if len(ready) == 0 {
+		return nil
+	}
+	return ready[w.rng.IntN(len(ready))]
+}
+
+// ask sends a request to a node that callers would be sent to.
+func (w *exchangeWorld) ask() {
+	n := w.anyReady()
+	if n == nil {
 		return
 	}
-	n := ready[w.rng.IntN(len(ready))]
 	kinds := []catalog.Repetition{catalog.Once, catalog.Repeatable, catalog.Resumed}
 	kind := kinds[w.rng.IntN(len(kinds))]
 	w.next++
 	id := identifier.RequestID(fmt.Sprintf("r-%d", w.next))
 	w.kinds[id] = kind
 	w.requests[w.next] = id
+	w.receive(n, id, kind, contentOf(id))
+}
+
+// receive gives a node a request.
+func (w *exchangeWorld) receive(n *gatewayNode, id identifier.RequestID, kind catalog.Repetition, content identifier.ContentHash) {
+	w.contents[id] = content
 	w.apply(n, messenger.ExchangeReceived{
 		Spec: messenger.ExchangeSpec{
 			Exchange:     w.next,
@@ -522,6 +545,7 @@
 			Patience:     5 * timekeeper.Second,
 			PromptTokens: 100,
 			MaxTokens:    20,
+			Content:      content,
 		},
 	})
 }
@@ -532,6 +556,9 @@
 	if left, leaving := w.left[e.Server]; leaving && w.now.Sub(left) > leaveBound && !n.cut && !n.offStore {
 		w.fault("%s sends %s to %s, which left %d ms ago", n.vm, id, e.Server, w.now.Sub(left))
 	}
+	if w.refusedByEnded(n, e) {
+		return
+	}
 	result := messenger.AttemptComplete
 	if w.serverFault != "" && w.rng.IntN(2) == 0 {
 		result = w.serverFault
@@ -542,7 +569,12 @@
 			w.fault("%s ran at %v", id, w.ran[id])
 		}
 	}
-	w.after(20, func() {
+	f := w.begin(n, e)
+	w.after(w.work, func() {
+		if f.over {
+			return
+		}
+		f.over = true
 		if result == messenger.AttemptComplete {
 			w.answered++
 			w.apply(n, messenger.ExchangeBegan{
@@ -565,6 +597,7 @@
 
 func (w *exchangeWorld) refuse(e messenger.RefuseExchange) {
 	w.refused++
+	w.noteRefusal(e)
 	if id := w.requests[e.Exchange]; len(w.ran[id]) > 0 {
 		w.fault("%s was refused and ran at %v", id, w.ran[id])
 	}
