Refuse at every node a request under which three servers ended

Cause: what a node learned of a request ended with the exchange and went to no other node. The route's bound on servers held for one exchange; its caller's next try, at any node, began with none. Ruled out: attempts beyond the route's bound (two at each try, never three), servers that end by themselves (none do in the test). Change: the package quarantiner counts ends of servers by caller and content, over all nodes: peers tell one another, at once and again while two servers or more ended, and the holder of the duties keeps what is refused in the log. A whole answer clears a request. An attempt whose server says nothing counts if its entry lapses. Checks: the matrix no longer takes a connection that a dead server refuses for work given to a leaving one, which nothing reaches; the streams that a node follows now name the one that is read once.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -12,6 +12,7 @@
 //   - limit.go counts it against its account's limit.
 //   - choose.go picks the server.
 //   - repeat.go decides what follows an attempt.
+//   - ended.go notes the requests under which servers ended.
 //   - subset.go says which servers it picks from where they are very many.
 //   - load.go keeps what is in flight at the servers, of this node and others.
 //
@@ -28,6 +29,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/indexer"
 	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
 	"github.com/dotterelhollow/dotterelhollow/internal/registrar"
 	"github.com/dotterelhollow/dotterelhollow/internal/retrier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
@@ -63,6 +65,8 @@
 	GranterDue timekeeper.Duration
 	Budgets    *retrier.Budgets
 	Suspicions *detector.Suspicions
+	// Quarantine knows the requests under which servers ended.
+	Quarantine *quarantiner.Quarantine
 	Rand       *rand.Rand
 	// Began is called with the account of each request that began to run.
 	Began func(identifier.AccountID)
@@ -96,6 +100,8 @@
 	// estimators are what was learned of each service's servers.
 	estimators map[identifier.ServiceName]*estimator.Estimator
 	services   map[identifier.ServiceName]*demand
+	// unexplained are the requests that servers had which fell silent.
+	unexplained unexplained
 	// refuseAfter is the instant from which new requests are refused because
 	// the node is leaving, or Never.
 	refuseAfter timekeeper.Time
@@ -119,7 +125,9 @@
 
 // exchange is one request on its way.
 type exchange struct {
-	spec    messenger.ExchangeSpec
+	spec messenger.ExchangeSpec
+	// request is what the exchange asks, and its caller.
+	request identifier.Fingerprint
 	route   *catalog.Route
 	service identifier.ServiceName
 	account identifier.AccountID
@@ -165,6 +173,7 @@
 		index:       indexer.New(),
 		estimators:  map[identifier.ServiceName]*estimator.Estimator{},
 		services:    map[identifier.ServiceName]*demand{},
+		unexplained: unexplained{},
 		refuseAfter: timekeeper.Never,
 	}
 }
@@ -219,15 +228,18 @@
 		return
 	}
 	delete(d.exchanges, e.Exchange)
-	if x.current != nil {
-		if !x.current.began {
-			d.index.Drop(x.current.server, x.spec.Prefix)
-		}
-		if e.Result == messenger.AttemptComplete {
-			w.Suspicions.Observe(w.Now, x.current.server, detector.Observation{Kind: detector.Completed})
-		}
-		d.land(x)
+	if x.current == nil {
+		return
+	}
+	if !x.current.began {
+		d.index.Drop(x.current.server, x.spec.Prefix)
+	}
+	if e.Result == messenger.AttemptComplete {
+		w.Suspicions.Observe(w.Now, x.current.server, detector.Observation{Kind: detector.Completed})
+		w.Quarantine.Completed(w.Now, x.request)
 	}
+	d.noteEnd(w, x, e.Result, e.ServerEnded)
+	d.land(x)
 }
 
 // land takes the current attempt out of the count of what is in flight.
@@ -280,7 +292,8 @@
 func (d *Dispatcher) AllKept() []messenger.KeptPart { return d.index.All() }
 
 // Gone forgets what a server kept that is no more.
-func (d *Dispatcher) Gone(server identifier.VMID) {
+func (d *Dispatcher) Gone(w World, server identifier.VMID) {
+	d.unexplained.ended(w, server)
 	d.index.Forget(server)
 	for _, e := range d.estimators {
 		e.Forget(server)
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -12,6 +12,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/dispatcher"
 	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
 	"github.com/dotterelhollow/dotterelhollow/internal/registrar"
 	"github.com/dotterelhollow/dotterelhollow/internal/retrier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
@@ -93,6 +94,7 @@
 			Local:      limiter.NewLocal(),
 			Budgets:    retrier.New(retrier.Config{Rules: retrier.AllRules()}),
 			Suspicions: detector.New(detector.Config{Rules: detector.AllRules()}),
+			Quarantine: quarantiner.New(),
 			Rand:       rand.New(rand.NewPCG(1, 2)),
 		},
 	}
--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -8,6 +8,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/estimator"
 	"github.com/dotterelhollow/dotterelhollow/internal/indexer"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -44,6 +45,9 @@
 		return d.refuse(w, spec.Exchange, refusal)
 	}
 	w = w.about(x)
+	if after, refused := w.Quarantine.Refuses(w.Now, x.request); refused {
+		return d.refuse(w, spec.Exchange, notRun(messenger.ReasonServersEnded, after))
+	}
 	if _, ok := d.choose(w, x); !ok {
 		return d.refuseForServers(w, x)
 	}
@@ -103,6 +107,7 @@
 	}
 	x := &exchange{
 		spec:     spec,
+		request:  fingerprint(spec, account),
 		route:    route,
 		account:  account,
 		service:  route.Service(point(spec.Request)),
@@ -143,6 +148,16 @@
 	return "", route.Public || !routing.NeedsKeys()
 }
 
+// fingerprint names what a caller asks. An account may have several keys, and callers
+// without an account may have one.
+func fingerprint(spec messenger.ExchangeSpec, account identifier.AccountID) identifier.Fingerprint {
+	caller := string(account)
+	if account == "" {
+		caller = spec.Key
+	}
+	return quarantiner.FingerprintOf(caller, spec.Content)
+}
+
 // point maps a request to [0, 1), the same for each of its attempts.
 func point(r identifier.RequestID) float64 {
 	const bits = 53 // what a float64 holds exactly
--- a/internal/dispatcher/repeat.go
+++ b/internal/dispatcher/repeat.go
@@ -46,6 +46,9 @@
 	}
 	w = w.about(x)
 	d.settle(w, x, e)
+	if _, refused := w.Quarantine.Refuses(w.Now, x.request); refused {
+		return d.end(w, x, e, messenger.ReasonServersEnded)
+	}
 	if !d.mayRepeat(x, e) {
 		return d.end(w, x, e, messenger.ReasonServerFailed)
 	}
@@ -69,6 +72,7 @@
 	if !x.current.began {
 		d.index.Drop(x.current.server, x.spec.Prefix)
 	}
+	d.noteEnd(w, x, e.Result, e.ServerEnded)
 	d.land(x)
 	switch {
 	case e.Result == messenger.AttemptNotSent:
@@ -109,6 +113,9 @@
 func (d *Dispatcher) end(w World, x *exchange, e messenger.ExchangeAttemptEnded, reason messenger.Reason) messenger.Effect {
 	delete(d.exchanges, e.Exchange)
 	if x != nil && !x.mayHaveRun && !e.Streaming && !x.spec.Resumes {
+		if after, refused := w.Quarantine.Refuses(w.Now, x.request); refused {
+			return d.refuse(w, e.Exchange, notRun(reason, after))
+		}
 		d.noteRefusal(w, x)
 		return d.refuse(w, e.Exchange, notRun(reason, max(spread(w, soon), e.RetryAfter)))
 	}
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -228,6 +228,8 @@
 	Demand map[identifier.ServiceName]ServiceDemand
 	// Kept is parts of prompts that servers have read lately.
 	Kept []KeptPart
+	// Suspects are requests under which servers ended.
+	Suspects []SuspectRequest
 	// Holder is the node that holds the lease of the duties, as far as the
 	// sender knows, with its fence; HolderAge is how long ago it said so. It is
 	// empty where none is known.
--- a/internal/prover/gateway_test.go
+++ b/internal/prover/gateway_test.go
@@ -472,6 +472,13 @@
 			Appended: w.now,
 			Data:     e.Data,
 		})
+		w.after(1, func() {
+			w.apply(n, messenger.AppendEnded{
+				Ticket: e.Ticket,
+				Stream: e.Stream,
+				OK:     true,
+			})
+		})
 	})
 }
 
@@ -552,13 +559,13 @@
 
 // serve is a backend server with an attempt.
 func (w *exchangeWorld) serve(n *gatewayNode, e messenger.SendExchange) {
+	if w.refusedByEnded(n, e) {
+		return
+	}
 	id := w.requests[e.Exchange]
 	if left, leaving := w.left[e.Server]; leaving && w.now.Sub(left) > leaveBound && !n.cut && !n.offStore {
 		w.fault("%s sends %s to %s, which left %d ms ago", n.vm, id, e.Server, w.now.Sub(left))
 	}
-	if w.refusedByEnded(n, e) {
-		return
-	}
 	result := messenger.AttemptComplete
 	if w.serverFault != "" && w.rng.IntN(2) == 0 {
 		result = w.serverFault
--- a/internal/reducer/duty.go
+++ b/internal/reducer/duty.go
@@ -10,6 +10,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/leaser"
 	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
 	"github.com/dotterelhollow/dotterelhollow/internal/sizer"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
@@ -22,6 +23,8 @@
 	case leaser.Stream:
 		g.leaseRead = true
 		g.leases.Absorb(w.Now, e)
+	case quarantiner.Stream:
+		return r.quarantineRead(w, e)
 	case accountant.Stream:
 		unreadable := g.usage.Ignored()
 		g.usage.Absorb(e)
--- a/internal/reducer/following.go
+++ b/internal/reducer/following.go
@@ -4,6 +4,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/accountant"
 	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
 	"github.com/dotterelhollow/dotterelhollow/internal/leaser"
+	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -16,8 +17,13 @@
 // where all nodes were killed at once, the time that the last holder's lease still
 // runs is counted from this read. Reading on until it had heard of its peers, each
 // of 195 nodes would make calls to the store for what only three need.
+//
+// Those that may hold it also read once which requests were refused before, and tell
+// the others: after a loss of all nodes nobody else knows.
 func (g *gateway) streams() []identifier.LogStream {
 	switch {
+	case g.candidate && !g.quarantineRead:
+		return []identifier.LogStream{leaser.Stream, accountant.Stream, quarantiner.Stream}
 	case g.candidate:
 		return []identifier.LogStream{leaser.Stream, accountant.Stream}
 	case !g.settled && !g.leaseRead:
--- a/internal/reducer/following_test.go
+++ b/internal/reducer/following_test.go
@@ -8,6 +8,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/accountant"
 	"github.com/dotterelhollow/dotterelhollow/internal/leaser"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
 	"github.com/dotterelhollow/dotterelhollow/internal/ranker"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
@@ -16,7 +17,7 @@
 // All of 61 nodes start at once. Each reads the lease once, so that the time that
 // its last holder has left is counted from then; until they had heard of their
 // peers all of them read on. Afterwards the few that may hold the lease follow it,
-// and the usage that its holder reports.
+// and the usage that its holder reports, and read once which requests were refused.
 func TestStartReadsTheLeaseOnce(t *testing.T) {
 	f := newFleet(61)
 	lease := []identifier.LogStream{leaser.Stream}
@@ -39,7 +40,12 @@
 		if len(streams) == 0 {
 			continue
 		}
-		require.Equal(t, []identifier.LogStream{leaser.Stream, accountant.Stream}, streams, "at %s", id)
+		require.Equal(t, []identifier.LogStream{leaser.Stream, accountant.Stream, quarantiner.Stream}, streams, "at %s", id)
+		f.apply(id, messenger.LogRead{
+			Stream: quarantiner.Stream,
+			End:    true,
+		})
+		require.Equal(t, []identifier.LogStream{leaser.Stream, accountant.Stream}, f.nodes[id].Streams(), "at %s", id)
 		following++
 	}
 	require.Equal(t, dutyNodes, following)
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/leaser"
 	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
 	"github.com/dotterelhollow/dotterelhollow/internal/registrar"
 	"github.com/dotterelhollow/dotterelhollow/internal/retrier"
 	"github.com/dotterelhollow/dotterelhollow/internal/sizer"
@@ -122,11 +123,13 @@
 	confirmed timekeeper.Time
 	servers   *registrar.Table
 	exchanges *dispatcher.Dispatcher
-	usage     *accountant.Accountant
-	sizes     *sizer.Sizer
-	leases    *leaser.Table
-	holding   identifier.Fence
-	local     *limiter.Buckets
+	// quarantine is that of the reducer.
+	quarantine *quarantiner.Quarantine
+	usage      *accountant.Accountant
+	sizes      *sizer.Sizer
+	leases     *leaser.Table
+	holding    identifier.Fence
+	local      *limiter.Buckets
 	// central is what this node grants while it holds the lease.
 	central *limiter.Buckets
 	// granter is the peer that was heard last to hold the lease.
@@ -143,10 +146,12 @@
 	settled   bool
 	// candidate tells that the node was ever one that may hold the duties.
 	candidate bool
-	// leaseRead tells that the node has read the lease's stream.
-	leaseRead bool
-	nextShare timekeeper.Time
-	nextRelay timekeeper.Time
+	// leaseRead tells that the node has read the lease's stream, and quarantineRead
+	// that it has read that of the requests that are refused.
+	leaseRead      bool
+	quarantineRead bool
+	nextShare      timekeeper.Time
+	nextRelay      timekeeper.Time
 	// shareRounds counts the shares that were sent.
 	shareRounds int
 	// relayNews tells that a server's entry changed since the last sums.
@@ -165,8 +170,9 @@
 	exiting  bool
 }
 
-func newGateway(c Config) *gateway {
+func newGateway(c Config, quarantine *quarantiner.Quarantine) *gateway {
 	return &gateway{
+		quarantine:  quarantine,
 		config:      *c.Gateway,
 		self:        c.Self,
 		incarnation: c.Incarnation,
@@ -211,9 +217,12 @@
 		g.exchanges.Began(r.exchangeWorld(w), b)
 		return r.withNews(w)
 	case messenger.ExchangeAttemptEnded:
-		return r.withNews(w, g.exchanges.AttemptEnded(r.exchangeWorld(w), b))
+		effect := g.exchanges.AttemptEnded(r.exchangeWorld(w), b)
+		r.tellEndsSoon(w)
+		return r.withNews(w, effect)
 	case messenger.ExchangeEnded:
 		g.exchanges.Ended(r.exchangeWorld(w), b)
+		r.tellEndsSoon(w)
 	case messenger.CatalogPublished:
 		return r.catalogPublished(w, b)
 	case messenger.CatalogConfirmed:
@@ -258,6 +267,7 @@
 		Local:      g.local,
 		Budgets:    r.budgets,
 		Suspicions: r.suspicions,
+		Quarantine: r.quarantine,
 		Rand:       r.rand,
 		Began:      func(a identifier.AccountID) { g.usage.Began(w.Now, a) },
 		Stale:      w.Now.Sub(g.confirmed) > configDoubt,
@@ -333,9 +343,12 @@
 			Detail: fmt.Sprintf("service=%s zone=%s market=%s offset=%d leaves_in=%s direct=%t",
 				s.Service, s.Zone, s.Market, s.Offset, s.LeavesIn, direct),
 		})
-		if s.State == messenger.ServerRemoved {
+		switch s.State {
+		case messenger.ServerLeaving:
+			r.gateway.exchanges.Leaving(s.Server)
+		case messenger.ServerRemoved:
 			r.suspicions.Forget(s.Server)
-			r.gateway.exchanges.Gone(s.Server)
+			r.gateway.exchanges.Gone(r.exchangeWorld(w), s.Server)
 		}
 	}
 	if direct {
@@ -361,6 +374,7 @@
 	}
 	out = append(out, r.relayNow(w)...)
 	out = append(out, r.tickDuties(w)...)
+	out = append(out, r.tickQuarantine(w)...)
 	if g.draining && !g.exiting && !w.Now.Before(g.leaveAt) && g.exchanges.InFlight() == 0 {
 		g.exiting = true
 		out = append(out, messenger.Exit{})
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -23,6 +23,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/planner"
 	"github.com/dotterelhollow/dotterelhollow/internal/provisioner"
+	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
 	"github.com/dotterelhollow/dotterelhollow/internal/ranker"
 	"github.com/dotterelhollow/dotterelhollow/internal/retrier"
 	"github.com/dotterelhollow/dotterelhollow/internal/router"
@@ -85,6 +86,7 @@
 	budgets     *retrier.Budgets
 	suspicions  *detector.Suspicions
 	hints       *router.Hints
+	quarantine  *quarantiner.Quarantine
 	requests    *conductor.Conductor
 	provisioner *provisioner.Provisioner
 	timers      timers
@@ -105,6 +107,7 @@
 		budgets:     retrier.New(retrier.Config{Rules: retrier.AllRules()}),
 		suspicions:  detector.New(detector.Config{Rules: detector.AllRules()}),
 		hints:       router.NewHints(router.HintsConfig{}),
+		quarantine:  quarantiner.New(),
 		requests:    newConductor(c),
 		provisioner: newProvisioner(c),
 		timers:      newTimers(),
@@ -115,7 +118,7 @@
 		Members: r.members,
 	})
 	if c.Gateway != nil {
-		r.gateway = newGateway(c)
+		r.gateway = newGateway(c, r.quarantine)
 		r.suspicions = detector.New(c.Gateway.suspicions())
 		r.budgets = retrier.New(c.Gateway.budgets())
 	}
@@ -197,6 +200,7 @@
 	case messenger.AppendEnded:
 		// Only reading the log back settles an append.
 		r.claims.AppendEnded(w.Now, b.Stream, b.OK)
+		r.quarantineAppended(b)
 		return nil
 	case messenger.ChangeProposed:
 		return r.changeProposed(w, b)
--- a/internal/reducer/share.go
+++ b/internal/reducer/share.go
@@ -32,6 +32,7 @@
 func (r *Reducer) shareReceived(w *conductor.World, e messenger.ShareReceived) []messenger.Effect {
 	g := r.gateway
 	s := e.Share
+	r.quarantine.Learn(w.Now, s.Suspects)
 	g.exchanges.PeerLoad(w.Now, e.From, s)
 	g.usage.PeerCounts(e.From, s.Incarnation, s.Usage)
 	g.heardOfHolder(w.Now, s)
@@ -113,6 +114,7 @@
 		all := g.all(now)
 		share.Servers = all.servers
 		share.Kept = all.kept
+		share.Suspects = all.suspects
 		if !now.Before(until) {
 			delete(g.newcomers, peer.VM)
 		}
@@ -129,15 +131,18 @@
 	at      timekeeper.Time
 	servers []messenger.PublishedServer
 	kept    []messenger.KeptPart
+	// suspects are the requests under which servers ended.
+	suspects []messenger.SuspectRequest
 }
 
 // all gathers the entries, once for all peers that are told at an instant.
 func (g *gateway) all(now timekeeper.Time) *entries {
 	if g.gathered == nil || g.gathered.at != now {
 		g.gathered = &entries{
-			at:      now,
-			servers: g.servers.All(),
-			kept:    g.exchanges.AllKept(),
+			at:       now,
+			servers:  g.servers.All(),
+			kept:     g.exchanges.AllKept(),
+			suspects: g.quarantine.All(now),
 		}
 	}
 	return g.gathered
@@ -162,6 +167,7 @@
 		ConfigurationAge: now.Sub(g.confirmed),
 		Revision:         g.revision(),
 		Kept:             g.exchanges.NewlyKept(now),
+		Suspects:         g.quarantine.News(now, g.relaySince != 0),
 	}
 	if fence, _, held := g.leases.Held(dutyLease, now); held {
 		s.Holder = g.self
--- a/internal/relayer/share.go
+++ b/internal/relayer/share.go
@@ -38,6 +38,9 @@
 		})
 	}
 	out.Kept = encodeKept(s.Kept)
+	for _, suspect := range s.Suspects {
+		out.Suspects = append(out.Suspects, encodeSuspect(suspect))
+	}
 	for _, u := range s.Usage {
 		out.Usage = append(out.Usage, &pb.UsageCount{
 			Window:  int64(u.Window),
@@ -94,6 +97,9 @@
 		}
 	}
 	s.Kept = decodeKept(q.GetKept())
+	for _, suspect := range q.GetSuspects() {
+		s.Suspects = append(s.Suspects, decodeSuspect(suspect))
+	}
 	for _, u := range q.GetUsage() {
 		s.Usage = append(s.Usage, messenger.UsageCount{
 			Window:  identifier.UsageWindow(u.GetWindow()),
@@ -171,3 +177,38 @@
 	}
 	return servers
 }
+
+func encodeSuspect(s messenger.SuspectRequest) *pb.SuspectRequest {
+	out := &pb.SuspectRequest{
+		Request:      uint64(s.Request),
+		SeenAgeMs:    int64(s.SeenAge),
+		Cleared:      s.Cleared,
+		ClearedAgeMs: int64(s.ClearedAge),
+	}
+	for _, e := range s.Ends {
+		out.Servers = append(out.Servers, string(e.Server))
+		out.EndedAgesMs = append(out.EndedAgesMs, int64(e.Age))
+	}
+	return out
+}
+
+// decodeSuspect leaves out ends where the lists have different lengths, which can't
+// be true.
+func decodeSuspect(s *pb.SuspectRequest) messenger.SuspectRequest {
+	out := messenger.SuspectRequest{
+		Request:    identifier.Fingerprint(s.GetRequest()),
+		SeenAge:    timekeeper.Duration(max(s.GetSeenAgeMs(), 0)),
+		Cleared:    s.GetCleared(),
+		ClearedAge: timekeeper.Duration(max(s.GetClearedAgeMs(), 0)),
+	}
+	if len(s.GetServers()) != len(s.GetEndedAgesMs()) {
+		return out
+	}
+	for i, server := range s.GetServers() {
+		out.Ends = append(out.Ends, messenger.ServerEnd{
+			Server: identifier.VMID(server),
+			Age:    timekeeper.Duration(max(s.GetEndedAgesMs()[i], 0)),
+		})
+	}
+	return out
+}
--- a/pkg/identifier/identifier.go
+++ b/pkg/identifier/identifier.go
@@ -133,6 +133,13 @@
 // String returns the hash as logs show it.
 func (h ContentHash) String() string { return fmt.Sprintf("%016x", uint64(h)) }
 
+// Fingerprint names a request by its caller and its content, whatever node and
+// request id it comes by. Zero where these are not known.
+type Fingerprint uint64
+
+// String returns the fingerprint as logs show it.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+
 // Tokens is a number of model tokens.
 type Tokens int64
 
