Keep the requests that are refused in the store for good

Cause: the store keeps the records of the system's streams for 20 s; a loss of all nodes later than that lost what they had learned. Change: of a stream whose newest record says all, the store keeps that record, under a key; nodes that may hold the duties read it once.

--- a/cmd/dotterelhollow/gateway.go
+++ b/cmd/dotterelhollow/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/historian"
 	"github.com/dotterelhollow/dotterelhollow/internal/leaser"
 	"github.com/dotterelhollow/dotterelhollow/internal/logwriter"
+	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
 	"github.com/dotterelhollow/dotterelhollow/internal/reducer"
 	"github.com/dotterelhollow/dotterelhollow/internal/relayer"
 	"github.com/dotterelhollow/dotterelhollow/internal/runner"
@@ -91,6 +92,7 @@
 		Self:        s.VM,
 		Zone:        s.Zone,
 		PeerAddress: s.Peer.Advertised.String(),
+		Snapshots:   []identifier.LogStream{quarantiner.Stream},
 		Clock:       g.clock,
 		Logger:      g.logger,
 	})
@@ -123,7 +125,7 @@
 		Peers:          peers,
 		CloseListeners: g.closeCallers,
 		Limits:         runner.Limits{ListEvery: listPause},
-		PromptStreams:  []identifier.LogStream{leaser.Stream},
+		PromptStreams:  []identifier.LogStream{leaser.Stream, quarantiner.Stream},
 	})
 	g.metrics = forwarder.NewMetrics()
 	g.forwarder = forwarder.New(forwarder.Config{
