--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -107,14 +107,24 @@
 }
 
 func (n *node) publish(i int, state messenger.ServerState) {
+	n.publishIn(serverID(i), identifier.Zone(fmt.Sprintf("zone-%d", i%4)), state)
+}
+
+// publishServer publishes the state of a server that is known.
+func (n *node) publishServer(vm identifier.VMID, state messenger.ServerState) {
+	known, _ := n.world.Servers.Server(vm)
+	n.publishIn(vm, known.Zone, state)
+}
+
+func (n *node) publishIn(vm identifier.VMID, zone identifier.Zone, state messenger.ServerState) {
 	n.offset++
 	n.world.Servers.Read(n.world.Now, []messenger.PublishedServer{
 		{
-			Server:  serverID(i),
+			Server:  vm,
 			Offset:  n.offset,
 			Service: "reader",
-			Address: fmt.Sprintf("10.0.0.%d:80", i),
-			Zone:    identifier.Zone(fmt.Sprintf("zone-%d", i%4)),
+			Address: string(vm) + ":80",
+			Zone:    zone,
 			Slots:   64,
 			State:   state,
 		},
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -267,6 +267,24 @@
 				},
 			},
 		},
+		Suspects: []messenger.SuspectRequest{
+			{
+				Request: 1 << 63,
+				Ends: []messenger.ServerEnd{
+					{
+						Server: "i-1",
+						Age:    1200,
+					},
+					{
+						Server: "i-2",
+						Age:    30,
+					},
+				},
+				SeenAge:    20,
+				Cleared:    true,
+				ClearedAge: 5000,
+			},
+		},
 		Usage: []messenger.UsageCount{
 			{
 				Window:  9,
