--- a/internal/messenger/event.go
+++ b/internal/messenger/event.go
@@ -40,6 +40,8 @@
 		Delivered identifier.Tokens
 		// RetryAfter is the server's own wish, or zero.
 		RetryAfter timekeeper.Duration
+		// ServerEnded tells that nothing listens at the server's address any more.
+		ServerEnded bool
 	}
 	// KVMoved: an export and import of KV cache ended.
 	KVMoved struct {
--- a/internal/messenger/vocabulary.go
+++ b/internal/messenger/vocabulary.go
@@ -27,6 +27,8 @@
 	MaxTokens    identifier.Tokens
 	// Prefix names the prompt's leading blocks, shortest first.
 	Prefix []identifier.PrefixHash
+	// Content stands for service and body.
+	Content identifier.ContentHash
 }
 
 // Outcome is what a caller is told of the end of a request.
--- a/internal/relayer/codec.go
+++ b/internal/relayer/codec.go
@@ -85,6 +85,7 @@
 		BodySize:     int64(s.BodySize),
 		PromptTokens: int64(s.PromptTokens),
 		MaxTokens:    int64(s.MaxTokens),
+		Content:      uint64(s.Content),
 	}
 	for _, hash := range s.Prefix {
 		e.Prefix = append(e.Prefix, uint64(hash))
@@ -106,6 +107,7 @@
 		BodySize:     identifier.Bytes(e.GetBodySize()),
 		PromptTokens: identifier.Tokens(e.GetPromptTokens()),
 		MaxTokens:    identifier.Tokens(e.GetMaxTokens()),
+		Content:      identifier.ContentHash(e.GetContent()),
 	}
 	if left := timekeeper.Duration(e.GetRemainingMs()); left < farFuture {
 		s.Deadline = now.Add(left)
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -131,6 +131,7 @@
 		PromptTokens: 5,
 		MaxTokens:    100,
 		Prefix:       []identifier.PrefixHash{1, 1 << 60},
+		Content:      1 << 63,
 	}
 }
 
--- a/internal/runner/attempt.go
+++ b/internal/runner/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/adapter"
 	"github.com/dotterelhollow/dotterelhollow/internal/answerer"
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/dialer"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
@@ -166,14 +167,27 @@
 	}
 	a.runner.metrics.attemptEnded(result)
 	a.runner.emit(ctx, messenger.AttemptEnded{
-		Request:    a.effect.Request,
-		Attempt:    a.effect.Attempt,
-		Result:     result,
-		Delivered:  a.answer.Delivered(),
-		RetryAfter: adapter.RetryAfter(err),
+		Request:     a.effect.Request,
+		Attempt:     a.effect.Attempt,
+		Result:      result,
+		Delivered:   a.answer.Delivered(),
+		RetryAfter:  adapter.RetryAfter(err),
+		ServerEnded: a.serverEnded(ctx, result, err),
 	})
 }
 
+// serverEnded reports whether the server's process is gone. A connection that broke
+// does not say so by itself.
+func (a *attempt) serverEnded(ctx context.Context, result messenger.AttemptResult, err error) bool {
+	switch result {
+	case messenger.AttemptNotSent:
+		return dialer.Refused(err)
+	case messenger.AttemptBroken:
+		return dialer.RefusedAt(ctx, a.effect.Address)
+	}
+	return false
+}
+
 func resultOf(err error) messenger.AttemptResult {
 	var tooLong *tooLongError
 	if errors.As(err, &tooLong) {
--- a/internal/runner/backend.go
+++ b/internal/runner/backend.go
@@ -150,11 +150,24 @@
 			PromptTokens: encoder.PromptTokens(s.Prompt),
 			MaxTokens:    maxTokens,
 			Prefix:       encoder.Prefix(s.Prompt),
+			Content:      contentOf(s),
 		},
 		Body: body,
 	})
 }
 
+// contentOf stands for what a submission asks, whatever its key.
+func contentOf(s server.Submission) identifier.ContentHash {
+	d := xxhash.New()
+	for _, part := range []string{string(s.Service), s.Method, s.Path, s.Prompt} {
+		// Neither write fails.
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(s.Body)
+	return identifier.ContentHash(d.Sum64())
+}
+
 // requestID derives the id from the account and the key, so that every node
 // names a repeated request the same, or makes up a new one.
 func requestID(s server.Submission) identifier.RequestID {
