Count the ends of servers on the product's own interface too

Cause: as for opaque exchanges: tries were counted by submission and node. Change: conductor and dispatcher ask the same quarantine. Nodes of the own interface tell one another of suspect requests in shares that have nothing else, all read the log's stream, and the first of them keeps it. A stream whose server has ended is not joined again. A keyed request is refused as unknown: it may have run under its key before.

--- a/internal/conductor/attempt.go
+++ b/internal/conductor/attempt.go
@@ -114,7 +114,8 @@
 	r.began = now
 	r.firstAt = 0
 	r.awaited = p.firstToken
-	if p.joins() {
+	r.joins = p.joins()
+	if r.joins {
 		r.awaited = 0
 	}
 	r.move = moveState{}
--- a/internal/conductor/harness_test.go
+++ b/internal/conductor/harness_test.go
@@ -14,6 +14,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/planner"
+	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
 	"github.com/dotterelhollow/dotterelhollow/internal/retrier"
 	"github.com/dotterelhollow/dotterelhollow/internal/router"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
@@ -148,8 +149,9 @@
 			Partitions: 1,
 			Retention:  timekeeper.Hour,
 		}),
-		Loads: map[identifier.VMID]messenger.ServerLoad{},
-		Rand:  rand.New(rand.NewPCG(1, 1)),
+		Quarantine: quarantiner.New(),
+		Loads:      map[identifier.VMID]messenger.ServerLoad{},
+		Rand:       rand.New(rand.NewPCG(1, 1)),
 	}
 }
 
--- a/internal/conductor/progress.go
+++ b/internal/conductor/progress.go
@@ -69,10 +69,15 @@
 	r.phase = waiting
 	out := []messenger.Effect{c.note("attempt_ended", r, fmt.Sprintf("result=%s delivered=%d", e.Result, r.delivered))}
 	if e.Result == messenger.AttemptComplete {
+		w.Quarantine.Completed(w.Now, fingerprint(r.spec))
 		c.completed(w, r)
 		return append(out, c.finish(w, r, ending{outcome: messenger.Done})...)
 	}
-	if effects, ok := c.rejoin(w, r, e.Result); ok {
+	c.noteEnd(w, r, e, ranNow)
+	if after, refused := w.Quarantine.Refuses(w.Now, fingerprint(r.spec)); refused {
+		return append(out, c.endQuarantined(w, r, after)...)
+	}
+	if effects, ok := c.rejoin(w, r, e); ok {
 		return append(out, effects...)
 	}
 	c.blame(w, r, e.Result)
@@ -83,9 +88,9 @@
 // connection may be dead while new ones work: the stream then goes on at the
 // server and nothing need be computed again. It is tried once for each stretch
 // of progress, so that a server that is really gone costs one dial.
-func (c *Conductor) rejoin(w *World, r *request, result messenger.AttemptResult) ([]messenger.Effect, bool) {
-	cut := result == messenger.AttemptBroken || result == messenger.AttemptSilent
-	if !cut || !r.model() {
+func (c *Conductor) rejoin(w *World, r *request, e messenger.AttemptEnded) ([]messenger.Effect, bool) {
+	cut := e.Result == messenger.AttemptBroken || e.Result == messenger.AttemptSilent
+	if !cut || e.ServerEnded || !r.model() {
 		return nil, false
 	}
 	if r.rejoined && r.rejoinedAt == r.delivered {
--- a/internal/conductor/receive.go
+++ b/internal/conductor/receive.go
@@ -44,6 +44,9 @@
 	if !ok {
 		return catalog.Service{}, notRun(messenger.ReasonUnknownService, 0)
 	}
+	if after, refused := w.Quarantine.Refuses(w.Now, fingerprint(spec)); refused {
+		return catalog.Service{}, notRun(messenger.ReasonServersEnded, after)
+	}
 	return service, messenger.Refusal{}
 }
 
--- a/internal/conductor/request.go
+++ b/internal/conductor/request.go
@@ -58,6 +58,8 @@
 	// awaited is the predicted time to the first token, or zero where the
 	// attempt joins a stream that is under way.
 	awaited timekeeper.Duration
+	// joins tells that the attempt joins such a stream.
+	joins bool
 	// delivered counts the tokens of the answer that stand with this node.
 	delivered identifier.Tokens
 	// mayHaveRun tells that an attempt may have had an effect. While it is
--- a/internal/conductor/world.go
+++ b/internal/conductor/world.go
@@ -9,6 +9,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
 	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
 	"github.com/dotterelhollow/dotterelhollow/internal/retrier"
 	"github.com/dotterelhollow/dotterelhollow/internal/router"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
@@ -26,6 +27,8 @@
 	Suspicions *detector.Suspicions
 	Hints      *router.Hints
 	Claims     *claimer.Table
+	// Quarantine knows the requests under which servers ended.
+	Quarantine *quarantiner.Quarantine
 	Loads      map[identifier.VMID]messenger.ServerLoad
 	Rand       *rand.Rand
 }
--- a/internal/reducer/duty.go
+++ b/internal/reducer/duty.go
@@ -24,6 +24,7 @@
 		g.leaseRead = true
 		g.leases.Absorb(w.Now, e)
 	case quarantiner.Stream:
+		g.quarantineRead = true
 		return r.quarantineRead(w, e)
 	case accountant.Stream:
 		unreadable := g.usage.Ignored()
--- a/internal/reducer/platformlog.go
+++ b/internal/reducer/platformlog.go
@@ -11,6 +11,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/provisioner"
+	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -48,7 +49,7 @@
 	if r.gateway != nil {
 		return r.gateway.streams()
 	}
-	return append([]identifier.LogStream{configStream, leaseStream}, r.claims.Streams()...)
+	return append([]identifier.LogStream{configStream, leaseStream, quarantiner.Stream}, r.claims.Streams()...)
 }
 
 func (r *Reducer) logRead(w *conductor.World, e messenger.LogRead) []messenger.Effect {
@@ -61,6 +62,8 @@
 	case leaseStream:
 		r.provisioner.LogRead(w.Now, e)
 		return nil
+	case quarantiner.Stream:
+		return r.quarantineRead(w, e)
 	}
 	return r.requests.ClaimsDecided(w, r.claims.Absorb(w.Now, e))
 }
--- a/internal/reducer/quarantine.go
+++ b/internal/reducer/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/conductor"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
@@ -17,17 +18,62 @@
 // tellEndsSoon lets peers hear soon of a server that ended under a request: by then
 // its caller may have sent it to one of them.
 func (r *Reducer) tellEndsSoon(w *conductor.World) {
-	if r.quarantine.ToTell() {
-		r.gateway.nextShare = min(r.gateway.nextShare, w.Now.Add(endsSoon))
+	if !r.quarantine.ToTell() {
+		return
 	}
+	next := &r.timers.nextSuspects
+	if r.gateway != nil {
+		next = &r.gateway.nextShare
+	}
+	*next = min(*next, w.Now.Add(endsSoon))
+}
+
+// tellSuspects tells peers of the requests under which servers ended, if there are any.
+// Nodes that serve opaque exchanges do so with what else they share.
+func (r *Reducer) tellSuspects(w *conductor.World) []messenger.Effect {
+	if w.Now.Before(r.timers.nextSuspects) {
+		return nil
+	}
+	r.timers.nextSuspects = w.Now.Add(shareEachTime)
+	peers := slices.Clone(r.ranking.Peers())
+	// Where nodes are many, what a node hears it passes on.
+	passOn := len(peers) > sharePeers
+	suspects := r.quarantine.News(w.Now, passOn)
+	if len(suspects) == 0 {
+		return nil
+	}
+	if passOn {
+		r.rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+		peers = peers[:sharePeers]
+	}
+	out := make([]messenger.Effect, 0, len(peers))
+	for _, p := range peers {
+		out = append(out, messenger.SendShare{
+			Peer:    p.VM,
+			Address: p.PeerAddress,
+			Share:   messenger.Share{Suspects: suspects},
+		})
+	}
+	return out
+}
+
+// keepsQuarantine reports whether this node keeps the requests that are refused in the
+// log: the holder of the duties, or else the first of the nodes. Two that do so for a
+// while write the same.
+func (r *Reducer) keepsQuarantine(now timekeeper.Time) bool {
+	if r.gateway == nil {
+		return r.ranking.Chosen(string(quarantiner.Stream), 1)
+	}
+	_, _, held := r.gateway.leases.Held(dutyLease, now)
+	return held
 }
 
 // tickQuarantine forgets what is old, tells the time line which requests are refused,
-// and keeps these in the log while this node holds the duties.
+// and keeps these in the log where that is for this node to do.
 func (r *Reducer) tickQuarantine(w *conductor.World) []messenger.Effect {
 	r.quarantine.Tick(w.Now)
 	out := r.quarantineNotes()
-	if _, _, held := r.gateway.leases.Held(dutyLease, w.Now); !held {
+	if !r.keepsQuarantine(w.Now) {
 		return out
 	}
 	data, due, err := r.quarantine.StoreDue(w.Now)
@@ -69,7 +115,6 @@
 
 // quarantineRead takes in the requests that were refused before this node started.
 func (r *Reducer) quarantineRead(w *conductor.World, e messenger.LogRead) []messenger.Effect {
-	r.gateway.quarantineRead = true
 	if err := r.quarantine.Absorb(w.Now, e.Records); err != nil {
 		return []messenger.Effect{r.quarantineUnreadable(err)}
 	}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -172,7 +172,9 @@
 	case messenger.AttemptProgress:
 		return r.requests.AttemptProgress(w, b)
 	case messenger.AttemptEnded:
-		return r.requests.AttemptEnded(w, b)
+		out := r.requests.AttemptEnded(w, b)
+		r.tellEndsSoon(w)
+		return out
 	case messenger.KVMoved:
 		return r.requests.KVMoved(w, b)
 
@@ -229,9 +231,12 @@
 		r.hints.Learn(w.Now, b.Server, b.Held, b.Gone, b.Gap)
 		return nil
 
+	case messenger.ShareReceived:
+		r.quarantine.Learn(w.Now, b.Share.Suspects)
+		return r.gatewayEvent(w, b)
 	case messenger.ExchangeReceived, messenger.ExchangeBegan, messenger.ExchangeAttemptEnded,
 		messenger.ExchangeEnded, messenger.CatalogPublished, messenger.CatalogConfirmed,
-		messenger.ServersPublished, messenger.ShareReceived,
+		messenger.ServersPublished,
 		messenger.ServersOrdered, messenger.UsageReported, messenger.LimitAnswered, messenger.LimitAsked:
 		return r.gatewayEvent(w, b)
 
@@ -267,6 +272,7 @@
 		Suspicions: r.suspicions,
 		Hints:      r.hints,
 		Claims:     r.claims,
+		Quarantine: r.quarantine,
 		Loads:      r.loads,
 		Rand:       r.rand,
 	}
--- a/internal/reducer/share.go
+++ b/internal/reducer/share.go
@@ -32,7 +32,6 @@
 func (r *Reducer) shareReceived(w *conductor.World, e messenger.ShareReceived) []messenger.Effect {
 	g := r.gateway
 	s := e.Share
-	r.quarantine.Learn(w.Now, s.Suspects)
 	g.exchanges.PeerLoad(w.Now, e.From, s)
 	g.usage.PeerCounts(e.From, s.Incarnation, s.Usage)
 	g.heardOfHolder(w.Now, s)
--- a/internal/reducer/tick.go
+++ b/internal/reducer/tick.go
@@ -21,9 +21,10 @@
 
 // timers holds the instants at which periodic work is next due.
 type timers struct {
-	nextPoll  timekeeper.Time
-	nextShare timekeeper.Time
-	nextFetch timekeeper.Time
+	nextPoll     timekeeper.Time
+	nextShare    timekeeper.Time
+	nextSuspects timekeeper.Time
+	nextFetch    timekeeper.Time
 	// configOut is when the log's stream of the configuration became
 	// unreadable, or Never.
 	configOut timekeeper.Time
@@ -50,6 +51,8 @@
 	out = append(out, r.tickConfig(w)...)
 	out = append(out, r.tickPolls(w)...)
 	out = append(out, r.tickClaims(w)...)
+	out = append(out, r.tickQuarantine(w)...)
+	out = append(out, r.tellSuspects(w)...)
 	out = append(out, r.tickProvisioner(w)...)
 	if !w.Now.Before(r.timers.nextShare) {
 		r.timers.nextShare = w.Now.Add(shareEvery)
--- a/internal/server/problem.go
+++ b/internal/server/problem.go
@@ -94,6 +94,10 @@
 		return http.StatusConflict
 	case messenger.ReasonServerFailed, messenger.ReasonRetriesSpent:
 		return http.StatusBadGateway
+	case messenger.ReasonServersEnded:
+		if r.Outcome != messenger.NotRun {
+			return http.StatusBadGateway
+		}
 	}
 	return http.StatusServiceUnavailable
 }
