Tell operators of requests that are refused for servers that ended

A test plays it on real sockets: 502 after the third engine, 503 with ten minutes to come back at another node a second later, two engines left of five. Test set-up: ports of nodes are given once.

--- a/cmd/dotterelhollow/gateway_test.go
+++ b/cmd/dotterelhollow/gateway_test.go
@@ -25,6 +25,10 @@
 	"github.com/dotterelhollow/dotterelhollow/platform/standin"
 )
 
+// newsTime is when all nodes have heard of what one has found, a third of what the
+// users allow.
+const newsTime = time.Second
+
 // patience bounds each wait of these tests, which are for milliseconds.
 const patience = 20 * time.Second
 
@@ -49,6 +53,8 @@
 	// storeAddress and cloudAddress are the stand-ins' addresses.
 	storeAddress string
 	cloudAddress string
+	// given are the ports that nodes were given.
+	given map[netip.AddrPort]bool
 }
 
 type gatewayNode struct {
@@ -58,8 +64,15 @@
 }
 
 func newInstallation(t *testing.T, nodes int) *installation {
+	t.Helper()
+	return newInstallationOf(t, nodes, 3, (*installation).listen)
+}
+
+// newInstallationOf returns one with so many engines, each of which listens as told.
+func newInstallationOf(t *testing.T, nodes, engines int, listen func(*installation, http.Handler) string) *installation {
 	t.Helper()
 	in := &installation{
+		given:   map[netip.AddrPort]bool{},
 		t:       t,
 		store:   standin.NewStore(),
 		cloud:   standin.NewCloud(),
@@ -67,7 +80,7 @@
 	}
 	in.storeAddress = in.listen(in.store)
 	in.cloudAddress = in.listen(in.cloud)
-	for i := range 3 {
+	for i := range engines {
 		in.engines = append(in.engines, &standin.Server{
 			ID:      fmt.Sprintf("i-%d", i+1),
 			Service: "reader",
@@ -82,7 +95,7 @@
 		Zone:    "boston-a",
 	}
 	for _, s := range append([]*standin.Server{in.portal}, in.engines...) {
-		in.address[s.ID] = in.listen(s)
+		in.address[s.ID] = listen(in, s)
 		require.NoError(t, s.Publish(in.store, in.address[s.ID], "ready"))
 	}
 	in.configure(1, "")
@@ -148,14 +161,23 @@
 	return s.Peer.Advertised
 }
 
+// port returns a free port, each only once: the kernel gives one that was closed again
+// soon, so that of the ten ports of two nodes two were the same in one run of 150, and
+// a node that could not listen ended.
 func (in *installation) port() starter.Port {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(in.t, err)
-	defer func() { _ = l.Close() }()
-	address := netip.MustParseAddrPort(l.Addr().String())
-	return starter.Port{
-		Listen:     address,
-		Advertised: address,
+	for {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(in.t, err)
+		address := netip.MustParseAddrPort(l.Addr().String())
+		require.NoError(in.t, l.Close())
+		if in.given[address] {
+			continue
+		}
+		in.given[address] = true
+		return starter.Port{
+			Listen:     address,
+			Advertised: address,
+		}
 	}
 }
 
@@ -262,6 +284,46 @@
 	}, patience, 20*time.Millisecond)
 }
 
+// mortal is a server whose process ends when it gets a request for a deadly path: its
+// port is closed, and its connections break.
+func (in *installation) mortal(h http.Handler) string {
+	var server *httptest.Server
+	server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !strings.HasSuffix(r.URL.Path, "/deadly") {
+			h.ServeHTTP(w, r)
+			return
+		}
+		_ = server.Listener.Close()
+		server.CloseClientConnections()
+	}))
+	in.t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// A report ends each engine that gets it. Its caller gets 502 once three have ended,
+// and asks another node under another id: that node has sent it nowhere, but has heard,
+// and says at once that it did not run and is not to come back soon. Two engines are
+// left, and serve others.
+func TestGatewayRefusesQueryOfDeath(t *testing.T) {
+	in := newInstallationOf(t, 2, 5, (*installation).mortal)
+	response, _, err := in.ask(in.nodes[0], "r-2", "/reports/deadly", "secret")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, response.StatusCode)
+	// Nodes tell one another at their next tick; asked at once, the other node would
+	// send it.
+	<-time.After(newsTime)
+	response, _, err = in.ask(in.nodes[1], "r-3", "/reports/deadly", "secret")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.Equal(t, "600", response.Header.Get("Retry-After"))
+	for i := range 4 {
+		response, body, err := in.ask(in.nodes[i%2], fmt.Sprintf("r-4%d", i), "/reports/1", "secret")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		require.Equal(t, wholeStream(30), body)
+	}
+}
+
 // A node is stopped as planned while it passes on a report. The report ends
 // whole, callers are no longer sent to the node, and its process ends.
 func TestGatewayPlannedStop(t *testing.T) {
--- a/docs/operations_test.go
+++ b/docs/operations_test.go
@@ -255,7 +255,7 @@
 	}
 	require.Equal(t, map[string]int{
 		"attempt ended":  2,
-		"exchange ended": 2,
+		"exchange ended": 3,
 	}, seen)
 }
 
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -80,6 +80,7 @@
 func (w World) about(x *exchange) World {
 	w.Basis.Route = x.route.Name
 	w.Basis.Account = x.account
+	w.Basis.Fingerprint = x.request
 	w.Basis.Limit = x.limit
 	return w
 }
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -151,6 +151,7 @@
 		"content", x.content.String(),
 		"route", x.basis.Route,
 		"account", x.basis.Account,
+		"fingerprint", x.basis.Fingerprint.String(),
 		"limit", x.basis.Limit,
 		"server", x.server,
 		"attempts", x.attempts,
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -74,6 +74,8 @@
 	// Route and Account are empty where the request named none that is known.
 	Route   identifier.RouteName
 	Account identifier.AccountID
+	// Fingerprint is that of what was asked and by whom.
+	Fingerprint identifier.Fingerprint
 	// Limit tells who decided on the account's limit; empty where nobody did.
 	Limit    LimitSource
 	Revision identifier.Revision
--- a/internal/reducer/quarantine.go
+++ b/internal/reducer/quarantine.go
@@ -92,14 +92,19 @@
 func (r *Reducer) quarantineNotes() []messenger.Effect {
 	var out []messenger.Effect
 	for _, c := range r.quarantine.Changes() {
-		kind := messenger.NoteKind("request_quarantined")
+		detail := fmt.Sprintf("fingerprint=%s servers=%v", c.Request, c.Servers)
 		if !c.Refused {
-			kind = "request_released"
+			out = append(out, messenger.Note{
+				Kind:   "request_released",
+				VM:     r.config.Self,
+				Detail: detail,
+			})
+			continue
 		}
 		out = append(out, messenger.Note{
-			Kind:   kind,
+			Kind:   "request_quarantined",
 			VM:     r.config.Self,
-			Detail: fmt.Sprintf("fingerprint=%s servers=%v", c.Request, c.Servers),
+			Detail: detail,
 		})
 	}
 	return out
