Show that retries of all nodes together exceed what the users bear

The same class as the queries of death: counted by node and process where the promise is for all. Each node may spend its part of 40 at once and again within ten seconds, and begins anew when its process does.

--- a/internal/prover/gateway_test.go
+++ b/internal/prover/gateway_test.go
@@ -107,6 +107,9 @@
 	faults   []string
 	// serverFault is how servers answer; empty means well.
 	serverFault messenger.AttemptResult
+	// alwaysFails lets each attempt end so, not every other one.
+	alwaysFails bool
+	repeats     repeats
 	// work is how long a server needs for a request.
 	work timekeeper.Duration
 	endings
@@ -541,6 +544,7 @@
 // receive gives a node a request.
 func (w *exchangeWorld) receive(n *gatewayNode, id identifier.RequestID, kind catalog.Repetition, content identifier.ContentHash) {
 	w.contents[id] = content
+	w.repeats.asked = append(w.repeats.asked, w.now)
 	w.apply(n, messenger.ExchangeReceived{
 		Spec: messenger.ExchangeSpec{
 			Exchange:     w.next,
@@ -566,8 +570,11 @@
 	if left, leaving := w.left[e.Server]; leaving && w.now.Sub(left) > leaveBound && !n.cut && !n.offStore {
 		w.fault("%s sends %s to %s, which left %d ms ago", n.vm, id, e.Server, w.now.Sub(left))
 	}
+	if e.Attempt > 1 {
+		w.repeats.again = append(w.repeats.again, w.now)
+	}
 	result := messenger.AttemptComplete
-	if w.serverFault != "" && w.rng.IntN(2) == 0 {
+	if w.serverFault != "" && (w.alwaysFails || w.rng.IntN(2) == 0) {
 		result = w.serverFault
 	}
 	if result != messenger.AttemptNotSent && result != messenger.AttemptRefused {
