Bound retries of all nodes in any span of ten seconds

Cause: each node's part of what may be sent again was a balance: saved up and refilled within one span it allowed twice as much, and a process began with it anew, whatever was spent under its node's name before. Change: an allowance that counts requests and retries of the last span; its number beside the share counts once the process is as old as that. The own interface keeps its balances, which promise nothing for all nodes.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -63,7 +63,7 @@
 	// nothing says.
 	Granter    *Granter
 	GranterDue timekeeper.Duration
-	Budgets    *retrier.Budgets
+	Retries    *retrier.Allowance
 	Suspicions *detector.Suspicions
 	// Quarantine knows the requests under which servers ended.
 	Quarantine *quarantiner.Quarantine
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -92,7 +92,7 @@
 			Catalog:    testCatalog(),
 			Servers:    registrar.New(),
 			Local:      limiter.NewLocal(),
-			Budgets:    retrier.New(retrier.Config{Rules: retrier.AllRules()}),
+			Retries:    newRetries(),
 			Suspicions: detector.New(detector.Config{Rules: detector.AllRules()}),
 			Quarantine: quarantiner.New(),
 			Rand:       rand.New(rand.NewPCG(1, 2)),
@@ -106,6 +106,16 @@
 	return n
 }
 
+// newRetries allows three retries beside 15 for a hundred requests.
+func newRetries() *retrier.Allowance {
+	a := retrier.NewAllowance(retrier.AllowanceConfig{
+		Share: 0.15,
+		Span:  10 * timekeeper.Second,
+	})
+	a.SetExtra(start.Add(-timekeeper.Minute), 3)
+	return a
+}
+
 func (n *node) publish(i int, state messenger.ServerState) {
 	n.publishIn(serverID(i), identifier.Zone(fmt.Sprintf("zone-%d", i%4)), state)
 }
--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -14,10 +14,6 @@
 )
 
 const (
-	// retryPercent is the share of requests that may be sent once more. The
-	// users' bound is 20 in 100 over all nodes; the rest is room for nodes
-	// whose requests are few and for what a resumed stream needs.
-	retryPercent = 15
 	// soon is when a refused caller may come back where nothing better is
 	// known: by then peers' news has reached this node, and other callers are
 	// spread over as long again.
@@ -61,7 +57,7 @@
 	if !ok {
 		return d.refuseForServers(w, x)
 	}
-	w.Budgets.Requested(w.Now, x.service, retryPercent)
+	w.Retries.Requested(w.Now, x.service)
 	return d.send(w, x, c)
 }
 
--- a/internal/dispatcher/repeat.go
+++ b/internal/dispatcher/repeat.go
@@ -59,7 +59,7 @@
 	if !ok {
 		return d.end(w, x, e, messenger.ReasonNoServer)
 	}
-	if e.Result != messenger.AttemptNotSent && !w.Budgets.Spend(w.Now, x.service) {
+	if e.Result != messenger.AttemptNotSent && !w.Retries.Spend(w.Now, x.service) {
 		return d.end(w, x, e, messenger.ReasonRetriesSpent)
 	}
 	return d.send(w, x, c)
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -26,10 +26,14 @@
 	gatewayMaxHoldOff = 8 * timekeeper.Second
 	gatewayProbeTime  = 3 * timekeeper.Second
 	gatewayProbes     = 2
-	// retryFloor is the retries of a service in retryWindow, of all nodes
-	// together, beyond a share of its requests. The users allow 52 and more.
-	retryFloor  = 40
-	retryWindow = 10 * timekeeper.Second
+	// retryShare is how much of a retry each request earns, so that 15 in 100 may be sent once
+	// more. The users' bound is 20 in 100 over all nodes; the rest is room for nodes
+	// whose requests are few and for what a resumed stream needs.
+	retryShare = 0.15
+	// retryExtra is the retries of a service in retrySpan, of all nodes together,
+	// beyond that. The users allow 52 and more.
+	retryExtra = 40
+	retrySpan  = 10 * timekeeper.Second
 
 	// dutyLease is the lease of all duties.
 	dutyLease leaser.Name = "duties"
@@ -108,8 +112,11 @@
 	}
 }
 
-func (*GatewayConfig) budgets() retrier.Config {
-	return retrier.Config{Rules: retrier.AllRules()}
+func newRetries() *retrier.Allowance {
+	return retrier.NewAllowance(retrier.AllowanceConfig{
+		Share: retryShare,
+		Span:  retrySpan,
+	})
 }
 
 // gateway is the part of the state that opaque exchanges need.
@@ -123,6 +130,7 @@
 	confirmed timekeeper.Time
 	servers   *registrar.Table
 	exchanges *dispatcher.Dispatcher
+	retries   *retrier.Allowance
 	// quarantine is that of the reducer.
 	quarantine *quarantiner.Quarantine
 	usage      *accountant.Accountant
@@ -172,6 +180,7 @@
 
 func newGateway(c Config, quarantine *quarantiner.Quarantine) *gateway {
 	return &gateway{
+		retries:     newRetries(),
 		quarantine:  quarantine,
 		config:      *c.Gateway,
 		self:        c.Self,
@@ -265,7 +274,7 @@
 		Catalog:    g.catalog,
 		Servers:    g.servers,
 		Local:      g.local,
-		Budgets:    r.budgets,
+		Retries:    g.retries,
 		Suspicions: r.suspicions,
 		Quarantine: r.quarantine,
 		Rand:       r.rand,
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -120,7 +120,6 @@
 	if c.Gateway != nil {
 		r.gateway = newGateway(c, r.quarantine)
 		r.suspicions = detector.New(c.Gateway.suspicions())
-		r.budgets = retrier.New(c.Gateway.budgets())
 	}
 	return r
 }
--- a/internal/retrier/budget.go
+++ b/internal/retrier/budget.go
@@ -51,19 +51,6 @@
 	return int(b.service(now, service).balance)
 }
 
-// SetFloor sets the number of retries that a service with little traffic may
-// make at once, and the time in which it gets one back.
-func (b *Budgets) SetFloor(floor float64, every timekeeper.Duration) {
-	b.config.Floor = floor
-	b.config.FloorEvery = every
-}
-
-// Spend takes one retry from the service's budget and reports whether there
-// was one.
-func (b *Budgets) Spend(now timekeeper.Time, service identifier.ServiceName) bool {
-	return b.service(now, service).spend()
-}
-
 // Dropped returns how many services were forgotten for lack of room.
 func (b *Budgets) Dropped() uint64 { return b.dropped }
 
