Tell all requests of a server that ended, within bounds at size

Cause: of more changed requests than a message has the same were told each time: with sixty on a server that ended a query of death could stay untold by every node but the one that saw it. Change: those told least come first; a message has 18 of them, worked out once for all peers that are told at an instant.

--- a/internal/quarantiner/news.go
+++ b/internal/quarantiner/news.go
@@ -12,9 +12,9 @@
 	// newsTime is for how long a change is told: peers are told twice a second, so
 	// that each hears of it four times.
 	newsTime = 2 * timekeeper.Second
-	// maxNews bounds the changed requests in one message, some 40 bytes each. Those
-	// of one server that ended are told in two.
-	maxNews = 32
+	// maxNews bounds the changed requests in one message, some 40 bytes each. A node
+	// tells 72 of them in newsTime, more than a server has.
+	maxNews = 18
 	// graveEnds is how many servers ended under the requests that are told again and
 	// again, so that a node that was cut off or frozen hears of them as well, and
 	// maxGrave how many of these one message has. All of 64 are told in two seconds.
@@ -39,10 +39,33 @@
 // News returns what peers are told now: what changed lately, of what this node found
 // itself, or of all where it passes on news for others; and some of the requests under
 // which several servers ended.
+//
+// Of more than a message has, those told least come first: where a fixed order said
+// which, a query of death among sixty requests of each server that ended could stay
+// untold by every node.
 func (q *Quarantine) News(now timekeeper.Time, passOn bool) []messenger.SuspectRequest {
 	if len(q.records) == 0 {
 		return nil
 	}
+	if q.news.at == now && q.news.passOn == passOn {
+		return q.news.suspects // Relays tell many peers at an instant.
+	}
+	q.news = news{
+		at:       now,
+		passOn:   passOn,
+		suspects: q.gatherNews(now, passOn),
+	}
+	return q.news.suspects
+}
+
+// news is what was told last.
+type news struct {
+	at       timekeeper.Time
+	passOn   bool
+	suspects []messenger.SuspectRequest
+}
+
+func (q *Quarantine) gatherNews(now timekeeper.Time, passOn bool) []messenger.SuspectRequest {
 	var changed, grave []*record
 	for _, f := range q.requests() {
 		r := q.records[f]
@@ -53,8 +76,13 @@
 			grave = append(grave, r)
 		}
 	}
-	slices.SortStableFunc(changed, func(a, b *record) int { return cmp.Compare(len(b.ends), len(a.ends)) })
+	slices.SortStableFunc(changed, func(a, b *record) int {
+		return cmp.Or(cmp.Compare(len(b.ends), len(a.ends)), cmp.Compare(a.tells, b.tells))
+	})
 	changed = changed[:min(len(changed), maxNews)]
+	for _, r := range changed {
+		r.tells++
+	}
 	return q.tell(now, append(changed, q.turnOf(grave)...))
 }
 
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -65,6 +65,8 @@
 	// by what this node found itself.
 	changed timekeeper.Time
 	found   timekeeper.Time
+	// tells counts the messages that had it.
+	tells int
 	// refused is the verdict.
 	refused bool
 }
@@ -86,6 +88,7 @@
 	// turn is where the next message goes on among the requests that are told
 	// again and again.
 	turn    int
+	news    news
 	changes []Change
 	kept    snapshot
 }
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -180,7 +180,7 @@
 			q.Ended(now, identifier.Fingerprint(1000+60*s+r), server(100+s))
 		}
 	}
-	require.LessOrEqual(t, len(q.News(now, true)), 48)
+	require.LessOrEqual(t, len(q.News(now, true)), 34)
 	require.LessOrEqual(t, len(q.All(now)), 256)
 	require.True(t, refuses(q, now, query))
 	later := now.Add(5 * timekeeper.Second)
@@ -192,8 +192,9 @@
 	told := map[identifier.Fingerprint]bool{}
 	later = later.Add(5 * timekeeper.Second)
 	for range 20 {
+		later = later.Add(500)
 		news := q.News(later, true)
-		require.LessOrEqual(t, len(news), 48)
+		require.LessOrEqual(t, len(news), 34)
 		for _, s := range news {
 			told[s.Request] = true
 			require.LessOrEqual(t, len(s.Ends), 8)
@@ -202,6 +203,23 @@
 	require.Len(t, told, 201, "all that are grave have their turn")
 }
 
+// A server ends with sixty requests of one node, and the query of death that ended it
+// is any of these. All of them are told within the time that news is, whatever their
+// fingerprints.
+func TestAllRequestsOfAServerAreTold(t *testing.T) {
+	q := quarantiner.New()
+	for r := range 60 {
+		q.Ended(start, identifier.Fingerprint(1000+r), server(1))
+	}
+	told := map[identifier.Fingerprint]bool{}
+	for tell := range timekeeper.Duration(4) {
+		for _, s := range q.News(start.Add(500*tell), false) {
+			told[s.Request] = true
+		}
+	}
+	require.Len(t, told, 60)
+}
+
 // Reports that can't be true, or are old, change nothing.
 func TestLearnLeavesOut(t *testing.T) {
 	q := quarantiner.New()
