Sum up lines on refused requests where they come in crowds

They name the last server that ended, so that the log's bound on lines of a kind holds for them too. Test that a resumed request counts as the same.

--- a/internal/dispatcher/ended_test.go
+++ b/internal/dispatcher/ended_test.go
@@ -199,3 +199,30 @@
 	t.Fatalf("nothing is sent to %s", server)
 	return messenger.SendExchange{}
 }
+
+// A stream breaks off in the middle when its server ends, and its caller asks for the
+// rest. That is the same request: its server ends too, and the third time the caller
+// hears that this try did not run.
+func TestResumedRequestCountsAsTheSame(t *testing.T) {
+	n := newNode(12)
+	for i := range 3 {
+		spec := n.asked("/draft/1", 7)
+		spec.Resumes = i > 0
+		send := n.send(t, spec)
+		n.Began(n.world, messenger.ExchangeBegan{
+			Exchange: send.Exchange,
+			Attempt:  send.Attempt,
+		})
+		n.AttemptEnded(n.world, messenger.ExchangeAttemptEnded{
+			Exchange:    send.Exchange,
+			Attempt:     send.Attempt,
+			Result:      messenger.AttemptBroken,
+			Streaming:   true,
+			ServerEnded: true,
+		})
+		n.publishServer(send.Server, messenger.ServerRemoved)
+	}
+	spec := n.asked("/draft/1", 7)
+	spec.Resumes = true
+	require.Equal(t, messenger.ReasonServersEnded, refusal(t, n.Receive(n.world, spec)).Reason)
+}
--- a/internal/reducer/quarantine.go
+++ b/internal/reducer/quarantine.go
@@ -7,6 +7,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/conductor"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
@@ -89,21 +90,28 @@
 	return out
 }
 
+// quarantineNotes tells the time line which requests are refused from now on, or no
+// longer. The notes name the last server that ended, as notes of others' VMs are summed
+// up in the log where they come in crowds.
 func (r *Reducer) quarantineNotes() []messenger.Effect {
 	var out []messenger.Effect
 	for _, c := range r.quarantine.Changes() {
+		var last identifier.VMID
+		if n := len(c.Servers); n > 0 {
+			last = c.Servers[n-1]
+		}
 		detail := fmt.Sprintf("fingerprint=%s servers=%v", c.Request, c.Servers)
 		if !c.Refused {
 			out = append(out, messenger.Note{
 				Kind:   "request_released",
-				VM:     r.config.Self,
+				VM:     last,
 				Detail: detail,
 			})
 			continue
 		}
 		out = append(out, messenger.Note{
 			Kind:   "request_quarantined",
-			VM:     r.config.Self,
+			VM:     last,
 			Detail: detail,
 		})
 	}
