--- a/internal/dispatcher/choose.go
+++ b/internal/dispatcher/choose.go
@@ -169,22 +169,16 @@
 		cost = zoneCost
 	}
 	learned := d.estimator(x.service)
-	work := estimator.Work{
-		Unread:  max(x.spec.PromptTokens-k.tokens, 0),
-		Kept:    k.tokens,
-		Running: running,
-		Waiting: waiting,
-	}
-	c := choice{
-		server: s,
-		work:   work,
-	}
+	kept := k.tokens
+	c := choice{server: s}
 	if k.copyFrom != nil && backend.CopyRate > 0 {
 		c.copyFrom = k.copyFrom
 		c.copying = copySetup + timekeeper.Duration(float64(k.copied-k.tokens)/backend.CopyRate)
-		c.work.Unread = max(x.spec.PromptTokens-k.copied, 0)
-		c.work.Kept = k.copied
+		kept = k.copied
 	}
+	c.work = x.work(kept)
+	c.work.Running = running
+	c.work.Waiting = waiting
 	c.prefill = learned.Reading(s.Server, c.work) + c.copying
 	c.occupied = c.prefill
 	if !backend.Model && slots > 0 {
@@ -195,9 +189,7 @@
 	c.cost = c.predicted + copyWeight*c.copying
 	if k.home {
 		// Nobody knows who keeps the shared parts: all nodes send them there.
-		work.Kept = indexer.Shared(x.spec.Prefix)
-		work.Unread = max(x.spec.PromptTokens-work.Kept, 0)
-		c.cost -= c.prefill - learned.Reading(s.Server, work)
+		c.cost -= c.prefill - learned.Reading(s.Server, x.work(indexer.Shared(x.spec.Prefix)))
 	}
 	return c
 }
--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -76,12 +76,16 @@
 // noteRefusal counts a request that was refused as if a server had taken it that
 // keeps the shared parts of its prompt.
 func (d *Dispatcher) noteRefusal(w World, x *exchange) {
-	kept := indexer.Shared(x.spec.Prefix)
-	work := estimator.Work{
+	work := x.work(indexer.Shared(x.spec.Prefix))
+	d.demand(x.service).note(w.Now, d.estimator(x.service).Reading("", work))
+}
+
+// work is what a server that keeps so much of the prompt, and has nothing else, has to do.
+func (x *exchange) work(kept identifier.Tokens) estimator.Work {
+	return estimator.Work{
 		Unread: max(x.spec.PromptTokens-kept, 0),
 		Kept:   kept,
 	}
-	d.demand(x.service).note(w.Now, d.estimator(x.service).Reading("", work))
 }
 
 // match finds a request's route, account, service and deadline.
--- a/internal/retrier/allowance.go
+++ b/internal/retrier/allowance.go
@@ -112,15 +112,20 @@
 	if len(a.services) < a.config.MaxServices {
 		return
 	}
+	delete(a.services, idlest(a.services, func(u *usage) timekeeper.Time { return u.at }))
+	a.dropped++
+}
+
+// idlest returns the service that was idle longest.
+func idlest[S any](services map[identifier.ServiceName]S, used func(S) timekeeper.Time) identifier.ServiceName {
 	var oldest identifier.ServiceName
 	at := timekeeper.Never
-	for name, u := range a.services {
-		if u.at.Before(at) || u.at == at && name < oldest {
-			oldest, at = name, u.at
+	for name, s := range services {
+		if u := used(s); u.Before(at) || u == at && name < oldest {
+			oldest, at = name, u
 		}
 	}
-	delete(a.services, oldest)
-	a.dropped++
+	return oldest
 }
 
 // ring counts events by slot of time, for one slot more than a span has.
--- a/internal/retrier/budget.go
+++ b/internal/retrier/budget.go
@@ -73,14 +73,7 @@
 	if len(b.services) < b.config.MaxServices {
 		return
 	}
-	var oldest identifier.ServiceName
-	var at timekeeper.Time = timekeeper.Never
-	for name, s := range b.services {
-		if s.at.Before(at) || s.at == at && name < oldest {
-			oldest, at = name, s.at
-		}
-	}
-	delete(b.services, oldest)
+	delete(b.services, idlest(b.services, func(s *budget) timekeeper.Time { return s.at }))
 	b.dropped++
 }
 
