--- a/internal/reducer/suspects_test.go
+++ b/internal/reducer/suspects_test.go
@@ -4,10 +4,11 @@
 	"fmt"
 	"testing"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
-	"github.com/stretchr/testify/require"
 )
 
 // suspectNews is the users' bound for all nodes to know of the third server that ended
