Refuse also what waited while servers ended under it elsewhere

Cause: a request was looked up when it came and when an attempt ended, not when it had waited: for its account's limit (up to 150 ms), for its next attempt, or for its owner's end, and went to one more server. Change: it is looked up right before each first attempt, and on the own interface before each.

--- a/internal/conductor/attempt.go
+++ b/internal/conductor/attempt.go
@@ -36,8 +36,12 @@
 	return p.mode == messenger.StartResume || p.mode == messenger.StartImported
 }
 
-// startAttempt sends the next attempt to the server that the router chooses.
+// startAttempt sends the next attempt to the server that the router chooses. A request
+// that waited, or was taken over, may be refused everywhere by now.
 func (c *Conductor) startAttempt(w *World, r *request) []messenger.Effect {
+	if after, refused := w.Quarantine.Refuses(w.Now, fingerprint(r.spec)); refused {
+		return c.endQuarantined(w, r, after)
+	}
 	if r.service.Name == "" {
 		// A request taken over before this node knew its configuration.
 		r.service, _ = service(w, r.spec.Service)
--- a/internal/dispatcher/ended_test.go
+++ b/internal/dispatcher/ended_test.go
@@ -6,7 +6,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/dispatcher"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -226,3 +228,26 @@
 	spec.Resumes = true
 	require.Equal(t, messenger.ReasonServersEnded, refusal(t, n.Receive(n.world, spec)).Reason)
 }
+
+// While a node asks for a part of the account's limit, three servers end at other nodes
+// under the request. It is refused all the same: the answer takes up to 150 ms.
+func TestQuarantinedWhileTheLimitIsAsked(t *testing.T) {
+	n := newNode(12)
+	n.world.Local.SetNodes(1000, false)
+	n.world.Granter = &dispatcher.Granter{
+		Node:    "entry-2",
+		Address: "entry-2:7000",
+	}
+	spec := n.asked("/book/1", 7)
+	spec.PromptTokens = 100_000
+	ask, ok := n.Receive(n.world, spec).(messenger.AskLimit)
+	require.True(t, ok)
+	for i := range 3 {
+		n.world.Quarantine.Ended(n.world.Now, quarantiner.FingerprintOf("agency", 7), serverID(i))
+	}
+	got := refusal(t, n.LimitAnswered(n.world, messenger.LimitAnswered{
+		Exchange: ask.Exchange,
+		Granted:  true,
+	}))
+	require.Equal(t, messenger.ReasonServersEnded, got.Reason)
+}
--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -41,8 +41,8 @@
 		return d.refuse(w, spec.Exchange, refusal)
 	}
 	w = w.about(x)
-	if after, refused := w.Quarantine.Refuses(w.Now, x.request); refused {
-		return d.refuse(w, spec.Exchange, notRun(messenger.ReasonServersEnded, after))
+	if refusal := d.quarantined(w, x); refusal != nil {
+		return d.refuse(w, spec.Exchange, refusal)
 	}
 	if _, ok := d.choose(w, x); !ok {
 		return d.refuseForServers(w, x)
@@ -51,8 +51,21 @@
 	return d.admit(w, x)
 }
 
-// start sends an admitted request for the first time.
+// quarantined returns the refusal of a request that no server may get, or nil.
+func (d *Dispatcher) quarantined(w World, x *exchange) *messenger.Refusal {
+	after, refused := w.Quarantine.Refuses(w.Now, x.request)
+	if !refused {
+		return nil
+	}
+	return notRun(messenger.ReasonServersEnded, after)
+}
+
+// start sends an admitted request for the first time. Servers may have ended under it
+// at other nodes while its account's limit was asked for.
 func (d *Dispatcher) start(w World, x *exchange) messenger.Effect {
+	if refusal := d.quarantined(w, x); refusal != nil {
+		return d.refuse(w.about(x), x.spec.Exchange, refusal)
+	}
 	c, ok := d.choose(w, x)
 	if !ok {
 		return d.refuseForServers(w, x)
--- a/internal/dispatcher/repeat.go
+++ b/internal/dispatcher/repeat.go
@@ -46,7 +46,7 @@
 	}
 	w = w.about(x)
 	d.settle(w, x, e)
-	if _, refused := w.Quarantine.Refuses(w.Now, x.request); refused {
+	if d.quarantined(w, x) != nil {
 		return d.end(w, x, e, messenger.ReasonServersEnded)
 	}
 	if !d.mayRepeat(x, e) {
@@ -113,8 +113,8 @@
 func (d *Dispatcher) end(w World, x *exchange, e messenger.ExchangeAttemptEnded, reason messenger.Reason) messenger.Effect {
 	delete(d.exchanges, e.Exchange)
 	if x != nil && !x.mayHaveRun && !e.Streaming && !x.spec.Resumes {
-		if after, refused := w.Quarantine.Refuses(w.Now, x.request); refused {
-			return d.refuse(w, e.Exchange, notRun(reason, after))
+		if refusal := d.quarantined(w, x); refusal != nil {
+			return d.refuse(w, e.Exchange, refusal)
 		}
 		d.noteRefusal(w, x)
 		return d.refuse(w, e.Exchange, notRun(reason, max(spread(w, soon), e.RetryAfter)))
--- a/internal/quarantiner/verdict.go
+++ b/internal/quarantiner/verdict.go
@@ -66,13 +66,13 @@
 	if len(r.ends) < maxEnds || now.Sub(r.last()) >= holdTime {
 		return false
 	}
-	own := 0
+	unexplained := 0
 	for _, e := range r.ends {
 		if !w.explained(r, e.server) {
-			own++
+			unexplained++
 		}
 	}
-	return own >= maxEnds
+	return unexplained >= maxEnds
 }
 
 // explained reports whether a server that ended under r probably ended for another
