--- a/cmd/dotterelhollow/gateway.go
+++ b/cmd/dotterelhollow/gateway.go
@@ -125,7 +125,8 @@
 		Peers:          peers,
 		CloseListeners: g.closeCallers,
 		Limits:         runner.Limits{ListEvery: listPause},
-		PromptStreams:  []identifier.LogStream{leaser.Stream, quarantiner.Stream},
+		// The second is read once, without a wait for a newer record.
+		PromptStreams: []identifier.LogStream{leaser.Stream, quarantiner.Stream},
 	})
 	g.metrics = forwarder.NewMetrics()
 	g.forwarder = forwarder.New(forwarder.Config{
--- a/internal/prover/query_test.go
+++ b/internal/prover/query_test.go
@@ -237,11 +237,12 @@
 
 // A caller's request ends each server that begins to run it. The caller gets 502 and
 // sends it again, to any node and under another id, twice a second. Each node knew it
-// only as long as the one exchange lasted and gave it two servers each time: 36 of 36
-// servers ended within eight seconds, and callers with other requests were refused or
-// got half an answer. Every fault strikes beside it, that of losing all nodes at once
-// too: after the third server, and the time that news may take, it gets no more than
-// a few.
+// only as long as the one exchange lasted and gave it two servers each time: 36 servers
+// ended within eight seconds, and callers with other requests were refused or got half
+// an answer. Evidence: on 35 of the 36 ran a request of one route, account and size,
+// under twenty ids at six nodes, each with exactly two broken attempts. Every fault
+// strikes beside it, that of losing all nodes at once too: after the third server, and
+// the time that news may take, it gets no more than a few.
 func TestQueriesOfDeath(t *testing.T) {
 	steps := []timekeeper.Duration{3200, 5333, 9001}
 	for _, fault := range exchangeFaults {
--- a/internal/quarantiner/verdict.go
+++ b/internal/quarantiner/verdict.go
@@ -38,8 +38,8 @@
 }
 
 // worst are, of the requests on each server that ended, the two under which most servers
-// ended. A look at all requests for each end took 108 ms for a full table, for which
-// nothing else was decided; now it takes 0.7 ms.
+// ended. With them the verdicts on a full table take 0.7 ms; a look at all requests for
+// each end would take 108 ms, in which the node decides nothing else.
 type worst map[identifier.VMID]*[2]*record
 
 func (q *Quarantine) worstByServer() worst {
--- a/internal/retrier/allowance.go
+++ b/internal/retrier/allowance.go
@@ -25,9 +25,9 @@
 // A balance that is saved up and refilled allows both within one span: with 40 that
 // come back in ten seconds, 80. And a process knows nothing of what was spent under its
 // node's name before it started, so that its number counts only once that is a span
-// ago. Before both, while servers failed every request 15 retries more arrived than the
-// users bear, and 63 more where all nodes were killed twice (four nodes, 17 requests a
-// second, in virtual time).
+// ago. Without the two, 15 retries more arrive than the users bear while servers fail
+// every request, and 63 more where all nodes are killed twice (four nodes, 17 requests
+// a second, in virtual time).
 //
 // Nothing is safe for concurrent use.
 type Allowance struct {
