Let nodes with few requests send again from their start on

Cause: retries beside the share counted only once a process was ten seconds old. Ruled out: load alone; the new test fails without any. Change: 12 retries in ten seconds for all nodes and one for each, from the start, in place of 40 later: they fit once more after a loss of all nodes.

--- a/internal/prover/retry_test.go
+++ b/internal/prover/retry_test.go
@@ -1,11 +1,14 @@
 package prover
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
@@ -99,3 +102,25 @@
 		})
 	}
 }
+
+// Nodes have just started and have had no request yet. The first ones break off at their
+// servers, and go on at others: were retries earned by requests alone, a node's first
+// six would not, and their callers would have half an answer.
+func TestFirstRequestsAreSentAgain(t *testing.T) {
+	w := newExchangeWorld(t, 1)
+	w.at(2999, func() {
+		w.serverFault = messenger.AttemptBroken
+		w.alwaysFails = true
+	})
+	const until = 3200
+	w.at(until, func() { w.serverFault = "" })
+	w.run()
+	repeatable := 0
+	for id := range w.kinds {
+		if w.kinds[id] != catalog.Once && slices.Contains([]identifier.RequestID{"r-1", "r-2", "r-3", "r-4"}, id) {
+			repeatable++
+			require.Greater(t, len(w.ran[id]), 1, "%s", id)
+		}
+	}
+	require.Positive(t, repeatable)
+}
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -31,9 +31,13 @@
 	// whose requests are few and for what a resumed stream needs.
 	retryShare = 0.15
 	// retryExtra is the retries of a service in retrySpan, of all nodes together,
-	// beyond that. The users allow 52 and more.
-	retryExtra = 40
-	retrySpan  = 10 * timekeeper.Second
+	// beyond that, and retryNodeExtra those of each node: a stream that broke off at a
+	// node with few requests goes on elsewhere, also right after its start. The users
+	// allow 40 and two a node, so that both fit twice, for a loss of all nodes, and a
+	// third time where a node has some two requests a second.
+	retryExtra     = 12
+	retryNodeExtra = 1
+	retrySpan      = 10 * timekeeper.Second
 
 	// dutyLease is the lease of all duties.
 	dutyLease leaser.Name = "duties"
--- a/internal/reducer/granting.go
+++ b/internal/reducer/granting.go
@@ -55,7 +55,7 @@
 	g := r.gateway
 	nodes := r.nodesToShare(w)
 	_, _, held := g.leases.Held(dutyLease, w.Now)
-	g.retries.SetExtra(w.Now, retryExtra/float64(nodes))
+	g.retries.SetExtra(retryExtra/float64(nodes) + retryNodeExtra)
 	g.local.SetNodes(nodes, !held && !g.granterThere(w.Now))
 	if g.central != nil {
 		g.central.SetHeard(1+g.exchanges.Heard(w.Now, granteeAge), nodes)
--- a/internal/retrier/allowance.go
+++ b/internal/retrier/allowance.go
@@ -24,17 +24,16 @@
 //
 // A balance that is saved up and refilled allows both within one span: with 40 that
 // come back in ten seconds, 80. And a process knows nothing of what was spent under its
-// node's name before it started, so that its number counts only once that is a span
-// ago. Without the two, 15 retries more arrive than the users bear while servers fail
-// every request, and 63 more where all nodes are killed twice (four nodes, 17 requests
-// a second, in virtual time).
+// node's name before it started, so that the number has to leave room for as much again
+// after a restart. With a balance of 40 instead, 15 retries more arrive than the users
+// bear while servers fail every request, and 63 more where all nodes are killed twice
+// (four nodes, 17 requests a second, in virtual time).
 //
 // Nothing is safe for concurrent use.
 type Allowance struct {
 	config AllowanceConfig
-	// extra is the number beside the share, and from when it counts.
+	// extra is the number beside the share.
 	extra    float64
-	from     timekeeper.Time
 	services map[identifier.ServiceName]*usage
 	dropped  uint64
 }
@@ -53,19 +52,12 @@
 	}
 	return &Allowance{
 		config:   c,
-		from:     timekeeper.Never,
 		services: map[identifier.ServiceName]*usage{},
 	}
 }
 
-// SetExtra sets the number of retries in a span beside the share of requests. It counts
-// from one span after the first call on.
-func (a *Allowance) SetExtra(now timekeeper.Time, extra float64) {
-	a.extra = extra
-	if a.from == timekeeper.Never {
-		a.from = now.Add(a.config.Span + a.slot())
-	}
-}
+// SetExtra sets the number of retries in a span beside the share of requests.
+func (a *Allowance) SetExtra(extra float64) { a.extra = extra }
 
 // Requested notes a new request of a service.
 func (a *Allowance) Requested(now timekeeper.Time, service identifier.ServiceName) {
@@ -78,10 +70,7 @@
 	slot := a.slotOf(now)
 	// The slot that is under way makes the requests those of less than a span, and the
 	// retries those of more.
-	allowed := a.config.Share * float64(u.requests.sum(slot, allowanceSlots))
-	if !now.Before(a.from) {
-		allowed += a.extra
-	}
+	allowed := a.extra + a.config.Share*float64(u.requests.sum(slot, allowanceSlots))
 	if float64(u.retries.sum(slot, allowanceSlots+1)+1) > allowed {
 		return false
 	}
