Log the request rates that backend servers state to accept

The logs of the incident can't tell whether nothing reads a server's limit or each node keeps it by itself: no line has the limit that a server named, or which node had passed on such an answer. An answer without a limit lifts one only if its request was sent after the limit was last stated, as answers overtake one another. No decision reads it.

--- a/docs/operations_test.go
+++ b/docs/operations_test.go
@@ -317,3 +317,5 @@
 }
 
 func (*oneAttempt) Ended(messenger.ExchangeEnded) {}
+
+func (*oneAttempt) LimitHeard(context.Context, messenger.ServerLimitHeard) {}
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -155,6 +155,7 @@
 		"limit", x.basis.Limit,
 		"server", x.server,
 		"version", x.basis.Version,
+		"server_limit", x.limitText(),
 		"attempts", x.attempts,
 		"result", result,
 		"status", x.status,
@@ -180,6 +181,7 @@
 		"server", s.Server,
 		"address", s.Address,
 		"version", x.basis.Version,
+		"server_limit", x.limitText(),
 		"result", e.result,
 		"server_ended", e.serverEnded,
 		"reason", e.reason,
@@ -190,3 +192,11 @@
 		"predicted_ms", int64(x.basis.Predicted),
 	)
 }
+
+// limitText is the limit that the server of the last attempt stated, empty for none.
+func (x *exchange) limitText() string {
+	if !x.limit.Named {
+		return ""
+	}
+	return strconv.FormatFloat(float64(x.limit.Rate), 'f', -1, 64)
+}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -99,12 +99,14 @@
 			reason: err.Error(),
 		}
 	}
+	sent := x.forwarder.config.Clock.Now()
 	response, err := x.forwarder.transport.RoundTrip(request)
 	if err != nil {
 		return x.broken(s, bound, t, err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	reply := x.forwarder.config.Protocol.ReadReply(response.StatusCode, response.Header)
+	x.heardLimit(ctx, s, sent, reply)
 	switch {
 	case reply.Request != "" && reply.Request != x.head.Request:
 		// The answer of another request, which came late on this connection.
@@ -139,6 +141,24 @@
 	return x.whole(ctx, s, bound, response)
 }
 
+// heardLimit reports the limit that a server states in its answer. An answer to another
+// request, or from another server, says nothing of this one.
+func (x *exchange) heardLimit(ctx context.Context, s messenger.SendExchange, sent timekeeper.Time, reply Reply) {
+	if reply.Misdirected || reply.Request != "" && reply.Request != x.head.Request {
+		return
+	}
+	if !reply.Limit.Named {
+		return
+	}
+	x.limit = reply.Limit
+	x.forwarder.config.Metrics.limited()
+	x.forwarder.config.Decider.LimitHeard(ctx, messenger.ServerLimitHeard{
+		Server: s.Server,
+		Sent:   sent,
+		Limit:  reply.Limit,
+	})
+}
+
 func succeeded(status int) bool { return status >= 200 && status < 300 }
 
 // broken classifies an attempt that brought no answer, or no whole one.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -64,6 +64,7 @@
 	Began(ctx context.Context, e messenger.ExchangeBegan)
 	AttemptEnded(ctx context.Context, e messenger.ExchangeAttemptEnded) messenger.Effect
 	Ended(e messenger.ExchangeEnded)
+	LimitHeard(ctx context.Context, e messenger.ServerLimitHeard)
 }
 
 // Head is what a request says of itself.
@@ -89,6 +90,8 @@
 	Misdirected bool
 	Signed      bool
 	RetryAfter  timekeeper.Duration
+	// Limit is what the server says of the requests that it accepts.
+	Limit messenger.NamedLimit
 }
 
 // Protocol knows the names that callers and servers use. Its methods are
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -40,6 +40,7 @@
 	ended   chan messenger.ExchangeEnded
 	began   int
 	attempt int
+	limits  []messenger.ServerLimitHeard
 }
 
 func newScript(servers ...string) *script {
@@ -97,6 +98,12 @@
 	return s.send(e.Exchange)
 }
 
+func (s *script) LimitHeard(_ context.Context, e messenger.ServerLimitHeard) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = append(s.limits, e)
+}
+
 func (s *script) Ended(e messenger.ExchangeEnded) { s.ended <- e }
 
 func (s *script) results() []messenger.AttemptResult {
@@ -140,6 +147,7 @@
 		Request: identifier.RequestID(h.Get("Id")),
 		NotRun:  h.Get("Not-Run") != "",
 		Signed:  h.Get("Signature") != "",
+		Limit:   messenger.NamedLimit{Named: h.Get("Limit") != ""},
 	}
 }
 
@@ -646,6 +654,34 @@
 	}
 }
 
+// The limit that a server states in any of its answers is reported, that of another's answer is not.
+func TestStatedLimitIsReported(t *testing.T) {
+	foreign := backend(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Id", "another")
+		w.Header().Set("Limit", "1")
+	})
+	full := backend(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Limit", "1")
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	whole := backend(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Limit", "1")
+		signed(w, r)
+	})
+	s := newScript(foreign, full, whole)
+	request, err := http.NewRequest(http.MethodGet, "http://"+front(t, s)+"/", nil)
+	require.NoError(t, err)
+	request.Header.Set("Id", "r")
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	require.Len(t, s.limits, 2)
+}
+
 // A leaving node makes callers use other connections.
 func TestLeavingClosesConnections(t *testing.T) {
 	server := backend(t, signed)
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -25,8 +25,10 @@
 	requests expvar.Int
 	results  expvar.Map
 	statuses expvar.Map
-	firsts   latencies
-	whole    latencies
+	// limits counts the answers that state a limit of their server.
+	limits expvar.Int
+	firsts latencies
+	whole  latencies
 }
 
 // NewMetrics returns Metrics that have counted nothing.
@@ -39,6 +41,7 @@
 	m.vars.Set("requests", &m.requests)
 	m.vars.Set("results", &m.results)
 	m.vars.Set("statuses", &m.statuses)
+	m.vars.Set("server_limits", &m.limits)
 	m.vars.Set("first_event_ms", &m.firsts)
 	m.vars.Set("whole_ms", &m.whole)
 	return m
@@ -49,6 +52,8 @@
 
 func (m *Metrics) received() { m.requests.Add(1) }
 
+func (m *Metrics) limited() { m.limits.Add(1) }
+
 func (m *Metrics) first(d timekeeper.Duration) { m.firsts.record(d) }
 
 func (m *Metrics) ended(status int, result messenger.AttemptResult, took timekeeper.Duration) {
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -33,8 +33,10 @@
 	// failure is a server's own answer that it failed, for the caller if
 	// nothing better comes.
 	failure *held
-	began   bool
-	status  int
+	// limit is what the server of the last attempt states to accept.
+	limit  messenger.NamedLimit
+	began  bool
+	status int
 	// basis is what the last decision was made on.
 	basis messenger.Basis
 	// first is the time to the first byte or event, lastAt when the last event
@@ -142,6 +144,7 @@
 		}
 		x.attempts++
 		x.server = send.Server
+		x.limit = messenger.NamedLimit{}
 		x.basis = send.Basis
 		end := x.attempt(ctx, send)
 		if end.over {
--- a/internal/reducer/apply_test.go
+++ b/internal/reducer/apply_test.go
@@ -71,6 +71,7 @@
 	messenger.StoreRestored{},
 	messenger.RolloutsClaimed{},
 	messenger.RolloutKept{},
+	messenger.ServerLimitHeard{},
 }
 
 func newReducer(seed uint64) *reducer.Reducer {
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/registrar"
 	"github.com/dotterelhollow/dotterelhollow/internal/retrier"
 	"github.com/dotterelhollow/dotterelhollow/internal/sizer"
+	"github.com/dotterelhollow/dotterelhollow/internal/throttler"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -153,7 +154,9 @@
 	versions   *promoter.Promoter
 	leases     *leaser.Table
 	holding    identifier.Fence
-	local      *limiter.Buckets
+	// limits are the request rates that servers accept.
+	limits *throttler.Table
+	local  *limiter.Buckets
 	// central is what this node grants while it holds the lease.
 	central *limiter.Buckets
 	// granter is the peer that was heard last to hold the lease.
@@ -225,7 +228,8 @@
 			Share:       c.Gateway.Share,
 			Slack:       c.Gateway.Slack,
 		}),
-		local: limiter.NewLocal(),
+		limits: throttler.New(),
+		local:  limiter.NewLocal(),
 		leases: leaser.New(leaser.Config{
 			Self:        c.Self,
 			Incarnation: c.Incarnation,
@@ -274,6 +278,8 @@
 		return r.serversOrdered(w, b)
 	case messenger.UsageReported:
 		return r.usageReported(b)
+	case messenger.ServerLimitHeard:
+		return r.serverLimitHeard(w, b)
 	case messenger.RolloutsClaimed:
 		return r.rolloutsClaimed(w, b)
 	case messenger.RolloutKept:
@@ -396,6 +402,7 @@
 		case messenger.ServerRemoved:
 			r.suspicions.Forget(s.Server)
 			r.gateway.exchanges.Gone(r.exchangeWorld(w), s.Server)
+			r.gateway.limits.Forget(s.Server)
 		}
 	}
 	if direct {
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -239,7 +239,7 @@
 		messenger.ExchangeEnded, messenger.CatalogPublished, messenger.CatalogConfirmed,
 		messenger.ServersPublished,
 		messenger.ServersOrdered, messenger.UsageReported, messenger.LimitAnswered, messenger.LimitAsked,
-		messenger.RolloutsClaimed, messenger.RolloutKept:
+		messenger.RolloutsClaimed, messenger.RolloutKept, messenger.ServerLimitHeard:
 		return r.gatewayEvent(w, b)
 
 	case messenger.BuyEnded:
--- a/internal/runner/exchange.go
+++ b/internal/runner/exchange.go
@@ -35,6 +35,11 @@
 // Ended implements forwarder.Decider.
 func (r *Runner) Ended(e messenger.ExchangeEnded) { r.emit(context.Background(), e) }
 
+// LimitHeard implements forwarder.Decider.
+func (r *Runner) LimitHeard(ctx context.Context, e messenger.ServerLimitHeard) {
+	r.emit(context.WithoutCancel(ctx), e)
+}
+
 // decide applies an event and returns the effect that answers it, or nil where
 // the node or ctx ended first. The answer may take a call to a peer.
 func (r *Runner) decide(ctx context.Context, id identifier.ExchangeID, body messenger.EventBody) messenger.Effect {
--- /dev/null
+++ b/internal/throttler/table_test.go
@@ -0,0 +1,72 @@
+package throttler_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/throttler"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+const start timekeeper.Time = 1_000_000
+
+// answer is an answer of one server, to a request that was sent at an instant. A
+// negative rate stands for no limit.
+func answer(sent timekeeper.Duration, rate identifier.RequestRate) messenger.ServerLimitHeard {
+	return messenger.ServerLimitHeard{
+		Server: "i-1",
+		Sent:   start.Add(sent),
+		Limit: messenger.NamedLimit{
+			Named: rate >= 0,
+			Rate:  max(rate, 0),
+		},
+	}
+}
+
+func TestHeard(t *testing.T) {
+	table := throttler.New()
+	_, changed := table.Heard(start.Add(20), answer(10, -1))
+	require.False(t, changed, "nothing is known")
+	change, changed := table.Heard(start.Add(30), answer(10, 1))
+	require.True(t, changed)
+	require.Equal(t, throttler.Change{
+		Server:  "i-1",
+		Limited: true,
+		Rate:    1,
+	}, change)
+	_, changed = table.Heard(start.Add(40), answer(30, 1.05))
+	require.False(t, changed, "about the same rate")
+	_, changed = table.Heard(start.Add(50), answer(45, 4))
+	require.True(t, changed)
+	rate, limited := table.Of("i-1")
+	require.True(t, limited)
+	require.InDelta(t, 4, float64(rate), 1e-9)
+	change, changed = table.Heard(start.Add(70), answer(60, -1))
+	require.True(t, changed)
+	require.False(t, change.Limited)
+	_, limited = table.Of("i-1")
+	require.False(t, limited)
+}
+
+// A slow answer from before the limit arrives after one that states it, and would lift it.
+func TestOvertakenAnswerLiftsNothing(t *testing.T) {
+	table := throttler.New()
+	table.Heard(start.Add(30), answer(10, 1))
+	_, changed := table.Heard(start.Add(40), answer(5, -1))
+	require.False(t, changed)
+	_, changed = table.Heard(start.Add(45), answer(30, -1))
+	require.False(t, changed)
+	_, limited := table.Of("i-1")
+	require.True(t, limited)
+}
+
+func TestForget(t *testing.T) {
+	table := throttler.New()
+	table.Heard(start, answer(0, 1))
+	table.Forget("i-1")
+	_, limited := table.Of("i-1")
+	require.False(t, limited)
+}
--- a/pkg/identifier/identifier.go
+++ b/pkg/identifier/identifier.go
@@ -167,6 +167,9 @@
 // BytesPerSecond is a rate of transfer.
 type BytesPerSecond int64
 
+// RequestRate is a number of requests a second.
+type RequestRate float64
+
 // Money is an amount in millionths of the operator's currency.
 type Money int64
 
