Play servers that state a limit for all nodes together, which none keeps

The bounds are the users': one and a half times the limit and five requests in four seconds, from three seconds after the limit was first stated, of nodes that had passed on an answer with it half a second earlier; a restart, freeze or cut excuses a node. The race detector plays no world of 300 nodes; it is played without it.

--- a/internal/prover/exchange_world_test.go
+++ b/internal/prover/exchange_world_test.go
@@ -120,6 +120,8 @@
 	work timekeeper.Duration
 	endings
 	rollouts rollouts
+	limits   limits
+	size     worldSize
 	next     identifier.ExchangeID
 }
 
@@ -128,8 +130,28 @@
 	incarnation identifier.Incarnation
 }
 
+// worldSize is how much there is in a world.
+type worldSize struct {
+	nodes   int
+	servers int
+	// every is the spacing of requests.
+	every timekeeper.Duration
+	// listed tells nodes from the start on which others there are.
+	listed bool
+}
+
 func newExchangeWorld(t testing.TB, seed uint64) *exchangeWorld {
+	return newSizedWorld(t, seed, worldSize{
+		nodes:   exchangeNodes,
+		servers: 6,
+		every:   exchangeEvery,
+	})
+}
+
+func newSizedWorld(t testing.TB, seed uint64, size worldSize) *exchangeWorld {
 	w := &exchangeWorld{
+		size:     size,
+		limits:   newLimits(),
 		t:        t,
 		now:      exchangeStart,
 		rng:      rand.New(rand.NewPCG(seed, 7)),
@@ -147,13 +169,13 @@
 		endings:  newEndings(),
 	}
 	w.publish(1)
-	for i := range 6 {
+	for i := range size.servers {
 		w.enter(exchangeServer(i), messenger.ServerReady)
 	}
-	for i := range exchangeNodes {
+	for i := range size.nodes {
 		w.start(exchangeNode(i))
 	}
-	for at := timekeeper.Duration(3000); at < exchangeDay; at += exchangeEvery {
+	for at := timekeeper.Duration(3000); at < exchangeDay; at += size.every {
 		w.at(at, w.ask)
 	}
 	return w
@@ -315,6 +337,9 @@
 	w.every(n, 400, func() { w.readServers(n) })
 	w.every(n, 200, func() { w.readConfiguration(n) })
 	w.every(n, 100, func() { w.readStreams(n) })
+	if w.size.listed {
+		w.list(n)
+	}
 }
 
 // every does something again and again while the process lives.
@@ -622,11 +647,16 @@
 		}
 	}
 	f := w.begin(n, e)
+	sent := w.now
+	if result != messenger.AttemptNotSent {
+		w.limitArrival(n, e.Server)
+	}
 	w.after(w.work, func() {
 		if f.over {
 			return
 		}
 		f.over = true
+		w.stateLimit(n, e.Server, sent, result)
 		if result == messenger.AttemptComplete {
 			w.answered++
 			w.apply(n, messenger.ExchangeBegan{
--- a/internal/prover/race_test.go
+++ b/internal/prover/race_test.go
@@ -8,3 +8,6 @@
 // detector has nothing to find in a cell that it has not in the next; all
 // cells are played without it, by make matrix.
 const playEvery = 7
+
+// mostNodes is the largest world that the race detector plays.
+const mostNodes = 69
--- a/internal/prover/whole_test.go
+++ b/internal/prover/whole_test.go
@@ -4,3 +4,6 @@
 
 // playEvery plays every cell of the matrix.
 const playEvery = 1
+
+// mostNodes is the largest world that is played.
+const mostNodes = 300
