Keep the request rates that servers state over all nodes together

Callers saw nothing; a backend server that had stated to accept one request a second got 14 in four seconds, where 11 are allowed, and one that is short of capacity is lost sooner for that.

Cause: no decision read what a server states. Its class: what a server says of itself in an answer ended with that answer, and what holds for all nodes together was kept by none. Ruled out: repeats (each of the ten requests in question was a first attempt), and nodes that each kept the limit for themselves (no code did).

Change: each node knows the servers that state a limit, from its own answers and from peers (package throttler), and a request to one of them needs a permit. The holder of the lease of the duties grants permits at the stated rate, as it grants the accounts' limits; while none can be asked, the node that all rank first for the server. One permit is asked for any of several servers; without one the request goes to a server that states no limit, or is refused at once with the time at which a permit is due. First attempts, repeats and resumed streams alike; no copy of kept parts is made from such a server. An answer without a limit lifts it.

--- a/cmd/dotterelhollow/gateway_test.go
+++ b/cmd/dotterelhollow/gateway_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -270,6 +271,46 @@
 	require.Eventually(t, func() bool { return len(in.cloud.Orders()) > 0 }, patience, 50*time.Millisecond)
 }
 
+// The only server of a service states a limit, and each of three nodes sends as if it were alone.
+func TestGatewayKeepsTheLimitOfAServer(t *testing.T) {
+	const (
+		nodes   = 3
+		perNode = 60
+		rate    = 2
+	)
+	in := newInstallation(t, nodes)
+	limit := strconv.Itoa(rate)
+	in.portal.Limit.Store(&limit)
+	pause := time.NewTicker(15 * time.Millisecond)
+	defer pause.Stop()
+	began := time.Now()
+	served := 0
+	for i := range nodes * perNode {
+		response, _, err := in.ask(in.nodes[i%nodes], fmt.Sprintf("r-%d", i), "/slots/1", "secret")
+		require.NoError(t, err)
+		if response.StatusCode == http.StatusOK {
+			served++
+			continue
+		}
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		require.NotEmpty(t, response.Header.Get("Retry-After"))
+		<-pause.C
+	}
+	took := time.Since(began).Seconds()
+	require.Len(t, in.portal.Ran(), served, "what was refused has not run")
+	require.LessOrEqual(t, float64(served), rate*took+nodes+1, "each node may send one before it knows")
+	require.GreaterOrEqual(t, float64(served), rate*took/2)
+
+	none := ""
+	in.portal.Limit.Store(&none)
+	for i, n := range in.nodes {
+		require.Eventually(t, func() bool {
+			response, _, err := in.ask(n, fmt.Sprintf("free-%d-%d", i, time.Now().UnixNano()), "/slots/1", "secret")
+			return err == nil && response.StatusCode == http.StatusOK
+		}, patience, 20*time.Millisecond)
+	}
+}
+
 // The store is away. A change that one node read before is in force at a node
 // that reads nothing, because its peers tell it; and requests are served.
 func TestGatewayWithoutTheStore(t *testing.T) {
--- a/internal/dispatcher/choose.go
+++ b/internal/dispatcher/choose.go
@@ -75,7 +75,7 @@
 
 // chooseAmong picks one of some servers.
 func (d *Dispatcher) chooseAmong(w World, x *exchange, servers []*registrar.Server) (choice, bool) {
-	k := d.keepersOf(w.Now, x.spec.Prefix, servers)
+	k := d.keepersOf(w, x.spec.Prefix, servers)
 	own := func(s *registrar.Server) bool { return d.subset.has(s.Server, chosenServers, len(servers)) }
 	found := d.candidates(w, x, k, own)
 	if len(found) == 0 {
@@ -93,7 +93,7 @@
 func (d *Dispatcher) candidates(w World, x *exchange, k keepers, eligible func(*registrar.Server) bool) []choice {
 	var trusted, suspected []choice
 	for i, s := range k.servers {
-		if s.State != messenger.ServerReady || s.Displaced || slices.Contains(x.tried, s.Server) || !eligible(s) {
+		if !w.takes(x, s) || !eligible(s) {
 			continue
 		}
 		c := d.weigh(w, x, s, k.of(i))
@@ -109,6 +109,12 @@
 	return trusted
 }
 
+// takes reports whether a server may be sent an exchange, as far as this node knows.
+func (w World) takes(x *exchange, s *registrar.Server) bool {
+	return s.State == messenger.ServerReady && !s.Displaced && !slices.Contains(x.tried, s.Server) &&
+		w.Limits.PausedUntil(w.Now, s.Server) == 0
+}
+
 // unseen is the work, in milliseconds of each server's time, that other nodes have
 // probably sent to the servers of a service since what this node knows of them.
 //
@@ -219,7 +225,7 @@
 type keepers struct {
 	servers []*registrar.Server
 	tokens  []identifier.Tokens
-	// most is the server that keeps most, or -1.
+	// most is the server that keeps most of those that may be copied from, or -1.
 	most int
 	// home is the server at which requests meet whose shared parts nobody is
 	// known to keep, or -1.
@@ -227,7 +233,7 @@
 }
 
 // keepersOf looks up who keeps the shared parts of a prompt.
-func (d *Dispatcher) keepersOf(now timekeeper.Time, prefix []messenger.PromptPart, servers []*registrar.Server) keepers {
+func (d *Dispatcher) keepersOf(w World, prefix []messenger.PromptPart, servers []*registrar.Server) keepers {
 	k := keepers{
 		servers: servers,
 		tokens:  make([]identifier.Tokens, len(servers)),
@@ -235,10 +241,13 @@
 		home:    -1,
 	}
 	for i, s := range servers {
-		if s.State == messenger.ServerLeaving && now.Sub(s.Changed) > copyWindow {
+		if s.State == messenger.ServerLeaving && w.Now.Sub(s.Changed) > copyWindow {
 			continue
 		}
 		k.tokens[i] = d.index.Kept(s.Server, prefix)
+		if _, limited := w.Limits.Of(s.Server); limited {
+			continue // A copy from it would be one more request.
+		}
 		if k.tokens[i] > 0 && (k.most < 0 || k.tokens[i] > k.tokens[k.most]) {
 			k.most = i
 		}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -11,6 +11,7 @@
 //   - receive.go admits a request or refuses it.
 //   - limit.go counts it against its account's limit.
 //   - choose.go picks the server.
+//   - permit.go asks for a permit where the server states a limit for all nodes.
 //   - version.go says of which version it may be, and notes what became of it.
 //   - repeat.go decides what follows an attempt.
 //   - ended.go notes the requests under which servers ended.
@@ -34,6 +35,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
 	"github.com/dotterelhollow/dotterelhollow/internal/registrar"
 	"github.com/dotterelhollow/dotterelhollow/internal/retrier"
+	"github.com/dotterelhollow/dotterelhollow/internal/throttler"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -65,6 +67,11 @@
 	// nothing says.
 	Granter    *Granter
 	GranterDue timekeeper.Duration
+	// Limits are the request rates that servers state to accept, and Permits what this
+	// node grants of them where PermitsOf names no other node for a server.
+	Limits     *throttler.Table
+	Permits    *throttler.Permits
+	PermitsOf  func(server identifier.VMID) *Granter
 	Retries    *retrier.Allowance
 	Suspicions *detector.Suspicions
 	// Quarantine knows the requests under which servers ended.
@@ -145,6 +152,10 @@
 	// counted is the number of servers that may have run it and still exist.
 	counted int
 	tried   []identifier.VMID
+	// asked are the servers that a permit was asked for, and ended the end of the
+	// attempt before.
+	asked []identifier.VMID
+	ended messenger.ExchangeAttemptEnded
 	// limit tells who decided on the account's limit.
 	limit messenger.LimitSource
 	// mayHaveRun tells that an attempt may have run.
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -16,6 +16,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
 	"github.com/dotterelhollow/dotterelhollow/internal/registrar"
 	"github.com/dotterelhollow/dotterelhollow/internal/retrier"
+	"github.com/dotterelhollow/dotterelhollow/internal/throttler"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -97,6 +98,9 @@
 			Suspicions: detector.New(detector.Config{Rules: detector.AllRules()}),
 			Quarantine: quarantiner.New(),
 			Versions:   promoter.New(promoter.Config{}),
+			Limits:     throttler.New(),
+			Permits:    throttler.NewPermits(),
+			PermitsOf:  func(identifier.VMID) *dispatcher.Granter { return nil },
 			Rand:       rand.New(rand.NewPCG(1, 2)),
 		},
 	}
--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -66,12 +66,12 @@
 	if refusal := d.quarantined(w, x); refusal != nil {
 		return d.refuse(w.about(x), x.spec.Exchange, refusal)
 	}
-	c, ok := d.choose(w, x)
+	effect, ok := d.place(w, x)
 	if !ok {
 		return d.refuseForServers(w, x)
 	}
 	w.Retries.Requested(w.Now, x.service)
-	return d.send(w, x, c)
+	return effect
 }
 
 func (d *Dispatcher) refuseForServers(w World, x *exchange) messenger.Effect {
@@ -83,6 +83,9 @@
 		// This node has just started and hears of the servers in a moment.
 		again = soon
 	}
+	if after, limited := d.permitIn(w, x); limited {
+		again = after
+	}
 	return d.refuse(w, x.spec.Exchange, notRun(messenger.ReasonNoServer, spread(w, again)))
 }
 
@@ -219,8 +222,10 @@
 	if c.copyFrom != nil {
 		copyFrom = c.copyFrom.Address
 	}
+	_, limited := w.Limits.Of(c.server.Server)
 	return messenger.SendExchange{
 		CopyFrom:     copyFrom,
+		Limited:      limited,
 		Basis:        basis,
 		Exchange:     x.spec.Exchange,
 		Attempt:      x.attempt,
--- a/internal/dispatcher/repeat.go
+++ b/internal/dispatcher/repeat.go
@@ -56,14 +56,18 @@
 	if x.deadline.Sub(w.Now) < leastTime {
 		return d.end(w, x, e, messenger.ReasonDeadlineExpired)
 	}
-	c, ok := d.choose(w, x)
-	if !ok {
+	if _, ok := d.choose(w, x); !ok {
 		return d.end(w, x, e, messenger.ReasonNoServer)
 	}
 	if e.Result != messenger.AttemptNotSent && !w.Retries.Spend(w.Now, x.service) {
 		return d.end(w, x, e, messenger.ReasonRetriesSpent)
 	}
-	return d.send(w, x, c)
+	x.ended = e
+	effect, ok := d.place(w, x)
+	if !ok {
+		return d.end(w, x, e, messenger.ReasonNoServer)
+	}
+	return effect
 }
 
 // settle takes up what an attempt's end says of the request.
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -141,17 +141,21 @@
 	return x.whole(ctx, s, bound, response)
 }
 
-// heardLimit reports the limit that a server states in its answer. An answer to another
-// request, or from another server, says nothing of this one.
+// heardLimit reports the limit that a server states in its answer, or that it states none
+// any more. An answer to another request, or from another server, says nothing of this
+// one, and what a server has not signed may come from something before it.
 func (x *exchange) heardLimit(ctx context.Context, s messenger.SendExchange, sent timekeeper.Time, reply Reply) {
 	if reply.Misdirected || reply.Request != "" && reply.Request != x.head.Request {
 		return
 	}
-	if !reply.Limit.Named {
+	lifted := s.Limited && reply.Signed
+	if !reply.Limit.Named && !lifted {
 		return
 	}
 	x.limit = reply.Limit
-	x.forwarder.config.Metrics.limited()
+	if reply.Limit.Named {
+		x.forwarder.config.Metrics.limited()
+	}
 	x.forwarder.config.Decider.LimitHeard(ctx, messenger.ServerLimitHeard{
 		Server: s.Server,
 		Sent:   sent,
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -137,6 +137,8 @@
 		// prompt that the chosen one lacks, which copies them from there
 		// instead of reading them; empty where none is known.
 		CopyFrom string
+		// Limited tells that the server is known to state a limit.
+		Limited bool
 		// FirstSilence and NextSilence bound the wait for the first event and
 		// between events, where another server could go on; else they are
 		// zero.
@@ -246,6 +248,8 @@
 	Kept []KeptPart
 	// Suspects are requests under which servers ended.
 	Suspects []SuspectRequest
+	// Limits are the servers that state a limit.
+	Limits []ServerLimit
 	// Rollouts are all that the sender knows, and Versions what it counted of
 	// those that are not over.
 	Rollouts []Rollout
--- a/internal/messenger/serverlimit.go
+++ b/internal/messenger/serverlimit.go
@@ -23,4 +23,51 @@
 	Limit NamedLimit
 }
 
+// ServerLimit is what a node knows of a server that states a limit, or did lately.
+type ServerLimit struct {
+	Server identifier.VMID
+	// Limited is false where the limit was lifted.
+	Limited bool
+	Rate    identifier.RequestRate
+	// Age is how long ago that was stated.
+	Age timekeeper.Duration
+}
+
+// Permits to send requests to servers that state a limit.
+type (
+	// AskPermit asks the node that grants permits for one to one of some servers, the
+	// most suitable first.
+	AskPermit struct {
+		Exchange identifier.ExchangeID
+		Peer     identifier.VMID
+		Address  string
+		Limits   []ServerLimit
+	}
+	// PermitAnswered: the request may go to Server or, where that is empty, to none of
+	// those asked for before RetryAfter. With Unknown set nobody answered, with
+	// NotGranting the node answered that it grants no permits.
+	PermitAnswered struct {
+		Exchange    identifier.ExchangeID
+		Server      identifier.VMID
+		RetryAfter  timekeeper.Duration
+		Unknown     bool
+		NotGranting bool
+	}
+	// PermitAsked: a peer asks this node for a permit.
+	PermitAsked struct {
+		Ticket identifier.Ticket
+		Limits []ServerLimit
+	}
+	// AnswerPermit answers a peer that asked.
+	AnswerPermit struct {
+		Ticket identifier.Ticket
+		Answer PermitAnswered
+	}
+)
+
 func (ServerLimitHeard) eventBody() {}
+func (PermitAnswered) eventBody()   {}
+func (PermitAsked) eventBody()      {}
+
+func (AskPermit) effect()    {}
+func (AnswerPermit) effect() {}
--- a/internal/prover/exchange_world_test.go
+++ b/internal/prover/exchange_world_test.go
@@ -134,8 +134,10 @@
 type worldSize struct {
 	nodes   int
 	servers int
-	// every is the spacing of requests.
-	every timekeeper.Duration
+	// every is the spacing of requests, and tokens what their account may have in a
+	// second.
+	every  timekeeper.Duration
+	tokens float64
 	// listed tells nodes from the start on which others there are.
 	listed bool
 }
@@ -145,6 +147,7 @@
 		nodes:   exchangeNodes,
 		servers: 6,
 		every:   exchangeEvery,
+		tokens:  10_000,
 	})
 }
 
@@ -242,8 +245,8 @@
 		Accounts: map[identifier.AccountID]catalog.Account{
 			"agency": {
 				ID:              "agency",
-				TokensPerSecond: 10_000,
-				TokenBurst:      10_000,
+				TokensPerSecond: w.size.tokens,
+				TokenBurst:      w.size.tokens,
 			},
 		},
 		Routing: routing,
@@ -472,6 +475,8 @@
 		})
 	case messenger.AskLimit:
 		w.askLimit(n, e)
+	case messenger.AskPermit:
+		w.askPermit(n, e)
 	case messenger.AppendRecord:
 		w.append(n, e)
 	case messenger.OrderServers:
@@ -493,30 +498,59 @@
 	}
 }
 
-func (w *exchangeWorld) askLimit(n *gatewayNode, e messenger.AskLimit) {
+// question is what a node asks a peer, which answers with one effect.
+type question struct {
+	address string
+	asked   messenger.EventBody
+	// answer returns the event that the effect of the peer is to the node that asked,
+	// or nil where it is another effect.
+	answer func(messenger.Effect) messenger.EventBody
+	// silence is the event where the peer does not answer.
+	silence messenger.EventBody
+}
+
+func (w *exchangeWorld) askPeer(n *gatewayNode, q question) {
 	answered := false
-	answer := func(a messenger.LimitAnswered) {
+	answer := func(body messenger.EventBody) {
 		if !answered {
 			answered = true
-			a.Exchange = e.Exchange
-			w.apply(n, a)
+			w.apply(n, body)
 		}
 	}
-	w.deliver(n, e.Address, func(to *gatewayNode) messenger.EventBody {
+	w.deliver(n, q.address, func(to *gatewayNode) messenger.EventBody {
 		for _, effect := range to.r.Apply(messenger.Event{
-			At: w.now,
-			Body: messenger.LimitAsked{
-				Account: e.Account,
-				Tokens:  e.Tokens,
-			},
+			At:   w.now,
+			Body: q.asked,
 		}) {
-			if a, ok := effect.(messenger.AnswerLimit); ok {
-				w.after(1, func() { answer(a.Answer) })
+			if body := q.answer(effect); body != nil {
+				w.after(1, func() { answer(body) })
 			}
 		}
 		return messenger.Tick{}
 	})
-	w.after(150, func() { answer(messenger.LimitAnswered{Unknown: true}) })
+	w.after(150, func() { answer(q.silence) })
+}
+
+func (w *exchangeWorld) askLimit(n *gatewayNode, e messenger.AskLimit) {
+	w.askPeer(n, question{
+		address: e.Address,
+		asked: messenger.LimitAsked{
+			Account: e.Account,
+			Tokens:  e.Tokens,
+		},
+		answer: func(effect messenger.Effect) messenger.EventBody {
+			a, ok := effect.(messenger.AnswerLimit)
+			if !ok {
+				return nil
+			}
+			a.Answer.Exchange = e.Exchange
+			return a.Answer
+		},
+		silence: messenger.LimitAnswered{
+			Exchange: e.Exchange,
+			Unknown:  true,
+		},
+	})
 }
 
 // append appends a record, late where appends are; while the store is down
--- a/internal/prover/limit_test.go
+++ b/internal/prover/limit_test.go
@@ -1,6 +1,7 @@
 package prover
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -33,9 +34,10 @@
 	first map[identifier.VMID]timekeeper.Time
 	// passed is when each node first passed on an answer of a server with a limit.
 	passed map[identifier.VMID]map[identifier.VMID]timekeeper.Time
-	// arrivals are those that count, and free those while no limit is stated.
+	// arrivals are those that count, and all those of all nodes that are not excused
+	// since the limit settled.
 	arrivals map[identifier.VMID][]timekeeper.Time
-	free     map[identifier.VMID]int
+	all      map[identifier.VMID][]timekeeper.Time
 	harmed   map[identifier.VMID]timekeeper.Time
 	// worst is the largest part of what is allowed that arrived in some span.
 	worst float64
@@ -47,7 +49,7 @@
 		first:    map[identifier.VMID]timekeeper.Time{},
 		passed:   map[identifier.VMID]map[identifier.VMID]timekeeper.Time{},
 		arrivals: map[identifier.VMID][]timekeeper.Time{},
-		free:     map[identifier.VMID]int{},
+		all:      map[identifier.VMID][]timekeeper.Time{},
 		harmed:   map[identifier.VMID]timekeeper.Time{},
 	}
 }
@@ -62,25 +64,34 @@
 	w.at(limitUntil, func() { delete(w.limits.rates, server) })
 }
 
-// limitArrival counts a request that reaches a server.
+// limitArrival counts a request that reaches a server. The users count those of nodes that
+// passed on the limit; the limit is one for all nodes, which have heard of it once it
+// settled.
 func (w *exchangeWorld) limitArrival(n *gatewayNode, server identifier.VMID) {
 	l := &w.limits
 	rate, limited := l.rates[server]
-	if !limited {
-		l.free[server]++
+	if !limited || w.now.Sub(max(n.began, l.harmed[n.vm])) < excusedFor {
 		return
 	}
+	settled := w.now.Sub(l.first[server]) >= limitSettles
+	if settled {
+		l.all[server] = append(l.all[server], w.now)
+		w.checkLimit(server, rate, l.all[server])
+	}
 	passed, known := l.passed[server][n.vm]
-	if !known || w.now.Sub(passed) < limitKnown || w.now.Sub(max(n.began, l.harmed[n.vm])) < excusedFor {
+	if !known || w.now.Sub(passed) < limitKnown {
 		return
 	}
 	l.arrivals[server] = append(l.arrivals[server], w.now)
-	if w.now.Sub(l.first[server]) < limitSettles {
-		return
+	if settled {
+		w.checkLimit(server, rate, l.arrivals[server])
 	}
-	count := within(l.arrivals[server], w.now.Add(1-limitSpan), limitSpan)
+}
+
+func (w *exchangeWorld) checkLimit(server identifier.VMID, rate identifier.RequestRate, arrivals []timekeeper.Time) {
+	count := within(arrivals, w.now.Add(1-limitSpan), limitSpan)
 	allowed := limitFactor*float64(rate)*limitSpan.Seconds() + limitSlack
-	l.worst = max(l.worst, float64(count)/allowed)
+	w.limits.worst = max(w.limits.worst, float64(count)/allowed)
 	if float64(count) > allowed {
 		w.fault("%s, with a limit of %g a second, gets %d requests in %s", server, rate, count, limitSpan)
 	}
@@ -153,6 +164,7 @@
 	nodes:   6,
 	servers: 6,
 	every:   15,
+	tokens:  1e6,
 }
 
 // manyNodes returns a world in which each node has few requests.
@@ -161,6 +173,7 @@
 		nodes:   nodes,
 		servers: 6,
 		every:   2,
+		tokens:  1e6,
 		listed:  true,
 	}
 }
@@ -247,3 +260,72 @@
 		})
 	}
 }
+
+// askPermit asks a peer for a permit, and passes its answer on.
+func (w *exchangeWorld) askPermit(n *gatewayNode, e messenger.AskPermit) {
+	w.askPeer(n, question{
+		address: e.Address,
+		asked:   messenger.PermitAsked{Limits: e.Limits},
+		answer: func(effect messenger.Effect) messenger.EventBody {
+			a, ok := effect.(messenger.AnswerPermit)
+			if !ok {
+				return nil
+			}
+			a.Answer.Exchange = e.Exchange
+			return a.Answer
+		},
+		silence: messenger.PermitAnswered{
+			Exchange: e.Exchange,
+			Unknown:  true,
+		},
+	})
+}
+
+// arrived returns how many requests reached servers in each second of settled limits.
+func (w *exchangeWorld) arrived() float64 {
+	sum := 0
+	for _, arrivals := range w.limits.all {
+		sum += len(arrivals)
+	}
+	return float64(sum) / (limitUntil - limitFrom - limitSettles).Seconds()
+}
+
+// Callers are refused while their servers have room left within the limits.
+func TestLimitsAreUsed(t *testing.T) {
+	for _, nodes := range []int{6, 69, 300} {
+		t.Run(fmt.Sprintf("%d nodes", nodes), func(t *testing.T) {
+			size := manyNodes(nodes)
+			size.servers = 4
+			day := limitDay{
+				size:    size,
+				limited: 4,
+				rate:    8,
+			}
+			w := day.world(t, 1)
+			w.run()
+			require.Empty(t, w.faults)
+			t.Logf("%.1f requests a second of %g", w.arrived(), float64(day.limited)*float64(day.rate))
+			require.Greater(t, w.arrived(), 0.7*float64(day.limited)*float64(day.rate))
+		})
+	}
+}
+
+// A limit that is over still holds requests back, since few of them would learn of its end.
+func TestLiftedLimitFreesServer(t *testing.T) {
+	for _, rate := range []identifier.RequestRate{0, 1} {
+		t.Run(fmt.Sprintf("%g a second", rate), func(t *testing.T) {
+			day := limitDay{
+				size:    fewNodes,
+				limited: 6,
+				rate:    rate,
+			}
+			w := day.world(t, 1)
+			refused := 0
+			w.at(exchangeDay-1, func() { refused = w.refused - refused })
+			w.at(exchangeDay-2000, func() { refused = w.refused })
+			w.run()
+			require.Empty(t, w.faults)
+			require.Zero(t, refused, "in the last two seconds")
+		})
+	}
+}
--- a/internal/reducer/apply_test.go
+++ b/internal/reducer/apply_test.go
@@ -72,6 +72,8 @@
 	messenger.RolloutsClaimed{},
 	messenger.RolloutKept{},
 	messenger.ServerLimitHeard{},
+	messenger.PermitAsked{},
+	messenger.PermitAnswered{},
 }
 
 func newReducer(seed uint64) *reducer.Reducer {
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -156,7 +156,9 @@
 	holding    identifier.Fence
 	// limits are the request rates that servers accept.
 	limits *throttler.Table
-	local  *limiter.Buckets
+	// permits are what this node grants of them.
+	permits *throttler.Permits
+	local   *limiter.Buckets
 	// central is what this node grants while it holds the lease.
 	central *limiter.Buckets
 	// granter is the peer that was heard last to hold the lease.
@@ -228,8 +230,9 @@
 			Share:       c.Gateway.Share,
 			Slack:       c.Gateway.Slack,
 		}),
-		limits: throttler.New(),
-		local:  limiter.NewLocal(),
+		limits:  throttler.New(),
+		permits: throttler.NewPermits(),
+		local:   limiter.NewLocal(),
 		leases: leaser.New(leaser.Config{
 			Self:        c.Self,
 			Incarnation: c.Incarnation,
@@ -280,21 +283,16 @@
 		return r.usageReported(b)
 	case messenger.ServerLimitHeard:
 		return r.serverLimitHeard(w, b)
+	case messenger.PermitAsked:
+		return r.permitAsked(w, b)
+	case messenger.PermitAnswered:
+		return r.permitAnswered(w, b)
 	case messenger.RolloutsClaimed:
 		return r.rolloutsClaimed(w, b)
 	case messenger.RolloutKept:
 		return r.rolloutKept(w, b)
 	case messenger.LimitAnswered:
-		if b.NotGranting {
-			// Nobody grants until a node has the lease. All nodes go on with
-			// equal parts at once: waiting until the old holder counts as silent
-			// refused all accounts for two seconds.
-			g.granterHeard = 0
-			r.shareGrants(w)
-		}
-		if b.Unknown {
-			g.silent++
-		}
+		r.granterAnswered(w, b.Unknown, b.NotGranting)
 		return r.withNews(w, g.exchanges.LimitAnswered(r.exchangeWorld(w), b))
 	case messenger.LimitAsked:
 		return []messenger.Effect{
@@ -321,6 +319,9 @@
 		OrdersAsOf: g.confirmed,
 		Rand:       r.rand,
 		Began:      func(a identifier.AccountID) { g.usage.Began(w.Now, a) },
+		Limits:     g.limits,
+		Permits:    g.permits,
+		PermitsOf:  func(server identifier.VMID) *dispatcher.Granter { return r.permitsOf(w, server) },
 		Stale:      w.Now.Sub(g.confirmed) > configDoubt,
 		Basis: messenger.Basis{
 			Revision:    g.revision(),
@@ -332,12 +333,7 @@
 		out.Central = g.central
 		return out
 	}
-	node, known := r.members.Node(g.granter)
-	if known && g.granterThere(w.Now) {
-		out.Granter = &dispatcher.Granter{
-			Node:    g.granter,
-			Address: node.PeerAddress,
-		}
+	if out.Granter = r.granterNow(w); out.Granter != nil {
 		return out
 	}
 	out.GranterDue = max(g.granterDue().Sub(w.Now), 0)
@@ -403,6 +399,7 @@
 			r.suspicions.Forget(s.Server)
 			r.gateway.exchanges.Gone(r.exchangeWorld(w), s.Server)
 			r.gateway.limits.Forget(s.Server)
+			r.gateway.permits.Forget(s.Server)
 		}
 	}
 	if direct {
@@ -423,6 +420,7 @@
 		g.candidate = r.ranking.Chosen(string(dutyLease), dutyNodes)
 	}
 	r.shareGrants(w)
+	g.limits.Tick(w.Now)
 	if !w.Now.Before(g.nextShare) {
 		out = append(out, r.shareNow(w)...)
 	}
--- a/internal/reducer/granting.go
+++ b/internal/reducer/granting.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/dotterelhollow/dotterelhollow/internal/conductor"
+	"github.com/dotterelhollow/dotterelhollow/internal/dispatcher"
 	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
@@ -97,6 +98,34 @@
 	}
 }
 
+// granterNow returns the peer that grants limits, or nil where none can be asked.
+func (r *Reducer) granterNow(w *conductor.World) *dispatcher.Granter {
+	g := r.gateway
+	node, known := r.members.Node(g.granter)
+	if !known || !g.granterThere(w.Now) {
+		return nil
+	}
+	return &dispatcher.Granter{
+		Node:    g.granter,
+		Address: node.PeerAddress,
+	}
+}
+
+// granterAnswered takes in that the peer that was asked did not answer, or that it grants
+// nothing any more.
+func (r *Reducer) granterAnswered(w *conductor.World, unknown, notGranting bool) {
+	if notGranting {
+		// Nobody grants until a node has the lease. All nodes go on with
+		// equal parts at once: waiting until the old holder counts as silent
+		// refused all accounts for two seconds.
+		r.gateway.granterHeard = 0
+		r.shareGrants(w)
+	}
+	if unknown {
+		r.gateway.silent++
+	}
+}
+
 // granterThere reports whether the node that grants centrally can be asked.
 func (g *gateway) granterThere(now timekeeper.Time) bool {
 	age := now.Sub(g.granterHeard)
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -239,7 +239,8 @@
 		messenger.ExchangeEnded, messenger.CatalogPublished, messenger.CatalogConfirmed,
 		messenger.ServersPublished,
 		messenger.ServersOrdered, messenger.UsageReported, messenger.LimitAnswered, messenger.LimitAsked,
-		messenger.RolloutsClaimed, messenger.RolloutKept, messenger.ServerLimitHeard:
+		messenger.RolloutsClaimed, messenger.RolloutKept, messenger.ServerLimitHeard,
+		messenger.PermitAsked, messenger.PermitAnswered:
 		return r.gatewayEvent(w, b)
 
 	case messenger.BuyEnded:
--- a/internal/reducer/share.go
+++ b/internal/reducer/share.go
@@ -43,12 +43,14 @@
 		g.versions.PeerCounts(w.Now, e.From, s.Incarnation, s)
 	}
 	g.heardOfHolder(w.Now, s)
+	notes := r.learnLimits(w, s.Limits)
 	merge := g.servers.Reported
 	if s.Whole {
 		merge = g.servers.ReportedAll
 	}
 	changed := merge(w.Now, w.Now.Add(-s.ServersAge), s.Servers)
-	out := append(r.noteRollouts(w), r.serversChanged(w, changed, false)...)
+	out := append(notes, r.noteRollouts(w)...)
+	out = append(out, r.serversChanged(w, changed, false)...)
 	g.exchanges.Kept(r.exchangeWorld(w), s.Kept, g.relaySince != 0)
 	if s.Revision == g.revision() {
 		g.confirmed = max(g.confirmed, w.Now.Add(-s.ConfigurationAge))
@@ -201,6 +203,7 @@
 		Revision:         g.revision(),
 		Kept:             g.exchanges.NewlyKept(now),
 		Suspects:         g.quarantine.News(now, g.relaySince != 0),
+		Limits:           g.limits.News(now, g.relaySince != 0),
 		Rollouts:         g.versions.News(now),
 	}
 	if fence, _, held := g.leases.Held(dutyLease, now); held {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -36,6 +36,9 @@
 	ReceiveShare(from identifier.VMID, s messenger.Share)
 	// GrantLimit grants a request of an account, where this node does that.
 	GrantLimit(ctx context.Context, account identifier.AccountID, tokens identifier.Tokens) messenger.LimitAnswered
+	// GrantPermit grants a request to one of some servers that state a limit, where
+	// this node does that.
+	GrantPermit(ctx context.Context, limits []messenger.ServerLimit) messenger.PermitAnswered
 }
 
 // Clock is the hybrid logical clock of the node's time line.
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -36,6 +36,8 @@
 	takeOver func(ctx context.Context) error
 	ending   Ending
 	data     []byte
+	limits   []messenger.ServerLimit
+	permit   messenger.PermitAnswered
 }
 
 var _ Peer = (*fakePeer)(nil)
@@ -75,6 +77,11 @@
 	}
 }
 
+func (p *fakePeer) GrantPermit(_ context.Context, limits []messenger.ServerLimit) messenger.PermitAnswered {
+	p.limits = limits
+	return p.permit
+}
+
 func (p *fakePeer) ReceiveShare(_ identifier.VMID, s messenger.Share) { p.share = s }
 
 func (p *fakePeer) EndingOf(context.Context, Question) Ending { return p.ending }
@@ -290,6 +297,18 @@
 				ClearedAge: 5000,
 			},
 		},
+		Limits: []messenger.ServerLimit{
+			{
+				Server:  "i-1",
+				Limited: true,
+				Rate:    1.5,
+				Age:     40,
+			},
+			{
+				Server: "i-2",
+				Age:    900,
+			},
+		},
 		Rollouts: []messenger.Rollout{
 			{
 				Order: messenger.RolloutOrder{
@@ -618,3 +637,44 @@
 	require.Contains(t, client.links, "c")
 	require.Len(t, client.links, 2)
 }
+
+func TestPermit(t *testing.T) {
+	p := &fakePeer{}
+	client, address := pair(t, p)
+	limits := []messenger.ServerLimit{
+		{
+			Server:  "i-1",
+			Limited: true,
+			Rate:    0.5,
+			Age:     1200,
+		},
+	}
+	for _, answer := range []messenger.PermitAnswered{
+		{
+			Server: "i-1",
+		},
+		{
+			RetryAfter: 400,
+		},
+		{
+			NotGranting: true,
+		},
+		{
+			Unknown: true,
+		},
+	} {
+		p.permit = answer
+		got, err := client.Permit(t.Context(), address, limits)
+		require.NoError(t, err)
+		require.Equal(t, answer, got)
+		require.Equal(t, limits, p.limits)
+	}
+	broken := append(limits, messenger.ServerLimit{
+		Server:  "i-2",
+		Limited: true,
+		Rate:    -1,
+	})
+	_, err := client.Permit(t.Context(), address, broken)
+	require.NoError(t, err)
+	require.Equal(t, limits, p.limits, "a rate below zero is none")
+}
--- a/internal/relayer/share.go
+++ b/internal/relayer/share.go
@@ -43,6 +43,7 @@
 	for _, suspect := range s.Suspects {
 		out.Suspects = append(out.Suspects, encodeSuspect(suspect))
 	}
+	out.Limits = encodeLimits(s.Limits)
 	for _, r := range s.Rollouts {
 		out.Rollouts = append(out.Rollouts, encodeRollout(r))
 	}
@@ -112,6 +113,7 @@
 	for _, suspect := range q.GetSuspects() {
 		s.Suspects = append(s.Suspects, decodeSuspect(suspect))
 	}
+	s.Limits = decodeLimits(q.GetLimits())
 	for _, r := range q.GetRollouts() {
 		s.Rollouts = append(s.Rollouts, decodeRollout(r))
 	}
--- a/internal/runner/effect.go
+++ b/internal/runner/effect.go
@@ -63,7 +63,11 @@
 	case messenger.AskLimit:
 		r.askLimit(e)
 	case messenger.AnswerLimit:
-		r.answerLimit(e)
+		r.limitAsks.answer(e.Ticket, e.Answer)
+	case messenger.AskPermit:
+		r.askPermit(e)
+	case messenger.AnswerPermit:
+		r.permitAsks.answer(e.Ticket, e.Answer)
 	case messenger.SendShare:
 		r.sendShare(e)
 	case messenger.OrderServers:
--- a/internal/runner/exchange.go
+++ b/internal/runner/exchange.go
@@ -70,46 +70,6 @@
 	waiting <- effect // It has room for one, and gets only one.
 }
 
-// limitTimeout bounds a question to the node that grants limits: two ways
-// within a region, and room for a node that is slow for a moment.
-const limitTimeout = 150 * timekeeper.Millisecond
-
-// askLimit asks a peer for a part of an account's limit. The caller waits for
-// the answer, so it does not share a lane with others.
-func (r *Runner) askLimit(e messenger.AskLimit) {
-	r.tasks.start(func(ctx context.Context) func() {
-		ctx, done := context.WithTimeout(ctx, limitTimeout.Std())
-		defer done()
-		answer, err := r.config.Peers.Limit(ctx, e.Address, e.Account, e.Tokens)
-		answer.Unknown = answer.Unknown || err != nil
-		answer.Exchange = e.Exchange
-		return r.report(answer)
-	})
-}
-
-// GrantLimit implements relayer.Peer.
-func (r *Runner) GrantLimit(ctx context.Context, account identifier.AccountID, tokens identifier.Tokens) messenger.LimitAnswered {
-	answer := make(chan messenger.LimitAnswered, 1)
-	applied := r.ask(ctx, func() {
-		r.limitAsked++
-		r.limitAsks[r.limitAsked] = answer
-		r.step(messenger.LimitAsked{
-			Ticket:  r.limitAsked,
-			Account: account,
-			Tokens:  tokens,
-		})
-	})
-	if !applied {
-		return messenger.LimitAnswered{Unknown: true}
-	}
-	return <-answer
-}
-
-func (r *Runner) answerLimit(e messenger.AnswerLimit) {
-	r.limitAsks[e.Ticket] <- e.Answer // It has room for one, and gets only one.
-	delete(r.limitAsks, e.Ticket)
-}
-
 // Ready reports whether callers may be sent to this node.
 func (r *Runner) Ready(ctx context.Context) bool {
 	ready := false
--- a/internal/runner/outside.go
+++ b/internal/runner/outside.go
@@ -160,6 +160,7 @@
 	Gossip(ctx context.Context, address string, data []byte) error
 	Share(ctx context.Context, address string, s messenger.Share) error
 	Limit(ctx context.Context, address string, account identifier.AccountID, tokens identifier.Tokens) (messenger.LimitAnswered, error)
+	Permit(ctx context.Context, address string, limits []messenger.ServerLimit) (messenger.PermitAnswered, error)
 	Hold(ctx context.Context, address string, p relayer.Push) (relayer.HoldAnswer, error)
 	Unhold(ctx context.Context, address string, r identifier.RequestID) error
 	// HandOver returns nil once the peer owns the request. After an error for
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -124,9 +124,10 @@
 	proposals map[identifier.Ticket]chan messenger.ChangeVerdict
 	proposed  identifier.Ticket
 	exchanges map[identifier.ExchangeID]chan messenger.Effect
-	// limitAsks are the peers that wait for a part of an account's limit.
-	limitAsks  map[identifier.Ticket]chan messenger.LimitAnswered
-	limitAsked identifier.Ticket
+	// limitAsks are the peers that wait for a part of an account's limit, and
+	// permitAsks those that wait for a permit to send to a server.
+	limitAsks  questions[messenger.LimitAnswered]
+	permitAsks questions[messenger.PermitAnswered]
 	farewells  int           // what peers are to be told before the node ends
 	leaving    chan struct{} // closed when listeners are closed for good
 	// orders numbers the orders for servers.
@@ -179,7 +180,6 @@
 		cursors:   make(map[identifier.VMID]uint64),
 		proposals: make(map[identifier.Ticket]chan messenger.ChangeVerdict),
 		exchanges: make(map[identifier.ExchangeID]chan messenger.Effect),
-		limitAsks: make(map[identifier.Ticket]chan messenger.LimitAnswered),
 		leaving:   make(chan struct{}),
 		summaries: summarizer.New(),
 	}
--- /dev/null
+++ b/internal/throttler/permits_test.go
@@ -0,0 +1,156 @@
+package throttler_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/throttler"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+func TestTake(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		rate identifier.RequestRate
+		// want is how many of the requests of twenty seconds, one each 10 ms, are
+		// granted.
+		want int
+	}{
+		{
+			name: "one a second",
+			rate: 1,
+			want: 20,
+		},
+		{
+			name: "a fraction",
+			rate: 0.25,
+			want: 5,
+		},
+		{
+			name: "many",
+			rate: 30,
+			want: 600,
+		},
+		{
+			name: "none, so that its end shows",
+			want: 2,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			p := throttler.NewPermits()
+			granted := 0
+			for at := timekeeper.Duration(0); at <= 20*timekeeper.Second; at += 10 {
+				if _, ok := p.Take(start.Add(at), "i-1", test.rate); ok {
+					granted++
+				}
+			}
+			require.Equal(t, test.want, granted)
+		})
+	}
+}
+
+// A server that had no request for long gets a burst of all that was saved up.
+func TestIdleServerGetsNoBurst(t *testing.T) {
+	p := throttler.NewPermits()
+	_, ok := p.Take(start, "i-1", 8)
+	require.False(t, ok)
+	granted := 0
+	for range 100 {
+		if _, ok := p.Take(start.Add(timekeeper.Minute), "i-1", 8); ok {
+			granted++
+		}
+	}
+	require.Equal(t, 2, granted)
+}
+
+// The wait that is returned is too short by a rounding error, and a caller comes back in vain.
+func TestWaitIsLongEnough(t *testing.T) {
+	for _, rate := range []identifier.RequestRate{0, 0.3, 1, 3, 7, 49} {
+		p := throttler.NewPermits()
+		now := start
+		for range 50 {
+			after, ok := p.Take(now, "i-1", rate)
+			if !ok {
+				now = now.Add(after)
+				_, ok = p.Take(now, "i-1", rate)
+			}
+			require.True(t, ok, "%g a second", rate)
+		}
+	}
+}
+
+// told is what a peer tells of one server.
+func told(server identifier.VMID, limited bool, age timekeeper.Duration) messenger.ServerLimit {
+	return messenger.ServerLimit{
+		Server:  server,
+		Limited: limited,
+		Rate:    1,
+		Age:     age,
+	}
+}
+
+// Older news of a peer brings a lifted limit back, or lifts one that was stated since.
+func TestOlderNewsChangesNothing(t *testing.T) {
+	table := throttler.New()
+	now := start.Add(timekeeper.Second)
+	_, changed := table.Learn(now, told("i-1", true, 500))
+	require.True(t, changed)
+	_, changed = table.Learn(now, told("i-1", false, 600))
+	require.False(t, changed)
+	_, changed = table.Learn(now, told("i-1", false, 400))
+	require.True(t, changed)
+	_, changed = table.Learn(now, told("i-1", true, 450))
+	require.False(t, changed)
+	_, limited := table.Of("i-1")
+	require.False(t, limited)
+}
+
+// All servers state a limit at once, and a node that joins later has heard of none.
+func TestNewsReachesANodeThatJoinsLater(t *testing.T) {
+	table := throttler.New()
+	const servers = 90
+	for i := range servers {
+		server := identifier.VMID(rune('a'+i%26)) + identifier.VMID(rune('a'+i/26))
+		table.Heard(start, messenger.ServerLimitHeard{
+			Server: server,
+			Limit: messenger.NamedLimit{
+				Named: true,
+				Rate:  1,
+			},
+		})
+	}
+	now := start.Add(timekeeper.Minute)
+	heard := map[identifier.VMID]bool{}
+	for range 12 {
+		now = now.Add(500)
+		news := table.News(now, false)
+		require.LessOrEqual(t, len(news), 8)
+		for _, l := range news {
+			heard[l.Server] = true
+		}
+	}
+	require.Len(t, heard, servers)
+}
+
+func TestNewsOfChanges(t *testing.T) {
+	table := throttler.New()
+	table.Learn(start, told("i-1", true, 0))
+	table.Heard(start, messenger.ServerLimitHeard{
+		Server: "i-2",
+		Limit:  messenger.NamedLimit{Named: true},
+	})
+	require.Len(t, table.News(start.Add(1), true), 2)
+	table.Heard(start.Add(10), messenger.ServerLimitHeard{
+		Server: "i-2",
+		Sent:   start.Add(5),
+	})
+	require.Contains(t, table.News(start.Add(11), false), messenger.ServerLimit{
+		Server: "i-2",
+		Age:    6,
+	})
+	table.Tick(start.Add(timekeeper.Minute))
+	require.Len(t, table.News(start.Add(timekeeper.Minute), true), 1, "what was lifted long ago is forgotten")
+}
--- a/internal/throttler/table.go
+++ b/internal/throttler/table.go
@@ -11,10 +11,18 @@
 	maxServers = 8192
 	// rateStep is the relative difference from which on a rate is a new one.
 	rateStep = 0.1
+	// liftedKeep is how long a limit that was lifted is remembered, so that older news
+	// of peers does not bring it back.
+	liftedKeep = 30 * timekeeper.Second
 )
 
 // Table is the limits of backend servers as one node knows them.
-type Table struct{ servers map[identifier.VMID]*record }
+type Table struct {
+	servers map[identifier.VMID]*record
+	// turn is the last server without news that peers were told of.
+	turn identifier.VMID
+	news news
+}
 
 // record is what is known of one server.
 type record struct {
@@ -25,6 +33,12 @@
 	// is when the request was sent whose answer states none: the server was asked no
 	// earlier than that.
 	at timekeeper.Time
+	// changed is when this node learned of it, and found tells that an answer to this
+	// node states it.
+	changed timekeeper.Time
+	found   bool
+	// paused is until when there is no permit for this node.
+	paused timekeeper.Time
 }
 
 // Change is a limit that is new, differs from what was known, or is lifted.
@@ -32,6 +46,8 @@
 	Server  identifier.VMID
 	Limited bool
 	Rate    identifier.RequestRate
+	// Found tells that an answer to this node states it.
+	Found bool
 }
 
 // New returns an empty table.
@@ -45,25 +61,27 @@
 // last stated: the answers of a server overtake one another.
 func (t *Table) Heard(now timekeeper.Time, e messenger.ServerLimitHeard) (Change, bool) {
 	if e.Limit.Named {
-		return t.put(record{
+		return t.put(now, record{
 			server:  e.Server,
 			limited: true,
 			rate:    e.Limit.Rate,
 			at:      now,
+			found:   true,
 		})
 	}
 	known := t.servers[e.Server]
-	if known == nil || !e.Sent.After(known.at) {
+	if known == nil || !known.limited || !e.Sent.After(known.at) {
 		return Change{}, false
 	}
-	return t.put(record{
+	return t.put(now, record{
 		server: e.Server,
 		at:     e.Sent,
+		found:  true,
 	})
 }
 
 // put replaces what is known of a server, and reports whether that is a change.
-func (t *Table) put(next record) (Change, bool) {
+func (t *Table) put(now timekeeper.Time, next record) (Change, bool) {
 	known := t.servers[next.server]
 	if known == nil {
 		if !next.limited || len(t.servers) >= maxServers {
@@ -72,18 +90,24 @@
 		known = &record{server: next.server}
 		t.servers[next.server] = known
 	}
-	changed := known.limited != next.limited || known.differs(next.rate)
+	if !known.differs(next) {
+		known.at = next.at
+		return Change{}, false
+	}
+	next.changed = now
+	next.paused = known.paused
 	*known = next
 	return Change{
 		Server:  next.server,
 		Limited: next.limited,
 		Rate:    next.rate,
-	}, changed
+		Found:   next.found,
+	}, true
 }
 
-// differs reports whether a rate is a new one.
-func (r *record) differs(rate identifier.RequestRate) bool {
-	return max(rate, r.rate) > min(rate, r.rate)*(1+rateStep)
+// differs reports whether other says something else of the server.
+func (r *record) differs(other record) bool {
+	return r.limited != other.limited || max(r.rate, other.rate) > min(r.rate, other.rate)*(1+rateStep)
 }
 
 // Of returns the rate that a server accepts from all nodes, and whether it states one.
@@ -95,5 +119,31 @@
 	return r.rate, true
 }
 
+// Pause notes that there is no permit to send to a server before an instant.
+func (t *Table) Pause(server identifier.VMID, until timekeeper.Time) {
+	if r := t.servers[server]; r != nil {
+		r.paused = until
+	}
+}
+
+// PausedUntil returns until when there is no permit to send to a server that states a
+// limit, or zero where one may be had.
+func (t *Table) PausedUntil(now timekeeper.Time, server identifier.VMID) timekeeper.Time {
+	r := t.servers[server]
+	if r == nil || !r.limited || !now.Before(r.paused) {
+		return 0
+	}
+	return r.paused
+}
+
 // Forget drops a server that is no more.
 func (t *Table) Forget(server identifier.VMID) { delete(t.servers, server) }
+
+// Tick forgets limits that were lifted long ago.
+func (t *Table) Tick(now timekeeper.Time) {
+	for server, r := range t.servers {
+		if !r.limited && now.Sub(r.changed) > liftedKeep {
+			delete(t.servers, server)
+		}
+	}
+}
--- a/internal/throttler/table_test.go
+++ b/internal/throttler/table_test.go
@@ -36,6 +36,7 @@
 		Server:  "i-1",
 		Limited: true,
 		Rate:    1,
+		Found:   true,
 	}, change)
 	_, changed = table.Heard(start.Add(40), answer(30, 1.05))
 	require.False(t, changed, "about the same rate")
