Ask for permits only for servers of the right version

A request that needs a permit named all servers of its service that state a limit as alternatives. While a version is rolled out that could have sent it to servers of the new version beyond their share. Now the alternatives, and the server that is granted, are of those that the first was chosen among; the test failed before (three servers asked for, one of them new).

--- a/internal/dispatcher/choose.go
+++ b/internal/dispatcher/choose.go
@@ -58,8 +58,9 @@
 	// prompt, nil where none is known, and copying the time to copy that.
 	copyFrom *registrar.Server
 	copying  timekeeper.Duration
-	// candidates is how many servers there were to choose from.
+	// candidates is how many servers there were to choose from, among these.
 	candidates int
+	among      []*registrar.Server
 }
 
 // choose picks the server for an exchange's next attempt. Servers that it was
@@ -85,7 +86,9 @@
 	if len(found) == 0 {
 		return choice{}, false
 	}
-	return draw(w, found, d.unseen(w, x.service, registrar.CountReady(servers))), true
+	c := draw(w, found, d.unseen(w, x.service, registrar.CountReady(servers)))
+	c.among = servers
+	return c, true
 }
 
 // candidates weighs the servers that an exchange may be sent to, the suspected ones
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -152,9 +152,10 @@
 	// counted is the number of servers that may have run it and still exist.
 	counted int
 	tried   []identifier.VMID
-	// asked are the servers that a permit was asked for, and ended the end of the
-	// attempt before.
+	// asked are the servers that a permit was asked for, and among those that the first
+	// was chosen from; ended is the end of the attempt before.
 	asked []identifier.VMID
+	among []identifier.VMID
 	ended messenger.ExchangeAttemptEnded
 	// limit tells who decided on the account's limit.
 	limit messenger.LimitSource
--- a/internal/dispatcher/permit.go
+++ b/internal/dispatcher/permit.go
@@ -51,6 +51,10 @@
 // servers that it may be sent to state a limit, to any of those.
 func (d *Dispatcher) askPermit(w World, x *exchange, c choice, granter *Granter) messenger.Effect {
 	x.asked = append([]identifier.VMID{c.server.Server}, d.alternatives(w, x, c, granter)...)
+	x.among = nil
+	for _, s := range c.among {
+		x.among = append(x.among, s.Server)
+	}
 	return messenger.AskPermit{
 		Exchange: x.spec.Exchange,
 		Peer:     granter.Node,
@@ -62,8 +66,7 @@
 // alternatives returns the servers to which the granter may send an exchange in place of
 // the chosen one, the best first; none where one needs no permit.
 func (d *Dispatcher) alternatives(w World, x *exchange, c choice, granter *Granter) []identifier.VMID {
-	servers := w.Servers.Of(x.service)
-	k := d.keepersOf(w, x.spec.Prefix, servers)
+	k := d.keepersOf(w, x.spec.Prefix, c.among)
 	others := d.candidates(w, x, k, func(s *registrar.Server) bool { return s.Server != c.server.Server })
 	slices.SortStableFunc(others, func(a, b choice) int { return cmp.Compare(a.cost, b.cost) })
 	var out []identifier.VMID
@@ -107,8 +110,7 @@
 	return d.unplaced(w, x, messenger.ReasonNoServer)
 }
 
-// pause notes that there is no permit for some servers. Where the node that was asked
-// grants none, another one may be asked at once.
+// pause notes that there is no permit for some servers.
 func (d *Dispatcher) pause(w World, asked []identifier.VMID, e messenger.PermitAnswered) {
 	after := e.RetryAfter
 	if e.Unknown || e.NotGranting {
@@ -127,15 +129,21 @@
 	return d.end(w, x, x.ended, reason)
 }
 
-// chooseServer returns what is known of one server, if an exchange may be sent to it.
+// chooseServer returns what is known of a server for which a permit came, if the exchange
+// may still be sent to it. It is one of those of the right version when it was asked for.
 func (d *Dispatcher) chooseServer(w World, x *exchange, server identifier.VMID) (choice, bool) {
-	servers := w.Servers.Of(x.service)
+	var among []*registrar.Server
+	for _, s := range w.Servers.Of(x.service) {
+		if slices.Contains(x.among, s.Server) {
+			among = append(among, s)
+		}
+	}
 	only := func(s *registrar.Server) bool { return s.Server == server }
-	found := d.candidates(w, x, d.keepersOf(w, x.spec.Prefix, servers), only)
+	found := d.candidates(w, x, d.keepersOf(w, x.spec.Prefix, among), only)
 	if len(found) == 0 {
 		return choice{}, false
 	}
-	found[0].candidates = len(servers)
+	found[0].candidates = len(among)
 	return found[0], true
 }
 
--- a/internal/dispatcher/permit_test.go
+++ b/internal/dispatcher/permit_test.go
@@ -109,6 +109,43 @@
 	})
 }
 
+// A permit is asked for servers of a version that this request may not go to.
+func TestPermitIsForTheRightVersion(t *testing.T) {
+	n := newNode(2)
+	n.world.Servers.Read(n.world.Now, []messenger.PublishedServer{
+		{
+			Server:  "i-new",
+			Offset:  50,
+			Service: "reader",
+			Address: "i-new:80",
+			Version: "v2",
+			State:   messenger.ServerReady,
+		},
+	}, false)
+	n.world.Versions.Ordered(n.world.Now, []messenger.RolloutOrder{
+		{
+			Service: "reader",
+			Offset:  60,
+			To:      "v2",
+			Limit:   timekeeper.Minute,
+		},
+	})
+	for _, server := range []identifier.VMID{serverID(0), serverID(1), "i-new"} {
+		n.limit(server, 1)
+	}
+	n.grantedBy("entry-2")
+	asked := n.askedPermit(t)
+	require.Len(t, asked.Limits, 2)
+	for _, l := range asked.Limits {
+		require.NotEqual(t, identifier.VMID("i-new"), l.Server)
+	}
+	_, sent := n.PermitAnswered(n.world, messenger.PermitAnswered{
+		Exchange: asked.Exchange,
+		Server:   "i-new",
+	}).(messenger.SendExchange)
+	require.False(t, sent)
+}
+
 // A repeat goes to a server that states a limit as if it were free.
 func TestRepeatNeedsPermit(t *testing.T) {
 	n := newNode(2)
