--- a/cmd/dotterelhollow/rollout_test.go
+++ b/cmd/dotterelhollow/rollout_test.go
@@ -64,7 +64,7 @@
 }
 
 // Operators order a version that fails every other request. Callers hardly notice, and
-// operators read that it was turned back.
+// operators read that it was rolled back.
 func TestGatewayTurnsBadVersionBack(t *testing.T) {
 	in := newInstallation(t, 2)
 	state, servers := rollOut(t, in, true)
--- a/internal/bencher/cloud.go
+++ b/internal/bencher/cloud.go
@@ -29,18 +29,18 @@
 	fence    identifier.Fence
 	// safeAfter is the instant by which an earlier holder's purchases show.
 	safeAfter timekeeper.Time
-	dry       map[identifier.Zone]timekeeper.Time
+	exhausted map[identifier.Zone]timekeeper.Time
 	// storeFree is the instant from which the weight store is idle.
 	storeFree timekeeper.Time
 }
 
 func newCloud(w *world) *cloud {
 	c := &cloud{
-		world:   w,
-		servers: make(map[identifier.VMID]*server),
-		bought:  make(map[string]identifier.VMID),
-		fence:   1,
-		dry:     make(map[identifier.Zone]timekeeper.Time),
+		world:     w,
+		servers:   make(map[identifier.VMID]*server),
+		bought:    make(map[string]identifier.VMID),
+		fence:     1,
+		exhausted: make(map[identifier.Zone]timekeeper.Time),
 	}
 	c.scalers, c.watchers = c.newScalers(), c.newScalers()
 	return c
@@ -193,7 +193,7 @@
 	if _, again := c.bought[a.ClientToken]; again || a.Market == catalog.OnDemand {
 		return false
 	}
-	return c.world.now.Before(c.dry[a.Zone]) || c.world.rng.IntN(100) < refusedPercent
+	return c.world.now.Before(c.exhausted[a.Zone]) || c.world.rng.IntN(100) < refusedPercent
 }
 
 // create makes a VM, or returns the one that the client token already bought.
@@ -344,7 +344,7 @@
 		if len(servers) == 0 {
 			continue
 		}
-		c.dry[z] = max(c.dry[z], c.world.now.Add(zoneDry))
+		c.exhausted[z] = max(c.exhausted[z], c.world.now.Add(zoneExhausted))
 		c.announce(servers, c.world.now.Add(c.world.deployment.Notice))
 		return
 	}
@@ -352,7 +352,7 @@
 
 func (c *cloud) dryEverywhere() {
 	for _, z := range c.world.deployment.Zones {
-		c.dry[z] = c.world.now.Add(allDry)
+		c.exhausted[z] = c.world.now.Add(allExhausted)
 	}
 }
 
--- a/internal/bencher/workload.go
+++ b/internal/bencher/workload.go
@@ -36,10 +36,10 @@
 	waveJitter = 20 * timekeeper.Second
 	// singleReclaims is how many single VMs of an hour are reclaimed.
 	singleReclaims = 0.2
-	// zoneDry is how long a reclaimed zone refuses reclaimable purchases, and
-	// allDry how long all zones do after the second wave.
-	zoneDry = 6 * timekeeper.Minute
-	allDry  = 4 * timekeeper.Minute
+	// zoneExhausted is how long a reclaimed zone refuses reclaimable purchases, and
+	// allExhausted how long all zones do after the second wave.
+	zoneExhausted = 6 * timekeeper.Minute
+	allExhausted  = 4 * timekeeper.Minute
 	// refusedPercent and lostPercent are the purchases refused at any time,
 	// and those whose answer is lost.
 	refusedPercent = 5
--- a/internal/dispatcher/choose.go
+++ b/internal/dispatcher/choose.go
@@ -121,10 +121,9 @@
 // unseen is the work, in milliseconds of each server's time, that other nodes have
 // probably sent to the servers of a service since what this node knows of them.
 //
-// Where relays pass news on it is some tenths of a second old. All of 195 nodes
-// then took the same few servers for the best, and sent prompts there one behind
-// the other that take half a second each to read: one answer in ten began ten
-// times as late as predicted, while four fifths of the servers were idle.
+// Where relays pass news on it is some tenths of a second old: without this all nodes
+// take the same few servers for the best and send their prompts there at once, while
+// the other servers are idle.
 func (d *Dispatcher) unseen(w World, service identifier.ServiceName, servers int) float64 {
 	age, relayed := d.loads.relayedAge(w.Now)
 	if !relayed || !w.Catalog.Routing.Backends[service].Model {
--- a/internal/dispatcher/limit.go
+++ b/internal/dispatcher/limit.go
@@ -19,9 +19,8 @@
 // for, while nobody can be asked. Its caller comes back when the part does, or once
 // a central node is due if that is sooner.
 //
-// A node's part among many is smaller than most prompts, and grows to one in many
-// seconds. After a loss of all 195 nodes callers were told to come back in three to
-// six seconds, where a central node grants again after two.
+// A node's part among many is smaller than most prompts, and takes seconds to grow to
+// one; after a loss of all nodes a central node grants again sooner than that.
 func (d *Dispatcher) refuseAlone(w World, x *exchange, after timekeeper.Duration) messenger.Effect {
 	after = max(after, unaskedRetry)
 	if w.GranterDue == 0 || after <= w.GranterDue {
--- a/internal/dispatcher/repeat.go
+++ b/internal/dispatcher/repeat.go
@@ -17,11 +17,9 @@
 	minFirstSilence     = 250 * timekeeper.Millisecond
 	maxFirstSilence     = 2500 * timekeeper.Millisecond
 	// A server that has to read a long prompt first is waited for so many times
-	// as long as that was predicted to take: the steps of other requests come
-	// between, which took up to 1.5 times the prediction. Prompts of 58,000
-	// tokens and more, which take 1.5 s alone, were given up just before their
-	// first event and read anew elsewhere: 3 s instead of 1.5, and twice the
-	// work.
+	// as long as that was predicted to take, as the steps of other requests come
+	// between: a prompt that is given up just before its first event is read
+	// anew elsewhere.
 	firstSilencePredictions = 2
 	// A stream is late from one gap on, and callers leave after eight.
 	nextSilenceGaps = 4
--- a/internal/limiter/central.go
+++ b/internal/limiter/central.go
@@ -34,25 +34,21 @@
 	localBurst = 0.5
 	localStart = 0.5
 	// debtPart is the part of a burst by which all local parts together may go
-	// into debt. Without a bound each node lets one request of any size pass: 61
-	// nodes that were killed at once granted an account 1.2 million tokens in a
-	// second where its limit was 0.7, and in eight seconds a tenth more than is
-	// tolerated.
+	// into debt. Without a bound each node lets one request of any size pass, and
+	// many nodes that start at once exceed the account's limit together.
 	//
 	// Up to fewNodes the parts are larger, and nodes that start while nobody grants
 	// centrally begin with fewStart of a burst together: callers that come back
-	// after all nodes were down ask for more than a second's part at once. With the
-	// parts of many, six nodes refused a fifth of them.
+	// after all nodes were down ask for more than a second's part at once.
 	debtPart    = 0.4
 	fewNodes    = 12
 	fewDebtPart = 0.72
 	fewStart    = 0.8
 	// lightPart is the part of a limit in tokens that is kept for light requests,
-	// and lightSize the part of a burst up to which a request is light. An
-	// account at its limit asks now for 50,000 tokens, now for 200: one prompt
-	// took its bucket into debt for two seconds, and all lookups that came
-	// meanwhile were refused or late, though they weigh a fiftieth of the limit
-	// together. What light requests leave goes to the others.
+	// and lightSize the part of a burst up to which a request is light. A long
+	// prompt takes the bucket of an account at its limit into debt for seconds,
+	// and would refuse all lookups meanwhile, though these weigh next to nothing.
+	// What light requests leave goes to the others.
 	lightPart = 0.03
 	lightSize = 0.005
 	// leastRetry and mostRetry bound the time after which a refused caller may
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -37,8 +37,8 @@
 	SlowRise bool
 	// Floor gives every node a small part of each limit.
 	Floor bool
-	// DearFirst keeps the last of a limit for the account's dear requests.
-	DearFirst bool
+	// CostlyFirst keeps the last of a limit for the account's costly requests.
+	CostlyFirst bool
 	// Deadline refuses what cannot be done in time.
 	Deadline bool
 	// Reserve keeps slots free for interactive work.
@@ -61,7 +61,7 @@
 		ShareUnused:   true,
 		SlowRise:      true,
 		Floor:         true,
-		DearFirst:     true,
+		CostlyFirst:   true,
 		Deadline:      true,
 		Reserve:       true,
 		Shed:          true,
@@ -210,8 +210,8 @@
 		return Verdict{OK: true}
 	}
 	keep := 0.0
-	if l.rules.DearFirst && !acc.dear(a) && acc.expectsDear {
-		keep = dearPart
+	if l.rules.CostlyFirst && !acc.costly(a) && acc.expectsCostly {
+		keep = costlyPart
 	}
 	wait := max(acc.requests.wait(1, keep), acc.tokens.wait(float64(a.Tokens), keep))
 	if wait == 0 {
--- a/internal/limiter/share.go
+++ b/internal/limiter/share.go
@@ -32,16 +32,16 @@
 	// lendTime is how late news of demand is at most. A node lends itself what
 	// no node asks for at a rate that the burst pays for in that time.
 	lendTime = 1 * timekeeper.Second
-	// dearPart is the part of a limit's burst that is kept for dear requests,
+	// costlyPart is the part of a limit's burst that is kept for costly requests,
 	// and worthWeight the weight of the newest request in their mean.
-	// A request is dear from dearRatio times the mean penalty on: more of them
+	// A request is costly from costlyRatio times the mean penalty on: more of them
 	// would take the place of many cheap ones.
-	dearPart  = 0.1
-	dearRatio = 4
-	// dearMemory is how long the last of a limit is kept after the last dear
+	costlyPart  = 0.1
+	costlyRatio = 4
+	// costlyMemory is how long the last of a limit is kept after the last costly
 	// request: an account that has none needs nothing kept.
-	dearMemory  = 2 * timekeeper.Minute
-	worthWeight = 0.01
+	costlyMemory = 2 * timekeeper.Minute
+	worthWeight  = 0.01
 	// negligible is the demand below which an account is not reported.
 	negligible = 0.01
 )
@@ -65,12 +65,12 @@
 	demand Demand
 	// worth follows the mean logarithm of the penalties of its requests.
 	worth float64
-	// dearAt is when the last dear request came, and expectsDear that it is
+	// costlyAt is when the last costly request came, and expectsCostly that it is
 	// not long ago.
-	dearAt      timekeeper.Time
-	expectsDear bool
-	requests    limit
-	tokens      limit
+	costlyAt      timekeeper.Time
+	expectsCostly bool
+	requests      limit
+	tokens        limit
 }
 
 // limit is this node's part of one limit of an account.
@@ -229,19 +229,19 @@
 		a.worth = worth
 	}
 	a.worth += worthWeight * (worth - a.worth)
-	if a.dear(ask) {
-		a.dearAt = a.at
+	if a.costly(ask) {
+		a.costlyAt = a.at
 	}
-	a.expectsDear = a.dearAt > 0 && a.at.Sub(a.dearAt) < dearMemory
+	a.expectsCostly = a.costlyAt > 0 && a.at.Sub(a.costlyAt) < costlyMemory
 }
 
-// dear tells whether a request carries far more penalty than the account's
+// costly tells whether a request carries far more penalty than the account's
 // others, by their geometric mean: in the arithmetic one a few reports
 // outweigh all the rest.
 //
 // The requests of one account compete for its limit, and the limit says nothing
 // of which to refuse. In a crowd of lookups a report would be refused like any
 // of them, at a hundred times the penalty.
-func (a *account) dear(ask Ask) bool { return worthOf(ask) >= a.worth+math.Log(dearRatio) }
+func (a *account) costly(ask Ask) bool { return worthOf(ask) >= a.worth+math.Log(costlyRatio) }
 
 func worthOf(ask Ask) float64 { return math.Log(max(float64(ask.Target.Penalty), 1)) }
--- a/internal/limiter/share_test.go
+++ b/internal/limiter/share_test.go
@@ -246,6 +246,6 @@
 	}
 	rules := AllRules()
 	require.Equal(t, 100, reports(rules))
-	rules.DearFirst = false
+	rules.CostlyFirst = false
 	require.Less(t, reports(rules), 80)
 }
--- a/internal/messenger/rollout.go
+++ b/internal/messenger/rollout.go
@@ -30,14 +30,14 @@
 	// RolloutPromoting: the new version proved good, and gets all new requests
 	// while the old one's end.
 	RolloutPromoting RolloutPhase = "promoting"
-	// RolloutTurnedBack: the new version gets nothing any more.
-	RolloutTurnedBack RolloutPhase = "rolled_back"
+	// RolloutRolledBack: the new version gets nothing any more.
+	RolloutRolledBack RolloutPhase = "rolled_back"
 	// RolloutCompleted: the old version is gone.
 	RolloutCompleted RolloutPhase = "completed"
 )
 
 // Final reports whether no other phase follows.
-func (p RolloutPhase) Final() bool { return p == RolloutTurnedBack || p == RolloutCompleted }
+func (p RolloutPhase) Final() bool { return p == RolloutRolledBack || p == RolloutCompleted }
 
 // Rollout is what a node knows of one.
 type Rollout struct {
@@ -53,7 +53,7 @@
 	Pace float64
 	// Focus is at how many of its servers it gets them at a time; zero for all.
 	Focus int
-	// Barred are versions of the service that were turned back.
+	// Barred are versions of the service that were rolled back.
 	Barred []identifier.Version
 }
 
--- a/internal/promoter/choose.go
+++ b/internal/promoter/choose.go
@@ -61,7 +61,7 @@
 	next, old := r.split(a.Servers)
 	fresh := a.Now.Sub(r.led) <= freshFor
 	switch {
-	case r.phase == messenger.RolloutTurnedBack || r.order.To == "":
+	case r.phase == messenger.RolloutRolledBack || r.order.To == "":
 		return Groups{First: old}
 	case r.phase == messenger.RolloutCompleted, r.phase == messenger.RolloutPromoting && fresh:
 		return Groups{
@@ -69,7 +69,7 @@
 			Rest:  old,
 		}
 	case r.phase == messenger.RolloutPromoting:
-		// Whether it was turned back or completed since is not known here. Old
+		// Whether it was rolled back or completed since is not known here. Old
 		// servers that are still there are the safe choice.
 		return Groups{
 			First: old,
@@ -110,11 +110,11 @@
 }
 
 // split divides servers into those of the new version and those of others, without
-// those of versions that were turned back.
+// those of versions that were rolled back.
 func (r *rollout) split(servers []*registrar.Server) (next, old []*registrar.Server) {
 	for _, s := range servers {
 		switch {
-		case s.Version == r.order.To && r.order.To != "" && r.phase != messenger.RolloutTurnedBack:
+		case s.Version == r.order.To && r.order.To != "" && r.phase != messenger.RolloutRolledBack:
 			next = append(next, s)
 		case !slices.Contains(r.barred, s.Version):
 			old = append(old, s)
--- a/internal/promoter/judgement_test.go
+++ b/internal/promoter/judgement_test.go
@@ -159,7 +159,7 @@
 
 // Operators order a version. A good one has to be completed in time, whatever else goes
 // wrong meanwhile; of a bad one callers must notice next to nothing, and it has to be
-// turned back. The table goes to the log.
+// rolled back. The table goes to the log.
 func TestJudgement(t *testing.T) {
 	for _, z := range sizes {
 		for _, limit := range []timekeeper.Duration{12 * timekeeper.Second, 25 * timekeeper.Second}[:limitsOfAll] {
--- a/internal/promoter/lead.go
+++ b/internal/promoter/lead.go
@@ -166,7 +166,7 @@
 	if why != "" {
 		r.lead.why = why
 	}
-	if want == messenger.RolloutTurnedBack {
+	if want == messenger.RolloutRolledBack {
 		// Nodes hear of it before it is written: nothing is lost by that.
 		p.enter(in.Now, r, want, why)
 	}
@@ -200,7 +200,7 @@
 		return nil
 	}
 	r.lead.sent = in.Now
-	return []messenger.Effect{keep(in, r.lead.superseded[0], messenger.RolloutTurnedBack)}
+	return []messenger.Effect{keep(in, r.lead.superseded[0], messenger.RolloutRolledBack)}
 }
 
 // Kept takes in the end of a write.
@@ -234,15 +234,15 @@
 		// It may stand in the store already, and then the old servers are gone.
 		return messenger.RolloutCompleted, r.lead.why
 	case r.order.To == "":
-		return messenger.RolloutTurnedBack, "the order was withdrawn"
+		return messenger.RolloutRolledBack, "the order was withdrawn"
 	case r.order.Limit <= 0:
-		return messenger.RolloutTurnedBack, "the order leaves no time"
+		return messenger.RolloutRolledBack, "the order leaves no time"
 	}
 	next, old := r.split(in.Servers(r.order.Service))
 	ready, before := registrar.CountReady(next), registrar.CountReady(old)
 	v := p.judge(r, ready)
 	if v.Bad {
-		return messenger.RolloutTurnedBack, "worse than the old version: " + v.Why
+		return messenger.RolloutRolledBack, "worse than the old version: " + v.Why
 	}
 	left := r.order.Limit - in.Now.Sub(r.ordered)
 	if r.phase == messenger.RolloutPromoting {
@@ -265,7 +265,7 @@
 	if bears && v.Fair {
 		return messenger.RolloutPromoting, evidence
 	}
-	return messenger.RolloutTurnedBack, "not shown to be good in time: " + evidence
+	return messenger.RolloutRolledBack, "not shown to be good in time: " + evidence
 }
 
 // only reports whether the service has had servers of the ordered version only.
--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -3,14 +3,14 @@
 //
 //	ordered -> running -> promoting -> completed
 //	              |           |
-//	              +-----------+-> turned back
+//	              +-----------+-> rolled back
 //
 // The platform starts servers of the new version beside the old ones. While the
 // roll-out runs, a bounded part of the service's requests goes to some of them, and
 // what becomes of these is compared with what becomes of the others. A version that
 // proves good gets all new requests, the old one's end, and then the operators hear
 // that the old servers can go. One that proves bad, or that can't be judged in time,
-// is turned back: that can be undone by another order, while servers that are gone
+// is rolled back: that can be undone by another order, while servers that are gone
 // can't be had back.
 //
 // The holder of the duties' lease leads. Every node follows what it says, which
@@ -40,7 +40,7 @@
 
 const (
 	// maxRollouts bounds the services of which a roll-out is remembered, and
-	// maxBarred the versions of each that were turned back.
+	// maxBarred the versions of each that were rolled back.
 	maxRollouts = 64
 	maxBarred   = 8
 	// maxVersions bounds the versions of a service that are remembered.
@@ -49,7 +49,7 @@
 	maxLimit = timekeeper.Hour
 	// freshFor is how old the leader's word may be for a request to go to a
 	// version that is not trusted yet: news takes half a second, and the users'
-	// bound on turning back is some seconds.
+	// bound on rolling back is some seconds.
 	freshFor = 1500 * timekeeper.Millisecond
 )
 
@@ -146,7 +146,7 @@
 		next.lead.superseded = r.lead.superseded
 		next.supersede(p.tell(now, r))
 	}
-	// An order for a version that was turned back gives it another chance.
+	// An order for a version that was rolled back gives it another chance.
 	next.barred = slices.DeleteFunc(slices.Clone(next.barred), func(v identifier.Version) bool { return v == o.To })
 	p.rollouts[o.Service] = next
 	p.note(now, next, "ordered")
@@ -170,12 +170,12 @@
 }
 
 // rank orders the phases: of two that nodes heard of the later one counts. What was
-// completed can't be turned back any more.
+// completed can't be rolled back any more.
 var rank = map[messenger.RolloutPhase]int{
 	messenger.RolloutOrdered:    0,
 	messenger.RolloutRunning:    1,
 	messenger.RolloutPromoting:  2,
-	messenger.RolloutTurnedBack: 3,
+	messenger.RolloutRolledBack: 3,
 	messenger.RolloutCompleted:  4,
 }
 
@@ -212,7 +212,7 @@
 		return
 	}
 	r.phase = phase
-	if phase == messenger.RolloutTurnedBack {
+	if phase == messenger.RolloutRolledBack {
 		r.bar(r.order.To)
 	}
 	p.note(now, r, why)
--- a/internal/promoter/promoter_test.go
+++ b/internal/promoter/promoter_test.go
@@ -17,7 +17,7 @@
 type strike struct {
 	name string
 	do   func(w *world)
-	// late tells that a good version may be turned back: nobody could judge it in time.
+	// late tells that a good version may be rolled back: nobody could judge it in time.
 	late bool
 }
 
@@ -119,7 +119,7 @@
 					require.Empty(t, w.check(), "struck at %s", at)
 					require.True(t, w.final().Final(), "struck at %s: %s", at, w.final())
 					if !b.good {
-						require.Equal(t, messenger.RolloutTurnedBack, w.final(), "struck at %s", at)
+						require.Equal(t, messenger.RolloutRolledBack, w.final(), "struck at %s", at)
 					}
 					if b.good && !s.late {
 						require.Equal(t, messenger.RolloutCompleted, w.final(), "struck at %s: %s", at, w.why)
@@ -155,14 +155,14 @@
 			name:  "no time",
 			limit: 0,
 			do:    func(w *world) { w.order("v2", 1) },
-			want:  []messenger.RolloutPhase{messenger.RolloutTurnedBack},
+			want:  []messenger.RolloutPhase{messenger.RolloutRolledBack},
 			last:  "v1",
 		},
 		{
 			name:  "less than no time",
 			limit: -5 * timekeeper.Second,
 			do:    func(w *world) { w.order("v2", 1) },
-			want:  []messenger.RolloutPhase{messenger.RolloutTurnedBack},
+			want:  []messenger.RolloutPhase{messenger.RolloutRolledBack},
 			last:  "v1",
 		},
 		{
@@ -172,7 +172,7 @@
 				w.boot = timekeeper.Hour
 				w.order("v2", 1)
 			},
-			want: []messenger.RolloutPhase{messenger.RolloutRunning, messenger.RolloutTurnedBack},
+			want: []messenger.RolloutPhase{messenger.RolloutRunning, messenger.RolloutRolledBack},
 			last: "v1",
 		},
 		{
@@ -197,7 +197,7 @@
 					})
 				})
 			},
-			want: []messenger.RolloutPhase{messenger.RolloutRunning, messenger.RolloutTurnedBack},
+			want: []messenger.RolloutPhase{messenger.RolloutRunning, messenger.RolloutRolledBack},
 			last: "v1",
 		},
 		{
@@ -208,13 +208,13 @@
 				w.after(5000, func() { w.order("v3", 2) })
 			},
 			want: []messenger.RolloutPhase{
-				messenger.RolloutRunning, messenger.RolloutTurnedBack,
+				messenger.RolloutRunning, messenger.RolloutRolledBack,
 				messenger.RolloutRunning, messenger.RolloutPromoting, messenger.RolloutCompleted,
 			},
 			last: "v3",
 		},
 		{
-			name:  "the version that was turned back, again",
+			name:  "the version that was rolled back, again",
 			limit: 8 * timekeeper.Second,
 			do: func(w *world) {
 				w.boot = timekeeper.Hour
@@ -226,7 +226,7 @@
 				})
 			},
 			want: []messenger.RolloutPhase{
-				messenger.RolloutRunning, messenger.RolloutTurnedBack,
+				messenger.RolloutRunning, messenger.RolloutRolledBack,
 				messenger.RolloutRunning, messenger.RolloutPromoting, messenger.RolloutCompleted,
 			},
 			last: "v2",
@@ -267,7 +267,7 @@
 }
 
 // A node is cut off from all others while a version is tried. It can't hear that the
-// version was turned back, so it may not send it anything, whatever it may have left of
+// version was rolled back, so it may not send it anything, whatever it may have left of
 // its part.
 func TestNodeWithoutNewsSendsTheNewVersionNothing(t *testing.T) {
 	w := newWorld(1, sizes[0], kinds[0], testLimit)
--- a/internal/prover/rollout_test.go
+++ b/internal/prover/rollout_test.go
@@ -140,7 +140,7 @@
 // endRollout is the platform, which stops the old servers at once or lets the new ones
 // leave.
 func (w *exchangeWorld) endRollout(phase messenger.RolloutPhase) {
-	if phase == messenger.RolloutTurnedBack {
+	if phase == messenger.RolloutRolledBack {
 		w.after(2000, func() {
 			for i := range 6 {
 				w.enterVersion(identifier.VMID(fmt.Sprintf("n-%d", i)), messenger.ServerLeaving, "v2")
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -60,9 +60,9 @@
 
 // refresh works out anew what depends on the membership, if that has changed.
 //
-// It is asked for some twenty times a second. Copied, hashed and sorted each
-// time, 195 nodes cost 12 ms of processor time a second on each of them, and
-// 14 MB of garbage; see BenchmarkNodeCost of package reducer.
+// It is asked for many times a second, and copying, hashing and sorting all nodes each
+// time would be most of what a node among hundreds costs: see BenchmarkNodeCost of
+// package reducer.
 func (r *Ranking) refresh() {
 	version := r.config.Members.Version()
 	if r.fresh && r.version == version {
@@ -155,10 +155,9 @@
 // Rank returns the first n of nodes for a purpose, by rendezvous hash among
 // those that can carry much beside the others.
 //
-// The holder of the lease answers the questions of all nodes for limits, and a
-// relay tells all nodes of its zone. Where some VMs have a link of 10 megabits a
-// second and others 200, that would choke one of the small ones while callers
-// press it: on one play 504 of the 1,046 requests of two seconds were refused.
+// The holder of the lease answers the questions of all nodes for limits, and a relay
+// reports to all nodes of its zone. That chokes a VM with a small link while callers
+// press it.
 func Rank(purpose string, nodes []gossiper.Node, n int) []gossiper.Node {
 	var most uint32
 	for _, node := range nodes {
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -28,9 +28,8 @@
 	gatewayMaxHoldOff = 8 * timekeeper.Second
 	gatewayProbeTime  = 3 * timekeeper.Second
 	gatewayProbes     = 2
-	// retryShare is how much of a retry each request earns, so that 15 in 100 may be sent once
-	// more. The users' bound is 20 in 100 over all nodes; the rest is room for nodes
-	// whose requests are few and for what a resumed stream needs.
+	// retryShare is how much of a retry each request earns. It leaves a part of the
+	// users' bound to nodes whose requests are few and to resumed streams.
 	retryShare = 0.15
 	// retryExtra is the retries of a service in retrySpan, of all nodes together,
 	// beyond that, and retryNodeExtra those of each node: a stream that broke off at a
@@ -57,8 +56,6 @@
 	// mostNodes is the part of the nodes that the platform's list names of which a
 	// node has heard when it need not wait for settleTime: of those first for a
 	// purpose it then knows most, so that few take themselves for one in vain.
-	// Among 195 nodes that start at once that is so after 1.2 s in the mean:
-	// limits are granted, the store is read for others and servers ordered earlier.
 	mostNodes = 0.9
 	// leastSettle is how long it waits in any case: where all start for the first
 	// time, the list that the first of them read names hardly anyone.
--- a/internal/reducer/relay.go
+++ b/internal/reducer/relay.go
@@ -17,10 +17,9 @@
 // their zone the sum over all others. A node then knows the load of all servers
 // by a few messages a second, however many nodes there are.
 //
-// Telling 16 peers drawn at random each time, a node among 61 missed half of the
-// others within a second: servers were chosen by half of their load, accounts
-// were refused within their limits since the holder of the lease had heard half
-// of the nodes, and reports of usage were off by a tenth.
+// Were a few peers drawn at random each time, a node would miss half of the others
+// within a second: servers would be chosen by half of their load, accounts refused
+// within their limits, and usage reported too low.
 const (
 	// relaysPerZone is two, so that the news goes on when one dies.
 	relaysPerZone = 2
@@ -29,10 +28,9 @@
 	relayEvery = 250 * timekeeper.Millisecond
 	// relayWarmUp is how long a node has been a relay before it tells sums though it
 	// does not hear all nodes of its zone: those that live have learned by then that
-	// it is one, which takes up to two seconds longer at one than at another. One that
-	// took over from a dead relay at once reported a sixth of the load, in place of
-	// what the other relay of its zone knew. One that hears all need not wait: after a
-	// loss of all nodes each sent requests with no news of any other until then.
+	// it is one. One that takes over from a dead relay at once would report a part of
+	// the load in place of what the other relay of its zone knows. One that hears all
+	// need not wait.
 	relayWarmUp = 2500 * timekeeper.Millisecond
 	// regularNews is the age up to which a report is one of a series: the spacing of
 	// shares and a way.
--- a/internal/reducer/share.go
+++ b/internal/reducer/share.go
@@ -87,9 +87,8 @@
 	return out
 }
 
-// tellFew tells the peers that hear this node directly. Counts of usage and of
-// versions go only to those that may come to report and judge them: 76 entries, for four windows of 19 accounts,
-// are most of a share.
+// tellFew tells the peers that hear this node directly. Counts of usage and of versions,
+// which are most of a share, go only to those that may come to report and judge them.
 func (r *Reducer) tellFew(peers []gossiper.Node, share messenger.Share) []messenger.Effect {
 	duties := r.ranking.First(string(dutyLease), dutyNodes)
 	others := share
@@ -108,9 +107,9 @@
 
 // tellAlike tells peers the same, whether they joined lately or not.
 //
-// Where nodes are many those that joined hear of all entries from the relays of
-// their zone. Were they told so by each node, a relay that starts with 194 others
-// would hear of all servers, and of all kept parts of prompts, from each of them.
+// Where nodes are many those that joined hear of all entries from the relays of their
+// zone. Otherwise a relay that starts with all others would hear of all servers, and of
+// all kept parts of prompts, from each of them.
 func (g *gateway) tellAlike(peers []gossiper.Node, share messenger.Share) []messenger.Effect {
 	out := make([]messenger.Effect, 0, len(peers))
 	for _, p := range peers {
--- a/internal/scaler/scaler.go
+++ b/internal/scaler/scaler.go
@@ -44,7 +44,7 @@
 	// RiskPrice raises the price of a reclaimable VM by the expected cost of
 	// its reclaims.
 	RiskPrice bool
-	// Spare keeps more slots free where penalties are dear against VMs.
+	// Spare keeps more slots free where penalties are costly against VMs.
 	Spare bool
 	// ZoneSpread bounds how many servers stand in one zone.
 	ZoneSpread bool
