--- a/internal/dispatcher/permit.go
+++ b/internal/dispatcher/permit.go
@@ -59,7 +59,7 @@
 		Exchange: x.spec.Exchange,
 		Peer:     granter.Node,
 		Address:  granter.Address,
-		Limits:   w.Limits.Told(w.Now, x.asked),
+		Limits:   w.Limits.Export(w.Now, x.asked),
 	}
 }
 
--- a/internal/throttler/news.go
+++ b/internal/throttler/news.go
@@ -11,22 +11,22 @@
 )
 
 const (
-	// newsTime is for how long a change is told: peers are told twice a second.
+	// newsTime is for how long a change is reported: peers get reports twice a second.
 	newsTime = 2 * timekeeper.Second
-	// maxNews bounds the changes in one message, and maxRepeats what is told again
+	// maxNews bounds the changes in one message, and maxRepeats what is repeated
 	// beside them, so that nodes that were cut off, frozen or not there yet hear of it.
 	maxNews    = 32
 	maxRepeats = 8
 )
 
-// news is what was told last.
+// news is the last report to peers.
 type news struct {
 	at     timekeeper.Time
 	passOn bool
 	limits []messenger.ServerLimit
 }
 
-// News returns what peers are told now: what changed lately, of what answers to this node
+// News returns the report to peers: what changed lately, of what answers to this node
 // state, or of all where it passes on news for others; and some of the rest in turn.
 func (t *Table) News(now timekeeper.Time, passOn bool) []messenger.ServerLimit {
 	if len(t.servers) == 0 {
@@ -49,7 +49,7 @@
 	t.news = news{
 		at:     now,
 		passOn: passOn,
-		limits: told(now, append(fresh, t.turnOf(rest)...)),
+		limits: export(now, append(fresh, t.turnOf(rest)...)),
 	}
 	return t.news.limits
 }
@@ -68,15 +68,15 @@
 	return out
 }
 
-func told(now timekeeper.Time, records []*record) []messenger.ServerLimit {
+func export(now timekeeper.Time, records []*record) []messenger.ServerLimit {
 	var out []messenger.ServerLimit
 	for _, r := range records {
-		out = append(out, r.told(now))
+		out = append(out, r.export(now))
 	}
 	return out
 }
 
-func (r *record) told(now timekeeper.Time) messenger.ServerLimit {
+func (r *record) export(now timekeeper.Time) messenger.ServerLimit {
 	return messenger.ServerLimit{
 		Server:  r.server,
 		Limited: r.limited,
@@ -85,12 +85,12 @@
 	}
 }
 
-// Told returns what a peer is told of some servers that state a limit.
-func (t *Table) Told(now timekeeper.Time, servers []identifier.VMID) []messenger.ServerLimit {
+// Export returns what is known of some servers that state a limit, for a peer.
+func (t *Table) Export(now timekeeper.Time, servers []identifier.VMID) []messenger.ServerLimit {
 	var out []messenger.ServerLimit
 	for _, server := range servers {
 		if r := t.servers[server]; r != nil {
-			out = append(out, r.told(now))
+			out = append(out, r.export(now))
 		}
 	}
 	return out
--- a/internal/throttler/permits_test.go
+++ b/internal/throttler/permits_test.go
@@ -82,8 +82,8 @@
 	}
 }
 
-// told is what a peer tells of one server.
-func told(server identifier.VMID, limited bool, age timekeeper.Duration) messenger.ServerLimit {
+// reported is what a peer reports of one server.
+func reported(server identifier.VMID, limited bool, age timekeeper.Duration) messenger.ServerLimit {
 	return messenger.ServerLimit{
 		Server:  server,
 		Limited: limited,
@@ -96,13 +96,13 @@
 func TestOlderNewsChangesNothing(t *testing.T) {
 	table := throttler.New()
 	now := start.Add(timekeeper.Second)
-	_, changed := table.Learn(now, told("i-1", true, 500))
+	_, changed := table.Learn(now, reported("i-1", true, 500))
 	require.True(t, changed)
-	_, changed = table.Learn(now, told("i-1", false, 600))
+	_, changed = table.Learn(now, reported("i-1", false, 600))
 	require.False(t, changed)
-	_, changed = table.Learn(now, told("i-1", false, 400))
+	_, changed = table.Learn(now, reported("i-1", false, 400))
 	require.True(t, changed)
-	_, changed = table.Learn(now, told("i-1", true, 450))
+	_, changed = table.Learn(now, reported("i-1", true, 450))
 	require.False(t, changed)
 	_, limited := table.Of("i-1")
 	require.False(t, limited)
@@ -137,7 +137,7 @@
 
 func TestNewsOfChanges(t *testing.T) {
 	table := throttler.New()
-	table.Learn(start, told("i-1", true, 0))
+	table.Learn(start, reported("i-1", true, 0))
 	table.Heard(start, messenger.ServerLimitHeard{
 		Server: "i-2",
 		Limit:  messenger.NamedLimit{Named: true},
--- a/internal/throttler/table.go
+++ b/internal/throttler/table.go
@@ -19,7 +19,7 @@
 // Table is the limits of backend servers as one node knows them.
 type Table struct {
 	servers map[identifier.VMID]*record
-	// turn is the last server without news that peers were told of.
+	// turn is the last server without news that was reported to peers.
 	turn identifier.VMID
 	news news
 }
