--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 # To rename an identifier: gopls rename -w FILE:LINE:COLUMN NAME.
 GOPLS_VERSION = 0.23.0
 
-.PHONY: all build test bench capacity demo load matrix lint gopls fmt fmt-check vet clean
+.PHONY: all build test test-race test-full bench capacity demo load matrix lint gopls fmt fmt-check vet clean
 
 all: build
 
@@ -22,10 +22,24 @@
 vet:
 	$(GO) vet $(PACKAGES)
 
-# The race detector is slow, so only a part of the fault matrix and of the simulated
-# rollouts runs with it. The second command runs all of them without it.
+# The parts of the tests. Each runs whatever the result of the others.
+TEST_PARTS = test-race test-full
+
 test: vet
+	@status=0; \
+	for part in $(TEST_PARTS); do \
+		echo "== $$part begins"; \
+		if $(MAKE) --no-print-directory $$part; then echo "== $$part passed"; \
+		else echo "== $$part failed"; status=1; fi; \
+	done; \
+	exit $$status
+
+# The race detector is slow, so only a part of the fault matrix and of the simulated
+# rollouts runs with it. test-full runs all of them without it.
+test-race:
 	$(GO) test $(RACE) -count=1 -p $(PARALLEL) $(PACKAGES)
+
+test-full:
 	$(GO) test -count=1 ./internal/prover ./internal/promoter
 
 # Compares the policies, see docs/MEASUREMENTS.md.
