Apply the default time before an unknown request is sent again

Callers that set no UnknownRequestTimeout had none: after the first answer that a node does not know the request, it was sent again at once, while its holder may still adopt it. withDefaults left the field out. TestUnknownRequestTimeoutHasDefault failed before.

--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -360,6 +360,31 @@
 	}
 }
 
+// Guards against resending a request before the default timeout if nodes learn of
+// it late.
+func TestUnknownRequestTimeoutHasDefault(t *testing.T) {
+	c := newCluster(t, 2, func(c *cluster, _ int, w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.Method == http.MethodPost:
+			openStream(w)
+			writeTokens(w, 1, 2)
+			abortConnection()
+		case len(c.requests) < 20:
+			writeProblem(w, 404, "unknown_request", "unknown", 0)
+		default:
+			openStream(w)
+			writeTokens(w, 3, 3)
+			finishStream(w)
+		}
+	})
+	client := c.client(func(config *caller.Config) { config.SearchTimeout = timekeeper.Minute })
+	var got textSink
+	trace, err := client.Stream(t.Context(), reportPrompt, &got)
+	require.NoError(t, err)
+	require.Equal(t, "<1><2><3>", got.String())
+	require.Zero(t, trace.Restarted)
+}
+
 func TestRefusals(t *testing.T) {
 	tests := []struct {
 		name         string
--- a/pkg/caller/config.go
+++ b/pkg/caller/config.go
@@ -69,6 +69,7 @@
 	c.ProgressTimeout = cmp.Or(c.ProgressTimeout, DefaultProgressTimeout)
 	c.RetryDelay = cmp.Or(c.RetryDelay, DefaultRetryDelay)
 	c.SearchTimeout = cmp.Or(c.SearchTimeout, DefaultSearchTimeout)
+	c.UnknownRequestTimeout = cmp.Or(c.UnknownRequestTimeout, DefaultUnknownRequestTimeout)
 	if c.Transport == nil {
 		c.Transport = newTransport(c)
 	}
