Ask all nodes before a request counts as unknown

Cause: the timeout ran from the first node's answer. One slow answer of another node, which would have named the owner, made it expire with that node unasked. Now all nodes must have been tried since the first such answer. The new test has a clock that moves 50 ms at each reading in place of load, and failed before.

--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -360,6 +361,43 @@
 	}
 }
 
+// steppingClock advances by a step at each reading.
+type steppingClock struct {
+	step timekeeper.Duration
+	now  atomic.Int64
+}
+
+func (c *steppingClock) Now() timekeeper.Time { return timekeeper.Time(c.now.Add(int64(c.step))) }
+
+// Guards against resending a request because one node does not know it, before a
+// slower node that redirects to its owner has been asked.
+func TestRequestUnknownToSomeNodesIsNotResent(t *testing.T) {
+	c := newCluster(t, 3, func(c *cluster, node int, w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.Method == http.MethodPost:
+			openStream(w)
+			writeTokens(w, 1, 2)
+			_ = c.nodes[0].Listener.Close()
+			abortConnection()
+		case node == 1:
+			w.Header().Set("Location", "http://"+c.address(0)+"/v1/requests/r1")
+			w.WriteHeader(http.StatusTemporaryRedirect)
+		default:
+			writeProblem(w, 404, "unknown_request", "unknown", 0)
+		}
+	})
+	client := c.client(func(config *caller.Config) {
+		config.Nodes = config.Nodes[1:]
+		config.Clock = &steppingClock{step: 50 * timekeeper.Millisecond}
+		config.SearchTimeout = timekeeper.Hour
+		config.UnknownRequestTimeout = 100 * timekeeper.Millisecond
+	})
+	var got textSink
+	trace, err := client.Stream(t.Context(), reportPrompt, &got)
+	require.Error(t, err)
+	require.Zero(t, trace.Restarted)
+}
+
 // Guards against resending a request before the default timeout if nodes learn of
 // it late.
 func TestUnknownRequestTimeoutHasDefault(t *testing.T) {
--- a/pkg/caller/exchange.go
+++ b/pkg/caller/exchange.go
@@ -56,6 +56,8 @@
 	// unknownSince is the time from which every responding node has reported
 	// the request as unknown, or zero.
 	unknownSince timekeeper.Time
+	// roundStartedAt is the time from which the nodes in the queue are tried.
+	roundStartedAt timekeeper.Time
 	// maybeSent reports whether a node may have received the request without
 	// responding.
 	maybeSent bool
@@ -150,6 +152,7 @@
 		return err
 	}
 	e.queue = e.client.allNodes(nodes)
+	e.roundStartedAt = e.now()
 	if len(e.queue) == 0 {
 		return &NoNodeError{Cause: nil}
 	}
@@ -509,9 +512,14 @@
 // that is asked for a request queries its peers for the copy. No node adopts a
 // short request of a failed node, so a full search would only delay it. Neither
 // a missing response nor a redirect to an unreachable node counts as a report
-// that the request is unknown, since that node may still have it.
+// that the request is unknown, since that node may still have it. All nodes must
+// have been tried since the first report: one slow node must not be left out.
 func (e *exchange) unknownEverywhere() bool {
-	return e.unknownSince != 0 && e.message.path != "" && e.since(e.unknownSince) >= e.client.config.UnknownRequestTimeout
+	if e.unknownSince == 0 || e.message.path == "" {
+		return false
+	}
+	allTried := len(e.queue) == 0 && !e.roundStartedAt.Before(e.unknownSince)
+	return allTried && e.since(e.unknownSince) >= e.client.config.UnknownRequestTimeout
 }
 
 // finalError returns the error for a request that got no answer in time.
