End calls for grants that nobody answers

GrantLimit and GrantPermit waited for their answer without their context and the runner's end, so a call to a node that grants nothing hung until the node stopped.

--- a/internal/runner/grant.go
+++ b/internal/runner/grant.go
@@ -72,10 +72,11 @@
 			Tokens:  tokens,
 		})
 	})
+	unknown := messenger.LimitAnswered{Unknown: true}
 	if !applied {
-		return messenger.LimitAnswered{Unknown: true}
+		return unknown
 	}
-	return <-answer
+	return awaitAnswer(ctx, r.stopped, answer, unknown)
 }
 
 // GrantPermit implements relayer.Peer.
@@ -87,8 +88,21 @@
 			Limits: limits,
 		})
 	})
+	unknown := messenger.PermitAnswered{Unknown: true}
 	if !applied {
-		return messenger.PermitAnswered{Unknown: true}
+		return unknown
+	}
+	return awaitAnswer(ctx, r.stopped, answer, unknown)
+}
+
+// awaitAnswer returns the answer, or unknown if ctx ends or the node stops first.
+func awaitAnswer[A any](ctx context.Context, stopped <-chan struct{}, answer <-chan A, unknown A) A {
+	select {
+	case a := <-answer:
+		return a
+	case <-ctx.Done():
+		return unknown
+	case <-stopped:
+		return unknown
 	}
-	return <-answer
 }
