Count pieces of a copy that were added before a gap

A push whose later pieces leave a gap is answered "incomplete", but its first pieces were added and counted only with the next push, so copies could exceed their memory limit meanwhile. TestPiecesBeforeGapAreCounted failed before.

--- a/internal/runner/copies.go
+++ b/internal/runner/copies.go
@@ -82,17 +82,19 @@
 		}
 		c.byRequest[p.Spec.Request] = held
 	}
-	if !held.answer.Extend(answerer.Change{
+	complete := held.answer.Extend(answerer.Change{
 		Placement: p.Placement,
 		Pieces:    p.Pieces,
 		Reply:     p.Reply,
-	}) {
-		return relayer.HoldIncomplete
-	}
-	held.answer.RaiseEpoch(p.Epoch)
+	})
+	// The pieces before a gap were added.
 	newSize := held.answer.Size()
 	c.bytes += newSize - held.size
 	held.size = newSize
+	if !complete {
+		return relayer.HoldIncomplete
+	}
+	held.answer.RaiseEpoch(p.Epoch)
 	return relayer.HoldStored
 }
 
--- a/internal/runner/hold_test.go
+++ b/internal/runner/hold_test.go
@@ -419,6 +419,30 @@
 	require.Zero(t, bytes)
 }
 
+// Guards against exceeding the memory limit by pieces that were added before a gap.
+func TestPiecesBeforeGapAreCounted(t *testing.T) {
+	c := newCopies(1000)
+	require.Equal(t, relayer.HoldStored, c.store("entry-2", push(1)))
+	_, before := c.totals()
+	gap := relayer.Push{
+		Spec:  push(1).Spec,
+		Epoch: 1,
+		Pieces: []answerer.Piece{
+			{
+				Index: 1,
+				Text:  string(make([]byte, 200)),
+			},
+			{
+				Index: 3,
+				Text:  "c",
+			},
+		},
+	}
+	require.Equal(t, relayer.HoldIncomplete, c.store("entry-2", gap))
+	_, after := c.totals()
+	require.GreaterOrEqual(t, after-before, identifier.Bytes(200))
+}
+
 // Guards against acknowledging a copy that would then be dropped. Beyond the
 // limit the push must be rejected, so that the owner selects another holder.
 func TestNumberOfCopiesIsBounded(t *testing.T) {
