Change a stand-in's switches under its lock

A POST copied the settings, read its body and wrote all of them back; a change that came meanwhile was lost. TestSwitchesKeepConcurrentChange failed before.

--- a/internal/standin/switches.go
+++ b/internal/standin/switches.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"sync"
@@ -51,19 +52,39 @@
 // ServeHTTP returns the settings. A POST first sets those named in its body.
 func (s *Switches[T]) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Method == http.MethodPost {
-		next, err := deepCopy(s.Get())
-		if err != nil {
-			encoder.WriteProblem(w, http.StatusInternalServerError, encoder.Problem{Error: err.Error()})
+		var body json.RawMessage
+		if !ReadJSON(w, r, &body) {
 			return
 		}
-		if !ReadJSON(w, r, &next) {
+		if err := s.set(body); err != nil {
+			encoder.WriteProblem(w, http.StatusBadRequest, encoder.Problem{
+				Error:   err.Error(),
+				Outcome: encoder.OutcomeNotRun,
+			})
 			return
 		}
-		s.Update(func(t *T) { *t = next })
 	}
 	encoder.WriteJSON(w, http.StatusOK, s.Get())
 }
 
+// set sets the settings named in body.
+func (s *Switches[T]) set(body []byte) error {
+	var failure error
+	s.Update(func(t *T) {
+		next, err := deepCopy(*t)
+		if err != nil {
+			failure = err
+			return
+		}
+		decoder := json.NewDecoder(bytes.NewReader(body))
+		decoder.DisallowUnknownFields()
+		if failure = decoder.Decode(&next); failure == nil {
+			*t = next
+		}
+	})
+	return failure
+}
+
 // deepCopy copies v with everything it refers to. Decoding into a shallow copy
 // would write to slices that other goroutines read.
 func deepCopy[T any](v T) (T, error) {
