Keep a VM released that registers after its release

The stand-in listed a VM again that was released while it booted and registered then. TestVMReleasedWhileBootingStaysReleased failed before.

--- a/internal/standin/platform/cloud.go
+++ b/internal/standin/platform/cloud.go
@@ -74,12 +74,12 @@
 }
 
 // register lists a VM, including one that was bought before. If the VM is already
-// leaving, it sets only the address.
+// leaving or was released, it sets only the address.
 func (c *cloud) register(v encoder.VM) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known, ok := c.vms[v.VM]
-	if ok && known.leavingAt != timekeeper.Never {
+	if ok && (known.leavingAt != timekeeper.Never || known.removedAt != timekeeper.Never) {
 		known.Address = v.Address
 		return
 	}
