Keep the first error of a gauge's repeated starts

measureInFlight overwrote the error of an earlier start of the same requests with that of a later one. It can't hide a failure today: a start of n requests repeats every smaller one, and the last start is the largest. So there is no test that fails first.

--- a/internal/gauger/request.go
+++ b/internal/gauger/request.go
@@ -1,6 +1,7 @@
 package gauger
 
 import (
+	"cmp"
 	"fmt"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/claimer"
@@ -125,7 +126,7 @@
 		readings = append(readings, r)
 		heap := retainedBytes(func() any {
 			loaded := newDriver(f)
-			failure = loaded.startRequests(n)
+			failure = cmp.Or(failure, loaded.startRequests(n))
 			return loaded
 		})
 		r = f.newReading(g.Name(), "heap of the reducer", heap, Bytes)
