--- a/internal/configurer/state_test.go
+++ b/internal/configurer/state_test.go
@@ -59,7 +59,11 @@
 			off:   func(r *rules) { r.importOnlyNewer = false },
 		},
 		"fleet replaced for days": {
-			holds: replacedFleetHolds,
+			holds: func(r rules) bool { return replacedFleetHolds(r, testRetention/10*3) },
+			off:   func(r *rules) { r.appendSnapshots = false },
+		},
+		"fleet replaced for days, each node soon": {
+			holds: func(r rules) bool { return replacedFleetHolds(r, testRetention/10) },
 			off:   func(r *rules) { r.appendSnapshots = false },
 		},
 	}
@@ -204,15 +208,16 @@
 	return err != nil && fileContent(s, fileA) == zoneFile("y")
 }
 
-// Over twenty retentions, each node of a fleet of three is replaced after a fraction of
-// the retention, and the snapshots of one node always fail. The only change must remain
-// in force on new nodes.
-func replacedFleetHolds(r rules) bool {
+// Over twenty retentions, each node of a fleet of three is replaced after a lifetime that
+// is a fraction of the retention, and the snapshots of one node always fail. The only
+// change must remain in force on new nodes.
+func replacedFleetHolds(r rules, lifetime timekeeper.Duration) bool {
 	l := newTestLog()
 	l.write(l.ready(r), fileA, zoneFile("x"))
 	fleet := []*State{l.ready(r), l.ready(r), l.ready(r)}
 	snapshots := 0
-	for round := range 200 {
+	rounds := int(20 * testRetention / lifetime * 3)
+	for round := range rounds {
 		fleet[round%len(fleet)] = l.ready(r)
 		for range 10 {
 			for i, s := range fleet {
@@ -222,7 +227,7 @@
 					snapshots++
 				}
 			}
-			l.advance(testRetention / 100)
+			l.advance(lifetime / 30)
 		}
 	}
 	s := l.ready(r)
