Do not pass on a server's promise that it does not make

408, 421, 429 and 503 promise callers that a request has not run and never will. A server states so with a header of its own; without it, it may have run the request. Such an answer was passed on with its status, and a caller of a non-idempotent request would have sent it again. It counts as a failed attempt now, and the caller gets 502 if no other follows. The three new cases of TestAttemptResults failed before.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -126,6 +126,13 @@
 			reason:     response.Status,
 			retryAfter: reply.RetryAfter,
 		}
+	case promisesNotRun(response.StatusCode):
+		// The server does not state that it did not run the request, so the caller
+		// must not be told so.
+		return attemptEnd{
+			result: messenger.AttemptFailed,
+			reason: response.Status,
+		}
 	case succeeded(response.StatusCode) && !reply.Signed:
 		return attemptEnd{
 			result: messenger.AttemptBroken,
@@ -166,6 +173,16 @@
 
 func succeeded(status int) bool { return status >= 200 && status < 300 }
 
+// promisesNotRun reports whether a status tells callers that the request has not run and
+// never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // classifyFailure returns the end of an attempt that brought no complete answer.
 func (x *exchange) classifyFailure(s messenger.SendExchange, timer *attemptTimer, progress *sendProgress, err error) attemptEnd {
 	e := attemptEnd{
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -282,12 +282,13 @@
 	closed, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	require.NoError(t, closed.Close())
-	tests := []struct {
+	type attemptTest struct {
 		name   string
 		server func(t *testing.T) string
 		want   messenger.AttemptResult
 		status int
-	}{
+	}
+	tests := []attemptTest{
 		{
 			name:   "nothing listens",
 			server: func(*testing.T) string { return closed.Addr().String() },
@@ -362,6 +363,21 @@
 			status: http.StatusInsufficientStorage,
 		},
 	}
+	for _, status := range []int{
+		http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable,
+	} {
+		tests = append(tests, attemptTest{
+			name: fmt.Sprintf("%d of a server that may have run it", status),
+			server: func(t *testing.T) string {
+				return startServer(t, func(w http.ResponseWriter, r *http.Request) {
+					sign(w, r)
+					w.WriteHeader(status)
+				})
+			},
+			want:   messenger.AttemptFailed,
+			status: http.StatusBadGateway,
+		})
+	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			s := newFakeDecider(test.server(t))
