Keep a relay's connections to all nodes of its zone

A relay of 164 neighbours sends several times a second to 174 peers, and the client kept connections to 64: each message opened a new one, and the replaced transport kept its idle connection for 10 s more. The bound is 1,024 now. It is what a relay of 2,000 nodes needs three times over (333 neighbours and 10 relays); idle connections close after 10 s, so the number follows use and not the bound.

--- a/internal/relayer/client.go
+++ b/internal/relayer/client.go
@@ -27,8 +27,10 @@
 	connsPerPeer   = 8
 	idlePerPeer    = 2
 	connBufferSize = 4 << 10
-	// defaultMaxPeers is the maximum number of peers with open connections.
-	defaultMaxPeers = 64
+	// defaultMaxPeers is the maximum number of peers with open connections. A relay
+	// sends several times per second to all nodes of its zone; with fewer it would open
+	// a new connection for each message.
+	defaultMaxPeers = 1024
 )
 
 // ClientConfig configures a Client. Zero limits stand for the defaults.
