Read the store with few nodes, and know what an update brings up to date

Causes, from the logs of all nodes (docs/design/whole-fleet.md): - Each node read all servers at its start, and from the offset of its own last read when it was told nothing for 1.1 s: 1 MB a node, 1 GB for all, where the store sends 80 MB a second. No read ended within its time, each was repeated, and the nodes that read for all failed with them. - The age of servers and configuration in an update lacks its transit time, so relays made old data newer for each other: by half a second a second under load. A node that was told nothing new did not know it, and answered by configurations 5 s old. - An update holds the latest changes only.

Ruled out: processors (0.21 of a core at the most), servers that leave by themselves (the first ones leave by an order of ours), the links.

Changes: - Following: 64 nodes read at their start, twice as many after each second, by a fixed draw; the number of nodes is that of the list, or a thousand before it is read. Relays read once they are settled; the others get all servers from them. Stale data is read by the relays, and by as many others as the store can send at once; by all in growing numbers if they hear no relay. A read after a gap of 5 s is of the newest entries and not of all heartbeats since. Readers wait for a signal and poll no flag. - Observation: ages of servers, configuration and lease name the read or announcement behind them, and count only if it is new. - Continuity: rounds of a relay are numbered and hold the changes since the second last. A node is up to date by one only if it received all since a time up to which it knew all; otherwise it asks for all servers, at most each two seconds. Nodes that are no relays state no age but that of their own reads. Removals are sent without their other fields. - The list of nodes is read again by 16 nodes and not by all. A node without servers is not named to callers.

--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -246,6 +246,15 @@
 	RequestsAllServers bool
 	// ServersAge is the age of the sender's data on the entries.
 	ServersAge timekeeper.Duration
+	// Round numbers the updates of a relay, from 1. Servers then holds all
+	// changes that the relay has learned of since the second last round. Other
+	// nodes leave it zero, and Servers holds the changes of the last ServersSpan.
+	Round       uint64
+	ServersSpan timekeeper.Duration
+	// ServersRead and ConfigurationRead are the reads of the store on which
+	// ServersAge and ConfigurationAge are based.
+	ServersRead       Observation
+	ConfigurationRead Observation
 	// ConfigurationAge is the time since the sender last confirmed that its
 	// configuration was the newest.
 	ConfigurationAge timekeeper.Duration
@@ -276,6 +285,27 @@
 	Leader    identifier.VMID
 	Fence     identifier.Fence
 	LeaderAge timekeeper.Duration
+	// LeaderAnnounced is the announcement on which LeaderAge is based.
+	LeaderAnnounced Observation
+}
+
+// Observation identifies what a node observed first-hand: a read of the store, or
+// that it holds a lease. It stays the same when peers pass it on. So a report that
+// returns to a node by way of others, with an age that lacks its transit times, is
+// not taken for a newer one.
+type Observation struct {
+	Node        identifier.VMID
+	Incarnation identifier.Incarnation
+	// Number counts the observations of one incarnation.
+	Number uint64
+}
+
+// After reports whether o was made later than p by the same node.
+func (o Observation) After(p Observation) bool {
+	if o.Incarnation != p.Incarnation {
+		return o.Incarnation > p.Incarnation
+	}
+	return o.Number > p.Number
 }
 
 // UpdateScope states whose requests a StateUpdate counts.
--- a/internal/prover/exchange_cluster_test.go
+++ b/internal/prover/exchange_cluster_test.go
@@ -360,7 +360,7 @@
 
 func (cl *exchangeCluster) readServers(n *gatewayNode) {
 	first := n.entriesRead == 0
-	if !first && !n.r.Following(cl.now).Servers {
+	if !n.r.Following(cl.now).Servers {
 		return
 	}
 	if cl.storeDown || n.cutFromStore {
@@ -382,7 +382,7 @@
 }
 
 func (cl *exchangeCluster) readConfiguration(n *gatewayNode) {
-	if n.r.Catalog() != nil && !n.r.Following(cl.now).Configuration {
+	if !n.r.Following(cl.now).Configuration {
 		return
 	}
 	if cl.storeDown || n.cutFromStore {
@@ -752,6 +752,7 @@
 			cl.violatef("%s has revision %d long after %d", n.vm, n.revision, cl.catalogs[len(cl.catalogs)-1].Revision)
 		}
 	}
+	cl.reportExcesses()
 	if cl.answered < 200 {
 		cl.violatef("only %d requests answered, %d refused", cl.answered, cl.refused)
 	}
--- a/internal/reducer/allocation.go
+++ b/internal/reducer/allocation.go
@@ -39,13 +39,14 @@
 	if s.Leader == "" || s.Leader == g.self || s.Fence < g.allocatorFence {
 		return
 	}
-	lastSeen := now.Add(-s.LeaderAge)
-	if s.Fence == g.allocatorFence && !lastSeen.After(g.allocatorLastSeen) {
+	if s.Fence > g.allocatorFence {
+		g.allocatorSeen = freshness{}
+	}
+	if !g.allocatorSeen.merge(now, s.LeaderAge, s.LeaderAnnounced) {
 		return
 	}
 	g.allocator = s.Leader
 	g.allocatorFence = s.Fence
-	g.allocatorLastSeen = lastSeen
 	g.unanswered = 0
 }
 
@@ -90,6 +91,7 @@
 	}
 	first := g.listedNodes == 0
 	g.listedNodes = nodes
+	g.listOutdated = false
 	if first && nodes > 0 {
 		g.localLimits = limiter.NewLocal()
 		r.divideLimits(env)
@@ -117,7 +119,7 @@
 		// No node grants until one acquires the lease. All nodes switch to equal
 		// parts at once, because waiting for allocatorTimeout would refuse the
 		// requests of all accounts meanwhile.
-		r.gateway.allocatorLastSeen = 0
+		r.gateway.allocatorSeen.asOf = 0
 		r.divideLimits(env)
 	}
 	if unknown {
@@ -126,7 +128,7 @@
 }
 
 func (g *gateway) allocatorReachable(now timekeeper.Time) bool {
-	age := now.Sub(g.allocatorLastSeen)
+	age := now.Sub(g.allocatorSeen.asOf)
 	return age <= allocatorTimeout && (age <= unresponsiveAge || g.unanswered < maxUnanswered)
 }
 
@@ -135,8 +137,8 @@
 // new holder has been announced.
 func (g *gateway) allocatorDue() timekeeper.Time {
 	due := g.startedAt.Add(settleTime + leaderAnnounceTime)
-	if g.allocatorLastSeen != 0 {
-		due = max(due, g.allocatorLastSeen.Add(leaseTTL+leaderAnnounceTime))
+	if g.allocatorSeen.asOf != 0 {
+		due = max(due, g.allocatorSeen.asOf.Add(leaseTTL+leaderAnnounceTime))
 	}
 	return due
 }
--- a/internal/reducer/following.go
+++ b/internal/reducer/following.go
@@ -1,14 +1,44 @@
 package reducer
 
 import (
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/dotterelhollow/dotterelhollow/internal/accountant"
 	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
 	"github.com/dotterelhollow/dotterelhollow/internal/leaser"
 	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
+	"github.com/dotterelhollow/dotterelhollow/internal/ranker"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
+// A read of all servers is as large as the number of servers, and the store sends a
+// bounded number of bytes per second. If all nodes of a large cluster read at the same
+// moment, each time they start or their relays are late, no read would end in time and
+// each would be repeated: the readers that keep the others up to date would fail too.
+// So only a few nodes read at once, and others follow in growing numbers while they
+// receive nothing from their peers.
+const (
+	// readersAtOnce is the number of nodes that read the store as soon as they start, or
+	// as soon as what they receive is too old.
+	readersAtOnce = 64
+	// readersDoubleTime is the time in which the number of nodes that read doubles, of
+	// those that receive nothing from relays.
+	readersDoubleTime = 1 * timekeeper.Second
+	// entriesAtOnce is the number of server entries that nodes read at once if they know
+	// how many there are. The store sends so many within a second.
+	entriesAtOnce = 200_000
+	// unlistedNodes is the assumed number of nodes before the list of nodes is read, and
+	// listTimeout the time after which only the known peers count.
+	unlistedNodes = 1000
+	listTimeout   = 1 * timekeeper.Second
+	// listers is the number of nodes of a large cluster that read the list of nodes
+	// repeatedly. Each part of a split cluster has as many of its own.
+	listers = 16
+)
+
 // streams returns the log streams that the node follows. A node that may hold the lease
 // follows those of the leader tasks from then on, so that it need not read the state of
 // the lease again after each change of the membership.
@@ -32,11 +62,12 @@
 	return nil
 }
 
-// Following states which published records a node reads from the platform's store
-// itself.
+// Following states which records a node reads from the platform's store itself.
 type Following struct {
 	Servers       bool
 	Configuration bool
+	// Nodes is the list of nodes.
+	Nodes bool
 }
 
 // Following returns what the node reads itself now: the records that it reads for all
@@ -44,21 +75,102 @@
 func (r *Reducer) Following(now timekeeper.Time) Following {
 	g := r.gateway
 	if g == nil {
-		return Following{}
+		return Following{Nodes: true}
 	}
 	return Following{
-		Servers: now.Sub(g.servers.AsOf()) > maxServersAge ||
-			g.settled && r.ranking.Chosen("published_servers", serverReaders),
-		Configuration: now.Sub(g.configConfirmedAt) > maxConfigAge ||
-			g.settled && r.ranking.Chosen("published_configuration", configReaders),
+		Servers:       r.readsServers(now),
+		Configuration: r.readsConfiguration(now),
+		Nodes:         r.readsNodes(),
+	}
+}
+
+func (r *Reducer) readsServers(now timekeeper.Time) bool {
+	const purpose = "published_servers"
+	g := r.gateway
+	switch {
+	case g.settled && r.ranking.Chosen(purpose, serverReaders):
+		return true
+	case g.knowsAllServers:
+		atOnce := max(readersAtOnce, entriesAtOnce/max(g.servers.Len(), 1))
+		return r.readsStale(now, purpose, atOnce, now.Sub(g.servers.AsOf())-maxServersAge)
+	case g.settled && r.isRelay():
+		return true
+	}
+	return r.readsAtStart(now, purpose)
+}
+
+func (r *Reducer) readsConfiguration(now timekeeper.Time) bool {
+	const purpose = "published_configuration"
+	g := r.gateway
+	switch {
+	case g.settled && r.ranking.Chosen(purpose, configReaders):
+		return true
+	case g.configRead.asOf != 0:
+		return r.readsStale(now, purpose, readersAtOnce, now.Sub(g.configRead.asOf)-maxConfigAge)
 	}
+	return r.readsAtStart(now, purpose)
+}
+
+// readsStale reports whether a node reads records itself because its data is too old since
+// the time overdue. In large clusters the relays do, but only some of the nodes that
+// receive from one: if the store is unavailable, all would read at once when it returns.
+func (r *Reducer) readsStale(now timekeeper.Time, purpose string, atOnce int, overdue timekeeper.Duration) bool {
+	switch {
+	case overdue <= 0:
+		return false
+	case !r.gateway.usesRelays || r.isRelay():
+		return true
+	}
+	silence := now.Sub(r.gateway.continuity.acceptedAt) - maxServersAge
+	return r.isEarlyReader(purpose, atOnce, max(silence, 0))
+}
+
+// readsNodes reports whether the node reads the list of nodes: until it knows most of
+// them, and later if it is one of the listers.
+func (r *Reducer) readsNodes() bool {
+	known := len(r.ranking.Peers()) + 1
+	if r.gateway.listOutdated || known <= readersAtOnce || float64(known) < settledFraction*float64(r.gateway.listedNodes) {
+		return true
+	}
+	return r.ranking.Chosen("listed_nodes", listers)
+}
+
+// readsAtStart reports whether a node that knows no records yet reads them itself. The
+// list of nodes tells whether there are so many of them that most have to wait.
+func (r *Reducer) readsAtStart(now timekeeper.Time, purpose string) bool {
+	g := r.gateway
+	return g.startedAt != 0 && r.isEarlyReader(purpose, readersAtOnce, now.Sub(g.startedAt))
+}
+
+// isEarlyReader reports whether this node is one of the first to read for themselves:
+// atOnce nodes at first, and twice as many after each readersDoubleTime. A node without a
+// list of nodes may be one of very many that start at once, and whose entries the store
+// appends one after the other.
+func (r *Reducer) isEarlyReader(purpose string, atOnce int, waited timekeeper.Duration) bool {
+	nodes := max(r.gateway.listedNodes, len(r.ranking.Peers())+1)
+	if r.gateway.listedNodes == 0 && waited < listTimeout {
+		nodes = max(nodes, unlistedNodes)
+	}
+	readers := float64(atOnce) * math.Exp2(float64(waited)/float64(readersDoubleTime))
+	return r.drawFor(purpose)*float64(nodes) < readers
+}
+
+// drawFor returns a number in [0, 1) that is fixed for this node and a purpose.
+func (r *Reducer) drawFor(purpose string) float64 {
+	hash := xxhash.Sum64String(purpose + "/" + string(r.config.Self))
+	return float64(hash>>11) / (1 << 53)
+}
+
+// isRelay reports whether this node is one of the relays of its zone.
+func (r *Reducer) isRelay() bool {
+	return len(r.ranking.Peers()) > maxDirectPeers && ranker.Contains(r.relays(r.config.Zone), r.config.Self)
 }
 
 // Ready reports whether this node may receive requests: it knows the published records
 // and is not draining.
 func (r *Reducer) Ready() bool {
 	g := r.gateway
-	return g != nil && g.catalog != nil && g.servers.AsOf() != 0 && !g.draining
+	return g != nil && g.catalog != nil && g.knowsAllServers && !g.draining
 }
 
 // ReadyNodes returns the nodes that may receive requests.
--- a/internal/reducer/following_test.go
+++ b/internal/reducer/following_test.go
@@ -90,6 +90,79 @@
 	}
 }
 
+// countServerReaders returns the number of nodes that read the servers from the store.
+func (c *cluster) countServerReaders() int {
+	n := 0
+	for _, id := range c.ids {
+		if c.nodes[id].Following(c.now).Servers {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against an overloaded store when all nodes of a large cluster start at once: a
+// read of all servers by each of them would exceed what the store can send in time.
+func TestFewNodesReadAllServersAtStart(t *testing.T) {
+	const tolerance = 1.4 // for the random choice of readers
+	c := newCluster(bigCluster)
+	listed := messenger.ListRead{AsOf: c.now}
+	for _, id := range c.ids {
+		listed.VMs = append(listed.VMs, messenger.VMState{
+			VM:      id,
+			Address: string(id),
+		})
+	}
+	for _, id := range c.ids {
+		c.apply(id, messenger.Tick{})
+	}
+	require.LessOrEqual(t, float64(c.countServerReaders()), readersAtOnce*tolerance, "before the list")
+	for _, id := range c.ids {
+		c.apply(id, listed)
+	}
+	require.LessOrEqual(t, float64(c.countServerReaders()), readersAtOnce*tolerance)
+	require.Positive(t, c.countServerReaders())
+	c.now = c.now.Add(readersDoubleTime)
+	require.LessOrEqual(t, float64(c.countServerReaders()), 2*readersAtOnce*tolerance)
+	c.now = c.now.Add(5 * readersDoubleTime)
+	require.Equal(t, bigCluster, c.countServerReaders(), "nodes that receive nothing read for themselves")
+
+	small := newCluster(6)
+	for _, id := range small.ids {
+		small.apply(id, messenger.Tick{})
+		small.apply(id, messenger.ListRead{
+			AsOf: small.now,
+			VMs:  listed.VMs[:6],
+		})
+	}
+	require.Equal(t, len(small.ids), small.countServerReaders())
+}
+
+// Guards against reads by all nodes at once when the store returns from an outage. Nodes
+// that receive from relays wait for what these read.
+func TestFewNodesReadStaleServers(t *testing.T) {
+	c := newCluster(bigCluster)
+	c.run(6 * timekeeper.Second)
+	for _, id := range c.ids {
+		c.apply(id, messenger.ServersPublished{
+			Servers: publishedServers(bigServers, 1),
+			All:     true,
+		})
+		c.apply(id, messenger.CatalogPublished{
+			Catalog:   clusterCatalog(),
+			FromStore: true,
+		})
+	}
+	c.run(6 * timekeeper.Second)
+	relays := 2 * clusterZones
+	require.LessOrEqual(t, float64(c.countServerReaders()), readersAtOnce*1.4+float64(relays+serverReaders))
+	for _, id := range c.ids {
+		if c.nodes[id].isRelay() {
+			require.True(t, c.nodes[id].Following(c.now).Servers, "relay %s", id)
+		}
+	}
+}
+
 // Counts of usage are sent to the candidates for the lease, and not to relays and other
 // peers.
 func TestUsageGoesToCandidates(t *testing.T) {
@@ -113,3 +186,34 @@
 	}
 	require.GreaterOrEqual(t, sent, leaderNodes)
 }
+
+// Guards against a node that starts, drops a server's limit because it does not know the
+// server yet, and then sends to it without a limit.
+func TestLimitOfUnknownServerIsKept(t *testing.T) {
+	c := newCluster(2)
+	c.run(stepTime)
+	limited := messenger.StateUpdate{
+		Limits: []messenger.ServerLimit{
+			{
+				Server:  "reader-1",
+				Limited: true,
+				Rate:    1,
+			},
+		},
+	}
+	receive := func() {
+		c.apply("entry-0", messenger.StateUpdateReceived{
+			From:   "entry-1",
+			Update: limited,
+		})
+	}
+	receive()
+	rate, known := c.nodes["entry-0"].gateway.serverLimits.Rate("reader-1")
+	require.True(t, known)
+	require.EqualValues(t, 1, rate)
+	c.publishAndSend()
+	limited.Limits[0].Server = "reader-9"
+	receive()
+	_, known = c.nodes["entry-0"].gateway.serverLimits.Rate("reader-9")
+	require.False(t, known, "a node that knows all servers does not keep limits of others")
+}
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -79,12 +79,18 @@
 	// serversRequestDelay is the time after its start from which a node that has not
 	// read all servers from the store requests them from its peers.
 	serversRequestDelay = 500 * timekeeper.Millisecond
-	// relayUpdateWindow is the time for which a relay reports a changed server entry.
-	// Each node of its zone receives an entry twice from each of two relays.
-	relayUpdateWindow = 600 * timekeeper.Millisecond
+	// updateRepeats is the number of rounds in which a relay reports a changed server
+	// entry. Each node of its zone receives an entry twice from each of two relays.
+	updateRepeats = 2
 	// newPeerTime is the time for which a peer that joined or returned receives all
 	// entries, because it may be unable to read the store.
 	newPeerTime = 2 * timekeeper.Second
+	// maxAcceptedAge is the time without an update that continues the earlier ones after
+	// which a node of a large cluster requests all servers. Two relays send one each
+	// within it.
+	maxAcceptedAge = 1 * timekeeper.Second
+	// serversRequestInterval is the minimum time between requests for all servers.
+	serversRequestInterval = 2 * timekeeper.Second
 	// updateWindow is the time for which a node that is not a relay reports a changed
 	// server entry. Each peer receives it four times.
 	updateWindow = 2 * timekeeper.Second
@@ -140,12 +146,12 @@
 	incarnation identifier.Incarnation
 	catalog     *catalog.Catalog
 	catalogData []byte
-	// configConfirmedAt is the last time at which the current configuration was known
-	// to be the newest.
-	configConfirmedAt timekeeper.Time
-	servers           *registrar.Table
-	exchanges         *dispatcher.Dispatcher
-	retries           *retrier.Allowance
+	// configRead is the freshness of the configuration, and serversRead that of the servers.
+	configRead  freshness
+	serversRead freshness
+	servers     *registrar.Table
+	exchanges   *dispatcher.Dispatcher
+	retries     *retrier.Allowance
 	// quarantine is the table of the Reducer.
 	quarantine *quarantiner.Quarantine
 	usage      *accountant.Accountant
@@ -162,13 +168,15 @@
 	// lease.
 	centralLimits *limiter.Buckets
 	// allocator is the peer that last reported to hold the lease, directly or through
-	// relays.
-	allocator         identifier.VMID
-	allocatorFence    identifier.Fence
-	allocatorLastSeen timekeeper.Time
+	// relays, and allocatorSeen the freshness of that report.
+	allocator      identifier.VMID
+	allocatorFence identifier.Fence
+	allocatorSeen  freshness
 	// unanswered is the number of requests to the allocator without an answer since
-	// allocatorLastSeen.
+	// its last report.
 	unanswered int
+	// announcements counts the reports of this node that it holds the lease.
+	announcements uint64
 	// listedNodes is the number of nodes in the platform's list.
 	listedNodes int
 	// startedAt is the time of the first tick. settled reports whether the node has had
@@ -200,6 +208,16 @@
 	// reports whether this node knows all servers.
 	serversRequested map[identifier.VMID]bool
 	knowsAllServers  bool
+	// continuity tells which relays' changes this node has received without a gap.
+	continuity continuity
+	// nextServersRequest is the earliest time of the next request for all servers.
+	nextServersRequest timekeeper.Time
+	// listOutdated is set if the store may have lost this node's entry in its list.
+	listOutdated bool
+	// round is the number of rounds of sums that this node has sent as a relay, and
+	// roundTimes the times of the last ones, oldest first.
+	round      uint64
+	roundTimes [updateRepeats]timekeeper.Time
 	// usesRelays reports whether the cluster is so large that relays forward updates.
 	usesRelays bool
 	// cachedEntries is the last result of allEntries.
@@ -275,10 +293,12 @@
 	case messenger.CatalogPublished:
 		return r.catalogPublished(env, b)
 	case messenger.CatalogConfirmed:
-		g.configConfirmedAt = env.Now
+		g.configRead.observe(env.Now, g.self, g.incarnation)
 	case messenger.ServersPublished:
 		g.knowsAllServers = g.knowsAllServers || b.All
-		return r.serversChanged(env, g.servers.ApplyRead(env.Now, b.Servers, b.All), true)
+		g.serversRead.observe(env.Now, g.self, g.incarnation)
+		g.continuity.storeRead(env.Now)
+		return r.serversRead(env, g.servers.ApplyRead(env.Now, b.Servers, b.All))
 	case messenger.StateUpdateReceived:
 		return r.stateUpdateReceived(env, b)
 	case messenger.ServersOrdered:
@@ -320,16 +340,16 @@
 		Suspicions:      r.suspicions,
 		Quarantine:      r.quarantine,
 		Versions:        g.versions,
-		OrdersAsOf:      g.configConfirmedAt,
+		OrdersAsOf:      g.configRead.asOf,
 		Rand:            r.rand,
 		OnBegan:         func(a identifier.AccountID) { g.usage.RequestBegan(env.Now, a) },
 		Limits:          g.serverLimits,
 		Permits:         g.permits,
 		PermitAllocator: func(server identifier.VMID) *dispatcher.Allocator { return r.permitAllocator(env, server) },
-		ConfigStale:     env.Now.Sub(g.configConfirmedAt) > maxTrustedConfigAge,
+		ConfigStale:     env.Now.Sub(g.configRead.asOf) > maxTrustedConfigAge,
 		Inputs: messenger.DecisionInputs{
 			Revision:    g.revision(),
-			RevisionAge: age(env.Now, g.configConfirmedAt),
+			RevisionAge: age(env.Now, g.configRead.asOf),
 			ServersAge:  age(env.Now, g.servers.AsOf()),
 		},
 	}
@@ -357,7 +377,7 @@
 func (r *Reducer) catalogPublished(env *conductor.Env, e messenger.CatalogPublished) []messenger.Effect {
 	g := r.gateway
 	if e.FromStore {
-		g.configConfirmedAt = env.Now
+		g.configRead.observe(env.Now, g.self, g.incarnation)
 	}
 	g.versions.ApplyOrders(env.Now, e.Orders)
 	out := r.recordRollouts(env)
@@ -378,6 +398,16 @@
 	return out
 }
 
+// serversRead notifies the peers of a read of the store. In large clusters the relays
+// are notified even if nothing has changed, because the time of the read reaches the other
+// nodes over several hops.
+func (r *Reducer) serversRead(env *conductor.Env, changed []messenger.PublishedServer) []messenger.Effect {
+	if len(changed) == 0 && r.gateway.usesRelays {
+		return r.sendToRelays(env)
+	}
+	return r.serversChanged(env, changed, true)
+}
+
 // serversChanged records changed servers in the time line, and notifies the peers if
 // this node read the change from the store.
 func (r *Reducer) serversChanged(env *conductor.Env, changed []messenger.PublishedServer, direct bool) []messenger.Effect {
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -129,8 +129,12 @@
 // tickGossip sends this node's status, and applies failures detected by missing
 // heartbeats.
 func (r *Reducer) tickGossip(env *conductor.Env) []messenger.Effect {
+	revision := r.revision()
+	if r.gateway != nil && !r.gateway.knowsAllServers {
+		revision = 0 // Callers are not sent to a node that knows no servers.
+	}
 	r.members.SetStatus(gossiper.Status{
-		Revision: r.revision(),
+		Revision: revision,
 		Demand:   r.ownDemand(env.Now),
 	})
 	messages, changes := r.members.Tick(env.Now, r.rand)
--- a/internal/reducer/relay.go
+++ b/internal/reducer/relay.go
@@ -98,7 +98,7 @@
 		return nil
 	}
 	if g.relaySince == 0 {
-		g.relaySince = env.Now
+		g.becomeRelay(env.Now)
 	}
 	warmedUp := env.Now.Sub(g.relaySince) >= relayWarmUp
 	if !warmedUp && !r.receivesWholeZone(env.Now) {
@@ -106,14 +106,15 @@
 	}
 	zone := g.exchanges.ZoneSum(env.Now, r.ranking.Neighbours())
 	total := g.exchanges.AddZones(env.Now, zone)
-	g.exchanges.StorePeerLoad(env.Now, g.self, r.updateForNode(env.Now, total, g.self))
+	g.exchanges.StorePeerLoad(env.Now, g.self, r.updateForNode(env.Now, messenger.StateUpdate{}, total, g.self))
 	if warmedUp && !g.relayPending && !r.isRelayTurn(env.Now, relays) {
 		return nil
 	}
 	g.relayPending = false
-	out := r.sendToZones(env.Now, zone)
+	common := g.sumBase(env.Now)
+	out := r.sendToZones(env.Now, common, zone)
 	if warmedUp || r.receivesOtherZones(env.Now) {
-		out = append(out, r.sendToNeighbours(env.Now, total)...)
+		out = append(out, r.sendToNeighbours(env.Now, common, total)...)
 	}
 	return out
 }
@@ -140,11 +141,11 @@
 }
 
 // sendToNeighbours sends each node of this zone the sum over all other nodes.
-func (r *Reducer) sendToNeighbours(now timekeeper.Time, total dispatcher.LoadSum) []messenger.Effect {
+func (r *Reducer) sendToNeighbours(now timekeeper.Time, common messenger.StateUpdate, total dispatcher.LoadSum) []messenger.Effect {
 	var out []messenger.Effect
 	for _, p := range r.ranking.Peers() {
 		if p.Zone == r.config.Zone {
-			out = append(out, r.gateway.send(now, p, r.updateForNode(now, total, p.VM)))
+			out = append(out, r.gateway.send(now, p, r.updateForNode(now, common, total, p.VM)))
 		}
 	}
 	return out
@@ -152,17 +153,17 @@
 
 // updateForNode returns a relay's update for one node: the sum over all other nodes,
 // limited to the servers from which the node chooses.
-func (r *Reducer) updateForNode(now timekeeper.Time, total dispatcher.LoadSum, vm identifier.VMID) messenger.StateUpdate {
+func (r *Reducer) updateForNode(now timekeeper.Time, common messenger.StateUpdate, total dispatcher.LoadSum, vm identifier.VMID) messenger.StateUpdate {
 	g := r.gateway
 	inSubset := dispatcher.SubsetFilter(vm)
 	part := total.ForServers(func(server identifier.VMID) bool { return inSubset(server, g.servers.ServiceSize(server)) })
-	return g.sumUpdate(now, messenger.ScopeOthers, g.exchanges.WithoutNode(now, part, vm))
+	return withSum(common, messenger.ScopeOthers, g.exchanges.WithoutNode(now, part, vm))
 }
 
 // sendToZones sends the sum over this zone to the relays of the other zones.
-func (r *Reducer) sendToZones(now timekeeper.Time, zone dispatcher.LoadSum) []messenger.Effect {
+func (r *Reducer) sendToZones(now timekeeper.Time, common messenger.StateUpdate, zone dispatcher.LoadSum) []messenger.Effect {
 	g := r.gateway
-	update := g.sumUpdate(now, messenger.ScopeZone, zone)
+	update := withSum(common, messenger.ScopeZone, zone)
 	update.Zone = r.config.Zone
 	var out []messenger.Effect
 	for _, other := range r.ranking.OtherZones() {
@@ -173,18 +174,41 @@
 	return out
 }
 
-// sumUpdate returns a relay's update with a sum. Only relays report another node as
-// holder of the lease, so that an outdated holder is not reported forever.
-func (g *gateway) sumUpdate(now timekeeper.Time, scope messenger.UpdateScope, sum dispatcher.LoadSum) messenger.StateUpdate {
+// becomeRelay begins to send rounds. The rounds of an earlier time as a relay are not
+// continued, because the changes in between were not sent. Peers repeat requests for all
+// servers that have not been answered.
+func (g *gateway) becomeRelay(now timekeeper.Time) {
+	g.relaySince = now
+	g.round += updateRepeats
+	g.roundTimes = [updateRepeats]timekeeper.Time{now - 1, now - 1}
+	clear(g.serversRequested)
+}
+
+// sumBase begins a round of a relay's updates and returns what they have in common. It
+// is computed once a round, because it depends on the number of all servers. Only relays
+// report another node as holder of the lease, so that an outdated holder is not reported
+// forever.
+func (g *gateway) sumBase(now timekeeper.Time) messenger.StateUpdate {
 	s := g.baseUpdate(now)
+	g.round++
+	s.Round = g.round
+	s.ServersSpan = 0
+	s.Servers = g.servers.UpdatesSince(g.roundTimes[0], true)
+	g.roundTimes = [updateRepeats]timekeeper.Time{g.roundTimes[1], now - 1}
 	s.CachedPrefixes = g.exchanges.RelayedCachedPrefixUpdates(now)
-	s.Scope = scope
-	s.InFlight = sum.InFlight
-	s.Demand = sum.Demand
-	if age := now.Sub(g.allocatorLastSeen); s.Leader == "" && g.allocator != "" && age <= allocatorTimeout {
+	if age := now.Sub(g.allocatorSeen.asOf); s.Leader == "" && g.allocator != "" && age <= allocatorTimeout {
 		s.Leader = g.allocator
 		s.Fence = g.allocatorFence
 		s.LeaderAge = age
+		s.LeaderAnnounced = g.allocatorSeen.basis
 	}
 	return s
 }
+
+// withSum returns an update with a sum.
+func withSum(update messenger.StateUpdate, scope messenger.UpdateScope, sum dispatcher.LoadSum) messenger.StateUpdate {
+	update.Scope = scope
+	update.InFlight = sum.InFlight
+	update.Demand = sum.Demand
+	return update
+}
--- a/internal/reducer/relay_test.go
+++ b/internal/reducer/relay_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/relayer"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -36,6 +38,8 @@
 	updates         int
 	entriesSent     map[identifier.VMID]int
 	entriesReceived map[identifier.VMID]int
+	// meter measures the nodes, if set.
+	meter *loadMeter
 }
 
 type message struct {
@@ -78,13 +82,20 @@
 
 // apply applies an event to one node, and queues the messages that it sends.
 func (c *cluster) apply(id identifier.VMID, body messenger.EventBody) {
+	began := time.Now()
 	effects := c.nodes[id].Apply(messenger.Event{
 		At:   c.now,
 		Body: body,
 	})
+	if c.meter != nil {
+		c.meter.applied(id, time.Since(began))
+	}
 	for _, e := range effects {
 		switch e := e.(type) {
 		case messenger.SendGossip:
+			if to := identifier.VMID(e.Address); c.meter != nil {
+				c.meter.message(id, to, "gossip", identifier.Bytes(len(e.Data)))
+			}
 			c.inFlight = append(c.inFlight, message{
 				to: identifier.VMID(e.Address),
 				body: messenger.GossipReceived{
@@ -94,6 +105,9 @@
 			})
 		case messenger.SendStateUpdate:
 			c.updates++
+			if to := identifier.VMID(e.Address); c.meter != nil {
+				c.meter.message(id, to, updateKind(e.Update), relayer.UpdateSize(e.Update))
+			}
 			c.entriesSent[id] += len(e.Update.Servers)
 			c.entriesReceived[identifier.VMID(e.Address)] += len(e.Update.Servers)
 			c.inFlight = append(c.inFlight, message{
@@ -332,7 +346,7 @@
 	for _, id := range c.ids[:60] {
 		g := c.nodes[id].gateway
 		require.Equal(t, identifier.VMID("entry-60"), g.allocator, "at %s", id)
-		require.LessOrEqual(t, g.allocatorLastSeen, receivedAt.Add(hops*stepTime), "at %s", id)
+		require.LessOrEqual(t, g.allocatorSeen.asOf, receivedAt.Add(hops*stepTime), "at %s", id)
 	}
 }
 
--- a/internal/reducer/restored.go
+++ b/internal/reducer/restored.go
@@ -15,6 +15,7 @@
 	if g == nil {
 		return nil
 	}
+	g.listOutdated = true
 	g.leases.Restored(env.Now)
 	g.usage.Restored(env.Now)
 	g.servers.Restored(env.Now)
--- a/internal/reducer/serverlimit.go
+++ b/internal/reducer/serverlimit.go
@@ -45,11 +45,13 @@
 	return []messenger.Effect{serverLimitEntry(change)}
 }
 
-// mergeServerLimits applies the limits of servers that a peer reports.
+// mergeServerLimits applies the limits of servers that a peer reports. A node that does not
+// know all servers yet may receive a limit before the server's entry.
 func (r *Reducer) mergeServerLimits(env *conductor.Env, limits []messenger.ServerLimit) []messenger.Effect {
 	var out []messenger.Effect
 	for _, l := range limits {
-		if s, known := r.gateway.servers.Server(l.Server); !known || s.State == messenger.ServerRemoved {
+		s, known := r.gateway.servers.Server(l.Server)
+		if known && s.State == messenger.ServerRemoved || !known && r.gateway.knowsAllServers {
 			continue
 		}
 		if change, changed := r.gateway.serverLimits.Merge(env.Now, l); changed {
--- a/internal/reducer/stateupdate.go
+++ b/internal/reducer/stateupdate.go
@@ -49,12 +49,15 @@
 	if s.AllServers {
 		merge = g.servers.MergeAll
 	}
-	changed := merge(env.Now, env.Now.Add(-s.ServersAge), s.Servers)
+	if g.continuity.receive(env.Now, g.servers.AsOf(), e.From, s) {
+		g.serversRead.merge(env.Now, s.ServersAge, s.ServersRead)
+	}
+	changed := merge(env.Now, g.serversRead.asOf, s.Servers)
 	out := append(timeline, r.recordRollouts(env)...)
 	out = append(out, r.serversChanged(env, changed, false)...)
 	g.exchanges.MergeCachedPrefixes(r.exchangeEnv(env), s.CachedPrefixes, g.relaySince != 0)
 	if s.Revision == g.revision() {
-		g.configConfirmedAt = max(g.configConfirmedAt, env.Now.Add(-s.ConfigurationAge))
+		g.configRead.merge(env.Now, s.ConfigurationAge, s.ConfigurationRead)
 	}
 	if s.Revision <= g.revision() || env.Now.Before(g.nextFetch) {
 		return out
@@ -177,15 +180,6 @@
 // from peers. In large clusters, only those of relays do.
 func (g *gateway) includesReceived() bool { return !g.usesRelays || g.relaySince != 0 }
 
-// serverUpdateWindow returns the time for which this node reports a changed server
-// entry.
-func (g *gateway) serverUpdateWindow() timekeeper.Duration {
-	if g.relaySince != 0 {
-		return relayUpdateWindow
-	}
-	return updateWindow
-}
-
 // ownUpdate returns this node's update with its own load and counts.
 func (g *gateway) ownUpdate(now timekeeper.Time) messenger.StateUpdate {
 	running, demand := g.exchanges.OwnLoad(now)
@@ -202,19 +196,49 @@
 func (g *gateway) baseUpdate(now timekeeper.Time) messenger.StateUpdate {
 	s := messenger.StateUpdate{
 		Incarnation:        g.incarnation,
-		Servers:            g.servers.UpdatesSince(now.Add(-g.serverUpdateWindow()), g.includesReceived()),
-		RequestsAllServers: !g.knowsAllServers && (!g.usesRelays || now.Sub(g.startedAt) >= serversRequestDelay),
+		Servers:            g.servers.UpdatesSince(now.Add(-updateWindow), g.includesReceived()),
+		ServersSpan:        updateWindow,
+		RequestsAllServers: g.requestsAllServers(now),
 		ServersAge:         now.Sub(g.servers.AsOf()),
-		ConfigurationAge:   now.Sub(g.configConfirmedAt),
+		ServersRead:        g.serversRead.basis,
+		ConfigurationAge:   now.Sub(g.configRead.asOf),
+		ConfigurationRead:  g.configRead.basis,
 		Revision:           g.revision(),
 		CachedPrefixes:     g.exchanges.CachedPrefixUpdates(now),
 		Suspects:           g.quarantine.Updates(now, g.relaySince != 0),
 		Limits:             g.serverLimits.Updates(now, g.relaySince != 0),
 		Rollouts:           g.versions.Updates(now),
 	}
+	if !g.includesReceived() && g.serversRead.basis.Node != g.self {
+		// Without the changes that this node received, its update says nothing of the
+		// time up to which a peer knows all of them.
+		s.ServersAge = now.Sub(0)
+		s.ServersRead = messenger.Observation{}
+	}
 	if fence, _, held := g.leases.Held(leaderLease, now); held {
+		g.announcements++
 		s.Leader = g.self
 		s.Fence = fence
+		s.LeaderAnnounced = messenger.Observation{
+			Node:        g.self,
+			Incarnation: g.incarnation,
+			Number:      g.announcements,
+		}
 	}
 	return s
 }
+
+// requestsAllServers reports whether this node requests all servers from its peers:
+// until it has received them, and in a large cluster after it may have missed changes.
+func (g *gateway) requestsAllServers(now timekeeper.Time) bool {
+	switch {
+	case !g.usesRelays:
+		return !g.knowsAllServers
+	case g.knowsAllServers && now.Sub(g.continuity.acceptedAt) <= maxAcceptedAge:
+		return false
+	case now.Sub(g.startedAt) < serversRequestDelay || now.Before(g.nextServersRequest):
+		return false
+	}
+	g.nextServersRequest = now.Add(serversRequestInterval)
+	return true
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -265,6 +265,7 @@
 		return t.add(now, e)
 	}
 	if e.Offset <= known.Offset {
+		known.fromStore = known.fromStore || t.source.fromStore && e.Offset == known.Offset
 		return false
 	}
 	delete(t.deferredRemovals, e.Server)
@@ -362,6 +363,9 @@
 	}
 }
 
+// Len returns the number of entries, including removed ones.
+func (t *Table) Len() int { return len(t.servers) }
+
 // ServiceSize returns the number of servers of a server's service, including itself, or
 // zero if the server is unknown.
 func (t *Table) ServiceSize(id identifier.VMID) int {
@@ -388,13 +392,25 @@
 	var out []messenger.PublishedServer
 	for _, s := range t.servers {
 		if s.updatedAt.After(since) && (passOn || s.fromStore) {
-			out = append(out, s.PublishedServer)
+			out = append(out, s.update())
 		}
 	}
 	slices.SortFunc(out, func(a, b messenger.PublishedServer) int { return cmp.Compare(a.Server, b.Server) })
 	return out
 }
 
+// update returns the entry as it is reported to peers. A removal needs no other fields.
+func (s *Server) update() messenger.PublishedServer {
+	if s.State != messenger.ServerRemoved {
+		return s.PublishedServer
+	}
+	return messenger.PublishedServer{
+		Server: s.Server,
+		Offset: s.Offset,
+		State:  s.State,
+	}
+}
+
 // CountReady returns the number of servers that are ready.
 func CountReady(servers []*Server) int {
 	n := 0
--- a/internal/relayer/stateupdate.go
+++ b/internal/relayer/stateupdate.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	pb "github.com/dotterelhollow/dotterelhollow/internal/relayer/relayerpb"
@@ -16,6 +18,11 @@
 // report.
 const maxOfferedLoad = 1e5
 
+// UpdateSize returns the size of an encoded update, without its envelope.
+func UpdateSize(s messenger.StateUpdate) identifier.Bytes {
+	return identifier.Bytes(proto.Size(encodeStateUpdate(s)))
+}
+
 func encodeStateUpdate(s messenger.StateUpdate) *pb.ShareRequest {
 	out := &pb.ShareRequest{
 		Incarnation:        uint64(s.Incarnation),
@@ -29,6 +36,11 @@
 		Zone:               string(s.Zone),
 		Whole:              s.AllServers,
 		Wants:              s.RequestsAllServers,
+		Round:              s.Round,
+		ServersSpanMs:      int64(s.ServersSpan),
+		ServersRead:        encodeObservation(s.ServersRead),
+		ConfigurationRead:  encodeObservation(s.ConfigurationRead),
+		HolderAnnounced:    encodeObservation(s.LeaderAnnounced),
 	}
 	for _, e := range s.Servers {
 		out.Servers = append(out.Servers, encodePublishedServer(e))
@@ -69,6 +81,26 @@
 	return out
 }
 
+// encodeObservation returns nil for none.
+func encodeObservation(o messenger.Observation) *pb.Observation {
+	if o.Node == "" {
+		return nil
+	}
+	return &pb.Observation{
+		Node:        string(o.Node),
+		Incarnation: uint64(o.Incarnation),
+		Number:      o.Number,
+	}
+}
+
+func decodeObservation(o *pb.Observation) messenger.Observation {
+	return messenger.Observation{
+		Node:        identifier.VMID(o.GetNode()),
+		Incarnation: identifier.Incarnation(o.GetIncarnation()),
+		Number:      o.GetNumber(),
+	}
+}
+
 func encodePublishedServer(e messenger.PublishedServer) *pb.PublishedServer {
 	return &pb.PublishedServer{
 		Server:     string(e.Server),
@@ -88,12 +120,17 @@
 func decodeStateUpdate(q *pb.ShareRequest) messenger.StateUpdate {
 	s := messenger.StateUpdate{
 		Incarnation:        identifier.Incarnation(q.GetIncarnation()),
-		ServersAge:         timekeeper.Duration(q.GetServersAgeMs()),
-		ConfigurationAge:   timekeeper.Duration(q.GetConfigurationAgeMs()),
+		ServersAge:         timekeeper.Duration(max(q.GetServersAgeMs(), 0)),
+		Round:              q.GetRound(),
+		ServersSpan:        timekeeper.Duration(max(q.GetServersSpanMs(), 0)),
+		ServersRead:        decodeObservation(q.GetServersRead()),
+		ConfigurationAge:   timekeeper.Duration(max(q.GetConfigurationAgeMs(), 0)),
+		ConfigurationRead:  decodeObservation(q.GetConfigurationRead()),
 		Revision:           identifier.Revision(q.GetRevision()),
 		Fence:              identifier.Fence(q.GetFence()),
 		Leader:             identifier.VMID(q.GetHolder()),
 		LeaderAge:          timekeeper.Duration(max(q.GetHolderAgeMs(), 0)),
+		LeaderAnnounced:    decodeObservation(q.GetHolderAnnounced()),
 		Scope:              messenger.UpdateScope(q.GetScope()),
 		Zone:               identifier.Zone(q.GetZone()),
 		AllServers:         q.GetWhole(),
--- a/internal/runner/fake_test.go
+++ b/internal/runner/fake_test.go
@@ -89,7 +89,7 @@
 func (f *fakeReducer) Rollouts(timekeeper.Time) []promoter.Status { return nil }
 func (f *fakeReducer) History() []configurer.Change               { return nil }
 func (f *fakeReducer) Following(timekeeper.Time) reducer.Following {
-	return reducer.Following{}
+	return reducer.Following{Nodes: true}
 }
 func (f *fakeReducer) Ready() bool                 { return true }
 func (f *fakeReducer) ReadyNodes() []gossiper.Node { return f.nodes }
--- a/internal/runner/follow.go
+++ b/internal/runner/follow.go
@@ -25,6 +25,9 @@
 	// is renewed every second.
 	lowLatencyWait   = 1200 * timekeeper.Millisecond
 	lowLatencyMargin = 800 * time.Millisecond
+	// idleCheckInterval is the time between checks whether a paused tailer must
+	// resume.
+	idleCheckInterval = 100 * time.Millisecond
 	// minRetryBackoff and maxRetryBackoff bound the backoff after a failure.
 	// Half of each pause is random, so that nodes do not retry simultaneously.
 	minRetryBackoff = 100 * time.Millisecond
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -43,9 +43,9 @@
 	})
 }
 
-// pollList reads the VM list periodically.
+// pollList reads the VM list periodically, while the reducer requires it.
 func (r *Runner) pollList(ctx context.Context, retry *backoff) {
-	for ctx.Err() == nil {
+	for r.following.nodes.wait(ctx) {
 		read, err := r.readList(ctx)
 		if err != nil {
 			r.logger.Debug("reading VM list failed", "error", err)
--- a/internal/runner/published.go
+++ b/internal/runner/published.go
@@ -24,30 +24,79 @@
 	// usually answers within milliseconds; a broken connection may never
 	// return.
 	storeTimeout = 900 * time.Millisecond
-	// idleCheckInterval is the time between checks whether a paused reader must
-	// resume.
-	idleCheckInterval = 100 * time.Millisecond
+	// allServersTimeout is the time that a read of all servers may take: thousands of
+	// entries over the link of a small VM.
+	allServersTimeout = 3 * time.Second
+	// maxServersGap is the time without a read of the servers after which a node
+	// reads all of them again. The changes since would be more bytes, because
+	// each heartbeat of a server is one.
+	maxServersGap = 5 * time.Second
 )
 
 // following holds the kinds of records that the reducer requires, as read by
 // the followers.
 type following struct {
-	servers       atomic.Bool
-	configuration atomic.Bool
+	servers       requirement
+	configuration requirement
+	nodes         requirement
+}
+
+func newFollowing() following {
+	return following{
+		servers:       newRequirement(),
+		configuration: newRequirement(),
+		nodes:         newRequirement(),
+	}
+}
+
+// requirement states whether a kind of records is to be read.
+type requirement struct {
+	required *atomic.Bool
+	// wake receives a value when the records become required.
+	wake chan struct{}
+}
+
+func newRequirement() requirement {
+	return requirement{
+		required: &atomic.Bool{},
+		wake:     make(chan struct{}, 1),
+	}
+}
+
+func (q requirement) set(required bool) {
+	if q.required.Swap(required) || !required {
+		return
+	}
+	select {
+	case q.wake <- struct{}{}:
+	default: // A value is waiting.
+	}
+}
+
+// wait waits until the records are required. It returns false if ctx ends first.
+func (q requirement) wait(ctx context.Context) bool {
+	for !q.required.Load() {
+		select {
+		case <-q.wake:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return ctx.Err() == nil
 }
 
 // updateFollowing queries the reducer for the kinds of records to read.
 func (r *Runner) updateFollowing(now timekeeper.Time) {
+	f := r.config.Reducer.Following(now)
+	r.following.nodes.set(f.Nodes)
 	if r.config.Store == nil {
 		return
 	}
-	f := r.config.Reducer.Following(now)
-	r.following.servers.Store(f.Servers)
-	r.following.configuration.Store(f.Configuration)
+	r.following.servers.set(f.Servers)
+	r.following.configuration.set(f.Configuration)
 }
 
-// startFollowers starts the tasks that read the platform's store. Each node
-// reads all records once, and afterwards only those that the reducer requires.
+// startFollowers starts the tasks that read the platform's store.
 func (r *Runner) startFollowers() {
 	if r.config.Store == nil {
 		return
@@ -55,13 +104,14 @@
 	for _, records := range []storeRecords{
 		{
 			name:     "servers",
-			required: &r.following.servers,
+			required: r.following.servers,
 			interval: serversInterval,
+			maxGap:   maxServersGap,
 			read:     r.readServers,
 		},
 		{
 			name:     "configuration",
-			required: &r.following.configuration,
+			required: r.following.configuration,
 			read:     r.readConfiguration,
 		},
 	} {
@@ -76,9 +126,12 @@
 // storeRecords is a kind of records in the store.
 type storeRecords struct {
 	name     string
-	required *atomic.Bool
+	required requirement
 	// interval is the time between reads that return without waiting.
 	interval time.Duration
+	// maxGap is the time since the last read after which all records are read
+	// again. Zero means no limit.
+	maxGap time.Duration
 	// read reads all records if all is set, else those from an offset on. It
 	// returns the event to report and the offset at which to continue, or zero
 	// to read all records again.
@@ -87,12 +140,14 @@
 
 // followPublished reads one kind of records until ctx ends.
 func (r *Runner) followPublished(ctx context.Context, records storeRecords, retry *backoff) {
-	var next identifier.Offset
+	var (
+		next   identifier.Offset
+		readAt time.Time
+	)
 	failed := false
-	for ctx.Err() == nil {
-		if next != 0 && !records.required.Load() {
-			sleep(ctx, idleCheckInterval)
-			continue
+	for records.required.wait(ctx) {
+		if records.maxGap > 0 && time.Since(readAt) > records.maxGap {
+			next = 0
 		}
 		event, end, err := records.read(ctx, next, next == 0)
 		r.checkGeneration(ctx)
@@ -109,6 +164,7 @@
 		r.logStoreRecovery(records.name, &failed)
 		retry.reset()
 		next = end
+		readAt = time.Now()
 		r.emit(ctx, event)
 		if records.interval > 0 {
 			sleep(ctx, records.interval)
@@ -117,7 +173,11 @@
 }
 
 func (r *Runner) readServers(ctx context.Context, from identifier.Offset, all bool) (messenger.EventBody, identifier.Offset, error) {
-	ctx, done := context.WithTimeout(ctx, storeTimeout)
+	timeout := storeTimeout
+	if all {
+		timeout = allServersTimeout
+	}
+	ctx, done := context.WithTimeout(ctx, timeout)
 	defer done()
 	read := func() ([]messenger.PublishedServer, identifier.Offset, error) {
 		if all {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -184,6 +184,7 @@
 		proposals:             make(map[identifier.Ticket]chan messenger.ChangeVerdict),
 		exchanges:             make(map[identifier.ExchangeID]chan messenger.Effect),
 		listenersClosed:       make(chan struct{}),
+		following:             newFollowing(),
 		summaries:             summarizer.New(),
 	}
 	r.metrics.addGauges(r)
@@ -212,6 +213,7 @@
 	ticker := time.NewTicker(messenger.TickInterval.Std())
 	defer ticker.Stop()
 	r.step(messenger.Tick{})
+	r.updateFollowing(r.clock.Now())
 	for !r.finished {
 		r.applyBacklog()
 		select {
@@ -251,6 +253,10 @@
 	for _, e := range effects {
 		r.execute(e)
 	}
+	if _, listed := body.(messenger.ListRead); listed {
+		// What to read at the start depends on the number of nodes.
+		r.updateFollowing(r.clock.Now())
+	}
 }
 
 // applyBacklog applies the events that the loop itself has queued.
