Grant limits through a standby while a large cluster has lost its allocator

Each node then grants 1/984 of each limit, less than one prompt: what held while six nodes shared a limit.

It grants only while it hears no holder itself, for the part of the nodes that name it in their updates, and from an almost empty bucket; a holder deducts the nodes that name another. So both never grant one node's part. Small clusters do as before.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -162,6 +162,8 @@
 	lastEnded        messenger.ExchangeAttemptEnded
 	// limitSource is who decided on the account's limit.
 	limitSource messenger.LimitSource
+	// limitRequests is the number of nodes that were asked for a part of the limit.
+	limitRequests int
 	// mayHaveRun reports whether any attempt may have run.
 	mayHaveRun   bool
 	usageCounted bool
--- a/internal/dispatcher/limit.go
+++ b/internal/dispatcher/limit.go
@@ -10,6 +10,10 @@
 // this node's own part of its limit while the allocator is unreachable.
 const unreachableRetry = 300 * timekeeper.Millisecond
 
+// maxLimitRequests is the maximum number of nodes that are asked for a part of the limit
+// for one request.
+const maxLimitRequests = 2
+
 // retrySpread is the time over which the retries of callers that wait for the same
 // event are spread.
 const retrySpread = 500 * timekeeper.Millisecond
@@ -58,7 +62,12 @@
 		x.limitSource = messenger.LimitNoPeer
 		return d.refuseByOwnPart(env, x, retryAfter)
 	}
+	return d.requestLimit(env, x, tokens)
+}
+
+func (d *Dispatcher) requestLimit(env Env, x *exchange, tokens identifier.Tokens) messenger.Effect {
 	x.limitSource = messenger.LimitPeer
+	x.limitRequests++
 	return messenger.RequestLimit{
 		Exchange: x.spec.Exchange,
 		Peer:     env.Allocator.Node,
@@ -88,6 +97,9 @@
 	switch {
 	case e.Granted:
 		return d.start(env, x)
+	case e.NotGranting && e.Peer != "" && x.limitRequests < maxLimitRequests && env.Allocator != nil && env.Allocator.Node != e.Peer:
+		// Another node grants by now.
+		return d.requestLimit(env, x, x.tokens(env))
 	case e.NotGranting:
 		return d.admitByOwnPart(env, x)
 	case e.Unknown:
--- a/internal/limiter/central.go
+++ b/internal/limiter/central.go
@@ -26,6 +26,8 @@
 	// centralStart is the part of a burst with which a new central node starts: it does
 	// not know what its predecessor granted in the last seconds.
 	centralStart = 0.25
+	// standbyStart is the same for a standby: it suffices for one request of any size.
+	standbyStart = 0.01
 	// localBurst is the part of its part of a burst that a node may save while it can
 	// reach the central node. localStart is the part of that with which it starts: all
 	// nodes may have been killed at once, and a node that is killed repeatedly must not
@@ -97,6 +99,14 @@
 	}
 }
 
+// NewStandby returns the buckets of a node that grants in place of a central node. They
+// start almost empty, because the central node may have granted whole bursts just before.
+func NewStandby() *Buckets {
+	b := NewCentral()
+	b.initialPart = standbyStart
+	return b
+}
+
 // SetReachable sets the number of nodes, the central node included, from which the
 // central node recently received a message, and the number of all nodes. The other
 // nodes may be partitioned and grant their parts themselves, so the central node does
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -180,6 +180,7 @@
 	// NotGranting if it answered that it no longer grants.
 	LimitAnswered struct {
 		Exchange    identifier.ExchangeID
+		Peer        identifier.VMID
 		Granted     bool
 		Unknown     bool
 		NotGranting bool
@@ -285,6 +286,9 @@
 	Leader    identifier.VMID
 	Fence     identifier.Fence
 	LeaderAge timekeeper.Duration
+	// Grantor is the node from which the sender requests parts of the accounts'
+	// limits, or empty if it grants alone.
+	Grantor identifier.VMID
 	// LeaderAnnounced is the announcement on which LeaderAge is based.
 	LeaderAnnounced Observation
 }
--- a/internal/reducer/allocation.go
+++ b/internal/reducer/allocation.go
@@ -5,6 +5,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/dispatcher"
 	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
@@ -57,9 +58,15 @@
 	nodes := r.limitNodes(env)
 	_, _, held := g.leases.Held(leaderLease, env.Now)
 	g.retries.SetExtra(extraRetries/float64(nodes) + extraRetriesPerNode)
-	g.localLimits.SetNodes(nodes, !held && !g.allocatorReachable(env.Now))
+	r.updateGrantor(env.Now, held)
+	g.localLimits.SetNodes(nodes, g.grantor.node == "")
 	if g.centralLimits != nil {
-		g.centralLimits.SetReachable(1+g.exchanges.CountAllReportingPeers(env.Now, deductionTimeout), nodes)
+		others := g.grantor.count(env.Now, func(vm identifier.VMID) bool { return vm != "" && vm != g.self })
+		g.centralLimits.SetReachable(1+g.exchanges.CountAllReportingPeers(env.Now, deductionTimeout)-others, nodes)
+	}
+	if g.grantor.limits != nil {
+		naming := g.grantor.count(env.Now, func(vm identifier.VMID) bool { return vm == g.self })
+		g.grantor.limits.SetReachable(1+naming, nodes)
 	}
 }
 
@@ -112,6 +119,19 @@
 	}
 }
 
+// grantorAnswered records the answer of the allocator or the standby.
+func (r *Reducer) grantorAnswered(env *conductor.Env, e messenger.LimitAnswered) {
+	g := r.gateway
+	if e.Peer == "" || e.Peer == g.allocator {
+		r.allocatorAnswered(env, e.Unknown, e.NotGranting)
+		return
+	}
+	if e.Unknown || e.NotGranting {
+		g.grantor.standbyDue = env.Now.Add(standbyRetry)
+		r.divideLimits(env)
+	}
+}
+
 // allocatorAnswered records that the allocator did not answer (unknown), or that it no
 // longer grants.
 func (r *Reducer) allocatorAnswered(env *conductor.Env, unknown, notGranting bool) {
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -175,6 +175,7 @@
 	// unanswered is the number of requests to the allocator without an answer since
 	// its last report.
 	unanswered int
+	grantor    grantor
 	// announcements counts the reports of this node that it holds the lease.
 	announcements uint64
 	// listedNodes is the number of nodes in the platform's list.
@@ -316,7 +317,7 @@
 	case messenger.RolloutStored:
 		return r.rolloutStored(env, b)
 	case messenger.LimitAnswered:
-		r.allocatorAnswered(env, b.Unknown, b.NotGranting)
+		r.grantorAnswered(env, b)
 		return r.withUpdates(env, g.exchanges.LimitAnswered(r.exchangeEnv(env), b))
 	case messenger.LimitRequested:
 		return []messenger.Effect{
@@ -353,14 +354,9 @@
 			ServersAge:  age(env.Now, g.servers.AsOf()),
 		},
 	}
-	if _, _, held := g.leases.Held(leaderLease, env.Now); held {
-		exchangeEnv.Central = g.centralLimits
-		return exchangeEnv
-	}
-	if exchangeEnv.Allocator = r.reachableAllocator(env); exchangeEnv.Allocator != nil {
-		return exchangeEnv
-	}
-	exchangeEnv.AllocatorDue = max(g.allocatorDue().Sub(env.Now), 0)
+	_, _, held := g.leases.Held(leaderLease, env.Now)
+	r.updateGrantor(env.Now, held)
+	r.setGrantor(&exchangeEnv, held)
 	return exchangeEnv
 }
 
--- a/internal/reducer/leader.go
+++ b/internal/reducer/leader.go
@@ -80,6 +80,10 @@
 	g.centralLimits = limiter.NewCentral()
 	kind := messenger.TimelineKind("duties_held")
 	if !held {
+		// Peers request from another node from now on.
+		g.allocator = g.self
+		g.allocatorSeen = freshness{}
+		g.nextUpdate = min(g.nextUpdate, env.Now)
 		kind = "duties_lost"
 	}
 	return []messenger.Effect{
--- a/internal/reducer/relay.go
+++ b/internal/reducer/relay.go
@@ -60,6 +60,9 @@
 	if allocator, known := r.members.Node(g.allocator); known && allocator.State != gossiper.Dead {
 		direct.add(allocator)
 	}
+	if grantor, known := r.members.Node(g.grantor.node); known {
+		direct.add(grantor)
+	}
 	if g.updateRounds%fullUpdateRounds != 0 {
 		return direct.nodes
 	}
--- a/internal/reducer/relay_test.go
+++ b/internal/reducer/relay_test.go
@@ -38,10 +38,19 @@
 	updates         int
 	entriesSent     map[identifier.VMID]int
 	entriesReceived map[identifier.VMID]int
+	// limitRequests are the requests for parts of limits, and exchangesSent counts the
+	// exchanges that were sent to servers.
+	limitRequests map[identifier.Ticket]limitRequest
+	exchangesSent int
 	// meter measures the nodes, if set.
 	meter *loadMeter
 }
 
+type limitRequest struct {
+	from     identifier.VMID
+	exchange identifier.ExchangeID
+}
+
 type message struct {
 	to   identifier.VMID
 	body messenger.EventBody
@@ -103,6 +112,19 @@
 					Data: e.Data,
 				},
 			})
+		case messenger.SendExchange:
+			c.exchangesSent++
+		case messenger.RequestLimit:
+			c.requestLimit(id, e)
+		case messenger.AnswerLimit:
+			request := c.limitRequests[e.Ticket]
+			answer := e.Answer
+			answer.Exchange = request.exchange
+			answer.Peer = id
+			c.inFlight = append(c.inFlight, message{
+				to:   request.from,
+				body: answer,
+			})
 		case messenger.SendStateUpdate:
 			c.updates++
 			if to := identifier.VMID(e.Address); c.meter != nil {
@@ -121,6 +143,38 @@
 	}
 }
 
+// requestLimit passes on a request for a part of a limit. A node that is down does not
+// answer it.
+func (c *cluster) requestLimit(from identifier.VMID, e messenger.RequestLimit) {
+	if c.down[e.Peer] {
+		c.inFlight = append(c.inFlight, message{
+			to: from,
+			body: messenger.LimitAnswered{
+				Exchange: e.Exchange,
+				Peer:     e.Peer,
+				Unknown:  true,
+			},
+		})
+		return
+	}
+	if c.limitRequests == nil {
+		c.limitRequests = map[identifier.Ticket]limitRequest{}
+	}
+	ticket := identifier.Ticket(len(c.limitRequests) + 1)
+	c.limitRequests[ticket] = limitRequest{
+		from:     from,
+		exchange: e.Exchange,
+	}
+	c.inFlight = append(c.inFlight, message{
+		to: e.Peer,
+		body: messenger.LimitRequested{
+			Ticket:  ticket,
+			Account: e.Account,
+			Tokens:  e.Tokens,
+		},
+	})
+}
+
 func (c *cluster) run(span timekeeper.Duration) {
 	for end := c.now.Add(span); c.now.Before(end); c.now = c.now.Add(stepTime) {
 		delivered := c.inFlight
--- a/internal/reducer/stateupdate.go
+++ b/internal/reducer/stateupdate.go
@@ -44,6 +44,9 @@
 		g.versions.MergePeerCounts(env.Now, e.From, s.Incarnation, s)
 	}
 	g.mergeLeader(env.Now, s)
+	if s.Scope == messenger.ScopeOwn {
+		g.grantorNamed(env.Now, e.From, s)
+	}
 	timeline := r.mergeServerLimits(env, s.Limits)
 	merge := g.servers.Merge
 	if s.AllServers {
@@ -186,6 +189,7 @@
 	s := g.baseUpdate(now)
 	s.InFlight = running
 	s.Usage = g.usage.OwnCounts(now)
+	s.Grantor = g.grantor.node
 	s.Versions = g.versions.Counts()
 	s.Demand = demand
 	return s
--- a/internal/runner/grant.go
+++ b/internal/runner/grant.go
@@ -45,6 +45,7 @@
 		answer, err := r.config.Peers.Limit(ctx, e.Address, e.Account, e.Tokens)
 		answer.Unknown = answer.Unknown || err != nil
 		answer.Exchange = e.Exchange
+		answer.Peer = e.Peer
 		return r.report(answer)
 	})
 }
