--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -175,7 +175,8 @@
 	// unanswered is the number of requests to the allocator without an answer since
 	// its last report.
 	unanswered int
-	grantor    grantor
+	// grantor is the node from which this node requests parts of the limits.
+	grantor grantor
 	// announcements counts the reports of this node that it holds the lease.
 	announcements uint64
 	// listedNodes is the number of nodes in the platform's list.
