Call one piece where the whole fleet's change had written two

The entries of a relay's round were collected twice, the first time for nothing; baseUpdate leaves them to its callers. A node as allocator, being a relay, a text's fraction (now placer.Fraction, for dispatcher too) and the list of nodes in tests each had a twin. Heads of tests of failures are one line.

--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -1,13 +1,12 @@
 package dispatcher
 
 import (
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
 	"github.com/dotterelhollow/dotterelhollow/internal/detector"
 	"github.com/dotterelhollow/dotterelhollow/internal/estimator"
 	"github.com/dotterelhollow/dotterelhollow/internal/indexer"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/placer"
 	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
@@ -129,7 +128,7 @@
 		fingerprint: fingerprint(spec, account),
 		route:       route,
 		account:     account,
-		service:     route.Service(hashFraction(spec.Request)),
+		service:     route.Service(placer.Fraction(string(spec.Request))),
 		urgency:     urgency(routing, route, account),
 		deadline:    deadline(spec, route),
 	}
@@ -176,12 +175,6 @@
 	return quarantiner.FingerprintOf(caller, spec.Content)
 }
 
-// hashFraction maps a request to [0, 1). All attempts of a request have the same value.
-func hashFraction(r identifier.RequestID) float64 {
-	const bits = 53 // the precision of a float64
-	return float64(xxhash.Sum64String(string(r))>>(64-bits)) / (1 << bits)
-}
-
 func urgency(routing *catalog.Routing, route *catalog.Route, account identifier.AccountID) int {
 	return min(max(routing.AccountRanks[account]*rankStep+route.Rank, 0), maxUrgency)
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -116,6 +116,12 @@
 	return sorted
 }
 
+// Fraction maps a text to [0, 1). The same text always has the same value.
+func Fraction(text string) float64 {
+	const bits = 53 // the precision of a float64
+	return float64(xxhash.Sum64String(text)>>(64-bits)) / (1 << bits)
+}
+
 // Weight returns the rendezvous weight for the hashes of a key and of a node; the node
 // with the largest weight is chosen. It applies the finalizer of SplitMix64, because a
 // plain exclusive or would order the nodes in the same way for similar keys.
--- a/internal/reducer/allocation.go
+++ b/internal/reducer/allocation.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/dotterelhollow/dotterelhollow/internal/conductor"
 	"github.com/dotterelhollow/dotterelhollow/internal/dispatcher"
+	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
 	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
@@ -113,9 +114,14 @@
 	if !known || !g.allocatorReachable(env.Now) {
 		return nil
 	}
+	return allocatorAt(node)
+}
+
+// allocatorAt returns a node as one that grants limits and permits.
+func allocatorAt(n gossiper.Node) *dispatcher.Allocator {
 	return &dispatcher.Allocator{
-		Node:    g.allocator,
-		Address: node.PeerAddress,
+		Node:    n.VM,
+		Address: n.PeerAddress,
 	}
 }
 
--- a/internal/reducer/busiest_test.go
+++ b/internal/reducer/busiest_test.go
@@ -29,16 +29,10 @@
 }
 
 // loadMeter measures the nodes of a cluster.
-type loadMeter struct {
-	cluster *cluster
-	loads   map[identifier.VMID]*nodeLoad
-}
+type loadMeter struct{ loads map[identifier.VMID]*nodeLoad }
 
 func newLoadMeter(c *cluster) *loadMeter {
-	m := &loadMeter{
-		cluster: c,
-		loads:   map[identifier.VMID]*nodeLoad{},
-	}
+	m := &loadMeter{loads: map[identifier.VMID]*nodeLoad{}}
 	for _, id := range c.ids {
 		m.loads[id] = &nodeLoad{
 			sent:     map[string]traffic{},
--- a/internal/reducer/continuity_test.go
+++ b/internal/reducer/continuity_test.go
@@ -10,8 +10,7 @@
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
-// Guards against a node that missed a server's leaving, takes a later update for the
-// newest state, and goes on sending to the server.
+// Guards against sending to a server whose leaving a node has missed.
 func TestNodeThatMissedChangesCatchesUp(t *testing.T) {
 	for _, nodes := range []int{6, 61} {
 		c := newCluster(nodes)
--- a/internal/reducer/following.go
+++ b/internal/reducer/following.go
@@ -3,11 +3,10 @@
 import (
 	"math"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/dotterelhollow/dotterelhollow/internal/accountant"
 	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
 	"github.com/dotterelhollow/dotterelhollow/internal/leaser"
+	"github.com/dotterelhollow/dotterelhollow/internal/placer"
 	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
 	"github.com/dotterelhollow/dotterelhollow/internal/ranker"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
@@ -152,13 +151,7 @@
 		nodes = max(nodes, unlistedNodes)
 	}
 	readers := float64(atOnce) * math.Exp2(float64(waited)/float64(readersDoubleTime))
-	return r.drawFor(purpose)*float64(nodes) < readers
-}
-
-// drawFor returns a number in [0, 1) that is fixed for this node and a purpose.
-func (r *Reducer) drawFor(purpose string) float64 {
-	hash := xxhash.Sum64String(purpose + "/" + string(r.config.Self))
-	return float64(hash>>11) / (1 << 53)
+	return placer.Fraction(purpose+"/"+string(r.config.Self))*float64(nodes) < readers
 }
 
 // isRelay reports whether this node is one of the relays of its zone.
--- a/internal/reducer/following_test.go
+++ b/internal/reducer/following_test.go
@@ -55,13 +55,7 @@
 func TestSimultaneousStartSettlesEarly(t *testing.T) {
 	for _, nodes := range []int{61, 195} {
 		c := newCluster(nodes)
-		listed := messenger.ListRead{AsOf: c.now}
-		for _, id := range c.ids {
-			listed.VMs = append(listed.VMs, messenger.VMState{
-				VM:      id,
-				Address: string(id),
-			})
-		}
+		listed := c.listed()
 		for _, id := range c.ids {
 			c.apply(id, listed)
 		}
@@ -90,6 +84,18 @@
 	}
 }
 
+// listed returns the platform's list of all nodes.
+func (c *cluster) listed() messenger.ListRead {
+	out := messenger.ListRead{AsOf: c.now}
+	for _, id := range c.ids {
+		out.VMs = append(out.VMs, messenger.VMState{
+			VM:      id,
+			Address: string(id),
+		})
+	}
+	return out
+}
+
 // countServerReaders returns the number of nodes that read the servers from the store.
 func (c *cluster) countServerReaders() int {
 	n := 0
@@ -101,18 +107,11 @@
 	return n
 }
 
-// Guards against an overloaded store when all nodes of a large cluster start at once: a
-// read of all servers by each of them would exceed what the store can send in time.
+// Guards against an overloaded store when all nodes of a large cluster start at once.
 func TestFewNodesReadAllServersAtStart(t *testing.T) {
 	const tolerance = 1.4 // for the random choice of readers
 	c := newCluster(bigCluster)
-	listed := messenger.ListRead{AsOf: c.now}
-	for _, id := range c.ids {
-		listed.VMs = append(listed.VMs, messenger.VMState{
-			VM:      id,
-			Address: string(id),
-		})
-	}
+	listed := c.listed()
 	for _, id := range c.ids {
 		c.apply(id, messenger.Tick{})
 	}
@@ -138,8 +137,7 @@
 	require.Equal(t, len(small.ids), small.countServerReaders())
 }
 
-// Guards against reads by all nodes at once when the store returns from an outage. Nodes
-// that receive from relays wait for what these read.
+// Guards against reads by all nodes at once when the store returns from an outage.
 func TestFewNodesReadStaleServers(t *testing.T) {
 	c := newCluster(bigCluster)
 	c.run(6 * timekeeper.Second)
@@ -187,8 +185,7 @@
 	require.GreaterOrEqual(t, sent, leaderNodes)
 }
 
-// Guards against a node that starts, drops a server's limit because it does not know the
-// server yet, and then sends to it without a limit.
+// Guards against a node that starts and sends without the limits it received first.
 func TestLimitOfUnknownServerIsKept(t *testing.T) {
 	c := newCluster(2)
 	c.run(stepTime)
--- a/internal/reducer/freshness_test.go
+++ b/internal/reducer/freshness_test.go
@@ -10,8 +10,7 @@
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
-// Guards against data that appears to become newer while nodes only report it to each
-// other and none reads the store.
+// Guards against data that becomes newer by reports while no node reads the store.
 func TestReportsDoNotRenewOneAnother(t *testing.T) {
 	c := newCluster(61)
 	c.run(6 * timekeeper.Second)
--- a/internal/reducer/relay.go
+++ b/internal/reducer/relay.go
@@ -95,8 +95,7 @@
 		return nil
 	}
 	g.nextRelay = env.Now.Add(relayInterval)
-	relays := r.relays(r.config.Zone)
-	if len(r.ranking.Peers()) <= maxDirectPeers || !ranker.Contains(relays, g.self) {
+	if !r.isRelay() {
 		g.relaySince = 0
 		return nil
 	}
@@ -110,7 +109,7 @@
 	zone := g.exchanges.ZoneSum(env.Now, r.ranking.Neighbours())
 	total := g.exchanges.AddZones(env.Now, zone)
 	g.exchanges.StorePeerLoad(env.Now, g.self, r.updateForNode(env.Now, messenger.StateUpdate{}, total, g.self))
-	if warmedUp && !g.relayPending && !r.isRelayTurn(env.Now, relays) {
+	if warmedUp && !g.relayPending && !r.isRelayTurn(env.Now, r.relays(r.config.Zone)) {
 		return nil
 	}
 	g.relayPending = false
@@ -195,7 +194,6 @@
 	s := g.baseUpdate(now)
 	g.round++
 	s.Round = g.round
-	s.ServersSpan = 0
 	s.Servers = g.servers.UpdatesSince(g.roundTimes[0], true)
 	g.roundTimes = [updateRepeats]timekeeper.Time{g.roundTimes[1], now - 1}
 	s.CachedPrefixes = g.exchanges.RelayedCachedPrefixUpdates(now)
--- a/internal/reducer/serverlimit.go
+++ b/internal/reducer/serverlimit.go
@@ -29,10 +29,7 @@
 	if len(first) == 0 || first[0].VM == r.config.Self {
 		return nil
 	}
-	return &dispatcher.Allocator{
-		Node:    first[0].VM,
-		Address: first[0].PeerAddress,
-	}
+	return allocatorAt(first[0])
 }
 
 // serverLimitReceived applies the limit in a server's answer to this node.
--- a/internal/reducer/standby.go
+++ b/internal/reducer/standby.go
@@ -120,10 +120,7 @@
 		return
 	}
 	if node, known := r.members.Node(g.grantor.node); known {
-		out.Allocator = &dispatcher.Allocator{
-			Node:    node.VM,
-			Address: node.PeerAddress,
-		}
+		out.Allocator = allocatorAt(node)
 		return
 	}
 	out.AllocatorDue = max(g.allocatorDue().Sub(out.Now), 0)
--- a/internal/reducer/standby_test.go
+++ b/internal/reducer/standby_test.go
@@ -11,8 +11,7 @@
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
-// Guards against refusing nearly all limited requests of a large cluster from the loss of
-// the allocator until another node holds the lease, and against exceeding the limit then.
+// Guards against refusing nearly all limited requests while there is no allocator.
 func TestStandbyGrantsWhileAllocatorIsLost(t *testing.T) {
 	const (
 		limit   = 680_000
@@ -66,8 +65,7 @@
 	})
 }
 
-// Guards against a standby that grants the whole limit although some nodes still request
-// from the allocator.
+// Guards against a standby that grants for nodes that still request from the allocator.
 func TestStandbyGrantsForNodesThatNameIt(t *testing.T) {
 	var g grantor
 	for n := range 10 {
--- a/internal/reducer/stateupdate.go
+++ b/internal/reducer/stateupdate.go
@@ -187,6 +187,8 @@
 func (g *gateway) ownUpdate(now timekeeper.Time) messenger.StateUpdate {
 	running, demand := g.exchanges.OwnLoad(now)
 	s := g.baseUpdate(now)
+	s.Servers = g.servers.UpdatesSince(now.Add(-updateWindow), g.includesReceived())
+	s.ServersSpan = updateWindow
 	s.InFlight = running
 	s.Usage = g.usage.OwnCounts(now)
 	s.Grantor = g.grantor.node
@@ -196,12 +198,10 @@
 }
 
 // baseUpdate returns the part of an update that does not depend on requests of this
-// node.
+// node, without the changed server entries.
 func (g *gateway) baseUpdate(now timekeeper.Time) messenger.StateUpdate {
 	s := messenger.StateUpdate{
 		Incarnation:        g.incarnation,
-		Servers:            g.servers.UpdatesSince(now.Add(-updateWindow), g.includesReceived()),
-		ServersSpan:        updateWindow,
 		RequestsAllServers: g.requestsAllServers(now),
 		ServersAge:         now.Sub(g.servers.AsOf()),
 		ServersRead:        g.serversRead.basis,
--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -369,8 +369,7 @@
 
 func (c *steppingClock) Now() timekeeper.Time { return timekeeper.Time(c.now.Add(int64(c.step))) }
 
-// Guards against resending a request because one node does not know it, before a
-// slower node that redirects to its owner has been asked.
+// Guards against resending a request before a slower node names its owner.
 func TestRequestUnknownToSomeNodesIsNotResent(t *testing.T) {
 	c := newCluster(t, 3, func(c *cluster, node int, w http.ResponseWriter, r *http.Request) {
 		switch {
@@ -398,8 +397,7 @@
 	require.Zero(t, trace.Restarted)
 }
 
-// Guards against resending a request before the default timeout if nodes learn of
-// it late.
+// Guards against resending a request before the default timeout.
 func TestUnknownRequestTimeoutHasDefault(t *testing.T) {
 	c := newCluster(t, 2, func(c *cluster, _ int, w http.ResponseWriter, r *http.Request) {
 		switch {
