Log that a server states in its answers to be leaving

The logs of the incident can't tell whether nothing reads the header Server-Leaving or what it states is lost again: no line has it. Answers to another request, or of another server at the address, state nothing of the intended one. No decision reads it.

--- a/docs/operations_test.go
+++ b/docs/operations_test.go
@@ -323,3 +323,5 @@
 func (*singleAttemptDecider) Ended(messenger.ExchangeEnded) {}
 
 func (*singleAttemptDecider) LimitReceived(context.Context, messenger.ServerLimitReceived) {}
+
+func (*singleAttemptDecider) LeavingReceived(context.Context, messenger.ServerLeavingReceived) {}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -13,6 +13,7 @@
 
 	"github.com/dotterelhollow/dotterelhollow/internal/dialer"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
@@ -107,7 +108,10 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	reply := x.forwarder.config.Protocol.ReadReply(response.StatusCode, response.Header)
-	x.reportLimit(ctx, s, sent, reply)
+	if isAnswerOf(reply, x.head.Request) {
+		x.reportLimit(ctx, s, sent, reply)
+		x.reportLeaving(ctx, s, reply)
+	}
 	switch {
 	case reply.Request != "" && reply.Request != x.head.Request:
 		// A late answer to another request on this connection.
@@ -149,13 +153,16 @@
 	return x.passBuffered(ctx, s, timer, response)
 }
 
+// isAnswerOf reports whether a reply is the intended server's answer to a request, and not
+// one to another request or from another server at the address.
+func isAnswerOf(reply Reply, request identifier.RequestID) bool {
+	return !reply.Misdirected && (reply.Request == "" || reply.Request == request)
+}
+
 // reportLimit reports the limit that a server states in its answer, or that it no
-// longer states one. It ignores answers to another request or from another server. An
-// unsigned answer does not lift a limit, since it may come from an intermediary.
+// longer states one. An unsigned answer does not lift a limit, since it may come from an
+// intermediary.
 func (x *exchange) reportLimit(ctx context.Context, s messenger.SendExchange, sent timekeeper.Time, reply Reply) {
-	if reply.Misdirected || reply.Request != "" && reply.Request != x.head.Request {
-		return
-	}
 	lifted := s.Limited && reply.Signed
 	if !reply.Limit.Stated && !lifted {
 		return
@@ -171,6 +178,16 @@
 	})
 }
 
+// reportLeaving reports that a server states in its answer that it is leaving.
+func (x *exchange) reportLeaving(ctx context.Context, s messenger.SendExchange, reply Reply) {
+	x.serverLeaving = reply.Leaving
+	if !reply.Leaving {
+		return
+	}
+	x.forwarder.config.Metrics.leavingStated()
+	x.forwarder.config.Decider.LeavingReceived(ctx, messenger.ServerLeavingReceived{Server: s.Server})
+}
+
 func succeeded(status int) bool { return status >= 200 && status < 300 }
 
 // promisesNotRun reports whether a status tells callers that the request has not run and
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -63,6 +63,7 @@
 	AttemptEnded(ctx context.Context, e messenger.ExchangeAttemptEnded) messenger.Effect
 	Ended(e messenger.ExchangeEnded)
 	LimitReceived(ctx context.Context, e messenger.ServerLimitReceived)
+	LeavingReceived(ctx context.Context, e messenger.ServerLeavingReceived)
 }
 
 // Head holds the metadata from a request's headers.
@@ -90,6 +91,8 @@
 	RetryAfter  timekeeper.Duration
 	// Limit is the rate limit that the server states.
 	Limit messenger.StatedLimit
+	// Leaving reports that the server states that it is leaving.
+	Leaving bool
 }
 
 // Protocol translates the header names that callers and servers use. It is called from
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -39,6 +39,7 @@
 	began       int
 	attempt     int
 	limits      []messenger.ServerLimitReceived
+	leaving     []messenger.ServerLeavingReceived
 }
 
 func newFakeDecider(servers ...string) *fakeDecider {
@@ -102,6 +103,12 @@
 	s.limits = append(s.limits, e)
 }
 
+func (s *fakeDecider) LeavingReceived(_ context.Context, e messenger.ServerLeavingReceived) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = append(s.leaving, e)
+}
+
 func (s *fakeDecider) Ended(e messenger.ExchangeEnded) { s.ended <- e }
 
 func (s *fakeDecider) results() []messenger.AttemptResult {
@@ -138,12 +145,15 @@
 	}
 }
 
-func (testProtocol) ReadReply(_ int, h http.Header) forwarder.Reply {
+func (testProtocol) ReadReply(status int, h http.Header) forwarder.Reply {
 	return forwarder.Reply{
 		Request: identifier.RequestID(h.Get("Id")),
 		NotRun:  h.Get("Not-Run") != "",
 		Signed:  h.Get("Signature") != "",
 		Limit:   messenger.StatedLimit{Stated: h.Get("Limit") != ""},
+		Leaving: h.Get("Leaving") != "",
+		// The status of an answer from another server.
+		Misdirected: status == http.StatusMisdirectedRequest,
 	}
 }
 
@@ -694,6 +704,43 @@
 	require.Len(t, s.limits, 2)
 }
 
+// Each answer of a server that states to be leaving must be reported, but not one to
+// another request or from another server at the address.
+func TestLeavingServerIsReported(t *testing.T) {
+	foreign := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Id", "another")
+		w.Header().Set("Leaving", "1")
+	})
+	misdirected := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Leaving", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	})
+	full := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Leaving", "1")
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	failed := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Leaving", "1")
+		w.WriteHeader(http.StatusInternalServerError)
+	})
+	complete := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Leaving", "1")
+		sign(w, r)
+	})
+	s := newFakeDecider(foreign, misdirected, full, failed, complete)
+	request, err := http.NewRequest(http.MethodGet, "http://"+startForwarder(t, s)+"/", nil)
+	require.NoError(t, err)
+	request.Header.Set("Id", "r")
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	require.Len(t, s.leaving, 3)
+}
+
 // A node that is leaving must make callers use other connections.
 func TestLeavingClosesConnections(t *testing.T) {
 	server := startServer(t, sign)
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -27,8 +27,10 @@
 	statuses expvar.Map
 	// statedLimits counts the answers that state a limit of their server.
 	statedLimits expvar.Int
-	firstEvents  latencyHistogram
-	totals       latencyHistogram
+	// leavingAnswers counts the answers of servers that state to be leaving.
+	leavingAnswers expvar.Int
+	firstEvents    latencyHistogram
+	totals         latencyHistogram
 }
 
 // NewMetrics returns Metrics whose counters are zero.
@@ -42,6 +44,7 @@
 	m.vars.Set("results", &m.results)
 	m.vars.Set("statuses", &m.statuses)
 	m.vars.Set("server_limits", &m.statedLimits)
+	m.vars.Set("server_leaving", &m.leavingAnswers)
 	m.vars.Set("first_event_ms", &m.firstEvents)
 	m.vars.Set("whole_ms", &m.totals)
 	return m
@@ -54,6 +57,8 @@
 
 func (m *Metrics) limitStated() { m.statedLimits.Add(1) }
 
+func (m *Metrics) leavingStated() { m.leavingAnswers.Add(1) }
+
 func (m *Metrics) recordFirstEvent(d timekeeper.Duration) { m.firstEvents.record(d) }
 
 func (m *Metrics) ended(status int, result messenger.AttemptResult, elapsed timekeeper.Duration) {
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -33,7 +33,9 @@
 	// serverFailure is a server's error answer, passed on if no later attempt succeeds.
 	serverFailure *bufferedAnswer
 	// statedLimit is the limit that the server of the last attempt stated.
-	statedLimit   messenger.StatedLimit
+	statedLimit messenger.StatedLimit
+	// serverLeaving reports that the server of the last attempt stated that it is leaving.
+	serverLeaving bool
 	responseBegan bool
 	status        int
 	// inputs are those of the last decision, for the log.
@@ -145,6 +147,7 @@
 		x.attempts++
 		x.server = send.Server
 		x.statedLimit = messenger.StatedLimit{}
+		x.serverLeaving = false
 		x.inputs = send.Inputs
 		end := x.attempt(ctx, send)
 		if end.done {
--- a/internal/messenger/serverlimit.go
+++ b/internal/messenger/serverlimit.go
@@ -23,6 +23,12 @@
 	Limit StatedLimit
 }
 
+// ServerLeavingReceived reports that an answer of a backend server states that
+// the server is leaving.
+type ServerLeavingReceived struct {
+	Server identifier.VMID
+}
+
 // ServerLimit is a node's knowledge of a server that states a limit, or
 // recently did.
 type ServerLimit struct {
@@ -67,9 +73,10 @@
 	}
 )
 
-func (ServerLimitReceived) eventBody() {}
-func (PermitAnswered) eventBody()      {}
-func (PermitRequested) eventBody()     {}
+func (ServerLimitReceived) eventBody()   {}
+func (ServerLeavingReceived) eventBody() {}
+func (PermitAnswered) eventBody()        {}
+func (PermitRequested) eventBody()       {}
 
 func (RequestPermit) effect() {}
 func (AnswerPermit) effect()  {}
--- a/internal/reducer/apply_test.go
+++ b/internal/reducer/apply_test.go
@@ -72,6 +72,7 @@
 	messenger.RolloutsClaimed{},
 	messenger.RolloutStored{},
 	messenger.ServerLimitReceived{},
+	messenger.ServerLeavingReceived{},
 	messenger.PermitRequested{},
 	messenger.PermitAnswered{},
 }
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -306,6 +306,8 @@
 		return r.usageReported(b)
 	case messenger.ServerLimitReceived:
 		return r.serverLimitReceived(env, b)
+	case messenger.ServerLeavingReceived:
+		return r.serverLeavingReceived(env, b)
 	case messenger.PermitRequested:
 		return r.permitRequested(env, b)
 	case messenger.PermitAnswered:
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -238,6 +238,7 @@
 		messenger.ServersPublished,
 		messenger.ServersOrdered, messenger.UsageReported, messenger.LimitAnswered, messenger.LimitRequested,
 		messenger.RolloutsClaimed, messenger.RolloutStored, messenger.ServerLimitReceived,
+		messenger.ServerLeavingReceived,
 		messenger.PermitRequested, messenger.PermitAnswered:
 		return r.gatewayEvent(env, b)
 
--- a/internal/runner/exchange.go
+++ b/internal/runner/exchange.go
@@ -40,6 +40,11 @@
 	r.emit(context.WithoutCancel(ctx), e)
 }
 
+// LeavingReceived implements forwarder.Decider.
+func (r *Runner) LeavingReceived(ctx context.Context, e messenger.ServerLeavingReceived) {
+	r.emit(context.WithoutCancel(ctx), e)
+}
+
 // decide applies an event and returns the effect that answers it, or nil if ctx
 // ends before the loop accepts the event or the node stops. The decision may
 // require a call to a peer.
