--- a/internal/prover/exchange_cluster_test.go
+++ b/internal/prover/exchange_cluster_test.go
@@ -104,6 +104,7 @@
 	ranAt        map[identifier.RequestID][]identifier.VMID
 	repetitions  map[identifier.RequestID]catalog.Repetition
 	requests     map[identifier.ExchangeID]identifier.RequestID
+	requestedAt  map[identifier.ExchangeID]timekeeper.Time
 	leftAt       map[identifier.VMID]timekeeper.Time
 	fences       map[string]identifier.Fence
 	fenceHolders map[identifier.Fence]process
@@ -121,6 +122,7 @@
 	crashes
 	rollouts     rollouts
 	limits       limits
+	leaving      leavingServers
 	size         clusterSize
 	lastExchange identifier.ExchangeID
 }
@@ -155,6 +157,7 @@
 	cl := &exchangeCluster{
 		size:         size,
 		limits:       newLimits(),
+		leaving:      newLeavingServers(),
 		t:            t,
 		now:          exchangeStart,
 		rng:          rand.New(rand.NewPCG(seed, 7)),
@@ -163,6 +166,7 @@
 		ranAt:        map[identifier.RequestID][]identifier.VMID{},
 		repetitions:  map[identifier.RequestID]catalog.Repetition{},
 		requests:     map[identifier.ExchangeID]identifier.RequestID{},
+		requestedAt:  map[identifier.ExchangeID]timekeeper.Time{},
 		leftAt:       map[identifier.VMID]timekeeper.Time{},
 		lastEntries:  map[identifier.VMID]messenger.PublishedServer{},
 		fences:       map[string]identifier.Fence{},
@@ -640,6 +644,7 @@
 // receive applies the arrival of a request to a node.
 func (cl *exchangeCluster) receive(n *gatewayNode, id identifier.RequestID, repetition catalog.Repetition, content identifier.ContentHash) {
 	cl.contents[id] = content
+	cl.requestedAt[cl.lastExchange] = cl.now
 	cl.repeats.requests = append(cl.repeats.requests, cl.now)
 	cl.apply(n, messenger.ExchangeReceived{
 		Spec: messenger.ExchangeSpec{
@@ -686,13 +691,17 @@
 	sent := cl.now
 	if result != messenger.AttemptNotSent {
 		cl.limitArrival(n, e.Server)
+		cl.leavingArrival(n, e)
 	}
 	cl.after(cl.serviceTime, func() {
 		if f.ended {
 			return
 		}
 		f.ended = true
-		cl.stateLimit(n, e.Server, sent, result)
+		if isAnswer(result) {
+			cl.stateLimit(n, e.Server, sent)
+			cl.reportLeaving(n, e.Server)
+		}
 		if result == messenger.AttemptComplete {
 			cl.answered++
 			cl.apply(n, messenger.ExchangeBegan{
--- a/internal/prover/limit_test.go
+++ b/internal/prover/limit_test.go
@@ -142,13 +142,14 @@
 	}
 }
 
+// isAnswer reports whether an attempt with the result ended with an answer.
+func isAnswer(result messenger.AttemptResult) bool {
+	return result == messenger.AttemptComplete || result == messenger.AttemptFailed || result == messenger.AttemptRefused
+}
+
 // stateLimit reports to a node the limit that a server's answer states, or that it
 // states none.
-func (cl *exchangeCluster) stateLimit(n *gatewayNode, server identifier.VMID, sent timekeeper.Time, result messenger.AttemptResult) {
-	answered := result == messenger.AttemptComplete || result == messenger.AttemptFailed || result == messenger.AttemptRefused
-	if !answered {
-		return
-	}
+func (cl *exchangeCluster) stateLimit(n *gatewayNode, server identifier.VMID, sent timekeeper.Time) {
 	rate, limited := cl.limits.rates[server]
 	if _, received := cl.limits.firstReceived[server][n.vm]; limited && !received {
 		cl.limits.firstReceived[server][n.vm] = cl.now
