Send nothing to a server that stated in an answer to be leaving

Cause: no decision read what a server states of itself in its answers; nodes learned that a server leaves from its entry alone, which came 13 s late while the store was down. A statement that was known and lost again would have come next: leaving was final only towards entries with larger offsets.

Change: such an answer makes the server leaving in the registrar, for the start that the request was sent to, and peers are told at once on the path of changed entries. Leaving is final whatever the offsets. A later start of the server is used again.

--- a/cmd/dotterelhollow/gateway_test.go
+++ b/cmd/dotterelhollow/gateway_test.go
@@ -308,6 +308,32 @@
 	}
 }
 
+// A server that states in an answer that it is leaving must get no further requests of any
+// node, also while its entry can't be read.
+func TestGatewayHonorsStatedLeaving(t *testing.T) {
+	in := newInstallation(t, 2)
+	in.store.SetUnavailable(true)
+	leaving := in.engines[0]
+	leaving.Leaving.Store(true)
+	sent := 0
+	send := func() {
+		response, _, err := in.send(in.nodes[sent%2], fmt.Sprintf("r-%d", sent), "/reports/1", "secret")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		sent++
+	}
+	require.Eventually(t, func() bool {
+		send()
+		return len(leaving.Executions()) > 0
+	}, waitTimeout, time.Millisecond)
+	time.Sleep(propagationTime)
+	before := leaving.Executions()
+	for range 20 {
+		send()
+	}
+	require.Equal(t, before, leaving.Executions())
+}
+
 // A node that starts while the store is unavailable receives the configuration
 // from its peers and serves requests.
 func TestGatewayWithoutStore(t *testing.T) {
--- a/internal/prover/leaving_test.go
+++ b/internal/prover/leaving_test.go
@@ -138,3 +138,16 @@
 		})
 	}
 }
+
+// A server that stated to be leaving and starts again under its id must be used again.
+func TestNewStartOfServerThatLeftGetsRequests(t *testing.T) {
+	cl := newSizedCluster(t, 1, fewNodes)
+	first := exchangeServer(0)
+	cl.stateLeaving(first)
+	restartedAt := statedLeavingFrom + 3*timekeeper.Second
+	second := identifier.ServerStart(first.Instance(), identifier.Incarnation(exchangeStart.Add(restartedAt)))
+	cl.at(restartedAt, func() { cl.writeEntry(second, messenger.ServerReady) })
+	cl.run()
+	require.Empty(t, cl.violations)
+	require.NotZero(t, cl.leaving.arrivals[second])
+}
--- a/internal/reducer/serverleaving.go
+++ b/internal/reducer/serverleaving.go
@@ -7,19 +7,18 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 )
 
-// serverLeavingReceived records that a server, whose entry does not say so yet, stated in
-// an answer to this node that it is leaving.
+// serverLeavingReceived takes a server out of use that stated in an answer to this node
+// that it is leaving, and notifies the peers. Its entry may not say so yet.
 func (r *Reducer) serverLeavingReceived(env *conductor.Env, e messenger.ServerLeavingReceived) []messenger.Effect {
 	servers := r.gateway.servers
-	s, known := servers.Server(e.Server)
-	if !known || s.State != messenger.ServerReady {
+	changed := servers.MarkLeaving(env.Now, e.Server)
+	if len(changed) == 0 {
 		return nil
 	}
-	return []messenger.Effect{
-		messenger.TimelineEntry{
-			Kind:   "server_stated_leaving",
-			VM:     e.Server,
-			Detail: fmt.Sprintf("service=%s offset=%d servers_age=%s", s.Service, s.Offset, age(env.Now, servers.AsOf())),
-		},
+	stated := messenger.TimelineEntry{
+		Kind:   "server_stated_leaving",
+		VM:     e.Server,
+		Detail: fmt.Sprintf("service=%s offset=%d servers_age=%s", changed[0].Service, changed[0].Offset, age(env.Now, servers.AsOf())),
 	}
+	return append([]messenger.Effect{stated}, r.serversChanged(env, changed, true)...)
 }
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -3,8 +3,8 @@
 //
 // Each entry carries its offset in the store, and of two entries of a server the one
 // with the larger offset takes precedence. Entries can be merged in any order and any
-// number of times with the same result. Leaving is final: no later entry makes a leaving
-// server ready again.
+// number of times with the same result. Leaving is final: no entry makes a leaving server
+// ready again, whatever its offset. A server also states in its answers that it is leaving.
 //
 // A server may start again under the same id. Each start is treated as a server of its
 // own, and a later start ends the earlier ones: late entries of these are ignored, even
@@ -51,10 +51,10 @@
 	// was read.
 	Displaced bool
 	// updatedAt is the time of the last change that peers are to receive, or zero.
-	// fromStore is set if this node read it from the store.
+	// direct is set if this node learned it from the store or from the server itself.
 	updatedAt timekeeper.Time
-	fromStore bool
-	// hasLeft is set if the server ever was leaving.
+	direct    bool
+	// hasLeft is set if the server ever was leaving, by its entry or by an answer.
 	hasLeft bool
 }
 
@@ -77,8 +77,9 @@
 
 // source is the origin of entries.
 type source struct {
-	// fromStore is set if this node read them from the store.
-	fromStore bool
+	// direct is set if this node read them from the store, or an answer of the server
+	// stated them.
+	direct bool
 	// initial is set for a complete first read or a peer's complete table, which peers
 	// need no updates of.
 	initial bool
@@ -106,8 +107,8 @@
 		t.deferUntil = now.Add(removalGrace)
 	}
 	t.source = source{
-		fromStore: true,
-		initial:   snapshot && t.asOf == 0,
+		direct:  true,
+		initial: snapshot && t.asOf == 0,
 	}
 	t.asOf = now
 	if snapshot {
@@ -188,7 +189,7 @@
 
 // Tick applies the removals whose grace is over and returns them.
 func (t *Table) Tick(now timekeeper.Time) []messenger.PublishedServer {
-	t.source = source{fromStore: true}
+	t.source = source{direct: true}
 	var changed []messenger.PublishedServer
 	for _, id := range slices.Sorted(maps.Keys(t.deferredRemovals)) {
 		removal := t.deferredRemovals[id]
@@ -252,7 +253,7 @@
 		}
 	}
 	if t.mergeStartEntry(now, e) {
-		changed = append(changed, e)
+		changed = append(changed, t.servers[e.Server].PublishedServer)
 	}
 	return changed
 }
@@ -265,13 +266,16 @@
 		return t.add(now, e)
 	}
 	if e.Offset <= known.Offset {
-		known.fromStore = known.fromStore || t.source.fromStore && e.Offset == known.Offset
+		if e.State == messenger.ServerLeaving {
+			return t.markLeaving(now, known)
+		}
+		known.direct = known.direct || t.source.direct && e.Offset == known.Offset
 		return false
 	}
 	delete(t.deferredRemovals, e.Server)
 	known.Displaced = false
 	before := known.PublishedServer
-	known.hasLeft = known.hasLeft || before.State == messenger.ServerLeaving
+	known.hasLeft = known.hasLeft || before.State == messenger.ServerLeaving || e.State == messenger.ServerLeaving
 	if known.hasLeft && e.State == messenger.ServerReady {
 		// The entry is a late copy of one from before the notice.
 		e.State = messenger.ServerLeaving
@@ -297,9 +301,38 @@
 	return true
 }
 
+// MarkLeaving records that a server, in an answer to this node, stated that it is leaving.
+// It returns the change, if any. The server's entry may state so much later, or never if
+// the server can't reach the store.
+func (t *Table) MarkLeaving(now timekeeper.Time, id identifier.VMID) []messenger.PublishedServer {
+	known, ok := t.servers[id]
+	if !ok {
+		return nil
+	}
+	t.source = source{direct: true}
+	if !t.markLeaving(now, known) {
+		return nil
+	}
+	return []messenger.PublishedServer{known.PublishedServer}
+}
+
+// markLeaving makes a ready server leaving without a newer entry, and reports whether it
+// was ready.
+func (t *Table) markLeaving(now timekeeper.Time, known *Server) bool {
+	known.hasLeft = true
+	if known.State != messenger.ServerReady {
+		return false
+	}
+	known.State = messenger.ServerLeaving
+	known.ChangedAt = now
+	clear(t.ofService)
+	t.markUpdated(now, known)
+	return true
+}
+
 // markUpdated marks an entry as an update for peers.
 func (t *Table) markUpdated(now timekeeper.Time, s *Server) {
-	s.fromStore = t.source.fromStore
+	s.direct = t.source.direct
 	s.updatedAt = now
 	if t.source.initial {
 		s.updatedAt = 0
@@ -391,7 +424,7 @@
 func (t *Table) UpdatesSince(since timekeeper.Time, passOn bool) []messenger.PublishedServer {
 	var out []messenger.PublishedServer
 	for _, s := range t.servers {
-		if s.updatedAt.After(since) && (passOn || s.fromStore) {
+		if s.updatedAt.After(since) && (passOn || s.direct) {
 			out = append(out, s.update())
 		}
 	}
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -70,6 +70,56 @@
 	require.Equal(t, messenger.ServerLeaving, states(table)["i-1"])
 }
 
+// A server that states in an answer that it is leaving must not be made ready by an entry
+// that does not say so yet, and peers must learn of it whatever offsets they know.
+func TestStatedLeavingIsFinal(t *testing.T) {
+	table := registrar.New()
+	table.ApplyRead(start, []messenger.PublishedServer{entry("i-1", 5, messenger.ServerReady)}, true)
+	changed := table.MarkLeaving(start.Add(10), "i-1")
+	require.Len(t, changed, 1)
+	require.Equal(t, messenger.ServerLeaving, changed[0].State)
+	require.Empty(t, table.MarkLeaving(start.Add(20), "i-1"))
+	require.Empty(t, table.MarkLeaving(start.Add(20), "i-2"))
+	updates := table.UpdatesSince(start, false)
+	require.Equal(t, changed, updates)
+
+	peer := registrar.New()
+	peer.ApplyRead(start, []messenger.PublishedServer{entry("i-1", 9, messenger.ServerReady)}, true)
+	require.Len(t, peer.Merge(start.Add(30), start, updates), 1)
+	for _, each := range []*registrar.Table{table, peer} {
+		each.ApplyRead(start.Add(400), []messenger.PublishedServer{entry("i-1", 12, messenger.ServerReady)}, false)
+		require.Equal(t, messenger.ServerLeaving, states(each)["i-1"])
+	}
+}
+
+// Guards against a server that stated to be leaving and is ready again once its entry
+// lapsed and returned.
+func TestStatedLeavingSurvivesRemoval(t *testing.T) {
+	table := registrar.New()
+	table.ApplyRead(start, []messenger.PublishedServer{
+		entry("i-1", 1, messenger.ServerReady),
+		entry("i-1", 2, messenger.ServerRemoved),
+	}, false)
+	require.Empty(t, table.MarkLeaving(start, "i-1"))
+	changed := table.ApplyRead(start, []messenger.PublishedServer{entry("i-1", 3, messenger.ServerReady)}, false)
+	require.Len(t, changed, 1)
+	require.Equal(t, messenger.ServerLeaving, changed[0].State)
+	require.Equal(t, messenger.ServerLeaving, states(table)["i-1"])
+}
+
+// What a server stated must not take its next start out of use.
+func TestStatedLeavingEndsWithItsStart(t *testing.T) {
+	first := identifier.ServerStart("i-1", 1000)
+	second := identifier.ServerStart("i-1", 9000)
+	table := registrar.New()
+	table.ApplyRead(start, []messenger.PublishedServer{entry(first, 1, messenger.ServerReady)}, true)
+	table.MarkLeaving(start, first)
+	table.ApplyRead(start, []messenger.PublishedServer{entry(second, 2, messenger.ServerReady)}, false)
+	require.Empty(t, table.MarkLeaving(start, first), "an answer that arrives late")
+	require.Empty(t, table.Merge(start, start, []messenger.PublishedServer{entry(first, 3, messenger.ServerLeaving)}))
+	require.Equal(t, messenger.ServerReady, states(table)[second])
+}
+
 // Entries that lapse during a store outage and return within a second must not be
 // removed, or every request is rejected meanwhile.
 func TestEntriesLapseDuringStoreOutage(t *testing.T) {
