Log the time for which a server asks to be sent nothing

The logs of the incident have the status 503 of a rejected attempt, but not the time that the server stated with it, so that a request that was under way can't be told from one that was sent in spite of it. No decision reads it.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -111,6 +111,7 @@
 	if isAnswerOf(reply, x.head.Request) {
 		x.reportLimit(ctx, s, sent, reply)
 		x.reportLeaving(ctx, s, reply)
+		x.recordBackoff(reply)
 	}
 	switch {
 	case reply.Request != "" && reply.Request != x.head.Request:
@@ -188,6 +189,14 @@
 	x.forwarder.config.Decider.LeavingReceived(ctx, messenger.ServerLeavingReceived{Server: s.Server})
 }
 
+// recordBackoff records the time for which a server asks this node to send it no requests.
+func (x *exchange) recordBackoff(reply Reply) {
+	x.backoff = reply.Backoff
+	if reply.Backoff > 0 {
+		x.forwarder.config.Metrics.backoffStated()
+	}
+}
+
 func succeeded(status int) bool { return status >= 200 && status < 300 }
 
 // promisesNotRun reports whether a status tells callers that the request has not run and
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -89,6 +89,9 @@
 	Misdirected bool
 	Signed      bool
 	RetryAfter  timekeeper.Duration
+	// Backoff is the time for which the server asks this node to send it no requests, or
+	// zero.
+	Backoff timekeeper.Duration
 	// Limit is the rate limit that the server states.
 	Limit messenger.StatedLimit
 	// Leaving reports that the server states that it is leaving.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -152,6 +152,7 @@
 		Signed:  h.Get("Signature") != "",
 		Limit:   messenger.StatedLimit{Stated: h.Get("Limit") != ""},
 		Leaving: h.Get("Leaving") != "",
+		Backoff: timekeeper.Duration(len(h.Get("Backoff"))),
 		// The status of an answer from another server.
 		Misdirected: status == http.StatusMisdirectedRequest,
 	}
@@ -741,6 +742,40 @@
 	require.Len(t, s.leaving, 3)
 }
 
+// The time for which a server asks to be sent no requests must be reported, whether or not
+// it states that the request did not run, but not the time of an answer to another request.
+func TestBackoffIsReported(t *testing.T) {
+	foreign := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Id", "another")
+		w.Header().Set("Backoff", "four")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	full := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Backoff", "four")
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	unclear := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Backoff", "three")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	s := newFakeDecider(foreign, full, unclear, startServer(t, sign))
+	request, err := http.NewRequest(http.MethodGet, "http://"+startForwarder(t, s)+"/", nil)
+	require.NoError(t, err)
+	request.Header.Set("Id", "r")
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var backoffs []timekeeper.Duration
+	for _, e := range s.attemptEnds {
+		backoffs = append(backoffs, e.Backoff)
+	}
+	require.Equal(t, []timekeeper.Duration{0, 4, 5}, backoffs)
+}
+
 // A node that is leaving must make callers use other connections.
 func TestLeavingClosesConnections(t *testing.T) {
 	server := startServer(t, sign)
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -29,6 +29,9 @@
 	statedLimits expvar.Int
 	// leavingAnswers counts the answers of servers that state to be leaving.
 	leavingAnswers expvar.Int
+	// backoffAnswers counts the answers of servers that ask this node to send no requests
+	// for some time.
+	backoffAnswers expvar.Int
 	firstEvents    latencyHistogram
 	totals         latencyHistogram
 }
@@ -45,6 +48,7 @@
 	m.vars.Set("statuses", &m.statuses)
 	m.vars.Set("server_limits", &m.statedLimits)
 	m.vars.Set("server_leaving", &m.leavingAnswers)
+	m.vars.Set("server_backoffs", &m.backoffAnswers)
 	m.vars.Set("first_event_ms", &m.firstEvents)
 	m.vars.Set("whole_ms", &m.totals)
 	return m
@@ -59,6 +63,8 @@
 
 func (m *Metrics) leavingStated() { m.leavingAnswers.Add(1) }
 
+func (m *Metrics) backoffStated() { m.backoffAnswers.Add(1) }
+
 func (m *Metrics) recordFirstEvent(d timekeeper.Duration) { m.firstEvents.record(d) }
 
 func (m *Metrics) ended(status int, result messenger.AttemptResult, elapsed timekeeper.Duration) {
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -36,6 +36,9 @@
 	statedLimit messenger.StatedLimit
 	// serverLeaving reports that the server of the last attempt stated that it is leaving.
 	serverLeaving bool
+	// backoff is the time for which the server of the last attempt asked this node to
+	// send it no requests.
+	backoff       timekeeper.Duration
 	responseBegan bool
 	status        int
 	// inputs are those of the last decision, for the log.
@@ -148,6 +151,7 @@
 		x.server = send.Server
 		x.statedLimit = messenger.StatedLimit{}
 		x.serverLeaving = false
+		x.backoff = 0
 		x.inputs = send.Inputs
 		end := x.attempt(ctx, send)
 		if end.done {
@@ -171,6 +175,7 @@
 			Result:      end.result,
 			Streaming:   x.headSent,
 			RetryAfter:  end.retryAfter,
+			Backoff:     x.backoff,
 			ServerEnded: end.serverEnded,
 		})
 	}
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -58,6 +58,9 @@
 		Streaming bool
 		// RetryAfter is the delay that the server asked for, or zero.
 		RetryAfter timekeeper.Duration
+		// Backoff is the time for which the server asked this node to send it
+		// no requests, or zero.
+		Backoff timekeeper.Duration
 		// ServerEnded reports whether the server's address refuses
 		// connections.
 		ServerEnded bool
