--- /dev/null
+++ b/internal/prover/backoff_test.go
@@ -0,0 +1,178 @@
+package prover
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+const (
+	// Servers reject all requests from rejectFrom to rejectUntil.
+	rejectFrom  = 7 * timekeeper.Second
+	rejectUntil = 17 * timekeeper.Second
+	// backoffDelay is the time after a rejection from which requests count, and
+	// maxBackoffArrivals the number of them that may arrive until the backoff ends.
+	backoffDelay       = 500 * timekeeper.Millisecond
+	maxBackoffArrivals = 2
+)
+
+// rejections are the servers that reject requests with a backoff, and what arrives at
+// them.
+type rejections struct {
+	backoffs map[identifier.VMID]timekeeper.Duration
+	// answers are the rejections of each server, by the process that was rejected.
+	answers map[identifier.VMID]map[process][]*rejection
+	// arrivals counts the requests by server while it rejects them, and afterwards.
+	arrivals      map[identifier.VMID]int
+	arrivalsAfter map[identifier.VMID]int
+}
+
+// rejection is one rejection with the requests that arrived during its backoff.
+type rejection struct {
+	from, until timekeeper.Time
+	arrivals    int
+}
+
+func newRejections() rejections {
+	return rejections{
+		backoffs:      map[identifier.VMID]timekeeper.Duration{},
+		answers:       map[identifier.VMID]map[process][]*rejection{},
+		arrivals:      map[identifier.VMID]int{},
+		arrivalsAfter: map[identifier.VMID]int{},
+	}
+}
+
+// rejectAll makes a server reject all requests with a backoff.
+func (cl *exchangeCluster) rejectAll(server identifier.VMID, backoff timekeeper.Duration) {
+	cl.at(rejectFrom, func() {
+		cl.rejections.backoffs[server] = backoff
+		cl.rejections.answers[server] = map[process][]*rejection{}
+	})
+	cl.at(rejectUntil, func() { delete(cl.rejections.backoffs, server) })
+}
+
+// rejects records a request that arrives at a server, and reports whether the server
+// rejects it.
+func (cl *exchangeCluster) rejects(n *gatewayNode, e messenger.SendExchange) bool {
+	r := &cl.rejections
+	for _, rejection := range r.answers[e.Server][n.process()] {
+		if cl.now.Before(rejection.from) || !cl.now.Before(rejection.until) {
+			continue
+		}
+		rejection.arrivals++
+		if rejection.arrivals == maxBackoffArrivals+1 {
+			cl.violatef("%s sends %d requests to %s, which asked for none until %d",
+				n.vm, rejection.arrivals, e.Server, rejection.until.Sub(exchangeStart))
+		}
+	}
+	backoff, rejecting := r.backoffs[e.Server]
+	if !rejecting {
+		if cl.now.Sub(exchangeStart) > rejectUntil {
+			r.arrivalsAfter[e.Server]++
+		}
+		return false
+	}
+	r.arrivals[e.Server]++
+	r.answers[e.Server][n.process()] = append(r.answers[e.Server][n.process()], &rejection{
+		from:  cl.now.Add(backoffDelay),
+		until: cl.now.Add(backoff),
+	})
+	cl.after(1, func() {
+		cl.apply(n, messenger.ExchangeAttemptEnded{
+			Exchange:   e.Exchange,
+			Attempt:    e.Attempt,
+			Result:     messenger.AttemptRefused,
+			RetryAfter: backoff,
+			Backoff:    backoff,
+		})
+	})
+	return true
+}
+
+// Guards against requests to a server that rejects them and asked for a pause, since it looks
+// idle meanwhile.
+func TestServersGetNoRequestsDuringBackoff(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		size    clusterSize
+		servers int
+		backoff timekeeper.Duration
+	}{
+		{
+			name:    "three of six servers",
+			size:    fewNodes,
+			servers: 3,
+			backoff: 3 * timekeeper.Second,
+		},
+		{
+			name:    "all servers",
+			size:    fewNodes,
+			servers: 6,
+			backoff: 3 * timekeeper.Second,
+		},
+		{
+			name:    "short",
+			size:    fewNodes,
+			servers: 3,
+			backoff: timekeeper.Second,
+		},
+		{
+			name:    "long",
+			size:    fewNodes,
+			servers: 3,
+			backoff: 15 * timekeeper.Second,
+		},
+		{
+			name:    "69 nodes",
+			size:    manyNodes(69),
+			servers: 3,
+			backoff: 3 * timekeeper.Second,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			cl := newSizedCluster(t, 1, test.size)
+			for i := range test.servers {
+				cl.rejectAll(exchangeServer(i), test.backoff)
+			}
+			cl.run()
+			require.Empty(t, cl.violations)
+			t.Logf("%d rejected, %d answered, %d refused", cl.rejections.total(), cl.answered, cl.refused)
+			if rejectUntil+test.backoff < exchangeRunTime {
+				require.NotZero(t, cl.rejections.arrivalsAfter[exchangeServer(0)], "the backoff must end")
+			}
+		})
+	}
+}
+
+// total returns the number of rejected requests.
+func (r *rejections) total() int {
+	sum := 0
+	for _, n := range r.arrivals {
+		sum += n
+	}
+	return sum
+}
+
+// Faults must not make a node forget that a server asked for a pause.
+func TestBackoffHoldsDuringFaults(t *testing.T) {
+	steps := []timekeeper.Duration{6500, 9001, 12_345}
+	for _, fault := range exchangeFaults {
+		t.Run(fault.name, func(t *testing.T) {
+			for i, step := range steps {
+				if i%cellStride != 0 {
+					continue
+				}
+				cl := newSizedCluster(t, uint64(i), fewNodes)
+				cl.rejectAll(exchangeServer(4), 3*timekeeper.Second)
+				cl.rejectAll(exchangeServer(5), 3*timekeeper.Second)
+				cl.at(step, func() { fault.inject(cl) })
+				cl.run()
+				require.Empty(t, cl.violations, "at %d", step)
+			}
+		})
+	}
+}
--- a/internal/prover/exchange_cluster_test.go
+++ b/internal/prover/exchange_cluster_test.go
@@ -123,6 +123,7 @@
 	rollouts     rollouts
 	limits       limits
 	leaving      leavingServers
+	rejections   rejections
 	size         clusterSize
 	lastExchange identifier.ExchangeID
 }
@@ -158,6 +159,7 @@
 		size:         size,
 		limits:       newLimits(),
 		leaving:      newLeavingServers(),
+		rejections:   newRejections(),
 		t:            t,
 		now:          exchangeStart,
 		rng:          rand.New(rand.NewPCG(seed, 7)),
@@ -674,6 +676,9 @@
 	if e.Attempt > 1 {
 		cl.repeats.repeated = append(cl.repeats.repeated, cl.now)
 	}
+	if cl.rejects(n, e) {
+		return
+	}
 	result := messenger.AttemptComplete
 	if cl.serverFault != "" && (cl.alwaysFails || cl.rng.IntN(2) == 0) {
 		result = cl.serverFault
