Send nothing to a server during the pause that it asked for

Cause: no decision read the time that a server states with a 503; and a server that rejects everything has nothing running, so that it was predicted to answer first and drew the requests of all nodes. Evidence: rejecting servers got 96, 57 and 46 requests in six seconds, the others one to seven a second, most as first attempts. Ruled out: repeats of one exchange (it goes to no server twice) and requests that were under way (they arrive until the pause is over).

Change: package throttler holds the backoffs that servers asked this node for; until one ends the node sends the server nothing, and copies nothing from it. Where all servers ask for one, callers are refused at once with the time at which the first is available. A later start of a server is not bound by it.

Each node keeps its own.

--- a/cmd/dotterelhollow/gateway_test.go
+++ b/cmd/dotterelhollow/gateway_test.go
@@ -334,6 +334,37 @@
 	require.Equal(t, before, leaving.Executions())
 }
 
+// A server that rejects a request and asks for a pause must get no further requests of that
+// node until it ends, and callers must be refused meanwhile with the time to retry.
+func TestGatewayHonorsBackoff(t *testing.T) {
+	const (
+		nodes   = 2
+		backoff = "5"
+	)
+	in := newInstallation(t, nodes)
+	text := backoff
+	in.portal.Backoff.Store(&text)
+	began := time.Now()
+	for i := range 10 * nodes {
+		response, _, err := in.send(in.nodes[i%nodes], fmt.Sprintf("r-%d", i), "/slots/1", "secret")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		require.NotEmpty(t, response.Header.Get("Retry-After"))
+	}
+	periods := int(time.Since(began)/(5*time.Second)) + 1
+	require.LessOrEqual(t, in.portal.Rejections(), nodes*periods)
+	require.Empty(t, in.portal.Executions())
+
+	none := ""
+	in.portal.Backoff.Store(&none)
+	for i, n := range in.nodes {
+		require.Eventually(t, func() bool {
+			response, _, err := in.send(n, fmt.Sprintf("free-%d-%d", i, time.Now().UnixNano()), "/slots/1", "secret")
+			return err == nil && response.StatusCode == http.StatusOK
+		}, waitTimeout, 20*time.Millisecond)
+	}
+}
+
 // A node that starts while the store is unavailable receives the configuration
 // from its peers and serves requests.
 func TestGatewayWithoutStore(t *testing.T) {
--- a/internal/dispatcher/choose.go
+++ b/internal/dispatcher/choose.go
@@ -117,7 +117,13 @@
 // knows.
 func (env Env) canReceive(x *exchange, s *registrar.Server) bool {
 	return s.State == messenger.ServerReady && !s.Displaced && !slices.Contains(x.tried, s.Server) &&
-		env.Limits.PausedUntil(env.Now, s.Server) == 0
+		env.availableAt(s.Server) == 0
+}
+
+// availableAt returns the time before which this node may send nothing to a server, for
+// lack of a permit or because the server asked for a pause, or zero if it may.
+func (env Env) availableAt(server identifier.VMID) timekeeper.Time {
+	return max(env.Limits.PausedUntil(env.Now, server), env.Backoffs.Until(env.Now, server))
 }
 
 // unseenWork returns the work, in milliseconds per server, that other nodes have
@@ -255,6 +261,9 @@
 		if _, limited := env.Limits.Rate(s.Server); limited {
 			continue // Its limit would count a copy as a request.
 		}
+		if env.Backoffs.Until(env.Now, s.Server) != 0 {
+			continue // A copy would burden a server that asked for a pause.
+		}
 		if holders.cached[i] > 0 && (holders.largest < 0 || holders.cached[i] > holders.cached[holders.largest]) {
 			holders.largest = i
 		}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -74,8 +74,10 @@
 	Limits          *throttler.Table
 	Permits         *throttler.Permits
 	PermitAllocator func(server identifier.VMID) *Allocator
-	Retries         *retrier.Allowance
-	Suspicions      *detector.Suspicions
+	// Backoffs are the times until which servers accept no request of this node.
+	Backoffs   *throttler.Backoffs
+	Retries    *retrier.Allowance
+	Suspicions *detector.Suspicions
 	// Quarantine counts the servers that ended while they ran the same request.
 	Quarantine *quarantiner.Quarantine
 	// Versions tracks the rollouts of services. OrdersAsOf is the time up to which this
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -100,6 +100,7 @@
 			Versions:        promoter.New(promoter.Config{}),
 			Limits:          throttler.New(),
 			Permits:         throttler.NewPermits(),
+			Backoffs:        throttler.NewBackoffs(),
 			PermitAllocator: func(identifier.VMID) *dispatcher.Allocator { return nil },
 			Rand:            rand.New(rand.NewPCG(1, 2)),
 		},
--- a/internal/dispatcher/permit.go
+++ b/internal/dispatcher/permit.go
@@ -16,10 +16,10 @@
 	// unreachablePause is the time for which this node sends nothing to a server that
 	// states a limit if its permit allocator is unreachable.
 	unreachablePause = 300 * timekeeper.Millisecond
-	// minPermitWait and maxPermitWait bound the retry delay of a caller that is refused
-	// for lack of a permit.
-	minPermitWait = 100 * timekeeper.Millisecond
-	maxPermitWait = 3 * timekeeper.Second
+	// minServerWait and maxServerWait bound the retry delay of a caller that is refused
+	// because no server is available yet. Other servers may come in the meantime.
+	minServerWait = 100 * timekeeper.Millisecond
+	maxServerWait = 3 * timekeeper.Second
 )
 
 // place sends an exchange to the best server. If that server states a limit for all
@@ -149,19 +149,19 @@
 	return candidates[0], true
 }
 
-// nextPermitIn returns the time until the next permit for one of the service's servers
-// is expected, and whether any of its servers waits for a permit.
-func (d *Dispatcher) nextPermitIn(env Env, x *exchange) (timekeeper.Duration, bool) {
+// nextServerIn returns the time until the first of the service's servers that wait for a
+// permit, or asked for a pause, is expected to be available, and whether there are any.
+func (d *Dispatcher) nextServerIn(env Env, x *exchange) (timekeeper.Duration, bool) {
 	next := timekeeper.Never
 	for _, s := range env.Servers.ServersOf(x.service) {
-		if until := env.Limits.PausedUntil(env.Now, s.Server); until != 0 && s.State == messenger.ServerReady {
+		if until := env.availableAt(s.Server); until != 0 && s.State == messenger.ServerReady {
 			next = min(next, until)
 		}
 	}
 	if next == timekeeper.Never {
 		return 0, false
 	}
-	return min(max(next.Sub(env.Now), minPermitWait), maxPermitWait), true
+	return min(max(next.Sub(env.Now), minServerWait), maxServerWait), true
 }
 
 // GrantPermit answers a peer's request for a permit to send to one of some servers. It
--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -84,7 +84,7 @@
 		// This node has just started and will receive the servers shortly.
 		retryAfter = shortRetry
 	}
-	if due, limited := d.nextPermitIn(env, x); limited {
+	if due, waiting := d.nextServerIn(env, x); waiting {
 		retryAfter = due
 	}
 	return d.refuse(env, x.spec.Exchange, notRunRefusal(messenger.ReasonNoServer, jitter(env, retryAfter)))
--- a/internal/dispatcher/repeat.go
+++ b/internal/dispatcher/repeat.go
@@ -71,6 +71,7 @@
 // of an attempt.
 func (d *Dispatcher) recordAttemptEnd(env Env, x *exchange, e messenger.ExchangeAttemptEnded) {
 	server := x.current.server
+	env.Backoffs.Record(env.Now, server, e.Backoff)
 	entry, known := env.Servers.Server(server)
 	leftService := known && entry.State != messenger.ServerReady
 	if !x.current.began {
--- a/internal/prover/backoff_test.go
+++ b/internal/prover/backoff_test.go
@@ -176,3 +176,16 @@
 		})
 	}
 }
+
+// A server that asked for a pause and starts again under its id must be used at once.
+func TestNewStartIsNotBoundByBackoff(t *testing.T) {
+	cl := newSizedCluster(t, 1, fewNodes)
+	first := exchangeServer(0)
+	cl.rejectAll(first, timekeeper.Minute)
+	restartedAt := rejectFrom + 3*timekeeper.Second
+	second := identifier.ServerStart(first.Instance(), identifier.Incarnation(exchangeStart.Add(restartedAt)))
+	cl.at(restartedAt, func() { cl.writeEntry(second, messenger.ServerReady) })
+	cl.run()
+	require.Empty(t, cl.violations)
+	require.NotZero(t, cl.leaving.arrivals[second])
+}
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -162,7 +162,9 @@
 	// serverLimits are the request rates that servers accept.
 	serverLimits *throttler.Table
 	// permits are the permits that this node grants for limited servers.
-	permits     *throttler.Permits
+	permits *throttler.Permits
+	// backoffs are the times until which servers asked this node to send nothing.
+	backoffs    *throttler.Backoffs
 	localLimits *limiter.Buckets
 	// centralLimits are the account limits that this node grants while it holds the
 	// lease.
@@ -256,6 +258,7 @@
 		}),
 		serverLimits: throttler.New(),
 		permits:      throttler.NewPermits(),
+		backoffs:     throttler.NewBackoffs(),
 		localLimits:  limiter.NewLocal(),
 		leases: leaser.New(leaser.Config{
 			Self:        c.Self,
@@ -346,6 +349,7 @@
 		OnBegan:         func(a identifier.AccountID) { g.usage.RequestBegan(env.Now, a) },
 		Limits:          g.serverLimits,
 		Permits:         g.permits,
+		Backoffs:        g.backoffs,
 		PermitAllocator: func(server identifier.VMID) *dispatcher.Allocator { return r.permitAllocator(env, server) },
 		ConfigStale:     env.Now.Sub(g.configRead.asOf) > maxTrustedConfigAge,
 		Inputs: messenger.DecisionInputs{
@@ -435,6 +439,7 @@
 			r.gateway.exchanges.ServerRemoved(r.exchangeEnv(env), s.Server)
 			r.gateway.serverLimits.Forget(s.Server)
 			r.gateway.permits.Forget(s.Server)
+			r.gateway.backoffs.Forget(s.Server)
 		}
 	}
 	if direct {
@@ -456,6 +461,7 @@
 	}
 	r.divideLimits(env)
 	g.serverLimits.Tick(env.Now)
+	g.backoffs.Tick(env.Now)
 	if !env.Now.Before(g.nextUpdate) {
 		out = append(out, r.sendUpdates(env)...)
 	}
