Tell callers when a server is free, not how long one asked for a pause

Cause: the pause that a server asks of a node was passed on to the one caller who met it. Since the node keeps it, the caller is told when a server of the service is available: at once, with the usual jitter, if any is.

Test: TestCallerIsNotToldToWaitWhileServersAreFree failed before, with 30 s.

--- a/internal/dispatcher/backoff_test.go
+++ b/internal/dispatcher/backoff_test.go
@@ -41,6 +41,18 @@
 	require.Equal(t, second.Server, n.sendPath(t, "/ping/1").Server)
 }
 
+// Guards against callers that wait for the servers that rejected their request while others
+// are free.
+func TestCallerIsNotToldToWaitWhileServersAreFree(t *testing.T) {
+	n := newNode(4)
+	first := n.sendPath(t, "/ping/1")
+	second, ok := n.rejectAttempt(first, 30_000).(messenger.SendExchange)
+	require.True(t, ok)
+	refused := refusal(t, n.rejectAttempt(second, 30_000))
+	require.Positive(t, refused.RetryAfter)
+	require.Less(t, refused.RetryAfter, timekeeper.Second)
+}
+
 // A cached prefix must not be copied from a server that asked for a pause.
 func TestNoCopyFromServerDuringBackoff(t *testing.T) {
 	n := newCopyingNode()
--- a/internal/dispatcher/repeat.go
+++ b/internal/dispatcher/repeat.go
@@ -1,10 +1,13 @@
 package dispatcher
 
 import (
+	"slices"
+
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
 	"github.com/dotterelhollow/dotterelhollow/internal/detector"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/promoter"
+	"github.com/dotterelhollow/dotterelhollow/internal/registrar"
 	"github.com/dotterelhollow/dotterelhollow/internal/retrier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -132,7 +135,7 @@
 			return d.refuse(env, e.Exchange, refusal)
 		}
 		d.recordRefusedDemand(env, x)
-		return d.refuse(env, e.Exchange, notRunRefusal(reason, max(jitter(env, shortRetry), e.RetryAfter)))
+		return d.refuse(env, e.Exchange, notRunRefusal(reason, d.retryDelay(env, x, e)))
 	}
 	return messenger.EndExchange{
 		Exchange: e.Exchange,
@@ -140,6 +143,27 @@
 	}
 }
 
+// retryDelay returns the retry delay of a caller whose last attempt ended without running.
+// The pause that a server asked for is this node's to keep: the caller's next request may
+// go to another server.
+func (d *Dispatcher) retryDelay(env Env, x *exchange, e messenger.ExchangeAttemptEnded) timekeeper.Duration {
+	if e.Backoff == 0 {
+		return max(jitter(env, shortRetry), e.RetryAfter)
+	}
+	due, waiting := d.nextServerIn(env, x)
+	if !waiting || d.anyAvailable(env, x) {
+		due = shortRetry
+	}
+	return jitter(env, due)
+}
+
+// anyAvailable reports whether a server of an exchange's service may receive requests.
+func (d *Dispatcher) anyAvailable(env Env, x *exchange) bool {
+	return slices.ContainsFunc(env.Servers.ServersOf(x.service), func(s *registrar.Server) bool {
+		return s.State == messenger.ServerReady && !s.Displaced && env.availableAt(s.Server) == 0
+	})
+}
+
 // eventTimeouts returns the timeouts for the first event and between events. They are
 // zero, for no timeout, if no other server may take over: the answer may still come.
 func (d *Dispatcher) eventTimeouts(x *exchange, predicted timekeeper.Duration) (first, next timekeeper.Duration) {
