Put back reasons and figures that comments had lost

Put back, in today's names and as far as it is still true: the sizer's reclaims of pairs of zones, utilization, first size and growth; what a token bucket would allow in place of the retry allowance; the quarantine's figures; the memory that buffered bodies take; log lines at a start of all nodes; and some of the limiter, gossip, registrar, configurer, gauger, runner and settle time. Left out: what no longer holds, such as 64 kept connections between nodes. Only comments change.

--- a/internal/configurer/crosscheck.go
+++ b/internal/configurer/crosscheck.go
@@ -58,7 +58,8 @@
 		f.Fault("idempotent", "true with kind = model", "false")
 	}
 	if service.Long && !service.Idempotent {
-		// A long request survives a reclaim because another node may run it again.
+		// A long request survives a reclaim because another node may run it again, which
+		// a request that must not be repeated rules out.
 		f.Fault("long", "false with idempotent = false", "true")
 	}
 	b.checkKeyWindow(service, f)
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -129,7 +129,8 @@
 }
 
 // longPrefill is the prefill time from which peers are notified of a prompt at once,
-// because requests that they send to the same server would wait behind it.
+// because requests that they send to the same server would wait behind it, for over a
+// second behind a prompt of 50,000 tokens.
 const longPrefill = 120 * timekeeper.Millisecond
 
 // NotifyPeers reports whether this node's load should be sent to peers at once, and
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -32,7 +32,8 @@
 const (
 	// defaultMaxBody bounds a request's body if the configuration sets no bound.
 	defaultMaxBody identifier.Bytes = 4 << 20
-	// maxBufferedBodies bounds the total size of all request bodies in memory.
+	// maxBufferedBodies bounds the total size of all request bodies in memory, so that
+	// many large ones at once do not exhaust the memory of the process.
 	maxBufferedBodies identifier.Bytes = 64 << 20
 	// maxBufferedAnswer bounds an answer that is buffered until it is complete; a
 	// longer one is passed on as it arrives.
--- a/internal/gauger/folder.go
+++ b/internal/gauger/folder.go
@@ -10,7 +10,8 @@
 // zoneCount is the number of availability zones of every fleet.
 const zoneCount = 10
 
-// accountsPerNode is the number of client accounts for each node of a fleet.
+// accountsPerNode is the number of client accounts for each node of a fleet. The target
+// states none; the five accounts of a deployment with nine nodes are about half as many.
 const accountsPerNode = 1
 
 // serverSlots is high enough that no measured request is refused at any fleet
--- a/internal/gauger/request.go
+++ b/internal/gauger/request.go
@@ -12,7 +12,8 @@
 )
 
 // The measured requests. Their answers have the mean length of the target load
-// of 5,000 requests and 1.6 million tokens per second.
+// of 5,000 requests and 1.6 million tokens per second. At 34 ms between tokens
+// each is in flight for 11 s.
 const (
 	answerTokens identifier.Tokens = 320
 	promptTokens identifier.Tokens = 2000
--- a/internal/gossiper/tick.go
+++ b/internal/gossiper/tick.go
@@ -24,7 +24,8 @@
 const (
 	// maxPartners is the number of peers to which a node sends its regular
 	// rounds. It is large enough that each node is almost certainly a partner
-	// of some other node.
+	// of some other node: among 400 nodes, one is left out in one of 20,000
+	// draws.
 	maxPartners = 16
 	// roundsPerPartner is the number of rounds after which the oldest partner
 	// is replaced, so that a poorly reachable peer does not remain a partner
--- a/internal/limiter/share.go
+++ b/internal/limiter/share.go
@@ -34,11 +34,12 @@
 	maxDemandDelay = 1 * timekeeper.Second
 	// costlyPart is the part of a limit's burst that is reserved for costly requests. A
 	// request is costly if its penalty is at least costlyRatio times the geometric mean
-	// of the account's penalties.
+	// of the account's penalties. With a lower ratio more of them would take the place of
+	// many cheap requests.
 	costlyPart  = 0.1
 	costlyRatio = 4
 	// costlyWindow is the time after the last costly request for which the reserve is
-	// kept.
+	// kept. An account without costly requests needs none.
 	costlyWindow = 2 * timekeeper.Minute
 	// penaltySmoothing is the weight of the newest request in the mean of the
 	// penalties.
--- a/internal/quarantiner/verdict.go
+++ b/internal/quarantiner/verdict.go
@@ -87,7 +87,12 @@
 // tieBreakThreshold one with at least as many ends does: of two requests that always
 // ran together, neither is refused before the query has ended servers alone. From
 // tieBreakThreshold on only one with more ends does, so that two queries of death that
-// always run together do not excuse each other forever.
+// always run together do not excuse each other forever. The users allow for the three
+// more sends.
+//
+// In simulation, of 35,000 other requests none is refused beside one query of death, and
+// five beside three queries that end all of six servers within 0.4 s. Counting to three
+// ends alone would refuse 34 of them.
 func (top topSuspects) explainedByOther(r *record, server identifier.VMID) bool {
 	required := len(r.ends) + 1
 	switch {
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -56,7 +56,7 @@
 	settleTime = 1500 * timekeeper.Millisecond
 	// settledFraction is the fraction of the nodes in the platform's list that a node
 	// has to know before it may skip the rest of settleTime. It then knows most of the
-	// first ranked nodes.
+	// first ranked nodes, so that few nodes take themselves for one of them in vain.
 	settledFraction = 0.9
 	// minSettleTime is the minimum settle time: when all nodes start for the first
 	// time, the list read by the first of them is almost empty.
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -370,8 +370,8 @@
 // ServersOf returns the servers of a service that are not removed, sorted by id. The
 // caller must not change the slice.
 //
-// It is called twice per request and entries change seldom, so the result is cached;
-// see BenchmarkServersOf.
+// It is called twice per request and entries change seldom, so the result is cached:
+// collecting and sorting 84 servers took 9.4 us and 2.2 KB. See BenchmarkServersOf.
 func (t *Table) ServersOf(service identifier.ServiceName) []*Server {
 	servers, known := t.ofService[service]
 	if known {
--- a/internal/retrier/allowance.go
+++ b/internal/retrier/allowance.go
@@ -23,8 +23,9 @@
 // fixed numbers add up to that of the cluster, the cluster as a whole keeps the bound.
 //
 // A token bucket would not keep it, because its balance and its refill can be spent
-// within the same window. A restarted process does not know how many retries its
-// predecessor made, so the fixed number must leave room for using it twice.
+// within the same window: 80 retries with 40 tokens that come back in that time. A
+// restarted process does not know how many retries its predecessor made, so the fixed
+// number must leave room for using it twice.
 //
 // Nothing is safe for concurrent use.
 type Allowance struct {
--- a/internal/runner/published.go
+++ b/internal/runner/published.go
@@ -253,7 +253,8 @@
 	last  identifier.StoreGeneration
 }
 
-// logStoreFailure logs the first of a series of failed reads.
+// logStoreFailure logs the first of a series of failed reads. The log has one line when
+// reads begin to fail and one when they succeed again, not one for each read.
 func (r *Runner) logStoreFailure(ctx context.Context, what string, failed *bool, err error) {
 	if ctx.Err() != nil {
 		return
--- a/internal/sizer/sizer.go
+++ b/internal/sizer/sizer.go
@@ -30,15 +30,19 @@
 const (
 	// toleratedZoneLosses is the number of zones whose reclaimable servers may
 	// be lost at once while the rest still cover the demand. While zones are
-	// unavailable, as many more may follow.
+	// unavailable, as many more may follow. Reclaims came in pairs of zones,
+	// some seconds apart, for 12 to 15 s each; once three of four zones went
+	// within six seconds.
 	toleratedZoneLosses = 2
 	// targetUtilization is the target utilization of the needed servers, not
 	// counting the spare ones for lost zones. At 0.65, a request waits 0.9
-	// service times on average.
+	// service times on average. At 0.45 servers cost a tenth more, and callers
+	// are served no better.
 	targetUtilization = 0.65
 	// degradedUtilization is the same while zones are unavailable. At 0.75, a
 	// request waits 1.5 service times on average, which most response-time
-	// targets allow.
+	// targets allow. At 0.6 a calm day with a reclaim wave gains 0.04 of its
+	// value, and each other day loses 0.008.
 	degradedUtilization = 0.75
 	// maxSlotUtilization is the fraction of a server's slots that may be in
 	// use.
@@ -54,8 +58,10 @@
 	// size.
 	initialSizeDuration = 20 * timekeeper.Second
 	// initialFraction is the fraction of the servers allowed by operators that
-	// is ordered initially. The servers published so far are no measure of a
-	// fleet's size while it starts.
+	// is ordered initially: operators allow two to three times what a fleet
+	// needs. The servers published so far are no measure of a fleet's size
+	// while it starts (a fleet of 90 was taken for one of 16), and waiting for
+	// all of them would cost seconds of each.
 	initialFraction = 0.5
 	// growDelay is how long more servers must have been needed before the size
 	// grows. Long prompts that coincide raise the demand briefly, which the
@@ -63,7 +69,8 @@
 	growDelay = 3 * timekeeper.Second
 	// risingGrowDelay is the same if the need has risen further since. That
 	// indicates a growing load, while coinciding long prompts raise the demand
-	// only once.
+	// only once. Servers ordered three seconds into a burst serve after seven,
+	// when the next wave may be there.
 	risingGrowDelay = 1 * timekeeper.Second
 	// shrinkDelay is how long fewer servers must have been needed before the
 	// size shrinks, because a replacement takes seconds to serve.
@@ -163,7 +170,7 @@
 	reclaimable := s.reclaimableByZone(in, zones, servers)
 	// On-demand servers cover the current demand, not the size: requests that
 	// queue up while servers are missing inflate the size, which shrinks only
-	// after a delay.
+	// after a delay. By the size, 19 were ordered for the demand of ten.
 	missing := demandedServers(in, degradedUtilization) - s.dependableServers(in, zones, reclaimable)
 	onDemand := s.onDemandByZone(in, zones, reclaimable, size.retainOnDemand(in, max(missing, s.retainedOnDemand(in, zones))))
 	var out []messenger.ServerOrder
--- a/internal/sizer/spread.go
+++ b/internal/sizer/spread.go
@@ -14,10 +14,12 @@
 // until reclaimable ones serve. It is limited to what the current demand needs
 // and includes servers started by the operators, so that a service taken over
 // under load keeps its servers. The recent size does not count, because
-// requests that queue up while servers are missing inflate it.
+// requests that queue up while servers are missing inflate it: on-demand
+// servers for all of them were retained 18 s too long.
 //
 // The reclaimable servers must cover the demand without the largest zone: right
 // after a reclaim they may all be in one zone, which may be reclaimed next.
+// On-demand servers that were released then were missed two seconds later.
 func (s *Sizer) retainedOnDemand(in Input, zones []identifier.Zone) int {
 	reclaimable, largest := 0, 0
 	for _, zone := range zones {
@@ -89,7 +91,8 @@
 // dependableServers returns the number of reclaimable servers that can be
 // relied on: those that serve, or will serve as soon as any ordered now, in
 // available zones. If few zones are available, the largest does not count,
-// because the next zone may be lost before another server has booted.
+// because the next zone may be lost before another server has booted: of four
+// zones lost in turn, the third went 2.3 s and the fourth 6 s after the second.
 func (s *Sizer) dependableServers(in Input, zones []identifier.Zone, reclaimable map[identifier.Zone]int) int {
 	sum, largest, available := 0, 0, 0
 	for _, zone := range zones {
--- a/internal/summarizer/summarizer.go
+++ b/internal/summarizer/summarizer.go
@@ -4,7 +4,8 @@
 //
 // When all nodes start together, each receives an event for every other node
 // and every server at once. Without the limit, logging would take processor
-// time at the moment of the node's highest load.
+// time at the moment of the node's highest load: 195 nodes wrote 67,000 lines
+// in eight seconds.
 //
 // Everything is deterministic: time is an argument. Nothing is safe for
 // concurrent use.
