Compare first events of a new version from three milliseconds on

What callers saw: a good version of a service with short answers was rolled back, or not completed in time (TestGatewayCompletesGoodVersion, listed).

Cause: the clock counts whole milliseconds, and the time to a first event was compared with the predicted one as a ratio. Where the old version's answers take 0 ms, one of 1 ms fell three buckets beyond their median and counted as late: in a failed run 36 of 85 answers of 0 or 1 ms, none of which took longer than 4 ms. Ruled out: load at the servers, and connections that are new; both versions answer alike.

Change: times below 3 ms are not told apart. From there on an error of one millisecond changes a ratio by less than a bucket.

--- a/internal/promoter/count.go
+++ b/internal/promoter/count.go
@@ -133,7 +133,7 @@
 	if counts := p.countsOf(t); counts != nil {
 		counts.answers++
 		counts.waiting = max(counts.waiting-1, 0)
-		counts.firstEventTimes[assessor.BucketOf(float64(took)/float64(max(predicted, 1)))]++
+		counts.firstEventTimes[firstEventBucket(took, predicted)]++
 	}
 }
 
@@ -179,11 +179,21 @@
 		}
 	case "":
 		if !e.ResponseStarted && e.Elapsed >= abandonedFactor*e.Predicted {
-			counts.firstEventTimes[assessor.BucketOf(float64(e.Elapsed)/float64(max(e.Predicted, 1)))]++
+			counts.firstEventTimes[firstEventBucket(e.Elapsed, e.Predicted)]++
 		}
 	}
 }
 
+// minComparedTime is the time below which times to first events are not told apart. The
+// clock counts whole milliseconds; from here on an error of one millisecond changes a ratio
+// by less than a bucket.
+const minComparedTime = 3 * timekeeper.Millisecond
+
+// firstEventBucket returns the bucket of a time to the first event.
+func firstEventBucket(took, predicted timekeeper.Duration) int {
+	return assessor.BucketOf(float64(max(took, minComparedTime)) / float64(max(predicted, minComparedTime)))
+}
+
 // referenceInterval is the time between events, in milliseconds, that belongs to the
 // even bucket of eventIntervals. Only the two versions are compared with each other, so
 // any value near the usual one works.
--- a/internal/promoter/judgement_test.go
+++ b/internal/promoter/judgement_test.go
@@ -169,6 +169,33 @@
 	}
 }
 
+// Guards against rolling back a good version because its responses take one millisecond
+// where those of the old version take none.
+func TestClockResolutionIsNoEvidence(t *testing.T) {
+	load := workload{
+		name:    "short responses",
+		nodes:   2,
+		rate:    200,
+		servers: 1,
+		latency: 0.75,
+		routes: []routeSpec{
+			{
+				name:     "slot",
+				fraction: 1,
+			},
+		},
+	}
+	checkRollouts(t, load, 12*timekeeper.Second, versionKind{
+		name:          "good, a fifth slower",
+		good:          true,
+		latencyFactor: 1.2,
+	})
+	checkRollouts(t, load, 12*timekeeper.Second, versionKind{
+		name:    "fails",
+		degrade: func(routeSpec, *serverState, timekeeper.Duration) (float64, float64) { return 0.35, 0 },
+	})
+}
+
 func checkRollouts(t *testing.T, load workload, limit timekeeper.Duration, kind versionKind) {
 	wrong, badAnswers, exposed, cutOff, violated := 0, 0, 0, 0, 0
 	took := timekeeper.Duration(0)
