Play stalls of both versions while a rollout is promoted

While a version is promoted the old one answers nothing at the same time, so that a stall counts against the new one alone: the second cause of TestGatewayCompletesGoodVersion beside load.

Tried and not kept: a lower bound of the old version's rate of slow answers while it is silent.

--- a/internal/promoter/judgement_test.go
+++ b/internal/promoter/judgement_test.go
@@ -163,12 +163,16 @@
 	for _, z := range workloads {
 		for _, limit := range []timekeeper.Duration{12 * timekeeper.Second, 25 * timekeeper.Second}[:testedLimits] {
 			for _, b := range versionKinds {
-				t.Run(fmt.Sprintf("%s/%s/%s", z.name, limit, b.name), func(t *testing.T) { checkRollouts(t, z, limit, b) })
+				t.Run(fmt.Sprintf("%s/%s/%s", z.name, limit, b.name), func(t *testing.T) { checkRollouts(t, *seeds, z, limit, b) })
 			}
 		}
 	}
 }
 
+// minRollouts is the minimum number of rollouts of one kind that show a rate of a few in
+// a hundred.
+const minRollouts = 50
+
 // Guards against rolling back a good version because its responses take one millisecond
 // where those of the old version take none.
 func TestClockResolutionIsNoEvidence(t *testing.T) {
@@ -185,21 +189,62 @@
 			},
 		},
 	}
-	checkRollouts(t, load, 12*timekeeper.Second, versionKind{
+	checkRollouts(t, max(*seeds, minRollouts), load, 12*timekeeper.Second, versionKind{
 		name:          "good, a fifth slower",
 		good:          true,
 		latencyFactor: 1.2,
 	})
-	checkRollouts(t, load, 12*timekeeper.Second, versionKind{
+	checkRollouts(t, max(*seeds, minRollouts), load, 12*timekeeper.Second, versionKind{
 		name:    "fails",
 		degrade: func(routeSpec, *serverState, timekeeper.Duration) (float64, float64) { return 0.35, 0 },
 	})
 }
 
-func checkRollouts(t *testing.T, load workload, limit timekeeper.Duration, kind versionKind) {
+// Guards against rolling back a good version for stalls that would hit both versions, while
+// it is promoted and the old one answers nothing.
+func TestStallsWhilePromotingAreNoEvidence(t *testing.T) {
+	load := workload{
+		name:    "stalls",
+		nodes:   2,
+		rate:    200,
+		servers: 1,
+		latency: 20,
+		routes: []routeSpec{
+			{
+				name:     "slot",
+				fraction: 1,
+			},
+		},
+	}
+	checkRollouts(t, max(*seeds, minRollouts), load, 12*timekeeper.Second, versionKind{
+		name:         "good, both stall for 40 ms",
+		good:         true,
+		bothVersions: true,
+		degrade: func(_ routeSpec, _ *serverState, since timekeeper.Duration) (float64, float64) {
+			if stall := since % 3000; stall >= 2300 && stall < 2340 {
+				return 0, 1
+			}
+			return 0, 0
+		},
+	})
+	for _, slowRate := range []float64{0.4, 1} {
+		checkRollouts(t, max(*seeds, minRollouts), load, 12*timekeeper.Second, versionKind{
+			name: "slow under load",
+			degrade: func(_ routeSpec, s *serverState, _ timekeeper.Duration) (float64, float64) {
+				if s.shortRate > 0.6*s.fullRate {
+					return 0, slowRate
+				}
+				return 0, 0
+			},
+		})
+	}
+}
+
+// checkRollouts simulates a number of rollouts with consecutive seeds.
+func checkRollouts(t *testing.T, count int, load workload, limit timekeeper.Duration, kind versionKind) {
 	wrong, badAnswers, exposed, cutOff, violated := 0, 0, 0, 0, 0
 	took := timekeeper.Duration(0)
-	for seed := range *seeds {
+	for seed := range count {
 		c := newCluster(uint64(seed), load, kind, limit)
 		c.order("v2", 1)
 		ended := timekeeper.Duration(0)
@@ -222,7 +267,7 @@
 		cutOff += c.cutOff
 		took += ended
 	}
-	n := float64(*seeds)
+	n := float64(count)
 	t.Logf("| %s, %s | %s | wrong %.3f | spoilt %.1f | exposed %.1f | cut off %.2f | took %.1f s | rule broken %d |",
 		load.name, limit, kind.name, float64(wrong)/n, float64(badAnswers)/n, float64(exposed)/n, float64(cutOff)/n,
 		float64(took)/n/float64(timekeeper.Second), violated)
