--- a/cmd/dotterelhollow/gateway_test.go
+++ b/cmd/dotterelhollow/gateway_test.go
@@ -326,7 +326,7 @@
 		send()
 		return len(leaving.Executions()) > 0
 	}, waitTimeout, time.Millisecond)
-	time.Sleep(propagationTime)
+	<-time.After(propagationTime)
 	before := leaving.Executions()
 	for range 20 {
 		send()
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -307,10 +307,8 @@
 		return r.serversOrdered(env, b)
 	case messenger.UsageReported:
 		return r.usageReported(b)
-	case messenger.ServerLimitReceived:
-		return r.serverLimitReceived(env, b)
-	case messenger.ServerLeavingReceived:
-		return r.serverLeavingReceived(env, b)
+	case messenger.ServerLimitReceived, messenger.ServerLeavingReceived:
+		return r.serverStated(env, body)
 	case messenger.PermitRequested:
 		return r.permitRequested(env, b)
 	case messenger.PermitAnswered:
--- a/internal/reducer/serverleaving.go
+++ b/internal/reducer/serverstated.go
@@ -7,6 +7,17 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 )
 
+// serverStated applies what a server states of itself in an answer to this node.
+func (r *Reducer) serverStated(env *conductor.Env, body messenger.EventBody) []messenger.Effect {
+	switch b := body.(type) {
+	case messenger.ServerLimitReceived:
+		return r.serverLimitReceived(env, b)
+	case messenger.ServerLeavingReceived:
+		return r.serverLeavingReceived(env, b)
+	}
+	return nil
+}
+
 // serverLeavingReceived takes a server out of use that stated in an answer to this node
 // that it is leaving, and notifies the peers. Its entry may not say so yet.
 func (r *Reducer) serverLeavingReceived(env *conductor.Env, e messenger.ServerLeavingReceived) []messenger.Effect {
