--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -676,6 +676,18 @@
 	}
 }
 
+// requireServed sends a request with the id "r" and requires that it is answered.
+func requireServed(t *testing.T, s *fakeDecider) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodGet, "http://"+startForwarder(t, s)+"/", nil)
+	require.NoError(t, err)
+	request.Header.Set("Id", "r")
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusOK, response.StatusCode)
+}
+
 // The limit that a server states in any of its answers must be reported, but not one in
 // an answer to another request.
 func TestStatedLimitIsReported(t *testing.T) {
@@ -693,13 +705,7 @@
 		sign(w, r)
 	})
 	s := newFakeDecider(foreign, full, complete)
-	request, err := http.NewRequest(http.MethodGet, "http://"+startForwarder(t, s)+"/", nil)
-	require.NoError(t, err)
-	request.Header.Set("Id", "r")
-	response, err := http.DefaultClient.Do(request)
-	require.NoError(t, err)
-	require.NoError(t, response.Body.Close())
-	require.Equal(t, http.StatusOK, response.StatusCode)
+	requireServed(t, s)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	require.Len(t, s.limits, 2)
@@ -730,13 +736,7 @@
 		sign(w, r)
 	})
 	s := newFakeDecider(foreign, misdirected, full, failed, complete)
-	request, err := http.NewRequest(http.MethodGet, "http://"+startForwarder(t, s)+"/", nil)
-	require.NoError(t, err)
-	request.Header.Set("Id", "r")
-	response, err := http.DefaultClient.Do(request)
-	require.NoError(t, err)
-	require.NoError(t, response.Body.Close())
-	require.Equal(t, http.StatusOK, response.StatusCode)
+	requireServed(t, s)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	require.Len(t, s.leaving, 3)
--- a/internal/prover/exchange_matrix_test.go
+++ b/internal/prover/exchange_matrix_test.go
@@ -159,6 +159,26 @@
 	}
 }
 
+// testDuringFaults tests that nothing is violated in a cluster with few nodes when a fault
+// occurs before, or while, servers state something in their answers.
+func testDuringFaults(t *testing.T, prepare func(*exchangeCluster)) {
+	steps := []timekeeper.Duration{6500, 9001, 12_345}
+	for _, fault := range exchangeFaults {
+		t.Run(fault.name, func(t *testing.T) {
+			for i, step := range steps {
+				if i%cellStride != 0 {
+					continue
+				}
+				cl := newSizedCluster(t, uint64(i), fewNodes)
+				prepare(cl)
+				cl.at(step, func() { fault.inject(cl) })
+				cl.run()
+				require.Empty(t, cl.violations, "at %d", step)
+			}
+		})
+	}
+}
+
 // The checker must detect each kind of violation.
 func TestControlsOfExchanges(t *testing.T) {
 	tests := []struct {
--- a/internal/prover/leaving_test.go
+++ b/internal/prover/leaving_test.go
@@ -121,22 +121,10 @@
 
 // Faults must not make a node forget what an answer stated of its server.
 func TestStatedLeavingHoldsDuringFaults(t *testing.T) {
-	steps := []timekeeper.Duration{6500, 9001, 12_345}
-	for _, fault := range exchangeFaults {
-		t.Run(fault.name, func(t *testing.T) {
-			for i, step := range steps {
-				if i%cellStride != 0 {
-					continue
-				}
-				cl := newSizedCluster(t, uint64(i), fewNodes)
-				cl.stateLeaving(exchangeServer(4))
-				cl.stateLeaving(exchangeServer(5))
-				cl.at(step, func() { fault.inject(cl) })
-				cl.run()
-				require.Empty(t, cl.violations, "at %d", step)
-			}
-		})
-	}
+	testDuringFaults(t, func(cl *exchangeCluster) {
+		cl.stateLeaving(exchangeServer(4))
+		cl.stateLeaving(exchangeServer(5))
+	})
 }
 
 // A server that stated to be leaving and starts again under its id must be used again.
