--- a/internal/throttler/backoffs.go
+++ b/internal/throttler/backoffs.go
@@ -19,10 +19,11 @@
 // Record records that a server asked to be sent nothing for a time. A shorter time that
 // it stated later does not shorten an earlier one: answers may arrive out of order.
 func (b *Backoffs) Record(now timekeeper.Time, server identifier.VMID, backoff timekeeper.Duration) {
-	if backoff <= 0 || len(b.until) >= maxServers {
+	until, known := b.until[server]
+	if backoff <= 0 || !known && len(b.until) >= maxServers {
 		return
 	}
-	b.until[server] = max(b.until[server], now.Add(backoff))
+	b.until[server] = max(until, now.Add(backoff))
 }
 
 // Until returns the end of a server's backoff, or zero if it has none.
