Bound what slow answers count while the old version is silent

What callers saw: beside load a good version of a service was rolled back while it was promoted (TestGatewayCompletesGoodVersion, listed).

Cause: once a version is promoted, the old one answers nothing at the same time. A stall of the machine, which would hit both, counts against the new one alone, and three late answers condemn it.

Change: from 20 answers of the new version without one of the old, a call of Observe adds at most 3.8 of the 8 that condemn for slow answers; failures count as before. Two calls are less than that, so that one stall does not condemn.

--- a/internal/assessor/assessor.go
+++ b/internal/assessor/assessor.go
@@ -71,6 +71,13 @@
 	priorAnswers       = 10.0
 	priorBad           = 0.5
 	minRate            = 0.01
+	// maxUncompared is the number of the new version's answers without one of the old
+	// version from which a comparison is not with the old version at the same time. One
+	// call of Observe then adds at most maxUncomparedEvidence for slow answers: a stall of
+	// the nodes or of all servers would have hit both versions. Two calls are less than
+	// condemnThreshold.
+	maxUncompared         = 20
+	maxUncomparedEvidence = 3.8
 )
 
 // againstThreshold is the plain sum at which a version is not trusted. Slow answers are
@@ -117,6 +124,8 @@
 	// version without an answer.
 	answers int
 	waiting int
+	// uncompared counts the new version's answers since the last ones of the old version.
+	uncompared int
 	// pending are samples of the new version received before the old version had enough
 	// answers for a comparison.
 	pending []Sample
@@ -169,6 +178,9 @@
 			r.long.add(s, longWindow)
 			r.short.add(s, shortWindow)
 			r.last.add(s, longWindow)
+			if s.Answers > 0 {
+				r.uncompared = 0
+			}
 			continue
 		}
 		r.pending = append(r.pending, s)
@@ -178,10 +190,23 @@
 		if r.long.answers < minBaselineAnswers {
 			continue
 		}
-		for _, s := range r.pending {
-			r.addEvidence(s)
+		r.addPending()
+	}
+}
+
+// addPending adds the pending samples to the tests.
+func (r *route) addPending() {
+	before := r.tests
+	limited := r.uncompared >= maxUncompared
+	for _, s := range r.pending {
+		r.addEvidence(s)
+		r.uncompared += s.Answers
+	}
+	r.pending = nil
+	for _, m := range []measure{firstEvents, eventIntervals} {
+		if limited {
+			r.tests[m].sum = min(r.tests[m].sum, before[m].sum+maxUncomparedEvidence)
 		}
-		r.pending = nil
 	}
 }
 
