--- a/internal/dispatcher/choose.go
+++ b/internal/dispatcher/choose.go
@@ -116,8 +116,12 @@
 // canReceive reports whether an exchange may be sent to a server, as far as this node
 // knows.
 func (env Env) canReceive(x *exchange, s *registrar.Server) bool {
-	return s.State == messenger.ServerReady && !s.Displaced && !slices.Contains(x.tried, s.Server) &&
-		env.availableAt(s.Server) == 0
+	return env.isAvailable(s) && !slices.Contains(x.tried, s.Server)
+}
+
+// isAvailable reports whether this node may send requests to a server.
+func (env Env) isAvailable(s *registrar.Server) bool {
+	return s.State == messenger.ServerReady && !s.Displaced && env.availableAt(s.Server) == 0
 }
 
 // availableAt returns the time before which this node may send nothing to a server, for
--- a/internal/dispatcher/repeat.go
+++ b/internal/dispatcher/repeat.go
@@ -7,7 +7,6 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/detector"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/promoter"
-	"github.com/dotterelhollow/dotterelhollow/internal/registrar"
 	"github.com/dotterelhollow/dotterelhollow/internal/retrier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -151,19 +150,12 @@
 		return max(jitter(env, shortRetry), e.RetryAfter)
 	}
 	due, waiting := d.nextServerIn(env, x)
-	if !waiting || d.anyAvailable(env, x) {
+	if !waiting || slices.ContainsFunc(env.Servers.ServersOf(x.service), env.isAvailable) {
 		due = shortRetry
 	}
 	return jitter(env, due)
 }
 
-// anyAvailable reports whether a server of an exchange's service may receive requests.
-func (d *Dispatcher) anyAvailable(env Env, x *exchange) bool {
-	return slices.ContainsFunc(env.Servers.ServersOf(x.service), func(s *registrar.Server) bool {
-		return s.State == messenger.ServerReady && !s.Displaced && env.availableAt(s.Server) == 0
-	})
-}
-
 // eventTimeouts returns the timeouts for the first event and between events. They are
 // zero, for no timeout, if no other server may take over: the answer may still come.
 func (d *Dispatcher) eventTimeouts(x *exchange, predicted timekeeper.Duration) (first, next timekeeper.Duration) {
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -13,7 +13,6 @@
 
 	"github.com/dotterelhollow/dotterelhollow/internal/dialer"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
-	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
@@ -108,13 +107,14 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	reply := x.forwarder.config.Protocol.ReadReply(response.StatusCode, response.Header)
-	if isAnswerOf(reply, x.head.Request) {
+	ofAnother := reply.Request != "" && reply.Request != x.head.Request
+	if !ofAnother && !reply.Misdirected {
 		x.reportLimit(ctx, s, sent, reply)
 		x.reportLeaving(ctx, s, reply)
 		x.recordBackoff(reply)
 	}
 	switch {
-	case reply.Request != "" && reply.Request != x.head.Request:
+	case ofAnother:
 		// A late answer to another request on this connection.
 		return attemptEnd{
 			result: messenger.AttemptBroken,
@@ -154,12 +154,6 @@
 	return x.passBuffered(ctx, s, timer, response)
 }
 
-// isAnswerOf reports whether a reply is the intended server's answer to a request, and not
-// one to another request or from another server at the address.
-func isAnswerOf(reply Reply, request identifier.RequestID) bool {
-	return !reply.Misdirected && (reply.Request == "" || reply.Request == request)
-}
-
 // reportLimit reports the limit that a server states in its answer, or that it no
 // longer states one. An unsigned answer does not lift a limit, since it may come from an
 // intermediary.
