Batch the updates of stated leaving as those of stated limits

A node that an answer told of a leaving server sent its update to its peers at once, for each such server. serverLimitReceived collects urgent changes for updateBatchDelay; this does the same now. The line server_leaving stays direct.

--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -411,12 +411,22 @@
 	return r.serversChanged(env, changed, true)
 }
 
-// serversChanged records changed servers in the time line, and notifies the peers if
-// this node read the change from the store.
+// serversChanged applies changed servers, and notifies the peers if this node read the
+// change from the store.
 func (r *Reducer) serversChanged(env *conductor.Env, changed []messenger.PublishedServer, direct bool) []messenger.Effect {
 	if len(changed) == 0 {
 		return nil
 	}
+	out := r.applyChangedServers(env, changed, direct)
+	if direct {
+		out = append(out, r.sendUpdates(env)...)
+	}
+	return out
+}
+
+// applyChangedServers updates what is known of changed servers, and records the changes in
+// the time line.
+func (r *Reducer) applyChangedServers(env *conductor.Env, changed []messenger.PublishedServer, direct bool) []messenger.Effect {
 	r.gateway.nextRelay = env.Now
 	r.gateway.relayPending = true
 	var out []messenger.Effect
@@ -440,9 +450,6 @@
 			r.gateway.backoffs.Forget(s.Server)
 		}
 	}
-	if direct {
-		out = append(out, r.sendUpdates(env)...)
-	}
 	return out
 }
 
--- a/internal/reducer/serverstated.go
+++ b/internal/reducer/serverstated.go
@@ -31,5 +31,6 @@
 		VM:     e.Server,
 		Detail: fmt.Sprintf("service=%s offset=%d servers_age=%s", changed[0].Service, changed[0].Offset, age(env.Now, servers.AsOf())),
 	}
-	return append([]messenger.Effect{stated}, r.serversChanged(env, changed, true)...)
+	r.gateway.nextUpdate = min(r.gateway.nextUpdate, env.Now.Add(updateBatchDelay))
+	return append([]messenger.Effect{stated}, r.applyChangedServers(env, changed, true)...)
 }
