--- a/cmd/dotterelhollow/gateway_test.go
+++ b/cmd/dotterelhollow/gateway_test.go
@@ -308,8 +308,7 @@
 	}
 }
 
-// A server that states in an answer that it is leaving must get no further requests of any
-// node, also while its entry can't be read.
+// A server that states to be leaving must get no requests, also without a readable entry.
 func TestGatewayHonorsStatedLeaving(t *testing.T) {
 	in := newInstallation(t, 2)
 	in.store.SetUnavailable(true)
@@ -334,8 +333,7 @@
 	require.Equal(t, before, leaving.Executions())
 }
 
-// A server that rejects a request and asks for a pause must get no further requests of that
-// node until it ends, and callers must be refused meanwhile with the time to retry.
+// A server that asked for a pause must get no requests meanwhile, nor may callers wait for it.
 func TestGatewayHonorsBackoff(t *testing.T) {
 	const (
 		nodes   = 2
--- a/internal/dispatcher/backoff_test.go
+++ b/internal/dispatcher/backoff_test.go
@@ -41,8 +41,7 @@
 	require.Equal(t, second.Server, n.sendPath(t, "/ping/1").Server)
 }
 
-// Guards against callers that wait for the servers that rejected their request while others
-// are free.
+// Guards against callers that wait for servers in a pause while others are free.
 func TestCallerIsNotToldToWaitWhileServersAreFree(t *testing.T) {
 	n := newNode(4)
 	first := n.sendPath(t, "/ping/1")
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -711,8 +711,7 @@
 	require.Len(t, s.limits, 2)
 }
 
-// Each answer of a server that states to be leaving must be reported, but not one to
-// another request or from another server at the address.
+// Each answer that states its server to be leaving must be reported, but no other's answer.
 func TestLeavingServerIsReported(t *testing.T) {
 	foreign := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Id", "another")
@@ -742,8 +741,7 @@
 	require.Len(t, s.leaving, 3)
 }
 
-// The time for which a server asks to be sent no requests must be reported, whether or not
-// it states that the request did not run, but not the time of an answer to another request.
+// Each pause that a server asks for must be reported, but not one in another's answer.
 func TestBackoffIsReported(t *testing.T) {
 	foreign := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Id", "another")
--- a/internal/promoter/judgement_test.go
+++ b/internal/promoter/judgement_test.go
@@ -169,19 +169,15 @@
 	}
 }
 
-// minRollouts is the minimum number of rollouts of one kind that show a rate of a few in
-// a hundred.
-const minRollouts = 50
-
-// Guards against rolling back a good version because its responses take one millisecond
-// where those of the old version take none.
-func TestClockResolutionIsNoEvidence(t *testing.T) {
-	load := workload{
-		name:    "short responses",
+// oneServer returns a workload of one route before one server, with a typical latency in
+// milliseconds.
+func oneServer(name string, latency float64) workload {
+	return workload{
+		name:    name,
 		nodes:   2,
 		rate:    200,
 		servers: 1,
-		latency: 0.75,
+		latency: latency,
 		routes: []routeSpec{
 			{
 				name:     "slot",
@@ -189,6 +185,15 @@
 			},
 		},
 	}
+}
+
+// minRollouts is the minimum number of rollouts of one kind that show a rate of a few in
+// a hundred.
+const minRollouts = 50
+
+// Guards against rolling back a good version for responses of one millisecond instead of none.
+func TestClockResolutionIsNoEvidence(t *testing.T) {
+	load := oneServer("short responses", 0.75)
 	checkRollouts(t, max(*seeds, minRollouts), load, 12*timekeeper.Second, versionKind{
 		name:          "good, a fifth slower",
 		good:          true,
@@ -200,22 +205,9 @@
 	})
 }
 
-// Guards against rolling back a good version for stalls that would hit both versions, while
-// it is promoted and the old one answers nothing.
+// Guards against rolling back a good version for stalls while the old one answers nothing.
 func TestStallsWhilePromotingAreNoEvidence(t *testing.T) {
-	load := workload{
-		name:    "stalls",
-		nodes:   2,
-		rate:    200,
-		servers: 1,
-		latency: 20,
-		routes: []routeSpec{
-			{
-				name:     "slot",
-				fraction: 1,
-			},
-		},
-	}
+	load := oneServer("stalls", 20)
 	checkRollouts(t, max(*seeds, minRollouts), load, 12*timekeeper.Second, versionKind{
 		name:         "good, both stall for 40 ms",
 		good:         true,
--- a/internal/prover/backoff_test.go
+++ b/internal/prover/backoff_test.go
@@ -93,8 +93,7 @@
 	return true
 }
 
-// Guards against requests to a server that rejects them and asked for a pause, since it looks
-// idle meanwhile.
+// Guards against requests to a server that asked for a pause, since it looks idle meanwhile.
 func TestServersGetNoRequestsDuringBackoff(t *testing.T) {
 	for _, test := range []struct {
 		name    string
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -70,8 +70,7 @@
 	require.Equal(t, messenger.ServerLeaving, states(table)["i-1"])
 }
 
-// A server that states in an answer that it is leaving must not be made ready by an entry
-// that does not say so yet, and peers must learn of it whatever offsets they know.
+// No entry may make a server ready that stated to be leaving, here or at peers.
 func TestStatedLeavingIsFinal(t *testing.T) {
 	table := registrar.New()
 	table.ApplyRead(start, []messenger.PublishedServer{entry("i-1", 5, messenger.ServerReady)}, true)
@@ -92,8 +91,7 @@
 	}
 }
 
-// Guards against a server that stated to be leaving and is ready again once its entry
-// lapsed and returned.
+// Guards against a leaving server that is ready again once its entry lapsed and returned.
 func TestStatedLeavingSurvivesRemoval(t *testing.T) {
 	table := registrar.New()
 	table.ApplyRead(start, []messenger.PublishedServer{
