Play entries that lapse and return, and starts that answer before they are published

Fail on the code as it is: a pause and a stated limit end with a lapse of the server's entry, though the same start lives on (6 and 69 nodes, and 69), and a server that starts again under its id and states to be leaving before its entry is read gets a request 3.9 s later (69 nodes).

Pass: stated leaving through the same lapses, and a pause that an unpublished start asks for, where each node sends one request more, of two that are allowed.

--- a/internal/prover/backoff_test.go
+++ b/internal/prover/backoff_test.go
@@ -48,36 +48,39 @@
 
 // rejectAll makes a server reject all requests with a backoff.
 func (cl *exchangeCluster) rejectAll(server identifier.VMID, backoff timekeeper.Duration) {
-	cl.at(rejectFrom, func() {
-		cl.rejections.backoffs[server] = backoff
-		cl.rejections.answers[server] = map[process][]*rejection{}
-	})
+	cl.at(rejectFrom, func() { cl.rejections.startRejecting(server, backoff) })
 	cl.at(rejectUntil, func() { delete(cl.rejections.backoffs, server) })
 }
 
+func (r *rejections) startRejecting(server identifier.VMID, backoff timekeeper.Duration) {
+	r.backoffs[server] = backoff
+	r.answers[server] = map[process][]*rejection{}
+}
+
 // rejects records a request that arrives at a server, and reports whether the server
 // rejects it.
 func (cl *exchangeCluster) rejects(n *gatewayNode, e messenger.SendExchange) bool {
 	r := &cl.rejections
-	for _, rejection := range r.answers[e.Server][n.process()] {
+	server := cl.startAt(e.Server)
+	for _, rejection := range r.answers[server][n.process()] {
 		if cl.now.Before(rejection.from) || !cl.now.Before(rejection.until) {
 			continue
 		}
 		rejection.arrivals++
 		if rejection.arrivals == maxBackoffArrivals+1 {
 			cl.violatef("%s sends %d requests to %s, which asked for none until %d",
-				n.vm, rejection.arrivals, e.Server, rejection.until.Sub(exchangeStart))
+				n.vm, rejection.arrivals, server, rejection.until.Sub(exchangeStart))
 		}
 	}
-	backoff, rejecting := r.backoffs[e.Server]
+	backoff, rejecting := r.backoffs[server]
 	if !rejecting {
 		if cl.now.Sub(exchangeStart) > rejectUntil {
-			r.arrivalsAfter[e.Server]++
+			r.arrivalsAfter[server]++
 		}
 		return false
 	}
-	r.arrivals[e.Server]++
-	r.answers[e.Server][n.process()] = append(r.answers[e.Server][n.process()], &rejection{
+	r.arrivals[server]++
+	r.answers[server][n.process()] = append(r.answers[server][n.process()], &rejection{
 		from:  cl.now.Add(backoffDelay),
 		until: cl.now.Add(backoff),
 	})
--- a/internal/prover/exchange_cluster_test.go
+++ b/internal/prover/exchange_cluster_test.go
@@ -96,6 +96,8 @@
 	// generationIgnored suppresses the events that report a restored store.
 	generationIgnored bool
 	lastEntries       map[identifier.VMID]messenger.PublishedServer
+	// unpublished are the starts of servers that run before their entries are written.
+	unpublished map[identifier.InstanceID]identifier.VMID
 	// pendingEntries are the writes of entries that wait for the store to recover.
 	pendingEntries []func()
 	appendDelay    timekeeper.Duration
@@ -171,6 +173,7 @@
 		requestedAt:  map[identifier.ExchangeID]timekeeper.Time{},
 		leftAt:       map[identifier.VMID]timekeeper.Time{},
 		lastEntries:  map[identifier.VMID]messenger.PublishedServer{},
+		unpublished:  map[identifier.InstanceID]identifier.VMID{},
 		fences:       map[string]identifier.Fence{},
 		fenceHolders: map[identifier.Fence]process{},
 		reports:      map[identifier.UsageWindow]map[identifier.AccountID]int{},
--- a/internal/prover/leaving_test.go
+++ b/internal/prover/leaving_test.go
@@ -57,21 +57,24 @@
 // came maxLeaveDelay later. A freeze of the process since excuses it.
 func (cl *exchangeCluster) leavingArrival(n *gatewayNode, e messenger.SendExchange) {
 	l := &cl.leaving
-	l.arrivals[e.Server]++
+	server := cl.startAt(e.Server)
+	l.arrivals[server]++
 	requestedAt := cl.requestedAt[e.Exchange]
-	receivedAt, received := l.received[e.Server][n.process()]
+	receivedAt, received := l.received[server][n.process()]
 	if received && requestedAt.Sub(receivedAt) > maxLeaveDelay && !n.frozenUntil.After(receivedAt) {
-		cl.violatef("%s sends to %s %d ms after an answer stated that it leaves", n.vm, e.Server, requestedAt.Sub(receivedAt))
+		cl.violatef("%s sends to %s %d ms after an answer stated that it leaves", n.vm, server, requestedAt.Sub(receivedAt))
 	}
-	firstReceived, known := l.firstReceived[e.Server]
+	firstReceived, known := l.firstReceived[server]
 	if known && l.bindsAll && requestedAt.Sub(firstReceived) > maxLeaveDelay {
-		cl.violatef("%s sends to %s %d ms after another node was told that it leaves", n.vm, e.Server, requestedAt.Sub(firstReceived))
+		cl.violatef("%s sends to %s %d ms after another node was told that it leaves", n.vm, server, requestedAt.Sub(firstReceived))
 	}
 }
 
-// reportLeaving reports to a node that a server's answer states that it is leaving.
-func (cl *exchangeCluster) reportLeaving(n *gatewayNode, server identifier.VMID) {
+// reportLeaving reports to a node that a server's answer states that it is leaving. The
+// node takes it for one of the start that the request was sent to.
+func (cl *exchangeCluster) reportLeaving(n *gatewayNode, sentTo identifier.VMID) {
 	l := &cl.leaving
+	server := cl.startAt(sentTo)
 	if !l.stated[server] || !n.alive {
 		return
 	}
@@ -82,7 +85,7 @@
 	if _, received := l.received[server][n.process()]; !received {
 		l.received[server][n.process()] = cl.now
 	}
-	cl.apply(n, messenger.ServerLeavingReceived{Server: server})
+	cl.apply(n, messenger.ServerLeavingReceived{Server: sentTo})
 }
 
 // Guards against requests to a server whose leaving is known from its answers only.
--- a/internal/prover/limit_test.go
+++ b/internal/prover/limit_test.go
@@ -86,8 +86,9 @@
 // limitArrival records the arrival of a request at a server. The bound applies to the
 // requests of nodes that received the limit and, once the limit has settled, to those of
 // all nodes together.
-func (cl *exchangeCluster) limitArrival(n *gatewayNode, server identifier.VMID) {
+func (cl *exchangeCluster) limitArrival(n *gatewayNode, sentTo identifier.VMID) {
 	l := &cl.limits
+	server := cl.startAt(sentTo)
 	rate, limited := l.rates[server]
 	if !limited || cl.now.Sub(max(n.startedAt, l.lastFaulty[n.vm])) < excuseTime {
 		return
@@ -149,13 +150,14 @@
 
 // stateLimit reports to a node the limit that a server's answer states, or that it
 // states none.
-func (cl *exchangeCluster) stateLimit(n *gatewayNode, server identifier.VMID, sent timekeeper.Time) {
+func (cl *exchangeCluster) stateLimit(n *gatewayNode, sentTo identifier.VMID, sent timekeeper.Time) {
+	server := cl.startAt(sentTo)
 	rate, limited := cl.limits.rates[server]
 	if _, received := cl.limits.firstReceived[server][n.vm]; limited && !received {
 		cl.limits.firstReceived[server][n.vm] = cl.now
 	}
 	cl.apply(n, messenger.ServerLimitReceived{
-		Server: server,
+		Server: sentTo,
 		Sent:   sent,
 		Limit: messenger.StatedLimit{
 			Stated: limited,
