Keep a server's pause while its entry lapses and returns

What callers saw: a server that had asked a node for a pause got requests from it within that time and rejected them, each of which cost a repeat.

Cause: the pause was dropped with the removal of the server's entry. An entry also lapses while its server lives, and the returned one names the same start. Of the two other ways to lose a pause, a late end of an attempt can't occur, and one late start costs a request where two are allowed.

The pause is now kept until it ends, or until the registrar forgets the removed server after a minute. A later start has an id of its own and is not bound.

--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -447,7 +447,6 @@
 			r.gateway.exchanges.ServerRemoved(r.exchangeEnv(env), s.Server)
 			r.gateway.serverLimits.Forget(s.Server)
 			r.gateway.permits.Forget(s.Server)
-			r.gateway.backoffs.Forget(s.Server)
 		}
 	}
 	return out
@@ -456,7 +455,11 @@
 // tickGateway advances the exchanges and the leader tasks to the current time.
 func (r *Reducer) tickGateway(env *conductor.Env) []messenger.Effect {
 	g := r.gateway
-	out := r.serversChanged(env, g.servers.Tick(env.Now), true)
+	changed, dropped := g.servers.Tick(env.Now)
+	out := r.serversChanged(env, changed, true)
+	for _, server := range dropped {
+		g.backoffs.Forget(server)
+	}
 	if g.startedAt == 0 {
 		g.startedAt = env.Now
 	}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -187,10 +187,10 @@
 	}
 }
 
-// Tick applies the removals whose grace is over and returns them.
-func (t *Table) Tick(now timekeeper.Time) []messenger.PublishedServer {
+// Tick applies the removals whose grace is over and returns them. dropped are the servers
+// that were removed so long ago that the table forgets them.
+func (t *Table) Tick(now timekeeper.Time) (changed []messenger.PublishedServer, dropped []identifier.VMID) {
 	t.source = source{direct: true}
-	var changed []messenger.PublishedServer
 	for _, id := range slices.Sorted(maps.Keys(t.deferredRemovals)) {
 		removal := t.deferredRemovals[id]
 		if now.Before(removal.due) {
@@ -202,9 +202,10 @@
 	for id, s := range t.servers {
 		if s.State == messenger.ServerRemoved && now.Sub(s.ChangedAt) > removedRetention {
 			t.drop(id)
+			dropped = append(dropped, id)
 		}
 	}
-	return changed
+	return changed, dropped
 }
 
 // Merge merges changes that a peer reported, known to it up to asOf, and returns those
--- a/internal/throttler/backoffs.go
+++ b/internal/throttler/backoffs.go
@@ -35,7 +35,7 @@
 	return until
 }
 
-// Forget drops a server that was removed.
+// Forget drops a server that has ended. One whose entry lapsed may live on.
 func (b *Backoffs) Forget(server identifier.VMID) { delete(b.until, server) }
 
 // Tick drops the backoffs that have ended.
