Keep a server's limit while its entry lapses and returns

What servers saw: one that states a limit of one request a second got 22 in four seconds (11 are allowed) from 69 nodes while its entry lapsed and returned. Each node then sent requests without a permit until an answer stated the limit again.

Cause: as for pauses, what is known of a server was dropped with its entry, though the same start lives on. The permits were dropped too, which only delays the next one, but they belong to the limit. A peer's limit for a server that this node takes for removed was ignored, so that the allocator would have granted permits for it without a limit.

The limit is now kept until the registrar forgets the removed server.

--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -445,8 +445,6 @@
 		case messenger.ServerRemoved:
 			r.suspicions.Forget(s.Server)
 			r.gateway.exchanges.ServerRemoved(r.exchangeEnv(env), s.Server)
-			r.gateway.serverLimits.Forget(s.Server)
-			r.gateway.permits.Forget(s.Server)
 		}
 	}
 	return out
@@ -458,6 +456,8 @@
 	changed, dropped := g.servers.Tick(env.Now)
 	out := r.serversChanged(env, changed, true)
 	for _, server := range dropped {
+		g.serverLimits.Forget(server)
+		g.permits.Forget(server)
 		g.backoffs.Forget(server)
 	}
 	if g.startedAt == 0 {
--- a/internal/reducer/serverlimit.go
+++ b/internal/reducer/serverlimit.go
@@ -47,8 +47,7 @@
 func (r *Reducer) mergeServerLimits(env *conductor.Env, limits []messenger.ServerLimit) []messenger.Effect {
 	var out []messenger.Effect
 	for _, l := range limits {
-		s, known := r.gateway.servers.Server(l.Server)
-		if known && s.State == messenger.ServerRemoved || !known && r.gateway.knowsAllServers {
+		if _, known := r.gateway.servers.Server(l.Server); !known && r.gateway.knowsAllServers {
 			continue
 		}
 		if change, changed := r.gateway.serverLimits.Merge(env.Now, l); changed {
