Take a server for leaving if the start that stated so was not known yet

What servers saw: one that started again under its id, while the store was away from it, stated in each answer to be leaving. A node that had passed on such an answer sent it a request 3.9 s later.

Cause: answers were attributed to the start that the request was sent to. The earlier start was taken for leaving, and the later one was used as soon as its entry arrived. One request is enough to break the rule. Ruled out: entries that lapse and return, and peers' older updates.

A request that was sent after a start began was answered by that start or a later one, since a start never ends before the next one begins and connections end with it. So a statement now belongs to the last start that had begun when its request was sent: at once if that start is known, else when its entry arrives. The clocks of node and server have to agree within the time of a restart.

TestStatedLeavingEndsWithItsStart had a later start that began 990 s before the answer of the earlier one; it now begins after the request was sent, and checks the same.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -110,7 +110,7 @@
 	ofAnother := reply.Request != "" && reply.Request != x.head.Request
 	if !ofAnother && !reply.Misdirected {
 		x.reportLimit(ctx, s, sent, reply)
-		x.reportLeaving(ctx, s, reply)
+		x.reportLeaving(ctx, s, sent, reply)
 		x.recordBackoff(reply)
 	}
 	switch {
@@ -174,13 +174,16 @@
 }
 
 // reportLeaving reports that a server states in its answer that it is leaving.
-func (x *exchange) reportLeaving(ctx context.Context, s messenger.SendExchange, reply Reply) {
+func (x *exchange) reportLeaving(ctx context.Context, s messenger.SendExchange, sent timekeeper.Time, reply Reply) {
 	x.serverLeaving = reply.Leaving
 	if !reply.Leaving {
 		return
 	}
 	x.forwarder.config.Metrics.leavingStated()
-	x.forwarder.config.Decider.LeavingReceived(ctx, messenger.ServerLeavingReceived{Server: s.Server})
+	x.forwarder.config.Decider.LeavingReceived(ctx, messenger.ServerLeavingReceived{
+		Server: s.Server,
+		Sent:   sent,
+	})
 }
 
 // recordBackoff records the time for which a server asks this node to send it no requests.
--- a/internal/messenger/serverlimit.go
+++ b/internal/messenger/serverlimit.go
@@ -27,6 +27,8 @@
 // the server is leaving.
 type ServerLeavingReceived struct {
 	Server identifier.VMID
+	// Sent is the time at which the answered request was sent.
+	Sent timekeeper.Time
 }
 
 // ServerLimit is a node's knowledge of a server that states a limit, or
--- a/internal/prover/exchange_cluster_test.go
+++ b/internal/prover/exchange_cluster_test.go
@@ -708,7 +708,7 @@
 		f.ended = true
 		if isAnswer(result) {
 			cl.stateLimit(n, e.Server, sent)
-			cl.reportLeaving(n, e.Server)
+			cl.reportLeaving(n, e.Server, sent)
 		}
 		if result == messenger.AttemptComplete {
 			cl.answered++
--- a/internal/prover/leaving_test.go
+++ b/internal/prover/leaving_test.go
@@ -72,7 +72,7 @@
 
 // reportLeaving reports to a node that a server's answer states that it is leaving. The
 // node takes it for one of the start that the request was sent to.
-func (cl *exchangeCluster) reportLeaving(n *gatewayNode, sentTo identifier.VMID) {
+func (cl *exchangeCluster) reportLeaving(n *gatewayNode, sentTo identifier.VMID, sent timekeeper.Time) {
 	l := &cl.leaving
 	server := cl.startAt(sentTo)
 	if !l.stated[server] || !n.alive {
@@ -85,7 +85,10 @@
 	if _, received := l.received[server][n.process()]; !received {
 		l.received[server][n.process()] = cl.now
 	}
-	cl.apply(n, messenger.ServerLeavingReceived{Server: sentTo})
+	cl.apply(n, messenger.ServerLeavingReceived{
+		Server: sentTo,
+		Sent:   sent,
+	})
 }
 
 // Guards against requests to a server whose leaving is known from its answers only.
--- a/internal/reducer/serverstated.go
+++ b/internal/reducer/serverstated.go
@@ -22,13 +22,13 @@
 // that it is leaving, and notifies the peers. Its entry may not say so yet.
 func (r *Reducer) serverLeavingReceived(env *conductor.Env, e messenger.ServerLeavingReceived) []messenger.Effect {
 	servers := r.gateway.servers
-	changed := servers.MarkLeaving(env.Now, e.Server)
+	changed := servers.MarkLeaving(env.Now, e.Server, e.Sent)
 	if len(changed) == 0 {
 		return nil
 	}
 	stated := messenger.TimelineEntry{
 		Kind:   "server_stated_leaving",
-		VM:     e.Server,
+		VM:     changed[0].Server,
 		Detail: fmt.Sprintf("service=%s offset=%d servers_age=%s", changed[0].Service, changed[0].Offset, age(env.Now, servers.AsOf())),
 	}
 	r.gateway.nextUpdate = min(r.gateway.nextUpdate, env.Now.Add(updateBatchDelay))
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -56,6 +56,9 @@
 	direct    bool
 	// hasLeft is set if the server ever was leaving, by its entry or by an answer.
 	hasLeft bool
+	// leavingSince is the time at which this node sent the last request whose answer stated
+	// that the server is leaving, or zero.
+	leavingSince timekeeper.Time
 }
 
 // Table is the set of published servers, as one node knows them.
@@ -242,10 +245,15 @@
 func (t *Table) mergeEntry(now timekeeper.Time, e messenger.PublishedServer) []messenger.PublishedServer {
 	instance, start := e.Server.Start()
 	var changed []messenger.PublishedServer
+	var leavingSince timekeeper.Time
 	if newest, ok := t.newest[instance]; ok && newest != e.Server {
 		if _, last := newest.Start(); start < last {
 			return nil
 		}
+		if since := t.servers[newest].leavingSince; startedBy(e.Server, since) {
+			leavingSince = since
+			e = asLeaving(e)
+		}
 		ended := t.servers[newest].PublishedServer
 		ended.State = messenger.ServerRemoved
 		ended.Offset = max(ended.Offset+1, e.Offset)
@@ -256,9 +264,27 @@
 	if t.mergeStartEntry(now, e) {
 		changed = append(changed, t.servers[e.Server].PublishedServer)
 	}
+	if known, ok := t.servers[e.Server]; ok {
+		known.leavingSince = max(known.leavingSince, leavingSince)
+	}
 	return changed
 }
 
+// startedBy reports whether a start of a server had begun at a time. A request that was
+// sent then was answered by that start or a later one, whichever the node knew.
+func startedBy(id identifier.VMID, at timekeeper.Time) bool {
+	_, start := id.Start()
+	return start > 0 && at >= timekeeper.Time(start)
+}
+
+// asLeaving returns the entry of a ready server as that of a leaving one.
+func asLeaving(e messenger.PublishedServer) messenger.PublishedServer {
+	if e.State == messenger.ServerReady {
+		e.State = messenger.ServerLeaving
+	}
+	return e
+}
+
 // mergeStartEntry merges one entry of one start of a server and reports whether it
 // changed anything.
 func (t *Table) mergeStartEntry(now timekeeper.Time, e messenger.PublishedServer) bool {
@@ -302,14 +328,18 @@
 	return true
 }
 
-// MarkLeaving records that a server, in an answer to this node, stated that it is leaving.
-// It returns the change, if any. The server's entry may state so much later, or never if
-// the server can't reach the store.
-func (t *Table) MarkLeaving(now timekeeper.Time, id identifier.VMID) []messenger.PublishedServer {
-	known, ok := t.servers[id]
+// MarkLeaving records that a server, in the answer to a request that this node sent it at
+// the given time, stated that it is leaving. It returns the change, if any. The server's
+// entry may state so much later, or never if the server can't reach the store.
+//
+// The answer may come from a later start than the one to which the request was sent. If
+// that one is not known yet, it is taken for leaving as soon as its entry arrives.
+func (t *Table) MarkLeaving(now timekeeper.Time, id identifier.VMID, sent timekeeper.Time) []messenger.PublishedServer {
+	known, ok := t.servers[t.startAt(id, sent)]
 	if !ok {
 		return nil
 	}
+	known.leavingSince = max(known.leavingSince, sent)
 	t.source = source{direct: true}
 	if !t.markLeaving(now, known) {
 		return nil
@@ -317,6 +347,14 @@
 	return []messenger.PublishedServer{known.PublishedServer}
 }
 
+// startAt returns the last start of a server if it had begun at a time, or else id.
+func (t *Table) startAt(id identifier.VMID, at timekeeper.Time) identifier.VMID {
+	if newest, ok := t.newest[id.Instance()]; ok && startedBy(newest, at) {
+		return newest
+	}
+	return id
+}
+
 // markLeaving makes a ready server leaving without a newer entry, and reports whether it
 // was ready.
 func (t *Table) markLeaving(now timekeeper.Time, known *Server) bool {
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -74,11 +74,11 @@
 func TestStatedLeavingIsFinal(t *testing.T) {
 	table := registrar.New()
 	table.ApplyRead(start, []messenger.PublishedServer{entry("i-1", 5, messenger.ServerReady)}, true)
-	changed := table.MarkLeaving(start.Add(10), "i-1")
+	changed := table.MarkLeaving(start.Add(10), "i-1", start)
 	require.Len(t, changed, 1)
 	require.Equal(t, messenger.ServerLeaving, changed[0].State)
-	require.Empty(t, table.MarkLeaving(start.Add(20), "i-1"))
-	require.Empty(t, table.MarkLeaving(start.Add(20), "i-2"))
+	require.Empty(t, table.MarkLeaving(start.Add(20), "i-1", start))
+	require.Empty(t, table.MarkLeaving(start.Add(20), "i-2", start))
 	updates := table.UpdatesSince(start, false)
 	require.Equal(t, changed, updates)
 
@@ -98,7 +98,7 @@
 		entry("i-1", 1, messenger.ServerReady),
 		entry("i-1", 2, messenger.ServerRemoved),
 	}, false)
-	require.Empty(t, table.MarkLeaving(start, "i-1"))
+	require.Empty(t, table.MarkLeaving(start, "i-1", start))
 	changed := table.ApplyRead(start, []messenger.PublishedServer{entry("i-1", 3, messenger.ServerReady)}, false)
 	require.Len(t, changed, 1)
 	require.Equal(t, messenger.ServerLeaving, changed[0].State)
@@ -108,16 +108,56 @@
 // What a server stated must not take its next start out of use.
 func TestStatedLeavingEndsWithItsStart(t *testing.T) {
 	first := identifier.ServerStart("i-1", 1000)
-	second := identifier.ServerStart("i-1", 9000)
+	second := identifier.ServerStart("i-1", identifier.Incarnation(start.Add(500)))
 	table := registrar.New()
 	table.ApplyRead(start, []messenger.PublishedServer{entry(first, 1, messenger.ServerReady)}, true)
-	table.MarkLeaving(start, first)
-	table.ApplyRead(start, []messenger.PublishedServer{entry(second, 2, messenger.ServerReady)}, false)
-	require.Empty(t, table.MarkLeaving(start, first), "an answer that arrives late")
-	require.Empty(t, table.Merge(start, start, []messenger.PublishedServer{entry(first, 3, messenger.ServerLeaving)}))
+	table.MarkLeaving(start.Add(10), first, start)
+	now := start.Add(1000)
+	table.ApplyRead(now, []messenger.PublishedServer{entry(second, 2, messenger.ServerReady)}, false)
+	require.Empty(t, table.MarkLeaving(now, first, start.Add(499)), "an answer that arrives late")
+	require.Empty(t, table.Merge(now, now, []messenger.PublishedServer{entry(first, 3, messenger.ServerLeaving)}))
 	require.Equal(t, messenger.ServerReady, states(table)[second])
 }
 
+// Guards against requests to a start that stated to be leaving while only an earlier one was known.
+func TestStatedLeavingBelongsToStartThatAnswered(t *testing.T) {
+	first := identifier.ServerStart("i-1", 1000)
+	second := identifier.ServerStart("i-1", identifier.Incarnation(start.Add(500)))
+	readSecond := func(table *registrar.Table) {
+		table.ApplyRead(start.Add(1000), []messenger.PublishedServer{entry(second, 2, messenger.ServerReady)}, false)
+	}
+	for _, test := range []struct {
+		name  string
+		steps []func(*registrar.Table)
+	}{
+		{
+			name: "before the entry arrives",
+			steps: []func(*registrar.Table){
+				func(table *registrar.Table) { table.MarkLeaving(start.Add(600), first, start.Add(500)) },
+				readSecond,
+			},
+		},
+		{
+			name: "after the entry arrived",
+			steps: []func(*registrar.Table){
+				readSecond,
+				func(table *registrar.Table) { table.MarkLeaving(start.Add(1100), first, start.Add(900)) },
+			},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			table := registrar.New()
+			table.ApplyRead(start, []messenger.PublishedServer{entry(first, 1, messenger.ServerReady)}, true)
+			for _, step := range test.steps {
+				step(table)
+			}
+			require.Equal(t, messenger.ServerLeaving, states(table)[second])
+			table.ApplyRead(start.Add(2000), []messenger.PublishedServer{entry(second, 3, messenger.ServerReady)}, false)
+			require.Equal(t, messenger.ServerLeaving, states(table)[second])
+		})
+	}
+}
+
 // Entries that lapse during a store outage and return within a second must not be
 // removed, or every request is rejected meanwhile.
 func TestEntriesLapseDuringStoreOutage(t *testing.T) {
