--- a/internal/prover/lapse_test.go
+++ b/internal/prover/lapse_test.go
@@ -119,3 +119,14 @@
 		}
 	})
 }
+
+// Guards against a limit that is exceeded because it was attributed to an earlier start of the server.
+func TestLimitOfUnpublishedStart(t *testing.T) {
+	testStatements(t, func(cl *exchangeCluster) {
+		for i := range 3 {
+			later := cl.restartUnseen(exchangeServer(i))
+			cl.at(restartedUnseen, func() { cl.limits.startLimiting(later, 1, cl.now) })
+		}
+		cl.recordExcused()
+	})
+}
--- a/internal/prover/limit_test.go
+++ b/internal/prover/limit_test.go
@@ -75,14 +75,16 @@
 
 // limit makes a server state a limit from limitFrom to limitUntil.
 func (cl *exchangeCluster) limit(server identifier.VMID, rate identifier.RequestRate) {
-	cl.at(limitFrom, func() {
-		cl.limits.rates[server] = rate
-		cl.limits.statedAt[server] = cl.now
-		cl.limits.firstReceived[server] = map[identifier.VMID]timekeeper.Time{}
-	})
+	cl.at(limitFrom, func() { cl.limits.startLimiting(server, rate, cl.now) })
 	cl.at(limitUntil, func() { delete(cl.limits.rates, server) })
 }
 
+func (l *limits) startLimiting(server identifier.VMID, rate identifier.RequestRate, now timekeeper.Time) {
+	l.rates[server] = rate
+	l.statedAt[server] = now
+	l.firstReceived[server] = map[identifier.VMID]timekeeper.Time{}
+}
+
 // limitArrival records the arrival of a request at a server. The bound applies to the
 // requests of nodes that received the limit and, once the limit has settled, to those of
 // all nodes together.
