Attribute a server's limit to the start that stated it

What servers saw: one that started again under its id and stated one request a second got 15 in four seconds (11 are allowed) from 69 nodes once its entry arrived, since the nodes knew the limit for the earlier start only.

Cause: that of the leaving servers, answers attributed to the start that the request was sent to. The limit now moves to the later start if it was stated after that one began, and an answer to a request that was sent after a known start began counts for that start.

--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -445,6 +445,7 @@
 		case messenger.ServerRemoved:
 			r.suspicions.Forget(s.Server)
 			r.gateway.exchanges.ServerRemoved(r.exchangeEnv(env), s.Server)
+			out = append(out, r.inheritServerLimit(env, s.Server)...)
 		}
 	}
 	return out
--- a/internal/reducer/serverlimit.go
+++ b/internal/reducer/serverlimit.go
@@ -8,6 +8,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/throttler"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
 // permitPurposePrefix is the prefix of the purposes for which nodes are ranked to grant
@@ -34,6 +35,7 @@
 
 // serverLimitReceived applies the limit in a server's answer to this node.
 func (r *Reducer) serverLimitReceived(env *conductor.Env, e messenger.ServerLimitReceived) []messenger.Effect {
+	e.Server = r.gateway.servers.StartAt(e.Server, e.Sent)
 	change, changed := r.gateway.serverLimits.Observe(env.Now, e)
 	if !changed {
 		return nil
@@ -42,6 +44,21 @@
 	return []messenger.Effect{serverLimitEntry(change)}
 }
 
+// inheritServerLimit applies a limit to the start of a server that followed an ended one, if
+// that start stated it before its entry was known.
+func (r *Reducer) inheritServerLimit(env *conductor.Env, ended identifier.VMID) []messenger.Effect {
+	later := r.gateway.servers.StartAt(ended, env.Now)
+	if later == ended {
+		return nil
+	}
+	_, began := later.Start()
+	change, changed := r.gateway.serverLimits.Inherit(env.Now, ended, later, timekeeper.Time(began))
+	if !changed {
+		return nil
+	}
+	return []messenger.Effect{serverLimitEntry(change)}
+}
+
 // mergeServerLimits applies the limits of servers that a peer reports. A node that does not
 // know all servers yet may receive a limit before the server's entry.
 func (r *Reducer) mergeServerLimits(env *conductor.Env, limits []messenger.ServerLimit) []messenger.Effect {
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -335,7 +335,7 @@
 // The answer may come from a later start than the one to which the request was sent. If
 // that one is not known yet, it is taken for leaving as soon as its entry arrives.
 func (t *Table) MarkLeaving(now timekeeper.Time, id identifier.VMID, sent timekeeper.Time) []messenger.PublishedServer {
-	known, ok := t.servers[t.startAt(id, sent)]
+	known, ok := t.servers[t.StartAt(id, sent)]
 	if !ok {
 		return nil
 	}
@@ -347,8 +347,8 @@
 	return []messenger.PublishedServer{known.PublishedServer}
 }
 
-// startAt returns the last start of a server if it had begun at a time, or else id.
-func (t *Table) startAt(id identifier.VMID, at timekeeper.Time) identifier.VMID {
+// StartAt returns the last start of a server if it had begun at a time, or else id.
+func (t *Table) StartAt(id identifier.VMID, at timekeeper.Time) identifier.VMID {
 	if newest, ok := t.newest[id.Instance()]; ok && startedBy(newest, at) {
 		return newest
 	}
--- a/internal/throttler/table.go
+++ b/internal/throttler/table.go
@@ -136,7 +136,20 @@
 	return r.pausedUntil
 }
 
-// Forget drops a server that was removed.
+// Inherit moves the limit of an earlier start of a server to a later one if it was stated
+// after that one began: the later start stated it, before this node knew of that start.
+func (t *Table) Inherit(now timekeeper.Time, earlier, later identifier.VMID, began timekeeper.Time) (Change, bool) {
+	known := t.servers[earlier]
+	if known == nil || !known.limited || known.statedAt.Before(began) {
+		return Change{}, false
+	}
+	delete(t.servers, earlier)
+	next := *known
+	next.server = later
+	return t.put(now, next)
+}
+
+// Forget drops a server that has ended. One whose entry lapsed may live on.
 func (t *Table) Forget(server identifier.VMID) { delete(t.servers, server) }
 
 // Tick drops limits that were lifted longer ago than liftedRetention.
--- a/internal/throttler/table_test.go
+++ b/internal/throttler/table_test.go
@@ -65,6 +65,21 @@
 	require.True(t, limited)
 }
 
+// Guards against sending without permits to a start that stated a limit before it was known.
+func TestLimitIsInheritedIfStatedByLaterStart(t *testing.T) {
+	table := throttler.New()
+	table.Observe(start, answer(0, 1))
+	_, changed := table.Inherit(start, "i-1", "i-1@2", start.Add(1))
+	require.False(t, changed, "stated by the earlier start")
+	change, changed := table.Inherit(start, "i-1", "i-1@2", start)
+	require.True(t, changed)
+	require.Equal(t, identifier.VMID("i-1@2"), change.Server)
+	_, limited := table.Rate("i-1")
+	require.False(t, limited)
+	_, limited = table.Rate("i-1@2")
+	require.True(t, limited)
+}
+
 func TestForget(t *testing.T) {
 	table := throttler.New()
 	table.Observe(start, answer(0, 1))
