Record a server's pause whatever became of the exchange

A rejection whose attempt was no longer the current one recorded no pause, so that the server would have got requests within it. Nothing in today's program ends an exchange while one of its attempts runs: found by reading, and no caller can have seen it. But what a server states of itself does not depend on the request that it answers, as for limits and leaving.

The end of an attempt names its server, and the pause is recorded first. TestBackoffIsRecordedForEndedExchange failed before.

--- a/internal/dispatcher/backoff_test.go
+++ b/internal/dispatcher/backoff_test.go
@@ -14,6 +14,7 @@
 	return n.AttemptEnded(n.env, messenger.ExchangeAttemptEnded{
 		Exchange:   s.Exchange,
 		Attempt:    s.Attempt,
+		Server:     s.Server,
 		Result:     messenger.AttemptRefused,
 		RetryAfter: backoff,
 		Backoff:    backoff,
@@ -41,6 +42,17 @@
 	require.Equal(t, second.Server, n.sendPath(t, "/ping/1").Server)
 }
 
+// Guards against losing the pause that a server asks for in answer to an ended exchange.
+func TestBackoffIsRecordedForEndedExchange(t *testing.T) {
+	n := newNode(2)
+	first := n.sendPath(t, "/ping/1")
+	n.Ended(n.env, messenger.ExchangeEnded{Exchange: first.Exchange})
+	n.rejectAttempt(first, 3000)
+	for range 10 {
+		require.NotEqual(t, first.Server, n.sendPath(t, "/ping/1").Server)
+	}
+}
+
 // Guards against callers that wait for servers in a pause while others are free.
 func TestCallerIsNotToldToWaitWhileServersAreFree(t *testing.T) {
 	n := newNode(4)
--- a/internal/dispatcher/repeat.go
+++ b/internal/dispatcher/repeat.go
@@ -37,6 +37,7 @@
 
 // AttemptEnded decides what follows an attempt without a complete answer.
 func (d *Dispatcher) AttemptEnded(env Env, e messenger.ExchangeAttemptEnded) messenger.Effect {
+	env.Backoffs.Record(env.Now, e.Server, e.Backoff)
 	x, ok := d.current(e.Exchange, e.Attempt)
 	if !ok {
 		return d.end(env, nil, e, messenger.ReasonServerFailed)
@@ -73,7 +74,6 @@
 // of an attempt.
 func (d *Dispatcher) recordAttemptEnd(env Env, x *exchange, e messenger.ExchangeAttemptEnded) {
 	server := x.current.server
-	env.Backoffs.Record(env.Now, server, e.Backoff)
 	entry, known := env.Servers.Server(server)
 	leftService := known && entry.State != messenger.ServerReady
 	if !x.current.began {
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -172,6 +172,7 @@
 		decision = f.config.Decider.AttemptEnded(ctx, messenger.ExchangeAttemptEnded{
 			Exchange:    x.id,
 			Attempt:     send.Attempt,
+			Server:      send.Server,
 			Result:      end.result,
 			Streaming:   x.headSent,
 			RetryAfter:  end.retryAfter,
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -52,7 +52,9 @@
 	ExchangeAttemptEnded struct {
 		Exchange identifier.ExchangeID
 		Attempt  identifier.AttemptNumber
-		Result   AttemptResult
+		// Server is the server that the attempt was sent to.
+		Server identifier.VMID
+		Result AttemptResult
 		// Streaming reports whether a part of the answer was sent to the
 		// caller.
 		Streaming bool
--- a/internal/prover/backoff_test.go
+++ b/internal/prover/backoff_test.go
@@ -88,6 +88,7 @@
 		cl.apply(n, messenger.ExchangeAttemptEnded{
 			Exchange:   e.Exchange,
 			Attempt:    e.Attempt,
+			Server:     e.Server,
 			Result:     messenger.AttemptRefused,
 			RetryAfter: backoff,
 			Backoff:    backoff,
