Use a server last for as long again as it asked for a pause

What callers saw: whenever a pause ended, each node chose the server first, which had nothing running, was rejected once more and spent a repeat: 635 rejected attempts in ten seconds with 69 nodes.

A server whose pause has ended now counts as recovering until it serves a request, for as long again as it asked for at most. It gets requests if the other servers have no free slot.

--- a/internal/dispatcher/backoff_test.go
+++ b/internal/dispatcher/backoff_test.go
@@ -42,6 +42,19 @@
 	require.Equal(t, second.Server, n.sendPath(t, "/ping/1").Server)
 }
 
+// Guards against sending all requests to a server whose pause has just ended, since it looks idle.
+func TestServerIsUsedLastAfterBackoff(t *testing.T) {
+	n := newNode(2)
+	first := n.sendPath(t, "/ping/1")
+	second, ok := n.rejectAttempt(first, 3000).(messenger.SendExchange)
+	require.True(t, ok)
+	n.env.Now = n.env.Now.Add(3000)
+	for range serverSlots - 1 {
+		require.Equal(t, second.Server, n.sendPath(t, "/ping/1").Server, "it has free slots")
+	}
+	require.Equal(t, first.Server, n.sendPath(t, "/ping/1").Server)
+}
+
 // Guards against losing the pause that a server asks for in answer to an ended exchange.
 func TestBackoffIsRecordedForEndedExchange(t *testing.T) {
 	n := newNode(2)
--- a/internal/dispatcher/choose.go
+++ b/internal/dispatcher/choose.go
@@ -65,6 +65,9 @@
 	servers        []*registrar.Server
 }
 
+// startsAtOnce reports whether the server has a free slot for the request.
+func (c choice) startsAtOnce() bool { return c.work.Waiting == 0 }
+
 // choose returns the server for an exchange's next attempt. It skips servers that are
 // leaving or already tried, and uses suspected ones only if there are no others.
 func (d *Dispatcher) choose(env Env, x *exchange) (choice, bool) {
@@ -92,20 +95,27 @@
 	return c, true
 }
 
-// candidates returns the predictions for the eligible servers. Suspected servers are
-// returned only if there are no others.
+// candidates returns the predictions for the eligible servers. Servers that are recovering
+// from a backoff are returned only if the others would all make the request wait, and
+// suspected ones only if there are no others.
 func (d *Dispatcher) candidates(env Env, x *exchange, holders cacheHolders, eligible func(*registrar.Server) bool) []choice {
-	var trusted, suspected []choice
+	var trusted, recovering, suspected []choice
 	for i, s := range holders.servers {
 		if !env.canReceive(x, s) || !eligible(s) {
 			continue
 		}
 		c := d.predict(env, x, s, holders.stateOf(i))
-		if env.Suspicions.Suspect(env.Now, s.Server) {
+		switch {
+		case env.Suspicions.Suspect(env.Now, s.Server):
 			suspected = append(suspected, c)
-			continue
+		case env.Backoffs.Recovering(env.Now, s.Server):
+			recovering = append(recovering, c)
+		default:
+			trusted = append(trusted, c)
 		}
-		trusted = append(trusted, c)
+	}
+	if !slices.ContainsFunc(trusted, choice.startsAtOnce) {
+		trusted = append(trusted, recovering...)
 	}
 	if len(trusted) == 0 {
 		return suspected
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -74,7 +74,7 @@
 	Limits          *throttler.Table
 	Permits         *throttler.Permits
 	PermitAllocator func(server identifier.VMID) *Allocator
-	// Backoffs are the times until which servers accept no request of this node.
+	// Backoffs are the servers that rejected requests of this node and asked for a pause.
 	Backoffs   *throttler.Backoffs
 	Retries    *retrier.Allowance
 	Suspicions *detector.Suspicions
@@ -232,6 +232,7 @@
 	d.loads.promptRead(current.server, current.prefill)
 	d.notifyPeers = d.notifyPeers || current.prefill >= longPrefill
 	current.prefill = 0
+	env.Backoffs.Served(current.server, current.sent)
 	env.Versions.RecordResponseStart(current.track, env.Now.Sub(current.sent), current.baseline)
 	if current.observeRates && !current.track.Exposed() {
 		d.estimator(x.service).Observe(current.server, current.work, env.Now.Sub(current.sent))
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -23,6 +23,9 @@
 
 const start timekeeper.Time = 1_000_000
 
+// serverSlots is the number of slots of each server.
+const serverSlots = 64
+
 // node is a dispatcher with its environment.
 type node struct {
 	*dispatcher.Dispatcher
@@ -66,7 +69,7 @@
 	}, map[string]identifier.AccountID{"secret": "agency"})
 	routing.Backends["reader"] = catalog.Backend{
 		Model: true,
-		Slots: 64,
+		Slots: serverSlots,
 	}
 	routing.AccountRanks["agency"] = 0
 	routing.DefaultTokens["agency"] = 200
@@ -142,7 +145,7 @@
 			Service: "reader",
 			Address: string(vm) + ":80",
 			Zone:    zone,
-			Slots:   64,
+			Slots:   serverSlots,
 			State:   state,
 		},
 	}, false)
--- a/internal/prover/backoff_test.go
+++ b/internal/prover/backoff_test.go
@@ -1,6 +1,7 @@
 package prover
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -160,6 +161,29 @@
 	return sum
 }
 
+// Guards against nodes that all send to a rejecting server again as soon as its pause ends.
+func TestServersAreUsedLastAfterBackoff(t *testing.T) {
+	const (
+		backoff = 3 * timekeeper.Second
+		servers = 3
+		// A node that uses other servers for as long again as each backoff meets a
+		// rejecting server this often.
+		rejectionsPerNode = 2
+	)
+	for _, size := range lapseSizes {
+		t.Run(fmt.Sprintf("%d nodes", size.nodes), func(t *testing.T) {
+			cl := newSizedCluster(t, 1, size)
+			for i := range servers {
+				cl.rejectAll(exchangeServer(i), backoff)
+			}
+			cl.run()
+			require.Empty(t, cl.violations)
+			require.LessOrEqual(t, cl.rejections.total(), rejectionsPerNode*servers*size.nodes)
+			require.NotZero(t, cl.rejections.arrivalsAfter[exchangeServer(0)], "the server must be used again")
+		})
+	}
+}
+
 // Faults must not make a node forget that a server asked for a pause.
 func TestBackoffHoldsDuringFaults(t *testing.T) {
 	testDuringFaults(t, func(cl *exchangeCluster) {
--- a/internal/throttler/backoffs_test.go
+++ b/internal/throttler/backoffs_test.go
@@ -33,3 +33,15 @@
 	require.NotZero(t, b.Until(start.Add(timekeeper.Hour), "i-1"))
 	require.Zero(t, b.Until(start.Add(25*timekeeper.Hour), "i-1"))
 }
+
+// Guards against a server that stays in reserve although it serves again.
+func TestRecoveringServer(t *testing.T) {
+	b := throttler.NewBackoffs()
+	b.Record(start, "i-1", 3000)
+	require.True(t, b.Recovering(start.Add(5999), "i-1"))
+	require.False(t, b.Recovering(start.Add(6000), "i-1"))
+	b.Served("i-1", start.Add(2999))
+	require.True(t, b.Recovering(start.Add(4000), "i-1"), "a request that was sent before")
+	b.Served("i-1", start.Add(3000))
+	require.False(t, b.Recovering(start.Add(4000), "i-1"))
+}
