Ask another node at once where the holder of the lease refuses connections

Cause: a node that does not answer counts as reachable until its last report is 700 ms old and two requests went unanswered, and each caller until then is refused. But a refused connection shows that its process has ended.

Such a request now counts as answered by a node that does not grant: it goes to the standby at once, or counts against the equal parts where there is none.

--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -182,7 +182,7 @@
 	}
 	// LimitAnswered reports that the node with the central part granted or
 	// refused the request. Unknown is set if it could not be reached,
-	// NotGranting if it answered that it no longer grants.
+	// NotGranting if it answered that it no longer grants, or has ended.
 	LimitAnswered struct {
 		Exchange    identifier.ExchangeID
 		Peer        identifier.VMID
--- a/internal/runner/fake_test.go
+++ b/internal/runner/fake_test.go
@@ -206,6 +206,7 @@
 	handOver func(ctx context.Context) error
 	locate   func(ctx context.Context, address string) (relayer.Location, bool, error)
 	outcome  func() (relayer.Ending, error)
+	grant    func() error
 }
 
 func (p *fakePeers) Hold(ctx context.Context, _ string, push relayer.Push) (relayer.HoldAnswer, error) {
@@ -257,6 +258,14 @@
 	return p.outcome()
 }
 
+func (p *fakePeers) Limit(context.Context, string, identifier.AccountID, identifier.Tokens) (messenger.LimitAnswered, error) {
+	return messenger.LimitAnswered{}, p.grant()
+}
+
+func (p *fakePeers) Permit(context.Context, string, []messenger.ServerLimit) (messenger.PermitAnswered, error) {
+	return messenger.PermitAnswered{}, p.grant()
+}
+
 // fixture is a Runner with fake dependencies.
 type fixture struct {
 	*Runner
--- a/internal/runner/grant.go
+++ b/internal/runner/grant.go
@@ -44,6 +44,8 @@
 		defer done()
 		answer, err := r.config.Peers.Limit(ctx, e.Address, e.Account, e.Tokens)
 		answer.Unknown = answer.Unknown || err != nil
+		// A process that has ended grants nothing, so that another node may do so at once.
+		answer.NotGranting = answer.NotGranting || connectionRefused(err)
 		answer.Exchange = e.Exchange
 		answer.Peer = e.Peer
 		return r.report(answer)
@@ -58,6 +60,7 @@
 		defer done()
 		answer, err := r.config.Peers.Permit(ctx, e.Address, e.Limits)
 		answer.Unknown = answer.Unknown || err != nil
+		answer.NotGranting = answer.NotGranting || connectionRefused(err)
 		answer.Exchange = e.Exchange
 		return r.report(answer)
 	})
