Let the standby grant as soon as the allocator's process has ended

What callers saw: after the holder of the lease was killed, 241 requests within the limits were refused in two seconds with 75 nodes, most of them since the standby answered that it does not grant: it had not asked the dead node itself and took it for reachable.

A message to a peer whose address refuses connections now says so, and a node to which that shows the end of the allocator's process regards it as lost. Nothing else hangs on it: members are still detected by heartbeats.

--- a/internal/messenger/event.go
+++ b/internal/messenger/event.go
@@ -201,7 +201,12 @@
 		Data []byte
 	}
 	// PeerFailed reports that a message to a peer was not answered in time.
-	PeerFailed struct{ Peer identifier.VMID }
+	PeerFailed struct {
+		Peer identifier.VMID
+		// Ended reports whether the peer's address refuses connections, so that its
+		// process no longer exists.
+		Ended bool
+	}
 )
 
 // Events from operators and from the process itself.
--- a/internal/reducer/allocation.go
+++ b/internal/reducer/allocation.go
@@ -153,6 +153,14 @@
 	}
 }
 
+// allocatorFailed handles a failed message to the allocator. If its process has ended, this
+// node may be the standby and has to grant before the allocator's last report is old.
+func (r *Reducer) allocatorFailed(env *conductor.Env, e messenger.PeerFailed) {
+	if r.gateway != nil && e.Ended && e.Peer == r.gateway.allocator {
+		r.allocatorAnswered(env, false, true)
+	}
+}
+
 func (g *gateway) allocatorReachable(now timekeeper.Time) bool {
 	age := now.Sub(g.allocatorSeen.asOf)
 	return age <= allocatorTimeout && (age <= unresponsiveAge || g.unanswered < maxUnanswered)
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -218,7 +218,9 @@
 	case messenger.GossipReceived:
 		return r.gossipReceived(env, b)
 	case messenger.PeerFailed:
-		return nil // Failures are detected by heartbeats, which other nodes may relay.
+		// Failures of members are detected by heartbeats, which other nodes may relay.
+		r.allocatorFailed(env, b)
+		return nil
 	case messenger.DrainStarted:
 		return r.drainStarted(env, b)
 
--- a/internal/reducer/relay_test.go
+++ b/internal/reducer/relay_test.go
@@ -32,6 +32,8 @@
 	nodes    map[identifier.VMID]*Reducer
 	ids      []identifier.VMID
 	down     map[identifier.VMID]bool
+	// ended are the nodes of down whose addresses refuse connections.
+	ended map[identifier.VMID]bool
 	inFlight []message
 	// updates is the number of state updates sent. entriesSent and entriesReceived
 	// count the server entries in them by node.
@@ -61,6 +63,7 @@
 		now:             clusterStart,
 		nodes:           map[identifier.VMID]*Reducer{},
 		down:            map[identifier.VMID]bool{},
+		ended:           map[identifier.VMID]bool{},
 		entriesSent:     map[identifier.VMID]int{},
 		entriesReceived: map[identifier.VMID]int{},
 	}
@@ -127,6 +130,15 @@
 			})
 		case messenger.SendStateUpdate:
 			c.updates++
+			if c.ended[e.Peer] {
+				c.inFlight = append(c.inFlight, message{
+					to: id,
+					body: messenger.PeerFailed{
+						Peer:  e.Peer,
+						Ended: true,
+					},
+				})
+			}
 			if to := identifier.VMID(e.Address); c.meter != nil {
 				c.meter.message(id, to, updateKind(e.Update), relayer.UpdateSize(e.Update))
 			}
@@ -150,9 +162,10 @@
 		c.inFlight = append(c.inFlight, message{
 			to: from,
 			body: messenger.LimitAnswered{
-				Exchange: e.Exchange,
-				Peer:     e.Peer,
-				Unknown:  true,
+				Exchange:    e.Exchange,
+				Peer:        e.Peer,
+				Unknown:     true,
+				NotGranting: c.ended[e.Peer],
 			},
 		})
 		return
--- a/internal/reducer/standby_test.go
+++ b/internal/reducer/standby_test.go
@@ -18,6 +18,18 @@
 		prompt  = identifier.Tokens(17_000)
 		seconds = 5
 	)
+	c, allocator := newLimitedCluster(t, limit)
+	c.down[allocator] = true
+	c.run(3 * timekeeper.Second)
+	c.exchangesSent = 0
+	c.sendLimitedFor(seconds, prompt)
+	granted := identifier.Tokens(c.exchangesSent) * prompt
+	require.GreaterOrEqual(t, granted, identifier.Tokens(limit*seconds/2))
+	require.LessOrEqual(t, granted, identifier.Tokens(limit*(seconds+1)))
+}
+
+// newLimitedCluster returns a cluster whose account has a limit, and its allocator.
+func newLimitedCluster(t *testing.T, limit float64) (*cluster, identifier.VMID) {
 	c := newCluster(195)
 	limited := limitedCatalog(t, limit)
 	c.run(6 * timekeeper.Second)
@@ -31,9 +43,11 @@
 		})
 	}
 	c.run(timekeeper.Second)
-	c.down[allocator] = true
-	c.run(3 * timekeeper.Second)
-	c.exchangesSent = 0
+	return c, allocator
+}
+
+// sendLimitedFor sends each running node a request of the limited account in each second.
+func (c *cluster) sendLimitedFor(seconds int, prompt identifier.Tokens) {
 	for second := range seconds {
 		for part := range 10 {
 			for i, id := range c.ids {
@@ -44,7 +58,22 @@
 			c.run(100 * timekeeper.Millisecond)
 		}
 	}
+}
+
+// Guards against refusing limited requests for a second after the allocator's process ended.
+func TestStandbyGrantsSoonAfterAllocatorEnded(t *testing.T) {
+	const (
+		limit   = 680_000
+		prompt  = identifier.Tokens(17_000)
+		seconds = 2
+	)
+	c, allocator := newLimitedCluster(t, limit)
+	c.down[allocator] = true
+	c.ended[allocator] = true
+	c.exchangesSent = 0
+	c.sendLimitedFor(seconds, prompt)
 	granted := identifier.Tokens(c.exchangesSent) * prompt
+	t.Logf("%d of %d tokens granted", granted, limit*seconds)
 	require.GreaterOrEqual(t, granted, identifier.Tokens(limit*seconds/2))
 	require.LessOrEqual(t, granted, identifier.Tokens(limit*(seconds+1)))
 }
--- a/internal/runner/exchange.go
+++ b/internal/runner/exchange.go
@@ -120,7 +120,10 @@
 		ctx, done := context.WithTimeout(ctx, gossipTimeout)
 		defer done()
 		if err := r.config.Peers.SendStateUpdate(ctx, e.Address, e.Update); err != nil {
-			return r.report(messenger.PeerFailed{Peer: e.Peer})
+			return r.report(messenger.PeerFailed{
+				Peer:  e.Peer,
+				Ended: connectionRefused(err),
+			})
 		}
 		return nil
 	}, nil)
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -167,7 +167,10 @@
 // prevent the exit.
 func (r *Runner) gossipEnded(peer identifier.VMID, err error, final bool) {
 	if err != nil {
-		r.enqueue(messenger.PeerFailed{Peer: peer})
+		r.enqueue(messenger.PeerFailed{
+			Peer:  peer,
+			Ended: connectionRefused(err),
+		})
 	}
 	if final {
 		r.finalMessages--
