Keep a server whose entry another writer made unreadable

A read of all entries left out an unreadable one, so that a live server whose newest entry it is was taken for removed, at each node that reads all again (after its history went, or the store was restored), until the server wrote again. A read of changes had kept it.

A read of all entries now names unreadable ones, and the registrar counts their servers as present.

TestUnreadableEntryChangesNothing fails without the registrar's change. Also formats internal/reducer/relay_test.go.

--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -214,6 +214,9 @@
 	ServerLeaving ServerState = "leaving"
 	// ServerRemoved: the platform has removed the server's entry.
 	ServerRemoved ServerState = "removed"
+	// ServerUnreadable: the entry exists but can't be read. It occurs only in a read of
+	// all entries and changes nothing.
+	ServerUnreadable ServerState = "unreadable"
 )
 
 // PublishedServer is the entry of a backend server in the platform's store.
--- a/internal/reducer/relay_test.go
+++ b/internal/reducer/relay_test.go
@@ -28,12 +28,12 @@
 // cluster is a simulated cluster. Gossip and state updates between its nodes arrive one
 // step later. There is no log: tests state the holder of the lease.
 type cluster struct {
-	now      timekeeper.Time
-	nodes    map[identifier.VMID]*Reducer
-	ids      []identifier.VMID
-	down     map[identifier.VMID]bool
+	now   timekeeper.Time
+	nodes map[identifier.VMID]*Reducer
+	ids   []identifier.VMID
+	down  map[identifier.VMID]bool
 	// ended are the nodes of down whose addresses refuse connections.
-	ended map[identifier.VMID]bool
+	ended    map[identifier.VMID]bool
 	inFlight []message
 	// updates is the number of state updates sent. entriesSent and entriesReceived
 	// count the server entries in them by node.
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -104,7 +104,8 @@
 }
 
 // ApplyRead applies entries that this node read from the store and returns the changes.
-// With snapshot set, entries holds everything in the store.
+// With snapshot set, entries holds everything in the store. An unreadable entry keeps its
+// server from being taken for removed.
 func (t *Table) ApplyRead(now timekeeper.Time, entries []messenger.PublishedServer, snapshot bool) []messenger.PublishedServer {
 	if t.asOf != 0 && now.Sub(t.asOf) > minOutage {
 		t.deferUntil = now.Add(removalGrace)
@@ -119,6 +120,9 @@
 	}
 	var changed []messenger.PublishedServer
 	for _, e := range entries {
+		if e.State == messenger.ServerUnreadable {
+			continue
+		}
 		e = t.resolveStart(e)
 		if e.State == messenger.ServerRemoved && now.Before(t.deferUntil) {
 			t.deferRemoval(e)
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -158,6 +158,37 @@
 	}
 }
 
+// Guards against removing a live server because another writer made its entry unreadable.
+func TestUnreadableEntryChangesNothing(t *testing.T) {
+	unreadable := func(id identifier.VMID, offset identifier.Offset) messenger.PublishedServer {
+		return messenger.PublishedServer{
+			Server: id,
+			Offset: offset,
+			State:  messenger.ServerUnreadable,
+		}
+	}
+	first := identifier.ServerStart("i-1", 1000)
+	table := registrar.New()
+	table.ApplyRead(start, []messenger.PublishedServer{
+		entry(first, 1, messenger.ServerReady),
+		entry("i-2", 2, messenger.ServerReady),
+		entry("i-3", 3, messenger.ServerReady),
+	}, true)
+	changed := table.ApplyRead(start.Add(400), []messenger.PublishedServer{
+		entry("i-3", 3, messenger.ServerReady),
+		unreadable("i-1", 5),
+		unreadable("i-2", 6),
+		unreadable("i-4", 7),
+	}, true)
+	require.Empty(t, changed)
+	require.Equal(t, map[identifier.VMID]messenger.ServerState{
+		first: messenger.ServerReady,
+		"i-2": messenger.ServerReady,
+		"i-3": messenger.ServerReady,
+	}, states(table))
+	require.Equal(t, 3, table.Len())
+}
+
 // Entries that lapse during a store outage and return within a second must not be
 // removed, or every request is rejected meanwhile.
 func TestEntriesLapseDuringStoreOutage(t *testing.T) {
