Play unreadable entries of servers at every step of the matrix

Half of the servers' entries are made unreadable by another writer for a while, alone and beside each other fault, and beside what servers state.

--- a/internal/prover/exchange_cluster_test.go
+++ b/internal/prover/exchange_cluster_test.go
@@ -290,6 +290,21 @@
 	cl.entryTimes = append(cl.entryTimes, cl.now)
 }
 
+// spoilEntry makes the entry of a server that runs on unreadable for faultTime, as another
+// writer may.
+func (cl *exchangeCluster) spoilEntry(vm identifier.VMID) {
+	last, ok := cl.lastEntries[vm]
+	if !ok || last.State != messenger.ServerReady || cl.storeDown {
+		return
+	}
+	cl.entries = append(cl.entries, messenger.PublishedServer{
+		Server: vm,
+		State:  messenger.ServerUnreadable,
+	})
+	cl.entryTimes = append(cl.entryTimes, cl.now)
+	cl.after(faultTime, func() { cl.writeEntry(vm, messenger.ServerReady) })
+}
+
 // endStoreOutage makes the store available and writes the pending entries in order.
 func (cl *exchangeCluster) endStoreOutage() {
 	cl.storeDown = false
@@ -385,11 +400,26 @@
 	}
 	n.entriesRead = len(cl.entries)
 	cl.apply(n, messenger.ServersPublished{
-		Servers: entries,
+		Servers: readable(entries, first),
 		All:     first,
 	})
 }
 
+// readable returns what a read of the store yields of entries. A read of changes omits
+// unreadable ones. In a read of all, they replace the earlier entries of their servers.
+func readable(entries []messenger.PublishedServer, all bool) []messenger.PublishedServer {
+	newest := map[identifier.VMID]messenger.ServerState{}
+	for _, e := range entries {
+		newest[e.Server] = e.State
+	}
+	return slices.DeleteFunc(entries, func(e messenger.PublishedServer) bool {
+		if all && newest[e.Server] == messenger.ServerUnreadable {
+			return e.State != messenger.ServerUnreadable
+		}
+		return e.State == messenger.ServerUnreadable
+	})
+}
+
 func (cl *exchangeCluster) readConfiguration(n *gatewayNode) {
 	if !n.r.Following(cl.now).Configuration {
 		return
--- a/internal/prover/exchange_matrix_test.go
+++ b/internal/prover/exchange_matrix_test.go
@@ -97,6 +97,14 @@
 			}
 		},
 	},
+	{
+		name: "entries of half of the servers are unreadable",
+		inject: func(cl *exchangeCluster) {
+			for i := range 3 {
+				cl.spoilEntry(exchangeServer(i))
+			}
+		},
+	},
 	{
 		name: "a change while a node is cut off from the store",
 		inject: func(cl *exchangeCluster) {
