--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -56,9 +56,9 @@
 	direct    bool
 	// hasLeft is set if the server ever was leaving, by its entry or by an answer.
 	hasLeft bool
-	// leavingSince is the time at which this node sent the last request whose answer stated
-	// that the server is leaving, or zero.
-	leavingSince timekeeper.Time
+	// leavingStatedAt is the time at which this node sent the last request whose answer
+	// stated that the server is leaving, or zero.
+	leavingStatedAt timekeeper.Time
 }
 
 // Table is the set of published servers, as one node knows them.
@@ -249,15 +249,10 @@
 func (t *Table) mergeEntry(now timekeeper.Time, e messenger.PublishedServer) []messenger.PublishedServer {
 	instance, start := e.Server.Start()
 	var changed []messenger.PublishedServer
-	var leavingSince timekeeper.Time
 	if newest, ok := t.newest[instance]; ok && newest != e.Server {
 		if _, last := newest.Start(); start < last {
 			return nil
 		}
-		if since := t.servers[newest].leavingSince; startedBy(e.Server, since) {
-			leavingSince = since
-			e = asLeaving(e)
-		}
 		ended := t.servers[newest].PublishedServer
 		ended.State = messenger.ServerRemoved
 		ended.Offset = max(ended.Offset+1, e.Offset)
@@ -265,15 +260,32 @@
 			changed = append(changed, ended)
 		}
 	}
+	statedAt := t.leavingStatedBy(e.Server)
+	if statedAt != 0 && e.State == messenger.ServerReady {
+		e.State = messenger.ServerLeaving
+	}
 	if t.mergeStartEntry(now, e) {
 		changed = append(changed, t.servers[e.Server].PublishedServer)
 	}
 	if known, ok := t.servers[e.Server]; ok {
-		known.leavingSince = max(known.leavingSince, leavingSince)
+		known.leavingStatedAt = max(known.leavingStatedAt, statedAt)
 	}
 	return changed
 }
 
+// leavingStatedBy returns the time of the last request in whose answer a start stated to be
+// leaving while only an earlier start of the server was known, or zero.
+func (t *Table) leavingStatedBy(id identifier.VMID) timekeeper.Time {
+	newest, ok := t.newest[id.Instance()]
+	if !ok || newest == id {
+		return 0
+	}
+	if statedAt := t.servers[newest].leavingStatedAt; startedBy(id, statedAt) {
+		return statedAt
+	}
+	return 0
+}
+
 // startedBy reports whether a start of a server had begun at a time. A request that was
 // sent then was answered by that start or a later one, whichever the node knew.
 func startedBy(id identifier.VMID, at timekeeper.Time) bool {
@@ -281,14 +293,6 @@
 	return start > 0 && at >= timekeeper.Time(start)
 }
 
-// asLeaving returns the entry of a ready server as that of a leaving one.
-func asLeaving(e messenger.PublishedServer) messenger.PublishedServer {
-	if e.State == messenger.ServerReady {
-		e.State = messenger.ServerLeaving
-	}
-	return e
-}
-
 // mergeStartEntry merges one entry of one start of a server and reports whether it
 // changed anything.
 func (t *Table) mergeStartEntry(now timekeeper.Time, e messenger.PublishedServer) bool {
@@ -343,7 +347,7 @@
 	if !ok {
 		return nil
 	}
-	known.leavingSince = max(known.leavingSince, sent)
+	known.leavingStatedAt = max(known.leavingStatedAt, sent)
 	t.source = source{direct: true}
 	if !t.markLeaving(now, known) {
 		return nil
