--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -734,11 +734,29 @@
 		w.Header().Set("Leaving", "1")
 		sign(w, r)
 	})
-	s := newFakeDecider(foreign, misdirected, full, failed, complete)
+	torn := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Leaving", "1")
+		sign(w, r)
+		tear(w)
+	})
+	s := newFakeDecider(foreign, misdirected, full, failed, torn, complete)
 	requireServed(t, s)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	require.Len(t, s.leaving, 3)
+	require.Len(t, s.leaving, 4)
+	for _, stated := range s.leaving {
+		require.NotZero(t, stated.Sent)
+	}
+}
+
+// tear sends the head of an answer and closes the connection within its body.
+func tear(w http.ResponseWriter) {
+	w.Header().Set("Content-Length", "100")
+	w.WriteHeader(http.StatusOK)
+	if err := http.NewResponseController(w).Flush(); err != nil {
+		panic(err)
+	}
+	panic(http.ErrAbortHandler)
 }
 
 // Each pause that a server asks for must be reported, but not one in another's answer.
