--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -749,7 +749,7 @@
 	}
 }
 
-// tear sends the head of an answer and closes the connection within its body.
+// tear sends the head of an answer and closes the connection before its body.
 func tear(w http.ResponseWriter) {
 	w.Header().Set("Content-Length", "100")
 	w.WriteHeader(http.StatusOK)
