--- a/internal/prover/lapse_test.go
+++ b/internal/prover/lapse_test.go
@@ -112,8 +112,7 @@
 	})
 }
 
-// Guards against requests to a leaving server that are sent because an earlier start of it was
-// taken for the one that leaves.
+// Guards against requests to a leaving server whose statement was attributed to an earlier start.
 func TestStatedLeavingOfUnpublishedStart(t *testing.T) {
 	testStatements(t, func(cl *exchangeCluster) {
 		for i := range 2 {
--- a/internal/runner/grant_test.go
+++ b/internal/runner/grant_test.go
@@ -21,8 +21,7 @@
 	})
 }
 
-// Guards against asking a node that grants limits in vain until its reports are old, although
-// its process has ended.
+// Guards against asking an allocator whose process has ended until its reports are old.
 func TestEndedAllocatorDoesNotGrant(t *testing.T) {
 	for _, test := range []struct {
 		reach       relayer.Reach
--- a/internal/throttler/backoffs.go
+++ b/internal/throttler/backoffs.go
@@ -8,9 +8,9 @@
 // Backoffs holds the times until which servers that rejected a request of this node
 // accept none of it. They bind this node only: a server asks each node by itself.
 //
-// A server that rejects everything has nothing running, so that at the end of its backoff it
-// would be chosen before all others, by each node. It counts as recovering until it serves a
-// request, but at most for as long again as it asked for.
+// A server that rejects everything has nothing running, so that at the end of its backoff each
+// node would prefer it to all others. It counts as recovering until it serves a request, but
+// at most for as long again as it asked for.
 type Backoffs struct {
 	servers map[identifier.VMID]backoff
 }
