Find a request at any moment of its adoption

What callers saw: a caller that waited at the holder of a copy for the adoption of its request could get "request is unknown" (404) at the very moment of the adoption.

Cause: the loop took the copy away before it stored the answer; a lookup reads the answers first and the copies then, and missed both. The same held for a peer's query (Locate).

Change: the copy moves under the lock of the copies, answer first; a lookup reads the answers once more after the copies (lookUp, for callers and peers). Reading copies first would have closed this move alone: a copy that replaces an answer that never ran moves the other way. The test now fails with the error that Attach returned in place of waiting for ever.

--- a/internal/runner/attach.go
+++ b/internal/runner/attach.go
@@ -62,6 +62,19 @@
 	return nil, &answerer.UnknownRequestError{Request: request}
 }
 
+// lookUp returns the answer of a request that this node owns, or else its copy.
+func (r *Runner) lookUp(request identifier.RequestID) (a *answerer.Answer, owned, ok bool) {
+	if a, ok := r.answers.Get(request); ok {
+		return a, true, true
+	}
+	if a, _, ok := r.copies.get(request); ok {
+		return a, false, true
+	}
+	// The request may have been adopted after the answers were searched.
+	a, ok = r.answers.Get(request)
+	return a, ok, ok
+}
+
 // localAnswer returns a if it belongs to the account and has not moved to
 // another node.
 func localAnswer(a *answerer.Answer, account identifier.AccountID) (*answerer.Answer, error) {
@@ -85,10 +98,11 @@
 	ctx, done := context.WithTimeout(ctx, adoptionTimeout)
 	defer done()
 	for sleep(ctx, adoptionCheckInterval) {
-		if a, ok := r.answers.Get(request); ok {
+		a, owned, ok := r.lookUp(request)
+		if owned {
 			return localAnswer(a, account)
 		}
-		if _, _, ok := r.copies.get(request); !ok {
+		if !ok {
 			break
 		}
 	}
--- a/internal/runner/backend_test.go
+++ b/internal/runner/backend_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"runtime"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/answerer"
@@ -212,8 +215,9 @@
 		f.StoreCopy(t.Context(), "entry-2", push(1))
 		attached := make(chan *answerer.Answer, 1)
 		go func() {
+			defer close(attached)
 			a, err := f.Attach(t.Context(), "r1", "agency")
-			if err == nil {
+			if assert.NoError(t, err) {
 				attached <- a
 			}
 		}()
@@ -223,7 +227,8 @@
 			Request: "r1",
 			Epoch:   9,
 		})
-		a := <-attached
+		a, ok := <-attached
+		require.True(t, ok)
 		require.EqualValues(t, 9, a.Epoch())
 		v, err := a.Verdict(t.Context())
 		require.NoError(t, err)
@@ -231,6 +236,33 @@
 	})
 }
 
+// Guards against a moment of an adoption at which neither an answer nor a copy is found.
+func TestRequestIsFoundThroughoutAdoption(t *testing.T) {
+	for range 500 {
+		f := newFixture(t)
+		require.Equal(t, relayer.HoldStored, f.copies.store("entry-2", push(1)))
+		var lookups sync.WaitGroup
+		lookups.Go(func() {
+			for copied := true; copied; {
+				at, found := f.Locate(relayer.Query{
+					Request: "r1",
+					Account: "agency",
+				})
+				if !assert.True(t, found) {
+					return
+				}
+				copied = at.Copy
+			}
+		})
+		runtime.Gosched()
+		f.adopt(messenger.Adopt{Request: "r1"})
+		lookups.Wait()
+		if t.Failed() {
+			return
+		}
+	}
+}
+
 // Each caller counts until its context ends. Only the first attach and the last
 // disconnect are reported to the reducer.
 func TestCallersAreCounted(t *testing.T) {
--- a/internal/runner/copies.go
+++ b/internal/runner/copies.go
@@ -123,16 +123,20 @@
 	return held.answer, held.owner, true
 }
 
-// take removes the copy of a request and returns it.
-func (c *copies) take(r identifier.RequestID) (*answerer.Answer, bool) {
+// adopt moves the copy of a request to the answers of this node, with the epoch
+// of its adoption, and reports whether there was one. The answer is stored before
+// the copy is removed, so that a caller finds the request at any time.
+func (c *copies) adopt(r identifier.RequestID, epoch identifier.Epoch, answers *answerer.Store) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	held, ok := c.byRequest[r]
 	if !ok {
-		return nil, false
+		return false
 	}
+	held.answer.RaiseEpoch(epoch)
+	answers.Put(held.answer)
 	c.remove(r)
-	return held.answer, true
+	return true
 }
 
 // drop removes the copy of a request.
--- a/internal/runner/effect.go
+++ b/internal/runner/effect.go
@@ -142,14 +142,11 @@
 
 // adopt makes this node the owner of a request whose copy it holds.
 func (r *Runner) adopt(e messenger.Adopt) {
-	a, ok := r.copies.take(e.Request)
-	if !ok {
+	if !r.copies.adopt(e.Request, e.Epoch, r.answers) {
 		r.logger.Error("adopting a request without its copy", "request", e.Request)
 		return
 	}
 	r.metrics.adopted.Add(1)
-	a.RaiseEpoch(e.Epoch)
-	r.answers.Put(a)
 }
 
 // recordEntry records a timeline entry and logs it. Entries about other VMs
--- a/internal/runner/peer.go
+++ b/internal/runner/peer.go
@@ -161,22 +161,17 @@
 // Locate returns the location of an account's request as far as this node
 // knows, without querying others.
 func (r *Runner) Locate(q relayer.Query) (relayer.Location, bool) {
-	if a, ok := r.answers.Get(q.Request); ok {
-		if a.Account() != q.Account {
-			return relayer.Location{}, false
-		}
-		if end, ended := a.Ended(); ended && end.MovedTo != "" {
-			return relayer.Location{Address: end.MovedTo}, true
-		}
-		return relayer.Location{Address: r.config.CallerAddress}, true
+	a, owned, ok := r.lookUp(q.Request)
+	if !ok || a.Account() != q.Account {
+		return relayer.Location{}, false
 	}
-	if a, _, ok := r.copies.get(q.Request); ok && a.Account() == q.Account {
-		return relayer.Location{
-			Address: r.config.CallerAddress,
-			Copy:    true,
-		}, true
+	if end, ended := a.Ended(); owned && ended && end.MovedTo != "" {
+		return relayer.Location{Address: end.MovedTo}, true
 	}
-	return relayer.Location{}, false
+	return relayer.Location{
+		Address: r.config.CallerAddress,
+		Copy:    !owned,
+	}, true
 }
 
 // Ending waits up to q.Wait for the end of a request that this node owns and
