Look again for a request after the search for its owner

What callers saw: "request is unknown" for a request that their node had just adopted. A node that holds only a copy asks the peers for the owner first, up to two seconds; an owner that died is exactly why the search is slow and why the request is adopted meanwhile. The adopted answer was not looked for again, and the copy was gone.

Change: after the search both stores are read again; an answer owned here wins over a copy, here or at a peer. An owner that a peer names still wins.

--- a/internal/runner/attach.go
+++ b/internal/runner/attach.go
@@ -50,16 +50,21 @@
 			Address: at.Address,
 		}
 	}
-	if copied, _, ok := r.copies.get(request); ok && copied.Account() == account {
+	// The search takes a while, and this node may have adopted the request since.
+	a, owned, ok := r.lookUp(request)
+	switch {
+	case owned:
+		return localAnswer(a, account)
+	case ok && a.Account() == account:
 		return r.awaitAdoption(ctx, request, account)
-	}
-	if found {
+	case found:
 		return nil, &answerer.NotOwnerError{
 			Request: request,
 			Address: at.Address,
 		}
+	default:
+		return nil, &answerer.UnknownRequestError{Request: request}
 	}
-	return nil, &answerer.UnknownRequestError{Request: request}
 }
 
 // lookUp returns the answer of a request that this node owns, or else its copy.
--- a/internal/runner/backend_test.go
+++ b/internal/runner/backend_test.go
@@ -236,6 +236,21 @@
 	})
 }
 
+// Guards against an unknown-request error if the request is adopted while its owner is searched for.
+func TestAttachFindsRequestAdoptedDuringSearch(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fixture) {
+		f.reducer.nodes = nodes("entry-1", "entry-2")
+		f.StoreCopy(t.Context(), "entry-2", push(1))
+		f.peers.locate = func(ctx context.Context, _ string) (relayer.Location, bool, error) {
+			assert.True(t, f.runInLoop(ctx, func() { f.adopt(messenger.Adopt{Request: "r1"}) }))
+			return relayer.Location{}, false, &relayer.PeerError{}
+		}
+		a, err := f.Attach(t.Context(), "r1", "agency")
+		require.NoError(t, err)
+		require.EqualValues(t, "r1", a.Request())
+	})
+}
+
 // Guards against a moment of an adoption at which neither an answer nor a copy is found.
 func TestRequestIsFoundThroughoutAdoption(t *testing.T) {
 	for range 500 {
