--- a/cmd/dotterelhollow/gateway.go
+++ b/cmd/dotterelhollow/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/relayer"
 	"github.com/dotterelhollow/dotterelhollow/internal/runner"
 	"github.com/dotterelhollow/dotterelhollow/internal/starter"
+	"github.com/dotterelhollow/dotterelhollow/internal/tunneler"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 	"github.com/dotterelhollow/dotterelhollow/platform"
@@ -132,6 +133,7 @@
 	})
 	g.metrics = forwarder.NewMetrics()
 	g.forwarder = forwarder.New(forwarder.Config{
+		Self:     s.VM,
 		Decider:  g.runner,
 		Protocol: platform.Protocol{},
 		Clock:    g.clock,
@@ -194,11 +196,15 @@
 			name:    "peer",
 			address: s.Peer.Listen,
 			server: &http.Server{
-				Handler: relayer.NewHandler(relayer.HandlerConfig{
-					Self:  s.VM,
-					Peer:  g.runner,
-					Now:   g.clock,
-					Clock: timeline,
+				Handler: tunneler.NewHandler(tunneler.HandlerConfig{
+					Admitter: g.runner,
+					Logger:   g.logger,
+					Next: relayer.NewHandler(relayer.HandlerConfig{
+						Self:  s.VM,
+						Peer:  g.runner,
+						Now:   g.clock,
+						Clock: timeline,
+					}),
 				}),
 				ReadHeaderTimeout: peerHeaderTimeout,
 				IdleTimeout:       peerIdleTimeout,
--- a/docs/operations_test.go
+++ b/docs/operations_test.go
@@ -325,3 +325,5 @@
 func (*singleAttemptDecider) LimitReceived(context.Context, messenger.ServerLimitReceived) {}
 
 func (*singleAttemptDecider) LeavingReceived(context.Context, messenger.ServerLeavingReceived) {}
+
+func (*singleAttemptDecider) PathTried(context.Context, messenger.PathTried) {}
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -24,13 +24,17 @@
 // bound on unacknowledged data.
 func New() *net.Dialer {
 	return &net.Dialer{
-		Timeout: connectTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     keepAliveIdle,
-			Interval: keepAliveInterval,
-			Count:    keepAliveCount,
-		},
-		Control: boundUnacked,
+		Timeout:         connectTimeout,
+		KeepAliveConfig: keepAlive(),
+		Control:         boundUnacked,
+	}
+}
+
+func keepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{
+		Enable:   true,
+		Idle:     keepAliveIdle,
+		Interval: keepAliveInterval,
+		Count:    keepAliveCount,
 	}
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -34,6 +34,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/indexer"
 	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/pathfinder"
 	"github.com/dotterelhollow/dotterelhollow/internal/promoter"
 	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
 	"github.com/dotterelhollow/dotterelhollow/internal/registrar"
@@ -78,6 +79,8 @@
 	Backoffs   *throttler.Backoffs
 	Retries    *retrier.Allowance
 	Suspicions *detector.Suspicions
+	// Paths are the paths on which this node connects to servers.
+	Paths *pathfinder.Finder
 	// Quarantine counts the servers that ended while they ran the same request.
 	Quarantine *quarantiner.Quarantine
 	// Versions tracks the rollouts of services. OrdersAsOf is the time up to which this
@@ -233,6 +236,9 @@
 	d.notifyPeers = d.notifyPeers || current.prefill >= longPrefill
 	current.prefill = 0
 	env.Backoffs.Served(current.server, current.sent)
+	if e.Peer == "" {
+		env.Paths.Answered(env.Now, current.server, current.sent)
+	}
 	env.Versions.RecordResponseStart(current.track, env.Now.Sub(current.sent), current.baseline)
 	if current.observeRates && !current.track.Exposed() {
 		d.estimator(x.service).Observe(current.server, current.work, env.Now.Sub(current.sent))
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -10,8 +10,10 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
 	"github.com/dotterelhollow/dotterelhollow/internal/detector"
 	"github.com/dotterelhollow/dotterelhollow/internal/dispatcher"
+	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
 	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/pathfinder"
 	"github.com/dotterelhollow/dotterelhollow/internal/promoter"
 	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
 	"github.com/dotterelhollow/dotterelhollow/internal/registrar"
@@ -86,6 +88,12 @@
 	}
 }
 
+// noPeers is a cluster of one node.
+type noPeers struct{}
+
+func (noPeers) Peers() []gossiper.Node        { return nil }
+func (noPeers) Isolated(identifier.VMID) bool { return false }
+
 func newNode(servers int) *node {
 	n := &node{
 		Dispatcher: dispatcher.New(dispatcher.Config{
@@ -104,6 +112,7 @@
 			Limits:          throttler.New(),
 			Permits:         throttler.NewPermits(),
 			Backoffs:        throttler.NewBackoffs(),
+			Paths:           pathfinder.New(pathfinder.Config{Peers: noPeers{}}),
 			PermitAllocator: func(identifier.VMID) *dispatcher.Allocator { return nil },
 			Rand:            rand.New(rand.NewPCG(1, 2)),
 		},
--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -44,6 +44,9 @@
 	if refusal := d.quarantined(env, x); refusal != nil {
 		return d.refuse(env, spec.Exchange, refusal)
 	}
+	if env.Paths.NoPath(env.Now) {
+		return d.refuseNoPath(env, x)
+	}
 	if _, ok := d.choose(env, x); !ok {
 		return d.refuseNoServer(env, x)
 	}
@@ -90,6 +93,13 @@
 	return d.refuse(env, x.spec.Exchange, notRunRefusal(messenger.ReasonNoServer, jitter(env, retryAfter)))
 }
 
+// refuseNoPath refuses a request because this node reaches no server. The caller's next
+// request may reach another node.
+func (d *Dispatcher) refuseNoPath(env Env, x *exchange) messenger.Effect {
+	d.recordRefusedDemand(env, x)
+	return d.refuse(env, x.spec.Exchange, notRunRefusal(messenger.ReasonNoPath, jitter(env, shortRetry)))
+}
+
 // recordRefusedDemand counts a refused request as if a server had run it that has the
 // shared parts of its prompt cached.
 func (d *Dispatcher) recordRefusedDemand(env Env, x *exchange) {
@@ -226,6 +236,7 @@
 		Attempt:           x.attempt,
 		Server:            c.server.Server,
 		Address:           c.server.Address,
+		Path:              env.Paths.To(env.Now, c.server.Server, c.server.Zone),
 		Account:           x.account,
 		Route:             x.route,
 		Urgency:           x.urgency,
--- a/internal/dispatcher/repeat.go
+++ b/internal/dispatcher/repeat.go
@@ -42,7 +42,7 @@
 	if !ok {
 		return d.end(env, nil, e, messenger.ReasonServerFailed)
 	}
-	if kind, known := evidence[e.Result]; known {
+	if kind, known := evidence[e.Result]; known && !e.PathFailed && !env.Paths.Isolated() {
 		env.Suspicions.Observe(env.Now, x.current.server, detector.Observation{Kind: kind})
 	}
 	env = env.forExchange(x)
@@ -56,6 +56,9 @@
 	if x.deadline.Sub(env.Now) < minAttemptTime {
 		return d.end(env, x, e, messenger.ReasonDeadlineExpired)
 	}
+	if env.Paths.NoPath(env.Now) {
+		return d.end(env, x, e, messenger.ReasonNoPath)
+	}
 	if _, ok := d.choose(env, x); !ok {
 		return d.end(env, x, e, messenger.ReasonNoServer)
 	}
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
@@ -156,6 +157,7 @@
 		"limit", x.inputs.Limit,
 		"server", x.server,
 		"version", x.inputs.Version,
+		"via", x.via(),
 		"server_limit", x.limitText(),
 		"server_leaving", x.serverLeaving,
 		"backoff_ms", int64(x.backoff),
@@ -183,7 +185,10 @@
 		"attempt", s.Attempt,
 		"server", s.Server,
 		"address", s.Address,
+		"path_broken", s.Path.Broken,
+		"tried", x.triedText(s.Server),
 		"version", x.inputs.Version,
+		"via", x.via(),
 		"server_limit", x.limitText(),
 		"server_leaving", x.serverLeaving,
 		"backoff_ms", int64(x.backoff),
@@ -206,3 +211,25 @@
 	}
 	return strconv.FormatFloat(float64(x.statedLimit.Rate), 'f', -1, 64)
 }
+
+// via returns the node through which the last attempt was sent, or empty if it was sent
+// directly or not at all.
+func (x *exchange) via() identifier.VMID {
+	if x.connection == nil {
+		return ""
+	}
+	return x.connection.via()
+}
+
+// triedText formats the connections that were attempted to the server of the last attempt.
+func (x *exchange) triedText(server identifier.VMID) string {
+	tried := x.connection.tried(server)
+	var text []string
+	if tried.Direct != messenger.ConnectNotTried {
+		text = append(text, "direct="+string(tried.Direct))
+	}
+	for _, p := range tried.Peers {
+		text = append(text, string(p.Node)+"="+string(p.Result))
+	}
+	return strings.Join(text, " ")
+}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/dotterelhollow/dotterelhollow/internal/dialer"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -28,6 +27,9 @@
 	retryAfter timekeeper.Duration
 	// serverEnded reports that the server's address refuses connections.
 	serverEnded bool
+	// pathFailed reports that no connection could be opened, for reasons that say nothing
+	// about the server.
+	pathFailed bool
 }
 
 // bufferedAnswer is an answer that was read to its end.
@@ -85,25 +87,17 @@
 	t.cancel()
 }
 
-// sendProgress records whether the request's headers were written.
-type sendProgress struct{ written atomic.Bool }
-
 // attempt sends the request to one server and passes on its answer.
 func (x *exchange) attempt(ctx context.Context, s messenger.SendExchange) attemptEnd {
 	ctx, timer := x.startTimer(ctx, s)
 	defer timer.release()
-	progress := &sendProgress{}
-	request, err := x.serverRequest(ctx, s, progress)
-	if err != nil {
-		return attemptEnd{
-			result: messenger.AttemptNotSent,
-			reason: err.Error(),
-		}
-	}
+	c := &connection{path: s.Path}
+	x.connection = c
 	sent := x.forwarder.config.Clock.Now()
-	response, err := x.forwarder.transport.RoundTrip(request)
+	response, err := x.roundTrip(ctx, s, c)
+	x.reportPath(ctx, s, c)
 	if err != nil {
-		return x.classifyFailure(s, timer, progress, err)
+		return x.classifyFailure(s, timer, err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	reply := x.forwarder.config.Protocol.ReadReply(response.StatusCode, response.Header)
@@ -207,7 +201,7 @@
 }
 
 // classifyFailure returns the end of an attempt that brought no complete answer.
-func (x *exchange) classifyFailure(s messenger.SendExchange, timer *attemptTimer, progress *sendProgress, err error) attemptEnd {
+func (x *exchange) classifyFailure(s messenger.SendExchange, timer *attemptTimer, err error) attemptEnd {
 	e := attemptEnd{
 		result: messenger.AttemptBroken,
 		reason: err.Error(),
@@ -223,24 +217,19 @@
 	case timer.timedOut.Load():
 		e.result = messenger.AttemptTimedOut
 	}
-	if !e.done && !progress.written.Load() {
+	if !e.done && !x.connection.written.Load() {
 		e.result = messenger.AttemptNotSent
 	}
-	e.serverEnded = x.serverEnded(s, e.result, err)
-	return e
-}
-
-// serverEnded reports whether the server's process ended, after an attempt that failed
-// with err. A broken connection is not enough evidence: it may have been reset, or the
-// answer truncated.
-func (x *exchange) serverEnded(s messenger.SendExchange, result messenger.AttemptResult, err error) bool {
-	switch result {
+	// A broken connection is not enough evidence of the server's end: it may have been
+	// reset, or the answer truncated.
+	switch tried := x.connection.tried(s.Server); e.result {
 	case messenger.AttemptNotSent:
-		return dialer.Refused(err)
+		e.pathFailed = pathFailed(tried)
+		e.serverEnded = serverRefuses(tried)
 	case messenger.AttemptBroken:
-		return dialer.RefusedAt(x.r.Context(), s.Address)
+		e.serverEnded = x.serverEnded(s, x.connection)
 	}
-	return false
+	return e
 }
 
 // expire ends an exchange whose deadline has passed.
@@ -258,9 +247,10 @@
 }
 
 // serverRequest returns the request to send to a server.
-func (x *exchange) serverRequest(ctx context.Context, s messenger.SendExchange, progress *sendProgress) (*http.Request, error) {
+func (x *exchange) serverRequest(ctx context.Context, s messenger.SendExchange, c *connection) *http.Request {
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		WroteHeaders: func() { progress.written.Store(true) },
+		GotConn:      c.gotConn,
+		WroteHeaders: func() { c.written.Store(true) },
 	})
 	path, query, _ := strings.Cut(x.r.RequestURI, "?")
 	request := (&http.Request{
@@ -291,7 +281,7 @@
 	if _, named := request.Header["User-Agent"]; !named {
 		request.Header["User-Agent"] = nil // Otherwise net/http adds its own.
 	}
-	return request, nil
+	return request
 }
 
 // singleUseBody is a body that net/http can't resend. It would otherwise repeat a
@@ -306,7 +296,7 @@
 func (x *exchange) passBuffered(ctx context.Context, s messenger.SendExchange, timer *attemptTimer, response *http.Response) attemptEnd {
 	body, err := io.ReadAll(io.LimitReader(response.Body, int64(maxBufferedAnswer)+1))
 	if err != nil {
-		return x.classifyFailure(s, timer, fullyWritten(), err)
+		return x.classifyFailure(s, timer, err)
 	}
 	if int64(len(body)) > int64(maxBufferedAnswer) {
 		return x.passUnbuffered(ctx, s, timer, response, body)
@@ -345,7 +335,7 @@
 			reason:      err.Error(),
 			done:        true,
 			abort:       true,
-			serverEnded: x.serverEnded(s, messenger.AttemptBroken, err),
+			serverEnded: x.serverEnded(s, x.connection),
 		}
 	}
 	return attemptEnd{
@@ -364,13 +354,6 @@
 	}
 }
 
-// fullyWritten returns the progress of a request whose response has begun.
-func fullyWritten() *sendProgress {
-	progress := &sendProgress{}
-	progress.written.Store(true)
-	return progress
-}
-
 // recordBegan reports the first byte or event of an attempt's answer to the decider.
 func (x *exchange) recordBegan(ctx context.Context, s messenger.SendExchange) {
 	if !x.responseBegan {
@@ -381,6 +364,7 @@
 	x.forwarder.config.Decider.Began(ctx, messenger.ExchangeBegan{
 		Exchange: x.id,
 		Attempt:  s.Attempt,
+		Peer:     x.connection.via(),
 	})
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -10,6 +10,7 @@
 //
 //   - request.go reads a whole request before anything is sent on.
 //   - attempt.go sends it to one server and classifies the result.
+//   - connect.go opens the connection, directly or through a peer.
 //   - stream.go passes on complete events, so that another server can resume
 //     after the last one.
 //   - answer.go writes answers and refusals.
@@ -17,6 +18,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -65,6 +67,7 @@
 	Ended(e messenger.ExchangeEnded)
 	LimitReceived(ctx context.Context, e messenger.ServerLimitReceived)
 	LeavingReceived(ctx context.Context, e messenger.ServerLeavingReceived)
+	PathTried(ctx context.Context, e messenger.PathTried)
 }
 
 // Head holds the metadata from a request's headers.
@@ -114,11 +117,15 @@
 
 // Config holds the dependencies and settings of a Forwarder.
 type Config struct {
+	// Self names this node to the peers through which it connects.
+	Self     identifier.VMID
 	Decider  Decider
 	Protocol Protocol
 	Clock    timekeeper.Clock
 	Logger   hclog.Logger
 	Metrics  *Metrics
+	// Dial opens the direct connections to servers. If it is nil, TCP connections are opened.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// MaxBody returns the bound of a request's body; if it is nil, a default applies.
 	MaxBody func() identifier.Bytes
 }
@@ -126,7 +133,7 @@
 // Forwarder serves callers. It is safe for concurrent use.
 type Forwarder struct {
 	config        Config
-	transport     *http.Transport
+	transports    transports
 	lastID        atomic.Uint64
 	bufferedBytes atomic.Int64
 	leaving       atomic.Bool
@@ -142,14 +149,17 @@
 	if c.Metrics == nil {
 		c.Metrics = NewMetrics()
 	}
+	if c.Dial == nil {
+		c.Dial = dialer.New().DialContext
+	}
 	return &Forwarder{
-		config:    c,
-		transport: newTransport(),
+		config:     c,
+		transports: newTransports(c),
 	}
 }
 
 // Close closes idle connections to servers.
-func (f *Forwarder) Close() { f.transport.CloseIdleConnections() }
+func (f *Forwarder) Close() { f.transports.closeIdle() }
 
 // Leave makes callers switch to other connections: each further answer closes its
 // connection.
@@ -170,7 +180,6 @@
 
 func newTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:         dialer.New().DialContext,
 		MaxIdleConnsPerHost: maxIdlePerServer,
 		IdleConnTimeout:     serverIdleTimeout,
 		// A decompressed body would differ from the server's body.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -40,6 +40,10 @@
 	attempt     int
 	limits      []messenger.ServerLimitReceived
 	leaving     []messenger.ServerLeavingReceived
+	tried       []messenger.PathTried
+	path        messenger.Path
+	// beganVia are the peers through which attempts began.
+	beganVia []identifier.VMID
 }
 
 func newFakeDecider(servers ...string) *fakeDecider {
@@ -76,6 +80,7 @@
 		Attempt:           identifier.AttemptNumber(s.attempt),
 		Server:            "i-1",
 		Address:           s.servers[s.attempt-1],
+		Path:              s.path,
 		Account:           "agency",
 		Route:             &s.route,
 		Deadline:          timekeeper.System{}.Now().Add(s.timeLimit),
@@ -84,10 +89,11 @@
 	}
 }
 
-func (s *fakeDecider) Began(context.Context, messenger.ExchangeBegan) {
+func (s *fakeDecider) Began(_ context.Context, e messenger.ExchangeBegan) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.began++
+	s.beganVia = append(s.beganVia, e.Peer)
 }
 
 func (s *fakeDecider) AttemptEnded(_ context.Context, e messenger.ExchangeAttemptEnded) messenger.Effect {
@@ -109,6 +115,12 @@
 	s.leaving = append(s.leaving, e)
 }
 
+func (s *fakeDecider) PathTried(_ context.Context, e messenger.PathTried) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tried = append(s.tried, e)
+}
+
 func (s *fakeDecider) Ended(e messenger.ExchangeEnded) { s.ended <- e }
 
 func (s *fakeDecider) results() []messenger.AttemptResult {
@@ -164,11 +176,19 @@
 
 // startForwarder starts a forwarder that uses s and returns its address.
 func startForwarder(t testing.TB, s *fakeDecider) string {
+	t.Helper()
+	return startForwarderWith(t, s, nil)
+}
+
+// startForwarderWith starts a forwarder whose direct connections are opened by dial.
+func startForwarderWith(t testing.TB, s *fakeDecider, dial func(ctx context.Context, network, address string) (net.Conn, error)) string {
 	t.Helper()
 	f := forwarder.New(forwarder.Config{
+		Self:     "entry-1",
 		Decider:  s,
 		Protocol: testProtocol{},
 		Clock:    timekeeper.System{},
+		Dial:     dial,
 		MaxBody:  func() identifier.Bytes { return 1 << 10 },
 	})
 	server := httptest.NewUnstartedServer(f)
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -32,6 +32,10 @@
 	// backoffAnswers counts the answers of servers that ask this node to send no requests
 	// for some time.
 	backoffAnswers expvar.Int
+	// tunnels counts the connections that were attempted through peers, by result, and
+	// directFailures the direct connections that failed.
+	tunnels        expvar.Map
+	directFailures expvar.Int
 	firstEvents    latencyHistogram
 	totals         latencyHistogram
 }
@@ -41,6 +45,7 @@
 	m := &Metrics{vars: new(expvar.Map).Init()}
 	m.results.Init()
 	m.statuses.Init()
+	m.tunnels.Init()
 	m.firstEvents.init()
 	m.totals.init()
 	m.vars.Set("requests", &m.requests)
@@ -49,6 +54,8 @@
 	m.vars.Set("server_limits", &m.statedLimits)
 	m.vars.Set("server_leaving", &m.leavingAnswers)
 	m.vars.Set("server_backoffs", &m.backoffAnswers)
+	m.vars.Set("tunnels", &m.tunnels)
+	m.vars.Set("direct_failures", &m.directFailures)
 	m.vars.Set("first_event_ms", &m.firstEvents)
 	m.vars.Set("whole_ms", &m.totals)
 	return m
@@ -65,6 +72,15 @@
 
 func (m *Metrics) backoffStated() { m.backoffAnswers.Add(1) }
 
+func (m *Metrics) pathTried(e messenger.PathTried) {
+	if e.Direct.Failed() {
+		m.directFailures.Add(1)
+	}
+	for _, p := range e.Peers {
+		m.tunnels.Add(string(p.Result), 1)
+	}
+}
+
 func (m *Metrics) recordFirstEvent(d timekeeper.Duration) { m.firstEvents.record(d) }
 
 func (m *Metrics) ended(status int, result messenger.AttemptResult, elapsed timekeeper.Duration) {
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -25,6 +25,8 @@
 
 	attempts int
 	server   identifier.VMID
+	// connection is that of the last attempt.
+	connection *connection
 	// lastEvent is the id of the last event that the caller received, over all
 	// attempts.
 	lastEvent string
@@ -178,6 +180,7 @@
 			RetryAfter:  end.retryAfter,
 			Backoff:     x.backoff,
 			ServerEnded: end.serverEnded,
+			PathFailed:  end.pathFailed,
 		})
 	}
 }
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -62,7 +62,7 @@
 				done:   true,
 			}
 		}
-		return x.classifyFailure(s, timer, fullyWritten(), streamError(err))
+		return x.classifyFailure(s, timer, streamError(err))
 	}
 }
 
--- a/internal/gossiper/pack.go
+++ b/internal/gossiper/pack.go
@@ -270,6 +270,7 @@
 		Key:      r.key,
 		Version:  r.statusVersion,
 		Revision: uint64(r.status.Revision),
+		Isolated: r.status.Isolated,
 	}
 	accounts := make([]identifier.AccountID, 0, len(r.status.Demand))
 	for account := range r.status.Demand {
--- a/internal/gossiper/receive.go
+++ b/internal/gossiper/receive.go
@@ -146,6 +146,7 @@
 	n := Status{
 		Revision: identifier.Revision(e.GetRevision()),
 		Demand:   map[identifier.AccountID]Demand{},
+		Isolated: e.GetIsolated(),
 	}
 	for _, d := range e.GetDemands()[:min(maxDemands, len(e.GetDemands()))] {
 		n.Demand[identifier.AccountID(d.GetAccount())] = Demand{
--- a/internal/gossiper/status.go
+++ b/internal/gossiper/status.go
@@ -16,6 +16,8 @@
 	Revision identifier.Revision
 	// Demand is the node's load by client account.
 	Demand map[identifier.AccountID]Demand
+	// Isolated reports that the node reaches no backend server itself.
+	Isolated bool
 }
 
 // Demand is the load of a client account on one node, per second.
@@ -29,7 +31,7 @@
 func (m *Members) SetStatus(n Status) {
 	n = n.rounded()
 	r := m.self
-	if r.status.Revision == n.Revision && maps.Equal(r.status.Demand, n.Demand) {
+	if r.status.Revision == n.Revision && r.status.Isolated == n.Isolated && maps.Equal(r.status.Demand, n.Demand) {
 		return
 	}
 	r.status = n
@@ -49,6 +51,12 @@
 	return statuses
 }
 
+// Isolated reports whether another node last stated that it is isolated.
+func (m *Members) Isolated(vm identifier.VMID) bool {
+	r := m.nodes.get(vm)
+	return r != nil && r.status.Isolated
+}
+
 // rounded returns n as peers receive it: rates are encoded as four-byte
 // floats.
 func (n Status) rounded() Status {
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -46,6 +46,9 @@
 	ExchangeBegan struct {
 		Exchange identifier.ExchangeID
 		Attempt  identifier.AttemptNumber
+		// Peer is the node through which the attempt was sent, or empty if it was
+		// sent directly.
+		Peer identifier.VMID
 	}
 	// ExchangeAttemptEnded reports an attempt that ended without an answer
 	// that can be passed on to the caller unchanged.
@@ -66,6 +69,9 @@
 		// ServerEnded reports whether the server's address refuses
 		// connections.
 		ServerEnded bool
+		// PathFailed reports that the attempt was not sent for lack of a path,
+		// which says nothing about the server.
+		PathFailed bool
 	}
 	// ExchangeEnded reports that nothing more is sent to the caller.
 	ExchangeEnded struct {
@@ -141,6 +147,7 @@
 		Attempt  identifier.AttemptNumber
 		Server   identifier.VMID
 		Address  string
+		Path     Path
 		Account  identifier.AccountID
 		Route    *catalog.Route
 		// Urgency is passed to the server, which runs requests with smaller
--- a/internal/messenger/vocabulary.go
+++ b/internal/messenger/vocabulary.go
@@ -54,13 +54,16 @@
 
 // The reasons.
 const (
-	ReasonNone              Reason = ""
-	ReasonUnknownService    Reason = "unknown_service"
-	ReasonAccountLimit      Reason = "account_limit"
-	ReasonOverload          Reason = "overload"
-	ReasonDeadline          Reason = "deadline"
-	ReasonDeadlineExpired   Reason = "deadline_expired"
-	ReasonNoServer          Reason = "no_server"
+	ReasonNone            Reason = ""
+	ReasonUnknownService  Reason = "unknown_service"
+	ReasonAccountLimit    Reason = "account_limit"
+	ReasonOverload        Reason = "overload"
+	ReasonDeadline        Reason = "deadline"
+	ReasonDeadlineExpired Reason = "deadline_expired"
+	ReasonNoServer        Reason = "no_server"
+	// ReasonNoPath: the node reaches no backend server, neither directly nor through a
+	// peer.
+	ReasonNoPath            Reason = "no_path"
 	ReasonLeaving           Reason = "node_leaving"
 	ReasonLogUnavailable    Reason = "log_unavailable"
 	ReasonDuplicate         Reason = "duplicate_key"
--- /dev/null
+++ b/internal/pathfinder/pathfinder.go
@@ -0,0 +1,334 @@
+// Package pathfinder decides by which path this node connects to a backend server: directly,
+// or through a peer.
+//
+// A node may be partitioned from some or all servers while callers, peers and the store
+// reach it. A direct connection that fails is therefore repeated through a peer. If the peer
+// reaches the server, the direct path is broken: further connections go through peers at once
+// until a probe succeeds. If the peer fails to connect too, the server itself is down.
+//
+// A node whose direct connections to several servers have failed, with no direct answer since,
+// is isolated. It opens no connections for peers, and has no path at all if no peer can open
+// one for it.
+//
+// The package is pure: time and a random source are passed in. Nothing in it is safe for
+// concurrent use.
+package pathfinder
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+const (
+	// isolatedServers is the number of servers to which direct connections must have failed
+	// for the node to be isolated. One may fail by itself.
+	isolatedServers = 2
+	// isolationDelay is the time without a direct answer before failed connections count as
+	// isolation. A node that lacks only some servers hears from the others within it.
+	isolationDelay = 400 * timekeeper.Millisecond
+	// noPathDelay is the time for which a node must be isolated before it rejects requests
+	// for lack of a path. Until then a few attempts show whether a server or the node fails.
+	noPathDelay = 500 * timekeeper.Millisecond
+	// failureRetention is the time for which a failed connection counts. Servers that are
+	// down as well are removed from the platform's store within it.
+	failureRetention = 5 * timekeeper.Second
+	// declineTime is the time for which a peer that could not connect is not asked again.
+	declineTime = 1 * timekeeper.Second
+	// probeInterval is the time between failed probes. Each costs servers a connection.
+	probeInterval = 500 * timekeeper.Millisecond
+	// probeTimeout is the time after which the result of a probe is taken for lost.
+	probeTimeout = 2 * timekeeper.Second
+	// maxPeers is the number of peers that an attempt may ask.
+	maxPeers = 2
+	// samples is the number of peers among which maxPeers are sought while the direct path
+	// works, so that the cost of an attempt does not grow with the cluster.
+	samples = 6
+	// maxServers bounds the servers and peers that are tracked.
+	maxServers = 8192
+)
+
+// Peers are the nodes that may open connections for this one.
+type Peers interface {
+	// Peers returns the other nodes that are not dead.
+	Peers() []gossiper.Node
+	// Isolated reports whether a node has stated that it is isolated.
+	Isolated(vm identifier.VMID) bool
+}
+
+// Config holds what a Finder decides with.
+type Config struct {
+	Zone  identifier.Zone
+	Peers Peers
+	Rand  *rand.Rand
+}
+
+// Finder holds what one node knows of its paths.
+type Finder struct {
+	config Config
+	// broken are the servers that peers reach and this node does not.
+	broken map[identifier.VMID]brokenPath
+	// failures are the times of failed direct connections to servers, as far as no peer
+	// failed too, since the last direct answer of any server.
+	failures    map[identifier.VMID]timekeeper.Time
+	lastFailure timekeeper.Time
+	// lastAnswer is the time of the last direct answer of any server.
+	lastAnswer timekeeper.Time
+	// isolatedSince is the time since which the node is isolated, or zero.
+	isolatedSince timekeeper.Time
+	// declined holds the peers that opened no tunnel, with the time until which they are not
+	// asked, and unlucky those that did not reach a server either, with the time until which
+	// others are preferred.
+	declined  map[identifier.VMID]timekeeper.Time
+	unlucky   map[identifier.VMID]timekeeper.Time
+	nextProbe timekeeper.Time
+	// probing is the time at which the probe in flight began, or zero.
+	probing timekeeper.Time
+}
+
+type brokenPath struct {
+	since  timekeeper.Time
+	probed timekeeper.Time
+}
+
+// New returns a Finder that takes all paths for sound.
+func New(c Config) *Finder {
+	return &Finder{
+		config:   c,
+		broken:   map[identifier.VMID]brokenPath{},
+		failures: map[identifier.VMID]timekeeper.Time{},
+		declined: map[identifier.VMID]timekeeper.Time{},
+		unlucky:  map[identifier.VMID]timekeeper.Time{},
+	}
+}
+
+// To returns the path to a server in an availability zone.
+func (f *Finder) To(now timekeeper.Time, server identifier.VMID, zone identifier.Zone) messenger.Path {
+	_, broken := f.broken[server]
+	path := messenger.Path{Broken: broken || f.Isolated()}
+	if path.Broken {
+		path.Peers = f.allPeers(now, zone)
+		return path
+	}
+	path.Peers = f.somePeers(now)
+	return path
+}
+
+// somePeers returns random peers among a few.
+func (f *Finder) somePeers(now timekeeper.Time) []messenger.PathPeer {
+	peers := f.config.Peers.Peers()
+	if len(peers) == 0 {
+		return nil
+	}
+	var sample []gossiper.Node
+	start := f.config.Rand.IntN(len(peers))
+	for i := range min(samples, len(peers)) {
+		sample = append(sample, peers[(start+i)%len(peers)])
+	}
+	return f.preferred(now, sample, func(gossiper.Node) bool { return true })
+}
+
+// allPeers returns random peers among all. Those in the zone of this node or of the server
+// come first, because others add bytes between zones.
+func (f *Finder) allPeers(now timekeeper.Time, zone identifier.Zone) []messenger.PathPeer {
+	peers := slices.Clone(f.config.Peers.Peers())
+	f.config.Rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return f.preferred(now, peers, func(n gossiper.Node) bool { return n.Zone == f.config.Zone || n.Zone == zone })
+}
+
+// preferred returns the first maxPeers usable nodes, those that are near before others, and
+// those that did not reach a server lately last.
+func (f *Finder) preferred(now timekeeper.Time, nodes []gossiper.Node, near func(gossiper.Node) bool) []messenger.PathPeer {
+	var ranked [3][]messenger.PathPeer
+	for _, n := range nodes {
+		if !f.usable(now, n) {
+			continue
+		}
+		rank := 1
+		switch {
+		case now.Before(f.unlucky[n.VM]):
+			rank = 2
+		case near(n):
+			rank = 0
+		}
+		ranked[rank] = append(ranked[rank], pathPeer(n))
+		if len(ranked[0]) == maxPeers {
+			break
+		}
+	}
+	all := slices.Concat(ranked[0], ranked[1], ranked[2])
+	return all[:min(maxPeers, len(all))]
+}
+
+func pathPeer(n gossiper.Node) messenger.PathPeer {
+	return messenger.PathPeer{
+		Node:    n.VM,
+		Address: n.PeerAddress,
+	}
+}
+
+// usable reports whether a peer may be asked.
+func (f *Finder) usable(now timekeeper.Time, n gossiper.Node) bool {
+	return n.State == gossiper.Alive && n.PeerAddress != "" &&
+		!f.config.Peers.Isolated(n.VM) && !now.Before(f.declined[n.VM])
+}
+
+// Isolated reports whether this node takes itself for partitioned from all servers.
+func (f *Finder) Isolated() bool { return f.isolatedSince != 0 }
+
+// Status is what a Finder knows, for the time line.
+type Status struct {
+	// Failed is the number of servers to which direct connections have failed since the last
+	// direct answer, and Broken the number of those that only peers reach.
+	Failed int
+	Broken int
+	// LastAnswerAgo is the time since a server last answered directly, or negative if none
+	// has.
+	LastAnswerAgo timekeeper.Duration
+}
+
+// Status returns what the Finder knows.
+func (f *Finder) Status(now timekeeper.Time) Status {
+	s := Status{
+		Failed:        len(f.failures),
+		Broken:        len(f.broken),
+		LastAnswerAgo: -1,
+	}
+	if f.lastAnswer != 0 {
+		s.LastAnswerAgo = now.Sub(f.lastAnswer)
+	}
+	return s
+}
+
+// NoPath reports whether the node reaches no server, neither directly nor through a peer.
+func (f *Finder) NoPath(now timekeeper.Time) bool {
+	if !f.Isolated() || now.Sub(f.isolatedSince) < noPathDelay {
+		return false
+	}
+	return !slices.ContainsFunc(f.config.Peers.Peers(), func(n gossiper.Node) bool { return f.usable(now, n) })
+}
+
+// Tried records the results of connecting to a server.
+func (f *Finder) Tried(now timekeeper.Time, e messenger.PathTried) {
+	reached, failed := false, false
+	for _, p := range e.Peers {
+		reached = reached || p.Result == messenger.Connected
+		failed = failed || p.Result.Failed()
+		switch {
+		case p.Result == messenger.ConnectUnavailable && len(f.declined) < maxServers:
+			f.declined[p.Node] = now.Add(declineTime)
+		case p.Result.Failed() && len(f.unlucky) < maxServers:
+			f.unlucky[p.Node] = now.Add(declineTime)
+		}
+	}
+	switch {
+	case e.Direct == messenger.Connected:
+		f.reachedDirectly(now, e.Server)
+	case !e.Direct.Failed():
+	case failed && !reached:
+		delete(f.failures, e.Server)
+	default:
+		f.fail(now, e.Server)
+		if _, known := f.broken[e.Server]; reached && !known && len(f.broken) < maxServers {
+			f.broken[e.Server] = brokenPath{since: now}
+		}
+	}
+}
+
+func (f *Finder) fail(now timekeeper.Time, server identifier.VMID) {
+	f.lastFailure = now
+	if len(f.failures) < maxServers {
+		f.failures[server] = now
+	}
+	f.checkIsolation(now)
+}
+
+func (f *Finder) checkIsolation(now timekeeper.Time) {
+	if !f.Isolated() && len(f.failures) >= isolatedServers && now.Sub(f.lastAnswer) >= isolationDelay {
+		f.isolatedSince = now
+	}
+}
+
+// Answered records that a server answered a request that was sent to it directly.
+func (f *Finder) Answered(now timekeeper.Time, server identifier.VMID, sent timekeeper.Time) {
+	if sent.Before(f.broken[server].since) {
+		return
+	}
+	if sent.Before(f.lastFailure) {
+		f.lastAnswer = now
+		return
+	}
+	f.reachedDirectly(now, server)
+}
+
+func (f *Finder) reachedDirectly(now timekeeper.Time, server identifier.VMID) {
+	f.lastAnswer = now
+	delete(f.broken, server)
+	clear(f.failures)
+	f.isolatedSince = 0
+}
+
+// Probed records the result of a probe.
+func (f *Finder) Probed(now timekeeper.Time, e messenger.ServerProbed) {
+	f.probing = 0
+	if e.Result == messenger.Connected {
+		f.reachedDirectly(now, e.Server)
+		f.nextProbe = 0
+	}
+}
+
+// Forget drops what is known of a server that was removed.
+func (f *Finder) Forget(server identifier.VMID) {
+	delete(f.broken, server)
+	delete(f.failures, server)
+}
+
+// Tick drops what is outdated.
+func (f *Finder) Tick(now timekeeper.Time) {
+	maps.DeleteFunc(f.failures, func(_ identifier.VMID, at timekeeper.Time) bool { return now.Sub(at) > failureRetention })
+	maps.DeleteFunc(f.unlucky, func(_ identifier.VMID, until timekeeper.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(f.declined, func(_ identifier.VMID, until timekeeper.Time) bool { return !now.Before(until) })
+	if len(f.failures) == 0 && len(f.broken) == 0 {
+		f.isolatedSince = 0
+	}
+	f.checkIsolation(now)
+}
+
+// Probe returns the server to connect to next, to notice that a path works again. An isolated
+// node probes any of the ready servers, because those that failed may have ended.
+func (f *Finder) Probe(now timekeeper.Time, ready func() []identifier.VMID) (identifier.VMID, bool) {
+	inFlight := f.probing != 0 && now.Sub(f.probing) < probeTimeout
+	if inFlight || now.Before(f.nextProbe) || len(f.broken) == 0 && !f.Isolated() {
+		return "", false
+	}
+	server, ok := f.probeTarget(now, ready)
+	if !ok {
+		return "", false
+	}
+	f.probing = now
+	f.nextProbe = now.Add(probeInterval)
+	return server, true
+}
+
+func (f *Finder) probeTarget(now timekeeper.Time, ready func() []identifier.VMID) (identifier.VMID, bool) {
+	if f.Isolated() {
+		servers := ready()
+		if len(servers) == 0 {
+			return "", false
+		}
+		return servers[f.config.Rand.IntN(len(servers))], true
+	}
+	server := slices.MinFunc(slices.Collect(maps.Keys(f.broken)), func(a, b identifier.VMID) int {
+		return cmp.Or(cmp.Compare(f.broken[a].probed, f.broken[b].probed), cmp.Compare(a, b))
+	})
+	path := f.broken[server]
+	path.probed = now
+	f.broken[server] = path
+	return server, true
+}
--- a/internal/prover/exchange_cluster_test.go
+++ b/internal/prover/exchange_cluster_test.go
@@ -532,7 +532,9 @@
 	case messenger.StoreRollout:
 		cl.storeRollout(n, e)
 	case messenger.SendExchange:
-		cl.serve(n, e)
+		cl.connect(n, e, func(peer identifier.VMID) { cl.serve(n, e, peer) })
+	case messenger.ProbeServer:
+		cl.probe(n, e)
 	case messenger.RefuseExchange:
 		cl.refuse(e)
 	case messenger.EndExchange:
@@ -700,11 +702,9 @@
 	})
 }
 
-// serve simulates an attempt at a backend server.
-func (cl *exchangeCluster) serve(n *gatewayNode, e messenger.SendExchange) {
-	if cl.failConnecting(n, e) || cl.refuseAtEnded(n, e) {
-		return
-	}
+// serve simulates an attempt at a backend server, to which it is connected directly or
+// through a peer.
+func (cl *exchangeCluster) serve(n *gatewayNode, e messenger.SendExchange, peer identifier.VMID) {
 	id := cl.requests[e.Exchange]
 	if leftAt, leaving := cl.leftAt[e.Server]; leaving && cl.now.Sub(leftAt) > maxLeaveDelay && !n.cutFromPeers && !n.cutFromStore {
 		cl.violatef("%s sends %s to %s, which left %d ms ago", n.vm, id, e.Server, cl.now.Sub(leftAt))
@@ -749,6 +749,7 @@
 			cl.apply(n, messenger.ExchangeBegan{
 				Exchange: e.Exchange,
 				Attempt:  e.Attempt,
+				Peer:     peer,
 			})
 			cl.apply(n, messenger.ExchangeEnded{
 				Exchange: e.Exchange,
--- a/internal/prover/partition_test.go
+++ b/internal/prover/partition_test.go
@@ -26,8 +26,12 @@
 	failuresPerRequest = 50
 	// openChannelTime is the time since a channel's last use for which it stays open.
 	openChannelTime = 2 * timekeeper.Second
-	// connectTimeout is the time after which a node gives up connecting to a server.
-	connectTimeout = 400 * timekeeper.Millisecond
+	// The times after which connecting to a server is given up: directly, directly while
+	// peers may connect instead, through a peer, and by the peer.
+	connectTimeout    = 400 * timekeeper.Millisecond
+	directTimeout     = 150 * timekeeper.Millisecond
+	tunnelTimeout     = 250 * timekeeper.Millisecond
+	tunnelDialTimeout = 150 * timekeeper.Millisecond
 )
 
 // partitionKind is what happens to the channels of partitioned nodes.
@@ -77,38 +81,141 @@
 	cl.at(partitionUntil, func() { clear(cl.partition.nodes) })
 }
 
-// reaches reports whether a node's packets reach a server.
-func (cl *exchangeCluster) reaches(node, server identifier.VMID) bool {
+// dial returns the result of a direct connection from a node to a server, and the time that
+// it takes.
+func (cl *exchangeCluster) dial(node, server identifier.VMID, timeout timekeeper.Duration) (messenger.ConnectResult, timekeeper.Duration) {
 	p := &cl.partition
-	if !p.nodes[node] {
-		return true
-	}
 	used, open := p.channels[channel{node, server}]
-	return p.kind == openChannelsLive && open && cl.now.Sub(used) < openChannelTime
+	live := p.kind == openChannelsLive && open && cl.now.Sub(used) < openChannelTime
+	switch {
+	case cl.ended[server]:
+		return messenger.ConnectRefused, 1
+	case !p.nodes[node] || live:
+		p.channels[channel{node, server}] = cl.now
+		return messenger.Connected, 0
+	case p.kind == channelsHang:
+		return messenger.ConnectUnreachable, timeout
+	}
+	return messenger.ConnectRefused, 1
 }
 
-// failConnecting simulates an attempt whose server can't be reached, and reports whether
-// that is so.
-func (cl *exchangeCluster) failConnecting(n *gatewayNode, e messenger.SendExchange) bool {
-	p := &cl.partition
-	if cl.reaches(n.vm, e.Server) {
-		p.channels[channel{n.vm, e.Server}] = cl.now
+// dialThrough returns the result of a connection through a peer, and the time that it takes.
+func (cl *exchangeCluster) dialThrough(n *gatewayNode, peer messenger.PathPeer, e messenger.SendExchange) (messenger.ConnectResult, timekeeper.Duration) {
+	to := cl.nodes[peer.Node]
+	if to == nil || n.cutFromPeers || to.cutFromPeers || cl.now.Before(to.frozenUntil) {
+		return messenger.ConnectUnavailable, tunnelTimeout
+	}
+	if !to.alive {
+		return messenger.ConnectUnavailable, 1
+	}
+	refusal := messenger.TunnelRefusal("")
+	for _, effect := range to.r.Apply(messenger.Event{
+		At: cl.now,
+		Body: messenger.TunnelRequested{
+			From:    n.vm,
+			Host:    string(n.vm),
+			Address: e.Address,
+		},
+	}) {
+		if a, ok := effect.(messenger.AnswerTunnel); ok {
+			refusal = a.Answer.Refusal
+		}
+	}
+	if refusal != "" {
+		return messenger.ConnectUnavailable, 1
+	}
+	cl.after(cl.serviceTime, func() { cl.apply(to, messenger.TunnelEnded{}) })
+	result, took := cl.dial(to.vm, e.Server, tunnelDialTimeout)
+	if to.vm == n.vm || cl.nodes[to.vm] != to {
+		cl.violatef("%s connects to %s through itself", n.vm, e.Server)
+	}
+	cl.apply(to, messenger.PathTried{
+		Server: e.Server,
+		Direct: result,
+	})
+	return result, took + 1
+}
+
+// connect simulates how an attempt connects to its server, directly or through a peer, and
+// calls serve with the peer if a connection is opened.
+func (cl *exchangeCluster) connect(n *gatewayNode, e messenger.SendExchange, serve func(peer identifier.VMID)) {
+	tried := messenger.PathTried{Server: e.Server}
+	took := timekeeper.Duration(0)
+	direct := func() bool {
+		timeout := connectTimeout
+		if len(e.Path.Peers) > 0 {
+			timeout = directTimeout
+		}
+		var d timekeeper.Duration
+		tried.Direct, d = cl.dial(n.vm, e.Server, timeout)
+		took += d
+		return tried.Direct == messenger.Connected
+	}
+	peer := identifier.VMID("")
+	through := func() bool {
+		for _, p := range e.Path.Peers {
+			result, d := cl.dialThrough(n, p, e)
+			took += d
+			tried.Peers = append(tried.Peers, messenger.PeerConnect{
+				Node:   p.Node,
+				Result: result,
+			})
+			if result == messenger.Connected {
+				peer = p.Node
+				return true
+			}
+		}
 		return false
 	}
-	delay := timekeeper.Duration(1)
-	if p.kind == channelsHang {
-		delay = connectTimeout
+	connected := e.Path.Broken && through() || direct() || !e.Path.Broken && through()
+	if connected && took == 0 {
+		serve(peer)
+		return
 	}
-	cl.after(delay, func() {
+	cl.after(took, func() {
+		cl.apply(n, tried)
+		if connected {
+			serve(peer)
+			return
+		}
 		cl.apply(n, messenger.ExchangeAttemptEnded{
 			Exchange:    e.Exchange,
 			Attempt:     e.Attempt,
 			Server:      e.Server,
 			Result:      messenger.AttemptNotSent,
-			ServerEnded: p.kind != channelsHang,
+			ServerEnded: refusedByAll(tried),
+			PathFailed:  unknownToAll(tried),
+		})
+	})
+}
+
+func refusedByAll(tried messenger.PathTried) bool {
+	for _, p := range tried.Peers {
+		if p.Result == messenger.ConnectRefused {
+			return true
+		}
+	}
+	return tried.Direct == messenger.ConnectRefused && len(tried.Peers) == 0
+}
+
+func unknownToAll(tried messenger.PathTried) bool {
+	for _, p := range tried.Peers {
+		if p.Result != messenger.ConnectUnavailable {
+			return false
+		}
+	}
+	return len(tried.Peers) > 0
+}
+
+// probe simulates a probe of a server.
+func (cl *exchangeCluster) probe(n *gatewayNode, e messenger.ProbeServer) {
+	result, took := cl.dial(n.vm, e.Server, connectTimeout)
+	cl.after(took+1, func() {
+		cl.apply(n, messenger.ServerProbed{
+			Server: e.Server,
+			Result: result,
 		})
 	})
-	return true
 }
 
 // recordReceived counts a request that a node receives while the partition lasts.
--- a/internal/prover/query_test.go
+++ b/internal/prover/query_test.go
@@ -78,23 +78,6 @@
 	return identifier.ContentHash(xxhash.Sum64String(string(id)))
 }
 
-// refuseAtEnded refuses an attempt if the server's process has ended, and reports whether
-// it did.
-func (cl *exchangeCluster) refuseAtEnded(n *gatewayNode, e messenger.SendExchange) bool {
-	if !cl.ended[e.Server] {
-		return false
-	}
-	cl.after(1, func() {
-		cl.apply(n, messenger.ExchangeAttemptEnded{
-			Exchange:    e.Exchange,
-			Attempt:     e.Attempt,
-			Result:      messenger.AttemptNotSent,
-			ServerEnded: true,
-		})
-	})
-	return true
-}
-
 // begin records an attempt that a server runs, and schedules a crash of the server if
 // the content is deadly.
 func (cl *exchangeCluster) begin(n *gatewayNode, e messenger.SendExchange) *serverAttempt {
--- a/internal/reducer/apply_test.go
+++ b/internal/reducer/apply_test.go
@@ -75,6 +75,10 @@
 	messenger.ServerLeavingReceived{},
 	messenger.PermitRequested{},
 	messenger.PermitAnswered{},
+	messenger.PathTried{},
+	messenger.ServerProbed{},
+	messenger.TunnelRequested{},
+	messenger.TunnelEnded{},
 }
 
 func newReducer(seed uint64) *reducer.Reducer {
--- a/internal/reducer/following.go
+++ b/internal/reducer/following.go
@@ -166,7 +166,8 @@
 	return g != nil && g.catalog != nil && g.knowsAllServers && !g.draining
 }
 
-// ReadyNodes returns the nodes that may receive requests.
+// ReadyNodes returns the nodes that may receive requests. Those that reach no server
+// directly are left out while enough others do.
 func (r *Reducer) ReadyNodes() []gossiper.Node {
 	statuses := r.members.Statuses()
 	var out []gossiper.Node
@@ -178,5 +179,5 @@
 			out = append(out, n)
 		}
 	}
-	return out
+	return r.preferDirect(out)
 }
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/leaser"
 	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/pathfinder"
 	"github.com/dotterelhollow/dotterelhollow/internal/promoter"
 	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
 	"github.com/dotterelhollow/dotterelhollow/internal/registrar"
@@ -164,7 +165,11 @@
 	// permits are the permits that this node grants for limited servers.
 	permits *throttler.Permits
 	// backoffs are the times until which servers asked this node to send nothing.
-	backoffs    *throttler.Backoffs
+	backoffs *throttler.Backoffs
+	// paths are the paths on which this node connects to servers, and tunnels the number of
+	// connections that it has open for peers.
+	paths       *pathfinder.Finder
+	tunnels     int
 	localLimits *limiter.Buckets
 	// centralLimits are the account limits that this node grants while it holds the
 	// lease.
@@ -348,6 +353,7 @@
 		Limits:          g.serverLimits,
 		Permits:         g.permits,
 		Backoffs:        g.backoffs,
+		Paths:           g.paths,
 		PermitAllocator: func(server identifier.VMID) *dispatcher.Allocator { return r.permitAllocator(env, server) },
 		ConfigStale:     env.Now.Sub(g.configRead.asOf) > maxTrustedConfigAge,
 		Inputs: messenger.DecisionInputs{
@@ -444,6 +450,7 @@
 			r.gateway.exchanges.ServerLeaving(s.Server)
 		case messenger.ServerRemoved:
 			r.suspicions.Forget(s.Server)
+			r.gateway.paths.Forget(s.Server)
 			r.gateway.exchanges.ServerRemoved(r.exchangeEnv(env), s.Server)
 			out = append(out, r.inheritServerLimit(env, s.Server)...)
 		}
@@ -478,7 +485,8 @@
 	out = append(out, r.tickLeaderTasks(env)...)
 	out = append(out, r.tickRollouts(env)...)
 	out = append(out, r.tickQuarantine(env)...)
-	if g.draining && !g.exiting && !env.Now.Before(g.earliestExit) && g.exchanges.InFlight() == 0 {
+	out = append(out, r.tickPaths(env)...)
+	if g.draining && !g.exiting && !env.Now.Before(g.earliestExit) && g.exchanges.InFlight() == 0 && g.tunnels == 0 {
 		g.exiting = true
 		out = append(out, messenger.Exit{})
 	}
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -136,6 +136,7 @@
 	r.members.SetStatus(gossiper.Status{
 		Revision: revision,
 		Demand:   r.ownDemand(env.Now),
+		Isolated: r.gateway != nil && r.gateway.paths.Isolated(),
 	})
 	messages, changes := r.members.Tick(env.Now, r.rand)
 	var out []messenger.Effect
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -20,6 +20,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
 	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/pathfinder"
 	"github.com/dotterelhollow/dotterelhollow/internal/planner"
 	"github.com/dotterelhollow/dotterelhollow/internal/provisioner"
 	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
@@ -117,6 +118,11 @@
 	})
 	if c.Gateway != nil {
 		r.gateway = newGateway(c, r.quarantine)
+		r.gateway.paths = pathfinder.New(pathfinder.Config{
+			Zone:  c.Zone,
+			Peers: pathPeers{r},
+			Rand:  rand.New(rand.NewPCG(c.Seed, uint64(c.Incarnation)+1)),
+		})
 		r.suspicions = detector.New(c.Gateway.suspicions())
 	}
 	return r
@@ -243,6 +249,8 @@
 		messenger.ServerLeavingReceived,
 		messenger.PermitRequested, messenger.PermitAnswered:
 		return r.gatewayEvent(env, b)
+	case messenger.PathTried, messenger.ServerProbed, messenger.TunnelRequested, messenger.TunnelEnded:
+		return r.pathEvent(env, b)
 
 	case messenger.BuyEnded:
 		return r.provisioner.BuyEnded(env.Now, b)
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -414,6 +414,28 @@
 	return s, ok
 }
 
+// ServerAt returns the server that is published at an address and not removed.
+func (t *Table) ServerAt(address string) (*Server, bool) {
+	for _, s := range t.servers {
+		if s.Address == address && s.State != messenger.ServerRemoved {
+			return s, true
+		}
+	}
+	return nil, false
+}
+
+// Ready returns the servers that are ready, sorted by id.
+func (t *Table) Ready() []identifier.VMID {
+	var out []identifier.VMID
+	for id, s := range t.servers {
+		if s.State == messenger.ServerReady {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // ServersOf returns the servers of a service that are not removed, sorted by id. The
 // caller must not change the slice.
 //
--- a/internal/runner/effect.go
+++ b/internal/runner/effect.go
@@ -68,6 +68,10 @@
 		r.requestPermit(e)
 	case messenger.AnswerPermit:
 		r.permitRequests.answer(e.Ticket, e.Answer)
+	case messenger.ProbeServer:
+		r.probeServer(e)
+	case messenger.AnswerTunnel:
+		r.tunnelRequests.answer(e.Ticket, e.Answer)
 	case messenger.SendStateUpdate:
 		r.sendStateUpdate(e)
 	case messenger.OrderServers:
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -31,6 +31,8 @@
 	droppedEvents    expvar.Int
 	droppedEffects   expvar.Int
 	evicted          expvar.Int
+	tunnelRequests   expvar.Map
+	probes           expvar.Map
 	loopLag          lagWindow
 }
 
@@ -53,6 +55,8 @@
 		"dropped_events":    &m.droppedEvents,
 		"dropped_effects":   &m.droppedEffects,
 		"evicted_answers":   &m.evicted,
+		"tunnel_requests":   m.tunnelRequests.Init(),
+		"server_probes":     m.probes.Init(),
 		"loop_lag_ms":       &m.loopLag,
 	} {
 		m.vars.Set(name, v)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -127,10 +127,12 @@
 	proposals    map[identifier.Ticket]chan messenger.ChangeVerdict
 	lastProposal identifier.Ticket
 	exchanges    map[identifier.ExchangeID]chan messenger.Effect
-	// limitRequests and permitRequests are the pending requests of peers for a
-	// part of an account's limit and for a permit to send to a server.
+	// limitRequests, permitRequests and tunnelRequests are the pending requests of
+	// peers for a part of an account's limit, for a permit to send to a server and for
+	// a tunnel to a server.
 	limitRequests   pendingRequests[messenger.LimitAnswered]
 	permitRequests  pendingRequests[messenger.PermitAnswered]
+	tunnelRequests  pendingRequests[messenger.TunnelAnswer]
 	finalMessages   int           // messages to peers that the node's exit waits for
 	listenersClosed chan struct{} // closed when the listeners have closed
 	// orders assigns sequence numbers to orders for servers.
