Refuse at once what a node without any path can't serve

What callers saw: with all nodes partitioned, 49 of 400 (6 nodes) and 999 of 3,000 requests (69 nodes) were refused after more than 50 ms, most after 150 ms or several times that.

Cause: failed connections counted for five seconds, but a node without a path makes none, so that it took itself for sound again and let requests try each server; and an attempt of an isolated node tried the direct path after its peers had declined. Ruled out: the time until nodes are isolated (all 69 are within a second).

Change: a failed probe counts too, isolated nodes send through peers only, and after three attempts without a path the request is refused. TestPartitionOfAllNodesRefusesAtOnce failed before.

Partitions beside each fault of the matrix, stated limits and pauses through peers, the return to the direct path within 1.5 s and who may use a tunnel are tests now; they passed at once.

--- a/internal/dispatcher/repeat.go
+++ b/internal/dispatcher/repeat.go
@@ -23,7 +23,10 @@
 	// prompt just before its first event would mean to read it again elsewhere.
 	firstEventPredictions = 2
 	// A stream is late after one maximum gap, and callers give up after eight.
-	nextEventGaps       = 4
+	nextEventGaps = 4
+	// maxPathAttempts is the number of attempts after which an isolated node that finds no
+	// peer to connect through refuses the request. Each asks other peers.
+	maxPathAttempts     = 3
 	minNextEventTimeout = 1 * timekeeper.Second
 )
 
@@ -56,7 +59,8 @@
 	if x.deadline.Sub(env.Now) < minAttemptTime {
 		return d.end(env, x, e, messenger.ReasonDeadlineExpired)
 	}
-	if env.Paths.NoPath(env.Now) {
+	lacksPath := e.PathFailed && env.Paths.Isolated() && int(e.Attempt) >= maxPathAttempts
+	if lacksPath || env.Paths.NoPath(env.Now) {
 		return d.end(env, x, e, messenger.ReasonNoPath)
 	}
 	if _, ok := d.choose(env, x); !ok {
--- a/internal/forwarder/connect.go
+++ b/internal/forwarder/connect.go
@@ -169,6 +169,8 @@
 	switch {
 	case len(path.Peers) == 0:
 		return []*http.Transport{t.direct}
+	case path.Isolated:
+		return []*http.Transport{t.tunnel}
 	case path.Broken:
 		return []*http.Transport{t.tunnel, t.direct}
 	}
--- a/internal/messenger/path.go
+++ b/internal/messenger/path.go
@@ -7,6 +7,9 @@
 	// Broken reports that this node's own connections to the server fail, so that the
 	// attempt connects through a peer first.
 	Broken bool
+	// Isolated reports that this node reaches no server, so that the attempt connects
+	// through peers only.
+	Isolated bool
 	// Peers are the nodes through which the attempt may connect, the preferred one first.
 	Peers []PathPeer
 }
--- a/internal/pathfinder/pathfinder.go
+++ b/internal/pathfinder/pathfinder.go
@@ -111,7 +111,10 @@
 // To returns the path to a server in an availability zone.
 func (f *Finder) To(now timekeeper.Time, server identifier.VMID, zone identifier.Zone) messenger.Path {
 	_, broken := f.broken[server]
-	path := messenger.Path{Broken: broken || f.Isolated()}
+	path := messenger.Path{
+		Broken:   broken || f.Isolated(),
+		Isolated: f.Isolated(),
+	}
 	if path.Broken {
 		path.Peers = f.allPeers(now, zone)
 		return path
@@ -274,12 +277,16 @@
 	f.isolatedSince = 0
 }
 
-// Probed records the result of a probe.
+// Probed records the result of a probe. An isolated node may make no other connections, so
+// that failed probes are all that shows it is still isolated.
 func (f *Finder) Probed(now timekeeper.Time, e messenger.ServerProbed) {
 	f.probing = 0
-	if e.Result == messenger.Connected {
+	switch {
+	case e.Result == messenger.Connected:
 		f.reachedDirectly(now, e.Server)
 		f.nextProbe = 0
+	case f.Isolated():
+		f.fail(now, e.Server)
 	}
 }
 
--- a/internal/prover/exchange_cluster_test.go
+++ b/internal/prover/exchange_cluster_test.go
@@ -767,6 +767,7 @@
 
 func (cl *exchangeCluster) refuse(e messenger.RefuseExchange) {
 	cl.refused++
+	cl.recordRefused(e.Exchange)
 	cl.recordRefusal(e)
 	if id := cl.requests[e.Exchange]; len(cl.ranAt[id]) > 0 {
 		cl.violatef("%s was refused and ran at %v", id, cl.ranAt[id])
--- /dev/null
+++ b/internal/prover/partition_faults_test.go
@@ -0,0 +1,159 @@
+package prover
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// Faults beside a partition must break no rule: nothing runs twice, no refused request runs,
+// and servers that leave get no requests.
+func TestPartitionBesideFaults(t *testing.T) {
+	for _, kind := range []partitionKind{channelsHang, channelsRefused, openChannelsLive} {
+		t.Run(string(kind), func(t *testing.T) {
+			testDuringFaults(t, func(cl *exchangeCluster) { cl.partitionNodes(2, kind) })
+		})
+	}
+}
+
+// A limit that a server states binds requests through peers too.
+func TestLimitsHoldThroughPeers(t *testing.T) {
+	for _, kind := range []partitionKind{channelsHang, openChannelsLive} {
+		t.Run(string(kind), func(t *testing.T) {
+			cl := newSizedCluster(t, 1, fewNodes)
+			for i := range 3 {
+				cl.limit(exchangeServer(i), 8)
+			}
+			cl.partitionNodes(3, kind)
+			cl.run()
+			require.Empty(t, cl.violations)
+		})
+	}
+}
+
+// A pause that a server asks for binds requests through peers too.
+func TestBackoffsHoldThroughPeers(t *testing.T) {
+	cl := newSizedCluster(t, 1, fewNodes)
+	for i := range 3 {
+		cl.rejectAll(exchangeServer(i), 3*timekeeper.Second)
+	}
+	cl.partitionNodes(3, channelsHang)
+	cl.run()
+	require.Empty(t, cl.violations)
+}
+
+// What nobody can serve must be refused at once, and served soon after the partition.
+func TestPartitionOfAllNodesRefusesAtOnce(t *testing.T) {
+	for _, size := range []clusterSize{fewNodes, manyNodes(69)} {
+		for _, kind := range []partitionKind{channelsHang, channelsRefused} {
+			t.Run(fmt.Sprintf("%d nodes, %s", size.nodes, kind), func(t *testing.T) {
+				cl := newSizedCluster(t, 1, size)
+				cl.partitionNodes(size.nodes, kind)
+				cl.run()
+				require.Empty(t, cl.violations)
+				p := &cl.partition
+				require.NotEmpty(t, p.receivers)
+				late := 0
+				for id := range p.receivers {
+					if p.refusedAfter[id] > maxRefusalTime {
+						late++
+					}
+				}
+				require.LessOrEqual(t, late, len(p.receivers)/failuresPerRequest+maxFailures, "of %d", len(p.receivers))
+				require.Greater(t, cl.servedFrom(partitionUntil+partitionRecovery), minServedRatio)
+			})
+		}
+	}
+}
+
+// Guards against tunnels long after the partition.
+func TestRequestsReturnToTheDirectPath(t *testing.T) {
+	for _, size := range []clusterSize{fewNodes, manyNodes(69)} {
+		cl := newSizedCluster(t, 1, size)
+		cl.partitionNodes(size.nodes/3, channelsHang)
+		cl.run()
+		require.Positive(t, cl.partition.tunnels)
+		require.Zero(t, cl.partition.lateTunnels, "%d nodes", size.nodes)
+	}
+}
+
+// A node that is partitioned from servers must not connect for others.
+func TestPartitionedNodesOpenNoTunnels(t *testing.T) {
+	cl := newSizedCluster(t, 1, manyNodes(69))
+	cl.partitionNodes(23, channelsHang)
+	cl.run()
+	failed := 0
+	for vm, count := range cl.partition.failedTunnels {
+		if isAmong(vm, 23) {
+			failed += count
+		}
+	}
+	require.LessOrEqual(t, failed, 23*maxFailures)
+}
+
+func isAmong(vm identifier.VMID, count int) bool {
+	for i := range count {
+		if exchangeNode(i) == vm {
+			return true
+		}
+	}
+	return false
+}
+
+// A node that is no member, or asks from another address, must get no tunnel, and a member
+// only one to a published server.
+func TestTunnelsAreForMembersAndPublishedServers(t *testing.T) {
+	cl := newExchangeCluster(t, 1)
+	cl.at(6000, func() {
+		n := cl.nodes[exchangeNode(0)]
+		for _, test := range []struct {
+			from    identifier.VMID
+			host    string
+			address string
+			want    messenger.TunnelRefusal
+		}{
+			{
+				from:    exchangeNode(1),
+				host:    string(exchangeNode(1)),
+				address: string(exchangeServer(0)),
+			},
+			{
+				from:    "stranger",
+				host:    "stranger",
+				address: string(exchangeServer(0)),
+				want:    messenger.TunnelNotMember,
+			},
+			{
+				from:    exchangeNode(1),
+				host:    "elsewhere",
+				address: string(exchangeServer(0)),
+				want:    messenger.TunnelNotMember,
+			},
+			{
+				from:    exchangeNode(1),
+				host:    string(exchangeNode(1)),
+				address: "store:80",
+				want:    messenger.TunnelNotPublished,
+			},
+		} {
+			effects := n.r.Apply(messenger.Event{
+				At: cl.now,
+				Body: messenger.TunnelRequested{
+					From:    test.from,
+					Host:    test.host,
+					Address: test.address,
+				},
+			})
+			answer := effects[0].(messenger.AnswerTunnel).Answer
+			require.Equal(t, test.want, answer.Refusal, "%+v", test)
+		}
+		cl.apply(n, messenger.TunnelEnded{})
+	})
+	cl.run()
+	require.Empty(t, cl.violations)
+}
