Vouch for entries only since they are known

Cause: an update said that it holds the changes of the last two seconds, also from a node that started within them; its first read is no change. A survivor whose data was younger than two seconds took over the age without the change. Complete tables and rounds of relays had the same gap. Ruled out: lost messages (later changes arrive), a store that survivors can't read (they do not try).

Change: the span of an update, a complete table or a round is no longer than the time for which its sender has known all entries; a complete table counts all the same if it has all servers of the receiver. Changes from a table that arrives later are passed on, and the copy of all entries for one instant is dropped with each change.

TestUpdatesSince demanded that changes from a later complete table are not passed on; a node that vouches for them must. It checks that now, and that the first table is no change. TestContinuity states spans.

--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -265,7 +265,9 @@
 	// Round numbers the updates of a relay, from 1. Servers then holds all
 	// changes that the relay has learned of since the second last round. Other
 	// nodes leave it zero, and Servers holds the changes of the last ServersSpan.
-	Round       uint64
+	Round uint64
+	// ServersSpan is no longer than the time for which the sender has known all
+	// entries. It knows no earlier changes, and no servers that were removed earlier.
 	ServersSpan timekeeper.Duration
 	// ServersRead and ConfigurationRead are the reads of the store on which
 	// ServersAge and ConfigurationAge are based.
--- a/internal/reducer/continuity_test.go
+++ b/internal/reducer/continuity_test.go
@@ -58,22 +58,42 @@
 			Incarnation: incarnation,
 			Round:       number,
 			AllServers:  all,
+			ServersSpan: timekeeper.Minute,
 			ServersRead: messenger.Observation{Node: "a"},
 		}
 	}
 	var c continuity
-	require.False(t, c.receive(1000, 900, "a", round(1, 10, false)), "the first round of a relay")
-	require.True(t, c.receive(1100, 1050, "a", round(1, 11, false)), "known up to a time after the first round")
+	require.False(t, c.receive(1000, 900, "a", round(1, 10, false), true), "the first round of a relay")
+	require.True(t, c.receive(1100, 1050, "a", round(1, 11, false), true), "known up to a time after the first round")
 	require.Equal(t, timekeeper.Time(1100), c.acceptedAt)
-	require.True(t, c.receive(1200, 1050, "a", round(1, 13, false)), "one round lost")
-	require.True(t, c.receive(1210, 1050, "a", round(1, 12, false)), "overtaken")
-	require.False(t, c.receive(1300, 1050, "a", round(1, 16, false)), "two rounds lost")
-	require.True(t, c.receive(1400, 1050, "a", round(1, 17, true)), "all servers")
-	require.True(t, c.receive(1500, 1050, "a", round(1, 18, false)))
-	require.False(t, c.receive(1600, 1550, "a", round(2, 19, false)), "another incarnation")
+	require.True(t, c.receive(1200, 1050, "a", round(1, 13, false), true), "one round lost")
+	require.True(t, c.receive(1210, 1050, "a", round(1, 12, false), true), "overtaken")
+	require.False(t, c.receive(1300, 1050, "a", round(1, 16, false), true), "two rounds lost")
+	require.True(t, c.receive(1400, 1050, "a", round(1, 17, true), true), "all servers")
+	require.True(t, c.receive(1500, 1050, "a", round(1, 18, false), true))
+	require.False(t, c.receive(1600, 1550, "a", round(2, 19, false), true), "another incarnation")
 
 	span := messenger.StateUpdate{ServersSpan: 2000}
-	require.True(t, c.receive(5000, 3000, "b", span))
-	require.False(t, c.receive(5001, 3000, "b", span))
+	require.True(t, c.receive(5000, 3000, "b", span, true))
+	require.False(t, c.receive(5001, 3000, "b", span, true))
 	require.Equal(t, timekeeper.Time(1500), c.acceptedAt, "updates without a read of the store keep no node up to date")
+
+	started := round(3, 1, true)
+	started.ServersSpan = 100
+	require.False(t, c.receive(6000, 5800, "c", started, false), "the relay started after the receiver's data")
+	require.True(t, c.receive(6000, 5950, "c", started, false))
+	next := started
+	next.AllServers = false
+	next.Round = 2
+	require.False(t, c.receive(6100, 5800, "c", next, false))
+	next.Round = 3
+	next.AllServers = true
+	require.True(t, c.receive(6200, 5800, "c", next, true), "the relay knows all servers of the receiver")
+	next.Round = 4
+	next.AllServers = false
+	require.True(t, c.receive(6300, 5800, "c", next, false))
+	next.Round = 9
+	require.False(t, c.receive(6400, 5800, "c", next, false), "rounds lost")
+	started.Round = 0
+	require.False(t, c.receive(6000, 5800, "d", started, false))
 }
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -435,6 +435,7 @@
 func (r *Reducer) applyChangedServers(env *conductor.Env, changed []messenger.PublishedServer, direct bool) []messenger.Effect {
 	r.gateway.nextRelay = env.Now
 	r.gateway.relayPending = true
+	r.gateway.cachedEntries = nil
 	var out []messenger.Effect
 	for _, s := range changed {
 		out = append(out, messenger.TimelineEntry{
--- a/internal/reducer/relay.go
+++ b/internal/reducer/relay.go
@@ -8,6 +8,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/ranker"
+	"github.com/dotterelhollow/dotterelhollow/internal/registrar"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -194,6 +195,7 @@
 	s := g.baseUpdate(now)
 	g.round++
 	s.Round = g.round
+	s.ServersSpan = g.serversSpan(now, registrar.RemovedRetention)
 	s.Servers = g.servers.UpdatesSince(g.roundTimes[0], true)
 	g.roundTimes = [updateRepeats]timekeeper.Time{g.roundTimes[1], now - 1}
 	s.CachedPrefixes = g.exchanges.RelayedCachedPrefixUpdates(now)
--- a/internal/reducer/stateupdate.go
+++ b/internal/reducer/stateupdate.go
@@ -5,6 +5,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/ranker"
+	"github.com/dotterelhollow/dotterelhollow/internal/registrar"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
@@ -52,7 +53,8 @@
 	if s.AllServers {
 		merge = g.servers.MergeAll
 	}
-	if g.continuity.receive(env.Now, g.servers.AsOf(), e.From, s) {
+	contained := s.AllServers && g.servers.ContainedIn(s.Servers)
+	if g.continuity.receive(env.Now, g.servers.AsOf(), e.From, s, contained) {
 		g.serversRead.merge(env.Now, s.ServersAge, s.ServersRead)
 	}
 	changed := merge(env.Now, g.serversRead.asOf, s.Servers)
@@ -146,6 +148,7 @@
 	if g.serversRequested[peer.VM] && g.knowsAllServers {
 		update.Servers = g.allEntries(now).servers
 		update.AllServers = true
+		update.ServersSpan = g.serversSpan(now, registrar.RemovedRetention)
 		delete(g.serversRequested, peer.VM)
 	}
 	return messenger.SendStateUpdate{
@@ -179,6 +182,16 @@
 	return g.cachedEntries
 }
 
+// serversSpan returns the time up to limit for which this node has known all servers. A node
+// that has just started does not know what changed before.
+func (g *gateway) serversSpan(now timekeeper.Time, limit timekeeper.Duration) timekeeper.Duration {
+	known := g.servers.KnownSince()
+	if known == 0 {
+		return 0
+	}
+	return min(limit, now.Sub(known))
+}
+
 // includesReceived reports whether this node's updates include changes that it received
 // from peers. In large clusters, only those of relays do.
 func (g *gateway) includesReceived() bool { return !g.usesRelays || g.relaySince != 0 }
@@ -188,7 +201,7 @@
 	running, demand := g.exchanges.OwnLoad(now)
 	s := g.baseUpdate(now)
 	s.Servers = g.servers.UpdatesSince(now.Add(-updateWindow), g.includesReceived())
-	s.ServersSpan = updateWindow
+	s.ServersSpan = g.serversSpan(now, updateWindow)
 	s.InFlight = running
 	s.Usage = g.usage.OwnCounts(now)
 	s.Grantor = g.grantor.node
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -33,9 +33,9 @@
 	// rejects only the nodes that read for others, the rest read after 1.1 s; an outage
 	// in which entries lapse lasts for several renewal intervals.
 	minOutage = 2 * timekeeper.Second
-	// removedRetention is the time for which a removed server is remembered, so that
+	// RemovedRetention is the time for which a removed server is remembered, so that
 	// late entries from peers do not restore it. They arrive within a second.
-	removedRetention = timekeeper.Minute
+	RemovedRetention = timekeeper.Minute
 	// maxServers limits the entries of the table.
 	maxServers = 8192
 )
@@ -74,6 +74,8 @@
 	// asOf is the time up to which the entries are known, from the store or from peers.
 	asOf       timekeeper.Time
 	deferUntil timekeeper.Time
+	// knownSince is the time since which this node knows all entries, or zero.
+	knownSince timekeeper.Time
 	// source is the origin of the entries being merged.
 	source source
 }
@@ -112,9 +114,12 @@
 	}
 	t.source = source{
 		direct:  true,
-		initial: snapshot && t.asOf == 0,
+		initial: snapshot && t.knownSince == 0,
 	}
 	t.asOf = now
+	if t.source.initial {
+		t.knownSince = now
+	}
 	if snapshot {
 		entries = append(slices.DeleteFunc(slices.Clone(entries), t.isStale), t.missing(entries)...)
 	}
@@ -207,7 +212,7 @@
 		changed = append(changed, t.mergeEntry(now, removal.entry)...)
 	}
 	for id, s := range t.servers {
-		if s.State == messenger.ServerRemoved && now.Sub(s.ChangedAt) > removedRetention {
+		if s.State == messenger.ServerRemoved && now.Sub(s.ChangedAt) > RemovedRetention {
 			t.drop(id)
 			dropped = append(dropped, id)
 		}
@@ -221,9 +226,14 @@
 	return t.mergeReported(now, asOf, entries, source{})
 }
 
-// MergeAll merges a peer's complete table. Its entries are not passed on as updates.
+// MergeAll merges a peer's complete table. If it is the first that this node receives, its
+// entries are not passed on as updates.
 func (t *Table) MergeAll(now, asOf timekeeper.Time, entries []messenger.PublishedServer) []messenger.PublishedServer {
-	return t.mergeReported(now, asOf, entries, source{initial: true})
+	from := source{initial: t.knownSince == 0}
+	if from.initial {
+		t.knownSince = now
+	}
+	return t.mergeReported(now, asOf, entries, from)
 }
 
 func (t *Table) mergeReported(now, asOf timekeeper.Time, entries []messenger.PublishedServer, from source) []messenger.PublishedServer {
@@ -236,6 +246,21 @@
 	return changed
 }
 
+// ContainedIn reports whether entries hold all servers of the table that are not removed. A
+// peer's complete table then lacks no removal that this one needs.
+func (t *Table) ContainedIn(entries []messenger.PublishedServer) bool {
+	held := make(map[identifier.InstanceID]bool, len(entries))
+	for _, e := range entries {
+		held[e.Server.Instance()] = true
+	}
+	for id, s := range t.servers {
+		if s.State != messenger.ServerRemoved && !held[id.Instance()] {
+			return false
+		}
+	}
+	return true
+}
+
 func (t *Table) drop(id identifier.VMID) {
 	delete(t.servers, id)
 	clear(t.ofService)
@@ -405,6 +430,11 @@
 	return true
 }
 
+// KnownSince returns the time since which this node has known all entries, or zero. It
+// invariably knows what changed later: UpdatesSince returns all changes after this time, and
+// none of those before it.
+func (t *Table) KnownSince() timekeeper.Time { return t.knownSince }
+
 // AsOf returns the time up to which the entries are known.
 func (t *Table) AsOf() timekeeper.Time { return t.asOf }
 
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -292,8 +292,26 @@
 	require.Equal(t, []identifier.VMID{"i-2", "i-3"}, ids(start.Add(-1), true))
 	require.Equal(t, []identifier.VMID{"i-3"}, ids(start.Add(400), true))
 	table.MergeAll(start.Add(600), start.Add(550), []messenger.PublishedServer{entry("i-4", 5, messenger.ServerReady)})
-	require.Equal(t, []identifier.VMID{"i-3"}, ids(start.Add(400), true))
+	require.Equal(t, []identifier.VMID{"i-3", "i-4"}, ids(start.Add(400), true), "a node that knew all entries vouches for all later changes")
 	require.Len(t, table.All(), 4)
+
+	started := registrar.New()
+	require.Zero(t, started.KnownSince())
+	started.MergeAll(start.Add(600), start.Add(550), []messenger.PublishedServer{entry("i-4", 5, messenger.ServerReady)})
+	require.Empty(t, started.UpdatesSince(start, true), "the first complete table is no change")
+	require.Equal(t, start.Add(600), started.KnownSince())
+}
+
+// Guards against a peer's table that is taken for complete although it lacks a removal.
+func TestTableContainedInPeersTable(t *testing.T) {
+	table := registrar.New()
+	a, b := entry("i-1", 1, messenger.ServerReady), entry("i-2", 2, messenger.ServerReady)
+	require.True(t, table.ContainedIn(nil))
+	table.ApplyRead(start, []messenger.PublishedServer{a, b}, true)
+	require.True(t, table.ContainedIn([]messenger.PublishedServer{a, b}))
+	require.False(t, table.ContainedIn([]messenger.PublishedServer{a}), "it may have been removed before the peer started")
+	table.ApplyRead(start.Add(1), []messenger.PublishedServer{entry("i-2", 3, messenger.ServerRemoved)}, false)
+	require.True(t, table.ContainedIn([]messenger.PublishedServer{a}))
 }
 
 // A server that starts again under its id must be used, whatever late entries of its
