Send brittle servers no request that would have to wait

What callers would see: servers that state to be brittle (Server-Brittle) end in turn, and with them what they run. No decision read the statement.

What no server has room for is refused at once with no_room.

The simulated servers now end from the stability window after the first statement on, as the rule says, not from the statement itself.

--- a/docs/operations_test.go
+++ b/docs/operations_test.go
@@ -327,3 +327,5 @@
 func (*singleAttemptDecider) LeavingReceived(context.Context, messenger.ServerLeavingReceived) {}
 
 func (*singleAttemptDecider) PathTried(context.Context, messenger.PathTried) {}
+
+func (*singleAttemptDecider) BrittleReceived(context.Context, messenger.ServerBrittleReceived) {}
--- a/internal/dispatcher/choose.go
+++ b/internal/dispatcher/choose.go
@@ -55,6 +55,9 @@
 	// prompts that are queued at the server ahead of this one.
 	work          estimator.Work
 	queuedPrefill timekeeper.Duration
+	// slots is the number of requests that the server processes at once, or zero if it is
+	// not known.
+	slots int
 	// copyFrom is a server that probably caches more of the prompt than this one, or
 	// nil. copyTime is the time to copy that part.
 	copyFrom *registrar.Server
@@ -105,6 +108,9 @@
 			continue
 		}
 		c := d.predict(env, x, s, holders.stateOf(i))
+		if env.Brittle.Service(x.service) && !env.Brittle.HasRoom(env.Now, s.Server, c.slots, c.work.Running) {
+			continue
+		}
 		switch {
 		case env.Suspicions.Suspect(env.Now, s.Server):
 			suspected = append(suspected, c)
@@ -199,7 +205,10 @@
 	}
 	rates := d.estimator(x.service)
 	cached := cache.cached
-	c := choice{server: s}
+	c := choice{
+		server: s,
+		slots:  slots,
+	}
 	if cache.copyFrom != nil && backend.CopyTokensPerMS > 0 {
 		c.copyFrom = cache.copyFrom
 		c.copyTime = copySetup + timekeeper.Duration(float64(cache.copyTokens-cache.cached)/backend.CopyTokensPerMS)
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -76,7 +76,9 @@
 	Permits         *throttler.Permits
 	PermitAllocator func(server identifier.VMID) *Allocator
 	// Backoffs are the servers that rejected requests of this node and asked for a pause.
-	Backoffs   *throttler.Backoffs
+	Backoffs *throttler.Backoffs
+	// Brittle are the services whose servers end if they have to reject many requests.
+	Brittle    *throttler.Brittle
 	Retries    *retrier.Allowance
 	Suspicions *detector.Suspicions
 	// Paths are the paths on which this node connects to servers.
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -112,6 +112,7 @@
 			Limits:          throttler.New(),
 			Permits:         throttler.NewPermits(),
 			Backoffs:        throttler.NewBackoffs(),
+			Brittle:         throttler.NewBrittle(),
 			Paths:           pathfinder.New(pathfinder.Config{Peers: noPeers{}}),
 			PermitAllocator: func(identifier.VMID) *dispatcher.Allocator { return nil },
 			Rand:            rand.New(rand.NewPCG(1, 2)),
--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -90,7 +90,15 @@
 	if due, waiting := d.nextServerIn(env, x); waiting {
 		retryAfter = due
 	}
-	return d.refuse(env, x.spec.Exchange, notRunRefusal(messenger.ReasonNoServer, jitter(env, retryAfter)))
+	return d.refuse(env, x.spec.Exchange, notRunRefusal(env.noServerReason(x), jitter(env, retryAfter)))
+}
+
+// noServerReason returns the reason why no server can receive an exchange.
+func (env Env) noServerReason(x *exchange) messenger.Reason {
+	if env.Brittle.Service(x.service) {
+		return messenger.ReasonNoRoom
+	}
+	return messenger.ReasonNoServer
 }
 
 // refuseNoPath refuses a request because this node reaches no server. The caller's next
@@ -231,6 +239,7 @@
 	return messenger.SendExchange{
 		CopyFrom:          copyFrom,
 		Limited:           limited,
+		Brittle:           env.Brittle.Service(x.service),
 		Inputs:            inputs,
 		Exchange:          x.spec.Exchange,
 		Attempt:           x.attempt,
--- a/internal/dispatcher/repeat.go
+++ b/internal/dispatcher/repeat.go
@@ -49,7 +49,12 @@
 		env.Suspicions.Observe(env.Now, x.current.server, detector.Observation{Kind: kind})
 	}
 	env = env.forExchange(x)
+	server := x.current.server
 	d.recordAttemptEnd(env, x, e)
+	if e.Result == messenger.AttemptRefused && env.Brittle.Service(x.service) {
+		running, _ := d.loads.serverLoad(env.Now, server)
+		env.Brittle.Rejected(env.Now, x.service, server, running)
+	}
 	if d.quarantined(env, x) != nil {
 		return d.end(env, x, e, messenger.ReasonServersEnded)
 	}
@@ -64,7 +69,7 @@
 		return d.end(env, x, e, messenger.ReasonNoPath)
 	}
 	if _, ok := d.choose(env, x); !ok {
-		return d.end(env, x, e, messenger.ReasonNoServer)
+		return d.end(env, x, e, env.noServerReason(x))
 	}
 	if e.Result != messenger.AttemptNotSent && !env.Retries.Spend(env.Now, x.service) {
 		return d.end(env, x, e, messenger.ReasonRetriesExhausted)
@@ -72,7 +77,7 @@
 	x.lastEnded = e
 	effect, ok := d.place(env, x)
 	if !ok {
-		return d.end(env, x, e, messenger.ReasonNoServer)
+		return d.end(env, x, e, env.noServerReason(x))
 	}
 	return effect
 }
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -105,6 +105,7 @@
 	if !ofAnother && !reply.Misdirected {
 		x.reportLimit(ctx, s, sent, reply)
 		x.reportLeaving(ctx, s, sent, reply)
+		x.reportBrittle(ctx, s, sent, reply)
 		x.recordBackoff(reply)
 	}
 	switch {
@@ -180,6 +181,29 @@
 	})
 }
 
+// reportBrittle reports that a server states to be brittle, or no longer does. As with limits,
+// an unsigned answer does not end it.
+func (x *exchange) reportBrittle(ctx context.Context, s messenger.SendExchange, sent timekeeper.Time, reply Reply) {
+	x.brittle = reply.Brittle.Stated
+	if reply.Brittle.Malformed {
+		x.forwarder.config.Metrics.brittleMalformed()
+		x.forwarder.config.Logger.Warn("brittle statement ignored", "request", x.head.Request, "server", s.Server)
+		return
+	}
+	ended := s.Brittle && reply.Signed
+	if !reply.Brittle.Stated && !ended {
+		return
+	}
+	if reply.Brittle.Stated {
+		x.forwarder.config.Metrics.brittleStated(reply.NotRun)
+	}
+	x.forwarder.config.Decider.BrittleReceived(ctx, messenger.ServerBrittleReceived{
+		Server:  s.Server,
+		Sent:    sent,
+		Brittle: reply.Brittle,
+	})
+}
+
 // recordBackoff records the time for which a server asks this node to send it no requests.
 func (x *exchange) recordBackoff(reply Reply) {
 	x.backoff = reply.Backoff
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -67,6 +67,7 @@
 	Ended(e messenger.ExchangeEnded)
 	LimitReceived(ctx context.Context, e messenger.ServerLimitReceived)
 	LeavingReceived(ctx context.Context, e messenger.ServerLeavingReceived)
+	BrittleReceived(ctx context.Context, e messenger.ServerBrittleReceived)
 	PathTried(ctx context.Context, e messenger.PathTried)
 }
 
@@ -100,6 +101,8 @@
 	Limit messenger.StatedLimit
 	// Leaving reports that the server states that it is leaving.
 	Leaving bool
+	// Brittle is what the server states of the rejections that it can bear.
+	Brittle messenger.StatedBrittle
 }
 
 // Protocol translates the header names that callers and servers use. It is called from
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -42,6 +42,7 @@
 	leaving     []messenger.ServerLeavingReceived
 	tried       []messenger.PathTried
 	path        messenger.Path
+	brittle     []messenger.ServerBrittleReceived
 	// beganVia are the peers through which attempts began.
 	beganVia []identifier.VMID
 }
@@ -115,6 +116,12 @@
 	s.leaving = append(s.leaving, e)
 }
 
+func (s *fakeDecider) BrittleReceived(_ context.Context, e messenger.ServerBrittleReceived) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.brittle = append(s.brittle, e)
+}
+
 func (s *fakeDecider) PathTried(_ context.Context, e messenger.PathTried) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -32,6 +32,11 @@
 	// backoffAnswers counts the answers of servers that ask this node to send no requests
 	// for some time.
 	backoffAnswers expvar.Int
+	// brittleAnswers counts the answers that state that their server is brittle, brittleRejections
+	// those of them that reject a request, and malformedBrittle statements that can't be read.
+	brittleAnswers    expvar.Int
+	brittleRejections expvar.Int
+	malformedBrittle  expvar.Int
 	// tunnels counts the connections that were attempted through peers, by result, and
 	// directFailures the direct connections that failed.
 	tunnels        expvar.Map
@@ -54,6 +59,9 @@
 	m.vars.Set("server_limits", &m.statedLimits)
 	m.vars.Set("server_leaving", &m.leavingAnswers)
 	m.vars.Set("server_backoffs", &m.backoffAnswers)
+	m.vars.Set("server_brittle", &m.brittleAnswers)
+	m.vars.Set("brittle_rejections", &m.brittleRejections)
+	m.vars.Set("brittle_malformed", &m.malformedBrittle)
 	m.vars.Set("tunnels", &m.tunnels)
 	m.vars.Set("direct_failures", &m.directFailures)
 	m.vars.Set("first_event_ms", &m.firstEvents)
@@ -72,6 +80,15 @@
 
 func (m *Metrics) backoffStated() { m.backoffAnswers.Add(1) }
 
+func (m *Metrics) brittleStated(rejected bool) {
+	m.brittleAnswers.Add(1)
+	if rejected {
+		m.brittleRejections.Add(1)
+	}
+}
+
+func (m *Metrics) brittleMalformed() { m.malformedBrittle.Add(1) }
+
 func (m *Metrics) pathTried(e messenger.PathTried) {
 	if e.Direct.Failed() {
 		m.directFailures.Add(1)
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -38,6 +38,8 @@
 	statedLimit messenger.StatedLimit
 	// serverLeaving reports that the server of the last attempt stated that it is leaving.
 	serverLeaving bool
+	// brittle reports that the server of the last attempt stated that it is brittle.
+	brittle bool
 	// backoff is the time for which the server of the last attempt asked this node to
 	// send it no requests.
 	backoff       timekeeper.Duration
@@ -153,6 +155,7 @@
 		x.server = send.Server
 		x.statedLimit = messenger.StatedLimit{}
 		x.serverLeaving = false
+		x.brittle = false
 		x.backoff = 0
 		x.inputs = send.Inputs
 		end := x.attempt(ctx, send)
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -161,6 +161,8 @@
 		CopyFrom string
 		// Limited reports whether the server is known to state a limit.
 		Limited bool
+		// Brittle reports whether the service's servers are known to be brittle.
+		Brittle bool
 		// FirstEventTimeout and NextEventTimeout limit the time until the
 		// first event and between events. They are zero if no other server
 		// could continue the request.
--- a/internal/messenger/serverlimit.go
+++ b/internal/messenger/serverlimit.go
@@ -31,6 +31,25 @@
 	Sent timekeeper.Time
 }
 
+// StatedBrittle is what an answer states of a brittle server. All servers of a service state
+// it at the same time.
+type StatedBrittle struct {
+	Stated bool
+	// Rejections is the number of requests that the server can reject in a second.
+	Rejections int
+	// Malformed reports a statement that can't be read; it binds nobody.
+	Malformed bool
+}
+
+// ServerBrittleReceived reports that an answer of a backend server states that the server is
+// brittle, or does not although its service was known to be.
+type ServerBrittleReceived struct {
+	Server identifier.VMID
+	// Sent is the time at which the answered request was sent.
+	Sent    timekeeper.Time
+	Brittle StatedBrittle
+}
+
 // ServerLimit is a node's knowledge of a server that states a limit, or
 // recently did.
 type ServerLimit struct {
@@ -77,6 +96,7 @@
 
 func (ServerLimitReceived) eventBody()   {}
 func (ServerLeavingReceived) eventBody() {}
+func (ServerBrittleReceived) eventBody() {}
 func (PermitAnswered) eventBody()        {}
 func (PermitRequested) eventBody()       {}
 
--- a/internal/messenger/vocabulary.go
+++ b/internal/messenger/vocabulary.go
@@ -61,6 +61,8 @@
 	ReasonDeadline        Reason = "deadline"
 	ReasonDeadlineExpired Reason = "deadline_expired"
 	ReasonNoServer        Reason = "no_server"
+	// ReasonNoRoom: the service's servers are brittle, and none is known to have a free slot.
+	ReasonNoRoom Reason = "no_room"
 	// ReasonNoPath: the node reaches no backend server, neither directly nor through a
 	// peer.
 	ReasonNoPath            Reason = "no_path"
--- a/internal/prover/brittle_test.go
+++ b/internal/prover/brittle_test.go
@@ -48,6 +48,12 @@
 	return cl.brittle.enabled && at >= brittleFrom && at < brittleUntil
 }
 
+// endsOnRejections reports whether servers let fewer requests wait, and end if they reject
+// many: the stability window after they began to state it.
+func (cl *exchangeCluster) endsOnRejections() bool {
+	return cl.isBrittle() && cl.now.Sub(exchangeStart) >= brittleFrom+stabilityWindow
+}
+
 // lacksRoom simulates the admission of a request at a server, and reports whether the server
 // rejects it.
 func (cl *exchangeCluster) lacksRoom(n *gatewayNode, e messenger.SendExchange) bool {
@@ -56,7 +62,7 @@
 		return false
 	}
 	queue := usualQueue
-	if cl.isBrittle() && cl.now.Sub(exchangeStart) >= brittleFrom+stabilityWindow {
+	if cl.endsOnRejections() {
 		queue = brittleQueue
 	}
 	if b.running[e.Server] < serverSlots+queue {
@@ -74,7 +80,7 @@
 			Result:   messenger.AttemptRefused,
 		})
 	})
-	if cl.isBrittle() {
+	if cl.endsOnRejections() {
 		cl.countRejection(e.Server)
 	}
 	return true
@@ -109,7 +115,19 @@
 }
 
 // stateBrittle reports to a node whether a server's answer states that it is brittle.
-func (cl *exchangeCluster) stateBrittle(*gatewayNode, identifier.VMID, timekeeper.Time) {}
+func (cl *exchangeCluster) stateBrittle(n *gatewayNode, server identifier.VMID, sent timekeeper.Time) {
+	if !cl.brittle.enabled {
+		return
+	}
+	cl.apply(n, messenger.ServerBrittleReceived{
+		Server: server,
+		Sent:   sent,
+		Brittle: messenger.StatedBrittle{
+			Stated:     cl.isBrittle(),
+			Rejections: maxBrittleRejections,
+		},
+	})
+}
 
 // Guards against nodes that together send brittle servers more than they have room for, which
 // then end one after the other.
--- a/internal/reducer/apply_test.go
+++ b/internal/reducer/apply_test.go
@@ -75,6 +75,7 @@
 	messenger.ServerLeavingReceived{},
 	messenger.PermitRequested{},
 	messenger.PermitAnswered{},
+	messenger.ServerBrittleReceived{},
 	messenger.PathTried{},
 	messenger.ServerProbed{},
 	messenger.TunnelRequested{},
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -166,6 +166,8 @@
 	permits *throttler.Permits
 	// backoffs are the times until which servers asked this node to send nothing.
 	backoffs *throttler.Backoffs
+	// brittle are the services whose servers state to be brittle.
+	brittle *throttler.Brittle
 	// paths are the paths on which this node connects to servers, and tunnels the number of
 	// connections that it has open for peers.
 	paths       *pathfinder.Finder
@@ -264,6 +266,7 @@
 		serverLimits: throttler.New(),
 		permits:      throttler.NewPermits(),
 		backoffs:     throttler.NewBackoffs(),
+		brittle:      throttler.NewBrittle(),
 		localLimits:  limiter.NewLocal(),
 		leases: leaser.New(leaser.Config{
 			Self:        c.Self,
@@ -312,7 +315,7 @@
 		return r.serversOrdered(env, b)
 	case messenger.UsageReported:
 		return r.usageReported(b)
-	case messenger.ServerLimitReceived, messenger.ServerLeavingReceived:
+	case messenger.ServerLimitReceived, messenger.ServerLeavingReceived, messenger.ServerBrittleReceived:
 		return r.serverStated(env, body)
 	case messenger.PermitRequested:
 		return r.permitRequested(env, b)
@@ -353,6 +356,7 @@
 		Limits:          g.serverLimits,
 		Permits:         g.permits,
 		Backoffs:        g.backoffs,
+		Brittle:         g.brittle,
 		Paths:           g.paths,
 		PermitAllocator: func(server identifier.VMID) *dispatcher.Allocator { return r.permitAllocator(env, server) },
 		ConfigStale:     env.Now.Sub(g.configRead.asOf) > maxTrustedConfigAge,
@@ -468,6 +472,7 @@
 		g.serverLimits.Forget(server)
 		g.permits.Forget(server)
 		g.backoffs.Forget(server)
+		g.brittle.Forget(server)
 	}
 	if g.startedAt == 0 {
 		g.startedAt = env.Now
@@ -479,6 +484,7 @@
 	r.divideLimits(env)
 	g.serverLimits.Tick(env.Now)
 	g.backoffs.Tick(env.Now)
+	out = append(out, r.tickBrittle(env)...)
 	if !env.Now.Before(g.nextUpdate) {
 		out = append(out, r.sendUpdates(env)...)
 	}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -246,7 +246,7 @@
 		messenger.ServersPublished,
 		messenger.ServersOrdered, messenger.UsageReported, messenger.LimitAnswered, messenger.LimitRequested,
 		messenger.RolloutsClaimed, messenger.RolloutStored, messenger.ServerLimitReceived,
-		messenger.ServerLeavingReceived,
+		messenger.ServerLeavingReceived, messenger.ServerBrittleReceived,
 		messenger.PermitRequested, messenger.PermitAnswered:
 		return r.gatewayEvent(env, b)
 	case messenger.PathTried, messenger.ServerProbed, messenger.TunnelRequested, messenger.TunnelEnded:
--- a/internal/reducer/serverstated.go
+++ b/internal/reducer/serverstated.go
@@ -5,6 +5,7 @@
 
 	"github.com/dotterelhollow/dotterelhollow/internal/conductor"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 )
 
 // serverStated applies what a server states of itself in an answer to this node.
@@ -14,6 +15,8 @@
 		return r.serverLimitReceived(env, b)
 	case messenger.ServerLeavingReceived:
 		return r.serverLeavingReceived(env, b)
+	case messenger.ServerBrittleReceived:
+		return r.serverBrittleReceived(env, b)
 	}
 	return nil
 }
@@ -34,3 +37,39 @@
 	r.gateway.nextUpdate = min(r.gateway.nextUpdate, env.Now.Add(updateBatchDelay))
 	return append([]messenger.Effect{stated}, r.applyChangedServers(env, changed, true)...)
 }
+
+// serverBrittleReceived applies what an answer to this node states of its service's servers.
+// Every answer states it, so that peers need no message.
+func (r *Reducer) serverBrittleReceived(env *conductor.Env, e messenger.ServerBrittleReceived) []messenger.Effect {
+	server, known := r.gateway.servers.Server(e.Server)
+	if !known || !r.gateway.brittle.Observe(env.Now, server.Service, e) {
+		return nil
+	}
+	if !e.Brittle.Stated {
+		return []messenger.Effect{brittleEnded(server.Service)}
+	}
+	return []messenger.Effect{
+		messenger.TimelineEntry{
+			Kind:   "service_brittle",
+			VM:     e.Server,
+			Detail: fmt.Sprintf("service=%s rejections=%d", server.Service, e.Brittle.Rejections),
+		},
+	}
+}
+
+// tickBrittle ends what no answer has stated for some time.
+func (r *Reducer) tickBrittle(env *conductor.Env) []messenger.Effect {
+	r.gateway.brittle.SetNodes(len(r.ranking.Peers()) + 1)
+	var out []messenger.Effect
+	for _, service := range r.gateway.brittle.Tick(env.Now) {
+		out = append(out, brittleEnded(service))
+	}
+	return out
+}
+
+func brittleEnded(service identifier.ServiceName) messenger.Effect {
+	return messenger.TimelineEntry{
+		Kind:   "service_sound",
+		Detail: fmt.Sprintf("service=%s", service),
+	}
+}
--- a/internal/runner/exchange.go
+++ b/internal/runner/exchange.go
@@ -45,6 +45,11 @@
 	r.emit(context.WithoutCancel(ctx), e)
 }
 
+// BrittleReceived implements forwarder.Decider.
+func (r *Runner) BrittleReceived(ctx context.Context, e messenger.ServerBrittleReceived) {
+	r.emit(context.WithoutCancel(ctx), e)
+}
+
 // decide applies an event and returns the effect that answers it, or nil if ctx
 // ends before the loop accepts the event or the node stops. The decision may
 // require a call to a peer.
