--- a/internal/forwarder/connect_test.go
+++ b/internal/forwarder/connect_test.go
@@ -109,8 +109,7 @@
 	}
 }
 
-// Guards against a server that is taken for ended, or suspected, because this node can't
-// reach it and no peer can tell.
+// Guards against servers that are taken for ended because this node can't reach them.
 func TestAttemptWithoutPathSaysNothingOfServer(t *testing.T) {
 	s := newFakeDecider("127.0.0.1:1")
 	s.path.Peers = []messenger.PathPeer{startPeer(t, messenger.TunnelIsolated)}
@@ -132,8 +131,7 @@
 	require.True(t, s.attemptEnds[0].ServerEnded)
 }
 
-// Guards against a request that is blamed for the end of a server that lives on: its channel
-// was reset by a partition that refuses new ones.
+// Guards against requests that are blamed for the ends of servers behind a partition.
 func TestServerThatPeersReachHasNotEnded(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/prover/brittle_test.go
+++ b/internal/prover/brittle_test.go
@@ -129,8 +129,7 @@
 	})
 }
 
-// Guards against nodes that together send brittle servers more than they have room for, which
-// then end one after the other.
+// Guards against nodes that together send brittle servers more than they have room for.
 func TestBrittleServersLastOut(t *testing.T) {
 	for _, test := range []struct {
 		name string
--- a/internal/prover/partition_faults_test.go
+++ b/internal/prover/partition_faults_test.go
@@ -11,8 +11,7 @@
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
-// Faults beside a partition must break no rule: nothing runs twice, no refused request runs,
-// and servers that leave get no requests.
+// Guards against repeated runs and runs of refused requests when other faults meet a partition.
 func TestPartitionBesideFaults(t *testing.T) {
 	for _, kind := range []partitionKind{channelsHang, channelsRefused, openChannelsLive} {
 		t.Run(string(kind), func(t *testing.T) {
@@ -105,8 +104,7 @@
 	return false
 }
 
-// A node that is no member, or asks from another address, must get no tunnel, and a member
-// only one to a published server.
+// Guards against nodes that connect to anything for anybody.
 func TestTunnelsAreForMembersAndPublishedServers(t *testing.T) {
 	cl := newExchangeCluster(t, 1)
 	cl.at(6000, func() {
--- a/internal/prover/partition_test.go
+++ b/internal/prover/partition_test.go
@@ -302,8 +302,7 @@
 	return cut, others
 }
 
-// Guards against callers that are served far worse at nodes that can't reach the servers
-// while other nodes can.
+// Guards against callers that are served far worse at nodes that can't reach the servers.
 func TestNodesPartitionedFromServersServe(t *testing.T) {
 	for _, test := range []struct {
 		size clusterSize
--- a/internal/prover/restart_test.go
+++ b/internal/prover/restart_test.go
@@ -50,8 +50,7 @@
 	})
 }
 
-// Guards against nodes that vouch for entries from before their start: survivors of a restart
-// of most nodes go on to send to a server that left meanwhile.
+// Guards against nodes that vouch for entries from before their start.
 func TestSurvivorsOfRestartLearnThatServersLeave(t *testing.T) {
 	// The server leaves before the kill, during it, between the start and the first read,
 	// in that read, and just after it.
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -430,9 +430,8 @@
 	return true
 }
 
-// KnownSince returns the time since which this node has known all entries, or zero. It
-// invariably knows what changed later: UpdatesSince returns all changes after this time, and
-// none of those before it.
+// KnownSince returns the time since which this node has known all entries, or zero.
+// UpdatesSince returns all changes after this time, and none of those before it.
 func (t *Table) KnownSince() timekeeper.Time { return t.knownSince }
 
 // AsOf returns the time up to which the entries are known.
--- a/internal/tunneler/handler.go
+++ b/internal/tunneler/handler.go
@@ -16,7 +16,7 @@
 
 const (
 	// connectTimeout bounds the connection to the server. It is shorter than openTimeout,
-	// so that the node that asks is told that the server is unreachable.
+	// so that the node that asks learns that the server is unreachable.
 	connectTimeout = 150 * time.Millisecond
 	// closeTimeout is the time that a node has to close a tunnel whose server has ended
 	// its bytes. The node may still be reading them.
