--- a/internal/forwarder/connect.go
+++ b/internal/forwarder/connect.go
@@ -186,9 +186,7 @@
 		if err == nil {
 			return response, nil
 		}
-		if failed == nil || !isDialError(failed) || isDialError(err) {
-			failed = errors.Join(failed, err)
-		}
+		failed = errors.Join(failed, err)
 		if c.written.Load() || ctx.Err() != nil || !isDialError(err) {
 			return nil, failed
 		}
