--- a/internal/prover/restart_test.go
+++ b/internal/prover/restart_test.go
@@ -80,3 +80,12 @@
 		}
 	}
 }
+
+// Guards against a server that leaves unnoticed when another fault meets a restart of most nodes.
+func TestServerLeavesInRestartBesideFaults(t *testing.T) {
+	testDuringFaults(t, func(cl *exchangeCluster) {
+		cl.size.nodesListed = true
+		cl.restartMost(2)
+		cl.at(massRestartAt+restartDelay/2, func() { cl.writeEntry(exchangeServer(0), messenger.ServerLeaving) })
+	})
+}
