--- a/internal/prover/brittle_test.go
+++ b/internal/prover/brittle_test.go
@@ -172,6 +172,9 @@
 			serviceTime: 390,
 		},
 	} {
+		if test.size.nodes > maxRestartNodes {
+			continue
+		}
 		t.Run(test.name, func(t *testing.T) {
 			cl := newSizedCluster(t, 1, test.size)
 			cl.serviceTime = test.serviceTime
--- a/internal/prover/norace_test.go
+++ b/internal/prover/norace_test.go
@@ -7,3 +7,7 @@
 
 // maxNodes is the size of the largest simulated cluster.
 const maxNodes = 300
+
+// maxRestartNodes is the size of the largest cluster in which most nodes restart, or lose the
+// servers.
+const maxRestartNodes = 300
--- a/internal/prover/race_test.go
+++ b/internal/prover/race_test.go
@@ -11,3 +11,7 @@
 
 // maxNodes is the size of the largest simulated cluster under the race detector.
 const maxNodes = 69
+
+// maxRestartNodes is the size of the largest cluster under the race detector in which most
+// nodes restart, or lose the servers.
+const maxRestartNodes = 17
--- a/internal/prover/restart_test.go
+++ b/internal/prover/restart_test.go
@@ -62,6 +62,9 @@
 		restartSize(17, 30),
 		restartSize(69, 10),
 	} {
+		if size.nodes > maxRestartNodes {
+			continue
+		}
 		for _, state := range []messenger.ServerState{messenger.ServerLeaving, messenger.ServerRemoved} {
 			t.Run(fmt.Sprintf("%d nodes, entry %s", size.nodes, state), func(t *testing.T) {
 				for survivors := 1; survivors <= 2; survivors++ {
