Judge what was tried to reach a server in one place

The simulated cluster had its own copies of the two judgements of the forwarder, which could drift apart unnoticed. They are methods of PathTried now; behaviour is the same.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -248,8 +248,8 @@
 	// reset, or the answer truncated.
 	switch tried := x.connection.tried(s.Server); e.result {
 	case messenger.AttemptNotSent:
-		e.pathFailed = pathFailed(tried)
-		e.serverEnded = serverRefuses(tried)
+		e.pathFailed = tried.PathFailed()
+		e.serverEnded = tried.ServerRefuses()
 	case messenger.AttemptBroken:
 		e.serverEnded = x.serverEnded(s, x.connection)
 	}
--- a/internal/forwarder/connect.go
+++ b/internal/forwarder/connect.go
@@ -214,29 +214,6 @@
 	x.forwarder.config.Decider.PathTried(ctx, tried)
 }
 
-// pathFailed reports whether an attempt that was not sent says nothing about its server: no
-// peer could tell whether it reaches the server.
-func pathFailed(tried messenger.PathTried) bool {
-	for _, p := range tried.Peers {
-		if p.Result != messenger.ConnectUnavailable {
-			return false
-		}
-	}
-	return len(tried.Peers) > 0
-}
-
-// serverRefuses reports whether a server's address refuses connections, after an attempt
-// that could not be sent. If peers were asked, one of them must have found the same: a
-// partition may refuse the connections of this node only.
-func serverRefuses(tried messenger.PathTried) bool {
-	for _, p := range tried.Peers {
-		if p.Result == messenger.ConnectRefused {
-			return true
-		}
-	}
-	return tried.Direct == messenger.ConnectRefused && len(tried.Peers) == 0
-}
-
 // serverEnded reports whether the process of a server has ended after a connection to it
 // broke. If peers may be asked, one of them must find the address refusing connections too.
 func (x *exchange) serverEnded(s messenger.SendExchange, c *connection) bool {
--- a/internal/messenger/path.go
+++ b/internal/messenger/path.go
@@ -71,6 +71,29 @@
 	TunnelEnded struct{}
 )
 
+// PathFailed reports whether an attempt that was not sent says nothing about its server: no
+// peer could tell whether it reaches the server.
+func (e PathTried) PathFailed() bool {
+	for _, p := range e.Peers {
+		if p.Result != ConnectUnavailable {
+			return false
+		}
+	}
+	return len(e.Peers) > 0
+}
+
+// ServerRefuses reports whether a server's address refuses connections, after an attempt
+// that could not be sent. If peers were asked, one of them must have found the same: a
+// partition may refuse the connections of this node only.
+func (e PathTried) ServerRefuses() bool {
+	for _, p := range e.Peers {
+		if p.Result == ConnectRefused {
+			return true
+		}
+	}
+	return e.Direct == ConnectRefused && len(e.Peers) == 0
+}
+
 // Effects on the paths to servers.
 type (
 	// ProbeServer connects to a server directly and closes the connection.
--- a/internal/prover/partition_test.go
+++ b/internal/prover/partition_test.go
@@ -207,30 +207,12 @@
 			Attempt:     e.Attempt,
 			Server:      e.Server,
 			Result:      messenger.AttemptNotSent,
-			ServerEnded: refusedByAll(tried),
-			PathFailed:  unknownToAll(tried),
+			ServerEnded: tried.ServerRefuses(),
+			PathFailed:  tried.PathFailed(),
 		})
 	})
 }
 
-func refusedByAll(tried messenger.PathTried) bool {
-	for _, p := range tried.Peers {
-		if p.Result == messenger.ConnectRefused {
-			return true
-		}
-	}
-	return tried.Direct == messenger.ConnectRefused && len(tried.Peers) == 0
-}
-
-func unknownToAll(tried messenger.PathTried) bool {
-	for _, p := range tried.Peers {
-		if p.Result != messenger.ConnectUnavailable {
-			return false
-		}
-	}
-	return len(tried.Peers) > 0
-}
-
 // probe simulates a probe of a server.
 func (cl *exchangeCluster) probe(n *gatewayNode, e messenger.ProbeServer) {
 	result, took := cl.dial(n.vm, e.Server, connectTimeout)
