Confirm by probes that a node is isolated

Cause: a node took itself for partitioned as soon as connections to two servers had failed with no direct answer for 400 ms. A peer that connects for others, or has few requests, meets servers that ended as the only ones it tries. It declined tunnels then, so that the end of a third server was not confirmed and not counted against the request.

Ruled out: a slow confirmation.

Change: two failures are a suspicion, which up to three probes of other servers decide. All must fail. Without another server left there is nothing to ask, and the node is isolated as before.

The unit tests that expected isolation after two failures now expect it after the probes, and that one probe that connects prevents it.

--- a/internal/pathfinder/pathfinder.go
+++ b/internal/pathfinder/pathfinder.go
@@ -7,8 +7,9 @@
 // until a probe succeeds. If the peer fails to connect too, the server itself is down.
 //
 // A node whose direct connections to several servers have failed, with no direct answer since,
-// is isolated. It opens no connections for peers, and has no path at all if no peer can open
-// one for it.
+// suspects that it is isolated. Those servers may have ended together, so it probes others, and
+// is isolated if it reaches none of them. An isolated node opens no connections for peers, and
+// has no path at all if no peer can open one for it.
 //
 // The package is pure: time and a random source are passed in. Nothing in it is safe for
 // concurrent use.
@@ -27,9 +28,11 @@
 )
 
 const (
-	// isolatedServers is the number of servers to which direct connections must have failed
-	// for the node to be isolated. One may fail by itself.
-	isolatedServers = 2
+	// suspectedServers is the number of servers to which direct connections must have failed
+	// for the node to suspect that it is isolated. One may fail by itself.
+	suspectedServers = 2
+	// confirmingProbes is the number of other servers that a suspicious node probes at once.
+	confirmingProbes = 3
 	// isolationDelay is the time without a direct answer before failed connections count as
 	// isolation. A node that lacks only some servers hears from the others within it.
 	isolationDelay = 400 * timekeeper.Millisecond
@@ -88,8 +91,12 @@
 	declined  map[identifier.VMID]timekeeper.Time
 	unlucky   map[identifier.VMID]timekeeper.Time
 	nextProbe timekeeper.Time
-	// probing is the time at which the probe in flight began, or zero.
-	probing timekeeper.Time
+	// probing holds the servers whose probes are in flight, and probed the time at which the
+	// last of them began.
+	probing map[identifier.VMID]bool
+	probed  timekeeper.Time
+	// confirming reports that the probes in flight decide whether the node is isolated.
+	confirming bool
 }
 
 type brokenPath struct {
@@ -105,6 +112,7 @@
 		failures: map[identifier.VMID]timekeeper.Time{},
 		declined: map[identifier.VMID]timekeeper.Time{},
 		unlucky:  map[identifier.VMID]timekeeper.Time{},
+		probing:  map[identifier.VMID]bool{},
 	}
 }
 
@@ -249,13 +257,11 @@
 	if len(f.failures) < maxServers {
 		f.failures[server] = now
 	}
-	f.checkIsolation(now)
 }
 
-func (f *Finder) checkIsolation(now timekeeper.Time) {
-	if !f.Isolated() && len(f.failures) >= isolatedServers && now.Sub(f.lastAnswer) >= isolationDelay {
-		f.isolatedSince = now
-	}
+// suspectsIsolation reports whether the node may be isolated. Probes must confirm it.
+func (f *Finder) suspectsIsolation(now timekeeper.Time) bool {
+	return !f.Isolated() && len(f.failures) >= suspectedServers && now.Sub(f.lastAnswer) >= isolationDelay
 }
 
 // Answered records that a server answered a request that was sent to it directly.
@@ -275,18 +281,33 @@
 	delete(f.broken, server)
 	clear(f.failures)
 	f.isolatedSince = 0
+	f.confirming = false
 }
 
 // Probed records the result of a probe. An isolated node may make no other connections, so
 // that failed probes are all that shows it is still isolated.
 func (f *Finder) Probed(now timekeeper.Time, e messenger.ServerProbed) {
-	f.probing = 0
+	delete(f.probing, e.Server)
 	switch {
 	case e.Result == messenger.Connected:
 		f.reachedDirectly(now, e.Server)
 		f.nextProbe = 0
 	case f.Isolated():
 		f.fail(now, e.Server)
+	case f.confirming:
+		f.fail(now, e.Server)
+		f.confirm(now)
+	}
+}
+
+// confirm ends a suspicion all of whose probes have failed.
+func (f *Finder) confirm(now timekeeper.Time) {
+	if len(f.probing) > 0 {
+		return
+	}
+	f.confirming = false
+	if f.suspectsIsolation(now) {
+		f.isolatedSince = now
 	}
 }
 
@@ -294,6 +315,7 @@
 func (f *Finder) Forget(server identifier.VMID) {
 	delete(f.broken, server)
 	delete(f.failures, server)
+	delete(f.probing, server)
 }
 
 // Tick drops what is outdated.
@@ -304,38 +326,65 @@
 	if len(f.failures) == 0 && len(f.broken) == 0 {
 		f.isolatedSince = 0
 	}
-	f.checkIsolation(now)
 }
 
-// Probe returns the server to connect to next, to notice that a path works again. An isolated
-// node probes any of the ready servers, because those that failed may have ended.
-func (f *Finder) Probe(now timekeeper.Time, ready func() []identifier.VMID) (identifier.VMID, bool) {
-	inFlight := f.probing != 0 && now.Sub(f.probing) < probeTimeout
-	if inFlight || now.Before(f.nextProbe) || len(f.broken) == 0 && !f.Isolated() {
-		return "", false
+// Probes returns the servers to connect to next: some that have not failed if the node suspects
+// that it is isolated, and otherwise one, to notice that a path works again.
+func (f *Finder) Probes(now timekeeper.Time, ready func() []identifier.VMID) []identifier.VMID {
+	suspicious := f.suspectsIsolation(now) && !f.confirming
+	inFlight := len(f.probing) > 0 && now.Sub(f.probed) < probeTimeout
+	if !suspicious && (inFlight || now.Before(f.nextProbe)) {
+		return nil
+	}
+	clear(f.probing)
+	f.confirming = false
+	var servers []identifier.VMID
+	switch {
+	case f.suspectsIsolation(now):
+		servers = f.confirmingServers(ready())
+		f.confirming = true
+	case f.Isolated():
+		// Those that failed may have ended.
+		servers = f.random(ready(), 1)
+	case len(f.broken) > 0:
+		servers = []identifier.VMID{f.nextBroken(now)}
+	}
+	for _, server := range servers {
+		f.probing[server] = true
 	}
-	server, ok := f.probeTarget(now, ready)
-	if !ok {
-		return "", false
+	if f.confirming {
+		f.confirm(now)
 	}
-	f.probing = now
-	f.nextProbe = now.Add(probeInterval)
-	return server, true
+	if len(servers) > 0 {
+		f.probed = now
+		f.nextProbe = now.Add(probeInterval)
+	}
+	return servers
 }
 
-func (f *Finder) probeTarget(now timekeeper.Time, ready func() []identifier.VMID) (identifier.VMID, bool) {
-	if f.Isolated() {
-		servers := ready()
-		if len(servers) == 0 {
-			return "", false
-		}
-		return servers[f.config.Rand.IntN(len(servers))], true
-	}
+// confirmingServers returns servers to which no connection has failed.
+func (f *Finder) confirmingServers(ready []identifier.VMID) []identifier.VMID {
+	others := slices.DeleteFunc(slices.Clone(ready), func(server identifier.VMID) bool {
+		_, failed := f.failures[server]
+		return failed
+	})
+	return f.random(others, confirmingProbes)
+}
+
+// random returns up to count servers, at random.
+func (f *Finder) random(servers []identifier.VMID, count int) []identifier.VMID {
+	servers = slices.Clone(servers)
+	f.config.Rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
+	return servers[:min(count, len(servers))]
+}
+
+// nextBroken returns the server with a broken path that was probed least recently.
+func (f *Finder) nextBroken(now timekeeper.Time) identifier.VMID {
 	server := slices.MinFunc(slices.Collect(maps.Keys(f.broken)), func(a, b identifier.VMID) int {
 		return cmp.Or(cmp.Compare(f.broken[a].probed, f.broken[b].probed), cmp.Compare(a, b))
 	})
 	path := f.broken[server]
 	path.probed = now
 	f.broken[server] = path
-	return server, true
+	return server
 }
--- a/internal/pathfinder/pathfinder_test.go
+++ b/internal/pathfinder/pathfinder_test.go
@@ -66,13 +66,25 @@
 	return e
 }
 
+func probed(server identifier.VMID, result messenger.ConnectResult) messenger.ServerProbed {
+	return messenger.ServerProbed{
+		Server: server,
+		Result: result,
+	}
+}
+
+// ready returns a function that returns the ready servers.
+func ready(servers ...identifier.VMID) func() []identifier.VMID {
+	return func() []identifier.VMID { return servers }
+}
+
 // A server that is down for peers too must not be taken for a partition of this node.
 func TestServerThatPeersDoNotReachIsNoPartition(t *testing.T) {
 	f := newFinder(newPeers(5))
 	for i := range 4 {
 		f.Tried(start, tried(identifier.VMID(fmt.Sprintf("i-%d", i)), messenger.ConnectRefused, messenger.ConnectRefused))
 	}
-	f.Tick(start.Add(timekeeper.Second))
+	require.Empty(t, f.Probes(start.Add(timekeeper.Second), ready("i-9")))
 	require.False(t, f.Isolated())
 	require.False(t, f.To(start, "i-0", "a").Broken)
 }
@@ -86,15 +98,9 @@
 	require.False(t, f.To(start.Add(2), "i-1", "a").Broken)
 	require.False(t, f.Isolated(), "one server may fail by itself")
 
-	server, ok := f.Probe(start.Add(2), nil)
-	require.True(t, ok)
-	require.Equal(t, identifier.VMID("i-0"), server)
-	_, again := f.Probe(start.Add(3), nil)
-	require.False(t, again, "a probe is in flight")
-	f.Probed(start.Add(4), messenger.ServerProbed{
-		Server: "i-0",
-		Result: messenger.Connected,
-	})
+	require.Equal(t, []identifier.VMID{"i-0"}, f.Probes(start.Add(2), nil))
+	require.Empty(t, f.Probes(start.Add(3), nil), "a probe is in flight")
+	f.Probed(start.Add(4), probed("i-0", messenger.Connected))
 	require.False(t, f.To(start.Add(5), "i-0", "a").Broken)
 }
 
@@ -105,10 +111,13 @@
 	for i := range 3 {
 		f.Tried(start.Add(100), tried(identifier.VMID(fmt.Sprintf("i-%d", i)), messenger.ConnectUnreachable, messenger.Connected))
 	}
-	f.Tick(start.Add(150))
-	require.False(t, f.Isolated())
-	f.Tick(start.Add(600))
-	require.True(t, f.Isolated(), "no server has answered for longer")
+	require.Equal(t, []identifier.VMID{"i-0"}, f.Probes(start.Add(150), ready("i-7", "i-8")), "only its path is broken")
+	require.ElementsMatch(t, []identifier.VMID{"i-7", "i-8"}, f.Probes(start.Add(600), ready("i-0", "i-7", "i-8")),
+		"no server has answered for longer")
+	f.Probed(start.Add(600), probed("i-7", messenger.ConnectUnreachable))
+	require.False(t, f.Isolated(), "another probe is in flight")
+	f.Probed(start.Add(600), probed("i-8", messenger.ConnectUnreachable))
+	require.True(t, f.Isolated())
 	require.True(t, f.To(start.Add(600), "i-9", "a").Broken)
 	f.Answered(start.Add(700), "i-9", start.Add(600))
 	require.False(t, f.Isolated())
@@ -120,6 +129,7 @@
 	f := newFinder(peers)
 	f.Tried(start, tried("i-0", messenger.ConnectUnreachable, messenger.ConnectUnavailable))
 	f.Tried(start, tried("i-1", messenger.ConnectUnreachable, messenger.ConnectUnavailable, messenger.ConnectUnavailable))
+	require.Empty(t, f.Probes(start, ready("i-0", "i-1")), "no other server is left")
 	require.True(t, f.Isolated())
 	later := start.Add(600)
 	require.False(t, f.NoPath(later), "the third peer may connect")
@@ -127,17 +137,37 @@
 	require.True(t, f.NoPath(later))
 	require.False(t, f.NoPath(start.Add(2*timekeeper.Second)), "peers that declined are asked again")
 
-	ready := func() []identifier.VMID { return []identifier.VMID{"i-5"} }
-	server, ok := f.Probe(later, ready)
-	require.True(t, ok)
-	require.Equal(t, identifier.VMID("i-5"), server, "those that failed may have ended")
-	f.Probed(later, messenger.ServerProbed{
-		Server: "i-5",
-		Result: messenger.Connected,
-	})
+	require.Equal(t, []identifier.VMID{"i-5"}, f.Probes(later, ready("i-5")), "those that failed may have ended")
+	f.Probed(later, probed("i-5", messenger.Connected))
 	require.False(t, f.NoPath(later))
 }
 
+// Guards against nodes that take servers that ended together for a partition.
+func TestOneProbeThatConnectsEndsTheSuspicion(t *testing.T) {
+	f := newFinder(newPeers(5))
+	f.Tried(start, tried("i-0", messenger.ConnectRefused))
+	f.Tried(start, tried("i-1", messenger.ConnectRefused))
+	require.ElementsMatch(t, []identifier.VMID{"i-2", "i-3", "i-4"}, f.Probes(start, ready("i-0", "i-1", "i-2", "i-3", "i-4")))
+	f.Probed(start, probed("i-2", messenger.ConnectRefused))
+	f.Probed(start, probed("i-3", messenger.Connected))
+	f.Probed(start, probed("i-4", messenger.ConnectRefused))
+	require.False(t, f.Isolated())
+	require.Empty(t, f.Probes(start.Add(timekeeper.Second), ready("i-5")))
+}
+
+// Guards against a suspicion that never ends because results of its probes are lost.
+func TestSuspicionOutlivesLostProbes(t *testing.T) {
+	f := newFinder(newPeers(5))
+	f.Tried(start, tried("i-0", messenger.ConnectUnreachable))
+	f.Tried(start, tried("i-1", messenger.ConnectUnreachable))
+	require.Equal(t, []identifier.VMID{"i-2"}, f.Probes(start, ready("i-2")))
+	require.Empty(t, f.Probes(start.Add(timekeeper.Second), ready("i-2")))
+	later := start.Add(2 * timekeeper.Second)
+	require.Equal(t, []identifier.VMID{"i-2"}, f.Probes(later, ready("i-2")))
+	f.Probed(later, probed("i-2", messenger.ConnectUnreachable))
+	require.True(t, f.Isolated())
+}
+
 // Guards against tunnels through nodes that can't open them.
 func TestPeersOfAPath(t *testing.T) {
 	peers := newPeers(8)
--- a/internal/prover/exchange_cluster_test.go
+++ b/internal/prover/exchange_cluster_test.go
@@ -538,6 +538,10 @@
 		cl.connect(n, e, func(peer identifier.VMID) { cl.serve(n, e, peer) })
 	case messenger.ProbeServer:
 		cl.probe(n, e)
+	case messenger.TimelineEntry:
+		if e.Kind == "servers_lost" {
+			cl.partition.lost++
+		}
 	case messenger.RefuseExchange:
 		cl.refuse(e)
 	case messenger.EndExchange:
--- a/internal/prover/partition_faults_test.go
+++ b/internal/prover/partition_faults_test.go
@@ -112,6 +112,25 @@
 	return false
 }
 
+// Guards against nodes with few requests that take servers that ended together for a partition.
+func TestServersThatEndTogetherIsolateNoNode(t *testing.T) {
+	for _, nodes := range []int{6, 17, 69} {
+		if nodes > maxRestartNodes {
+			continue
+		}
+		t.Run(fmt.Sprintf("%d nodes", nodes), func(t *testing.T) {
+			cl := newSizedCluster(t, 1, restartSize(nodes, 200))
+			cl.at(7*timekeeper.Second, func() {
+				for i := range 3 {
+					cl.endServer(exchangeServer(i))
+				}
+			})
+			cl.run()
+			require.Zero(t, cl.partition.lost)
+		})
+	}
+}
+
 // Guards against nodes that connect to anything for anybody.
 func TestTunnelsAreForMembersAndPublishedServers(t *testing.T) {
 	cl := newExchangeCluster(t, 1)
--- a/internal/prover/partition_test.go
+++ b/internal/prover/partition_test.go
@@ -66,6 +66,8 @@
 	tunnels       int
 	lateTunnels   int
 	failedTunnels map[identifier.VMID]int
+	// lost counts the times at which a node took itself for partitioned from all servers.
+	lost int
 }
 
 type channel struct {
--- a/internal/reducer/path.go
+++ b/internal/reducer/path.go
@@ -38,23 +38,29 @@
 	if g == nil {
 		return nil
 	}
-	wasIsolated := g.paths.Isolated()
-	var out []messenger.Effect
 	switch b := body.(type) {
 	case messenger.PathTried:
-		g.paths.Tried(env.Now, b)
+		return r.updatePaths(env, func() { g.paths.Tried(env.Now, b) })
 	case messenger.ServerProbed:
-		g.paths.Probed(env.Now, b)
+		return r.updatePaths(env, func() { g.paths.Probed(env.Now, b) })
 	case messenger.TunnelRequested:
 		return r.tunnelRequested(b)
 	case messenger.TunnelEnded:
 		g.tunnels--
-		return nil
 	}
-	if g.paths.Isolated() != wasIsolated {
+	return nil
+}
+
+// updatePaths applies what was learned of paths, sends the probes that are due, and notes
+// whether the node lost or regained the servers.
+func (r *Reducer) updatePaths(env *conductor.Env, update func()) []messenger.Effect {
+	isolated := r.gateway.paths.Isolated()
+	update()
+	out := r.probeServers(env)
+	if isolated != r.gateway.paths.Isolated() {
 		out = append(out, r.isolationEntry(env.Now))
 	}
-	return append(out, r.probeServer(env)...)
+	return out
 }
 
 // isolationEntry returns a time line entry for a node that has lost or regained the servers.
@@ -78,33 +84,24 @@
 
 // tickPaths drops outdated knowledge of paths and probes broken ones.
 func (r *Reducer) tickPaths(env *conductor.Env) []messenger.Effect {
-	g := r.gateway
-	isolated := g.paths.Isolated()
-	g.paths.Tick(env.Now)
-	var out []messenger.Effect
-	if isolated != g.paths.Isolated() {
-		out = append(out, r.isolationEntry(env.Now))
-	}
-	return append(out, r.probeServer(env)...)
+	return r.updatePaths(env, func() { r.gateway.paths.Tick(env.Now) })
 }
 
-func (r *Reducer) probeServer(env *conductor.Env) []messenger.Effect {
+func (r *Reducer) probeServers(env *conductor.Env) []messenger.Effect {
 	g := r.gateway
-	id, ok := g.paths.Probe(env.Now, g.servers.Ready)
-	if !ok {
-		return nil
-	}
-	server, known := g.servers.Server(id)
-	if !known {
-		g.paths.Forget(id)
-		return nil
-	}
-	return []messenger.Effect{
-		messenger.ProbeServer{
+	var out []messenger.Effect
+	for _, id := range g.paths.Probes(env.Now, g.servers.Ready) {
+		server, known := g.servers.Server(id)
+		if !known {
+			g.paths.Forget(id)
+			continue
+		}
+		out = append(out, messenger.ProbeServer{
 			Server:  id,
 			Address: server.Address,
-		},
+		})
 	}
+	return out
 }
 
 // tunnelRequested decides whether this node connects to a server for a peer.
