Outlast servers that are silent for a second

Callers saw: a request whose body was being sent was cut when its server paused for more than 1.1 s, also one that may run only once.

Cause: TCP_USER_TIMEOUT of 900 ms on connections to servers. Probes of a full receive window fall under it too, so that the kernel of a paused process does not keep the connection, as a comment said.

Change: 2.5 s for connections to servers, and for tunnels, whose windows fill with those of their servers. Connections to nodes and the platform keep 900 ms. Repeatable requests are sent elsewhere by the time of their first event, as before.

A simulated pause of all servers for 1.2 s is over for callers a second after it, at 6 and 69 nodes (new test, passes on the code before too).

--- a/internal/dialer/configure.go
+++ b/internal/dialer/configure.go
@@ -4,13 +4,13 @@
 
 // Configure sets the same options on an accepted connection as New does on those that it
 // opens.
-func Configure(c *net.TCPConn) error {
-	if err := c.SetKeepAliveConfig(keepAlive()); err != nil {
+func Configure(conn *net.TCPConn, c Config) error {
+	if err := conn.SetKeepAliveConfig(keepAlive()); err != nil {
 		return err
 	}
-	raw, err := c.SyscallConn()
+	raw, err := conn.SyscallConn()
 	if err != nil {
 		return err
 	}
-	return boundUnacked("", "", raw)
+	return c.boundUnacked("", "", raw)
 }
--- a/internal/dialer/refused.go
+++ b/internal/dialer/refused.go
@@ -25,7 +25,7 @@
 func RefusedAt(ctx context.Context, address string) bool {
 	ctx, done := context.WithTimeout(ctx, probeTimeout)
 	defer done()
-	c, err := New().DialContext(ctx, "tcp", address)
+	c, err := New(Config{}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return Refused(err)
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -153,7 +153,7 @@
 		c.Metrics = NewMetrics()
 	}
 	if c.Dial == nil {
-		c.Dial = dialer.New().DialContext
+		c.Dial = dialer.New(dialer.Config{MaxUnacked: dialer.ServerMaxUnacked}).DialContext
 	}
 	return &Forwarder{
 		config:     c,
--- a/internal/prover/partition_faults_test.go
+++ b/internal/prover/partition_faults_test.go
@@ -112,6 +112,32 @@
 	return false
 }
 
+// A pause of all servers must not be taken for a partition for longer than the pause and a moment.
+func TestPauseOfAllServersEndsWithIt(t *testing.T) {
+	const (
+		pause  = 1200 * timekeeper.Millisecond
+		moment = 1 * timekeeper.Second
+	)
+	for _, size := range []clusterSize{fewNodes, manyNodes(69)} {
+		if size.nodes > maxRestartNodes {
+			continue
+		}
+		t.Run(fmt.Sprintf("%d nodes", size.nodes), func(t *testing.T) {
+			cl := newSizedCluster(t, 1, size)
+			cl.at(partitionFrom, func() {
+				cl.partition.kind = channelsHang
+				for i := range size.nodes {
+					cl.partition.nodes[exchangeNode(i)] = true
+				}
+			})
+			cl.at(partitionFrom+pause, func() { clear(cl.partition.nodes) })
+			cl.run()
+			require.Empty(t, cl.violations)
+			require.Greater(t, cl.servedFrom(partitionFrom+pause+moment), 0.99)
+		})
+	}
+}
+
 // Guards against nodes with few requests that take servers that ended together for a partition.
 func TestServersThatEndTogetherIsolateNoNode(t *testing.T) {
 	for _, nodes := range []int{6, 17, 69} {
--- a/internal/runner/tunnel.go
+++ b/internal/runner/tunnel.go
@@ -46,7 +46,7 @@
 // probeServer connects to a server and closes the connection.
 func (r *Runner) probeServer(e messenger.ProbeServer) {
 	r.tasks.start(func(ctx context.Context) func() {
-		conn, err := dialer.New().DialContext(ctx, "tcp", e.Address)
+		conn, err := dialer.New(dialer.Config{}).DialContext(ctx, "tcp", e.Address)
 		if err == nil {
 			_ = conn.Close() // Nothing was sent, so closing loses no data.
 		}
--- a/internal/tunneler/handler.go
+++ b/internal/tunneler/handler.go
@@ -50,7 +50,7 @@
 	if c.Logger == nil {
 		c.Logger = hclog.NewNullLogger()
 	}
-	d := dialer.New()
+	d := dialer.New(dialer.Config{MaxUnacked: dialer.ServerMaxUnacked})
 	d.Timeout = connectTimeout
 	return &handler{
 		config: c,
@@ -163,7 +163,7 @@
 	if err := node.SetDeadline(time.Time{}); err != nil {
 		return err
 	}
-	if err := dialer.Configure(node); err != nil {
+	if err := dialer.Configure(node, dialer.Config{MaxUnacked: dialer.ServerMaxUnacked}); err != nil {
 		return err
 	}
 	// Any close that no CloseWrite precedes resets the connection, also if the kernel
--- a/internal/tunneler/tunneler.go
+++ b/internal/tunneler/tunneler.go
@@ -49,7 +49,7 @@
 func NewOpener(self identifier.VMID) *Opener {
 	return &Opener{
 		self:   self,
-		dialer: dialer.New(),
+		dialer: dialer.New(dialer.Config{MaxUnacked: dialer.ServerMaxUnacked}),
 	}
 }
 
