Count no failure of a broken path against a version

Callers saw nothing yet; found by reading for the same cause as that of nodes that can't reach servers, and named in its postmortem as open.

Cause: a node that is partitioned from servers counted requests whose connections broke, or that were not answered in time, against the version of their servers. The old version's failures count too, but a rollout judges each of the new version's servers by few requests.

Change: such ends count only if the node reaches the server itself. What a server answers counts on any path.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -302,6 +302,7 @@
 		Events:          e.Events,
 		EventsDuration:  e.EventsDuration,
 		ServerEnded:     e.ServerEnded,
+		PathBroken:      env.Paths.Broken(x.current.server),
 	})
 	d.removeAttempt(x)
 }
--- a/internal/dispatcher/repeat.go
+++ b/internal/dispatcher/repeat.go
@@ -97,6 +97,7 @@
 		Result:          e.Result,
 		ResponseStarted: x.current.began,
 		ServerEnded:     e.ServerEnded,
+		PathBroken:      env.Paths.Broken(server),
 	})
 	d.removeAttempt(x)
 	switch {
--- a/internal/pathfinder/pathfinder.go
+++ b/internal/pathfinder/pathfinder.go
@@ -118,9 +118,8 @@
 
 // To returns the path to a server in an availability zone.
 func (f *Finder) To(now timekeeper.Time, server identifier.VMID, zone identifier.Zone) messenger.Path {
-	_, broken := f.broken[server]
 	path := messenger.Path{
-		Broken:   broken || f.Isolated(),
+		Broken:   f.Broken(server),
 		Isolated: f.Isolated(),
 	}
 	if path.Broken {
@@ -131,6 +130,12 @@
 	return path
 }
 
+// Broken reports whether this node takes its direct path to a server for broken.
+func (f *Finder) Broken(server identifier.VMID) bool {
+	_, broken := f.broken[server]
+	return broken || f.Isolated()
+}
+
 // somePeers returns random peers among a few.
 func (f *Finder) somePeers(now timekeeper.Time) []messenger.PathPeer {
 	peers := f.config.Peers.Peers()
--- a/internal/promoter/count.go
+++ b/internal/promoter/count.go
@@ -151,10 +151,13 @@
 	EventsDuration timekeeper.Duration
 	// ServerEnded is set if the server ended, for whatever reason.
 	ServerEnded bool
+	// PathBroken is set if this node does not reach the server itself, so that only a peer
+	// could have brought the answer.
+	PathBroken bool
 }
 
 // RecordEnd counts the end of an attempt. Attempts that did not run, and those that
-// ended with their server, are no evidence about the version.
+// ended with their server or the path to it, are no evidence about the version.
 func (p *Promoter) RecordEnd(t TrackedAttempt, e AttemptEnd) {
 	counts := p.countsOf(t)
 	if counts == nil {
@@ -170,7 +173,7 @@
 	}
 	switch e.Result {
 	case messenger.AttemptFailed, messenger.AttemptBroken, messenger.AttemptTimedOut:
-		if e.ServerEnded {
+		if e.ServerEnded || e.PathBroken && e.Result != messenger.AttemptFailed {
 			break
 		}
 		counts.failed++
