Report a leaving server that a peer reported first

Callers could see: requests to a server for seconds after it left, from nodes that read no entries themselves (DRAIN).

Cause: a node reports to its peers only what it read from the store, in large clusters. An entry that a peer had reported before the read was marked as read, but not if it says that the server leaves. The node vouched for all entries all the same, and its peers took over the time without the change.

TestLeavingReadAfterPeerReportedItIsReported fails before.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -326,11 +326,8 @@
 		return t.add(now, e)
 	}
 	if e.Offset <= known.Offset {
-		if e.State == messenger.ServerLeaving {
-			return t.markLeaving(now, known)
-		}
 		known.direct = known.direct || t.source.direct && e.Offset == known.Offset
-		return false
+		return e.State == messenger.ServerLeaving && t.markLeaving(now, known)
 	}
 	delete(t.deferredRemovals, e.Server)
 	known.Displaced = false
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -441,3 +441,15 @@
 	table.ApplyRead(start, []messenger.PublishedServer{entry("s-0", 4, messenger.ServerLeaving)}, false)
 	require.Equal(t, messenger.ServerLeaving, table.ServersOf("reader")[0].State)
 }
+
+// Guards against a node that vouches for its entries but reports none that a peer reported to it
+// first.
+func TestLeavingReadAfterPeerReportedItIsReported(t *testing.T) {
+	table := registrar.New()
+	table.ApplyRead(start, []messenger.PublishedServer{entry("i-1", 1, messenger.ServerReady)}, true)
+	leaving := []messenger.PublishedServer{entry("i-1", 2, messenger.ServerLeaving)}
+	table.Merge(start.Add(100), start.Add(100), leaving)
+	require.Empty(t, table.UpdatesSince(start, false))
+	table.ApplyRead(start.Add(200), leaving, false)
+	require.Len(t, table.UpdatesSince(start, false), 1)
+}
