Don't let a peer's late entry bring a removed server back

Callers could see: a node that has just started sends requests to a server that was removed seconds before it started (DRAIN).

Cause: a node remembers removals only of servers that it knew. It then takes the entry of a peer that has not heard of the removal for a new server, although its own data is known up to a later time.

What a peer reports of an unknown server from before the last offset that this node has read is ignored; after the store came back from a copy the offsets are not compared.

TestRemovedServerDoesNotReturn: two of three cases fail before.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -76,6 +76,9 @@
 	deferUntil timekeeper.Time
 	// knownSince is the time since which this node knows all entries, or zero.
 	knownSince timekeeper.Time
+	// readTo is the last offset of the store up to which this node has read all entries, or
+	// zero.
+	readTo identifier.Offset
 	// source is the origin of the entries being merged.
 	source source
 }
@@ -125,6 +128,9 @@
 	}
 	var changed []messenger.PublishedServer
 	for _, e := range entries {
+		if snapshot || t.readTo != 0 {
+			t.readTo = max(t.readTo, e.Offset)
+		}
 		if e.State == messenger.ServerUnreadable {
 			continue
 		}
@@ -241,11 +247,21 @@
 	t.asOf = max(t.asOf, min(asOf, now))
 	var changed []messenger.PublishedServer
 	for _, e := range entries {
+		if t.endedBeforeRead(e) {
+			continue
+		}
 		changed = append(changed, t.mergeEntry(now, e)...)
 	}
 	return changed
 }
 
+// endedBeforeRead reports whether the entry of an unknown server, which a peer reported, was
+// removed from the store before this node read it. The peer does not know yet.
+func (t *Table) endedBeforeRead(e messenger.PublishedServer) bool {
+	_, known := t.newest[e.Server.Instance()]
+	return !known && e.Offset <= t.readTo && e.Offset.Generation() == t.readTo.Generation()
+}
+
 // ContainedIn reports whether entries hold all servers of the table that are not removed. A
 // peer's complete table then lacks no removal that this one needs.
 func (t *Table) ContainedIn(entries []messenger.PublishedServer) bool {
@@ -409,10 +425,7 @@
 }
 
 func (t *Table) add(now timekeeper.Time, e messenger.PublishedServer) bool {
-	if e.Address == "" || e.State == messenger.ServerRemoved {
-		return false
-	}
-	if len(t.servers) >= maxServers {
+	if e.Address == "" && e.State != messenger.ServerRemoved || len(t.servers) >= maxServers {
 		return false
 	}
 	s := &Server{
@@ -424,7 +437,9 @@
 	t.servers[e.Server] = s
 	t.newest[e.Server.Instance()] = e.Server
 	clear(t.ofService)
-	return true
+	// A removal of an unknown server is remembered, since a peer may report an earlier entry,
+	// but changes nothing.
+	return e.State != messenger.ServerRemoved
 }
 
 // KnownSince returns the time since which this node has known all entries, or zero.
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -442,6 +442,33 @@
 	require.Equal(t, messenger.ServerLeaving, table.ServersOf("reader")[0].State)
 }
 
+// Guards against a removed server that returns by the update of a peer that does not know yet.
+func TestRemovedServerDoesNotReturn(t *testing.T) {
+	late := []messenger.PublishedServer{entry("i-1", 1, messenger.ServerReady)}
+	t.Run("removal known from a peer's table", func(t *testing.T) {
+		table := registrar.New()
+		table.MergeAll(start, start, []messenger.PublishedServer{
+			entry("i-1", 3, messenger.ServerRemoved),
+			entry("i-2", 2, messenger.ServerReady),
+		})
+		require.Empty(t, table.Merge(start.Add(100), start, late))
+		require.NotContains(t, states(table), identifier.VMID("i-1"))
+	})
+	t.Run("entry gone before the first read", func(t *testing.T) {
+		table := registrar.New()
+		table.ApplyRead(start, []messenger.PublishedServer{entry("i-2", 2, messenger.ServerReady)}, true)
+		require.Empty(t, table.Merge(start.Add(100), start, late))
+		require.NotContains(t, states(table), identifier.VMID("i-1"))
+		later := []messenger.PublishedServer{entry("i-1", 4, messenger.ServerReady)}
+		require.Len(t, table.Merge(start.Add(200), start, later), 1, "it has started again")
+	})
+	t.Run("entry missing in a store that came back from a copy", func(t *testing.T) {
+		table := registrar.New()
+		table.ApplyRead(start, []messenger.PublishedServer{entry("i-2", identifier.OffsetAt(2, 5), messenger.ServerReady)}, true)
+		require.Len(t, table.Merge(start.Add(100), start, late), 1)
+	})
+}
+
 // Guards against a node that vouches for its entries but reports none that a peer reported to it
 // first.
 func TestLeavingReadAfterPeerReportedItIsReported(t *testing.T) {
