Report removals that are deferred after an outage

Cause: a node defers removals that it reads right after an outage, since the servers may be back within two seconds, and told nobody until then. It vouched for all entries, and its peers took over the time without the removal.

Change: updates hold deferred removals with the time left, and peers defer them for that time. So all know the removal, and all apply it together unless the entry returns.

Ruled out: peers that apply it at once (after an outage at all nodes every server would be gone for those that don't read); no vouching while removals are deferred (all nodes would read the store at once when it returns).

TestDeferredRemovalIsReported fails before.

--- a/internal/reducer/relay.go
+++ b/internal/reducer/relay.go
@@ -196,7 +196,7 @@
 	g.round++
 	s.Round = g.round
 	s.ServersSpan = g.serversSpan(now, registrar.RemovedRetention)
-	s.Servers = g.servers.UpdatesSince(g.roundTimes[0], true)
+	s.Servers = g.servers.UpdatesSince(now, g.roundTimes[0], true)
 	g.roundTimes = [updateRepeats]timekeeper.Time{g.roundTimes[1], now - 1}
 	s.CachedPrefixes = g.exchanges.RelayedCachedPrefixUpdates(now)
 	if age := now.Sub(g.allocatorSeen.asOf); s.Leader == "" && g.allocator != "" && age <= allocatorTimeout {
--- a/internal/reducer/stateupdate.go
+++ b/internal/reducer/stateupdate.go
@@ -200,7 +200,7 @@
 func (g *gateway) ownUpdate(now timekeeper.Time) messenger.StateUpdate {
 	running, demand := g.exchanges.OwnLoad(now)
 	s := g.baseUpdate(now)
-	s.Servers = g.servers.UpdatesSince(now.Add(-updateWindow), g.includesReceived())
+	s.Servers = g.servers.UpdatesSince(now, now.Add(-updateWindow), g.includesReceived())
 	s.ServersSpan = g.serversSpan(now, updateWindow)
 	s.InFlight = running
 	s.Usage = g.usage.OwnCounts(now)
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -69,7 +69,8 @@
 	ofService map[identifier.ServiceName][]*Server
 	// newest holds the last start of each server in the table.
 	newest map[identifier.InstanceID]identifier.VMID
-	// deferredRemovals are removals that apply unless a newer entry arrives in time.
+	// deferredRemovals are removals that apply unless a newer entry arrives in time. Those that
+	// peers report have the time left in LeavesIn.
 	deferredRemovals map[identifier.VMID]deferredRemoval
 	// asOf is the time up to which the entries are known, from the store or from peers.
 	asOf       timekeeper.Time
@@ -96,6 +97,10 @@
 type deferredRemoval struct {
 	entry messenger.PublishedServer
 	due   timekeeper.Time
+	// at is the time at which this node learned of the removal, and direct reports that it
+	// read it from the store.
+	at     timekeeper.Time
+	direct bool
 }
 
 // New returns an empty table.
@@ -115,11 +120,11 @@
 	if t.asOf != 0 && now.Sub(t.asOf) > minOutage {
 		t.deferUntil = now.Add(removalGrace)
 	}
+	t.asOf = now
 	t.source = source{
 		direct:  true,
 		initial: snapshot && t.knownSince == 0,
 	}
-	t.asOf = now
 	if t.source.initial {
 		t.knownSince = now
 	}
@@ -134,16 +139,25 @@
 		if e.State == messenger.ServerUnreadable {
 			continue
 		}
-		e = t.resolveStart(e)
-		if e.State == messenger.ServerRemoved && now.Before(t.deferUntil) {
-			t.deferRemoval(e)
-			continue
-		}
-		changed = append(changed, t.mergeEntry(now, e)...)
+		changed = append(changed, t.mergeOrDefer(now, t.resolveStart(e))...)
 	}
 	return changed
 }
 
+// mergeOrDefer merges an entry, or defers it if it is a removal right after an outage, of
+// this node or of the peer that reported it.
+func (t *Table) mergeOrDefer(now timekeeper.Time, e messenger.PublishedServer) []messenger.PublishedServer {
+	due := now.Add(e.LeavesIn)
+	if t.source.direct {
+		due = t.deferUntil
+	}
+	if _, known := t.servers[e.Server]; known && e.State == messenger.ServerRemoved && now.Before(due) {
+		t.deferRemoval(now, due, e)
+		return nil
+	}
+	return t.mergeEntry(now, e)
+}
+
 // Restored handles the restoration of the store from a copy. Servers registered after
 // the copy was made are missing until they write again, and servers that ended may
 // reappear.
@@ -194,14 +208,18 @@
 // During an outage the store drops the entries of servers that can't renew them. If
 // they were removed at once when the store returns, every request would be rejected
 // until their entries are back.
-func (t *Table) deferRemoval(e messenger.PublishedServer) {
-	known, ok := t.servers[e.Server]
-	if !ok || e.Offset <= known.Offset || t.deferredRemovals[e.Server].due != 0 {
+//
+// Peers receive the removal at once, with the time left, as they take over the time up to
+// which this node knows all entries.
+func (t *Table) deferRemoval(now, due timekeeper.Time, e messenger.PublishedServer) {
+	if e.Offset <= t.servers[e.Server].Offset || t.deferredRemovals[e.Server].due != 0 {
 		return
 	}
 	t.deferredRemovals[e.Server] = deferredRemoval{
-		entry: e,
-		due:   t.deferUntil,
+		entry:  e,
+		due:    due,
+		at:     now,
+		direct: t.source.direct,
 	}
 }
 
@@ -250,7 +268,7 @@
 		if t.endedBeforeRead(e) {
 			continue
 		}
-		changed = append(changed, t.mergeEntry(now, e)...)
+		changed = append(changed, t.mergeOrDefer(now, e)...)
 	}
 	return changed
 }
@@ -531,14 +549,26 @@
 // UpdatesSince returns the entries that changed after a time, for peers. Without passOn
 // it returns only those that this node read from the store. The entries of its first
 // complete read are left out, because peers read them too.
-func (t *Table) UpdatesSince(since timekeeper.Time, passOn bool) []messenger.PublishedServer {
+func (t *Table) UpdatesSince(now, since timekeeper.Time, passOn bool) []messenger.PublishedServer {
 	var out []messenger.PublishedServer
 	for _, s := range t.servers {
 		if s.updatedAt.After(since) && (passOn || s.direct) {
 			out = append(out, s.update())
 		}
 	}
-	slices.SortFunc(out, func(a, b messenger.PublishedServer) int { return cmp.Compare(a.Server, b.Server) })
+	for _, removal := range t.deferredRemovals {
+		if removal.at.After(since) && (passOn || removal.direct) {
+			out = append(out, messenger.PublishedServer{
+				Server:   removal.entry.Server,
+				Offset:   removal.entry.Offset,
+				State:    messenger.ServerRemoved,
+				LeavesIn: max(removal.due.Sub(now), 0),
+			})
+		}
+	}
+	slices.SortFunc(out, func(a, b messenger.PublishedServer) int {
+		return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Offset, b.Offset))
+	})
 	return out
 }
 
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -79,7 +79,7 @@
 	require.Equal(t, messenger.ServerLeaving, changed[0].State)
 	require.Empty(t, table.MarkLeaving(start.Add(20), "i-1", start))
 	require.Empty(t, table.MarkLeaving(start.Add(20), "i-2", start))
-	updates := table.UpdatesSince(start, false)
+	updates := table.UpdatesSince(start, start, false)
 	require.Equal(t, changed, updates)
 
 	peer := registrar.New()
@@ -283,7 +283,7 @@
 	table.Merge(start.Add(500), start.Add(450), []messenger.PublishedServer{entry("i-3", 4, messenger.ServerReady)})
 	ids := func(since timekeeper.Time, passOn bool) []identifier.VMID {
 		var out []identifier.VMID
-		for _, s := range table.UpdatesSince(since, passOn) {
+		for _, s := range table.UpdatesSince(start, since, passOn) {
 			out = append(out, s.Server)
 		}
 		return out
@@ -298,7 +298,7 @@
 	started := registrar.New()
 	require.Zero(t, started.KnownSince())
 	started.MergeAll(start.Add(600), start.Add(550), []messenger.PublishedServer{entry("i-4", 5, messenger.ServerReady)})
-	require.Empty(t, started.UpdatesSince(start, true), "the first complete table is no change")
+	require.Empty(t, started.UpdatesSince(start, start, true), "the first complete table is no change")
 	require.Equal(t, start.Add(600), started.KnownSince())
 }
 
@@ -476,7 +476,33 @@
 	table.ApplyRead(start, []messenger.PublishedServer{entry("i-1", 1, messenger.ServerReady)}, true)
 	leaving := []messenger.PublishedServer{entry("i-1", 2, messenger.ServerLeaving)}
 	table.Merge(start.Add(100), start.Add(100), leaving)
-	require.Empty(t, table.UpdatesSince(start, false))
+	require.Empty(t, table.UpdatesSince(start.Add(100), start, false))
 	table.ApplyRead(start.Add(200), leaving, false)
-	require.Len(t, table.UpdatesSince(start, false), 1)
+	require.Len(t, table.UpdatesSince(start.Add(200), start, false), 1)
+}
+
+// Guards against peers that take over the time up to which all entries are known without a
+// removal that is deferred after an outage.
+func TestDeferredRemovalIsReported(t *testing.T) {
+	ready := []messenger.PublishedServer{entry("i-1", 1, messenger.ServerReady)}
+	table, peer := registrar.New(), registrar.New()
+	table.ApplyRead(start, ready, true)
+	peer.ApplyRead(start, ready, true)
+	now := start.Add(5000)
+	table.ApplyRead(now, []messenger.PublishedServer{entry("i-1", 2, messenger.ServerRemoved)}, false)
+	updates := table.UpdatesSince(now.Add(500), now.Add(-1), true)
+	require.Len(t, updates, 1)
+	require.Empty(t, peer.Merge(now.Add(500), now, updates))
+	peer.Tick(now.Add(2100))
+	require.Contains(t, states(peer), identifier.VMID("i-1"))
+	peer.Tick(now.Add(2300))
+	require.NotContains(t, states(peer), identifier.VMID("i-1"))
+
+	returned := []messenger.PublishedServer{entry("i-1", 3, messenger.ServerReady)}
+	peer = registrar.New()
+	peer.ApplyRead(start, ready, true)
+	peer.Merge(now.Add(500), now, updates)
+	peer.Merge(now.Add(1000), now, returned)
+	peer.Tick(now.Add(2300))
+	require.Contains(t, states(peer), identifier.VMID("i-1"), "its entry is back")
 }
