Test that nodes hold all entries that they take for known

Random kills, partitions from peers and the store, servers that leave, lapse and start, and a tenth of the messages lost, at 4, 6, 17 and 69 nodes: a node that sends to a server knows no time after the change of its entry. Ages don't include the way of a message, 5 ms are allowed.

--- a/internal/prover/exchange_cluster_test.go
+++ b/internal/prover/exchange_cluster_test.go
@@ -129,6 +129,8 @@
 	rejections   rejections
 	partition    partition
 	brittle      brittleServers
+	// disorder has messages between nodes lost, and what nodes take for known checked.
+	disorder     disorder
 	size         clusterSize
 	lastExchange identifier.ExchangeID
 }
@@ -486,6 +488,9 @@
 		if n.cutFromPeers || to == nil || to.cutFromPeers || !to.alive || cl.now.Before(to.frozenUntil) {
 			return
 		}
+		if cl.disorder != "" && cl.rng.Float64() < lostMessages {
+			return
+		}
 		cl.apply(to, event(to))
 	})
 }
@@ -539,6 +544,7 @@
 	case messenger.StoreRollout:
 		cl.storeRollout(n, e)
 	case messenger.SendExchange:
+		cl.checkKnown(n, e)
 		cl.connect(n, e, func(peer identifier.VMID) { cl.serve(n, e, peer) })
 	case messenger.ProbeServer:
 		cl.probe(n, e)
