--- a/internal/prover/exchange_cluster_test.go
+++ b/internal/prover/exchange_cluster_test.go
@@ -123,12 +123,12 @@
 	// serviceTime is the time for which a server processes a request.
 	serviceTime timekeeper.Duration
 	crashes
-	rollouts     rollouts
-	limits       limits
-	leaving      leavingServers
-	rejections   rejections
-	partition    partition
-	brittle      brittleServers
+	rollouts   rollouts
+	limits     limits
+	leaving    leavingServers
+	rejections rejections
+	partition  partition
+	brittle    brittleServers
 	// disorder has messages between nodes lost, and what nodes take for known checked.
 	disorder     disorder
 	size         clusterSize
