Test many partitioned nodes beside limits, pauses, a kill of the lease's holder and a store that is away

69 nodes, 23 of them partitioned, one server limited to eight requests a second, one that rejects everything with a pause of 3 s: no rule broken and callers of the partitioned nodes served, with the holder killed and the store away, for hanging channels and open ones that live on.

--- a/internal/prover/partition_faults_test.go
+++ b/internal/prover/partition_faults_test.go
@@ -46,6 +46,31 @@
 	require.Empty(t, cl.violations)
 }
 
+// Limits and pauses of servers must hold when many nodes send through peers, the holder of the lease
+// is killed and the store is away; and callers of the partitioned nodes must be served.
+func TestManyPartitionedNodesBesideFaults(t *testing.T) {
+	size := manyNodes(min(69, maxRestartNodes))
+	cut := size.nodes / 3
+	for _, fault := range exchangeFaults {
+		if fault.name != "the holder of the duties dies" && fault.name != "the store is down" {
+			continue
+		}
+		for _, kind := range []partitionKind{channelsHang, openChannelsLive} {
+			t.Run(fault.name+", "+string(kind), func(t *testing.T) {
+				cl := newSizedCluster(t, 1, size)
+				cl.limit(exchangeServer(0), 8)
+				cl.rejectAll(exchangeServer(1), 3*timekeeper.Second)
+				cl.partitionNodes(cut, kind)
+				cl.at(partitionFrom+partitionGrace, func() { fault.inject(cl) })
+				cl.run()
+				require.Empty(t, cl.violations)
+				partitioned, others := cl.partition.counts(cut)
+				require.GreaterOrEqual(t, partitioned.share(), minServedRatio*others.share(), "partitioned %+v, others %+v", partitioned, others)
+			})
+		}
+	}
+}
+
 // What nobody can serve must be refused at once, and served soon after the partition.
 func TestPartitionOfAllNodesRefusesAtOnce(t *testing.T) {
 	for _, size := range []clusterSize{fewNodes, manyNodes(69)} {
