Ask once more for a decision that took too long

Cause: the goroutine that sends carries out a decision however old it is.

Change: a decision that took more than 400 ms is not carried out but asked for once more, before anything is sent and with no evidence against the server. Once only, since the answers of other nodes may be part of it. late_decisions counts them.

Ruled out: a check of the pause right before sending, as a second place that knows of pauses, and of limits and leaving servers next.

TestLateDecisionIsNotCarriedOut fails before (the request is sent 600 ms after it was asked for).

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,6 +32,8 @@
 	nextEventTimeout  timekeeper.Duration
 	timeLimit         timekeeper.Duration
 	refusal           *messenger.Refusal
+	// delay is the time that the first decisions take, one after the other.
+	delay []time.Duration
 
 	mu          sync.Mutex
 	specs       []messenger.ExchangeSpec
@@ -69,6 +72,10 @@
 }
 
 func (s *fakeDecider) nextAttempt(id identifier.ExchangeID) messenger.Effect {
+	if len(s.delay) > 0 {
+		<-time.After(s.delay[0])
+		s.delay = s.delay[1:]
+	}
 	if s.attempt >= len(s.servers) {
 		return messenger.EndExchange{
 			Exchange: id,
@@ -830,3 +837,40 @@
 	require.Equal(t, http.StatusOK, recorder.Code)
 	require.Equal(t, "close", recorder.Header().Get("Connection"))
 }
+
+// Guards against requests that a node sends half a second after a server asked it for a pause.
+func TestLateDecisionIsNotCarriedOut(t *testing.T) {
+	t.Parallel()
+	var requests atomic.Int64
+	server := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		requests.Add(1)
+		sign(w, r)
+	})
+	for _, test := range []struct {
+		name  string
+		delay []time.Duration
+		want  []messenger.AttemptResult
+	}{
+		{
+			name: "in time",
+		},
+		{
+			name:  "late once",
+			delay: []time.Duration{600 * time.Millisecond},
+			want:  []messenger.AttemptResult{messenger.AttemptNotSent},
+		},
+		{
+			name:  "always late",
+			delay: []time.Duration{600 * time.Millisecond, 600 * time.Millisecond},
+			want:  []messenger.AttemptResult{messenger.AttemptNotSent},
+		},
+	} {
+		requests.Store(0)
+		decider := newFakeDecider(server, server)
+		decider.delay = test.delay
+		r := newRequest(t, http.MethodGet, "http://"+startForwarder(t, decider)+"/x", nil)
+		require.Equal(t, http.StatusOK, do(t, r).status, test.name)
+		require.Equal(t, test.want, decider.results(), test.name)
+		require.EqualValues(t, 1, requests.Load(), test.name)
+	}
+}
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -41,8 +41,10 @@
 	// directFailures the direct connections that failed.
 	tunnels        expvar.Map
 	directFailures expvar.Int
-	firstEvents    latencyHistogram
-	totals         latencyHistogram
+	// lateDecisions counts the decisions that took too long to be used.
+	lateDecisions expvar.Int
+	firstEvents   latencyHistogram
+	totals        latencyHistogram
 }
 
 // NewMetrics returns Metrics whose counters are zero.
@@ -64,6 +66,7 @@
 	m.vars.Set("brittle_malformed", &m.malformedBrittle)
 	m.vars.Set("tunnels", &m.tunnels)
 	m.vars.Set("direct_failures", &m.directFailures)
+	m.vars.Set("late_decisions", &m.lateDecisions)
 	m.vars.Set("first_event_ms", &m.firstEvents)
 	m.vars.Set("whole_ms", &m.totals)
 	return m
@@ -89,6 +92,8 @@
 
 func (m *Metrics) brittleMalformed() { m.malformedBrittle.Add(1) }
 
+func (m *Metrics) decidedLate() { m.lateDecisions.Add(1) }
+
 func (m *Metrics) pathTried(e messenger.PathTried) {
 	if e.Direct.Failed() {
 		m.directFailures.Add(1)
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -12,6 +12,11 @@
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
+// maxDecisionTime is the age from which a decision is not carried out: less than the half second
+// within which nodes must heed what servers state, and more than a round trip to the nodes that
+// grant limits, permits and slots.
+const maxDecisionTime = 400 * timekeeper.Millisecond
+
 // exchange is the state of one request and its answer.
 type exchange struct {
 	forwarder *Forwarder
@@ -38,6 +43,8 @@
 	statedLimit messenger.StatedLimit
 	// serverLeaving reports that the server of the last attempt stated that it is leaving.
 	serverLeaving bool
+	// askedAgain reports that a stale decision was asked for once more.
+	askedAgain bool
 	// brittle reports that the server of the last attempt stated that it is brittle.
 	brittle bool
 	// backoff is the time for which the server of the last attempt asked this node to
@@ -144,6 +151,7 @@
 func (x *exchange) run() {
 	f := x.forwarder
 	ctx := x.r.Context()
+	asked := f.config.Clock.Now()
 	decision := f.config.Decider.Receive(ctx, x.spec())
 	for {
 		send, ok := decision.(messenger.SendExchange)
@@ -158,7 +166,12 @@
 		x.brittle = false
 		x.backoff = 0
 		x.inputs = send.Inputs
-		end := x.attempt(ctx, send)
+		var end attemptEnd
+		if x.isStale(asked) {
+			end = x.staleDecision()
+		} else {
+			end = x.attempt(ctx, send)
+		}
 		if end.done {
 			f.config.Decider.Ended(messenger.ExchangeEnded{
 				Exchange:       x.id,
@@ -174,6 +187,7 @@
 			return
 		}
 		x.logAttempt(send, end)
+		asked = f.config.Clock.Now()
 		decision = f.config.Decider.AttemptEnded(ctx, messenger.ExchangeAttemptEnded{
 			Exchange:    x.id,
 			Attempt:     send.Attempt,
@@ -188,6 +202,25 @@
 	}
 }
 
+// isStale reports whether a decision took so long that a server may have stated something
+// since that it does not take into account. It is asked for once more, no more often, as
+// decisions of other nodes may be part of it.
+func (x *exchange) isStale(asked timekeeper.Time) bool {
+	return !x.askedAgain && x.forwarder.config.Clock.Now().Sub(asked) > maxDecisionTime
+}
+
+// staleDecision ends an attempt before anything is sent.
+func (x *exchange) staleDecision() attemptEnd {
+	x.askedAgain = true
+	x.connection = &connection{}
+	x.forwarder.config.Metrics.decidedLate()
+	return attemptEnd{
+		result:     messenger.AttemptNotSent,
+		reason:     "stale decision",
+		pathFailed: true,
+	}
+}
+
 // finish answers the caller after an effect that starts no attempt.
 func (x *exchange) finish(decision messenger.Effect) {
 	switch d := decision.(type) {
