--- a/internal/dispatcher/choose.go
+++ b/internal/dispatcher/choose.go
@@ -108,7 +108,7 @@
 			continue
 		}
 		c := d.predict(env, x, s, holders.stateOf(i))
-		if env.Brittle.Service(x.service) && (env.Brittle.Paused(env.Now, s.Server) || slices.Contains(x.slots.full, s.Server)) {
+		if env.Brittle.Service(x.service) && (env.Brittle.Paused(env.Now, s.Server) || slices.Contains(x.slotRequest.full, s.Server)) {
 			continue
 		}
 		switch {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -176,7 +176,7 @@
 	permitServers    []identifier.VMID
 	permitCandidates []identifier.VMID
 	lastEnded        messenger.ExchangeAttemptEnded
-	slots            slotAsks
+	slotRequest      slotRequest
 	// limitSource is who decided on the account's limit.
 	limitSource messenger.LimitSource
 	// limitRequests is the number of nodes that were asked for a part of the limit.
--- a/internal/dispatcher/slot.go
+++ b/internal/dispatcher/slot.go
@@ -25,14 +25,16 @@
 	maxSlotRequests = 2
 )
 
-// slotAsks is the state of one exchange that requires a slot at a brittle server.
-type slotAsks struct {
-	// asked are the servers of the request for a slot in flight, and full those that had
-	// none. candidates are the servers from which the first of asked was chosen.
-	asked      []identifier.VMID
-	full       []identifier.VMID
-	candidates []identifier.VMID
-	count      int
+// slotRequest is the state of one exchange that requires a slot at a brittle server.
+type slotRequest struct {
+	// servers are those of the request in flight, and eligible those among which the first of
+	// them was chosen.
+	servers  []identifier.VMID
+	eligible []identifier.VMID
+	// full are the servers that had no slot.
+	full []identifier.VMID
+	// count is the number of requests.
+	count int
 }
 
 // slots is this node's knowledge of the slots that it uses at brittle servers.
@@ -65,64 +67,57 @@
 	return string(s.Service) + "/" + strconv.FormatUint(xxhash.Sum64String(string(s.Server))%groups, 10)
 }
 
-// placeBrittle sends an exchange to a server with a free slot, or requests one from the node
-// that allocates those of the best server.
+// placeBrittle sends an exchange to a server with a free slot in the group of the chosen one, or
+// requests a slot from the node that allocates those of the group.
 func (d *Dispatcher) placeBrittle(env Env, x *exchange, c choice) (messenger.Effect, bool) {
-	ranked := d.rankedServers(env, x, c)
 	group := slotGroup(env, c.server)
+	ranked := d.rankedInGroup(env, x, c, group)
 	allocator := env.SlotAllocator(group)
-	switch {
-	case allocator == nil:
-		for _, o := range ranked {
-			if slotGroup(env, o.server) == group && d.hasSlot(env, o.server) {
-				return d.send(env, x, o), true
-			}
+	hasSlot := d.hasSlot
+	if allocator != nil {
+		if !env.Now.Before(d.slots.unreachableUntil[allocator.Node]) {
+			return d.requestSlot(env, x, ranked, allocator), true
 		}
-	case env.Now.Before(d.slots.unreachableUntil[allocator.Node]):
-		for _, o := range ranked {
-			if slotGroup(env, o.server) == group && d.ownRunning(o.server.Server) < env.OwnSlots(group, d.slotCount(env, o.server)) {
-				return d.send(env, x, o), true
-			}
+		hasSlot = func(env Env, s *registrar.Server) bool {
+			return d.ownRunning(s.Server) < env.OwnSlots(group, d.slotCount(env, s))
 		}
-	default:
-		return d.requestSlot(env, x, ranked, group, allocator), true
 	}
 	for _, o := range ranked {
-		if slotGroup(env, o.server) == group {
-			x.slots.full = append(x.slots.full, o.server.Server)
+		if hasSlot(env, o.server) {
+			return d.send(env, x, o), true
 		}
+		x.slotRequest.full = append(x.slotRequest.full, o.server.Server)
 	}
 	return nil, false
 }
 
-// rankedServers returns the choices for an exchange whose servers state no limit, best first,
-// among the servers from which c was chosen.
-func (d *Dispatcher) rankedServers(env Env, x *exchange, c choice) []choice {
+// rankedInGroup returns the choices for an exchange in one group whose servers state no limit, c
+// first and then the best, among the servers from which c was chosen.
+func (d *Dispatcher) rankedInGroup(env Env, x *exchange, c choice, group string) []choice {
 	holders := d.cacheHoldersOf(env, x.spec.Prefix, c.servers)
 	others := d.candidates(env, x, holders, func(s *registrar.Server) bool {
 		_, limited := env.Limits.Rate(s.Server)
-		return !limited && s.Server != c.server.Server
+		return !limited && s.Server != c.server.Server && slotGroup(env, s) == group
 	})
 	slices.SortStableFunc(others, func(a, b choice) int { return cmp.Compare(a.cost, b.cost) })
 	return append([]choice{c}, others...)
 }
 
-func (d *Dispatcher) requestSlot(env Env, x *exchange, ranked []choice, group string, allocator *Allocator) messenger.Effect {
-	x.slots.asked = nil
-	for _, o := range ranked {
-		if len(x.slots.asked) < maxSlotServers && slotGroup(env, o.server) == group {
-			x.slots.asked = append(x.slots.asked, o.server.Server)
-		}
+func (d *Dispatcher) requestSlot(env Env, x *exchange, ranked []choice, allocator *Allocator) messenger.Effect {
+	r := &x.slotRequest
+	r.servers = nil
+	for _, o := range ranked[:min(len(ranked), maxSlotServers)] {
+		r.servers = append(r.servers, o.server.Server)
 	}
-	x.slots.candidates = nil
+	r.eligible = nil
 	for _, s := range ranked[0].servers {
-		x.slots.candidates = append(x.slots.candidates, s.Server)
+		r.eligible = append(r.eligible, s.Server)
 	}
-	x.slots.count++
+	r.count++
 	return messenger.RequestSlot{
 		Exchange: x.spec.Exchange,
 		Address:  allocator.Address,
-		Report:   d.slotReport(env, x.slots.asked),
+		Report:   d.slotReport(env, r.servers),
 	}
 }
 
@@ -211,30 +206,30 @@
 		d.slots.ended[e.Server] = true
 	}
 	x, ok := d.exchanges[e.Exchange]
-	if !ok || len(x.slots.asked) == 0 {
+	if !ok || len(x.slotRequest.servers) == 0 {
 		return messenger.EndExchange{
 			Exchange: e.Exchange,
 			Reason:   messenger.ReasonCancelled,
 		}
 	}
-	asked := x.slots.asked
-	x.slots.asked = nil
+	servers := x.slotRequest.servers
+	x.slotRequest.servers = nil
 	env = env.forExchange(x)
 	if x.deadline.Sub(env.Now) < minAttemptTime {
 		return d.abandonUnplaced(env, x, messenger.ReasonDeadlineExpired)
 	}
-	if slices.Contains(asked, e.Server) {
-		if c, found := d.chooseServer(env, x, x.slots.candidates, e.Server); found {
+	if slices.Contains(servers, e.Server) {
+		if c, found := d.chooseServer(env, x, x.slotRequest.eligible, e.Server); found {
 			delete(d.slots.ended, e.Server)
 			return d.send(env, x, c)
 		}
 	}
 	if e.Unknown || e.NotAllocating {
-		d.allocatorUnreachable(env, asked[0])
+		d.allocatorUnreachable(env, servers[0])
 	} else {
-		x.slots.full = append(x.slots.full, asked...)
+		x.slotRequest.full = append(x.slotRequest.full, servers...)
 	}
-	if x.slots.count < maxSlotRequests {
+	if x.slotRequest.count < maxSlotRequests {
 		if effect, placed := d.place(env, x); placed {
 			return effect
 		}
@@ -253,9 +248,9 @@
 	}
 }
 
-// ServiceBrittle has this node's requests at a service's servers reported, as they were sent
-// without a slot.
-func (d *Dispatcher) ServiceBrittle(env Env, service identifier.ServiceName) {
+// ReportUnslotted has this node's requests at the servers of a service that has become brittle
+// reported. They were sent without a slot.
+func (d *Dispatcher) ReportUnslotted(env Env, service identifier.ServiceName) {
 	for server := range d.loads.own {
 		if s, known := env.Servers.Server(server); known && s.Service == service {
 			d.slots.ended[server] = true
--- a/internal/reducer/serverstated.go
+++ b/internal/reducer/serverstated.go
@@ -48,7 +48,7 @@
 	if !e.Brittle.Stated {
 		return []messenger.Effect{brittleEnded(server.Service)}
 	}
-	r.gateway.exchanges.ServiceBrittle(r.exchangeEnv(env), server.Service)
+	r.gateway.exchanges.ReportUnslotted(r.exchangeEnv(env), server.Service)
 	return append(r.slotReports(env), messenger.TimelineEntry{
 		Kind:   "service_brittle",
 		VM:     e.Server,
--- a/internal/runner/grant.go
+++ b/internal/runner/grant.go
@@ -68,31 +68,29 @@
 
 // GrantLimit implements relayer.Peer.
 func (r *Runner) GrantLimit(ctx context.Context, account identifier.AccountID, tokens identifier.Tokens) messenger.LimitAnswered {
-	answer := make(chan messenger.LimitAnswered, 1)
-	applied := r.runInLoop(ctx, func() {
-		r.step(messenger.LimitRequested{
-			Ticket:  r.limitRequests.add(answer),
+	return grant(ctx, r, &r.limitRequests, messenger.LimitAnswered{Unknown: true}, func(t identifier.Ticket) messenger.EventBody {
+		return messenger.LimitRequested{
+			Ticket:  t,
 			Account: account,
 			Tokens:  tokens,
-		})
+		}
 	})
-	unknown := messenger.LimitAnswered{Unknown: true}
-	if !applied {
-		return unknown
-	}
-	return awaitAnswer(ctx, r.stopped, answer, unknown)
 }
 
 // GrantPermit implements relayer.Peer.
 func (r *Runner) GrantPermit(ctx context.Context, limits []messenger.ServerLimit) messenger.PermitAnswered {
-	answer := make(chan messenger.PermitAnswered, 1)
-	applied := r.runInLoop(ctx, func() {
-		r.step(messenger.PermitRequested{
-			Ticket: r.permitRequests.add(answer),
+	return grant(ctx, r, &r.permitRequests, messenger.PermitAnswered{Unknown: true}, func(t identifier.Ticket) messenger.EventBody {
+		return messenger.PermitRequested{
+			Ticket: t,
 			Limits: limits,
-		})
+		}
 	})
-	unknown := messenger.PermitAnswered{Unknown: true}
+}
+
+// grant has the reducer answer the request of a peer, and returns unknown if it can't in time.
+func grant[A any](ctx context.Context, r *Runner, requests *pendingRequests[A], unknown A, event func(identifier.Ticket) messenger.EventBody) A {
+	answer := make(chan A, 1)
+	applied := r.runInLoop(ctx, func() { r.step(event(requests.add(answer))) })
 	if !applied {
 		return unknown
 	}
--- a/internal/runner/slot.go
+++ b/internal/runner/slot.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 )
 
 // requestSlot requests a slot at a brittle server from a peer. A caller waits for the
@@ -34,18 +35,12 @@
 
 // GrantSlot implements relayer.Peer.
 func (r *Runner) GrantSlot(ctx context.Context, report messenger.SlotReport) messenger.SlotAnswered {
-	answer := make(chan messenger.SlotAnswered, 1)
-	applied := r.runInLoop(ctx, func() {
-		r.step(messenger.SlotRequested{
-			Ticket: r.slotRequests.add(answer),
+	return grant(ctx, r, &r.slotRequests, messenger.SlotAnswered{Unknown: true}, func(t identifier.Ticket) messenger.EventBody {
+		return messenger.SlotRequested{
+			Ticket: t,
 			Report: report,
-		})
+		}
 	})
-	unknown := messenger.SlotAnswered{Unknown: true}
-	if !applied {
-		return unknown
-	}
-	return awaitAnswer(ctx, r.stopped, answer, unknown)
 }
 
 // ReceiveSlots implements relayer.Peer.
