--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -10,6 +10,10 @@
 // own, and a later start ends the earlier ones: late entries of these are ignored, even
 // with larger offsets.
 //
+// A node that takes its entries for known up to a time holds every entry written before it. So
+// it passes that time on only with all changes that the receiver may lack, removals that it has
+// deferred included, and for no longer than it has known all entries itself.
+//
 // The package is pure: time is an argument. Nothing in it is safe for concurrent use.
 package registrar
 
