Test slots of a brittle server on real nodes

Three nodes, one server of eight slots and thirty requests at once: it runs eight at most, what is refused did not run.

--- a/cmd/dotterelhollow/gateway_test.go
+++ b/cmd/dotterelhollow/gateway_test.go
@@ -363,6 +363,45 @@
 	}
 }
 
+// Three nodes together must not send a brittle server more than it has slots for, nor may callers
+// wait for one.
+func TestGatewayAllocatesSlotsOfBrittleServer(t *testing.T) {
+	const (
+		nodes    = 3
+		requests = 10 * nodes
+		slots    = 8
+	)
+	in := newInstallation(t, nodes)
+	in.portal.Events = 50
+	in.portal.EventInterval = 10 * time.Millisecond
+	brittle := "3"
+	in.portal.Brittle.Store(&brittle)
+	for i, n := range in.nodes {
+		response, _, err := in.send(n, fmt.Sprintf("first-%d", i), "/slots/1", "secret")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+	}
+	statuses := make(chan int, requests)
+	for i := range requests {
+		go func() {
+			response, _, err := in.send(in.nodes[i%nodes], fmt.Sprintf("r-%d", i), "/slots/1", "secret")
+			if err != nil {
+				statuses <- 0
+				return
+			}
+			statuses <- response.StatusCode
+		}()
+	}
+	count := map[int]int{}
+	for range requests {
+		count[<-statuses]++
+	}
+	require.Equal(t, requests, count[http.StatusOK]+count[http.StatusServiceUnavailable], "%v", count)
+	require.GreaterOrEqual(t, count[http.StatusOK], slots)
+	require.LessOrEqual(t, in.portal.MaxRunning(), slots)
+	require.Len(t, in.portal.Executions(), nodes+count[http.StatusOK], "refused requests must not run")
+}
+
 // A node that starts while the store is unavailable receives the configuration
 // from its peers and serves requests.
 func TestGatewayWithoutStore(t *testing.T) {
