Give peers the time of a tunnel to tell whether a server has ended

Cause: a peer had 100 ms to confirm that a server has ended, also if it lacks processor time. Then the end is not counted against the request, and another node sends it again. A tunnel has 250 ms for the same steps; the shorter bound served no purpose.

Change: the bound of a tunnel applies.

--- a/internal/forwarder/connect.go
+++ b/internal/forwarder/connect.go
@@ -23,8 +23,6 @@
 	// tunnelIdleTimeout is the time for which idle tunnels are kept. It is short, so that
 	// requests return to the direct path soon, and a peer that stops waits for none.
 	tunnelIdleTimeout = 1 * time.Second
-	// confirmTimeout bounds the question to a peer whether a server has ended.
-	confirmTimeout = 100 * time.Millisecond
 )
 
 // NoPathError reports that an attempt had no path on which to connect.
@@ -215,7 +213,8 @@
 }
 
 // serverEnded reports whether the process of a server has ended after a connection to it
-// broke. If peers may be asked, one of them must find the address refusing connections too.
+// broke. If peers may be asked, one of them must find the address refusing connections too,
+// within the time to open a tunnel.
 func (x *exchange) serverEnded(s messenger.SendExchange, c *connection) bool {
 	ctx := x.r.Context()
 	if c.via() == "" && !dialer.RefusedAt(ctx, s.Address) {
@@ -224,8 +223,6 @@
 	if c.via() == "" && len(s.Path.Peers) == 0 {
 		return true
 	}
-	ctx, done := context.WithTimeout(ctx, confirmTimeout)
-	defer done()
 	for _, peer := range s.Path.Peers {
 		tunnel, err := x.forwarder.transports.opener.Open(ctx, peer, s.Address)
 		if err == nil {
