Let a decision that was not carried out choose the same server again

Callers could see: 503 from a node that lacks processor time, if a service has one server that may get the request.

Cause: a decision that took more than 400 ms counts as an attempt that was not sent, and its server as tried, so that it is not chosen again.

Change: such an attempt says so, and its server stays eligible. TestStaleDecisionMayChooseTheSameServer fails before.

--- a/internal/dispatcher/path_test.go
+++ b/internal/dispatcher/path_test.go
@@ -72,3 +72,24 @@
 	}
 	n.env.Paths.Probes(n.env.Now, n.env.Servers.Ready)
 }
+
+// Guards against requests that are refused because the decision to send them to the only server
+// took too long.
+func TestStaleDecisionMayChooseTheSameServer(t *testing.T) {
+	n := newNode(1)
+	first := n.sendPath(t, "/ping/1")
+	for range 2 {
+		again, ok := n.AttemptEnded(n.env, messenger.ExchangeAttemptEnded{
+			Exchange:   first.Exchange,
+			Attempt:    first.Attempt,
+			Server:     first.Server,
+			Result:     messenger.AttemptNotSent,
+			PathFailed: true,
+			Stale:      true,
+		}).(messenger.SendExchange)
+		require.True(t, ok)
+		require.Equal(t, first.Server, again.Server)
+		first = again
+	}
+	require.False(t, n.env.Suspicions.Suspect(n.env.Now, first.Server))
+}
--- a/internal/dispatcher/repeat.go
+++ b/internal/dispatcher/repeat.go
@@ -103,6 +103,9 @@
 	switch {
 	case e.Result == messenger.AttemptNotSent:
 		x.countedAttempts--
+		if e.Stale {
+			x.tried = x.tried[:len(x.tried)-1]
+		}
 		return
 	case e.Result == messenger.AttemptMisdirected:
 		// The intended server no longer exists, so that the attempt loads none.
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -30,6 +30,8 @@
 	// pathFailed reports that no connection could be opened, for reasons that say nothing
 	// about the server.
 	pathFailed bool
+	// stale reports that nothing was attempted, because the decision took too long.
+	stale bool
 }
 
 // bufferedAnswer is an answer that was read to its end.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -871,6 +871,9 @@
 		r := newRequest(t, http.MethodGet, "http://"+startForwarder(t, decider)+"/x", nil)
 		require.Equal(t, http.StatusOK, do(t, r).status, test.name)
 		require.Equal(t, test.want, decider.results(), test.name)
+		for _, e := range decider.attemptEnds {
+			require.True(t, e.Stale, test.name)
+		}
 		require.EqualValues(t, 1, requests.Load(), test.name)
 	}
 }
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -198,6 +198,7 @@
 			Backoff:     x.backoff,
 			ServerEnded: end.serverEnded,
 			PathFailed:  end.pathFailed,
+			Stale:       end.stale,
 		})
 	}
 }
@@ -218,6 +219,7 @@
 		result:     messenger.AttemptNotSent,
 		reason:     "stale decision",
 		pathFailed: true,
+		stale:      true,
 	}
 }
 
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -72,6 +72,9 @@
 		// PathFailed reports that the attempt was not sent for lack of a path,
 		// which says nothing about the server.
 		PathFailed bool
+		// Stale reports that the decision took too long and was not carried out, so that the same
+		// server may be chosen again.
+		Stale bool
 	}
 	// ExchangeEnded reports that nothing more is sent to the caller.
 	ExchangeEnded struct {
