--- a/cmd/dotterelhollow/gateway_test.go
+++ b/cmd/dotterelhollow/gateway_test.go
@@ -363,8 +363,7 @@
 	}
 }
 
-// Three nodes together must not send a brittle server more than it has slots for, nor may callers
-// wait for one.
+// Guards against nodes that together send a brittle server more than it has slots for.
 func TestGatewayAllocatesSlotsOfBrittleServer(t *testing.T) {
 	const (
 		nodes    = 3
--- a/internal/dispatcher/path_test.go
+++ b/internal/dispatcher/path_test.go
@@ -73,8 +73,7 @@
 	n.env.Paths.Probes(n.env.Now, n.env.Servers.Ready)
 }
 
-// Guards against requests that are refused because the decision to send them to the only server
-// took too long.
+// Guards against refusals where a late decision had chosen the only server.
 func TestStaleDecisionMayChooseTheSameServer(t *testing.T) {
 	n := newNode(1)
 	first := n.sendPath(t, "/ping/1")
--- a/internal/forwarder/connect_test.go
+++ b/internal/forwarder/connect_test.go
@@ -132,8 +132,7 @@
 	require.True(t, s.attemptEnds[0].ServerEnded)
 }
 
-// Guards against requests that are blamed for the ends of servers behind a partition, and against
-// ends of servers that go unnoticed because a peer is slow.
+// Guards against ends of servers that are seen behind a partition, or missed as a peer is slow.
 func TestPeerTellsWhetherServerHasEnded(t *testing.T) {
 	for _, test := range []struct {
 		name string
--- a/internal/prover/brittle_test.go
+++ b/internal/prover/brittle_test.go
@@ -222,8 +222,7 @@
 // maxEnds is the number of times that brittle servers may end.
 func (s clusterSize) maxEnds() int { return 2 + s.servers/10 }
 
-// Guards against nodes that learn one after the other that a server has less room than it
-// publishes.
+// Guards against nodes that learn one by one that a server has less room than it publishes.
 func TestBrittleServersWithLessRoomLastOut(t *testing.T) {
 	for _, test := range []struct {
 		size        clusterSize
@@ -261,8 +260,7 @@
 	}
 }
 
-// Guards against brittle servers that end because the node that allocates their slots, or another
-// part of the system, fails.
+// Guards against brittle servers that end because a part of the system fails.
 func TestBrittleServersLastOutDuringFaults(t *testing.T) {
 	for _, load := range []timekeeper.Duration{1440, 2900} {
 		t.Run(fmt.Sprintf("service time %s", load), func(t *testing.T) {
--- a/internal/prover/partition_faults_test.go
+++ b/internal/prover/partition_faults_test.go
@@ -46,8 +46,7 @@
 	require.Empty(t, cl.violations)
 }
 
-// Limits and pauses of servers must hold when many nodes send through peers, the holder of the lease
-// is killed and the store is away; and callers of the partitioned nodes must be served.
+// Limits and pauses must hold, and callers be served, when other faults meet a large partition.
 func TestManyPartitionedNodesBesideFaults(t *testing.T) {
 	size := manyNodes(min(69, maxRestartNodes))
 	cut := size.nodes / 3
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -469,8 +469,7 @@
 	})
 }
 
-// Guards against a node that vouches for its entries but reports none that a peer reported to it
-// first.
+// Guards against nodes that vouch for an entry which they don't report, as a peer had it first.
 func TestLeavingReadAfterPeerReportedItIsReported(t *testing.T) {
 	table := registrar.New()
 	table.ApplyRead(start, []messenger.PublishedServer{entry("i-1", 1, messenger.ServerReady)}, true)
@@ -481,8 +480,7 @@
 	require.Len(t, table.UpdatesSince(start.Add(200), start, false), 1)
 }
 
-// Guards against peers that take over the time up to which all entries are known without a
-// removal that is deferred after an outage.
+// Guards against peers that vouch for all entries without a removal that was deferred.
 func TestDeferredRemovalIsReported(t *testing.T) {
 	ready := []messenger.PublishedServer{entry("i-1", 1, messenger.ServerReady)}
 	table, peer := registrar.New(), registrar.New()
