Rank servers and count their slots in one place each

predict computed the slots that slotCount returns, and the alternatives for a permit were ranked by the same lines as those for a slot.

--- a/internal/dispatcher/choose.go
+++ b/internal/dispatcher/choose.go
@@ -191,10 +191,7 @@
 func (d *Dispatcher) predict(env Env, x *exchange, s *registrar.Server, cache cacheState) choice {
 	running, prefill := d.loads.serverLoad(env.Now, s.Server)
 	backend := env.Catalog.Routing.Backends[x.service]
-	slots := s.Slots
-	if backend.Slots > 0 {
-		slots = backend.Slots
-	}
+	slots := d.slotCount(env, s)
 	waiting := 0
 	if slots > 0 {
 		waiting = max(running-slots+1, 0)
--- a/internal/dispatcher/permit.go
+++ b/internal/dispatcher/permit.go
@@ -72,9 +72,7 @@
 // of the chosen one, best first. It returns none if a server is available that needs no
 // permit.
 func (d *Dispatcher) alternatives(env Env, x *exchange, c choice, allocator *Allocator) []identifier.VMID {
-	holders := d.cacheHoldersOf(env, x.spec.Prefix, c.servers)
-	others := d.candidates(env, x, holders, func(s *registrar.Server) bool { return s.Server != c.server.Server })
-	slices.SortStableFunc(others, func(a, b choice) int { return cmp.Compare(a.cost, b.cost) })
+	others := d.ranked(env, x, c.servers, func(s *registrar.Server) bool { return s.Server != c.server.Server })
 	var out []identifier.VMID
 	for _, o := range others {
 		server := o.server.Server
@@ -88,6 +86,13 @@
 	return out
 }
 
+// ranked returns the choices among the eligible ones of servers, best first.
+func (d *Dispatcher) ranked(env Env, x *exchange, servers []*registrar.Server, eligible func(*registrar.Server) bool) []choice {
+	choices := d.candidates(env, x, d.cacheHoldersOf(env, x.spec.Prefix, servers), eligible)
+	slices.SortStableFunc(choices, func(a, b choice) int { return cmp.Compare(a.cost, b.cost) })
+	return choices
+}
+
 // PermitAnswered continues an exchange when the permit allocator has answered.
 func (d *Dispatcher) PermitAnswered(env Env, e messenger.PermitAnswered) messenger.Effect {
 	x, ok := d.exchanges[e.Exchange]
--- a/internal/dispatcher/slot.go
+++ b/internal/dispatcher/slot.go
@@ -94,12 +94,10 @@
 // rankedInGroup returns the choices for an exchange in one group whose servers state no limit, c
 // first and then the best, among the servers from which c was chosen.
 func (d *Dispatcher) rankedInGroup(env Env, x *exchange, c choice, group string) []choice {
-	holders := d.cacheHoldersOf(env, x.spec.Prefix, c.servers)
-	others := d.candidates(env, x, holders, func(s *registrar.Server) bool {
+	others := d.ranked(env, x, c.servers, func(s *registrar.Server) bool {
 		_, limited := env.Limits.Rate(s.Server)
 		return !limited && s.Server != c.server.Server && slotGroup(env, s) == group
 	})
-	slices.SortStableFunc(others, func(a, b choice) int { return cmp.Compare(a.cost, b.cost) })
 	return append([]choice{c}, others...)
 }
 
