Decode which request began a stream that a caller resumes, and log it

Callers that take a stream up again name the request that brought its first event in Resumes. No decision uses it yet.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -150,6 +150,7 @@
 	f.config.Metrics.ended(x.status, result, elapsed)
 	f.config.Logger.Info("exchange ended",
 		"request", x.head.Request,
+		"resumed", x.head.Resumed,
 		"content", x.content.String(),
 		"route", x.inputs.Route,
 		"account", x.inputs.Account,
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -82,6 +82,10 @@
 	// LastEvent is the id of the last event that the caller received from an earlier
 	// answer, or empty.
 	LastEvent string
+	// Resumes reports whether the caller already has a part of the answer. Resumed is the id
+	// of its request that brought the first event, or empty if it states none.
+	Resumes bool
+	Resumed identifier.RequestID
 }
 
 // Reply holds the metadata from the head of a server's answer.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -161,6 +161,7 @@
 	return forwarder.Head{
 		Request:   identifier.RequestID(r.Header.Get("Id")),
 		LastEvent: r.Header.Get("After"),
+		Resumes:   r.Header.Get("After") != "",
 	}, nil
 }
 
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -123,8 +123,10 @@
 		PromptTokens: x.head.PromptTokens,
 		MaxTokens:    x.head.MaxTokens,
 		Prefix:       x.head.Prefix,
-		Resumes:      x.head.LastEvent != "",
+		Resumes:      x.head.Resumes,
 		Content:      x.content,
+
+		ResumedRequest: x.head.Resumed,
 	}
 }
 
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -27,6 +27,9 @@
 	Prefix []PromptPart
 	// Resumes reports whether the caller already has a part of the answer.
 	Resumes bool
+	// ResumedRequest is the id of the caller's request that brought the first event of the
+	// stream that this one resumes, or empty if the caller states none.
+	ResumedRequest identifier.RequestID
 	// Content is a hash of host, path and body.
 	Content identifier.ContentHash
 }
