--- a/internal/prover/exchange_cluster_test.go
+++ b/internal/prover/exchange_cluster_test.go
@@ -129,6 +129,8 @@
 	rejections rejections
 	partition  partition
 	brittle    brittleServers
+	// resumptions are the streams that break and go on.
+	resumptions resumptions
 	// disorder has messages between nodes lost, and what nodes take for known checked.
 	disorder     disorder
 	size         clusterSize
@@ -556,6 +558,7 @@
 		cl.refuse(e)
 	case messenger.EndExchange:
 		cl.repeatRequest(cl.requests[e.Exchange])
+		cl.streamEnded(e.Exchange)
 	}
 }
 
@@ -684,6 +687,10 @@
 
 // sendRequest sends a new request of random repetition to a ready node.
 func (cl *exchangeCluster) sendRequest() {
+	if cl.resumptions.enabled {
+		cl.requestStream(&callerStream{})
+		return
+	}
 	n := cl.anyReady()
 	if n == nil {
 		return
@@ -732,6 +739,11 @@
 	if cl.rejects(n, e) || cl.lacksRoom(n, e) {
 		return
 	}
+	if cl.resumptions.enabled {
+		cl.rollouts.recordArrival(e.Server)
+		cl.serveStream(n, e, peer)
+		return
+	}
 	result := messenger.AttemptComplete
 	if cl.serverFault != "" && (cl.alwaysFails || cl.rng.IntN(2) == 0) {
 		result = cl.serverFault
@@ -788,6 +800,7 @@
 	cl.refused++
 	cl.recordRefused(e.Exchange)
 	cl.recordRefusal(e)
+	cl.streamEnded(e.Exchange)
 	if id := cl.requests[e.Exchange]; len(cl.ranAt[id]) > 0 {
 		cl.violatef("%s was refused and ran at %v", id, cl.ranAt[id])
 	}
@@ -825,6 +838,7 @@
 		}
 	}
 	cl.reportExcesses()
+	cl.checkResumptions()
 	if cl.answered < 200 {
 		cl.violatef("only %d requests answered, %d refused", cl.answered, cl.refused)
 	}
--- /dev/null
+++ b/internal/prover/resume_test.go
@@ -0,0 +1,339 @@
+package prover
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+const (
+	// maxMixedStreams is the number of streams that may hold events of two versions.
+	maxMixedStreams = 2
+	// minResumedRatio is the share of the resumed streams that must go on, relative to the
+	// share of the new streams that begin, if there are minResumptions of them.
+	minResumedRatio = 0.5
+	minResumptions  = 12
+	// resumptionStability is the time without a disturbance of a node from which its
+	// resumptions count.
+	resumptionStability = 3 * timekeeper.Second
+	// eventInterval is the time between two events of a stream, and streamEvents their
+	// number.
+	eventInterval = 100 * timekeeper.Millisecond
+	streamEvents  = 8
+	// resumeDelay is the time after which a caller takes up a stream that broke, and
+	// maxResumeTries the number of times that it asks.
+	resumeDelay    = 60 * timekeeper.Millisecond
+	maxResumeTries = 2
+)
+
+// resumptions holds what callers and servers observe of resumable streams. Callers resume
+// streams that break, at any node.
+type resumptions struct {
+	enabled bool
+	streams map[identifier.ExchangeID]*callerStream
+	// runs are the current runs at servers, by exchange.
+	runs map[identifier.ExchangeID]*streamRun
+	// mixed is the number of streams with events of two versions, resumed that of streams
+	// with events after a break, within an answer or over requests.
+	mixed   int
+	resumed int
+	// begun and started count the new streams that were requested and had an event, asked
+	// and wentOn those that callers took up again and that had a further event.
+	started, begun, asked, wentOn int
+	// breakShare is the share of the runs that break after some events.
+	breakShare float64
+	versions   map[identifier.VMID]identifier.Version
+}
+
+// callerStream is a stream as its caller sees it.
+type callerStream struct {
+	// first is the request that brought the first event, and version the version that
+	// made it.
+	first   identifier.RequestID
+	version identifier.Version
+	events  int
+	mixed   bool
+	tries   int
+	// counted is set if the current request counts towards the share that goes on.
+	counted bool
+	began   bool
+}
+
+// streamRun is a run of a stream at a server.
+type streamRun struct {
+	n       *gatewayNode
+	e       messenger.SendExchange
+	peer    identifier.VMID
+	version identifier.Version
+	ended   bool
+	// breaksAfter is the number of events after which the run breaks, or zero.
+	breaksAfter int
+	events      int
+}
+
+// resumeStreams has all requests be resumable streams, of which a share breaks.
+func (cl *exchangeCluster) resumeStreams(breakShare float64) {
+	cl.resumptions = resumptions{
+		enabled:    true,
+		breakShare: breakShare,
+		streams:    map[identifier.ExchangeID]*callerStream{},
+		runs:       map[identifier.ExchangeID]*streamRun{},
+		versions:   map[identifier.VMID]identifier.Version{},
+	}
+}
+
+// startVersion writes entries of count servers of a version, with ids from first on.
+func (cl *exchangeCluster) startVersion(first, count int, v identifier.Version) {
+	for i := range count {
+		vm := exchangeServer(first + i)
+		cl.resumptions.versions[vm] = v
+		cl.writeVersionEntry(vm, messenger.ServerReady, v)
+	}
+}
+
+// leaveServers has count servers leave, from first on.
+func (cl *exchangeCluster) leaveServers(first, count int) {
+	for i := range count {
+		vm := exchangeServer(first + i)
+		cl.writeVersionEntry(vm, messenger.ServerLeaving, cl.versionOf(vm))
+		cl.after(2500, func() { cl.writeVersionEntry(vm, messenger.ServerRemoved, cl.versionOf(vm)) })
+	}
+}
+
+// versionOf returns the version of a server.
+func (cl *exchangeCluster) versionOf(vm identifier.VMID) identifier.Version {
+	if v, ok := cl.resumptions.versions[vm]; ok {
+		return v
+	}
+	if hasNewVersion(vm) {
+		return "v2"
+	}
+	return "v1"
+}
+
+// requestStream has a caller request a stream, or resume s if that has begun.
+func (cl *exchangeCluster) requestStream(s *callerStream) {
+	n := cl.anyReady()
+	if n == nil {
+		return
+	}
+	cl.lastExchange++
+	x := cl.lastExchange
+	id := identifier.RequestID(fmt.Sprintf("s-%d", x))
+	cl.repetitions[id] = catalog.Resumable
+	cl.requests[x] = id
+	cl.requestedAt[x] = cl.now
+	cl.resumptions.streams[x] = s
+	s.tries++
+	s.began = false
+	s.counted = cl.now.Sub(max(n.startedAt, n.lastDisturbed)) >= resumptionStability
+	if s.counted && s.first == "" {
+		cl.resumptions.started++
+	}
+	if s.counted && s.first != "" {
+		s.counted = cl.versionServes(s.version)
+		if s.counted {
+			cl.resumptions.asked++
+		}
+	}
+	cl.apply(n, messenger.ExchangeReceived{
+		Spec: messenger.ExchangeSpec{
+			Exchange:       x,
+			Request:        id,
+			Host:           "api.example",
+			Path:           "/" + string(catalog.Resumable) + "/1",
+			Key:            "secret",
+			Received:       cl.now,
+			TimeLimit:      5 * timekeeper.Second,
+			PromptTokens:   100,
+			MaxTokens:      20,
+			Resumes:        s.first != "",
+			ResumedRequest: s.first,
+		},
+	})
+}
+
+// versionServes reports whether two servers of a version are ready.
+func (cl *exchangeCluster) versionServes(v identifier.Version) bool {
+	ready := 0
+	for vm, e := range cl.lastEntries {
+		if e.State == messenger.ServerReady && !cl.ended[vm] && cl.versionOf(vm) == v {
+			ready++
+		}
+	}
+	return ready >= 2
+}
+
+// serveStream runs a stream at a server, event by event.
+func (cl *exchangeCluster) serveStream(n *gatewayNode, e messenger.SendExchange, peer identifier.VMID) {
+	run := &streamRun{
+		n:       n,
+		e:       e,
+		peer:    peer,
+		version: cl.versionOf(e.Server),
+	}
+	if cl.rng.Float64() < cl.resumptions.breakShare {
+		run.breaksAfter = 1 + cl.rng.IntN(streamEvents-2)
+	}
+	cl.resumptions.runs[e.Exchange] = run
+	cl.after(cl.serviceTime, func() { cl.streamEvent(run) })
+}
+
+// streamEvent passes one event of a run to the caller, unless its node has ended.
+func (cl *exchangeCluster) streamEvent(run *streamRun) {
+	s := cl.resumptions.streams[run.e.Exchange]
+	if run.ended {
+		return
+	}
+	if cl.nodes[run.n.vm] != run.n || !run.n.alive {
+		run.ended = true
+		cl.breakChannel(s)
+		return
+	}
+	if run.breaksAfter > 0 && run.events == run.breaksAfter || cl.ended[run.e.Server] {
+		run.ended = true
+		cl.apply(run.n, messenger.ExchangeAttemptEnded{
+			Exchange:  run.e.Exchange,
+			Attempt:   run.e.Attempt,
+			Server:    run.e.Server,
+			Result:    messenger.AttemptBroken,
+			Streaming: s.began,
+		})
+		return
+	}
+	if run.events == 0 {
+		cl.apply(run.n, messenger.ExchangeBegan{
+			Exchange: run.e.Exchange,
+			Attempt:  run.e.Attempt,
+			Peer:     run.peer,
+		})
+	}
+	run.events++
+	cl.receiveEvent(s, run)
+	if s.events >= streamEvents {
+		run.ended = true
+		cl.answered++
+		cl.apply(run.n, messenger.ExchangeEnded{
+			Exchange: run.e.Exchange,
+			Result:   messenger.AttemptComplete,
+		})
+		return
+	}
+	cl.after(eventInterval, func() { cl.streamEvent(run) })
+}
+
+// receiveEvent records an event that the caller receives.
+func (cl *exchangeCluster) receiveEvent(s *callerStream, run *streamRun) {
+	r := &cl.resumptions
+	if s.first == "" {
+		s.first = cl.requests[run.e.Exchange]
+		s.version = run.version
+		if s.counted {
+			r.begun++
+		}
+	} else if !s.began && s.counted {
+		r.wentOn++
+	}
+	s.began = true
+	if s.events > 0 && run.events == 1 {
+		r.resumed++
+	}
+	s.events++
+	if run.version == s.version || s.mixed {
+		return
+	}
+	s.mixed = true
+	if r.mixed++; r.mixed == maxMixedStreams+1 {
+		cl.violatef("%s goes on at %s at version %s, and began at %s", s.first, run.e.Server, run.version, s.version)
+	}
+}
+
+// breakChannel has the caller of a stream take it up again at any node.
+func (cl *exchangeCluster) breakChannel(s *callerStream) {
+	if s.first == "" || s.events >= streamEvents || s.tries > maxResumeTries {
+		return
+	}
+	cl.after(resumeDelay, func() { cl.requestStream(s) })
+}
+
+// streamEnded handles the end of a stream's request without the rest of the stream.
+func (cl *exchangeCluster) streamEnded(id identifier.ExchangeID) {
+	if s := cl.resumptions.streams[id]; s != nil {
+		cl.breakChannel(s)
+	}
+}
+
+// resetChannels breaks the callers' channels of a share of the streams.
+func (cl *exchangeCluster) resetChannels(share float64) {
+	for _, run := range cl.liveRuns() {
+		if cl.rng.Float64() >= share {
+			continue
+		}
+		run.ended = true
+		cl.apply(run.n, messenger.ExchangeEnded{Exchange: run.e.Exchange})
+		cl.breakChannel(cl.resumptions.streams[run.e.Exchange])
+	}
+}
+
+// liveRuns returns the runs that go on, in the order of their exchanges.
+func (cl *exchangeCluster) liveRuns() []*streamRun {
+	var out []*streamRun
+	for id := identifier.ExchangeID(1); id <= cl.lastExchange; id++ {
+		if run := cl.resumptions.runs[id]; run != nil && !run.ended {
+			out = append(out, run)
+		}
+	}
+	return out
+}
+
+// checkResumptions verifies that most of the resumed streams went on.
+func (cl *exchangeCluster) checkResumptions() {
+	r := &cl.resumptions
+	if !r.enabled || r.asked < minResumptions {
+		return
+	}
+	share := float64(r.wentOn) / float64(r.asked)
+	begun := float64(r.begun) / float64(max(r.started, 1))
+	if share < minResumedRatio*begun {
+		cl.violatef("%d of %d streams go on, where %d of %d begin", r.wentOn, r.asked, r.begun, r.started)
+	}
+}
+
+// resumeCluster returns a cluster with two versions of a service side by side, whose streams
+// break or lose their callers' channels.
+func resumeCluster(t testing.TB, seed uint64, nodes int) *exchangeCluster {
+	cl := newSizedCluster(t, seed, clusterSize{
+		nodes:           nodes,
+		servers:         6,
+		requestInterval: exchangeInterval,
+		tokensPerSecond: 1e6,
+		nodesListed:     true,
+	})
+	cl.resumeStreams(0.2)
+	cl.at(1000, func() { cl.startVersion(20, 6, "v1.1") })
+	for at := timekeeper.Duration(6000); at < exchangeRunTime; at += 1500 {
+		cl.at(at, func() { cl.resetChannels(0.3) })
+	}
+	cl.recordDisturbances()
+	return cl
+}
+
+// Guards against streams that go on at another version than the one that began them, within
+// an answer or over requests of their callers, and against refusals of those that could go on.
+func TestStreamGoesOnAtItsVersion(t *testing.T) {
+	for _, nodes := range []int{6, 69} {
+		t.Run(fmt.Sprintf("%d nodes", nodes), func(t *testing.T) {
+			cl := resumeCluster(t, 0, nodes)
+			cl.run()
+			require.Empty(t, cl.violations)
+			require.Greater(t, cl.resumptions.resumed, minResumptions)
+			require.Greater(t, cl.resumptions.asked, minResumptions)
+		})
+	}
+}
