Continue a broken stream only at the version that began it

Cause: choose asked for candidates as for a new request, which are the servers of all versions or, in a rollout, those of the old one. An exchange is now bound to the version of the server that sent its first event; a stream whose version has no other server ends. In a rollout, a stream of the new version goes on there within the limit of requests to it, and not after a rollback. Ruled out: a choice that was right and a server that was not, as requests name the server.

Streams that callers take up in another request still go to any version.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -184,12 +184,16 @@
 	// mayHaveRun reports whether any attempt may have run.
 	mayHaveRun   bool
 	usageCounted bool
-	current      *attempt
+	// begun reports that the stream has begun, at a server of version.
+	begun   bool
+	version identifier.Version
+	current *attempt
 }
 
 // attempt is an attempt in flight.
 type attempt struct {
 	server    identifier.VMID
+	version   identifier.Version
 	sent      timekeeper.Time
 	predicted timekeeper.Duration
 	// prefill is the predicted time to read the prompt, or zero once the answer has
@@ -246,6 +250,9 @@
 	}
 	current := x.current
 	current.began = true
+	if !x.begun && x.isResumable() {
+		x.bind(current.version)
+	}
 	d.loads.promptRead(current.server, current.prefill)
 	d.notifyPeers = d.notifyPeers || current.prefill >= longPrefill
 	current.prefill = 0
--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -212,6 +212,7 @@
 	x.tried = append(x.tried, c.server.Server)
 	x.current = &attempt{
 		server:       c.server.Server,
+		version:      c.server.Version,
 		sent:         env.Now,
 		predicted:    c.predicted,
 		prefill:      c.prefill,
--- a/internal/promoter/choose.go
+++ b/internal/promoter/choose.go
@@ -40,6 +40,10 @@
 	// FirstAttempt is set if no attempt of the request has been sent. Retries go to the
 	// version that is known to be good.
 	FirstAttempt bool
+	// Begun is set if the request is for the rest of a stream, which only servers of Version
+	// can continue.
+	Begun   bool
+	Version identifier.Version
 	// OrdersAsOf is the time up to which this node knows the operators' orders.
 	OrdersAsOf timekeeper.Time
 	Rand       *rand.Rand
@@ -55,6 +59,9 @@
 // Candidates returns the servers that a request may be sent to, given their versions
 // and the state of the service's rollout.
 func (p *Promoter) Candidates(req Request) Candidates {
+	if req.Begun {
+		return Candidates{Preferred: p.serversOfVersion(req)}
+	}
 	r := p.rollouts[req.Service]
 	if r == nil {
 		return Candidates{Preferred: p.serversOfKnownVersions(req)}
@@ -77,13 +84,10 @@
 			Fallback:  newServers,
 		}
 	}
-	readyOld := registrar.CountReady(oldServers)
-	if readyOld == 0 && (r.phase == messenger.RolloutOrdered && r.leaderSeen == 0 || p.hasSoleVersion(r)) {
-		// The service has servers of this version only: it had no other, or the rollout
-		// was completed before this node started.
+	if p.hasOnlyNewServers(r, oldServers) {
 		return Candidates{Preferred: newServers}
 	}
-	if leaderFresh && req.FirstAttempt && p.mayExpose(req, r, readyOld) {
+	if leaderFresh && req.FirstAttempt && p.mayExpose(req, r, registrar.CountReady(oldServers)) {
 		return Candidates{
 			Preferred: activeServers(req.Now, newServers, r.activeServers),
 			Fallback:  oldServers,
@@ -92,6 +96,36 @@
 	return Candidates{Preferred: oldServers}
 }
 
+// serversOfVersion returns the servers of the version that began a stream, if the state of
+// the rollout permits requests there.
+func (p *Promoter) serversOfVersion(req Request) []*registrar.Server {
+	r := p.rollouts[req.Service]
+	if r == nil {
+		return ofVersion(p.serversOfKnownVersions(req), req.Version)
+	}
+	newServers, oldServers := r.split(req.Servers)
+	if req.Version != r.order.To || r.order.To == "" {
+		return ofVersion(oldServers, req.Version)
+	}
+	trusted := r.phase == messenger.RolloutPromoting || r.phase == messenger.RolloutCompleted
+	leaderFresh := req.Now.Sub(r.leaderSeen) <= maxLeaderAge
+	if trusted || p.hasOnlyNewServers(r, oldServers) || leaderFresh && p.withinExposure(r) {
+		return newServers
+	}
+	return nil
+}
+
+func ofVersion(servers []*registrar.Server, v identifier.Version) []*registrar.Server {
+	return slices.DeleteFunc(slices.Clone(servers), func(s *registrar.Server) bool { return s.Version != v })
+}
+
+// hasOnlyNewServers reports whether the service has servers of the ordered version only: it had
+// no other, or the rollout was completed before this node started.
+func (p *Promoter) hasOnlyNewServers(r *rollout, oldServers []*registrar.Server) bool {
+	return registrar.CountReady(oldServers) == 0 &&
+		(r.phase == messenger.RolloutOrdered && r.leaderSeen == 0 || p.hasSoleVersion(r))
+}
+
 // serversOfKnownVersions returns the servers of a service without a rollout. It leaves
 // out versions that appeared after this node last read the operators' orders, because
 // an order unknown to this node may have started them.
@@ -139,19 +173,24 @@
 	return oldServers
 }
 
-// mayExpose decides whether a request may go to the new version. Each node enforces the
-// limit on its own requests, whatever the leader asks for, so the limit holds for all
-// nodes together.
-func (p *Promoter) mayExpose(req Request, r *rollout, readyOld int) bool {
+// withinExposure reports whether the limit permits another request to the new version. Each
+// node enforces it on its own requests, whatever the leader asks for, so the limit holds for
+// all nodes together.
+func (p *Promoter) withinExposure(r *rollout) bool {
 	c := &r.counts
 	allowed := usableShare*p.config.Share*float64(c.sent+1) + usableSlack*p.config.Slack/float64(p.nodeCount)
-	if float64(c.exposed+1) > allowed {
+	return float64(c.exposed+1) <= allowed
+}
+
+// mayExpose decides whether a new request may go to the new version.
+func (p *Promoter) mayExpose(req Request, r *rollout, readyOld int) bool {
+	if !p.withinExposure(r) {
 		return false
 	}
 	if readyOld == 0 {
 		return true
 	}
-	return req.Rand.Float64() < r.trafficShare*c.routeWeight(req.Route)
+	return req.Rand.Float64() < r.trafficShare*r.counts.routeWeight(req.Route)
 }
 
 // routeWeight returns the factor by which a route's requests are sent to the new
--- a/internal/promoter/promoter_test.go
+++ b/internal/promoter/promoter_test.go
@@ -394,3 +394,36 @@
 		require.NotEmpty(t, c.check())
 	})
 }
+
+// Guards against streams of the new version that a rollout sends to the old one, and against
+// resumptions that exceed the limit of a version that is not trusted or was rolled back.
+func TestStreamDuringRolloutStaysAtItsVersion(t *testing.T) {
+	c := newCluster(1, workloads[0], versionKinds[0], testLimit)
+	c.order("v2", 1)
+	c.run(5 * timekeeper.Second)
+	n := c.nodes[0]
+	versionsFor := func(v identifier.Version) map[identifier.Version]bool {
+		req := c.request()
+		req.FirstAttempt = false
+		req.Begun = true
+		req.Version = v
+		candidates := n.Candidates(req)
+		require.Empty(t, candidates.Fallback)
+		out := map[identifier.Version]bool{}
+		for _, s := range candidates.Preferred {
+			out[s.Version] = true
+		}
+		return out
+	}
+	require.Equal(t, map[identifier.Version]bool{"v1": true}, versionsFor("v1"))
+	require.Equal(t, map[identifier.Version]bool{"v2": true}, versionsFor("v2"))
+	require.Empty(t, versionsFor("v0"), "a version without servers")
+	r := n.rollouts["reader"]
+	exposed := r.counts.exposed
+	r.counts.exposed += 1000
+	require.Empty(t, versionsFor("v2"), "beyond the limit")
+	r.counts.exposed = exposed
+	n.advance(c.now, r, messenger.RolloutRolledBack, "")
+	require.Empty(t, versionsFor("v2"), "rolled back")
+	require.Equal(t, map[identifier.Version]bool{"v1": true}, versionsFor("v1"))
+}
