Copy cached prefixes only between servers of one version

Callers would get answers that go on from memory of another version. The source of a copy is now the largest holder of the same version. TestCachedPrefixIsNotCopiedAcrossVersions failed before. A version without a holder reads a prefix once.

--- a/internal/dispatcher/choose.go
+++ b/internal/dispatcher/choose.go
@@ -257,9 +257,9 @@
 type cacheHolders struct {
 	servers []*registrar.Server
 	cached  []identifier.Tokens
-	// largest is the index of the server with the largest cached prefix among those
-	// that can be copied from, or -1.
-	largest int
+	// largest holds the index of the server with the largest cached prefix among those of a
+	// version that can be copied from. What two versions write does not fit together.
+	largest map[identifier.Version]int
 	// affinity is the index of the affinity server if no server is known to have cached
 	// anything, or -1.
 	affinity int
@@ -270,7 +270,7 @@
 	holders := cacheHolders{
 		servers:  servers,
 		cached:   make([]identifier.Tokens, len(servers)),
-		largest:  -1,
+		largest:  map[identifier.Version]int{},
 		affinity: -1,
 	}
 	for i, s := range servers {
@@ -284,11 +284,12 @@
 		if env.Backoffs.Until(env.Now, s.Server) != 0 {
 			continue // A copy would burden a server that asked for a pause.
 		}
-		if holders.cached[i] > 0 && (holders.largest < 0 || holders.cached[i] > holders.cached[holders.largest]) {
-			holders.largest = i
+		largest, known := holders.largest[s.Version]
+		if holders.cached[i] > 0 && (!known || holders.cached[i] > holders.cached[largest]) {
+			holders.largest[s.Version] = i
 		}
 	}
-	if holders.largest < 0 {
+	if len(holders.largest) == 0 {
 		holders.affinity = affinityServer(prefix, servers)
 	}
 	return holders
@@ -300,9 +301,9 @@
 		cached:   holders.cached[i],
 		affinity: i == holders.affinity,
 	}
-	if holders.largest >= 0 && holders.cached[holders.largest]-holders.cached[i] >= minCopyTokens {
-		out.copyFrom = holders.servers[holders.largest]
-		out.copyTokens = holders.cached[holders.largest]
+	if largest, known := holders.largest[holders.servers[i].Version]; known && holders.cached[largest]-holders.cached[i] >= minCopyTokens {
+		out.copyFrom = holders.servers[largest]
+		out.copyTokens = holders.cached[largest]
 	}
 	return out
 }
--- a/internal/dispatcher/version_test.go
+++ b/internal/dispatcher/version_test.go
@@ -196,3 +196,17 @@
 	require.Equal(t, identifier.Version("v1"), next.Inputs.Version)
 	require.Equal(t, messenger.ReasonUnknownStream, refusal(t, n.Receive(n.env, n.resumption("r-2"))).Reason)
 }
+
+// Guards against servers that continue on memory which another version wrote.
+func TestCachedPrefixIsNotCopiedAcrossVersions(t *testing.T) {
+	n := newCopyingNode()
+	first := n.sendShared(t)
+	n.publishVersion("v2", 3)
+	for i := range 3 {
+		n.publish(i, messenger.ServerLeaving)
+	}
+	second := n.sendShared(t)
+	require.Equal(t, identifier.Version("v2"), second.Inputs.Version)
+	require.NotEqual(t, first.Server, second.Server)
+	require.Empty(t, second.CopyFrom)
+}
