--- a/internal/resumer/resumer.go
+++ b/internal/resumer/resumer.go
@@ -25,8 +25,9 @@
 	// Retention is the time for which an origin is recorded. Callers resume a stream before
 	// their time limit, which is far shorter.
 	Retention = 1 * timekeeper.Minute
-	// maxStreams bounds the recorded origins. Each takes about 100 bytes.
+	// maxStreams bounds the recorded streams, and maxOrigins their different origins.
 	maxStreams = 1 << 17
+	maxOrigins = 1 << 12
 	// updateWindow is the time for which an origin is reported to peers, so that at least two
 	// state updates contain it. relayWindow is the same for a relay, which sends every half
 	// second.
@@ -38,7 +39,8 @@
 
 // Table holds the origins that one node knows.
 type Table struct {
-	origins map[identifier.StreamKey]origin
+	streams map[identifier.StreamKey]recordedOrigin
+	origins origins
 	// order holds the recorded streams, the oldest first.
 	order []entry
 	// found are the streams that began at this node, and relayed those that peers reported,
@@ -47,19 +49,45 @@
 	relayed []entry
 }
 
-type origin struct {
-	messenger.StreamOrigin
+// recordedOrigin is the origin of a recorded stream, as an index of origins.
+type recordedOrigin struct {
+	index uint16
 	// ambiguous is set if two origins were reported: a caller used one id twice.
 	ambiguous bool
 }
 
+// origins are the different origins of the recorded streams. Each is held once.
+type origins struct {
+	list []messenger.StreamOrigin
+	// uses counts the streams of each origin. An unused one is replaced.
+	uses []int
+}
+
+// use returns the index of an origin for a further stream, or false if there are too many.
+func (o *origins) use(origin messenger.StreamOrigin) (uint16, bool) {
+	i := slices.Index(o.list, origin)
+	if i < 0 {
+		i = slices.Index(o.uses, 0)
+	}
+	if i < 0 {
+		if i = len(o.list); i >= maxOrigins {
+			return 0, false
+		}
+		o.list = append(o.list, messenger.StreamOrigin{})
+		o.uses = append(o.uses, 0)
+	}
+	o.list[i] = origin
+	o.uses[i]++
+	return uint16(i), true
+}
+
 type entry struct {
 	stream identifier.StreamKey
 	at     timekeeper.Time
 }
 
 // New returns a Table without a stream.
-func New() *Table { return &Table{origins: map[identifier.StreamKey]origin{}} }
+func New() *Table { return &Table{streams: map[identifier.StreamKey]recordedOrigin{}} }
 
 // KeyOf returns the key of a stream: of its account and of the caller's request that brought
 // the first event. It is zero if that request is not known.
@@ -102,22 +130,24 @@
 
 // record records an origin, and reports whether it is new.
 func (t *Table) record(now timekeeper.Time, stream identifier.StreamKey, o messenger.StreamOrigin) bool {
-	known, ok := t.origins[stream]
+	known, ok := t.streams[stream]
 	switch {
 	case stream == 0:
 		return false
-	case ok && known.StreamOrigin != o:
-		known.ambiguous = true
-		t.origins[stream] = known
-		return false
 	case ok:
+		known.ambiguous = known.ambiguous || t.origins.list[known.index] != o
+		t.streams[stream] = known
 		return false
 	}
 	t.expire(now)
 	if len(t.order) >= maxStreams {
 		t.forgetOldest(1)
 	}
-	t.origins[stream] = origin{StreamOrigin: o}
+	index, ok := t.origins.use(o)
+	if !ok {
+		return false
+	}
+	t.streams[stream] = recordedOrigin{index: index}
 	t.order = append(t.order, entry{
 		stream: stream,
 		at:     now,
@@ -127,12 +157,15 @@
 
 // Origin returns the origin of a stream, if this node knows it.
 func (t *Table) Origin(stream identifier.StreamKey) (messenger.StreamOrigin, bool) {
-	known, ok := t.origins[stream]
-	return known.StreamOrigin, ok && !known.ambiguous
+	known, ok := t.streams[stream]
+	if !ok || known.ambiguous {
+		return messenger.StreamOrigin{}, false
+	}
+	return t.origins.list[known.index], true
 }
 
 // Len returns the number of recorded origins.
-func (t *Table) Len() int { return len(t.origins) }
+func (t *Table) Len() int { return len(t.streams) }
 
 // expire forgets the streams that callers resume no longer.
 func (t *Table) expire(now timekeeper.Time) {
@@ -141,7 +174,8 @@
 
 func (t *Table) forgetOldest(count int) {
 	for _, e := range t.order[:count] {
-		delete(t.origins, e.stream)
+		t.origins.uses[t.streams[e.stream].index]--
+		delete(t.streams, e.stream)
 	}
 	t.order = t.order[count:]
 }
@@ -170,14 +204,15 @@
 func (t *Table) group(entries []entry) []messenger.BegunStreams {
 	var out []messenger.BegunStreams
 	for _, e := range entries[max(len(entries)-maxUpdates, 0):] {
-		known, ok := t.origins[e.stream]
+		known, ok := t.streams[e.stream]
 		if !ok {
 			continue
 		}
-		i := slices.IndexFunc(out, func(s messenger.BegunStreams) bool { return s.Origin == known.StreamOrigin })
+		origin := t.origins.list[known.index]
+		i := slices.IndexFunc(out, func(s messenger.BegunStreams) bool { return s.Origin == origin })
 		if i < 0 {
 			i = len(out)
-			out = append(out, messenger.BegunStreams{Origin: known.StreamOrigin})
+			out = append(out, messenger.BegunStreams{Origin: origin})
 		}
 		out[i].Streams = append(out[i].Streams, e.stream)
 	}
--- a/internal/resumer/resumer_test.go
+++ b/internal/resumer/resumer_test.go
@@ -107,3 +107,20 @@
 	table.Merge(start.Add(1200), received, true)
 	require.Empty(t, table.RelayedUpdates(start.Add(1200)), "they are known")
 }
+
+// Guards against versions that come and go until no further one is recorded.
+func TestManyVersions(t *testing.T) {
+	table := resumer.New()
+	now := start
+	for i := range 10_000 {
+		now = now.Add(timekeeper.Second)
+		o := messenger.StreamOrigin{
+			Service: "reader",
+			Version: identifier.Version(fmt.Sprint("v", i)),
+		}
+		table.Began(now, identifier.StreamKey(i+1), o)
+		got, known := table.Origin(identifier.StreamKey(i + 1))
+		require.True(t, known)
+		require.Equal(t, o, got)
+	}
+}
