--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -184,6 +184,7 @@
 	x.forwarder.config.Logger.Info("attempt ended",
 		"request", x.head.Request,
 		"content", x.content.String(),
+		"parts", x.partsText(),
 		"attempt", s.Attempt,
 		"server", s.Server,
 		"address", s.Address,
@@ -215,6 +216,19 @@
 	return strconv.FormatFloat(float64(x.statedLimit.Rate), 'f', -1, 64)
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// partsText formats the parts of the prompt that other requests may share.
+func (x *exchange) partsText() string {
+	parts := messenger.SharedParts(x.head.Prefix)
+	var text []string
+	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
+		text = append(text, strconv.FormatUint(uint64(p.Hash), 16))
+	}
+	return strings.Join(text, ",")
+}
+
 // via returns the node through which the last attempt was sent, or empty if it was sent
 // directly or not at all.
 func (x *exchange) via() identifier.VMID {
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -40,6 +40,10 @@
 	Tokens identifier.Tokens
 }
 
+// SharedParts returns the parts of a prompt that other requests may share: all but the last,
+// which belongs to the request or to its session.
+func SharedParts(prefix []PromptPart) []PromptPart { return prefix[:max(len(prefix)-1, 0)] }
+
 // Events of opaque exchanges.
 type (
 	// ExchangeReceived carries a completely received request.
