--- a/internal/prover/exchange_cluster_test.go
+++ b/internal/prover/exchange_cluster_test.go
@@ -131,6 +131,8 @@
 	brittle    brittleServers
 	// resumptions are the streams that break and go on.
 	resumptions resumptions
+	// parts are the prompts of requests and the parts that crash servers.
+	parts promptParts
 	// disorder has messages between nodes lost, and what nodes take for known checked.
 	disorder     disorder
 	size         clusterSize
@@ -693,6 +695,10 @@
 		cl.requestStream(&callerStream{})
 		return
 	}
+	if cl.parts.enabled {
+		cl.sendSoundPrompt()
+		return
+	}
 	n := cl.anyReady()
 	if n == nil {
 		return
--- a/internal/prover/query_test.go
+++ b/internal/prover/query_test.go
@@ -86,6 +86,9 @@
 		e: e,
 	}
 	cl.attempts[e.Server] = append(cl.attempts[e.Server], f)
+	if cl.parts.enabled {
+		cl.beginPrompt(f)
+	}
 	content := cl.contents[cl.requests[e.Exchange]]
 	if !cl.deadly[content] {
 		return f
@@ -157,6 +160,9 @@
 		return
 	}
 	cl.quarantined[content]++
+	if _, sound := cl.parts.received[e.Exchange]; sound {
+		cl.parts.condemned++
+	}
 	if e.Refusal.Outcome != messenger.NotRun || e.Refusal.RetryAfter < timekeeper.Minute {
 		cl.violatef("a query of death is told %v", e.Refusal)
 	}
