Refuse requests with a part in their prompts that crashes servers

Cause: the quarantine knew requests by caller and content, and no two of these are alike. Its class is that of the queries of death: something is counted by request where the promise is by what requests share. Ruled out: load, as servers ended within 100 ms of the first event of such a request, and not while none came.

The ends of servers are now also recorded for each part of a prompt but the last, by the same messages and in the same record of the store. Sound requests share parts with those that crash servers and are on the same servers, so a part is refused only after five ends without a complete answer in between, over half a second, on a quarter of the servers that ended; where there were complete answers before, after six and 1.5 s. Of the parts on a server the one whose last complete answer is the oldest explains its end; what is explained counts neither for other parts nor for requests. Of two parts that were always together both are refused, and one node tries each alone.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -168,10 +168,14 @@
 	spec messenger.ExchangeSpec
 	// fingerprint identifies the request's content and its caller.
 	fingerprint identifier.Fingerprint
-	route       *catalog.Route
-	service     identifier.ServiceName
-	account     identifier.AccountID
-	urgency     int
+	// parts identify the parts of its prompt that other requests may share.
+	parts []identifier.Fingerprint
+	// onTrial reports that the request is sent although a part of its prompt is refused.
+	onTrial bool
+	route   *catalog.Route
+	service identifier.ServiceName
+	account identifier.AccountID
+	urgency int
 	// deadline is the earlier of the caller's time limit and the route's timeout.
 	deadline timekeeper.Time
 	attempt  identifier.AttemptNumber
@@ -311,7 +315,7 @@
 	}
 	if e.Result == messenger.AttemptComplete {
 		env.Suspicions.Observe(env.Now, x.current.server, detector.Observation{Kind: detector.Completed})
-		env.Quarantine.Completed(env.Now, x.fingerprint)
+		env.Quarantine.Completed(env.Now, x.fingerprint, x.parts...)
 	}
 	d.recordServerEnd(env, x, e.Result, e.ServerEnded)
 	env.Versions.RecordEnd(x.current.track, promoter.AttemptEnd{
--- a/internal/dispatcher/ended.go
+++ b/internal/dispatcher/ended.go
@@ -31,9 +31,9 @@
 		}
 	case result != messenger.AttemptBroken && result != messenger.AttemptTimedOut:
 	case serverEnded:
-		env.Quarantine.ServerEnded(env.Now, x.fingerprint, server)
+		env.Quarantine.ServerEnded(env.Now, x.fingerprint, server, x.parts...)
 	default:
-		d.unresponsive.add(env.Now, server, x.fingerprint)
+		d.unresponsive.add(env.Now, server, x)
 	}
 }
 
@@ -46,10 +46,11 @@
 // unansweredRequest is a request and the time at which its answer stopped.
 type unansweredRequest struct {
 	fingerprint identifier.Fingerprint
+	parts       []identifier.Fingerprint
 	at          timekeeper.Time
 }
 
-func (u unresponsiveServers) add(now timekeeper.Time, server identifier.VMID, fingerprint identifier.Fingerprint) {
+func (u unresponsiveServers) add(now timekeeper.Time, server identifier.VMID, x *exchange) {
 	if len(u) >= maxUnresponsive {
 		u.removeExpired(now)
 	}
@@ -57,7 +58,8 @@
 		return
 	}
 	u[server] = append(u[server], unansweredRequest{
-		fingerprint: fingerprint,
+		fingerprint: x.fingerprint,
+		parts:       x.parts,
 		at:          now,
 	})
 }
@@ -74,7 +76,7 @@
 func (u unresponsiveServers) serverRemoved(env Env, server identifier.VMID) {
 	for _, s := range u[server] {
 		if env.Now.Sub(s.at) <= maxEntryLifetime {
-			env.Quarantine.ServerEnded(env.Now, s.fingerprint, server)
+			env.Quarantine.ServerEnded(env.Now, s.fingerprint, server, s.parts...)
 		}
 	}
 	delete(u, server)
--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -44,7 +44,10 @@
 	}
 	env = env.forExchange(x)
 	if refusal := d.quarantined(env, x); refusal != nil {
-		return d.refuse(env, spec.Exchange, refusal)
+		if !env.Quarantine.TakeTrial(env.Now, x.fingerprint, x.parts...) {
+			return d.refuse(env, spec.Exchange, refusal)
+		}
+		x.onTrial = true
 	}
 	if x.resumes() {
 		return d.resume(env, x)
@@ -66,7 +69,7 @@
 
 // quarantined returns the refusal of a quarantined request, or nil.
 func (d *Dispatcher) quarantined(env Env, x *exchange) *messenger.Refusal {
-	retryAfter, refused := env.Quarantine.Refuses(env.Now, x.fingerprint)
+	retryAfter, refused := env.Quarantine.Refuses(env.Now, x.fingerprint, x.parts...)
 	if !refused {
 		return nil
 	}
@@ -77,7 +80,7 @@
 // because servers may have ended during the same request at other nodes while the limit
 // was requested.
 func (d *Dispatcher) start(env Env, x *exchange) messenger.Effect {
-	if refusal := d.quarantined(env, x); refusal != nil {
+	if refusal := d.quarantined(env, x); refusal != nil && !x.onTrial {
 		return d.refuse(env.forExchange(x), x.spec.Exchange, refusal)
 	}
 	effect, ok := d.place(env, x)
@@ -160,6 +163,9 @@
 		urgency:     urgency(routing, route, account),
 		deadline:    deadline(spec, route),
 	}
+	for _, p := range messenger.SharedParts(spec.Prefix) {
+		x.parts = append(x.parts, quarantiner.PartOf(x.service, p.Hash))
+	}
 	switch {
 	case x.deadline.Sub(env.Now) < minAttemptTime:
 		return nil, notRunRefusal(messenger.ReasonDeadline, 0)
--- a/internal/messenger/suspect.go
+++ b/internal/messenger/suspect.go
@@ -9,7 +9,9 @@
 // servers ended.
 type SuspectRequest struct {
 	Request identifier.Fingerprint
-	Ends    []ServerEnd
+	// Part reports that this is a part of prompts, which many requests may have.
+	Part bool
+	Ends []ServerEnd
 	// SeenAge is the time since the request last arrived, or a server last
 	// ended during it.
 	SeenAge timekeeper.Duration
--- a/internal/prover/part_test.go
+++ b/internal/prover/part_test.go
@@ -315,3 +315,101 @@
 		}
 	}
 }
+
+// partFaults are what happens to nodes while a part crashes servers.
+var partFaults = []exchangeFault{
+	{
+		name: "all nodes are killed once they refuse it",
+		inject: func(cl *exchangeCluster) {
+			cl.at(crashesFrom+5000, func() { cl.killNodes(1, 500) })
+		},
+	},
+	{
+		name: "a node is killed each second",
+		inject: func(cl *exchangeCluster) {
+			for i := range 12 {
+				cl.at(crashesFrom+timekeeper.Duration(1000*i), func() { cl.kill(cl.nodes[exchangeNode(i%cl.size.nodes)], 700) })
+			}
+		},
+	},
+	{
+		name: "some nodes are cut off",
+		inject: func(cl *exchangeCluster) {
+			cl.at(crashesFrom-1000, func() { cl.cutOff(true) })
+			cl.at(crashesFrom+5000, func() { cl.cutOff(false) })
+		},
+	},
+}
+
+// testCrashingPart plays a part that crashes servers beside a fault.
+func testCrashingPart(t *testing.T, name string, inject func(cl *exchangeCluster, seed uint64)) {
+	t.Run(name, func(t *testing.T) {
+		for seed := range max(uint64(4/cellStride), 1) {
+			cl := partCluster(t, seed, 6, 24)
+			cl.sendCrashing(crashesFrom, 250, 0xbad, firstPart, 0xbad)
+			inject(cl, seed)
+			cl.run()
+			require.Empty(t, cl.violations, "seed %d, %v", seed, cl.parts.crashes)
+		}
+	})
+}
+
+// Guards against parts that crash servers again after restarts and partitions.
+func TestCrashingPartDuringFaults(t *testing.T) {
+	for _, fault := range partFaults {
+		testCrashingPart(t, fault.name, func(cl *exchangeCluster, _ uint64) { fault.inject(cl) })
+	}
+	for _, fault := range exchangeFaults {
+		testCrashingPart(t, fault.name, func(cl *exchangeCluster, seed uint64) {
+			cl.at(crashesFrom+timekeeper.Duration(400*seed), func() { fault.inject(cl) })
+		})
+	}
+}
+
+// Guards against refusals of parts that are on servers which end by themselves.
+func TestSoundPartsAreServed(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		inject func(*exchangeCluster)
+	}{
+		{
+			name: "one server in a second",
+			inject: func(cl *exchangeCluster) {
+				for at := timekeeper.Duration(4000); at < exchangeRunTime; at += 1000 {
+					cl.at(at, cl.endAnyServer)
+				}
+			},
+		},
+		{
+			name: "three servers in a second",
+			inject: func(cl *exchangeCluster) {
+				for at := timekeeper.Duration(4000); at < exchangeRunTime; at += 330 {
+					cl.at(at, cl.endAnyServer)
+				}
+			},
+		},
+		{
+			name: "most servers at once, and again",
+			inject: func(cl *exchangeCluster) {
+				for at := timekeeper.Duration(6000); at < exchangeRunTime; at += 1700 {
+					cl.at(at, func() {
+						for range 4 {
+							cl.endAnyServer()
+						}
+					})
+				}
+			},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			condemned := 0
+			for seed := range uint64(40 / cellStride) {
+				cl := partCluster(t, seed, 4, 6)
+				test.inject(cl)
+				cl.run()
+				condemned += cl.parts.condemned
+			}
+			require.Zero(t, condemned)
+		})
+	}
+}
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -10,8 +10,11 @@
 //     exchange these records (updates.go).
 //   - Once three servers have ended under a request, all nodes refuse it. Servers that
 //     probably ended for another request do not count (verdict.go).
-//   - A complete answer clears a request, because it shows that the request does not
-//     end every server that runs it.
+//   - Requests may also end servers because of a part of their prompts that they share, so
+//     that the same is recorded of parts. Sound requests share parts with them and are on the
+//     same servers, so that more is required for a part to be refused (part.go).
+//   - A complete answer clears a request and its parts, because it shows that they do not
+//     end every server that runs them.
 //   - Refused requests are stored in the platform's log, in case all nodes are lost at
 //     once (snapshot.go).
 //
@@ -24,6 +27,7 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
@@ -56,6 +60,8 @@
 // record holds what is known of one request.
 type record struct {
 	request identifier.Fingerprint
+	// part reports that this is a part of prompts, which many requests may have.
+	part bool
 	// ends are the servers that ended under the request, in order of time.
 	ends []end
 	// lastSeen is the time of the last arrival or the last end of a server.
@@ -69,6 +75,12 @@
 	// timesSent is the number of messages that contained the record.
 	timesSent int
 	refused   bool
+	// tied reports that this part and another one are refused, of which only one may be the
+	// cause. trials counts the requests with the part that this node has sent all the same,
+	// the last at triedAt.
+	tied    bool
+	trials  int
+	triedAt timekeeper.Time
 }
 
 // end is the end of a server.
@@ -80,6 +92,12 @@
 // Quarantine is the table of suspect requests of one node.
 type Quarantine struct {
 	records map[identifier.Fingerprint]*record
+	// completions holds the times of the last complete answers with each part.
+	completions *simplelru.LRU[identifier.Fingerprint, timekeeper.Time]
+	// startedAt is the time of the first Tick.
+	startedAt timekeeper.Time
+	// takesTrials reports whether this node sends requests with refused parts that may be sound.
+	takesTrials bool
 	// verdictsStale reports whether records changed since the last update of the
 	// verdicts.
 	verdictsStale bool
@@ -96,7 +114,10 @@
 
 // New returns an empty Quarantine.
 func New() *Quarantine {
-	return &Quarantine{records: map[identifier.Fingerprint]*record{}}
+	return &Quarantine{
+		records:     map[identifier.Fingerprint]*record{},
+		completions: newCompletions(),
+	}
 }
 
 // FingerprintOf returns the fingerprint of a request, by caller and content. It is zero
@@ -111,12 +132,18 @@
 	return identifier.Fingerprint(h.Sum64())
 }
 
-// ServerEnded records that a server ended while it ran a request of this node.
-func (q *Quarantine) ServerEnded(now timekeeper.Time, request identifier.Fingerprint, server identifier.VMID) {
-	if request == 0 {
-		return
+// ServerEnded records that a server ended while it ran a request of this node, whose prompt
+// has the given parts.
+func (q *Quarantine) ServerEnded(now timekeeper.Time, request identifier.Fingerprint, server identifier.VMID, parts ...identifier.Fingerprint) {
+	if request != 0 {
+		q.recordEnd(now, q.record(now, request), server)
+	}
+	for _, part := range parts {
+		q.recordEnd(now, q.partRecord(now, part), server)
 	}
-	r := q.record(now, request)
+}
+
+func (q *Quarantine) recordEnd(now timekeeper.Time, r *record, server identifier.VMID) {
 	r.lastSeen = now
 	if !r.addEnd(server, now) {
 		return
@@ -128,23 +155,45 @@
 }
 
 // Completed records that a request got a complete answer.
-func (q *Quarantine) Completed(now timekeeper.Time, request identifier.Fingerprint) {
-	r, known := q.records[request]
+func (q *Quarantine) Completed(now timekeeper.Time, request identifier.Fingerprint, parts ...identifier.Fingerprint) {
+	// Requests share parts, of which some get an answer all the time: this is not urgent.
+	for _, part := range parts {
+		q.completions.Add(part, now)
+		q.recordCompletion(now, part)
+	}
+	if q.recordCompletion(now, request) {
+		q.updatesPending = true
+	}
+}
+
+// recordCompletion clears a record, and reports whether that had any ends.
+func (q *Quarantine) recordCompletion(now timekeeper.Time, f identifier.Fingerprint) bool {
+	r, known := q.records[f]
 	if !known || len(r.ends) == 0 {
-		return
+		return false
 	}
 	r.clear(now)
 	r.changedAt = now
 	r.foundAt = now
 	q.verdictsStale = true
-	q.updatesPending = true
+	return true
 }
 
-// Refuses records the arrival of a request, and reports whether it is refused. The
-// duration is the time until the refusal ends, if the request does not arrive again
-// before.
-func (q *Quarantine) Refuses(now timekeeper.Time, request identifier.Fingerprint) (timekeeper.Duration, bool) {
-	r, known := q.records[request]
+// Refuses records the arrival of a request, and reports whether it is refused, by itself or
+// for a part of its prompt. The duration is the time until the refusal ends, if no such request
+// arrives before.
+func (q *Quarantine) Refuses(now timekeeper.Time, request identifier.Fingerprint, parts ...identifier.Fingerprint) (timekeeper.Duration, bool) {
+	retryAfter, refused := q.refuses(now, request)
+	for _, part := range parts {
+		d, r := q.refuses(now, part)
+		retryAfter = max(retryAfter, d)
+		refused = refused || r
+	}
+	return retryAfter, refused
+}
+
+func (q *Quarantine) refuses(now timekeeper.Time, f identifier.Fingerprint) (timekeeper.Duration, bool) {
+	r, known := q.records[f]
 	if !known {
 		return 0, false
 	}
@@ -162,9 +211,13 @@
 		return
 	}
 	q.nextCleanup = now.Add(cleanupInterval)
+	if q.startedAt == 0 {
+		q.startedAt = now
+	}
 	for _, f := range q.sortedRequests() {
 		r := q.records[f]
-		q.verdictsStale = q.verdictsStale || r.refused && now.Sub(r.lastEnd()) >= refusalTime
+		q.verdictsStale = q.verdictsStale || r.refused && now.Sub(r.lastEnd()) >= refusalTime ||
+			r.part && !r.refused && len(r.ends) >= partThreshold
 		if now.Sub(r.lastSeen) >= forgetAfter {
 			q.drop(r)
 		}
--- a/internal/quarantiner/snapshot.go
+++ b/internal/quarantiner/snapshot.go
@@ -41,6 +41,7 @@
 // snapshotEntry is a refused request in a record.
 type snapshotEntry struct {
 	Request   uint64   `json:"request"`
+	Part      bool     `json:"part,omitempty"`
 	Servers   []string `json:"servers"`
 	EndedAgo  []int64  `json:"ended_ago_ms"`
 	SeenAgoMS int64    `json:"seen_ago_ms"`
@@ -97,6 +98,7 @@
 func (r *record) snapshotEntry(now timekeeper.Time) snapshotEntry {
 	s := snapshotEntry{
 		Request:   uint64(r.request),
+		Part:      r.part,
 		SeenAgoMS: int64(now.Sub(r.lastSeen)),
 	}
 	for _, e := range r.ends {
@@ -130,6 +132,7 @@
 func (s snapshotEntry) suspect(age timekeeper.Duration) messenger.SuspectRequest {
 	out := messenger.SuspectRequest{
 		Request: identifier.Fingerprint(s.Request),
+		Part:    s.Part,
 		SeenAge: age + timekeeper.Duration(max(s.SeenAgoMS, 0)),
 	}
 	for i, server := range s.Servers[:min(len(s.Servers), len(s.EndedAgo))] {
--- a/internal/quarantiner/updates.go
+++ b/internal/quarantiner/updates.go
@@ -121,6 +121,7 @@
 func (r *record) export(now timekeeper.Time) messenger.SuspectRequest {
 	s := messenger.SuspectRequest{
 		Request: r.request,
+		Part:    r.part,
 		SeenAge: now.Sub(r.lastSeen),
 		Cleared: r.clearedAt != 0,
 	}
@@ -150,6 +151,9 @@
 		return
 	}
 	r := q.record(now, s.Request)
+	if s.Part {
+		r = q.partRecord(now, s.Request)
+	}
 	lastSeen := now.Add(-max(s.SeenAge, 0))
 	if !known || lastSeen.Sub(r.lastSeen) >= minSeenChange {
 		r.lastSeen = lastSeen
--- a/internal/quarantiner/verdict.go
+++ b/internal/quarantiner/verdict.go
@@ -5,9 +5,11 @@
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
-// Change is a request that is refused from now on, or no longer refused.
+// Change is a request, or a part of prompts, that is refused from now on, or no longer refused.
 type Change struct {
 	Request identifier.Fingerprint
+	// Part reports that this is a part of prompts.
+	Part    bool
 	Refused bool
 	// Servers are those that ended under the request.
 	Servers []identifier.VMID
@@ -26,10 +28,11 @@
 		return
 	}
 	q.verdictsStale = false
+	refusedParts, explained := q.partVerdicts(now)
 	top := q.topSuspectsByServer()
 	for _, f := range q.sortedRequests() {
 		r := q.records[f]
-		refused := top.shouldRefuse(now, r)
+		refused := refusedParts[r] || !r.part && top.shouldRefuse(now, r, explained)
 		if refused != r.refused {
 			r.refused = refused
 			q.changes = append(q.changes, r.change(refused))
@@ -45,6 +48,9 @@
 func (q *Quarantine) topSuspectsByServer() topSuspects {
 	top := topSuspects{}
 	for _, r := range q.records {
+		if r.part {
+			continue // All requests on a server may share it.
+		}
 		for _, e := range r.ends {
 			pair := top[e.server]
 			if pair == nil {
@@ -62,13 +68,15 @@
 	return top
 }
 
-func (top topSuspects) shouldRefuse(now timekeeper.Time, r *record) bool {
+// shouldRefuse reports whether a request is refused. The ends of the servers in explained are
+// those of a part that it may share.
+func (top topSuspects) shouldRefuse(now timekeeper.Time, r *record, explained map[identifier.VMID]bool) bool {
 	if len(r.ends) < refuseThreshold || now.Sub(r.lastEnd()) >= refusalTime {
 		return false
 	}
 	unexplained := 0
 	for _, e := range r.ends {
-		if !top.explainedByOther(r, e.server) {
+		if !explained[e.server] && !top.explainedByOther(r, e.server) {
 			unexplained++
 		}
 	}
@@ -112,6 +120,7 @@
 func (r *record) change(refused bool) Change {
 	c := Change{
 		Request: r.request,
+		Part:    r.part,
 		Refused: refused,
 	}
 	for _, e := range r.ends {
--- a/internal/reducer/quarantine.go
+++ b/internal/reducer/quarantine.go
@@ -72,6 +72,7 @@
 // tickQuarantine expires old requests, records changed verdicts in the time line, and
 // stores the refused requests in the log if this node is the one that does so.
 func (r *Reducer) tickQuarantine(env *conductor.Env) []messenger.Effect {
+	r.quarantine.SetTrials(r.ranking.Chosen(string(quarantiner.Stream), 1))
 	r.quarantine.Tick(env.Now)
 	out := r.recordVerdicts()
 	if !r.storesQuarantine(env.Now) {
@@ -101,21 +102,37 @@
 			last = c.Servers[n-1]
 		}
 		detail := fmt.Sprintf("fingerprint=%s servers=%v", c.Request, c.Servers)
-		if !c.Refused {
-			out = append(out, messenger.TimelineEntry{
-				Kind:   "request_released",
-				VM:     last,
-				Detail: detail,
-			})
-			continue
+		out = append(out, verdictEntry(c, last, detail))
+	}
+	return out
+}
+
+func verdictEntry(c quarantiner.Change, last identifier.VMID, detail string) messenger.TimelineEntry {
+	switch {
+	case c.Part && c.Refused:
+		return messenger.TimelineEntry{
+			Kind:   "part_quarantined",
+			VM:     last,
+			Detail: detail,
+		}
+	case c.Part:
+		return messenger.TimelineEntry{
+			Kind:   "part_released",
+			VM:     last,
+			Detail: detail,
 		}
-		out = append(out, messenger.TimelineEntry{
+	case c.Refused:
+		return messenger.TimelineEntry{
 			Kind:   "request_quarantined",
 			VM:     last,
 			Detail: detail,
-		})
+		}
+	}
+	return messenger.TimelineEntry{
+		Kind:   "request_released",
+		VM:     last,
+		Detail: detail,
 	}
-	return out
 }
 
 func (r *Reducer) quarantineUnreadable(err error) messenger.Effect {
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -302,6 +302,7 @@
 		Suspects: []messenger.SuspectRequest{
 			{
 				Request: 1 << 63,
+				Part:    true,
 				Ends: []messenger.ServerEnd{
 					{
 						Server: "i-1",
--- a/internal/relayer/stateupdate.go
+++ b/internal/relayer/stateupdate.go
@@ -249,6 +249,7 @@
 func encodeSuspect(s messenger.SuspectRequest) *pb.SuspectRequest {
 	out := &pb.SuspectRequest{
 		Request:      uint64(s.Request),
+		Part:         s.Part,
 		SeenAgeMs:    int64(s.SeenAge),
 		Cleared:      s.Cleared,
 		ClearedAgeMs: int64(s.ClearedAge),
@@ -264,6 +265,7 @@
 func decodeSuspect(s *pb.SuspectRequest) messenger.SuspectRequest {
 	out := messenger.SuspectRequest{
 		Request:    identifier.Fingerprint(s.GetRequest()),
+		Part:       s.GetPart(),
 		SeenAge:    timekeeper.Duration(max(s.GetSeenAgeMs(), 0)),
 		Cleared:    s.GetCleared(),
 		ClearedAge: timekeeper.Duration(max(s.GetClearedAgeMs(), 0)),
