Take an answer that ends with its server for a broken one

Callers got half an answer as a whole one, with a length that it never had, where a server answers with neither a length nor chunks and ends in order: the end of the connection counted as the end of the answer, for plain answers and for streams that end between events. After the end of such an answer the forwarder now looks whether the server still listens, as it does after a broken one, and a peer if there is any. If not, the attempt is broken, unless the server is leaving: it may end after its last answer.

It costs a connection for each answer of this kind.

--- a/docs/operations_test.go
+++ b/docs/operations_test.go
@@ -28,6 +28,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/forwarder"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/runner"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 	"github.com/dotterelhollow/dotterelhollow/platform"
 )
@@ -327,5 +328,6 @@
 func (*singleAttemptDecider) LeavingReceived(context.Context, messenger.ServerLeavingReceived) {}
 
 func (*singleAttemptDecider) PathTried(context.Context, messenger.PathTried) {}
+func (*singleAttemptDecider) Leaving(context.Context, identifier.VMID) bool  { return false }
 
 func (*singleAttemptDecider) BrittleReceived(context.Context, messenger.ServerBrittleReceived) {}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -327,6 +327,9 @@
 	if int64(len(body)) > int64(maxBufferedAnswer) {
 		return x.passUnbuffered(ctx, s, timer, response, body)
 	}
+	if x.endedWithServer(ctx, s, response) {
+		return x.classifyFailure(s, timer, &ServerEndedError{Server: s.Server})
+	}
 	answer := &bufferedAnswer{
 		status: response.StatusCode,
 		header: response.Header,
@@ -355,7 +358,11 @@
 	if _, err := x.w.Write(prefix); err != nil {
 		return callerDisconnected(err)
 	}
-	if _, err := io.Copy(x.w, response.Body); err != nil {
+	_, err := io.Copy(x.w, response.Body)
+	if err == nil && x.endedWithServer(ctx, s, response) {
+		err = &ServerEndedError{Server: s.Server}
+	}
+	if err != nil {
 		return attemptEnd{
 			result:      messenger.AttemptBroken,
 			reason:      err.Error(),
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 //   - connect.go opens the connection, directly or through a peer.
 //   - stream.go passes on complete events, so that another server can resume
 //     after the last one.
+//   - unframed.go tells whole answers with neither a length nor chunks from others.
 //   - answer.go writes answers and refusals.
 package forwarder
 
@@ -69,6 +70,8 @@
 	LeavingReceived(ctx context.Context, e messenger.ServerLeavingReceived)
 	BrittleReceived(ctx context.Context, e messenger.ServerBrittleReceived)
 	PathTried(ctx context.Context, e messenger.PathTried)
+	// Leaving reports whether a server is known to be leaving or removed.
+	Leaving(ctx context.Context, server identifier.VMID) bool
 }
 
 // Head holds the metadata from a request's headers.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -48,8 +48,12 @@
 	brittle     []messenger.ServerBrittleReceived
 	// beganVia are the peers through which attempts began.
 	beganVia []identifier.VMID
+	// isLeaving reports that servers are leaving.
+	isLeaving bool
 }
 
+func (s *fakeDecider) Leaving(context.Context, identifier.VMID) bool { return s.isLeaving }
+
 func newFakeDecider(servers ...string) *fakeDecider {
 	return &fakeDecider{
 		servers:   servers,
--- /dev/null
+++ b/internal/forwarder/unframed.go
@@ -0,0 +1,31 @@
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+)
+
+var _ error = (*ServerEndedError)(nil)
+
+// ServerEndedError reports an answer with neither a length nor chunks whose server ended with
+// it, so that the rest may be missing.
+type ServerEndedError struct{ Server identifier.VMID }
+
+func (e *ServerEndedError) Error() string {
+	return fmt.Sprintf("server %s ended with its answer", e.Server)
+}
+
+// endedWithServer reports whether an answer that was read to its end may lack its rest because
+// the server ended. An answer with neither a length nor chunks ends with its connection, also if
+// that is closed by the end of the server. A leaving server may end after its last answer.
+func (x *exchange) endedWithServer(ctx context.Context, s messenger.SendExchange, response *http.Response) bool {
+	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	if framed || x.serverLeaving || x.r.Method == http.MethodHead {
+		return false
+	}
+	return x.serverEnded(s, x.connection) && !x.forwarder.config.Decider.Leaving(ctx, s.Server)
+}
--- a/internal/runner/exchange.go
+++ b/internal/runner/exchange.go
@@ -81,6 +81,13 @@
 	waiting <- effect // The channel has a buffer of one and receives one value.
 }
 
+// Leaving implements forwarder.Decider.
+func (r *Runner) Leaving(ctx context.Context, server identifier.VMID) bool {
+	leaving := false
+	r.runInLoop(ctx, func() { leaving = r.config.Reducer.ServerLeaving(server) })
+	return leaving
+}
+
 // Ready reports whether this node accepts callers of opaque exchanges.
 func (r *Runner) Ready(ctx context.Context) bool {
 	ready := false
--- a/internal/runner/outside.go
+++ b/internal/runner/outside.go
@@ -43,6 +43,7 @@
 	// ReadyNodes returns the nodes that do.
 	Ready() bool
 	ReadyNodes() []gossiper.Node
+	ServerLeaving(server identifier.VMID) bool
 }
 
 var _ Reducer = (*reducer.Reducer)(nil)
