Resume streams of callers that name none where one version serves

For named streams the time without another version is two timeouts of the route, after which no caller resumes one, instead of a minute.

--- a/internal/dispatcher/origin.go
+++ b/internal/dispatcher/origin.go
@@ -14,10 +14,12 @@
 	maxOriginQueries = 256
 	// maxSoleVersionAge is the age of the entries from which a version counts as the only one.
 	// Requests are sent to a new version only when it is known for longer.
-	maxSoleVersionAge = promoter.NewVersionDelay - 500*timekeeper.Millisecond
+	maxSoleVersionAge timekeeper.Duration = promoter.NewVersionDelay - 500*timekeeper.Millisecond
 	// maxStreamTimeouts is the number of timeouts of its route after which no caller resumes a
 	// stream.
 	maxStreamTimeouts = 2
+	// maxSpan is the time for which a node remembers removed servers.
+	maxSpan = registrar.RemovedRetention - 1*timekeeper.Second
 )
 
 // resumes reports whether an exchange is for the rest of a stream that began earlier.
@@ -28,6 +30,12 @@
 	query := messenger.StreamQuery{
 		Stream:  resumer.KeyOf(x.account, x.spec.ResumedRequest),
 		Service: x.service,
+		Span:    maxStreamTimeouts * x.route.Timeout,
+	}
+	if query.Stream == 0 {
+		// Callers that state no stream do not expect several versions: it is enough that no
+		// other one is known.
+		query.Span = 0
 	}
 	if answer := LocateStream(env, query); answer.Known {
 		return d.resumeAt(env, x, answer)
@@ -65,9 +73,7 @@
 
 // resumeAt continues an exchange whose stream's origin is known.
 func (d *Dispatcher) resumeAt(env Env, x *exchange, e messenger.StreamLocated) messenger.Effect {
-	// Streams that began before a version was the only one may still be resumed.
-	tooOld := e.Sole && maxStreamTimeouts*x.route.Timeout > resumer.Retention
-	if tooOld || e.Origin.Service != x.service {
+	if e.Origin.Service != x.service {
 		return d.refuseUnknownStream(env, x)
 	}
 	if x.deadline.Sub(env.Now) < minAttemptTime {
@@ -90,7 +96,12 @@
 			Origin: origin,
 		}
 	}
-	v, sole := env.Servers.SoleVersion(env.Now, q.Service, registrar.RemovedRetention-timekeeper.Second, maxSoleVersionAge)
+	maxAge := maxSoleVersionAge
+	if q.Span == 0 {
+		maxAge = timekeeper.Hour
+	}
+	v, sole := env.Servers.SoleVersion(env.Now, q.Service, q.Span, maxAge)
+	sole = sole && q.Span <= maxSpan
 	return messenger.StreamLocated{
 		Known: sole,
 		Sole:  sole,
--- a/internal/messenger/stream.go
+++ b/internal/messenger/stream.go
@@ -26,6 +26,8 @@
 	Stream identifier.StreamKey
 	// Service is the service to which the caller's request is routed.
 	Service identifier.ServiceName
+	// Span is the longest time since the stream began.
+	Span timekeeper.Duration
 }
 
 // Requests for the origins of streams.
@@ -39,8 +41,8 @@
 		RepeatFor timekeeper.Duration
 	}
 	// StreamLocated reports the origin of a stream. It is not Known if no peer that answered
-	// in time knows it. Sole reports that the service has had servers of no other version for
-	// so long that all streams began at it.
+	// in time knows it. Sole reports that the service had servers of no other version when the
+	// stream can have begun.
 	StreamLocated struct {
 		Exchange identifier.ExchangeID
 		Known    bool
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -6,6 +6,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	pb "github.com/dotterelhollow/dotterelhollow/internal/relayer/relayerpb"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
 // Stream asks a peer at which version of a service a stream began.
@@ -14,6 +15,7 @@
 		Envelope: c.envelope(),
 		Stream:   uint64(q.Stream),
 		Service:  string(q.Service),
+		SpanMs:   int64(q.Span),
 	}
 	reply, err := call(ctx, c, address, "stream", request, pb.Peers.Stream)
 	return messenger.StreamLocated{
@@ -32,6 +34,7 @@
 	answer := h.config.Peer.LocateStream(ctx, messenger.StreamQuery{
 		Stream:  identifier.StreamKey(q.GetStream()),
 		Service: identifier.ServiceName(q.GetService()),
+		Span:    timekeeper.Duration(max(q.GetSpanMs(), 0)),
 	})
 	return &pb.StreamReply{
 		Envelope: h.envelope(),
