--- a/internal/prover/part_test.go
+++ b/internal/prover/part_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -69,21 +70,11 @@
 	cl.lastExchange++
 	x := cl.lastExchange
 	id := identifier.RequestID(fmt.Sprintf("p-%d", x))
-	var prefix []messenger.PromptPart
-	for _, hash := range append(shared, identifier.PrefixHash(1_000_000+x)) {
-		prefix = append(prefix, messenger.PromptPart{
-			Hash:   hash,
-			Tokens: 100,
-		})
-	}
+	prefix := cl.promptOf(x, shared)
 	cl.repetitions[id] = catalog.Resumable
 	cl.requests[x] = id
 	cl.contents[id] = contentOf(id)
 	cl.requestedAt[x] = cl.now
-	cl.parts.prefixes[x] = prefix
-	if cl.crashingPart(x) == 0 {
-		cl.parts.received[x] = cl.now
-	}
 	cl.apply(n, messenger.ExchangeReceived{
 		Spec: messenger.ExchangeSpec{
 			Exchange:     x,
@@ -101,6 +92,25 @@
 	})
 }
 
+// promptOf returns the prompt of an exchange: the given parts and a last one of its own.
+func (cl *exchangeCluster) promptOf(x identifier.ExchangeID, shared []identifier.PrefixHash) []messenger.PromptPart {
+	if !cl.parts.enabled {
+		return nil
+	}
+	var prefix []messenger.PromptPart
+	for _, hash := range append(slices.Clone(shared), identifier.PrefixHash(1_000_000+x)) {
+		prefix = append(prefix, messenger.PromptPart{
+			Hash:   hash,
+			Tokens: 100,
+		})
+	}
+	cl.parts.prefixes[x] = prefix
+	if cl.crashingPart(x) == 0 {
+		cl.parts.received[x] = cl.now
+	}
+	return prefix
+}
+
 // sendSoundPrompt sends a request whose parts crash no server.
 func (cl *exchangeCluster) sendSoundPrompt() {
 	cl.sendPrompt(firstPart, identifier.PrefixHash(0x100+cl.rng.IntN(documents)))
--- a/internal/prover/query_test.go
+++ b/internal/prover/query_test.go
@@ -57,6 +57,8 @@
 	n     *gatewayNode
 	e     messenger.SendExchange
 	ended bool
+	// run is the run of a stream, or nil.
+	run *streamRun
 }
 
 func newCrashes() crashes {
@@ -127,6 +129,7 @@
 			Exchange:    f.e.Exchange,
 			Attempt:     f.e.Attempt,
 			Result:      messenger.AttemptBroken,
+			Streaming:   cl.endRun(f.run),
 			ServerEnded: true,
 		})
 	}
--- a/internal/prover/resume_test.go
+++ b/internal/prover/resume_test.go
@@ -57,9 +57,11 @@
 	// made it.
 	first   identifier.RequestID
 	version identifier.Version
-	events  int
-	mixed   bool
-	tries   int
+	// parts are the parts of the prompt that other requests share.
+	parts  []identifier.PrefixHash
+	events int
+	mixed  bool
+	tries  int
 	// counted is set if the current request counts towards the share that goes on.
 	counted bool
 	began   bool
@@ -157,6 +159,8 @@
 			MaxTokens:      20,
 			Resumes:        s.first != "",
 			ResumedRequest: s.first,
+			Prefix:         cl.promptOf(x, s.parts),
+			Content:        contentOf(id),
 		},
 	})
 }
@@ -185,9 +189,20 @@
 	}
 	run.fails = cl.rollouts.recordArrival(e.Server)
 	cl.resumptions.runs[e.Exchange] = run
+	cl.begin(n, e).run = run
 	cl.after(cl.serviceTime, func() { cl.streamEvent(run) })
 }
 
+// endRun ends a run whose server has ended, and reports whether the caller has received an event
+// of the answer.
+func (cl *exchangeCluster) endRun(run *streamRun) bool {
+	if run == nil {
+		return false
+	}
+	run.ended = true
+	return cl.resumptions.streams[run.e.Exchange].began
+}
+
 // streamEvent passes one event of a run to the caller, unless its node has ended.
 func (cl *exchangeCluster) streamEvent(run *streamRun) {
 	s := cl.resumptions.streams[run.e.Exchange]
@@ -227,6 +242,7 @@
 	if s.events >= streamEvents {
 		run.ended = true
 		cl.answered++
+		cl.partition.served[run.e.Exchange] = true
 		cl.apply(run.n, messenger.ExchangeEnded{
 			Exchange: run.e.Exchange,
 			Result:   messenger.AttemptComplete,
