Report a stream to its holders as soon as it begins

Callers whose node was killed soon after their streams began were refused: peers learned of a stream with the next state update, up to half a second later, when many streams are half over. A node now reports streams within 100 ms to all peers or, in a cluster that uses relays, to two nodes drawn by the stream, which are asked for its origin besides the relays. State updates repeat it.

Two are kept: a node sends and receives two messages a stream, whatever the number of nodes.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -98,7 +98,7 @@
 	// the peers to ask for those that this node does not know, and the time after which they
 	// know what live nodes report.
 	Origins     *resumer.Table
-	OriginPeers func() ([]string, timekeeper.Duration)
+	OriginPeers func(identifier.StreamKey) ([]string, timekeeper.Duration)
 	// Versions tracks the rollouts of services. OrdersAsOf is the time up to which this
 	// node has read the operators' orders.
 	Versions   *promoter.Promoter
--- a/internal/dispatcher/origin.go
+++ b/internal/dispatcher/origin.go
@@ -40,7 +40,7 @@
 	if answer := LocateStream(env, query); answer.Known {
 		return d.resumeAt(env, x, answer)
 	}
-	peers, delay := env.OriginPeers()
+	peers, delay := env.OriginPeers(query.Stream)
 	if len(peers) == 0 || d.originQueries >= maxOriginQueries {
 		return d.refuseUnknownStream(env, x)
 	}
--- a/internal/messenger/stream.go
+++ b/internal/messenger/stream.go
@@ -54,6 +54,14 @@
 		Ticket identifier.Ticket
 		Query  StreamQuery
 	}
+	// ReportStreams reports to a peer which streams have just begun, ahead of the next state
+	// update, which reports them again.
+	ReportStreams struct {
+		Address string
+		Streams []BegunStreams
+	}
+	// StreamsReported carries the streams that a peer reports.
+	StreamsReported struct{ Streams []BegunStreams }
 	// AnswerStream answers a StreamRequested event.
 	AnswerStream struct {
 		Ticket identifier.Ticket
@@ -63,6 +71,8 @@
 
 func (StreamLocated) eventBody()   {}
 func (StreamRequested) eventBody() {}
+func (StreamsReported) eventBody() {}
 
-func (LocateStream) effect() {}
-func (AnswerStream) effect() {}
+func (LocateStream) effect()  {}
+func (AnswerStream) effect()  {}
+func (ReportStreams) effect() {}
--- a/internal/reducer/apply_test.go
+++ b/internal/reducer/apply_test.go
@@ -81,6 +81,7 @@
 	messenger.SlotsReported{},
 	messenger.StreamLocated{},
 	messenger.StreamRequested{},
+	messenger.StreamsReported{},
 	messenger.PathTried{},
 	messenger.ServerProbed{},
 	messenger.TunnelRequested{},
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -328,7 +328,7 @@
 		return r.serverStated(env, body)
 	case messenger.SlotRequested, messenger.SlotAnswered, messenger.SlotsReported:
 		return r.slotEvent(env, body)
-	case messenger.StreamLocated, messenger.StreamRequested:
+	case messenger.StreamLocated, messenger.StreamRequested, messenger.StreamsReported:
 		return r.streamEvent(env, body)
 	case messenger.PermitRequested, messenger.PermitAnswered:
 		return r.permitEvent(env, body)
@@ -514,6 +514,7 @@
 	if !env.Now.Before(g.nextUpdate) {
 		out = append(out, r.sendUpdates(env)...)
 	}
+	out = append(out, r.reportStreams(env)...)
 	out = append(out, r.sendSums(env)...)
 	out = append(out, r.tickLeaderTasks(env)...)
 	out = append(out, r.tickRollouts(env)...)
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -247,7 +247,7 @@
 		messenger.ServersOrdered, messenger.UsageReported, messenger.LimitAnswered, messenger.LimitRequested,
 		messenger.RolloutsClaimed, messenger.RolloutStored, messenger.ServerLimitReceived,
 		messenger.ServerLeavingReceived, messenger.ServerBrittleReceived,
-		messenger.PermitRequested, messenger.PermitAnswered, messenger.StreamLocated, messenger.StreamRequested,
+		messenger.PermitRequested, messenger.PermitAnswered, messenger.StreamLocated, messenger.StreamRequested, messenger.StreamsReported,
 		messenger.SlotRequested, messenger.SlotAnswered, messenger.SlotsReported:
 		return r.gatewayEvent(env, b)
 	case messenger.PathTried, messenger.ServerProbed, messenger.TunnelRequested, messenger.TunnelEnded:
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -46,6 +46,8 @@
 	// allocates them, and ReceiveSlots takes a report of requests that have ended.
 	GrantSlot(ctx context.Context, r messenger.SlotReport) messenger.SlotAnswered
 	ReceiveSlots(r messenger.SlotReport)
+	// ReceiveStreams takes a report of streams that have just begun.
+	ReceiveStreams(streams []messenger.BegunStreams)
 	// LocateStream returns the version at which a stream began, if this node knows it.
 	LocateStream(ctx context.Context, q messenger.StreamQuery) messenger.StreamLocated
 }
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -39,6 +39,7 @@
 	limits   []messenger.ServerLimit
 	permit   messenger.PermitAnswered
 	slots    messenger.SlotReport
+	streams  []messenger.BegunStreams
 	slot     messenger.SlotAnswered
 }
 
@@ -84,6 +85,8 @@
 	return p.permit
 }
 
+func (p *fakePeer) ReceiveStreams(streams []messenger.BegunStreams) { p.streams = streams }
+
 func (p *fakePeer) LocateStream(_ context.Context, q messenger.StreamQuery) messenger.StreamLocated {
 	return messenger.StreamLocated{
 		Known: q.Stream == 7,
@@ -757,4 +760,12 @@
 		require.NoError(t, err)
 		require.Equal(t, p.LocateStream(t.Context(), query), located)
 	}
+	streams := []messenger.BegunStreams{
+		{
+			Origin:  messenger.StreamOrigin{Service: "reader"},
+			Streams: []identifier.StreamKey{7},
+		},
+	}
+	require.NoError(t, client.ReportStreams(t.Context(), address, streams))
+	require.Equal(t, streams, p.streams)
 }
--- a/internal/relayer/stateupdate.go
+++ b/internal/relayer/stateupdate.go
@@ -57,9 +57,7 @@
 	for _, suspect := range s.Suspects {
 		out.Suspects = append(out.Suspects, encodeSuspect(suspect))
 	}
-	for _, b := range s.Streams {
-		out.Streams = append(out.Streams, encodeBegunStreams(b))
-	}
+	out.Streams = encodeStreams(s.Streams)
 	out.Limits = encodeLimits(s.Limits)
 	for _, r := range s.Rollouts {
 		out.Rollouts = append(out.Rollouts, encodeRollout(r))
@@ -156,9 +154,7 @@
 	for _, suspect := range q.GetSuspects() {
 		s.Suspects = append(s.Suspects, decodeSuspect(suspect))
 	}
-	for _, b := range q.GetStreams() {
-		s.Streams = append(s.Streams, decodeBegunStreams(b))
-	}
+	s.Streams = decodeStreams(q.GetStreams())
 	s.Limits = decodeLimits(q.GetLimits())
 	for _, r := range q.GetRollouts() {
 		s.Rollouts = append(s.Rollouts, decodeRollout(r))
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -28,6 +28,23 @@
 	}, err
 }
 
+// ReportStreams reports streams that have just begun to a peer.
+func (c *Client) ReportStreams(ctx context.Context, address string, streams []messenger.BegunStreams) error {
+	request := &pb.StreamReport{
+		Envelope: c.envelope(),
+		Streams:  encodeStreams(streams),
+	}
+	_, err := call(ctx, c, address, "report_streams", request, pb.Peers.ReportStreams)
+	return err
+}
+
+// ReportStreams implements pb.Peers.
+func (h *handler) ReportStreams(_ context.Context, q *pb.StreamReport) (*pb.StreamReportReply, error) {
+	h.openEnvelope(q.GetEnvelope())
+	h.config.Peer.ReceiveStreams(decodeStreams(q.GetStreams()))
+	return &pb.StreamReportReply{Envelope: h.envelope()}, nil
+}
+
 // Stream implements pb.Peers.
 func (h *handler) Stream(ctx context.Context, q *pb.StreamRequest) (*pb.StreamReply, error) {
 	h.openEnvelope(q.GetEnvelope())
@@ -45,26 +62,34 @@
 	}, nil
 }
 
-func encodeBegunStreams(s messenger.BegunStreams) *pb.BegunStreams {
-	out := &pb.BegunStreams{
-		Service: string(s.Origin.Service),
-		Version: string(s.Origin.Version),
-	}
-	for _, stream := range s.Streams {
-		out.Streams = append(out.Streams, uint64(stream))
+func encodeStreams(streams []messenger.BegunStreams) []*pb.BegunStreams {
+	var out []*pb.BegunStreams
+	for _, s := range streams {
+		group := &pb.BegunStreams{
+			Service: string(s.Origin.Service),
+			Version: string(s.Origin.Version),
+		}
+		for _, stream := range s.Streams {
+			group.Streams = append(group.Streams, uint64(stream))
+		}
+		out = append(out, group)
 	}
 	return out
 }
 
-func decodeBegunStreams(s *pb.BegunStreams) messenger.BegunStreams {
-	out := messenger.BegunStreams{
-		Origin: messenger.StreamOrigin{
-			Service: identifier.ServiceName(s.GetService()),
-			Version: identifier.Version(s.GetVersion()),
-		},
-	}
-	for _, stream := range s.GetStreams() {
-		out.Streams = append(out.Streams, identifier.StreamKey(stream))
+func decodeStreams(groups []*pb.BegunStreams) []messenger.BegunStreams {
+	var out []messenger.BegunStreams
+	for _, group := range groups {
+		s := messenger.BegunStreams{
+			Origin: messenger.StreamOrigin{
+				Service: identifier.ServiceName(group.GetService()),
+				Version: identifier.Version(group.GetVersion()),
+			},
+		}
+		for _, stream := range group.GetStreams() {
+			s.Streams = append(s.Streams, identifier.StreamKey(stream))
+		}
+		out = append(out, s)
 	}
 	return out
 }
--- a/internal/resumer/resumer.go
+++ b/internal/resumer/resumer.go
@@ -47,6 +47,8 @@
 	// until they have been reported for long enough.
 	found   []entry
 	relayed []entry
+	// fresh are the streams that began at this node since the last call of Fresh.
+	fresh []entry
 }
 
 // recordedOrigin is the origin of a recorded stream, as an index of origins.
@@ -106,13 +108,26 @@
 // Began records that a stream began at this node.
 func (t *Table) Began(now timekeeper.Time, stream identifier.StreamKey, o messenger.StreamOrigin) {
 	if t.record(now, stream, o) {
-		t.found = append(t.found, entry{
+		began := entry{
 			stream: stream,
 			at:     now,
-		})
+		}
+		t.found = append(t.found, began)
+		t.fresh = append(t.fresh, began)
 	}
 }
 
+// Fresh returns the origins of the streams that began at this node since the last call, once
+// the first of them is old enough.
+func (t *Table) Fresh(now timekeeper.Time, minAge timekeeper.Duration) []messenger.BegunStreams {
+	if len(t.fresh) == 0 || now.Sub(t.fresh[0].at) < minAge {
+		return nil
+	}
+	fresh := t.fresh
+	t.fresh = nil
+	return t.group(fresh)
+}
+
 // Merge merges the origins that a peer reported. If passOn is set, those that are new to this
 // node are also reported to its own peers.
 func (t *Table) Merge(now timekeeper.Time, reports []messenger.BegunStreams, passOn bool) {
@@ -200,6 +215,17 @@
 	return t.group(slices.Concat(t.relayed, t.found))
 }
 
+// Append adds a stream to a report, with others of the same origin.
+func Append(report []messenger.BegunStreams, origin messenger.StreamOrigin, stream identifier.StreamKey) []messenger.BegunStreams {
+	i := slices.IndexFunc(report, func(s messenger.BegunStreams) bool { return s.Origin == origin })
+	if i < 0 {
+		i = len(report)
+		report = append(report, messenger.BegunStreams{Origin: origin})
+	}
+	report[i].Streams = append(report[i].Streams, stream)
+	return report
+}
+
 // group groups streams by their origin.
 func (t *Table) group(entries []entry) []messenger.BegunStreams {
 	var out []messenger.BegunStreams
@@ -208,13 +234,7 @@
 		if !ok {
 			continue
 		}
-		origin := t.origins.list[known.index]
-		i := slices.IndexFunc(out, func(s messenger.BegunStreams) bool { return s.Origin == origin })
-		if i < 0 {
-			i = len(out)
-			out = append(out, messenger.BegunStreams{Origin: origin})
-		}
-		out[i].Streams = append(out[i].Streams, e.stream)
+		out = Append(out, t.origins.list[known.index], e.stream)
 	}
 	return out
 }
--- a/internal/runner/effect.go
+++ b/internal/runner/effect.go
@@ -76,6 +76,8 @@
 		r.slotRequests.answer(e.Ticket, e.Answer)
 	case messenger.LocateStream:
 		r.locateStream(e)
+	case messenger.ReportStreams:
+		r.reportStreams(e)
 	case messenger.AnswerStream:
 		r.streamRequests.answer(e.Ticket, e.Answer)
 	case messenger.ProbeServer:
--- a/internal/runner/fake_test.go
+++ b/internal/runner/fake_test.go
@@ -275,6 +275,10 @@
 	return p.grant()
 }
 
+func (p *fakePeers) ReportStreams(context.Context, string, []messenger.BegunStreams) error {
+	return p.grant()
+}
+
 func (p *fakePeers) Stream(context.Context, string, messenger.StreamQuery) (messenger.StreamLocated, error) {
 	return messenger.StreamLocated{}, p.grant()
 }
--- a/internal/runner/outside.go
+++ b/internal/runner/outside.go
@@ -169,6 +169,7 @@
 	Slot(ctx context.Context, address string, r messenger.SlotReport) (messenger.SlotAnswered, error)
 	ReportSlots(ctx context.Context, address string, r messenger.SlotReport) error
 	Stream(ctx context.Context, address string, q messenger.StreamQuery) (messenger.StreamLocated, error)
+	ReportStreams(ctx context.Context, address string, streams []messenger.BegunStreams) error
 	Hold(ctx context.Context, address string, p relayer.Push) (relayer.HoldAnswer, error)
 	Unhold(ctx context.Context, address string, r identifier.RequestID) error
 	// HandOver returns nil once the peer owns the request. After an error for
--- a/internal/runner/stream.go
+++ b/internal/runner/stream.go
@@ -48,6 +48,23 @@
 	return known
 }
 
+// reportStreams reports streams that have just begun. The next state updates contain them too.
+func (r *Runner) reportStreams(e messenger.ReportStreams) {
+	r.tasks.start(func(ctx context.Context) func() {
+		ctx, done := context.WithTimeout(ctx, grantTimeout.Std())
+		defer done()
+		if err := r.config.Peers.ReportStreams(ctx, e.Address, e.Streams); err != nil {
+			r.logger.Debug("report of streams failed", "address", e.Address, "error", err)
+		}
+		return func() {}
+	})
+}
+
+// ReceiveStreams implements relayer.Peer.
+func (r *Runner) ReceiveStreams(streams []messenger.BegunStreams) {
+	r.tryEmit(messenger.StreamsReported{Streams: streams})
+}
+
 // LocateStream implements relayer.Peer.
 func (r *Runner) LocateStream(ctx context.Context, q messenger.StreamQuery) messenger.StreamLocated {
 	return grant(ctx, r, &r.streamRequests, messenger.StreamLocated{}, func(t identifier.Ticket) messenger.EventBody {
