Believe a peer's only version only where none other is known

A peer with older entries could take a version for the only one of a service and have a stream of unknown origin go on there, although the node that asked knows another one: found by reading the change. TestPeerThatKnowsFewerVersionsIsNotBelieved fails without the check.

--- a/internal/dispatcher/origin.go
+++ b/internal/dispatcher/origin.go
@@ -20,6 +20,8 @@
 	maxStreamTimeouts = 2
 	// maxSpan is the time for which a node remembers removed servers.
 	maxSpan = registrar.RemovedRetention - 1*timekeeper.Second
+	// anyAge permits entries of any age.
+	anyAge = 24 * timekeeper.Hour
 )
 
 // resumes reports whether an exchange is for the rest of a stream that began earlier.
@@ -65,12 +67,19 @@
 		}
 	}
 	env = env.forExchange(x)
-	if !e.Known {
+	if !e.Known || e.Sole && !env.isSoleVersion(e.Origin) {
 		return d.refuseUnknownStream(env, x)
 	}
 	return d.resumeAt(env, x, e)
 }
 
+// isSoleVersion reports whether this node knows no other version of a service than the one
+// that a peer takes for the only one. The peer's entries may be older.
+func (env Env) isSoleVersion(o messenger.StreamOrigin) bool {
+	v, sole := env.Servers.SoleVersion(env.Now, o.Service, 0, anyAge)
+	return sole && v == o.Version
+}
+
 // resumeAt continues an exchange whose stream's origin is known.
 func (d *Dispatcher) resumeAt(env Env, x *exchange, e messenger.StreamLocated) messenger.Effect {
 	if e.Origin.Service != x.service {
@@ -98,7 +107,7 @@
 	}
 	maxAge := maxSoleVersionAge
 	if q.Span == 0 {
-		maxAge = timekeeper.Hour
+		maxAge = anyAge
 	}
 	v, sole := env.Servers.SoleVersion(env.Now, q.Service, q.Span, maxAge)
 	sole = sole && q.Span <= maxSpan
--- a/internal/dispatcher/version_test.go
+++ b/internal/dispatcher/version_test.go
@@ -161,6 +161,26 @@
 	require.Zero(t, n.InFlight())
 }
 
+// Guards against a peer with outdated entries that takes a version for the only one.
+func TestPeerThatKnowsFewerVersionsIsNotBelieved(t *testing.T) {
+	n := newNode(0)
+	n.publishVersion("v1", 3)
+	n.publishVersion("v2", 3)
+	n.env.OriginPeers = func(identifier.StreamKey) ([]string, timekeeper.Duration) { return []string{"entry-2:7000"}, 0 }
+	asked, ok := n.Receive(n.env, n.resumption("r-1")).(messenger.LocateStream)
+	require.True(t, ok)
+	got := refusal(t, n.StreamLocated(n.env, messenger.StreamLocated{
+		Exchange: asked.Exchange,
+		Known:    true,
+		Sole:     true,
+		Origin: messenger.StreamOrigin{
+			Service: "reader",
+			Version: "v1",
+		},
+	}))
+	require.Equal(t, messenger.ReasonUnknownStream, got.Reason)
+}
+
 // Guards against callers with unknown ids that keep all peers busy.
 func TestLocatedStreamsAreBounded(t *testing.T) {
 	n := newNode(3)
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -113,19 +113,18 @@
 
 func (x *exchange) spec() messenger.ExchangeSpec {
 	return messenger.ExchangeSpec{
-		Exchange:     x.id,
-		Request:      x.head.Request,
-		Host:         hostName(x.r.Host),
-		Path:         requestPath(x.r),
-		Key:          x.head.Key,
-		Received:     x.received,
-		TimeLimit:    x.head.TimeLimit,
-		PromptTokens: x.head.PromptTokens,
-		MaxTokens:    x.head.MaxTokens,
-		Prefix:       x.head.Prefix,
-		Resumes:      x.head.Resumes,
-		Content:      x.content,
-
+		Exchange:       x.id,
+		Request:        x.head.Request,
+		Host:           hostName(x.r.Host),
+		Path:           requestPath(x.r),
+		Key:            x.head.Key,
+		Received:       x.received,
+		TimeLimit:      x.head.TimeLimit,
+		PromptTokens:   x.head.PromptTokens,
+		MaxTokens:      x.head.MaxTokens,
+		Prefix:         x.head.Prefix,
+		Resumes:        x.head.Resumes,
+		Content:        x.content,
 		ResumedRequest: x.head.Resumed,
 	}
 }
--- a/internal/reducer/stream.go
+++ b/internal/reducer/stream.go
@@ -18,8 +18,8 @@
 	// streamReportDelay is the time for which a node collects streams that have begun before it
 	// reports them. Those that began later are lost with the node.
 	streamReportDelay = 100 * timekeeper.Millisecond
-	// streamHolders is the number of nodes of a large cluster that are told at once that a
-	// stream began. They are drawn for each of streamShards groups of streams.
+	// streamHolders is the number of nodes of a large cluster that receive a report as soon as a
+	// stream has begun. They are drawn for each of streamShards groups of streams.
 	streamHolders = 2
 	streamShards  = 64
 	// streamPurposePrefix is the prefix of the purposes for which these nodes are ranked.
@@ -66,8 +66,8 @@
 	return out
 }
 
-// streamHolders returns the peers that are told at once that a stream began, and asked first for
-// its origin: all, or in a large cluster a few that are drawn by the stream. All nodes with the
+// streamHolders returns the peers that receive a report as soon as a stream has begun, and are
+// asked for its origin: all, or in a large cluster a few that are drawn by the stream. All nodes with the
 // same view of the membership draw the same, and most of them if some are dead.
 func (r *Reducer) streamHolders(stream identifier.StreamKey) []gossiper.Node {
 	peers := r.ranking.Peers()
