--- a/internal/dispatcher/version_test.go
+++ b/internal/dispatcher/version_test.go
@@ -108,8 +108,7 @@
 	}
 }
 
-// Guards against guesses of the version of streams that are unknown, another account's, or not
-// named.
+// Guards against guesses of the version of a stream that this node does not know.
 func TestUnknownStreamIsRefused(t *testing.T) {
 	n := newNode(0)
 	n.publishVersion("v1", 3)
@@ -199,8 +198,7 @@
 	require.True(t, ok)
 }
 
-// Guards against refusals of all streams at nodes that lost their origins, where a service has
-// had one version for long.
+// Guards against refusals of unknown streams where a service has had one version for long.
 func TestStreamOfSoleVersionIsResumed(t *testing.T) {
 	n := newNode(0)
 	n.publishVersion("v1", 3)
--- a/internal/forwarder/unframed_test.go
+++ b/internal/forwarder/unframed_test.go
@@ -13,8 +13,7 @@
 
 const unframedHead = "HTTP/1.1 200 OK\r\nSignature: first\r\nConnection: close\r\n\r\n"
 
-// Guards against half an answer that looks whole, because it has no length and its server ended
-// in order.
+// Guards against half an answer without a length that looks whole, as its server ended in order.
 func TestAnswerThatEndsWithItsServerIsBroken(t *testing.T) {
 	for name, part := range map[string]string{
 		"half of the body":   "half of the bo",
--- a/internal/promoter/promoter_test.go
+++ b/internal/promoter/promoter_test.go
@@ -395,8 +395,7 @@
 	})
 }
 
-// Guards against streams of the new version that a rollout sends to the old one, and against
-// resumptions that exceed the limit of a version that is not trusted or was rolled back.
+// Guards against streams that change version in a rollout, or exceed the new version's limit.
 func TestStreamDuringRolloutStaysAtItsVersion(t *testing.T) {
 	c := newCluster(1, workloads[0], versionKinds[0], testLimit)
 	c.order("v2", 1)
--- a/internal/prover/part_test.go
+++ b/internal/prover/part_test.go
@@ -314,8 +314,7 @@
 	}
 }
 
-// Guards against requests with a common part that crash one server after the other, and against
-// refusals of sound requests that share other parts with them.
+// Guards against requests with a common part that crash one server after the other.
 func TestPartThatCrashesServers(t *testing.T) {
 	for _, test := range partCases {
 		for _, nodes := range []int{6, 69} {
--- a/internal/prover/resume_test.go
+++ b/internal/prover/resume_test.go
@@ -391,8 +391,7 @@
 	return cl
 }
 
-// Guards against streams that go on at another version than the one that began them, within
-// an answer or over requests of their callers, and against refusals of those that could go on.
+// Guards against streams that go on at another version than the one that began them.
 func TestStreamGoesOnAtItsVersion(t *testing.T) {
 	for _, nodes := range []int{6, 69} {
 		t.Run(fmt.Sprintf("%d nodes", nodes), func(t *testing.T) {
@@ -490,8 +489,7 @@
 	}
 }
 
-// Guards against streams that go on at another version, and against refusals of those that
-// could go on, where nodes that know of them are killed or cut off and versions come and go.
+// Guards against streams that change version, or are refused, since nodes that know them are lost.
 func TestResumedStreamsDuringKills(t *testing.T) {
 	for _, scenario := range resumeScenarios {
 		for _, nodes := range []int{6, 69} {
@@ -524,8 +522,7 @@
 	}
 }
 
-// Guards against streams of a rollout's versions that go on at the other one, and against
-// resumptions that expose the new version too much.
+// Guards against streams that change version during a rollout, or expose the new one too much.
 func TestResumedStreamsDuringRollout(t *testing.T) {
 	for _, fails := range []bool{false, true} {
 		t.Run(fmt.Sprintf("new version fails %t", fails), func(t *testing.T) {
--- a/internal/quarantiner/part.go
+++ b/internal/quarantiner/part.go
@@ -89,7 +89,7 @@
 		refused[r] = true
 		r.tied = false
 		for _, other := range suspects[i+1:] {
-			// It can't be told yet which of two parts that are always together is the cause.
+			// Nothing shows yet which of two parts that are always together is the cause.
 			if other.clearedAt == 0 && r.clearedAt == 0 && sameServers(other.ends, r.ends) {
 				refused[other] = true
 				other.tied = true
--- a/internal/quarantiner/part_test.go
+++ b/internal/quarantiner/part_test.go
@@ -55,8 +55,7 @@
 	require.True(t, changes[0].Part)
 }
 
-// Guards against refusals of nearly all requests because their first part is in those that crash
-// servers too, also while none is complete.
+// Guards against refusals of nearly all requests for a part that they share with crashing ones.
 func TestPopularPartIsServed(t *testing.T) {
 	q, now := newRunning()
 	q.Completed(now, 1, popularPart)
@@ -67,8 +66,7 @@
 	require.False(t, refusesPart(q, now, popularPart))
 }
 
-// Guards against a part that crashes servers only from some time on and is never refused, as there
-// were complete answers with it before.
+// Guards against a part that crashes servers from some time on and counts as proven for ever.
 func TestPartWithEarlierCompletionsIsRefused(t *testing.T) {
 	q, now := newRunning()
 	q.Completed(now, 1, badPart)
@@ -152,8 +150,7 @@
 	require.True(t, refusesPart(restored, now.Add(2000), badPart))
 }
 
-// Guards against a sound part that stays refused since it was always together with one that
-// crashes servers.
+// Guards against a sound part that stays refused as it was always beside a crashing one.
 func TestTiedPartIsReleasedByTrial(t *testing.T) {
 	q, now := newRunning()
 	now = crashServers(q, now, 5, badPart, otherPart)
--- a/internal/runner/stream_test.go
+++ b/internal/runner/stream_test.go
@@ -20,8 +20,7 @@
 	return p.locate(ctx, address), nil
 }
 
-// Guards against waits for peers that hang while another one knows the stream, and against one
-// query too few while its report is on the way.
+// Guards against waits for peers that hang while another one knows the stream.
 func TestLocateStream(t *testing.T) {
 	known := messenger.StreamLocated{
 		Known:  true,
