Let accounts use their rate and one burst in each window of the limits

Callers of an account that asked for more than its limit for seconds were refused while the account had used less than its rate and one burst in the last eight seconds: the allocator's bucket gives a burst once, and the rate from then on.

Now the allocator also sums what it granted within limit_window, refills a known account's bucket by its burst over the window, and refuses above rate x window + burst. The bound of all grants together stays as it was: TestSumOfGrants and TestSumOfGrantsOfManyNodes play both with one bound. The new tests fail without it. The template sets the window from the platform's bounds.

--- a/cmd/dotterelhollow/gateway_test.go
+++ b/cmd/dotterelhollow/gateway_test.go
@@ -519,6 +519,7 @@
 		"{{bounds.exposure_slack}}", "50",
 		"{{bounds.exposure_share}}", "0.1",
 		"{{bounds.exposure_slack}}", "50",
+		"{{bounds.quota_window_s}}", "8",
 		"{{limits.memory_mb}}", "284",
 		"{{limits.cpu_share}}", "0.8",
 		"{{limits.link_speed_mbps}}", "200.0",
@@ -534,6 +535,7 @@
 	require.Len(t, settings.Gateway.Seeds, 2)
 	require.Equal(t, 5*timekeeper.Second, settings.Gateway.UsageWindow)
 	require.Equal(t, 8*timekeeper.Second, settings.DrainTime)
+	require.Equal(t, 8*timekeeper.Second, settings.Gateway.LimitWindow)
 	require.Equal(t, uint32(800), capacity(settings.Gateway), "both the processor and the link")
 
 	optional := regexp.MustCompile(`(?ms)^\{\{#.*?^\{\{/[^\n]*\n`)
@@ -542,6 +544,7 @@
 	settings, err = starter.Load(path)
 	require.NoError(t, err, "a platform without leader tasks is supported")
 	require.False(t, settings.Gateway.CloudAddress.IsValid())
+	require.Zero(t, settings.Gateway.LimitWindow)
 	require.Zero(t, capacity(settings.Gateway))
 
 	broken := strings.NewReplacer("usage_window = 5s", "usage_window = soon", "10.1.0.14:8220", "nowhere").Replace(text)
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -740,7 +740,7 @@
 func TestGrantLimit(t *testing.T) {
 	n := newNode(1)
 	require.True(t, dispatcher.GrantLimit(n.env, "agency", 10).NotGranting)
-	n.env.Central = limiter.NewCentral()
+	n.env.Central = limiter.NewCentral(limiter.CentralConfig{})
 	require.True(t, dispatcher.GrantLimit(n.env, "agency", 10).Granted)
 	require.True(t, dispatcher.GrantLimit(n.env, "nobody", 10).Unknown)
 }
--- a/internal/limiter/central.go
+++ b/internal/limiter/central.go
@@ -73,7 +73,10 @@
 	// number of times that this began.
 	standalone        bool
 	standalonePeriods int
-	accounts          map[identifier.AccountID]*accountBuckets
+	// window is the span in which an account may use its rate and one burst, or zero if
+	// its burst is only what it saved.
+	window   timekeeper.Duration
+	accounts map[identifier.AccountID]*accountBuckets
 }
 
 // accountBuckets are the buckets of one account. Light requests take tokens from the
@@ -83,15 +86,29 @@
 	requests  bucket
 	tokens    bucket
 	light     bucket
+	// createdAt is the time of the first request. The others are what was granted within
+	// Buckets.window, of the tokens from each bucket.
+	createdAt       timekeeper.Time
+	grantedRequests window
+	grantedTokens   window
+	grantedLight    window
 	// standalonePeriod is the value of Buckets.standalonePeriods at the last request.
 	// creditedAt is the time of the last credit.
 	standalonePeriod int
 	creditedAt       timekeeper.Time
 }
 
+// CentralConfig configures the buckets of a central node.
+type CentralConfig struct {
+	// Window is the span in which limits are judged: an account may use its rate and one
+	// burst in it. If it is zero, a burst is refilled at the rate only.
+	Window timekeeper.Duration
+}
+
 // NewCentral returns the buckets of the central node.
-func NewCentral() *Buckets {
+func NewCentral(c CentralConfig) *Buckets {
 	return &Buckets{
+		window:      c.Window,
 		ratePart:    centralPart,
 		burstPart:   centralPart,
 		initialPart: centralStart,
@@ -102,7 +119,7 @@
 // NewStandby returns the buckets of a node that grants in place of a central node. They
 // start almost empty, because the central node may have granted whole bursts just before.
 func NewStandby() *Buckets {
-	b := NewCentral()
+	b := NewCentral(CentralConfig{})
 	b.initialPart = standbyStart
 	return b
 }
@@ -165,22 +182,71 @@
 // bucket is bounded, so that the debts of all nodes stay within a part of one burst.
 func (b *Buckets) Take(now timekeeper.Time, spec catalog.Account, tokens identifier.Tokens) (timekeeper.Duration, bool) {
 	l := b.bucketsOf(now, spec)
-	tokenBucket := l.tokenBucketFor(spec, tokens)
-	wait := max(l.requests.wait(1, 0), tokenBucket.wait(float64(tokens), 0))
+	tokenBucket := b.tokenBucketFor(now, l, spec, tokens)
+	wait := max(l.requests.wait(1, 0), tokenBucket.wait(float64(tokens), 0), b.windowWait(now, l, spec, tokenBucket))
 	if wait > 0 {
 		return min(max(wait, minGrantRetry), maxGrantRetry), false
 	}
 	l.requests.take(1)
 	tokenBucket.take(float64(tokens))
+	l.recordGrant(tokenBucket, tokens)
 	return 0, true
 }
 
+// windowWait returns the time until an account may use more requests and tokens of a
+// bucket within the window, or zero if it may now.
+func (b *Buckets) windowWait(now timekeeper.Time, l *accountBuckets, spec catalog.Account, from *bucket) timekeeper.Duration {
+	if b.window == 0 {
+		return 0
+	}
+	var wait timekeeper.Duration
+	if !l.requests.unlimited() {
+		wait = l.grantedRequests.wait(now, b.windowLimit(spec.RequestsPerSecond, spec.RequestBurst))
+	}
+	if l.tokens.unlimited() {
+		return wait
+	}
+	limit := b.windowLimit(spec.TokensPerSecond, spec.TokenBurst)
+	if from == &l.light {
+		return max(wait, l.grantedLight.wait(now, limit*lightPart))
+	}
+	return max(wait, l.grantedTokens.wait(now, limit*(1-lightPart)))
+}
+
+// windowLimit returns what may be granted within the window of a limit.
+func (b *Buckets) windowLimit(rate, burst float64) float64 {
+	return b.window.Seconds()*rate*b.ratePart + burst*b.burstPart
+}
+
+// recordGrant counts a granted request in the window.
+func (l *accountBuckets) recordGrant(from *bucket, tokens identifier.Tokens) {
+	l.grantedRequests.add(1)
+	if from == &l.light {
+		l.grantedLight.add(float64(tokens))
+		return
+	}
+	l.grantedTokens.add(float64(tokens))
+}
+
+// refillRate returns the rate at which an account's bucket is refilled. Once the grants of
+// a whole window are known, its burst is refilled within the window too: otherwise an
+// account that always asks for more would have the burst once only.
+func (b *Buckets) refillRate(l *accountBuckets, rate, burst float64) float64 {
+	if b.window == 0 || rate <= 0 || l.updatedAt.Sub(l.createdAt) < b.window {
+		return rate
+	}
+	return rate + burst/b.window.Seconds()
+}
+
 // tokenBucketFor returns the bucket from which a request takes its tokens.
-func (l *accountBuckets) tokenBucketFor(spec catalog.Account, tokens identifier.Tokens) *bucket {
-	if float64(tokens) <= spec.TokenBurst*lightSize && l.light.wait(float64(tokens), 0) == 0 {
-		return &l.light
+func (b *Buckets) tokenBucketFor(now timekeeper.Time, l *accountBuckets, spec catalog.Account, tokens identifier.Tokens) *bucket {
+	if float64(tokens) > spec.TokenBurst*lightSize || l.light.wait(float64(tokens), 0) > 0 {
+		return &l.tokens
 	}
-	return &l.tokens
+	if b.windowWait(now, l, spec, &l.light) > 0 {
+		return &l.tokens
+	}
+	return &l.light
 }
 
 // bucketsOf returns an account's buckets, refilled up to now.
@@ -190,6 +256,10 @@
 		l = &accountBuckets{
 			updatedAt:        now,
 			standalonePeriod: b.standalonePeriods,
+			createdAt:        now,
+			grantedRequests:  window{span: b.window},
+			grantedTokens:    window{span: b.window},
+			grantedLight:     window{span: b.window},
 		}
 		l.requests.startAt(spec.RequestBurst * b.burstPart * b.initialPart)
 		l.tokens.startAt(spec.TokenBurst * b.burstPart * b.initialPart * (1 - lightPart))
@@ -199,6 +269,11 @@
 	}
 	elapsed := max(now.Sub(l.updatedAt), 0)
 	l.updatedAt = max(l.updatedAt, now)
+	if b.window > 0 {
+		l.grantedRequests.advance(now)
+		l.grantedTokens.advance(now)
+		l.grantedLight.advance(now)
+	}
 	l.requests.refill(elapsed)
 	l.tokens.refill(elapsed)
 	l.tokens.refund(l.light.refill(elapsed))
@@ -224,9 +299,11 @@
 func (b *Buckets) configure(l *accountBuckets, spec catalog.Account) {
 	l.tokens.maxDebt = spec.TokenBurst * b.debtPart * (1 - lightPart)
 	l.light.maxDebt = spec.TokenBurst * b.debtPart * lightPart
-	l.requests.configure(spec.RequestsPerSecond*b.ratePart, max(spec.RequestBurst*b.burstPart, 1))
-	l.tokens.configure(spec.TokensPerSecond*b.ratePart*(1-lightPart), max(spec.TokenBurst*b.burstPart*(1-lightPart), 1))
-	l.light.configure(spec.TokensPerSecond*b.ratePart*lightPart, max(spec.TokenBurst*b.burstPart*lightPart, 1))
+	requestRate := b.refillRate(l, spec.RequestsPerSecond, spec.RequestBurst) * b.ratePart
+	tokenRate := b.refillRate(l, spec.TokensPerSecond, spec.TokenBurst) * b.ratePart
+	l.requests.configure(requestRate, max(spec.RequestBurst*b.burstPart, 1))
+	l.tokens.configure(tokenRate*(1-lightPart), max(spec.TokenBurst*b.burstPart*(1-lightPart), 1))
+	l.light.configure(tokenRate*lightPart, max(spec.TokenBurst*b.burstPart*lightPart, 1))
 }
 
 // Forget drops accounts that the catalog does not contain.
--- a/internal/limiter/central_test.go
+++ b/internal/limiter/central_test.go
@@ -37,29 +37,40 @@
 	central       *limiter.Buckets
 	local         []*limiter.Buckets
 	grantedByTick []float64
+	// window is that of the central node's buckets.
+	window timekeeper.Duration
 	// allReachable makes the central node treat partitioned nodes as reachable.
 	allReachable bool
 }
 
 const tickTime = 50 * timekeeper.Millisecond
 
-func newGrantSimulation() *grantSimulation {
-	return grantSimulationOf(defaultNodes, heavyAccount, 6000)
+// limitWindows are the windows of central buckets with which limits are tested.
+var limitWindows = []timekeeper.Duration{0, judgedWindow}
+
+func newGrantSimulation(window timekeeper.Duration) *grantSimulation {
+	return grantSimulationOf(defaultNodes, heavyAccount, 6000, window)
 }
 
-func grantSimulationOf(nodes int, account catalog.Account, request identifier.Tokens) *grantSimulation {
+func grantSimulationOf(nodes int, account catalog.Account, request identifier.Tokens, window timekeeper.Duration) *grantSimulation {
 	g := &grantSimulation{
 		now:     startTime,
 		account: account,
 		request: request,
-		central: limiter.NewCentral(),
+		window:  window,
 	}
+	g.takeOver()
 	for range nodes {
 		g.local = append(g.local, limiter.NewLocal())
 	}
 	return g
 }
 
+// takeOver replaces the central node by one that does not know what was granted.
+func (g *grantSimulation) takeOver() {
+	g.central = limiter.NewCentral(limiter.CentralConfig{Window: g.window})
+}
+
 // restartAll replaces the local buckets of all nodes by new ones.
 func (g *grantSimulation) restartAll() {
 	for i := range g.local {
@@ -146,7 +157,7 @@
 			run: func(g *grantSimulation) {
 				g.run(10*timekeeper.Second, 0, true)
 				g.run(3*timekeeper.Second, 0, false)
-				g.central = limiter.NewCentral()
+				g.takeOver()
 				g.run(10*timekeeper.Second, 0, true)
 			},
 		},
@@ -154,7 +165,7 @@
 			name: "taken over without a gap",
 			run: func(g *grantSimulation) {
 				g.run(10*timekeeper.Second, 0, true)
-				g.central = limiter.NewCentral()
+				g.takeOver()
 				g.run(10*timekeeper.Second, 0, true)
 			},
 		},
@@ -164,18 +175,20 @@
 				g.run(10*timekeeper.Second, 0, true)
 				g.restartAll()
 				g.run(4*timekeeper.Second, 0, false)
-				g.central = limiter.NewCentral()
+				g.takeOver()
 				g.run(10*timekeeper.Second, 0, true)
 			},
 		},
 	}
 	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			g := newGrantSimulation()
-			test.run(g)
-			require.LessOrEqual(t, g.maxGranted(), g.tolerated())
-			require.GreaterOrEqual(t, g.maxGranted(), heavyAccount.TokensPerSecond*judgedWindow.Seconds())
-		})
+		for _, window := range limitWindows {
+			t.Run(fmt.Sprintf("%s, window %s", test.name, window), func(t *testing.T) {
+				g := newGrantSimulation(window)
+				test.run(g)
+				require.LessOrEqual(t, g.maxGranted(), g.tolerated())
+				require.GreaterOrEqual(t, g.maxGranted(), heavyAccount.TokensPerSecond*judgedWindow.Seconds())
+			})
+		}
 	}
 }
 
@@ -190,19 +203,21 @@
 	for _, nodes := range []int{9, 61, 400} {
 		for _, request := range []identifier.Tokens{2_000, 17_000, 60_000} {
 			for _, down := range []timekeeper.Duration{1 * timekeeper.Second, 4 * timekeeper.Second} {
-				t.Run(fmt.Sprintf("%d nodes, %d tokens, %s", nodes, request, down), func(t *testing.T) {
-					g := grantSimulationOf(nodes, account, request)
-					g.run(10*timekeeper.Second, 0, true)
-					g.restartAll()
-					g.run(down, 0, false)
-					if nodes > defaultNodes {
+				for _, window := range limitWindows {
+					t.Run(fmt.Sprintf("%d nodes, %d tokens, %s, window %s", nodes, request, down, window), func(t *testing.T) {
+						g := grantSimulationOf(nodes, account, request, window)
+						g.run(10*timekeeper.Second, 0, true)
 						g.restartAll()
 						g.run(down, 0, false)
-					}
-					g.central = limiter.NewCentral()
-					g.run(10*timekeeper.Second, 0, true)
-					require.LessOrEqual(t, g.maxGranted(), g.tolerated())
-				})
+						if nodes > defaultNodes {
+							g.restartAll()
+							g.run(down, 0, false)
+						}
+						g.takeOver()
+						g.run(10*timekeeper.Second, 0, true)
+						require.LessOrEqual(t, g.maxGranted(), g.tolerated())
+					})
+				}
 			}
 		}
 	}
@@ -211,7 +226,7 @@
 // If the central node does not deduct the parts of unreachable nodes, the sum exceeds
 // what is tolerated. So TestSumOfGrants detects a missing deduction.
 func TestSumOfGrantsWithoutDeduction(t *testing.T) {
-	g := newGrantSimulation()
+	g := newGrantSimulation(0)
 	g.allReachable = true
 	g.run(10*timekeeper.Second, 0, true)
 	g.run(10*timekeeper.Second, 5, true)
@@ -226,7 +241,7 @@
 		TokensPerSecond: 36_000,
 		TokenBurst:      36_000,
 	}
-	central := limiter.NewCentral()
+	central := limiter.NewCentral(limiter.CentralConfig{})
 	local := limiter.NewLocal()
 	local.SetNodes(defaultNodes, false)
 	now := startTime
@@ -269,7 +284,7 @@
 		lookup = identifier.Tokens(200)
 		span   = 60
 	)
-	central := limiter.NewCentral()
+	central := limiter.NewCentral(limiter.CentralConfig{})
 	central.SetReachable(1, 1)
 	lookups, refused, tokens := 0, 0, identifier.Tokens(0)
 	for now := startTime; now.Before(startTime.Add(span * timekeeper.Second)); now = now.Add(500) {
@@ -297,7 +312,7 @@
 		TokenBurst:      86_000,
 	}
 	const prompt = identifier.Tokens(9_000)
-	central := limiter.NewCentral()
+	central := limiter.NewCentral(limiter.CentralConfig{})
 	central.SetReachable(defaultNodes, defaultNodes)
 	var nodes []*limiter.Buckets
 	for range defaultNodes {
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -122,6 +122,8 @@
 	// Slack is a number of requests that it may get in addition.
 	Share float64
 	Slack float64
+	// LimitWindow is the span in which an account may use its rate and one burst.
+	LimitWindow timekeeper.Duration
 }
 
 func (*GatewayConfig) suspicions() detector.Config {
--- a/internal/reducer/leader.go
+++ b/internal/reducer/leader.go
@@ -77,7 +77,7 @@
 	}
 	g.heldFence = fence
 	g.sizes.Forget()
-	g.centralLimits = limiter.NewCentral()
+	g.centralLimits = limiter.NewCentral(limiter.CentralConfig{Window: g.config.LimitWindow})
 	kind := messenger.TimelineKind("duties_held")
 	if !held {
 		// Peers request from another node from now on.
--- a/internal/starter/gateway.go
+++ b/internal/starter/gateway.go
@@ -36,6 +36,9 @@
 	ExposureShare float64
 	// ExposureSlack is the number of such requests allowed in addition.
 	ExposureSlack float64
+	// LimitWindow is the span in which accounts' limits are judged: an account may use its
+	// rate and one burst in it. If it is zero, a burst is refilled at the rate only.
+	LimitWindow timekeeper.Duration
 	// LogRetention is the time for which the platform's store retains a record.
 	LogRetention timekeeper.Duration
 	// MemoryLimitMB bounds the memory of the process, in megabytes.
@@ -52,6 +55,7 @@
 const (
 	maxUsageWindow = timekeeper.Hour
 	maxRetention   = 24 * timekeeper.Hour
+	maxLimitWindow = timekeeper.Hour
 	maxMemoryMB    = 1 << 20
 	maxCPUCores    = 1 << 10
 	maxLinkMbps    = 1 << 20
@@ -90,6 +94,7 @@
 	g.LogRetention = f.Optional("log_retention", "20s").Duration(1*timekeeper.Second, maxRetention)
 	g.ExposureShare = f.Optional("exposure_share", "0.05").Number(0, 1)
 	g.ExposureSlack = f.Optional("exposure_slack", "0").Number(0, maxSlack)
+	g.LimitWindow = f.Optional("limit_window", "0s").Duration(0, maxLimitWindow)
 	g.MemoryLimitMB = f.Optional("memory_mb", "256").Number(1, maxMemoryMB)
 	g.CPUCores = f.Optional("cpu", "0").Number(0, maxCPUCores)
 	g.LinkMbps = f.Optional("link_mbps", "0").Number(0, maxLinkMbps)
