Apply a refusal of the allocator to the account's next requests

An account that sends many times its limit had each of its requests asked for at the allocator, which could only refuse it.

The allocator's retry time is the time until its bucket holds a token, whatever the size of a request. So a node now refuses the account's requests until then without asking, but for light ones, which have a reserve of their own, and after a change of the allocator. Refusals come without a round trip.

Ruled out: that the allocator's requests are lost in partitions: they remain unanswered after the cut of second 1 to 13 has healed.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -13,6 +13,7 @@
 //
 //   - receive.go admits or refuses a request.
 //   - limit.go counts it against its account's limit.
+//   - hold.go applies the allocator's last refusal of an account to its next requests.
 //   - choose.go chooses the server.
 //   - permit.go requests permits for servers that state a limit for all nodes together.
 //   - slot.go requests slots at brittle servers, which end if they have to reject requests.
@@ -139,6 +140,8 @@
 	estimators map[identifier.ServiceName]*estimator.Estimator
 	demands    map[identifier.ServiceName]*demand
 	slots      slots
+	// limitHolds are the accounts that the allocator refused.
+	limitHolds map[identifier.AccountID]limitHold
 	// originQueries is the number of exchanges that wait for the origin of their stream.
 	originQueries int
 	// unresponsive are the requests that servers left unanswered.
@@ -240,6 +243,7 @@
 		estimators:   map[identifier.ServiceName]*estimator.Estimator{},
 		demands:      map[identifier.ServiceName]*demand{},
 		slots:        newSlots(),
+		limitHolds:   map[identifier.AccountID]limitHold{},
 		unresponsive: unresponsiveServers{},
 		refuseAfter:  timekeeper.Never,
 	}
--- a/internal/dispatcher/limit.go
+++ b/internal/dispatcher/limit.go
@@ -62,6 +62,10 @@
 		x.limitSource = messenger.LimitNoPeer
 		return d.refuseByOwnPart(env, x, retryAfter)
 	}
+	if retryAfter = d.heldFor(env, x, tokens); retryAfter > 0 {
+		x.limitSource = messenger.LimitPeerEarlier
+		return d.refuseOverLimit(env, x, retryAfter)
+	}
 	return d.requestLimit(env, x, tokens)
 }
 
@@ -106,6 +110,7 @@
 		x.limitSource = messenger.LimitPeerTimedOut
 		return d.refuseOverLimit(env, x, unreachableRetry)
 	}
+	d.hold(env, x, e)
 	return d.refuseOverLimit(env, x, e.RetryAfter)
 }
 
--- a/internal/limiter/central.go
+++ b/internal/limiter/central.go
@@ -238,9 +238,15 @@
 	return rate + burst/b.window.Seconds()
 }
 
+// IsLight reports whether a request takes its tokens from the reserve for light requests, if
+// that has any.
+func IsLight(spec catalog.Account, tokens identifier.Tokens) bool {
+	return float64(tokens) <= spec.TokenBurst*lightSize
+}
+
 // tokenBucketFor returns the bucket from which a request takes its tokens.
 func (b *Buckets) tokenBucketFor(now timekeeper.Time, l *accountBuckets, spec catalog.Account, tokens identifier.Tokens) *bucket {
-	if float64(tokens) > spec.TokenBurst*lightSize || l.light.wait(float64(tokens), 0) > 0 {
+	if !IsLight(spec, tokens) || l.light.wait(float64(tokens), 0) > 0 {
 		return &l.tokens
 	}
 	if b.windowWait(now, l, spec, &l.light) > 0 {
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -136,6 +136,9 @@
 	LimitCentral LimitSource = "central"
 	// LimitPeer: the node that grants the central part decided.
 	LimitPeer LimitSource = "peer"
+	// LimitPeerEarlier: that node refused another request of the account, for a time that
+	// has not passed.
+	LimitPeerEarlier LimitSource = "peer_earlier"
 	// LimitPeerTimedOut: that node did not answer in time.
 	LimitPeerTimedOut LimitSource = "peer_silent"
 	// LimitNoPeer: no node is known to grant the central part.
