Move running streams away from leaving servers

Callers of streams on servers that are reclaimed lost up to 32 streams a server: those that may be resumed had their whole prompt read again, the others ended. Engines can move a running stream with its memory, which nothing used.

internal/mover holds the states of a move and the choice of what to move when; the dispatcher begins moves for its own exchanges, withholds the decision on a stream that broke because of one until the source answers, and sends the rest to the destination as the same run. A move that fails goes back to the source that stopped, or on as without it. With the setting stream_moves off, its default, nothing changes.

--- a/cmd/dotterelhollow/gateway.go
+++ b/cmd/dotterelhollow/gateway.go
@@ -89,20 +89,13 @@
 		Clock:    g.clock,
 		Capacity: s.TimelineCapacity,
 	})
-	store := platform.NewStore(platform.StoreConfig{
-		Address:     s.Platform.String(),
-		Self:        s.VM,
-		Zone:        s.Zone,
-		PeerAddress: s.Peer.Advertised.String(),
-		Snapshots:   []identifier.LogStream{quarantiner.Stream},
-		Clock:       g.clock,
-		Logger:      g.logger,
-	})
+	store := g.newStore()
 	cloud := platform.NewCloud(platform.CloudConfig{
 		Address: s.Gateway.CloudAddress.String(),
 		Self:    s.VM,
 		Logger:  g.logger,
 	})
+	streams := platform.NewStreamMover()
 	peers := relayer.NewClient(relayer.ClientConfig{
 		Self:  s.VM,
 		Now:   g.clock,
@@ -125,6 +118,7 @@
 		Store:          store,
 		Rollouts:       store,
 		LeaderTasks:    cloud,
+		StreamMover:    streams,
 		Peers:          peers,
 		CloseListeners: g.closeCallers,
 		Limits:         runner.Limits{ListInterval: listInterval},
@@ -141,11 +135,24 @@
 		Metrics:  g.metrics,
 		MaxBody:  g.runner.MaxBody,
 	})
-	g.closers = []func(){store.Close, cloud.Close, peers.Close, g.forwarder.Close}
+	g.closers = []func(){store.Close, cloud.Close, streams.Close, peers.Close, g.forwarder.Close}
 	g.ports = g.newPorts(timeline)
 	return g
 }
 
+func (g *gateway) newStore() *platform.Store {
+	s := g.settings
+	return platform.NewStore(platform.StoreConfig{
+		Address:     s.Platform.String(),
+		Self:        s.VM,
+		Zone:        s.Zone,
+		PeerAddress: s.Peer.Advertised.String(),
+		Snapshots:   []identifier.LogStream{quarantiner.Stream},
+		Clock:       g.clock,
+		Logger:      g.logger,
+	})
+}
+
 func (g *gateway) reducerConfig(incarnation identifier.Incarnation, seed uint64) reducer.Config {
 	s := g.settings
 	seeds := make([]string, 0, len(s.Gateway.Seeds))
@@ -170,6 +177,7 @@
 			UsageLate:   s.Gateway.MaxUsageDelay,
 			Share:       s.Gateway.ExposureShare,
 			Slack:       s.Gateway.ExposureSlack,
+			MoveStreams: s.Gateway.MoveStreams,
 		},
 	}
 }
--- a/cmd/dotterelhollow/gateway_test.go
+++ b/cmd/dotterelhollow/gateway_test.go
@@ -55,6 +55,8 @@
 	cloudAddress string
 	// allocatedPorts holds the ports already assigned to nodes.
 	allocatedPorts map[netip.AddrPort]bool
+	// moveStreams makes nodes that start later move running streams.
+	moveStreams bool
 }
 
 type gatewayNode struct {
@@ -146,6 +148,7 @@
 			ExposureSlack: 50,
 			LogRetention:  5 * timekeeper.Minute,
 			MemoryLimitMB: 284,
+			MoveStreams:   in.moveStreams,
 		},
 	}
 	if seed.IsValid() {
@@ -535,6 +538,7 @@
 	require.Equal(t, 5*timekeeper.Second, settings.Gateway.UsageWindow)
 	require.Equal(t, 8*timekeeper.Second, settings.DrainTime)
 	require.Equal(t, uint32(800), capacity(settings.Gateway), "both the processor and the link")
+	require.True(t, settings.Gateway.MoveStreams)
 
 	optional := regexp.MustCompile(`(?ms)^\{\{#.*?^\{\{/[^\n]*\n`)
 	minimal := fill.Replace(optional.ReplaceAllString(string(template), ""))
@@ -543,10 +547,12 @@
 	require.NoError(t, err, "a platform without leader tasks is supported")
 	require.False(t, settings.Gateway.CloudAddress.IsValid())
 	require.Zero(t, capacity(settings.Gateway))
+	require.False(t, settings.Gateway.MoveStreams)
 
-	broken := strings.NewReplacer("usage_window = 5s", "usage_window = soon", "10.1.0.14:8220", "nowhere").Replace(text)
+	broken := strings.NewReplacer("usage_window = 5s", "usage_window = soon", "stream_moves = on", "stream_moves = yes", "10.1.0.14:8220", "nowhere").Replace(text)
 	require.NoError(t, os.WriteFile(path, []byte(broken), 0o600))
 	_, err = starter.Load(path)
 	require.ErrorContains(t, err, "usage_window")
 	require.ErrorContains(t, err, "directory_port")
+	require.ErrorContains(t, err, "stream_moves: expected one of on, off")
 }
--- a/internal/catalog/route.go
+++ b/internal/catalog/route.go
@@ -97,6 +97,10 @@
 	// CopyTokensPerMS is the rate at which an engine copies cached tokens from
 	// another one, in tokens per millisecond; zero if it cannot copy.
 	CopyTokensPerMS float64
+	// Moves is set if the engines move running streams. TokensPerEvent is the number of
+	// tokens in an event of their streams, or zero if unknown.
+	Moves          bool
+	TokensPerEvent int
 	// Fleet is nil if the servers cannot be ordered.
 	Fleet *Fleet
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -19,6 +19,7 @@
 //   - origin.go finds the version that began a stream which a caller resumes.
 //   - version.go selects the version of the service and the baseline it is compared with.
 //   - repeat.go decides what follows an attempt.
+//   - move.go moves running streams away from leaving servers.
 //   - ended.go records the requests during which servers ended.
 //   - subset.go selects the servers that this node uses if a service has very many.
 //   - load.go and sum.go track the requests in flight at the servers, of this and other nodes.
@@ -36,6 +37,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/indexer"
 	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/mover"
 	"github.com/dotterelhollow/dotterelhollow/internal/pathfinder"
 	"github.com/dotterelhollow/dotterelhollow/internal/promoter"
 	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
@@ -57,6 +59,8 @@
 	Zone identifier.Zone
 	// MaxExchanges bounds the concurrent exchanges; zero means the default.
 	MaxExchanges int
+	// MoveStreams makes running streams leave servers that are about to end.
+	MoveStreams bool
 }
 
 // Env is the state outside the dispatcher that it reads and updates while it handles
@@ -148,6 +152,11 @@
 	leaving     bool
 	// notifyPeers is set when a server is sent a long prompt or has read one.
 	notifyPeers bool
+	// moves are the moves of running streams, and paces the times between the events of each
+	// service's streams. moveEffects are the effects of moves since the last MoveEffects.
+	moves       *mover.Table
+	paces       map[identifier.ServiceName]*mover.Pace
+	moveEffects []messenger.Effect
 }
 
 // longPrefill is the prefill time from which peers are notified of a prompt at once,
@@ -201,6 +210,14 @@
 	begun   bool
 	version identifier.Version
 	current *attempt
+	// beganAt is the time of the stream's first event, over all attempts.
+	beganAt timekeeper.Time
+	// moves is the number of moves of the stream, and continued reports that an attempt
+	// continued it from the memory of an earlier one. withheld is the end of an attempt that a
+	// move has yet to decide on.
+	moves     int
+	continued bool
+	withheld  messenger.ExchangeAttemptEnded
 }
 
 // attempt is an attempt in flight.
@@ -220,6 +237,10 @@
 	// brittle reports that the server was brittle, so that the end of the attempt frees a slot.
 	brittle bool
 	began   bool
+	// framed reports that the end of the answer is not that of its connection. continues
+	// reports that the attempt goes on from the memory of an earlier one.
+	framed    bool
+	continues bool
 	// track is the version under which a rollout counts the request. baseline is the
 	// predicted time to the first event without what is known of this server.
 	track    promoter.TrackedAttempt
@@ -242,6 +263,8 @@
 		slots:        newSlots(),
 		unresponsive: unresponsiveServers{},
 		refuseAfter:  timekeeper.Never,
+		moves:        mover.NewTable(),
+		paces:        map[identifier.ServiceName]*mover.Pace{},
 	}
 }
 
@@ -263,6 +286,8 @@
 	}
 	current := x.current
 	current.began = true
+	current.framed = e.Framed
+	d.moveBegan(env, x)
 	if !x.begun && x.isResumable() {
 		x.bind(current.version)
 		env.Origins.Began(env.Now, resumer.KeyOf(x.account, x.spec.Request), messenger.StreamOrigin{
@@ -307,6 +332,7 @@
 		return
 	}
 	delete(d.exchanges, e.Exchange)
+	d.movedStreamEnded(env, x, e)
 	if x.current == nil {
 		return
 	}
--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -270,6 +270,7 @@
 		Deadline:          x.deadline,
 		FirstEventTimeout: first,
 		NextEventTimeout:  next,
+		Movable:           d.isMovable(env, x),
 	}
 }
 
--- a/internal/dispatcher/repeat.go
+++ b/internal/dispatcher/repeat.go
@@ -45,6 +45,14 @@
 	if !ok {
 		return d.end(env, nil, e, messenger.ReasonServerFailed)
 	}
+	if effect, decided := d.movedAttemptEnded(env, x, e); decided {
+		return effect
+	}
+	return d.attemptFailed(env, x, e)
+}
+
+// attemptFailed decides what follows an attempt whose stream is not continued from its memory.
+func (d *Dispatcher) attemptFailed(env Env, x *exchange, e messenger.ExchangeAttemptEnded) messenger.Effect {
 	if kind, known := evidence[e.Result]; known && !e.PathFailed && !env.Paths.Isolated() {
 		env.Suspicions.Observe(env.Now, x.current.server, detector.Observation{Kind: kind})
 	}
@@ -89,6 +97,7 @@
 	server := x.current.server
 	entry, known := env.Servers.Server(server)
 	leftService := known && entry.State != messenger.ServerReady
+	continues := x.current.continues
 	if !x.current.began {
 		d.index.Remove(x.current.server, x.spec.Prefix)
 	}
@@ -102,14 +111,14 @@
 	d.removeAttempt(x)
 	switch {
 	case e.Result == messenger.AttemptNotSent:
-		x.countedAttempts--
+		x.uncount(continues)
 		if e.Stale {
 			x.tried = x.tried[:len(x.tried)-1]
 		}
 		return
 	case e.Result == messenger.AttemptMisdirected:
 		// The intended server no longer exists, so that the attempt loads none.
-		x.countedAttempts--
+		x.uncount(continues)
 		env.Servers.MarkDisplaced(server)
 		return
 	case retrier.ProvablyNotRun(e.Result):
@@ -125,8 +134,20 @@
 	}
 }
 
+// uncount takes back the count of an attempt that loaded no server. Attempts that continue a run
+// are not counted.
+func (x *exchange) uncount(continues bool) {
+	if !continues {
+		x.countedAttempts--
+	}
+}
+
 // mayRepeat reports whether another attempt is permitted.
 func (d *Dispatcher) mayRepeat(x *exchange, e messenger.ExchangeAttemptEnded) bool {
+	if x.continued && x.route.Repetition != catalog.Resumable {
+		// Whatever became of the last attempt, the request has run.
+		return false
+	}
 	if x.countedAttempts >= x.route.Attempts {
 		return false
 	}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -253,11 +253,16 @@
 		e.pathFailed = tried.PathFailed()
 		e.serverEnded = tried.ServerRefuses()
 	case messenger.AttemptBroken:
-		e.serverEnded = x.serverEnded(s, x.connection)
+		e.serverEnded = !x.isMoving(s) && x.serverEnded(s, x.connection)
 	}
 	return e
 }
 
+// isMoving reports whether the stream of an attempt broke because it is being moved.
+func (x *exchange) isMoving(s messenger.SendExchange) bool {
+	return s.Movable && x.forwarder.config.Decider.Moving(x.r.Context(), x.id)
+}
+
 // expire ends an exchange whose deadline has passed.
 func (x *exchange) expire() attemptEnd {
 	e := attemptEnd{
@@ -342,7 +347,7 @@
 			reason: response.Status,
 		}
 	}
-	x.recordBegan(ctx, s)
+	x.recordBegan(ctx, s, response)
 	x.writeBuffered(answer)
 	return attemptEnd{
 		result: messenger.AttemptComplete,
@@ -353,7 +358,7 @@
 // passUnbuffered passes on an answer that is too long to be buffered.
 func (x *exchange) passUnbuffered(ctx context.Context, s messenger.SendExchange, timer *attemptTimer, response *http.Response, prefix []byte) attemptEnd {
 	timer.eventReceived(0)
-	x.recordBegan(ctx, s)
+	x.recordBegan(ctx, s, response)
 	x.writeHead(response.StatusCode, response.Header)
 	if _, err := x.w.Write(prefix); err != nil {
 		return callerDisconnected(err)
@@ -388,7 +393,7 @@
 }
 
 // recordBegan reports the first byte or event of an attempt's answer to the decider.
-func (x *exchange) recordBegan(ctx context.Context, s messenger.SendExchange) {
+func (x *exchange) recordBegan(ctx context.Context, s messenger.SendExchange, response *http.Response) {
 	if !x.responseBegan {
 		x.timeToFirst = x.forwarder.config.Clock.Now().Sub(x.received)
 		x.forwarder.config.Metrics.recordFirstEvent(x.timeToFirst)
@@ -398,6 +403,7 @@
 		Exchange: x.id,
 		Attempt:  s.Attempt,
 		Peer:     x.connection.via(),
+		Framed:   isFramed(response),
 	})
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -72,6 +72,9 @@
 	PathTried(ctx context.Context, e messenger.PathTried)
 	// Leaving reports whether a server is known to be leaving or removed.
 	Leaving(ctx context.Context, server identifier.VMID) bool
+	// Moving reports whether the server of an exchange was called to stop its stream, so that
+	// it can go on elsewhere.
+	Moving(ctx context.Context, id identifier.ExchangeID) bool
 }
 
 // Head holds the metadata from a request's headers.
@@ -81,7 +84,9 @@
 	TimeLimit    timekeeper.Duration
 	PromptTokens identifier.Tokens
 	MaxTokens    identifier.Tokens
-	Prefix       []messenger.PromptPart
+	// LengthHint is the caller's estimate of the number of output tokens, or zero.
+	LengthHint identifier.Tokens
+	Prefix     []messenger.PromptPart
 	// LastEvent is the id of the last event that the caller received from an earlier
 	// answer, or empty.
 	LastEvent string
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -54,6 +54,8 @@
 
 func (s *fakeDecider) Leaving(context.Context, identifier.VMID) bool { return s.isLeaving }
 
+func (s *fakeDecider) Moving(context.Context, identifier.ExchangeID) bool { return false }
+
 func newFakeDecider(servers ...string) *fakeDecider {
 	return &fakeDecider{
 		servers:   servers,
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -126,6 +126,7 @@
 		Resumes:        x.head.Resumes,
 		Content:        x.content,
 		ResumedRequest: x.head.Resumed,
+		LengthHint:     x.head.LengthHint,
 	}
 }
 
@@ -168,6 +169,10 @@
 		x.backoff = 0
 		x.inputs = send.Inputs
 		var end attemptEnd
+		if send.From.Given() {
+			// The decision waited for the memory to be copied.
+			asked = send.Decided
+		}
 		if x.isStale(asked) {
 			end = x.staleDecision()
 		} else {
@@ -200,6 +205,7 @@
 			ServerEnded: end.serverEnded,
 			PathFailed:  end.pathFailed,
 			Stale:       end.stale,
+			Events:      x.eventCount,
 		})
 	}
 }
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -44,7 +44,7 @@
 		if cut := completeLength(pending); cut > 0 {
 			if !started {
 				started = true
-				x.recordBegan(ctx, s)
+				x.recordBegan(ctx, s, response)
 			}
 			timer.eventReceived(s.NextEventTimeout)
 			x.recordEvents(pending[:cut])
--- a/internal/forwarder/unframed.go
+++ b/internal/forwarder/unframed.go
@@ -23,9 +23,14 @@
 // the server ended. An answer with neither a length nor chunks ends with its connection, also if
 // that is closed by the end of the server. A leaving server may end after its last answer.
 func (x *exchange) endedWithServer(ctx context.Context, s messenger.SendExchange, response *http.Response) bool {
-	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	if framed || x.serverLeaving || x.r.Method == http.MethodHead {
+	if isFramed(response) || x.serverLeaving || x.r.Method == http.MethodHead {
 		return false
 	}
 	return x.serverEnded(s, x.connection) && !x.forwarder.config.Decider.Leaving(ctx, s.Server)
 }
+
+// isFramed reports whether an answer has a length or chunks, so that its end is not that of its
+// connection.
+func isFramed(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -32,6 +32,8 @@
 	ResumedRequest identifier.RequestID
 	// Content is a hash of host, path and body.
 	Content identifier.ContentHash
+	// LengthHint is the caller's estimate of the number of output tokens, or zero.
+	LengthHint identifier.Tokens
 }
 
 // PromptPart is a part of a prompt that other requests may share.
@@ -56,6 +58,8 @@
 		// Peer is the node through which the attempt was sent, or empty if it was
 		// sent directly.
 		Peer identifier.VMID
+		// Framed reports that the end of the answer is not that of its connection.
+		Framed bool
 	}
 	// ExchangeAttemptEnded reports an attempt that ended without an answer
 	// that can be passed on to the caller unchanged.
@@ -82,6 +86,8 @@
 		// Stale reports that the decision took too long and was not carried out, so that the same
 		// server may be chosen again.
 		Stale bool
+		// Events is the number of whole events that the attempt passed on.
+		Events int
 	}
 	// ExchangeEnded reports that nothing more is sent to the caller.
 	ExchangeEnded struct {
@@ -179,6 +185,11 @@
 		FirstEventTimeout timekeeper.Duration
 		NextEventTimeout  timekeeper.Duration
 		Inputs            DecisionInputs
+		// From is the memory from which the server continues a stream, decided on at Decided.
+		// Movable reports that the stream may be moved while it runs.
+		From    Continuation
+		Decided timekeeper.Time
+		Movable bool
 	}
 	// EndExchange ends a request without a further attempt, after it ran and
 	// failed or may have run.
--- a/internal/reducer/apply_test.go
+++ b/internal/reducer/apply_test.go
@@ -60,6 +60,7 @@
 	messenger.ExchangeBegan{},
 	messenger.ExchangeAttemptEnded{},
 	messenger.ExchangeEnded{},
+	messenger.ExchangeMoved{},
 	messenger.CatalogPublished{},
 	messenger.CatalogConfirmed{},
 	messenger.ServersPublished{},
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -122,6 +122,8 @@
 	// Slack is a number of requests that it may get in addition.
 	Share float64
 	Slack float64
+	// MoveStreams makes running streams leave servers that are about to end.
+	MoveStreams bool
 }
 
 func (*GatewayConfig) suspicions() detector.Config {
@@ -255,8 +257,9 @@
 		newPeers:         map[identifier.VMID]timekeeper.Time{},
 		serversRequested: map[identifier.VMID]bool{},
 		exchanges: dispatcher.New(dispatcher.Config{
-			Self: c.Self,
-			Zone: c.Zone,
+			Self:        c.Self,
+			Zone:        c.Zone,
+			MoveStreams: c.Gateway.MoveStreams,
 		}),
 		usage: accountant.New(accountant.Config{
 			Window:         c.Gateway.UsageWindow,
@@ -294,10 +297,14 @@
 
 // gatewayEvent passes an event to the parts that serve opaque exchanges.
 func (r *Reducer) gatewayEvent(env *conductor.Env, body messenger.EventBody) []messenger.Effect {
-	g := r.gateway
-	if g == nil {
+	if r.gateway == nil {
 		return nil
 	}
+	return append(r.exchangeEvent(env, body), r.gateway.exchanges.MoveEffects()...)
+}
+
+func (r *Reducer) exchangeEvent(env *conductor.Env, body messenger.EventBody) []messenger.Effect {
+	g := r.gateway
 	switch b := body.(type) {
 	case messenger.ExchangeReceived:
 		return r.withUpdates(env, g.exchanges.Receive(r.exchangeEnv(env), b.Spec))
@@ -305,9 +312,10 @@
 		g.exchanges.Began(r.exchangeEnv(env), b)
 		return r.withUpdates(env)
 	case messenger.ExchangeAttemptEnded:
-		effect := g.exchanges.AttemptEnded(r.exchangeEnv(env), b)
-		r.scheduleSuspectUpdate(env)
-		return append(r.withUpdates(env, effect), r.slotReports(env)...)
+		return r.attemptEnded(env, b)
+	case messenger.ExchangeMoved:
+		g.exchanges.Moved(r.exchangeEnv(env), b)
+		return r.withUpdates(env)
 	case messenger.ExchangeEnded:
 		g.exchanges.Ended(r.exchangeEnv(env), b)
 		r.scheduleSuspectUpdate(env)
@@ -342,6 +350,16 @@
 	return nil
 }
 
+// attemptEnded decides what follows an attempt, unless that has to wait for a move.
+func (r *Reducer) attemptEnded(env *conductor.Env, e messenger.ExchangeAttemptEnded) []messenger.Effect {
+	effect := r.gateway.exchanges.AttemptEnded(r.exchangeEnv(env), e)
+	r.scheduleSuspectUpdate(env)
+	if effect == nil {
+		return r.slotReports(env)
+	}
+	return append(r.withUpdates(env, effect), r.slotReports(env)...)
+}
+
 // limitEvent applies an event of the central parts of the accounts' limits.
 func (r *Reducer) limitEvent(env *conductor.Env, body messenger.EventBody) []messenger.Effect {
 	switch b := body.(type) {
@@ -485,7 +503,21 @@
 			out = append(out, r.inheritServerLimit(env, s.Server)...)
 		}
 	}
-	return out
+	return append(out, r.moveStreams(env)...)
+}
+
+// moveStreams moves running streams away from leaving servers.
+func (r *Reducer) moveStreams(env *conductor.Env) []messenger.Effect {
+	if !r.gateway.config.MoveStreams {
+		return nil
+	}
+	r.gateway.exchanges.MoveStreams(r.exchangeEnv(env))
+	return r.gateway.exchanges.MoveEffects()
+}
+
+// Moving reports whether the server of an exchange was called to stop its stream.
+func (r *Reducer) Moving(id identifier.ExchangeID) bool {
+	return r.gateway != nil && r.gateway.exchanges.Moving(id)
 }
 
 // tickGateway advances the exchanges and the leader tasks to the current time.
@@ -511,6 +543,7 @@
 	g.serverLimits.Tick(env.Now)
 	g.backoffs.Tick(env.Now)
 	out = append(out, r.tickBrittle(env)...)
+	out = append(out, r.moveStreams(env)...)
 	if !env.Now.Before(g.nextUpdate) {
 		out = append(out, r.sendUpdates(env)...)
 	}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -242,7 +242,7 @@
 		r.quarantine.Merge(env.Now, b.Update.Suspects)
 		return r.gatewayEvent(env, b)
 	case messenger.ExchangeReceived, messenger.ExchangeBegan, messenger.ExchangeAttemptEnded,
-		messenger.ExchangeEnded, messenger.CatalogPublished, messenger.CatalogConfirmed,
+		messenger.ExchangeEnded, messenger.ExchangeMoved, messenger.CatalogPublished, messenger.CatalogConfirmed,
 		messenger.ServersPublished,
 		messenger.ServersOrdered, messenger.UsageReported, messenger.LimitAnswered, messenger.LimitRequested,
 		messenger.RolloutsClaimed, messenger.RolloutStored, messenger.ServerLimitReceived,
--- a/internal/runner/effect.go
+++ b/internal/runner/effect.go
@@ -80,6 +80,12 @@
 		r.reportStreams(e)
 	case messenger.AnswerStream:
 		r.streamRequests.answer(e.Ticket, e.Answer)
+	case messenger.MoveExchange:
+		r.moveExchange(e)
+	case messenger.FreeMemory:
+		r.freeMemory(e)
+	case messenger.RecordMove:
+		r.recordMove(e)
 	case messenger.ProbeServer:
 		r.probeServer(e)
 	case messenger.AnswerTunnel:
--- a/internal/runner/exchange.go
+++ b/internal/runner/exchange.go
@@ -88,6 +88,13 @@
 	return leaving
 }
 
+// Moving implements forwarder.Decider.
+func (r *Runner) Moving(ctx context.Context, id identifier.ExchangeID) bool {
+	moving := false
+	r.runInLoop(ctx, func() { moving = r.config.Reducer.Moving(id) })
+	return moving
+}
+
 // Ready reports whether this node accepts callers of opaque exchanges.
 func (r *Runner) Ready(ctx context.Context) bool {
 	ready := false
--- a/internal/runner/fake_test.go
+++ b/internal/runner/fake_test.go
@@ -94,6 +94,7 @@
 func (f *fakeReducer) Ready() bool                        { return true }
 func (f *fakeReducer) ReadyNodes() []gossiper.Node        { return f.nodes }
 func (f *fakeReducer) ServerLeaving(identifier.VMID) bool { return false }
+func (f *fakeReducer) Moving(identifier.ExchangeID) bool  { return false }
 func (f *fakeReducer) ExportConfiguration() ([]byte, bool) {
 	return nil, false
 }
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -35,6 +35,8 @@
 	tunnelRequests   expvar.Map
 	streamQueries    expvar.Map
 	probes           expvar.Map
+	moveCalls        expvar.Int
+	moves            expvar.Map
 	loopLag          lagWindow
 }
 
@@ -61,6 +63,8 @@
 		"tunnel_requests":   m.tunnelRequests.Init(),
 		"stream_queries":    m.streamQueries.Init(),
 		"server_probes":     m.probes.Init(),
+		"stream_move_calls": &m.moveCalls,
+		"stream_moves":      m.moves.Init(),
 		"loop_lag_ms":       &m.loopLag,
 	} {
 		m.vars.Set(name, v)
--- a/internal/runner/outside.go
+++ b/internal/runner/outside.go
@@ -44,6 +44,8 @@
 	Ready() bool
 	ReadyNodes() []gossiper.Node
 	ServerLeaving(server identifier.VMID) bool
+	// Moving reports whether the server of an exchange was called to stop its stream.
+	Moving(id identifier.ExchangeID) bool
 }
 
 var _ Reducer = (*reducer.Reducer)(nil)
@@ -120,6 +122,15 @@
 	OrderServers(ctx context.Context, e messenger.OrderServers) messenger.LeaderTaskResult
 }
 
+// StreamMover calls backend servers to move running streams.
+type StreamMover interface {
+	// Move has a server copy the memory of a run. The result states what came of it also if
+	// there is an error.
+	Move(ctx context.Context, e messenger.MoveExchange) (messenger.ExchangeMoved, error)
+	// Free frees the copies of a run's memory.
+	Free(ctx context.Context, e messenger.FreeMemory) error
+}
+
 // RecordsExpiredError reports that the next records to read have expired.
 // Records from offset FirstAvailable on remain.
 type RecordsExpiredError struct {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -46,6 +46,8 @@
 	// Rollouts stores the state of rollouts. It is nil if the node runs none.
 	Rollouts    RolloutStore
 	LeaderTasks LeaderTasks
+	// StreamMover is nil on a node that moves no streams.
+	StreamMover StreamMover
 	// CloseListeners closes the ports gracefully. It returns when the handlers
 	// of open connections have ended or ctx ends.
 	CloseListeners func(ctx context.Context)
