Stop moved runs after the copies of others, and leave those that end in time

Each node now estimates the queue of a leaving server from its streams and the published load: runs go on until it is copied, those that may run once first. A server that is not reclaimable serves on for the platform's drain time (server_drain), so that streams that end within it stay.

--- a/cmd/dotterelhollow/gateway.go
+++ b/cmd/dotterelhollow/gateway.go
@@ -178,6 +178,7 @@
 			Share:       s.Gateway.ExposureShare,
 			Slack:       s.Gateway.ExposureSlack,
 			MoveStreams: s.Gateway.MoveStreams,
+			ServerDrain: s.Gateway.ServerDrain,
 		},
 	}
 }
--- a/cmd/dotterelhollow/gateway_test.go
+++ b/cmd/dotterelhollow/gateway_test.go
@@ -506,6 +506,7 @@
 		"{{zone}}", "boston-a",
 		"{{region}}", "new-england",
 		"{{bounds.grace_s}}", "8",
+		"{{bounds.drain_ms}}", "3000",
 		"{{listen_addresses.front}}", "10.1.0.14:8221",
 		"{{listen_addresses.control}}", "10.1.0.14:8229",
 		"{{listen_addresses.directory}}", "10.1.0.14:8220",
@@ -539,6 +540,7 @@
 	require.Equal(t, 8*timekeeper.Second, settings.DrainTime)
 	require.Equal(t, uint32(800), capacity(settings.Gateway), "both the processor and the link")
 	require.True(t, settings.Gateway.MoveStreams)
+	require.Equal(t, 3*timekeeper.Second, settings.Gateway.ServerDrain)
 
 	optional := regexp.MustCompile(`(?ms)^\{\{#.*?^\{\{/[^\n]*\n`)
 	minimal := fill.Replace(optional.ReplaceAllString(string(template), ""))
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -61,6 +61,9 @@
 	MaxExchanges int
 	// MoveStreams makes running streams leave servers that are about to end.
 	MoveStreams bool
+	// ServerDrain is the time for which a leaving server serves on if it states none and is not
+	// reclaimable, or zero if it is not known.
+	ServerDrain timekeeper.Duration
 }
 
 // Env is the state outside the dispatcher that it reads and updates while it handles
--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -23,7 +23,7 @@
 	if !d.config.MoveStreams || env.Catalog == nil || env.Catalog.Routing == nil {
 		return
 	}
-	d.dropOverdueMoves(env)
+	d.tickMoves(env)
 	var leaving []*registrar.Server
 	for _, id := range slices.Sorted(maps.Keys(d.loads.own)) {
 		if s, known := env.Servers.Server(id); known && s.State == messenger.ServerLeaving && !env.Paths.Broken(id) {
@@ -33,9 +33,11 @@
 	if len(leaving) == 0 {
 		return
 	}
-	streams := d.movableStreams(env)
+	streams, mixes := d.movableStreams(env)
 	for _, s := range leaving {
-		d.moveAway(env, s, streams[s.Server])
+		if mix := mixes[s.Service]; mix != nil {
+			d.moveAway(env, s, streams[s.Server], mix)
+		}
 	}
 }
 
@@ -58,22 +60,27 @@
 }
 
 // movableStreams returns the running streams that may be moved, by server and with what would be
-// lost most first.
-func (d *Dispatcher) movableStreams(env Env) map[identifier.VMID][]mover.Stream {
-	out := map[identifier.VMID][]mover.Stream{}
+// lost most first, and the mix of each service's streams.
+func (d *Dispatcher) movableStreams(env Env) (map[identifier.VMID][]mover.Stream, map[identifier.ServiceName]*mover.Mix) {
+	streams := map[identifier.VMID][]mover.Stream{}
+	mixes := map[identifier.ServiceName]*mover.Mix{}
 	for id, x := range d.exchanges {
 		if x.current == nil || !x.current.began || !x.current.framed || !d.isMovable(env, x) || env.Brittle.Service(x.service) {
 			continue
 		}
-		if _, moving := d.moves.Move(id); moving {
-			continue
+		stream := d.streamOf(env, x)
+		if mixes[x.service] == nil {
+			mixes[x.service] = &mover.Mix{}
+		}
+		mixes[x.service].Add(stream)
+		if _, moving := d.moves.Move(id); !moving {
+			streams[x.current.server] = append(streams[x.current.server], stream)
 		}
-		out[x.current.server] = append(out[x.current.server], d.streamOf(env, x))
 	}
-	for _, streams := range out {
-		mover.Sort(streams)
+	for _, s := range streams {
+		mover.Sort(s)
 	}
-	return out
+	return streams, mixes
 }
 
 func (d *Dispatcher) streamOf(env Env, x *exchange) mover.Stream {
@@ -96,18 +103,17 @@
 }
 
 // moveAway begins the moves of a leaving server's streams that are due.
-func (d *Dispatcher) moveAway(env Env, source *registrar.Server, streams []mover.Stream) {
-	notice := mover.Notice{
-		At:       source.ChangedAt,
-		LeavesIn: source.LeavesIn,
-	}
+func (d *Dispatcher) moveAway(env Env, source *registrar.Server, streams []mover.Stream, mix *mover.Mix) {
+	notice := d.notice(source)
+	copyTime := func(tokens identifier.Tokens) timekeeper.Duration { return d.copyTime(env, source.Service, tokens) }
+	running, _ := d.loads.serverLoad(env.Now, source.Server)
+	queue := mix.Queue(running, copyTime)
 	for _, stream := range streams {
 		x := d.exchanges[stream.Exchange]
-		if !d.moves.MayLeave(source.Server, x.moves) {
+		if env.Now.Before(stream.BeginAt(notice, queue)) || !d.moves.MayLeave(source.Server, x.moves) {
 			continue
 		}
-		// Destinations are in other zones if a zone leaves as a whole.
-		copying := d.copyTime(env, x.service, stream.Tokens, crossZoneCopy)
+		copying := copyTime(stream.Tokens)
 		if !stream.MustMove(env.Now, notice, copying) {
 			continue
 		}
@@ -128,20 +134,34 @@
 			Notice:             notice,
 			Began:              env.Now,
 			Tokens:             stream.Tokens,
-			CopyFirst:          stream.CopyFirst(env.Now, notice, copying),
+			CopyFirst:          stream.CopyFirst(env.Now, notice, queue, copying),
+			StopAt:             stream.StopAt(notice, queue),
 			Repeatable:         stream.Repeatable,
 		}), 0)
 	}
 }
 
+// notice returns what a leaving server has stated. A reclaimable one that states no time may be
+// taken away at any time; others serve on for the platform's drain time.
+func (d *Dispatcher) notice(s *registrar.Server) mover.Notice {
+	n := mover.Notice{
+		At:       s.ChangedAt,
+		LeavesIn: s.LeavesIn,
+	}
+	if n.LeavesIn == 0 && s.Market != catalog.Reclaimable {
+		n.LeavesIn = d.config.ServerDrain
+	}
+	return n
+}
+
 // copyTime returns the time for which an otherwise idle server copies tokens, or zero if it is not
-// known.
-func (d *Dispatcher) copyTime(env Env, service identifier.ServiceName, tokens identifier.Tokens, factor float64) timekeeper.Duration {
+// known. Destinations are in other zones if a zone leaves as a whole.
+func (d *Dispatcher) copyTime(env Env, service identifier.ServiceName, tokens identifier.Tokens) timekeeper.Duration {
 	rate := env.Catalog.Routing.Backends[service].CopyTokensPerMS
 	if rate <= 0 {
 		return 0
 	}
-	return copySetup + timekeeper.Duration(factor*float64(tokens)/rate)
+	return copySetup + timekeeper.Duration(crossZoneCopy*float64(tokens)/rate)
 }
 
 // chooseDestination chooses the server to which a stream is moved: one of its version, which would
@@ -209,12 +229,16 @@
 	}
 }
 
-// dropOverdueMoves has streams that wait for their memory for too long resumed without it.
-func (d *Dispatcher) dropOverdueMoves(env Env) {
+// tickMoves advances the moves to the current time.
+func (d *Dispatcher) tickMoves(env Env) {
 	for _, m := range d.moves.All() {
-		action := m.Overdue(env.Now)
-		if x, ok := d.exchanges[m.Config().Exchange]; ok && action == mover.Abandon {
-			d.moveEffects = append(d.moveEffects, d.follow(env, x, m, action))
+		switch action := m.Tick(env.Now); action {
+		case mover.Call:
+			d.call(m, 0)
+		case mover.Abandon:
+			if x, ok := d.exchanges[m.Config().Exchange]; ok {
+				d.moveEffects = append(d.moveEffects, d.follow(env, x, m, action))
+			}
 		}
 	}
 }
@@ -231,7 +255,7 @@
 	if m.Continuing() {
 		action = m.ContinuationEnded(env.Now, retrier.ProvablyNotRun(e.Result))
 	} else {
-		action = m.StreamBroke(env.Now, e.Events)
+		action = m.StreamBroke(env.Now, e.Events, e.ServerEnded)
 	}
 	if action == mover.Wait {
 		return nil, true
--- a/internal/dispatcher/move_test.go
+++ b/internal/dispatcher/move_test.go
@@ -21,19 +21,21 @@
 		Zone:        "zone-0",
 		MoveStreams: true,
 	})
-	n.setMoves(true)
+	n.setMoves(true, 0)
 	for i := range servers {
 		n.publish(i, messenger.ServerReady)
 	}
 	return n
 }
 
-func (n *node) setMoves(moves bool) {
+// setMoves sets whether the servers move streams, and the tokens that they copy in a millisecond; zero
+// means that it is not known.
+func (n *node) setMoves(moves bool, rate float64) {
 	n.env.Catalog.Routing.Backends["reader"] = catalog.Backend{
 		Model:           true,
 		Slots:           serverSlots,
 		Moves:           moves,
-		CopyTokensPerMS: 100,
+		CopyTokensPerMS: rate,
 		TokensPerEvent:  4,
 	}
 }
@@ -259,14 +261,14 @@
 func TestStreamsThatAreNotMoved(t *testing.T) {
 	t.Run("switched off", func(t *testing.T) {
 		n := newNode(3)
-		n.setMoves(true)
+		n.setMoves(true, 0)
 		s := n.beginFramed(t, "/report/1")
 		require.Empty(t, n.leave(s.Server))
 		require.IsType(t, messenger.SendExchange{}, n.breakStream(s))
 	})
 	t.Run("engines without moves", func(t *testing.T) {
 		n := newMovingNode(3)
-		n.setMoves(false)
+		n.setMoves(false, 0)
 		require.Empty(t, n.leave(n.beginFramed(t, "/report/1").Server))
 	})
 	t.Run("unframed answer", func(t *testing.T) {
@@ -292,6 +294,63 @@
 	})
 }
 
+// A run must go on while its memory is copied, and be stopped when that is done.
+func TestRunGoesOnWhileItIsCopied(t *testing.T) {
+	n := newMovingNode(3)
+	n.setMoves(true, 10)
+	s := n.beginFramed(t, "/draft/1")
+	calls := n.leave(s.Server)
+	require.Len(t, calls, 1)
+	require.False(t, calls[0].Last)
+	require.False(t, n.Moving(s.Exchange))
+	require.Empty(t, n.answer(calls[0], messenger.MoveCopied, "h-1"), "others may be copied meanwhile")
+	n.env.Now = n.env.Now.Add(300)
+	n.MoveStreams(n.env)
+	calls = effectsOf[messenger.MoveExchange](n.MoveEffects())
+	require.Len(t, calls, 1)
+	require.True(t, calls[0].Last)
+	require.True(t, n.Moving(s.Exchange))
+}
+
+// A server that is not reclaimable serves on for the platform's drain time: streams that end within
+// it must not be moved.
+func TestShortStreamsEndAtDrainingServer(t *testing.T) {
+	for _, test := range []struct {
+		maxTokens identifier.Tokens
+		want      int
+	}{
+		{
+			maxTokens: 40,
+		},
+		{
+			maxTokens: 4000,
+			want:      1,
+		},
+	} {
+		n := newMovingNode(0)
+		n.Dispatcher = dispatcher.New(dispatcher.Config{
+			Self:        "entry-1",
+			Zone:        "zone-0",
+			MoveStreams: true,
+			ServerDrain: 3 * timekeeper.Second,
+		})
+		n.publish(0, messenger.ServerReady)
+		n.publish(1, messenger.ServerReady)
+		n.Ended(n.env, messenger.ExchangeEnded{
+			Exchange:       n.beginFramed(t, "/draft/1").Exchange,
+			Result:         messenger.AttemptComplete,
+			Events:         11,
+			EventsDuration: 400,
+		})
+		spec := n.spec("/draft/1")
+		spec.MaxTokens = test.maxTokens
+		s, ok := n.Receive(n.env, spec).(messenger.SendExchange)
+		require.True(t, ok)
+		n.begin(s)
+		require.Len(t, n.leave(s.Server), test.want, "%d tokens", test.maxTokens)
+	}
+}
+
 // A caller that leaves while its stream waits for the source must not leave memory in use.
 func TestCallerLeavesDuringMove(t *testing.T) {
 	n := newMovingNode(3)
--- a/internal/messenger/move.go
+++ b/internal/messenger/move.go
@@ -100,8 +100,10 @@
 		// Tokens is the size of the run's memory when the move began.
 		Tokens  identifier.Tokens
 		Elapsed timekeeper.Duration
-		// Pause is the time from the end of the stream at the source until it goes on.
-		Pause timekeeper.Duration
+		// Pause is the time from the end of the stream at the source until it goes on, and
+		// Waited the part of it until the memory was copied.
+		Pause  timekeeper.Duration
+		Waited timekeeper.Duration
 	}
 )
 
--- a/internal/mover/move.go
+++ b/internal/mover/move.go
@@ -36,6 +36,8 @@
 	Tokens             identifier.Tokens
 	// CopyFirst makes the run go on while its memory is copied.
 	CopyFirst bool
+	// StopAt is the time from which such a run is stopped.
+	StopAt timekeeper.Time
 	// Repeatable reports that another server could resume the stream without its memory.
 	Repeatable bool
 }
@@ -45,6 +47,7 @@
 
 const (
 	stateCopying    state = "copying"
+	stateCopied     state = "copied"
 	stateStopping   state = "stopping"
 	stateStopped    state = "stopped"
 	stateContinuing state = "continuing"
@@ -90,9 +93,10 @@
 	spent   bool
 	created int
 	// brokenAt is the time at which the stream broke, or zero, and events the number of events
-	// that it had brought.
+	// that it had brought. waited is the time from then to the answer of the source.
 	brokenAt timekeeper.Time
 	events   int
+	waited   timekeeper.Duration
 	// unusable reports that the destination has no copy.
 	unusable bool
 	outcome  messenger.MoveOutcome
@@ -160,6 +164,7 @@
 		Created:     m.created,
 		Tokens:      m.config.Tokens,
 		Elapsed:     now.Sub(m.config.Began),
+		Waited:      m.waited,
 		Pause:       m.pause,
 	}, first
 }
@@ -186,7 +191,7 @@
 	}
 	switch m.state {
 	case stateCopying:
-		return m.copied(e)
+		return m.copied(now, e)
 	case stateStopping:
 		return m.stopped(now, e)
 	}
@@ -194,13 +199,12 @@
 }
 
 // copied handles an answer while the run goes on.
-func (m *Move) copied(e messenger.ExchangeMoved) Action {
+func (m *Move) copied(now timekeeper.Time, e messenger.ExchangeMoved) Action {
 	switch e.Result {
 	case messenger.MoveCopied:
-		m.state = stateStopping
+		m.state = stateCopied
 		m.repeats = 0
-		m.called()
-		return Call
+		return m.Tick(now)
 	case messenger.MoveInProgress, messenger.MoveUnanswered:
 		if m.mayRepeat() {
 			return Repeat
@@ -209,6 +213,25 @@
 	return m.end(messenger.MoveNotMade, End)
 }
 
+// Tick advances the move to the current time: a copied run is stopped when it is due, and a stopped
+// one that another server can resume without its memory is not kept waiting for it for long.
+func (m *Move) Tick(now timekeeper.Time) Action {
+	switch m.state {
+	case stateCopied:
+		if !now.Before(m.config.StopAt) {
+			m.state = stateStopping
+			m.called()
+			return Call
+		}
+	case stateStopping:
+		if m.Broken() && m.config.Repeatable && now.Sub(m.brokenAt) >= maxPause {
+			m.cancelled = m.calling
+			return m.end(messenger.MoveLost, Abandon)
+		}
+	}
+	return Wait
+}
+
 // stopped handles the answer of a call to stop the run.
 func (m *Move) stopped(now timekeeper.Time, e messenger.ExchangeMoved) Action {
 	switch e.Result {
@@ -257,11 +280,16 @@
 }
 
 // StreamBroke handles the end of the stream before its last event. events is the number of events
-// that it brought.
-func (m *Move) StreamBroke(now timekeeper.Time, events int) Action {
+// that it brought, and sourceEnded reports that the source's process has ended.
+func (m *Move) StreamBroke(now timekeeper.Time, events int, sourceEnded bool) Action {
 	m.brokenAt = now
 	m.events = events
 	switch m.state {
+	case stateCopied:
+		if sourceEnded {
+			m.state = stateContinuing
+			return Continue
+		}
 	case stateStopping:
 		return Wait
 	case stateStopped:
@@ -273,6 +301,7 @@
 
 // resume continues a stopped run whose stream has broken.
 func (m *Move) resume(now timekeeper.Time) Action {
+	m.waited = now.Sub(m.brokenAt)
 	switch {
 	case m.created < m.events:
 		// The memory is that of another run.
@@ -284,16 +313,6 @@
 	return Continue
 }
 
-// Overdue handles a stopped run whose memory is still being copied. One that another server can
-// resume without it is not kept waiting for long.
-func (m *Move) Overdue(now timekeeper.Time) Action {
-	if m.state != stateStopping || !m.Broken() || !m.config.Repeatable || now.Sub(m.brokenAt) < maxPause {
-		return Wait
-	}
-	m.cancelled = m.calling
-	return m.end(messenger.MoveLost, Abandon)
-}
-
 // giveBack continues a stopped run at the source, if that may still receive requests.
 func (m *Move) giveBack(now timekeeper.Time) Action {
 	left, known := m.config.Notice.left(now)
--- a/internal/mover/move_test.go
+++ b/internal/mover/move_test.go
@@ -25,6 +25,7 @@
 		},
 		Began:     start,
 		CopyFirst: copyFirst,
+		StopAt:    start,
 	}
 }
 
@@ -48,7 +49,7 @@
 }
 
 func broke(events int) func(*mover.Move, timekeeper.Time) mover.Action {
-	return func(m *mover.Move, now timekeeper.Time) mover.Action { return m.StreamBroke(now, events) }
+	return func(m *mover.Move, now timekeeper.Time) mover.Action { return m.StreamBroke(now, events, false) }
 }
 
 func continuationEnded(notRun bool) func(*mover.Move, timekeeper.Time) mover.Action {
@@ -61,7 +62,9 @@
 
 func began(m *mover.Move, now timekeeper.Time) mover.Action { return m.Began(now) }
 
-func overdue(m *mover.Move, now timekeeper.Time) mover.Action { return m.Overdue(now) }
+func tick(m *mover.Move, now timekeeper.Time) mover.Action { return m.Tick(now) }
+
+func sourceEnded(m *mover.Move, now timekeeper.Time) mover.Action { return m.StreamBroke(now, 5, true) }
 
 // Each row brings about one failure or order of events. Guards against runs that are continued
 // before they stopped, or from memory that is not theirs, and memory that is never freed.
@@ -70,8 +73,10 @@
 		name       string
 		stopAtOnce bool
 		repeatable bool
-		steps      []step
-		outcome    messenger.MoveOutcome
+		// late makes the run go on for a time after it was copied.
+		late    bool
+		steps   []step
+		outcome messenger.MoveOutcome
 		// unused is the handle to free in the end.
 		unused messenger.KVHandle
 		// settled is false if an answer is awaited in the end.
@@ -286,6 +291,74 @@
 			},
 			outcome: messenger.MoveContinued,
 		},
+		{
+			name: "the source ends before the run is stopped",
+			late: true,
+			steps: []step{
+				{
+					event: answered(messenger.MoveCopied, "h-1", 3),
+					want:  mover.Wait,
+				},
+				{
+					event: sourceEnded,
+					want:  mover.Continue,
+				},
+				{
+					event: began,
+					want:  mover.End,
+				},
+			},
+			outcome: messenger.MoveContinued,
+		},
+		{
+			name: "the stream breaks before the run is stopped",
+			late: true,
+			steps: []step{
+				{
+					event: answered(messenger.MoveCopied, "h-1", 3),
+					want:  mover.Wait,
+				},
+				{
+					event: broke(5),
+					want:  mover.Abandon,
+				},
+			},
+			outcome: messenger.MoveLost,
+			unused:  "h-1",
+		},
+		{
+			name: "the run is stopped when the copies of others are made",
+			late: true,
+			steps: []step{
+				{
+					event: answered(messenger.MoveCopied, "h-1", 3),
+					want:  mover.Wait,
+				},
+				{
+					event: tick,
+					want:  mover.Wait,
+					after: 50,
+				},
+				{
+					event: tick,
+					want:  mover.Call,
+					after: 50,
+				},
+				{
+					event: broke(5),
+					want:  mover.Wait,
+				},
+				{
+					event: answered(messenger.MoveCopied, "h-1", 5),
+					want:  mover.Continue,
+				},
+				{
+					event: began,
+					want:  mover.End,
+				},
+			},
+			outcome: messenger.MoveContinued,
+		},
 		{
 			name: "the first copy arrives after the source ended",
 			steps: []step{
@@ -384,12 +457,12 @@
 					want:  mover.Wait,
 				},
 				{
-					event: overdue,
+					event: tick,
 					want:  mover.Wait,
 					after: 900,
 				},
 				{
-					event: overdue,
+					event: tick,
 					want:  mover.Abandon,
 					after: 100,
 				},
@@ -410,7 +483,7 @@
 					want:  mover.Wait,
 				},
 				{
-					event: overdue,
+					event: tick,
 					want:  mover.Wait,
 					after: 1400,
 				},
@@ -564,6 +637,9 @@
 		t.Run(test.name, func(t *testing.T) {
 			c := config(!test.stopAtOnce)
 			c.Repeatable = test.repeatable
+			if test.late {
+				c.StopAt = start.Add(100)
+			}
 			m := mover.NewTable().Begin(c)
 			now := start
 			for i, s := range test.steps {
--- a/internal/mover/stream.go
+++ b/internal/mover/stream.go
@@ -24,6 +24,12 @@
 	// copySpare is the number of times that copying must fit in the time left for the run to
 	// go on meanwhile.
 	copySpare = 3
+	// maxQueue is the time for which a run goes on after it was copied, if its server may leave
+	// at any time.
+	maxQueue = 1 * timekeeper.Second
+	// stopLead is the time by which the runs that may run once are stopped before others are
+	// copied. Nodes learn of a notice at different times.
+	stopLead = 150 * timekeeper.Millisecond
 	// paceWeight is the weight of the newest stream in a pace.
 	paceWeight = 0.1
 	// maxPace bounds an observed time between events.
@@ -132,13 +138,74 @@
 	return float64(s.Rest)*restFactor > float64(left-noticeDelay)
 }
 
+// Queue is the time for which a leaving server copies the memory of all its runs: first of those
+// that may run once, then of those that could be resumed without it.
+type Queue struct {
+	Once       timekeeper.Duration
+	Repeatable timekeeper.Duration
+}
+
+// BeginAt returns the time from which a stream's memory is copied.
+func (s Stream) BeginAt(n Notice, q Queue) timekeeper.Time {
+	if s.Repeatable && q.Once > 0 {
+		return n.At.Add(q.Once + stopLead)
+	}
+	return n.At
+}
+
+// StopAt returns the time from which a run whose memory was copied is stopped. Copies that other
+// nodes have asked for go ahead of what it generates meanwhile, for as long as the run stands
+// still.
+func (s Stream) StopAt(n Notice, q Queue) timekeeper.Time {
+	at := q.Once
+	if s.Repeatable {
+		at = s.BeginAt(n, q).Sub(n.At) + q.Repeatable
+	}
+	latest := maxQueue
+	if n.LeavesIn > 0 {
+		latest = max(n.LeavesIn-noticeDelay, 0)
+	}
+	return n.At.Add(min(at, latest))
+}
+
 // CopyFirst reports whether the run should go on while its memory is copied. A short copy is not
 // worth a second call, and there may be no time for one.
-func (s Stream) CopyFirst(now timekeeper.Time, n Notice, copying timekeeper.Duration) bool {
+func (s Stream) CopyFirst(now timekeeper.Time, n Notice, q Queue, copying timekeeper.Duration) bool {
 	if left, known := n.left(now); known && left < copySpare*copying {
 		return false
 	}
-	return float64(copying) > copyPauses*float64(s.MaxPause)
+	waiting := max(s.StopAt(n, q).Sub(now), 0)
+	return float64(waiting+copying) > copyPauses*float64(s.MaxPause)
+}
+
+// Mix is the memory of a node's running streams of a service.
+type Mix struct {
+	Streams    int
+	Once       identifier.Tokens
+	Repeatable identifier.Tokens
+}
+
+// Add adds a stream.
+func (m *Mix) Add(s Stream) {
+	m.Streams++
+	if s.Repeatable {
+		m.Repeatable += s.Tokens
+		return
+	}
+	m.Once += s.Tokens
+}
+
+// Queue returns the queue of a server that runs a number of streams, as they are in the mix. copying
+// returns the time to copy tokens.
+func (m *Mix) Queue(running int, copying func(identifier.Tokens) timekeeper.Duration) Queue {
+	if m.Streams == 0 {
+		return Queue{}
+	}
+	scale := float64(running) / float64(m.Streams)
+	return Queue{
+		Once:       copying(identifier.Tokens(scale * float64(m.Once))),
+		Repeatable: copying(identifier.Tokens(scale * float64(m.Repeatable))),
+	}
 }
 
 // Sort sorts streams by what is lost if they are not moved, the largest loss first.
--- a/internal/mover/stream_test.go
+++ b/internal/mover/stream_test.go
@@ -170,17 +170,50 @@
 	}
 }
 
-// A run must not be stopped while its long prompt is copied, unless there is no time for two copies.
+// A run must not stand still while its prompt or those of others are copied, unless there is no time
+// for two copies.
 func TestCopyFirst(t *testing.T) {
 	s := mover.Stream{MaxPause: 500}
 	n := mover.Notice{
 		At:       start,
 		LeavesIn: 2 * timekeeper.Second,
 	}
-	require.True(t, s.CopyFirst(start, n, 100))
-	require.False(t, s.CopyFirst(start, n, 20), "a short copy")
-	require.False(t, s.CopyFirst(start.Add(1800), n, 100), "no time for two")
-	require.True(t, s.CopyFirst(start, mover.Notice{At: start}, 100), "the time left is not known")
+	require.True(t, s.CopyFirst(start, n, mover.Queue{}, 100))
+	require.False(t, s.CopyFirst(start, n, mover.Queue{}, 20), "a short copy")
+	require.True(t, s.CopyFirst(start, n, mover.Queue{Once: 100}, 20), "a short copy behind others")
+	require.False(t, s.CopyFirst(start.Add(1800), n, mover.Queue{}, 100), "no time for two")
+	require.True(t, s.CopyFirst(start, mover.Notice{At: start}, mover.Queue{}, 100), "the time left is not known")
+}
+
+// Streams that may run once must not wait behind long prompts that can be read again, and none may
+// be stopped while other nodes' copies go ahead of it, or so late that its server is gone.
+func TestQueue(t *testing.T) {
+	var mix mover.Mix
+	once := mover.Stream{Tokens: 100}
+	repeatable := mover.Stream{
+		Tokens:     700,
+		Repeatable: true,
+	}
+	mix.Add(once)
+	mix.Add(repeatable)
+	perToken := func(n identifier.Tokens) timekeeper.Duration { return timekeeper.Duration(n) / 10 }
+	q := mix.Queue(10, perToken)
+	require.Equal(t, mover.Queue{
+		Once:       50,
+		Repeatable: 350,
+	}, q)
+	require.Equal(t, mover.Queue{}, (&mover.Mix{}).Queue(10, perToken))
+	unknown := mover.Notice{At: start}
+	require.Equal(t, start, once.BeginAt(unknown, q))
+	require.Equal(t, start.Add(50), once.StopAt(unknown, q))
+	require.Equal(t, start.Add(200), repeatable.BeginAt(unknown, q))
+	require.Equal(t, start.Add(550), repeatable.StopAt(unknown, q))
+	require.Equal(t, start.Add(timekeeper.Second), repeatable.StopAt(unknown, mix.Queue(100, perToken)))
+	known := mover.Notice{
+		At:       start,
+		LeavesIn: 700,
+	}
+	require.Equal(t, start.Add(200), repeatable.StopAt(known, q))
 }
 
 // Streams that can't be repeated go first, then those whose prompt is the longest to read again.
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -124,6 +124,8 @@
 	Slack float64
 	// MoveStreams makes running streams leave servers that are about to end.
 	MoveStreams bool
+	// ServerDrain is the time for which a leaving server serves on, or zero if unknown.
+	ServerDrain timekeeper.Duration
 }
 
 func (*GatewayConfig) suspicions() detector.Config {
@@ -260,6 +262,7 @@
 			Self:        c.Self,
 			Zone:        c.Zone,
 			MoveStreams: c.Gateway.MoveStreams,
+			ServerDrain: c.Gateway.ServerDrain,
 		}),
 		usage: accountant.New(accountant.Config{
 			Window:         c.Gateway.UsageWindow,
--- a/internal/runner/move.go
+++ b/internal/runner/move.go
@@ -57,6 +57,7 @@
 		"events", e.Created,
 		"tokens", e.Tokens,
 		"took_ms", int64(e.Elapsed),
+		"waited_ms", int64(e.Waited),
 		"pause_ms", int64(e.Pause),
 	)
 }
--- a/internal/starter/gateway.go
+++ b/internal/starter/gateway.go
@@ -48,6 +48,9 @@
 	LinkMbps float64
 	// MoveStreams makes running streams leave servers that are about to end.
 	MoveStreams bool
+	// ServerDrain is the time for which a leaving backend server serves on, or zero if
+	// unknown.
+	ServerDrain timekeeper.Duration
 }
 
 // Upper bounds of the settings.
@@ -58,6 +61,7 @@
 	maxCPUCores    = 1 << 10
 	maxLinkMbps    = 1 << 20
 	maxSlack       = 1 << 20
+	maxServerDrain = timekeeper.Hour
 )
 
 func (g *Gateway) sections() []section {
@@ -95,5 +99,6 @@
 	g.MemoryLimitMB = f.Optional("memory_mb", "256").Number(1, maxMemoryMB)
 	g.CPUCores = f.Optional("cpu", "0").Number(0, maxCPUCores)
 	g.LinkMbps = f.Optional("link_mbps", "0").Number(0, maxLinkMbps)
+	g.ServerDrain = f.Optional("server_drain", "0s").Duration(0, maxServerDrain)
 	g.MoveStreams = f.Optional("stream_moves", "off").Choice("on", "off") == "on"
 }
