Move only the part of the streams that a leaving server has time to copy

Where all memory does not fit in the time left, runs that can be read again are moved in the part that does; the others are resumed as before.

--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -7,6 +7,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/mover"
+	"github.com/dotterelhollow/dotterelhollow/internal/placer"
 	"github.com/dotterelhollow/dotterelhollow/internal/promoter"
 	"github.com/dotterelhollow/dotterelhollow/internal/registrar"
 	"github.com/dotterelhollow/dotterelhollow/internal/retrier"
@@ -99,6 +100,7 @@
 		Rest:       rest,
 		RestKnown:  known,
 		MaxPause:   x.route.MaxGap,
+		Draw:       placer.Fraction(string(x.spec.Request)),
 	}
 }
 
@@ -114,7 +116,7 @@
 			continue
 		}
 		copying := copyTime(stream.Tokens)
-		if !stream.MustMove(env.Now, notice, copying) {
+		if !stream.MustMove(env.Now, notice, copying) || !stream.Fits(notice, queue) {
 			continue
 		}
 		destination, found := d.chooseDestination(env, x, source)
--- a/internal/mover/stream.go
+++ b/internal/mover/stream.go
@@ -18,9 +18,12 @@
 	// minRestFraction is the fraction of its length so far that a stream is expected to last
 	// at least: one that exceeds its estimate has no end in sight.
 	minRestFraction = 0.5
+	// minNotice is the time after its notice for which a server is expected to serve on if it
+	// may leave at any time.
+	minNotice = 500 * timekeeper.Millisecond
 	// copyPauses is the part of a route's longest pause from which copying takes so long that
-	// the run has to go on meanwhile.
-	copyPauses = 0.1
+	// the run has to go on meanwhile. The rest is for the way to the destination.
+	copyPauses = 0.5
 	// copySpare is the number of times that copying must fit in the time left for the run to
 	// go on meanwhile.
 	copySpare = 3
@@ -120,20 +123,22 @@
 	RestKnown bool
 	// MaxPause is the longest pause between events.
 	MaxPause timekeeper.Duration
+	// Draw is a number from 0 to 1 that decides whether the stream is moved if there is time
+	// for some only.
+	Draw float64
 }
 
 // MustMove reports whether a stream has to be moved for it not to end with its server. copying is
 // the time for the copy.
 func (s Stream) MustMove(now timekeeper.Time, n Notice, copying timekeeper.Duration) bool {
 	left, known := n.left(now)
-	if !known {
-		return true
-	}
-	if left < copying {
+	switch {
+	case known && left < copying:
 		return false
-	}
-	if !s.RestKnown {
+	case !s.RestKnown:
 		return true
+	case !known:
+		left = n.At.Add(minNotice + noticeDelay).Sub(now)
 	}
 	return float64(s.Rest)*restFactor > float64(left-noticeDelay)
 }
@@ -161,11 +166,22 @@
 	if s.Repeatable {
 		at = s.BeginAt(n, q).Sub(n.At) + q.Repeatable
 	}
-	latest := maxQueue
+	return n.At.Add(min(at, n.latest()))
+}
+
+// latest returns the time after the notice at which the last runs are stopped.
+func (n Notice) latest() timekeeper.Duration {
 	if n.LeavesIn > 0 {
-		latest = max(n.LeavesIn-noticeDelay, 0)
+		return max(n.LeavesIn-noticeDelay, 0)
 	}
-	return n.At.Add(min(at, latest))
+	return maxQueue
+}
+
+// Fits reports whether there is time for a stream's copy. If there is not for all, the nodes copy a
+// part each of those that could be resumed without it.
+func (s Stream) Fits(n Notice, q Queue) bool {
+	time := n.latest() - s.BeginAt(n, q).Sub(n.At)
+	return !s.Repeatable || s.Draw*float64(q.Repeatable) <= float64(max(time, 0))
 }
 
 // CopyFirst reports whether the run should go on while its memory is copied. A short copy is not
