Spread moves over the time that copies take

In trials copies of long prompts occupied slots at their destinations for up to a second while the runs went on at the source, and the runs were then stopped all at once. Each node now begins its moves at drawn times, the runs that may run once first, and stops a run as soon as it is moved.

--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -136,8 +136,7 @@
 			Notice:             notice,
 			Began:              env.Now,
 			Tokens:             stream.Tokens,
-			CopyFirst:          stream.CopyFirst(env.Now, notice, queue, copying),
-			StopAt:             stream.StopAt(notice, queue),
+			CopyFirst:          stream.CopyFirst(env.Now, notice, copying),
 			Repeatable:         stream.Repeatable,
 		}), 0)
 	}
@@ -231,16 +230,11 @@
 	}
 }
 
-// tickMoves advances the moves to the current time.
+// tickMoves has streams that wait for their memory for too long resumed without it.
 func (d *Dispatcher) tickMoves(env Env) {
 	for _, m := range d.moves.All() {
-		switch action := m.Tick(env.Now); action {
-		case mover.Call:
-			d.call(m, 0)
-		case mover.Abandon:
-			if x, ok := d.exchanges[m.Config().Exchange]; ok {
-				d.moveEffects = append(d.moveEffects, d.follow(env, x, m, action))
-			}
+		if x, ok := d.exchanges[m.Config().Exchange]; ok && m.Tick(env.Now) == mover.Abandon {
+			d.moveEffects = append(d.moveEffects, d.follow(env, x, m, mover.Abandon))
 		}
 	}
 }
@@ -257,7 +251,7 @@
 	if m.Continuing() {
 		action = m.ContinuationEnded(env.Now, retrier.ProvablyNotRun(e.Result))
 	} else {
-		action = m.StreamBroke(env.Now, e.Events, e.ServerEnded)
+		action = m.StreamBroke(env.Now, e.Events)
 	}
 	if action == mover.Wait {
 		return nil, true
--- a/internal/mover/move.go
+++ b/internal/mover/move.go
@@ -36,8 +36,6 @@
 	Tokens             identifier.Tokens
 	// CopyFirst makes the run go on while its memory is copied.
 	CopyFirst bool
-	// StopAt is the time from which such a run is stopped.
-	StopAt timekeeper.Time
 	// Repeatable reports that another server could resume the stream without its memory.
 	Repeatable bool
 }
@@ -47,7 +45,6 @@
 
 const (
 	stateCopying    state = "copying"
-	stateCopied     state = "copied"
 	stateStopping   state = "stopping"
 	stateStopped    state = "stopped"
 	stateContinuing state = "continuing"
@@ -191,7 +188,7 @@
 	}
 	switch m.state {
 	case stateCopying:
-		return m.copied(now, e)
+		return m.copied(e)
 	case stateStopping:
 		return m.stopped(now, e)
 	}
@@ -199,12 +196,13 @@
 }
 
 // copied handles an answer while the run goes on.
-func (m *Move) copied(now timekeeper.Time, e messenger.ExchangeMoved) Action {
+func (m *Move) copied(e messenger.ExchangeMoved) Action {
 	switch e.Result {
 	case messenger.MoveCopied:
-		m.state = stateCopied
+		m.state = stateStopping
 		m.repeats = 0
-		return m.Tick(now)
+		m.called()
+		return Call
 	case messenger.MoveInProgress, messenger.MoveUnanswered:
 		if m.mayRepeat() {
 			return Repeat
@@ -213,23 +211,14 @@
 	return m.end(messenger.MoveNotMade, End)
 }
 
-// Tick advances the move to the current time: a copied run is stopped when it is due, and a stopped
-// one that another server can resume without its memory is not kept waiting for it for long.
+// Tick advances the move to the current time: a stopped run that another server can resume without its
+// memory is not kept waiting for it for long.
 func (m *Move) Tick(now timekeeper.Time) Action {
-	switch m.state {
-	case stateCopied:
-		if !now.Before(m.config.StopAt) {
-			m.state = stateStopping
-			m.called()
-			return Call
-		}
-	case stateStopping:
-		if m.Broken() && m.config.Repeatable && now.Sub(m.brokenAt) >= maxPause {
-			m.cancelled = m.calling
-			return m.end(messenger.MoveLost, Abandon)
-		}
+	if m.state != stateStopping || !m.Broken() || !m.config.Repeatable || now.Sub(m.brokenAt) < maxPause {
+		return Wait
 	}
-	return Wait
+	m.cancelled = m.calling
+	return m.end(messenger.MoveLost, Abandon)
 }
 
 // stopped handles the answer of a call to stop the run.
@@ -280,16 +269,11 @@
 }
 
 // StreamBroke handles the end of the stream before its last event. events is the number of events
-// that it brought, and sourceEnded reports that the source's process has ended.
-func (m *Move) StreamBroke(now timekeeper.Time, events int, sourceEnded bool) Action {
+// that it brought.
+func (m *Move) StreamBroke(now timekeeper.Time, events int) Action {
 	m.brokenAt = now
 	m.events = events
 	switch m.state {
-	case stateCopied:
-		if sourceEnded {
-			m.state = stateContinuing
-			return Continue
-		}
 	case stateStopping:
 		return Wait
 	case stateStopped:
--- a/internal/mover/mover.go
+++ b/internal/mover/mover.go
@@ -3,12 +3,11 @@
 //
 // A move passes through these states:
 //
-//	copying -> copied -> stopping -> stopped -> continuing -> over
-//	                                         -> returning -> over
+//	copying -> stopping -> stopped -> continuing -> over
+//	                                -> returning -> over
 //
-// In copying, the server copies the run's memory while the run goes on, and in copied the run goes
-// on until the copies of other runs are made. In stopping, the server has been called to stop the
-// run and to copy the rest. Runs begin there if nothing has to be waited for. The run's
+// In copying, the server copies the run's memory while the run goes on. In stopping, it has been
+// called to stop the run and to copy the rest. Runs with little memory begin there. The run's
 // stream then breaks without its end, before or after the answer. A stopped run is continued by
 // the destination, or by the source itself if the destination can't.
 //
--- a/internal/mover/stream.go
+++ b/internal/mover/stream.go
@@ -27,12 +27,11 @@
 	// copySpare is the number of times that copying must fit in the time left for the run to
 	// go on meanwhile.
 	copySpare = 3
-	// maxQueue is the time for which a run goes on after it was copied, if its server may leave
-	// at any time.
+	// maxQueue is the time for which streams are moved if their server may leave at any time.
 	maxQueue = 1 * timekeeper.Second
-	// stopLead is the time by which the runs that may run once are stopped before others are
-	// copied. Nodes learn of a notice at different times.
-	stopLead = 150 * timekeeper.Millisecond
+	// queueSpread is the factor by which moves are spread over more time than the copies take,
+	// so that few stopped runs wait for the copies of others.
+	queueSpread = 1.5
 	// paceWeight is the weight of the newest stream in a pace.
 	paceWeight = 0.1
 	// maxPace bounds an observed time between events.
@@ -123,8 +122,8 @@
 	RestKnown bool
 	// MaxPause is the longest pause between events.
 	MaxPause timekeeper.Duration
-	// Draw is a number from 0 to 1 that decides whether the stream is moved if there is time
-	// for some only.
+	// Draw is a number from 0 to 1 that decides when the stream is moved, and whether it is if
+	// there is time for some only.
 	Draw float64
 }
 
@@ -150,48 +149,37 @@
 	Repeatable timekeeper.Duration
 }
 
-// BeginAt returns the time from which a stream's memory is copied.
+// BeginAt returns the time from which a stream is moved. The nodes spread their moves over the time
+// that the copies take: a run that was stopped waits for those ahead of it, and a copy occupies its
+// destination while the run goes on.
 func (s Stream) BeginAt(n Notice, q Queue) timekeeper.Time {
-	if s.Repeatable && q.Once > 0 {
-		return n.At.Add(q.Once + stopLead)
+	if !s.Repeatable {
+		return n.At.Add(spread(s.Draw, q.Once))
 	}
-	return n.At
+	return n.At.Add(spread(1, q.Once) + spread(s.Draw, q.Repeatable))
 }
 
-// StopAt returns the time from which a run whose memory was copied is stopped. Copies that other
-// nodes have asked for go ahead of what it generates meanwhile, for as long as the run stands
-// still.
-func (s Stream) StopAt(n Notice, q Queue) timekeeper.Time {
-	at := q.Once
-	if s.Repeatable {
-		at = s.BeginAt(n, q).Sub(n.At) + q.Repeatable
-	}
-	return n.At.Add(min(at, n.latest()))
-}
-
-// latest returns the time after the notice at which the last runs are stopped.
-func (n Notice) latest() timekeeper.Duration {
-	if n.LeavesIn > 0 {
-		return max(n.LeavesIn-noticeDelay, 0)
-	}
-	return maxQueue
+func spread(draw float64, queue timekeeper.Duration) timekeeper.Duration {
+	return timekeeper.Duration(draw * queueSpread * float64(queue))
 }
 
-// Fits reports whether there is time for a stream's copy. If there is not for all, the nodes copy a
+// Fits reports whether there is time for a stream's copy. If there is not for all, the nodes move a
 // part each of those that could be resumed without it.
 func (s Stream) Fits(n Notice, q Queue) bool {
-	time := n.latest() - s.BeginAt(n, q).Sub(n.At)
-	return !s.Repeatable || s.Draw*float64(q.Repeatable) <= float64(max(time, 0))
+	latest := maxQueue
+	if n.LeavesIn > 0 {
+		latest = n.LeavesIn - noticeDelay
+	}
+	return !s.Repeatable || s.BeginAt(n, q).Sub(n.At) <= latest
 }
 
 // CopyFirst reports whether the run should go on while its memory is copied. A short copy is not
 // worth a second call, and there may be no time for one.
-func (s Stream) CopyFirst(now timekeeper.Time, n Notice, q Queue, copying timekeeper.Duration) bool {
+func (s Stream) CopyFirst(now timekeeper.Time, n Notice, copying timekeeper.Duration) bool {
 	if left, known := n.left(now); known && left < copySpare*copying {
 		return false
 	}
-	waiting := max(s.StopAt(n, q).Sub(now), 0)
-	return float64(waiting+copying) > copyPauses*float64(s.MaxPause)
+	return float64(copying) > copyPauses*float64(s.MaxPause)
 }
 
 // Mix is the memory of a node's running streams of a service.
