--- a/internal/mover/stream.go
+++ b/internal/mover/stream.go
@@ -153,24 +153,29 @@
 // that the copies take: a run that was stopped waits for those ahead of it, and a copy occupies its
 // destination while the run goes on.
 func (s Stream) BeginAt(n Notice, q Queue) timekeeper.Time {
+	once := min(spread(1, q.Once), max(n.latest()-q.Once, 0))
 	if !s.Repeatable {
-		return n.At.Add(spread(s.Draw, q.Once))
+		return n.At.Add(timekeeper.Duration(s.Draw * float64(once)))
 	}
-	return n.At.Add(spread(1, q.Once) + spread(s.Draw, q.Repeatable))
+	return n.At.Add(once + spread(s.Draw, q.Repeatable))
 }
 
 func spread(draw float64, queue timekeeper.Duration) timekeeper.Duration {
 	return timekeeper.Duration(draw * queueSpread * float64(queue))
 }
 
+// latest returns the time after the notice within which moves begin, if possible.
+func (n Notice) latest() timekeeper.Duration {
+	if n.LeavesIn > 0 {
+		return max(n.LeavesIn-noticeDelay, 0)
+	}
+	return maxQueue
+}
+
 // Fits reports whether there is time for a stream's copy. If there is not for all, the nodes move a
 // part each of those that could be resumed without it.
 func (s Stream) Fits(n Notice, q Queue) bool {
-	latest := maxQueue
-	if n.LeavesIn > 0 {
-		latest = n.LeavesIn - noticeDelay
-	}
-	return !s.Repeatable || s.BeginAt(n, q).Sub(n.At) <= latest
+	return !s.Repeatable || s.BeginAt(n, q).Sub(n.At) <= n.latest()
 }
 
 // CopyFirst reports whether the run should go on while its memory is copied. A short copy is not
