Play moves of running streams in the simulated cluster

Servers of a zone leave and end in turn while copies and handles are refused, answers are lost, malformed or late, streams break, and beside each fault of the matrix. The cluster checks that no request that may run once begins again, that none goes on from the memory of another, and that no two servers work on one. Reclaimable servers in the zone of a reclaimed source are destinations only if there are no others.

--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -166,19 +166,26 @@
 }
 
 // chooseDestination chooses the server to which a stream is moved: one of its version, which would
-// receive a new request and run it at once.
+// receive a new request and run it at once, if possible one that does not leave too.
 func (d *Dispatcher) chooseDestination(env Env, x *exchange, source *registrar.Server) (*registrar.Server, bool) {
 	bound := *x
 	bound.bind(x.current.version)
-	servers := env.Versions.Candidates(d.versionRequest(env, &bound)).Preferred
-	servers = slices.DeleteFunc(slices.Clone(servers), func(s *registrar.Server) bool {
-		return s.Version != x.current.version || sharesFate(source, s) || !d.mayContinueAt(env, s) || !d.moves.MayReceive(s.Server)
-	})
-	c, found := d.chooseFrom(env, &bound, servers)
-	if !found || !c.startsAtOnce() {
-		return nil, false
+	var servers, doomed []*registrar.Server
+	for _, s := range env.Versions.Candidates(d.versionRequest(env, &bound)).Preferred {
+		switch {
+		case s.Version != x.current.version || !d.mayContinueAt(env, s) || !d.moves.MayReceive(s.Server):
+		case sharesFate(source, s):
+			doomed = append(doomed, s)
+		default:
+			servers = append(servers, s)
+		}
+	}
+	for _, from := range [][]*registrar.Server{servers, doomed} {
+		if c, found := d.chooseFrom(env, &bound, from); found && c.startsAtOnce() {
+			return c.server, true
+		}
 	}
-	return c.server, true
+	return nil, false
 }
 
 // sharesFate reports whether a server will probably leave together with another one: the
--- a/internal/prover/exchange_cluster_test.go
+++ b/internal/prover/exchange_cluster_test.go
@@ -131,6 +131,8 @@
 	brittle    brittleServers
 	// resumptions are the streams that break and go on.
 	resumptions resumptions
+	// moving are the moves of running streams.
+	moving movedStreams
 	// parts are the prompts of requests and the parts that crash servers.
 	parts promptParts
 	// disorder has messages between nodes lost, and what nodes take for known checked.
@@ -157,6 +159,8 @@
 	tokensPerSecond float64
 	// nodesListed makes the platform's list of nodes available from the start.
 	nodesListed bool
+	// moves makes nodes move running streams.
+	moves bool
 }
 
 func newExchangeCluster(t testing.TB, seed uint64) *exchangeCluster {
@@ -249,6 +253,9 @@
 			},
 		})
 	}
+	if cl.size.moves {
+		routes = append(routes, onceRoute())
+	}
 	routing := catalog.NewRouting(routes, map[string]identifier.AccountID{"secret": "agency"})
 	routing.AccountRanks["agency"] = 0
 	routing.DefaultTokens["agency"] = 1
@@ -262,6 +269,7 @@
 			ZonePrices: map[identifier.Zone]float64{"boston-a": 1},
 		},
 	}
+	cl.addMoves(routing)
 	cl.publishedAt = cl.now
 	cl.catalogs = append(cl.catalogs, &catalog.Catalog{
 		Revision: revision,
@@ -294,7 +302,7 @@
 		Server:  vm,
 		Service: "reader",
 		Address: string(vm),
-		Zone:    "boston-a",
+		Zone:    cl.serverZone(vm),
 		Slots:   serverSlots,
 		Version: v,
 		State:   state,
@@ -369,6 +377,7 @@
 				UsageLate:   8 * timekeeper.Second,
 				Share:       exposureShare,
 				Slack:       exposureSlack,
+				MoveStreams: cl.size.moves,
 			},
 		}),
 	}
@@ -557,6 +566,10 @@
 	case messenger.SendExchange:
 		cl.checkKnown(n, e)
 		cl.connect(n, e, func(peer identifier.VMID) { cl.serve(n, e, peer) })
+	case messenger.MoveExchange:
+		cl.after(1+e.Delay, func() { cl.moveRun(n, e) })
+	case messenger.RecordMove:
+		cl.moving.outcomes[e.Outcome]++
 	case messenger.ProbeServer:
 		cl.probe(n, e)
 	case messenger.TimelineEntry:
@@ -697,7 +710,10 @@
 // sendRequest sends a new request of random repetition to a ready node.
 func (cl *exchangeCluster) sendRequest() {
 	if cl.resumptions.enabled {
-		cl.requestStream(&callerStream{parts: cl.soundParts()})
+		cl.requestStream(&callerStream{
+			parts: cl.soundParts(),
+			once:  cl.size.moves && cl.rng.IntN(2) == 0,
+		})
 		return
 	}
 	if cl.parts.enabled {
@@ -753,7 +769,9 @@
 		return
 	}
 	if cl.resumptions.enabled {
-		cl.serveStream(n, e, peer)
+		if !cl.refusesHandle(n, e) {
+			cl.serveStream(n, e, peer)
+		}
 		return
 	}
 	result := messenger.AttemptComplete
--- a/internal/prover/resume_test.go
+++ b/internal/prover/resume_test.go
@@ -65,6 +65,8 @@
 	// counted is set if the current request counts towards the share that goes on.
 	counted bool
 	began   bool
+	// once reports that the request may run once only.
+	once bool
 }
 
 // streamRun is a run of a stream at a server.
@@ -130,7 +132,11 @@
 	cl.lastExchange++
 	x := cl.lastExchange
 	id := identifier.RequestID(fmt.Sprintf("s-%d", x))
-	cl.repetitions[id] = catalog.Resumable
+	repetition, path := catalog.Resumable, string(catalog.Resumable)
+	if s.once {
+		repetition, path = catalog.AtMostOnce, oncePath
+	}
+	cl.repetitions[id] = repetition
 	cl.requests[x] = id
 	cl.requestedAt[x] = cl.now
 	cl.resumptions.streams[x] = s
@@ -151,7 +157,7 @@
 			Exchange:       x,
 			Request:        id,
 			Host:           "api.example",
-			Path:           "/" + string(catalog.Resumable) + "/1",
+			Path:           "/" + path + "/1",
 			Key:            "secret",
 			Received:       cl.now,
 			TimeLimit:      5 * timekeeper.Second,
@@ -187,6 +193,7 @@
 	if cl.rng.Float64() < cl.resumptions.breakShare {
 		run.breaksAfter = 1 + cl.rng.IntN(streamEvents-2)
 	}
+	cl.continueRun(run)
 	run.fails = cl.rollouts.recordArrival(e.Server)
 	cl.resumptions.runs[e.Exchange] = run
 	cl.begin(n, e).run = run
@@ -235,6 +242,7 @@
 			Exchange: run.e.Exchange,
 			Attempt:  run.e.Attempt,
 			Peer:     run.peer,
+			Framed:   true,
 		})
 	}
 	run.events++
@@ -280,7 +288,7 @@
 
 // breakChannel has the caller of a stream take it up again at any node.
 func (cl *exchangeCluster) breakChannel(s *callerStream) {
-	if s.first == "" || s.events >= streamEvents || s.tries > maxResumeTries {
+	if s.first == "" || s.once || s.events >= streamEvents || s.tries > maxResumeTries {
 		return
 	}
 	cl.after(resumeDelay, func() { cl.requestStream(s) })
