--- a/internal/dispatcher/move_test.go
+++ b/internal/dispatcher/move_test.go
@@ -154,6 +154,8 @@
 	} {
 		t.Run(string(result), func(t *testing.T) {
 			n := newMovingNode(4)
+			route, _ := n.env.Catalog.Routing.Find("api.example", "/draft/1")
+			route.Attempts = 4
 			s, call := n.stopped(t, "/draft/1")
 			sent := effectsOf[messenger.SendExchange](n.answer(call, messenger.MoveCopied, "h-1"))[0]
 			for range 3 {
--- a/internal/prover/move_test.go
+++ b/internal/prover/move_test.go
@@ -56,7 +56,7 @@
 		Timeout:    5 * timekeeper.Second,
 		Target:     timekeeper.Second,
 		MaxGap:     400,
-		Attempts:   1,
+		Attempts:   3,
 		Split: []catalog.Split{
 			{
 				Service: "reader",
