--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -50,11 +50,20 @@
 	beganVia []identifier.VMID
 	// isLeaving reports that servers are leaving.
 	isLeaving bool
+	// from is the memory from which attempts after the first one continue. moving counts the
+	// questions whether a stream is being moved.
+	from   messenger.Continuation
+	moving int
 }
 
 func (s *fakeDecider) Leaving(context.Context, identifier.VMID) bool { return s.isLeaving }
 
-func (s *fakeDecider) Moving(context.Context, identifier.ExchangeID) bool { return false }
+func (s *fakeDecider) Moving(context.Context, identifier.ExchangeID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.moving++
+	return s.from.Given()
+}
 
 func newFakeDecider(servers ...string) *fakeDecider {
 	return &fakeDecider{
@@ -89,7 +98,14 @@
 		}
 	}
 	s.attempt++
+	var from messenger.Continuation
+	if s.attempt > 1 {
+		from = s.from
+	}
 	return messenger.SendExchange{
+		From:              from,
+		Decided:           timekeeper.System{}.Now(),
+		Movable:           s.from.Given(),
 		Exchange:          id,
 		Attempt:           identifier.AttemptNumber(s.attempt),
 		Server:            "i-1",
@@ -173,6 +189,9 @@
 
 func (testProtocol) WriteHead(h http.Header, s messenger.SendExchange, _ timekeeper.Duration, lastEvent string) {
 	h.Set("Account", string(s.Account))
+	if s.From.Given() {
+		h.Set("From", s.From.Source+"/"+string(s.From.Handle))
+	}
 	if lastEvent != "" {
 		h.Set("After", lastEvent)
 	}
@@ -884,3 +903,43 @@
 		require.EqualValues(t, 1, requests.Load(), test.name)
 	}
 }
+
+// A stream that goes on from its memory must do so after the last whole event that the caller has, also
+// if copying took long, and without a new connection to the server that stopped it.
+func TestContinuedStream(t *testing.T) {
+	var connections, continued atomic.Int64
+	source := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		sign(w, r)
+		_, _ = io.WriteString(w, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}))
+	source.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	source.Start()
+	t.Cleanup(source.Close)
+	destination := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("From") == "10.0.0.1:80/h-1" && r.Header.Get("After") == "2" {
+			continued.Add(1)
+		}
+		sign(w, r)
+		_, _ = io.WriteString(w, "id: 3\ndata: c\n\n")
+	})
+	decider := newFakeDecider(source.Listener.Addr().String(), destination)
+	decider.route = catalog.Route{Stream: true}
+	decider.delay = []time.Duration{0, 600 * time.Millisecond}
+	decider.from = messenger.Continuation{
+		Source: "10.0.0.1:80",
+		Handle: "h-1",
+	}
+	answer := do(t, newRequest(t, http.MethodGet, "http://"+startForwarder(t, decider)+"/x", nil))
+	require.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n", answer.body)
+	require.EqualValues(t, 1, continued.Load())
+	require.EqualValues(t, 1, connections.Load())
+	require.Equal(t, 1, decider.moving)
+	require.Equal(t, []messenger.AttemptResult{messenger.AttemptBroken}, decider.results())
+	require.Equal(t, 2, decider.attemptEnds[0].Events)
+}
