--- a/internal/mover/move_test.go
+++ b/internal/mover/move_test.go
@@ -32,8 +32,21 @@
 type step struct {
 	event func(m *mover.Move, now timekeeper.Time) mover.Action
 	want  mover.Action
-	// after is the time since the step before.
-	after timekeeper.Duration
+	// delay is the time since the step before.
+	delay timekeeper.Duration
+}
+
+// on returns a step.
+func on(event func(*mover.Move, timekeeper.Time) mover.Action, want mover.Action) step {
+	return step{
+		event: event,
+		want:  want,
+	}
+}
+
+func (s step) after(d timekeeper.Duration) step {
+	s.delay = d
+	return s
 }
 
 func answered(result messenger.MoveResult, handle messenger.KVHandle, created int) func(*mover.Move, timekeeper.Time) mover.Action {
@@ -82,22 +95,10 @@
 		{
 			name: "the stream breaks before the answer",
 			steps: []step{
-				{
-					event: answered(messenger.MoveCopied, "h-1", 3),
-					want:  mover.Call,
-				},
-				{
-					event: broke(5),
-					want:  mover.Wait,
-				},
-				{
-					event: answered(messenger.MoveCopied, "h-1", 5),
-					want:  mover.Continue,
-				},
-				{
-					event: began,
-					want:  mover.End,
-				},
+				on(answered(messenger.MoveCopied, "h-1", 3), mover.Call),
+				on(broke(5), mover.Wait),
+				on(answered(messenger.MoveCopied, "h-1", 5), mover.Continue),
+				on(began, mover.End),
 			},
 			outcome: messenger.MoveContinued,
 		},
@@ -105,28 +106,16 @@
 			name:       "the stream breaks after the answer",
 			stopAtOnce: true,
 			steps: []step{
-				{
-					event: answered(messenger.MoveCopied, "h-1", 5),
-					want:  mover.Wait,
-				},
-				{
-					event: broke(5),
-					want:  mover.Continue,
-				},
-				{
-					event: began,
-					want:  mover.End,
-				},
+				on(answered(messenger.MoveCopied, "h-1", 5), mover.Wait),
+				on(broke(5), mover.Continue),
+				on(began, mover.End),
 			},
 			outcome: messenger.MoveContinued,
 		},
 		{
 			name: "the destination has no room",
 			steps: []step{
-				{
-					event: answered(messenger.MoveNoRoom, "", 0),
-					want:  mover.End,
-				},
+				on(answered(messenger.MoveNoRoom, "", 0), mover.End),
 			},
 			outcome: messenger.MoveNotMade,
 		},
@@ -134,18 +123,9 @@
 			name:       "the destination has no room for a stopped run",
 			stopAtOnce: true,
 			steps: []step{
-				{
-					event: broke(5),
-					want:  mover.Wait,
-				},
-				{
-					event: answered(messenger.MoveNoRoom, "h-1", 5),
-					want:  mover.Return,
-				},
-				{
-					event: began,
-					want:  mover.End,
-				},
+				on(broke(5), mover.Wait),
+				on(answered(messenger.MoveNoRoom, "h-1", 5), mover.Return),
+				on(began, mover.End),
 			},
 			outcome: messenger.MoveReturned,
 		},
@@ -153,14 +133,8 @@
 			name:       "no room and no handle",
 			stopAtOnce: true,
 			steps: []step{
-				{
-					event: broke(5),
-					want:  mover.Wait,
-				},
-				{
-					event: answered(messenger.MoveNoRoom, "", 0),
-					want:  mover.Abandon,
-				},
+				on(broke(5), mover.Wait),
+				on(answered(messenger.MoveNoRoom, "", 0), mover.Abandon),
 			},
 			outcome: messenger.MoveLost,
 		},
@@ -168,22 +142,10 @@
 			name:       "the destination is lost before it is sent the stream",
 			stopAtOnce: true,
 			steps: []step{
-				{
-					event: answered(messenger.MoveCopied, "h-1", 5),
-					want:  mover.Wait,
-				},
-				{
-					event: broke(5),
-					want:  mover.Continue,
-				},
-				{
-					event: (*mover.Move).DestinationLost,
-					want:  mover.Return,
-				},
-				{
-					event: began,
-					want:  mover.End,
-				},
+				on(answered(messenger.MoveCopied, "h-1", 5), mover.Wait),
+				on(broke(5), mover.Continue),
+				on((*mover.Move).DestinationLost, mover.Return),
+				on(began, mover.End),
 			},
 			outcome: messenger.MoveReturned,
 		},
@@ -191,22 +153,10 @@
 			name:       "the handle is too old at the destination",
 			stopAtOnce: true,
 			steps: []step{
-				{
-					event: answered(messenger.MoveCopied, "h-1", 5),
-					want:  mover.Wait,
-				},
-				{
-					event: broke(5),
-					want:  mover.Continue,
-				},
-				{
-					event: continuationEnded(true),
-					want:  mover.Return,
-				},
-				{
-					event: continuationEnded(true),
-					want:  mover.Abandon,
-				},
+				on(answered(messenger.MoveCopied, "h-1", 5), mover.Wait),
+				on(broke(5), mover.Continue),
+				on(continuationEnded(true), mover.Return),
+				on(continuationEnded(true), mover.Abandon),
 			},
 			outcome: messenger.MoveLost,
 			unused:  "h-1",
@@ -215,19 +165,9 @@
 			name:       "the source has left when the destination refuses",
 			stopAtOnce: true,
 			steps: []step{
-				{
-					event: answered(messenger.MoveCopied, "h-1", 5),
-					want:  mover.Wait,
-				},
-				{
-					event: broke(5),
-					want:  mover.Continue,
-				},
-				{
-					event: continuationEnded(true),
-					want:  mover.Abandon,
-					after: 2 * timekeeper.Second,
-				},
+				on(answered(messenger.MoveCopied, "h-1", 5), mover.Wait),
+				on(broke(5), mover.Continue),
+				on(continuationEnded(true), mover.Abandon).after(2 * timekeeper.Second),
 			},
 			outcome: messenger.MoveLost,
 			unused:  "h-1",
@@ -236,18 +176,9 @@
 			name:       "the destination ends after it was sent the stream",
 			stopAtOnce: true,
 			steps: []step{
-				{
-					event: answered(messenger.MoveCopied, "h-1", 5),
-					want:  mover.Wait,
-				},
-				{
-					event: broke(5),
-					want:  mover.Continue,
-				},
-				{
-					event: continuationEnded(false),
-					want:  mover.Abandon,
-				},
+				on(answered(messenger.MoveCopied, "h-1", 5), mover.Wait),
+				on(broke(5), mover.Continue),
+				on(continuationEnded(false), mover.Abandon),
 			},
 			outcome: messenger.MoveLost,
 			unused:  "h-1",
@@ -255,50 +186,26 @@
 		{
 			name: "the source ends while it copies",
 			steps: []step{
-				{
-					event: broke(5),
-					want:  mover.Abandon,
-				},
-				{
-					event: answered(messenger.MoveSourceEnded, "", 0),
-					want:  mover.End,
-				},
+				on(broke(5), mover.Abandon),
+				on(answered(messenger.MoveSourceEnded, "", 0), mover.End),
 			},
 			outcome: messenger.MoveLost,
 		},
 		{
 			name: "the source ends after a first copy",
 			steps: []step{
-				{
-					event: answered(messenger.MoveCopied, "h-1", 3),
-					want:  mover.Call,
-				},
-				{
-					event: broke(5),
-					want:  mover.Wait,
-				},
-				{
-					event: answered(messenger.MoveSourceEnded, "", 0),
-					want:  mover.Continue,
-				},
-				{
-					event: began,
-					want:  mover.End,
-				},
+				on(answered(messenger.MoveCopied, "h-1", 3), mover.Call),
+				on(broke(5), mover.Wait),
+				on(answered(messenger.MoveSourceEnded, "", 0), mover.Continue),
+				on(began, mover.End),
 			},
 			outcome: messenger.MoveContinued,
 		},
 		{
 			name: "the first copy arrives after the source ended",
 			steps: []step{
-				{
-					event: broke(5),
-					want:  mover.Abandon,
-				},
-				{
-					event: answered(messenger.MoveCopied, "h-1", 5),
-					want:  mover.End,
-				},
+				on(broke(5), mover.Abandon),
+				on(answered(messenger.MoveCopied, "h-1", 5), mover.End),
 			},
 			outcome: messenger.MoveLost,
 			unused:  "h-1",
@@ -307,18 +214,9 @@
 			name:       "the answer is lost and the run is found to be gone",
 			stopAtOnce: true,
 			steps: []step{
-				{
-					event: broke(5),
-					want:  mover.Wait,
-				},
-				{
-					event: answered(messenger.MoveUnanswered, "", 0),
-					want:  mover.Repeat,
-				},
-				{
-					event: answered(messenger.MoveNoRun, "", 0),
-					want:  mover.Abandon,
-				},
+				on(broke(5), mover.Wait),
+				on(answered(messenger.MoveUnanswered, "", 0), mover.Repeat),
+				on(answered(messenger.MoveNoRun, "", 0), mover.Abandon),
 			},
 			outcome: messenger.MoveLost,
 		},
@@ -326,26 +224,11 @@
 			name:       "the answer is lost and the source still copies",
 			stopAtOnce: true,
 			steps: []step{
-				{
-					event: broke(5),
-					want:  mover.Wait,
-				},
-				{
-					event: answered(messenger.MoveUnanswered, "", 0),
-					want:  mover.Repeat,
-				},
-				{
-					event: answered(messenger.MoveInProgress, "", 0),
-					want:  mover.Repeat,
-				},
-				{
-					event: answered(messenger.MoveCopied, "h-2", 5),
-					want:  mover.Continue,
-				},
-				{
-					event: began,
-					want:  mover.End,
-				},
+				on(broke(5), mover.Wait),
+				on(answered(messenger.MoveUnanswered, "", 0), mover.Repeat),
+				on(answered(messenger.MoveInProgress, "", 0), mover.Repeat),
+				on(answered(messenger.MoveCopied, "h-2", 5), mover.Continue),
+				on(began, mover.End),
 			},
 			outcome: messenger.MoveContinued,
 		},
@@ -353,26 +236,11 @@
 			name:       "all answers are lost",
 			stopAtOnce: true,
 			steps: []step{
-				{
-					event: broke(5),
-					want:  mover.Wait,
-				},
-				{
-					event: answered(messenger.MoveUnanswered, "", 0),
-					want:  mover.Repeat,
-				},
-				{
-					event: answered(messenger.MoveUnanswered, "", 0),
-					want:  mover.Repeat,
-				},
-				{
-					event: answered(messenger.MoveUnanswered, "", 0),
-					want:  mover.Repeat,
-				},
-				{
-					event: answered(messenger.MoveUnanswered, "", 0),
-					want:  mover.Abandon,
-				},
+				on(broke(5), mover.Wait),
+				on(answered(messenger.MoveUnanswered, "", 0), mover.Repeat),
+				on(answered(messenger.MoveUnanswered, "", 0), mover.Repeat),
+				on(answered(messenger.MoveUnanswered, "", 0), mover.Repeat),
+				on(answered(messenger.MoveUnanswered, "", 0), mover.Abandon),
 			},
 			outcome: messenger.MoveLost,
 		},
@@ -381,24 +249,10 @@
 			stopAtOnce: true,
 			repeatable: true,
 			steps: []step{
-				{
-					event: broke(5),
-					want:  mover.Wait,
-				},
-				{
-					event: tick,
-					want:  mover.Wait,
-					after: 900,
-				},
-				{
-					event: tick,
-					want:  mover.Abandon,
-					after: 100,
-				},
-				{
-					event: answered(messenger.MoveCopied, "h-1", 5),
-					want:  mover.End,
-				},
+				on(broke(5), mover.Wait),
+				on(tick, mover.Wait).after(900),
+				on(tick, mover.Abandon).after(100),
+				on(answered(messenger.MoveCopied, "h-1", 5), mover.End),
 			},
 			outcome: messenger.MoveLost,
 			unused:  "h-1",
@@ -407,23 +261,10 @@
 			name:       "a stream that may run once waits on",
 			stopAtOnce: true,
 			steps: []step{
-				{
-					event: broke(5),
-					want:  mover.Wait,
-				},
-				{
-					event: tick,
-					want:  mover.Wait,
-					after: 1400,
-				},
-				{
-					event: answered(messenger.MoveCopied, "h-1", 5),
-					want:  mover.Continue,
-				},
-				{
-					event: began,
-					want:  mover.End,
-				},
+				on(broke(5), mover.Wait),
+				on(tick, mover.Wait).after(1400),
+				on(answered(messenger.MoveCopied, "h-1", 5), mover.Continue),
+				on(began, mover.End),
 			},
 			outcome: messenger.MoveContinued,
 		},
@@ -431,32 +272,17 @@
 			name:       "the stream ends by itself",
 			stopAtOnce: true,
 			steps: []step{
-				{
-					event: streamEnded(true),
-					want:  mover.End,
-				},
-				{
-					event: answered(messenger.MoveNoRun, "", 0),
-					want:  mover.End,
-				},
+				on(streamEnded(true), mover.End),
+				on(answered(messenger.MoveNoRun, "", 0), mover.End),
 			},
 			outcome: messenger.MoveStreamEnded,
 		},
 		{
 			name: "the stream ends by itself after its last copy",
 			steps: []step{
-				{
-					event: answered(messenger.MoveCopied, "h-1", 3),
-					want:  mover.Call,
-				},
-				{
-					event: streamEnded(true),
-					want:  mover.End,
-				},
-				{
-					event: answered(messenger.MoveCopied, "h-2", 5),
-					want:  mover.End,
-				},
+				on(answered(messenger.MoveCopied, "h-1", 3), mover.Call),
+				on(streamEnded(true), mover.End),
+				on(answered(messenger.MoveCopied, "h-2", 5), mover.End),
 			},
 			outcome: messenger.MoveStreamEnded,
 			unused:  "h-2",
@@ -465,14 +291,8 @@
 			name:       "the caller leaves while the run is being stopped",
 			stopAtOnce: true,
 			steps: []step{
-				{
-					event: streamEnded(false),
-					want:  mover.End,
-				},
-				{
-					event: answered(messenger.MoveCopied, "h-1", 5),
-					want:  mover.End,
-				},
+				on(streamEnded(false), mover.End),
+				on(answered(messenger.MoveCopied, "h-1", 5), mover.End),
 			},
 			outcome: messenger.MoveCallerLeft,
 			unused:  "h-1",
@@ -481,18 +301,9 @@
 			name:       "the caller leaves before the stream goes on",
 			stopAtOnce: true,
 			steps: []step{
-				{
-					event: answered(messenger.MoveCopied, "h-1", 5),
-					want:  mover.Wait,
-				},
-				{
-					event: broke(5),
-					want:  mover.Continue,
-				},
-				{
-					event: streamEnded(false),
-					want:  mover.End,
-				},
+				on(answered(messenger.MoveCopied, "h-1", 5), mover.Wait),
+				on(broke(5), mover.Continue),
+				on(streamEnded(false), mover.End),
 			},
 			outcome: messenger.MoveCallerLeft,
 			unused:  "h-1",
@@ -500,10 +311,7 @@
 		{
 			name: "a malformed answer to the first call",
 			steps: []step{
-				{
-					event: answered(messenger.MoveMalformed, "", 0),
-					want:  mover.End,
-				},
+				on(answered(messenger.MoveMalformed, "", 0), mover.End),
 			},
 			outcome: messenger.MoveNotMade,
 		},
@@ -511,14 +319,8 @@
 			name:       "a malformed answer to the last call",
 			stopAtOnce: true,
 			steps: []step{
-				{
-					event: broke(5),
-					want:  mover.Wait,
-				},
-				{
-					event: answered(messenger.MoveMalformed, "", 0),
-					want:  mover.Abandon,
-				},
+				on(broke(5), mover.Wait),
+				on(answered(messenger.MoveMalformed, "", 0), mover.Abandon),
 			},
 			outcome: messenger.MoveLost,
 		},
@@ -526,14 +328,8 @@
 			name:       "memory of a run that made fewer events",
 			stopAtOnce: true,
 			steps: []step{
-				{
-					event: broke(5),
-					want:  mover.Wait,
-				},
-				{
-					event: answered(messenger.MoveCopied, "h-1", 4),
-					want:  mover.Abandon,
-				},
+				on(broke(5), mover.Wait),
+				on(answered(messenger.MoveCopied, "h-1", 4), mover.Abandon),
 			},
 			outcome: messenger.MoveLost,
 			unused:  "h-1",
@@ -542,10 +338,7 @@
 			name:       "the run goes on although it was called to stop",
 			stopAtOnce: true,
 			steps: []step{
-				{
-					event: answered(messenger.MoveNoRun, "", 0),
-					want:  mover.End,
-				},
+				on(answered(messenger.MoveNoRun, "", 0), mover.End),
 			},
 			outcome: messenger.MoveNotMade,
 		},
@@ -553,10 +346,7 @@
 			name:       "the source has not answered yet",
 			stopAtOnce: true,
 			steps: []step{
-				{
-					event: streamEnded(false),
-					want:  mover.End,
-				},
+				on(streamEnded(false), mover.End),
 			},
 			outcome:   messenger.MoveCallerLeft,
 			unsettled: true,
@@ -569,7 +359,7 @@
 			m := mover.NewTable().Begin(c)
 			now := start
 			for i, s := range test.steps {
-				now = now.Add(s.after)
+				now = now.Add(s.delay)
 				require.Equal(t, s.want, s.event(m, now), "step %d", i)
 			}
 			require.True(t, m.Over())
--- a/internal/mover/stream.go
+++ b/internal/mover/stream.go
@@ -32,6 +32,8 @@
 	// queueSpread is the factor by which moves are spread over more time than the copies take,
 	// so that few stopped runs wait for the copies of others.
 	queueSpread = 1.5
+	// knownSpread is the part of the time left, if that is known, over which moves are spread.
+	knownSpread = 0.7
 	// paceWeight is the weight of the newest stream in a pace.
 	paceWeight = 0.1
 	// maxPace bounds an observed time between events.
@@ -153,15 +155,15 @@
 // that the copies take: a run that was stopped waits for those ahead of it, and a copy occupies its
 // destination while the run goes on.
 func (s Stream) BeginAt(n Notice, q Queue) timekeeper.Time {
-	once := min(spread(1, q.Once), max(n.latest()-q.Once, 0))
+	once := min(queueSpread*float64(q.Once), float64(max(n.latest()-q.Once, 0)))
 	if !s.Repeatable {
-		return n.At.Add(timekeeper.Duration(s.Draw * float64(once)))
+		return n.At.Add(timekeeper.Duration(s.Draw * once))
 	}
-	return n.At.Add(once + spread(s.Draw, q.Repeatable))
-}
-
-func spread(draw float64, queue timekeeper.Duration) timekeeper.Duration {
-	return timekeeper.Duration(draw * queueSpread * float64(queue))
+	window := queueSpread * float64(q.Repeatable)
+	if n.LeavesIn > 0 {
+		window = max(window, knownSpread*(float64(n.latest())-once))
+	}
+	return n.At.Add(timekeeper.Duration(once + s.Draw*window))
 }
 
 // latest returns the time after the notice within which moves begin, if possible.
--- a/internal/mover/stream_test.go
+++ b/internal/mover/stream_test.go
@@ -213,6 +213,8 @@
 	n := mover.Notice{At: start}
 	require.Equal(t, start.Add(75), once.BeginAt(n, q))
 	require.Equal(t, start.Add(150+525), repeatable.BeginAt(n, q))
+	n.LeavesIn = 4 * timekeeper.Second
+	require.Equal(t, start.Add(150+1172), repeatable.BeginAt(n, q), "there is time to spread them more")
 	n.LeavesIn = 400
 	require.Equal(t, start, once.BeginAt(n, q), "there is no time to spread them")
 }
--- a/internal/prover/move_test.go
+++ b/internal/prover/move_test.go
@@ -210,7 +210,7 @@
 		soundMoves, refusedCopies, refusedHandles, lostMoveAnswers, badMoveAnswers, slowMoves, breakingRuns,
 	} {
 		t.Run(string(fault), func(t *testing.T) {
-			for seed := range uint64(max(8/cellStride, 1)) {
+			for seed := range max(8/uint64(cellStride), 1) {
 				cl := movingCluster(t, seed, fault)
 				cl.run()
 				require.Empty(t, cl.violations, "seed %d", seed)
