--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -25,6 +25,9 @@
 		return
 	}
 	d.tickMoves(env)
+	if env.Paths.Isolated() {
+		return // The calls are made directly.
+	}
 	var leaving []*registrar.Server
 	for _, id := range slices.Sorted(maps.Keys(d.loads.own)) {
 		if s, known := env.Servers.Server(id); known && s.State == messenger.ServerLeaving && !env.Paths.Broken(id) {
--- a/internal/mover/stream.go
+++ b/internal/mover/stream.go
@@ -27,6 +27,9 @@
 	// copySpare is the number of times that copying must fit in the time left for the run to
 	// go on meanwhile.
 	copySpare = 3
+	// maxMoveTime is the time after the notice of a server within which moves begin. A leaving
+	// server must receive no requests from 2 s after its notice.
+	maxMoveTime = 2 * timekeeper.Second
 	// maxQueue is the time for which streams are moved if their server may leave at any time.
 	maxQueue = 1 * timekeeper.Second
 	// queueSpread is the factor by which moves are spread over more time than the copies take,
@@ -134,7 +137,7 @@
 func (s Stream) MustMove(now timekeeper.Time, n Notice, copying timekeeper.Duration) bool {
 	left, known := n.left(now)
 	switch {
-	case known && left < copying:
+	case known && left < copying, now.Sub(n.At) >= maxMoveTime:
 		return false
 	case !s.RestKnown:
 		return true
@@ -169,7 +172,7 @@
 // latest returns the time after the notice within which moves begin, if possible.
 func (n Notice) latest() timekeeper.Duration {
 	if n.LeavesIn > 0 {
-		return max(n.LeavesIn-noticeDelay, 0)
+		return min(max(n.LeavesIn-noticeDelay, 0), maxMoveTime)
 	}
 	return maxQueue
 }
