End waiting streams of leaving servers at their deadlines

A stream that may run once and whose source did not answer the call to stop it was held until three repeated calls had timed out, also past the route's timeout: only resumable streams were let go by the tick, and the forwarder's timer is stopped while it waits for the decision. The tick now ends such a stream at its deadline, and the late answer's memory is freed.

TestDeadlinePassesWithoutAnswer fails without the change.

--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -240,11 +240,20 @@
 	}
 }
 
-// tickMoves has streams that wait for their memory for too long resumed without it.
+// tickMoves has streams that wait for their memory for too long resumed without it, or ended at
+// their deadlines.
 func (d *Dispatcher) tickMoves(env Env) {
 	for _, m := range d.moves.All() {
-		if x, ok := d.exchanges[m.Config().Exchange]; ok && m.Tick(env.Now) == mover.Abandon {
-			d.moveEffects = append(d.moveEffects, d.follow(env, x, m, mover.Abandon))
+		x, ok := d.exchanges[m.Config().Exchange]
+		if !ok {
+			continue
+		}
+		action := m.Tick(env.Now)
+		if m.Waits() && x.deadline.Sub(env.Now) < minAttemptTime {
+			action = m.Abandon()
+		}
+		if action == mover.Abandon {
+			d.moveEffects = append(d.moveEffects, d.follow(env, x, m, action))
 		}
 	}
 }
--- a/internal/dispatcher/move_test.go
+++ b/internal/dispatcher/move_test.go
@@ -388,3 +388,16 @@
 	require.Len(t, ends, 1)
 	require.Zero(t, n.InFlight())
 }
+
+// A caller must not be held past its deadline while the source does not answer.
+func TestDeadlinePassesWithoutAnswer(t *testing.T) {
+	n := newMovingNode(3)
+	_, call := n.stopped(t, "/draft/1")
+	n.env.Now = n.env.Now.Add(20 * timekeeper.Second)
+	n.MoveStreams(n.env)
+	require.Len(t, effectsOf[messenger.EndExchange](n.MoveEffects()), 1)
+	require.Zero(t, n.InFlight())
+	require.Len(t, effectsOf[messenger.FreeMemory](n.answer(call, messenger.MoveCopied, "h-1")), 1)
+	running, _ := n.OwnLoad(n.env.Now)
+	require.Empty(t, running)
+}
--- a/internal/mover/move.go
+++ b/internal/mover/move.go
@@ -214,13 +214,15 @@
 // Tick advances the move to the current time: a stopped run that another server can resume without its
 // memory is not kept waiting for it for long.
 func (m *Move) Tick(now timekeeper.Time) Action {
-	if m.state != stateStopping || !m.Broken() || !m.config.Repeatable || now.Sub(m.brokenAt) < maxPause {
+	if !m.Waits() || !m.config.Repeatable || now.Sub(m.brokenAt) < maxPause {
 		return Wait
 	}
-	m.cancelled = m.calling
-	return m.end(messenger.MoveLost, Abandon)
+	return m.Abandon()
 }
 
+// Waits reports whether the stream has broken and waits for the answer of the source.
+func (m *Move) Waits() bool { return m.state == stateStopping && m.Broken() }
+
 // stopped handles the answer of a call to stop the run.
 func (m *Move) stopped(now timekeeper.Time, e messenger.ExchangeMoved) Action {
 	switch e.Result {
@@ -308,7 +310,10 @@
 }
 
 // Abandon gives up a move whose run has stopped.
-func (m *Move) Abandon() Action { return m.end(messenger.MoveLost, Abandon) }
+func (m *Move) Abandon() Action {
+	m.cancelled = m.calling
+	return m.end(messenger.MoveLost, Abandon)
+}
 
 // DestinationLost handles a destination that may receive no requests any more.
 func (m *Move) DestinationLost(now timekeeper.Time) Action { return m.giveBack(now) }
