Check the server again before a moved stream is sent to it

Three checks were missing between the copy and the continuation: a destination whose entry changed to another version still received the stream; a source that had stated a limit or asked for a pause received it back without a permit; and the return after a refused continuation, a second arrival for one move, used no retry. Without the check or the retry the move is given up, as if the source could not be reached.

TestReturnAfterRefusalUsesRetry, TestNoReturnToLimitedSource and TestDestinationChangesVersion fail without the change.

--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -284,11 +284,11 @@
 		action = m.Abandon()
 	}
 	destination, known := env.Servers.Server(m.Config().Destination)
-	if action == mover.Continue && (!known || !d.mayContinueAt(env, destination)) {
+	if action == mover.Continue && (!known || destination.Version != x.current.version || !d.mayContinueAt(env, destination)) {
 		action = m.DestinationLost(env.Now)
 	}
 	source, known := env.Servers.Server(m.Config().Source)
-	if action == mover.Return && (!known || source.State != messenger.ServerLeaving) {
+	if action == mover.Return && (!known || !d.mayReturnTo(env, source) || !d.spendReturn(env, x)) {
 		action = m.Abandon()
 	}
 	switch action {
@@ -301,6 +301,20 @@
 	return d.attemptFailed(env, x, x.withheld)
 }
 
+// mayReturnTo reports whether a stopped stream may return to its source.
+func (d *Dispatcher) mayReturnTo(env Env, source *registrar.Server) bool {
+	_, limited := env.Limits.Rate(source.Server)
+	return source.State == messenger.ServerLeaving && !limited && env.availableAt(source.Server) == 0 &&
+		!env.Paths.Broken(source.Server) && !env.Brittle.Service(source.Service)
+}
+
+// spendReturn reports whether the retries that are left permit a return. A move has used one. The
+// return is the second arrival if the destination has received the stream.
+func (d *Dispatcher) spendReturn(env Env, x *exchange) bool {
+	arrived := x.current.continues && x.withheld.Result != messenger.AttemptNotSent
+	return !arrived || env.Retries.Spend(env.Now, x.service)
+}
+
 // continueAt sends a stopped stream to a server that holds its memory. This counts as the same
 // attempt.
 func (d *Dispatcher) continueAt(env Env, x *exchange, m *mover.Move, s *registrar.Server) messenger.Effect {
--- a/internal/dispatcher/move_test.go
+++ b/internal/dispatcher/move_test.go
@@ -401,3 +401,71 @@
 	running, _ := n.OwnLoad(n.env.Now)
 	require.Empty(t, running)
 }
+
+// refuseContinuation has the destination refuse a continued stream.
+func (n *node) refuseContinuation(s messenger.SendExchange) messenger.Effect {
+	return n.AttemptEnded(n.env, messenger.ExchangeAttemptEnded{
+		Exchange:  s.Exchange,
+		Attempt:   s.Attempt,
+		Server:    s.Server,
+		Result:    messenger.AttemptRefused,
+		Streaming: true,
+	})
+}
+
+// The return of a stream that the destination refused is one more arrival: it must not exceed the
+// retries.
+func TestReturnAfterRefusalUsesRetry(t *testing.T) {
+	n := newMovingNode(3)
+	_, call := n.stopped(t, "/draft/1")
+	sent := effectsOf[messenger.SendExchange](n.answer(call, messenger.MoveCopied, "h-1"))[0]
+	for n.env.Retries.Spend(n.env.Now, "reader") {
+		continue
+	}
+	require.IsType(t, messenger.EndExchange{}, n.refuseContinuation(sent))
+}
+
+// A stream must not return to a source that states a limit or asks for a pause.
+func TestNoReturnToLimitedSource(t *testing.T) {
+	for name, spoil := range map[string]func(n *node, vm identifier.VMID){
+		"paused": func(n *node, vm identifier.VMID) { n.env.Backoffs.Record(n.env.Now, vm, 500) },
+		"limited": func(n *node, vm identifier.VMID) {
+			n.env.Limits.Observe(n.env.Now, messenger.ServerLimitReceived{
+				Server: vm,
+				Sent:   n.env.Now,
+				Limit: messenger.StatedLimit{
+					Stated: true,
+					Rate:   100,
+				},
+			})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newMovingNode(3)
+			s, call := n.stopped(t, "/draft/1")
+			spoil(n, s.Server)
+			effects := n.answer(call, messenger.MoveNoRoom, "h-1")
+			require.Empty(t, effectsOf[messenger.SendExchange](effects))
+			require.Len(t, effectsOf[messenger.EndExchange](effects), 1)
+		})
+	}
+}
+
+// A stream must not go on at a destination whose version changed during the copy.
+func TestDestinationChangesVersion(t *testing.T) {
+	n := newMovingNode(2)
+	s, call := n.stopped(t, "/draft/1")
+	for i := range 2 {
+		known, _ := n.env.Servers.Server(serverID(i))
+		if known.Address == call.DestinationAddress {
+			entry := known.PublishedServer
+			n.offset++
+			entry.Offset = n.offset
+			entry.Version = "v2"
+			n.env.Servers.ApplyRead(n.env.Now, []messenger.PublishedServer{entry}, false)
+		}
+	}
+	sent := effectsOf[messenger.SendExchange](n.answer(call, messenger.MoveCopied, "h-1"))
+	require.Len(t, sent, 1)
+	require.Equal(t, s.Server, sent[0].Server)
+}
