Decide again on a continuation that was decided on too late

If the node was slow, the forwarder did not carry out the decision to continue a moved stream. The move took that for a refusal of the destination: the stream went back to its source or, from 1.5 s after the notice, was lost if it may run once, though its memory was unused at the destination. The continuation is now decided on again, with all checks.

TestStaleContinuationIsDecidedAgain fails without the change.

--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -267,9 +267,12 @@
 	}
 	x.withheld = e
 	var action mover.Action
-	if m.Continuing() {
+	switch {
+	case m.Continuing() && e.Stale:
+		action = m.NotAttempted(env.Now)
+	case m.Continuing():
 		action = m.ContinuationEnded(env.Now, retrier.ProvablyNotRun(e.Result))
-	} else {
+	default:
 		action = m.StreamBroke(env.Now, e.Events)
 	}
 	if action == mover.Wait {
--- a/internal/dispatcher/move_test.go
+++ b/internal/dispatcher/move_test.go
@@ -469,3 +469,30 @@
 	require.Len(t, sent, 1)
 	require.Equal(t, s.Server, sent[0].Server)
 }
+
+// A continuation that this node was too slow to send must be decided on again, also long after the
+// notice.
+func TestStaleContinuationIsDecidedAgain(t *testing.T) {
+	n := newMovingNode(3)
+	s, call := n.stopped(t, "/draft/1")
+	n.env.Now = n.env.Now.Add(2 * timekeeper.Second)
+	sent := effectsOf[messenger.SendExchange](n.answer(call, messenger.MoveCopied, "h-1"))[0]
+	stale := messenger.ExchangeAttemptEnded{
+		Exchange:   sent.Exchange,
+		Attempt:    sent.Attempt,
+		Server:     sent.Server,
+		Result:     messenger.AttemptNotSent,
+		Streaming:  true,
+		PathFailed: true,
+		Stale:      true,
+	}
+	again, ok := n.AttemptEnded(n.env, stale).(messenger.SendExchange)
+	require.True(t, ok)
+	require.Equal(t, sent.Server, again.Server)
+	require.Equal(t, sent.From, again.From)
+	n.begin(again)
+	require.Empty(t, effectsOf[messenger.FreeMemory](n.MoveEffects()))
+	running, _ := n.OwnLoad(n.env.Now)
+	require.Len(t, running, 1)
+	require.NotEqual(t, s.Server, again.Server)
+}
--- a/internal/mover/move.go
+++ b/internal/mover/move.go
@@ -337,6 +337,14 @@
 	return m.end(messenger.MoveLost, Abandon)
 }
 
+// NotAttempted handles a continuation that this node decided on too late to send it.
+func (m *Move) NotAttempted(now timekeeper.Time) Action {
+	if m.state == stateReturning {
+		return m.giveBack(now)
+	}
+	return Continue
+}
+
 // Continuing reports whether the stream was sent to a server to be continued.
 func (m *Move) Continuing() bool { return m.state == stateContinuing || m.state == stateReturning }
 
