Keep the time at which a leaving server ends over its later entries

A leaving server writes its entry again with the time that it then has left. The moves added that to the time of the first notice: with half of the time gone, the server was taken for one that ends now, and its streams were no longer moved. The registrar keeps the earliest time stated.

TestRepeatedNoticeKeepsTimeLeft fails without the change.

--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -148,11 +148,11 @@
 // notice returns what a leaving server has stated. A reclaimable one that states no time may be
 // taken away at any time; others serve on for the platform's drain time.
 func (d *Dispatcher) notice(s *registrar.Server) mover.Notice {
-	n := mover.Notice{
-		At:       s.ChangedAt,
-		LeavesIn: s.LeavesIn,
-	}
-	if n.LeavesIn == 0 && s.Market != catalog.Reclaimable {
+	n := mover.Notice{At: s.ChangedAt}
+	switch {
+	case s.LeavesAt != 0:
+		n.LeavesIn = max(s.LeavesAt.Sub(s.ChangedAt), 1)
+	case s.Market != catalog.Reclaimable:
 		n.LeavesIn = d.config.ServerDrain
 	}
 	return n
--- a/internal/dispatcher/move_test.go
+++ b/internal/dispatcher/move_test.go
@@ -496,3 +496,25 @@
 	require.Len(t, running, 1)
 	require.NotEqual(t, s.Server, again.Server)
 }
+
+// A leaving server writes its entry again with less time left. That time must not be counted from the
+// first notice, or streams are no longer moved from its middle on.
+func TestRepeatedNoticeKeepsTimeLeft(t *testing.T) {
+	n := newMovingNode(3)
+	n.setMoves(true, 5)
+	s := n.beginFramed(t, "/draft/1")
+	known, _ := n.env.Servers.Server(s.Server)
+	entry := known.PublishedServer
+	entry.State = messenger.ServerLeaving
+	for _, left := range []timekeeper.Duration{3000, 1500} {
+		n.offset++
+		entry.Offset = n.offset
+		entry.LeavesIn = left
+		n.env.Servers.ApplyRead(n.env.Now, []messenger.PublishedServer{entry}, false)
+		if left == 3000 {
+			n.env.Now = n.env.Now.Add(1500)
+		}
+	}
+	n.MoveStreams(n.env)
+	require.Len(t, effectsOf[messenger.MoveExchange](n.MoveEffects()), 1)
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -53,6 +53,9 @@
 	AddedAt   timekeeper.Time
 	ChangedAt timekeeper.Time
 	WarmAt    timekeeper.Time
+	// LeavesAt is the earliest time at which the server stated to end, or zero. A leaving server
+	// writes its entry again with the time that it then has left.
+	LeavesAt timekeeper.Time
 	// Displaced is set if another server has answered at the address since the entry
 	// was read.
 	Displaced bool
@@ -397,6 +400,7 @@
 		e = removed
 	}
 	known.PublishedServer = e
+	known.noteLeavesIn(now)
 	clear(t.ofService)
 	before.Offset = e.Offset
 	before.LeavesIn = e.LeavesIn
@@ -450,6 +454,17 @@
 	return true
 }
 
+// noteLeavesIn updates the time at which a server ends by its entry.
+func (s *Server) noteLeavesIn(now timekeeper.Time) {
+	if s.State != messenger.ServerLeaving || s.LeavesIn <= 0 {
+		return
+	}
+	at := now.Add(s.LeavesIn)
+	if s.LeavesAt == 0 || at.Before(s.LeavesAt) {
+		s.LeavesAt = at
+	}
+}
+
 // markUpdated marks an entry as an update for peers.
 func (t *Table) markUpdated(now timekeeper.Time, s *Server) {
 	s.direct = t.source.direct
@@ -469,6 +484,7 @@
 		ChangedAt:       now,
 		WarmAt:          now.Add(e.ColdFor),
 	}
+	s.noteLeavesIn(now)
 	t.markUpdated(now, s)
 	t.servers[e.Server] = s
 	t.newest[e.Server.Instance()] = e.Server
