Return streams to a leaving server within half of its drain time only

A stopped stream returned to its source up to 1.5 s after this node learned of the notice, whatever the platform's drain time. With one of 2 s, a notice that reached the node late or a slow send let a request reach a server after that time. The bound is now half of the drain time where it is known, and 1.5 s at most as before.

TestNoReturnAtEndOfDrainTime fails without the change.

--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -137,6 +137,7 @@
 			SourceAddress:      source.Address,
 			DestinationAddress: destination.Address,
 			Notice:             notice,
+			Drain:              d.config.ServerDrain,
 			Began:              env.Now,
 			Tokens:             stream.Tokens,
 			CopyFirst:          stream.CopyFirst(env.Now, notice, copying),
--- a/internal/dispatcher/move_test.go
+++ b/internal/dispatcher/move_test.go
@@ -518,3 +518,33 @@
 	n.MoveStreams(n.env)
 	require.Len(t, effectsOf[messenger.MoveExchange](n.MoveEffects()), 1)
 }
+
+// A leaving server may receive requests for the platform's drain time only, from a notice that may
+// reach this node late.
+func TestNoReturnAtEndOfDrainTime(t *testing.T) {
+	for _, test := range []struct {
+		drain   timekeeper.Duration
+		returns int
+	}{
+		{
+			drain: 2 * timekeeper.Second,
+		},
+		{
+			drain:   3 * timekeeper.Second,
+			returns: 1,
+		},
+	} {
+		n := newMovingNode(0)
+		n.Dispatcher = dispatcher.New(dispatcher.Config{
+			Self:        "entry-1",
+			Zone:        "zone-0",
+			MoveStreams: true,
+			ServerDrain: test.drain,
+		})
+		n.publish(0, messenger.ServerReady)
+		n.publish(1, messenger.ServerReady)
+		_, call := n.stopped(t, "/draft/1")
+		n.env.Now = n.env.Now.Add(1400)
+		require.Len(t, effectsOf[messenger.SendExchange](n.answer(call, messenger.MoveNoRoom, "h-1")), test.returns)
+	}
+}
--- a/internal/mover/move.go
+++ b/internal/mover/move.go
@@ -10,8 +10,10 @@
 	// maxRepeats bounds the calls that repeat one without a usable answer.
 	maxRepeats = 3
 	// maxReturnTime is the time after the notice of a server within which a stream may return
-	// to it. A leaving server must receive no requests from 2 s after its notice.
-	maxReturnTime = 1500 * timekeeper.Millisecond
+	// to it, and maxReturnDrain the part of the time for which it still may receive requests.
+	// In the rest, the notice reaches this node and the request reaches the server.
+	maxReturnTime  = 1500 * timekeeper.Millisecond
+	maxReturnDrain = 0.5
 	// maxPause is the time for which a repeatable stream that has broken waits for its memory.
 	// Callers abandon a stream after a gap of two seconds or more.
 	maxPause = 1 * timekeeper.Second
@@ -32,14 +34,24 @@
 	SourceAddress      string
 	DestinationAddress string
 	Notice             Notice
-	Began              timekeeper.Time
-	Tokens             identifier.Tokens
+	// Drain is the time for which a leaving server may receive requests, or zero if unknown.
+	Drain  timekeeper.Duration
+	Began  timekeeper.Time
+	Tokens identifier.Tokens
 	// CopyFirst makes the run go on while its memory is copied.
 	CopyFirst bool
 	// Repeatable reports that another server could resume the stream without its memory.
 	Repeatable bool
 }
 
+// returnTime is the time after the notice within which the stream may return to its source.
+func (c Config) returnTime() timekeeper.Duration {
+	if c.Drain <= 0 {
+		return maxReturnTime
+	}
+	return min(maxReturnTime, timekeeper.Duration(maxReturnDrain*float64(c.Drain)))
+}
+
 // state is the state of a move.
 type state string
 
@@ -302,7 +314,7 @@
 // giveBack continues a stopped run at the source, if that may still receive requests.
 func (m *Move) giveBack(now timekeeper.Time) Action {
 	left, known := m.config.Notice.left(now)
-	if now.Sub(m.config.Notice.At) > maxReturnTime || known && left <= 0 {
+	if now.Sub(m.config.Notice.At) > m.config.returnTime() || known && left <= 0 {
 		return m.end(messenger.MoveLost, Abandon)
 	}
 	m.state = stateReturning
