--- a/internal/prover/move_test.go
+++ b/internal/prover/move_test.go
@@ -42,6 +42,8 @@
 	outcomes map[messenger.MoveOutcome]int
 	// handles name the exchanges whose runs were copied.
 	handles map[messenger.KVHandle]identifier.ExchangeID
+	// lastHandle is the number of the last handle. None is given twice.
+	lastHandle int
 	// begun are the streams that may run once and have begun to, by exchange.
 	begun map[identifier.ExchangeID]bool
 }
@@ -104,7 +106,8 @@
 		if m.fault == refusedCopies {
 			answer.Result = messenger.MoveNoRoom
 		}
-		answer.Handle = messenger.KVHandle(fmt.Sprintf("h-%d", len(m.handles)))
+		m.lastHandle++
+		answer.Handle = messenger.KVHandle(fmt.Sprintf("h-%d", m.lastHandle))
 		answer.Created = run.events
 		m.handles[answer.Handle] = e.Exchange
 		if e.Last {
