--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -174,17 +174,17 @@
 func (d *Dispatcher) chooseDestination(env Env, x *exchange, source *registrar.Server) (*registrar.Server, bool) {
 	bound := *x
 	bound.bind(x.current.version)
-	var servers, doomed []*registrar.Server
+	var servers, leavingToo []*registrar.Server
 	for _, s := range env.Versions.Candidates(d.versionRequest(env, &bound)).Preferred {
 		switch {
 		case s.Version != x.current.version || !d.mayContinueAt(env, s) || !d.moves.MayReceive(s.Server):
-		case sharesFate(source, s):
-			doomed = append(doomed, s)
+		case leavesWith(source, s):
+			leavingToo = append(leavingToo, s)
 		default:
 			servers = append(servers, s)
 		}
 	}
-	for _, from := range [][]*registrar.Server{servers, doomed} {
+	for _, from := range [][]*registrar.Server{servers, leavingToo} {
 		if c, found := d.chooseFrom(env, &bound, from); found && c.startsAtOnce() {
 			return c.server, true
 		}
@@ -192,9 +192,9 @@
 	return nil, false
 }
 
-// sharesFate reports whether a server will probably leave together with another one: the
+// leavesWith reports whether a server will probably leave together with another one: the
 // reclaimable servers of a zone are taken away at once.
-func sharesFate(leaving, s *registrar.Server) bool {
+func leavesWith(leaving, s *registrar.Server) bool {
 	return leaving.Market == catalog.Reclaimable && s.Market == catalog.Reclaimable && s.Zone == leaving.Zone
 }
 
