--- a/internal/prover/move_test.go
+++ b/internal/prover/move_test.go
@@ -266,6 +266,7 @@
 			cl.at(6100, func() { fault.inject(cl) })
 			cl.run()
 			require.Empty(t, cl.violations)
+			require.NotEmpty(t, cl.moving.outcomes)
 		})
 	}
 }
