Let the factors of an estimator's servers come from elsewhere

The estimator learned each server's factor itself. It now asks an interface, which by default is the same code as before: predictions are unchanged.

--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -5,8 +5,8 @@
 // The time is modelled as a sum of terms, each a rate times an input that is known when
 // the request is sent. The rates are fitted by recursive least squares of the relative
 // error with exponential forgetting. All servers of a service share one fit, and each
-// server has its own factor. The initial rates are guesses that about ten answers
-// outweigh.
+// server has its own factor, which the Estimator learns itself or takes from Factors. The
+// initial rates are guesses that about ten answers outweigh.
 //
 // Servers may be slow, report falsely or hang: each answer changes a fit by a bounded
 // step, and all rates are clamped to fixed bounds. Nothing is safe for concurrent use.
@@ -74,6 +74,9 @@
 	},
 }
 
+// MaxFactor bounds a server's factor from above, and its reciprocal from below.
+const MaxFactor = 3.0
+
 const (
 	// forgettingFactor is the factor on the weight of an answer with each later one.
 	// About a hundred answers count, ten seconds of a node's traffic.
@@ -89,10 +92,8 @@
 	// maxVariance bounds the variance of a rate that has not been observed for long, as
 	// a multiple of its initial variance.
 	maxVariance = 1.0
-	// factorWeight is the weight of the newest answer in a server's factor. maxFactor
-	// bounds the factor from above, and its reciprocal from below.
+	// factorWeight is the weight of the newest answer in a server's own factor.
 	factorWeight = 0.05
-	maxFactor    = 3.0
 	// maxServers bounds the servers that have a factor.
 	maxServers = 4096
 	// maxWait is the longest time that is observed.
@@ -126,12 +127,34 @@
 type Estimator struct {
 	rates    vector
 	variance [numTerms]vector
-	factors  map[identifier.VMID]float64
+	factors  Factors
+}
+
+// Factors holds the factors of a service's servers on the predicted time.
+type Factors interface {
+	// Factor returns a server's factor, or 1 if nothing is known of the server.
+	Factor(server identifier.VMID) float64
+	Observe(server identifier.VMID, o Observation)
+	Forget(server identifier.VMID)
+}
+
+// Observation compares an observed time with the prediction for a server whose factor
+// is 1.
+type Observation struct {
+	// LogRatio is the logarithm of the observed by the predicted time, both with slack
+	// added, and Sensitivity its derivative by the logarithm of the factor. The slack makes
+	// it small for short times.
+	LogRatio    float64
+	Sensitivity float64
 }
 
-// New returns an Estimator without observations.
-func New() *Estimator {
-	e := &Estimator{factors: map[identifier.VMID]float64{}}
+// New returns an Estimator without observations that learns the factors from its own
+// observations.
+func New() *Estimator { return NewWithFactors(ownFactors{}) }
+
+// NewWithFactors returns an Estimator without observations that uses the given factors.
+func NewWithFactors(factors Factors) *Estimator {
+	e := &Estimator{factors: factors}
 	for i, r := range priors {
 		e.rates[i] = r.initial
 		e.variance[i][i] = r.deviation * r.deviation
@@ -142,7 +165,7 @@
 // FirstEventTime predicts the time from sending a request to its first event, without
 // the time to read the prompts queued ahead of it.
 func (e *Estimator) FirstEventTime(server identifier.VMID, w Work) timekeeper.Duration {
-	return duration(e.factor(server) * e.sum(w.vector()))
+	return duration(e.Factor(server) * e.sum(w.vector()))
 }
 
 // PrefillTime predicts the time for which reading the prompt occupies the server's
@@ -150,7 +173,7 @@
 func (e *Estimator) PrefillTime(server identifier.VMID, w Work) timekeeper.Duration {
 	x := w.vector()
 	prefill := x[termPrefill]*e.rates[termPrefill] + x[termAttention]*e.rates[termAttention]
-	return duration(e.factor(server) * prefill)
+	return duration(e.Factor(server) * prefill)
 }
 
 func (e *Estimator) sum(x vector) float64 {
@@ -161,12 +184,8 @@
 	return sum
 }
 
-func (e *Estimator) factor(server identifier.VMID) float64 {
-	if f, ok := e.factors[server]; ok {
-		return math.Exp(f)
-	}
-	return 1
-}
+// Factor returns a server's factor on the predicted time.
+func (e *Estimator) Factor(server identifier.VMID) float64 { return e.factors.Factor(server) }
 
 // Observe updates the fit with the time to a request's first event. The caller
 // subtracts the time to read the prompts queued ahead of it.
@@ -176,24 +195,41 @@
 	}
 	x := w.vector()
 	predicted := e.sum(x)
-	factor := e.factor(server)
+	factor := e.Factor(server)
 	observed := float64(elapsed)
-	e.updateFactor(server, math.Log((observed+slack)/(predicted+slack)))
+	e.factors.Observe(server, Observation{
+		LogRatio:    math.Log((observed + slack) / (predicted + slack)),
+		Sensitivity: predicted / (predicted + slack),
+	})
 	e.fit(x, (observed/factor-predicted)/(predicted+slack), predicted+slack)
 }
 
-// updateFactor moves the logarithm of a server's factor towards ratio.
-func (e *Estimator) updateFactor(server identifier.VMID, ratio float64) {
-	f, known := e.factors[server]
-	if !known && len(e.factors) >= maxServers {
+// ownFactors holds the logarithms of the factors as one node learns them.
+type ownFactors map[identifier.VMID]float64
+
+// Factor implements Factors.
+func (o ownFactors) Factor(server identifier.VMID) float64 {
+	if f, ok := o[server]; ok {
+		return math.Exp(f)
+	}
+	return 1
+}
+
+// Observe moves the logarithm of a server's factor towards the ratio.
+func (o ownFactors) Observe(server identifier.VMID, observation Observation) {
+	f, known := o[server]
+	if !known && len(o) >= maxServers {
 		return
 	}
-	ratio = min(max(ratio, -maxError), maxError)
+	ratio := min(max(observation.LogRatio, -maxError), maxError)
 	f += factorWeight * (ratio - f)
-	bound := math.Log(maxFactor)
-	e.factors[server] = min(max(f, -bound), bound)
+	bound := math.Log(MaxFactor)
+	o[server] = min(max(f, -bound), bound)
 }
 
+// Forget implements Factors.
+func (o ownFactors) Forget(server identifier.VMID) { delete(o, server) }
+
 // fit updates the rates by one step of recursive least squares. The error is relative
 // to scale.
 func (e *Estimator) fit(x vector, relative, scale float64) {
@@ -236,6 +272,6 @@
 }
 
 // Forget drops a removed server.
-func (e *Estimator) Forget(server identifier.VMID) { delete(e.factors, server) }
+func (e *Estimator) Forget(server identifier.VMID) { e.factors.Forget(server) }
 
 func duration(ms float64) timekeeper.Duration { return timekeeper.Duration(math.Round(ms)) }
