Carry evidence of servers' speeds in state updates

Two bytes for each server of in_flight: the logarithm of a weight, and a mean logarithm. Servers without load are listed for their evidence only.

--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -121,6 +121,9 @@
 	// begins.
 	Candidates int
 	Predicted  timekeeper.Duration
+	// ServerFactor is the factor of the chosen server on the time that is expected of a
+	// server of mean speed.
+	ServerFactor float64
 	// Version is the version of the chosen server.
 	Version identifier.Version
 }
@@ -295,7 +298,10 @@
 	Zone identifier.Zone
 	// InFlight holds the requests in flight by server.
 	InFlight map[identifier.VMID]InFlight
-	Usage    []UsageCount
+	// Factors is the evidence of the servers' speeds, of the same nodes as InFlight. An
+	// update of a node's own answers holds only what receivers may lack.
+	Factors map[identifier.VMID]FactorEvidence
+	Usage   []UsageCount
 	// Demand is the callers' demand by service.
 	Demand map[identifier.ServiceName]ServiceDemand
 	// CachedPrefixes are parts of prompts that servers have recently
@@ -370,6 +376,15 @@
 	Prefill timekeeper.Duration
 }
 
+// FactorEvidence is what answers say of a server's factor on the predicted time, as it
+// weighs when it is reported. The evidence of several nodes adds up.
+type FactorEvidence struct {
+	// Weight is about the number of answers, and Sum the weighted sum of the logarithms of
+	// the factors that they show.
+	Weight float64
+	Sum    float64
+}
+
 // ServiceDemand is the demand of one node's callers for a service.
 type ServiceDemand struct {
 	// Running is the number of requests in flight.
--- a/internal/relayer/stateupdate.go
+++ b/internal/relayer/stateupdate.go
@@ -46,13 +46,15 @@
 	for _, e := range s.Servers {
 		out.Servers = append(out.Servers, encodePublishedServer(e))
 	}
-	for _, vm := range slices.Sorted(maps.Keys(s.InFlight)) {
+	servers := reportedServers(s)
+	for _, vm := range servers {
 		out.InFlight = append(out.InFlight, &pb.ServerLoad{
 			Server:    string(vm),
 			Running:   int64(s.InFlight[vm].Running),
 			PrefillMs: int64(s.InFlight[vm].Prefill),
 		})
 	}
+	out.Factors = encodeFactors(servers, s.Factors)
 	out.Kept = encodeCachedPrefixes(s.CachedPrefixes)
 	for _, suspect := range s.Suspects {
 		out.Suspects = append(out.Suspects, encodeSuspect(suspect))
@@ -144,11 +146,17 @@
 	for _, e := range q.GetServers() {
 		s.Servers = append(s.Servers, decodePublishedServer(e))
 	}
+	s.Factors = decodeFactors(q.GetInFlight(), q.GetFactors())
 	for _, l := range q.GetInFlight() {
-		s.InFlight[identifier.VMID(l.GetServer())] = messenger.InFlight{
+		id := identifier.VMID(l.GetServer())
+		load := messenger.InFlight{
 			Running: int(max(l.GetRunning(), 0)),
 			Prefill: timekeeper.Duration(max(l.GetPrefillMs(), 0)),
 		}
+		if _, listed := s.Factors[id]; listed && load == (messenger.InFlight{}) {
+			continue // The server is listed for its evidence only.
+		}
+		s.InFlight[id] = load
 	}
 	s.CachedPrefixes = decodeCachedPrefixes(q.GetKept())
 	for _, suspect := range q.GetSuspects() {
