Share servers' rates between nodes, by the setting shared_rates

Relays add up the evidence of the servers' speeds as they do with load, and the dispatcher takes factors from it. With the setting off nothing is sent and factors are as before. The factor of the chosen server stands in the line 'exchange ended', and server_factors on the metrics port has the spread.

--- a/cmd/dotterelhollow/gateway.go
+++ b/cmd/dotterelhollow/gateway.go
@@ -68,6 +68,7 @@
 	g := newGateway(path, s, lines)
 	expvar.Publish("dotterelhollow", g.runner.Metrics().Var())
 	expvar.Publish("exchanges", g.metrics.Var())
+	expvar.Publish("server_factors", expvar.Func(func() any { return g.runner.ServerFactors(ctx) }))
 	expvar.Publish("rollouts", expvar.Func(func() any { return g.runner.Rollouts(ctx) }))
 	return g.serve(ctx, signals)
 }
@@ -170,6 +171,7 @@
 			UsageLate:   s.Gateway.MaxUsageDelay,
 			Share:       s.Gateway.ExposureShare,
 			Slack:       s.Gateway.ExposureSlack,
+			SharedRates: s.Gateway.SharedRates,
 		},
 	}
 }
--- a/cmd/dotterelhollow/gateway_test.go
+++ b/cmd/dotterelhollow/gateway_test.go
@@ -535,6 +535,7 @@
 	require.Equal(t, 5*timekeeper.Second, settings.Gateway.UsageWindow)
 	require.Equal(t, 8*timekeeper.Second, settings.DrainTime)
 	require.Equal(t, uint32(800), capacity(settings.Gateway), "both the processor and the link")
+	require.True(t, settings.Gateway.SharedRates)
 
 	optional := regexp.MustCompile(`(?ms)^\{\{#.*?^\{\{/[^\n]*\n`)
 	minimal := fill.Replace(optional.ReplaceAllString(string(template), ""))
@@ -543,6 +544,7 @@
 	require.NoError(t, err, "a platform without leader tasks is supported")
 	require.False(t, settings.Gateway.CloudAddress.IsValid())
 	require.Zero(t, capacity(settings.Gateway))
+	require.False(t, settings.Gateway.SharedRates)
 
 	broken := strings.NewReplacer("usage_window = 5s", "usage_window = soon", "10.1.0.14:8220", "nowhere").Replace(text)
 	require.NoError(t, os.WriteFile(path, []byte(broken), 0o600))
--- a/internal/dispatcher/choose.go
+++ b/internal/dispatcher/choose.go
@@ -47,6 +47,8 @@
 	predicted timekeeper.Duration
 	// cost is the prediction with penalties and discounts. Lower is better.
 	cost timekeeper.Duration
+	// factor is the server's factor on the predicted time.
+	factor float64
 	// prefill is the predicted time to read the prompt.
 	prefill timekeeper.Duration
 	// occupied is the time for which the request occupies the server.
@@ -74,6 +76,7 @@
 // choose returns the server for an exchange's next attempt. It skips servers that are
 // leaving or already tried, and uses suspected ones only if there are no others.
 func (d *Dispatcher) choose(env Env, x *exchange) (choice, bool) {
+	d.refreshFactors(env, x.service)
 	byVersion := env.Versions.Candidates(d.versionRequest(env, x))
 	if c, ok := d.chooseFrom(env, x, byVersion.Preferred); ok || len(byVersion.Fallback) == 0 {
 		return c, ok
@@ -204,6 +207,7 @@
 	cached := cache.cached
 	c := choice{
 		server: s,
+		factor: rates.Factor(s.Server),
 		slots:  slots,
 	}
 	if cache.copyFrom != nil && backend.CopyTokensPerMS > 0 {
@@ -234,7 +238,7 @@
 func (d *Dispatcher) estimator(service identifier.ServiceName) *estimator.Estimator {
 	e := d.estimators[service]
 	if e == nil {
-		e = estimator.New()
+		e = d.newEstimator(service)
 		d.estimators[service] = e
 	}
 	return e
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -21,6 +21,7 @@
 //   - repeat.go decides what follows an attempt.
 //   - ended.go records the requests during which servers ended.
 //   - subset.go selects the servers that this node uses if a service has very many.
+//   - factors.go shares the servers' speeds with other nodes.
 //   - load.go and sum.go track the requests in flight at the servers, of this and other nodes.
 //
 // All functions are deterministic: time and randomness are passed in. Nothing is safe
@@ -30,6 +31,7 @@
 import (
 	"math/rand/v2"
 
+	"github.com/dotterelhollow/dotterelhollow/internal/calibrator"
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
 	"github.com/dotterelhollow/dotterelhollow/internal/detector"
 	"github.com/dotterelhollow/dotterelhollow/internal/estimator"
@@ -57,6 +59,8 @@
 	Zone identifier.Zone
 	// MaxExchanges bounds the concurrent exchanges; zero means the default.
 	MaxExchanges int
+	// SharedRates makes the servers' factors follow from the answers of all nodes.
+	SharedRates bool
 }
 
 // Env is the state outside the dispatcher that it reads and updates while it handles
@@ -137,6 +141,8 @@
 	index     *indexer.Index
 	// estimators predict the answer times of each service's servers.
 	estimators map[identifier.ServiceName]*estimator.Estimator
+	// calibrator holds the servers' factors, or is nil if they are not shared.
+	calibrator *calibrator.Calibrator
 	demands    map[identifier.ServiceName]*demand
 	slots      slots
 	// originQueries is the number of exchanges that wait for the origin of their stream.
@@ -231,7 +237,7 @@
 	if c.MaxExchanges == 0 {
 		c.MaxExchanges = defaultMaxExchanges
 	}
-	return &Dispatcher{
+	d := &Dispatcher{
 		config:       c,
 		subset:       subsetOf(c.Self),
 		exchanges:    map[identifier.ExchangeID]*exchange{},
@@ -243,6 +249,10 @@
 		unresponsive: unresponsiveServers{},
 		refuseAfter:  timekeeper.Never,
 	}
+	if c.SharedRates {
+		d.calibrator = calibrator.New()
+	}
+	return d
 }
 
 // InFlight returns the number of exchanges that have not ended.
@@ -279,6 +289,7 @@
 	}
 	env.Versions.RecordResponseStart(current.track, env.Now.Sub(current.sent), current.baseline)
 	if current.observeRates && !current.track.Exposed() {
+		d.refreshFactors(env, x.service)
 		d.estimator(x.service).Observe(current.server, current.work, env.Now.Sub(current.sent))
 	}
 	env.Suspicions.Observe(env.Now, current.server, detector.Observation{
@@ -394,4 +405,7 @@
 	for _, e := range d.estimators {
 		e.Forget(server)
 	}
+	if d.calibrator != nil {
+		d.calibrator.Forget(env.Now, server)
+	}
 }
--- /dev/null
+++ b/internal/dispatcher/factors.go
@@ -0,0 +1,49 @@
+package dispatcher
+
+import (
+	"github.com/dotterelhollow/dotterelhollow/internal/calibrator"
+	"github.com/dotterelhollow/dotterelhollow/internal/estimator"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// newEstimator returns the estimator of a service, which takes the servers' factors from
+// the calibrator if they are shared.
+func (d *Dispatcher) newEstimator(service identifier.ServiceName) *estimator.Estimator {
+	if d.calibrator == nil {
+		return estimator.New()
+	}
+	return estimator.NewWithFactors(d.calibrator.Service(service))
+}
+
+// refreshFactors updates the shared factors of a service's servers.
+func (d *Dispatcher) refreshFactors(env Env, service identifier.ServiceName) {
+	if d.calibrator == nil {
+		return
+	}
+	d.calibrator.Service(service).Refresh(env.Now, func(yield func(identifier.VMID) bool) {
+		for _, s := range env.Servers.ServersOf(service) {
+			if !yield(s.Server) {
+				return
+			}
+		}
+	})
+}
+
+// OwnFactors returns the evidence of this node's answers to report to peers, or nil if
+// factors are not shared.
+func (d *Dispatcher) OwnFactors(now timekeeper.Time, inFlight map[identifier.VMID]messenger.InFlight) map[identifier.VMID]messenger.FactorEvidence {
+	if d.calibrator == nil {
+		return nil
+	}
+	return d.calibrator.OwnReport(now, inFlight)
+}
+
+// FactorStatus describes the shared factors for operators.
+func (d *Dispatcher) FactorStatus() calibrator.Statuses {
+	if d.calibrator == nil {
+		return calibrator.Statuses{}
+	}
+	return d.calibrator.Status()
+}
--- a/internal/dispatcher/load.go
+++ b/internal/dispatcher/load.go
@@ -160,7 +160,7 @@
 	s.offeredLoad += float64(work) / float64(demandWindow)
 }
 
-// StorePeerLoad stores a report of load, either of a peer's own requests or a relay's
+// StorePeerLoad stores a report of load and of servers' speeds, either of a peer's own requests or a relay's
 // sum.
 func (d *Dispatcher) StorePeerLoad(now timekeeper.Time, peer identifier.VMID, s messenger.StateUpdate) {
 	report := loadReport{
@@ -168,6 +168,9 @@
 		servers: s.InFlight,
 		demand:  s.Demand,
 	}
+	if d.calibrator != nil {
+		d.calibrator.StoreReport(now, peer, s)
+	}
 	switch s.Scope {
 	case messenger.ScopeZone:
 		if _, known := d.loads.zones[s.Zone]; known || len(d.loads.zones) < maxPeers {
--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -248,6 +248,7 @@
 	inputs := env.forExchange(x).Inputs
 	inputs.Candidates = c.candidateCount
 	inputs.Predicted = c.predicted
+	inputs.ServerFactor = c.factor
 	inputs.Version = c.server.Version
 	copyFrom := ""
 	if c.copyFrom != nil {
--- a/internal/dispatcher/sum.go
+++ b/internal/dispatcher/sum.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 
+	"github.com/dotterelhollow/dotterelhollow/internal/calibrator"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
@@ -13,6 +14,8 @@
 type LoadSum struct {
 	InFlight map[identifier.VMID]messenger.InFlight
 	Demand   map[identifier.ServiceName]messenger.ServiceDemand
+	// Factors is the evidence of the servers' speeds, or nil if it is not shared.
+	Factors calibrator.Sum
 }
 
 func newLoadSum() LoadSum {
@@ -46,6 +49,9 @@
 	for _, peer := range neighbours {
 		sum.addFresh(now, d.loads.peers[peer], 1)
 	}
+	if d.calibrator != nil {
+		sum.Factors = d.calibrator.ZoneSum(now, neighbours)
+	}
 	return sum
 }
 
@@ -63,16 +69,21 @@
 			all.addFresh(now, z, 1)
 		}
 	}
+	if d.calibrator != nil {
+		all.Factors = d.calibrator.AddZones(now, d.config.Zone, zone.Factors)
+	}
 	return all
 }
 
-// ForServers returns the sum with its load restricted to the servers for which the
+// ForServers returns the sum with its load and evidence restricted to the servers for which the
 // function returns true.
 func (s LoadSum) ForServers(servers func(identifier.VMID) bool) LoadSum {
 	part := LoadSum{
 		InFlight: map[identifier.VMID]messenger.InFlight{},
 		Demand:   s.Demand,
+		Factors:  maps.Clone(s.Factors),
 	}
+	maps.DeleteFunc(part.Factors, func(server identifier.VMID, _ messenger.FactorEvidence) bool { return !servers(server) })
 	for server, load := range s.InFlight {
 		if servers(server) {
 			part.InFlight[server] = load
@@ -82,13 +93,20 @@
 }
 
 // WithoutNode returns all without the last report of a node in this zone. The node adds
-// its own current load.
+// its own current load and evidence.
 func (d *Dispatcher) WithoutNode(now timekeeper.Time, all LoadSum, node identifier.VMID) LoadSum {
 	rest := all.clone()
 	rest.addFresh(now, d.lastReport(now, node), -1)
 	maps.DeleteFunc(rest.InFlight, func(_ identifier.VMID, n messenger.InFlight) bool {
 		return n.Running <= 0 && n.Prefill <= 0
 	})
+	switch {
+	case d.calibrator == nil:
+	case node == d.config.Self:
+		rest.Factors = d.calibrator.WithoutSelf(now, all.Factors)
+	default:
+		rest.Factors = d.calibrator.WithoutPeer(now, all.Factors, node)
+	}
 	return rest
 }
 
@@ -110,5 +128,6 @@
 	return LoadSum{
 		InFlight: maps.Clone(s.InFlight),
 		Demand:   maps.Clone(s.Demand),
+		Factors:  s.Factors,
 	}
 }
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"math"
 	"net"
 	"net/http"
 	"net/textproto"
@@ -12,6 +13,9 @@
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
+// factorPrecision is the reciprocal of the precision of logged factors.
+const factorPrecision = 100
+
 // refusalRetryAfter is the Retry-After time of requests that this node rejects before a
 // decision, for example because it is stopping.
 const refusalRetryAfter = 200 * timekeeper.Millisecond
@@ -177,6 +181,7 @@
 		"servers_age_ms", int64(x.inputs.ServersAge),
 		"candidates", x.inputs.Candidates,
 		"predicted_ms", int64(x.inputs.Predicted),
+		"server_factor", math.Round(x.inputs.ServerFactor*factorPrecision)/factorPrecision,
 	)
 }
 
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -122,6 +122,8 @@
 	// Slack is a number of requests that it may get in addition.
 	Share float64
 	Slack float64
+	// SharedRates makes nodes share what their answers show of the servers' speeds.
+	SharedRates bool
 }
 
 func (*GatewayConfig) suspicions() detector.Config {
@@ -255,8 +257,9 @@
 		newPeers:         map[identifier.VMID]timekeeper.Time{},
 		serversRequested: map[identifier.VMID]bool{},
 		exchanges: dispatcher.New(dispatcher.Config{
-			Self: c.Self,
-			Zone: c.Zone,
+			Self:        c.Self,
+			Zone:        c.Zone,
+			SharedRates: c.Gateway.SharedRates,
 		}),
 		usage: accountant.New(accountant.Config{
 			Window:         c.Gateway.UsageWindow,
--- a/internal/reducer/relay.go
+++ b/internal/reducer/relay.go
@@ -213,6 +213,7 @@
 func withSum(update messenger.StateUpdate, scope messenger.UpdateScope, sum dispatcher.LoadSum) messenger.StateUpdate {
 	update.Scope = scope
 	update.InFlight = sum.InFlight
+	update.Factors = sum.Factors
 	update.Demand = sum.Demand
 	return update
 }
--- a/internal/reducer/relay_test.go
+++ b/internal/reducer/relay_test.go
@@ -59,6 +59,13 @@
 }
 
 func newCluster(nodes int) *cluster {
+	return newClusterOf(nodes, GatewayConfig{
+		UsageWindow: 5 * timekeeper.Second,
+		UsageLate:   10 * timekeeper.Second,
+	})
+}
+
+func newClusterOf(nodes int, config GatewayConfig) *cluster {
 	c := &cluster{
 		now:             clusterStart,
 		nodes:           map[identifier.VMID]*Reducer{},
@@ -83,10 +90,7 @@
 			Capacity:      capacity,
 			Seed:          uint64(i),
 			Seeds:         []string{"entry-0"},
-			Gateway: &GatewayConfig{
-				UsageWindow: 5 * timekeeper.Second,
-				UsageLate:   10 * timekeeper.Second,
-			},
+			Gateway:       &config,
 		})
 	}
 	return c
--- a/internal/reducer/stateupdate.go
+++ b/internal/reducer/stateupdate.go
@@ -204,6 +204,7 @@
 	s.Servers = g.servers.UpdatesSince(now, now.Add(-updateWindow), g.includesReceived())
 	s.ServersSpan = g.serversSpan(now, updateWindow)
 	s.InFlight = running
+	s.Factors = g.exchanges.OwnFactors(now, running)
 	s.Usage = g.usage.OwnCounts(now)
 	s.Grantor = g.grantor.node
 	s.Versions = g.versions.Counts()
--- a/internal/runner/fake_test.go
+++ b/internal/runner/fake_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/dotterelhollow/dotterelhollow/internal/adapter"
 	"github.com/dotterelhollow/dotterelhollow/internal/answerer"
+	"github.com/dotterelhollow/dotterelhollow/internal/calibrator"
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
 	"github.com/dotterelhollow/dotterelhollow/internal/configurer"
 	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
@@ -87,6 +88,7 @@
 func (f *fakeReducer) Nodes() []gossiper.Node                     { return f.nodes }
 func (f *fakeReducer) View(timekeeper.Time) reducer.View          { return reducer.View{Nodes: f.nodes} }
 func (f *fakeReducer) Rollouts(timekeeper.Time) []promoter.Status { return nil }
+func (f *fakeReducer) ServerFactors() calibrator.Statuses         { return calibrator.Statuses{} }
 func (f *fakeReducer) History() []configurer.Change               { return nil }
 func (f *fakeReducer) Following(timekeeper.Time) reducer.Following {
 	return reducer.Following{Nodes: true}
--- a/internal/runner/outside.go
+++ b/internal/runner/outside.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/adapter"
+	"github.com/dotterelhollow/dotterelhollow/internal/calibrator"
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
 	"github.com/dotterelhollow/dotterelhollow/internal/configurer"
 	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
@@ -32,6 +33,8 @@
 	View(now timekeeper.Time) reducer.View
 	// Rollouts returns the rollouts known to the node.
 	Rollouts(now timekeeper.Time) []promoter.Status
+	// ServerFactors returns the shared factors of the servers known to the node.
+	ServerFactors() calibrator.Statuses
 	Files() map[identifier.FileName]configurer.FileState
 	History() []configurer.Change
 	// ExportConfiguration returns the encoded state of the configuration for a
--- a/internal/starter/gateway.go
+++ b/internal/starter/gateway.go
@@ -46,6 +46,8 @@
 	// LinkMbps is the network bandwidth of the VM in megabits per second, or zero
 	// if unknown.
 	LinkMbps float64
+	// SharedRates makes nodes share what their answers show of the servers' speeds.
+	SharedRates bool
 }
 
 // Upper bounds of the settings.
@@ -93,4 +95,5 @@
 	g.MemoryLimitMB = f.Optional("memory_mb", "256").Number(1, maxMemoryMB)
 	g.CPUCores = f.Optional("cpu", "0").Number(0, maxCPUCores)
 	g.LinkMbps = f.Optional("link_mbps", "0").Number(0, maxLinkMbps)
+	g.SharedRates = f.Optional("shared_rates", "off").Choice("on", "off") == "on"
 }
