Tell slow servers from busy ones

In a play of prompts of 82 nodes before 60 engines, an engine's factor was wrong by a fifth to a third: prompts of other nodes, which a node learns of late, delay its answers, and so busy engines seemed slow.

Ruled out: a larger slack, which discards what short prompts show, and weights of a tenth, after which a server that turns slow is not noticed within seconds.

--- a/internal/calibrator/cluster_test.go
+++ b/internal/calibrator/cluster_test.go
@@ -25,6 +25,10 @@
 	// answerRate is the number of answers a second of one server to one node that show the
 	// server's rates.
 	answerRate = 0.05
+	// delayedPart is the part of answers that are delayed by work which the node did not
+	// know of, and meanDelay, in milliseconds, their mean delay.
+	delayedPart = 0.3
+	meanDelay   = 150.0
 )
 
 // node is one node that predicts answers by shared factors and, for comparison, alone.
@@ -149,6 +153,9 @@
 		s := c.servers[c.rng.IntN(len(c.servers))]
 		w := c.drawWork()
 		took := s.factor*answerTime(w)*math.Exp(0.2*c.rng.NormFloat64()) + 4*c.rng.Float64()
+		if c.rng.Float64() < delayedPart {
+			took += meanDelay * c.rng.ExpFloat64()
+		}
 		n.shared.Observe(s.id, w, timekeeper.Duration(took))
 		n.alone.Observe(s.id, w, timekeeper.Duration(took))
 	}
--- a/internal/calibrator/factors.go
+++ b/internal/calibrator/factors.go
@@ -12,9 +12,16 @@
 
 const (
 	// priorWeight is the weight of the assumption that a server is of mean speed.
-	priorWeight = 1.0
+	priorWeight = 0.4
 	// maxError bounds the error of an answer against the factor known so far.
 	maxError = 0.8
+	// delayedTrust is the weight of an answer that took longer than expected against that of
+	// one that took less time. Prompts of other nodes that this node did not know of delay
+	// answers, and nothing makes them faster.
+	delayedTrust = 0.2
+	// slack, in milliseconds, is added to times before they are compared, because short
+	// times vary with the engine's steps and the network.
+	slack = 20.0
 	// minSensitivity is the sensitivity below which an answer says too little.
 	minSensitivity = 0.3
 	// offsetWeight is the weight of the newest answer in the mean error of this node's
@@ -95,16 +102,21 @@
 // Observe adds the evidence of an answer to this node's own. It bounds the error of the
 // answer, so that a wrong one moves the factor little.
 func (f *Factors) Observe(server identifier.VMID, o estimator.Observation) {
-	if !(o.Sensitivity >= minSensitivity) || math.IsNaN(o.LogRatio) {
+	sensitivity := o.Sensitivity(slack)
+	if !(sensitivity >= minSensitivity) || math.IsNaN(o.Observed) {
 		return
 	}
 	expected := f.logs[server]
-	residual := o.LogRatio - o.Sensitivity*(expected+f.offset)
-	f.offset = bounded(f.offset+offsetWeight*bounded(residual, 1), maxOffset)
-	weight := o.Sensitivity * o.Sensitivity
+	residual := o.LogRatio(slack) - sensitivity*(expected+f.offset)
+	trust := 1.0
+	if residual > 0 {
+		trust = delayedTrust
+	}
+	f.offset = bounded(f.offset+offsetWeight*trust*bounded(residual, 1), maxOffset)
+	weight := sensitivity * sensitivity * trust
 	f.calibrator.observe(f.now, server, messenger.FactorEvidence{
 		Weight: weight,
-		Sum:    weight * bounded(expected+bounded(residual, maxError)/o.Sensitivity, maxLog),
+		Sum:    weight * bounded(expected+bounded(residual, maxError)/sensitivity, maxLog),
 	})
 }
 
--- a/internal/calibrator/history.go
+++ b/internal/calibrator/history.go
@@ -16,7 +16,7 @@
 	// noise is the standard deviation of an answer of weight one.
 	noise = 0.3
 	// minRecentWeight is the weight below which recent evidence shows no change.
-	minRecentWeight = 1.5
+	minRecentWeight = 0.5
 	// maxDeviation is the deviation of recent from earlier evidence, in standard deviations,
 	// from which the server's speed has changed.
 	maxDeviation = 2.5
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -96,11 +96,15 @@
 func (noPeers) Isolated(identifier.VMID) bool { return false }
 
 func newNode(servers int) *node {
+	return newNodeOf(dispatcher.Config{
+		Self: "entry-1",
+		Zone: "zone-0",
+	}, servers)
+}
+
+func newNodeOf(config dispatcher.Config, servers int) *node {
 	n := &node{
-		Dispatcher: dispatcher.New(dispatcher.Config{
-			Self: "entry-1",
-			Zone: "zone-0",
-		}),
+		Dispatcher: dispatcher.New(config),
 		env: dispatcher.Env{
 			Now:             start,
 			Catalog:         testCatalog(),
--- a/internal/dispatcher/factors.go
+++ b/internal/dispatcher/factors.go
@@ -8,6 +8,10 @@
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
+// maxDelayPercent is the prefill of other nodes' prompts, as a percentage of the predicted
+// time to the first event, up to which an answer is used to observe the server's rates.
+const maxDelayPercent = 100
+
 // newEstimator returns the estimator of a service, which takes the servers' factors from
 // the calibrator if they are shared.
 func (d *Dispatcher) newEstimator(service identifier.ServiceName) *estimator.Estimator {
@@ -47,3 +51,13 @@
 	}
 	return d.calibrator.Status()
 }
+
+// delayedByOthers reports whether an answer that begins now was probably delayed by prompts
+// of other nodes, which have been reported since its request was sent. Such answers would
+// make busy servers seem slow to all nodes.
+func (d *Dispatcher) delayedByOthers(env Env, a *attempt) bool {
+	if d.calibrator == nil {
+		return false
+	}
+	return d.loads.othersPrefill(env.Now, a.server) > max(maxObservedQueue, a.predicted*maxDelayPercent/100)
+}
--- a/internal/dispatcher/load.go
+++ b/internal/dispatcher/load.go
@@ -261,3 +261,13 @@
 	}
 	return sum
 }
+
+// othersPrefill returns the prefill at a server of other nodes' requests, as it was
+// reported.
+func (l *loads) othersPrefill(now timekeeper.Time, server identifier.VMID) timekeeper.Duration {
+	sum := timekeeper.Duration(0)
+	for report := range l.freshReports(now) {
+		sum += report.servers[server].Prefill
+	}
+	return sum
+}
--- a/internal/dispatcher/prompts_test.go
+++ b/internal/dispatcher/prompts_test.go
@@ -39,6 +39,8 @@
 	freeAt  timekeeper.Time
 	running int
 	cached  map[identifier.PrefixHash]bool
+	// factor is the engine's time for the same work against the others.
+	factor float64
 }
 
 // event is a scheduled action of the simulation.
@@ -79,6 +81,11 @@
 	drawUnsharedTokens func() identifier.Tokens
 	// sharedTokens returns the size of the prefix that the prompts of a subject share.
 	sharedTokens func(subject identifier.PrefixHash) identifier.Tokens
+	// shareFactors adds the evidence of servers' speeds to the relay's sums, and onSent and
+	// onBegan are called when a prompt is sent and its answer begins, if they are set.
+	shareFactors func(updates []messenger.StateUpdate, sums []messenger.StateUpdate)
+	onSent       func(tokens identifier.Tokens, address string)
+	onBegan      func(tokens identifier.Tokens, elapsed timekeeper.Duration)
 	// countFrom is the start of the measurement. onTimeTokens counts the tokens of
 	// prompts whose first event met its target, and promptTokens those of all.
 	countFrom                  timekeeper.Time
@@ -95,6 +102,10 @@
 }
 
 func newPromptClusterOf(t *testing.T, nodes, engines int) *promptCluster {
+	return newPromptClusterWith(t, nodes, func() *node { return newNode(engines) })
+}
+
+func newPromptClusterWith(t *testing.T, nodes int, newNode func() *node) *promptCluster {
 	c := &promptCluster{
 		t:       t,
 		now:     start,
@@ -104,7 +115,7 @@
 	c.drawUnsharedTokens = func() identifier.Tokens { return identifier.Tokens(1000 + c.rng.ExpFloat64()*2700) }
 	c.sharedTokens = func(subject identifier.PrefixHash) identifier.Tokens { return 4000 + 200*identifier.Tokens(subject) }
 	for range nodes {
-		n := newNode(engines)
+		n := newNode()
 		n.env.Catalog.Accounts = map[identifier.AccountID]catalog.Account{}
 		backend := n.env.Catalog.Routing.Backends["reader"]
 		backend.KVTokens = 580_000
@@ -156,6 +167,9 @@
 // serve runs a prompt at its engine after those that are queued there.
 func (c *promptCluster) serve(n *node, spec messenger.ExchangeSpec, send messenger.SendExchange) {
 	e := c.engine(send.Address)
+	if c.onSent != nil {
+		c.onSent(spec.PromptTokens, send.Address)
+	}
 	subject := spec.Prefix[0]
 	prefill := 20.0
 	uncached, cached := float64(spec.PromptTokens), 0.0
@@ -175,6 +189,7 @@
 		// Each chunk waits for a decode step of the running answers.
 		prefill += math.Ceil(uncached/readChunk) * (stepTime + stepPerAnswer*float64(e.running))
 	}
+	prefill *= e.factor
 	e.running++
 	e.freeAt = max(e.freeAt, c.now).Add(timekeeper.Duration(prefill))
 	sent := c.now
@@ -215,6 +230,9 @@
 		return
 	}
 	c.answers++
+	if c.onBegan != nil {
+		c.onBegan(spec.PromptTokens, c.now.Sub(sent))
+	}
 	if c.now.Sub(sent) > firstEventTarget {
 		c.lateAnswers++
 		return
@@ -225,7 +243,10 @@
 func (c *promptCluster) engine(address string) *engine {
 	e := c.engines[address]
 	if e == nil {
-		e = &engine{cached: map[identifier.PrefixHash]bool{}}
+		e = &engine{
+			cached: map[identifier.PrefixHash]bool{},
+			factor: 1,
+		}
 		c.engines[address] = e
 	}
 	return e
@@ -299,13 +320,20 @@
 		add(sum, all[i], 1)
 		prefixes = append(prefixes, n.CachedPrefixUpdates(c.now)...)
 	}
-	for i, n := range c.nodes {
-		update := messenger.StateUpdate{
+	sums := make([]messenger.StateUpdate, len(c.nodes))
+	for i := range c.nodes {
+		sums[i] = messenger.StateUpdate{
 			Scope:    messenger.ScopeOthers,
 			InFlight: maps.Clone(sum.InFlight),
 			Demand:   maps.Clone(sum.Demand),
 		}
-		add(update, all[i], -1)
+		add(sums[i], all[i], -1)
+	}
+	if c.shareFactors != nil {
+		c.shareFactors(all, sums)
+	}
+	for i, n := range c.nodes {
+		update := sums[i]
 		c.after(delay, func() {
 			n.env.Now = c.now
 			n.StorePeerLoad(c.now, "relay", update)
--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -141,13 +141,20 @@
 // Observation compares an observed time with the prediction for a server whose factor
 // is 1.
 type Observation struct {
-	// LogRatio is the logarithm of the observed by the predicted time, both with slack
-	// added, and Sensitivity its derivative by the logarithm of the factor. The slack makes
-	// it small for short times.
-	LogRatio    float64
-	Sensitivity float64
+	// Observed and Predicted are times in milliseconds.
+	Observed  float64
+	Predicted float64
 }
 
+// LogRatio returns the logarithm of the observed by the predicted time. Slack, in
+// milliseconds, is added to both, so that short times, which vary more, have small ratios.
+func (o Observation) LogRatio(slack float64) float64 {
+	return math.Log((o.Observed + slack) / (o.Predicted + slack))
+}
+
+// Sensitivity returns the derivative of LogRatio by the logarithm of the server's factor.
+func (o Observation) Sensitivity(slack float64) float64 { return o.Predicted / (o.Predicted + slack) }
+
 // New returns an Estimator without observations that learns the factors from its own
 // observations.
 func New() *Estimator { return NewWithFactors(ownFactors{}) }
@@ -198,8 +205,8 @@
 	factor := e.Factor(server)
 	observed := float64(elapsed)
 	e.factors.Observe(server, Observation{
-		LogRatio:    math.Log((observed + slack) / (predicted + slack)),
-		Sensitivity: predicted / (predicted + slack),
+		Observed:  observed,
+		Predicted: predicted,
 	})
 	e.fit(x, (observed/factor-predicted)/(predicted+slack), predicted+slack)
 }
@@ -221,7 +228,7 @@
 	if !known && len(o) >= maxServers {
 		return
 	}
-	ratio := min(max(observation.LogRatio, -maxError), maxError)
+	ratio := min(max(observation.LogRatio(slack), -maxError), maxError)
 	f += factorWeight * (ratio - f)
 	bound := math.Log(MaxFactor)
 	o[server] = min(max(f, -bound), bound)
