Bound what is left of a server's evidence after its speed has changed

When a server's speed changes, the evidence from before is subtracted from the newest sum. Both are encoded with an error of some percent, and the sums of two relays differ, so that the rest may be tiny or negative. A tiny one had a mean without bounds, which shifted the centre and so the factors of all servers of the service; a smaller one made the evidence from before the change count again, so that a slow server seemed fast.

The mean is bounded as that of a report is, and without a rest the server has no factor until the outdated evidence has decayed.

--- a/internal/calibrator/history.go
+++ b/internal/calibrator/history.go
@@ -58,11 +58,20 @@
 			}
 		}
 	}
-	rest := minus(all, outdated)
-	if outdated.Weight < minWeight || rest.Weight < minWeight {
+	if outdated.Weight < minWeight {
 		delete(h.outdated, server)
 		return all
 	}
+	return plausible(minus(all, outdated))
+}
+
+// plausible returns the difference of two sums with its mean bounded, or no evidence if
+// little is left. The errors of both sums are large against a small difference.
+func plausible(rest messenger.FactorEvidence) messenger.FactorEvidence {
+	if rest.Weight < minWeight {
+		return messenger.FactorEvidence{}
+	}
+	rest.Sum = bounded(rest.Sum, maxLog*rest.Weight)
 	return rest
 }
 
