Keep servers' evidence where a relay's sum has none

While nodes are replaced one by one, or the setting differs between nodes, one of a zone's two relays sends sums without evidence. Each of them replaced that of the other relay, so that all factors fell back to those of the node's own answers and returned with the next sum. An empty sum leaves the earlier one, which decays. The new test fails without the change.

--- a/internal/calibrator/calibrator.go
+++ b/internal/calibrator/calibrator.go
@@ -168,12 +168,8 @@
 // relay's sum.
 func (c *Calibrator) StoreReport(now timekeeper.Time, peer identifier.VMID, s messenger.StateUpdate) {
 	switch s.Scope {
-	case messenger.ScopeZone:
-		if _, known := c.zones[s.Zone]; known || len(c.zones) < maxPeers {
-			c.zones[s.Zone] = c.newReport(now, s.Factors, c.zones[s.Zone])
-		}
-	case messenger.ScopeOthers:
-		c.relayed = c.newReport(now, s.Factors, c.relayed)
+	case messenger.ScopeZone, messenger.ScopeOthers:
+		c.storeSum(now, s)
 	default:
 		c.storePeer(now, peer, s.Factors)
 	}
@@ -182,6 +178,21 @@
 	}
 }
 
+// storeSum stores a relay's sum. The earlier one stays and decays if this one is empty,
+// because relays that do not share factors send no evidence.
+func (c *Calibrator) storeSum(now timekeeper.Time, s messenger.StateUpdate) {
+	if len(s.Factors) == 0 {
+		return
+	}
+	if s.Scope == messenger.ScopeOthers {
+		c.relayed = c.newReport(now, s.Factors, c.relayed)
+		return
+	}
+	if _, known := c.zones[s.Zone]; known || len(c.zones) < maxPeers {
+		c.zones[s.Zone] = c.newReport(now, s.Factors, c.zones[s.Zone])
+	}
+}
+
 // newReport returns the report of a sum. The evidence of the earlier one is kept for
 // servers of which the sum holds implausible evidence.
 func (c *Calibrator) newReport(now timekeeper.Time, evidence map[identifier.VMID]messenger.FactorEvidence, earlier report) report {
--- a/internal/calibrator/history_test.go
+++ b/internal/calibrator/history_test.go
@@ -94,3 +94,16 @@
 		require.Less(t, math.Abs(math.Log(s.factors.Factor("i-1"))), 0.25)
 	}
 }
+
+// Guards against the loss of all evidence, over and over, while one of two relays is of a version
+// that knows of none.
+func TestRelayWithoutEvidence(t *testing.T) {
+	s := newSums()
+	s.receive(20, -0.5)
+	s.wait(200 * timekeeper.Millisecond)
+	known := s.factors.Factor("i-0")
+	require.Less(t, known, 0.9)
+	s.node.StoreReport(s.now, "relay-2", messenger.StateUpdate{Scope: messenger.ScopeOthers})
+	s.wait(200 * timekeeper.Millisecond)
+	require.InEpsilon(t, known, s.factors.Factor("i-0"), 0.05)
+}
