--- a/internal/relayer/factors_test.go
+++ b/internal/relayer/factors_test.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"bytes"
 	"fmt"
 	"maps"
 	"math"
@@ -123,7 +124,7 @@
 		{Server: "i-2"},
 	}
 	for _, size := range []int{1, 2, 3, 5, 6} {
-		require.Empty(t, decodeFactors(servers, make([]byte, size)))
+		require.Empty(t, decodeFactors(servers, bytes.Repeat([]byte{1}, size)))
 	}
 	for _, code := range []byte{1, 127, 128, 255} {
 		for _, e := range decodeFactors(servers, []byte{code, code, code, code}) {
