--- a/internal/dispatcher/factors.go
+++ b/internal/dispatcher/factors.go
@@ -53,8 +53,8 @@
 }
 
 // delayedByOthers reports whether an answer that begins now was probably delayed by prompts
-// of other nodes, which have been reported since its request was sent. Such answers would
-// make busy servers seem slow to all nodes.
+// of other nodes, going by the newest reports. Such answers would make busy servers
+// seem slow to all nodes.
 func (d *Dispatcher) delayedByOthers(env Env, a *attempt) bool {
 	if d.calibrator == nil {
 		return false
--- a/internal/dispatcher/load.go
+++ b/internal/dispatcher/load.go
@@ -160,8 +160,8 @@
 	s.offeredLoad += float64(work) / float64(demandWindow)
 }
 
-// StorePeerLoad stores a report of load and of servers' speeds, either of a peer's own requests or a relay's
-// sum.
+// StorePeerLoad stores a report of load and of servers' speeds, either of a peer's own
+// requests or a relay's sum.
 func (d *Dispatcher) StorePeerLoad(now timekeeper.Time, peer identifier.VMID, s messenger.StateUpdate) {
 	report := loadReport{
 		at:      now,
--- a/internal/dispatcher/sum.go
+++ b/internal/dispatcher/sum.go
@@ -75,8 +75,8 @@
 	return all
 }
 
-// ForServers returns the sum with its load and evidence restricted to the servers for which the
-// function returns true.
+// ForServers returns the sum with its load and evidence restricted to the servers for
+// which the function returns true.
 func (s LoadSum) ForServers(servers func(identifier.VMID) bool) LoadSum {
 	part := LoadSum{
 		InFlight: map[identifier.VMID]messenger.InFlight{},
