--- a/internal/dispatcher/choose.go
+++ b/internal/dispatcher/choose.go
@@ -203,7 +203,7 @@
 	if s.Zone != d.config.Zone {
 		cost = crossZoneCost
 	}
-	rates := d.estimator(x.service)
+	rates := d.estimator(env, x.service)
 	cached := cache.cached
 	c := choice{
 		server: s,
@@ -235,10 +235,10 @@
 }
 
 // estimator returns the estimator of a service.
-func (d *Dispatcher) estimator(service identifier.ServiceName) *estimator.Estimator {
+func (d *Dispatcher) estimator(env Env, service identifier.ServiceName) *estimator.Estimator {
 	e := d.estimators[service]
 	if e == nil {
-		e = d.newEstimator(service)
+		e = d.newEstimator(env, service)
 		d.estimators[service] = e
 	}
 	return e
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -288,9 +288,9 @@
 		env.Paths.Answered(env.Now, current.server, current.sent)
 	}
 	env.Versions.RecordResponseStart(current.track, env.Now.Sub(current.sent), current.baseline)
-	if current.observeRates && !current.track.Exposed() && !d.delayedByOthers(env, current) {
+	if current.observeRates && !current.track.Exposed() && !d.delayedByOthers(env, x.service, current) {
 		d.refreshFactors(env, x.service)
-		d.estimator(x.service).Observe(current.server, current.work, env.Now.Sub(current.sent))
+		d.estimator(env, x.service).Observe(current.server, current.work, env.Now.Sub(current.sent))
 	}
 	env.Suspicions.Observe(env.Now, current.server, detector.Observation{
 		Kind:             detector.FirstToken,
--- a/internal/dispatcher/factors.go
+++ b/internal/dispatcher/factors.go
@@ -13,17 +13,23 @@
 const maxDelayPercent = 100
 
 // newEstimator returns the estimator of a service, which takes the servers' factors from
-// the calibrator if they are shared.
-func (d *Dispatcher) newEstimator(service identifier.ServiceName) *estimator.Estimator {
-	if d.calibrator == nil {
+// the calibrator if they are shared. Those of plain services are not: their answers are so
+// short that the load of a server hides its speed.
+func (d *Dispatcher) newEstimator(env Env, service identifier.ServiceName) *estimator.Estimator {
+	if !d.sharesFactors(env, service) {
 		return estimator.New()
 	}
 	return estimator.NewWithFactors(d.calibrator.Service(service))
 }
 
+// sharesFactors reports whether the factors of a service's servers are shared.
+func (d *Dispatcher) sharesFactors(env Env, service identifier.ServiceName) bool {
+	return d.calibrator != nil && env.Catalog.Routing.Backends[service].Model
+}
+
 // refreshFactors updates the shared factors of a service's servers.
 func (d *Dispatcher) refreshFactors(env Env, service identifier.ServiceName) {
-	if d.calibrator == nil {
+	if !d.sharesFactors(env, service) {
 		return
 	}
 	d.calibrator.Service(service).Refresh(env.Now, func(yield func(identifier.VMID) bool) {
@@ -55,8 +61,8 @@
 // delayedByOthers reports whether an answer that begins now was probably delayed by prompts
 // of other nodes, which have been reported since its request was sent. Such answers would
 // make busy servers seem slow to all nodes.
-func (d *Dispatcher) delayedByOthers(env Env, a *attempt) bool {
-	if d.calibrator == nil {
+func (d *Dispatcher) delayedByOthers(env Env, service identifier.ServiceName, a *attempt) bool {
+	if !d.sharesFactors(env, service) {
 		return false
 	}
 	return d.loads.othersPrefill(env.Now, a.server) > max(maxObservedQueue, a.predicted*maxDelayPercent/100)
--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -125,7 +125,7 @@
 // shared parts of its prompt cached.
 func (d *Dispatcher) recordRefusedDemand(env Env, x *exchange) {
 	work := x.work(indexer.SharedTokens(x.spec.Prefix))
-	d.serviceDemand(x.service).add(env.Now, d.estimator(x.service).PrefillTime("", work))
+	d.serviceDemand(x.service).add(env.Now, d.estimator(env, x.service).PrefillTime("", work))
 }
 
 // work returns the work of a request for an otherwise idle server that has cached the
@@ -237,7 +237,7 @@
 		brittle:      env.Brittle.Service(x.service),
 	}
 	x.current.track = env.Versions.RecordSent(x.service, x.route.Name, c.server)
-	x.current.baseline = d.baselineTime(x, c)
+	x.current.baseline = d.baselineTime(env, x, c)
 	d.loads.sent(c.server.Server, c.prefill)
 	d.index.AddSent(env.Now, c.server.Server, x.spec.Prefix, env.cacheCapacity(c.server.Server))
 	d.notifyPeers = d.notifyPeers || c.prefill >= longPrefill
--- a/internal/dispatcher/uneven_test.go
+++ b/internal/dispatcher/uneven_test.go
@@ -210,3 +210,39 @@
 	require.Less(t, during, before*2/3)
 	require.Greater(t, after, before*3/4)
 }
+
+// Guards against calls of a plain service that all go to the server which seems fastest, because
+// load hides the speed of servers that answer in milliseconds.
+func TestPlainServersKeepOwnFactors(t *testing.T) {
+	for _, model := range []bool{false, true} {
+		n := newNodeOf(dispatcher.Config{
+			Self:        "entry-1",
+			Zone:        "zone-0",
+			SharedRates: true,
+		}, 4)
+		backend := n.env.Catalog.Routing.Backends["reader"]
+		backend.Model = model
+		n.env.Catalog.Routing.Backends["reader"] = backend
+		n.StorePeerLoad(n.env.Now, "relay", messenger.StateUpdate{
+			Scope: messenger.ScopeOthers,
+			Factors: map[identifier.VMID]messenger.FactorEvidence{
+				serverID(0): {
+					Weight: 50,
+					Sum:    -50,
+				},
+				serverID(1): {
+					Weight: 50,
+					Sum:    50,
+				},
+			},
+		})
+		send := n.sendPath(t, "/report/1")
+		require.Equal(t, model, send.Inputs.ServerFactor < 0.9)
+		n.env.Now = n.env.Now.Add(100)
+		n.Began(n.env, messenger.ExchangeBegan{
+			Exchange: send.Exchange,
+			Attempt:  send.Attempt,
+		})
+		require.Equal(t, model, len(n.OwnFactors(n.env.Now, nil)) > 0)
+	}
+}
--- a/internal/dispatcher/version.go
+++ b/internal/dispatcher/version.go
@@ -38,6 +38,6 @@
 // server of the service, with the same work queued ahead as at the chosen one.
 // Observations of the chosen server are left out, as they would hide that a version is
 // slow.
-func (d *Dispatcher) baselineTime(x *exchange, c choice) timekeeper.Duration {
-	return d.estimator(x.service).FirstEventTime("", c.work) + c.queuedPrefill + c.copyTime
+func (d *Dispatcher) baselineTime(env Env, x *exchange, c choice) timekeeper.Duration {
+	return d.estimator(env, x.service).FirstEventTime("", c.work) + c.queuedPrefill + c.copyTime
 }
