Refuse requests that no server can answer in time

Callers saw requests queue at full servers until they left, urgent ones rejected by full queues as often as others, and refused callers come back after 0.2 to 0.4 s whatever the reason. Nothing knew before a send that a request could not be answered in time, and what a server queues can't be taken back.

internal/admitter predicts the wait from the servers' loads, with this node's own requests as a sample of the queues' ranks, and corrects it by the observed errors. It refuses what would begin after the caller left, and while queues stand what would make all answers late, the least urgent first. Retry-After is when room is expected: by the queues, or once ordered servers have started.

Ruled out: the estimator's prediction as it stands (it is fitted to requests with nothing queued ahead, and knows no ranks); patience alone (all answers of a rank end up late); always admitting to a slot that is free by loads of some age (most requests that expired came by this way).

--- a/internal/catalog/route.go
+++ b/internal/catalog/route.go
@@ -84,6 +84,9 @@
 	ZonePrices map[identifier.Zone]float64
 }
 
+// CanGrow reports whether more servers than the given number may be ordered.
+func (f *Fleet) CanGrow(servers int) bool { return servers < f.Max*max(len(f.ZonePrices), 1) }
+
 // Backend describes the servers behind a service.
 type Backend struct {
 	// Slots is the number of requests that one server runs concurrently. It is zero
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -12,6 +12,7 @@
 // The package is organized as follows:
 //
 //   - receive.go admits or refuses a request.
+//   - admission.go refuses requests that no server can answer in time.
 //   - limit.go counts it against its account's limit.
 //   - choose.go chooses the server.
 //   - permit.go requests permits for servers that state a limit for all nodes together.
@@ -30,6 +31,7 @@
 import (
 	"math/rand/v2"
 
+	"github.com/dotterelhollow/dotterelhollow/internal/admitter"
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
 	"github.com/dotterelhollow/dotterelhollow/internal/detector"
 	"github.com/dotterelhollow/dotterelhollow/internal/estimator"
@@ -57,6 +59,8 @@
 	Zone identifier.Zone
 	// MaxExchanges bounds the concurrent exchanges; zero means the default.
 	MaxExchanges int
+	// Admission makes the node refuse requests that no server can answer in time.
+	Admission bool
 }
 
 // Env is the state outside the dispatcher that it reads and updates while it handles
@@ -137,8 +141,10 @@
 	index     *indexer.Index
 	// estimators predict the answer times of each service's servers.
 	estimators map[identifier.ServiceName]*estimator.Estimator
-	demands    map[identifier.ServiceName]*demand
-	slots      slots
+	// admitter is nil if admission is switched off.
+	admitter *admitter.Admitter
+	demands  map[identifier.ServiceName]*demand
+	slots    slots
 	// originQueries is the number of exchanges that wait for the origin of their stream.
 	originQueries int
 	// unresponsive are the requests that servers left unanswered.
@@ -220,6 +226,7 @@
 	// brittle reports that the server was brittle, so that the end of the attempt frees a slot.
 	brittle bool
 	began   bool
+	queued  queuedAttempt
 	// track is the version under which a rollout counts the request. baseline is the
 	// predicted time to the first event without what is known of this server.
 	track    promoter.TrackedAttempt
@@ -231,7 +238,7 @@
 	if c.MaxExchanges == 0 {
 		c.MaxExchanges = defaultMaxExchanges
 	}
-	return &Dispatcher{
+	d := &Dispatcher{
 		config:       c,
 		subset:       subsetOf(c.Self),
 		exchanges:    map[identifier.ExchangeID]*exchange{},
@@ -243,6 +250,10 @@
 		unresponsive: unresponsiveServers{},
 		refuseAfter:  timekeeper.Never,
 	}
+	if c.Admission {
+		d.admitter = admitter.New()
+	}
+	return d
 }
 
 // InFlight returns the number of exchanges that have not ended.
@@ -270,6 +281,7 @@
 			Version: x.version,
 		})
 	}
+	d.dequeue(env, x)
 	d.loads.promptRead(current.server, current.prefill)
 	d.notifyPeers = d.notifyPeers || current.prefill >= longPrefill
 	current.prefill = 0
@@ -328,6 +340,7 @@
 		ServerEnded:     e.ServerEnded,
 		PathBroken:      env.Paths.Broken(x.current.server),
 	})
+	d.leaveServer(env, x, e.Result == messenger.AttemptComplete)
 	d.removeAttempt(x)
 }
 
--- a/internal/dispatcher/load.go
+++ b/internal/dispatcher/load.go
@@ -92,10 +92,18 @@
 // time until it has read their prompts. The prefill that other nodes reported is
 // reduced by the time since the report.
 func (l *loads) serverLoad(now timekeeper.Time, server identifier.VMID) (running int, prefill timekeeper.Duration) {
+	return l.serverLoadWithin(now, server, maxPeerReportAge)
+}
+
+// serverLoadWithin returns the same by the reports that are no older than maxAge.
+func (l *loads) serverLoadWithin(now timekeeper.Time, server identifier.VMID, maxAge timekeeper.Duration) (running int, prefill timekeeper.Duration) {
 	if o := l.own[server]; o != nil {
 		running, prefill = o.running, o.prefill
 	}
 	for report := range l.freshReports(now) {
+		if now.Sub(report.at) > maxAge {
+			continue
+		}
 		load := report.servers[server]
 		running += load.Running
 		prefill += max(load.Prefill-now.Sub(report.at), 0)
@@ -118,6 +126,22 @@
 	}
 }
 
+// meanAge returns the mean age of the loads of other nodes that are in use and whose report
+// is no older than maxAge.
+func (l *loads) meanAge(now timekeeper.Time, maxAge timekeeper.Duration) timekeeper.Duration {
+	if age, relayed := l.relayedAge(now); relayed {
+		return age
+	}
+	sum, n := timekeeper.Duration(0), timekeeper.Duration(0)
+	for _, report := range l.peers {
+		if age := now.Sub(report.at); age <= maxAge {
+			sum += age
+			n++
+		}
+	}
+	return sum / max(n, 1)
+}
+
 // relayedAge returns the mean age of the load that relays report, and whether it is in
 // use.
 func (l *loads) relayedAge(now timekeeper.Time) (timekeeper.Duration, bool) {
--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -60,9 +60,13 @@
 	if env.Paths.NoPath(env.Now) {
 		return d.refuseNoPath(env, x)
 	}
-	if _, ok := d.choose(env, x); !ok {
+	c, ok := d.choose(env, x)
+	if !ok {
 		return d.refuseNoServer(env, x)
 	}
+	if decision := d.decideAdmission(env, x, c); decision.Refused() {
+		return d.refuseNoRoom(env, x, decision)
+	}
 	d.exchanges[x.spec.Exchange] = x
 	return d.admit(env, x)
 }
@@ -103,7 +107,7 @@
 	if due, waiting := d.nextServerIn(env, x); waiting {
 		retryAfter = due
 	}
-	return d.refuse(env, x.spec.Exchange, notRunRefusal(env.noServerReason(x), jitter(env, retryAfter)))
+	return d.refuse(env, x.spec.Exchange, notRunRefusal(env.noServerReason(x), d.noServerDelay(env, x, retryAfter)))
 }
 
 // noServerReason returns the reason why no server can receive an exchange.
@@ -238,13 +242,14 @@
 	}
 	x.current.track = env.Versions.RecordSent(x.service, x.route.Name, c.server)
 	x.current.baseline = d.baselineTime(x, c)
+	d.queue(env, x, c)
 	d.loads.sent(c.server.Server, c.prefill)
 	d.index.AddSent(env.Now, c.server.Server, x.spec.Prefix, env.cacheCapacity(c.server.Server))
 	d.notifyPeers = d.notifyPeers || c.prefill >= longPrefill
 	d.serviceDemand(x.service).running++
 	d.serviceDemand(x.service).add(env.Now, c.occupied)
 	env.Suspicions.Observe(env.Now, c.server.Server, detector.Observation{Kind: detector.Sent})
-	first, next := d.eventTimeouts(x, c.predicted)
+	first, next := d.eventTimeouts(x, max(c.predicted, x.current.queued.predicted))
 	inputs := env.forExchange(x).Inputs
 	inputs.Candidates = c.candidateCount
 	inputs.Predicted = c.predicted
--- a/internal/dispatcher/repeat.go
+++ b/internal/dispatcher/repeat.go
@@ -69,9 +69,15 @@
 	if lacksPath || env.Paths.NoPath(env.Now) {
 		return d.end(env, x, e, messenger.ReasonNoPath)
 	}
-	if _, ok := d.choose(env, x); !ok {
+	c, ok := d.choose(env, x)
+	if !ok {
 		return d.end(env, x, e, env.noServerReason(x))
 	}
+	if !x.mayHaveRun && !e.Streaming {
+		if decision := d.decideAdmission(env, x, c); decision.Refused() {
+			return d.refuseNoRoom(env, x, decision)
+		}
+	}
 	if e.Result != messenger.AttemptNotSent && !env.Retries.Spend(env.Now, x.service) {
 		return d.end(env, x, e, messenger.ReasonRetriesExhausted)
 	}
@@ -99,6 +105,7 @@
 		ServerEnded:     e.ServerEnded,
 		PathBroken:      env.Paths.Broken(server),
 	})
+	d.leaveServer(env, x, false)
 	d.removeAttempt(x)
 	switch {
 	case e.Result == messenger.AttemptNotSent:
@@ -164,7 +171,7 @@
 // go to another server.
 func (d *Dispatcher) retryDelay(env Env, x *exchange, e messenger.ExchangeAttemptEnded) timekeeper.Duration {
 	if e.Backoff == 0 {
-		return max(jitter(env, shortRetry), e.RetryAfter)
+		return max(d.noServerDelay(env, x, shortRetry), e.RetryAfter)
 	}
 	due, waiting := d.nextServerIn(env, x)
 	if !waiting || slices.ContainsFunc(env.Servers.ServersOf(x.service), env.isAvailable) {
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -123,6 +123,11 @@
 	Predicted  timekeeper.Duration
 	// Version is the version of the chosen server.
 	Version identifier.Version
+	// Patience is the time for which the caller would have waited. PredictionError is the
+	// usual ratio of observed times to predictions. Both are set if the request was refused
+	// for want of room in time.
+	Patience        timekeeper.Duration
+	PredictionError float64
 }
 
 // LimitSource states who decided on an account's limit.
--- a/internal/messenger/vocabulary.go
+++ b/internal/messenger/vocabulary.go
@@ -63,6 +63,13 @@
 	ReasonNoServer        Reason = "no_server"
 	// ReasonNoRoom: the service's servers are brittle, and none is known to have a free slot.
 	ReasonNoRoom Reason = "no_room"
+	// ReasonNoRoomInTime: each of the service's servers is predicted to begin the answer
+	// after the caller gave up. ReasonStandingQueue: they would begin it late, since their
+	// queues do not drain.
+	ReasonNoRoomInTime  Reason = "no_room_in_time"
+	ReasonStandingQueue Reason = "standing_queue"
+	// ReasonMoreUrgent: more urgent requests for the service are being refused.
+	ReasonMoreUrgent Reason = "more_urgent_refused"
 	// ReasonNoPath: the node reaches no backend server, neither directly nor through a
 	// peer.
 	ReasonNoPath Reason = "no_path"
