Switch admission on by a setting, and show it in log and metrics

Refusals carry patience_ms and prediction_error in their line, and admission_refusals, admission_wait_ms and admission_prediction_error count them.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -90,6 +90,9 @@
 		x.forwarder.config.Protocol.WriteRetryAfter(x.w.Header(), r.RetryAfter)
 	}
 	x.writeStatus(status)
+	if x.inputs.Patience > 0 {
+		x.forwarder.config.Metrics.admissionRefused(r.Reason, x.inputs)
+	}
 	x.log(messenger.AttemptRefused, string(r.Reason))
 }
 
@@ -148,7 +151,7 @@
 	f := x.forwarder
 	elapsed := f.config.Clock.Now().Sub(x.received)
 	f.config.Metrics.ended(x.status, result, elapsed)
-	f.config.Logger.Info("exchange ended",
+	fields := []any{
 		"request", x.head.Request,
 		"resumed", x.head.Resumed,
 		"content", x.content.String(),
@@ -177,7 +180,14 @@
 		"servers_age_ms", int64(x.inputs.ServersAge),
 		"candidates", x.inputs.Candidates,
 		"predicted_ms", int64(x.inputs.Predicted),
-	)
+	}
+	if x.inputs.Patience > 0 {
+		fields = append(fields,
+			"patience_ms", int64(x.inputs.Patience),
+			"prediction_error", x.inputs.PredictionError,
+		)
+	}
+	f.config.Logger.Info("exchange ended", fields...)
 }
 
 func (x *exchange) logAttempt(s messenger.SendExchange, e attemptEnd) {
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -43,8 +43,14 @@
 	directFailures expvar.Int
 	// lateDecisions counts the decisions that took too long to be used.
 	lateDecisions expvar.Int
-	firstEvents   latencyHistogram
-	totals        latencyHistogram
+	// admissionRefusals counts the requests that no server could answer in time, by reason.
+	// admissionWaits are the predicted times to their first events, and predictionError the
+	// last ratio of observed times to predictions by which one of them was refused.
+	admissionRefusals expvar.Map
+	admissionWaits    latencyHistogram
+	predictionError   expvar.Float
+	firstEvents       latencyHistogram
+	totals            latencyHistogram
 }
 
 // NewMetrics returns Metrics whose counters are zero.
@@ -53,6 +59,8 @@
 	m.results.Init()
 	m.statuses.Init()
 	m.tunnels.Init()
+	m.admissionRefusals.Init()
+	m.admissionWaits.init()
 	m.firstEvents.init()
 	m.totals.init()
 	m.vars.Set("requests", &m.requests)
@@ -67,6 +75,9 @@
 	m.vars.Set("tunnels", &m.tunnels)
 	m.vars.Set("direct_failures", &m.directFailures)
 	m.vars.Set("late_decisions", &m.lateDecisions)
+	m.vars.Set("admission_refusals", &m.admissionRefusals)
+	m.vars.Set("admission_wait_ms", &m.admissionWaits)
+	m.vars.Set("admission_prediction_error", &m.predictionError)
 	m.vars.Set("first_event_ms", &m.firstEvents)
 	m.vars.Set("whole_ms", &m.totals)
 	return m
@@ -94,6 +105,12 @@
 
 func (m *Metrics) decidedLate() { m.lateDecisions.Add(1) }
 
+func (m *Metrics) admissionRefused(reason messenger.Reason, inputs messenger.DecisionInputs) {
+	m.admissionRefusals.Add(string(reason), 1)
+	m.admissionWaits.record(inputs.Predicted)
+	m.predictionError.Set(inputs.PredictionError)
+}
+
 func (m *Metrics) pathTried(e messenger.PathTried) {
 	if e.Direct.Failed() {
 		m.directFailures.Add(1)
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -122,6 +122,8 @@
 	// Slack is a number of requests that it may get in addition.
 	Share float64
 	Slack float64
+	// Admission makes the node refuse requests that no server can answer in time.
+	Admission bool
 }
 
 func (*GatewayConfig) suspicions() detector.Config {
@@ -255,8 +257,9 @@
 		newPeers:         map[identifier.VMID]timekeeper.Time{},
 		serversRequested: map[identifier.VMID]bool{},
 		exchanges: dispatcher.New(dispatcher.Config{
-			Self: c.Self,
-			Zone: c.Zone,
+			Self:      c.Self,
+			Zone:      c.Zone,
+			Admission: c.Gateway.Admission,
 		}),
 		usage: accountant.New(accountant.Config{
 			Window:         c.Gateway.UsageWindow,
--- a/internal/starter/starter_test.go
+++ b/internal/starter/starter_test.go
@@ -13,6 +13,26 @@
 
 const exampleFolder = "../../examples/node"
 
+// gatewayFile holds the required settings of a node that serves opaque exchanges.
+const gatewayFile = `[node]
+vm = entry-1
+zone = boston-a
+region = new-england
+[caller_port]
+listen = 10.0.0.1:80
+[peer_port]
+listen = 10.0.0.1:81
+[directory_port]
+listen = 10.0.0.1:82
+[readiness_port]
+listen = 10.0.0.1:83
+[metrics_port]
+listen = 10.0.0.1:84
+[platform]
+address = 10.0.0.2:80
+[gateway]
+`
+
 func ExampleLoad() {
 	settings, err := starter.Load("../../examples/node")
 	if err != nil {
@@ -54,6 +74,40 @@
 	}, lines)
 }
 
+// Guards against a misspelt switch that leaves a part off without a word.
+func TestSwitchesOfGateway(t *testing.T) {
+	tests := []struct {
+		line  string
+		on    bool
+		fault string
+	}{
+		{},
+		{
+			line: "admission = off",
+		},
+		{
+			line: "admission = on",
+			on:   true,
+		},
+		{
+			line:  "admission = true",
+			fault: `a.ini [gateway] admission: expected one of on, off, got "true"`,
+		},
+	}
+	for _, test := range tests {
+		settings, faults := starter.Check(map[identifier.FileName][]byte{
+			"a.ini": []byte(gatewayFile + test.line + "\n"),
+		})
+		if test.fault != "" {
+			require.Len(t, faults, 1)
+			require.Equal(t, test.fault, faults[0].String())
+			continue
+		}
+		require.Empty(t, faults)
+		require.Equal(t, test.on, settings.Gateway.Admission)
+	}
+}
+
 func TestLoadErrorsAreTyped(t *testing.T) {
 	_, err := starter.Load(t.TempDir())
 	var faults *folderreader.FaultsError
