Divide a service's capacity between accounts: weighted max-min shares by work

What callers see: while a service is short of capacity one account with many times its usual takes the place of the others of its rank. The pool of the other interface takes its fair level from here, its decisions stay.

--- a/internal/limiter/pool.go
+++ b/internal/limiter/pool.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
+	"github.com/dotterelhollow/dotterelhollow/internal/sharer"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -294,14 +295,15 @@
 		use[e.key.account] += e.use
 		total += e.use
 	}
-	totalWeight := 0.0
+	var weights []float64
 	for _, id := range slices.Sorted(maps.Keys(use)) {
 		if use[id] > activePart*total {
-			totalWeight += weightOf(l.catalog.Accounts[id])
+			weights = append(weights, weightOf(l.catalog.Accounts[id]))
 		}
 	}
+	level := sharer.FairLevel(total, weights)
 	for id, u := range use {
-		fair := total * weightOf(l.catalog.Accounts[id]) / max(totalWeight, 1)
+		fair := level * weightOf(l.catalog.Accounts[id])
 		if u > fair {
 			parts[id] = 1 - fair/u
 		}
