Report the work that accounts offer between nodes

State updates carry, for each service, the work that each account offers (32 accounts at most) and the work that servers began. Empty unless shares are switched on.

--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -123,8 +123,22 @@
 	Predicted  timekeeper.Duration
 	// Version is the version of the chosen server.
 	Version identifier.Version
+	// Share states whether the request was within its account's share of the service. It
+	// is empty unless the service was short of capacity.
+	Share ShareState
 }
 
+// ShareState is whether a request is within its account's share of a service.
+type ShareState string
+
+// The states of requests for a service that is short of capacity.
+const (
+	// ShareWithin: the request is within its account's share.
+	ShareWithin ShareState = "within"
+	// ShareExceeded: the request is beyond it, and is served after those within.
+	ShareExceeded ShareState = "exceeded"
+)
+
 // LimitSource states who decided on an account's limit.
 type LimitSource string
 
@@ -377,6 +391,11 @@
 	// OfferedLoad is the number of servers that the callers' requests would
 	// occupy, including requests that were rejected for lack of servers.
 	OfferedLoad float64
+	// ServedLoad is the work of the requests that servers began to answer, and Accounts
+	// the work that each client account offers, both in servers. They are empty
+	// if accounts have no shares.
+	ServedLoad float64
+	Accounts   map[identifier.AccountID]float64
 }
 
 // UsageCount is the number of an account's requests that began at a node in a
--- a/internal/messenger/vocabulary.go
+++ b/internal/messenger/vocabulary.go
@@ -63,6 +63,9 @@
 	ReasonNoServer        Reason = "no_server"
 	// ReasonNoRoom: the service's servers are brittle, and none is known to have a free slot.
 	ReasonNoRoom Reason = "no_room"
+	// ReasonOverShare: the service is short of capacity, its account asks for more than its
+	// share, and the request could not be answered in time.
+	ReasonOverShare Reason = "over_share"
 	// ReasonNoPath: the node reaches no backend server, neither directly nor through a
 	// peer.
 	ReasonNoPath Reason = "no_path"
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -384,6 +384,8 @@
 			"reader": {
 				Running:     4,
 				OfferedLoad: 0.25,
+				ServedLoad:  0.125,
+				Accounts:    map[identifier.AccountID]float64{"quillmark": 0.5},
 			},
 		},
 		Fence:     41,
--- a/internal/relayer/stateupdate.go
+++ b/internal/relayer/stateupdate.go
@@ -10,6 +10,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	pb "github.com/dotterelhollow/dotterelhollow/internal/relayer/relayerpb"
+	"github.com/dotterelhollow/dotterelhollow/internal/sharer"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -75,9 +76,11 @@
 	for _, service := range slices.Sorted(maps.Keys(s.Demand)) {
 		d := s.Demand[service]
 		out.Demand = append(out.Demand, &pb.ServiceDemand{
-			Service: string(service),
-			Running: int64(d.Running),
-			Busy:    d.OfferedLoad,
+			Service:  string(service),
+			Running:  int64(d.Running),
+			Busy:     d.OfferedLoad,
+			Accounts: encodeAccountLoads(d.Accounts),
+			Served:   float32(d.ServedLoad),
 		})
 	}
 	return out
@@ -173,11 +176,36 @@
 		s.Demand[identifier.ServiceName(d.GetService())] = messenger.ServiceDemand{
 			Running:     int(max(d.GetRunning(), 0)),
 			OfferedLoad: validLoad(d.GetBusy()),
+			Accounts:    decodeAccountLoads(d.GetAccounts()),
+			ServedLoad:  validLoad(float64(d.GetServed())),
 		}
 	}
 	return s
 }
 
+func encodeAccountLoads(loads map[identifier.AccountID]float64) []*pb.AccountLoad {
+	loads = sharer.Largest(loads)
+	var out []*pb.AccountLoad
+	for _, account := range slices.Sorted(maps.Keys(loads)) {
+		out = append(out, &pb.AccountLoad{
+			Account: string(account),
+			Busy:    float32(loads[account]),
+		})
+	}
+	return out
+}
+
+func decodeAccountLoads(loads []*pb.AccountLoad) map[identifier.AccountID]float64 {
+	if len(loads) == 0 {
+		return nil
+	}
+	out := make(map[identifier.AccountID]float64, min(len(loads), sharer.MaxAccounts))
+	for _, l := range loads[:min(len(loads), sharer.MaxAccounts)] {
+		out[identifier.AccountID(l.GetAccount())] = validLoad(float64(l.GetBusy()))
+	}
+	return out
+}
+
 func decodePublishedServer(e *pb.PublishedServer) messenger.PublishedServer {
 	return messenger.PublishedServer{
 		Server:   identifier.VMID(e.GetServer()),
