Serve requests beyond an account's share after the others, with fair_shares = on

What callers saw: an account with a flood of requests delays those of all others of its rank, since urgency is by account rank and route rank only.

Change: while a service is short of capacity, the fraction of an account's requests beyond its share gets the last urgency of its rank, and is refused at once with over_share if the best server would begin it after its deadline. Off by default; the template switches it on where bounds have a quota window. Visible as share in the line "exchange ended", and as shares of exchanges in the metrics.

--- a/cmd/dotterelhollow/gateway.go
+++ b/cmd/dotterelhollow/gateway.go
@@ -170,6 +170,7 @@
 			UsageLate:   s.Gateway.MaxUsageDelay,
 			Share:       s.Gateway.ExposureShare,
 			Slack:       s.Gateway.ExposureSlack,
+			FairShares:  s.Gateway.FairShares,
 		},
 	}
 }
--- a/cmd/dotterelhollow/gateway_test.go
+++ b/cmd/dotterelhollow/gateway_test.go
@@ -534,6 +534,7 @@
 	require.Len(t, settings.Gateway.Seeds, 2)
 	require.Equal(t, 5*timekeeper.Second, settings.Gateway.UsageWindow)
 	require.Equal(t, 8*timekeeper.Second, settings.DrainTime)
+	require.True(t, settings.Gateway.FairShares)
 	require.Equal(t, uint32(800), capacity(settings.Gateway), "both the processor and the link")
 
 	optional := regexp.MustCompile(`(?ms)^\{\{#.*?^\{\{/[^\n]*\n`)
@@ -543,10 +544,13 @@
 	require.NoError(t, err, "a platform without leader tasks is supported")
 	require.False(t, settings.Gateway.CloudAddress.IsValid())
 	require.Zero(t, capacity(settings.Gateway))
+	require.False(t, settings.Gateway.FairShares)
 
-	broken := strings.NewReplacer("usage_window = 5s", "usage_window = soon", "10.1.0.14:8220", "nowhere").Replace(text)
+	broken := strings.NewReplacer("usage_window = 5s", "usage_window = soon", "fair_shares = on", "fair_shares = maybe", "10.1.0.14:8220", "nowhere").Replace(text)
 	require.NoError(t, os.WriteFile(path, []byte(broken), 0o600))
 	_, err = starter.Load(path)
 	require.ErrorContains(t, err, "usage_window")
+	require.ErrorContains(t, err, "fair_shares")
+	require.ErrorContains(t, err, "one of on, off")
 	require.ErrorContains(t, err, "directory_port")
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -13,6 +13,7 @@
 //
 //   - receive.go admits or refuses a request.
 //   - limit.go counts it against its account's limit.
+//   - fairness.go divides services that are short of capacity between accounts.
 //   - choose.go chooses the server.
 //   - permit.go requests permits for servers that state a limit for all nodes together.
 //   - slot.go requests slots at brittle servers, which end if they have to reject requests.
@@ -57,6 +58,8 @@
 	Zone identifier.Zone
 	// MaxExchanges bounds the concurrent exchanges; zero means the default.
 	MaxExchanges int
+	// FairShares gives each account a share of a service that is short of capacity.
+	FairShares bool
 }
 
 // Env is the state outside the dispatcher that it reads and updates while it handles
@@ -118,6 +121,7 @@
 	env.Inputs.Account = x.account
 	env.Inputs.Fingerprint = x.fingerprint
 	env.Inputs.Limit = x.limitSource
+	env.Inputs.Share = x.share
 	return env
 }
 
@@ -138,6 +142,7 @@
 	// estimators predict the answer times of each service's servers.
 	estimators map[identifier.ServiceName]*estimator.Estimator
 	demands    map[identifier.ServiceName]*demand
+	fairness   *fairness
 	slots      slots
 	// originQueries is the number of exchanges that wait for the origin of their stream.
 	originQueries int
@@ -176,6 +181,8 @@
 	service identifier.ServiceName
 	account identifier.AccountID
 	urgency int
+	// share states whether the request is within its account's share.
+	share messenger.ShareState
 	// deadline is the earlier of the caller's time limit and the route's timeout.
 	deadline timekeeper.Time
 	attempt  identifier.AttemptNumber
@@ -212,6 +219,8 @@
 	// prefill is the predicted time to read the prompt, or zero once the answer has
 	// begun.
 	prefill timekeeper.Duration
+	// occupied is the time for which the request occupies the server.
+	occupied timekeeper.Duration
 	// work is the input of the prediction. observeRates is set if nothing was queued
 	// ahead of the request, so that the time to its first event shows the rates of the
 	// server.
@@ -239,6 +248,7 @@
 		index:        indexer.New(),
 		estimators:   map[identifier.ServiceName]*estimator.Estimator{},
 		demands:      map[identifier.ServiceName]*demand{},
+		fairness:     newFairness(c.FairShares),
 		slots:        newSlots(),
 		unresponsive: unresponsiveServers{},
 		refuseAfter:  timekeeper.Never,
@@ -273,6 +283,7 @@
 	d.loads.promptRead(current.server, current.prefill)
 	d.notifyPeers = d.notifyPeers || current.prefill >= longPrefill
 	current.prefill = 0
+	d.fairness.began(env.Now, x.service, current.occupied)
 	env.Backoffs.Served(current.server, current.sent)
 	if e.Peer == "" {
 		env.Paths.Answered(env.Now, current.server, current.sent)
--- a/internal/dispatcher/load.go
+++ b/internal/dispatcher/load.go
@@ -235,7 +235,9 @@
 	}
 	services := make(map[identifier.ServiceName]messenger.ServiceDemand, len(d.demands))
 	for name, s := range d.demands {
-		services[name] = s.report(now)
+		report := s.report(now)
+		d.fairness.report(now, name, &report)
+		services[name] = report
 	}
 	return running, services
 }
--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -60,9 +60,15 @@
 	if env.Paths.NoPath(env.Now) {
 		return d.refuseNoPath(env, x)
 	}
-	if _, ok := d.choose(env, x); !ok {
+	c, ok := d.choose(env, x)
+	if !ok {
 		return d.refuseNoServer(env, x)
 	}
+	d.share(env, x)
+	if refusal := d.overShare(env, x, c); refusal != nil {
+		d.recordRefusedDemand(env, x)
+		return d.refuse(env.forExchange(x), x.spec.Exchange, refusal)
+	}
 	d.exchanges[x.spec.Exchange] = x
 	return d.admit(env, x)
 }
@@ -125,7 +131,13 @@
 // shared parts of its prompt cached.
 func (d *Dispatcher) recordRefusedDemand(env Env, x *exchange) {
 	work := x.work(indexer.SharedTokens(x.spec.Prefix))
-	d.serviceDemand(x.service).add(env.Now, d.estimator(x.service).PrefillTime("", work))
+	d.offered(env, x, d.estimator(x.service).PrefillTime("", work))
+}
+
+// offered counts the work of a request that occupies a server for the given time.
+func (d *Dispatcher) offered(env Env, x *exchange, work timekeeper.Duration) {
+	d.serviceDemand(x.service).add(env.Now, work)
+	d.fairness.offered(env.Now, x.service, x.account, work)
 }
 
 // work returns the work of a request for an otherwise idle server that has cached the
@@ -232,6 +244,7 @@
 		sent:         env.Now,
 		predicted:    c.predicted,
 		prefill:      c.prefill,
+		occupied:     c.occupied,
 		work:         c.work,
 		observeRates: c.queuedPrefill <= maxObservedQueue && c.copyTime == 0,
 		brittle:      env.Brittle.Service(x.service),
@@ -242,7 +255,7 @@
 	d.index.AddSent(env.Now, c.server.Server, x.spec.Prefix, env.cacheCapacity(c.server.Server))
 	d.notifyPeers = d.notifyPeers || c.prefill >= longPrefill
 	d.serviceDemand(x.service).running++
-	d.serviceDemand(x.service).add(env.Now, c.occupied)
+	d.offered(env, x, c.occupied)
 	env.Suspicions.Observe(env.Now, c.server.Server, detector.Observation{Kind: detector.Sent})
 	first, next := d.eventTimeouts(x, c.predicted)
 	inputs := env.forExchange(x).Inputs
--- a/internal/dispatcher/sum.go
+++ b/internal/dispatcher/sum.go
@@ -32,13 +32,20 @@
 		s.InFlight[server] = sum
 	}
 	for service, demand := range report.demand {
-		sum := s.Demand[service]
-		sum.Running += sign * demand.Running
-		sum.OfferedLoad += float64(sign) * demand.OfferedLoad
-		s.Demand[service] = sum
+		s.Demand[service] = addDemand(s.Demand[service], demand, sign)
 	}
 }
 
+// addDemand returns sum with a node's demand added, or subtracted if sign is -1. It modifies
+// the accounts of sum.
+func addDemand(sum, demand messenger.ServiceDemand, sign int) messenger.ServiceDemand {
+	sum.Running += sign * demand.Running
+	sum.OfferedLoad += float64(sign) * demand.OfferedLoad
+	sum.ServedLoad += float64(sign) * demand.ServedLoad
+	sum.Accounts = addLoads(sum.Accounts, demand.Accounts, sign)
+	return sum
+}
+
 // ZoneSum returns the sum of this node and of the given peers in its availability zone.
 func (d *Dispatcher) ZoneSum(now timekeeper.Time, neighbours []identifier.VMID) LoadSum {
 	sum := newLoadSum()
@@ -107,8 +114,13 @@
 }
 
 func (s LoadSum) clone() LoadSum {
-	return LoadSum{
+	out := LoadSum{
 		InFlight: maps.Clone(s.InFlight),
 		Demand:   maps.Clone(s.Demand),
 	}
+	for service, demand := range out.Demand {
+		demand.Accounts = maps.Clone(demand.Accounts)
+		out.Demand[service] = demand
+	}
+	return out
 }
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -148,6 +148,7 @@
 	f := x.forwarder
 	elapsed := f.config.Clock.Now().Sub(x.received)
 	f.config.Metrics.ended(x.status, result, elapsed)
+	f.config.Metrics.shared(x.inputs.Share)
 	f.config.Logger.Info("exchange ended",
 		"request", x.head.Request,
 		"resumed", x.head.Resumed,
@@ -156,6 +157,7 @@
 		"account", x.inputs.Account,
 		"fingerprint", x.inputs.Fingerprint.String(),
 		"limit", x.inputs.Limit,
+		"share", x.inputs.Share,
 		"server", x.server,
 		"version", x.inputs.Version,
 		"via", x.via(),
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -41,6 +41,9 @@
 	// directFailures the direct connections that failed.
 	tunnels        expvar.Map
 	directFailures expvar.Int
+	// shares counts the requests for services that were short of capacity, by whether they
+	// were within their account's share.
+	shares expvar.Map
 	// lateDecisions counts the decisions that took too long to be used.
 	lateDecisions expvar.Int
 	firstEvents   latencyHistogram
@@ -53,6 +56,7 @@
 	m.results.Init()
 	m.statuses.Init()
 	m.tunnels.Init()
+	m.shares.Init()
 	m.firstEvents.init()
 	m.totals.init()
 	m.vars.Set("requests", &m.requests)
@@ -66,6 +70,7 @@
 	m.vars.Set("brittle_malformed", &m.malformedBrittle)
 	m.vars.Set("tunnels", &m.tunnels)
 	m.vars.Set("direct_failures", &m.directFailures)
+	m.vars.Set("shares", &m.shares)
 	m.vars.Set("late_decisions", &m.lateDecisions)
 	m.vars.Set("first_event_ms", &m.firstEvents)
 	m.vars.Set("whole_ms", &m.totals)
@@ -92,6 +97,12 @@
 
 func (m *Metrics) brittleMalformed() { m.malformedBrittle.Add(1) }
 
+func (m *Metrics) shared(s messenger.ShareState) {
+	if s != "" {
+		m.shares.Add(string(s), 1)
+	}
+}
+
 func (m *Metrics) decidedLate() { m.lateDecisions.Add(1) }
 
 func (m *Metrics) pathTried(e messenger.PathTried) {
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -122,6 +122,8 @@
 	// Slack is a number of requests that it may get in addition.
 	Share float64
 	Slack float64
+	// FairShares gives each account a share of a service that is short of capacity.
+	FairShares bool
 }
 
 func (*GatewayConfig) suspicions() detector.Config {
@@ -255,8 +257,9 @@
 		newPeers:         map[identifier.VMID]timekeeper.Time{},
 		serversRequested: map[identifier.VMID]bool{},
 		exchanges: dispatcher.New(dispatcher.Config{
-			Self: c.Self,
-			Zone: c.Zone,
+			Self:       c.Self,
+			Zone:       c.Zone,
+			FairShares: c.Gateway.FairShares,
 		}),
 		usage: accountant.New(accountant.Config{
 			Window:         c.Gateway.UsageWindow,
--- a/internal/starter/gateway.go
+++ b/internal/starter/gateway.go
@@ -36,6 +36,9 @@
 	ExposureShare float64
 	// ExposureSlack is the number of such requests allowed in addition.
 	ExposureSlack float64
+	// FairShares gives each client account a share of a service that is short of
+	// capacity.
+	FairShares bool
 	// LogRetention is the time for which the platform's store retains a record.
 	LogRetention timekeeper.Duration
 	// MemoryLimitMB bounds the memory of the process, in megabytes.
@@ -48,6 +51,12 @@
 	LinkMbps float64
 }
 
+// The values of a setting that switches a part on or off.
+const (
+	switchOn  = "on"
+	switchOff = "off"
+)
+
 // Upper bounds of the settings.
 const (
 	maxUsageWindow = timekeeper.Hour
@@ -90,6 +99,7 @@
 	g.LogRetention = f.Optional("log_retention", "20s").Duration(1*timekeeper.Second, maxRetention)
 	g.ExposureShare = f.Optional("exposure_share", "0.05").Number(0, 1)
 	g.ExposureSlack = f.Optional("exposure_slack", "0").Number(0, maxSlack)
+	g.FairShares = f.Optional("fair_shares", switchOff).Choice(switchOn, switchOff) == switchOn
 	g.MemoryLimitMB = f.Optional("memory_mb", "256").Number(1, maxMemoryMB)
 	g.CPUCores = f.Optional("cpu", "0").Number(0, maxCPUCores)
 	g.LinkMbps = f.Optional("link_mbps", "0").Number(0, maxLinkMbps)
