--- a/internal/prover/exchange_cluster_test.go
+++ b/internal/prover/exchange_cluster_test.go
@@ -369,6 +369,7 @@
 				UsageLate:   8 * timekeeper.Second,
 				Share:       exposureShare,
 				Slack:       exposureSlack,
+				FairShares:  true,
 			},
 		}),
 	}
