Order the excess of accounts after all requests within shares, by route

The last urgency of the own rank is also that of other accounts' least important routes, so that the excess of one account would have competed with them.

--- a/internal/dispatcher/fairness.go
+++ b/internal/dispatcher/fairness.go
@@ -82,9 +82,8 @@
 	}
 }
 
-// share decides whether a request is within its account's share, and gives one beyond it
-// the last rank of its account's rank: accounts within their shares come first, and those
-// of a more important rank before both.
+// share decides whether a request is within its account's share, and makes one beyond it less
+// urgent.
 func (d *Dispatcher) share(env Env, x *exchange) {
 	if d.fairness == nil {
 		return
@@ -97,13 +96,22 @@
 	excess := d.fairness.sharer.Excess(x.service, x.account)
 	if excess > 0 && env.Rand.Float64() < excess {
 		x.share = messenger.ShareExceeded
-		x.urgency = max(x.urgency, lastUrgency(env.Catalog.Routing, x.account))
+		x.urgency = max(x.urgency, excessUrgency(env.Catalog.Routing, x.route, x.account))
 	}
 }
 
-// lastUrgency returns the last rank of an account's rank.
-func lastUrgency(routing *catalog.Routing, account identifier.AccountID) int {
-	return min(max(routing.AccountRanks[account]*rankStep+rankStep-1, 0), maxUrgency)
+// excessUrgency returns the urgency of a request beyond its account's share: that of the next
+// rank of accounts, after all requests within the shares of its own rank. If there are
+// accounts of the next rank, which must not be served before, it is the last urgency of its
+// own rank.
+func excessUrgency(routing *catalog.Routing, route *catalog.Route, account identifier.AccountID) int {
+	next := routing.AccountRanks[account] + 1
+	for _, rank := range routing.AccountRanks {
+		if rank == next {
+			return min(next*rankStep-1, maxUrgency)
+		}
+	}
+	return min(next*rankStep+route.Rank, maxUrgency)
 }
 
 // overShare returns the refusal of a request beyond its account's share that would reach
--- a/internal/dispatcher/fairness_test.go
+++ b/internal/dispatcher/fairness_test.go
@@ -22,7 +22,9 @@
 		Zone:       "zone-0",
 		FairShares: enabled,
 	})
-	routes := []*catalog.Route{route("report", catalog.Resumable, true, 2)}
+	report := route("report", catalog.Resumable, true, 2)
+	report.Rank = 1
+	routes := []*catalog.Route{report}
 	keys := map[string]identifier.AccountID{}
 	for i := range 3 {
 		account := identifier.AccountID(fmt.Sprintf("account-%d", i))
@@ -73,6 +75,7 @@
 			enabled: true,
 			loads:   map[identifier.AccountID]float64{"account-0": 1.5},
 			account: "account-0",
+			urgency: 1,
 		},
 		{
 			name:    "beyond the share",
@@ -94,9 +97,10 @@
 			},
 			account: "account-1",
 			share:   messenger.ShareWithin,
+			urgency: 1,
 		},
 		{
-			name:    "beyond the share in a less important rank",
+			name:    "beyond the share in the last rank",
 			enabled: true,
 			loads: map[identifier.AccountID]float64{
 				"account-0": 1,
@@ -104,12 +108,13 @@
 			},
 			account: "account-2",
 			share:   messenger.ShareExceeded,
-			urgency: 5,
+			urgency: 7,
 		},
 		{
 			name:    "switched off",
 			loads:   map[identifier.AccountID]float64{"account-0": 1e5},
 			account: "account-0",
+			urgency: 1,
 		},
 	}
 	for _, tt := range tests {
