--- a/internal/dispatcher/fairness.go
+++ b/internal/dispatcher/fairness.go
@@ -19,6 +19,8 @@
 	// overShareRetry is the base retry delay of a request that is refused for its
 	// account's share: the time in which shares follow a change of demand.
 	overShareRetry = 1 * timekeeper.Second
+	// noAccount is the key under which work is measured that is not told apart by account.
+	noAccount identifier.AccountHash = 0
 )
 
 // fairness holds the accounts' shares of each service. It is nil if accounts have none.
@@ -48,7 +50,7 @@
 	if f == nil {
 		return
 	}
-	add(f.meters, now, service, account, work)
+	add(f.meters, now, service, sharer.HashOf(account), work)
 }
 
 // began counts work that a server of a service began.
@@ -56,10 +58,10 @@
 	if f == nil {
 		return
 	}
-	add(f.served, now, service, "", work)
+	add(f.served, now, service, noAccount, work)
 }
 
-func add(meters map[identifier.ServiceName]*sharer.Meter, now timekeeper.Time, service identifier.ServiceName, account identifier.AccountID, work timekeeper.Duration) {
+func add(meters map[identifier.ServiceName]*sharer.Meter, now timekeeper.Time, service identifier.ServiceName, account identifier.AccountHash, work timekeeper.Duration) {
 	m := meters[service]
 	if m == nil {
 		m = sharer.NewMeter()
@@ -78,7 +80,7 @@
 		demand.Accounts = m.Loads(now)
 	}
 	if m := f.served[service]; m != nil {
-		demand.ServedLoad = m.Loads(now)[""]
+		demand.ServedLoad = m.Loads(now)[noAccount]
 	}
 }
 
@@ -93,7 +95,7 @@
 		return
 	}
 	x.share = messenger.ShareWithin
-	excess := d.fairness.sharer.Excess(x.service, x.account)
+	excess := d.fairness.sharer.Excess(x.service, sharer.HashOf(x.account))
 	if excess > 0 && env.Rand.Float64() < excess {
 		x.share = messenger.ShareExceeded
 		x.urgency = max(x.urgency, excessUrgency(env.Catalog.Routing, x.route, x.account))
@@ -157,24 +159,30 @@
 	return sum
 }
 
-// claims returns the claims of accounts that offer work, with weights by their limits.
-func (env Env) claims(loads map[identifier.AccountID]float64) []sharer.Claim {
+// claims returns the claims of accounts that offer work, with weights by their limits. Those
+// that the configuration does not contain count as requests without an account.
+func (env Env) claims(loads map[identifier.AccountHash]float64) []sharer.Claim {
+	known := map[identifier.AccountHash]identifier.AccountID{}
+	for account := range env.Catalog.Routing.AccountRanks {
+		known[sharer.HashOf(account)] = account
+	}
 	claims := make([]sharer.Claim, 0, len(loads))
-	for _, account := range slices.Sorted(maps.Keys(loads)) {
+	for _, hash := range slices.Sorted(maps.Keys(loads)) {
+		account := known[hash]
 		claims = append(claims, sharer.Claim{
-			Account: account,
+			Account: hash,
 			Rank:    env.Catalog.Routing.AccountRanks[account],
 			Weight:  env.Catalog.Accounts[account].TokensPerSecond,
-			Load:    loads[account],
+			Load:    loads[hash],
 		})
 	}
 	return claims
 }
 
 // addLoads adds loads to sum, or subtracts them if sign is -1, and returns sum.
-func addLoads(sum, loads map[identifier.AccountID]float64, sign int) map[identifier.AccountID]float64 {
+func addLoads(sum, loads map[identifier.AccountHash]float64, sign int) map[identifier.AccountHash]float64 {
 	if sum == nil && len(loads) > 0 {
-		sum = make(map[identifier.AccountID]float64, len(loads))
+		sum = make(map[identifier.AccountHash]float64, len(loads))
 	}
 	for account, load := range loads {
 		sum[account] = max(sum[account]+float64(sign)*load, 0)
--- a/internal/dispatcher/fairness_test.go
+++ b/internal/dispatcher/fairness_test.go
@@ -9,6 +9,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
 	"github.com/dotterelhollow/dotterelhollow/internal/dispatcher"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/sharer"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -42,11 +43,19 @@
 	return n
 }
 
+func hashed(loads map[identifier.AccountID]float64) map[identifier.AccountHash]float64 {
+	out := map[identifier.AccountHash]float64{}
+	for account, load := range loads {
+		out[sharer.HashOf(account)] = load
+	}
+	return out
+}
+
 // reportLoads stores a peer's report of the work that accounts offer.
 func (n *node) reportLoads(loads map[identifier.AccountID]float64) {
 	n.StorePeerLoad(n.env.Now, "entry-2", messenger.StateUpdate{
 		Demand: map[identifier.ServiceName]messenger.ServiceDemand{
-			"reader": {Accounts: loads},
+			"reader": {Accounts: hashed(loads)},
 		},
 	})
 }
@@ -167,22 +176,22 @@
 		Demand: map[identifier.ServiceName]messenger.ServiceDemand{
 			"reader": {
 				ServedLoad: 0.25,
-				Accounts: map[identifier.AccountID]float64{
+				Accounts: hashed(map[identifier.AccountID]float64{
 					"account-0": 1,
 					"account-1": 2,
-				},
+				}),
 			},
 		},
 	})
 	all := n.AddZones(n.env.Now, n.ZoneSum(n.env.Now, []identifier.VMID{"entry-2", "entry-3"}))
-	want := map[identifier.AccountID]float64{
+	want := hashed(map[identifier.AccountID]float64{
 		"account-0": 1.5,
 		"account-1": 2,
-	}
+	})
 	require.InDeltaMapValues(t, want, all.Demand["reader"].Accounts, 1e-9)
 	require.InDelta(t, 0.25, all.Demand["reader"].ServedLoad, 1e-9)
 	rest := n.WithoutNode(n.env.Now, all, "entry-3")
-	require.InDelta(t, 0.5, rest.Demand["reader"].Accounts["account-0"], 1e-9)
+	require.InDelta(t, 0.5, rest.Demand["reader"].Accounts[sharer.HashOf("account-0")], 1e-9)
 	require.InDeltaMapValues(t, want, all.Demand["reader"].Accounts, 1e-9)
 }
 
@@ -192,14 +201,14 @@
 	send, ok := n.receiveFor("account-1", func(s *messenger.ExchangeSpec) { s.PromptTokens = 20_000 }).(messenger.SendExchange)
 	require.True(t, ok)
 	_, demand := n.OwnLoad(n.env.Now)
-	require.Greater(t, demand["reader"].Accounts["account-1"], 0.0)
+	require.Greater(t, demand["reader"].Accounts[sharer.HashOf("account-1")], 0.0)
 	require.Zero(t, demand["reader"].ServedLoad)
 	n.Began(n.env, messenger.ExchangeBegan{
 		Exchange: send.Exchange,
 		Attempt:  send.Attempt,
 	})
 	_, demand = n.OwnLoad(n.env.Now)
-	require.InDelta(t, demand["reader"].Accounts["account-1"], demand["reader"].ServedLoad, 1e-9)
+	require.InDelta(t, demand["reader"].Accounts[sharer.HashOf("account-1")], demand["reader"].ServedLoad, 1e-9)
 	off := newFairNode(false)
 	off.receiveFor("account-1", nil)
 	_, demand = off.OwnLoad(off.env.Now)
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -395,7 +395,7 @@
 	// the work that each client account offers, both in servers. They are empty
 	// if accounts have no shares.
 	ServedLoad float64
-	Accounts   map[identifier.AccountID]float64
+	Accounts   map[identifier.AccountHash]float64
 }
 
 // UsageCount is the number of an account's requests that began at a node in a
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -385,7 +385,7 @@
 				Running:     4,
 				OfferedLoad: 0.25,
 				ServedLoad:  0.125,
-				Accounts:    map[identifier.AccountID]float64{"quillmark": 0.5},
+				Accounts:    map[identifier.AccountHash]float64{1 << 31: 0.5},
 			},
 		},
 		Fence:     41,
--- a/internal/relayer/stateupdate.go
+++ b/internal/relayer/stateupdate.go
@@ -75,12 +75,14 @@
 	}
 	for _, service := range slices.Sorted(maps.Keys(s.Demand)) {
 		d := s.Demand[service]
+		accounts, loads := encodeAccountLoads(d.Accounts)
 		out.Demand = append(out.Demand, &pb.ServiceDemand{
-			Service:  string(service),
-			Running:  int64(d.Running),
-			Busy:     d.OfferedLoad,
-			Accounts: encodeAccountLoads(d.Accounts),
-			Served:   float32(d.ServedLoad),
+			Service:      string(service),
+			Running:      int64(d.Running),
+			Busy:         d.OfferedLoad,
+			Accounts:     accounts,
+			AccountLoads: loads,
+			Served:       float32(d.ServedLoad),
 		})
 	}
 	return out
@@ -176,34 +178,38 @@
 		s.Demand[identifier.ServiceName(d.GetService())] = messenger.ServiceDemand{
 			Running:     int(max(d.GetRunning(), 0)),
 			OfferedLoad: validLoad(d.GetBusy()),
-			Accounts:    decodeAccountLoads(d.GetAccounts()),
+			Accounts:    decodeAccountLoads(d.GetAccounts(), d.GetAccountLoads()),
 			ServedLoad:  validLoad(float64(d.GetServed())),
 		}
 	}
 	return s
 }
 
-func encodeAccountLoads(loads map[identifier.AccountID]float64) []*pb.AccountLoad {
+// accountLoadUnit is the unit of accounts' loads in messages, in servers.
+const accountLoadUnit = 1e-4
+
+// encodeAccountLoads returns the accounts and their loads in units of accountLoadUnit.
+func encodeAccountLoads(loads map[identifier.AccountHash]float64) (accounts, units []uint32) {
 	loads = sharer.Largest(loads)
-	var out []*pb.AccountLoad
 	for _, account := range slices.Sorted(maps.Keys(loads)) {
-		out = append(out, &pb.AccountLoad{
-			Account: string(account),
-			Busy:    float32(loads[account]),
-		})
+		if load := uint32(math.Round(loads[account] / accountLoadUnit)); load > 0 {
+			accounts = append(accounts, uint32(account))
+			units = append(units, load)
+		}
 	}
-	return out
+	return accounts, units
 }
 
-func decodeAccountLoads(loads []*pb.AccountLoad) map[identifier.AccountID]float64 {
-	if len(loads) == 0 {
+func decodeAccountLoads(accounts, units []uint32) map[identifier.AccountHash]float64 {
+	count := min(len(accounts), len(units), sharer.MaxAccounts)
+	if count == 0 {
 		return nil
 	}
-	out := make(map[identifier.AccountID]float64, min(len(loads), sharer.MaxAccounts))
-	for _, l := range loads[:min(len(loads), sharer.MaxAccounts)] {
-		out[identifier.AccountID(l.GetAccount())] = validLoad(float64(l.GetBusy()))
+	loads := make(map[identifier.AccountHash]float64, count)
+	for i := range count {
+		loads[identifier.AccountHash(accounts[i])] = validLoad(float64(units[i]) * accountLoadUnit)
 	}
-	return out
+	return loads
 }
 
 func decodePublishedServer(e *pb.PublishedServer) messenger.PublishedServer {
--- a/internal/sharer/divide.go
+++ b/internal/sharer/divide.go
@@ -13,7 +13,7 @@
 
 // Claim is what one account asks of a service.
 type Claim struct {
-	Account identifier.AccountID
+	Account identifier.AccountHash
 	// Rank orders accounts: those of a lower rank are served first.
 	Rank int
 	// Weight is the account's weight within its rank. Zero or less stands for the
@@ -96,8 +96,8 @@
 
 // excess returns the fraction of the load of each account that is beyond its share, of those
 // accounts that offer more than excessTolerance times their share.
-func excess(capacity float64, claims []Claim) map[identifier.AccountID]float64 {
-	out := map[identifier.AccountID]float64{}
+func excess(capacity float64, claims []Claim) map[identifier.AccountHash]float64 {
+	out := map[identifier.AccountHash]float64{}
 	for i, share := range Divide(capacity, claims) {
 		if load := claims[i].Load; load > excessTolerance*share {
 			out[claims[i].Account] = 1 - share/load
--- a/internal/sharer/flood_test.go
+++ b/internal/sharer/flood_test.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"flag"
-	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -58,7 +57,7 @@
 		}
 		out[i] = caller{
 			claim: Claim{
-				Account: identifier.AccountID(fmt.Sprintf("account-%02d", i)),
+				Account: identifier.AccountHash(i),
 				Weight:  weight,
 				Load:    usualLoad * weight / weights,
 			},
@@ -80,7 +79,7 @@
 	at      timekeeper.Time
 	running int
 	served  float64
-	loads   map[identifier.AccountID]float64
+	loads   map[identifier.AccountHash]float64
 }
 
 func newFloodNode() *floodNode {
@@ -95,7 +94,7 @@
 	return floodReport{
 		at:      now,
 		running: n.running,
-		served:  n.served.Loads(now)[""],
+		served:  n.served.Loads(now)[0],
 		loads:   n.meter.Loads(now),
 	}
 }
@@ -210,7 +209,7 @@
 
 // divide lets each node divide the service by the reports of the others and its own work.
 func (f *flood) divide() {
-	sum := floodReport{loads: map[identifier.AccountID]float64{}}
+	sum := floodReport{loads: map[identifier.AccountHash]float64{}}
 	for _, r := range f.reports {
 		if f.now.Sub(r.at) <= maxAge {
 			sum.add(r, 1)
@@ -282,7 +281,7 @@
 			if elapsed >= floodStart && elapsed < floodEnd {
 				f.used += r.work
 			}
-			n.served.Add(f.now, "", r.work)
+			n.served.Add(f.now, 0, r.work)
 			if at := r.at.Sub(1_000_000); at >= floodStart && at < floodEnd {
 				f.served[r.account] += r.work
 			}
--- a/internal/sharer/meter.go
+++ b/internal/sharer/meter.go
@@ -6,6 +6,8 @@
 	"math"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -23,18 +25,23 @@
 	maxMetered = 4096
 )
 
+// HashOf returns the hash by which nodes name an account to each other.
+func HashOf(account identifier.AccountID) identifier.AccountHash {
+	return identifier.AccountHash(xxhash.Sum64String(string(account)))
+}
+
 // Meter measures the work that one node's callers offer to a service, by account. The zero
 // value is not usable; use NewMeter.
 type Meter struct {
 	at    timekeeper.Time
-	loads map[identifier.AccountID]float64
+	loads map[identifier.AccountHash]float64
 }
 
 // NewMeter returns a Meter that has measured nothing.
-func NewMeter() *Meter { return &Meter{loads: map[identifier.AccountID]float64{}} }
+func NewMeter() *Meter { return &Meter{loads: map[identifier.AccountHash]float64{}} }
 
 // Add adds a request that occupies a server for the time work.
-func (m *Meter) Add(now timekeeper.Time, account identifier.AccountID, work timekeeper.Duration) {
+func (m *Meter) Add(now timekeeper.Time, account identifier.AccountHash, work timekeeper.Duration) {
 	m.decay(now)
 	if _, known := m.loads[account]; known || len(m.loads) < maxMetered {
 		m.loads[account] += float64(work) / float64(meterWindow)
@@ -59,20 +66,20 @@
 }
 
 // Loads returns the load of each account in servers, at most MaxAccounts.
-func (m *Meter) Loads(now timekeeper.Time) map[identifier.AccountID]float64 {
+func (m *Meter) Loads(now timekeeper.Time) map[identifier.AccountHash]float64 {
 	m.decay(now)
 	return Largest(m.loads)
 }
 
 // Largest returns a copy of the largest loads, at most MaxAccounts.
-func Largest(loads map[identifier.AccountID]float64) map[identifier.AccountID]float64 {
+func Largest(loads map[identifier.AccountHash]float64) map[identifier.AccountHash]float64 {
 	if len(loads) <= MaxAccounts {
 		return maps.Clone(loads)
 	}
-	accounts := slices.SortedFunc(maps.Keys(loads), func(a, b identifier.AccountID) int {
+	accounts := slices.SortedFunc(maps.Keys(loads), func(a, b identifier.AccountHash) int {
 		return cmp.Or(cmp.Compare(loads[b], loads[a]), cmp.Compare(a, b))
 	})
-	out := make(map[identifier.AccountID]float64, MaxAccounts)
+	out := make(map[identifier.AccountHash]float64, MaxAccounts)
 	for _, account := range accounts[:MaxAccounts] {
 		out[account] = loads[account]
 	}
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -56,7 +56,7 @@
 type division struct {
 	short bool
 	// excess is the fraction of an account's work beyond its share.
-	excess map[identifier.AccountID]float64
+	excess map[identifier.AccountHash]float64
 }
 
 // New returns a Sharer that limits nothing.
@@ -119,7 +119,7 @@
 
 // Excess returns the fraction of an account's requests that are beyond its share of a
 // service.
-func (s *Sharer) Excess(service identifier.ServiceName, account identifier.AccountID) float64 {
+func (s *Sharer) Excess(service identifier.ServiceName, account identifier.AccountHash) float64 {
 	d := s.services[service]
 	if d == nil {
 		return 0
--- a/internal/sharer/sharer_test.go
+++ b/internal/sharer/sharer_test.go
@@ -1,7 +1,6 @@
 package sharer
 
 import (
-	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -14,7 +13,7 @@
 	out := make([]Claim, 0, len(loads))
 	for i, load := range loads {
 		out = append(out, Claim{
-			Account: identifier.AccountID(fmt.Sprintf("account-%d", i)),
+			Account: identifier.AccountHash(i),
 			Weight:  1,
 			Load:    load,
 		})
@@ -110,20 +109,20 @@
 		Claims:  claims(1, 3),
 	})
 	require.True(t, s.Short("reader"), "all slots are taken")
-	require.InDelta(t, 2.0/3, s.Excess("reader", "account-1"), 1e-9)
+	require.InDelta(t, 2.0/3, s.Excess("reader", 1), 1e-9)
 	s.Update("reader", Service{Claims: claims(1, 3)})
-	require.Zero(t, s.Excess("reader", "account-1"), "without servers nothing is divided")
+	require.Zero(t, s.Excess("reader", 1), "without servers nothing is divided")
 }
 
 // Guards against reports that grow with the number of accounts.
 func TestMeterReportsTheLargestAccounts(t *testing.T) {
 	m := NewMeter()
 	for i := range 2 * MaxAccounts {
-		m.Add(1000, identifier.AccountID(fmt.Sprintf("account-%02d", i)), timekeeper.Duration(i+1))
+		m.Add(1000, identifier.AccountHash(i), timekeeper.Duration(i+1))
 	}
 	loads := m.Loads(1000)
 	require.Len(t, loads, MaxAccounts)
-	require.NotContains(t, loads, identifier.AccountID("account-31"))
-	require.Contains(t, loads, identifier.AccountID("account-32"))
+	require.NotContains(t, loads, identifier.AccountHash(31))
+	require.Contains(t, loads, identifier.AccountHash(32))
 	require.Empty(t, m.Loads(1000+60*timekeeper.Time(timekeeper.Second)))
 }
--- a/pkg/identifier/identifier.go
+++ b/pkg/identifier/identifier.go
@@ -64,6 +64,9 @@
 // AccountID identifies a client account.
 type AccountID string
 
+// AccountHash is a hash of an AccountID, for messages that name many accounts.
+type AccountHash uint32
+
 // ServiceName is the name of a service that callers request.
 type ServiceName string
 
