Decide on shares after the account's limit, and refuse what callers would give up

Requests that the limit refuses would otherwise count as offered, and nearly all of what it admits would be excess. Callers give up a stream that does not begin, long before its deadline.

--- a/internal/dispatcher/fairness.go
+++ b/internal/dispatcher/fairness.go
@@ -19,6 +19,11 @@
 	// overShareRetry is the base retry delay of a request that is refused for its
 	// account's share: the time in which shares follow a change of demand.
 	overShareRetry = 1 * timekeeper.Second
+	// Callers wait for the next event of a stream for minStreamPatience, targetPatience times
+	// the route's target, or gapPatience times its longest pause, whichever is longest.
+	minStreamPatience = 2 * timekeeper.Second
+	targetPatience    = 4
+	gapPatience       = 8
 	// noAccount is the key under which work is measured that is not told apart by account.
 	noAccount identifier.AccountHash = 0
 )
@@ -84,7 +89,7 @@
 	}
 }
 
-// share decides whether a request is within its account's share, and makes one beyond it less
+// share decides whether an admitted request is within its account's share, and makes one beyond it less
 // urgent.
 func (d *Dispatcher) share(env Env, x *exchange) {
 	if d.fairness == nil {
@@ -116,15 +121,29 @@
 	return min(next*rankStep+route.Rank, maxUrgency)
 }
 
-// overShare returns the refusal of a request beyond its account's share that would reach
-// its deadline at the best server, or nil.
-func (d *Dispatcher) overShare(env Env, x *exchange, c choice) *messenger.Refusal {
-	if x.share != messenger.ShareExceeded || c.predicted < x.deadline.Sub(env.Now) {
+// overShare returns the refusal of a request beyond its account's share that its caller would
+// give up before the best server begins to answer, or nil.
+func (d *Dispatcher) overShare(env Env, x *exchange) *messenger.Refusal {
+	if x.share != messenger.ShareExceeded {
+		return nil
+	}
+	c, ok := d.choose(env, x)
+	if !ok || c.predicted < x.timeToBegin(env.Now) {
 		return nil
 	}
 	return notRunRefusal(messenger.ReasonOverShare, jitter(env, overShareRetry))
 }
 
+// timeToBegin returns the time within which an answer has to begin. Callers give up a stream
+// that does not.
+func (x *exchange) timeToBegin(now timekeeper.Time) timekeeper.Duration {
+	remaining := x.deadline.Sub(now)
+	if !x.route.Stream {
+		return remaining
+	}
+	return min(remaining, max(minStreamPatience, targetPatience*x.route.Target, gapPatience*x.route.MaxGap))
+}
+
 // divide updates the shares of a service if they are older than shareInterval.
 func (d *Dispatcher) divide(env Env, service identifier.ServiceName) {
 	f := d.fairness
--- a/internal/dispatcher/fairness_test.go
+++ b/internal/dispatcher/fairness_test.go
@@ -153,11 +153,32 @@
 	got := refusal(t, n.receiveFor("account-0", late))
 	require.Equal(t, messenger.ReasonOverShare, got.Reason)
 	require.GreaterOrEqual(t, got.RetryAfter, 1*timekeeper.Second)
+	patient := func(s *messenger.ExchangeSpec) { s.PromptTokens = 400_000 }
+	got = refusal(t, n.receiveFor("account-0", patient))
+	require.Equal(t, messenger.ReasonOverShare, got.Reason, "its caller would give up before its deadline")
 	require.Zero(t, n.InFlight())
 	require.IsType(t, messenger.SendExchange{}, n.receiveFor("account-1", late))
 	require.IsType(t, messenger.SendExchange{}, n.receiveFor("account-0", nil))
 }
 
+// Guards against counting what an account's limit refuses as work that it offers.
+func TestRequestsBeyondLimitsAreNotOffered(t *testing.T) {
+	n := newFairNode(true)
+	n.env.Local.SetNodes(1, false)
+	for range 5 {
+		n.receiveFor("account-1", func(s *messenger.ExchangeSpec) { s.PromptTokens = 600_000 })
+	}
+	one := newFairNode(true)
+	one.env.Local.SetNodes(1, false)
+	for range 2 {
+		one.receiveFor("account-1", func(s *messenger.ExchangeSpec) { s.PromptTokens = 600_000 })
+	}
+	_, offered := n.OwnLoad(n.env.Now)
+	_, admitted := one.OwnLoad(one.env.Now)
+	require.NotEmpty(t, admitted["reader"].Accounts)
+	require.Equal(t, admitted["reader"].Accounts, offered["reader"].Accounts)
+}
+
 // Guards against shares by reports that are too old.
 func TestOldReportsLimitNothing(t *testing.T) {
 	n := newFairNode(true)
--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -60,15 +60,9 @@
 	if env.Paths.NoPath(env.Now) {
 		return d.refuseNoPath(env, x)
 	}
-	c, ok := d.choose(env, x)
-	if !ok {
+	if _, ok := d.choose(env, x); !ok {
 		return d.refuseNoServer(env, x)
 	}
-	d.share(env, x)
-	if refusal := d.overShare(env, x, c); refusal != nil {
-		d.recordRefusedDemand(env, x)
-		return d.refuse(env.forExchange(x), x.spec.Exchange, refusal)
-	}
 	d.exchanges[x.spec.Exchange] = x
 	return d.admit(env, x)
 }
@@ -89,6 +83,11 @@
 	if refusal := d.quarantined(env, x); refusal != nil && !x.onTrial {
 		return d.refuse(env.forExchange(x), x.spec.Exchange, refusal)
 	}
+	d.share(env, x)
+	if refusal := d.overShare(env, x); refusal != nil {
+		d.recordRefusedDemand(env, x)
+		return d.refuse(env.forExchange(x), x.spec.Exchange, refusal)
+	}
 	effect, ok := d.place(env, x)
 	if !ok {
 		return d.refuseNoServer(env, x)
