--- a/internal/dispatcher/fairness.go
+++ b/internal/dispatcher/fairness.go
@@ -89,8 +89,8 @@
 	}
 }
 
-// share decides whether an admitted request is within its account's share, and makes one beyond it less
-// urgent.
+// share decides whether an admitted request is within its account's share, and makes one
+// beyond it less urgent.
 func (d *Dispatcher) share(env Env, x *exchange) {
 	if d.fairness == nil {
 		return
