--- a/internal/sharer/flood_test.go
+++ b/internal/sharer/flood_test.go
@@ -330,6 +330,16 @@
 			flooding: []int{0},
 			change:   func(c []caller) { c[2].start = floodStart + 2*timekeeper.Second },
 		},
+		{
+			name:     "all others start while it has the whole capacity",
+			flooding: []int{0},
+			factor:   12,
+			change: func(c []caller) {
+				for i := range c[1:] {
+					c[i+1].start = floodStart + 2*timekeeper.Second
+				}
+			},
+		},
 		{
 			name:     "all callers of the account use one node",
 			flooding: []int{0},
