Stop no run again that had to return for lack of room

A test of the node failed once: a stream that may run once ended. Its destination had no room, so that it returned to its source, was stopped again, and could not return a second time, as its server's notice was too long ago. A run that was moved before, or could not return, is now stopped only after a first copy, which shows that there is room.

In the simulated cluster handles were named twice.

--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -103,6 +103,7 @@
 		Rest:       rest,
 		RestKnown:  known,
 		MaxPause:   x.route.MaxGap,
+		Moved:      x.moves > 0,
 		Draw:       placer.Fraction(string(x.spec.Request)),
 	}
 }
--- a/internal/dispatcher/move_test.go
+++ b/internal/dispatcher/move_test.go
@@ -187,6 +187,27 @@
 	}
 }
 
+// A stream that returned for lack of room must not be stopped again before there is room: its server may
+// be gone when it has to return once more.
+func TestReturnedStreamIsNotStoppedAgain(t *testing.T) {
+	n := newMovingNode(3)
+	s, call := n.stopped(t, "/draft/1")
+	back := effectsOf[messenger.SendExchange](n.answer(call, messenger.MoveNoRoom, "h-1"))
+	require.Len(t, back, 1)
+	require.Equal(t, s.Server, back[0].Server)
+	n.begin(back[0])
+	n.MoveEffects()
+	for range 5 {
+		n.env.Now = n.env.Now.Add(50)
+		n.MoveStreams(n.env)
+		for _, call := range effectsOf[messenger.MoveExchange](n.MoveEffects()) {
+			require.False(t, call.Last)
+			n.answer(call, messenger.MoveNoRoom, "")
+		}
+	}
+	require.False(t, n.Moving(s.Exchange))
+}
+
 // A resumable stream whose memory is lost must be resumed as without a move.
 func TestLostMemoryIsReadAgain(t *testing.T) {
 	n := newMovingNode(4)
--- a/internal/mover/stream.go
+++ b/internal/mover/stream.go
@@ -127,6 +127,8 @@
 	RestKnown bool
 	// MaxPause is the longest pause between events.
 	MaxPause timekeeper.Duration
+	// Moved reports that the stream was moved before.
+	Moved bool
 	// Draw is a number from 0 to 1 that decides when the stream is moved, and whether it is if
 	// there is time for some only.
 	Draw float64
@@ -184,12 +186,14 @@
 }
 
 // CopyFirst reports whether the run should go on while its memory is copied. A short copy is not
-// worth a second call, and there may be no time for one.
+// worth a second call, and there may be no time for one. A run that could not return to its source
+// is not stopped before the destination has shown to have room, nor is one that was moved before.
 func (s Stream) CopyFirst(now timekeeper.Time, n Notice, copying timekeeper.Duration) bool {
 	if left, known := n.left(now); known && left < copySpare*copying {
 		return false
 	}
-	return float64(copying) > copyPauses*float64(s.MaxPause)
+	returns := now.Add(copying).Sub(n.At) < maxReturnTime
+	return s.Moved || !returns || float64(copying) > copyPauses*float64(s.MaxPause)
 }
 
 // Mix is the memory of a node's running streams of a service.
--- a/internal/mover/stream_test.go
+++ b/internal/mover/stream_test.go
@@ -185,7 +185,12 @@
 	require.True(t, s.CopyFirst(start, n, 300))
 	require.False(t, s.CopyFirst(start, n, 100), "a short copy")
 	require.False(t, s.CopyFirst(start.Add(1800), n, 300), "no time for two")
-	require.True(t, s.CopyFirst(start, mover.Notice{At: start}, 300), "the time left is not known")
+	unknown := mover.Notice{At: start}
+	require.True(t, s.CopyFirst(start, unknown, 300), "the time left is not known")
+	require.False(t, s.CopyFirst(start.Add(1300), unknown, 100))
+	require.True(t, s.CopyFirst(start.Add(1400), unknown, 100), "it could not return")
+	s.Moved = true
+	require.True(t, s.CopyFirst(start, n, 100), "it was moved before")
 }
 
 // Streams that may run once must not wait behind long prompts that can be read again, and moves must be
--- a/internal/prover/move_test.go
+++ b/internal/prover/move_test.go
@@ -42,6 +42,7 @@
 	outcomes map[messenger.MoveOutcome]int
 	// handles name the exchanges whose runs were copied.
 	handles map[messenger.KVHandle]identifier.ExchangeID
+	copies  int
 	// begun are the streams that may run once and have begun to, by exchange.
 	begun map[identifier.ExchangeID]bool
 }
@@ -104,7 +105,8 @@
 		if m.fault == refusedCopies {
 			answer.Result = messenger.MoveNoRoom
 		}
-		answer.Handle = messenger.KVHandle(fmt.Sprintf("h-%d", len(m.handles)))
+		m.copies++
+		answer.Handle = messenger.KVHandle(fmt.Sprintf("h-%d", m.copies))
 		answer.Created = run.events
 		m.handles[answer.Handle] = e.Exchange
 		if e.Last {
