Merge shared rates, admission and fair shares, switched off

Each is a package with its setting, log field, metrics, pages and tests: shared_rates (internal/calibrator), admission (internal/admitter), fair_shares (internal/sharer).

--- a/cmd/dotterelhollow/gateway.go
+++ b/cmd/dotterelhollow/gateway.go
@@ -68,6 +68,7 @@
 	g := newGateway(path, s, lines)
 	expvar.Publish("dotterelhollow", g.runner.Metrics().Var())
 	expvar.Publish("exchanges", g.metrics.Var())
+	expvar.Publish("server_factors", expvar.Func(func() any { return g.runner.ServerFactors(ctx) }))
 	expvar.Publish("rollouts", expvar.Func(func() any { return g.runner.Rollouts(ctx) }))
 	return g.serve(ctx, signals)
 }
@@ -180,6 +181,9 @@
 			LimitWindow: s.Gateway.LimitWindow,
 			MoveStreams: s.Gateway.MoveStreams,
 			ServerDrain: s.Gateway.ServerDrain,
+			SharedRates: s.Gateway.SharedRates,
+			Admission:   s.Gateway.Admission,
+			FairShares:  s.Gateway.FairShares,
 		},
 	}
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -12,8 +12,10 @@
 // The package is organized as follows:
 //
 //   - receive.go admits or refuses a request.
+//   - admission.go refuses requests that no server can answer in time.
 //   - limit.go counts it against its account's limit.
 //   - hold.go applies the allocator's last refusal of an account to its next requests.
+//   - fairness.go divides services that are short of capacity between accounts.
 //   - choose.go chooses the server.
 //   - permit.go requests permits for servers that state a limit for all nodes together.
 //   - slot.go requests slots at brittle servers, which end if they have to reject requests.
@@ -23,6 +25,7 @@
 //   - move.go moves running streams away from leaving servers.
 //   - ended.go records the requests during which servers ended.
 //   - subset.go selects the servers that this node uses if a service has very many.
+//   - factors.go shares the servers' speeds with other nodes.
 //   - load.go and sum.go track the requests in flight at the servers, of this and other nodes.
 //
 // All functions are deterministic: time and randomness are passed in. Nothing is safe
@@ -32,6 +35,8 @@
 import (
 	"math/rand/v2"
 
+	"github.com/dotterelhollow/dotterelhollow/internal/admitter"
+	"github.com/dotterelhollow/dotterelhollow/internal/calibrator"
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
 	"github.com/dotterelhollow/dotterelhollow/internal/detector"
 	"github.com/dotterelhollow/dotterelhollow/internal/estimator"
@@ -65,6 +70,12 @@
 	// ServerDrain is the time for which a leaving server serves on if it states none and is not
 	// reclaimable, or zero if it is not known.
 	ServerDrain timekeeper.Duration
+	// SharedRates makes the servers' factors follow from the answers of all nodes.
+	SharedRates bool
+	// Admission makes the node refuse requests that no server can answer in time.
+	Admission bool
+	// FairShares gives each account a share of a service that is short of capacity.
+	FairShares bool
 }
 
 // Env is the state outside the dispatcher that it reads and updates while it handles
@@ -126,6 +137,7 @@
 	env.Inputs.Account = x.account
 	env.Inputs.Fingerprint = x.fingerprint
 	env.Inputs.Limit = x.limitSource
+	env.Inputs.Share = x.share
 	return env
 }
 
@@ -145,10 +157,15 @@
 	index     *indexer.Index
 	// estimators predict the answer times of each service's servers.
 	estimators map[identifier.ServiceName]*estimator.Estimator
-	demands    map[identifier.ServiceName]*demand
-	slots      slots
+	// calibrator holds the servers' factors, or is nil if they are not shared.
+	calibrator *calibrator.Calibrator
+	// admitter is nil if admission is switched off.
+	admitter *admitter.Admitter
+	demands  map[identifier.ServiceName]*demand
+	slots    slots
 	// limitHolds are the accounts that the allocator refused.
 	limitHolds map[identifier.AccountID]limitHold
+	fairness   *fairness
 	// originQueries is the number of exchanges that wait for the origin of their stream.
 	originQueries int
 	// unresponsive are the requests that servers left unanswered.
@@ -191,6 +208,8 @@
 	service identifier.ServiceName
 	account identifier.AccountID
 	urgency int
+	// share states whether the request is within its account's share.
+	share messenger.ShareState
 	// deadline is the earlier of the caller's time limit and the route's timeout.
 	deadline timekeeper.Time
 	attempt  identifier.AttemptNumber
@@ -235,6 +254,8 @@
 	// prefill is the predicted time to read the prompt, or zero once the answer has
 	// begun.
 	prefill timekeeper.Duration
+	// occupied is the time for which the request occupies the server.
+	occupied timekeeper.Duration
 	// work is the input of the prediction. observeRates is set if nothing was queued
 	// ahead of the request, so that the time to its first event shows the rates of the
 	// server.
@@ -247,6 +268,7 @@
 	// reports that the attempt goes on from the memory of an earlier one.
 	framed    bool
 	continues bool
+	queued    queuedAttempt
 	// track is the version under which a rollout counts the request. baseline is the
 	// predicted time to the first event without what is known of this server.
 	track    promoter.TrackedAttempt
@@ -258,7 +280,7 @@
 	if c.MaxExchanges == 0 {
 		c.MaxExchanges = defaultMaxExchanges
 	}
-	return &Dispatcher{
+	d := &Dispatcher{
 		config:       c,
 		subset:       subsetOf(c.Self),
 		exchanges:    map[identifier.ExchangeID]*exchange{},
@@ -266,6 +288,7 @@
 		index:        indexer.New(),
 		estimators:   map[identifier.ServiceName]*estimator.Estimator{},
 		demands:      map[identifier.ServiceName]*demand{},
+		fairness:     newFairness(c.FairShares),
 		slots:        newSlots(),
 		limitHolds:   map[identifier.AccountID]limitHold{},
 		unresponsive: unresponsiveServers{},
@@ -273,6 +296,13 @@
 		moves:        mover.NewTable(),
 		paces:        map[identifier.ServiceName]*mover.Pace{},
 	}
+	if c.SharedRates {
+		d.calibrator = calibrator.New()
+	}
+	if c.Admission {
+		d.admitter = admitter.New()
+	}
+	return d
 }
 
 // InFlight returns the number of exchanges that have not ended.
@@ -302,16 +332,19 @@
 			Version: x.version,
 		})
 	}
+	d.dequeue(env, x)
 	d.loads.promptRead(current.server, current.prefill)
 	d.notifyPeers = d.notifyPeers || current.prefill >= longPrefill
 	current.prefill = 0
+	d.fairness.began(env.Now, x.service, current.occupied)
 	env.Backoffs.Served(current.server, current.sent)
 	if e.Peer == "" {
 		env.Paths.Answered(env.Now, current.server, current.sent)
 	}
 	env.Versions.RecordResponseStart(current.track, env.Now.Sub(current.sent), current.baseline)
-	if current.observeRates && !current.track.Exposed() {
-		d.estimator(x.service).Observe(current.server, current.work, env.Now.Sub(current.sent))
+	if current.observeRates && !current.track.Exposed() && !d.delayedByOthers(env, x.service, current) {
+		d.refreshFactors(env, x.service)
+		d.estimator(env, x.service).Observe(current.server, current.work, env.Now.Sub(current.sent))
 	}
 	env.Suspicions.Observe(env.Now, current.server, detector.Observation{
 		Kind:             detector.FirstToken,
@@ -361,6 +394,7 @@
 		ServerEnded:     e.ServerEnded,
 		PathBroken:      env.Paths.Broken(x.current.server),
 	})
+	d.leaveServer(env, x, e.Result == messenger.AttemptComplete)
 	d.removeAttempt(x)
 }
 
@@ -427,4 +461,7 @@
 	for _, e := range d.estimators {
 		e.Forget(server)
 	}
+	if d.calibrator != nil {
+		d.calibrator.Forget(env.Now, server)
+	}
 }
--- a/internal/dispatcher/load.go
+++ b/internal/dispatcher/load.go
@@ -92,10 +92,18 @@
 // time until it has read their prompts. The prefill that other nodes reported is
 // reduced by the time since the report.
 func (l *loads) serverLoad(now timekeeper.Time, server identifier.VMID) (running int, prefill timekeeper.Duration) {
+	return l.serverLoadWithin(now, server, maxPeerReportAge)
+}
+
+// serverLoadWithin returns the same by the reports that are no older than maxAge.
+func (l *loads) serverLoadWithin(now timekeeper.Time, server identifier.VMID, maxAge timekeeper.Duration) (running int, prefill timekeeper.Duration) {
 	if o := l.own[server]; o != nil {
 		running, prefill = o.running, o.prefill
 	}
 	for report := range l.freshReports(now) {
+		if now.Sub(report.at) > maxAge {
+			continue
+		}
 		load := report.servers[server]
 		running += load.Running
 		prefill += max(load.Prefill-now.Sub(report.at), 0)
@@ -118,6 +126,22 @@
 	}
 }
 
+// meanAge returns the mean age of the loads of other nodes that are in use and whose report
+// is no older than maxAge.
+func (l *loads) meanAge(now timekeeper.Time, maxAge timekeeper.Duration) timekeeper.Duration {
+	if age, relayed := l.relayedAge(now); relayed {
+		return age
+	}
+	sum, n := timekeeper.Duration(0), timekeeper.Duration(0)
+	for _, report := range l.peers {
+		if age := now.Sub(report.at); age <= maxAge {
+			sum += age
+			n++
+		}
+	}
+	return sum / max(n, 1)
+}
+
 // relayedAge returns the mean age of the load that relays report, and whether it is in
 // use.
 func (l *loads) relayedAge(now timekeeper.Time) (timekeeper.Duration, bool) {
@@ -160,14 +184,17 @@
 	s.offeredLoad += float64(work) / float64(demandWindow)
 }
 
-// StorePeerLoad stores a report of load, either of a peer's own requests or a relay's
-// sum.
+// StorePeerLoad stores a report of load and of servers' speeds, either of a peer's own
+// requests or a relay's sum.
 func (d *Dispatcher) StorePeerLoad(now timekeeper.Time, peer identifier.VMID, s messenger.StateUpdate) {
 	report := loadReport{
 		at:      now,
 		servers: s.InFlight,
 		demand:  s.Demand,
 	}
+	if d.calibrator != nil {
+		d.calibrator.StoreReport(now, peer, s)
+	}
 	switch s.Scope {
 	case messenger.ScopeZone:
 		if _, known := d.loads.zones[s.Zone]; known || len(d.loads.zones) < maxPeers {
@@ -235,7 +262,9 @@
 	}
 	services := make(map[identifier.ServiceName]messenger.ServiceDemand, len(d.demands))
 	for name, s := range d.demands {
-		services[name] = s.report(now)
+		report := s.report(now)
+		d.fairness.report(now, name, &report)
+		services[name] = report
 	}
 	return running, services
 }
@@ -258,3 +287,13 @@
 	}
 	return sum
 }
+
+// othersPrefill returns the prefill at a server of other nodes' requests, as it was
+// reported.
+func (l *loads) othersPrefill(now timekeeper.Time, server identifier.VMID) timekeeper.Duration {
+	sum := timekeeper.Duration(0)
+	for report := range l.freshReports(now) {
+		sum += report.servers[server].Prefill
+	}
+	return sum
+}
--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -60,9 +60,13 @@
 	if env.Paths.NoPath(env.Now) {
 		return d.refuseNoPath(env, x)
 	}
-	if _, ok := d.choose(env, x); !ok {
+	c, ok := d.choose(env, x)
+	if !ok {
 		return d.refuseNoServer(env, x)
 	}
+	if decision := d.decideAdmission(env, x, c); decision.Refused() {
+		return d.refuseNoRoom(env, x, c, decision)
+	}
 	d.exchanges[x.spec.Exchange] = x
 	return d.admit(env, x)
 }
@@ -83,6 +87,11 @@
 	if refusal := d.quarantined(env, x); refusal != nil && !x.onTrial {
 		return d.refuse(env.forExchange(x), x.spec.Exchange, refusal)
 	}
+	d.share(env, x)
+	if refusal := d.overShare(env, x); refusal != nil {
+		d.recordRefusedDemand(env, x)
+		return d.refuse(env.forExchange(x), x.spec.Exchange, refusal)
+	}
 	effect, ok := d.place(env, x)
 	if !ok {
 		return d.refuseNoServer(env, x)
@@ -103,7 +112,7 @@
 	if due, waiting := d.nextServerIn(env, x); waiting {
 		retryAfter = due
 	}
-	return d.refuse(env, x.spec.Exchange, notRunRefusal(env.noServerReason(x), jitter(env, retryAfter)))
+	return d.refuse(env, x.spec.Exchange, notRunRefusal(env.noServerReason(x), d.noServerDelay(env, x, retryAfter)))
 }
 
 // noServerReason returns the reason why no server can receive an exchange.
@@ -125,7 +134,13 @@
 // shared parts of its prompt cached.
 func (d *Dispatcher) recordRefusedDemand(env Env, x *exchange) {
 	work := x.work(indexer.SharedTokens(x.spec.Prefix))
-	d.serviceDemand(x.service).add(env.Now, d.estimator(x.service).PrefillTime("", work))
+	d.offered(env, x, d.estimator(env, x.service).PrefillTime("", work))
+}
+
+// offered counts the work of a request that occupies a server for the given time.
+func (d *Dispatcher) offered(env Env, x *exchange, work timekeeper.Duration) {
+	d.serviceDemand(x.service).add(env.Now, work)
+	d.fairness.offered(env.Now, x.service, x.account, work)
 }
 
 // work returns the work of a request for an otherwise idle server that has cached the
@@ -232,22 +247,25 @@
 		sent:         env.Now,
 		predicted:    c.predicted,
 		prefill:      c.prefill,
+		occupied:     c.occupied,
 		work:         c.work,
 		observeRates: c.queuedPrefill <= maxObservedQueue && c.copyTime == 0,
 		brittle:      env.Brittle.Service(x.service),
 	}
 	x.current.track = env.Versions.RecordSent(x.service, x.route.Name, c.server)
-	x.current.baseline = d.baselineTime(x, c)
+	x.current.baseline = d.baselineTime(env, x, c)
+	d.queue(env, x, c)
 	d.loads.sent(c.server.Server, c.prefill)
 	d.index.AddSent(env.Now, c.server.Server, x.spec.Prefix, env.cacheCapacity(c.server.Server))
 	d.notifyPeers = d.notifyPeers || c.prefill >= longPrefill
 	d.serviceDemand(x.service).running++
-	d.serviceDemand(x.service).add(env.Now, c.occupied)
+	d.offered(env, x, c.occupied)
 	env.Suspicions.Observe(env.Now, c.server.Server, detector.Observation{Kind: detector.Sent})
-	first, next := d.eventTimeouts(x, c.predicted)
+	first, next := d.eventTimeouts(x, max(c.predicted, x.current.queued.predicted))
 	inputs := env.forExchange(x).Inputs
 	inputs.Candidates = c.candidateCount
 	inputs.Predicted = c.predicted
+	inputs.ServerFactor = c.factor
 	inputs.Version = c.server.Version
 	copyFrom := ""
 	if c.copyFrom != nil {
--- a/internal/dispatcher/repeat.go
+++ b/internal/dispatcher/repeat.go
@@ -77,9 +77,15 @@
 	if lacksPath || env.Paths.NoPath(env.Now) {
 		return d.end(env, x, e, messenger.ReasonNoPath)
 	}
-	if _, ok := d.choose(env, x); !ok {
+	c, ok := d.choose(env, x)
+	if !ok {
 		return d.end(env, x, e, env.noServerReason(x))
 	}
+	if !x.mayHaveRun && !e.Streaming {
+		if decision := d.decideAdmission(env, x, c); decision.Refused() {
+			return d.refuseNoRoom(env, x, c, decision)
+		}
+	}
 	if e.Result != messenger.AttemptNotSent && !env.Retries.Spend(env.Now, x.service) {
 		return d.end(env, x, e, messenger.ReasonRetriesExhausted)
 	}
@@ -108,6 +114,7 @@
 		ServerEnded:     e.ServerEnded,
 		PathBroken:      env.Paths.Broken(server),
 	})
+	d.leaveServer(env, x, false)
 	d.removeAttempt(x)
 	switch {
 	case e.Result == messenger.AttemptNotSent:
@@ -185,7 +192,7 @@
 // go to another server.
 func (d *Dispatcher) retryDelay(env Env, x *exchange, e messenger.ExchangeAttemptEnded) timekeeper.Duration {
 	if e.Backoff == 0 {
-		return max(jitter(env, shortRetry), e.RetryAfter)
+		return max(d.noServerDelay(env, x, shortRetry), e.RetryAfter)
 	}
 	due, waiting := d.nextServerIn(env, x)
 	if !waiting || slices.ContainsFunc(env.Servers.ServersOf(x.service), env.isAvailable) {
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"math"
 	"net"
 	"net/http"
 	"net/textproto"
@@ -12,6 +13,9 @@
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
+// factorPrecision is the reciprocal of the precision of logged factors.
+const factorPrecision = 100
+
 // refusalRetryAfter is the Retry-After time of requests that this node rejects before a
 // decision, for example because it is stopping.
 const refusalRetryAfter = 200 * timekeeper.Millisecond
@@ -90,6 +94,9 @@
 		x.forwarder.config.Protocol.WriteRetryAfter(x.w.Header(), r.RetryAfter)
 	}
 	x.writeStatus(status)
+	if x.inputs.Patience > 0 {
+		x.forwarder.config.Metrics.admissionRefused(r.Reason, x.inputs)
+	}
 	x.log(messenger.AttemptRefused, string(r.Reason))
 }
 
@@ -148,7 +155,8 @@
 	f := x.forwarder
 	elapsed := f.config.Clock.Now().Sub(x.received)
 	f.config.Metrics.ended(x.status, result, elapsed)
-	f.config.Logger.Info("exchange ended",
+	f.config.Metrics.shared(x.inputs.Share)
+	fields := []any{
 		"request", x.head.Request,
 		"resumed", x.head.Resumed,
 		"content", x.content.String(),
@@ -156,6 +164,7 @@
 		"account", x.inputs.Account,
 		"fingerprint", x.inputs.Fingerprint.String(),
 		"limit", x.inputs.Limit,
+		"share", x.inputs.Share,
 		"server", x.server,
 		"version", x.inputs.Version,
 		"via", x.via(),
@@ -177,7 +186,15 @@
 		"servers_age_ms", int64(x.inputs.ServersAge),
 		"candidates", x.inputs.Candidates,
 		"predicted_ms", int64(x.inputs.Predicted),
-	)
+		"server_factor", math.Round(x.inputs.ServerFactor*factorPrecision) / factorPrecision,
+	}
+	if x.inputs.Patience > 0 {
+		fields = append(fields,
+			"patience_ms", int64(x.inputs.Patience),
+			"prediction_error", x.inputs.PredictionError,
+		)
+	}
+	f.config.Logger.Info("exchange ended", fields...)
 }
 
 func (x *exchange) logAttempt(s messenger.SendExchange, e attemptEnd) {
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -127,10 +127,32 @@
 	// begins.
 	Candidates int
 	Predicted  timekeeper.Duration
+	// ServerFactor is the factor of the chosen server on the time that is expected of a
+	// server of mean speed.
+	ServerFactor float64
 	// Version is the version of the chosen server.
 	Version identifier.Version
+	// Patience is the time for which the caller would have waited. PredictionError is the
+	// usual ratio of observed times to predictions. Both are set if the request was refused
+	// for want of room in time.
+	Patience        timekeeper.Duration
+	PredictionError float64
+	// Share states whether the request was within its account's share of the service. It
+	// is empty unless the service was short of capacity.
+	Share ShareState
 }
 
+// ShareState is whether a request is within its account's share of a service.
+type ShareState string
+
+// The states of requests for a service that is short of capacity.
+const (
+	// ShareWithin: the request is within its account's share.
+	ShareWithin ShareState = "within"
+	// ShareExceeded: the request is beyond it, and is served after those within.
+	ShareExceeded ShareState = "exceeded"
+)
+
 // LimitSource states who decided on an account's limit.
 type LimitSource string
 
@@ -309,7 +331,10 @@
 	Zone identifier.Zone
 	// InFlight holds the requests in flight by server.
 	InFlight map[identifier.VMID]InFlight
-	Usage    []UsageCount
+	// Factors is the evidence of the servers' speeds, of the same nodes as InFlight. An
+	// update of a node's own answers holds only what receivers may lack.
+	Factors map[identifier.VMID]FactorEvidence
+	Usage   []UsageCount
 	// Demand is the callers' demand by service.
 	Demand map[identifier.ServiceName]ServiceDemand
 	// CachedPrefixes are parts of prompts that servers have recently
@@ -384,6 +409,15 @@
 	Prefill timekeeper.Duration
 }
 
+// FactorEvidence is what answers say of a server's factor on the predicted time, as it
+// weighs when it is reported. The evidence of several nodes adds up.
+type FactorEvidence struct {
+	// Weight is about the number of answers, and Sum the weighted sum of the logarithms of
+	// the factors that they show.
+	Weight float64
+	Sum    float64
+}
+
 // ServiceDemand is the demand of one node's callers for a service.
 type ServiceDemand struct {
 	// Running is the number of requests in flight.
@@ -391,6 +425,11 @@
 	// OfferedLoad is the number of servers that the callers' requests would
 	// occupy, including requests that were rejected for lack of servers.
 	OfferedLoad float64
+	// ServedLoad is the work of the requests that servers began to answer, and Accounts
+	// the work that each client account offers, both in servers. They are empty
+	// if accounts have no shares.
+	ServedLoad float64
+	Accounts   map[identifier.AccountHash]float64
 }
 
 // UsageCount is the number of an account's requests that began at a node in a
--- a/internal/prover/exchange_cluster_test.go
+++ b/internal/prover/exchange_cluster_test.go
@@ -378,6 +378,7 @@
 				Share:       exposureShare,
 				Slack:       exposureSlack,
 				MoveStreams: cl.size.moves,
+				FairShares:  true,
 			},
 		}),
 	}
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -128,6 +128,12 @@
 	MoveStreams bool
 	// ServerDrain is the time for which a leaving server serves on, or zero if unknown.
 	ServerDrain timekeeper.Duration
+	// SharedRates makes nodes share what their answers show of the servers' speeds.
+	SharedRates bool
+	// Admission makes the node refuse requests that no server can answer in time.
+	Admission bool
+	// FairShares gives each account a share of a service that is short of capacity.
+	FairShares bool
 }
 
 func (*GatewayConfig) suspicions() detector.Config {
@@ -265,6 +271,9 @@
 			Zone:        c.Zone,
 			MoveStreams: c.Gateway.MoveStreams,
 			ServerDrain: c.Gateway.ServerDrain,
+			SharedRates: c.Gateway.SharedRates,
+			Admission:   c.Gateway.Admission,
+			FairShares:  c.Gateway.FairShares,
 		}),
 		usage: accountant.New(accountant.Config{
 			Window:         c.Gateway.UsageWindow,
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -384,6 +384,8 @@
 			"reader": {
 				Running:     4,
 				OfferedLoad: 0.25,
+				ServedLoad:  0.125,
+				Accounts:    map[identifier.AccountHash]float64{1 << 31: 0.5},
 			},
 		},
 		Fence:     41,
--- a/internal/relayer/stateupdate.go
+++ b/internal/relayer/stateupdate.go
@@ -10,6 +10,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	pb "github.com/dotterelhollow/dotterelhollow/internal/relayer/relayerpb"
+	"github.com/dotterelhollow/dotterelhollow/internal/sharer"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -46,13 +47,15 @@
 	for _, e := range s.Servers {
 		out.Servers = append(out.Servers, encodePublishedServer(e))
 	}
-	for _, vm := range slices.Sorted(maps.Keys(s.InFlight)) {
+	servers := reportedServers(s)
+	for _, vm := range servers {
 		out.InFlight = append(out.InFlight, &pb.ServerLoad{
 			Server:    string(vm),
 			Running:   int64(s.InFlight[vm].Running),
 			PrefillMs: int64(s.InFlight[vm].Prefill),
 		})
 	}
+	out.Factors = encodeFactors(servers, s.Factors)
 	out.Kept = encodeCachedPrefixes(s.CachedPrefixes)
 	for _, suspect := range s.Suspects {
 		out.Suspects = append(out.Suspects, encodeSuspect(suspect))
@@ -74,10 +77,14 @@
 	}
 	for _, service := range slices.Sorted(maps.Keys(s.Demand)) {
 		d := s.Demand[service]
+		accounts, loads := encodeAccountLoads(d.Accounts)
 		out.Demand = append(out.Demand, &pb.ServiceDemand{
-			Service: string(service),
-			Running: int64(d.Running),
-			Busy:    d.OfferedLoad,
+			Service:      string(service),
+			Running:      int64(d.Running),
+			Busy:         d.OfferedLoad,
+			Accounts:     accounts,
+			AccountLoads: loads,
+			Served:       float32(d.ServedLoad),
 		})
 	}
 	return out
@@ -144,11 +151,17 @@
 	for _, e := range q.GetServers() {
 		s.Servers = append(s.Servers, decodePublishedServer(e))
 	}
+	s.Factors = decodeFactors(q.GetInFlight(), q.GetFactors())
 	for _, l := range q.GetInFlight() {
-		s.InFlight[identifier.VMID(l.GetServer())] = messenger.InFlight{
+		id := identifier.VMID(l.GetServer())
+		load := messenger.InFlight{
 			Running: int(max(l.GetRunning(), 0)),
 			Prefill: timekeeper.Duration(max(l.GetPrefillMs(), 0)),
 		}
+		if _, listed := s.Factors[id]; listed && load == (messenger.InFlight{}) {
+			continue // The server is listed for its evidence only.
+		}
+		s.InFlight[id] = load
 	}
 	s.CachedPrefixes = decodeCachedPrefixes(q.GetKept())
 	for _, suspect := range q.GetSuspects() {
@@ -173,11 +186,40 @@
 		s.Demand[identifier.ServiceName(d.GetService())] = messenger.ServiceDemand{
 			Running:     int(max(d.GetRunning(), 0)),
 			OfferedLoad: validLoad(d.GetBusy()),
+			Accounts:    decodeAccountLoads(d.GetAccounts(), d.GetAccountLoads()),
+			ServedLoad:  validLoad(float64(d.GetServed())),
 		}
 	}
 	return s
 }
 
+// accountLoadUnit is the unit of accounts' loads in messages, in servers.
+const accountLoadUnit = 1e-4
+
+// encodeAccountLoads returns the accounts and their loads in units of accountLoadUnit.
+func encodeAccountLoads(loads map[identifier.AccountHash]float64) (accounts, units []uint32) {
+	loads = sharer.Largest(loads)
+	for _, account := range slices.Sorted(maps.Keys(loads)) {
+		if load := uint32(math.Round(loads[account] / accountLoadUnit)); load > 0 {
+			accounts = append(accounts, uint32(account))
+			units = append(units, load)
+		}
+	}
+	return accounts, units
+}
+
+func decodeAccountLoads(accounts, units []uint32) map[identifier.AccountHash]float64 {
+	count := min(len(accounts), len(units), sharer.MaxAccounts)
+	if count == 0 {
+		return nil
+	}
+	loads := make(map[identifier.AccountHash]float64, count)
+	for i := range count {
+		loads[identifier.AccountHash(accounts[i])] = validLoad(float64(units[i]) * accountLoadUnit)
+	}
+	return loads
+}
+
 func decodePublishedServer(e *pb.PublishedServer) messenger.PublishedServer {
 	return messenger.PublishedServer{
 		Server:   identifier.VMID(e.GetServer()),
--- a/internal/starter/gateway.go
+++ b/internal/starter/gateway.go
@@ -39,6 +39,12 @@
 	// LimitWindow is the span in which accounts' limits are judged: an account may use its
 	// rate and one burst in it. If it is zero, a burst is refilled at the rate only.
 	LimitWindow timekeeper.Duration
+	// Admission makes the node refuse requests that no server can answer before the
+	// caller gives up.
+	Admission bool
+	// FairShares gives each client account a share of a service that is short of
+	// capacity.
+	FairShares bool
 	// LogRetention is the time for which the platform's store retains a record.
 	LogRetention timekeeper.Duration
 	// MemoryLimitMB bounds the memory of the process, in megabytes.
@@ -54,8 +60,17 @@
 	// ServerDrain is the time for which a leaving backend server serves on, or zero if
 	// unknown.
 	ServerDrain timekeeper.Duration
+	// SharedRates makes nodes share what their answers show of the servers' speeds.
+	SharedRates bool
 }
 
+// The values of a setting that switches a part of the node on.
+// The values of a setting that switches a part on or off.
+const (
+	switchOn  = "on"
+	switchOff = "off"
+)
+
 // Upper bounds of the settings.
 const (
 	maxUsageWindow = timekeeper.Hour
@@ -101,9 +116,12 @@
 	g.ExposureShare = f.Optional("exposure_share", "0.05").Number(0, 1)
 	g.ExposureSlack = f.Optional("exposure_slack", "0").Number(0, maxSlack)
 	g.LimitWindow = f.Optional("limit_window", "0s").Duration(0, maxLimitWindow)
+	g.Admission = f.Optional("admission", switchOff).Choice(switchOn, switchOff) == switchOn
+	g.FairShares = f.Optional("fair_shares", switchOff).Choice(switchOn, switchOff) == switchOn
 	g.MemoryLimitMB = f.Optional("memory_mb", "256").Number(1, maxMemoryMB)
 	g.CPUCores = f.Optional("cpu", "0").Number(0, maxCPUCores)
 	g.LinkMbps = f.Optional("link_mbps", "0").Number(0, maxLinkMbps)
 	g.ServerDrain = f.Optional("server_drain", "0s").Duration(0, maxServerDrain)
 	g.MoveStreams = f.Optional("stream_moves", "off").Choice("on", "off") == "on"
+	g.SharedRates = f.Optional("shared_rates", "off").Choice("on", "off") == "on"
 }
