--- a/cmd/dotterelhollow/move_test.go
+++ b/cmd/dotterelhollow/move_test.go
@@ -65,8 +65,7 @@
 	return <-answers, source, destination
 }
 
-// A stream must go on across the end of its engine, with each event once and in order, and without
-// a second run, also if its request may run once only.
+// Guards against events lost, sent twice or run again when a stream goes on at another engine.
 func TestStreamsAreMoved(t *testing.T) {
 	for _, path := range []string{"/reports/1", "/drafts/1"} {
 		t.Run(path, func(t *testing.T) {
@@ -109,8 +108,7 @@
 	require.Empty(t, onlyOf(destination, "r-1"))
 }
 
-// A lost answer leaves no way to continue a stream from its memory: it is resumed elsewhere if that
-// is allowed, and otherwise must not look complete or run again.
+// Guards against a stream that looks complete or runs again after a lost answer to a move.
 func TestLostMoveAnswers(t *testing.T) {
 	for path, resumable := range map[string]bool{
 		"/reports/1": true,
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -119,8 +119,7 @@
 	require.False(t, a.Decide(later, newRand(), lessUrgent, queues(400, 400)).Refused())
 }
 
-// Guards against refusals by predictions that are known to be too long, and admissions by those
-// that are too short.
+// Guards against decisions by predictions that are known to be too long or too short.
 func TestLearnsErrorsOfPredictions(t *testing.T) {
 	const predicted = 1 * timekeeper.Second
 	tests := []struct {
@@ -154,8 +153,7 @@
 	}
 }
 
-// Guards against a burst that is refused although its queue drains, and against a queue that
-// keeps all answers late.
+// Guards against refused bursts whose queue drains, and queues that keep all answers late.
 func TestRefusesForStandingQueues(t *testing.T) {
 	a := newAdmitter()
 	supply := queues(24, 24)
@@ -209,8 +207,7 @@
 	require.Greater(t, predicted(2), 3*predicted(0)/2)
 }
 
-// Guards against callers that are told a longer time than they follow, and against crowds that
-// return at once.
+// Guards against crowds that return at once, and times longer than callers follow.
 func TestRetryAfter(t *testing.T) {
 	const remaining = 9 * timekeeper.Second
 	tests := []struct {
@@ -260,7 +257,7 @@
 	}
 }
 
-// Guards against all refused callers being told the same time.
+// Guards against all refused callers that get the same time.
 func TestPromisesRoomInTurn(t *testing.T) {
 	a := newAdmitter()
 	rng := newRand()
--- a/internal/admitter/room.go
+++ b/internal/admitter/room.go
@@ -9,7 +9,7 @@
 
 const (
 	// maxRetryFraction is the fraction of their remaining time up to which callers follow
-	// Retry-After. Told a longer time, they return after this one or not at all.
+	// Retry-After. With a longer time, they return after this one or not at all.
 	maxRetryFraction = 1.0 / 3
 	// minSpreadFraction is the fraction of the longest time that callers follow over which
 	// returns are spread at least, if room comes later than that.
--- a/internal/calibrator/calibrator_test.go
+++ b/internal/calibrator/calibrator_test.go
@@ -59,8 +59,7 @@
 	require.Less(t, difference, tolerable/2)
 }
 
-// Guards against a restarted node that sends long prompts to slow servers until it has learned
-// their factors anew.
+// Guards against a restarted node that sends long prompts to slow servers.
 func TestRestartedNodeKnowsFactors(t *testing.T) {
 	c := newCluster(1, testNodes, testServers)
 	c.run(15 * timekeeper.Second)
@@ -97,8 +96,7 @@
 	require.Less(t, shared, tolerable)
 }
 
-// Guards against a server that turns three times slower for seconds and keeps its factor, or does
-// not get it back.
+// Guards against a factor that does not follow a server that is slow for some seconds.
 func TestServerTurnsSlow(t *testing.T) {
 	c := newCluster(1, testNodes, testServers)
 	c.run(15 * timekeeper.Second)
@@ -206,8 +204,7 @@
 	require.InEpsilon(t, before, n.shared.Factor(s.id), 0.15)
 }
 
-// Guards against a server that starts again under its id and inherits the factor of its earlier
-// start, also from late reports.
+// Guards against a server that inherits the factor of its earlier start.
 func TestRestartedServerHasNoFactor(t *testing.T) {
 	c := newCluster(1, testNodes, testServers)
 	earlier := identifier.ServerStart("s-1", 1)
--- a/internal/calibrator/history.go
+++ b/internal/calibrator/history.go
@@ -24,7 +24,7 @@
 
 // history holds earlier sums of all evidence, oldest first. The difference between two
 // sums is the evidence of the time between them, by which a server that has turned slow or
-// recovered is told before most of its evidence is new.
+// recovered is reported before most of its evidence is new.
 type history struct {
 	sums []report
 	// outdated is the evidence from before the last change of a server's speed.
--- a/internal/calibrator/history_test.go
+++ b/internal/calibrator/history_test.go
@@ -72,8 +72,7 @@
 	s.wait(200 * timekeeper.Millisecond)
 }
 
-// Guards against evidence from before a change of speed that counts again once the newer has
-// decayed or is missing in a sum.
+// Guards against evidence from before a change of speed that counts again.
 func TestOutdatedEvidenceStaysOutdated(t *testing.T) {
 	s := newSums()
 	s.turnSlow()
@@ -83,8 +82,7 @@
 	require.GreaterOrEqual(t, s.factors.Factor("i-0"), 1.0)
 }
 
-// Guards against a mean beyond all bounds of what is left of two sums that differ little, which
-// would shift the factors of all servers.
+// Guards against an unbounded mean of what is left of two sums that differ little.
 func TestDifferenceOfSumsIsBounded(t *testing.T) {
 	s := newSums()
 	s.turnSlow()
@@ -95,8 +93,7 @@
 	}
 }
 
-// Guards against the loss of all evidence, over and over, while one of two relays is of a version
-// that knows of none.
+// Guards against the loss of all evidence while one of two relays knows of none.
 func TestRelayWithoutEvidence(t *testing.T) {
 	s := newSums()
 	s.receive(20, -0.5)
--- a/internal/dispatcher/admission_test.go
+++ b/internal/dispatcher/admission_test.go
@@ -548,8 +548,7 @@
 	},
 }
 
-// Guards against refusals while servers have room, and against less urgent or smaller requests
-// that are served before others when they have none.
+// Guards against refusals while servers have room, and less urgent requests served first.
 func TestAdmissionUnderLoad(t *testing.T) {
 	for _, size := range clusterSizes[:maxClusterSizes] {
 		for _, load := range []float64{0.5, 1.5, 3} {
@@ -618,8 +617,7 @@
 	return n
 }
 
-// Guards against a request that is sent to servers which can't answer it in time, and against a
-// refusal that does not say so.
+// Guards against requests sent to servers that can't answer them in time.
 func TestRefusesWithoutRoom(t *testing.T) {
 	n := newFullNode()
 	got := refusal(t, n.receive("/draft/1"))
@@ -708,8 +706,7 @@
 	}
 }
 
-// Guards against callers that return before the servers which replace all lost ones, and against
-// refusals once these are there.
+// Guards against callers that return before lost servers are replaced.
 func TestCallersReturnAfterLossOfAllServers(t *testing.T) {
 	n := newAdmittingNode(0, 2, true)
 	for i := range 2 {
--- a/internal/dispatcher/fairness.go
+++ b/internal/dispatcher/fairness.go
@@ -24,7 +24,7 @@
 	minStreamPatience = 2 * timekeeper.Second
 	targetPatience    = 4
 	gapPatience       = 8
-	// noAccount is the key under which work is measured that is not told apart by account.
+	// noAccount is the key under which work is measured that is not attributed to an account.
 	noAccount identifier.AccountHash = 0
 )
 
--- a/internal/dispatcher/fairness_test.go
+++ b/internal/dispatcher/fairness_test.go
@@ -138,8 +138,7 @@
 	}
 }
 
-// Guards against holding requests beyond their account's share until their deadline, and
-// against refusing those that a server can answer in time.
+// Guards against requests beyond their account's share that are held to their deadline.
 func TestOverShareIsRefusedWhenLate(t *testing.T) {
 	n := newFairNode(true)
 	n.reportLoads(map[identifier.AccountID]float64{
--- a/internal/dispatcher/move_test.go
+++ b/internal/dispatcher/move_test.go
@@ -107,8 +107,7 @@
 	return s, calls[0]
 }
 
-// A stopped stream must go on at the destination, as the same run: once in the account's usage,
-// without a suspicion of its server and without a counted attempt.
+// Guards against a moved stream that counts as a second run or against its server.
 func TestMovedStreamIsTheSameRun(t *testing.T) {
 	for _, path := range []string{"/report/1", "/draft/1"} {
 		t.Run(path, func(t *testing.T) {
@@ -187,8 +186,7 @@
 	}
 }
 
-// A stream that returned for lack of room must not be stopped again before there is room: its server may
-// be gone when it has to return once more.
+// Guards against a returned stream that is stopped again before there is room.
 func TestReturnedStreamIsNotStoppedAgain(t *testing.T) {
 	n := newMovingNode(3)
 	s, call := n.stopped(t, "/draft/1")
@@ -279,8 +277,7 @@
 	}
 }
 
-// With the part switched off, for a service whose engines move nothing, and for an answer whose end
-// can't be told from that of its connection, nothing is moved.
+// Guards against moves that are switched off, unsupported or can't be told from an end.
 func TestStreamsThatAreNotMoved(t *testing.T) {
 	t.Run("switched off", func(t *testing.T) {
 		n := newNode(3)
@@ -335,8 +332,7 @@
 	require.True(t, n.Moving(s.Exchange))
 }
 
-// A server that is not reclaimable serves on for the platform's drain time: streams that end within
-// it must not be moved.
+// Guards against moves of streams that end within the drain time of their server.
 func TestShortStreamsEndAtDrainingServer(t *testing.T) {
 	for _, test := range []struct {
 		maxTokens identifier.Tokens
@@ -434,8 +430,7 @@
 	})
 }
 
-// The return of a stream that the destination refused is one more arrival: it must not exceed the
-// retries.
+// Guards against returns of refused streams beyond the retries.
 func TestReturnAfterRefusalUsesRetry(t *testing.T) {
 	n := newMovingNode(3)
 	_, call := n.stopped(t, "/draft/1")
@@ -491,8 +486,7 @@
 	require.Equal(t, s.Server, sent[0].Server)
 }
 
-// A continuation that this node was too slow to send must be decided on again, also long after the
-// notice.
+// Guards against the loss of a stream whose continuation this node was too slow to send.
 func TestStaleContinuationIsDecidedAgain(t *testing.T) {
 	n := newMovingNode(3)
 	s, call := n.stopped(t, "/draft/1")
@@ -518,8 +512,7 @@
 	require.NotEqual(t, s.Server, again.Server)
 }
 
-// A leaving server writes its entry again with less time left. That time must not be counted from the
-// first notice, or streams are no longer moved from its middle on.
+// Guards against a time left that is counted from the first of several notices.
 func TestRepeatedNoticeKeepsTimeLeft(t *testing.T) {
 	n := newMovingNode(3)
 	n.setMoves(true, 5)
@@ -540,8 +533,7 @@
 	require.Len(t, effectsOf[messenger.MoveExchange](n.MoveEffects()), 1)
 }
 
-// A leaving server may receive requests for the platform's drain time only, from a notice that may
-// reach this node late.
+// Guards against a return to a server whose drain time has passed.
 func TestNoReturnAtEndOfDrainTime(t *testing.T) {
 	for _, test := range []struct {
 		drain   timekeeper.Duration
--- a/internal/dispatcher/moveload_test.go
+++ b/internal/dispatcher/moveload_test.go
@@ -339,8 +339,7 @@
 	})
 }
 
-// Callers whose streams run on a reclaimed zone must not lose them, or wait until their prompts are read
-// again: a third of the losses without moves at most, and half of the tokens if the notice is long.
+// Guards against lost streams and prompts read again when a zone is reclaimed.
 func TestReclaimedZoneUnderLoad(t *testing.T) {
 	play := func(moves bool, leavesIn timekeeper.Duration) *reclaim {
 		r := newReclaim(t, moves)
--- a/internal/dispatcher/uneven_test.go
+++ b/internal/dispatcher/uneven_test.go
@@ -141,8 +141,7 @@
 	return c
 }
 
-// Guards against long prompts that miss their target at slow servers because no node gets enough
-// answers to know these. Short prompts must not pay for it.
+// Guards against long prompts at slow servers, and short ones that pay for it.
 func TestUnevenServers(t *testing.T) {
 	tests := []struct {
 		part float64
@@ -172,8 +171,7 @@
 	}
 }
 
-// Guards against long prompts that still go to servers which have turned three times slower, and
-// against servers that get none for long after they have recovered.
+// Guards against long prompts at slow servers, and recovered servers that get none.
 func TestSlowServersLoseLongPrompts(t *testing.T) {
 	const part = 0.5
 	c := newUnevenCluster(t, 1, true)
@@ -211,8 +209,7 @@
 	require.Greater(t, after, before*3/4)
 }
 
-// Guards against calls of a plain service that all go to the server which seems fastest, because
-// load hides the speed of servers that answer in milliseconds.
+// Guards against calls that all go to the plain server that seems fastest.
 func TestPlainServersKeepOwnFactors(t *testing.T) {
 	for _, model := range []bool{false, true} {
 		n := newNodeOf(dispatcher.Config{
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -904,8 +904,7 @@
 	}
 }
 
-// A stream that goes on from its memory must do so after the last whole event that the caller has, also
-// if copying took long, and without a new connection to the server that stopped it.
+// Guards against a continuation that repeats events or goes to a closed connection.
 func TestContinuedStream(t *testing.T) {
 	var connections, continued atomic.Int64
 	source := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/limiter/window_test.go
+++ b/internal/limiter/window_test.go
@@ -11,8 +11,7 @@
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
-// Guards against refusals of an account that asks for more than its limit for long, while
-// it uses less than its rate and one burst in each window.
+// Guards against refusals of an account that uses less than its rate and one burst in a window.
 func TestAccountOverItsLimitGetsItsBurstInEachWindow(t *testing.T) {
 	for _, account := range []catalog.Account{
 		heavyAccount,
@@ -40,8 +39,7 @@
 	}
 }
 
-// Guards against refusals of an account's few lookups once its long prompts have used up
-// the window.
+// Guards against refused lookups once long prompts have used up the window.
 func TestLightRequestsAreGrantedWhenTheWindowIsUsedUp(t *testing.T) {
 	account := catalog.Account{
 		ID:              "agency",
--- a/internal/mover/move_test.go
+++ b/internal/mover/move_test.go
@@ -76,8 +76,7 @@
 
 func tick(m *mover.Move, now timekeeper.Time) mover.Action { return m.Tick(now) }
 
-// Each row brings about one failure or order of events. Guards against runs that are continued
-// before they stopped, or from memory that is not theirs, and memory that is never freed.
+// Guards against runs continued before they stopped or from foreign memory, and against leaks.
 func TestMove(t *testing.T) {
 	tests := []struct {
 		name       string
--- a/internal/mover/stream_test.go
+++ b/internal/mover/stream_test.go
@@ -102,8 +102,7 @@
 	}
 }
 
-// Guards against moves of streams that end before their server, and against streams that are left
-// to end with it.
+// Guards against moves of streams that end in time, and streams left to end with their server.
 func TestMustMove(t *testing.T) {
 	tests := []struct {
 		name      string
@@ -193,8 +192,7 @@
 	require.True(t, s.CopyFirst(start, n, 100), "it was moved before")
 }
 
-// Streams that may run once must not wait behind long prompts that can be read again, and moves must be
-// spread, as no run may stand still while those of other nodes are copied.
+// Guards against streams that may run once and wait behind those that can be read again.
 func TestQueue(t *testing.T) {
 	var mix mover.Mix
 	once := mover.Stream{
@@ -224,8 +222,7 @@
 	require.Equal(t, start, once.BeginAt(n, q), "there is no time to spread them")
 }
 
-// If there is no time for all, all nodes together must move as many streams as there is time for, and
-// none fewer of those that may run once.
+// Guards against more moves than there is time for.
 func TestFits(t *testing.T) {
 	n := mover.Notice{
 		At:       start,
--- a/internal/prover/move_test.go
+++ b/internal/prover/move_test.go
@@ -206,8 +206,7 @@
 	cl.after(2*leaveTime, func() { cl.startVersion(first+100, count, "v1") })
 }
 
-// Guards against streams that run twice, go on from the memory of others, change version or get lost
-// while their servers leave and moves fail.
+// Guards against streams that run twice, change version or get lost while moves fail.
 func TestMovedStreams(t *testing.T) {
 	for _, fault := range []moveFault{
 		soundMoves, refusedCopies, refusedHandles, lostMoveAnswers, badMoveAnswers, slowMoves, breakingRuns,
--- a/internal/reducer/factors_test.go
+++ b/internal/reducer/factors_test.go
@@ -129,8 +129,7 @@
 
 func (c *unevenCluster) at(t timekeeper.Time, run func()) { c.later[t] = append(c.later[t], run) }
 
-// Each node of a large cluster must know the factors of most servers within seconds, for at
-// most a tenth more bytes.
+// Guards against nodes that do not learn factors, and updates that grow by over a tenth.
 func TestFactorsReachAllNodes(t *testing.T) {
 	bytes := map[bool]identifier.Bytes{}
 	for _, sharedRates := range []bool{false, true} {
--- a/internal/relayer/factors_test.go
+++ b/internal/relayer/factors_test.go
@@ -89,8 +89,7 @@
 	}
 }
 
-// Evidence must arrive to within the precision of its encoding, also of servers without
-// load.
+// Guards against evidence that is lost or changed on the way to peers.
 func TestFactorsArrive(t *testing.T) {
 	s := testUpdate(serversOfNode, serversOfSum)
 	s.Factors["tiny"] = messenger.FactorEvidence{
--- a/internal/sharer/flood_test.go
+++ b/internal/sharer/flood_test.go
@@ -398,8 +398,7 @@
 	require.Less(t, f.play()[9], 0.8)
 }
 
-// Of sixteen accounts that all offer twice their usual load, each is served within a tenth
-// of all.
+// Guards against accounts of equal load that are served unequally.
 func TestEqualAccountsAreServedAlike(t *testing.T) {
 	callers := usualCallers()
 	for i := range callers {
@@ -420,8 +419,7 @@
 	require.InDelta(t, all, slices.Max(mean), 0.1)
 }
 
-// Guards against limiting accounts by shares that are not known: no account within its share
-// is served less than without shares.
+// Guards against accounts limited by shares that are not known.
 func TestLostStateErrsTowardsServing(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/internal/starter/gateway_test.go
+++ b/internal/starter/gateway_test.go
@@ -34,8 +34,7 @@
 	return map[identifier.FileName][]byte{"a.ini": []byte(settings + line + "\n")}
 }
 
-// A part that is off by default must be switched on by its setting only, and a fault must
-// name file, key and the values that are allowed.
+// Guards against a part that is on by default, and faults that do not name file, key and values.
 func TestSharedRates(t *testing.T) {
 	for line, want := range map[string]bool{
 		"":                   false,
