Ask one function how long a caller waits for its answer to begin

Admission and fair shares each had the rule for a caller's patience and its three constants. Shares now ask patienceEnd, which counts from the reception of the request: before, the time that the account's limit had taken was granted once more. Fair shares are off in the template; tests of the dispatcher and of sharer pass unchanged.

--- a/internal/dispatcher/fairness.go
+++ b/internal/dispatcher/fairness.go
@@ -19,11 +19,6 @@
 	// overShareRetry is the base retry delay of a request that is refused for its
 	// account's share: the time in which shares follow a change of demand.
 	overShareRetry = 1 * timekeeper.Second
-	// Callers wait for the next event of a stream for minStreamPatience, targetPatience times
-	// the route's target, or gapPatience times its longest pause, whichever is longest.
-	minStreamPatience = 2 * timekeeper.Second
-	targetPatience    = 4
-	gapPatience       = 8
 	// noAccount is the key under which work is measured that is not attributed to an account.
 	noAccount identifier.AccountHash = 0
 )
@@ -128,22 +123,12 @@
 		return nil
 	}
 	c, ok := d.choose(env, x)
-	if !ok || c.predicted < x.timeToBegin(env.Now) {
+	if !ok || c.predicted < x.patienceEnd().Sub(env.Now) {
 		return nil
 	}
 	return notRunRefusal(messenger.ReasonOverShare, jitter(env, overShareRetry))
 }
 
-// timeToBegin returns the time within which an answer has to begin. Callers give up a stream
-// that does not.
-func (x *exchange) timeToBegin(now timekeeper.Time) timekeeper.Duration {
-	remaining := x.deadline.Sub(now)
-	if !x.route.Stream {
-		return remaining
-	}
-	return min(remaining, max(minStreamPatience, targetPatience*x.route.Target, gapPatience*x.route.MaxGap))
-}
-
 // divide updates the shares of a service if they are older than shareInterval.
 func (d *Dispatcher) divide(env Env, service identifier.ServiceName) {
 	f := d.fairness
