Read switches of the settings in one way

Four settings read on or off in two ways, with constants that two comments stood above. Value.Switch reads them all; the values, the default and the message of a fault are the same.

--- a/internal/folderreader/value.go
+++ b/internal/folderreader/value.go
@@ -68,6 +68,9 @@
 // Bool reads true or false.
 func (v Value) Bool() bool { return v.Choice("true", "false") == "true" }
 
+// Switch reads on or off.
+func (v Value) Switch() bool { return v.Choice("on", "off") == "on" }
+
 // Count reads an integer from low to high.
 func (v Value) Count(low, high int) int {
 	expected := fmt.Sprintf("a whole number from %d to %d", low, high)
--- a/internal/starter/gateway.go
+++ b/internal/starter/gateway.go
@@ -64,13 +64,6 @@
 	SharedRates bool
 }
 
-// The values of a setting that switches a part of the node on.
-// The values of a setting that switches a part on or off.
-const (
-	switchOn  = "on"
-	switchOff = "off"
-)
-
 // Upper bounds of the settings.
 const (
 	maxUsageWindow = timekeeper.Hour
@@ -116,12 +109,12 @@
 	g.ExposureShare = f.Optional("exposure_share", "0.05").Number(0, 1)
 	g.ExposureSlack = f.Optional("exposure_slack", "0").Number(0, maxSlack)
 	g.LimitWindow = f.Optional("limit_window", "0s").Duration(0, maxLimitWindow)
-	g.Admission = f.Optional("admission", switchOff).Choice(switchOn, switchOff) == switchOn
-	g.FairShares = f.Optional("fair_shares", switchOff).Choice(switchOn, switchOff) == switchOn
+	g.Admission = f.Optional("admission", "off").Switch()
+	g.FairShares = f.Optional("fair_shares", "off").Switch()
 	g.MemoryLimitMB = f.Optional("memory_mb", "256").Number(1, maxMemoryMB)
 	g.CPUCores = f.Optional("cpu", "0").Number(0, maxCPUCores)
 	g.LinkMbps = f.Optional("link_mbps", "0").Number(0, maxLinkMbps)
 	g.ServerDrain = f.Optional("server_drain", "0s").Duration(0, maxServerDrain)
-	g.MoveStreams = f.Optional("stream_moves", "off").Choice("on", "off") == "on"
-	g.SharedRates = f.Optional("shared_rates", "off").Choice("on", "off") == "on"
+	g.MoveStreams = f.Optional("stream_moves", "off").Switch()
+	g.SharedRates = f.Optional("shared_rates", "off").Switch()
 }
