--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -34,6 +34,7 @@
 // cases holds the cases by name. Each returns whether its rule was broken.
 var cases = map[string]func(context.Context, options) (bool, error){
 	"reclaimed": runReclaimed,
+	"removed":   runRemoved,
 }
 
 func main() { os.Exit(run()) }
