--- a/review/play.sh
+++ b/review/play.sh
@@ -36,10 +36,30 @@
   sleep 0.1
 done
 [ -e "$work/ready" ] || exit 2
-for settings in "$work"/node-*.ini; do
-  DOTTERELHOLLOW_CONFIG=$settings "$node" serve >"${settings%.ini}.log" 2>&1 &
+
+# start SETTINGS starts a node.
+start() {
+  DOTTERELHOLLOW_CONFIG=$1 "$node" serve >>"${1%.ini}.log" 2>&1 &
   pids+=("$!")
+}
+
+for settings in "$work"/node-*.ini; do
+  start "$settings"
 done
+# A stand-in that writes the file "kill" has that many nodes killed, which start again.
+until [ -e "$work/kill" ]; do
+  kill -0 "$judge" 2>/dev/null || break
+  sleep 0.02
+done
+if [ -e "$work/kill" ]; then
+  count=$(<"$work/kill")
+  kill -KILL "${pids[@]:1:count}"
+  touch "$work/killed"
+  sleep 2
+  for ((i = 1; i <= count; i++)); do
+    start "$work/node-$i.ini"
+  done
+fi
 wait "$judge"
 status=$?
 [ "${KEEP:-}" ] && cp "$work"/*.log "$KEEP"/
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -5,19 +5,15 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
 const (
 	heartbeat = 1200 * time.Millisecond
 	drainTime = 2000 * time.Millisecond
-	// hangShare is the part of its requests that an engine that hangs leaves unanswered.
-	hangShare = 0.45
 
 	requestIDHeader = "Dotterelhollow-Request-Id"
 	signatureHeader = "Dotterelhollow-Response-Signature"
@@ -46,10 +42,6 @@
 	events   int
 	interval time.Duration
 	unframed bool
-	// work is the time that a request takes if the engine has no streams.
-	work time.Duration
-	// hangs makes the engine leave a part of its requests unanswered.
-	hangs atomic.Bool
 
 	address string
 	server  *http.Server
@@ -59,7 +51,6 @@
 	mu       sync.Mutex
 	running  int
 	leaving  bool
-	draining bool
 	leavesIn time.Duration
 	sequence int
 	arrivals []*arrival
@@ -101,10 +92,8 @@
 		"cold_remaining_ms": 0,
 		"sequence":          e.sequence,
 	}
-	if e.draining {
-		entry["state"] = "draining"
-	}
 	if e.leavesIn > 0 {
+		entry["state"] = "draining"
 		entry["spot_instances"] = true
 		entry["leaves_ms"] = e.leavesIn.Milliseconds()
 	}
@@ -120,21 +109,11 @@
 func (e *engine) reclaim(leavesIn time.Duration) {
 	e.mu.Lock()
 	e.leaving = true
-	e.draining = true
 	e.leavesIn = leavesIn
 	e.mu.Unlock()
 	e.beat()
 }
 
-// drain reports that the engine is draining.
-func (e *engine) drain() {
-	e.mu.Lock()
-	e.leaving = true
-	e.draining = true
-	e.mu.Unlock()
-	e.beat()
-}
-
 // unregister removes the engine's entry. The engine serves on.
 func (e *engine) unregister() {
 	e.mu.Lock()
@@ -166,14 +145,11 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
-	switch {
-	case e.events == 0:
-		e.answer(r.Context(), w, a)
-	case e.unframed:
+	if e.unframed {
 		e.streamUnframed(w, a)
-	default:
-		e.stream(r.Context(), w, r, a)
+		return
 	}
+	e.stream(r.Context(), w, r, a)
 }
 
 // admit counts a request that the engine begins to run.
@@ -206,20 +182,6 @@
 	return e.leaving
 }
 
-// answer works on a request and answers it, or leaves it unanswered.
-func (e *engine) answer(ctx context.Context, w http.ResponseWriter, a *arrival) {
-	if e.hangs.Load() && rand.Float64() < hangShare {
-		e.world.record.line("%s leaves %s unanswered", e.id, a.id)
-		<-ctx.Done()
-		return
-	}
-	if pause(ctx, e.work) != nil {
-		return
-	}
-	fmt.Fprint(w, "answer to ", a.id)
-	e.sent(a, true)
-}
-
 // stream sends the events after the caller's last one.
 func (e *engine) stream(ctx context.Context, w http.ResponseWriter, r *http.Request, a *arrival) {
 	w.Header().Set("Content-Type", "text/event-stream")
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -35,6 +35,7 @@
 var cases = map[string]func(context.Context, options) (bool, error){
 	"reclaimed": runReclaimed,
 	"removed":   runRemoved,
+	"together":  runTogether,
 }
 
 func main() { os.Exit(run()) }
