--- a/review/play.sh
+++ b/review/play.sh
@@ -1,11 +1,11 @@
 #!/bin/bash
-# Plays one case: play.sh FOLDER CASE. Starts the stand-in of the case, and then a node for each
+# Plays one case: play.sh FOLDER CASE TROUBLE. Starts the stand-in of the case, and then a node for each
 # of the settings files that it writes. Ends all processes that it started. Exits with 0 if the
-# rule held, 1 if it was broken, and 2 if the case could not run. TROUBLE=0 leaves out the
-# disruption.
+# rule held, 1 if it was broken, and 2 if the case could not run. TROUBLE is true or false: whether
+# the disruption takes place.
 set -uo pipefail
 cd "$(dirname "$0")/.." || exit 2
-readonly folder=$1 case=$2
+readonly folder=$1 case=$2 trouble=$3
 readonly standin=review/bin/standin node=target/dotterelhollow
 if [ ! -x "$standin" ] || [ ! -x "$node" ]; then
   echo "build first: the line of deploy/system.toml, then review/build.sh" >&2
@@ -25,8 +25,6 @@
 }
 trap finish EXIT
 
-trouble=true
-[ "${TROUBLE:-1}" = 0 ] && trouble=false
 "$standin" -dir "$work" -record "$folder/record.txt" -trouble="$trouble" "$case" &
 judge=$!
 pids+=("$judge")
