Log reads of all records, and the servers that they lack

The logs could not tell two causes apart: a read of all entries whose result is not heeded, or no such read at all.

No logic changes. A node states why it reads all records and up to which offset the read holds, and the time line how many servers a read lacks and how many of them are kept. A read passes its end on with the entries.

--- a/internal/dispatcher/admission_test.go
+++ b/internal/dispatcher/admission_test.go
@@ -236,13 +236,13 @@
 	entry := known.PublishedServer
 	entry.Offset = n.offset
 	entry.Slots = slots
-	n.env.Servers.ApplyRead(n.env.Now, []messenger.PublishedServer{entry}, false)
+	n.env.Servers.ApplyRead(n.env.Now, messenger.ServersPublished{Servers: []messenger.PublishedServer{entry}})
 }
 
 // publishLedger publishes a server of the service ledger.
 func (n *node) publishLedger(i int) {
 	n.offset++
-	n.env.Servers.ApplyRead(n.env.Now, []messenger.PublishedServer{
+	n.env.Servers.ApplyRead(n.env.Now, messenger.ServersPublished{Servers: []messenger.PublishedServer{
 		{
 			Server:  identifier.VMID(fmt.Sprintf("l-%d", i)),
 			Offset:  n.offset,
@@ -252,7 +252,7 @@
 			Slots:   services["ledger"].slots,
 			State:   messenger.ServerReady,
 		},
-	}, false)
+	}})
 }
 
 // play runs requests for a span, at a part of the rate that the servers can answer.
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -157,7 +157,7 @@
 
 func (n *node) publishIn(vm identifier.VMID, zone identifier.Zone, state messenger.ServerState) {
 	n.offset++
-	n.env.Servers.ApplyRead(n.env.Now, []messenger.PublishedServer{
+	n.env.Servers.ApplyRead(n.env.Now, messenger.ServersPublished{Servers: []messenger.PublishedServer{
 		{
 			Server:  vm,
 			Offset:  n.offset,
@@ -167,7 +167,7 @@
 			Slots:   serverSlots,
 			State:   state,
 		},
-	}, false)
+	}})
 }
 
 func serverID(i int) identifier.VMID { return identifier.VMID(fmt.Sprintf("i-%d", i)) }
--- a/internal/dispatcher/move_test.go
+++ b/internal/dispatcher/move_test.go
@@ -259,7 +259,7 @@
 				n.offset++
 				entry.Offset = n.offset
 				entry.Version = "v2"
-				n.env.Servers.ApplyRead(n.env.Now, []messenger.PublishedServer{entry}, false)
+				n.env.Servers.ApplyRead(n.env.Now, messenger.ServersPublished{Servers: []messenger.PublishedServer{entry}})
 			},
 		},
 	}
@@ -478,7 +478,7 @@
 			n.offset++
 			entry.Offset = n.offset
 			entry.Version = "v2"
-			n.env.Servers.ApplyRead(n.env.Now, []messenger.PublishedServer{entry}, false)
+			n.env.Servers.ApplyRead(n.env.Now, messenger.ServersPublished{Servers: []messenger.PublishedServer{entry}})
 		}
 	}
 	sent := effectsOf[messenger.SendExchange](n.answer(call, messenger.MoveCopied, "h-1"))
@@ -524,7 +524,7 @@
 		n.offset++
 		entry.Offset = n.offset
 		entry.LeavesIn = left
-		n.env.Servers.ApplyRead(n.env.Now, []messenger.PublishedServer{entry}, false)
+		n.env.Servers.ApplyRead(n.env.Now, messenger.ServersPublished{Servers: []messenger.PublishedServer{entry}})
 		if left == 3000 {
 			n.env.Now = n.env.Now.Add(1500)
 		}
--- a/internal/dispatcher/moveload_test.go
+++ b/internal/dispatcher/moveload_test.go
@@ -172,7 +172,7 @@
 			s.Market = catalog.Reclaimable
 			entries = append(entries, s)
 		}
-		n.env.Servers.ApplyRead(r.now, entries, false)
+		n.env.Servers.ApplyRead(r.now, messenger.ServersPublished{Servers: entries})
 	}
 }
 
--- a/internal/dispatcher/permit_test.go
+++ b/internal/dispatcher/permit_test.go
@@ -112,7 +112,7 @@
 // not use.
 func TestPermitIsForRequestedVersion(t *testing.T) {
 	n := newNode(2)
-	n.env.Servers.ApplyRead(n.env.Now, []messenger.PublishedServer{
+	n.env.Servers.ApplyRead(n.env.Now, messenger.ServersPublished{Servers: []messenger.PublishedServer{
 		{
 			Server:  "i-new",
 			Offset:  50,
@@ -121,7 +121,7 @@
 			Version: "v2",
 			State:   messenger.ServerReady,
 		},
-	}, false)
+	}})
 	n.env.Versions.ApplyOrders(n.env.Now, []messenger.RolloutOrder{
 		{
 			Service:   "reader",
--- a/internal/dispatcher/version_test.go
+++ b/internal/dispatcher/version_test.go
@@ -17,7 +17,7 @@
 	for i := range count {
 		n.offset++
 		vm := identifier.VMID(fmt.Sprintf("i-%s-%d", v, i))
-		n.env.Servers.ApplyRead(n.env.Now, []messenger.PublishedServer{
+		n.env.Servers.ApplyRead(n.env.Now, messenger.ServersPublished{Servers: []messenger.PublishedServer{
 			{
 				Server:  vm,
 				Offset:  n.offset,
@@ -27,7 +27,7 @@
 				Version: v,
 				State:   messenger.ServerReady,
 			},
-		}, false)
+		}})
 	}
 }
 
@@ -202,15 +202,15 @@
 func TestStreamOfSoleVersionIsResumed(t *testing.T) {
 	n := newNode(0)
 	n.publishVersion("v1", 3)
-	n.env.Servers.ApplyRead(n.env.Now, nil, true)
+	n.env.Servers.ApplyRead(n.env.Now, messenger.ServersPublished{All: true})
 	for range 29 {
 		n.env.Now = n.env.Now.Add(timekeeper.Second)
-		n.env.Servers.ApplyRead(n.env.Now, nil, false)
+		n.env.Servers.ApplyRead(n.env.Now, messenger.ServersPublished{})
 	}
 	got := refusal(t, n.Receive(n.env, n.resumption("r-1")))
 	require.Equal(t, messenger.ReasonUnknownStream, got.Reason, "it may have begun before, at another one")
 	n.env.Now = n.env.Now.Add(timekeeper.Second)
-	n.env.Servers.ApplyRead(n.env.Now, nil, false)
+	n.env.Servers.ApplyRead(n.env.Now, messenger.ServersPublished{})
 	send := n.mustSend(t, n.resumption("r-1"))
 	n.publishVersion("v2", 3)
 	next, ok := n.endAttempt(send, messenger.AttemptBroken, false).(messenger.SendExchange)
@@ -225,7 +225,7 @@
 func TestUnstatedStreamOfSoleVersionIsResumed(t *testing.T) {
 	n := newNode(0)
 	n.publishVersion("v1", 3)
-	n.env.Servers.ApplyRead(n.env.Now, nil, true)
+	n.env.Servers.ApplyRead(n.env.Now, messenger.ServersPublished{All: true})
 	n.env.Now = n.env.Now.Add(timekeeper.Minute) // The store is down.
 	send := n.mustSend(t, n.resumption(""))
 	require.Equal(t, identifier.Version("v1"), send.Inputs.Version)
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -464,6 +464,9 @@
 		Servers []PublishedServer
 		// All reports whether servers missing from Servers have no entry.
 		All bool
+		// End is the offset up to which Servers covers the store: no record before it
+		// is missing. Zero means that only the offsets of Servers tell.
+		End identifier.Offset
 	}
 	// StateUpdateReceived carries a peer's state update.
 	StateUpdateReceived struct {
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -471,11 +471,24 @@
 	g.knowsAllServers = g.knowsAllServers || e.All
 	g.serversRead.observe(env.Now, g.self, g.incarnation)
 	g.continuity.storeRead(env.Now)
-	changed := g.servers.ApplyRead(env.Now, e.Servers, e.All)
+	missing := 0
+	if e.All {
+		missing = g.servers.CountMissing(e.Servers)
+	}
+	changed := g.servers.ApplyRead(env.Now, e)
+	var out []messenger.Effect
+	if missing > 0 {
+		out = append(out, messenger.TimelineEntry{
+			Kind: "servers_missing",
+			VM:   r.config.Self,
+			Detail: fmt.Sprintf("entries=%d end=%d missing=%d kept=%d", len(e.Servers), e.End,
+				missing, g.servers.CountMissing(e.Servers)),
+		})
+	}
 	if len(changed) == 0 && g.usesRelays {
-		return r.sendToRelays(env)
+		return append(out, r.sendToRelays(env)...)
 	}
-	return r.serversChanged(env, changed, true)
+	return append(out, r.serversChanged(env, changed, true)...)
 }
 
 // serversChanged applies changed servers, and notifies the peers if this node read the
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -125,27 +125,27 @@
 	}
 }
 
-// ApplyRead applies entries that this node read from the store and returns the changes.
-// With snapshot set, entries holds everything in the store. An unreadable entry keeps its
-// server from being taken for removed.
-func (t *Table) ApplyRead(now timekeeper.Time, entries []messenger.PublishedServer, snapshot bool) []messenger.PublishedServer {
+// ApplyRead applies entries that this node read from the store and returns the changes. An
+// unreadable entry keeps its server from being taken for removed.
+func (t *Table) ApplyRead(now timekeeper.Time, read messenger.ServersPublished) []messenger.PublishedServer {
 	if t.asOf != 0 && now.Sub(t.asOf) > minOutage {
 		t.deferUntil = now.Add(removalGrace)
 	}
 	t.advance(now, now)
 	t.source = source{
 		direct:  true,
-		initial: snapshot && t.knownSince == 0,
+		initial: read.All && t.knownSince == 0,
 	}
 	if t.source.initial {
 		t.knownSince = now
 	}
-	if snapshot {
+	entries := read.Servers
+	if read.All {
 		entries = append(slices.DeleteFunc(slices.Clone(entries), t.isStale), t.missing(entries)...)
 	}
 	var changed []messenger.PublishedServer
 	for _, e := range entries {
-		if snapshot || t.readTo != 0 {
+		if read.All || t.readTo != 0 {
 			t.readTo = max(t.readTo, e.Offset)
 		}
 		if e.State == messenger.ServerUnreadable {
@@ -303,16 +303,23 @@
 // ContainedIn reports whether entries hold all servers of the table that are not removed. A
 // peer's complete table then lacks no removal that this one needs.
 func (t *Table) ContainedIn(entries []messenger.PublishedServer) bool {
+	return t.CountMissing(entries) == 0
+}
+
+// CountMissing returns the number of servers of the table that are neither removed nor in
+// entries.
+func (t *Table) CountMissing(entries []messenger.PublishedServer) int {
 	held := make(map[identifier.InstanceID]bool, len(entries))
 	for _, e := range entries {
 		held[e.Server.Instance()] = true
 	}
+	missing := 0
 	for id, s := range t.servers {
 		if s.State != messenger.ServerRemoved && !held[id.Instance()] {
-			return false
+			missing++
 		}
 	}
-	return true
+	return missing
 }
 
 func (t *Table) drop(id identifier.VMID) {
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -28,6 +28,14 @@
 	return e
 }
 
+// completeRead is a read of all entries of the store.
+func completeRead(entries []messenger.PublishedServer) messenger.ServersPublished {
+	return messenger.ServersPublished{
+		Servers: entries,
+		All:     true,
+	}
+}
+
 func states(t *registrar.Table) map[identifier.VMID]messenger.ServerState {
 	out := map[identifier.VMID]messenger.ServerState{}
 	for _, s := range t.ServersOf("reader") {
@@ -47,7 +55,7 @@
 		entry("i-3", 5, messenger.ServerReady),
 	}
 	forward, backward := registrar.New(), registrar.New()
-	forward.ApplyRead(start, entries, false)
+	forward.ApplyRead(start, messenger.ServersPublished{Servers: entries})
 	for i := len(entries) - 1; i >= 0; i-- {
 		backward.Merge(start, start, entries[i:i+1])
 		backward.Merge(start, start, entries[i:])
@@ -64,8 +72,8 @@
 // server ready: its new requests would be cut off.
 func TestLeavingIsFinal(t *testing.T) {
 	table := registrar.New()
-	table.ApplyRead(start, []messenger.PublishedServer{entry("i-1", 1, messenger.ServerLeaving)}, false)
-	changed := table.ApplyRead(start, []messenger.PublishedServer{entry("i-1", 2, messenger.ServerReady)}, false)
+	table.ApplyRead(start, messenger.ServersPublished{Servers: []messenger.PublishedServer{entry("i-1", 1, messenger.ServerLeaving)}})
+	changed := table.ApplyRead(start, messenger.ServersPublished{Servers: []messenger.PublishedServer{entry("i-1", 2, messenger.ServerReady)}})
 	require.Empty(t, changed)
 	require.Equal(t, messenger.ServerLeaving, states(table)["i-1"])
 }
@@ -73,7 +81,7 @@
 // No entry may make a server ready that stated to be leaving, here or at peers.
 func TestStatedLeavingIsFinal(t *testing.T) {
 	table := registrar.New()
-	table.ApplyRead(start, []messenger.PublishedServer{entry("i-1", 5, messenger.ServerReady)}, true)
+	table.ApplyRead(start, completeRead([]messenger.PublishedServer{entry("i-1", 5, messenger.ServerReady)}))
 	changed := table.MarkLeaving(start.Add(10), "i-1", start)
 	require.Len(t, changed, 1)
 	require.Equal(t, messenger.ServerLeaving, changed[0].State)
@@ -83,10 +91,10 @@
 	require.Equal(t, changed, updates)
 
 	peer := registrar.New()
-	peer.ApplyRead(start, []messenger.PublishedServer{entry("i-1", 9, messenger.ServerReady)}, true)
+	peer.ApplyRead(start, completeRead([]messenger.PublishedServer{entry("i-1", 9, messenger.ServerReady)}))
 	require.Len(t, peer.Merge(start.Add(30), start, updates), 1)
 	for _, each := range []*registrar.Table{table, peer} {
-		each.ApplyRead(start.Add(400), []messenger.PublishedServer{entry("i-1", 12, messenger.ServerReady)}, false)
+		each.ApplyRead(start.Add(400), messenger.ServersPublished{Servers: []messenger.PublishedServer{entry("i-1", 12, messenger.ServerReady)}})
 		require.Equal(t, messenger.ServerLeaving, states(each)["i-1"])
 	}
 }
@@ -94,12 +102,12 @@
 // Guards against a leaving server that is ready again once its entry lapsed and returned.
 func TestStatedLeavingSurvivesRemoval(t *testing.T) {
 	table := registrar.New()
-	table.ApplyRead(start, []messenger.PublishedServer{
+	table.ApplyRead(start, messenger.ServersPublished{Servers: []messenger.PublishedServer{
 		entry("i-1", 1, messenger.ServerReady),
 		entry("i-1", 2, messenger.ServerRemoved),
-	}, false)
+	}})
 	require.Empty(t, table.MarkLeaving(start, "i-1", start))
-	changed := table.ApplyRead(start, []messenger.PublishedServer{entry("i-1", 3, messenger.ServerReady)}, false)
+	changed := table.ApplyRead(start, messenger.ServersPublished{Servers: []messenger.PublishedServer{entry("i-1", 3, messenger.ServerReady)}})
 	require.Len(t, changed, 1)
 	require.Equal(t, messenger.ServerLeaving, changed[0].State)
 	require.Equal(t, messenger.ServerLeaving, states(table)["i-1"])
@@ -110,10 +118,10 @@
 	first := identifier.ServerStart("i-1", 1000)
 	second := identifier.ServerStart("i-1", identifier.Incarnation(start.Add(500)))
 	table := registrar.New()
-	table.ApplyRead(start, []messenger.PublishedServer{entry(first, 1, messenger.ServerReady)}, true)
+	table.ApplyRead(start, completeRead([]messenger.PublishedServer{entry(first, 1, messenger.ServerReady)}))
 	table.MarkLeaving(start.Add(10), first, start)
 	now := start.Add(1000)
-	table.ApplyRead(now, []messenger.PublishedServer{entry(second, 2, messenger.ServerReady)}, false)
+	table.ApplyRead(now, messenger.ServersPublished{Servers: []messenger.PublishedServer{entry(second, 2, messenger.ServerReady)}})
 	require.Empty(t, table.MarkLeaving(now, first, start.Add(499)), "an answer that arrives late")
 	require.Empty(t, table.Merge(now, now, []messenger.PublishedServer{entry(first, 3, messenger.ServerLeaving)}))
 	require.Equal(t, messenger.ServerReady, states(table)[second])
@@ -124,7 +132,7 @@
 	first := identifier.ServerStart("i-1", 1000)
 	second := identifier.ServerStart("i-1", identifier.Incarnation(start.Add(500)))
 	readSecond := func(table *registrar.Table) {
-		table.ApplyRead(start.Add(1000), []messenger.PublishedServer{entry(second, 2, messenger.ServerReady)}, false)
+		table.ApplyRead(start.Add(1000), messenger.ServersPublished{Servers: []messenger.PublishedServer{entry(second, 2, messenger.ServerReady)}})
 	}
 	for _, test := range []struct {
 		name  string
@@ -147,12 +155,12 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			table := registrar.New()
-			table.ApplyRead(start, []messenger.PublishedServer{entry(first, 1, messenger.ServerReady)}, true)
+			table.ApplyRead(start, completeRead([]messenger.PublishedServer{entry(first, 1, messenger.ServerReady)}))
 			for _, step := range test.steps {
 				step(table)
 			}
 			require.Equal(t, messenger.ServerLeaving, states(table)[second])
-			table.ApplyRead(start.Add(2000), []messenger.PublishedServer{entry(second, 3, messenger.ServerReady)}, false)
+			table.ApplyRead(start.Add(2000), messenger.ServersPublished{Servers: []messenger.PublishedServer{entry(second, 3, messenger.ServerReady)}})
 			require.Equal(t, messenger.ServerLeaving, states(table)[second])
 		})
 	}
@@ -169,17 +177,17 @@
 	}
 	first := identifier.ServerStart("i-1", 1000)
 	table := registrar.New()
-	table.ApplyRead(start, []messenger.PublishedServer{
+	table.ApplyRead(start, completeRead([]messenger.PublishedServer{
 		entry(first, 1, messenger.ServerReady),
 		entry("i-2", 2, messenger.ServerReady),
 		entry("i-3", 3, messenger.ServerReady),
-	}, true)
-	changed := table.ApplyRead(start.Add(400), []messenger.PublishedServer{
+	}))
+	changed := table.ApplyRead(start.Add(400), completeRead([]messenger.PublishedServer{
 		entry("i-3", 3, messenger.ServerReady),
 		unreadable("i-1", 5),
 		unreadable("i-2", 6),
 		unreadable("i-4", 7),
-	}, true)
+	}))
 	require.Empty(t, changed)
 	require.Equal(t, map[identifier.VMID]messenger.ServerState{
 		first: messenger.ServerReady,
@@ -221,12 +229,12 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			table := registrar.New()
-			table.ApplyRead(start, []messenger.PublishedServer{entry("i-1", 1, messenger.ServerReady)}, true)
+			table.ApplyRead(start, completeRead([]messenger.PublishedServer{entry("i-1", 1, messenger.ServerReady)}))
 			now := start.Add(test.outage)
-			table.ApplyRead(now, []messenger.PublishedServer{entry("i-1", 2, messenger.ServerRemoved)}, false)
+			table.ApplyRead(now, messenger.ServersPublished{Servers: []messenger.PublishedServer{entry("i-1", 2, messenger.ServerRemoved)}})
 			require.Equal(t, test.removedAtOnce, len(table.ServersOf("reader")) == 0)
 			if test.returns {
-				table.ApplyRead(now.Add(1000), []messenger.PublishedServer{entry("i-1", 3, messenger.ServerReady)}, false)
+				table.ApplyRead(now.Add(1000), messenger.ServersPublished{Servers: []messenger.PublishedServer{entry("i-1", 3, messenger.ServerReady)}})
 			}
 			table.Tick(now.Add(2500))
 			require.Equal(t, test.removedAtLast, len(table.ServersOf("reader")) == 0)
@@ -238,10 +246,10 @@
 // long time since its own last read for an outage.
 func TestRemovalReadByInfrequentReader(t *testing.T) {
 	table := registrar.New()
-	table.ApplyRead(start, []messenger.PublishedServer{entry("i-1", 1, messenger.ServerReady)}, true)
+	table.ApplyRead(start, completeRead([]messenger.PublishedServer{entry("i-1", 1, messenger.ServerReady)}))
 	// A peer reports a recent read.
 	table.Merge(start.Add(60_000), start.Add(59_900), nil)
-	changed := table.ApplyRead(start.Add(61_200), []messenger.PublishedServer{entry("i-1", 2, messenger.ServerRemoved)}, false)
+	changed := table.ApplyRead(start.Add(61_200), messenger.ServersPublished{Servers: []messenger.PublishedServer{entry("i-1", 2, messenger.ServerRemoved)}})
 	require.Len(t, changed, 1)
 	require.Empty(t, table.ServersOf("reader"))
 }
@@ -250,12 +258,12 @@
 // reported with a newer offset than the snapshot has.
 func TestSnapshotRemovesMissingServers(t *testing.T) {
 	table := registrar.New()
-	table.ApplyRead(start, []messenger.PublishedServer{
+	table.ApplyRead(start, completeRead([]messenger.PublishedServer{
 		entry("i-1", 1, messenger.ServerReady),
 		entry("i-2", 2, messenger.ServerReady),
-	}, true)
+	}))
 	table.Merge(start, start, []messenger.PublishedServer{entry("i-3", 9, messenger.ServerReady)})
-	table.ApplyRead(start.Add(400), []messenger.PublishedServer{entry("i-2", 7, messenger.ServerReady)}, true)
+	table.ApplyRead(start.Add(400), completeRead([]messenger.PublishedServer{entry("i-2", 7, messenger.ServerReady)}))
 	require.Equal(t, map[identifier.VMID]messenger.ServerState{
 		"i-2": messenger.ServerReady,
 		"i-3": messenger.ServerReady,
@@ -264,7 +272,7 @@
 
 func TestAsOf(t *testing.T) {
 	table := registrar.New()
-	table.ApplyRead(start, nil, true)
+	table.ApplyRead(start, completeRead(nil))
 	table.Merge(start.Add(500), start.Add(300), nil)
 	require.Equal(t, start.Add(300), table.AsOf())
 	table.Merge(start.Add(600), start.Add(100), nil)
@@ -275,11 +283,11 @@
 // peers' updates are if they are to be passed on.
 func TestUpdatesSince(t *testing.T) {
 	table := registrar.New()
-	table.ApplyRead(start, []messenger.PublishedServer{entry("i-1", 1, messenger.ServerReady)}, true)
-	table.ApplyRead(start.Add(400), []messenger.PublishedServer{
+	table.ApplyRead(start, completeRead([]messenger.PublishedServer{entry("i-1", 1, messenger.ServerReady)}))
+	table.ApplyRead(start.Add(400), messenger.ServersPublished{Servers: []messenger.PublishedServer{
 		entry("i-1", 2, messenger.ServerReady),
 		entry("i-2", 3, messenger.ServerReady),
-	}, false)
+	}})
 	table.Merge(start.Add(500), start.Add(450), []messenger.PublishedServer{entry("i-3", 4, messenger.ServerReady)})
 	ids := func(since timekeeper.Time, passOn bool) []identifier.VMID {
 		var out []identifier.VMID
@@ -307,10 +315,10 @@
 	table := registrar.New()
 	a, b := entry("i-1", 1, messenger.ServerReady), entry("i-2", 2, messenger.ServerReady)
 	require.True(t, table.ContainedIn(nil))
-	table.ApplyRead(start, []messenger.PublishedServer{a, b}, true)
+	table.ApplyRead(start, completeRead([]messenger.PublishedServer{a, b}))
 	require.True(t, table.ContainedIn([]messenger.PublishedServer{a, b}))
 	require.False(t, table.ContainedIn([]messenger.PublishedServer{a}), "it may have been removed before the peer started")
-	table.ApplyRead(start.Add(1), []messenger.PublishedServer{entry("i-2", 3, messenger.ServerRemoved)}, false)
+	table.ApplyRead(start.Add(1), messenger.ServersPublished{Servers: []messenger.PublishedServer{entry("i-2", 3, messenger.ServerRemoved)}})
 	require.True(t, table.ContainedIn([]messenger.PublishedServer{a}))
 }
 
@@ -343,7 +351,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			fromStore, fromPeer := registrar.New(), registrar.New()
-			fromStore.ApplyRead(start, test.entries, false)
+			fromStore.ApplyRead(start, messenger.ServersPublished{Servers: test.entries})
 			fromPeer.Merge(start, start, test.entries)
 			want := map[identifier.VMID]messenger.ServerState{second: messenger.ServerReady}
 			require.Equal(t, want, states(fromStore))
@@ -358,14 +366,14 @@
 	first := identifier.ServerStart("i-1", 1000)
 	second := identifier.ServerStart("i-1", 9000)
 	table := registrar.New()
-	table.ApplyRead(start, []messenger.PublishedServer{entry(first, 1, messenger.ServerReady)}, false)
-	changed := table.ApplyRead(start, []messenger.PublishedServer{entry(second, 2, messenger.ServerReady)}, false)
+	table.ApplyRead(start, messenger.ServersPublished{Servers: []messenger.PublishedServer{entry(first, 1, messenger.ServerReady)}})
+	changed := table.ApplyRead(start, messenger.ServersPublished{Servers: []messenger.PublishedServer{entry(second, 2, messenger.ServerReady)}})
 	require.Len(t, changed, 2)
 	require.Equal(t, first, changed[0].Server)
 	require.Equal(t, messenger.ServerRemoved, changed[0].State)
 	require.Equal(t, second, changed[1].Server)
 
-	changed = table.ApplyRead(start, []messenger.PublishedServer{entry("i-1", 3, messenger.ServerRemoved)}, false)
+	changed = table.ApplyRead(start, messenger.ServersPublished{Servers: []messenger.PublishedServer{entry("i-1", 3, messenger.ServerRemoved)}})
 	require.Len(t, changed, 1)
 	require.Equal(t, second, changed[0].Server)
 	require.Empty(t, states(table))
@@ -380,11 +388,11 @@
 // entry lapsed: its new requests would be cut off.
 func TestLeavingSurvivesRemoval(t *testing.T) {
 	table := registrar.New()
-	table.ApplyRead(start, []messenger.PublishedServer{
+	table.ApplyRead(start, messenger.ServersPublished{Servers: []messenger.PublishedServer{
 		entry("i-1", 1, messenger.ServerLeaving),
 		entry("i-1", 2, messenger.ServerRemoved),
 		entry("i-1", 3, messenger.ServerReady),
-	}, false)
+	}})
 	require.NotEqual(t, messenger.ServerReady, states(table)["i-1"])
 }
 
@@ -393,7 +401,7 @@
 func BenchmarkServersOf(b *testing.B) {
 	table := registrar.New()
 	for i := range 84 {
-		table.ApplyRead(start, []messenger.PublishedServer{
+		table.ApplyRead(start, messenger.ServersPublished{Servers: []messenger.PublishedServer{
 			{
 				Server:  identifier.VMID(fmt.Sprintf("s-%d", i)),
 				Offset:  identifier.Offset(i + 1),
@@ -401,7 +409,7 @@
 				Address: "10.0.0.1:80",
 				State:   messenger.ServerReady,
 			},
-		}, false)
+		}})
 	}
 	b.ReportAllocs()
 	for b.Loop() {
@@ -432,13 +440,13 @@
 		return out
 	}
 	require.Empty(t, ids())
-	table.ApplyRead(start, []messenger.PublishedServer{entry("s-1", 1, messenger.ServerReady)}, false)
+	table.ApplyRead(start, messenger.ServersPublished{Servers: []messenger.PublishedServer{entry("s-1", 1, messenger.ServerReady)}})
 	require.Equal(t, []identifier.VMID{"s-1"}, ids())
-	table.ApplyRead(start, []messenger.PublishedServer{entry("s-0", 2, messenger.ServerReady)}, false)
+	table.ApplyRead(start, messenger.ServersPublished{Servers: []messenger.PublishedServer{entry("s-0", 2, messenger.ServerReady)}})
 	require.Equal(t, []identifier.VMID{"s-0", "s-1"}, ids())
-	table.ApplyRead(start, []messenger.PublishedServer{entry("s-1", 3, messenger.ServerRemoved)}, false)
+	table.ApplyRead(start, messenger.ServersPublished{Servers: []messenger.PublishedServer{entry("s-1", 3, messenger.ServerRemoved)}})
 	require.Equal(t, []identifier.VMID{"s-0"}, ids())
-	table.ApplyRead(start, []messenger.PublishedServer{entry("s-0", 4, messenger.ServerLeaving)}, false)
+	table.ApplyRead(start, messenger.ServersPublished{Servers: []messenger.PublishedServer{entry("s-0", 4, messenger.ServerLeaving)}})
 	require.Equal(t, messenger.ServerLeaving, table.ServersOf("reader")[0].State)
 }
 
@@ -456,7 +464,7 @@
 	})
 	t.Run("entry gone before the first read", func(t *testing.T) {
 		table := registrar.New()
-		table.ApplyRead(start, []messenger.PublishedServer{entry("i-2", 2, messenger.ServerReady)}, true)
+		table.ApplyRead(start, completeRead([]messenger.PublishedServer{entry("i-2", 2, messenger.ServerReady)}))
 		require.Empty(t, table.Merge(start.Add(100), start, late))
 		require.NotContains(t, states(table), identifier.VMID("i-1"))
 		later := []messenger.PublishedServer{entry("i-1", 4, messenger.ServerReady)}
@@ -464,7 +472,7 @@
 	})
 	t.Run("entry missing in a store that came back from a copy", func(t *testing.T) {
 		table := registrar.New()
-		table.ApplyRead(start, []messenger.PublishedServer{entry("i-2", identifier.OffsetAt(2, 5), messenger.ServerReady)}, true)
+		table.ApplyRead(start, completeRead([]messenger.PublishedServer{entry("i-2", identifier.OffsetAt(2, 5), messenger.ServerReady)}))
 		require.Len(t, table.Merge(start.Add(100), start, late), 1)
 	})
 }
@@ -472,11 +480,11 @@
 // Guards against nodes that vouch for an entry which they don't report, as a peer had it first.
 func TestLeavingReadAfterPeerReportedItIsReported(t *testing.T) {
 	table := registrar.New()
-	table.ApplyRead(start, []messenger.PublishedServer{entry("i-1", 1, messenger.ServerReady)}, true)
+	table.ApplyRead(start, completeRead([]messenger.PublishedServer{entry("i-1", 1, messenger.ServerReady)}))
 	leaving := []messenger.PublishedServer{entry("i-1", 2, messenger.ServerLeaving)}
 	table.Merge(start.Add(100), start.Add(100), leaving)
 	require.Empty(t, table.UpdatesSince(start.Add(100), start, false))
-	table.ApplyRead(start.Add(200), leaving, false)
+	table.ApplyRead(start.Add(200), messenger.ServersPublished{Servers: leaving})
 	require.Len(t, table.UpdatesSince(start.Add(200), start, false), 1)
 }
 
@@ -484,10 +492,10 @@
 func TestDeferredRemovalIsReported(t *testing.T) {
 	ready := []messenger.PublishedServer{entry("i-1", 1, messenger.ServerReady)}
 	table, peer := registrar.New(), registrar.New()
-	table.ApplyRead(start, ready, true)
-	peer.ApplyRead(start, ready, true)
+	table.ApplyRead(start, completeRead(ready))
+	peer.ApplyRead(start, completeRead(ready))
 	now := start.Add(5000)
-	table.ApplyRead(now, []messenger.PublishedServer{entry("i-1", 2, messenger.ServerRemoved)}, false)
+	table.ApplyRead(now, messenger.ServersPublished{Servers: []messenger.PublishedServer{entry("i-1", 2, messenger.ServerRemoved)}})
 	updates := table.UpdatesSince(now.Add(500), now.Add(-1), true)
 	require.Len(t, updates, 1)
 	require.Empty(t, peer.Merge(now.Add(500), now, updates))
@@ -498,7 +506,7 @@
 
 	returned := []messenger.PublishedServer{entry("i-1", 3, messenger.ServerReady)}
 	peer = registrar.New()
-	peer.ApplyRead(start, ready, true)
+	peer.ApplyRead(start, completeRead(ready))
 	peer.Merge(now.Add(500), now, updates)
 	peer.Merge(now.Add(1000), now, returned)
 	peer.Tick(now.Add(2300))
@@ -516,11 +524,11 @@
 	// newTable returns a table that has read the store each second, and the time of the last read.
 	newTable := func(first ...messenger.PublishedServer) (*registrar.Table, timekeeper.Time) {
 		table := registrar.New()
-		table.ApplyRead(start, first, true)
+		table.ApplyRead(start, completeRead(first))
 		now := start
 		for now.Sub(start) < span {
 			now = now.Add(timekeeper.Second)
-			table.ApplyRead(now, nil, false)
+			table.ApplyRead(now, messenger.ServersPublished{Servers: nil})
 		}
 		return table, now
 	}
@@ -535,14 +543,14 @@
 	require.False(t, sole(table, now.Add(-1)), "it does not know of the time before")
 	require.False(t, sole(table, now.Add(maxAge+1)), "its entries are outdated")
 
-	table.ApplyRead(now.Add(500), []messenger.PublishedServer{versioned("i-2", 2, "v2")}, false)
+	table.ApplyRead(now.Add(500), messenger.ServersPublished{Servers: []messenger.PublishedServer{versioned("i-2", 2, "v2")}})
 	require.False(t, sole(table, now.Add(500)), "two versions")
-	table.ApplyRead(now.Add(600), []messenger.PublishedServer{entry("i-2", 3, messenger.ServerRemoved)}, false)
+	table.ApplyRead(now.Add(600), messenger.ServersPublished{Servers: []messenger.PublishedServer{entry("i-2", 3, messenger.ServerRemoved)}})
 	require.False(t, sole(table, now.Add(600)), "the other one has just been removed")
 
 	table, now = newTable(ready)
 	now = now.Add(5 * timekeeper.Second)
-	table.ApplyRead(now, nil, false)
+	table.ApplyRead(now, messenger.ServersPublished{Servers: nil})
 	require.False(t, sole(table, now), "another one may have come and gone")
 
 	table, now = newTable(versioned("i-1", 1, "v1"), versioned("i-2", 2, "v2"))
--- a/internal/runner/published.go
+++ b/internal/runner/published.go
@@ -138,6 +138,15 @@
 	read func(ctx context.Context, from identifier.Offset, all bool) (messenger.EventBody, identifier.Offset, error)
 }
 
+// readCause states why all records are read and not only those since the last read.
+type readCause string
+
+const (
+	readAtStart  readCause = "start"
+	readExpired  readCause = "records_expired"
+	readAfterGap readCause = "gap"
+)
+
 // followPublished reads one kind of records until ctx ends.
 func (r *Runner) followPublished(ctx context.Context, records storeRecords, retry *backoff) {
 	var (
@@ -145,16 +154,20 @@
 		readAt time.Time
 	)
 	failed := false
+	cause := readAtStart
 	for records.required.wait(ctx) {
-		if records.maxGap > 0 && time.Since(readAt) > records.maxGap {
+		if next != 0 && records.maxGap > 0 && time.Since(readAt) > records.maxGap {
 			next = 0
+			cause = readAfterGap
 		}
-		event, end, err := records.read(ctx, next, next == 0)
+		all := next == 0
+		event, end, err := records.read(ctx, next, all)
 		r.checkGeneration(ctx)
 		var expired *RecordsExpiredError
 		switch {
 		case errors.As(err, &expired):
 			next = 0
+			cause = readExpired
 			continue
 		case err != nil:
 			r.logStoreFailure(ctx, records.name, &failed, err)
@@ -162,6 +175,9 @@
 			continue
 		}
 		r.logStoreRecovery(records.name, &failed)
+		if all {
+			r.logger.Info("all records read", "records", records.name, "cause", cause, "end", end)
+		}
 		retry.reset()
 		next = end
 		readAt = time.Now()
@@ -189,6 +205,7 @@
 	return messenger.ServersPublished{
 		Servers: servers,
 		All:     all,
+		End:     end,
 	}, end, err
 }
 
