Report an entry that cancels a deferred removal

Callers could see: after an outage of the store in which servers' entries lapsed, nodes that do not read the store themselves had no servers from 2.2 s after its return on, and refused.

Cause: a reader defers such removals and reports them with the time left. An entry that comes back with nothing but a later offset counts as no change and was not reported, so that the peers' deferred removals went on to apply.

Ruled out: a grace that is too short (the entries were back 1 s before its end).

The entry that cancels a deferred removal is now reported, by the reader and by each peer that passes changes on. TestReturnedEntryIsReported failed before.

Two ways: with the next update, or at once as a change. The first is kept: a fleet whose entries all return sends no update and no line of the time line for each read.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -390,6 +390,7 @@
 		known.direct = known.direct || t.source.direct && e.Offset == known.Offset
 		return e.State == messenger.ServerLeaving && t.markLeaving(now, known)
 	}
+	_, deferred := t.deferredRemovals[e.Server]
 	delete(t.deferredRemovals, e.Server)
 	known.Displaced = false
 	before := known.PublishedServer
@@ -413,6 +414,10 @@
 	before.LeavesIn = e.LeavesIn
 	before.ColdFor = e.ColdFor
 	if before == e {
+		if deferred {
+			// Peers have received the removal that this entry cancels.
+			t.markUpdated(now, known)
+		}
 		return false
 	}
 	known.ChangedAt = now
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -513,6 +513,23 @@
 	require.Contains(t, states(peer), identifier.VMID("i-1"), "its entry is back")
 }
 
+// Guards against peers that remove a server after an outage although its entry is back.
+func TestReturnedEntryIsReported(t *testing.T) {
+	table, peer := registrar.New(), registrar.New()
+	for _, each := range []*registrar.Table{table, peer} {
+		each.ApplyRead(start, completeRead([]messenger.PublishedServer{entry("i-1", 1, messenger.ServerReady)}))
+	}
+	now := start.Add(5000)
+	table.ApplyRead(now, messenger.ServersPublished{Servers: []messenger.PublishedServer{entry("i-1", 2, messenger.ServerRemoved)}})
+	peer.Merge(now.Add(100), now, table.UpdatesSince(now.Add(100), now.Add(-1), true))
+	table.ApplyRead(now.Add(800), messenger.ServersPublished{Servers: []messenger.PublishedServer{entry("i-1", 3, messenger.ServerReady)}})
+	peer.Merge(now.Add(900), now.Add(800), table.UpdatesSince(now.Add(900), now.Add(799), false))
+	for _, each := range []*registrar.Table{table, peer} {
+		each.Tick(now.Add(2500))
+		require.Equal(t, messenger.ServerReady, states(each)["i-1"])
+	}
+}
+
 // Guards against a version that counts as the only one although the node may have missed others.
 func TestSoleVersion(t *testing.T) {
 	const span, maxAge = 50 * timekeeper.Second, 1 * timekeeper.Second
