State the removal of a missing server as of the end of the read

Callers could see: requests to a removed server from nodes that do not read the store.

Cause: a read of all entries that lacks a server made its removal one offset later than the entry that the reader knew. A peer that knew a later entry of the server ignored the removal and took over the time up to which the reader knows all. And a removal that was concluded from a restored store bore an offset of the generation before, so that a later read of all entries took the server's new registration for one of the copy, and it stayed removed.

Evidence: TestMissingServerIsRemovedAtPeersWithLaterEntries and TestServerMissingInRestoredStoreRegistersAgain, which failed before.

A removal now bears the last offset that the read covers. Whatever the server writes after the read is later.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -141,7 +141,7 @@
 	}
 	entries := read.Servers
 	if read.All {
-		entries = append(slices.DeleteFunc(slices.Clone(entries), t.isStale), t.missing(entries)...)
+		entries = append(slices.DeleteFunc(slices.Clone(entries), t.isStale), t.missing(read)...)
 	}
 	var changed []messenger.PublishedServer
 	for _, e := range entries {
@@ -201,14 +201,16 @@
 	return e
 }
 
-// missing returns removals of the servers that a snapshot does not contain.
-func (t *Table) missing(entries []messenger.PublishedServer) []messenger.PublishedServer {
-	present := make(map[identifier.InstanceID]bool, len(entries))
+// missing returns removals of the servers that a read of all entries does not contain, as of the
+// end of the read: peers may know later entries than this node.
+func (t *Table) missing(read messenger.ServersPublished) []messenger.PublishedServer {
+	present := make(map[identifier.InstanceID]bool, len(read.Servers))
 	var newest identifier.Offset
-	for _, e := range entries {
+	for _, e := range read.Servers {
 		present[e.Server.Instance()] = true
 		newest = max(newest, e.Offset)
 	}
+	end := endOf(read)
 	var out []messenger.PublishedServer
 	for _, id := range slices.Sorted(maps.Keys(t.servers)) {
 		s := t.servers[id]
@@ -217,12 +219,25 @@
 		}
 		removed := s.PublishedServer
 		removed.State = messenger.ServerRemoved
-		removed.Offset++
+		removed.Offset = max(s.Offset+1, end-1)
 		out = append(out, removed)
 	}
 	return out
 }
 
+// endOf returns the offset before which a read lacks no record. A read of all entries may contain
+// later ones, as it takes several calls.
+func endOf(read messenger.ServersPublished) identifier.Offset {
+	if read.End != 0 {
+		return read.End
+	}
+	var end identifier.Offset
+	for _, e := range read.Servers {
+		end = max(end, e.Offset+1)
+	}
+	return end
+}
+
 // deferRemoval delays a removal by removalGrace.
 //
 // During an outage the store drops the entries of servers that can't renew them. If
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -270,6 +270,37 @@
 	}, states(table))
 }
 
+// Guards against peers that keep a server which a read of all entries lacks, as they know a later
+// entry of it than the reader.
+func TestMissingServerIsRemovedAtPeersWithLaterEntries(t *testing.T) {
+	table, peer := registrar.New(), registrar.New()
+	table.ApplyRead(start, completeRead([]messenger.PublishedServer{entry("i-1", 1, messenger.ServerReady)}))
+	peer.ApplyRead(start.Add(200), completeRead([]messenger.PublishedServer{entry("i-1", 5, messenger.ServerReady)}))
+	now := start.Add(400)
+	table.ApplyRead(now, completeRead([]messenger.PublishedServer{entry("i-2", 9, messenger.ServerReady)}))
+	peer.Merge(now, now, table.UpdatesSince(now, now.Add(-1), false))
+	for _, each := range []*registrar.Table{table, peer} {
+		require.NotContains(t, states(each), identifier.VMID("i-1"))
+		each.ApplyRead(now.Add(400), messenger.ServersPublished{Servers: []messenger.PublishedServer{entry("i-1", 10, messenger.ServerReady)}})
+		require.Equal(t, messenger.ServerReady, states(each)["i-1"], "it registered again after the read")
+	}
+}
+
+// Guards against a server that stays removed although it registered in a restored store, since its
+// removal was concluded from an earlier read of that store.
+func TestServerMissingInRestoredStoreRegistersAgain(t *testing.T) {
+	table := registrar.New()
+	table.ApplyRead(start, completeRead([]messenger.PublishedServer{entry("i-1", 3, messenger.ServerReady)}))
+	other := entry("i-2", identifier.OffsetAt(1, 0), messenger.ServerReady)
+	table.ApplyRead(start.Add(400), completeRead([]messenger.PublishedServer{other}))
+	require.NotContains(t, states(table), identifier.VMID("i-1"))
+	table.ApplyRead(start.Add(800), completeRead([]messenger.PublishedServer{
+		other,
+		entry("i-1", identifier.OffsetAt(1, 1), messenger.ServerReady),
+	}))
+	require.Equal(t, messenger.ServerReady, states(table)["i-1"])
+}
+
 func TestAsOf(t *testing.T) {
 	table := registrar.New()
 	table.ApplyRead(start, completeRead(nil))
