Remove servers that a read of all entries lacks, by the end of the read

Cause: of the servers that a read of all entries lacks, the node took for removed only those whose own entry was older than the newest of the entries that were read. A server that was the last to write before its removal stayed ready, and so did all servers after a read without any entry. The reads went on behind the record of the removal.

A server is removed if its entry was written before the end that the read states with its first page. What is written later comes with the next read of changes. The newest offset in the read is no bound either: it takes several calls, and a server that registers between two of them was removed although peers had reported it (TestReadOfAllEntriesKeepsServersWrittenMeanwhile).

Ways weighed: the end of the first page (kept); the end that each page states for the keys of that page, which judges the same servers a read earlier, but only entries that peers report within milliseconds differ; two reads of all entries in a row, a read of thousands of entries more for each; servers that are silent for three heartbeats, which needs the time of the last write of each and breaks the bound by itself.

--- a/internal/prover/exchange_cluster_test.go
+++ b/internal/prover/exchange_cluster_test.go
@@ -85,8 +85,10 @@
 	rng   *rand.Rand
 	nodes map[identifier.VMID]*gatewayNode
 
-	streams     map[identifier.LogStream][]messenger.Record
-	entries     []messenger.PublishedServer
+	streams map[identifier.LogStream][]messenger.Record
+	entries []messenger.PublishedServer
+	// deletedTo is the number of entries whose records the store has deleted.
+	deletedTo   int
 	catalogs    []*catalog.Catalog
 	publishedAt timekeeper.Time
 	storeDown   bool
@@ -407,26 +409,25 @@
 }
 
 func (cl *exchangeCluster) readServers(n *gatewayNode) {
-	first := n.entriesRead == 0
 	if !n.r.Following(cl.now).Servers {
 		return
 	}
 	if cl.storeDown || n.cutFromStore {
 		return
 	}
-	if cl.applyGeneration(n); n.entriesRead == 0 {
-		first = true
-	}
+	cl.applyGeneration(n)
 	n.entriesRead = min(n.entriesRead, len(cl.entries))
-	entries := slices.Clone(cl.entries[n.entriesRead:])
-	for i := range entries {
-		entries[i].Offset = identifier.OffsetAt(cl.generation, uint64(n.entriesRead+i))
+	read := messenger.ServersPublished{
+		All: n.entriesRead == 0 || n.entriesRead < cl.deletedTo,
+		End: identifier.OffsetAt(cl.generation, uint64(len(cl.entries))),
+	}
+	if n.entriesRead < cl.deletedTo {
+		read.Servers = cl.newestEntries()
+	} else {
+		read.Servers = readable(cl.entriesFrom(n.entriesRead), read.All)
 	}
 	n.entriesRead = len(cl.entries)
-	cl.apply(n, messenger.ServersPublished{
-		Servers: readable(entries, first),
-		All:     first,
-	})
+	cl.apply(n, read)
 }
 
 // readable returns what a read of the store yields of entries. A read of changes omits
@@ -444,6 +445,30 @@
 	})
 }
 
+// entriesFrom returns the entries from a position on, with their offsets.
+func (cl *exchangeCluster) entriesFrom(position int) []messenger.PublishedServer {
+	entries := slices.Clone(cl.entries[position:])
+	for i := range entries {
+		entries[i].Offset = identifier.OffsetAt(cl.generation, uint64(position+i))
+	}
+	return entries
+}
+
+// newestEntries returns the newest entry of each server that is not removed.
+func (cl *exchangeCluster) newestEntries() []messenger.PublishedServer {
+	newest := map[identifier.InstanceID]messenger.PublishedServer{}
+	for _, e := range cl.entriesFrom(0) {
+		newest[e.Server.Instance()] = e
+	}
+	var out []messenger.PublishedServer
+	for _, id := range slices.Sorted(maps.Keys(newest)) {
+		if newest[id].State != messenger.ServerRemoved {
+			out = append(out, newest[id])
+		}
+	}
+	return out
+}
+
 func (cl *exchangeCluster) readConfiguration(n *gatewayNode) {
 	if !n.r.Following(cl.now).Configuration {
 		return
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -201,20 +201,19 @@
 	return e
 }
 
-// missing returns removals of the servers that a read of all entries does not contain, as of the
-// end of the read: peers may know later entries than this node.
+// missing returns removals of the servers that a read of all entries does not contain. An entry
+// that was written at the end of the read or later, and that a peer reported, may be absent only
+// because it is newer: the read of changes from the end on brings it.
 func (t *Table) missing(read messenger.ServersPublished) []messenger.PublishedServer {
 	present := make(map[identifier.InstanceID]bool, len(read.Servers))
-	var newest identifier.Offset
 	for _, e := range read.Servers {
 		present[e.Server.Instance()] = true
-		newest = max(newest, e.Offset)
 	}
 	end := endOf(read)
 	var out []messenger.PublishedServer
 	for _, id := range slices.Sorted(maps.Keys(t.servers)) {
 		s := t.servers[id]
-		if present[id.Instance()] || s.Offset >= newest || s.State == messenger.ServerRemoved {
+		if present[id.Instance()] || s.Offset >= end || s.State == messenger.ServerRemoved {
 			continue
 		}
 		removed := s.PublishedServer
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -301,6 +301,50 @@
 	require.Equal(t, messenger.ServerReady, states(table)["i-1"])
 }
 
+// Guards against a removed server that stays in use as it was the last to write its entry, or as
+// no entry is left.
+func TestReadOfAllEntriesRemovesLastWriter(t *testing.T) {
+	first, last := entry("i-1", 1, messenger.ServerReady), entry("i-2", 2, messenger.ServerReady)
+	for _, test := range []struct {
+		name string
+		left []messenger.PublishedServer
+	}{
+		{
+			name: "another server is left",
+			left: []messenger.PublishedServer{first},
+		},
+		{
+			name: "no entry is left",
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			table := registrar.New()
+			table.ApplyRead(start, completeRead([]messenger.PublishedServer{first, last}))
+			read := completeRead(test.left)
+			read.End = 4
+			table.ApplyRead(start.Add(400), read)
+			require.Len(t, states(table), len(test.left))
+
+			table = registrar.New()
+			table.ApplyRead(start, completeRead([]messenger.PublishedServer{first, last}))
+			read.End = 2
+			table.ApplyRead(start.Add(400), read)
+			require.Contains(t, states(table), identifier.VMID("i-2"), "its entry may be newer than the read")
+		})
+	}
+}
+
+// Guards against removing a server that registered between two calls of a read of all entries.
+func TestReadOfAllEntriesKeepsServersWrittenMeanwhile(t *testing.T) {
+	table := registrar.New()
+	table.ApplyRead(start, completeRead([]messenger.PublishedServer{entry("i-1", 1, messenger.ServerReady)}))
+	table.Merge(start.Add(100), start, []messenger.PublishedServer{entry("i-2", 6, messenger.ServerReady)})
+	read := completeRead([]messenger.PublishedServer{entry("i-1", 3, messenger.ServerReady), entry("i-3", 7, messenger.ServerReady)})
+	read.End = 6
+	table.ApplyRead(start.Add(200), read)
+	require.Contains(t, states(table), identifier.VMID("i-2"))
+}
+
 func TestAsOf(t *testing.T) {
 	table := registrar.New()
 	table.ApplyRead(start, completeRead(nil))
