Ignore reports of servers that were removed before the end of a read

Callers could see: requests to a server that is gone, at a node that has just started.

Cause: a report of an unknown server is ignored if this node has read the store beyond the report's offset. The node went by the newest entry that it had read, not by the end of its reads, so that a server that was the last to write before its removal was added again by a peer that did not know of the removal yet.

The end of each read counts. TestServerRemovedBeforeFirstReadIsNotAdded failed before; found by looking for the cause of the missing servers elsewhere.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -89,8 +89,7 @@
 	// gapEnded is the end of the last time in which this node may have missed servers that came
 	// and went, or zero.
 	gapEnded timekeeper.Time
-	// readTo is the last offset of the store up to which this node has read all entries, or
-	// zero.
+	// readTo is the offset before which this node has read all entries, or zero.
 	readTo identifier.Offset
 	// source is the origin of the entries being merged.
 	source source
@@ -144,10 +143,10 @@
 		entries = append(slices.DeleteFunc(slices.Clone(entries), t.isStale), t.missing(read)...)
 	}
 	var changed []messenger.PublishedServer
+	if read.All || t.readTo != 0 {
+		t.readTo = max(t.readTo, endOf(read))
+	}
 	for _, e := range entries {
-		if read.All || t.readTo != 0 {
-			t.readTo = max(t.readTo, e.Offset)
-		}
 		if e.State == messenger.ServerUnreadable {
 			continue
 		}
@@ -311,7 +310,7 @@
 // removed from the store before this node read it. The peer does not know yet.
 func (t *Table) endedBeforeRead(e messenger.PublishedServer) bool {
 	_, known := t.newest[e.Server.Instance()]
-	return !known && e.Offset <= t.readTo && e.Offset.Generation() == t.readTo.Generation()
+	return !known && e.Offset < t.readTo && e.Offset.Generation() == t.readTo.Generation()
 }
 
 // ContainedIn reports whether entries hold all servers of the table that are not removed. A
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -345,6 +345,25 @@
 	require.Contains(t, states(table), identifier.VMID("i-2"))
 }
 
+// Guards against a removed server that a peer's late report adds again, as the read that lacked it
+// held no later entry of another server.
+func TestServerRemovedBeforeFirstReadIsNotAdded(t *testing.T) {
+	table := registrar.New()
+	read := completeRead([]messenger.PublishedServer{entry("i-1", 1, messenger.ServerReady)})
+	read.End = 5
+	table.ApplyRead(start, read)
+	table.Merge(start.Add(10), start, []messenger.PublishedServer{
+		entry("i-2", 3, messenger.ServerReady),
+		entry("i-3", 5, messenger.ServerReady),
+	})
+	require.NotContains(t, states(table), identifier.VMID("i-2"))
+	require.Contains(t, states(table), identifier.VMID("i-3"), "it registered after the read")
+
+	table.ApplyRead(start.Add(400), messenger.ServersPublished{End: 9})
+	table.Merge(start.Add(410), start, []messenger.PublishedServer{entry("i-4", 8, messenger.ServerReady)})
+	require.NotContains(t, states(table), identifier.VMID("i-4"))
+}
+
 func TestAsOf(t *testing.T) {
 	table := registrar.New()
 	table.ApplyRead(start, completeRead(nil))
