Defer removals after an outage at all readers of the store

Callers could see: after an outage of the store in which servers' entries lapsed, in a cluster with relays, all requests refused until the entries are back (up to two seconds).

Cause: a reader takes the time without any knowledge of the entries for an outage, and keeps lapsed servers for the grace that the platform states. Once the first reader has told the others, through the relays, the second one knows the entries as of a moment ago, sees no outage, and removes for all nodes what it reads.

Nodes report the read that ended an outage while they defer removals for it. A peer that had no knowledge of the entries for the same time defers what it reads as well. One that has read on does not: only the sender was cut off, and removals must be heeded.

Ways weighed: to take each jump of the time up to which the entries are known for an outage (refuted by TestRemovalReadByInfrequentReader); to keep only the removals that a peer reports as deferred, which misses those of entries that lapse after its first read; failed reads of a node's own, which a node that becomes a reader after the outage does not have.

--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -361,6 +361,10 @@
 	Grantor identifier.VMID
 	// LeaderAnnounced is the announcement on which LeaderAge is based.
 	LeaderAnnounced Observation
+	// StoreReturned is the read that ended the last outage of the store, and
+	// StoreReturnAge the time since, while removals are deferred for it.
+	StoreReturned  Observation
+	StoreReturnAge timekeeper.Duration
 }
 
 // Observation identifies what a node observed first-hand: a read of the store, or
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -163,9 +163,11 @@
 	// configRead is the freshness of the configuration, and serversRead that of the servers.
 	configRead  freshness
 	serversRead freshness
-	servers     *registrar.Table
-	exchanges   *dispatcher.Dispatcher
-	retries     *retrier.Allowance
+	// storeReturned is the last read that ended an outage of the store.
+	storeReturned freshness
+	servers       *registrar.Table
+	exchanges     *dispatcher.Dispatcher
+	retries       *retrier.Allowance
 	// quarantine is the table of the Reducer.
 	quarantine *quarantiner.Quarantine
 	usage      *accountant.Accountant
@@ -475,7 +477,11 @@
 	if e.All {
 		missing = g.servers.CountMissing(e.Servers)
 	}
+	defersUntil := g.servers.DefersUntil()
 	changed := g.servers.ApplyRead(env.Now, e)
+	if g.servers.DefersUntil().After(defersUntil) {
+		g.storeReturned.observe(env.Now, g.self, g.incarnation)
+	}
 	var out []messenger.Effect
 	if missing > 0 {
 		out = append(out, messenger.TimelineEntry{
--- a/internal/reducer/stateupdate.go
+++ b/internal/reducer/stateupdate.go
@@ -59,6 +59,9 @@
 		g.serversRead.merge(env.Now, s.ServersAge, s.ServersRead)
 	}
 	changed := merge(env.Now, g.serversRead.asOf, s.Servers)
+	if s.StoreReturned.Node != "" && g.storeReturned.merge(env.Now, s.StoreReturnAge, s.StoreReturned) {
+		g.servers.StoreReturned(env.Now, g.storeReturned.asOf)
+	}
 	out := append(timeline, r.recordRollouts(env)...)
 	out = append(out, r.serversChanged(env, changed, false)...)
 	g.exchanges.MergeCachedPrefixes(r.exchangeEnv(env), s.CachedPrefixes, g.relaySince != 0)
@@ -235,6 +238,10 @@
 		s.ServersAge = now.Sub(0)
 		s.ServersRead = messenger.Observation{}
 	}
+	if g.storeReturned.basis.Node != "" && now.Before(g.servers.DefersUntil()) {
+		s.StoreReturned = g.storeReturned.basis
+		s.StoreReturnAge = now.Sub(g.storeReturned.asOf)
+	}
 	if fence, _, held := g.leases.Held(leaderLease, now); held {
 		g.announcements++
 		s.Leader = g.self
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -177,6 +177,18 @@
 	return t.mergeEntry(now, e)
 }
 
+// DefersUntil returns the time until which removals that this node reads are deferred after the
+// last outage that it has seen, or zero.
+func (t *Table) DefersUntil() timekeeper.Time { return t.deferUntil }
+
+// StoreReturned records that a peer's read at a time ended an outage of the store. It has no effect
+// if this node knew all entries meanwhile: only the peer was cut off.
+func (t *Table) StoreReturned(now, at timekeeper.Time) {
+	if t.gapEnded != 0 && now.Sub(t.gapEnded) < removalGrace {
+		t.deferUntil = max(t.deferUntil, at.Add(removalGrace))
+	}
+}
+
 // Restored handles the restoration of the store from a copy. Servers registered after
 // the copy was made are missing until they write again, and servers that ended may
 // reappear.
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -280,6 +280,12 @@
 		ServersAge:         120,
 		ConfigurationAge:   340,
 		Revision:           12,
+		StoreReturned: messenger.Observation{
+			Node:        "entry-4",
+			Incarnation: 5,
+			Number:      2,
+		},
+		StoreReturnAge: 640,
 		InFlight: map[identifier.VMID]messenger.InFlight{
 			"i-1": {
 				Running: 4,
--- a/internal/relayer/stateupdate.go
+++ b/internal/relayer/stateupdate.go
@@ -43,6 +43,8 @@
 		ServersRead:        encodeObservation(s.ServersRead),
 		ConfigurationRead:  encodeObservation(s.ConfigurationRead),
 		HolderAnnounced:    encodeObservation(s.LeaderAnnounced),
+		StoreReturned:      encodeObservation(s.StoreReturned),
+		StoreReturnAgeMs:   int64(s.StoreReturnAge),
 	}
 	for _, e := range s.Servers {
 		out.Servers = append(out.Servers, encodePublishedServer(e))
@@ -141,6 +143,8 @@
 		Leader:             identifier.VMID(q.GetHolder()),
 		LeaderAge:          timekeeper.Duration(max(q.GetHolderAgeMs(), 0)),
 		LeaderAnnounced:    decodeObservation(q.GetHolderAnnounced()),
+		StoreReturned:      decodeObservation(q.GetStoreReturned()),
+		StoreReturnAge:     timekeeper.Duration(max(q.GetStoreReturnAgeMs(), 0)),
 		Scope:              messenger.UpdateScope(q.GetScope()),
 		Zone:               identifier.Zone(q.GetZone()),
 		AllServers:         q.GetWhole(),
