Vouch for servers' entries as of the time at which their read was sent

Callers could see: requests to a server that has left, at nodes that neither read its leaving nor were told of it.

Cause: a node took a read of the store for true up to the moment at which it was applied, also if the store had answered it long before.

Found by looking for what else nodes conclude from reads.

A read states the time since it was sent. The entries count as known up to then, and an outage is counted up to then; the time since which a node knows all changes stays that of its first read's end, as what it has learned in between is not reported to peers.

--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -471,6 +471,8 @@
 		// End is the offset up to which Servers covers the store: no record before it
 		// is missing. Zero means that only the offsets of Servers tell.
 		End identifier.Offset
+		// Age is the time since the read was sent. The entries may be as old.
+		Age timekeeper.Duration
 	}
 	// StateUpdateReceived carries a peer's state update.
 	StateUpdateReceived struct {
--- a/internal/prover/exchange_cluster_test.go
+++ b/internal/prover/exchange_cluster_test.go
@@ -64,6 +64,8 @@
 	cutFromStore bool
 	readOffsets  map[identifier.LogStream]int
 	entriesRead  int
+	// reading is set while a read of the servers' entries is on its way.
+	reading bool
 	// generation is the store generation that the node last read.
 	generation identifier.StoreGeneration
 	revision   identifier.Revision
@@ -412,7 +414,7 @@
 	if !n.r.Following(cl.now).Servers {
 		return
 	}
-	if cl.storeDown || n.cutFromStore {
+	if cl.storeDown || n.cutFromStore || n.reading {
 		return
 	}
 	cl.applyGeneration(n)
@@ -426,8 +428,7 @@
 	} else {
 		read.Servers = readable(cl.entriesFrom(n.entriesRead), read.All)
 	}
-	n.entriesRead = len(cl.entries)
-	cl.apply(n, read)
+	cl.deliverRead(n, read, len(cl.entries))
 }
 
 // readable returns what a read of the store yields of entries. A read of changes omits
--- a/internal/prover/known_test.go
+++ b/internal/prover/known_test.go
@@ -19,6 +19,8 @@
 	// maxDisorderTime the longest time that one lasts.
 	maxDisorderSpacing = 500
 	maxDisorderTime    = 1500
+	// maxReadTime is the longest time that a read of the store takes, in milliseconds.
+	maxReadTime = 900
 	// maxTransit is the time that messages take on their way from the reader of the store over
 	// relays, which the ages that they state do not include.
 	maxTransit = 5 * timekeeper.Millisecond
@@ -32,8 +34,29 @@
 const (
 	killsOnly    disorder = "kills"
 	killsAndCuts disorder = "kills and cuts"
+	// lateReads are kills while reads of the store take up to maxReadTime.
+	lateReads disorder = "kills and late reads"
 )
 
+// deliverRead applies what a node has read of the entries up to a position. With lateReads, that
+// takes a while.
+func (cl *exchangeCluster) deliverRead(n *gatewayNode, read messenger.ServersPublished, to int) {
+	if cl.disorder != lateReads {
+		n.entriesRead = to
+		cl.apply(n, read)
+		return
+	}
+	n.reading = true
+	read.Age = timekeeper.Duration(1 + cl.rng.IntN(maxReadTime))
+	cl.after(read.Age, func() {
+		n.reading = false
+		if n.alive {
+			n.entriesRead = to
+			cl.apply(n, read)
+		}
+	})
+}
+
 // checkKnown requires that a node which takes its entries for known up to a time has them all.
 func (cl *exchangeCluster) checkKnown(n *gatewayNode, e messenger.SendExchange) {
 	last, written := cl.lastEntries[e.Server]
@@ -53,7 +76,7 @@
 	}
 	lasts := timekeeper.Duration(1 + cl.rng.IntN(maxDisorderTime))
 	kind := cl.rng.IntN(6)
-	if cl.disorder == killsOnly && (kind == 2 || kind == 3) {
+	if cl.disorder != killsAndCuts && (kind == 2 || kind == 3) {
 		kind = 0
 	}
 	switch kind {
@@ -102,7 +125,7 @@
 		return
 	}
 	state := messenger.ServerLeaving
-	if cl.disorder == killsOnly && cl.rng.IntN(2) == 0 {
+	if cl.disorder != killsAndCuts && cl.rng.IntN(2) == 0 {
 		state = messenger.ServerRemoved
 	}
 	cl.writeEntry(ready[cl.rng.IntN(len(ready))], state)
@@ -136,7 +159,7 @@
 		if test.size.nodes > maxRestartNodes {
 			continue
 		}
-		for _, kind := range []disorder{killsOnly, killsAndCuts} {
+		for _, kind := range []disorder{killsOnly, killsAndCuts, lateReads} {
 			t.Run(fmt.Sprintf("%d nodes, %s", test.size.nodes, kind), func(t *testing.T) {
 				for seed := range test.seeds {
 					if seed%cellStride != 0 {
--- a/internal/reducer/freshness.go
+++ b/internal/reducer/freshness.go
@@ -22,15 +22,15 @@
 	newest map[identifier.VMID]messenger.Observation
 }
 
-// observe records an observation of this node.
-func (f *freshness) observe(now timekeeper.Time, self identifier.VMID, incarnation identifier.Incarnation) {
+// observe records an observation that this node made at a time.
+func (f *freshness) observe(at timekeeper.Time, self identifier.VMID, incarnation identifier.Incarnation) {
 	own := messenger.Observation{
 		Node:        self,
 		Incarnation: incarnation,
 		Number:      f.newest[self].Number + 1,
 	}
 	f.remember(own)
-	f.asOf = now
+	f.asOf = at
 	f.basis = own
 }
 
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -471,7 +471,7 @@
 func (r *Reducer) serversPublished(env *conductor.Env, e messenger.ServersPublished) []messenger.Effect {
 	g := r.gateway
 	g.knowsAllServers = g.knowsAllServers || e.All
-	g.serversRead.observe(env.Now, g.self, g.incarnation)
+	g.serversRead.observe(env.Now.Add(-e.Age), g.self, g.incarnation)
 	g.continuity.storeRead(env.Now)
 	missing := 0
 	if e.All {
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -127,10 +127,11 @@
 // ApplyRead applies entries that this node read from the store and returns the changes. An
 // unreadable entry keeps its server from being taken for removed.
 func (t *Table) ApplyRead(now timekeeper.Time, read messenger.ServersPublished) []messenger.PublishedServer {
-	if t.asOf != 0 && now.Sub(t.asOf) > minOutage {
+	asOf := now.Add(-read.Age)
+	if t.asOf != 0 && asOf.Sub(t.asOf) > minOutage {
 		t.deferUntil = now.Add(removalGrace)
 	}
-	t.advance(now, now)
+	t.advance(now, asOf)
 	t.source = source{
 		direct:  true,
 		initial: read.All && t.knownSince == 0,
--- a/internal/runner/published.go
+++ b/internal/runner/published.go
@@ -195,6 +195,7 @@
 	}
 	ctx, done := context.WithTimeout(ctx, timeout)
 	defer done()
+	began := time.Now()
 	read := func() ([]messenger.PublishedServer, identifier.Offset, error) {
 		if all {
 			return r.config.Store.AllServers(ctx)
@@ -206,6 +207,7 @@
 		Servers: servers,
 		All:     all,
 		End:     end,
+		Age:     timekeeper.DurationOf(time.Since(began)) + timekeeper.Millisecond,
 	}, end, err
 }
 
