Withdraw rollout orders that a read of all orders lacks

Callers could see: more and more requests at a version whose rollout the operator has withdrawn.

Cause: the order is a record of the operator's topic, whose old records the store may delete. A node that read all of them anew heeded the orders that it found, and concluded nothing from one that was missing, so that a withdrawal that was deleted unread was never heeded.

A read of all records withdraws the orders that it lacks, as of its end. An order that is unreadable, that was written later, or that a restored store may have lost stays in effect.

TestWithdrawalDeletedUnreadEndsRollout failed before.

--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -458,6 +458,11 @@
 		// Orders are the rollout orders read together with the configuration;
 		// they may be known already.
 		Orders []RolloutOrder
+		// All reports whether services missing from OrderedServices had no order
+		// before the offset End. An order of these services may be unreadable.
+		All             bool
+		OrderedServices []identifier.ServiceName
+		End             identifier.Offset
 	}
 	// CatalogConfirmed reports that the store has no newer configuration than
 	// this node.
--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -120,6 +120,22 @@
 	}
 }
 
+// WithdrawMissing withdraws the orders that a read of all orders lacks: services are those with
+// an order, and end is the offset before which the read lacks no record. A restored store may
+// have lost an order that is still in effect.
+func (p *Promoter) WithdrawMissing(now timekeeper.Time, services []identifier.ServiceName, end identifier.Offset) {
+	for _, service := range slices.Sorted(maps.Keys(p.rollouts)) {
+		order := p.rollouts[service].order
+		if order.To == "" || order.Offset >= end || order.Offset.Generation() != end.Generation() || slices.Contains(services, service) {
+			continue
+		}
+		p.applyOrder(now, messenger.RolloutOrder{
+			Service: service,
+			Offset:  end - 1,
+		})
+	}
+}
+
 // applyOrder applies an order and returns its rollout, or nil if a newer one is known
 // or the table is full.
 func (p *Promoter) applyOrder(now timekeeper.Time, o messenger.RolloutOrder) *rollout {
--- a/internal/promoter/promoter_test.go
+++ b/internal/promoter/promoter_test.go
@@ -333,6 +333,56 @@
 	}
 }
 
+// Guards against a rollout that goes on although its order was withdrawn and the store deleted the
+// record of that.
+func TestOrderMissingInReadOfAllIsWithdrawn(t *testing.T) {
+	const service = "reader"
+	for _, test := range []struct {
+		name      string
+		ordered   []identifier.ServiceName
+		end       identifier.Offset
+		withdrawn bool
+	}{
+		{
+			name:      "missing",
+			end:       9,
+			withdrawn: true,
+		},
+		{
+			name:    "its record is unreadable",
+			ordered: []identifier.ServiceName{service},
+			end:     9,
+		},
+		{
+			name: "ordered after the read",
+			end:  4,
+		},
+		{
+			name: "lost by a restored store",
+			end:  identifier.OffsetAt(1, 9),
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			n := New(Config{})
+			order := messenger.RolloutOrder{
+				Service:   service,
+				Offset:    4,
+				To:        "v2",
+				TimeLimit: testLimit,
+			}
+			n.ApplyOrders(startTime, []messenger.RolloutOrder{order})
+			n.WithdrawMissing(startTime.Add(400), test.ordered, test.end)
+			updates := n.Updates(startTime.Add(400))
+			require.Len(t, updates, 1)
+			require.Equal(t, test.withdrawn, updates[0].Order.To == "")
+			order.Offset = identifier.OffsetAt(1, 20)
+			order.To = "v3"
+			n.ApplyOrders(startTime.Add(800), []messenger.RolloutOrder{order})
+			require.Equal(t, identifier.Version("v3"), n.Updates(startTime.Add(800))[0].Order.To, "a later order")
+		})
+	}
+}
+
 func TestInvalidUpdates(t *testing.T) {
 	n := New(Config{})
 	n.Merge(startTime, []messenger.Rollout{
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -447,6 +447,9 @@
 		g.configRead.observe(env.Now, g.self, g.incarnation)
 	}
 	g.versions.ApplyOrders(env.Now, e.Orders)
+	if e.All {
+		g.versions.WithdrawMissing(env.Now, e.OrderedServices, e.End)
+	}
 	out := r.recordRollouts(env)
 	if e.Catalog == nil || e.Catalog.Revision <= g.revision() {
 		return out
--- a/internal/reducer/outage_test.go
+++ b/internal/reducer/outage_test.go
@@ -100,3 +100,31 @@
 		})
 	}
 }
+
+// Guards against a rollout that goes on although the store deleted the record of its withdrawal.
+func TestWithdrawalDeletedUnreadEndsRollout(t *testing.T) {
+	c := newCluster(1)
+	node := c.ids[0]
+	read := messenger.CatalogPublished{
+		Catalog:   clusterCatalog(),
+		FromStore: true,
+		Orders: []messenger.RolloutOrder{
+			{
+				Service:   "reader",
+				Offset:    2,
+				To:        "v2",
+				TimeLimit: timekeeper.Minute,
+			},
+		},
+		All:             true,
+		OrderedServices: []identifier.ServiceName{"reader"},
+		End:             3,
+	}
+	c.apply(node, read)
+	require.Equal(t, "v2", c.nodes[node].Rollouts(c.now)[0].To)
+	read.Orders = nil
+	read.OrderedServices = nil
+	read.End = 5
+	c.apply(node, read)
+	require.Empty(t, c.nodes[node].Rollouts(c.now)[0].To)
+}
--- a/internal/runner/outside.go
+++ b/internal/runner/outside.go
@@ -104,8 +104,10 @@
 	// Both are nil if only orders were read.
 	Catalog *catalog.Catalog
 	Data    []byte
-	// Orders are rollout orders, the newest of each service last.
-	Orders []messenger.RolloutOrder
+	// Orders are rollout orders, the newest of each service last. OrderedServices also
+	// names services whose order is unreadable.
+	Orders          []messenger.RolloutOrder
+	OrderedServices []identifier.ServiceName
 }
 
 // RolloutStore stores the state of rollouts. It rejects a write whose fence is
--- a/internal/runner/published.go
+++ b/internal/runner/published.go
@@ -229,6 +229,10 @@
 		Data:      p.Data,
 		FromStore: true,
 		Orders:    p.Orders,
+
+		All:             all,
+		OrderedServices: p.OrderedServices,
+		End:             end,
 	}, end, err
 }
 
