Take records of a stream that were deleted unread for a gap

Callers could see: two nodes that order servers or report usage at once, after the store deleted records of the leases before a node had read them.

Cause: a node told from the time since its last read whether records may have expired unread, as the oldest offset of the log is shared by all streams. The store of the platform has offsets for each stream and says that the records of a read are gone; the node read on behind them, and took the last lease that it knew for the last there is.

A read says that records were lost, and the stream is then replayed as after any gap. TestLostRecordsAreAGap failed before. Found by reading; the platform states that it keeps these records longer, so that nobody should have met it.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -80,7 +80,7 @@
 	if !s.started || read.First <= s.next {
 		return false
 	}
-	return !s.replayed || now.Sub(s.endReached) >= s.retention/2
+	return read.Lost || !s.replayed || now.Sub(s.endReached) >= s.retention/2
 }
 
 // Replayed reports whether the stream was read from its oldest retained
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -21,6 +21,16 @@
 	return r
 }
 
+// Guards against records that were deleted unread within the retention: a lease that another node
+// holds would be taken for free.
+func TestLostRecordsAreAGap(t *testing.T) {
+	s := New(Config{Retention: timekeeper.Minute})
+	s.ApplyRecords(0, read(10, true, 12))
+	lost := read(15, true, 15)
+	lost.Lost = true
+	require.True(t, s.ApplyRecords(400, lost).Gap)
+}
+
 // Guards against gaps reported for an idle stream, whose position is passed by the oldest retained
 // offset of the log, and against records returned twice.
 func TestStream(t *testing.T) {
--- a/internal/messenger/event.go
+++ b/internal/messenger/event.go
@@ -134,6 +134,8 @@
 		// Next is the offset of the next read; zero stands for the offset
 		// after the last record.
 		Next identifier.Offset
+		// Lost reports that records of this stream were deleted before they were read.
+		Lost bool
 	}
 	// StoreRestored reports that the log was restored from an older copy of
 	// itself. Records appended after the copy was made are lost.
