Keep servers whose removal is deferred while reads of the store fail

Callers could see: all requests refused, as the store went away again shortly after an outage.

Cause: a removal that is deferred after an outage applied when 2.2 s had passed, also if the store did not answer meanwhile, so that no server could write its entry again.

A reader reports failed reads, and each begins the grace of the removals anew. Removals that a peer reports as done apply as before, so that a node that alone is cut off keeps nothing.

TestDeferredRemovalWaitsForStore failed before. Found by reading and by the cell (2300, 150) of TestMatrixOfRestores beside a second outage. Nodes that don't read the store are not covered; docs/incidents/missing-servers.md lists it.

--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -479,6 +479,8 @@
 		// Age is the time since the read was sent. The entries may be as old.
 		Age timekeeper.Duration
 	}
+	// ServersUnavailable reports that a read of the servers' entries failed.
+	ServersUnavailable struct{}
 	// StateUpdateReceived carries a peer's state update.
 	StateUpdateReceived struct {
 		From   identifier.VMID
@@ -550,6 +552,7 @@
 func (CatalogPublished) eventBody()     {}
 func (CatalogConfirmed) eventBody()     {}
 func (ServersPublished) eventBody()     {}
+func (ServersUnavailable) eventBody()   {}
 func (StateUpdateReceived) eventBody()  {}
 func (ServersOrdered) eventBody()       {}
 func (UsageReported) eventBody()        {}
--- a/internal/prover/exchange_cluster_test.go
+++ b/internal/prover/exchange_cluster_test.go
@@ -414,7 +414,11 @@
 	if !n.r.Following(cl.now).Servers {
 		return
 	}
-	if cl.storeDown || n.cutFromStore || n.reading {
+	if cl.storeDown || n.cutFromStore {
+		cl.apply(n, messenger.ServersUnavailable{})
+		return
+	}
+	if n.reading {
 		return
 	}
 	cl.applyGeneration(n)
--- a/internal/reducer/apply_test.go
+++ b/internal/reducer/apply_test.go
@@ -64,6 +64,7 @@
 	messenger.CatalogPublished{},
 	messenger.CatalogConfirmed{},
 	messenger.ServersPublished{},
+	messenger.ServersUnavailable{},
 	messenger.StateUpdateReceived{},
 	messenger.ServersOrdered{},
 	messenger.UsageReported{},
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -342,6 +342,8 @@
 		g.configRead.observe(env.Now, g.self, g.incarnation)
 	case messenger.ServersPublished:
 		return r.serversPublished(env, b)
+	case messenger.ServersUnavailable:
+		g.servers.StoreUnavailable(env.Now)
 	case messenger.StateUpdateReceived:
 		return r.stateUpdateReceived(env, b)
 	case messenger.ServersOrdered:
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -243,7 +243,7 @@
 		return r.gatewayEvent(env, b)
 	case messenger.ExchangeReceived, messenger.ExchangeBegan, messenger.ExchangeAttemptEnded,
 		messenger.ExchangeEnded, messenger.ExchangeMoved, messenger.CatalogPublished, messenger.CatalogConfirmed,
-		messenger.ServersPublished,
+		messenger.ServersPublished, messenger.ServersUnavailable,
 		messenger.ServersOrdered, messenger.UsageReported, messenger.LimitAnswered, messenger.LimitRequested,
 		messenger.RolloutsClaimed, messenger.RolloutStored, messenger.ServerLimitReceived,
 		messenger.ServerLeavingReceived, messenger.ServerBrittleReceived,
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -190,6 +190,15 @@
 	}
 }
 
+// StoreUnavailable records that a read of the store failed. Servers whose removal is deferred
+// can't write their entries either, so that the grace begins anew when the store answers.
+func (t *Table) StoreUnavailable(now timekeeper.Time) {
+	for id, removal := range t.deferredRemovals {
+		removal.due = max(removal.due, now.Add(removalGrace))
+		t.deferredRemovals[id] = removal
+	}
+}
+
 // Restored handles the restoration of the store from a copy. Servers registered after
 // the copy was made are missing until they write again, and servers that ended may
 // reappear.
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -607,6 +607,26 @@
 	require.Contains(t, states(peer), identifier.VMID("i-1"), "its entry is back")
 }
 
+// Guards against removing all servers in an outage that begins before they could return from the
+// one before.
+func TestDeferredRemovalWaitsForStore(t *testing.T) {
+	table := registrar.New()
+	table.ApplyRead(start, completeRead([]messenger.PublishedServer{entry("i-1", 1, messenger.ServerReady)}))
+	now := start.Add(5000)
+	table.ApplyRead(now, messenger.ServersPublished{Servers: []messenger.PublishedServer{entry("i-1", 2, messenger.ServerRemoved)}})
+	for range 10 {
+		now = now.Add(400)
+		table.StoreUnavailable(now)
+		table.Tick(now)
+	}
+	require.Contains(t, states(table), identifier.VMID("i-1"))
+	table.ApplyRead(now.Add(400), messenger.ServersPublished{})
+	table.Tick(now.Add(2100))
+	require.Contains(t, states(table), identifier.VMID("i-1"))
+	table.Tick(now.Add(2700))
+	require.NotContains(t, states(table), identifier.VMID("i-1"))
+}
+
 // Guards against peers that remove a server after an outage although its entry is back.
 func TestReturnedEntryIsReported(t *testing.T) {
 	table, peer := registrar.New(), registrar.New()
--- a/internal/runner/published.go
+++ b/internal/runner/published.go
@@ -108,6 +108,7 @@
 			interval: serversInterval,
 			maxGap:   maxServersGap,
 			read:     r.readServers,
+			failure:  messenger.ServersUnavailable{},
 		},
 		{
 			name:     "configuration",
@@ -136,6 +137,8 @@
 	// returns the event to report and the offset at which to continue, or zero
 	// to read all records again.
 	read func(ctx context.Context, from identifier.Offset, all bool) (messenger.EventBody, identifier.Offset, error)
+	// failure is the event that reports a failed read, or nil.
+	failure messenger.EventBody
 }
 
 // readCause states why all records are read and not only those since the last read.
@@ -171,6 +174,9 @@
 			continue
 		case err != nil:
 			r.logStoreFailure(ctx, records.name, &failed, err)
+			if records.failure != nil {
+				r.emit(ctx, records.failure)
+			}
 			retry.wait(ctx)
 			continue
 		}
