Keep a silent server's answer until another server takes over

What callers saw: an answer that had begun was cut off, or a request ended with 502, although its server would have gone on after a second of silence.

Cause: the forwarder closed the connection to the server when the next event was late, and only then was the dispatcher asked whether another server could go on. If the retries were used up, the stream was bound to the only server of its version, or all others were suspected, the answer was no and nothing was left.

Now a late event is reported (ExchangeStalled) while the attempt goes on. The dispatcher answers with the attempt that replaces it, or with KeepWaiting, and the forwarder closes the connection only with a replacement in hand. A replacement needs a retry, a server that is not suspected and, for streams that have begun, a free slot. A permit or a slot for it is asked for while the answer may still go on. Moves that wait for a stopped run's memory go by the same decision.

TestServerTimeout checked the result that was reported after the attempt; it now checks the report of the stall, that no second decision is asked for, and the end of the exchange by attempt.

Ruled out: a longer timeout, which moves the moment and cuts the same streams.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -22,6 +22,7 @@
 //   - origin.go finds the version that began a stream which a caller resumes.
 //   - version.go selects the version of the service and the baseline it is compared with.
 //   - repeat.go decides what follows an attempt.
+//   - stall.go decides whether another server takes over from one that sends nothing.
 //   - move.go moves running streams away from leaving servers.
 //   - ended.go records the requests during which servers ended.
 //   - subset.go selects the servers that this node uses if a service has very many.
@@ -243,6 +244,8 @@
 	moves     int
 	continued bool
 	withheld  messenger.ExchangeAttemptEnded
+	// stalled is the last report that the current attempt has stalled.
+	stalled messenger.ExchangeStalled
 }
 
 // attempt is an attempt in flight.
@@ -264,6 +267,8 @@
 	// brittle reports that the server was brittle, so that the end of the attempt frees a slot.
 	brittle bool
 	began   bool
+	// stalled reports that the server has once sent nothing in time.
+	stalled bool
 	// framed reports that the end of the answer is not that of its connection. continues
 	// reports that the attempt goes on from the memory of an earlier one.
 	framed    bool
@@ -376,6 +381,10 @@
 	if x.current == nil {
 		return
 	}
+	if e.Attempt != 0 && e.Attempt != x.attempt {
+		d.replacementUnsent(env, x)
+		return
+	}
 	if !x.current.began {
 		d.index.Remove(x.current.server, x.spec.Prefix)
 	}
--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -250,6 +250,9 @@
 		if !ok {
 			continue
 		}
+		if m.Waits() && x.deadline.Sub(env.Now) >= minAttemptTime && !d.mayTakeOver(env, x) {
+			continue // The memory may still come.
+		}
 		action := m.Tick(env.Now)
 		if m.Waits() && x.deadline.Sub(env.Now) < minAttemptTime {
 			action = m.Abandon()
--- a/internal/dispatcher/permit.go
+++ b/internal/dispatcher/permit.go
@@ -108,6 +108,9 @@
 	if x.deadline.Sub(env.Now) < minAttemptTime {
 		return d.abandonUnplaced(env, x, messenger.ReasonDeadlineExpired)
 	}
+	if !d.mayPlace(env, x) {
+		return keepWaiting(x)
+	}
 	if slices.Contains(servers, e.Server) {
 		if c, found := d.chooseServer(env, x, x.permitCandidates, e.Server); found {
 			return d.send(env, x, c)
@@ -133,8 +136,11 @@
 }
 
 // abandonUnplaced refuses an exchange that no server can receive, or ends it if an
-// attempt was made before.
+// attempt was made before. A stalled attempt goes on.
 func (d *Dispatcher) abandonUnplaced(env Env, x *exchange, reason messenger.Reason) messenger.Effect {
+	if x.current != nil {
+		return keepWaiting(x)
+	}
 	if x.attempt == 0 {
 		return d.refuseNoServer(env, x)
 	}
--- a/internal/dispatcher/receive.go
+++ b/internal/dispatcher/receive.go
@@ -236,8 +236,11 @@
 	return spec.Received.Add(timeout)
 }
 
-// send starts an attempt.
+// send starts an attempt, in place of the current one if that has stalled.
 func (d *Dispatcher) send(env Env, x *exchange, c choice) messenger.Effect {
+	if x.current != nil {
+		d.endStalled(env, x)
+	}
 	x.attempt++
 	x.countedAttempts++
 	x.tried = append(x.tried, c.server.Server)
--- a/internal/dispatcher/slot.go
+++ b/internal/dispatcher/slot.go
@@ -216,6 +216,9 @@
 	if x.deadline.Sub(env.Now) < minAttemptTime {
 		return d.abandonUnplaced(env, x, messenger.ReasonDeadlineExpired)
 	}
+	if !d.mayPlace(env, x) {
+		return keepWaiting(x)
+	}
 	if slices.Contains(servers, e.Server) {
 		if c, found := d.chooseServer(env, x, x.slotRequest.eligible, e.Server); found {
 			delete(d.slots.ended, e.Server)
--- /dev/null
+++ b/internal/dispatcher/stall.go
@@ -0,0 +1,95 @@
+package dispatcher
+
+import (
+	"github.com/dotterelhollow/dotterelhollow/internal/detector"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/promoter"
+)
+
+// Stalled decides whether another server takes over a request whose server has sent no event
+// in time. Otherwise the attempt goes on: a sound server may be silent for a second, and its
+// answer is given up only for one that can replace it.
+func (d *Dispatcher) Stalled(env Env, e messenger.ExchangeStalled) messenger.Effect {
+	x, ok := d.current(e.Exchange, e.Attempt)
+	if !ok {
+		return messenger.KeepWaiting{Exchange: e.Exchange}
+	}
+	env = env.forExchange(x)
+	x.stalled = e
+	d.recordStall(env, x)
+	if !d.mayTakeOver(env, x) {
+		return keepWaiting(x)
+	}
+	if effect, placed := d.place(env, x); placed {
+		return effect
+	}
+	return keepWaiting(x)
+}
+
+// keepWaiting makes the current attempt of a stalled exchange go on.
+func keepWaiting(x *exchange) messenger.Effect {
+	return messenger.KeepWaiting{Exchange: x.spec.Exchange}
+}
+
+// recordStall records the silence of the current server, once for each attempt.
+func (d *Dispatcher) recordStall(env Env, x *exchange) {
+	if x.current.stalled || env.Paths.Isolated() {
+		return
+	}
+	x.current.stalled = true
+	env.Suspicions.Observe(env.Now, x.current.server, detector.Observation{Kind: detector.TimedOut})
+}
+
+// mayTakeOver reports whether another server would take over an exchange whose current attempt
+// has stalled. A stream that has begun is taken over only by a server with a free slot: one that
+// rejected it would leave it with no server at all.
+func (d *Dispatcher) mayTakeOver(env Env, x *exchange) bool {
+	end := messenger.ExchangeAttemptEnded{
+		Result:    messenger.AttemptTimedOut,
+		Streaming: x.stalled.Streaming,
+	}
+	switch {
+	case !d.mayRepeat(x, end), !env.Retries.Allows(env.Now, x.service):
+		return false
+	case x.deadline.Sub(env.Now) < minAttemptTime, env.Paths.NoPath(env.Now):
+		return false
+	case d.quarantined(env, x) != nil:
+		return false
+	}
+	c, ok := d.choose(env, x)
+	if !ok || env.Suspicions.Suspect(env.Now, c.server.Server) {
+		return false
+	}
+	return !x.current.began || c.startsAtOnce()
+}
+
+// mayPlace reports whether an exchange that has waited for a permit or a slot may still be sent. One
+// whose stalled attempt goes on needs a retry.
+func (d *Dispatcher) mayPlace(env Env, x *exchange) bool {
+	return x.current == nil || env.Retries.Allows(env.Now, x.service)
+}
+
+// endStalled ends the current attempt, which has stalled, as another server takes over.
+func (d *Dispatcher) endStalled(env Env, x *exchange) {
+	env.Retries.Spend(env.Now, x.service)
+	if m, moving := d.moves.Move(x.spec.Exchange); moving && !m.Over() {
+		m.Abandon()
+		d.endMove(env, m)
+	}
+	d.recordAttemptEnd(env, x, messenger.ExchangeAttemptEnded{
+		Exchange:  x.spec.Exchange,
+		Attempt:   x.attempt,
+		Server:    x.current.server,
+		Result:    messenger.AttemptTimedOut,
+		Streaming: x.stalled.Streaming,
+	})
+}
+
+// replacementUnsent removes an attempt that was to replace a stalled one, whose answer ended
+// before.
+func (d *Dispatcher) replacementUnsent(env Env, x *exchange) {
+	d.index.Remove(x.current.server, x.spec.Prefix)
+	env.Versions.RecordEnd(x.current.track, promoter.AttemptEnd{Result: messenger.AttemptNotSent})
+	d.leaveServer(env, x, false)
+	d.removeAttempt(x)
+}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -8,8 +8,6 @@
 	"net/http/httptrace"
 	"net/url"
 	"strings"
-	"sync/atomic"
-	"time"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
@@ -32,6 +30,8 @@
 	pathFailed bool
 	// stale reports that nothing was attempted, because the decision took too long.
 	stale bool
+	// takeover is the attempt that replaces this one, if that was decided.
+	takeover takeover
 }
 
 // bufferedAnswer is an answer that was read to its end.
@@ -41,58 +41,20 @@
 	body   []byte
 }
 
-// attemptTimer cancels an attempt at the deadline of the exchange, or if the server
-// does not send its next event in time.
-type attemptTimer struct {
-	cancel       context.CancelFunc
-	eventTimer   *time.Timer
-	timedOut     atomic.Bool
-	expired      atomic.Bool
-	stopDeadline func() bool
-}
-
-func (x *exchange) startTimer(ctx context.Context, s messenger.SendExchange) (context.Context, *attemptTimer) {
-	ctx, cancel := context.WithCancel(ctx)
-	t := &attemptTimer{cancel: cancel}
-	remaining := max(s.Deadline.Sub(x.forwarder.config.Clock.Now()), 0)
-	deadline := time.AfterFunc(remaining.Std(), func() {
-		t.expired.Store(true)
-		cancel()
-	})
-	t.stopDeadline = deadline.Stop
-	if s.FirstEventTimeout > 0 {
-		t.eventTimer = time.AfterFunc(s.FirstEventTimeout.Std(), func() {
-			t.timedOut.Store(true)
-			cancel()
-		})
-	}
-	return ctx, t
-}
-
-// eventReceived starts the timeout for the next event; zero stops it.
-func (t *attemptTimer) eventReceived(next timekeeper.Duration) {
-	if t.eventTimer == nil {
-		return
-	}
-	if next <= 0 {
-		t.eventTimer.Stop()
-		return
-	}
-	t.eventTimer.Reset(next.Std())
-}
-
-func (t *attemptTimer) release() {
-	t.stopDeadline()
-	if t.eventTimer != nil {
-		t.eventTimer.Stop()
-	}
-	t.cancel()
-}
-
-// attempt sends the request to one server and passes on its answer.
+// attempt sends the request to one server and passes on its answer, unless another server
+// takes over.
 func (x *exchange) attempt(ctx context.Context, s messenger.SendExchange) attemptEnd {
 	ctx, timer := x.startTimer(ctx, s)
 	defer timer.release()
+	end := x.tryServer(ctx, s, timer)
+	if !end.done {
+		end.takeover = timer.takeover()
+	}
+	return end
+}
+
+// tryServer sends the request to one server and passes on its answer.
+func (x *exchange) tryServer(ctx context.Context, s messenger.SendExchange, timer *attemptTimer) attemptEnd {
 	c := &connection{path: s.Path}
 	x.connection = c
 	sent := x.forwarder.config.Clock.Now()
@@ -240,7 +202,7 @@
 		e.reason = "caller left"
 	case timer.expired.Load():
 		return x.expire()
-	case timer.timedOut.Load():
+	case timer.replaced.Load():
 		e.result = messenger.AttemptTimedOut
 	}
 	if !e.done && !x.connection.written.Load() {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -10,6 +10,7 @@
 //
 //   - request.go reads a whole request before anything is sent on.
 //   - attempt.go sends it to one server and classifies the result.
+//   - timer.go ends an attempt at its deadline, or if another server takes over.
 //   - connect.go opens the connection, directly or through a peer.
 //   - stream.go passes on complete events, so that another server can resume
 //     after the last one.
@@ -65,6 +66,9 @@
 	Receive(ctx context.Context, spec messenger.ExchangeSpec) messenger.Effect
 	Began(ctx context.Context, e messenger.ExchangeBegan)
 	AttemptEnded(ctx context.Context, e messenger.ExchangeAttemptEnded) messenger.Effect
+	// Stalled returns a SendExchange if another server takes over from one that has sent
+	// nothing in time, and otherwise another effect: the attempt goes on.
+	Stalled(ctx context.Context, e messenger.ExchangeStalled) messenger.Effect
 	Ended(e messenger.ExchangeEnded)
 	LimitReceived(ctx context.Context, e messenger.ServerLimitReceived)
 	LeavingReceived(ctx context.Context, e messenger.ServerLeavingReceived)
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -38,6 +38,7 @@
 	mu          sync.Mutex
 	specs       []messenger.ExchangeSpec
 	attemptEnds []messenger.ExchangeAttemptEnded
+	stalls      []messenger.ExchangeStalled
 	ended       chan messenger.ExchangeEnded
 	began       int
 	attempt     int
@@ -133,6 +134,17 @@
 	return s.nextAttempt(e.Exchange)
 }
 
+// Stalled lets the next server take over, if there is one.
+func (s *fakeDecider) Stalled(_ context.Context, e messenger.ExchangeStalled) messenger.Effect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stalls = append(s.stalls, e)
+	if s.attempt >= len(s.servers) {
+		return messenger.KeepWaiting{Exchange: e.Exchange}
+	}
+	return s.nextAttempt(e.Exchange)
+}
+
 func (s *fakeDecider) LimitReceived(_ context.Context, e messenger.ServerLimitReceived) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -576,7 +588,13 @@
 			answer := do(t, newRequest(t, http.MethodGet, "http://"+startForwarder(t, s)+"/", nil))
 			require.NoError(t, answer.err)
 			require.Equal(t, test.before+"id: 2\ndata: b\n\n", answer.body)
-			require.Equal(t, []messenger.AttemptResult{messenger.AttemptTimedOut}, s.results())
+			require.Len(t, s.stalls, 1)
+			require.EqualValues(t, 1, s.stalls[0].Attempt)
+			require.Equal(t, test.before != "", s.stalls[0].Streaming)
+			require.Empty(t, s.results(), "the decision on the stalled attempt is the only one")
+			ended := <-s.ended
+			require.Equal(t, messenger.AttemptComplete, ended.Result)
+			require.EqualValues(t, 2, ended.Attempt)
 		})
 	}
 }
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -44,6 +44,10 @@
 	// shares counts the requests for services that were short of capacity, by whether they
 	// were within their account's share.
 	shares expvar.Map
+	// stalls counts the decisions on attempts whose servers sent nothing in time, and takeovers
+	// those by which another server took over.
+	stalls    expvar.Int
+	takeovers expvar.Int
 	// lateDecisions counts the decisions that took too long to be used.
 	lateDecisions expvar.Int
 	// admissionRefusals counts the requests that no server could answer in time, by reason.
@@ -79,6 +83,8 @@
 	m.vars.Set("tunnels", &m.tunnels)
 	m.vars.Set("direct_failures", &m.directFailures)
 	m.vars.Set("shares", &m.shares)
+	m.vars.Set("stalls", &m.stalls)
+	m.vars.Set("takeovers", &m.takeovers)
 	m.vars.Set("late_decisions", &m.lateDecisions)
 	m.vars.Set("admission_refusals", &m.admissionRefusals)
 	m.vars.Set("admission_wait_ms", &m.admissionWaits)
@@ -114,6 +120,13 @@
 	}
 }
 
+func (m *Metrics) attemptStalled(takesOver bool) {
+	m.stalls.Add(1)
+	if takesOver {
+		m.takeovers.Add(1)
+	}
+}
+
 func (m *Metrics) decidedLate() { m.lateDecisions.Add(1) }
 
 func (m *Metrics) admissionRefused(reason messenger.Reason, inputs messenger.DecisionInputs) {
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -35,8 +36,10 @@
 	// lastEvent is the id of the last event that the caller received, over all
 	// attempts.
 	lastEvent string
-	// headSent reports that the head of the answer was sent to the caller.
-	headSent bool
+	// headSent reports that the head of the answer was sent to the caller. streaming is the
+	// same for other goroutines.
+	headSent  bool
+	streaming atomic.Bool
 	// serverFailure is a server's error answer, passed on if no later attempt succeeds.
 	serverFailure *bufferedAnswer
 	// statedLimit is the limit that the server of the last attempt stated.
@@ -181,6 +184,7 @@
 		if end.done {
 			f.config.Decider.Ended(messenger.ExchangeEnded{
 				Exchange:       x.id,
+				Attempt:        send.Attempt,
 				Result:         end.result,
 				ServerEnded:    end.serverEnded,
 				Events:         x.eventCount,
@@ -193,6 +197,11 @@
 			return
 		}
 		x.logAttempt(send, end)
+		if end.takeover.decided() {
+			decision = end.takeover.send
+			asked = end.takeover.asked
+			continue
+		}
 		asked = f.config.Clock.Now()
 		decision = f.config.Decider.AttemptEnded(ctx, messenger.ExchangeAttemptEnded{
 			Exchange:    x.id,
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -118,6 +118,7 @@
 	}
 	if !x.headSent {
 		x.headSent = true
+		x.streaming.Store(true)
 		response.Header.Del("Content-Length")
 		x.writeHead(response.StatusCode, response.Header)
 	}
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -89,9 +89,19 @@
 		// Events is the number of whole events that the attempt passed on.
 		Events int
 	}
+	// ExchangeStalled reports an attempt whose server has sent no first event, or no next one,
+	// in time. The attempt goes on until the answer to this event is a SendExchange.
+	ExchangeStalled struct {
+		Exchange identifier.ExchangeID
+		Attempt  identifier.AttemptNumber
+		// Streaming reports whether a part of the answer was sent to the caller.
+		Streaming bool
+	}
 	// ExchangeEnded reports that nothing more is sent to the caller.
 	ExchangeEnded struct {
 		Exchange identifier.ExchangeID
+		// Attempt is the attempt that ended the exchange, or zero if that is the last one.
+		Attempt identifier.AttemptNumber
 		// Result is the result of the last attempt; it is empty if the caller
 		// disconnected.
 		Result AttemptResult
@@ -205,8 +215,8 @@
 		// Brittle reports whether the service's servers are known to be brittle.
 		Brittle bool
 		// FirstEventTimeout and NextEventTimeout limit the time until the
-		// first event and between events. They are zero if no other server
-		// could continue the request.
+		// first event and between events, after which the attempt counts as
+		// stalled. They are zero if no other server could continue the request.
 		FirstEventTimeout timekeeper.Duration
 		NextEventTimeout  timekeeper.Duration
 		Inputs            DecisionInputs
@@ -216,6 +226,8 @@
 		Decided timekeeper.Time
 		Movable bool
 	}
+	// KeepWaiting makes a stalled attempt go on, as no other server can take over.
+	KeepWaiting struct{ Exchange identifier.ExchangeID }
 	// EndExchange ends a request without a further attempt, after it ran and
 	// failed or may have run.
 	EndExchange struct {
@@ -548,6 +560,7 @@
 func (ExchangeReceived) eventBody()     {}
 func (ExchangeBegan) eventBody()        {}
 func (ExchangeAttemptEnded) eventBody() {}
+func (ExchangeStalled) eventBody()      {}
 func (ExchangeEnded) eventBody()        {}
 func (CatalogPublished) eventBody()     {}
 func (CatalogConfirmed) eventBody()     {}
@@ -562,6 +575,7 @@
 func (RefuseExchange) effect()  {}
 func (SendExchange) effect()    {}
 func (EndExchange) effect()     {}
+func (KeepWaiting) effect()     {}
 func (OrderServers) effect()    {}
 func (ReportUsage) effect()     {}
 func (SendStateUpdate) effect() {}
--- a/internal/reducer/apply_test.go
+++ b/internal/reducer/apply_test.go
@@ -60,6 +60,7 @@
 	messenger.ExchangeBegan{},
 	messenger.ExchangeAttemptEnded{},
 	messenger.ExchangeEnded{},
+	messenger.ExchangeStalled{},
 	messenger.ExchangeMoved{},
 	messenger.CatalogPublished{},
 	messenger.CatalogConfirmed{},
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -329,6 +329,8 @@
 		return r.withUpdates(env)
 	case messenger.ExchangeAttemptEnded:
 		return r.attemptEnded(env, b)
+	case messenger.ExchangeStalled:
+		return r.exchangeStalled(env, b)
 	case messenger.ExchangeMoved:
 		g.exchanges.Moved(r.exchangeEnv(env), b)
 		return r.withUpdates(env)
@@ -378,6 +380,13 @@
 	return append(r.withUpdates(env, effect), r.slotReports(env)...)
 }
 
+// exchangeStalled decides whether another server takes over from one that sends nothing.
+func (r *Reducer) exchangeStalled(env *conductor.Env, e messenger.ExchangeStalled) []messenger.Effect {
+	effect := r.gateway.exchanges.Stalled(r.exchangeEnv(env), e)
+	r.scheduleSuspectUpdate(env)
+	return append(r.withUpdates(env, effect), r.slotReports(env)...)
+}
+
 // limitEvent applies an event of the central parts of the accounts' limits.
 func (r *Reducer) limitEvent(env *conductor.Env, body messenger.EventBody) []messenger.Effect {
 	switch b := body.(type) {
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -241,7 +241,7 @@
 	case messenger.StateUpdateReceived:
 		r.quarantine.Merge(env.Now, b.Update.Suspects)
 		return r.gatewayEvent(env, b)
-	case messenger.ExchangeReceived, messenger.ExchangeBegan, messenger.ExchangeAttemptEnded,
+	case messenger.ExchangeReceived, messenger.ExchangeBegan, messenger.ExchangeAttemptEnded, messenger.ExchangeStalled,
 		messenger.ExchangeEnded, messenger.ExchangeMoved, messenger.CatalogPublished, messenger.CatalogConfirmed,
 		messenger.ServersPublished, messenger.ServersUnavailable,
 		messenger.ServersOrdered, messenger.UsageReported, messenger.LimitAnswered, messenger.LimitRequested,
--- a/internal/retrier/allowance.go
+++ b/internal/retrier/allowance.go
@@ -63,17 +63,22 @@
 	a.service(now, service).requests.add(a.slotOf(now))
 }
 
-// Spend uses one retry of a service and reports whether it was allowed.
-func (a *Allowance) Spend(now timekeeper.Time, service identifier.ServiceName) bool {
+// Allows reports whether Spend would allow a retry of a service.
+func (a *Allowance) Allows(now timekeeper.Time, service identifier.ServiceName) bool {
 	u := a.service(now, service)
 	slot := a.slotOf(now)
 	// The current slot is incomplete. Requests are counted over slightly less than the
 	// window and retries over slightly more, so that the bound holds for any window.
 	allowed := a.extra + a.config.Share*float64(u.requests.sum(slot, allowanceSlots))
-	if float64(u.retries.sum(slot, allowanceSlots+1)+1) > allowed {
+	return float64(u.retries.sum(slot, allowanceSlots+1)+1) <= allowed
+}
+
+// Spend uses one retry of a service and reports whether it was allowed.
+func (a *Allowance) Spend(now timekeeper.Time, service identifier.ServiceName) bool {
+	if !a.Allows(now, service) {
 		return false
 	}
-	u.retries.add(slot)
+	a.service(now, service).retries.add(a.slotOf(now))
 	return true
 }
 
--- a/internal/runner/effect.go
+++ b/internal/runner/effect.go
@@ -60,6 +60,8 @@
 		r.deliverDecision(e.Exchange, e)
 	case messenger.EndExchange:
 		r.deliverDecision(e.Exchange, e)
+	case messenger.KeepWaiting:
+		r.deliverDecision(e.Exchange, e)
 	case messenger.RequestLimit:
 		r.requestLimit(e)
 	case messenger.AnswerLimit:
--- a/internal/runner/exchange.go
+++ b/internal/runner/exchange.go
@@ -27,6 +27,11 @@
 	return r.decide(context.WithoutCancel(ctx), e.Exchange, e)
 }
 
+// Stalled implements forwarder.Decider.
+func (r *Runner) Stalled(ctx context.Context, e messenger.ExchangeStalled) messenger.Effect {
+	return r.decide(context.WithoutCancel(ctx), e.Exchange, e)
+}
+
 // Began implements forwarder.Decider.
 func (r *Runner) Began(ctx context.Context, e messenger.ExchangeBegan) {
 	r.emit(context.WithoutCancel(ctx), e)
