Bound what servers' answers without end take of a node's memory

What callers saw: with a server that sends bytes without end, in a head or a body, a node grew by 10 to 20 MB a request until it ended and took all of its requests along; a failure without end was passed on until the caller's deadline, where a short one is tried elsewhere.

Cause: nothing bounded the head of a server's answer but net/http's default of 10 MB; long answers and events were bounded one by one, not together; and a failure that was too long to buffer counted as the server's answer.

Now a head may have 64 KB. A failure that is too long is given up if another server takes over, by the same decision as a stalled attempt, and else passed on.

--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -250,7 +250,7 @@
 		if !ok {
 			continue
 		}
-		if m.Waits() && x.deadline.Sub(env.Now) >= minAttemptTime && !d.mayTakeOver(env, x) {
+		if m.Waits() && x.deadline.Sub(env.Now) >= minAttemptTime && !d.mayTakeOver(env, x, x.withheld) {
 			continue // The memory may still come.
 		}
 		action := m.Tick(env.Now)
--- a/internal/dispatcher/stall.go
+++ b/internal/dispatcher/stall.go
@@ -6,9 +6,9 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/promoter"
 )
 
-// Stalled decides whether another server takes over a request whose server has sent no event
-// in time. Otherwise the attempt goes on: a sound server may be silent for a second, and its
-// answer is given up only for one that can replace it.
+// Stalled decides whether another server takes over a request, for example because its server has
+// sent no event in time. Otherwise the attempt goes on: a sound server may be silent for a second,
+// and its answer is given up only for one that can replace it.
 func (d *Dispatcher) Stalled(env Env, e messenger.ExchangeStalled) messenger.Effect {
 	x, ok := d.current(e.Exchange, e.Attempt)
 	if !ok {
@@ -17,7 +17,7 @@
 	env = env.forExchange(x)
 	x.stalled = e
 	d.recordStall(env, x)
-	if !d.mayTakeOver(env, x) {
+	if !d.mayTakeOver(env, x, stalledEnd(x)) {
 		return keepWaiting(x)
 	}
 	if effect, placed := d.place(env, x); placed {
@@ -31,23 +31,30 @@
 	return messenger.KeepWaiting{Exchange: x.spec.Exchange}
 }
 
-// recordStall records the silence of the current server, once for each attempt.
+// recordStall records why the current server has stalled, once for each attempt.
 func (d *Dispatcher) recordStall(env Env, x *exchange) {
 	if x.current.stalled || env.Paths.Isolated() {
 		return
 	}
 	x.current.stalled = true
-	env.Suspicions.Observe(env.Now, x.current.server, detector.Observation{Kind: detector.TimedOut})
+	env.Suspicions.Observe(env.Now, x.current.server, detector.Observation{Kind: evidence[x.stalled.Result]})
 }
 
-// mayTakeOver reports whether another server would take over an exchange whose current attempt
-// has stalled. A stream that has begun is taken over only by a server with a free slot: one that
-// rejected it would leave it with no server at all.
-func (d *Dispatcher) mayTakeOver(env Env, x *exchange) bool {
-	end := messenger.ExchangeAttemptEnded{
-		Result:    messenger.AttemptTimedOut,
+// stalledEnd returns the end of a stalled attempt.
+func stalledEnd(x *exchange) messenger.ExchangeAttemptEnded {
+	return messenger.ExchangeAttemptEnded{
+		Exchange:  x.spec.Exchange,
+		Attempt:   x.attempt,
+		Server:    x.current.server,
+		Result:    x.stalled.Result,
 		Streaming: x.stalled.Streaming,
 	}
+}
+
+// mayTakeOver reports whether another server would take over an exchange if its current attempt
+// ended like this. A stream that has begun is taken over only by a server with a free slot: one
+// that rejected it would leave it with no server at all.
+func (d *Dispatcher) mayTakeOver(env Env, x *exchange, end messenger.ExchangeAttemptEnded) bool {
 	switch {
 	case !d.mayRepeat(x, end), !env.Retries.Allows(env.Now, x.service):
 		return false
@@ -76,13 +83,7 @@
 		m.Abandon()
 		d.endMove(env, m)
 	}
-	d.recordAttemptEnd(env, x, messenger.ExchangeAttemptEnded{
-		Exchange:  x.spec.Exchange,
-		Attempt:   x.attempt,
-		Server:    x.current.server,
-		Result:    messenger.AttemptTimedOut,
-		Streaming: x.stalled.Streaming,
-	})
+	d.recordAttemptEnd(env, x, stalledEnd(x))
 }
 
 // replacementUnsent removes an attempt that was to replace a stalled one, whose answer ended
--- a/internal/dispatcher/stall_test.go
+++ b/internal/dispatcher/stall_test.go
@@ -17,6 +17,7 @@
 	return n.Stalled(n.env, messenger.ExchangeStalled{
 		Exchange:  s.Exchange,
 		Attempt:   s.Attempt,
+		Result:    messenger.AttemptTimedOut,
 		Streaming: streaming,
 	})
 }
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -287,13 +288,16 @@
 // passBuffered reads an answer to its end before it passes it on, so that a truncated
 // one can still be retried on another server.
 func (x *exchange) passBuffered(ctx context.Context, s messenger.SendExchange, timer *attemptTimer, response *http.Response) attemptEnd {
-	body, err := io.ReadAll(io.LimitReader(response.Body, int64(maxBufferedAnswer)+1))
+	buffer := answerBuffer{answers: x.forwarder.longAnswers}
+	defer buffer.release()
+	body, err := buffer.readAll(response.Body)
+	var long *LongAnswerError
+	if errors.As(err, &long) {
+		return x.passLong(ctx, s, timer, response, body)
+	}
 	if err != nil {
 		return x.classifyFailure(s, timer, err)
 	}
-	if int64(len(body)) > int64(maxBufferedAnswer) {
-		return x.passUnbuffered(ctx, s, timer, response, body)
-	}
 	if x.endedWithServer(ctx, s, response) {
 		return x.classifyFailure(s, timer, &ServerEndedError{Server: s.Server})
 	}
@@ -317,6 +321,18 @@
 	}
 }
 
+// passLong passes on an answer that is too long to be buffered. A failure, which may have no end,
+// is passed on only if no other server takes over.
+func (x *exchange) passLong(ctx context.Context, s messenger.SendExchange, timer *attemptTimer, response *http.Response, prefix []byte) attemptEnd {
+	if response.StatusCode >= http.StatusInternalServerError && timer.replace(messenger.AttemptFailed) {
+		return attemptEnd{
+			result: messenger.AttemptFailed,
+			reason: response.Status,
+		}
+	}
+	return x.passUnbuffered(ctx, s, timer, response, prefix)
+}
+
 // passUnbuffered passes on an answer that is too long to be buffered.
 func (x *exchange) passUnbuffered(ctx context.Context, s messenger.SendExchange, timer *attemptTimer, response *http.Response, prefix []byte) attemptEnd {
 	timer.eventReceived(0)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 //   - stream.go passes on complete events, so that another server can resume
 //     after the last one.
 //   - unframed.go tells whole answers with neither a length nor chunks from others.
+//   - long.go bounds the memory for answers that are read before they are passed on.
 //   - answer.go writes answers and refusals.
 package forwarder
 
@@ -39,10 +40,6 @@
 	// maxBufferedBodies bounds the total size of all request bodies in memory, so that
 	// many large ones at once do not exhaust the memory of the process.
 	maxBufferedBodies identifier.Bytes = 64 << 20
-	// maxBufferedAnswer bounds an answer that is buffered until it is complete; a
-	// longer one is passed on as it arrives.
-	maxBufferedAnswer identifier.Bytes = 1 << 20
-
 	// readHeaderTimeout exceeds the callers' own timeout of 3 s for a request's head.
 	readHeaderTimeout = 5 * time.Second
 	// callerIdleTimeout is the time for which callers' idle connections are kept.
@@ -50,6 +47,9 @@
 	callerIdleTimeout = 60 * time.Second
 	// maxHeaderBytes is twice the callers' limit for a request's head.
 	maxHeaderBytes = 32 << 10
+	// maxServerHeaderBytes bounds the head of a server's answer. A node holds one for each
+	// request, and a server in trouble may send a head without end.
+	maxServerHeaderBytes = 64 << 10
 
 	// serverIdleTimeout is the time for which idle connections to servers are kept. It
 	// is shorter than the servers' own timeout, since a request sent while the server
@@ -155,6 +155,7 @@
 	transports    transports
 	lastID        atomic.Uint64
 	bufferedBytes atomic.Int64
+	longAnswers   longAnswers
 	leaving       atomic.Bool
 }
 
@@ -172,8 +173,9 @@
 		c.Dial = dialer.New(dialer.Config{MaxUnacked: dialer.ServerMaxUnacked}).DialContext
 	}
 	return &Forwarder{
-		config:     c,
-		transports: newTransports(c),
+		config:      c,
+		transports:  newTransports(c),
+		longAnswers: newLongAnswers(),
 	}
 }
 
@@ -202,9 +204,10 @@
 		MaxIdleConnsPerHost: maxIdlePerServer,
 		IdleConnTimeout:     serverIdleTimeout,
 		// A decompressed body would differ from the server's body.
-		DisableCompression: true,
-		ReadBufferSize:     4 << 10,
-		WriteBufferSize:    4 << 10,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxServerHeaderBytes,
+		ReadBufferSize:         4 << 10,
+		WriteBufferSize:        4 << 10,
 	}
 }
 
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -16,9 +16,6 @@
 // streamBuffer is the size of a read. A typical event is a few hundred bytes.
 const streamBuffer = 8 << 10
 
-// maxEvent bounds one event, in bytes.
-const maxEvent = 1 << 20
-
 // eventEnd separates two events.
 var eventEnd = []byte("\n\n")
 
@@ -34,6 +31,8 @@
 	pooled := buffers.Get().(*[]byte)
 	defer buffers.Put(pooled)
 	pending := (*pooled)[:0]
+	buffer := answerBuffer{answers: x.forwarder.longAnswers}
+	defer buffer.release()
 	resumed := x.headSent
 	started := false
 	x.eventCount = 0
@@ -53,7 +52,7 @@
 			}
 			pending = pending[:copy(pending, pending[cut:])]
 		}
-		if err == nil && len(pending) < maxEvent {
+		if err == nil && buffer.mayHold(len(pending)+1) {
 			continue
 		}
 		if errors.Is(err, io.EOF) && len(pending) == 0 && started {
@@ -74,7 +73,9 @@
 	if len(b) < cap(b) {
 		return b
 	}
-	return append(b, make([]byte, cap(b)+streamBuffer)...)[:len(b)]
+	grown := make([]byte, len(b), 2*cap(b))
+	copy(grown, b)
+	return grown
 }
 
 // streamError returns the error with which a stream ended early. EOF within an event is
--- a/internal/forwarder/timer.go
+++ b/internal/forwarder/timer.go
@@ -25,8 +25,9 @@
 	cancel       context.CancelFunc
 	expired      atomic.Bool
 	stopDeadline func() bool
-	// stalled asks for a decision on the attempt. It is nil if no other server can take over.
-	stalled func() messenger.Effect
+	// decide asks whether another server takes over because of the result that the attempt has
+	// so far.
+	decide func(messenger.AttemptResult) messenger.Effect
 	// replaced reports that the attempt was cancelled because another server takes over.
 	replaced atomic.Bool
 	clock    timekeeper.Clock
@@ -35,7 +36,7 @@
 	eventTimer *time.Timer
 	timeout    timekeeper.Duration
 	// stopped reports that no further decision is asked for. deciding is closed when the
-	// one in progress is there; it is nil if there is none.
+	// one in progress is made; it is nil if there is none.
 	stopped  bool
 	deciding chan struct{}
 	next     takeover
@@ -47,6 +48,7 @@
 		cancel:  cancel,
 		clock:   x.forwarder.config.Clock,
 		timeout: s.FirstEventTimeout,
+		decide:  func(r messenger.AttemptResult) messenger.Effect { return x.askForTakeover(ctx, s, r) },
 	}
 	remaining := max(s.Deadline.Sub(t.clock.Now()), 0)
 	deadline := time.AfterFunc(remaining.Std(), func() {
@@ -57,19 +59,19 @@
 	if s.FirstEventTimeout > 0 {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		t.stalled = func() messenger.Effect { return x.stalled(ctx, s) }
-		t.eventTimer = time.AfterFunc(s.FirstEventTimeout.Std(), t.ask)
+		t.eventTimer = time.AfterFunc(s.FirstEventTimeout.Std(), t.stalled)
 	}
 	return attempt, t
 }
 
-// stalled asks whether another server takes over from that of an attempt.
-func (x *exchange) stalled(ctx context.Context, s messenger.SendExchange) messenger.Effect {
+// askForTakeover asks whether another server takes over from that of an attempt.
+func (x *exchange) askForTakeover(ctx context.Context, s messenger.SendExchange, result messenger.AttemptResult) messenger.Effect {
 	f := x.forwarder
 	streaming := x.streaming.Load()
 	effect := f.config.Decider.Stalled(ctx, messenger.ExchangeStalled{
 		Exchange:  x.id,
 		Attempt:   s.Attempt,
+		Result:    result,
 		Streaming: streaming,
 	})
 	_, takesOver := effect.(messenger.SendExchange)
@@ -78,43 +80,49 @@
 		"request", x.head.Request,
 		"attempt", s.Attempt,
 		"server", s.Server,
+		"result", result,
 		"streaming", streaming,
 		"replaced", takesOver,
 	)
 	return effect
 }
 
-// ask asks for a decision on a stalled attempt. The attempt goes on meanwhile, and also afterwards
-// unless another server takes over.
-func (t *attemptTimer) ask() {
+// stalled handles the silence of the server.
+func (t *attemptTimer) stalled() { t.replace(messenger.AttemptTimedOut) }
+
+// replace cancels the attempt and returns true if another server takes over because of a result.
+// The attempt goes on until that is decided, and also afterwards if there is no such server.
+func (t *attemptTimer) replace(result messenger.AttemptResult) bool {
 	decided := make(chan struct{})
 	defer close(decided)
 	if !t.begin(decided) {
-		return
+		return false
 	}
 	asked := t.clock.Now()
-	send, ok := t.stalled().(messenger.SendExchange)
+	send, ok := t.decide(result).(messenger.SendExchange)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.deciding = nil
-	switch {
-	case ok:
-		t.next = takeover{
-			send:  send,
-			asked: asked,
+	if !ok {
+		if !t.stopped && t.eventTimer != nil {
+			t.eventTimer.Reset(t.timeout.Std())
 		}
-		t.replaced.Store(true)
-		t.cancel()
-	case !t.stopped:
-		t.eventTimer.Reset(t.timeout.Std())
+		return false
 	}
+	t.next = takeover{
+		send:  send,
+		asked: asked,
+	}
+	t.replaced.Store(true)
+	t.cancel()
+	return true
 }
 
 // begin reports whether a decision is to be asked for, which closes decided.
 func (t *attemptTimer) begin(decided chan struct{}) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.stopped || t.deciding != nil {
+	if t.stopped || t.deciding != nil || t.next.decided() {
 		return false
 	}
 	t.deciding = decided
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -89,11 +89,14 @@
 		// Events is the number of whole events that the attempt passed on.
 		Events int
 	}
-	// ExchangeStalled reports an attempt whose server has sent no first event, or no next one,
-	// in time. The attempt goes on until the answer to this event is a SendExchange.
+	// ExchangeStalled reports an attempt that another server had better take over. The attempt
+	// goes on until the answer to this event is a SendExchange.
 	ExchangeStalled struct {
 		Exchange identifier.ExchangeID
 		Attempt  identifier.AttemptNumber
+		// Result is AttemptTimedOut if the server has sent no first event, or no next one, in
+		// time, and AttemptFailed if it sends a failure that is too long to be held.
+		Result AttemptResult
 		// Streaming reports whether a part of the answer was sent to the caller.
 		Streaming bool
 	}
