--- a/docs/operations_test.go
+++ b/docs/operations_test.go
@@ -321,6 +321,10 @@
 	}
 }
 
+func (*singleAttemptDecider) Stalled(_ context.Context, e messenger.ExchangeStalled) messenger.Effect {
+	return messenger.KeepWaiting{Exchange: e.Exchange}
+}
+
 func (*singleAttemptDecider) Ended(messenger.ExchangeEnded) {}
 
 func (*singleAttemptDecider) LimitReceived(context.Context, messenger.ServerLimitReceived) {}
