Count and time request bodies while they are read

A body that its caller never finished held its goroutine, memory and connection without end.

Now each read counts, and what is over the bound is refused as not run.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -8,7 +8,7 @@
 // mixed, that a truncated answer never looks complete, and that the result of each
 // attempt is classified correctly:
 //
-//   - request.go reads a whole request before anything is sent on.
+//   - request.go reads a whole request before anything is sent on, and body.go its body.
 //   - attempt.go sends it to one server and classifies the result.
 //   - timer.go ends an attempt at its deadline, or if another server takes over.
 //   - connect.go opens the connection, directly or through a peer.
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -2,8 +2,8 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
+	"os"
 	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
@@ -84,24 +84,27 @@
 		x.reject(http.StatusRequestEntityTooLarge, nil)
 		return false
 	}
-	if x.forwarder.bufferedBytes.Load() > int64(maxBufferedBodies) {
-		x.unavailable("bodies_held", refusalRetryAfter)
-		return false
-	}
-	x.body, err = io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, int64(limit)))
-	x.forwarder.bufferedBytes.Add(int64(len(x.body)))
+	x.body, err = x.readBody(limit)
 	if err == nil {
 		x.content = hashContent(x.r, x.body)
 		return true
 	}
-	x.forwarder.bufferedBytes.Add(-int64(len(x.body)))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	var (
+		tooLarge *http.MaxBytesError
+		full     *BodiesFullError
+	)
+	switch {
+	case errors.As(err, &tooLarge):
 		x.reject(http.StatusRequestEntityTooLarge, err)
-		return false
+	case errors.As(err, &full):
+		x.w.Header().Set("Connection", "close")
+		x.unavailable("bodies_held", refusalRetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		x.reject(http.StatusRequestTimeout, err)
+	default:
+		// The caller disconnected, or sent a malformed body.
+		x.reject(http.StatusBadRequest, err)
 	}
-	// The caller disconnected, or sent a malformed body.
-	x.reject(http.StatusBadRequest, err)
 	return false
 }
 
