Answer requests whose handler panics

A panic in the goroutine of a request made net/http close the caller's connection without a word, with a line at the debug level only, and left the exchange open in the dispatcher, so that a planned stop waited for it.

Now it is answered: 503 if nothing was sent to a server, 502 if the request may have run; a stream that has begun is cut visibly. The line 'exchange panicked' has the stack, and 'panics' of the metrics counts them.

Evidence: TestPanicIsAnswered and TestPanicWithinStreamAborts; before, the caller gets EOF and the exchange never ends.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -16,7 +16,7 @@
 //     after the last one.
 //   - unframed.go tells whole answers with neither a length nor chunks from others.
 //   - long.go bounds the memory for answers that are read before they are passed on.
-//   - answer.go writes answers and refusals.
+//   - answer.go writes answers and refusals, panic.go the answer after a panic.
 package forwarder
 
 import (
@@ -224,6 +224,7 @@
 	if f.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	defer x.answerPanic()
 	if !x.readRequest() {
 		return
 	}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -234,10 +234,16 @@
 
 // startForwarderWith starts a forwarder whose direct connections are opened by dial.
 func startForwarderWith(t testing.TB, s *fakeDecider, dial func(ctx context.Context, network, address string) (net.Conn, error)) string {
+	t.Helper()
+	return startForwarderOf(t, s, dial)
+}
+
+// startForwarderOf starts a forwarder that uses any decider.
+func startForwarderOf(t testing.TB, d forwarder.Decider, dial func(ctx context.Context, network, address string) (net.Conn, error)) string {
 	t.Helper()
 	f := forwarder.New(forwarder.Config{
 		Self:     "entry-1",
-		Decider:  s,
+		Decider:  d,
 		Protocol: testProtocol{},
 		Clock:    timekeeper.System{},
 		Dial:     dial,
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -48,6 +48,8 @@
 	// those by which another server took over.
 	stalls    expvar.Int
 	takeovers expvar.Int
+	// panics counts the exchanges that ended with a panic.
+	panics expvar.Int
 	// lateDecisions counts the decisions that took too long to be used.
 	lateDecisions expvar.Int
 	// admissionRefusals counts the requests that no server could answer in time, by reason.
@@ -85,6 +87,7 @@
 	m.vars.Set("shares", &m.shares)
 	m.vars.Set("stalls", &m.stalls)
 	m.vars.Set("takeovers", &m.takeovers)
+	m.vars.Set("panics", &m.panics)
 	m.vars.Set("late_decisions", &m.lateDecisions)
 	m.vars.Set("admission_refusals", &m.admissionRefusals)
 	m.vars.Set("admission_wait_ms", &m.admissionWaits)
@@ -127,6 +130,8 @@
 	}
 }
 
+func (m *Metrics) panicked() { m.panics.Add(1) }
+
 func (m *Metrics) decidedLate() { m.lateDecisions.Add(1) }
 
 func (m *Metrics) admissionRefused(reason messenger.Reason, inputs messenger.DecisionInputs) {
