--- a/internal/dispatcher/stall_test.go
+++ b/internal/dispatcher/stall_test.go
@@ -207,3 +207,42 @@
 	require.True(t, ok)
 	require.Equal(t, other(first.Server), second.Server)
 }
+
+// Guards against streams that are cut because their memory is late, although no other server could
+// continue them without it.
+func TestStoppedStreamWaitsForMemoryWithoutReplacement(t *testing.T) {
+	n := newMovingNode(2)
+	s, call := n.stopped(t, "/report/1")
+	for n.env.Retries.Spend(n.env.Now, "reader") {
+	}
+	n.env.Now = n.env.Now.Add(2 * timekeeper.Second)
+	n.MoveStreams(n.env)
+	require.Empty(t, effectsOf[messenger.EndExchange](n.MoveEffects()), "the stream is cut")
+	moved := effectsOf[messenger.SendExchange](n.answer(call, messenger.MoveCopied, "h-1"))
+	require.Len(t, moved, 1)
+	require.NotEqual(t, s.Server, moved[0].Server)
+}
+
+// Guards against a destination that keeps the memory of a stream which another server has taken
+// over.
+func TestTakeoverAbandonsMove(t *testing.T) {
+	n := newMovingNode(4)
+	s := n.beginFramed(t, "/report/1")
+	calls := n.leave(s.Server)
+	require.Len(t, calls, 1)
+	next, ok := n.stall(s, true).(messenger.SendExchange)
+	require.True(t, ok)
+	require.NotEqual(t, s.Server, next.Server)
+	records := effectsOf[messenger.RecordMove](n.MoveEffects())
+	require.Len(t, records, 1)
+	require.Equal(t, messenger.MoveLost, records[0].Outcome)
+	freed := effectsOf[messenger.FreeMemory](n.answer(calls[0], messenger.MoveCopied, "h-1"))
+	require.Len(t, freed, 1)
+	n.begin(next)
+	n.Ended(n.env, messenger.ExchangeEnded{
+		Exchange: next.Exchange,
+		Attempt:  next.Attempt,
+		Result:   messenger.AttemptComplete,
+	})
+	require.Zero(t, n.InFlight())
+}
