Hold a long event only until it is passed on

A stream with one event over 16 KB kept its place among the 16 long answers, and the memory, to its end: 16 such streams would have had every further long event of a sound server cut. Found by reading. TestLongEventIsHeldUntilItIsPassedOn.

--- a/internal/forwarder/long.go
+++ b/internal/forwarder/long.go
@@ -55,10 +55,21 @@
 	return b.long
 }
 
+// shorten returns what is left of a long event's bytes after most of them were passed on, without
+// the memory that these took.
+func (b *answerBuffer) shorten(left []byte) []byte {
+	if !b.long || len(left) > int(maxShortAnswer) {
+		return left
+	}
+	b.release()
+	return append(make([]byte, 0, max(len(left), streamBuffer)), left...)
+}
+
 func (b *answerBuffer) release() {
 	if b.long {
 		b.answers.release()
 	}
+	b.long = false
 }
 
 var _ error = (*LongAnswerError)(nil)
--- a/internal/forwarder/long_test.go
+++ b/internal/forwarder/long_test.go
@@ -30,3 +30,18 @@
 	_, err = next.readAll(strings.NewReader(strings.Repeat("x", size)))
 	require.NoError(t, err)
 }
+
+// Guards against streams that are cut because others once had a long event.
+func TestLongEventIsHeldUntilItIsPassedOn(t *testing.T) {
+	long := newLongAnswers()
+	b := answerBuffer{answers: long}
+	event := make([]byte, 100<<10)
+	require.True(t, b.mayHold(len(event)))
+	require.Len(t, long, 1)
+	left := b.shorten(event[:10])
+	require.Len(t, left, 10)
+	require.Equal(t, streamBuffer, cap(left))
+	require.Empty(t, long)
+	b.release()
+	require.Empty(t, long)
+}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -50,7 +50,7 @@
 			if end, failed := x.passEvents(response, pending[:cut], resumed); failed {
 				return end
 			}
-			pending = pending[:copy(pending, pending[cut:])]
+			pending = buffer.shorten(pending[:copy(pending, pending[cut:])])
 		}
 		if err == nil && buffer.mayHold(len(pending)+1) {
 			continue
