Begin no answer while it is decided whether another server takes over

If its answer began meanwhile and another server then took over, callers of an answer over 1 MB got it cut off, and callers of a stream got the first events of one run and the rest of another: the dispatcher took the stream for one that had not begun, so that the other run could be of another version.

A first event, and the head of an answer that is not buffered, now wait for the decision in progress. Decisions after that take the stream for one that has begun; that is kept with the timer, so that nothing falls between the two.

Evidence: TestAnswerThatBeginsDuringDecisionIsNotCut (before: unexpected EOF) and TestStreamDoesNotBeginDuringDecision (before: event 1 of the first run, event 2 of the second).

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -335,7 +335,9 @@
 
 // passUnbuffered passes on an answer that is too long to be buffered.
 func (x *exchange) passUnbuffered(ctx context.Context, s messenger.SendExchange, timer *attemptTimer, response *http.Response, prefix []byte) attemptEnd {
-	timer.eventReceived(0)
+	if timer.takeover().decided() {
+		return x.classifyFailure(s, timer, ctx.Err())
+	}
 	x.recordBegan(ctx, s, response)
 	x.writeHead(response.StatusCode, response.Header)
 	if _, err := x.w.Write(prefix); err != nil {
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -4,7 +4,6 @@
 	"errors"
 	"net/http"
 	"os"
-	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -36,10 +35,8 @@
 	// lastEvent is the id of the last event that the caller received, over all
 	// attempts.
 	lastEvent string
-	// headSent reports that the head of the answer was sent to the caller. streaming is the
-	// same for other goroutines.
-	headSent  bool
-	streaming atomic.Bool
+	// headSent reports that the head of the answer was sent to the caller.
+	headSent bool
 	// serverFailure is a server's error answer, passed on if no later attempt succeeds.
 	serverFailure *bufferedAnswer
 	// statedLimit is the limit that the server of the last attempt stated.
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -44,6 +44,9 @@
 			if !started {
 				started = true
 				x.recordBegan(ctx, s, response)
+				if !timer.mayStream() {
+					return x.classifyFailure(s, timer, ctx.Err())
+				}
 			}
 			timer.eventReceived(s.NextEventTimeout)
 			x.recordEvents(pending[:cut])
@@ -119,7 +122,6 @@
 	}
 	if !x.headSent {
 		x.headSent = true
-		x.streaming.Store(true)
 		response.Header.Del("Content-Length")
 		x.writeHead(response.StatusCode, response.Header)
 	}
--- /dev/null
+++ b/internal/forwarder/takeover_test.go
@@ -0,0 +1,66 @@
+package forwarder_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+// Guards against answers that are cut off because they begin while it is decided whether another
+// server takes over.
+func TestAnswerThatBeginsDuringDecisionIsNotCut(t *testing.T) {
+	long := strings.Repeat("x", 2<<20)
+	first := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		sign(w, r)
+		<-time.After(2 * stallTimeout.Std())
+		_, _ = io.WriteString(w, long)
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-r.Context().Done():
+		case <-time.After(3 * silence):
+			_, _ = io.WriteString(w, "end")
+		}
+	})
+	second := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		sign(w, r)
+		_, _ = io.WriteString(w, "second")
+	})
+	s := newFakeDecider(first, second)
+	s.firstEventTimeout = stallTimeout
+	s.delay = []time.Duration{0, silence}
+	answer := do(t, newRequest(t, http.MethodGet, "http://"+startForwarder(t, s)+"/", nil))
+	require.NoError(t, answer.err)
+	require.Equal(t, "second", answer.body)
+	require.EqualValues(t, 2, (<-s.ended).Attempt)
+}
+
+// Guards against streams of two runs: the decider takes a stream for one that has not begun, and
+// has another version run it.
+func TestStreamDoesNotBeginDuringDecision(t *testing.T) {
+	first := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		sign(w, r)
+		<-time.After(2 * stallTimeout.Std())
+		_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	})
+	second := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		sign(w, r)
+		_, _ = io.WriteString(w, "id: 1\ndata: A\n\nid: 2\ndata: B\n\n")
+	})
+	s := newFakeDecider(first, second)
+	s.route.Stream = true
+	s.firstEventTimeout = stallTimeout
+	s.nextEventTimeout = 5 * timekeeper.Second
+	s.delay = []time.Duration{0, silence}
+	answer := do(t, newRequest(t, http.MethodGet, "http://"+startForwarder(t, s)+"/", nil))
+	require.NoError(t, answer.err)
+	require.Equal(t, "id: 1\ndata: A\n\nid: 2\ndata: B\n\n", answer.body)
+	require.False(t, s.stalls[0].Streaming)
+}
--- a/internal/forwarder/timer.go
+++ b/internal/forwarder/timer.go
@@ -27,7 +27,7 @@
 	stopDeadline func() bool
 	// decide asks whether another server takes over because of the result that the attempt has
 	// so far.
-	decide func(messenger.AttemptResult) messenger.Effect
+	decide func(result messenger.AttemptResult, streaming bool) messenger.Effect
 	// replaced reports that the attempt was cancelled because another server takes over.
 	replaced atomic.Bool
 	clock    timekeeper.Clock
@@ -35,6 +35,8 @@
 	mu         sync.Mutex
 	eventTimer *time.Timer
 	timeout    timekeeper.Duration
+	// streaming reports that a part of the answer was sent to the caller, or is about to be.
+	streaming bool
 	// stopped reports that no further decision is asked for. deciding is closed when the
 	// one in progress is made; it is nil if there is none.
 	stopped  bool
@@ -45,10 +47,13 @@
 func (x *exchange) startTimer(ctx context.Context, s messenger.SendExchange) (context.Context, *attemptTimer) {
 	attempt, cancel := context.WithCancel(ctx)
 	t := &attemptTimer{
-		cancel:  cancel,
-		clock:   x.forwarder.config.Clock,
-		timeout: s.FirstEventTimeout,
-		decide:  func(r messenger.AttemptResult) messenger.Effect { return x.askForTakeover(ctx, s, r) },
+		cancel:    cancel,
+		clock:     x.forwarder.config.Clock,
+		timeout:   s.FirstEventTimeout,
+		streaming: x.headSent,
+		decide: func(result messenger.AttemptResult, streaming bool) messenger.Effect {
+			return x.askForTakeover(ctx, s, result, streaming)
+		},
 	}
 	remaining := max(s.Deadline.Sub(t.clock.Now()), 0)
 	deadline := time.AfterFunc(remaining.Std(), func() {
@@ -65,9 +70,8 @@
 }
 
 // askForTakeover asks whether another server takes over from that of an attempt.
-func (x *exchange) askForTakeover(ctx context.Context, s messenger.SendExchange, result messenger.AttemptResult) messenger.Effect {
+func (x *exchange) askForTakeover(ctx context.Context, s messenger.SendExchange, result messenger.AttemptResult, streaming bool) messenger.Effect {
 	f := x.forwarder
-	streaming := x.streaming.Load()
 	effect := f.config.Decider.Stalled(ctx, messenger.ExchangeStalled{
 		Exchange:  x.id,
 		Attempt:   s.Attempt,
@@ -95,11 +99,12 @@
 func (t *attemptTimer) replace(result messenger.AttemptResult) bool {
 	decided := make(chan struct{})
 	defer close(decided)
-	if !t.begin(decided) {
+	streaming, ok := t.begin(decided)
+	if !ok {
 		return false
 	}
 	asked := t.clock.Now()
-	send, ok := t.decide(result).(messenger.SendExchange)
+	send, ok := t.decide(result, streaming).(messenger.SendExchange)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.deciding = nil
@@ -118,15 +123,32 @@
 	return true
 }
 
-// begin reports whether a decision is to be asked for, which closes decided.
-func (t *attemptTimer) begin(decided chan struct{}) bool {
+// begin reports whether a decision is to be asked for, which closes decided, and whether the
+// answer counts as begun.
+func (t *attemptTimer) begin(decided chan struct{}) (streaming, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.stopped || t.deciding != nil || t.next.decided() {
-		return false
+		return false, false
 	}
 	t.deciding = decided
-	return true
+	return t.streaming, true
+}
+
+// mayStream reports whether the answer's first event may be passed on: no other server takes
+// over. It waits for a decision in progress, which takes the answer for one that has not begun.
+func (t *attemptTimer) mayStream() bool {
+	for {
+		t.mu.Lock()
+		deciding := t.deciding
+		replaced := t.next.decided()
+		t.streaming = t.streaming || deciding == nil && !replaced
+		t.mu.Unlock()
+		if deciding == nil {
+			return !replaced
+		}
+		<-deciding
+	}
 }
 
 // eventReceived starts the timeout for the next event; zero stops it.
