Give up an attempt at once if nothing was sent to its silent server

An attempt that could not connect by the first event's timeout was reported as stalled, like one whose server runs the request. Its replacement then used up a retry and an attempt of the route, and where no retry was left the request waited on, could no longer be refused with a Retry-After time, and ended with 502.

Evidence: TestUnsentAttemptDoesNotCountAsStalled, with a server whose connection never opens; before, the attempt ended as timed out, with a decision on its stall.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -45,7 +45,8 @@
 // attempt sends the request to one server and passes on its answer, unless another server
 // takes over.
 func (x *exchange) attempt(ctx context.Context, s messenger.SendExchange) attemptEnd {
-	ctx, timer := x.startTimer(ctx, s)
+	x.connection = &connection{path: s.Path}
+	ctx, timer := x.startTimer(ctx, s, x.connection)
 	defer timer.release()
 	end := x.tryServer(ctx, s, timer)
 	if !end.done {
@@ -56,8 +57,7 @@
 
 // tryServer sends the request to one server and passes on its answer.
 func (x *exchange) tryServer(ctx context.Context, s messenger.SendExchange, timer *attemptTimer) attemptEnd {
-	c := &connection{path: s.Path}
-	x.connection = c
+	c := x.connection
 	sent := x.forwarder.config.Clock.Now()
 	response, err := x.roundTrip(ctx, s, c)
 	x.reportPath(ctx, s, c)
@@ -203,7 +203,7 @@
 		e.reason = "caller left"
 	case timer.expired.Load():
 		return x.expire()
-	case timer.replaced.Load():
+	case timer.abandoned.Load():
 		e.result = messenger.AttemptTimedOut
 	}
 	if !e.done && !x.connection.written.Load() {
--- a/internal/forwarder/takeover_test.go
+++ b/internal/forwarder/takeover_test.go
@@ -1,7 +1,9 @@
 package forwarder_test
 
 import (
+	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -9,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
@@ -64,3 +67,26 @@
 	require.Equal(t, "id: 1\ndata: A\n\nid: 2\ndata: B\n\n", answer.body)
 	require.False(t, s.stalls[0].Streaming)
 }
+
+// Guards against requests that use up the retries, and can't be refused any more, although nothing
+// was sent to their servers.
+func TestUnsentAttemptDoesNotCountAsStalled(t *testing.T) {
+	unreachable := "192.0.2.1:80"
+	second := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		sign(w, r)
+		_, _ = io.WriteString(w, "second")
+	})
+	s := newFakeDecider(unreachable, second)
+	s.firstEventTimeout = stallTimeout
+	dialer := &net.Dialer{}
+	answer := do(t, newRequest(t, http.MethodGet, "http://"+startForwarderWith(t, s, func(ctx context.Context, network, address string) (net.Conn, error) {
+		if address == unreachable {
+			return hang(ctx, network, address)
+		}
+		return dialer.DialContext(ctx, network, address)
+	})+"/", nil))
+	require.NoError(t, answer.err)
+	require.Equal(t, "second", answer.body)
+	require.Equal(t, []messenger.AttemptResult{messenger.AttemptNotSent}, s.results())
+	require.Empty(t, s.stalls)
+}
--- a/internal/forwarder/timer.go
+++ b/internal/forwarder/timer.go
@@ -19,18 +19,20 @@
 
 func (t takeover) decided() bool { return t.asked != 0 }
 
-// attemptTimer cancels an attempt at the deadline of the exchange, or once another server takes
-// over because this one does not send its next event in time.
+// attemptTimer cancels an attempt at the deadline of the exchange, or if the server does not send
+// its next event in time: once another server takes over, or if the request was not sent yet.
 type attemptTimer struct {
 	cancel       context.CancelFunc
+	connection   *connection
 	expired      atomic.Bool
 	stopDeadline func() bool
 	// decide asks whether another server takes over because of the result that the attempt has
 	// so far.
 	decide func(result messenger.AttemptResult, streaming bool) messenger.Effect
-	// replaced reports that the attempt was cancelled because another server takes over.
-	replaced atomic.Bool
-	clock    timekeeper.Clock
+	// abandoned reports that the attempt was cancelled because another server takes over, or
+	// before the request was sent.
+	abandoned atomic.Bool
+	clock     timekeeper.Clock
 
 	mu         sync.Mutex
 	eventTimer *time.Timer
@@ -44,13 +46,14 @@
 	next     takeover
 }
 
-func (x *exchange) startTimer(ctx context.Context, s messenger.SendExchange) (context.Context, *attemptTimer) {
+func (x *exchange) startTimer(ctx context.Context, s messenger.SendExchange, c *connection) (context.Context, *attemptTimer) {
 	attempt, cancel := context.WithCancel(ctx)
 	t := &attemptTimer{
-		cancel:    cancel,
-		clock:     x.forwarder.config.Clock,
-		timeout:   s.FirstEventTimeout,
-		streaming: x.headSent,
+		cancel:     cancel,
+		connection: c,
+		clock:      x.forwarder.config.Clock,
+		timeout:    s.FirstEventTimeout,
+		streaming:  x.headSent,
 		decide: func(result messenger.AttemptResult, streaming bool) messenger.Effect {
 			return x.askForTakeover(ctx, s, result, streaming)
 		},
@@ -91,8 +94,16 @@
 	return effect
 }
 
-// stalled handles the silence of the server.
-func (t *attemptTimer) stalled() { t.replace(messenger.AttemptTimedOut) }
+// stalled handles the silence of the server. An attempt that has sent nothing is given up at
+// once: no answer is lost with it, and it counts as no attempt.
+func (t *attemptTimer) stalled() {
+	if t.connection.written.Load() {
+		t.replace(messenger.AttemptTimedOut)
+		return
+	}
+	t.abandoned.Store(true)
+	t.cancel()
+}
 
 // replace cancels the attempt and returns true if another server takes over because of a result.
 // The attempt goes on until that is decided, and also afterwards if there is no such server.
@@ -118,7 +129,7 @@
 		send:  send,
 		asked: asked,
 	}
-	t.replaced.Store(true)
+	t.abandoned.Store(true)
 	t.cancel()
 	return true
 }
