Check again whether a stalled attempt may end once a permit or slot is granted

While the permit or slot of the server that is to take over is asked for, the stalled attempt goes on. Only the retries were checked again at the answer.

- a stream that began meanwhile, and was bound to its version by that, was given to a server of another version, which goes on after the last event of the first;
- a request whose parts or content were quarantined meanwhile ran at one more server;
- the server of the permit, or the next best where a limited one has no permit left, could be a suspected one, or for a stream one without a free slot: the answer of the first is then given up for one that may never come.

Evidence: TestStreamThatBeginsGoesOnDespitePermit, TestQuarantineWhilePermitIsRequested, TestSuspectedServerDoesNotReplaceLimitedOne; before, each sends the request.

--- a/internal/dispatcher/permit.go
+++ b/internal/dispatcher/permit.go
@@ -27,7 +27,7 @@
 func (d *Dispatcher) place(env Env, x *exchange) (messenger.Effect, bool) {
 	for {
 		c, ok := d.choose(env, x)
-		if !ok {
+		if !ok || !mayReplace(env, x, c) {
 			return nil, false
 		}
 		server := c.server.Server
@@ -112,7 +112,7 @@
 		return keepWaiting(x)
 	}
 	if slices.Contains(servers, e.Server) {
-		if c, found := d.chooseServer(env, x, x.permitCandidates, e.Server); found {
+		if c, found := d.chooseServer(env, x, x.permitCandidates, e.Server); found && mayReplace(env, x, c) {
 			return d.send(env, x, c)
 		}
 	} else {
--- a/internal/dispatcher/slot.go
+++ b/internal/dispatcher/slot.go
@@ -220,7 +220,7 @@
 		return keepWaiting(x)
 	}
 	if slices.Contains(servers, e.Server) {
-		if c, found := d.chooseServer(env, x, x.slotRequest.eligible, e.Server); found {
+		if c, found := d.chooseServer(env, x, x.slotRequest.eligible, e.Server); found && mayReplace(env, x, c) {
 			delete(d.slots.ended, e.Server)
 			return d.send(env, x, c)
 		}
--- a/internal/dispatcher/stall.go
+++ b/internal/dispatcher/stall.go
@@ -17,7 +17,7 @@
 	env = env.forExchange(x)
 	x.stalled = e
 	d.recordStall(env, x)
-	if !d.mayTakeOver(env, x, stalledEnd(x)) {
+	if x.beganSinceStall() || !d.mayTakeOver(env, x, stalledEnd(x)) {
 		return keepWaiting(x)
 	}
 	if effect, placed := d.place(env, x); placed {
@@ -55,27 +55,43 @@
 // ended like this. A stream that has begun is taken over only by a server with a free slot: one
 // that rejected it would leave it with no server at all.
 func (d *Dispatcher) mayTakeOver(env Env, x *exchange, end messenger.ExchangeAttemptEnded) bool {
+	if !d.mayEnd(env, x, end) {
+		return false
+	}
+	c, ok := d.choose(env, x)
+	return ok && mayReplace(env, x, c)
+}
+
+// mayEnd reports whether the current attempt of an exchange may end like this to be taken over.
+func (d *Dispatcher) mayEnd(env Env, x *exchange, end messenger.ExchangeAttemptEnded) bool {
 	switch {
 	case !d.mayRepeat(x, end), !env.Retries.Allows(env.Now, x.service):
 		return false
 	case x.deadline.Sub(env.Now) < minAttemptTime, env.Paths.NoPath(env.Now):
 		return false
-	case d.quarantined(env, x) != nil:
-		return false
 	}
-	c, ok := d.choose(env, x)
-	if !ok || env.Suspicions.Suspect(env.Now, c.server.Server) {
-		return false
+	return d.quarantined(env, x) == nil
+}
+
+// mayReplace reports whether the server of a choice may take over from the current one, if there
+// is one.
+func mayReplace(env Env, x *exchange, c choice) bool {
+	if x.current == nil {
+		return true
 	}
-	return !x.current.began || c.startsAtOnce()
+	return !env.Suspicions.Suspect(env.Now, c.server.Server) && (!x.current.began || c.startsAtOnce())
 }
 
-// mayPlace reports whether an exchange that has waited for a permit or a slot may still be sent. One
-// whose stalled attempt goes on needs a retry.
+// mayPlace reports whether an exchange that has waited for a permit or a slot may still be sent. A
+// stalled attempt goes on if its answer has begun since, which also binds a stream to its version.
 func (d *Dispatcher) mayPlace(env Env, x *exchange) bool {
-	return x.current == nil || env.Retries.Allows(env.Now, x.service)
+	return x.current == nil || !x.beganSinceStall() && d.mayEnd(env, x, stalledEnd(x))
 }
 
+// beganSinceStall reports whether the answer of the current attempt has begun since the last
+// report that it has stalled.
+func (x *exchange) beganSinceStall() bool { return x.current.began && !x.stalled.Streaming }
+
 // endStalled ends the current attempt, which has stalled, as another server takes over.
 func (d *Dispatcher) endStalled(env Env, x *exchange) {
 	env.Retries.Spend(env.Now, x.service)
--- /dev/null
+++ b/internal/dispatcher/takeover_test.go
@@ -0,0 +1,72 @@
+package dispatcher_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/detector"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/throttler"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
+)
+
+// Guards against streams of two versions: one that begins while a permit is asked for is taken
+// over by a server of another version.
+func TestStreamThatBeginsGoesOnDespitePermit(t *testing.T) {
+	n := newNode(2)
+	first := n.sendPath(t, "/report/1")
+	n.allocatePermitsAt("entry-2")
+	n.stateLimit(other(first.Server), 5)
+	asked, ok := n.stall(first, false).(messenger.RequestPermit)
+	require.True(t, ok)
+	n.begin(first)
+	require.Equal(t, messenger.KeepWaiting{Exchange: first.Exchange}, n.PermitAnswered(n.env, messenger.PermitAnswered{
+		Exchange: asked.Exchange,
+		Server:   other(first.Server),
+	}))
+}
+
+// Guards against streams and answers that are given up for a suspected server because the one that
+// was to take over grants no permit.
+func TestSuspectedServerDoesNotReplaceLimitedOne(t *testing.T) {
+	n := newNode(3)
+	first := n.sendPath(t, "/ping/1")
+	var others []identifier.VMID
+	for i := range 3 {
+		if id := serverID(i); id != first.Server {
+			others = append(others, id)
+		}
+	}
+	n.stateLimit(others[0], 1)
+	for granted := true; granted; {
+		_, granted = n.env.Permits.Take(n.env.Now, others[0], 1)
+	}
+	for !n.env.Suspicions.Suspect(n.env.Now, others[1]) {
+		n.env.Suspicions.Observe(n.env.Now, others[1], detector.Observation{Kind: detector.Broken})
+	}
+	require.Equal(t, messenger.KeepWaiting{Exchange: first.Exchange}, n.stall(first, false))
+}
+
+// Guards against running requests that go to further servers although these end during them.
+func TestQuarantineWhilePermitIsRequested(t *testing.T) {
+	n := newNode(8)
+	first := n.mustSend(t, n.specWithContent("/ping/1", 7))
+	n.allocatePermitsAt("entry-2")
+	for i := range 8 {
+		if id := serverID(i); id != first.Server {
+			n.stateLimit(id, 5)
+		}
+	}
+	asked, ok := n.stall(first, false).(messenger.RequestPermit)
+	require.True(t, ok)
+	n.env.Limits = throttler.New()
+	for range 3 {
+		n.endServer(n.mustSend(t, n.specWithContent("/ping/1", 7)))
+	}
+	effect := n.PermitAnswered(n.env, messenger.PermitAnswered{
+		Exchange: asked.Exchange,
+		Server:   asked.Limits[0].Server,
+	})
+	require.Equal(t, messenger.KeepWaiting{Exchange: first.Exchange}, effect)
+}
