Ask servers for a slot again after a stalled attempt went on

A stall of a server asks for a slot elsewhere, and keeps which servers had none and how many requests were made. When the attempt went on and broke off later, these servers still counted as full, and the two requests as used: the request ended with no_room although a server had a free slot.

Evidence: TestFullServerIsAskedAgainAfterStall; before, no slot is requested after the break. Found by review; not seen in a run.

--- a/internal/dispatcher/stall.go
+++ b/internal/dispatcher/stall.go
@@ -26,8 +26,10 @@
 	return keepWaiting(x)
 }
 
-// keepWaiting makes the current attempt of a stalled exchange go on.
+// keepWaiting makes the current attempt of a stalled exchange go on. Servers that had no slot may
+// have one later.
 func keepWaiting(x *exchange) messenger.Effect {
+	x.slotRequest = slotRequest{}
 	return messenger.KeepWaiting{Exchange: x.spec.Exchange}
 }
 
--- a/internal/dispatcher/takeover_test.go
+++ b/internal/dispatcher/takeover_test.go
@@ -27,6 +27,30 @@
 	}))
 }
 
+// Guards against streams that are cut although a server has room, because it had none when their
+// first server was silent.
+func TestFullServerIsAskedAgainAfterStall(t *testing.T) {
+	n := newBrittleNode("entry-2")
+	asked := n.requestSlot(t)
+	first, ok := n.SlotAnswered(n.env, messenger.SlotAnswered{
+		Exchange: asked.Exchange,
+		Server:   asked.Report.Uses[0].Server,
+	}).(messenger.SendExchange)
+	require.True(t, ok)
+	asked, ok = n.stall(first, false).(messenger.RequestSlot)
+	require.True(t, ok)
+	require.Equal(t, messenger.KeepWaiting{Exchange: first.Exchange}, n.SlotAnswered(n.env, messenger.SlotAnswered{Exchange: asked.Exchange}))
+
+	asked, ok = n.endAttempt(first, messenger.AttemptBroken, false).(messenger.RequestSlot)
+	require.True(t, ok)
+	second, ok := n.SlotAnswered(n.env, messenger.SlotAnswered{
+		Exchange: asked.Exchange,
+		Server:   other(first.Server),
+	}).(messenger.SendExchange)
+	require.True(t, ok)
+	require.Equal(t, other(first.Server), second.Server)
+}
+
 // Guards against streams and answers that are given up for a suspected server because the one that
 // was to take over grants no permit.
 func TestSuspectedServerDoesNotReplaceLimitedOne(t *testing.T) {
