Count requests that end before the replacement of their attempt is sent

The answer of a stalled server may end while it is decided that another one takes over. The report of its beginning then belongs to an attempt that is no longer the current one, so that the request was missing from its account's usage, and its completion from the quarantine.

Evidence: TestAnswerBeforeReplacementCountsAsUsage; before, no request is counted.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -382,7 +382,7 @@
 		return
 	}
 	if e.Attempt != 0 && e.Attempt != x.attempt {
-		d.replacementUnsent(env, x)
+		d.replacementUnsent(env, x, e.Result)
 		return
 	}
 	if !x.current.began {
--- a/internal/dispatcher/stall.go
+++ b/internal/dispatcher/stall.go
@@ -105,8 +105,12 @@
 }
 
 // replacementUnsent removes an attempt that was to replace a stalled one, whose answer ended
-// before.
-func (d *Dispatcher) replacementUnsent(env Env, x *exchange) {
+// before with the given result.
+func (d *Dispatcher) replacementUnsent(env Env, x *exchange, result messenger.AttemptResult) {
+	if result == messenger.AttemptComplete {
+		d.countUsage(env, x)
+		env.Quarantine.Completed(env.Now, x.fingerprint, x.parts...)
+	}
 	d.index.Remove(x.current.server, x.spec.Prefix)
 	env.Versions.RecordEnd(x.current.track, promoter.AttemptEnd{Result: messenger.AttemptNotSent})
 	d.leaveServer(env, x, false)
--- a/internal/dispatcher/takeover_test.go
+++ b/internal/dispatcher/takeover_test.go
@@ -51,6 +51,24 @@
 	require.Equal(t, other(first.Server), second.Server)
 }
 
+// Guards against usage reports that lack requests whose answer ended before their replacement was
+// sent.
+func TestAnswerBeforeReplacementCountsAsUsage(t *testing.T) {
+	n := newNode(2)
+	began := 0
+	n.env.OnBegan = func(identifier.AccountID) { began++ }
+	first := n.sendPath(t, "/ping/1")
+	_, ok := n.stall(first, false).(messenger.SendExchange)
+	require.True(t, ok)
+	n.begin(first)
+	n.Ended(n.env, messenger.ExchangeEnded{
+		Exchange: first.Exchange,
+		Attempt:  first.Attempt,
+		Result:   messenger.AttemptComplete,
+	})
+	require.Equal(t, 1, began)
+}
+
 // Guards against streams and answers that are given up for a suspected server because the one that
 // was to take over grants no permit.
 func TestSuspectedServerDoesNotReplaceLimitedOne(t *testing.T) {
