Apply an exchange's reports in the order in which it sends them

Reports of an exchange, as that its stream has begun, are queued events; the end or the stall of its attempt is a query that waits for its decision. With both waiting, the loop took either first. If the end came first, the stream counted as not begun: another version could continue it, no peer learned where it began, and what its server stated in the answer was not part of the decision.

A query now follows the events that are queued before it.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -225,9 +225,9 @@
 		r.applyBacklog()
 		select {
 		case e := <-r.events:
-			r.metrics.recordLag(time.Since(e.sent))
-			r.step(e.body)
+			r.apply(e)
 		case query := <-r.queries:
+			r.applyQueued()
 			query()
 		case <-ticker.C:
 			r.tick()
@@ -266,6 +266,19 @@
 	}
 }
 
+func (r *Runner) apply(e queuedEvent) {
+	r.metrics.recordLag(time.Since(e.sent))
+	r.step(e.body)
+}
+
+// applyQueued applies the events that are queued, so that a goroutine's query follows the events
+// that it sent before.
+func (r *Runner) applyQueued() {
+	for range len(r.events) {
+		r.apply(<-r.events)
+	}
+}
+
 // applyBacklog applies the events that the loop itself has queued.
 func (r *Runner) applyBacklog() {
 	for len(r.backlog) > 0 {
