--- a/internal/forwarder/panic.go
+++ b/internal/forwarder/panic.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"errors"
 	"net/http"
 	"runtime/debug"
 
@@ -17,7 +18,7 @@
 	if cause == nil {
 		return
 	}
-	if cause == http.ErrAbortHandler {
+	if err, ok := cause.(error); ok && errors.Is(err, http.ErrAbortHandler) {
 		panic(cause)
 	}
 	f := x.forwarder
