Don't take cut answers of leaving servers for whole

An answer with neither a length nor chunks ends with its connection, also if that is closed by the end of the server's process. The forwarder then asks whether the server has ended, but took the answer for whole if the server had stated to be leaving or its entry said so. A server that is reclaimed, or that exits a while after it reported draining, ends in the middle of its answers: callers got success, a last chunk, and a part of the answer; resumable streams were not resumed.

Now such an answer is whole only if its server has not ended, leaving or not. Answers of a leaving server that still listens are delivered whole. What it costs: a server that exits right after its last answer without a length has that answer resumed, repeated, or cut visibly. Decider.Leaving had no other use.

TestAnswerWithoutLengthIsComplete claimed that an answer that ends with a leaving server is whole, which can't be known: its cases of leaving servers now have a server that still listens, and TestAnswerThatEndsWithLeavingServerIsBroken has the one that has ended. That test fails before.

--- a/docs/operations_test.go
+++ b/docs/operations_test.go
@@ -332,7 +332,6 @@
 func (*singleAttemptDecider) LeavingReceived(context.Context, messenger.ServerLeavingReceived) {}
 
 func (*singleAttemptDecider) PathTried(context.Context, messenger.PathTried)     {}
-func (*singleAttemptDecider) Leaving(context.Context, identifier.VMID) bool      { return false }
 func (*singleAttemptDecider) Moving(context.Context, identifier.ExchangeID) bool { return false }
 
 func (*singleAttemptDecider) BrittleReceived(context.Context, messenger.ServerBrittleReceived) {}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -74,8 +74,6 @@
 	LeavingReceived(ctx context.Context, e messenger.ServerLeavingReceived)
 	BrittleReceived(ctx context.Context, e messenger.ServerBrittleReceived)
 	PathTried(ctx context.Context, e messenger.PathTried)
-	// Leaving reports whether a server is known to be leaving or removed.
-	Leaving(ctx context.Context, server identifier.VMID) bool
 	// Moving reports whether the server of an exchange was called to stop its stream, so that
 	// it can go on elsewhere.
 	Moving(ctx context.Context, id identifier.ExchangeID) bool
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -49,16 +49,12 @@
 	brittle     []messenger.ServerBrittleReceived
 	// beganVia are the peers through which attempts began.
 	beganVia []identifier.VMID
-	// isLeaving reports that servers are leaving.
-	isLeaving bool
 	// from is the memory from which attempts after the first one continue. moving counts the
 	// questions whether a stream is being moved.
 	from   messenger.Continuation
 	moving int
 }
 
-func (s *fakeDecider) Leaving(context.Context, identifier.VMID) bool { return s.isLeaving }
-
 func (s *fakeDecider) Moving(context.Context, identifier.ExchangeID) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/forwarder/unframed.go
+++ b/internal/forwarder/unframed.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 
@@ -21,12 +20,9 @@
 
 // endedWithServer reports whether an answer that was read to its end may lack its rest because
 // the server ended. An answer with neither a length nor chunks ends with its connection, also if
-// that is closed by the end of the server. A leaving server may end after its last answer.
-func (x *exchange) endedWithServer(ctx context.Context, s messenger.SendExchange, response *http.Response) bool {
-	if isFramed(response) || x.serverLeaving || x.r.Method == http.MethodHead {
-		return false
-	}
-	return x.serverEnded(s, x.connection) && !x.forwarder.config.Decider.Leaving(ctx, s.Server)
+// that is closed by the end of the server. An announced end may cut answers too.
+func (x *exchange) endedWithServer(s messenger.SendExchange, response *http.Response) bool {
+	return !isFramed(response) && x.r.Method != http.MethodHead && x.serverEnded(s, x.connection)
 }
 
 // isFramed reports whether an answer has a length or chunks, so that its end is not that of its
--- a/internal/forwarder/unframed_test.go
+++ b/internal/forwarder/unframed_test.go
@@ -13,6 +13,14 @@
 
 const unframedHead = "HTTP/1.1 200 OK\r\nSignature: first\r\nConnection: close\r\n\r\n"
 
+// unframedHeadOf returns unframedHead, in which a leaving server states that it leaves.
+func unframedHeadOf(leaving bool) string {
+	if !leaving {
+		return unframedHead
+	}
+	return strings.TrimSuffix(unframedHead, "\r\n") + "Leaving: 1\r\n\r\n"
+}
+
 // Guards against half an answer without a length that looks whole, as its server ended in order.
 func TestAnswerThatEndsWithItsServerIsBroken(t *testing.T) {
 	for name, part := range map[string]string{
@@ -58,9 +66,8 @@
 		for _, stream := range []bool{false, true} {
 			t.Run(fmt.Sprintf("stream %t, its server leaves %t", stream, leaving), func(t *testing.T) {
 				body := "id: 1\ndata: a\n\n"
-				s := newFakeDecider(startEndingServer(t, leaving, unframedHead+body))
+				s := newFakeDecider(startEndingServer(t, false, unframedHeadOf(leaving)+body))
 				s.route.Stream = stream
-				s.isLeaving = leaving
 				answer := do(t, newRequest(t, http.MethodGet, "http://"+startForwarder(t, s)+"/", nil))
 				require.NoError(t, answer.err)
 				require.Equal(t, body, answer.body)
@@ -69,3 +76,20 @@
 		}
 	}
 }
+
+// Guards against cut answers that look whole because their server had announced its end.
+func TestAnswerThatEndsWithLeavingServerIsBroken(t *testing.T) {
+	for _, stream := range []bool{false, true} {
+		t.Run(fmt.Sprintf("stream %t", stream), func(t *testing.T) {
+			s := newFakeDecider(startEndingServer(t, true, unframedHeadOf(true)+"id: 1\ndata: a\n\n"))
+			s.route.Stream = stream
+			answer := do(t, newRequest(t, http.MethodGet, "http://"+startForwarder(t, s)+"/", nil))
+			require.Equal(t, []messenger.AttemptResult{messenger.AttemptBroken}, s.results())
+			if stream {
+				require.Error(t, answer.err)
+				return
+			}
+			require.Equal(t, http.StatusBadGateway, answer.status)
+		})
+	}
+}
--- a/internal/reducer/following.go
+++ b/internal/reducer/following.go
@@ -6,7 +6,6 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/accountant"
 	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
 	"github.com/dotterelhollow/dotterelhollow/internal/leaser"
-	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/placer"
 	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
 	"github.com/dotterelhollow/dotterelhollow/internal/ranker"
@@ -167,15 +166,6 @@
 	return g != nil && g.catalog != nil && g.knowsAllServers && !g.draining
 }
 
-// ServerLeaving reports whether a published server is leaving, or was removed.
-func (r *Reducer) ServerLeaving(server identifier.VMID) bool {
-	if r.gateway == nil {
-		return false
-	}
-	known, ok := r.gateway.servers.Server(server)
-	return ok && known.State != messenger.ServerReady
-}
-
 // ReadyNodes returns the nodes that may receive requests. Those that reach no server
 // directly are left out while enough others do.
 func (r *Reducer) ReadyNodes() []gossiper.Node {
--- a/internal/runner/exchange.go
+++ b/internal/runner/exchange.go
@@ -86,13 +86,6 @@
 	waiting <- effect // The channel has a buffer of one and receives one value.
 }
 
-// Leaving implements forwarder.Decider.
-func (r *Runner) Leaving(ctx context.Context, server identifier.VMID) bool {
-	leaving := false
-	r.runInLoop(ctx, func() { leaving = r.config.Reducer.ServerLeaving(server) })
-	return leaving
-}
-
 // Moving implements forwarder.Decider.
 func (r *Runner) Moving(ctx context.Context, id identifier.ExchangeID) bool {
 	moving := false
--- a/internal/runner/fake_test.go
+++ b/internal/runner/fake_test.go
@@ -93,10 +93,9 @@
 func (f *fakeReducer) Following(timekeeper.Time) reducer.Following {
 	return reducer.Following{Nodes: true}
 }
-func (f *fakeReducer) Ready() bool                        { return true }
-func (f *fakeReducer) ReadyNodes() []gossiper.Node        { return f.nodes }
-func (f *fakeReducer) ServerLeaving(identifier.VMID) bool { return false }
-func (f *fakeReducer) Moving(identifier.ExchangeID) bool  { return false }
+func (f *fakeReducer) Ready() bool                       { return true }
+func (f *fakeReducer) ReadyNodes() []gossiper.Node       { return f.nodes }
+func (f *fakeReducer) Moving(identifier.ExchangeID) bool { return false }
 func (f *fakeReducer) ExportConfiguration() ([]byte, bool) {
 	return nil, false
 }
--- a/internal/runner/outside.go
+++ b/internal/runner/outside.go
@@ -46,7 +46,6 @@
 	// ReadyNodes returns the nodes that do.
 	Ready() bool
 	ReadyNodes() []gossiper.Node
-	ServerLeaving(server identifier.VMID) bool
 	// Moving reports whether the server of an exchange was called to stop its stream.
 	Moving(id identifier.ExchangeID) bool
 }
