Deliver answers without a length as whole only if their server still listens

Where nodes and a server were killed together, callers got part of an answer that looked complete. At the end of such an answer the forwarder took the server for alive unless its address refused this node and a peer: if both peers that were drawn had just been killed, nothing could be known and the answer passed for whole, as it did after a connection that timed out.

Now an answer with neither a length nor chunks is whole only if this node or a peer still connects to its server; what can't be known is resumed, repeated, or cut visibly. Whether the server counts as ended still takes a refusal that a peer confirms, so that requests are not blamed for broken paths. A sound server's answer stays whole if all peers to ask have ended, or if only a peer still reaches the server.

What it costs: a server that accepts no connection for 150 ms at the end of its answer, neither from this node nor through a peer, has that answer repeated or cut.

TestAnswerIsBrokenIfPeersEndWithServer fails before.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -298,7 +298,7 @@
 	if err != nil {
 		return x.classifyFailure(s, timer, err)
 	}
-	if x.endedWithServer(s, response) {
+	if x.mayBeCut(s, response) {
 		return x.classifyFailure(s, timer, &ServerEndedError{Server: s.Server})
 	}
 	answer := &bufferedAnswer{
@@ -342,7 +342,7 @@
 		return callerDisconnected(err)
 	}
 	_, err := io.Copy(x.w, response.Body)
-	if err == nil && x.endedWithServer(s, response) {
+	if err == nil && x.mayBeCut(s, response) {
 		err = &ServerEndedError{Server: s.Server}
 	}
 	if err != nil {
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -56,7 +56,7 @@
 			continue
 		}
 		if errors.Is(err, io.EOF) && len(pending) == 0 && started {
-			if x.endedWithServer(s, response) {
+			if x.mayBeCut(s, response) {
 				return x.classifyFailure(s, timer, &ServerEndedError{Server: s.Server})
 			}
 			return attemptEnd{
--- a/internal/forwarder/unframed_test.go
+++ b/internal/forwarder/unframed_test.go
@@ -1,9 +1,12 @@
 package forwarder_test
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -93,3 +96,73 @@
 		})
 	}
 }
+
+// deadPeers are nodes that have ended.
+var deadPeers = []messenger.PathPeer{
+	{
+		Node:    "entry-2",
+		Address: "127.0.0.1:1",
+	},
+	{
+		Node:    "entry-3",
+		Address: "127.0.0.1:1",
+	},
+}
+
+// Guards against cut answers that look whole because the peers to ask ended with the server.
+func TestAnswerIsBrokenIfPeersEndWithServer(t *testing.T) {
+	s := newFakeDecider(startEndingServer(t, true, unframedHead+"half of the bo"))
+	s.path.Peers = deadPeers
+	answer := do(t, newRequest(t, http.MethodGet, "http://"+startForwarder(t, s)+"/", nil))
+	require.Equal(t, http.StatusBadGateway, answer.status)
+	require.Equal(t, []messenger.AttemptResult{messenger.AttemptBroken}, s.results())
+	require.False(t, s.attemptEnds[0].ServerEnded, "no peer confirms it")
+}
+
+// Guards against whole answers that are taken for broken ones because paths fail.
+func TestAnswerWithoutLengthIsCompleteOnAnyPath(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		dial  dialFunc
+		peers func(t *testing.T) []messenger.PathPeer
+	}{
+		{
+			name:  "all peers ended",
+			peers: func(*testing.T) []messenger.PathPeer { return deadPeers },
+		},
+		{
+			name: "through a peer",
+			dial: refuse,
+			peers: func(t *testing.T) []messenger.PathPeer {
+				return []messenger.PathPeer{startPeer(t, "")}
+			},
+		},
+		{
+			name: "only peers still connect",
+			dial: onlyFirst(),
+			peers: func(t *testing.T) []messenger.PathPeer {
+				return []messenger.PathPeer{startPeer(t, "")}
+			},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newFakeDecider(startEndingServer(t, false, unframedHead+"whole"))
+			s.path.Peers = test.peers(t)
+			answer := do(t, newRequest(t, http.MethodGet, "http://"+startForwarderWith(t, s, test.dial)+"/", nil))
+			require.Equal(t, http.StatusOK, answer.status)
+			require.Equal(t, "whole", answer.body)
+			require.Equal(t, messenger.AttemptComplete, (<-s.ended).Result)
+		})
+	}
+}
+
+// onlyFirst opens one connection, and hangs for all later ones.
+func onlyFirst() dialFunc {
+	var dials atomic.Int64
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		if dials.Add(1) > 1 {
+			return hang(ctx, network, address)
+		}
+		return new(net.Dialer).DialContext(ctx, network, address)
+	}
+}
