Ask 20 ms after an answer without a length whether its server listens

When a process is killed, the kernel may close its connections before its listener. A node that connects in between finds the server listening, and half an answer looked complete to its caller.

Now the node connects 20 ms after the end of such an answer.

What it costs: 20 ms at the end of each answer without a length; of a stream no event comes later.

TestAnswerIsBrokenIfListenerIsClosedLast fails before.

--- a/internal/forwarder/unframed.go
+++ b/internal/forwarder/unframed.go
@@ -4,11 +4,17 @@
 	"context"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 )
 
+// listenerDelay is the time after the end of an answer at which its server must still listen.
+// When a process is killed, the kernel may close its listener a few milliseconds after its
+// connections.
+const listenerDelay = 20 * time.Millisecond
+
 var _ error = (*ServerEndedError)(nil)
 
 // ServerEndedError reports an answer with neither a length nor chunks whose server may have
@@ -23,7 +29,14 @@
 // server ended. An answer with neither a length nor chunks ends with its connection, also if
 // that is closed by the end of the server, announced or not.
 func (x *exchange) mayBeCut(s messenger.SendExchange, response *http.Response) bool {
-	return !isFramed(response) && x.r.Method != http.MethodHead && !x.serverListens(s)
+	if isFramed(response) || x.r.Method == http.MethodHead {
+		return false
+	}
+	select {
+	case <-time.After(listenerDelay):
+	case <-x.r.Context().Done():
+	}
+	return !x.serverListens(s)
 }
 
 // serverListens reports whether this node or one of the peers can still connect to a server.
--- a/internal/forwarder/unframed_test.go
+++ b/internal/forwarder/unframed_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -8,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -166,3 +168,44 @@
 		return new(net.Dialer).DialContext(ctx, network, address)
 	}
 }
+
+// Guards against cut answers that look whole as the kernel closes a killed server's listener last.
+func TestAnswerIsBrokenIfListenerIsClosedLast(t *testing.T) {
+	address, dial := startServerWithLateListener(t, 5*time.Millisecond, unframedHead+"half of the bo")
+	s := newFakeDecider(address)
+	answer := do(t, newRequest(t, http.MethodGet, "http://"+startForwarderWith(t, s, dial)+"/", nil))
+	require.Equal(t, http.StatusBadGateway, answer.status)
+	require.Equal(t, []messenger.AttemptResult{messenger.AttemptBroken}, s.results())
+	require.True(t, s.attemptEnds[0].ServerEnded)
+}
+
+// startServerWithLateListener starts a server that sends an answer and closes the connection. It
+// stops listening after a delay, for connections that are opened with the function returned.
+func startServerWithLateListener(t *testing.T, delay time.Duration, answer string) (string, dialFunc) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	closed := make(chan time.Time, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = fmt.Fprint(c, answer)
+		}
+		closed <- time.Now()
+		_ = c.Close()
+	}()
+	return l.Addr().String(), func(ctx context.Context, network, address string) (net.Conn, error) {
+		select {
+		case at := <-closed:
+			if time.Since(at) >= delay {
+				_ = l.Close()
+			}
+		default:
+		}
+		return new(net.Dialer).DialContext(ctx, network, address)
+	}
+}
