Read what arrived during a pause before a server counts as silent

What callers saw: a lookup that its server had answered ran a second time, and its node, which was stopping, handed it over (303 in TestRollingReplacement in place of 200).

Reproduction: the processes of the six nodes stopped (SIGSTOP) for 1.5 s at a time during the test, eight copies of other plays beside it. Log of the node: the lookup's attempt is sent at 15.599, the process does not run until 17.610, attempt_ended result=silent at 17.611, node_thawed at 17.611, handover_sent at 17.611. The first byte has 2 s; the server answers after 0.5 s, so that the answer was in the socket for 1.5 s.

Cause: after a pause the timer of the timeout runs before the goroutine that reads the connection. Ruled out: the drain; the node keeps a running lookup that ends in time, and hands it over only since the attempt was taken for ended.

Change: the last 100 ms of a timeout start only when the first part has expired, and so when the process runs. Without a pause timeouts are as long as before, and a silent server is found at the same time; after a pause 100 ms later.

--- a/internal/adapter/plain.go
+++ b/internal/adapter/plain.go
@@ -59,7 +59,7 @@
 // unless the server did not run the request. Its errors are *NotSentError,
 // *RefusedError, *ConnectionError, *ResponseTimeoutError and *ServerFailedError.
 func (p *Plain) Call(ctx context.Context, address string, c PlainCall, timeouts ResponseTimeouts) (PlainReply, error) {
-	ctx, timer := newResponseTimer(ctx, address, timeouts)
+	ctx, timer := newResponseTimer(ctx, address, timeouts, systemAfter)
 	defer timer.stop()
 	response, err := p.calls.do(ctx, call{
 		method:  c.Method,
@@ -72,15 +72,14 @@
 		return PlainReply{}, timeoutError(ctx, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	timer.reset(address)
+	timer.reset()
 	refused := response.Header.Get(encoder.OutcomeHeader) == encoder.OutcomeNotRun
 	if refused || response.StatusCode >= http.StatusInternalServerError {
 		return PlainReply{}, serverError(statusError(address, response))
 	}
 	body, err := io.ReadAll(&timedReader{
-		reader:  http.MaxBytesReader(nil, response.Body, maxReply),
-		timer:   timer,
-		address: address,
+		reader: http.MaxBytesReader(nil, response.Body, maxReply),
+		timer:  timer,
 	})
 	if err != nil {
 		return PlainReply{}, timeoutError(ctx, &ConnectionError{
@@ -114,9 +113,8 @@
 
 // timedReader resets a responseTimer at every read that returns data.
 type timedReader struct {
-	reader  io.Reader
-	timer   *responseTimer
-	address string
+	reader io.Reader
+	timer  *responseTimer
 }
 
 var _ io.Reader = (*timedReader)(nil)
@@ -124,7 +122,7 @@
 func (r *timedReader) Read(b []byte) (int, error) {
 	n, err := r.reader.Read(b)
 	if n > 0 {
-		r.timer.reset(r.address)
+		r.timer.reset()
 	}
 	return n, err
 }
--- a/internal/adapter/stream.go
+++ b/internal/adapter/stream.go
@@ -35,7 +35,7 @@
 
 // readStream makes the call and reads the stream in the answer.
 func (e *Engine) readStream(ctx context.Context, req call, r streamReader) error {
-	ctx, timer := newResponseTimer(ctx, req.address, r.timeouts)
+	ctx, timer := newResponseTimer(ctx, req.address, r.timeouts, systemAfter)
 	defer timer.stop()
 	response, err := e.streams.do(ctx, req)
 	if err != nil {
@@ -56,7 +56,7 @@
 				Cause:   cause(ctx, err),
 			})
 		}
-		timer.reset(req.address)
+		timer.reset()
 		done, err := r.handle(req.address, event)
 		if done || err != nil {
 			return err
