Log how long the connection of a silent attempt took

A trace of TestRollingReplacement ends at 'result=silent': it can't tell an answer that is late from a connection that was established late, on which the request had been sent only shortly before the timeout.

Change: the error of a timeout states the time that connecting took, and attempts that end in silence log it at info level (one line an attempt, beside its line of the time line); other ends of attempts stay at debug level.

Test: TestTimeoutStatesConnectTime.

--- a/internal/adapter/errors.go
+++ b/internal/adapter/errors.go
@@ -69,10 +69,12 @@
 type ResponseTimeoutError struct {
 	Address string
 	After   timekeeper.Duration
+	// ConnectTime is the time that connecting took, or zero if there was no connection.
+	ConnectTime timekeeper.Duration
 }
 
 func (e *ResponseTimeoutError) Error() string {
-	return fmt.Sprintf("%s sent no data for %v", e.Address, e.After)
+	return fmt.Sprintf("%s sent no data for %v, connected after %v", e.Address, e.After, e.ConnectTime)
 }
 
 // StatusError reports an HTTP status that is not a success and has no error type of its
--- a/internal/adapter/timeouts.go
+++ b/internal/adapter/timeouts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http/httptrace"
 	"sync"
 	"time"
 
@@ -32,6 +33,9 @@
 	mu sync.Mutex
 	// wait is the current timeout; it is nil if there is none.
 	wait *responseWait
+	// startedAt is when the call started, and connectTime the time to its connection.
+	startedAt   time.Time
+	connectTime timekeeper.Duration
 }
 
 // responseWait is a wait for data. stop stops the timer that is running.
@@ -52,13 +56,20 @@
 func newResponseTimer(ctx context.Context, address string, timeouts ResponseTimeouts, after afterFunc) (context.Context, *responseTimer) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	t := &responseTimer{
-		address:  address,
-		cancel:   cancel,
-		after:    after,
-		nextByte: timeouts.NextByte,
+		address:   address,
+		cancel:    cancel,
+		after:     after,
+		nextByte:  timeouts.NextByte,
+		startedAt: time.Now(),
 	}
 	t.start(timeouts.FirstByte)
-	return ctx, t
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.connected}), t
+}
+
+func (t *responseTimer) connected(httptrace.GotConnInfo) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.connectTime = timekeeper.DurationOf(time.Since(t.startedAt))
 }
 
 // start replaces the current timeout; zero means none.
@@ -90,8 +101,9 @@
 	defer t.mu.Unlock()
 	if t.wait == w {
 		t.cancel(&ResponseTimeoutError{
-			Address: t.address,
-			After:   w.timeout,
+			Address:     t.address,
+			After:       w.timeout,
+			ConnectTime: t.connectTime,
 		})
 	}
 }
--- a/internal/adapter/timeouts_test.go
+++ b/internal/adapter/timeouts_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net/http/httptrace"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -92,3 +94,16 @@
 	timers.advance(readGrace)
 	require.ErrorAs(t, context.Cause(ctx), &timeout)
 }
+
+// Guards against a slow connection and a silent server that logs can't tell apart.
+func TestTimeoutStatesConnectTime(t *testing.T) {
+	const connectTime = 300 * timekeeper.Millisecond
+	ctx, timer, timers := newManualResponseTimer(t)
+	timer.startedAt = time.Now().Add(-connectTime.Std())
+	timer.connected(httptrace.GotConnInfo{})
+	timers.advance(testFirstByte)
+	timers.advance(readGrace)
+	var timeout *ResponseTimeoutError
+	require.ErrorAs(t, context.Cause(ctx), &timeout)
+	require.GreaterOrEqual(t, timeout.ConnectTime, connectTime)
+}
--- a/internal/runner/attempt.go
+++ b/internal/runner/attempt.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/dotterelhollow/dotterelhollow/internal/adapter"
 	"github.com/dotterelhollow/dotterelhollow/internal/answerer"
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
@@ -163,7 +165,11 @@
 	}
 	result := attemptResult(err)
 	if err != nil {
-		a.runner.logger.Debug("attempt ended early",
+		level := hclog.Debug
+		if result == messenger.AttemptTimedOut {
+			level = hclog.Info
+		}
+		a.runner.logger.Log(level, "attempt ended early",
 			"request", a.effect.Request, "attempt", a.effect.Attempt,
 			"server", a.effect.Server, "result", result, "error", err)
 	}
