Encode server entries once for all peers that receive them

Suspected are relays that send the entries of all servers to the nodes of their zone: on request when many start, and as changes when entries lapse and return after an outage.

Each call built its own message and its own encoding of the same list, and held it until the peer had answered or the call had timed out. So a relay held as many copies as it had calls in progress, up to 128.

Ruled out: the state of the reducer.

Calls that send the same list now share one encoding, which follows the rest of the request without being copied. Protocol buffers decode the two parts as one message, so that nodes of either version understand each other.

--- a/internal/relayer/client.go
+++ b/internal/relayer/client.go
@@ -51,6 +51,7 @@
 	// discardStalled can be disabled, so that a test can prove that it is
 	// needed.
 	discardStalled bool
+	entries        *entryEncodings
 
 	mu       sync.Mutex
 	conns    map[string]*peerConns
@@ -79,6 +80,7 @@
 	return &Client{
 		config:         c,
 		discardStalled: true,
+		entries:        newEntryEncodings(),
 		conns:          map[string]*peerConns{},
 	}
 }
@@ -105,9 +107,21 @@
 
 // SendStateUpdate sends a state update of this node.
 func (c *Client) SendStateUpdate(ctx context.Context, address string, s messenger.StateUpdate) error {
+	const method = "share"
+	entries, release, err := c.entries.acquire(s.Servers)
+	defer release()
+	if err != nil {
+		return &PeerError{
+			Address: address,
+			Method:  method,
+			Reach:   NotReached,
+			Cause:   err,
+		}
+	}
+	s.Servers = nil
 	request := encodeStateUpdate(s)
 	request.Envelope = c.envelope()
-	_, err := call(ctx, c, address, "share", request, pb.Peers.Share)
+	_, err = call(withSuffix(ctx, entries), c, address, method, request, pb.Peers.Share)
 	return err
 }
 
@@ -193,7 +207,7 @@
 	do func(pb.Peers, context.Context, Q) (A, error),
 ) (A, error) {
 	var none A
-	if size := identifier.Bytes(proto.Size(request)); size > c.config.MaxMessage {
+	if size := identifier.Bytes(proto.Size(request)) + suffixSize(ctx); size > c.config.MaxMessage {
 		return none, &PeerError{
 			Address: address,
 			Method:  method,
@@ -315,7 +329,8 @@
 	return context.WithValue(ctx, progressKey{}, p)
 }
 
-// boundedTripper records the status of a response and limits its size.
+// boundedTripper appends the suffix of a call to its request, records the status of the
+// response and limits its size.
 type boundedTripper struct {
 	next  http.RoundTripper
 	limit identifier.Bytes
@@ -325,7 +340,7 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *boundedTripper) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := t.next.RoundTrip(request)
+	response, err := t.next.RoundTrip(appendSuffix(request))
 	if err != nil {
 		return nil, err
 	}
