Bound the queued state updates of a node by their entries

A node queues up to 4,096 events while its loop is behind, whatever their size: a state update may hold the entries of all servers. After an outage of the store each node that read it reports all entries that lapsed and returned, so that what a node queues grew with the number of peers that report the same entries.

The updates in the queue now hold at most 32,768 entries in all, or one update. What exceeds it is dropped and counted, as when the queue is full: the next update of the peer supersedes it, and a node that missed rounds of its relays requests all servers.

--- a/internal/runner/exchange.go
+++ b/internal/runner/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/forwarder"
 	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
@@ -123,13 +124,41 @@
 	return c.Routing.MaxBody
 }
 
-// ReceiveStateUpdate implements relayer.Peer. If the event queue is full, the
-// update is dropped; the peer's next update supersedes it.
+// ReceiveStateUpdate implements relayer.Peer. If too many events, or too many entries of
+// state updates, are queued, the update is dropped; the peer's next update supersedes it.
+// An update is never too large while no other is queued.
 func (r *Runner) ReceiveStateUpdate(from identifier.VMID, s messenger.StateUpdate) {
-	r.tryEmit(messenger.StateUpdateReceived{
-		From:   from,
-		Update: s,
+	entries := countEntries(s)
+	if queued := r.queuedEntries.Add(entries); queued > maxQueuedEntries && queued > entries {
+		r.queuedEntries.Add(-entries)
+		r.metrics.droppedEvents.Add(1)
+		return
+	}
+	queued := r.tryQueue(queuedEvent{
+		body: messenger.StateUpdateReceived{
+			From:   from,
+			Update: s,
+		},
+		sent:    time.Now(),
+		entries: entries,
 	})
+	if !queued {
+		r.queuedEntries.Add(-entries)
+	}
+}
+
+// countEntries returns the number of entries of a state update, to which its memory is
+// proportional.
+func countEntries(s messenger.StateUpdate) int64 {
+	n := len(s.Servers) + len(s.InFlight) + len(s.Factors) + len(s.Usage) + len(s.CachedPrefixes) +
+		len(s.Suspects) + len(s.Limits) + len(s.Rollouts) + len(s.Versions)
+	for _, d := range s.Demand {
+		n += 1 + len(d.Accounts)
+	}
+	for _, streams := range s.Streams {
+		n += 1 + len(streams.Streams)
+	}
+	return int64(n)
 }
 
 // sendStateUpdate sends this node's state to a peer. If too many updates are
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -81,6 +81,9 @@
 
 	// maxQueuedEvents bounds the events queued for the loop.
 	maxQueuedEvents = 4096
+	// maxQueuedEntries bounds the entries of the state updates among them. It is enough
+	// for the tables of all servers from several peers at once.
+	maxQueuedEntries = 32_768
 	// maxRunningLanes bounds the concurrent calls to peers and backend servers,
 	// streams excluded. maxLaneQueue bounds the jobs queued in one lane.
 	maxRunningLanes = 128
@@ -103,14 +106,16 @@
 	logger  hclog.Logger
 	metrics *Metrics
 
-	events  chan queuedEvent
-	queries chan func()
-	drains  chan timekeeper.Time
-	stopped chan struct{} // closed when Run returns
-	catalog atomic.Pointer[catalog.Catalog]
-	answers *answerer.Store
-	copies  *copies
-	appends *appender
+	events chan queuedEvent
+	// queuedEntries is the number of entries of the state updates in events.
+	queuedEntries atomic.Int64
+	queries       chan func()
+	drains        chan timekeeper.Time
+	stopped       chan struct{} // closed when Run returns
+	catalog       atomic.Pointer[catalog.Catalog]
+	answers       *answerer.Store
+	copies        *copies
+	appends       *appender
 	// handoverConfirmations holds the handovers of peers that wait until this
 	// node has stored the request safely.
 	handoverConfirmations *confirmations
@@ -155,6 +160,8 @@
 type queuedEvent struct {
 	body messenger.EventBody
 	sent time.Time
+	// entries is the number of entries if the event is a state update.
+	entries int64
 }
 
 // New returns a Runner. Run starts it.
@@ -225,6 +232,7 @@
 		r.applyBacklog()
 		select {
 		case e := <-r.events:
+			r.queuedEntries.Add(-e.entries)
 			r.metrics.recordLag(time.Since(e.sent))
 			r.step(e.body)
 		case query := <-r.queries:
@@ -316,14 +324,20 @@
 // tryEmit sends an event to the loop unless the queue is full. It is for events
 // that the next one of the same kind supersedes.
 func (r *Runner) tryEmit(body messenger.EventBody) {
-	e := queuedEvent{
+	r.tryQueue(queuedEvent{
 		body: body,
 		sent: time.Now(),
-	}
+	})
+}
+
+// tryQueue reports whether the queue had space for an event. It counts dropped events.
+func (r *Runner) tryQueue(e queuedEvent) bool {
 	select {
 	case r.events <- e:
+		return true
 	default:
 		r.metrics.droppedEvents.Add(1)
+		return false
 	}
 }
 
