Decode few large state updates at once

How many calls do so at once was bounded by the number of peers and their connections only.

At most four updates of 32 KiB or more, or of unknown size, are read and decoded at once. Others wait unread in the buffers of their connections for as long as their sender waits, and small updates pass them. A sender that stalls keeps its place for a second. A sender whose update is not accepted sends its next one, which holds the same changes.

--- a/internal/relayer/handler.go
+++ b/internal/relayer/handler.go
@@ -28,7 +28,7 @@
 		c.MaxMessage = DefaultMaxMessage
 	}
 	service := pb.NewPeersServer(&handler{config: c})
-	return http.MaxBytesHandler(service, int64(c.MaxMessage))
+	return http.MaxBytesHandler(newLargeUpdates(service), int64(c.MaxMessage))
 }
 
 type handler struct{ config HandlerConfig }
