Bound the messages of peers that a node reads at once

A peer that sends the head of a reply without end made a node take what net/http allows, 10 MB, and more while it parses it: one call allocated 52 MB for a status line, 73 MB for a header line, 172 MB for header lines. The bodies of replies and calls were bounded by 16 MB each, but any number of them at once, and an error of 16 MB became part of the error's text.

Now the head of a reply has 16 KB and an error 16 KB. Of messages over 1 MB a node reads two at a time in each direction, the others wait within their calls' time. The records of 6,000 servers, the longest message that a node sends regularly, have less than that (TestLargestStateUpdatePasses). Requests with their answers, which are handed over, may be longer: up to 16 MB as before. A call counts only until it is read, as its handler may wait for other peers' calls. A node reads a call for 3 s at the most; peers give it up after 2.5 s or sooner. Before, a peer that stopped in the middle of a call was waited for without end.

--- a/internal/relayer/client.go
+++ b/internal/relayer/client.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/rationer"
 	pb "github.com/dotterelhollow/dotterelhollow/internal/relayer/relayerpb"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
@@ -31,6 +32,8 @@
 	// sends several times per second to all nodes of its zone; with fewer it would open
 	// a new connection for each message.
 	defaultMaxPeers = 1024
+	// maxReplyHead bounds the head of a reply, which has a few short headers.
+	maxReplyHead = 16 << 10
 )
 
 // ClientConfig configures a Client. Zero limits stand for the defaults.
@@ -51,6 +54,7 @@
 	// discardStalled can be disabled, so that a test can prove that it is
 	// needed.
 	discardStalled bool
+	rationer       *rationer.Rationer
 
 	mu       sync.Mutex
 	conns    map[string]*peerConns
@@ -79,6 +83,7 @@
 	return &Client{
 		config:         c,
 		discardStalled: true,
+		rationer:       newRationer(),
 		conns:          map[string]*peerConns{},
 	}
 }
@@ -251,18 +256,20 @@
 func (c *Client) newConns(address string) *peerConns {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxConnsPerHost:     connsPerPeer,
-		MaxIdleConnsPerHost: idlePerPeer,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-		ReadBufferSize:      connBufferSize,
-		WriteBufferSize:     connBufferSize,
+		DialContext:            dialer.DialContext,
+		MaxConnsPerHost:        connsPerPeer,
+		MaxIdleConnsPerHost:    idlePerPeer,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		ReadBufferSize:         connBufferSize,
+		WriteBufferSize:        connBufferSize,
+		MaxResponseHeaderBytes: maxReplyHead,
 	}
 	client := &http.Client{
 		Transport: &boundedTripper{
-			next:  transport,
-			limit: c.config.MaxMessage,
+			next:     transport,
+			limit:    c.config.MaxMessage,
+			rationer: c.rationer,
 		},
 	}
 	return &peerConns{
@@ -317,8 +324,9 @@
 
 // boundedTripper records the status of a response and limits its size.
 type boundedTripper struct {
-	next  http.RoundTripper
-	limit identifier.Bytes
+	next     http.RoundTripper
+	limit    identifier.Bytes
+	rationer *rationer.Rationer
 }
 
 var _ http.RoundTripper = (*boundedTripper)(nil)
@@ -332,10 +340,14 @@
 	if p, ok := request.Context().Value(progressKey{}).(*progress); ok {
 		p.status.Store(int64(response.StatusCode))
 	}
+	limit := t.limit
+	if response.StatusCode != http.StatusOK {
+		limit = min(limit, maxErrorMessage)
+	}
 	response.Body = &boundedBody{
-		ReadCloser: response.Body,
-		remaining:  t.limit,
-		limit:      t.limit,
+		ReadCloser: t.rationer.Body(request.Context(), response.Body),
+		remaining:  limit,
+		limit:      limit,
 	}
 	return response, nil
 }
--- a/internal/relayer/handler.go
+++ b/internal/relayer/handler.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
+	"time"
 
 	"github.com/twitchtv/twirp"
 
@@ -12,6 +14,9 @@
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
+// maxBodyTime bounds the time in which a message is read. Peers give a call up sooner.
+const maxBodyTime = 3 * time.Second
+
 // HandlerConfig configures the handler of peer calls. A zero MaxMessage
 // stands for the default.
 type HandlerConfig struct {
@@ -28,9 +33,41 @@
 		c.MaxMessage = DefaultMaxMessage
 	}
 	service := pb.NewPeersServer(&handler{config: c})
-	return http.MaxBytesHandler(service, int64(c.MaxMessage))
+	rationer := newRationer()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body := &timedBody{
+			ReadCloser: rationer.Body(r.Context(), http.MaxBytesReader(w, r.Body, int64(c.MaxMessage))),
+			controller: http.NewResponseController(w),
+		}
+		defer func() { _ = body.Close() }()
+		body.setDeadline(time.Now().Add(maxBodyTime))
+		bounded := *r
+		bounded.Body = body
+		service.ServeHTTP(w, &bounded)
+	})
+}
+
+// timedBody is the body of a message. At its end it lifts the deadline of the connection, which
+// would otherwise cancel the call while its handler waits.
+type timedBody struct {
+	io.ReadCloser
+	controller *http.ResponseController
+}
+
+var _ io.ReadCloser = (*timedBody)(nil)
+
+// Read implements io.Reader.
+func (b *timedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.setDeadline(time.Time{})
+	}
+	return n, err
 }
 
+// setDeadline has no effect on a connection that supports no deadlines.
+func (b *timedBody) setDeadline(t time.Time) { _ = b.controller.SetReadDeadline(t) }
+
 type handler struct{ config HandlerConfig }
 
 var _ pb.Peers = (*handler)(nil)
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -16,6 +16,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/answerer"
 	"github.com/dotterelhollow/dotterelhollow/internal/historian"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/rationer"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -23,6 +24,23 @@
 // DefaultMaxMessage is the maximum size of a message in both directions.
 const DefaultMaxMessage identifier.Bytes = 16 << 20
 
+const (
+	// maxShortMessage is the size up to which messages are read at once: the records of
+	// 6,000 servers take 660 KB. Of longer ones, such as requests with their answers, a node
+	// reads maxLongMessages at a time in each direction.
+	maxShortMessage identifier.Bytes = 1 << 20
+	maxLongMessages                  = 2
+	// maxErrorMessage bounds a reply that reports an error.
+	maxErrorMessage identifier.Bytes = 16 << 10
+)
+
+func newRationer() *rationer.Rationer {
+	return rationer.New(rationer.Config{
+		Short: maxShortMessage,
+		Long:  maxLongMessages,
+	})
+}
+
 // Peer answers the calls of peers. Its methods are called from many
 // goroutines.
 type Peer interface {
