Bound the heads of requests on a node's own ports

The peer, directory, readiness and metrics ports took heads of 1 MB, the default of net/http, for each connection, while a node has 160 MB. The caller port has had a bound of 32 KB. Requests there have a path and a few short headers.

Now these ports answer 431 to a head over 16 KB, of which net/http reads 4 KB more.

--- a/cmd/dotterelhollow/gateway.go
+++ b/cmd/dotterelhollow/gateway.go
@@ -222,6 +222,7 @@
 				}),
 				ReadHeaderTimeout: peerHeaderTimeout,
 				IdleTimeout:       peerIdleTimeout,
+				MaxHeaderBytes:    peerMaxHeader,
 			},
 		},
 		{
--- a/cmd/dotterelhollow/serve.go
+++ b/cmd/dotterelhollow/serve.go
@@ -42,10 +42,12 @@
 // processor time.
 const gcPercent = 40
 
-// Timeouts of connections from peers.
+// Limits of connections from peers.
 const (
 	peerHeaderTimeout = 5 * time.Second
 	peerIdleTimeout   = 30 * time.Second
+	// peerMaxHeader bounds the head of a call in bytes. It has a path and a few short headers.
+	peerMaxHeader = 16 << 10
 )
 
 // serveCommand runs a node.
@@ -149,6 +151,7 @@
 		}),
 		ReadHeaderTimeout: peerHeaderTimeout,
 		IdleTimeout:       peerIdleTimeout,
+		MaxHeaderBytes:    peerMaxHeader,
 		ErrorLog:          n.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	return n, nil
