Bound heads, load reports and events of the product's own clients

The clients of the platform, the engines and the plain servers took heads of 10 MB. One call allocated 52 MB for a status line, 73 MB for a header line and 173 MB for header lines without end. A load report, of which a node polls one from each server, could take 32 MB and allocated 77 MB. The data of an event of many lines was bounded by 64 KB, but joined line by line: 289 MB for one event.

Now a head has 64 KB, a load report 64 KB, and the data of an event is joined once. Of answers of the platform and of polls over 1 MB a client reads one at a time. The 32 MB for one answer stay; a longer one was an error before too.

Answers of plain servers over 1 MB are not rationed: a server may take until the deadline for one, and the calls that wait for it would time out.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -34,6 +34,8 @@
 	"sync/atomic"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/adapter/encoder"
+	"github.com/dotterelhollow/dotterelhollow/internal/rationer"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
@@ -47,6 +49,12 @@
 	maxIdlePerHost = 16
 	// maxErrorBody bounds the body of an error answer, in bytes.
 	maxErrorBody = 64 << 10
+	// maxHead bounds the head of an answer, in bytes. A plain server may set cookies.
+	maxHead = 64 << 10
+	// maxShortReply is the size up to which answers of the platform and of polls are read
+	// at once. Of longer ones a client reads maxLongReplies at a time.
+	maxShortReply  identifier.Bytes = 1 << 20
+	maxLongReplies                  = 1
 )
 
 // Timeouts holds the timeouts of a client.
@@ -67,6 +75,7 @@
 type client struct {
 	timeouts Timeouts
 	http     http.Client
+	rationer *rationer.Rationer
 }
 
 // newClient returns a client that reuses connections.
@@ -88,14 +97,19 @@
 		timeouts: timeouts,
 		http: http.Client{
 			Transport: &http.Transport{
-				DialContext:         dialer.DialContext,
-				DisableKeepAlives:   unpooled,
-				DisableCompression:  true,
-				MaxIdleConnsPerHost: maxIdlePerHost,
-				IdleConnTimeout:     (30 * timekeeper.Second).Std(),
+				DialContext:            dialer.DialContext,
+				DisableKeepAlives:      unpooled,
+				DisableCompression:     true,
+				MaxIdleConnsPerHost:    maxIdlePerHost,
+				IdleConnTimeout:        (30 * timekeeper.Second).Std(),
+				MaxResponseHeaderBytes: maxHead,
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
+		rationer: rationer.New(rationer.Config{
+			Short: maxShortReply,
+			Long:  maxLongReplies,
+		}),
 	}
 }
 
@@ -109,6 +123,8 @@
 	path    string
 	header  http.Header
 	body    []byte
+	// maxReply bounds the answer of callJSON; zero means maxReply.
+	maxReply int64
 }
 
 func (c call) url() string { return "http://" + c.address + c.path }
@@ -167,11 +183,12 @@
 	if err != nil {
 		return err
 	}
+	response.Body = c.rationer.Body(ctx, response.Body)
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode/100 != 2 {
 		return statusError(req.address, response)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, response.Body, maxReply))
+	body, err := io.ReadAll(http.MaxBytesReader(nil, response.Body, cmp.Or(req.maxReply, maxReply)))
 	if err != nil {
 		return &ConnectionError{
 			Address: req.address,
--- a/internal/adapter/engine.go
+++ b/internal/adapter/engine.go
@@ -236,10 +236,19 @@
 	return err
 }
 
+// maxLoadReply bounds the report of a load, in bytes. A node polls all servers at once.
+const maxLoadReply = 64 << 10
+
 func pollLoad(ctx context.Context, c *client, clock timekeeper.Clock, address string) (messenger.ServerLoad, error) {
 	sentAt := clock.Now()
 	var reply encoder.Load
-	if err := c.get(ctx, address, "/load", &reply, 0); err != nil {
+	err := c.callJSONWithTimeout(ctx, call{
+		method:   http.MethodGet,
+		address:  address,
+		path:     "/load",
+		maxReply: maxLoadReply,
+	}, &reply, 0)
+	if err != nil {
 		return messenger.ServerLoad{}, serverError(err)
 	}
 	return messenger.ServerLoad{
--- a/internal/adapter/stream.go
+++ b/internal/adapter/stream.go
@@ -85,7 +85,10 @@
 // nextEvent reads the next event, which ends with an empty line. It drops an event that
 // is cut off by the end of the stream.
 func nextEvent(scanner *bufio.Scanner) (event, error) {
-	var e event
+	var (
+		e    event
+		data strings.Builder
+	)
 	for scanner.Scan() {
 		field, value, _ := strings.Cut(scanner.Text(), ":")
 		value = strings.TrimPrefix(value, " ")
@@ -95,11 +98,12 @@
 		case "event":
 			e.name = value
 		case "data":
-			if len(e.data)+len(value) > maxEventBytes {
+			if data.Len()+len(value) > maxEventBytes {
 				return event{}, &ProtocolError{Text: "event too long"}
 			}
-			e.data += value
+			data.WriteString(value)
 		case "":
+			e.data = data.String()
 			if scanner.Text() == "" && e != (event{}) {
 				return e, nil
 			}
