Rejoin streams of silent servers that nothing can replace

A stream of the product's own interface whose server sends nothing is read again over a new connection, once. If that attempt timed out too, or the host took no connection for its second, the request ended as unknown when no retry was left, although the server may have gone on a moment later. A host that stands still for 2.5 s loses its stream so: 1 s until the timeout, 1 s for the connection.

Now it is read again while the retrier allows nothing else, until the deadline. After each timeout the retrier is asked again, so that another server takes over once there are retries. Attempts that fail in less than half a second, that the server refuses, or whose stream is gone, end the request as before. A server that hangs for good keeps a request to its deadline where the retries are used up; before, its caller was answered sooner, with unknown.

--- a/internal/conductor/attempt.go
+++ b/internal/conductor/attempt.go
@@ -20,6 +20,9 @@
 	// stream may still be queued; if the attempt timed out, it would be
 	// computed again elsewhere.
 	predictedRejoinLatency = 2500 * timekeeper.Millisecond
+	// minRejoinInterval is the minimum time between attempts at a silent server that
+	// nothing can replace. Timeouts are longer.
+	minRejoinInterval = 500 * timekeeper.Millisecond
 )
 
 // plannedAttempt is an attempt that is about to be sent.
--- a/internal/conductor/progress.go
+++ b/internal/conductor/progress.go
@@ -95,6 +95,22 @@
 	if r.rejoined && r.rejoinedTokens == r.delivered {
 		return nil, false // already tried, no progress since
 	}
+	return c.sendRejoin(env, r)
+}
+
+// rejoinAgain is like rejoin for a request that nothing else can continue: its server
+// may be silent only for some time. An attempt that failed at once is not made again,
+// so that attempts do not follow each other without a pause.
+func (c *Conductor) rejoinAgain(env *Env, r *request, e messenger.AttemptEnded) ([]messenger.Effect, bool) {
+	silent := e.Result == messenger.AttemptTimedOut ||
+		e.Result == messenger.AttemptNotSent && r.joinsStream && !e.ServerEnded
+	if !silent || !r.isModel() || !env.Now.Before(r.spec.Deadline) || env.Now.Sub(r.sentAt) < minRejoinInterval {
+		return nil, false
+	}
+	return c.sendRejoin(env, r)
+}
+
+func (c *Conductor) sendRejoin(env *Env, r *request) ([]messenger.Effect, bool) {
 	server, known := env.Members.Server(r.server)
 	if !known {
 		return nil, false
@@ -113,8 +129,8 @@
 	r.rejoinedTokens = r.delivered
 }
 
-// retryOrFinish schedules the next attempt if the retrier allows one, and
-// otherwise finishes the request.
+// retryOrFinish schedules the next attempt if the retrier allows one. Otherwise it
+// rejoins the stream of a silent server, or finishes the request.
 func (c *Conductor) retryOrFinish(env *Env, r *request, e messenger.AttemptEnded) []messenger.Effect {
 	verdict := env.Budgets.Next(env.Now, retrier.EndedAttempt{
 		Service:       r.spec.Service,
@@ -129,6 +145,9 @@
 		EarlierNotRun: !r.mayHaveRun,
 	}, env.Rand)
 	if !verdict.Retry {
+		if effects, ok := c.rejoinAgain(env, r, e); ok {
+			return effects
+		}
 		return c.finish(env, r, requestResult{
 			outcome:    c.correctNotRun(r, verdict.Outcome),
 			reason:     verdict.Reason,
