Let answers of calls that may not be repeated pause

The answer of a plain call of the product's own interface was cut if its server sent no byte for a second in the middle of it. A call that may not be repeated then ended as unknown, with no attempt left, although its server would have gone on. For the first byte such a call may take until its deadline; now it may for the others too.

Evidence: TestPausedAnswerOfCallWithoutRepeat; before, the timeout was 1 s.

--- a/internal/conductor/attempt.go
+++ b/internal/conductor/attempt.go
@@ -105,7 +105,7 @@
 			Priority:          r.service.Priority,
 			Deadline:          r.spec.Deadline,
 			FirstEventTimeout: c.firstEventTimeout(env, r, p.predictedFirstToken),
-			NextEventTimeout:  detector.NextEventTimeout(r.predictedPerToken),
+			NextEventTimeout:  c.nextEventTimeout(env, r),
 		},
 		c.timelineEntry("attempt_sent", r, fmt.Sprintf("mode=%s from=%d stream=%s", p.mode, r.delivered, r.stream)),
 	}
@@ -129,16 +129,27 @@
 	r.move = moveState{}
 }
 
-// firstEventTimeout returns the timeout for the first byte. A plain call that
-// may not be repeated may take until its deadline: an earlier timeout would
-// turn a slow answer into an unknown outcome, with no attempt left.
+// firstEventTimeout returns the timeout for the first byte.
 func (c *Conductor) firstEventTimeout(env *Env, r *request, firstToken timekeeper.Duration) timekeeper.Duration {
-	if !r.isModel() && !r.spec.Idempotent {
+	if r.hasOneAttempt() {
 		return r.spec.Deadline.Sub(env.Now)
 	}
 	return detector.FirstEventTimeout(firstToken)
 }
 
+// nextEventTimeout returns the timeout between bytes.
+func (c *Conductor) nextEventTimeout(env *Env, r *request) timekeeper.Duration {
+	if r.hasOneAttempt() {
+		return r.spec.Deadline.Sub(env.Now)
+	}
+	return detector.NextEventTimeout(r.predictedPerToken)
+}
+
+// hasOneAttempt reports whether r is a plain call that may not be repeated. Its
+// attempt may take until the deadline: an earlier timeout would turn a slow answer
+// into an unknown outcome, with no attempt left.
+func (r *request) hasOneAttempt() bool { return !r.isModel() && !r.spec.Idempotent }
+
 // countAttempt adds the attempt to its server's counts and to the counters.
 func (c *Conductor) countAttempt(r *request, p plannedAttempt) {
 	c.counters.Attempts++
--- a/internal/conductor/silence_test.go
+++ b/internal/conductor/silence_test.go
@@ -114,3 +114,11 @@
 	requireNone[messenger.SendAttempt](t, out)
 	require.Equal(t, messenger.ReasonDeadlineExpired, requireOne[messenger.Finish](t, out).Reason)
 }
+
+// Guards against a call that may not be repeated, whose answer is cut at a pause of a second.
+func TestPausedAnswerOfCallWithoutRepeat(t *testing.T) {
+	f := newFixture(t)
+	attempt := f.run("booking")
+	require.Equal(t, requestTimeout, attempt.NextEventTimeout)
+	require.Equal(t, requestTimeout, attempt.FirstEventTimeout)
+}
