Make the tests of stalled attempts independent of the machine's load

TestSilentServerIsKeptWithoutReplacement/plain_answer failed once with the race detector at load 36 to 41: 'one decision, more than one expected'. Traced by reading: the server was silent for 180 ms of real time, and a timer of 50 ms ran once in it.

Servers now go on when a decision has been asked for (twice in that test), and decisions wait for what the server does, so that the order of events no longer hangs on timers. The checks are the same or stricter.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -32,6 +32,8 @@
 	nextEventTimeout  timekeeper.Duration
 	timeLimit         timekeeper.Duration
 	refusal           *messenger.Refusal
+	// onStall is called before each decision on a stalled attempt, with the number of these so far.
+	onStall func(count int)
 	// delay is the time that the first decisions take, one after the other.
 	delay []time.Duration
 
@@ -133,8 +135,14 @@
 // Stalled lets the next server take over, if there is one.
 func (s *fakeDecider) Stalled(_ context.Context, e messenger.ExchangeStalled) messenger.Effect {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.stalls = append(s.stalls, e)
+	count := len(s.stalls)
+	s.mu.Unlock()
+	if s.onStall != nil {
+		s.onStall(count)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.attempt >= len(s.servers) {
 		return messenger.KeepWaiting{Exchange: e.Exchange}
 	}
--- a/internal/forwarder/stall_test.go
+++ b/internal/forwarder/stall_test.go
@@ -13,14 +13,14 @@
 )
 
 const (
-	// stallTimeout is the time after which an attempt counts as stalled, and silence the time for
-	// which a sound server is silent.
+	// stallTimeout is the time after which an attempt counts as stalled.
 	stallTimeout timekeeper.Duration = 50
-	silence                          = 180 * time.Millisecond
+	// decisionTime is the time that a decision takes beyond the events that it waits for.
+	decisionTime = 100 * time.Millisecond
 )
 
-// silentServer starts a server that is silent for a while after it has sent before.
-func silentServer(t *testing.T, before, after string) string {
+// startSilentServer starts a server that sends before, and after once goOn is closed.
+func startSilentServer(t *testing.T, before, after string, goOn <-chan struct{}) string {
 	return startServer(t, func(w http.ResponseWriter, r *http.Request) {
 		sign(w, r)
 		if before != "" {
@@ -29,12 +29,20 @@
 		}
 		select {
 		case <-r.Context().Done():
-		case <-time.After(silence):
+		case <-goOn:
 			_, _ = io.WriteString(w, after)
 		}
 	})
 }
 
+// startWholeServer starts a server that sends a whole answer.
+func startWholeServer(t *testing.T, body string) string {
+	return startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		sign(w, r)
+		_, _ = io.WriteString(w, body)
+	})
+}
+
 // Guards against answers that are given up, although their silent server goes on and no other
 // one can take over.
 func TestSilentServerIsKeptWithoutReplacement(t *testing.T) {
@@ -72,7 +80,13 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			s := newFakeDecider(silentServer(t, test.before, test.after))
+			goOn := make(chan struct{})
+			s := newFakeDecider(startSilentServer(t, test.before, test.after, goOn))
+			s.onStall = func(count int) {
+				if count == 2 {
+					close(goOn)
+				}
+			}
 			s.route.Stream = test.stream
 			s.firstEventTimeout = stallTimeout
 			s.nextEventTimeout = stallTimeout
@@ -81,7 +95,6 @@
 			require.Equal(t, http.StatusOK, answer.status)
 			require.Equal(t, test.before+test.after, answer.body)
 			require.Equal(t, messenger.AttemptComplete, (<-s.ended).Result)
-			require.Greater(t, len(s.stalls), 1, "the decision is asked for again")
 			require.Empty(t, s.results())
 		})
 	}
@@ -90,14 +103,15 @@
 // Guards against a second answer, or none, if a stalled server goes on while the decision on it is
 // made.
 func TestServerGoesOnDuringDecision(t *testing.T) {
-	second := startServer(t, func(w http.ResponseWriter, r *http.Request) {
-		sign(w, r)
-		_, _ = io.WriteString(w, "second")
-	})
-	s := newFakeDecider(silentServer(t, "", "first"), second)
+	asked, decide := make(chan struct{}), make(chan struct{})
+	s := newFakeDecider(startSilentServer(t, "", "first", asked), startWholeServer(t, "second"))
 	s.firstEventTimeout = stallTimeout
-	s.delay = []time.Duration{0, 2 * silence}
+	s.onStall = func(int) {
+		close(asked)
+		<-decide
+	}
 	answer := do(t, newRequest(t, http.MethodGet, "http://"+startForwarder(t, s)+"/", nil))
+	close(decide)
 	require.NoError(t, answer.err)
 	require.Equal(t, "first", answer.body)
 	ended := <-s.ended
@@ -108,20 +122,20 @@
 // Guards against a request without an answer if its server breaks off while the decision on its
 // stall is made.
 func TestServerBreaksDuringDecision(t *testing.T) {
+	asked := make(chan struct{})
 	broken := startServer(t, func(_ http.ResponseWriter, r *http.Request) {
 		select {
 		case <-r.Context().Done():
-		case <-time.After(silence):
+		case <-asked:
 		}
 		panic(http.ErrAbortHandler)
 	})
-	second := startServer(t, func(w http.ResponseWriter, r *http.Request) {
-		sign(w, r)
-		_, _ = io.WriteString(w, "second")
-	})
-	s := newFakeDecider(broken, second)
+	s := newFakeDecider(broken, startWholeServer(t, "second"))
 	s.firstEventTimeout = stallTimeout
-	s.delay = []time.Duration{0, 2 * silence}
+	s.onStall = func(int) {
+		close(asked)
+		<-time.After(decisionTime)
+	}
 	answer := do(t, newRequest(t, http.MethodGet, "http://"+startForwarder(t, s)+"/", nil))
 	require.NoError(t, answer.err)
 	require.Equal(t, "second", answer.body)
--- a/internal/forwarder/takeover_test.go
+++ b/internal/forwarder/takeover_test.go
@@ -19,24 +19,20 @@
 // server takes over.
 func TestAnswerThatBeginsDuringDecisionIsNotCut(t *testing.T) {
 	long := strings.Repeat("x", 2<<20)
+	asked := make(chan struct{})
 	first := startServer(t, func(w http.ResponseWriter, r *http.Request) {
 		sign(w, r)
-		<-time.After(2 * stallTimeout.Std())
+		<-asked
 		_, _ = io.WriteString(w, long)
 		_ = http.NewResponseController(w).Flush()
-		select {
-		case <-r.Context().Done():
-		case <-time.After(3 * silence):
-			_, _ = io.WriteString(w, "end")
-		}
-	})
-	second := startServer(t, func(w http.ResponseWriter, r *http.Request) {
-		sign(w, r)
-		_, _ = io.WriteString(w, "second")
+		<-r.Context().Done()
 	})
-	s := newFakeDecider(first, second)
+	s := newFakeDecider(first, startWholeServer(t, "second"))
 	s.firstEventTimeout = stallTimeout
-	s.delay = []time.Duration{0, silence}
+	s.onStall = func(int) {
+		close(asked)
+		<-time.After(decisionTime)
+	}
 	answer := do(t, newRequest(t, http.MethodGet, "http://"+startForwarder(t, s)+"/", nil))
 	require.NoError(t, answer.err)
 	require.Equal(t, "second", answer.body)
@@ -46,22 +42,22 @@
 // Guards against streams of two runs: the decider takes a stream for one that has not begun, and
 // has another version run it.
 func TestStreamDoesNotBeginDuringDecision(t *testing.T) {
+	asked := make(chan struct{})
 	first := startServer(t, func(w http.ResponseWriter, r *http.Request) {
 		sign(w, r)
-		<-time.After(2 * stallTimeout.Std())
+		<-asked
 		_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
 		_ = http.NewResponseController(w).Flush()
 		<-r.Context().Done()
 	})
-	second := startServer(t, func(w http.ResponseWriter, r *http.Request) {
-		sign(w, r)
-		_, _ = io.WriteString(w, "id: 1\ndata: A\n\nid: 2\ndata: B\n\n")
-	})
-	s := newFakeDecider(first, second)
+	s := newFakeDecider(first, startWholeServer(t, "id: 1\ndata: A\n\nid: 2\ndata: B\n\n"))
 	s.route.Stream = true
 	s.firstEventTimeout = stallTimeout
 	s.nextEventTimeout = 5 * timekeeper.Second
-	s.delay = []time.Duration{0, silence}
+	s.onStall = func(int) {
+		close(asked)
+		<-time.After(decisionTime)
+	}
 	answer := do(t, newRequest(t, http.MethodGet, "http://"+startForwarder(t, s)+"/", nil))
 	require.NoError(t, answer.err)
 	require.Equal(t, "id: 1\ndata: A\n\nid: 2\ndata: B\n\n", answer.body)
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -327,10 +327,8 @@
 	case messenger.ExchangeBegan:
 		g.exchanges.Began(r.exchangeEnv(env), b)
 		return r.withUpdates(env)
-	case messenger.ExchangeAttemptEnded:
-		return r.attemptEnded(env, b)
-	case messenger.ExchangeStalled:
-		return r.exchangeStalled(env, b)
+	case messenger.ExchangeAttemptEnded, messenger.ExchangeStalled:
+		return r.attemptEvent(env, b)
 	case messenger.ExchangeMoved:
 		g.exchanges.Moved(r.exchangeEnv(env), b)
 		return r.withUpdates(env)
@@ -370,6 +368,17 @@
 	return nil
 }
 
+// attemptEvent decides on an attempt that has ended or stalled.
+func (r *Reducer) attemptEvent(env *conductor.Env, body messenger.EventBody) []messenger.Effect {
+	switch b := body.(type) {
+	case messenger.ExchangeAttemptEnded:
+		return r.attemptEnded(env, b)
+	case messenger.ExchangeStalled:
+		return r.exchangeStalled(env, b)
+	}
+	return nil
+}
+
 // attemptEnded decides what follows an attempt, unless that has to wait for a move.
 func (r *Reducer) attemptEnded(env *conductor.Env, e messenger.ExchangeAttemptEnded) []messenger.Effect {
 	effect := r.gateway.exchanges.AttemptEnded(r.exchangeEnv(env), e)
