Cut no stream because others hold long events

A stream that had brought one event over 16 KB counted as holding a long answer until its end. With 16 of these, or with 16 such events being read at once, a further stream of a sound server was ended within its event, as if its server had broken off.

A stream now gives its place and the memory back once the event is passed on, and one that finds no place waits for it, at most until its attempt ends.

Evidence: TestLongEventsOfManyStreamsArePassed and TestLongEventsAtOnceArePassed, 20 streams each; before, a later request of each gets 502, as the cut streams have used up its server.

--- a/internal/forwarder/long.go
+++ b/internal/forwarder/long.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -35,6 +36,16 @@
 	}
 }
 
+// await waits until one more long answer may be held, and reports whether it may.
+func (l longAnswers) await(ctx context.Context) bool {
+	select {
+	case l <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (l longAnswers) release() { <-l }
 
 // answerBuffer holds the bytes of an answer that are not passed on yet.
@@ -55,10 +66,23 @@
 	return b.long
 }
 
+// awaitHold is as mayHold, but waits until other long answers end.
+func (b *answerBuffer) awaitHold(ctx context.Context, n int) bool {
+	if n > int(maxBufferedAnswer) {
+		return false
+	}
+	if !b.mayHold(n) {
+		b.long = b.answers.await(ctx)
+		return b.long
+	}
+	return true
+}
+
 func (b *answerBuffer) release() {
 	if b.long {
 		b.answers.release()
 	}
+	b.long = false
 }
 
 var _ error = (*LongAnswerError)(nil)
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -54,8 +54,12 @@
 				return end
 			}
 			pending = pending[:copy(pending, pending[cut:])]
+			if buffer.long && len(pending) < cap(*pooled) {
+				pending = append((*pooled)[:0], pending...)
+				buffer.release()
+			}
 		}
-		if err == nil && buffer.mayHold(len(pending)+1) {
+		if err == nil && buffer.awaitHold(ctx, len(pending)+1) {
 			continue
 		}
 		if errors.Is(err, io.EOF) && len(pending) == 0 && started {
