--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -55,7 +55,7 @@
 			}
 			pending = buffer.shorten(pending[:copy(pending, pending[cut:])])
 		}
-		if err == nil && buffer.mayHold(len(pending)+1) {
+		if err == nil && buffer.awaitHold(ctx, len(pending)+1) {
 			continue
 		}
 		if errors.Is(err, io.EOF) && len(pending) == 0 && started {
