Answer requests in flight before a planned stop ends

A node on a planned stop waits for its requests until drain_time and then closes their connections; the platform kills it at that time already. Callers whose servers are silent got a closed connection, neither an answer nor a refusal. Since stalled attempts go on, these are more: before, they ended with 502 at the timeout of the first event.

Half a second before drain_time the node now ends its attempts as at their deadlines: 504 if the answer has not begun, and a visible cut if it has. It then exits by itself.

Ruled out: requests that are still being read, or wait for a peer, are answered already, as Shutdown waits for their handlers.

Evidence: TestGatewayAnswersBeforeItStops; before, the connection is closed 5 s after the signal, 2 s past a drain_time of 3 s.

--- a/cmd/dotterelhollow/gateway.go
+++ b/cmd/dotterelhollow/gateway.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
@@ -37,6 +38,9 @@
 	// the memory that the process may use.
 	memoryLimitFraction = 0.7
 	megabyte            = 1 << 20
+	// endMargin is the time before the end of a planned stop at which the requests in flight are
+	// ended, so that their callers still get an answer.
+	endMargin = 500 * timekeeper.Millisecond
 )
 
 // gateway is the process of a node that forwards opaque exchanges.
@@ -264,10 +268,14 @@
 // begins a planned stop, and the second stops immediately.
 func (g *gateway) watch(ctx context.Context, signals <-chan os.Signal, stop func()) {
 	stopping := false
+	var ending <-chan time.Time
 	for {
 		var s os.Signal
 		select {
 		case s = <-signals:
+		case <-ending:
+			g.forwarder.End()
+			continue
 		case <-ctx.Done():
 			return
 		}
@@ -281,6 +289,7 @@
 		default:
 			stopping = true
 			g.forwarder.Leave()
+			ending = time.After(max(g.settings.DrainTime-endMargin, 0).Std())
 			g.runner.Drain(g.clock.Now().Add(g.settings.DrainTime))
 		}
 	}
--- a/cmd/dotterelhollow/gateway_test.go
+++ b/cmd/dotterelhollow/gateway_test.go
@@ -496,6 +496,38 @@
 	in.nodes[1].ended <- nil
 }
 
+// Guards against callers whose connections are closed without an answer because their servers are
+// silent when a planned stop ends.
+func TestGatewayAnswersBeforeItStops(t *testing.T) {
+	received := make(chan struct{}, 16)
+	silent := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		received <- struct{}{}
+		<-r.Context().Done()
+	})
+	in := newInstallationWith(t, 2, 3, func(in *installation, h http.Handler) string {
+		if _, server := h.(*standin.Server); server {
+			h = silent
+		}
+		return in.listen(h)
+	})
+	in.nodes[1].settings.DrainTime = 3 * timekeeper.Second
+	status := make(chan int, 1)
+	go func() {
+		response, _, err := in.send(in.nodes[1], "r-1", "/reports/1", "secret")
+		if err != nil {
+			status <- 0
+			return
+		}
+		status <- response.StatusCode
+	}()
+	<-received
+	in.nodes[1].signals <- syscall.SIGTERM
+	require.Equal(t, http.StatusGatewayTimeout, <-status)
+	require.NoError(t, <-in.nodes[1].ended)
+	in.nodes[1].ended <- nil
+}
+
 // The settings that the platform renders from the template must load, and all
 // faults of a broken file must be reported together.
 func TestGatewaySettings(t *testing.T) {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -10,7 +10,8 @@
 //
 //   - request.go reads a whole request before anything is sent on, and body.go its body.
 //   - attempt.go sends it to one server and classifies the result.
-//   - timer.go ends an attempt at its deadline, or if another server takes over.
+//   - timer.go ends an attempt at its deadline, or if another server takes over, and
+//     running.go all attempts at the end of a planned stop.
 //   - connect.go opens the connection, directly or through a peer.
 //   - stream.go passes on complete events, so that another server can resume
 //     after the last one.
@@ -157,6 +158,7 @@
 	bufferedBytes atomic.Int64
 	longAnswers   longAnswers
 	leaving       atomic.Bool
+	running       runningAttempts
 }
 
 var _ http.Handler = (*Forwarder)(nil)
@@ -186,6 +188,10 @@
 // connection.
 func (f *Forwarder) Leave() { f.leaving.Store(true) }
 
+// End ends all attempts as at their deadlines, shortly before the process ends: callers are
+// answered, where the end of the process would close their connections.
+func (f *Forwarder) End() { f.running.endAll() }
+
 // Server returns the HTTP server for callers.
 func (f *Forwarder) Server() *http.Server {
 	return &http.Server{
--- a/internal/forwarder/timer.go
+++ b/internal/forwarder/timer.go
@@ -33,6 +33,7 @@
 	// before the request was sent.
 	abandoned atomic.Bool
 	clock     timekeeper.Clock
+	running   *runningAttempts
 
 	mu         sync.Mutex
 	eventTimer *time.Timer
@@ -51,6 +52,7 @@
 	t := &attemptTimer{
 		cancel:     cancel,
 		connection: c,
+		running:    &x.forwarder.running,
 		clock:      x.forwarder.config.Clock,
 		timeout:    s.FirstEventTimeout,
 		streaming:  x.headSent,
@@ -59,11 +61,8 @@
 		},
 	}
 	remaining := max(s.Deadline.Sub(t.clock.Now()), 0)
-	deadline := time.AfterFunc(remaining.Std(), func() {
-		t.expired.Store(true)
-		cancel()
-	})
-	t.stopDeadline = deadline.Stop
+	t.stopDeadline = time.AfterFunc(remaining.Std(), t.expire).Stop
+	x.forwarder.running.add(t)
 	if s.FirstEventTimeout > 0 {
 		t.mu.Lock()
 		defer t.mu.Unlock()
@@ -200,7 +199,14 @@
 	}
 }
 
+// expire ends the attempt, and the exchange with it.
+func (t *attemptTimer) expire() {
+	t.expired.Store(true)
+	t.cancel()
+}
+
 func (t *attemptTimer) release() {
+	t.running.remove(t)
 	t.stopDeadline()
 	t.mu.Lock()
 	t.stop()
