--- a/cmd/dotterelhollow/gateway_test.go
+++ b/cmd/dotterelhollow/gateway_test.go
@@ -496,8 +496,7 @@
 	in.nodes[1].ended <- nil
 }
 
-// Guards against callers whose connections are closed without an answer because their servers are
-// silent when a planned stop ends.
+// Guards against callers without an answer because their servers are silent at the end of a planned stop.
 func TestGatewayAnswersBeforeItStops(t *testing.T) {
 	received := make(chan struct{}, 16)
 	silent := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
--- a/cmd/dotterelhollow/silence_test.go
+++ b/cmd/dotterelhollow/silence_test.go
@@ -12,8 +12,7 @@
 // silence is longer than the time after which a stream of the test's configuration has stalled.
 const silence = 2500 * time.Millisecond
 
-// Guards against streams that are cut because all engines are silent for a moment beside a change of
-// the configuration.
+// Guards against streams that are cut because all engines are silent for a moment beside a change.
 func TestSilenceOfAllEnginesCutsNoStream(t *testing.T) {
 	const streams = 40
 	in := newInstallation(t, 2)
--- a/internal/adapter/endless_test.go
+++ b/internal/adapter/endless_test.go
@@ -65,8 +65,7 @@
 	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(endlessCalls*limit))
 }
 
-// Guards against nodes that run out of memory, or take a cut answer for a whole one, because the
-// platform sends bytes without end.
+// Guards against exhausted memory, and cut answers that count as whole, by a platform that sends without end.
 func TestPlatformAnswersWithoutEnd(t *testing.T) {
 	tests := []struct {
 		name       string
@@ -125,8 +124,7 @@
 	}
 }
 
-// Guards against nodes that run out of memory because a server sends bytes without end, and
-// against a call that runs twice since such a server counts as one that did not run it.
+// Guards against exhausted memory, and calls that run twice, by a server that sends without end.
 func TestServerAnswersWithoutEnd(t *testing.T) {
 	tests := []struct {
 		name       string
--- a/internal/conductor/silence_test.go
+++ b/internal/conductor/silence_test.go
@@ -24,8 +24,7 @@
 	}
 }
 
-// Guards against an answer that is given up although its server goes on after a second or two, and
-// nothing can take its place.
+// Guards against giving up an answer whose server goes on and that nothing can replace.
 func TestSilentServerWithoutReplacement(t *testing.T) {
 	tests := []struct {
 		name string
--- a/internal/dispatcher/stall_test.go
+++ b/internal/dispatcher/stall_test.go
@@ -119,8 +119,7 @@
 	return serverID(0)
 }
 
-// Guards against streams that are cut because all servers are silent for a moment: 40 of them at
-// 8 servers, of which the retries let a few go on elsewhere.
+// Guards against streams that are cut because all servers are silent and retries are few.
 func TestSilenceOfAllServersCutsNoStream(t *testing.T) {
 	const streams = 40
 	n := newNode(8)
@@ -173,8 +172,7 @@
 	}
 }
 
-// Guards against requests that are refused or ended because the permit for the server that was to
-// take over was not granted.
+// Guards against ending a request because the server that was to take over grants no permit.
 func TestStalledAttemptGoesOnWithoutPermit(t *testing.T) {
 	n := newNode(2)
 	first := n.sendPath(t, "/ping/1")
@@ -208,8 +206,7 @@
 	require.Equal(t, other(first.Server), second.Server)
 }
 
-// Guards against streams that are cut because their memory is late, although no other server could
-// continue them without it.
+// Guards against cutting a stream whose memory is late and that no other server can continue.
 func TestStoppedStreamWaitsForMemoryWithoutReplacement(t *testing.T) {
 	n := newMovingNode(2)
 	s, call := n.stopped(t, "/report/1")
@@ -223,8 +220,7 @@
 	require.NotEqual(t, s.Server, moved[0].Server)
 }
 
-// Guards against a destination that keeps the memory of a stream which another server has taken
-// over.
+// Guards against destinations that keep the memory of streams that others have taken over.
 func TestTakeoverAbandonsMove(t *testing.T) {
 	n := newMovingNode(4)
 	s := n.beginFramed(t, "/report/1")
--- a/internal/dispatcher/takeover_test.go
+++ b/internal/dispatcher/takeover_test.go
@@ -11,8 +11,7 @@
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 )
 
-// Guards against streams of two versions: one that begins while a permit is asked for is taken
-// over by a server of another version.
+// Guards against streams of two versions, as one begins while a permit is asked for.
 func TestStreamThatBeginsGoesOnDespitePermit(t *testing.T) {
 	n := newNode(2)
 	first := n.sendPath(t, "/report/1")
@@ -27,8 +26,7 @@
 	}))
 }
 
-// Guards against streams that are cut although a server has room, because it had none when their
-// first server was silent.
+// Guards against cutting a stream because a server had no room at an earlier stall.
 func TestFullServerIsAskedAgainAfterStall(t *testing.T) {
 	n := newBrittleNode("entry-2")
 	asked := n.requestSlot(t)
@@ -51,8 +49,7 @@
 	require.Equal(t, other(first.Server), second.Server)
 }
 
-// Guards against usage reports that lack requests whose answer ended before their replacement was
-// sent.
+// Guards against usage that lacks requests whose answer ended before their replacement was sent.
 func TestAnswerBeforeReplacementCountsAsUsage(t *testing.T) {
 	n := newNode(2)
 	began := 0
@@ -69,8 +66,7 @@
 	require.Equal(t, 1, began)
 }
 
-// Guards against streams and answers that are given up for a suspected server because the one that
-// was to take over grants no permit.
+// Guards against giving up an answer for a suspected server because another grants no permit.
 func TestSuspectedServerDoesNotReplaceLimitedOne(t *testing.T) {
 	n := newNode(3)
 	first := n.sendPath(t, "/ping/1")
--- a/internal/forwarder/body_test.go
+++ b/internal/forwarder/body_test.go
@@ -59,8 +59,7 @@
 	require.Zero(t, f.bufferedBytes.Load())
 }
 
-// Guards against nodes that run out of memory because many callers send large bodies at once:
-// what is still being read counts too.
+// Guards against exhausted memory by many large bodies that are still being read.
 func TestBodiesCountWhileTheyAreRead(t *testing.T) {
 	f := New(Config{
 		Protocol: bodyProtocol{timeLimit: timekeeper.Minute},
--- a/internal/forwarder/endless_test.go
+++ b/internal/forwarder/endless_test.go
@@ -33,8 +33,7 @@
 	})
 }
 
-// Guards against nodes that run out of memory, and callers that get no answer, because a server
-// sends bytes without end in a head or a body.
+// Guards against exhausted memory, and callers without an answer, by a server that sends without end.
 func TestBytesWithoutEndAreBounded(t *testing.T) {
 	const event = "HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Type: text/event-stream\r\n\r\n"
 	tests := []struct {
--- a/internal/forwarder/panic_test.go
+++ b/internal/forwarder/panic_test.go
@@ -28,8 +28,7 @@
 	panic("second decision")
 }
 
-// Guards against callers' connections that are closed without an answer by a panic, and against
-// exchanges that never end.
+// Guards against connections that a panic closes without an answer, and exchanges that never end.
 func TestPanicIsAnswered(t *testing.T) {
 	failing := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusInternalServerError)
--- a/internal/forwarder/stall_test.go
+++ b/internal/forwarder/stall_test.go
@@ -43,8 +43,7 @@
 	})
 }
 
-// Guards against answers that are given up, although their silent server goes on and no other
-// one can take over.
+// Guards against giving up an answer whose silent server goes on and that no other can replace.
 func TestSilentServerIsKeptWithoutReplacement(t *testing.T) {
 	tests := []struct {
 		name          string
@@ -100,8 +99,7 @@
 	}
 }
 
-// Guards against a second answer, or none, if a stalled server goes on while the decision on it is
-// made.
+// Guards against two answers, or none, if a stalled server goes on during the decision on it.
 func TestServerGoesOnDuringDecision(t *testing.T) {
 	asked, decide := make(chan struct{}), make(chan struct{})
 	s := newFakeDecider(startSilentServer(t, "", "first", asked), startWholeServer(t, "second"))
@@ -119,8 +117,7 @@
 	require.EqualValues(t, 1, ended.Attempt)
 }
 
-// Guards against a request without an answer if its server breaks off while the decision on its
-// stall is made.
+// Guards against no answer if a stalled server breaks off during the decision on it.
 func TestServerBreaksDuringDecision(t *testing.T) {
 	asked := make(chan struct{})
 	broken := startServer(t, func(_ http.ResponseWriter, r *http.Request) {
--- a/internal/forwarder/takeover_test.go
+++ b/internal/forwarder/takeover_test.go
@@ -15,8 +15,7 @@
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
-// Guards against answers that are cut off because they begin while it is decided whether another
-// server takes over.
+// Guards against cutting an answer that begins while it is decided whether another server takes over.
 func TestAnswerThatBeginsDuringDecisionIsNotCut(t *testing.T) {
 	long := strings.Repeat("x", 2<<20)
 	asked := make(chan struct{})
@@ -39,8 +38,7 @@
 	require.EqualValues(t, 2, (<-s.ended).Attempt)
 }
 
-// Guards against streams of two runs: the decider takes a stream for one that has not begun, and
-// has another version run it.
+// Guards against streams of two runs, as one begins while another version is chosen for it.
 func TestStreamDoesNotBeginDuringDecision(t *testing.T) {
 	asked := make(chan struct{})
 	first := startServer(t, func(w http.ResponseWriter, r *http.Request) {
@@ -64,8 +62,7 @@
 	require.False(t, s.stalls[0].Streaming)
 }
 
-// Guards against requests that use up the retries, and can't be refused any more, although nothing
-// was sent to their servers.
+// Guards against requests that use up retries although nothing was sent to their servers.
 func TestUnsentAttemptDoesNotCountAsStalled(t *testing.T) {
 	unreachable := "192.0.2.1:80"
 	second := startServer(t, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/relayer/endless_test.go
+++ b/internal/relayer/endless_test.go
@@ -81,8 +81,7 @@
 	return client
 }
 
-// Guards against nodes that run out of memory because a peer sends bytes without end, and against
-// a handover that is taken for refused by such a peer.
+// Guards against exhausted memory, and handovers taken for refused, by a peer that sends without end.
 func TestRepliesWithoutEnd(t *testing.T) {
 	var (
 		failed   *url.Error
@@ -223,8 +222,7 @@
 	}
 }
 
-// Guards against a bound on messages that rejects what the largest deployment sends: the records
-// of 6,000 servers, at rest and while half of them leave.
+// Guards against a bound that rejects the records of 6,000 servers, half of which leave.
 func TestLargestStateUpdatePasses(t *testing.T) {
 	const servers = 6000
 	update := messenger.StateUpdate{AllServers: true}
--- a/internal/relayer/entries_test.go
+++ b/internal/relayer/entries_test.go
@@ -94,8 +94,7 @@
 	return grown
 }
 
-// Guards against a relay that encodes all servers' entries once for each of the peers to which it
-// sends them at the same time, and runs out of memory.
+// Guards against exhausted memory by one encoding of all servers' entries for each peer.
 func TestPeersShareEncodedEntries(t *testing.T) {
 	const (
 		servers = 3000
--- a/internal/relayer/large_test.go
+++ b/internal/relayer/large_test.go
@@ -46,8 +46,7 @@
 	})
 }
 
-// Guards against a node that decodes the tables of all servers of as many peers as report to it at
-// once, and runs out of memory; small updates don't wait for large ones.
+// Guards against exhausted memory by the tables of many peers that are decoded at once.
 func TestLargeUpdatesAreDecodedFewAtOnce(t *testing.T) {
 	const peers = 64
 	p := &blockingPeer{
@@ -88,8 +87,7 @@
 	require.NoError(t, newTestClient(t).SendStateUpdate(t.Context(), address, messenger.StateUpdate{Servers: entries}))
 }
 
-// Guards against peers that stall while they send large updates and so keep a node from receiving those
-// of others.
+// Guards against peers that stall within large updates and keep out those of others.
 func TestStalledLargeUpdatesEnd(t *testing.T) {
 	p := &fakePeer{}
 	server := httptest.NewServer(newHandlerOf(p))
--- a/internal/runner/exchange_test.go
+++ b/internal/runner/exchange_test.go
@@ -10,8 +10,7 @@
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 )
 
-// Guards against streams that another version continues because the report that they have begun
-// is applied after that of their attempt's end.
+// Guards against streams of two versions, as the report of their beginning comes after their end.
 func TestReportsOfExchangeAreAppliedInOrder(t *testing.T) {
 	inBubble(t, func(t *testing.T, f *fixture) {
 		const exchanges = 32
--- a/internal/runner/queue_test.go
+++ b/internal/runner/queue_test.go
@@ -42,8 +42,7 @@
 	return entries
 }
 
-// Guards against a node that queues the tables of all servers of as many peers as report to it while
-// its loop does not run, and runs out of memory.
+// Guards against exhausted memory by the tables of many peers that are queued at once.
 func TestQueuedUpdatesAreBoundedByEntries(t *testing.T) {
 	const (
 		peers   = 300
@@ -68,8 +67,7 @@
 	})
 }
 
-// Guards against a node that never learns of servers, as their table exceeds the bound, or as updates
-// that were dropped go on to count.
+// Guards against updates that are dropped forever, as they exceed the bound or dropped ones count.
 func TestUpdatesAreReceivedAfterQueueWasFull(t *testing.T) {
 	inBubble(t, func(t *testing.T, f *fixture) {
 		f.whileLoopIsBlocked(func() {
