Choose the server that takes over once

A stall chose a server to see whether there is one, and place chose again by the same conditions. mayPlace, which already checks them after a permit or a slot, now serves both moments, and place alone chooses. Behaviour is the same.

--- a/internal/dispatcher/stall.go
+++ b/internal/dispatcher/stall.go
@@ -17,7 +17,7 @@
 	env = env.forExchange(x)
 	x.stalled = e
 	d.recordStall(env, x)
-	if x.beganSinceStall() || !d.mayTakeOver(env, x, stalledEnd(x)) {
+	if !d.mayPlace(env, x) {
 		return keepWaiting(x)
 	}
 	if effect, placed := d.place(env, x); placed {
@@ -84,8 +84,8 @@
 	return !env.Suspicions.Suspect(env.Now, c.server.Server) && (!x.current.began || c.startsAtOnce())
 }
 
-// mayPlace reports whether an exchange that has waited for a permit or a slot may still be sent. A
-// stalled attempt goes on if its answer has begun since, which also binds a stream to its version.
+// mayPlace reports whether an exchange may be sent, also after it has waited for a permit or a slot.
+// A stalled attempt goes on if its answer has begun since, which also binds a stream to its version.
 func (d *Dispatcher) mayPlace(env Env, x *exchange) bool {
 	return x.current == nil || !x.beganSinceStall() && d.mayEnd(env, x, stalledEnd(x))
 }
