Close the connection of an attempt that is given up

Callers' requests ran at two servers at once (TWICE): after a late second answer without a body, the request went to another server, and the first one, which had just begun it, worked on for up to 0.7 s. net/http returns the connection of such an answer to its pool before RoundTrip returns, so that neither the closed body nor the cancelled context closes it. The class: an attempt is given up, and what carries it stays open.

An attempt now closes its connection itself, before anything else is decided, unless its server has answered the request. A request that takes the connection from the pool in between would have had the answer of the request before, and ends broken as before.

Ruled out: answers with a body, whose connection net/http closes.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -29,6 +29,9 @@
 	// pathFailed reports that no connection could be opened, for reasons that say nothing
 	// about the server.
 	pathFailed bool
+	// answered reports that the server has answered the request, so that the connection may
+	// serve others.
+	answered bool
 	// stale reports that nothing was attempted, because the decision took too long.
 	stale bool
 	// takeover is the attempt that replaces this one, if that was decided.
@@ -49,9 +52,13 @@
 	ctx, timer := x.startTimer(ctx, s, x.connection)
 	defer timer.release()
 	end := x.tryServer(ctx, s, timer)
-	if !end.done {
-		end.takeover = timer.takeover()
+	if end.result != messenger.AttemptComplete && !end.answered {
+		x.connection.close()
 	}
+	if end.done {
+		return end
+	}
+	end.takeover = timer.takeover()
 	return end
 }
 
@@ -66,15 +73,21 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	reply := x.forwarder.config.Protocol.ReadReply(response.StatusCode, response.Header)
-	ofAnother := reply.Request != "" && reply.Request != x.head.Request
-	if !ofAnother && !reply.Misdirected {
+	if !x.ofAnother(reply) && !reply.Misdirected {
 		x.reportLimit(ctx, s, sent, reply)
 		x.reportLeaving(ctx, s, sent, reply)
 		x.reportBrittle(ctx, s, sent, reply)
 		x.recordBackoff(reply)
 	}
+	end := x.passReply(ctx, s, timer, response, reply)
+	end.answered = reply.Request == x.head.Request && (reply.NotRun || end.result == messenger.AttemptFailed)
+	return end
+}
+
+// passReply passes on the answer with the given head, or classifies it if that is not possible.
+func (x *exchange) passReply(ctx context.Context, s messenger.SendExchange, timer *attemptTimer, response *http.Response, reply Reply) attemptEnd {
 	switch {
-	case ofAnother:
+	case x.ofAnother(reply):
 		// A late answer to another request on this connection.
 		return attemptEnd{
 			result: messenger.AttemptBroken,
@@ -114,6 +127,11 @@
 	return x.passBuffered(ctx, s, timer, response)
 }
 
+// ofAnother reports whether an answer belongs to another request.
+func (x *exchange) ofAnother(reply Reply) bool {
+	return reply.Request != "" && reply.Request != x.head.Request
+}
+
 // reportLimit reports the limit that a server states in its answer, or that it no
 // longer states one. An unsigned answer does not lift a limit, since it may come from an
 // intermediary.
--- a/internal/forwarder/connect.go
+++ b/internal/forwarder/connect.go
@@ -39,7 +39,9 @@
 	// written reports whether the request's headers were written.
 	written atomic.Bool
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// conn carries the request, or is nil.
+	conn   net.Conn
 	direct messenger.ConnectResult
 	peers  []messenger.PeerConnect
 	// peer is the node through which the request was sent, or empty.
@@ -71,11 +73,23 @@
 func (c *connection) gotConn(info httptrace.GotConnInfo) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.conn = info.Conn
 	if tunnel, ok := info.Conn.(*tunneler.Conn); ok {
 		c.peer = tunnel.Peer
 	}
 }
 
+// close closes the connection on which the request was sent, so that the server drops the request.
+// The transport may already keep the connection for other requests: it does so before it returns
+// an answer without a body.
+func (c *connection) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		_ = c.conn.Close()
+	}
+}
+
 // via returns the node through which the request was sent, or empty.
 func (c *connection) via() identifier.VMID {
 	c.mu.Lock()
