Let a stream go on elsewhere only when its silent server has dropped it

Callers' streams ran at two servers at once (TWICE): a server that was paused for a second or so saw only when it went on that its connection had been closed, while the request had gone to another one, up to 1.1 s before.

Cause: a takeover took the close of a connection for the end of the work. Now a node calls a silent server for its state first, on a connection of its own. If the VM accepts it and the process does not answer, the stream stays until the server goes on or its entry has expired. After the decision the order is cancel, close, call again, send.

Ruled out: by its length alone a pause can't be told from an end; bytes on other connections are missing where a node has one stream at a server.

--- a/cmd/dotterelhollow/gateway.go
+++ b/cmd/dotterelhollow/gateway.go
@@ -132,13 +132,14 @@
 	})
 	g.metrics = forwarder.NewMetrics()
 	g.forwarder = forwarder.New(forwarder.Config{
-		Self:     s.VM,
-		Decider:  g.runner,
-		Protocol: platform.Protocol{},
-		Clock:    g.clock,
-		Logger:   g.logger,
-		Metrics:  g.metrics,
-		MaxBody:  g.runner.MaxBody,
+		Self:       s.VM,
+		Decider:    g.runner,
+		Protocol:   platform.Protocol{},
+		Clock:      g.clock,
+		Logger:     g.logger,
+		Metrics:    g.metrics,
+		MaxBody:    g.runner.MaxBody,
+		StatusPath: platform.ServerStatusPath,
 	})
 	g.closers = []func(){store.Close, cloud.Close, streams.Close, peers.Close, g.forwarder.Close}
 	g.ports = g.newPorts(timeline)
--- a/internal/dispatcher/stall.go
+++ b/internal/dispatcher/stall.go
@@ -17,7 +17,7 @@
 	env = env.forExchange(x)
 	x.stalled = e
 	d.recordStall(env, x)
-	if !d.mayPlace(env, x) {
+	if env.mayBePaused(x) || !d.mayPlace(env, x) {
 		return keepWaiting(x)
 	}
 	if effect, placed := d.place(env, x); placed {
@@ -26,6 +26,17 @@
 	return keepWaiting(x)
 }
 
+// mayBePaused reports whether the server of a stalled attempt may be paused. It sees a closed
+// connection only when it goes on, and until then another server would run the same request. The
+// entry of a server that has ended or hangs expires.
+func (env Env) mayBePaused(x *exchange) bool {
+	if x.stalled.Activity != messenger.ServerUnresponsive {
+		return false
+	}
+	s, known := env.Servers.Server(x.current.server)
+	return known && s.State != messenger.ServerRemoved && !s.Displaced
+}
+
 // keepWaiting makes the current attempt of a stalled exchange go on. Servers that had no slot may
 // have one later.
 func keepWaiting(x *exchange) messenger.Effect {
--- a/internal/dispatcher/stall_test.go
+++ b/internal/dispatcher/stall_test.go
@@ -242,3 +242,40 @@
 	})
 	require.Zero(t, n.InFlight())
 }
+
+// Guards against streams that run at two servers, as the first one is paused when its connection is closed.
+func TestPausedServerIsNotReplaced(t *testing.T) {
+	n := newNode(2)
+	send := n.sendPath(t, "/report/1")
+	stalled := messenger.ExchangeStalled{
+		Exchange: send.Exchange,
+		Attempt:  send.Attempt,
+		Result:   messenger.AttemptTimedOut,
+		Activity: messenger.ServerUnresponsive,
+	}
+	require.Equal(t, messenger.KeepWaiting{Exchange: send.Exchange}, n.Stalled(n.env, stalled))
+	n.publishServer(send.Server, messenger.ServerRemoved)
+	second, replaced := n.Stalled(n.env, stalled).(messenger.SendExchange)
+	require.True(t, replaced, "a server that hangs is replaced once its entry has expired")
+	require.Equal(t, other(send.Server), second.Server)
+}
+
+// Guards against streams that wait for servers which no longer work on them.
+func TestServerThatIsNotPausedIsReplaced(t *testing.T) {
+	for _, activity := range []messenger.ServerActivity{
+		messenger.ServerResponds,
+		messenger.ServerUnreachable,
+		messenger.ServerRefuses,
+		"",
+	} {
+		n := newNode(2)
+		send := n.sendPath(t, "/report/1")
+		_, replaced := n.Stalled(n.env, messenger.ExchangeStalled{
+			Exchange: send.Exchange,
+			Attempt:  send.Attempt,
+			Result:   messenger.AttemptTimedOut,
+			Activity: activity,
+		}).(messenger.SendExchange)
+		require.True(t, replaced, activity)
+	}
+}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -59,9 +59,21 @@
 		return end
 	}
 	end.takeover = timer.takeover()
+	if end.takeover.decided() && !x.awaitRelease(x.r.Context(), s, timer) {
+		return x.unreleased()
+	}
 	return end
 }
 
+// unreleased returns the end of an exchange whose server did not drop the request in time for
+// another one.
+func (x *exchange) unreleased() attemptEnd {
+	if err := x.r.Context().Err(); err != nil {
+		return callerDisconnected(err)
+	}
+	return x.expire()
+}
+
 // tryServer sends the request to one server and passes on its answer.
 func (x *exchange) tryServer(ctx context.Context, s messenger.SendExchange, timer *attemptTimer) attemptEnd {
 	c := x.connection
@@ -342,7 +354,7 @@
 // passLong passes on an answer that is too long to be buffered. A failure, which may have no end,
 // is passed on only if no other server takes over.
 func (x *exchange) passLong(ctx context.Context, s messenger.SendExchange, timer *attemptTimer, response *http.Response, prefix []byte) attemptEnd {
-	if response.StatusCode >= http.StatusInternalServerError && timer.replace(messenger.AttemptFailed) {
+	if response.StatusCode >= http.StatusInternalServerError && timer.replace(stall{result: messenger.AttemptFailed}) {
 		return attemptEnd{
 			result: messenger.AttemptFailed,
 			reason: response.Status,
--- /dev/null
+++ b/internal/forwarder/check_test.go
@@ -0,0 +1,119 @@
+package forwarder_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/forwarder"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
+
+const statusPath = "/status"
+
+// pausableServer answers no streams, and statuses only while it is not paused.
+type pausableServer struct {
+	address string
+	paused  atomic.Bool
+	// dropped is closed when the connection of the stream is closed.
+	dropped chan struct{}
+}
+
+func startPausableServer(t *testing.T) *pausableServer {
+	s := &pausableServer{dropped: make(chan struct{})}
+	s.address = startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != statusPath {
+			<-r.Context().Done()
+			close(s.dropped)
+			return
+		}
+		if s.paused.Load() {
+			<-r.Context().Done()
+		}
+		_, _ = io.WriteString(w, "{}")
+	})
+	return s
+}
+
+// sendStream sends a request for a stream through a forwarder that checks silent servers.
+func sendStream(t *testing.T, s *fakeDecider) reply {
+	s.route.Stream = true
+	s.firstEventTimeout = stallTimeout
+	address := startForwarderWithConfig(t, forwarder.Config{
+		Self:       "entry-1",
+		Decider:    s,
+		Protocol:   testProtocol{},
+		Clock:      timekeeper.System{},
+		StatusPath: statusPath,
+	})
+	return do(t, newRequest(t, http.MethodGet, "http://"+address+"/", nil))
+}
+
+// Guards against decisions on silent servers without knowing whether these may be paused.
+func TestSilentServerIsChecked(t *testing.T) {
+	paused := startPausableServer(t)
+	paused.paused.Store(true)
+	hung, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = hung.Close() })
+	tests := []struct {
+		name    string
+		address string
+		want    messenger.ServerActivity
+	}{
+		{
+			name:    "answers statuses",
+			address: startPausableServer(t).address,
+			want:    messenger.ServerResponds,
+		},
+		{
+			name:    "answers nothing",
+			address: paused.address,
+			want:    messenger.ServerUnresponsive,
+		},
+		{
+			name:    "process accepts no connection",
+			address: hung.Addr().String(),
+			want:    messenger.ServerUnresponsive,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newFakeDecider(test.address)
+			s.timeLimit = 600 * timekeeper.Millisecond
+			sendStream(t, s)
+			require.NotEmpty(t, s.stalls)
+			require.Equal(t, test.want, s.stalls[0].Activity)
+		})
+	}
+}
+
+// Guards against a stream at a second server while the first, paused since the decision, still has it.
+func TestNextServerWaitsForRelease(t *testing.T) {
+	const pause = 600 * time.Millisecond
+	first := startPausableServer(t)
+	var sent time.Time
+	second := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		sent = time.Now()
+		sign(w, r)
+		_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+	})
+	s := newFakeDecider(first.address, second, second)
+	var resumed time.Time
+	s.onStall = func(int) {
+		first.paused.Store(true)
+		resumed = time.Now().Add(pause)
+		time.AfterFunc(pause, func() { first.paused.Store(false) })
+	}
+	got := sendStream(t, s)
+	require.NoError(t, got.err)
+	require.Equal(t, "id: 1\ndata: a\n\n", got.body)
+	require.False(t, sent.Before(resumed))
+	<-first.dropped
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -13,6 +13,8 @@
 //   - timer.go ends an attempt at its deadline, or if another server takes over, and
 //     running.go all attempts at the end of a planned stop.
 //   - connect.go opens the connection, directly or through a peer.
+//   - check.go finds out whether a silent server runs, so that no stream goes on at another
+//     server before it has dropped the request.
 //   - stream.go passes on complete events, so that another server can resume
 //     after the last one.
 //   - unframed.go tells whole answers with neither a length nor chunks from others.
@@ -142,6 +144,9 @@
 	Clock    timekeeper.Clock
 	Logger   hclog.Logger
 	Metrics  *Metrics
+	// StatusPath is the path at which servers that send streams tell their state. If it is
+	// empty, silent servers are not checked.
+	StatusPath string
 	// Dial opens the direct connections to servers. If it is nil, TCP connections are opened.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// MaxBody returns the bound of a request's body; if it is nil, a default applies.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -245,7 +245,7 @@
 // startForwarderOf starts a forwarder that uses any decider.
 func startForwarderOf(t testing.TB, d forwarder.Decider, dial func(ctx context.Context, network, address string) (net.Conn, error)) string {
 	t.Helper()
-	f := forwarder.New(forwarder.Config{
+	return startForwarderWithConfig(t, forwarder.Config{
 		Self:     "entry-1",
 		Decider:  d,
 		Protocol: testProtocol{},
@@ -253,6 +253,12 @@
 		Dial:     dial,
 		MaxBody:  func() identifier.Bytes { return 1 << 10 },
 	})
+}
+
+// startForwarderWithConfig starts a forwarder and returns its address.
+func startForwarderWithConfig(t testing.TB, c forwarder.Config) string {
+	t.Helper()
+	f := forwarder.New(c)
 	server := httptest.NewUnstartedServer(f)
 	server.Config = f.Server()
 	server.Start()
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -48,6 +48,8 @@
 	// those by which another server took over.
 	stalls    expvar.Int
 	takeovers expvar.Int
+	// serverChecks counts the checks of silent servers, by what these were found to do.
+	serverChecks expvar.Map
 	// panics counts the exchanges that ended with a panic.
 	panics expvar.Int
 	// lateDecisions counts the decisions that took too long to be used.
@@ -68,6 +70,7 @@
 	m.results.Init()
 	m.statuses.Init()
 	m.tunnels.Init()
+	m.serverChecks.Init()
 	m.admissionRefusals.Init()
 	m.admissionWaits.init()
 	m.shares.Init()
@@ -87,6 +90,7 @@
 	m.vars.Set("shares", &m.shares)
 	m.vars.Set("stalls", &m.stalls)
 	m.vars.Set("takeovers", &m.takeovers)
+	m.vars.Set("server_checks", &m.serverChecks)
 	m.vars.Set("panics", &m.panics)
 	m.vars.Set("late_decisions", &m.lateDecisions)
 	m.vars.Set("admission_refusals", &m.admissionRefusals)
@@ -130,6 +134,8 @@
 	}
 }
 
+func (m *Metrics) serverChecked(a messenger.ServerActivity) { m.serverChecks.Add(string(a), 1) }
+
 func (m *Metrics) panicked() { m.panics.Add(1) }
 
 func (m *Metrics) decidedLate() { m.lateDecisions.Add(1) }
--- a/internal/forwarder/timer.go
+++ b/internal/forwarder/timer.go
@@ -28,7 +28,9 @@
 	stopDeadline func() bool
 	// decide asks whether another server takes over because of the result that the attempt has
 	// so far.
-	decide func(result messenger.AttemptResult, streaming bool) messenger.Effect
+	decide func(s stall) messenger.Effect
+	// check finds out whether the server's process runs.
+	check func() messenger.ServerActivity
 	// abandoned reports that the attempt was cancelled because another server takes over, or
 	// before the request was sent.
 	abandoned atomic.Bool
@@ -38,6 +40,8 @@
 	mu         sync.Mutex
 	eventTimer *time.Timer
 	timeout    timekeeper.Duration
+	// events counts the calls of eventReceived.
+	events int
 	// streaming reports that a part of the answer was sent to the caller, or is about to be.
 	streaming bool
 	// stopped reports that no further decision is asked for. deciding is closed when the
@@ -56,8 +60,14 @@
 		clock:      x.forwarder.config.Clock,
 		timeout:    s.FirstEventTimeout,
 		streaming:  x.headSent,
-		decide: func(result messenger.AttemptResult, streaming bool) messenger.Effect {
-			return x.askForTakeover(ctx, s, result, streaming)
+		decide: func(stalled stall) messenger.Effect {
+			return x.askForTakeover(ctx, s, stalled)
+		},
+		check: func() messenger.ServerActivity {
+			if !x.mustCheck(s) {
+				return ""
+			}
+			return x.checkServer(attempt, s)
 		},
 	}
 	remaining := max(s.Deadline.Sub(t.clock.Now()), 0)
@@ -71,14 +81,22 @@
 	return attempt, t
 }
 
+// stall is the result that an attempt has so far, and what its server was found to do.
+type stall struct {
+	result    messenger.AttemptResult
+	activity  messenger.ServerActivity
+	streaming bool
+}
+
 // askForTakeover asks whether another server takes over from that of an attempt.
-func (x *exchange) askForTakeover(ctx context.Context, s messenger.SendExchange, result messenger.AttemptResult, streaming bool) messenger.Effect {
+func (x *exchange) askForTakeover(ctx context.Context, s messenger.SendExchange, stalled stall) messenger.Effect {
 	f := x.forwarder
 	effect := f.config.Decider.Stalled(ctx, messenger.ExchangeStalled{
 		Exchange:  x.id,
 		Attempt:   s.Attempt,
-		Result:    result,
-		Streaming: streaming,
+		Result:    stalled.result,
+		Streaming: stalled.streaming,
+		Activity:  stalled.activity,
 	})
 	_, takesOver := effect.(messenger.SendExchange)
 	f.config.Metrics.attemptStalled(takesOver)
@@ -86,8 +104,9 @@
 		"request", x.head.Request,
 		"attempt", s.Attempt,
 		"server", s.Server,
-		"result", result,
-		"streaming", streaming,
+		"result", stalled.result,
+		"streaming", stalled.streaming,
+		"activity", stalled.activity,
 		"replaced", takesOver,
 	)
 	return effect
@@ -96,25 +115,38 @@
 // stalled handles the silence of the server. An attempt that has sent nothing is given up at
 // once: no answer is lost with it, and it counts as no attempt.
 func (t *attemptTimer) stalled() {
-	if t.connection.written.Load() {
-		t.replace(messenger.AttemptTimedOut)
+	if !t.connection.written.Load() {
+		t.abandoned.Store(true)
+		t.cancel()
 		return
 	}
-	t.abandoned.Store(true)
-	t.cancel()
+	t.mu.Lock()
+	before := t.events
+	t.mu.Unlock()
+	activity := t.check()
+	t.mu.Lock()
+	continued := t.events != before
+	t.mu.Unlock()
+	if !continued {
+		t.replace(stall{
+			result:   messenger.AttemptTimedOut,
+			activity: activity,
+		})
+	}
 }
 
-// replace cancels the attempt and returns true if another server takes over because of a result.
+// replace cancels the attempt and returns true if another server takes over from one that stalls.
 // The attempt goes on until that is decided, and also afterwards if there is no such server.
-func (t *attemptTimer) replace(result messenger.AttemptResult) bool {
+func (t *attemptTimer) replace(stalled stall) bool {
 	decided := make(chan struct{})
 	defer close(decided)
 	streaming, ok := t.begin(decided)
 	if !ok {
 		return false
 	}
+	stalled.streaming = streaming
 	asked := t.clock.Now()
-	send, ok := t.decide(result, streaming).(messenger.SendExchange)
+	send, ok := t.decide(stalled).(messenger.SendExchange)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.deciding = nil
@@ -165,6 +197,7 @@
 func (t *attemptTimer) eventReceived(next timekeeper.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.events++
 	if t.eventTimer == nil {
 		return
 	}
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -99,6 +99,8 @@
 		Result AttemptResult
 		// Streaming reports whether a part of the answer was sent to the caller.
 		Streaming bool
+		// Activity is what the server was found to do, or empty if it was not checked.
+		Activity ServerActivity
 	}
 	// ExchangeEnded reports that nothing more is sent to the caller.
 	ExchangeEnded struct {
