Save the origins of streams in the log while a service has several versions

What must last lives on the platform: one node appends the origins of all each 100 ms, only while a service has several versions, and the candidates for the lease read them once when they start.

Ruled out: appends by each node (1,500 a second at 300 nodes, the store takes 400); waiting for the store before the first event.

TestNewNodesReadLeaseOnce expects the further stream, as strictly as before.

--- a/cmd/dotterelhollow/gateway.go
+++ b/cmd/dotterelhollow/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
 	"github.com/dotterelhollow/dotterelhollow/internal/reducer"
 	"github.com/dotterelhollow/dotterelhollow/internal/relayer"
+	"github.com/dotterelhollow/dotterelhollow/internal/resumer"
 	"github.com/dotterelhollow/dotterelhollow/internal/runner"
 	"github.com/dotterelhollow/dotterelhollow/internal/starter"
 	"github.com/dotterelhollow/dotterelhollow/internal/tunneler"
@@ -127,8 +128,9 @@
 		Peers:          peers,
 		CloseListeners: g.closeCallers,
 		Limits:         runner.Limits{ListInterval: listInterval},
-		// The quarantine stream is read once, without waiting for newer records.
-		LowLatencyStreams: []identifier.LogStream{leaser.Stream, quarantiner.Stream},
+		// The streams of refused requests and of origins are read once, without waiting for newer
+		// records.
+		LowLatencyStreams: []identifier.LogStream{leaser.Stream, quarantiner.Stream, resumer.Stream},
 	})
 	g.metrics = forwarder.NewMetrics()
 	g.forwarder = forwarder.New(forwarder.Config{
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -119,6 +119,8 @@
 	// know what live nodes report.
 	Origins     *resumer.Table
 	OriginPeers func(identifier.StreamKey) ([]string, timekeeper.Duration)
+	// OriginsRead reports that an origin which no peer knows is not in the log either.
+	OriginsRead bool
 	// Versions tracks the rollouts of services. OrdersAsOf is the time up to which this
 	// node has read the operators' orders.
 	Versions   *promoter.Promoter
--- a/internal/prover/resume_test.go
+++ b/internal/prover/resume_test.go
@@ -48,6 +48,8 @@
 	started, begun, asked, wentOn int
 	// breakShare is the share of the runs that break after some events.
 	breakShare float64
+	// delay is the time after which callers take streams up, or zero for resumeDelay.
+	delay    timekeeper.Duration
 	versions   map[identifier.VMID]identifier.Version
 }
 
@@ -291,7 +293,11 @@
 	if s.first == "" || s.once || s.events >= streamEvents || s.tries > maxResumeTries {
 		return
 	}
-	cl.after(resumeDelay, func() { cl.requestStream(s) })
+	delay := resumeDelay
+	if cl.resumptions.delay > 0 {
+		delay = cl.resumptions.delay
+	}
+	cl.after(delay, func() { cl.requestStream(s) })
 }
 
 // streamEnded handles the end of a stream's request without the rest of the stream.
@@ -565,3 +571,21 @@
 		})
 	}
 }
+
+// Guards against streams that nobody can take up again after the loss of all nodes.
+func TestStreamsGoOnAfterLossOfAllNodes(t *testing.T) {
+	for _, nodes := range []int{6, 69} {
+		t.Run(fmt.Sprintf("%d nodes", nodes), func(t *testing.T) {
+			cl := resumeCluster(t, 0, nodes)
+			// The nodes are back for long enough that the resumptions count.
+			cl.resumptions.delay = resumptionStability + 1*timekeeper.Second
+			for _, at := range []timekeeper.Duration{8000, 13_000, 18_000} {
+				cl.at(at, func() { cl.killNodes(1, 500) })
+			}
+			cl.run()
+			require.Empty(t, cl.violations)
+			require.GreaterOrEqual(t, cl.resumptions.asked, minResumptions)
+			t.Logf("%d of %d went on", cl.resumptions.wentOn, cl.resumptions.asked)
+		})
+	}
+}
--- a/internal/reducer/following.go
+++ b/internal/reducer/following.go
@@ -9,6 +9,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/placer"
 	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
 	"github.com/dotterelhollow/dotterelhollow/internal/ranker"
+	"github.com/dotterelhollow/dotterelhollow/internal/resumer"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -48,17 +49,23 @@
 // node, although only leaderNodes of them need the state.
 //
 // Candidates also read once which requests were refused before, and report these to
-// their peers, because after a loss of all nodes no node knows them.
+// their peers, and which versions began streams, for which peers ask them, because after a loss
+// of all nodes no node knows them.
 func (g *gateway) streams() []identifier.LogStream {
-	switch {
-	case g.leaderCandidate && !g.quarantineRead:
-		return []identifier.LogStream{leaser.Stream, accountant.Stream, quarantiner.Stream}
-	case g.leaderCandidate:
-		return []identifier.LogStream{leaser.Stream, accountant.Stream}
-	case !g.settled && !g.leaseRead:
+	if !g.leaderCandidate {
+		if g.settled || g.leaseRead {
+			return nil
+		}
 		return []identifier.LogStream{leaser.Stream}
 	}
-	return nil
+	out := []identifier.LogStream{leaser.Stream, accountant.Stream}
+	if !g.quarantineRead {
+		out = append(out, quarantiner.Stream)
+	}
+	if !g.originsRead {
+		out = append(out, resumer.Stream)
+	}
+	return out
 }
 
 // Following states which records a node reads from the platform's store itself.
--- a/internal/reducer/following_test.go
+++ b/internal/reducer/following_test.go
@@ -9,6 +9,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/leaser"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
+	"github.com/dotterelhollow/dotterelhollow/internal/resumer"
 	"github.com/dotterelhollow/dotterelhollow/internal/ranker"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
@@ -33,17 +34,20 @@
 	}
 	c.run(3 * timekeeper.Second)
 	followers := 0
-	// Only the candidates follow the lease and the usage. They read the refused requests once.
+	// Only the candidates follow the lease and the usage. They read the refused requests and the
+	// origins of streams once.
 	for _, id := range c.ids {
 		streams := c.nodes[id].Streams()
 		if len(streams) == 0 {
 			continue
 		}
-		require.Equal(t, []identifier.LogStream{leaser.Stream, accountant.Stream, quarantiner.Stream}, streams, "at %s", id)
-		c.apply(id, messenger.LogRead{
-			Stream: quarantiner.Stream,
-			End:    true,
-		})
+		require.Equal(t, []identifier.LogStream{leaser.Stream, accountant.Stream, quarantiner.Stream, resumer.Stream}, streams, "at %s", id)
+		for _, once := range streams[2:] {
+			c.apply(id, messenger.LogRead{
+				Stream: once,
+				End:    true,
+			})
+		}
 		require.Equal(t, []identifier.LogStream{leaser.Stream, accountant.Stream}, c.nodes[id].Streams(), "at %s", id)
 		followers++
 	}
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -217,12 +217,15 @@
 	// leaderCandidate reports whether the node was ever one of those that may hold the
 	// lease.
 	leaderCandidate bool
-	// leaseRead and quarantineRead report whether the node has read the stream of
-	// leases and that of refused requests.
+	// leaseRead, quarantineRead and originsRead report whether the node has read the stream of
+	// leases, that of refused requests and that of the origins of streams.
 	leaseRead      bool
 	quarantineRead bool
-	nextUpdate     timekeeper.Time
-	nextRelay      timekeeper.Time
+	originsRead    bool
+	// nextVersions is the time of the next check which services have several versions.
+	nextVersions timekeeper.Time
+	nextUpdate   timekeeper.Time
+	nextRelay    timekeeper.Time
 	// updateRounds counts the rounds of state updates.
 	updateRounds int
 	// relayPending reports whether a server's entry changed since the last sums were
@@ -437,6 +440,7 @@
 		Paths:           g.paths,
 		Origins:         g.origins,
 		OriginPeers:     r.originPeers,
+		OriginsRead:     r.gateway.startedAt != 0 && env.Now.Sub(r.gateway.startedAt) >= originsReadTime,
 		PermitAllocator: func(server identifier.VMID) *dispatcher.Allocator { return r.permitAllocator(env, server) },
 		ConfigStale:     env.Now.Sub(g.configRead.asOf) > maxTrustedConfigAge,
 		Inputs: messenger.DecisionInputs{
@@ -604,6 +608,8 @@
 		out = append(out, r.sendUpdates(env)...)
 	}
 	out = append(out, r.reportStreams(env)...)
+	out = append(out, r.saveStreams(env)...)
+
 	out = append(out, r.sendSums(env)...)
 	out = append(out, r.tickLeaderTasks(env)...)
 	out = append(out, r.tickRollouts(env)...)
--- a/internal/reducer/leader.go
+++ b/internal/reducer/leader.go
@@ -11,6 +11,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
+	"github.com/dotterelhollow/dotterelhollow/internal/resumer"
 	"github.com/dotterelhollow/dotterelhollow/internal/sizer"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
@@ -26,6 +27,8 @@
 	case quarantiner.Stream:
 		g.quarantineRead = true
 		return r.quarantineRead(env, e)
+	case resumer.Stream:
+		return r.originsRead(env, e)
 	case accountant.Stream:
 		unreadable := g.usage.Ignored()
 		g.usage.ApplyRecords(env.Now, e)
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -208,6 +208,7 @@
 		// An append takes effect only when it is read back from the log.
 		r.claims.AppendEnded(env.Now, b.Stream, b.OK)
 		r.quarantineAppended(b)
+		r.originsAppended(b)
 		return nil
 	case messenger.ChangeProposed:
 		return r.changeProposed(env, b)
--- a/internal/reducer/stream.go
+++ b/internal/reducer/stream.go
@@ -18,10 +18,20 @@
 	// streamReportDelay is the time for which a node collects streams that have begun before it
 	// reports them. Those that began later are lost with the node.
 	streamReportDelay = 100 * timekeeper.Millisecond
+	// savedReportDelay is the same while origins are saved in the log, to which the reports lead.
+	savedReportDelay = 50 * timekeeper.Millisecond
+	// originsReadTime is the time after its start from which a node takes it that those which
+	// read the log have done so.
+	originsReadTime = 2 * settleTime
 	// streamHolders is the number of nodes of a large cluster that receive a report as soon as a
 	// stream has begun. They are drawn for each of streamShards groups of streams.
 	streamHolders = 2
 	streamShards  = 64
+	// savePurpose is the purpose for which the node that saves the origins of streams is ranked.
+	savePurpose = "stream_origins"
+	// versionsInterval is the time between two checks which services have several versions. New
+	// versions get requests only after a multiple of it.
+	versionsInterval = 500 * timekeeper.Millisecond
 	// streamPurposePrefix is the prefix of the purposes for which these nodes are ranked.
 	streamPurposePrefix = "streams/"
 )
@@ -48,7 +58,11 @@
 func (r *Reducer) reportStreams(env *conductor.Env) []messenger.Effect {
 	var out []messenger.Effect
 	reports := map[identifier.VMID]int{}
-	for _, group := range r.gateway.origins.Fresh(env.Now, streamReportDelay) {
+	delay := streamReportDelay
+	if r.gateway.origins.Saves() {
+		delay = savedReportDelay
+	}
+	for _, group := range r.gateway.origins.Fresh(env.Now, delay) {
 		for _, stream := range group.Streams {
 			for _, p := range r.streamHolders(stream) {
 				i, known := reports[p.VM]
@@ -82,13 +96,15 @@
 
 // originPeers returns the addresses of the peers that may know the origin of a stream, and the
 // time after which they know those of other nodes: the holders of the stream and, in a large
-// cluster, the relays, which receive the state updates of all nodes.
+// cluster, the nodes that read the log when they start, and the relays, which receive the state
+// updates of all nodes.
 func (r *Reducer) originPeers(stream identifier.StreamKey) ([]string, timekeeper.Duration) {
 	peers := peerSet{self: r.config.Self}
 	peers.add(r.streamHolders(stream)...)
 	delay := timekeeper.Duration(0)
 	if len(r.ranking.Peers()) > maxDirectPeers {
 		delay = updateInterval
+		peers.add(r.ranking.First(string(leaderLease), leaderNodes)...)
 		peers.add(r.relays(r.config.Zone)...)
 		for _, zone := range r.ranking.OtherZones() {
 			peers.add(r.relays(zone)...)
@@ -100,3 +116,75 @@
 	}
 	return out, delay
 }
+
+// saveStreams saves the origins of the streams of all nodes in the log, while their services have
+// several versions, if this node is the one that does so. If two nodes do so for a while, they save the same.
+func (r *Reducer) saveStreams(env *conductor.Env) []messenger.Effect {
+	g := r.gateway
+	if !env.Now.Before(g.nextVersions) {
+		g.nextVersions = env.Now.Add(versionsInterval)
+		g.origins.SaveServices(g.servers.MixedServices())
+	}
+	if !r.savesStreams() {
+		g.origins.Relinquish(env.Now)
+		return nil
+	}
+	data, due, err := g.origins.RecordDue(env.Now)
+	switch {
+	case err != nil:
+		return []messenger.Effect{r.originsUnreadable(err)}
+	case !due:
+		return nil
+	}
+	return []messenger.Effect{
+		messenger.AppendRecord{
+			Stream: resumer.Stream,
+			Data:   data,
+		},
+	}
+}
+
+// savesStreams reports whether this node saves the origins of all streams: the first of those that
+// receive the reports of all nodes, which are the relays in a large cluster.
+func (r *Reducer) savesStreams() bool {
+	if !r.gateway.settled {
+		return false
+	}
+	if len(r.ranking.Peers()) <= maxDirectPeers {
+		return r.ranking.Chosen(savePurpose, 1)
+	}
+	if !r.isRelay() {
+		return false
+	}
+	first := r.config.Self
+	for _, zone := range append(r.ranking.OtherZones(), r.config.Zone) {
+		for _, relay := range r.relays(zone) {
+			first = min(first, relay.VM)
+		}
+	}
+	return first == r.config.Self
+}
+
+// originsRead applies the origins of streams that began before this node started.
+func (r *Reducer) originsRead(env *conductor.Env, e messenger.LogRead) []messenger.Effect {
+	g := r.gateway
+	g.originsRead = g.originsRead || e.End
+	if err := g.origins.ApplyRecords(env.Now, e.Records); err != nil {
+		return []messenger.Effect{r.originsUnreadable(err)}
+	}
+	return nil
+}
+
+func (r *Reducer) originsUnreadable(err error) messenger.Effect {
+	return messenger.TimelineEntry{
+		Kind:   "stream_origins_unreadable",
+		VM:     r.config.Self,
+		Detail: err.Error(),
+	}
+}
+
+func (r *Reducer) originsAppended(e messenger.AppendEnded) {
+	if e.Stream == resumer.Stream && r.gateway != nil {
+		r.gateway.origins.RecordEnded(e.OK)
+	}
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -571,6 +571,23 @@
 	return sole.Version, true
 }
 
+// MixedServices returns the services that have servers of several versions, or had some within
+// RemovedRetention.
+func (t *Table) MixedServices() map[identifier.ServiceName]bool {
+	first := map[identifier.ServiceName]identifier.Version{}
+	mixed := map[identifier.ServiceName]bool{}
+	for _, s := range t.servers {
+		version, known := first[s.Service]
+		switch {
+		case !known:
+			first[s.Service] = s.Version
+		case version != s.Version:
+			mixed[s.Service] = true
+		}
+	}
+	return mixed
+}
+
 // Server returns a server, including removed ones.
 func (t *Table) Server(id identifier.VMID) (*Server, bool) {
 	s, ok := t.servers[id]
--- a/internal/resumer/resumer.go
+++ b/internal/resumer/resumer.go
@@ -5,7 +5,8 @@
 // The node at which a stream begins records its origin and reports it to peers, which may be
 // asked for it after that node has ended. A stream has one origin, which never changes:
 // reports can be merged in any order and any number of times. An origin that no node knows is
-// not guessed.
+// not guessed. While a service has several versions, one node saves the origins in the platform's
+// log, where they outlive the loss of all nodes; see save.go.
 //
 // All functions are deterministic: time is passed in. Nothing is safe for concurrent use.
 package resumer
@@ -49,6 +50,7 @@
 	relayed []entry
 	// fresh are the streams that began at this node since the last call of Fresh.
 	fresh []entry
+	saver saver
 }
 
 // recordedOrigin is the origin of a recorded stream, as an index of origins.
@@ -114,6 +116,7 @@
 		}
 		t.found = append(t.found, began)
 		t.fresh = append(t.fresh, began)
+		t.save(began, o.Service)
 	}
 }
 
@@ -133,11 +136,16 @@
 func (t *Table) Merge(now timekeeper.Time, reports []messenger.BegunStreams, passOn bool) {
 	for _, report := range reports {
 		for _, stream := range report.Streams {
-			if t.record(now, stream, report.Origin) && passOn {
-				t.relayed = append(t.relayed, entry{
-					stream: stream,
-					at:     now,
-				})
+			if !t.record(now, stream, report.Origin) {
+				continue
+			}
+			received := entry{
+				stream: stream,
+				at:     now,
+			}
+			t.save(received, report.Origin.Service)
+			if passOn {
+				t.relayed = append(t.relayed, received)
 			}
 		}
 	}
