Let no nodes depend on the same few readers of the configuration

Callers got answers by an old configuration up to 3.7 s after the acknowledgement of a new one, bound 2 s (CONFIG): four nodes chosen by membership read it for all, stayed chosen while they were cut off from the store, and the others read themselves only 4 s later.

Each node of a small cluster waits at the store itself now; in a large one the readers are drawn anew, four of sixteen each half second, and relays pass a new configuration on at once. Ruled out: reports of failing reads, since a call that hangs fails later than the bound; ages, since those of relays are older than it.

TestConfigurationIsInForceWithoutItsReaders failed at 12, 69 and 300 nodes before.

--- a/internal/prover/resume_test.go
+++ b/internal/prover/resume_test.go
@@ -50,7 +50,7 @@
 	breakShare float64
 	// delay is the time after which callers take streams up, or zero for resumeDelay.
 	delay    timekeeper.Duration
-	versions   map[identifier.VMID]identifier.Version
+	versions map[identifier.VMID]identifier.Version
 }
 
 // callerStream is a stream as its caller sees it.
--- a/internal/reducer/following.go
+++ b/internal/reducer/following.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"fmt"
 	"math"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/accountant"
@@ -37,6 +38,14 @@
 	// listers is the number of nodes of a large cluster that read the list of nodes
 	// repeatedly. Each part of a split cluster has as many of its own.
 	listers = 16
+	// In a large cluster, configReaderGroups groups of configReadersPerGroup nodes wait for a new
+	// configuration. Each group is drawn anew after configReaderPeriod, one of them each half
+	// second: if all of them are cut off, another group finds a new configuration a second before it has to
+	// be in force. configReaderDraws is the number of draws after which they are repeated.
+	configReaderGroups    = 4
+	configReadersPerGroup = 4
+	configReaderPeriod    = 2 * timekeeper.Second
+	configReaderDraws     = 32
 )
 
 // streams returns the log streams that the node follows. A node that may hold the lease
@@ -109,7 +118,7 @@
 	const purpose = "published_configuration"
 	g := r.gateway
 	switch {
-	case g.settled && r.ranking.Chosen(purpose, configReaders):
+	case g.settled && r.isConfigReader(now, purpose):
 		return true
 	case g.configRead.asOf != 0:
 		return r.readsStale(now, purpose, readersAtOnce, now.Sub(g.configRead.asOf)-maxConfigAge)
@@ -117,6 +126,25 @@
 	return r.readsAtStart(now, purpose)
 }
 
+// isConfigReader reports whether this node waits at the store for a new configuration: each node of a
+// small cluster, and in a large one groups of nodes that change, one group after the other. A node
+// that is cut off from the store can't be told from one that has nothing new, so that no others may
+// depend on the same few nodes for long.
+func (r *Reducer) isConfigReader(now timekeeper.Time, purpose string) bool {
+	if len(r.ranking.Peers()) <= maxDirectPeers {
+		return true
+	}
+	for group := range configReaderGroups {
+		start := now.Add(timekeeper.Duration(group) * configReaderPeriod / configReaderGroups)
+		period := int64(start) / int64(configReaderPeriod) % configReaderDraws
+		drawn := fmt.Sprintf("%s/%d/%d", purpose, group, period)
+		if r.ranking.Chosen(drawn, configReadersPerGroup) {
+			return true
+		}
+	}
+	return false
+}
+
 // readsStale reports whether a node reads records itself because its data is too old since
 // the time overdue. In large clusters the relays do, but only some of the nodes that
 // receive from one: if the store is unavailable, all would read at once when it returns.
--- a/internal/reducer/following_test.go
+++ b/internal/reducer/following_test.go
@@ -9,8 +9,8 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/leaser"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
-	"github.com/dotterelhollow/dotterelhollow/internal/resumer"
 	"github.com/dotterelhollow/dotterelhollow/internal/ranker"
+	"github.com/dotterelhollow/dotterelhollow/internal/resumer"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -63,10 +63,9 @@
 	// minSettleTime is the minimum settle time: when all nodes start for the first
 	// time, the list read by the first of them is almost empty.
 	minSettleTime = 700 * timekeeper.Millisecond
-	// serverReaders and configReaders are the numbers of nodes that read the store
-	// while their peers receive the records from them. Each read is a paid call.
+	// serverReaders is the number of nodes that read the servers from the store while their
+	// peers receive the records from them. Each read is a paid call.
 	serverReaders = 2
-	configReaders = 4
 	// maxServersAge and maxConfigAge are the ages of received records from which a node
 	// reads the store itself. Leaving servers must get no requests from 2 s after their
 	// notice, and a configuration must be in force within 2 s.
@@ -489,6 +488,9 @@
 	if e.FromStore {
 		out = append(out, r.sendUpdates(env)...)
 	}
+	// Relays pass it on at once too.
+	g.nextRelay = env.Now
+	g.relayPending = true
 	return out
 }
 
