--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -216,6 +216,7 @@
 		"result", e.result,
 		"server_ended", e.serverEnded,
 		"reason", e.reason,
+		"closed", e.closed,
 		"last_event", x.lastEvent,
 		"revision", x.inputs.Revision,
 		"servers_age_ms", int64(x.inputs.ServersAge),
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -32,6 +32,8 @@
 	// answered reports that the server has answered the request, so that the connection may
 	// serve others.
 	answered bool
+	// closed reports that the attempt's connection was closed, so that the server drops the request.
+	closed bool
 	// stale reports that nothing was attempted, because the decision took too long.
 	stale bool
 	// takeover is the attempt that replaces this one, if that was decided.
@@ -53,7 +55,8 @@
 	defer timer.release()
 	end := x.tryServer(ctx, s, timer)
 	if end.result != messenger.AttemptComplete && !end.answered {
-		x.connection.close()
+		end.closed = x.connection.close()
+		x.forwarder.config.Metrics.connectionClosed(end)
 	}
 	if end.done {
 		return end
--- a/internal/forwarder/connect.go
+++ b/internal/forwarder/connect.go
@@ -81,13 +81,15 @@
 
 // close closes the connection on which the request was sent, so that the server drops the request.
 // The transport may already keep the connection for other requests: it does so before it returns
-// an answer without a body.
-func (c *connection) close() {
+// an answer without a body. It returns false if there is no connection.
+func (c *connection) close() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conn != nil {
-		_ = c.conn.Close()
+	if c.conn == nil {
+		return false
 	}
+	_ = c.conn.Close()
+	return true
 }
 
 // via returns the node through which the request was sent, or empty.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -278,6 +278,13 @@
 // startRawServer starts a server that calls answer on the connection after it has read
 // a request, and returns its address.
 func startRawServer(t *testing.T, answer func(net.Conn)) string {
+	t.Helper()
+	return startHeadServer(t, func(c net.Conn, _ *bufio.Reader) { answer(c) })
+}
+
+// startHeadServer starts a server that calls answer with the connection and the rest of its bytes
+// after it has read the head of a request, and returns its address.
+func startHeadServer(t *testing.T, answer func(net.Conn, *bufio.Reader)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -290,8 +297,9 @@
 			}
 			go func() {
 				defer func() { _ = c.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					answer(c)
+				in := bufio.NewReader(c)
+				if _, err := http.ReadRequest(in); err == nil {
+					answer(c, in)
 				}
 			}()
 		}
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"encoding/json"
 	"expvar"
 	"strconv"
@@ -50,6 +51,8 @@
 	takeovers expvar.Int
 	// serverChecks counts the checks of silent servers, by what these were found to do.
 	serverChecks expvar.Map
+	// closedConnections counts the connections that were closed with attempts, by the result of these.
+	closedConnections expvar.Map
 	// panics counts the exchanges that ended with a panic.
 	panics expvar.Int
 	// lateDecisions counts the decisions that took too long to be used.
@@ -71,6 +74,7 @@
 	m.statuses.Init()
 	m.tunnels.Init()
 	m.serverChecks.Init()
+	m.closedConnections.Init()
 	m.admissionRefusals.Init()
 	m.admissionWaits.init()
 	m.shares.Init()
@@ -91,6 +95,7 @@
 	m.vars.Set("stalls", &m.stalls)
 	m.vars.Set("takeovers", &m.takeovers)
 	m.vars.Set("server_checks", &m.serverChecks)
+	m.vars.Set("closed_connections", &m.closedConnections)
 	m.vars.Set("panics", &m.panics)
 	m.vars.Set("late_decisions", &m.lateDecisions)
 	m.vars.Set("admission_refusals", &m.admissionRefusals)
@@ -136,6 +141,13 @@
 
 func (m *Metrics) serverChecked(a messenger.ServerActivity) { m.serverChecks.Add(string(a), 1) }
 
+// connectionClosed counts the connection of an attempt that was given up, if it had one.
+func (m *Metrics) connectionClosed(e attemptEnd) {
+	if e.closed {
+		m.closedConnections.Add(cmp.Or(string(e.result), "caller_left"), 1)
+	}
+}
+
 func (m *Metrics) panicked() { m.panics.Add(1) }
 
 func (m *Metrics) decidedLate() { m.lateDecisions.Add(1) }
