Tell callers that take up streams beyond a limit to return one after the other

After the loss of all nodes the callers of an account return together, and its limit starts with a part of its burst.

Each node counts the tokens of the streams that it refused and tells the next caller to return after them.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -14,6 +14,7 @@
 //   - receive.go admits or refuses a request.
 //   - admission.go refuses requests that no server can answer in time.
 //   - limit.go counts it against its account's limit.
+//   - returning.go spreads the callers that take up streams beyond a limit.
 //   - hold.go applies the allocator's last refusal of an account to its next requests.
 //   - fairness.go divides services that are short of capacity between accounts.
 //   - choose.go chooses the server.
@@ -119,6 +120,8 @@
 	// know what live nodes report.
 	Origins     *resumer.Table
 	OriginPeers func(identifier.StreamKey) ([]string, timekeeper.Duration)
+	// Nodes is the number of nodes, this one included.
+	Nodes int
 	// OriginsRead reports that an origin which no peer knows is not in the log either.
 	OriginsRead bool
 	// Versions tracks the rollouts of services. OrdersAsOf is the time up to which this
@@ -168,6 +171,8 @@
 	slots    slots
 	// limitHolds are the accounts that the allocator refused.
 	limitHolds map[identifier.AccountID]limitHold
+	// returning are the tokens of streams that were refused and will be taken up again.
+	returning map[identifier.AccountID]returningTokens
 	fairness   *fairness
 	// originQueries is the number of exchanges that wait for the origin of their stream.
 	originQueries int
@@ -298,6 +303,7 @@
 		fairness:     newFairness(c.FairShares),
 		slots:        newSlots(),
 		limitHolds:   map[identifier.AccountID]limitHold{},
+		returning:    map[identifier.AccountID]returningTokens{},
 		unresponsive: unresponsiveServers{},
 		refuseAfter:  timekeeper.Never,
 		moves:        mover.NewTable(),
--- a/internal/dispatcher/limit.go
+++ b/internal/dispatcher/limit.go
@@ -130,6 +130,9 @@
 }
 
 func (d *Dispatcher) refuseOverLimit(env Env, x *exchange, retryAfter timekeeper.Duration) messenger.Effect {
+	if x.resumes() {
+		retryAfter = d.placeInQueue(env, x, retryAfter)
+	}
 	return d.refuse(env.forExchange(x), x.spec.Exchange, notRunRefusal(messenger.ReasonAccountLimit, jitter(env, retryAfter)))
 }
 
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -439,6 +439,7 @@
 		Paths:           g.paths,
 		Origins:         g.origins,
 		OriginPeers:     r.originPeers,
+		Nodes:           len(r.ranking.Peers()) + 1,
 		OriginsRead:     r.gateway.startedAt != 0 && env.Now.Sub(r.gateway.startedAt) >= originsReadTime,
 		PermitAllocator: func(server identifier.VMID) *dispatcher.Allocator { return r.permitAllocator(env, server) },
 		ConfigStale:     env.Now.Sub(g.configRead.asOf) > maxTrustedConfigAge,
