--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -173,7 +173,7 @@
 	limitHolds map[identifier.AccountID]limitHold
 	// returning are the tokens of streams that were refused and will be taken up again.
 	returning map[identifier.AccountID]returningTokens
-	fairness   *fairness
+	fairness  *fairness
 	// originQueries is the number of exchanges that wait for the origin of their stream.
 	originQueries int
 	// unresponsive are the requests that servers left unanswered.
