--- a/cmd/dotterelhollow/silence_test.go
+++ b/cmd/dotterelhollow/silence_test.go
@@ -15,6 +15,18 @@
 // silence is longer than the time after which a stream of the test's configuration has stalled.
 const silence = 2500 * time.Millisecond
 
+// awaitStreams waits until the engines run some streams, and some time longer.
+func (in *installation) awaitStreams(count int) {
+	require.Eventually(in.t, func() bool {
+		began := 0
+		for _, s := range in.engines {
+			began += len(s.Executions())
+		}
+		return began == count
+	}, waitTimeout, time.Millisecond)
+	<-time.After(100 * time.Millisecond)
+}
+
 // Guards against streams that are cut because all engines are silent for a moment beside a change.
 func TestSilenceOfAllEnginesCutsNoStream(t *testing.T) {
 	const streams = 40
@@ -41,14 +53,7 @@
 			results <- got
 		}()
 	}
-	require.Eventually(t, func() bool {
-		began := 0
-		for _, s := range in.engines {
-			began += len(s.Executions())
-		}
-		return began == streams
-	}, waitTimeout, time.Millisecond)
-	<-time.After(100 * time.Millisecond)
+	in.awaitStreams(streams)
 	for _, s := range in.engines {
 		s.FallSilent(silence)
 	}
@@ -100,14 +105,7 @@
 					results <- body
 				}()
 			}
-			require.Eventually(t, func() bool {
-				began := 0
-				for _, s := range in.engines {
-					began += len(s.Executions())
-				}
-				return began == streams
-			}, waitTimeout, time.Millisecond)
-			<-time.After(100 * time.Millisecond)
+			in.awaitStreams(streams)
 			for _, s := range in.engines[:2] {
 				s.Pause(silence)
 			}
