Check a server by the connection of its attempt

A check that outlives its attempt read the exchange's connection, which the next attempt sets. A test read what a late decision still writes; the race detector showed that once.

--- a/internal/dispatcher/returning.go
+++ b/internal/dispatcher/returning.go
@@ -1,8 +1,6 @@
 package dispatcher
 
-import (
-	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
-)
+import "github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 
 // maxReturnDelay bounds the time by which a refused caller is told to return later than at the
 // next grant, because others were refused before it.
--- a/internal/forwarder/check.go
+++ b/internal/forwarder/check.go
@@ -31,14 +31,16 @@
 // checkServer finds out whether the process of an attempt's server runs, on a connection of its own.
 // The VM of a paused process accepts the connection and the request as well, so that only an
 // answer counts.
-func (x *exchange) checkServer(ctx context.Context, s messenger.SendExchange) messenger.ServerActivity {
-	activity := x.activityOf(ctx, s)
-	x.forwarder.config.Metrics.serverChecked(activity)
+func (f *Forwarder) checkServer(ctx context.Context, s messenger.SendExchange, c *connection) messenger.ServerActivity {
+	activity := f.activityOf(ctx, s, c)
+	if ctx.Err() == nil {
+		f.config.Metrics.serverChecked(activity)
+	}
 	return activity
 }
 
-func (x *exchange) activityOf(ctx context.Context, s messenger.SendExchange) messenger.ServerActivity {
-	conn, err := x.dialServer(ctx, s)
+func (f *Forwarder) activityOf(ctx context.Context, s messenger.SendExchange, c *connection) messenger.ServerActivity {
+	conn, err := f.dialServer(ctx, s, c)
 	switch {
 	case dialer.Refused(err), resultOf(err) == messenger.ConnectRefused:
 		return messenger.ServerRefuses
@@ -53,7 +55,7 @@
 	}
 	request := &http.Request{
 		Method: http.MethodGet,
-		URL:    &url.URL{Path: x.forwarder.config.StatusPath},
+		URL:    &url.URL{Path: f.config.StatusPath},
 		Host:   s.Address,
 		Close:  true,
 	}
@@ -70,9 +72,9 @@
 
 // dialServer opens a connection to the server of an attempt, through a peer if the attempt uses
 // one.
-func (x *exchange) dialServer(ctx context.Context, s messenger.SendExchange) (net.Conn, error) {
-	transports := &x.forwarder.transports
-	if x.connection.via() == "" {
+func (f *Forwarder) dialServer(ctx context.Context, s messenger.SendExchange, c *connection) (net.Conn, error) {
+	transports := &f.transports
+	if c.via() == "" {
 		return dialer.RepeatTimedOut(func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, done := context.WithTimeout(ctx, directTimeout)
 			defer done()
@@ -98,7 +100,7 @@
 	}
 	began := x.forwarder.config.Clock.Now()
 	for ctx.Err() == nil && !timer.expired.Load() {
-		if activity := x.checkServer(ctx, s); ctx.Err() == nil && activity != messenger.ServerUnresponsive {
+		if activity := x.forwarder.checkServer(ctx, s, x.connection); ctx.Err() == nil && activity != messenger.ServerUnresponsive {
 			x.logRelease(s, activity, began)
 			return true
 		}
--- a/internal/forwarder/check_test.go
+++ b/internal/forwarder/check_test.go
@@ -88,6 +88,8 @@
 			s := newFakeDecider(test.address)
 			s.timeLimit = 600 * timekeeper.Millisecond
 			sendStream(t, s)
+			s.mu.Lock()
+			defer s.mu.Unlock()
 			require.NotEmpty(t, s.stalls)
 			require.Equal(t, test.want, s.stalls[0].Activity)
 		})
--- a/internal/forwarder/timer.go
+++ b/internal/forwarder/timer.go
@@ -67,7 +67,7 @@
 			if !x.mustCheck(s) {
 				return ""
 			}
-			return x.checkServer(attempt, s)
+			return x.forwarder.checkServer(attempt, s, c)
 		},
 	}
 	remaining := max(s.Deadline.Sub(t.clock.Now()), 0)
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -612,7 +612,6 @@
 	}
 	out = append(out, r.reportStreams(env)...)
 	out = append(out, r.saveStreams(env)...)
-
 	out = append(out, r.sendSums(env)...)
 	out = append(out, r.tickLeaderTasks(env)...)
 	out = append(out, r.tickRollouts(env)...)
