--- a/internal/dispatcher/returning.go
+++ b/internal/dispatcher/returning.go
@@ -2,8 +2,7 @@
 
 import "github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 
-// maxReturnDelay bounds the time by which a refused caller is told to return later than at the
-// next grant, because others were refused before it.
+// maxReturnDelay bounds the additional retry delay of a caller that was refused after others.
 const maxReturnDelay = 3 * timekeeper.Second
 
 // returningTokens are the tokens of streams that callers will take up again, since the account's
@@ -14,8 +13,8 @@
 }
 
 // placeInQueue returns the retry delay of a caller that takes up a stream beyond its account's limit.
-// Many streams break at once when nodes end, and their callers come back together: if all of them
-// were told the time of the next grant, all but one would use up a try in vain.
+// Many streams break at once when nodes end, and their callers return together: with the same
+// delay, all but one would use up a retry in vain.
 func (d *Dispatcher) placeInQueue(env Env, x *exchange, nextGrant timekeeper.Duration) timekeeper.Duration {
 	spec := env.Catalog.Accounts[x.account]
 	rate := spec.TokensPerSecond / float64(max(env.Nodes, 1))
--- a/internal/reducer/following.go
+++ b/internal/reducer/following.go
@@ -39,9 +39,9 @@
 	// repeatedly. Each part of a split cluster has as many of its own.
 	listers = 16
 	// In a large cluster, configReaderGroups groups of configReadersPerGroup nodes wait for a new
-	// configuration. Each group is drawn anew after configReaderPeriod, one of them each half
-	// second: if all of them are cut off, another group finds a new configuration a second before it has to
-	// be in force. configReaderDraws is the number of draws after which they are repeated.
+	// configuration. Each group is replaced after configReaderPeriod, one of them each half second,
+	// so that a new configuration is found in time if all of them are cut off. The draws repeat
+	// after configReaderDraws periods.
 	configReaderGroups    = 4
 	configReadersPerGroup = 4
 	configReaderPeriod    = 2 * timekeeper.Second
--- a/internal/reducer/stream.go
+++ b/internal/reducer/stream.go
@@ -18,10 +18,10 @@
 	// streamReportDelay is the time for which a node collects streams that have begun before it
 	// reports them. Those that began later are lost with the node.
 	streamReportDelay = 100 * timekeeper.Millisecond
-	// savedReportDelay is the same while origins are saved in the log, to which the reports lead.
+	// savedReportDelay replaces it while origins are saved in the log.
 	savedReportDelay = 50 * timekeeper.Millisecond
-	// originsReadTime is the time after its start from which a node takes it that those which
-	// read the log have done so.
+	// originsReadTime is the time after its start by which the nodes that read the origins from
+	// the log have done so.
 	originsReadTime = 2 * settleTime
 	// streamHolders is the number of nodes of a large cluster that receive a report as soon as a
 	// stream has begun. They are drawn for each of streamShards groups of streams.
@@ -118,7 +118,8 @@
 }
 
 // saveStreams saves the origins of the streams of all nodes in the log, while their services have
-// several versions, if this node is the one that does so. If two nodes do so for a while, they save the same.
+// several versions, if this node is the one that does so. Two nodes may do so for a while: they save
+// the same.
 func (r *Reducer) saveStreams(env *conductor.Env) []messenger.Effect {
 	g := r.gateway
 	if !env.Now.Before(g.nextVersions) {
--- a/internal/resumer/save.go
+++ b/internal/resumer/save.go
@@ -18,8 +18,8 @@
 	saveInterval = 100 * timekeeper.Millisecond
 	// maxSaveTime is the time after which a record without a result counts as lost.
 	maxSaveTime = 5 * timekeeper.Second
-	// takeoverWindow is the time for which a node that saves nothing keeps streams in case that
-	// the one that saves them ends.
+	// takeoverWindow is the time for which the other nodes keep unsaved streams, in case the one
+	// that saves them ends.
 	takeoverWindow = 5 * timekeeper.Second
 )
 
@@ -122,7 +122,7 @@
 	s.appending = nil
 }
 
-// Relinquish drops the streams that the node which saves those of all nodes has had the time to save.
+// Relinquish drops the streams that another node has had the time to save.
 func (t *Table) Relinquish(now timekeeper.Time) { t.saver.dropBefore(now.Add(-takeoverWindow)) }
 
 // dropBefore drops the streams that were recorded before a time.
