Tell callers of unknown streams to return late only if all peers have answered

A caller whose stream no peer named was told to return after its route's timeout, also where a peer had not answered: a node that is cut off from its peers would have kept it from others that know the stream. TestUnknownStreamReturnsWhenPeersMayKnowIt fails without the distinction.

--- a/internal/dispatcher/origin.go
+++ b/internal/dispatcher/origin.go
@@ -68,7 +68,7 @@
 	}
 	env = env.forExchange(x)
 	switch {
-	case !e.Known && env.OriginsRead:
+	case !e.Known && !e.Unanswered && env.OriginsRead:
 		// It can go on only when its service has had a single version for as long as streams last.
 		return d.refuse(env, x.spec.Exchange, notRunRefusal(messenger.ReasonUnknownStream, x.route.Timeout))
 	case !e.Known, e.Sole && !env.isSoleVersion(e.Origin):
--- a/internal/dispatcher/version_test.go
+++ b/internal/dispatcher/version_test.go
@@ -245,3 +245,44 @@
 	require.NotEqual(t, first.Server, second.Server)
 	require.Empty(t, second.CopyFrom)
 }
+
+// Guards against callers that return in vain, or too late, for a stream that no peer could name.
+func TestUnknownStreamReturnsWhenPeersMayKnowIt(t *testing.T) {
+	tests := []struct {
+		name       string
+		read       bool
+		unanswered bool
+		late       bool
+	}{
+		{
+			name: "the log has been read and all peers have answered",
+			read: true,
+			late: true,
+		},
+		{
+			name:       "a peer has not answered",
+			read:       true,
+			unanswered: true,
+		},
+		{
+			name: "the log has not been read yet",
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			n := newNode(0)
+			n.publishVersion("v1", 3)
+			n.publishVersion("v2", 3)
+			n.env.OriginPeers = func(identifier.StreamKey) ([]string, timekeeper.Duration) { return []string{"entry-2:7000"}, 0 }
+			n.env.OriginsRead = test.read
+			asked, ok := n.Receive(n.env, n.resumption("r-1")).(messenger.LocateStream)
+			require.True(t, ok)
+			got := refusal(t, n.StreamLocated(n.env, messenger.StreamLocated{
+				Exchange:   asked.Exchange,
+				Unanswered: test.unanswered,
+			}))
+			require.Equal(t, messenger.ReasonUnknownStream, got.Reason)
+			require.Equal(t, test.late, got.RetryAfter >= timekeeper.Second)
+		})
+	}
+}
--- a/internal/messenger/stream.go
+++ b/internal/messenger/stream.go
@@ -48,6 +48,8 @@
 		Known    bool
 		Sole     bool
 		Origin   StreamOrigin
+		// Unanswered reports that a peer did not answer, which may know the origin.
+		Unanswered bool
 	}
 	// StreamRequested reports that a peer asks this node for the origin of a stream.
 	StreamRequested struct {
--- a/internal/runner/stream.go
+++ b/internal/runner/stream.go
@@ -35,17 +35,23 @@
 		go func() {
 			answer, err := r.config.Peers.Stream(ctx, address, e.Query)
 			answer.Known = answer.Known && err == nil
+			answer.Unanswered = err != nil
 			answers <- answer
 		}()
 	}
-	var known messenger.StreamLocated
+	var located messenger.StreamLocated
 	for range e.Addresses {
-		if answer := <-answers; answer.Known && !known.Known {
-			known = answer
+		answer := <-answers
+		switch {
+		case located.Known:
+		case answer.Known:
+			located = answer
 			done()
+		default:
+			located.Unanswered = located.Unanswered || answer.Unanswered
 		}
 	}
-	return known
+	return located
 }
 
 // reportStreams reports streams that have just begun. The next state updates contain them too.
