--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -489,9 +489,7 @@
 	if e.FromStore {
 		out = append(out, r.sendUpdates(env)...)
 	}
-	// Relays pass it on at once too.
-	g.nextRelay = env.Now
-	g.relayPending = true
+	g.relayAtOnce(env.Now)
 	return out
 }
 
@@ -543,8 +541,7 @@
 // applyChangedServers updates what is known of changed servers, and records the changes in
 // the time line.
 func (r *Reducer) applyChangedServers(env *conductor.Env, changed []messenger.PublishedServer, direct bool) []messenger.Effect {
-	r.gateway.nextRelay = env.Now
-	r.gateway.relayPending = true
+	r.gateway.relayAtOnce(env.Now)
 	r.gateway.cachedEntries = nil
 	var out []messenger.Effect
 	for _, s := range changed {
--- a/internal/reducer/relay.go
+++ b/internal/reducer/relay.go
@@ -122,6 +122,13 @@
 	return out
 }
 
+// relayAtOnce makes this node pass on what it knows at the next tick if it is a relay, whether or not
+// it is its turn.
+func (g *gateway) relayAtOnce(now timekeeper.Time) {
+	g.nextRelay = now
+	g.relayPending = true
+}
+
 // receivesWholeZone reports whether all nodes of this zone report to this relay. A node
 // reports to its relays in every round, and rarely to other nodes.
 func (r *Reducer) receivesWholeZone(now timekeeper.Time) bool {
--- a/internal/reducer/rollout.go
+++ b/internal/reducer/rollout.go
@@ -62,8 +62,7 @@
 	for _, c := range changes {
 		out = append(out, r.rolloutEntry(c))
 	}
-	r.gateway.nextRelay = env.Now
-	r.gateway.relayPending = true
+	r.gateway.relayAtOnce(env.Now)
 	return append(out, r.sendUpdates(env)...)
 }
 
