Draw the readers of the configuration from nodes of any capacity

Callers may get answers by an old configuration for 2 s and longer in a large cluster with a few nodes of high capacity (CONFIG): the readers were drawn anew each half second, but only from these. With 8 of them among 69 nodes, each draw took the same 8, and all nodes depended on them as before.

The ranking by capacity is there for the traffic of relays and of the allocator; a read of the configuration is small.

Ruled out: the entries of servers have two readers by capacity too, but are read by all when they are 1.1 s old.

--- a/internal/prover/exchange_cluster_test.go
+++ b/internal/prover/exchange_cluster_test.go
@@ -165,6 +165,9 @@
 	nodesListed bool
 	// moves makes nodes move running streams.
 	moves bool
+	// strong is the number of nodes whose capacity is many times that of the others. If it is
+	// zero, all have the same.
+	strong int
 }
 
 func newExchangeCluster(t testing.TB, seed uint64) *exchangeCluster {
@@ -218,6 +221,17 @@
 func exchangeServer(i int) identifier.VMID { return identifier.VMID(fmt.Sprintf("i-%d", i)) }
 func exchangeNode(i int) identifier.VMID   { return identifier.VMID(fmt.Sprintf("entry-%d", i)) }
 
+// capacity returns the capacity of a node.
+func (cl *exchangeCluster) capacity(vm identifier.VMID) uint32 {
+	const strong, weak = 800, 40
+	for i := range cl.size.strong {
+		if vm == exchangeNode(i) {
+			return strong
+		}
+	}
+	return weak
+}
+
 func (cl *exchangeCluster) at(after timekeeper.Duration, do func()) {
 	cl.seq++
 	heap.Push(&cl.queue, task{
@@ -371,6 +385,7 @@
 			Region:        "new-england",
 			PeerAddress:   string(vm),
 			CallerAddress: string(vm),
+			Capacity:      cl.capacity(vm),
 			Seed:          uint64(incarnation) + uint64(len(vm)),
 			Seeds:         seeds,
 			LogRetention:  20 * timekeeper.Second,
--- a/internal/prover/reader_test.go
+++ b/internal/prover/reader_test.go
@@ -6,45 +6,85 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/reducer"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
 // maxCutShare is the share of the nodes that may be cut off from the store at once.
 const maxCutShare = 0.35
 
-// cutReaders cuts the nodes that now wait for a configuration off from the store, up to maxCutShare
-// of all.
-func (cl *exchangeCluster) cutReaders() {
+// cutFollowers cuts the nodes of high capacity, and those that now read records, off from the store,
+// up to maxCutShare of all.
+func (cl *exchangeCluster) cutFollowers(reads func(reducer.Following) bool) {
 	left := int(maxCutShare * float64(cl.size.nodes))
 	for i := range cl.size.nodes {
 		n := cl.nodes[exchangeNode(i)]
-		if left > 0 && n.r.Following(cl.now).Configuration {
+		if left > 0 && (i < cl.size.strong || reads(n.r.Following(cl.now))) {
 			n.cutFromStore = true
 			left--
 		}
 	}
 }
 
+// readerClusters are the clusters in which the readers of records are cut off from the store.
+func readerClusters() []clusterSize {
+	var sizes []clusterSize
+	for _, size := range []struct{ nodes, strong int }{
+		{
+			nodes: 6,
+		},
+		{
+			nodes: 12,
+		},
+		{
+			nodes: 69,
+		},
+		{
+			nodes: 300,
+		},
+		{
+			nodes:  69,
+			strong: 8,
+		},
+		{
+			nodes:  300,
+			strong: 18,
+		},
+	} {
+		if cellStride > 1 && size.nodes > 12 {
+			continue
+		}
+		sizes = append(sizes, clusterSize{
+			nodes:           size.nodes,
+			strong:          size.strong,
+			servers:         6,
+			requestInterval: exchangeInterval,
+			tokensPerSecond: 1e6,
+			nodesListed:     true,
+		})
+	}
+	return sizes
+}
+
+// String names a cluster in the results of tests.
+func (s clusterSize) String() string {
+	if s.strong == 0 {
+		return fmt.Sprintf("%d nodes", s.nodes)
+	}
+	return fmt.Sprintf("%d nodes, %d strong", s.nodes, s.strong)
+}
+
 // Guards against nodes that miss a configuration since those that read it for them are cut off.
 func TestConfigurationIsInForceWithoutItsReaders(t *testing.T) {
-	sizes := []int{6, 12, 69, 300}
-	if cellStride > 1 {
-		sizes = sizes[:2]
-	}
-	for _, nodes := range sizes {
-		t.Run(fmt.Sprintf("%d nodes", nodes), func(t *testing.T) {
-			cl := newSizedCluster(t, 1, clusterSize{
-				nodes:           nodes,
-				servers:         6,
-				requestInterval: exchangeInterval,
-				tokensPerSecond: 1e6,
-				nodesListed:     true,
-			})
+	for _, size := range readerClusters() {
+		t.Run(size.String(), func(t *testing.T) {
+			cl := newSizedCluster(t, 1, size)
 			cut := exchangeStart
 			for round := range 4 {
 				at := timekeeper.Duration(7000 + 4100*round)
 				cl.at(at, func() {
-					cl.cutReaders()
+					cl.cutFollowers(func(f reducer.Following) bool { return f.Configuration })
 					cut = cl.now
 				})
 				cl.at(at+200, func() { cl.publish(cl.catalogs[len(cl.catalogs)-1].Revision + 1) })
@@ -63,3 +103,30 @@
 		})
 	}
 }
+
+// Guards against requests to a leaving server since the nodes that read its entry are cut off.
+func TestLeavingServerIsKnownWithoutItsReaders(t *testing.T) {
+	for _, size := range readerClusters() {
+		t.Run(size.String(), func(t *testing.T) {
+			size.requestInterval = 2
+			cl := newSizedCluster(t, 1, size)
+			cl.overlapping = true
+			cl.at(0, cl.recordDisturbances)
+			for round := range 4 {
+				// The rounds begin in different phases of the reads.
+				at := timekeeper.Duration(7000 + 4130*round)
+				cl.at(at, func() {
+					cl.cutFollowers(func(f reducer.Following) bool { return f.Servers })
+				})
+				cl.at(at+100, func() { cl.writeEntry(exchangeServer(round), messenger.ServerLeaving) })
+				cl.at(at+3000, func() {
+					for _, n := range cl.nodes {
+						n.cutFromStore = false
+					}
+				})
+			}
+			cl.run()
+			require.Empty(t, cl.violations)
+		})
+	}
+}
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -54,6 +54,8 @@
 	purpose string
 	zone    identifier.Zone
 	n       int
+	// anyCapacity makes nodes count alike, whatever their capacity.
+	anyCapacity bool
 }
 
 // New returns a Ranking of the current members.
@@ -133,6 +135,16 @@
 	return Contains(r.First(purpose, n), r.config.Self)
 }
 
+// Drawn reports whether this node is one of n that are drawn for a purpose whatever their
+// capacity. Draws for many purposes reach all nodes, also where few have a large capacity.
+func (r *Ranking) Drawn(purpose string, n int) bool {
+	return Contains(r.nodesFor(selection{
+		purpose:     purpose,
+		n:           n,
+		anyCapacity: true,
+	}), r.config.Self)
+}
+
 func (r *Ranking) nodesFor(key selection) []gossiper.Node {
 	r.refresh()
 	ranked, known := r.selections[key]
@@ -148,7 +160,11 @@
 			}
 		}
 	}
-	ranked = Rank(key.purpose, eligible, key.n)
+	if key.anyCapacity {
+		ranked = firstOf(placer.Candidates(identifier.RequestID(key.purpose), eligible), key.n)
+	} else {
+		ranked = Rank(key.purpose, eligible, key.n)
+	}
 	r.selections[key] = ranked
 	return ranked
 }
@@ -176,6 +192,10 @@
 	if len(ranked) < n {
 		ranked = slices.Concat(ranked, placer.Candidates(identifier.RequestID(purpose), weak))
 	}
+	return firstOf(ranked, n)
+}
+
+func firstOf(ranked []gossiper.Node, n int) []gossiper.Node {
 	return slices.Clip(ranked[:min(n, len(ranked))])
 }
 
--- a/internal/ranker/ranker_test.go
+++ b/internal/ranker/ranker_test.go
@@ -55,6 +55,35 @@
 	// Output: 2 false
 }
 
+// Guards against draws that reach only the few nodes with a large capacity.
+func TestDrawsReachAllNodes(t *testing.T) {
+	const nodes, draws = 20, 200
+	m := &members{}
+	var all []gossiper.Node
+	for i := range nodes {
+		capacity := weak
+		if i < 2 {
+			capacity = strong
+		}
+		all = append(all, node(i, capacity))
+	}
+	m.set(all)
+	for _, n := range all {
+		r := ranker.New(ranker.Config{
+			Self:    n.VM,
+			Zone:    n.Zone,
+			Members: m,
+		})
+		drawn := 0
+		for i := range draws {
+			if r.Drawn(fmt.Sprintf("purpose/%d", i), 2) {
+				drawn++
+			}
+		}
+		require.InDelta(t, draws*2/nodes, drawn, draws/nodes, n.VM)
+	}
+}
+
 // Nodes with a large capacity must be selected first, in different zones if possible,
 // and others only if there are too few of them.
 func TestStrongNodesComeFirst(t *testing.T) {
--- a/internal/reducer/following.go
+++ b/internal/reducer/following.go
@@ -129,7 +129,7 @@
 // isConfigReader reports whether this node waits at the store for a new configuration: each node of a
 // small cluster, and in a large one groups of nodes that change, one group after the other. A node
 // that is cut off from the store can't be told from one that has nothing new, so that no others may
-// depend on the same few nodes for long.
+// depend on the same few nodes for long, nor on the nodes of high capacity, which may be few.
 func (r *Reducer) isConfigReader(now timekeeper.Time, purpose string) bool {
 	if len(r.ranking.Peers()) <= maxDirectPeers {
 		return true
@@ -138,7 +138,7 @@
 		start := now.Add(timekeeper.Duration(group) * configReaderPeriod / configReaderGroups)
 		period := int64(start) / int64(configReaderPeriod) % configReaderDraws
 		drawn := fmt.Sprintf("%s/%d/%d", purpose, group, period)
-		if r.ranking.Chosen(drawn, configReadersPerGroup) {
+		if r.ranking.Drawn(drawn, configReadersPerGroup) {
 			return true
 		}
 	}
