Read the configuration from the store while the relays are silent

A node that is no reader learned of a change through the relays of its zone only, and read the store itself when what it knew was 4 s old; the random updates of other nodes reach few.

A node that has received nothing from a relay for a second now reads the configuration as nodes do at their start: 64 of them at once, twice as many each second.

TestConfigurationIsInForceWithoutRelays (all strong nodes, which are the relays, frozen for 5 s, 200 ms before a change) failed at 69 nodes (one node of 61 late at 3 s) and 300 (nine at 4 s). Ruled out: a lower maxConfigAge, which takes all nodes to the store whenever relays are slow.

--- a/internal/prover/exchange_cluster_test.go
+++ b/internal/prover/exchange_cluster_test.go
@@ -168,6 +168,8 @@
 	// strong is the number of nodes whose capacity is many times that of the others. If it is
 	// zero, all have the same.
 	strong int
+	// zones is the number of availability zones, one if it is zero.
+	zones int
 }
 
 func newExchangeCluster(t testing.TB, seed uint64) *exchangeCluster {
@@ -221,17 +223,30 @@
 func exchangeServer(i int) identifier.VMID { return identifier.VMID(fmt.Sprintf("i-%d", i)) }
 func exchangeNode(i int) identifier.VMID   { return identifier.VMID(fmt.Sprintf("entry-%d", i)) }
 
+func nodeNumber(vm identifier.VMID) int {
+	var i int
+	if _, err := fmt.Sscanf(string(vm), "entry-%d", &i); err != nil {
+		return -1
+	}
+	return i
+}
+
 // capacity returns the capacity of a node.
 func (cl *exchangeCluster) capacity(vm identifier.VMID) uint32 {
 	const strong, weak = 800, 40
-	for i := range cl.size.strong {
-		if vm == exchangeNode(i) {
-			return strong
-		}
+	if nodeNumber(vm) < cl.size.strong {
+		return strong
 	}
 	return weak
 }
 
+func (cl *exchangeCluster) nodeZone(vm identifier.VMID) identifier.Zone {
+	if cl.size.zones == 0 {
+		return "boston-a"
+	}
+	return identifier.Zone(fmt.Sprintf("zone-%d", nodeNumber(vm)%cl.size.zones))
+}
+
 func (cl *exchangeCluster) at(after timekeeper.Duration, do func()) {
 	cl.seq++
 	heap.Push(&cl.queue, task{
@@ -381,7 +396,7 @@
 		r: reducer.New(reducer.Config{
 			Self:          vm,
 			Incarnation:   incarnation,
-			Zone:          "boston-a",
+			Zone:          cl.nodeZone(vm),
 			Region:        "new-england",
 			PeerAddress:   string(vm),
 			CallerAddress: string(vm),
--- a/internal/prover/reader_test.go
+++ b/internal/prover/reader_test.go
@@ -130,3 +130,58 @@
 		})
 	}
 }
+
+// Guards against nodes that miss a configuration since the relays of their zones are silent.
+func TestConfigurationIsInForceWithoutRelays(t *testing.T) {
+	for _, test := range []struct {
+		nodes, strong, zones int
+		// bound is the time within which a cluster of this size has to apply a configuration.
+		bound timekeeper.Duration
+	}{
+		{
+			nodes:  69,
+			strong: 8,
+			zones:  4,
+			bound:  3 * timekeeper.Second,
+		},
+		{
+			nodes:  300,
+			strong: 18,
+			zones:  6,
+			bound:  4 * timekeeper.Second,
+		},
+	} {
+		if test.nodes > maxNodes {
+			continue
+		}
+		t.Run(fmt.Sprintf("%d nodes", test.nodes), func(t *testing.T) {
+			cl := newSizedCluster(t, 1, clusterSize{
+				nodes:           test.nodes,
+				strong:          test.strong,
+				zones:           test.zones,
+				servers:         6,
+				requestInterval: exchangeInterval,
+				tokensPerSecond: 1e6,
+				nodesListed:     true,
+			})
+			for round := range 2 {
+				at := timekeeper.Duration(7000 + 8100*round)
+				cl.at(at, func() {
+					for i := range test.strong {
+						cl.nodes[exchangeNode(i)].frozenUntil = cl.now.Add(5 * timekeeper.Second)
+					}
+				})
+				cl.at(at+200, func() { cl.publish(cl.catalogs[len(cl.catalogs)-1].Revision + 1) })
+				cl.at(at+200+test.bound, func() {
+					for _, n := range cl.nodes {
+						if cl.now.After(n.frozenUntil) && n.revision < cl.catalogs[len(cl.catalogs)-1].Revision {
+							cl.violatef("%s has revision %d %d ms after a change", n.vm, n.revision, test.bound)
+						}
+					}
+				})
+			}
+			cl.run()
+			require.Empty(t, cl.violations)
+		})
+	}
+}
--- a/internal/reducer/continuity.go
+++ b/internal/reducer/continuity.go
@@ -14,6 +14,8 @@
 	// acceptedAt is the time of the last update that continues the earlier ones and
 	// states up to when its sender knows all entries, or of the last read of the store.
 	acceptedAt timekeeper.Time
+	// relayAt is the time of the last update of a relay, or zero.
+	relayAt timekeeper.Time
 }
 
 // relayRounds are the rounds received from a relay.
@@ -32,6 +34,7 @@
 func (c *continuity) receive(now, asOf timekeeper.Time, from identifier.VMID, s messenger.StateUpdate, contained bool) bool {
 	covered := coversSince(now, asOf, s) || s.AllServers && contained
 	if s.Round != 0 {
+		c.relayAt = now
 		covered = c.receiveRound(now, asOf, from, s, covered)
 	}
 	if covered && s.ServersRead.Node != "" {
--- a/internal/reducer/following.go
+++ b/internal/reducer/following.go
@@ -46,6 +46,9 @@
 	configReadersPerGroup = 4
 	configReaderPeriod    = 2 * timekeeper.Second
 	configReaderDraws     = 32
+	// maxRelaySilence is the time without an update of a relay after which a node reads the
+	// configuration itself. Two relays send one each within it.
+	maxRelaySilence = 1 * timekeeper.Second
 )
 
 // streams returns the log streams that the node follows. A node that may hold the lease
@@ -120,6 +123,8 @@
 	switch {
 	case g.settled && r.isConfigReader(now, purpose):
 		return true
+	case r.relaySilence(now) > maxRelaySilence:
+		return r.isEarlyReader(purpose, readersAtOnce, r.relaySilence(now)-maxRelaySilence)
 	case g.configRead.asOf != 0:
 		return r.readsStale(now, purpose, readersAtOnce, now.Sub(g.configRead.asOf)-maxConfigAge)
 	}
@@ -145,6 +150,17 @@
 	return false
 }
 
+// relaySilence returns the time since this node received an update of a relay, or zero if it doesn't
+// depend on relays. A change takes seconds to reach a node on other ways, which is too long for a new
+// configuration.
+func (r *Reducer) relaySilence(now timekeeper.Time) timekeeper.Duration {
+	g := r.gateway
+	if !g.usesRelays || !g.settled || r.isRelay() {
+		return 0
+	}
+	return now.Sub(max(g.continuity.relayAt, g.startedAt))
+}
+
 // readsStale reports whether a node reads records itself because its data is too old since
 // the time overdue. In large clusters the relays do, but only some of the nodes that
 // receive from one: if the store is unavailable, all would read at once when it returns.
