Wait for a server that sent another answer before a stream goes on elsewhere

Nothing had confirmed that it drops it.

The server's state is asked for before the next send, as after a takeover: a process that answers has seen the close. That holds for answers of other requests and successes without a signature. An engine that ends or breaks the connection itself is not asked, since it does not go on.

TestNextServerWaitsAfterForeignAnswer failed before for both kinds.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -34,6 +34,9 @@
 	answered bool
 	// closed reports that the attempt's connection was closed, so that the server drops the request.
 	closed bool
+	// foreign reports that the server answered something else, so that it may be about to run
+	// the request.
+	foreign bool
 	// stale reports that nothing was attempted, because the decision took too long.
 	stale bool
 	// takeover is the attempt that replaces this one, if that was decided.
@@ -62,7 +65,7 @@
 		return end
 	}
 	end.takeover = timer.takeover()
-	if end.takeover.decided() && !x.awaitRelease(x.r.Context(), s, timer) {
+	if (end.takeover.decided() || end.foreign) && !x.awaitRelease(x.r.Context(), s, timer) {
 		return x.unreleased()
 	}
 	return end
@@ -105,8 +108,9 @@
 	case x.ofAnother(reply):
 		// A late answer to another request on this connection.
 		return attemptEnd{
-			result: messenger.AttemptBroken,
-			reason: "answer of another request",
+			result:  messenger.AttemptBroken,
+			reason:  "answer of another request",
+			foreign: true,
 		}
 	case reply.Misdirected:
 		return attemptEnd{
@@ -128,8 +132,9 @@
 		}
 	case succeeded(response.StatusCode) && !reply.Signed:
 		return attemptEnd{
-			result: messenger.AttemptBroken,
-			reason: "success without signature",
+			result:  messenger.AttemptBroken,
+			reason:  "success without signature",
+			foreign: true,
 		}
 	case x.headSent && !succeeded(response.StatusCode):
 		return attemptEnd{
--- a/internal/forwarder/check_test.go
+++ b/internal/forwarder/check_test.go
@@ -119,3 +119,49 @@
 	require.False(t, sent.Before(resumed))
 	<-first.dropped
 }
+
+// Guards against a stream at a second server while the first, which sent another answer, begins it.
+func TestNextServerWaitsAfterForeignAnswer(t *testing.T) {
+	const pause = 300 * time.Millisecond
+	for _, test := range []struct {
+		name, id string
+		status   int
+	}{
+		{
+			name:   "another request's answer",
+			id:     "another",
+			status: http.StatusGatewayTimeout,
+		},
+		{
+			name:   "success that is not signed",
+			id:     "r-1",
+			status: http.StatusOK,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var paused atomic.Bool
+			first := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == statusPath {
+					if paused.Load() {
+						<-r.Context().Done()
+					}
+					return
+				}
+				paused.Store(true)
+				time.AfterFunc(pause, func() { paused.Store(false) })
+				w.Header().Set("Id", test.id)
+				w.WriteHeader(test.status)
+			})
+			var pausedAtSecond atomic.Bool
+			second := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+				pausedAtSecond.Store(paused.Load())
+				sign(w, r)
+				_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+			})
+			got := sendStream(t, newFakeDecider(first, second))
+			require.NoError(t, got.err)
+			require.Equal(t, "id: 1\ndata: a\n\n", got.body)
+			require.False(t, pausedAtSecond.Load())
+		})
+	}
+}
