Let other nodes stand in for the candidates of the lease

While the three nodes that may hold the lease were cut off from the store, nobody ran the leader tasks: no usage was reported, no servers ordered, no rollout advanced. It ended with the cut (12 s on the sites).

While no holder is known, the next three nodes of the ranking follow the lease and may acquire it, and three more every 6 s. Having read of it for the first time, they wait for a whole term, so that the candidates come first. They withdraw once a node holds it. A holder that loses the lease says so, and a relay that reports none knows of none. If no node gets entries of servers for 2 s, the store is down for all, and nobody stands in.

TestLeaderTasksGoOnWithoutCandidates failed at 6, 12 and 69 nodes: the window that ended before the cut was not reported in time.

--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -190,6 +190,14 @@
 	return true
 }
 
+// Forgo makes the node neither acquire nor renew a lease that it doesn't hold. Its appends that are on
+// their way may still be effective, unless another process has read its own grant since.
+func (t *Table) Forgo(name Name) {
+	if l, ok := t.leases[name]; ok && l.ownFence == 0 {
+		l.wanted = false
+	}
+}
+
 // Release gives up a lease, whether held or not. Held returns false from now on. The
 // next Tick appends a release, so that other nodes need not wait for the end of the
 // term.
--- a/internal/prover/exchange_cluster_test.go
+++ b/internal/prover/exchange_cluster_test.go
@@ -170,6 +170,10 @@
 	strong int
 	// zones is the number of availability zones, one if it is zero.
 	zones int
+	// usageWindow is the length of the windows of usage, and usageLate the time after its end within
+	// which a window has to be reported, if they are not zero.
+	usageWindow timekeeper.Duration
+	usageLate   timekeeper.Duration
 }
 
 func newExchangeCluster(t testing.TB, seed uint64) *exchangeCluster {
@@ -407,8 +411,8 @@
 			Safeguards:    conductor.AllSafeguards(),
 			Gateway: &reducer.GatewayConfig{
 				LeaderTasks: true,
-				UsageWindow: 2 * timekeeper.Second,
-				UsageLate:   8 * timekeeper.Second,
+				UsageWindow: cmp.Or(cl.size.usageWindow, 2*timekeeper.Second),
+				UsageLate:   cmp.Or(cl.size.usageLate, 8*timekeeper.Second),
 				Share:       exposureShare,
 				Slack:       exposureSlack,
 				MoveStreams: cl.size.moves,
--- a/internal/prover/reader_test.go
+++ b/internal/prover/reader_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/reducer"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
@@ -185,3 +186,49 @@
 		})
 	}
 }
+
+// Guards against leader tasks that nobody runs since all nodes that may hold the lease are cut off.
+func TestLeaderTasksGoOnWithoutCandidates(t *testing.T) {
+	const (
+		window  = 5 * timekeeper.Second
+		late    = 10 * timekeeper.Second
+		cutFrom = 6 * timekeeper.Second
+		cutTo   = 18 * timekeeper.Second
+	)
+	for _, size := range readerClusters() {
+		if size.nodes > 69 {
+			continue
+		}
+		t.Run(size.String(), func(t *testing.T) {
+			size.usageWindow = window
+			size.usageLate = late
+			cl := newSizedCluster(t, 1, size)
+			cl.at(cutFrom, func() {
+				for _, n := range cl.nodes {
+					n.cutFromStore = len(n.r.Streams()) > 0
+				}
+			})
+			// The first window ended before the cut and is due during it.
+			cl.at(window+late, func() {
+				first := identifier.UsageWindow(int64(exchangeStart) / int64(window))
+				if _, reported := cl.reports[first]; !reported {
+					cl.violatef("window %d is not reported in time", first)
+				}
+			})
+			cl.at(cutTo, func() {
+				var followers int
+				for _, n := range cl.nodes {
+					if !n.cutFromStore && len(n.r.Streams()) > 0 {
+						followers++
+					}
+					n.cutFromStore = false
+				}
+				if followers != 1 {
+					cl.violatef("%d nodes follow the lease, which one of them holds", followers)
+				}
+			})
+			cl.run()
+			require.Empty(t, cl.violations)
+		})
+	}
+}
--- a/internal/reducer/allocation.go
+++ b/internal/reducer/allocation.go
@@ -36,8 +36,12 @@
 	assumedNodes = 100
 )
 
-// mergeLeader applies the holder of the lease that a peer reports.
+// mergeLeader applies the holder of the lease that a peer reports. A relay that reports none knows of
+// none.
 func (g *gateway) mergeLeader(now timekeeper.Time, s messenger.StateUpdate) {
+	if s.Leader == "" && s.Round != 0 {
+		g.holderUntil = min(g.holderUntil, now)
+	}
 	if s.Leader == "" || s.Leader == g.self || s.Fence < g.allocatorFence {
 		return
 	}
@@ -50,6 +54,7 @@
 	g.allocator = s.Leader
 	g.allocatorFence = s.Fence
 	g.unanswered = 0
+	g.holderUntil = max(g.holderUntil, g.allocatorSeen.asOf.Add(leaseTTL))
 }
 
 // divideLimits sets this node's parts of the accounts' limits and of the retries, by
--- a/internal/reducer/following.go
+++ b/internal/reducer/following.go
@@ -64,13 +64,16 @@
 // their peers, and which versions began streams, for which peers ask them, because after a loss
 // of all nodes no node knows them.
 func (g *gateway) streams() []identifier.LogStream {
-	if !g.leaderCandidate {
+	if !g.leaderCandidate && !g.standIn {
 		if g.settled || g.leaseRead {
 			return nil
 		}
 		return []identifier.LogStream{leaser.Stream}
 	}
 	out := []identifier.LogStream{leaser.Stream, accountant.Stream}
+	if g.standIn {
+		return out
+	}
 	if !g.quarantineRead {
 		out = append(out, quarantiner.Stream)
 	}
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -52,6 +52,13 @@
 	// leaderNodes is the number of nodes that follow the lease and may hold it. After
 	// the loss of a zone and of another node, one of them remains.
 	leaderNodes = 3
+	// vacancyTime is the time after the end of the last known holder's lease in which further
+	// nodes acquire it and all nodes learn of that: a term and its margin since they read of it,
+	// the delay of attempts, and leaderAnnounceTime. After it, leaderNodes more may hold it.
+	vacancyTime = 6 * timekeeper.Second
+	// maxStoreSilence is the time for which no entries of servers are known from the store after
+	// which it counts as unavailable to all nodes.
+	maxStoreSilence = 2 * timekeeper.Second
 	// settleTime is the time after its start for which a node does not regard itself as
 	// one of the first ranked nodes: until it knows its peers, it is the first of all.
 	// A lease of a previous holder expires later than that.
@@ -214,8 +221,11 @@
 	startedAt timekeeper.Time
 	settled   bool
 	// leaderCandidate reports whether the node was ever one of those that may hold the
-	// lease.
+	// lease, and standIn whether it may hold it because none of these does.
 	leaderCandidate bool
+	standIn         bool
+	// holderUntil is the time until which a node may hold the lease, as far as this node knows.
+	holderUntil timekeeper.Time
 	// leaseRead, quarantineRead and originsRead report whether the node has read the stream of
 	// leases, that of refused requests and that of the origins of streams.
 	leaseRead      bool
@@ -596,9 +606,7 @@
 		g.startedAt = env.Now
 	}
 	g.settled = g.settled || env.Now.Sub(g.startedAt) >= settleTime || r.knowsMostNodes(env.Now)
-	if g.settled && !g.leaderCandidate {
-		g.leaderCandidate = r.ranking.Chosen(string(leaderLease), leaderNodes)
-	}
+	r.tickCandidacy(env.Now)
 	r.divideLimits(env)
 	g.serverLimits.Tick(env.Now)
 	g.backoffs.Tick(env.Now)
--- a/internal/reducer/leader.go
+++ b/internal/reducer/leader.go
@@ -45,11 +45,37 @@
 	return nil
 }
 
+// tickCandidacy decides whether this node may hold the lease. Nodes that are cut off from the store
+// can't be told from those that have not acquired it yet, so that others stand in for them while no
+// node holds it. A node that reads of a lease for the first time waits for a whole term, so that
+// those that may hold it anyway come first. Stand-ins withdraw when a node holds it.
+func (r *Reducer) tickCandidacy(now timekeeper.Time) {
+	g := r.gateway
+	if g.settled && !g.leaderCandidate {
+		g.leaderCandidate = r.ranking.Chosen(string(leaderLease), leaderNodes)
+	}
+	_, notAfter, held := g.leases.Held(leaderLease, now)
+	if held {
+		g.holderUntil = max(g.holderUntil, notAfter)
+	}
+	if now.Sub(g.servers.AsOf()) > maxStoreSilence {
+		// No node reaches the store, so that none can acquire the lease.
+		g.holderUntil = max(g.holderUntil, now)
+	}
+	vacant := now.Sub(max(g.holderUntil, g.startedAt.Add(leaseTTL)))
+	groups := 2 + int(vacant/vacancyTime)
+	g.standIn = g.settled && !g.leaderCandidate &&
+		(held || vacant > 0 && r.ranking.Chosen(string(leaderLease), groups*leaderNodes))
+	if !g.standIn && !g.leaderCandidate {
+		g.leases.Forgo(leaderLease)
+	}
+}
+
 // tickLeaderTasks tries to acquire or renew the lease and, while the node holds it,
 // runs the leader tasks.
 func (r *Reducer) tickLeaderTasks(env *conductor.Env) []messenger.Effect {
 	g := r.gateway
-	if !g.draining && g.settled && r.ranking.Chosen(string(leaderLease), leaderNodes) {
+	if !g.draining && g.settled && (g.standIn || r.ranking.Chosen(string(leaderLease), leaderNodes)) {
 		g.leases.Want(env.Now, leaderLease)
 	}
 	var out []messenger.Effect
--- a/internal/reducer/standby.go
+++ b/internal/reducer/standby.go
@@ -132,5 +132,6 @@
 	g.grantor.record(now, from, s.Grantor)
 	if from == g.allocator && s.Leader != from {
 		g.allocatorSeen.asOf = 0
+		g.holderUntil = min(g.holderUntil, now)
 	}
 }
