Record in the time line who stands in for the lease, and silent relays

An operator could not see from the logs that a node which is not among the first three may acquire the lease, or why a node of a large cluster reads the configuration itself. Each has a line when it begins and when it ends now.

A node whose relays are silent, and which is not among the early readers, reads the configuration by its age as before: the new case hid that one.

--- a/internal/reducer/following.go
+++ b/internal/reducer/following.go
@@ -5,8 +5,10 @@
 	"math"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/accountant"
+	"github.com/dotterelhollow/dotterelhollow/internal/conductor"
 	"github.com/dotterelhollow/dotterelhollow/internal/gossiper"
 	"github.com/dotterelhollow/dotterelhollow/internal/leaser"
+	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/placer"
 	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
 	"github.com/dotterelhollow/dotterelhollow/internal/ranker"
@@ -126,8 +128,8 @@
 	switch {
 	case g.settled && r.isConfigReader(now, purpose):
 		return true
-	case r.relaySilence(now) > maxRelaySilence:
-		return r.isEarlyReader(purpose, readersAtOnce, r.relaySilence(now)-maxRelaySilence)
+	case r.readsWithoutRelays(now, purpose):
+		return true
 	case g.configRead.asOf != 0:
 		return r.readsStale(now, purpose, readersAtOnce, now.Sub(g.configRead.asOf)-maxConfigAge)
 	}
@@ -153,15 +155,43 @@
 	return false
 }
 
-// relaySilence returns the time since this node received an update of a relay, or zero if it doesn't
-// depend on relays. A change takes seconds to reach a node on other ways, which is too long for a new
-// configuration.
-func (r *Reducer) relaySilence(now timekeeper.Time) timekeeper.Duration {
+// relaysOverdue returns the time since this node should have received an update of a relay, or zero if
+// it doesn't depend on relays.
+func (r *Reducer) relaysOverdue(now timekeeper.Time) timekeeper.Duration {
 	g := r.gateway
 	if !g.usesRelays || !g.settled || r.isRelay() {
 		return 0
 	}
-	return now.Sub(max(g.continuity.relayAt, g.startedAt))
+	return max(now.Sub(max(g.continuity.relayAt, g.startedAt))-maxRelaySilence, 0)
+}
+
+// readsWithoutRelays reports whether this node reads the configuration itself as it receives nothing
+// from relays. A change takes seconds to reach it on other ways, which is too long.
+func (r *Reducer) readsWithoutRelays(now timekeeper.Time, purpose string) bool {
+	overdue := r.relaysOverdue(now)
+	return overdue > 0 && r.isEarlyReader(purpose, readersAtOnce, overdue)
+}
+
+// recordRelays records in the time line that this node no longer receives updates of relays, or does
+// again.
+func (r *Reducer) recordRelays(env *conductor.Env) []messenger.Effect {
+	g := r.gateway
+	silent := r.relaysOverdue(env.Now) > 0
+	if silent == g.relaysSilent {
+		return nil
+	}
+	g.relaysSilent = silent
+	kind := messenger.TimelineKind("relays_silent")
+	if !silent {
+		kind = "relays_regained"
+	}
+	return []messenger.Effect{
+		messenger.TimelineEntry{
+			Kind:   kind,
+			VM:     r.config.Self,
+			Detail: fmt.Sprintf("revision=%d", g.revision()),
+		},
+	}
 }
 
 // readsStale reports whether a node reads records itself because its data is too old since
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -261,8 +261,10 @@
 	// roundTimes the times of the last ones, oldest first.
 	round      uint64
 	roundTimes [updateRepeats]timekeeper.Time
-	// usesRelays reports whether the cluster is so large that relays forward updates.
-	usesRelays bool
+	// usesRelays reports whether the cluster is so large that relays forward updates, and
+	// relaysSilent that none of them has sent any for too long.
+	usesRelays   bool
+	relaysSilent bool
 	// cachedEntries is the last result of allEntries.
 	cachedEntries *entries
 	draining      bool
@@ -606,7 +608,8 @@
 		g.startedAt = env.Now
 	}
 	g.settled = g.settled || env.Now.Sub(g.startedAt) >= settleTime || r.knowsMostNodes(env.Now)
-	r.tickCandidacy(env.Now)
+	out = append(out, r.tickCandidacy(env)...)
+	out = append(out, r.recordRelays(env)...)
 	r.divideLimits(env)
 	g.serverLimits.Tick(env.Now)
 	g.backoffs.Tick(env.Now)
--- a/internal/reducer/leader.go
+++ b/internal/reducer/leader.go
@@ -49,26 +49,41 @@
 // can't be told from those that have not acquired it yet, so that others stand in for them while no
 // node holds it. A node that reads of a lease for the first time waits for a whole term, so that
 // those that may hold it anyway come first. Stand-ins withdraw when a node holds it.
-func (r *Reducer) tickCandidacy(now timekeeper.Time) {
+func (r *Reducer) tickCandidacy(env *conductor.Env) []messenger.Effect {
 	g := r.gateway
 	if g.settled && !g.leaderCandidate {
 		g.leaderCandidate = r.ranking.Chosen(string(leaderLease), leaderNodes)
 	}
-	_, notAfter, held := g.leases.Held(leaderLease, now)
+	_, notAfter, held := g.leases.Held(leaderLease, env.Now)
 	if held {
 		g.holderUntil = max(g.holderUntil, notAfter)
 	}
-	if now.Sub(g.servers.AsOf()) > maxStoreSilence {
+	if env.Now.Sub(g.servers.AsOf()) > maxStoreSilence {
 		// No node reaches the store, so that none can acquire the lease.
-		g.holderUntil = max(g.holderUntil, now)
+		g.holderUntil = max(g.holderUntil, env.Now)
 	}
-	vacant := now.Sub(max(g.holderUntil, g.startedAt.Add(leaseTTL)))
+	vacant := env.Now.Sub(max(g.holderUntil, g.startedAt.Add(leaseTTL)))
 	groups := 2 + int(vacant/vacancyTime)
-	g.standIn = g.settled && !g.leaderCandidate &&
+	standIn := g.settled && !g.leaderCandidate &&
 		(held || vacant > 0 && r.ranking.Chosen(string(leaderLease), groups*leaderNodes))
-	if !g.standIn && !g.leaderCandidate {
+	if !standIn && !g.leaderCandidate {
 		g.leases.Forgo(leaderLease)
 	}
+	if standIn == g.standIn {
+		return nil
+	}
+	g.standIn = standIn
+	kind := messenger.TimelineKind("lease_stand_in")
+	if !standIn {
+		kind = "lease_stand_in_ended"
+	}
+	return []messenger.Effect{
+		messenger.TimelineEntry{
+			Kind:   kind,
+			VM:     r.config.Self,
+			Detail: fmt.Sprintf("allocator=%s vacant=%s", g.allocator, max(vacant, 0)),
+		},
+	}
 }
 
 // tickLeaderTasks tries to acquire or renew the lease and, while the node holds it,
