Let a stand-in whose lease ended stop renewing it

A node that stood in for the candidates, held the lease and lost it by its clock went on to append a renewal each second, once another node held the lease: it no longer read the log, so that it took its own record for the last one, and Forgo passed over a table that had a tenure, also one whose time was over. The renewals had no effect but were paid for. Found by reading the change.

Forgo passes over a lease that is held now. TestForgoneLeaseIsNotRenewed failed before: three renewals in a term after the lease was forgone.

--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -190,10 +190,13 @@
 	return true
 }
 
-// Forgo makes the node neither acquire nor renew a lease that it doesn't hold. Its appends that are on
+// Forgo makes the node neither acquire nor renew a lease unless it holds it. Its appends that are on
 // their way may still be effective, unless another process has read its own grant since.
-func (t *Table) Forgo(name Name) {
-	if l, ok := t.leases[name]; ok && l.ownFence == 0 {
+func (t *Table) Forgo(now timekeeper.Time, name Name) {
+	if _, _, held := t.Held(name, now); held {
+		return
+	}
+	if l, ok := t.leases[name]; ok {
 		l.wanted = false
 	}
 }
--- a/internal/leaser/leaser_test.go
+++ b/internal/leaser/leaser_test.go
@@ -383,3 +383,34 @@
 		})
 	}
 }
+
+// Guards against renewals without end by a process that no longer reads the log.
+func TestForgoneLeaseIsNotRenewed(t *testing.T) {
+	log := &fakeLog{now: 1_000_000}
+	rng := rand.New(rand.NewPCG(1, 1))
+	table := New(Config{
+		Self:        "entry-1",
+		Incarnation: 1,
+		TTL:         testTTL,
+		Retention:   testRetention,
+	})
+	appends := func(span timekeeper.Duration) int {
+		before := len(log.records)
+		for end := log.now.Add(span); log.now.Before(end); log.now = log.now.Add(100) {
+			for _, a := range table.Tick(log.now, rng) {
+				log.append(a.Data)
+			}
+		}
+		return len(log.records) - before
+	}
+	table.Want(log.now, pool)
+	table.ApplyRecords(log.now, log.read(0, math.MaxInt))
+	require.Positive(t, appends(testTTL))
+	table.ApplyRecords(log.now, log.read(0, math.MaxInt))
+	require.Positive(t, appends(testTTL))
+
+	_, _, held := table.Held(pool, log.now)
+	require.False(t, held)
+	table.Forgo(log.now, pool)
+	require.Zero(t, appends(testTTL))
+}
--- a/internal/reducer/leader.go
+++ b/internal/reducer/leader.go
@@ -67,7 +67,7 @@
 	standIn := g.settled && !g.leaderCandidate &&
 		(held || vacant > 0 && r.ranking.Chosen(string(leaderLease), groups*leaderNodes))
 	if !standIn && !g.leaderCandidate {
-		g.leases.Forgo(leaderLease)
+		g.leases.Forgo(env.Now, leaderLease)
 	}
 	if standIn == g.standIn {
 		return nil
