Use one bound for an unavailable store

The candidacy for the lease had a constant of its own for the time without entries of servers after which the store counts as unavailable. The table of servers has the same bound, 2 s, which is exported now. No change of behaviour.

--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -56,9 +56,6 @@
 	// nodes acquire it and all nodes learn of that: a term and its margin since they read of it,
 	// the delay of attempts, and leaderAnnounceTime. After it, leaderNodes more may hold it.
 	vacancyTime = 6 * timekeeper.Second
-	// maxStoreSilence is the time for which no entries of servers are known from the store after
-	// which it counts as unavailable to all nodes.
-	maxStoreSilence = 2 * timekeeper.Second
 	// settleTime is the time after its start for which a node does not regard itself as
 	// one of the first ranked nodes: until it knows its peers, it is the first of all.
 	// A lease of a previous holder expires later than that.
--- a/internal/reducer/leader.go
+++ b/internal/reducer/leader.go
@@ -11,6 +11,7 @@
 	"github.com/dotterelhollow/dotterelhollow/internal/limiter"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/quarantiner"
+	"github.com/dotterelhollow/dotterelhollow/internal/registrar"
 	"github.com/dotterelhollow/dotterelhollow/internal/resumer"
 	"github.com/dotterelhollow/dotterelhollow/internal/sizer"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
@@ -58,7 +59,7 @@
 	if held {
 		g.holderUntil = max(g.holderUntil, notAfter)
 	}
-	if env.Now.Sub(g.servers.AsOf()) > maxStoreSilence {
+	if env.Now.Sub(g.servers.AsOf()) > registrar.MinOutage {
 		// No node reaches the store, so that none can acquire the lease.
 		g.holderUntil = max(g.holderUntil, env.Now)
 	}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -32,11 +32,11 @@
 	// missing right after a store outage. The platform promises that the entry of a
 	// live server is back within two seconds.
 	removalGrace = 2200 * timekeeper.Millisecond
-	// minOutage is the time without any read of the store, by this node or a peer it
+	// MinOutage is the time without any read of the store, by this node or a peer it
 	// received updates from, after which the store counts as unavailable. If the store
 	// rejects only the nodes that read for others, the rest read after 1.1 s; an outage
 	// in which entries lapse lasts for several renewal intervals.
-	minOutage = 2 * timekeeper.Second
+	MinOutage = 2 * timekeeper.Second
 	// RemovedRetention is the time for which a removed server is remembered, so that
 	// late entries from peers do not restore it. They arrive within a second.
 	RemovedRetention = timekeeper.Minute
@@ -128,7 +128,7 @@
 // unreadable entry keeps its server from being taken for removed.
 func (t *Table) ApplyRead(now timekeeper.Time, read messenger.ServersPublished) []messenger.PublishedServer {
 	asOf := now.Add(-read.Age)
-	if t.asOf != 0 && asOf.Sub(t.asOf) > minOutage {
+	if t.asOf != 0 && asOf.Sub(t.asOf) > MinOutage {
 		t.deferUntil = now.Add(removalGrace)
 	}
 	t.advance(now, asOf)
@@ -158,7 +158,7 @@
 
 // advance records the time up to which the entries are known.
 func (t *Table) advance(now, asOf timekeeper.Time) {
-	if asOf.Sub(t.asOf) > minOutage {
+	if asOf.Sub(t.asOf) > MinOutage {
 		t.gapEnded = now
 	}
 	t.asOf = max(t.asOf, asOf)
