Check a paused server on one connection, and go by acknowledgements where it takes no other

Each check of a silent server opened a connection, four a second for each request that waited, on each node. A stopped process accepts none, and closed ones stay in its queue; once that is full, new connections are dropped as by a lost VM, and the stream went on elsewhere.

Ruled out: the check's own time limits (a longer one only needs more nodes to fill the queue).

Requests that ask about the same server share one connection, which is kept for four seconds and replaced once a second while it brings no answer. Where the server's VM takes no connection, the age of the last acknowledgement on the open ones tells a paused process from a lost VM: idle ones are probed each second.

The wait between close and next send now comes after the decision for all ends that need it. TestNextServerWaitsAfterForeignAnswer's server left checks unanswered that it had received while paused; a process that goes on answers them, and the test's server does so now.

TestChecksLeaveQueueOfPausedServer and TestPausedServerWithFullQueueIsNotUnreachable failed before: a queue of two connections, and the server counted as unreachable within 3 s.

--- a/internal/dialer/socket_linux.go
+++ b/internal/dialer/socket_linux.go
@@ -1,9 +1,12 @@
 package dialer
 
 import (
+	"net"
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
 // boundUnacked sets TCP_USER_TIMEOUT, so that a connection fails if the remote end
@@ -23,3 +26,27 @@
 	}
 	return failed
 }
+
+// AckAge returns the time since the remote end of a connection last acknowledged something. It
+// returns false if that is not known.
+func AckAge(c net.Conn) (timekeeper.Duration, bool) {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	var (
+		info   *unix.TCPInfo
+		failed error
+	)
+	err = raw.Control(func(fd uintptr) {
+		info, failed = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if err != nil || failed != nil {
+		return 0, false
+	}
+	return timekeeper.Duration(info.Last_ack_recv), true
+}
--- a/internal/dialer/socket_other.go
+++ b/internal/dialer/socket_other.go
@@ -2,8 +2,16 @@
 
 package dialer
 
-import "syscall"
+import (
+	"net"
+	"syscall"
+
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+)
 
 // boundUnacked does nothing on systems without TCP_USER_TIMEOUT. Unreachable
 // remote ends are then detected by keep-alive probes and request timeouts.
 func (c Config) boundUnacked(_, _ string, _ syscall.RawConn) error { return nil }
+
+// AckAge returns false on systems that do not report the age of acknowledgements.
+func AckAge(net.Conn) (timekeeper.Duration, bool) { return 0, false }
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -53,7 +53,9 @@
 // attempt sends the request to one server and passes on its answer, unless another server
 // takes over.
 func (x *exchange) attempt(ctx context.Context, s messenger.SendExchange) attemptEnd {
-	x.connection = &connection{path: s.Path}
+	x.connection = &connection{
+		path: s.Path,
+	}
 	ctx, timer := x.startTimer(ctx, s, x.connection)
 	defer timer.release()
 	end := x.tryServer(ctx, s, timer)
@@ -65,21 +67,15 @@
 		return end
 	}
 	end.takeover = timer.takeover()
-	if (end.takeover.decided() || end.foreign) && !x.awaitRelease(x.r.Context(), s, timer) {
-		return x.unreleased()
+	if x.mayRunOn(s, end) {
+		x.unreleased = &unreleasedAttempt{
+			send:       s,
+			connection: x.connection,
+		}
 	}
 	return end
 }
 
-// unreleased returns the end of an exchange whose server did not drop the request in time for
-// another one.
-func (x *exchange) unreleased() attemptEnd {
-	if err := x.r.Context().Err(); err != nil {
-		return callerDisconnected(err)
-	}
-	return x.expire()
-}
-
 // tryServer sends the request to one server and passes on its answer.
 func (x *exchange) tryServer(ctx context.Context, s messenger.SendExchange, timer *attemptTimer) attemptEnd {
 	c := x.connection
--- a/internal/forwarder/check.go
+++ b/internal/forwarder/check.go
@@ -1,17 +1,22 @@
 package forwarder
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/url"
 	"os"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/dialer"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
-	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
+	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 )
 
 const (
@@ -20,105 +25,397 @@
 	checkTimeout = 200 * time.Millisecond
 	// checkInterval is the time between two checks of a server that must have dropped a request.
 	checkInterval = 50 * time.Millisecond
+	// checkRepeat is the time after which a check that is not answered is sent on another connection.
+	checkRepeat = 1 * time.Second
+	// maxCheckEnds is the number of connections in a row that end without an answer, after which
+	// their server counts as running.
+	maxCheckEnds = 1
+	// maxStatusBytes bounds a server's answer to a check.
+	maxStatusBytes = 64 << 10
+	// maxAckAge is the age of the last acknowledgement from a VM that runs. Idle connections are
+	// probed each second.
+	maxAckAge = 1200 * time.Millisecond
 )
 
-// mustCheck reports whether a request may go on at another server only when the server of this
-// attempt has dropped it. That holds for streams.
-func (x *exchange) mustCheck(s messenger.SendExchange) bool {
-	return s.Route.Stream && x.forwarder.config.StatusPath != ""
+// checks are the checks of servers in progress. Requests that ask about the same server share one
+// connection to it: a process that is paused accepts none, and its VM holds only a few for it.
+type checks struct {
+	forwarder *Forwarder
+	ctx       context.Context
+	cancel    context.CancelFunc
+	mu        sync.Mutex
+	running   map[checkTarget]*serverCheck
 }
 
-// checkServer finds out whether the process of an attempt's server runs, on a connection of its own.
-// The VM of a paused process accepts the connection and the request as well, so that only an
-// answer counts.
-func (f *Forwarder) checkServer(ctx context.Context, s messenger.SendExchange, c *connection) messenger.ServerActivity {
-	activity := f.activityOf(ctx, s, c)
-	if ctx.Err() == nil {
-		f.config.Metrics.serverChecked(activity)
+// checkTarget is a server's address, and the peer through which it is checked, or empty.
+type checkTarget struct {
+	address string
+	via     identifier.VMID
+}
+
+// serverCheck is the check of one server. Its goroutine ends when no one has asked for
+// serverIdleTimeout, and then closes ended.
+type serverCheck struct {
+	target checkTarget
+	peers  []messenger.PathPeer
+	// conn is nil if there is no connection.
+	conn  *checkConnection
+	wake  chan struct{}
+	ended chan struct{}
+
+	// The fields below are guarded by checks.mu.
+	questions []*question
+	// awaiting reports that an earlier question has been sent and not been answered.
+	awaiting bool
+}
+
+// checkConnection is the connection of a check. It is closed when the forwarder is.
+type checkConnection struct {
+	net.Conn
+	reader *bufio.Reader
+	// release releases the context that closes the connection.
+	release func() bool
+}
+
+// Close implements net.Conn.
+func (c *checkConnection) Close() error {
+	c.release()
+	return c.Conn.Close()
+}
+
+// question is a caller's question what a server does.
+type question struct {
+	// sent is closed when the server owes an answer.
+	sent     chan struct{}
+	activity chan messenger.ServerActivity
+}
+
+func newChecks(f *Forwarder) *checks {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &checks{
+		forwarder: f,
+		ctx:       ctx,
+		cancel:    cancel,
+		running:   map[checkTarget]*serverCheck{},
 	}
-	return activity
 }
 
-func (f *Forwarder) activityOf(ctx context.Context, s messenger.SendExchange, c *connection) messenger.ServerActivity {
-	conn, err := f.dialServer(ctx, s, c)
+// close ends all checks.
+func (c *checks) close() {
+	c.cancel()
+	c.mu.Lock()
+	var running []*serverCheck
+	for _, s := range c.running {
+		running = append(running, s)
+	}
+	c.mu.Unlock()
+	for _, s := range running {
+		<-s.ended
+	}
+}
+
+// ask asks what the server of an attempt does. The answer to a question is sent after it was asked.
+func (c *checks) ask(s messenger.SendExchange, path *connection) *question {
+	q := &question{
+		sent:     make(chan struct{}),
+		activity: make(chan messenger.ServerActivity, 1),
+	}
+	target := checkTarget{
+		address: s.Address,
+		via:     path.via(),
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ctx.Err() != nil {
+		q.activity <- messenger.ServerUnresponsive
+		return q
+	}
+	check, ok := c.running[target]
+	if !ok {
+		check = &serverCheck{
+			target: target,
+			peers:  s.Path.Peers,
+			wake:   make(chan struct{}, 1),
+			ended:  make(chan struct{}),
+		}
+		c.running[target] = check
+		go c.run(check)
+	}
+	check.questions = append(check.questions, q)
+	if check.awaiting {
+		close(q.sent)
+	}
+	select {
+	case check.wake <- struct{}{}:
+	default:
+	}
+	return q
+}
+
+// run answers the questions about one server.
+func (c *checks) run(s *serverCheck) {
+	defer close(s.ended)
+	defer s.disconnect()
+	idle := time.NewTimer(serverIdleTimeout)
+	defer idle.Stop()
+	for {
+		select {
+		case <-s.wake:
+		case <-idle.C:
+			if c.remove(s) {
+				return
+			}
+		case <-c.ctx.Done():
+			c.remove(s)
+			return
+		}
+		questions := c.take(s)
+		if len(questions) == 0 {
+			continue
+		}
+		activity := c.activityOf(s, questions)
+		for _, q := range questions {
+			q.activity <- activity
+		}
+		idle.Reset(serverIdleTimeout)
+	}
+}
+
+// remove removes a check that nobody waits for, or any one when the node stops.
+func (c *checks) remove(s *serverCheck) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(s.questions) > 0 && c.ctx.Err() == nil {
+		return false
+	}
+	delete(c.running, s.target)
+	return true
+}
+
+func (c *checks) take(s *serverCheck) []*question {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	questions := s.questions
+	s.questions = nil
+	return questions
+}
+
+// setAwaiting records whether the server owes an answer, to the given questions and to later ones.
+func (c *checks) setAwaiting(s *serverCheck, awaiting bool, questions []*question) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s.awaiting = awaiting
+	if !awaiting {
+		return
+	}
+	for _, q := range slices.Concat(questions, s.questions) {
+		select {
+		case <-q.sent:
+		default:
+			close(q.sent)
+		}
+	}
+}
+
+// activityOf asks a server for its state until it answers, has ended or can't be reached. A paused
+// process answers when it goes on.
+func (c *checks) activityOf(s *serverCheck, questions []*question) messenger.ServerActivity {
+	for ends := 0; c.ctx.Err() == nil; {
+		kept := s.conn != nil
+		var failed *connectError
+		err := c.exchange(s, questions)
+		c.setAwaiting(s, false, nil)
+		switch {
+		case err == nil:
+			return messenger.ServerResponds
+		case errors.As(err, &failed):
+			return c.activityBy(s, failed.cause)
+		}
+		s.disconnect()
+		if kept {
+			continue
+		}
+		if ends++; ends >= maxCheckEnds {
+			return messenger.ServerResponds
+		}
+		select {
+		case <-time.After(checkInterval):
+		case <-c.ctx.Done():
+		}
+	}
+	return messenger.ServerUnresponsive
+}
+
+// activityBy returns what the failure to connect tells. The VM of a paused process drops new
+// connections while it holds as many as it may, and acknowledges on open ones.
+func (c *checks) activityBy(s *serverCheck, err error) messenger.ServerActivity {
 	switch {
 	case dialer.Refused(err), resultOf(err) == messenger.ConnectRefused:
 		return messenger.ServerRefuses
-	case err != nil:
-		return messenger.ServerUnreachable
+	case s.target.via == "" && c.forwarder.transports.open.acknowledges(s.target.address):
+		return messenger.ServerUnresponsive
 	}
-	defer func() { _ = conn.Close() }()
-	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-	if err := conn.SetDeadline(time.Now().Add(checkTimeout)); err != nil {
-		return messenger.ServerUnreachable
+	return messenger.ServerUnreachable
+}
+
+// connectError reports that no connection for a check could be opened.
+type connectError struct{ cause error }
+
+var _ error = (*connectError)(nil)
+
+func (e *connectError) Error() string { return fmt.Sprintf("check: %v", e.cause) }
+
+// Unwrap returns the cause.
+func (e *connectError) Unwrap() error { return e.cause }
+
+// exchange sends a request for the server's state and reads the answer. Its error is a
+// *connectError or one of the connection.
+func (c *checks) exchange(s *serverCheck, questions []*question) error {
+	if s.conn == nil {
+		if err := c.connect(s); err != nil {
+			return err
+		}
 	}
+	for {
+		if err := c.send(s, questions); err != nil {
+			return err
+		}
+		replaced, err := c.awaitAnswer(s)
+		if err != nil {
+			return err
+		}
+		if !replaced {
+			return s.readAnswer()
+		}
+	}
+}
+
+// send writes the request for the server's state.
+func (c *checks) send(s *serverCheck, questions []*question) error {
 	request := &http.Request{
 		Method: http.MethodGet,
-		URL:    &url.URL{Path: f.config.StatusPath},
-		Host:   s.Address,
-		Close:  true,
+		URL:    &url.URL{Path: c.forwarder.config.StatusPath},
+		Host:   s.target.address,
 	}
-	if err := request.Write(conn); err != nil {
-		return messenger.ServerUnresponsive
+	if err := s.conn.SetDeadline(time.Now().Add(checkRepeat)); err != nil {
+		return err
 	}
-	_, err = conn.Read(make([]byte, 1))
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	if err := request.Write(s.conn); err != nil {
+		return err
+	}
+	c.setAwaiting(s, true, questions)
+	return nil
+}
+
+// awaitAnswer waits for the first byte of an answer. It returns true if there was none for a while
+// and the connection was replaced by a new one, as the request may have been lost. The old one is
+// kept if the server's VM accepts no other and acknowledges on it.
+func (c *checks) awaitAnswer(s *serverCheck) (replaced bool, err error) {
+	for {
+		_, err := s.conn.reader.Peek(1)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return false, err
+		}
+		old := s.conn
+		err = c.connect(s)
+		if err == nil {
+			_ = old.Close()
+			return true, nil
+		}
+		if c.activityBy(s, err) != messenger.ServerUnresponsive {
+			return false, err
+		}
+		if err := s.conn.SetDeadline(time.Now().Add(checkRepeat)); err != nil {
+			return false, err
+		}
+	}
+}
+
+// readAnswer reads an answer, and closes a connection that can't be used again.
+func (s *serverCheck) readAnswer() error {
+	response, err := http.ReadResponse(s.conn.reader, nil)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.CopyN(io.Discard, response.Body, maxStatusBytes)
+	if !errors.Is(err, io.EOF) || response.Close {
+		s.disconnect()
+	}
+	return nil
+}
+
+// connect opens a new connection. Its errors are of type *connectError.
+func (c *checks) connect(s *serverCheck) error {
+	conn, err := c.forwarder.dialServer(c.ctx, s)
+	if err != nil {
+		return &connectError{cause: err}
+	}
+	s.conn = &checkConnection{
+		Conn:    conn,
+		reader:  bufio.NewReader(conn),
+		release: context.AfterFunc(c.ctx, func() { _ = conn.Close() }),
+	}
+	return nil
+}
+
+func (s *serverCheck) disconnect() {
+	if s.conn == nil {
+		return
+	}
+	_ = s.conn.Close()
+	s.conn = nil
+}
+
+// checkServer finds out whether the process of an attempt's server runs. The VM of a paused process
+// accepts connections and requests as well, so that only an answer counts.
+func (f *Forwarder) checkServer(ctx context.Context, s messenger.SendExchange, c *connection) messenger.ServerActivity {
+	q := f.checks.ask(s, c)
+	activity := messenger.ServerUnresponsive
+	select {
+	case activity = <-q.activity:
+	case <-ctx.Done():
+		return activity
+	case <-q.sent:
+		select {
+		case activity = <-q.activity:
+		case <-time.After(checkTimeout):
+		case <-ctx.Done():
+			return activity
+		}
+	}
+	f.config.Metrics.serverChecked(activity)
+	return activity
+}
+
+// awaitActivity waits until the process of an attempt's server runs, has ended or can't be reached.
+func (f *Forwarder) awaitActivity(ctx context.Context, s messenger.SendExchange, c *connection) messenger.ServerActivity {
+	q := f.checks.ask(s, c)
+	select {
+	case activity := <-q.activity:
+		f.config.Metrics.serverChecked(activity)
+		return activity
+	case <-ctx.Done():
 		return messenger.ServerUnresponsive
 	}
-	// Also a server that closes the connection runs.
-	return messenger.ServerResponds
 }
 
-// dialServer opens a connection to the server of an attempt, through a peer if the attempt uses
-// one.
-func (f *Forwarder) dialServer(ctx context.Context, s messenger.SendExchange, c *connection) (net.Conn, error) {
+// dialServer opens the connection of a check, through a peer if that is how the server was reached.
+func (f *Forwarder) dialServer(ctx context.Context, s *serverCheck) (net.Conn, error) {
 	transports := &f.transports
-	if c.via() == "" {
+	if s.target.via == "" {
 		return dialer.RepeatTimedOut(func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, done := context.WithTimeout(ctx, directTimeout)
 			defer done()
 			return transports.dial(ctx, network, address)
-		})(ctx, "tcp", s.Address)
+		})(ctx, "tcp", s.target.address)
 	}
 	var err error = &NoPathError{}
-	for _, peer := range s.Path.Peers {
+	for _, peer := range s.peers {
 		var tunnel net.Conn
-		if tunnel, err = transports.opener.Open(ctx, peer, s.Address); err == nil {
+		if tunnel, err = transports.opener.Open(ctx, peer, s.target.address); err == nil {
 			return tunnel, nil
 		}
 	}
 	return nil, err
 }
-
-// awaitRelease waits until the server of an attempt has dropped the request, whose connection is
-// closed: it answers, has ended, or can't be reached. It returns false if the caller has
-// disconnected or the deadline has passed.
-func (x *exchange) awaitRelease(ctx context.Context, s messenger.SendExchange, timer *attemptTimer) bool {
-	if !x.mustCheck(s) {
-		return true
-	}
-	began := x.forwarder.config.Clock.Now()
-	for ctx.Err() == nil && !timer.expired.Load() {
-		if activity := x.forwarder.checkServer(ctx, s, x.connection); ctx.Err() == nil && activity != messenger.ServerUnresponsive {
-			x.logRelease(s, activity, began)
-			return true
-		}
-		select {
-		case <-time.After(checkInterval):
-		case <-ctx.Done():
-		}
-	}
-	x.logRelease(s, messenger.ServerUnresponsive, began)
-	return false
-}
-
-func (x *exchange) logRelease(s messenger.SendExchange, activity messenger.ServerActivity, closed timekeeper.Time) {
-	x.forwarder.config.Logger.Info("request released",
-		"request", x.head.Request,
-		"attempt", s.Attempt,
-		"server", s.Server,
-		"activity", activity,
-		"waited_ms", x.forwarder.config.Clock.Now().Sub(closed),
-	)
-}
--- a/internal/forwarder/check_test.go
+++ b/internal/forwarder/check_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -120,6 +121,66 @@
 	<-first.dropped
 }
 
+// startStoppedServer starts a server that takes one request and then stands still: its VM accepts as many connections as its
+// backlog holds and acknowledges their bytes.
+func startStoppedServer(t *testing.T, backlog int) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	raw, err := listener.(*net.TCPListener).SyscallConn()
+	require.NoError(t, err)
+	var failed error
+	require.NoError(t, raw.Control(func(fd uintptr) { failed = syscall.Listen(int(fd), backlog) }))
+	require.NoError(t, failed)
+	go func() {
+		if c, err := listener.Accept(); err == nil {
+			t.Cleanup(func() { _ = c.Close() })
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// Guards against a paused server that counts as unreachable, as checks have filled its queue.
+func TestChecksLeaveQueueOfPausedServer(t *testing.T) {
+	const backlog = 2
+	s := newFakeDecider(startStoppedServer(t, backlog))
+	s.timeLimit = 3 * timekeeper.Second
+	sendStream(t, s)
+	s.requireStalls(t, messenger.ServerUnresponsive)
+}
+
+// Guards against a paused server that counts as unreachable, as other connections fill its queue.
+func TestPausedServerWithFullQueueIsNotUnreachable(t *testing.T) {
+	const backlog = 2
+	address := startStoppedServer(t, backlog)
+	s := newFakeDecider(address)
+	s.timeLimit = 3 * timekeeper.Second
+	s.onStall = func(int) {
+		for range 2 * backlog {
+			go func() {
+				c, err := net.DialTimeout("tcp", address, time.Second)
+				if err == nil {
+					t.Cleanup(func() { _ = c.Close() })
+				}
+			}()
+		}
+	}
+	sendStream(t, s)
+	s.requireStalls(t, messenger.ServerUnresponsive)
+}
+
+// requireStalls requires that the checks of all stalls have found the same.
+func (s *fakeDecider) requireStalls(t *testing.T, want messenger.ServerActivity) {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	require.NotEmpty(t, s.stalls)
+	for _, e := range s.stalls {
+		require.Equal(t, want, e.Activity)
+	}
+}
+
 // Guards against a stream at a second server while the first, which sent another answer, begins it.
 func TestNextServerWaitsAfterForeignAnswer(t *testing.T) {
 	const pause = 300 * time.Millisecond
@@ -143,12 +204,12 @@
 			first := startServer(t, func(w http.ResponseWriter, r *http.Request) {
 				if r.URL.Path == statusPath {
 					if paused.Load() {
-						<-r.Context().Done()
+						<-time.After(pause)
+						paused.Store(false)
 					}
 					return
 				}
 				paused.Store(true)
-				time.AfterFunc(pause, func() { paused.Store(false) })
 				w.Header().Set("Id", test.id)
 				w.WriteHeader(test.status)
 			})
--- a/internal/forwarder/connect.go
+++ b/internal/forwarder/connect.go
@@ -116,14 +116,17 @@
 	tunnel *http.Transport
 	opener *tunneler.Opener
 	dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	open   *openConnections
 }
 
 func newTransports(c Config) transports {
+	open := newOpenConnections()
 	t := transports{
 		direct: newTransport(),
 		tunnel: newTransport(),
 		opener: tunneler.NewOpener(c.Self),
-		dial:   c.Dial,
+		dial:   open.track(c.Dial),
+		open:   open,
 	}
 	t.direct.DialContext = t.dialDirectly
 	t.tunnel.DialContext = t.dialThroughPeer
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -13,8 +13,9 @@
 //   - timer.go ends an attempt at its deadline, or if another server takes over, and
 //     running.go all attempts at the end of a planned stop.
 //   - connect.go opens the connection, directly or through a peer.
-//   - check.go finds out whether a silent server runs, so that no stream goes on at another
-//     server before it has dropped the request.
+//   - release.go lets no stream go on at another server before the server before has dropped
+//     the request, and check.go finds out whether a server runs.
+//   - acknowledge.go finds out whether the VM of a server that accepts no connection runs.
 //   - stream.go passes on complete events, so that another server can resume
 //     after the last one.
 //   - unframed.go tells whole answers with neither a length nor chunks from others.
@@ -162,6 +163,7 @@
 	longAnswers   longAnswers
 	leaving       atomic.Bool
 	running       runningAttempts
+	checks        *checks
 }
 
 var _ http.Handler = (*Forwarder)(nil)
@@ -177,15 +179,20 @@
 	if c.Dial == nil {
 		c.Dial = dialer.New(dialer.Config{MaxUnacked: dialer.ServerMaxUnacked}).DialContext
 	}
-	return &Forwarder{
+	f := &Forwarder{
 		config:      c,
 		transports:  newTransports(c),
 		longAnswers: newLongAnswers(),
 	}
+	f.checks = newChecks(f)
+	return f
 }
 
-// Close closes idle connections to servers.
-func (f *Forwarder) Close() { f.transports.closeIdle() }
+// Close closes idle connections to servers, and ends their checks.
+func (f *Forwarder) Close() {
+	f.checks.close()
+	f.transports.closeIdle()
+}
 
 // Leave makes callers switch to other connections: each further answer closes its
 // connection.
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -32,6 +32,8 @@
 	server   identifier.VMID
 	// connection is that of the last attempt.
 	connection *connection
+	// unreleased is the last attempt if its server may still work on the request, or nil.
+	unreleased *unreleasedAttempt
 	// lastEvent is the id of the last event that the caller received, over all
 	// attempts.
 	lastEvent string
@@ -176,15 +178,20 @@
 			// The decision waited for the memory to be copied.
 			asked = send.Decided
 		}
-		if x.isStale(asked) {
+		attempt := send.Attempt
+		switch previous := x.unreleased; {
+		case !x.awaitUnreleased(ctx, send):
+			end = x.endUnreleased()
+			attempt = previous.send.Attempt
+		case x.isStale(asked):
 			end = x.staleDecision()
-		} else {
+		default:
 			end = x.attempt(ctx, send)
 		}
 		if end.done {
 			f.config.Decider.Ended(messenger.ExchangeEnded{
 				Exchange:       x.id,
-				Attempt:        send.Attempt,
+				Attempt:        attempt,
 				Result:         end.result,
 				ServerEnded:    end.serverEnded,
 				Events:         x.eventCount,
--- a/internal/forwarder/timer.go
+++ b/internal/forwarder/timer.go
@@ -64,7 +64,7 @@
 			return x.askForTakeover(ctx, s, stalled)
 		},
 		check: func() messenger.ServerActivity {
-			if !x.mustCheck(s) {
+			if !x.mustRelease(s) {
 				return ""
 			}
 			return x.forwarder.checkServer(attempt, s, c)
