Let a stream whose connection broke go on only when its server has dropped it

The node sent the stream on within milliseconds; the server before went on with it when it woke. Only a takeover and an answer of another request waited for the release.

Class: what is known of a connection is taken for what the server does with the request. Now one rule holds where an attempt ends: if anything was written, and the server has neither answered this attempt nor ended, the next server gets the stream after a check.

Ruled out: moved streams, which continue from a run that its source has stopped. TestNextServerWaitsAfterBrokenConnection failed before in all three cases: the second server had the stream while the first was paused.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -34,9 +34,6 @@
 	answered bool
 	// closed reports that the attempt's connection was closed, so that the server drops the request.
 	closed bool
-	// foreign reports that the server answered something else, so that it may be about to run
-	// the request.
-	foreign bool
 	// stale reports that nothing was attempted, because the decision took too long.
 	stale bool
 	// takeover is the attempt that replaces this one, if that was decided.
@@ -66,13 +63,13 @@
 	if end.done {
 		return end
 	}
-	end.takeover = timer.takeover()
 	if x.mayRunOn(s, end) {
 		x.unreleased = &unreleasedAttempt{
 			send:       s,
 			connection: x.connection,
 		}
 	}
+	end.takeover = timer.takeover()
 	return end
 }
 
@@ -104,9 +101,8 @@
 	case x.ofAnother(reply):
 		// A late answer to another request on this connection.
 		return attemptEnd{
-			result:  messenger.AttemptBroken,
-			reason:  "answer of another request",
-			foreign: true,
+			result: messenger.AttemptBroken,
+			reason: "answer of another request",
 		}
 	case reply.Misdirected:
 		return attemptEnd{
@@ -128,9 +124,8 @@
 		}
 	case succeeded(response.StatusCode) && !reply.Signed:
 		return attemptEnd{
-			result:  messenger.AttemptBroken,
-			reason:  "success without signature",
-			foreign: true,
+			result: messenger.AttemptBroken,
+			reason: "success without signature",
 		}
 	case x.headSent && !succeeded(response.StatusCode):
 		return attemptEnd{
--- a/internal/forwarder/check_test.go
+++ b/internal/forwarder/check_test.go
@@ -121,6 +121,75 @@
 	<-first.dropped
 }
 
+// Guards against a stream at a second server while the first, whose connection broke, is paused with it.
+func TestNextServerWaitsAfterBrokenConnection(t *testing.T) {
+	const pause = 300 * time.Millisecond
+	for _, test := range []struct {
+		name   string
+		events string
+		tunnel bool
+	}{
+		{
+			name: "before the first event",
+		},
+		{
+			name:   "between events",
+			events: "id: 1\ndata: a\n\n",
+		},
+		{
+			name:   "through a peer",
+			tunnel: true,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var paused atomic.Bool
+			first := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == statusPath {
+					if paused.Load() {
+						<-time.After(pause)
+						paused.Store(false)
+					}
+					return
+				}
+				sign(w, r)
+				if test.events != "" {
+					_, _ = io.WriteString(w, test.events)
+					_ = http.NewResponseController(w).Flush()
+				}
+				paused.Store(true)
+				resetConnection(w)
+			})
+			var pausedAtSecond atomic.Bool
+			second := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+				pausedAtSecond.Store(paused.Load())
+				sign(w, r)
+				_, _ = io.WriteString(w, "id: 2\ndata: b\n\n")
+			})
+			s := newFakeDecider(first, second)
+			if test.tunnel {
+				s.path = messenger.Path{
+					Isolated: true,
+					Peers:    []messenger.PathPeer{startPeer(t, "")},
+				}
+			}
+			got := sendStream(t, s)
+			require.NoError(t, got.err)
+			require.Equal(t, test.events+"id: 2\ndata: b\n\n", got.body)
+			require.False(t, pausedAtSecond.Load())
+		})
+	}
+}
+
+// resetConnection ends the connection of a request with a reset.
+func resetConnection(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
 // startStoppedServer starts a server that takes one request and then stands still: its VM accepts as many connections as its
 // backlog holds and acknowledges their bytes.
 func startStoppedServer(t *testing.T, backlog int) string {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -6,7 +6,13 @@
 // each attempt, and returns what to do next. A Protocol knows the header names that
 // callers and servers use. The forwarder ensures that the bytes of exchanges are never
 // mixed, that a truncated answer never looks complete, and that the result of each
-// attempt is classified correctly:
+// attempt is classified correctly. What a connection shows is not taken for what its server does
+// with the request:
+//
+//   - A stream goes on at another server only if the server before has answered this attempt or
+//     ended, or answers a check that was sent after the attempt's connection was closed.
+//
+// The files:
 //
 //   - request.go reads a whole request before anything is sent on, and body.go its body.
 //   - attempt.go sends it to one server and classifies the result.
--- a/internal/forwarder/release.go
+++ b/internal/forwarder/release.go
@@ -15,9 +15,9 @@
 }
 
 // mayRunOn reports whether the server of an attempt that has ended like this may still work on the
-// request, or begin it.
+// request, or begin it: it has neither answered this attempt nor ended.
 func (x *exchange) mayRunOn(s messenger.SendExchange, end attemptEnd) bool {
-	return x.mustRelease(s) && (end.takeover.decided() || end.foreign)
+	return x.mustRelease(s) && x.connection.written.Load() && !end.answered && !end.serverEnded
 }
 
 // awaitUnreleased waits until the server of the last attempt that may still work on the request has
