Take no end of a tunnel for the answer of its server to a check

A check through a peer took any end of its connection for an answer, also that of the peer's process, and a direct one that of an intermediary: streams went on at another server although the one before was paused. Now a check that ends without an answer is repeated; three in a row count as those of a process that resets connections beyond its limit.

Ruled out: no such end counts (a server at its connection limit would hold its streams to their deadlines). TestEndOfTunnelIsNoAnswerOfServer failed before.

--- a/internal/forwarder/check.go
+++ b/internal/forwarder/check.go
@@ -28,8 +28,9 @@
 	// checkRepeat is the time after which a check that is not answered is sent on another connection.
 	checkRepeat = 1 * time.Second
 	// maxCheckEnds is the number of connections in a row that end without an answer, after which
-	// their server counts as running.
-	maxCheckEnds = 1
+	// their server counts as running. A process that runs may reset connections beyond a limit;
+	// a single end may be that of an intermediary.
+	maxCheckEnds = 3
 	// maxStatusBytes bounds a server's answer to a check.
 	maxStatusBytes = 64 << 10
 	// maxAckAge is the age of the last acknowledgement from a VM that runs. Idle connections are
--- a/internal/forwarder/check_test.go
+++ b/internal/forwarder/check_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/dotterelhollow/dotterelhollow/internal/forwarder"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/tunneler"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
@@ -190,6 +191,61 @@
 	_ = c.Close()
 }
 
+// Guards against a stream at a second server as the end of a peer counts as an answer of the first.
+func TestEndOfTunnelIsNoAnswerOfServer(t *testing.T) {
+	const pause = 300 * time.Millisecond
+	var paused atomic.Bool
+	first := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == statusPath {
+			<-time.After(pause)
+			paused.Store(false)
+			return
+		}
+		paused.Store(true)
+		resetConnection(w)
+	})
+	var pausedAtSecond atomic.Bool
+	second := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		pausedAtSecond.Store(paused.Load())
+		sign(w, r)
+		_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+	})
+	s := newFakeDecider(first, second)
+	s.path = messenger.Path{
+		Isolated: true,
+		Peers:    []messenger.PathPeer{startPeerThatEnds(t, 2)},
+	}
+	got := sendStream(t, s)
+	require.NoError(t, got.err)
+	require.Equal(t, "id: 1\ndata: a\n\n", got.body)
+	require.False(t, pausedAtSecond.Load())
+}
+
+// startPeerThatEnds starts a node that opens tunnels and ends the given one at once.
+func startPeerThatEnds(t *testing.T, ending int64) messenger.PathPeer {
+	t.Helper()
+	var tunnels atomic.Int64
+	opens := tunneler.NewHandler(tunneler.HandlerConfig{
+		Admitter: openTunnels{},
+		Next:     http.NotFoundHandler(),
+	})
+	server := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if tunnels.Add(1) != ending {
+			opens.ServeHTTP(w, r)
+			return
+		}
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
+			_ = c.Close()
+		}
+	})
+	return messenger.PathPeer{
+		Node:    "entry-2",
+		Address: server,
+	}
+}
+
 // startStoppedServer starts a server that takes one request and then stands still: its VM accepts as many connections as its
 // backlog holds and acknowledges their bytes.
 func startStoppedServer(t *testing.T, backlog int) string {
