Send a request to the same server again on a connection of its own

A server may answer twice, and the second copy comes where the next answer is expected. If the same request was sent again on the kept connection, the copy of its first rejection was taken for a second one: the caller got 503, or another server the request, while the server ran it (REFUSED, TWICE). The id tells requests apart, not attempts.

Ways: to distrust rejections on a connection that has carried an earlier attempt (callers would get 502 for what has not run), or a connection that has carried none, which is kept: it costs one only where a request comes to the same address again.

TestSecondCopyOfRejectionIsNoAnswer failed before, directly and through a peer.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"strings"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
@@ -51,8 +52,10 @@
 // takes over.
 func (x *exchange) attempt(ctx context.Context, s messenger.SendExchange) attemptEnd {
 	x.connection = &connection{
-		path: s.Path,
+		path:     s.Path,
+		unshared: slices.Contains(x.addresses, s.Address),
 	}
+	x.addresses = append(x.addresses, s.Address)
 	ctx, timer := x.startTimer(ctx, s, x.connection)
 	defer timer.release()
 	end := x.tryServer(ctx, s, timer)
--- a/internal/forwarder/connect.go
+++ b/internal/forwarder/connect.go
@@ -36,6 +36,9 @@
 // after the attempt has ended.
 type connection struct {
 	path messenger.Path
+	// unshared reports that the connection must have served no request before: a late answer to
+	// an earlier attempt of the same request bears the same id.
+	unshared bool
 	// written reports whether the request's headers were written.
 	written atomic.Bool
 
@@ -110,33 +113,51 @@
 	}
 }
 
-// transports are the connections to servers: direct ones, and tunnels through peers.
+// transports are the connections to servers.
 type transports struct {
+	// kept connections serve one request after the other, unshared ones a single one.
+	kept     pathTransports
+	unshared pathTransports
+	opener   *tunneler.Opener
+	dial     func(ctx context.Context, network, address string) (net.Conn, error)
+	open     *openConnections
+}
+
+// pathTransports are direct connections to servers, and tunnels through peers.
+type pathTransports struct {
 	direct *http.Transport
 	tunnel *http.Transport
-	opener *tunneler.Opener
-	dial   func(ctx context.Context, network, address string) (net.Conn, error)
-	open   *openConnections
 }
 
 func newTransports(c Config) transports {
 	open := newOpenConnections()
 	t := transports{
+		kept:     newPathTransports(),
+		unshared: newPathTransports(),
+		opener:   tunneler.NewOpener(c.Self),
+		dial:     open.track(c.Dial),
+		open:     open,
+	}
+	for _, p := range []pathTransports{t.kept, t.unshared} {
+		p.direct.DialContext = t.dialDirectly
+		p.tunnel.DialContext = t.dialThroughPeer
+	}
+	t.kept.tunnel.IdleConnTimeout = tunnelIdleTimeout
+	t.unshared.direct.MaxIdleConnsPerHost = -1
+	t.unshared.tunnel.MaxIdleConnsPerHost = -1
+	return t
+}
+
+func newPathTransports() pathTransports {
+	return pathTransports{
 		direct: newTransport(),
 		tunnel: newTransport(),
-		opener: tunneler.NewOpener(c.Self),
-		dial:   open.track(c.Dial),
-		open:   open,
 	}
-	t.direct.DialContext = t.dialDirectly
-	t.tunnel.DialContext = t.dialThroughPeer
-	t.tunnel.IdleConnTimeout = tunnelIdleTimeout
-	return t
 }
 
 func (t *transports) closeIdle() {
-	t.direct.CloseIdleConnections()
-	t.tunnel.CloseIdleConnections()
+	t.kept.direct.CloseIdleConnections()
+	t.kept.tunnel.CloseIdleConnections()
 }
 
 func (t *transports) dialDirectly(ctx context.Context, network, address string) (net.Conn, error) {
@@ -182,23 +203,27 @@
 
 // order returns the transports that an attempt uses, one after the other, until one of
 // them connects.
-func (t *transports) order(path messenger.Path) []*http.Transport {
+func (t *transports) order(c *connection) []*http.Transport {
+	p := t.kept
+	if c.unshared {
+		p = t.unshared
+	}
 	switch {
-	case len(path.Peers) == 0:
-		return []*http.Transport{t.direct}
-	case path.Isolated:
-		return []*http.Transport{t.tunnel}
-	case path.Broken:
-		return []*http.Transport{t.tunnel, t.direct}
+	case len(c.path.Peers) == 0:
+		return []*http.Transport{p.direct}
+	case c.path.Isolated:
+		return []*http.Transport{p.tunnel}
+	case c.path.Broken:
+		return []*http.Transport{p.tunnel, p.direct}
 	}
-	return []*http.Transport{t.direct, t.tunnel}
+	return []*http.Transport{p.direct, p.tunnel}
 }
 
 // roundTrip sends the request on the first path on which a connection can be opened.
 func (x *exchange) roundTrip(ctx context.Context, s messenger.SendExchange, c *connection) (*http.Response, error) {
 	ctx = context.WithValue(ctx, connectionKey{}, c)
 	var failed error
-	for _, transport := range x.forwarder.transports.order(s.Path) {
+	for _, transport := range x.forwarder.transports.order(c) {
 		response, err := transport.RoundTrip(x.serverRequest(ctx, s, c))
 		if err == nil {
 			return response, nil
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -32,6 +32,8 @@
 	server   identifier.VMID
 	// connection is that of the last attempt.
 	connection *connection
+	// addresses are those of the attempts so far.
+	addresses []string
 	// unreleased is the last attempt if its server may still work on the request, or nil.
 	unreleased *unreleasedAttempt
 	// lastEvent is the id of the last event that the caller received, over all
