Take no rejection for this attempt's unless it names the request

A rejection without an id, such as the 400 of a server that read bytes it did not understand, was taken for the answer to the request in flight: callers got 503 for a request that ran (REFUSED). One without counts as broken now, and its connection is closed.

TestAttemptResults: two rows of rejections without an id failed before. Its server that rejects names the request now, as servers do.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -107,6 +107,12 @@
 			result: messenger.AttemptBroken,
 			reason: "answer of another request",
 		}
+	case reply.NotRun && reply.Request == "":
+		// It may answer something else that the server has read on this connection.
+		return attemptEnd{
+			result: messenger.AttemptBroken,
+			reason: "rejection that names no request",
+		}
 	case reply.Misdirected:
 		return attemptEnd{
 			result: messenger.AttemptMisdirected,
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -9,6 +9,8 @@
 // attempt is classified correctly. What a connection shows is not taken for what its server does
 // with the request:
 //
+//   - A request counts as not run only if nothing of it was written, or if the server rejects it
+//     in an answer that names it, on a connection with no earlier attempt of the same request.
 //   - A stream goes on at another server only if the server before has answered this attempt or
 //     ended, or answers a check that was sent after the attempt's connection was closed.
 //
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -405,7 +405,8 @@
 		{
 			name: "the server says that it did not run it",
 			server: func(t *testing.T) string {
-				return startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+				return startServer(t, func(w http.ResponseWriter, r *http.Request) {
+					w.Header().Set("Id", r.Header.Get("Id"))
 					w.Header().Set("Not-Run", "1")
 					w.WriteHeader(http.StatusServiceUnavailable)
 				})
@@ -413,6 +414,28 @@
 			want:   messenger.AttemptRefused,
 			status: http.StatusBadGateway,
 		},
+		{
+			name: "a rejection that names no request",
+			server: func(t *testing.T) string {
+				return startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+					w.Header().Set("Not-Run", "1")
+					w.WriteHeader(http.StatusBadRequest)
+				})
+			},
+			want:   messenger.AttemptBroken,
+			status: http.StatusBadGateway,
+		},
+		{
+			name: "another server's answer that names no request",
+			server: func(t *testing.T) string {
+				return startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+					w.Header().Set("Not-Run", "1")
+					w.WriteHeader(http.StatusMisdirectedRequest)
+				})
+			},
+			want:   messenger.AttemptBroken,
+			status: http.StatusBadGateway,
+		},
 		{
 			name: "the connection closes without an answer",
 			server: func(t *testing.T) string {
