--- a/internal/rehearser/main_test.go
+++ b/internal/rehearser/main_test.go
@@ -1,6 +1,7 @@
 package rehearser
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/exec"
@@ -12,9 +13,26 @@
 var programs string
 
 func TestMain(m *testing.M) {
+	if properties := os.Getenv(serverVariable); properties != "" {
+		os.Exit(runServer(properties))
+	}
 	os.Exit(buildAndRun(m))
 }
 
+// runServer makes this process a backend server.
+func runServer(properties string) int {
+	var p serverProperties
+	err := json.Unmarshal([]byte(properties), &p)
+	if err == nil {
+		err = p.serve()
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return 0
+}
+
 // buildAndRun builds the programs once for all tests.
 func buildAndRun(m *testing.M) int {
 	dir, err := os.MkdirTemp("", "rehearser")
--- a/internal/rehearser/process_test.go
+++ b/internal/rehearser/process_test.go
@@ -30,10 +30,16 @@
 
 // start runs a program of the project until the test ends.
 func start(t *testing.T, dir, name, program string, args ...string) *process {
+	t.Helper()
+	return startCommand(t, dir, name, exec.Command(filepath.Join(programs, program), args...))
+}
+
+// startCommand runs a command until the test ends.
+func startCommand(t *testing.T, dir, name string, command *exec.Cmd) *process {
 	t.Helper()
 	p := &process{
 		name:    name,
-		command: exec.Command(filepath.Join(programs, program), args...),
+		command: command,
 		log:     filepath.Join(dir, name+".log"),
 		ended:   make(chan struct{}),
 	}
