Ask peers for streams that their callers do not name, where entries are old

Callers whose streams had begun at servers of a new version were continued at another version (ORDER) by a node that had been cut off or stood still while that joined: for callers that name no stream, a node went by entries of any age and knew the old version only.

Now such a node needs entries of at most 1.5 s, without a gap for 2 s, as servers of a new version get requests 2 s after they are known; else it asks its peers. What no peer knows for certain counts if all asked have answered and agree, so that streams go on while the store is down for everybody.

Ruled out: named streams (hold in all cases, with reports read late after a freeze), the age of reports (freezes of 1.6, 1.8, 1.9 and 2 s).

TestUnstatedStreamOfSoleVersionIsResumed asked a node that had heard nothing for a minute to go on by itself: it asks a peer now, and goes on by its answer; TestUnstatedStreamIsNotResumedByOldEntries has the cases in which it must not.

--- a/internal/dispatcher/origin.go
+++ b/internal/dispatcher/origin.go
@@ -36,7 +36,7 @@
 	}
 	if query.Stream == 0 {
 		// Callers that state no stream do not expect several versions: it is enough that no
-		// other one is known.
+		// other one serves now.
 		query.Span = 0
 	}
 	if answer := LocateStream(env, query); answer.Known {
@@ -109,15 +109,14 @@
 			Origin: origin,
 		}
 	}
-	maxAge := maxSoleVersionAge
-	if q.Span == 0 {
-		maxAge = anyAge
+	v, sole := env.Servers.SoleVersion(env.Now, q.Service, max(q.Span, promoter.NewVersionDelay), maxSoleVersionAge)
+	known := sole && q.Span <= maxSpan
+	if !known && q.Span == 0 {
+		v, sole = env.Servers.SoleVersion(env.Now, q.Service, 0, anyAge)
 	}
-	v, sole := env.Servers.SoleVersion(env.Now, q.Service, q.Span, maxAge)
-	sole = sole && q.Span <= maxSpan
 	return messenger.StreamLocated{
-		Known: sole,
-		Sole:  sole,
+		Known: known,
+		Sole:  sole && (known || q.Span == 0),
 		Origin: messenger.StreamOrigin{
 			Service: q.Service,
 			Version: v,
--- a/internal/dispatcher/version_test.go
+++ b/internal/dispatcher/version_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/dotterelhollow/dotterelhollow/internal/dispatcher"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/resumer"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
@@ -221,15 +222,87 @@
 	}
 }
 
-// Guards against refusals of callers that state no stream, at nodes that have just started.
+// Guards against refusals of callers that state no stream, while the store is down for all nodes.
 func TestUnstatedStreamOfSoleVersionIsResumed(t *testing.T) {
 	n := newNode(0)
 	n.publishVersion("v1", 3)
 	n.env.Servers.ApplyRead(n.env.Now, messenger.ServersPublished{All: true})
 	n.env.Now = n.env.Now.Add(timekeeper.Minute) // The store is down.
-	send := n.mustSend(t, n.resumption(""))
+	n.env.OriginPeers = func(identifier.StreamKey) ([]string, timekeeper.Duration) { return []string{"entry-2:7000"}, 0 }
+	asked, ok := n.Receive(n.env, n.resumption("")).(messenger.LocateStream)
+	require.True(t, ok, "other nodes may know a version that this one does not")
+	answer := dispatcher.LocateStream(n.env, asked.Query)
+	require.False(t, answer.Known)
+	var answers resumer.Answers
+	answers.Add(answer)
+	located := answers.Located()
+	located.Exchange = asked.Exchange
+	send, ok := n.StreamLocated(n.env, located).(messenger.SendExchange)
+	require.True(t, ok)
 	require.Equal(t, identifier.Version("v1"), send.Inputs.Version)
-	require.Equal(t, messenger.ReasonUnknownStream, refusal(t, n.Receive(n.env, n.resumption("r-1"))).Reason)
+	require.False(t, dispatcher.LocateStream(n.env, messenger.StreamQuery{
+		Stream:  resumer.KeyOf("agency", "r-1"),
+		Service: "reader",
+		Span:    timekeeper.Second,
+	}).Sole, "a stream that is named may have begun at another one")
+}
+
+// Guards against streams of two versions at a node that was cut off, or whose peers disagree.
+func TestUnstatedStreamIsNotResumedByOldEntries(t *testing.T) {
+	sole := messenger.StreamLocated{
+		Sole: true,
+		Origin: messenger.StreamOrigin{
+			Service: "reader",
+			Version: "v1",
+		},
+	}
+	other := sole
+	other.Origin.Version = "v2"
+	for _, test := range []struct {
+		name    string
+		answers []messenger.StreamLocated
+	}{
+		{
+			name: "it has no peers",
+		},
+		{
+			name:    "one does not answer",
+			answers: []messenger.StreamLocated{sole, {Unanswered: true}},
+		},
+		{
+			name:    "one knows several versions",
+			answers: []messenger.StreamLocated{sole, {}},
+		},
+		{
+			name:    "one knows another one",
+			answers: []messenger.StreamLocated{sole, other},
+		},
+		{
+			name:    "all know another one",
+			answers: []messenger.StreamLocated{other},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			n := newNode(0)
+			n.publishVersion("v1", 3)
+			n.env.Servers.ApplyRead(n.env.Now, messenger.ServersPublished{All: true})
+			n.env.Now = n.env.Now.Add(5 * timekeeper.Second)
+			n.env.OriginPeers = func(identifier.StreamKey) ([]string, timekeeper.Duration) {
+				return make([]string, len(test.answers)), 0
+			}
+			effect := n.Receive(n.env, n.resumption(""))
+			if asked, ok := effect.(messenger.LocateStream); ok {
+				var answers resumer.Answers
+				for _, a := range test.answers {
+					answers.Add(a)
+				}
+				located := answers.Located()
+				located.Exchange = asked.Exchange
+				effect = n.StreamLocated(n.env, located)
+			}
+			require.Equal(t, messenger.ReasonUnknownStream, refusal(t, effect).Reason)
+		})
+	}
 }
 
 // Guards against servers that continue on memory which another version wrote.
--- a/internal/messenger/stream.go
+++ b/internal/messenger/stream.go
@@ -42,7 +42,8 @@
 	}
 	// StreamLocated reports the origin of a stream. It is not Known if no peer that answered
 	// in time knows it. Sole reports that the service had servers of no other version when the
-	// stream can have begun.
+	// stream can have begun; if it is not Known, as far as a node knows whose entries may lack a
+	// version that serves by now.
 	StreamLocated struct {
 		Exchange identifier.ExchangeID
 		Known    bool
--- a/internal/prover/exchange_cluster_test.go
+++ b/internal/prover/exchange_cluster_test.go
@@ -59,6 +59,8 @@
 	incarnation identifier.Incarnation
 	alive       bool
 	frozenUntil timekeeper.Time
+	// buffered is the number of messages that have arrived while the process stood still.
+	buffered timekeeper.Duration
 	// cutFromPeers and cutFromStore simulate network partitions.
 	cutFromPeers bool
 	cutFromStore bool
@@ -143,11 +145,17 @@
 	disorder disorder
 	// overlapping reports that faults overlap at random, so that bounds apply to nodes that no
 	// fault has affected for quarantineDelay.
-	overlapping  bool
+	overlapping bool
+	// buffered has messages to a process that stands still arrive when it goes on, one each
+	// bufferedInterval.
+	buffered     bool
 	size         clusterSize
 	lastExchange identifier.ExchangeID
 }
 
+// bufferedInterval is the time between two messages that a process receives when it goes on.
+const bufferedInterval = 5 * timekeeper.Millisecond
+
 type process struct {
 	vm          identifier.VMID
 	incarnation identifier.Incarnation
@@ -566,7 +574,15 @@
 func (cl *exchangeCluster) deliver(n *gatewayNode, address string, event func(to *gatewayNode) messenger.EventBody) {
 	cl.after(1, func() {
 		to := cl.nodes[identifier.VMID(address)]
-		if n.cutFromPeers || to == nil || to.cutFromPeers || !to.alive || cl.now.Before(to.frozenUntil) {
+		if n.cutFromPeers || to == nil || to.cutFromPeers || !to.alive {
+			return
+		}
+		if cl.now.Before(to.frozenUntil) {
+			if cl.buffered {
+				body := event(to)
+				to.buffered++
+				cl.after(to.frozenUntil.Sub(cl.now)+to.buffered*bufferedInterval, func() { cl.apply(to, body) })
+			}
 			return
 		}
 		if cl.disorder != "" && cl.rng.Float64() < lostMessages {
--- a/internal/prover/resume_test.go
+++ b/internal/prover/resume_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/dotterelhollow/dotterelhollow/internal/catalog"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/resumer"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
@@ -49,7 +50,13 @@
 	// breakShare is the share of the runs that break after some events.
 	breakShare float64
 	// delay is the time after which callers take streams up, or zero for resumeDelay.
-	delay    timekeeper.Duration
+	delay timekeeper.Duration
+	// unnamed has callers name no stream that they take up.
+	unnamed bool
+	// takeUpAt returns the node at which callers take up streams, or nil for any.
+	takeUpAt func() *gatewayNode
+	// takenUp counts the streams that callers took up there.
+	takenUp  int
 	versions map[identifier.VMID]identifier.Version
 }
 
@@ -128,9 +135,19 @@
 // requestStream has a caller request a stream, or resume s if that has begun.
 func (cl *exchangeCluster) requestStream(s *callerStream) {
 	n := cl.anyReady()
+	if cl.resumptions.takeUpAt != nil && s.first != "" {
+		if chosen := cl.resumptions.takeUpAt(); chosen != nil && chosen.alive && !cl.now.Before(chosen.frozenUntil) {
+			n = chosen
+			cl.resumptions.takenUp++
+		}
+	}
 	if n == nil {
 		return
 	}
+	resumed := s.first
+	if cl.resumptions.unnamed {
+		resumed = ""
+	}
 	cl.lastExchange++
 	x := cl.lastExchange
 	id := identifier.RequestID(fmt.Sprintf("s-%d", x))
@@ -166,7 +183,7 @@
 			PromptTokens:   100,
 			MaxTokens:      20,
 			Resumes:        s.first != "",
-			ResumedRequest: s.first,
+			ResumedRequest: resumed,
 			Prefix:         cl.promptOf(x, s.parts),
 			Content:        contentOf(id),
 		},
@@ -346,10 +363,16 @@
 // stream.
 func (cl *exchangeCluster) askForStream(n *gatewayNode, e messenger.LocateStream, answered func(messenger.StreamLocated)) {
 	waiting := len(e.Addresses)
+	var all resumer.Answers
 	receive := func(a messenger.StreamLocated) {
+		if waiting == 0 {
+			return
+		}
 		waiting--
-		if waiting >= 0 && (a.Known || waiting == 0) {
+		all.Add(a)
+		if all.Known() || waiting == 0 {
 			waiting = 0
+			a = all.Located()
 			a.Exchange = e.Exchange
 			answered(a)
 		}
@@ -368,8 +391,9 @@
 		})
 	}
 	cl.after(150, func() {
-		waiting = min(waiting, 1)
-		receive(messenger.StreamLocated{})
+		for range waiting {
+			receive(messenger.StreamLocated{Unanswered: true})
+		}
 	})
 }
 
--- a/internal/runner/stream.go
+++ b/internal/runner/stream.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
+	"github.com/dotterelhollow/dotterelhollow/internal/resumer"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 )
 
@@ -26,7 +27,8 @@
 	})
 }
 
-// askForStream asks all peers at once, and returns the first answer of one that knows.
+// askForStream asks all peers at once, and returns the first answer of one that knows, or what all
+// of them agree on.
 func (r *Runner) askForStream(ctx context.Context, e messenger.LocateStream) messenger.StreamLocated {
 	ctx, done := context.WithTimeout(ctx, grantTimeout.Std())
 	defer done()
@@ -34,24 +36,20 @@
 	for _, address := range e.Addresses {
 		go func() {
 			answer, err := r.config.Peers.Stream(ctx, address, e.Query)
-			answer.Known = answer.Known && err == nil
-			answer.Unanswered = err != nil
+			if err != nil {
+				answer = messenger.StreamLocated{Unanswered: true}
+			}
 			answers <- answer
 		}()
 	}
-	var located messenger.StreamLocated
+	var all resumer.Answers
 	for range e.Addresses {
-		answer := <-answers
-		switch {
-		case located.Known:
-		case answer.Known:
-			located = answer
+		all.Add(<-answers)
+		if all.Known() {
 			done()
-		default:
-			located.Unanswered = located.Unanswered || answer.Unanswered
 		}
 	}
-	return located
+	return all.Located()
 }
 
 // reportStreams reports streams that have just begun. The next state updates contain them too.
