Ask through the peers of the last question when a server is checked

A check that several requests share kept the peers of the first one, which may have ended meanwhile; their loss would count as the server's.

--- a/internal/forwarder/check.go
+++ b/internal/forwarder/check.go
@@ -58,13 +58,13 @@
 // serverIdleTimeout, and then closes ended.
 type serverCheck struct {
 	target checkTarget
-	peers  []messenger.PathPeer
 	// conn is nil if there is no connection.
 	conn  *checkConnection
 	wake  chan struct{}
 	ended chan struct{}
 
-	// The fields below are guarded by checks.mu.
+	// The fields below are guarded by checks.mu. peers are those of the last question.
+	peers     []messenger.PathPeer
 	questions []*question
 	// awaiting reports that an earlier question has been sent and not been answered.
 	awaiting bool
@@ -135,13 +135,13 @@
 	if !ok {
 		check = &serverCheck{
 			target: target,
-			peers:  s.Path.Peers,
 			wake:   make(chan struct{}, 1),
 			ended:  make(chan struct{}),
 		}
 		c.running[target] = check
 		go c.run(check)
 	}
+	check.peers = s.Path.Peers
 	check.questions = append(check.questions, q)
 	if check.awaiting {
 		close(q.sent)
@@ -348,7 +348,10 @@
 
 // connect opens a new connection. Its errors are of type *connectError.
 func (c *checks) connect(s *serverCheck) error {
-	conn, err := c.forwarder.dialServer(c.ctx, s)
+	c.mu.Lock()
+	peers := s.peers
+	c.mu.Unlock()
+	conn, err := c.forwarder.dialServer(c.ctx, s.target, peers)
 	if err != nil {
 		return &connectError{cause: err}
 	}
@@ -401,20 +404,21 @@
 	}
 }
 
-// dialServer opens the connection of a check, through a peer if that is how the server was reached.
-func (f *Forwarder) dialServer(ctx context.Context, s *serverCheck) (net.Conn, error) {
+// dialServer opens the connection of a check, through one of the peers if that is how the server was
+// reached.
+func (f *Forwarder) dialServer(ctx context.Context, target checkTarget, peers []messenger.PathPeer) (net.Conn, error) {
 	transports := &f.transports
-	if s.target.via == "" {
+	if target.via == "" {
 		return dialer.RepeatTimedOut(func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, done := context.WithTimeout(ctx, directTimeout)
 			defer done()
 			return transports.dial(ctx, network, address)
-		})(ctx, "tcp", s.target.address)
+		})(ctx, "tcp", target.address)
 	}
 	var err error = &NoPathError{}
-	for _, peer := range s.peers {
+	for _, peer := range peers {
 		var tunnel net.Conn
-		if tunnel, err = transports.opener.Open(ctx, peer, s.target.address); err == nil {
+		if tunnel, err = transports.opener.Open(ctx, peer, target.address); err == nil {
 			return tunnel, nil
 		}
 	}
