--- a/internal/rehearser/stopped_test.go
+++ b/internal/rehearser/stopped_test.go
@@ -1,6 +1,7 @@
 package rehearser
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"flag"
@@ -200,10 +201,13 @@
 	random  *rand.Rand
 	callers []string
 	servers []*stoppableServer
+	// nodeLogs are the files of the nodes' logs.
+	nodeLogs []string
 
 	mu       sync.Mutex
 	statuses map[string]int
 	whole    int
+	notes    []string
 }
 
 type stoppableServer struct {
@@ -264,7 +268,8 @@
 		require.NoError(t, os.MkdirAll(dir, 0o700))
 		text := fmt.Sprintf(gatewaySettings, i+1, a[0], a[1], a[2], a[3], a[4], addresses[0], seedAddress, addresses[1])
 		require.NoError(t, os.WriteFile(filepath.Join(dir, "10-node.ini"), []byte(text), 0o600))
-		start(t, r.dir, fmt.Sprintf("node-%d", i), "dotterelhollow", "serve", "--settings", dir)
+		node := start(t, r.dir, fmt.Sprintf("node-%d", i), "dotterelhollow", "serve", "--settings", dir)
+		r.nodeLogs = append(r.nodeLogs, node.log)
 		r.callers = append(r.callers, a[0])
 		require.Eventually(t, func() bool { return ready(a[3]) }, settleTimeout, pollInterval)
 	}
@@ -331,6 +336,57 @@
 	}
 }
 
+// note records what was done to a server.
+func (r *gatewayRun) note(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.notes = append(r.notes, time.Now().UTC().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
+}
+
+// explain logs what the nodes and the servers did with a request, and what was done to the servers.
+func (r *gatewayRun) explain(id string, runs []standin.Work) {
+	for _, w := range runs {
+		r.t.Logf("%s at %s from %s to %s", id, w.Server, w.Began.UTC().Format("15:04:05.000"), w.Ended.UTC().Format("15:04:05.000"))
+	}
+	for _, file := range r.nodeLogs {
+		data, err := os.ReadFile(file)
+		require.NoError(r.t, err)
+		for line := range strings.Lines(string(data)) {
+			if strings.Contains(line, `"`+id+`"`) {
+				r.t.Log(strings.TrimSpace(line))
+			}
+		}
+	}
+	r.t.Log(strings.Join(r.notes, "\n"))
+}
+
+// sortByAttempt sorts the runs of a request in the order of its attempts. A server that is stopped
+// begins its run, if only to drop it, when it goes on, which may be after the next one has begun.
+func (r *gatewayRun) sortByAttempt(id string, runs []standin.Work) {
+	attempt := map[string]int{}
+	for _, file := range r.nodeLogs {
+		data, err := os.ReadFile(file)
+		require.NoError(r.t, err)
+		for line := range strings.Lines(string(data)) {
+			var entry struct {
+				Message  string `json:"@message"`
+				Request  string `json:"request"`
+				Server   string `json:"server"`
+				Attempt  int    `json:"attempt"`
+				Attempts int    `json:"attempts"`
+			}
+			if !strings.Contains(line, id) || json.Unmarshal([]byte(line), &entry) != nil || entry.Request != id {
+				continue
+			}
+			switch entry.Message {
+			case "attempt ended", "exchange ended":
+				attempt[entry.Server] = max(entry.Attempt, entry.Attempts)
+			}
+		}
+	}
+	slices.SortFunc(runs, func(a, b standin.Work) int { return cmp.Compare(attempt[a.Server], attempt[b.Server]) })
+}
+
 // play sends requests while servers are stopped and their connections reset.
 func (r *gatewayRun) play() {
 	var wait sync.WaitGroup
@@ -347,11 +403,14 @@
 			stopped := time.Duration(500+r.random.IntN(900)) * time.Millisecond
 			reset := time.Duration(r.random.IntN(500)) * time.Millisecond
 			s.signal(syscall.SIGSTOP)
+			r.note("%s is stopped", s.properties.ID)
 			wait.Go(func() {
 				<-time.After(reset)
 				s.proxy.reset()
+				r.note("connections to %s are reset", s.properties.ID)
 				<-time.After(stopped - min(reset, stopped))
 				s.signal(syscall.SIGCONT)
+				r.note("%s goes on", s.properties.ID)
 			})
 		}
 		<-time.After(20 * time.Millisecond)
@@ -385,23 +444,25 @@
 			r.play()
 			repeated, overlaps, twice, refused := 0, 0, 0, 0
 			for id, runs := range r.work() {
-				slices.SortFunc(runs, func(a, b standin.Work) int { return a.Began.Compare(b.Began) })
+				r.sortByAttempt(id, runs)
 				for i, later := range runs[1:] {
 					repeated++
 					overlap := runs[i].Ended.Sub(later.Began)
 					switch {
 					case later.Service == "portal":
 						twice++
-						t.Logf("%s runs at %s and %s", id, runs[i].Server, later.Server)
+						r.explain(id, runs)
 					case overlap > maxOverlap:
 						overlaps++
 						t.Logf("%s runs at %s for %v after %s has begun it", id, runs[i].Server, overlap, later.Server)
+						r.explain(id, runs)
 					}
 				}
 				status := r.statuses[id]
 				if runs[0].Service == "portal" && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
 					refused++
 					t.Logf("%s runs and is answered %d", id, status)
+					r.explain(id, runs)
 				}
 			}
 			t.Logf("%d requests, %d whole, %d repeated", len(r.statuses), r.whole, repeated)
