Find out once what a failed connection of a check tells; one server for three tests

What the failure to connect tells was worked out twice, from sockets whose state may change between the two. The error of the connection carries it now. A connection whose check was not answered was kept when a new one found the VM unreachable, so that its late answer would have been taken for that to a later question: it is closed, which is the one change of behaviour. Three tests had the same second server; their assertions are unchanged.

Ran: vet, the tests of forwarder with the race detector, lint of it.

--- a/internal/forwarder/check.go
+++ b/internal/forwarder/check.go
@@ -230,7 +230,7 @@
 		case err == nil:
 			return messenger.ServerResponds
 		case errors.As(err, &failed):
-			return c.activityBy(s, failed.cause)
+			return failed.activity
 		}
 		s.disconnect()
 		if kept {
@@ -259,8 +259,11 @@
 	return messenger.ServerUnreachable
 }
 
-// connectError reports that no connection for a check could be opened.
-type connectError struct{ cause error }
+// connectError reports that no connection for a check could be opened, and what that tells.
+type connectError struct {
+	activity messenger.ServerActivity
+	cause    error
+}
 
 var _ error = (*connectError)(nil)
 
@@ -323,7 +326,10 @@
 			_ = old.Close()
 			return true, nil
 		}
-		if c.activityBy(s, err) != messenger.ServerUnresponsive {
+		var failed *connectError
+		if !errors.As(err, &failed) || failed.activity != messenger.ServerUnresponsive {
+			// Its answer would be taken for that to a later question.
+			s.disconnect()
 			return false, err
 		}
 		if err := s.conn.SetDeadline(time.Now().Add(checkRepeat)); err != nil {
@@ -353,7 +359,10 @@
 	c.mu.Unlock()
 	conn, err := c.forwarder.dialServer(c.ctx, s.target, peers)
 	if err != nil {
-		return &connectError{cause: err}
+		return &connectError{
+			activity: c.activityBy(s, err),
+			cause:    err,
+		}
 	}
 	s.conn = &checkConnection{
 		Conn:    conn,
--- a/internal/forwarder/check_test.go
+++ b/internal/forwarder/check_test.go
@@ -160,12 +160,7 @@
 				paused.Store(true)
 				resetConnection(w)
 			})
-			var pausedAtSecond atomic.Bool
-			second := startServer(t, func(w http.ResponseWriter, r *http.Request) {
-				pausedAtSecond.Store(paused.Load())
-				sign(w, r)
-				_, _ = io.WriteString(w, "id: 2\ndata: b\n\n")
-			})
+			second, pausedAtSecond := startNextServer(t, &paused, "id: 2\ndata: b\n\n")
 			s := newFakeDecider(first, second)
 			if test.tunnel {
 				s.path = messenger.Path{
@@ -181,6 +176,18 @@
 	}
 }
 
+// startNextServer starts a server that answers with a body, and records whether the server before was
+// paused when the request arrived.
+func startNextServer(t *testing.T, paused *atomic.Bool, body string) (address string, pausedAtArrival *atomic.Bool) {
+	t.Helper()
+	pausedAtArrival = &atomic.Bool{}
+	return startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		pausedAtArrival.Store(paused.Load())
+		sign(w, r)
+		_, _ = io.WriteString(w, body)
+	}), pausedAtArrival
+}
+
 // resetConnection ends the connection of a request with a reset.
 func resetConnection(w http.ResponseWriter) {
 	c, _, err := http.NewResponseController(w).Hijack()
@@ -204,12 +211,7 @@
 		paused.Store(true)
 		resetConnection(w)
 	})
-	var pausedAtSecond atomic.Bool
-	second := startServer(t, func(w http.ResponseWriter, r *http.Request) {
-		pausedAtSecond.Store(paused.Load())
-		sign(w, r)
-		_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
-	})
+	second, pausedAtSecond := startNextServer(t, &paused, "id: 1\ndata: a\n\n")
 	s := newFakeDecider(first, second)
 	s.path = messenger.Path{
 		Isolated: true,
@@ -246,8 +248,8 @@
 	}
 }
 
-// startStoppedServer starts a server that takes one request and then stands still: its VM accepts as many connections as its
-// backlog holds and acknowledges their bytes.
+// startStoppedServer starts a server that takes one request and then stands still: its VM accepts as
+// many connections as its backlog holds and acknowledges their bytes.
 func startStoppedServer(t *testing.T, backlog int) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -338,12 +340,7 @@
 				w.Header().Set("Id", test.id)
 				w.WriteHeader(test.status)
 			})
-			var pausedAtSecond atomic.Bool
-			second := startServer(t, func(w http.ResponseWriter, r *http.Request) {
-				pausedAtSecond.Store(paused.Load())
-				sign(w, r)
-				_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
-			})
+			second, pausedAtSecond := startNextServer(t, &paused, "id: 1\ndata: a\n\n")
 			got := sendStream(t, newFakeDecider(first, second))
 			require.NoError(t, got.err)
 			require.Equal(t, "id: 1\ndata: a\n\n", got.body)
