Take no answer whose status line is none

Callers got status 000 as 502 with the server's signature and id, 099 as a closed connection, 101 as it came (MIXED). In each the attempt ended in the panic of WriteHeader, or before it: it was not counted, and no other server was tried. Found beside it: such an answer that states that nothing ran was believed, so that a request which had run went to a second server (TWICE, REFUSED), and so were the same answers at the clients of platform, store, cloud, plain servers and peers ("HTTP/9.9 404" of the store was an empty list of servers).

Cause: net/http takes any three characters that convert to a number for a status and any HTTP/x.y for a version, and reads the chunks of HTTP/1.0 as the body. Package answerreader judges each answer between the connection and the first decision; a malformed one is a broken attempt that may have run. 600 to 999 are refused as well: the protocol has no such status, and what callers got for them bore a signature. A transport may still be writing the request when it returns such an answer, so the request counts as written.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -34,6 +34,7 @@
 	"sync/atomic"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/adapter/encoder"
+	"github.com/dotterelhollow/dotterelhollow/internal/answerreader"
 	"github.com/dotterelhollow/dotterelhollow/internal/rationer"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
@@ -96,13 +97,15 @@
 	return &client{
 		timeouts: timeouts,
 		http: http.Client{
-			Transport: &http.Transport{
-				DialContext:            dialer.DialContext,
-				DisableKeepAlives:      unpooled,
-				DisableCompression:     true,
-				MaxIdleConnsPerHost:    maxIdlePerHost,
-				IdleConnTimeout:        (30 * timekeeper.Second).Std(),
-				MaxResponseHeaderBytes: maxHead,
+			Transport: &answerreader.Transport{
+				Transport: &http.Transport{
+					DialContext:            dialer.DialContext,
+					DisableKeepAlives:      unpooled,
+					DisableCompression:     true,
+					MaxIdleConnsPerHost:    maxIdlePerHost,
+					IdleConnTimeout:        (30 * timekeeper.Second).Std(),
+					MaxResponseHeaderBytes: maxHead,
+				},
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
--- a/internal/forwarder/check.go
+++ b/internal/forwarder/check.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/dotterelhollow/dotterelhollow/internal/answerreader"
 	"github.com/dotterelhollow/dotterelhollow/internal/dialer"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
@@ -340,7 +341,7 @@
 
 // readAnswer reads an answer, and closes a connection that can't be used again.
 func (s *serverCheck) readAnswer() error {
-	response, err := http.ReadResponse(s.conn.reader, nil)
+	response, err := answerreader.Read(s.conn.reader, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/forwarder/connect.go
+++ b/internal/forwarder/connect.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dotterelhollow/dotterelhollow/internal/answerreader"
 	"github.com/dotterelhollow/dotterelhollow/internal/dialer"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/tunneler"
@@ -125,8 +126,8 @@
 
 // pathTransports are direct connections to servers, and tunnels through peers.
 type pathTransports struct {
-	direct *http.Transport
-	tunnel *http.Transport
+	direct *answerreader.Transport
+	tunnel *answerreader.Transport
 }
 
 func newTransports(c Config) transports {
@@ -203,20 +204,20 @@
 
 // order returns the transports that an attempt uses, one after the other, until one of
 // them connects.
-func (t *transports) order(c *connection) []*http.Transport {
+func (t *transports) order(c *connection) []*answerreader.Transport {
 	p := t.kept
 	if c.unshared {
 		p = t.unshared
 	}
 	switch {
 	case len(c.path.Peers) == 0:
-		return []*http.Transport{p.direct}
+		return []*answerreader.Transport{p.direct}
 	case c.path.Isolated:
-		return []*http.Transport{p.tunnel}
+		return []*answerreader.Transport{p.tunnel}
 	case c.path.Broken:
-		return []*http.Transport{p.tunnel, p.direct}
+		return []*answerreader.Transport{p.tunnel, p.direct}
 	}
-	return []*http.Transport{p.direct, p.tunnel}
+	return []*answerreader.Transport{p.direct, p.tunnel}
 }
 
 // roundTrip sends the request on the first path on which a connection can be opened.
@@ -228,6 +229,11 @@
 		if err == nil {
 			return response, nil
 		}
+		var malformed *answerreader.MalformedError
+		if errors.As(err, &malformed) {
+			// The transport may still be writing the request.
+			c.written.Store(true)
+		}
 		failed = errors.Join(failed, err)
 		if c.written.Load() || ctx.Err() != nil || !isDialError(err) {
 			return nil, failed
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -40,6 +40,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/dotterelhollow/dotterelhollow/internal/answerreader"
 	"github.com/dotterelhollow/dotterelhollow/internal/dialer"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
@@ -223,15 +224,17 @@
 	}
 }
 
-func newTransport() *http.Transport {
-	return &http.Transport{
-		MaxIdleConnsPerHost: maxIdlePerServer,
-		IdleConnTimeout:     serverIdleTimeout,
-		// A decompressed body would differ from the server's body.
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxServerHeaderBytes,
-		ReadBufferSize:         4 << 10,
-		WriteBufferSize:        4 << 10,
+func newTransport() *answerreader.Transport {
+	return &answerreader.Transport{
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: maxIdlePerServer,
+			IdleConnTimeout:     serverIdleTimeout,
+			// A decompressed body would differ from the server's body.
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxServerHeaderBytes,
+			ReadBufferSize:         4 << 10,
+			WriteBufferSize:        4 << 10,
+		},
 	}
 }
 
--- a/internal/relayer/client.go
+++ b/internal/relayer/client.go
@@ -12,6 +12,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/dotterelhollow/dotterelhollow/internal/answerreader"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/rationer"
 	pb "github.com/dotterelhollow/dotterelhollow/internal/relayer/relayerpb"
@@ -281,7 +282,7 @@
 	}
 	client := &http.Client{
 		Transport: &boundedTripper{
-			next:     transport,
+			next:     &answerreader.Transport{Transport: transport},
 			limit:    c.config.MaxMessage,
 			rationer: c.rationer,
 		},
--- a/internal/tunneler/tunneler.go
+++ b/internal/tunneler/tunneler.go
@@ -20,6 +20,7 @@
 	"net/url"
 	"time"
 
+	"github.com/dotterelhollow/dotterelhollow/internal/answerreader"
 	"github.com/dotterelhollow/dotterelhollow/internal/dialer"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
@@ -92,7 +93,7 @@
 		remaining: maxAnswerHead,
 	}
 	reader := bufio.NewReaderSize(head, readBuffer)
-	response, err := http.ReadResponse(reader, request)
+	response, err := answerreader.Read(reader, request)
 	if err != nil && head.remaining <= 0 {
 		// The parser may report the cut line instead.
 		err = &HeadTooLargeError{Limit: maxAnswerHead}
--- a/pkg/caller/config.go
+++ b/pkg/caller/config.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/dotterelhollow/dotterelhollow/internal/answerreader"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
@@ -76,10 +77,12 @@
 	return c
 }
 
-func newTransport(c Config) *http.Transport {
+func newTransport(c Config) *answerreader.Transport {
 	dialer := &net.Dialer{Timeout: c.DialTimeout.Std()}
-	return &http.Transport{
-		DialContext:     dialer.DialContext,
-		IdleConnTimeout: idleConnTimeout,
+	return &answerreader.Transport{
+		Transport: &http.Transport{
+			DialContext:     dialer.DialContext,
+			IdleConnTimeout: idleConnTimeout,
+		},
 	}
 }
