Take no answer with a name of a field that is none

Callers got 200 with the lines of the chunks in its body for "Transfer-Encoding : chunked", with what follows the body for "Content-Length : 2", and without the line for "A b: c" (MIXED). The same answers were believed at every other reader: a 503 that states that nothing ran, a 404 of the store.

Cause: net/http accepts a blank in a name, keeps the field under that name and does not take it for framing. It refuses every other byte that a name must not hold: ruled out for tabs, control bytes, brackets, bytes above 127, empty names, lines without a colon, and control bytes in values, in heads, interim heads and trailers. answerreader checks the names of heads, interim heads and, at the end of a chunked body, trailers. net/http bounds the heads of all interim answers together only if nobody looks at them, so that bound is kept where they are checked.

--- a/internal/adapter/malformed_test.go
+++ b/internal/adapter/malformed_test.go
@@ -16,6 +16,7 @@
 	for name, answer := range map[string]string{
 		"status":  "HTTP/1.1 000 None\r\n" + end,
 		"version": "HTTP/9.9 503 Service Unavailable\r\n" + end,
+		"name":    "HTTP/1.1 503 Service Unavailable\r\nA b: c\r\n" + end,
 	} {
 		t.Run(name, func(t *testing.T) {
 			address := startEndless(t, answer, "x")
--- a/internal/answerreader/answerreader.go
+++ b/internal/answerreader/answerreader.go
@@ -9,8 +9,14 @@
 
 import (
 	"bufio"
+	"cmp"
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"strconv"
 	"strings"
 )
 
@@ -35,9 +41,11 @@
 
 var _ http.RoundTripper = (*Transport)(nil)
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip implements http.RoundTripper. A malformed trailer is an error of the body.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := t.Transport.RoundTrip(request)
+	interim := interimAnswers{maxBytes: cmp.Or(t.MaxResponseHeaderBytes, defaultMaxHead)}
+	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{Got1xxResponse: interim.check})
+	response, err := t.Transport.RoundTrip(request.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
@@ -45,9 +53,65 @@
 		_ = response.Body.Close()
 		return nil, err
 	}
+	if len(response.TransferEncoding) > 0 {
+		response.Body = &chunkedBody{
+			ReadCloser: response.Body,
+			response:   response,
+		}
+	}
 	return response, nil
 }
 
+const (
+	// interimBytes is the least size of the head of an interim answer.
+	interimBytes = 16
+	// defaultMaxHead bounds the head of an answer, in bytes, if the transport states no bound.
+	defaultMaxHead = 10 << 20
+)
+
+// interimAnswers are the interim answers to a request. net/http bounds only the head of each.
+type interimAnswers struct {
+	// maxBytes bounds their heads together.
+	maxBytes int64
+	bytes    int64
+}
+
+// check returns a *MalformedError if an interim answer is malformed, or exceeds the bound.
+func (a *interimAnswers) check(status int, header textproto.MIMEHeader) error {
+	a.bytes += interimBytes
+	for name, values := range header {
+		for _, value := range values {
+			a.bytes += int64(len(name) + len(value))
+		}
+	}
+	if a.bytes > a.maxBytes {
+		return &MalformedError{
+			Part:  "interim answers without end, status",
+			Value: strconv.Itoa(status),
+		}
+	}
+	return checkNames(header)
+}
+
+// chunkedBody is a body that may have trailers behind it.
+type chunkedBody struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+var _ io.ReadCloser = (*chunkedBody)(nil)
+
+// Read implements io.Reader. Its error is a *MalformedError if a trailer is malformed.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if malformed := checkNames(b.response.Trailer); malformed != nil {
+			return n, malformed
+		}
+	}
+	return n, err
+}
+
 // Read reads the head of an answer from a connection. Its errors are of type *MalformedError, or
 // those of http.ReadResponse.
 func Read(r *bufio.Reader, request *http.Request) (*http.Response, error) {
@@ -82,6 +146,20 @@
 			Value: r.Proto,
 		}
 	}
+	return checkNames(r.Header)
+}
+
+// checkNames returns a *MalformedError if the name of a field holds a blank. net/http accepts them
+// and refuses all other bytes that are not allowed there.
+func checkNames(fields map[string][]string) error {
+	for name := range fields {
+		if strings.Contains(name, " ") {
+			return &MalformedError{
+				Part:  "name of a field",
+				Value: name,
+			}
+		}
+	}
 	return nil
 }
 
--- a/internal/forwarder/malformed_test.go
+++ b/internal/forwarder/malformed_test.go
@@ -163,3 +163,55 @@
 		})
 	}
 }
+
+// malformedLines are lines of a head that are no fields.
+var malformedLines = map[string]string{
+	"blank in a name":         "A b: c",
+	"blank after a name":      "Content-Length : 2",
+	"blank after chunks":      "Transfer-Encoding : chunked",
+	"tab in a name":           "A\tb: c",
+	"tab after a name":        "Content-Length\t: 2",
+	"control byte in a name":  "A\x01b: c",
+	"zero byte in a name":     "A\x00b: c",
+	"bracket in a name":       "A(b: c",
+	"byte above 127":          "A\xe9b: c",
+	"empty name":              ": c",
+	"no colon":                "Abc",
+	"control byte in a value": "A: b\x01c",
+	"carriage return":         "A: b\rc",
+}
+
+// Guards against answers that are passed on, with another body, although a name in their head is none.
+func TestAnswerWithMalformedFieldIsBroken(t *testing.T) {
+	for name, line := range malformedLines {
+		for part, answer := range map[string]string{
+			"head":         "HTTP/1.1 200 OK\r\n" + malformedFields + line + "\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+			"failure":      "HTTP/1.1 500 Failed\r\n" + malformedFields + line + "\r\nContent-Length: 2\r\n\r\nok",
+			"interim head": "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + lengthHead + "whole",
+		} {
+			t.Run(name+" of a "+part, func(t *testing.T) { requireBroken(t, answer) })
+		}
+	}
+}
+
+// Guards against answers that count as whole although a name in their trailers is none.
+func TestAnswerWithMalformedTrailerIsBroken(t *testing.T) {
+	for name, line := range malformedLines {
+		for _, stream := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/stream %t", name, stream), func(t *testing.T) {
+				s := newFakeDecider(startRawServer(t, func(c net.Conn) {
+					_, _ = fmt.Fprintf(c, "%sf\r\nid: 1\ndata: a\n\n\r\n0\r\n%s\r\n\r\n", chunkHead, line)
+				}))
+				s.route.Stream = stream
+				got := do(t, newRequest(t, http.MethodGet, "http://"+startForwarder(t, s)+"/", nil))
+				require.Equal(t, []messenger.AttemptResult{messenger.AttemptBroken}, s.results())
+				if stream {
+					require.Error(t, got.err)
+					return
+				}
+				require.NoError(t, got.err)
+				require.Equal(t, http.StatusBadGateway, got.status)
+			})
+		}
+	}
+}
--- a/internal/relayer/malformed_test.go
+++ b/internal/relayer/malformed_test.go
@@ -12,6 +12,7 @@
 	for name, reply := range map[string]string{
 		"status":  "HTTP/1.1 000 None\r\n" + end,
 		"version": "HTTP/9.9 400 Bad Request\r\n" + end,
+		"name":    "HTTP/1.1 400 Bad Request\r\nA b: c\r\n" + end,
 	} {
 		t.Run(name, func(t *testing.T) {
 			err := newDefaultClient(t).HandOver(t.Context(), startEndlessPeer(t, reply, "x"), Push{Spec: spec()})
--- a/internal/tunneler/malformed_test.go
+++ b/internal/tunneler/malformed_test.go
@@ -17,6 +17,7 @@
 	for name, answer := range map[string]string{
 		"status":  "HTTP/1.1 000 None\r\n\r\n",
 		"version": "HTTP/9.9 200 OK\r\n\r\n",
+		"name":    "HTTP/1.1 200 OK\r\nA b: c\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			peer := messenger.PathPeer{
