Tell a reset connection from one that ended in order

A server answered a long upload at once with 200 and no length, sent a part and reset the connection while the upload was still written: callers got the part as a whole answer (MIXED).

Cause: the kernel reports a reset once. Where the write of the upload takes the error, the read beside it finds the orderly end that is the end of such an answer; through a peer it is the peer's write, and the peer then ends its tunnel in order. Only a server that no longer listens was taken for the other explanation. Ruled out: the end of the server's process (it listens), the order in which the two directions of a tunnel end (a tunnel whose read ends in order is ended in order, whichever came first).

Change: connections whose reads end ask the kernel for their state. One that the remote end closed in order can still be written to; one that was reset is closed in both directions, whoever took the error. It holds for all connections on which answers are read: servers, peers and their tunnels, platform, store, cloud.

The sound side holds on both codes: TestEarlyAnswerThatEndsInOrderIsWhole, TestOrderlyEndIsNoReset.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -35,6 +35,7 @@
 
 	"github.com/dotterelhollow/dotterelhollow/internal/adapter/encoder"
 	"github.com/dotterelhollow/dotterelhollow/internal/answerreader"
+	"github.com/dotterelhollow/dotterelhollow/internal/dialer"
 	"github.com/dotterelhollow/dotterelhollow/internal/rationer"
 	"github.com/dotterelhollow/dotterelhollow/pkg/identifier"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
@@ -93,13 +94,13 @@
 
 func newClientWith(timeouts Timeouts, unpooled bool) *client {
 	timeouts = timeouts.withDefaults()
-	dialer := &net.Dialer{Timeout: timeouts.Dial.Std()}
+	dial := dialer.DetectResets((&net.Dialer{Timeout: timeouts.Dial.Std()}).DialContext)
 	return &client{
 		timeouts: timeouts,
 		http: http.Client{
 			Transport: &answerreader.Transport{
 				Transport: &http.Transport{
-					DialContext:            dialer.DialContext,
+					DialContext:            dial,
 					DisableKeepAlives:      unpooled,
 					DisableCompression:     true,
 					MaxIdleConnsPerHost:    maxIdlePerHost,
--- a/internal/dialer/socket_linux.go
+++ b/internal/dialer/socket_linux.go
@@ -34,10 +34,32 @@
 	if !ok {
 		return 0, false
 	}
-	raw, err := socket.SyscallConn()
+	info, err := tcpInfo(socket)
 	if err != nil {
 		return 0, false
 	}
+	return timekeeper.Duration(info.Last_ack_recv), true
+}
+
+// tcpClose is TCP_CLOSE of the kernel's tcp_states.h.
+const tcpClose = 7
+
+// closedBoth reports whether a connection, which this process has not closed, is closed in both
+// directions. Its error is net.ErrClosed if the process has closed it.
+func closedBoth(c syscall.Conn) (bool, error) {
+	info, err := tcpInfo(c)
+	if err != nil {
+		return false, err
+	}
+	return info.State == tcpClose, nil
+}
+
+// tcpInfo returns what the kernel knows of a connection.
+func tcpInfo(c syscall.Conn) (*unix.TCPInfo, error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
 	var (
 		info   *unix.TCPInfo
 		failed error
@@ -45,8 +67,8 @@
 	err = raw.Control(func(fd uintptr) {
 		info, failed = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
-	if err != nil || failed != nil {
-		return 0, false
+	if err != nil {
+		return nil, err
 	}
-	return timekeeper.Duration(info.Last_ack_recv), true
+	return info, failed
 }
--- a/internal/forwarder/connect.go
+++ b/internal/forwarder/connect.go
@@ -136,7 +136,7 @@
 		kept:     newPathTransports(),
 		unshared: newPathTransports(),
 		opener:   tunneler.NewOpener(c.Self),
-		dial:     open.track(c.Dial),
+		dial:     open.track(dialer.DetectResets(c.Dial)),
 		open:     open,
 	}
 	for _, p := range []pathTransports{t.kept, t.unshared} {
--- a/internal/relayer/client.go
+++ b/internal/relayer/client.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/answerreader"
+	"github.com/dotterelhollow/dotterelhollow/internal/dialer"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/rationer"
 	pb "github.com/dotterelhollow/dotterelhollow/internal/relayer/relayerpb"
@@ -269,9 +270,8 @@
 }
 
 func (c *Client) newConns(address string) *peerConns {
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            dialer.DetectResets((&net.Dialer{Timeout: dialTimeout}).DialContext),
 		MaxConnsPerHost:        connsPerPeer,
 		MaxIdleConnsPerHost:    idlePerPeer,
 		IdleConnTimeout:        idleTimeout,
--- a/internal/tunneler/handler.go
+++ b/internal/tunneler/handler.go
@@ -54,13 +54,13 @@
 	d.Timeout = connectTimeout
 	return &handler{
 		config: c,
-		dialer: d,
+		dial:   dialer.DetectResets(d.DialContext),
 	}
 }
 
 type handler struct {
 	config HandlerConfig
-	dialer *net.Dialer
+	dial   dialer.DialFunc
 }
 
 // ServeHTTP implements http.Handler.
@@ -96,7 +96,7 @@
 
 // tunnel connects to a server and copies bytes until either side ends.
 func (h *handler) tunnel(w http.ResponseWriter, r *http.Request, from, server identifier.VMID) {
-	upstream, err := h.dialer.DialContext(r.Context(), "tcp", r.Host)
+	upstream, err := h.dial(r.Context(), "tcp", r.Host)
 	result := Result(err)
 	h.config.Admitter.PathTried(r.Context(), messenger.PathTried{
 		Server: server,
--- a/internal/tunneler/tunneler.go
+++ b/internal/tunneler/tunneler.go
@@ -45,15 +45,15 @@
 
 // Opener opens tunnels. It is safe for concurrent use.
 type Opener struct {
-	self   identifier.VMID
-	dialer *net.Dialer
+	self identifier.VMID
+	dial dialer.DialFunc
 }
 
 // NewOpener returns an Opener of the named node.
 func NewOpener(self identifier.VMID) *Opener {
 	return &Opener{
-		self:   self,
-		dialer: dialer.New(dialer.Config{MaxUnacked: dialer.ServerMaxUnacked}),
+		self: self,
+		dial: dialer.DetectResets(dialer.New(dialer.Config{MaxUnacked: dialer.ServerMaxUnacked}).DialContext),
 	}
 }
 
@@ -61,7 +61,7 @@
 func (o *Opener) Open(ctx context.Context, peer messenger.PathPeer, address string) (*Conn, error) {
 	ctx, done := context.WithTimeout(ctx, openTimeout)
 	defer done()
-	c, err := o.dialer.DialContext(ctx, "tcp", peer.Address)
+	c, err := o.dial(ctx, "tcp", peer.Address)
 	if err != nil {
 		return nil, openError(peer, messenger.ConnectUnavailable, err)
 	}
--- a/pkg/caller/config.go
+++ b/pkg/caller/config.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/answerreader"
+	"github.com/dotterelhollow/dotterelhollow/internal/dialer"
 	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
@@ -78,10 +79,9 @@
 }
 
 func newTransport(c Config) *answerreader.Transport {
-	dialer := &net.Dialer{Timeout: c.DialTimeout.Std()}
 	return &answerreader.Transport{
 		Transport: &http.Transport{
-			DialContext:     dialer.DialContext,
+			DialContext:     dialer.DetectResets((&net.Dialer{Timeout: c.DialTimeout.Std()}).DialContext),
 			IdleConnTimeout: idleConnTimeout,
 		},
 	}
