Bound the head of a silent server's answer to its check

A faulty server that falls silent and answers the check of its state with a head without end made the node keep all of it: 1.6 to 8.3 GB allocated in two seconds for one stream, which ended with 504 at its deadline. A node that runs out of memory ends with all its requests (LOST).

Cause: the check reads its connection with http.ReadResponse, which has no bound; those of net/http's transport and of tunnels have one. The bound of the tunnel's head moves to answerreader.Reader, and both use it. A head over 64 KB is an answer that is none: the check is sent again, and after three of them the process counts as running, as it sends bytes.

TestChecksWithoutEndAreBounded fails before for status lines, field lines, fields and bytes that are no answer; a body, trailers and interim answers without end were bounded. The other readers already have such tests, which hold: forwarder, tunnels, store, cloud, peers, plain servers, engines. HeadTooLargeError is answerreader's now, also in the test of tunnels.

--- a/internal/answerreader/answerreader.go
+++ b/internal/answerreader/answerreader.go
@@ -8,7 +8,6 @@
 package answerreader
 
 import (
-	"bufio"
 	"cmp"
 	"errors"
 	"fmt"
@@ -112,19 +111,6 @@
 	return n, err
 }
 
-// Read reads the head of an answer from a connection. Its errors are of type *MalformedError, or
-// those of http.ReadResponse.
-func Read(r *bufio.Reader, request *http.Request) (*http.Response, error) {
-	response, err := http.ReadResponse(r, request)
-	if err != nil {
-		return nil, err
-	}
-	if err := checkHead(response); err != nil {
-		return nil, err
-	}
-	return response, nil
-}
-
 // checkHead returns a *MalformedError if the head of a final answer is malformed.
 func checkHead(r *http.Response) error {
 	switch {
--- a/internal/forwarder/check.go
+++ b/internal/forwarder/check.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -74,7 +73,7 @@
 // checkConnection is the connection of a check. It is closed when the forwarder is.
 type checkConnection struct {
 	net.Conn
-	reader *bufio.Reader
+	reader *answerreader.Reader
 	// release releases the context that closes the connection.
 	release func() bool
 }
@@ -341,7 +340,7 @@
 
 // readAnswer reads an answer, and closes a connection that can't be used again.
 func (s *serverCheck) readAnswer() error {
-	response, err := answerreader.Read(s.conn.reader, nil)
+	response, err := s.conn.reader.ReadAnswer(nil)
 	if err != nil {
 		return err
 	}
@@ -367,7 +366,7 @@
 	}
 	s.conn = &checkConnection{
 		Conn:    conn,
-		reader:  bufio.NewReader(conn),
+		reader:  answerreader.NewReader(conn, maxServerHeaderBytes),
 		release: context.AfterFunc(c.ctx, func() { _ = conn.Close() }),
 	}
 	return nil
--- a/internal/forwarder/check_test.go
+++ b/internal/forwarder/check_test.go
@@ -4,6 +4,8 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -348,3 +350,75 @@
 		})
 	}
 }
+
+// Guards against exhausted memory by a silent server that answers its check without end.
+func TestChecksWithoutEndAreBounded(t *testing.T) {
+	// A check that ends without an answer is sent three times.
+	const maxCheckBytes = 3 * maxEndlessBytes
+	for _, test := range []struct {
+		name       string
+		head, part string
+	}{
+		{
+			name: "status line",
+			head: "HTTP/1.1 200 ",
+			part: "x",
+		},
+		{
+			name: "bytes that are no answer",
+			part: "x",
+		},
+		{
+			name: "header line",
+			head: "HTTP/1.1 200 OK\r\nA: ",
+			part: "x",
+		},
+		{
+			name: "header lines",
+			head: "HTTP/1.1 200 OK\r\n",
+			part: "A: b\r\n",
+		},
+		{
+			name: "informational answers",
+			part: "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n",
+		},
+		{
+			name: "body",
+			head: "HTTP/1.1 200 OK\r\n\r\n",
+			part: "x",
+		},
+		{
+			name: "trailers",
+			head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n",
+			part: "A: b\r\n",
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			endless := []byte(strings.Repeat(test.part, 64<<10/len(test.part)))
+			silent := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != statusPath {
+					<-r.Context().Done()
+					return
+				}
+				c, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer func() { _ = c.Close() }()
+				_, err = io.WriteString(c, test.head)
+				for err == nil {
+					_, err = c.Write(endless)
+				}
+			})
+			s := newFakeDecider(silent, startWholeServer(t, "id: 1\ndata: a\n\n"))
+			s.timeLimit = 2 * timekeeper.Second
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			got := sendStream(t, s)
+			runtime.ReadMemStats(&after)
+			require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(maxCheckBytes))
+			require.NoError(t, got.err)
+			require.Equal(t, "id: 1\ndata: a\n\n", got.body)
+		})
+	}
+}
--- a/internal/tunneler/endless_test.go
+++ b/internal/tunneler/endless_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/dotterelhollow/dotterelhollow/internal/answerreader"
 	"github.com/dotterelhollow/dotterelhollow/internal/messenger"
 	"github.com/dotterelhollow/dotterelhollow/internal/tunneler"
 )
@@ -78,7 +79,7 @@
 			require.Equal(t, messenger.ConnectUnavailable, failed.Result)
 			var (
 				refused  *tunneler.RefusedError
-				tooLarge *tunneler.HeadTooLargeError
+				tooLarge *answerreader.HeadTooLargeError
 			)
 			if test.refused {
 				require.ErrorAs(t, err, &refused)
--- a/internal/tunneler/error.go
+++ b/internal/tunneler/error.go
@@ -10,7 +10,6 @@
 var (
 	_ error = (*OpenError)(nil)
 	_ error = (*RefusedError)(nil)
-	_ error = (*HeadTooLargeError)(nil)
 )
 
 // OpenError reports that a tunnel could not be opened. Nothing was sent to the server.
@@ -47,10 +46,3 @@
 	}
 	return fmt.Sprintf("peer refuses: %s", e.Reason)
 }
-
-// HeadTooLargeError reports that the head of a peer's answer exceeds its bound.
-type HeadTooLargeError struct{ Limit identifier.Bytes }
-
-func (e *HeadTooLargeError) Error() string {
-	return fmt.Sprintf("head of the answer exceeds %d bytes", e.Limit)
-}
--- a/internal/tunneler/tunneler.go
+++ b/internal/tunneler/tunneler.go
@@ -12,7 +12,6 @@
 package tunneler
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -32,7 +31,6 @@
 	openTimeout = 250 * time.Millisecond
 	// nodeHeader is the header that names the node that opens a tunnel.
 	nodeHeader = "Node-Name"
-	readBuffer = 4 << 10
 	// maxAnswerHead bounds the head of a peer's answer, which has a few short headers.
 	maxAnswerHead identifier.Bytes = 16 << 10
 )
@@ -88,16 +86,8 @@
 	if err := request.Write(c); err != nil {
 		return nil, openError(peer, messenger.ConnectUnavailable, err)
 	}
-	head := &headReader{
-		reader:    c,
-		remaining: maxAnswerHead,
-	}
-	reader := bufio.NewReaderSize(head, readBuffer)
-	response, err := answerreader.Read(reader, request)
-	if err != nil && head.remaining <= 0 {
-		// The parser may report the cut line instead.
-		err = &HeadTooLargeError{Limit: maxAnswerHead}
-	}
+	reader := answerreader.NewReader(c, maxAnswerHead)
+	response, err := reader.ReadAnswer(request)
 	if err != nil {
 		return nil, openError(peer, messenger.ConnectUnavailable, err)
 	}
@@ -110,7 +100,6 @@
 		}
 		return nil, openError(peer, result, &RefusedError{Reason: messenger.TunnelRefusal(response.Header.Get(refusalHeader))})
 	}
-	head.ended = true
 	return &Conn{
 		Conn:   c,
 		Peer:   peer.Node,
@@ -118,32 +107,12 @@
 	}, nil
 }
 
-// headReader reads from a connection, and at most maxAnswerHead until the head has ended.
-type headReader struct {
-	reader    io.Reader
-	remaining identifier.Bytes
-	ended     bool
-}
-
-// Read implements io.Reader.
-func (r *headReader) Read(p []byte) (int, error) {
-	if r.ended {
-		return r.reader.Read(p)
-	}
-	if r.remaining <= 0 {
-		return 0, io.ErrUnexpectedEOF
-	}
-	n, err := r.reader.Read(p[:min(len(p), int(r.remaining))])
-	r.remaining -= identifier.Bytes(n)
-	return n, err
-}
-
 // Conn is a connection to a server through a peer.
 type Conn struct {
 	net.Conn
 	// Peer is the node through which the connection leads.
 	Peer   identifier.VMID
-	reader *bufio.Reader
+	reader io.Reader
 }
 
 var _ net.Conn = (*Conn)(nil)
