Answer each request that a stopping node has read

In the last moments of a planned stop it can be any request, also one that its caller may not repeat.

Cause: http.Server.Shutdown. Once it is called, net/http closes a connection right after it has read a request on it; the trace has "new, active, closed" within 50 us. It also closes idle connections on which a request is just being read. Ruled out: answers that are cut before they are flushed (Shutdown waits for handlers, TestRunningRequestOutlivesDrain), and the close at the end of the process (nothing is open by then).

Change: package drainer ends the connections of a port. Both kinds of node use it.

--- a/cmd/dotterelhollow/gateway.go
+++ b/cmd/dotterelhollow/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/dotterelhollow/dotterelhollow/internal/conductor"
+	"github.com/dotterelhollow/dotterelhollow/internal/drainer"
 	"github.com/dotterelhollow/dotterelhollow/internal/forwarder"
 	"github.com/dotterelhollow/dotterelhollow/internal/historian"
 	"github.com/dotterelhollow/dotterelhollow/internal/leaser"
@@ -207,11 +208,13 @@
 // closeCallers closes it before the others.
 func (g *gateway) newPorts(timeline *historian.Historian) []*port {
 	s := g.settings
+	callers := g.forwarder.Server()
 	return []*port{
 		{
 			name:    "caller",
 			address: s.Caller.Listen,
-			server:  g.forwarder.Server(),
+			server:  callers,
+			drainer: drainer.New(callers),
 		},
 		{
 			name:    "peer",
@@ -311,8 +314,6 @@
 	g.logger.Info("settings reloaded", "log_level", s.LogLevel)
 }
 
-// closeCallers closes the caller port, which is the first, once the handlers of
-// open requests have returned.
-func (g *gateway) closeCallers(ctx context.Context) {
-	_ = g.ports[0].server.Shutdown(ctx)
-}
+// closeCallers closes the caller port, which is the first, once the requests that were
+// read are answered.
+func (g *gateway) closeCallers(ctx context.Context) { g.ports[0].drainer.Drain(ctx) }
--- a/cmd/dotterelhollow/process.go
+++ b/cmd/dotterelhollow/process.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+
+	"github.com/dotterelhollow/dotterelhollow/internal/drainer"
 )
 
 // process runs a node of either kind: a server on each port, the node's main
@@ -23,9 +25,11 @@
 
 // port is a listening port with its server.
 type port struct {
-	name     string
-	address  netip.AddrPort
-	server   *http.Server
+	name    string
+	address netip.AddrPort
+	server  *http.Server
+	// drainer ends the connections in a planned stop. If it is nil, the end of the process cuts them.
+	drainer  *drainer.Drainer
 	listener net.Listener
 }
 
@@ -39,6 +43,9 @@
 			}
 			return err
 		}
+		if opened.drainer != nil {
+			l = opened.drainer.Listen(l)
+		}
 		opened.listener = l
 	}
 	return nil
--- a/cmd/dotterelhollow/serve.go
+++ b/cmd/dotterelhollow/serve.go
@@ -17,6 +17,7 @@
 
 	"github.com/dotterelhollow/dotterelhollow/internal/adapter"
 	"github.com/dotterelhollow/dotterelhollow/internal/conductor"
+	"github.com/dotterelhollow/dotterelhollow/internal/drainer"
 	"github.com/dotterelhollow/dotterelhollow/internal/historian"
 	"github.com/dotterelhollow/dotterelhollow/internal/reducer"
 	"github.com/dotterelhollow/dotterelhollow/internal/relayer"
@@ -109,9 +110,9 @@
 	logger   hclog.Logger
 	clock    timekeeper.Clock
 	runner   *runner.Runner
-	callers  *http.Server
-	peers    *http.Server
-	closers  []func()
+	// ports are those for callers and for peers.
+	ports   []*port
+	closers []func()
 }
 
 // newNode builds a node from checked settings. It opens no ports.
@@ -141,8 +142,8 @@
 	if err != nil {
 		return nil, err
 	}
-	n.callers = front.HTTPServer()
-	n.peers = &http.Server{
+	callers := front.HTTPServer()
+	peers := &http.Server{
 		Handler: relayer.NewHandler(relayer.HandlerConfig{
 			Self:  s.VM,
 			Peer:  n.runner,
@@ -154,6 +155,20 @@
 		MaxHeaderBytes:    peerMaxHeader,
 		ErrorLog:          n.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
+	n.ports = []*port{
+		{
+			name:    "caller",
+			address: s.Caller.Listen,
+			server:  callers,
+			drainer: drainer.New(callers),
+		},
+		{
+			name:    "peer",
+			address: s.Peer.Listen,
+			server:  peers,
+			drainer: drainer.New(peers),
+		},
+	}
 	return n, nil
 }
 
@@ -212,18 +227,7 @@
 // or a port fails.
 func (n *node) serve(ctx context.Context, signals <-chan os.Signal) error {
 	p := &process{
-		ports: []*port{
-			{
-				name:    "caller",
-				address: n.settings.Caller.Listen,
-				server:  n.callers,
-			},
-			{
-				name:    "peer",
-				address: n.settings.Peer.Listen,
-				server:  n.peers,
-			},
-		},
+		ports:   n.ports,
 		run:     n.runner.Run,
 		watch:   func(ctx context.Context, stop func()) { n.watch(ctx, signals, stop) },
 		closers: n.closers,
@@ -257,8 +261,9 @@
 	}
 }
 
-// closePorts closes both ports once the handlers of open requests have returned.
+// closePorts closes both ports, each once the requests that were read are answered.
 func (n *node) closePorts(ctx context.Context) {
-	_ = n.callers.Shutdown(ctx)
-	_ = n.peers.Shutdown(ctx)
+	for _, p := range n.ports {
+		p.drainer.Drain(ctx)
+	}
 }
