Fit a planned stop into a short drain time

With a drain time of 1 or 2 s callers got 504 for requests that the node took in the last half second and could not send any more (504 at 506 ms of 1 s, at 1.51 of 2 s), though they had not run; and the node stayed until 2.5 s, when the platform has ended it with what it held (LOST). Runs that servers may work on until the last sixth of the stop were ended before it if the stop was shorter than 3 s.

Cause: requests were taken for 3 s and the port was kept for 2.5 s, whatever the drain time, and the requests in flight were ended half a second before the end. Each is bounded by its part of the drain time now: a half, a half and an eighth. From 6 s on nothing changes.

TestGatewayStopsWithinItsTime fails before at 1 and 2 s, and holds at 4; TestGatewayEndsRequestsInTheLastSixthOfItsTime fails before.

--- a/cmd/dotterelhollow/gateway.go
+++ b/cmd/dotterelhollow/gateway.go
@@ -41,8 +41,10 @@
 	memoryLimitFraction = 0.7
 	megabyte            = 1 << 20
 	// endMargin is the time before the end of a planned stop at which the requests in flight are
-	// ended, so that their callers still get an answer.
-	endMargin = 500 * timekeeper.Millisecond
+	// ended, so that their callers still get an answer. It is at most one endMarginShare-th of
+	// the stop: servers may work on until its last sixth.
+	endMargin      = 500 * timekeeper.Millisecond
+	endMarginShare = 8
 )
 
 // gateway is the process of a node that forwards opaque exchanges.
@@ -296,12 +298,18 @@
 		default:
 			stopping = true
 			g.forwarder.Leave()
-			ending = time.After(max(g.settings.DrainTime-endMargin, 0).Std())
+			ending = time.After(endTime(g.settings.DrainTime).Std())
 			g.runner.Drain(g.clock.Now().Add(g.settings.DrainTime))
 		}
 	}
 }
 
+// endTime returns the time after the signal at which the requests in flight are ended, in a planned
+// stop that may take drainTime.
+func endTime(drainTime timekeeper.Duration) timekeeper.Duration {
+	return drainTime - min(endMargin, drainTime/endMarginShare)
+}
+
 // reload reads the settings file again. Only the log level can change while the
 // process runs. If the file has a fault, the current settings stay in force.
 func (g *gateway) reload() {
--- a/cmd/dotterelhollow/stop_test.go
+++ b/cmd/dotterelhollow/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelhollow/dotterelhollow/pkg/timekeeper"
 )
 
 // dialInterval is the time between two connections that are opened during a planned stop.
@@ -59,3 +62,42 @@
 	require.NoError(t, <-n.ended)
 	n.ended <- nil
 }
+
+// Guards against requests that a node takes too late to answer them, if it has little time to stop.
+func TestGatewayStopsWithinItsTime(t *testing.T) {
+	for _, drainTime := range []timekeeper.Duration{timekeeper.Second, 2 * timekeeper.Second, 4 * timekeeper.Second} {
+		t.Run(drainTime.String(), func(t *testing.T) {
+			in := newInstallation(t, 2)
+			n := in.nodes[1]
+			n.settings.DrainTime = drainTime
+			began := time.Now()
+			n.signals <- syscall.SIGTERM
+			for i := 0; ; i++ {
+				c, err := net.Dial("tcp", n.settings.Caller.Listen.String())
+				if err != nil {
+					break
+				}
+				status, err := post(c, fmt.Sprintf("r-%d", i))
+				// The listener may be closed before it has accepted the connection.
+				if !errors.Is(err, syscall.ECONNRESET) {
+					require.NoError(t, err)
+					require.Contains(t, []int{http.StatusOK, http.StatusServiceUnavailable}, status, time.Since(began))
+				}
+				require.NoError(t, c.Close())
+				<-time.After(dialInterval)
+			}
+			require.NoError(t, <-n.ended)
+			n.ended <- nil
+			require.Less(t, time.Since(began), drainTime.Std())
+		})
+	}
+}
+
+// Guards against streams that a stopping node cuts while its page still allows their engines to work.
+func TestGatewayEndsRequestsInTheLastSixthOfItsTime(t *testing.T) {
+	for _, drainTime := range []timekeeper.Duration{timekeeper.Second, 2 * timekeeper.Second, 8 * timekeeper.Second, timekeeper.Minute} {
+		end := endTime(drainTime)
+		require.Greater(t, end, drainTime*5/6)
+		require.Less(t, end, drainTime)
+	}
+}
--- a/internal/reducer/gateway.go
+++ b/internal/reducer/gateway.go
@@ -642,8 +642,10 @@
 func (r *Reducer) gatewayDrain(env *conductor.Env, e messenger.DrainStarted) []messenger.Effect {
 	g := r.gateway
 	g.draining = true
-	g.earliestExit = env.Now.Add(minDrainTime)
-	g.exchanges.Leave(env.Now.Add(drainAcceptTime))
+	// What is accepted needs time to end.
+	accept := min(drainAcceptTime, max(e.Deadline.Sub(env.Now), 0)/2)
+	g.earliestExit = env.Now.Add(min(minDrainTime, accept))
+	g.exchanges.Leave(env.Now.Add(accept))
 	g.leases.ReleaseAll()
 	marked := r.membersChanged(env, r.members.MarkLeaving(env.Now, r.config.Self, e.Deadline))
 	return append(r.tickGossip(env), marked...)
