--- a/cmd/dotterelhollow/stop_test.go
+++ b/cmd/dotterelhollow/stop_test.go
@@ -93,7 +93,7 @@
 	}
 }
 
-// Guards against streams that a stopping node cuts while its page still allows their engines to work.
+// Guards against requests that a stopping node ends before the last sixth of its time.
 func TestGatewayEndsRequestsInTheLastSixthOfItsTime(t *testing.T) {
 	for _, drainTime := range []timekeeper.Duration{timekeeper.Second, 2 * timekeeper.Second, 8 * timekeeper.Second, timekeeper.Minute} {
 		end := endTime(drainTime)
