--- a/cmd/dotterelhollow/gateway.go
+++ b/cmd/dotterelhollow/gateway.go
@@ -216,7 +216,7 @@
 			name:    "caller",
 			address: s.Caller.Listen,
 			server:  callers,
-			drainer: drainer.New(callers),
+			drainer: drainer.New(drainer.Config{Server: callers}),
 		},
 		{
 			name:    "peer",
--- a/cmd/dotterelhollow/serve.go
+++ b/cmd/dotterelhollow/serve.go
@@ -160,13 +160,13 @@
 			name:    "caller",
 			address: s.Caller.Listen,
 			server:  callers,
-			drainer: drainer.New(callers),
+			drainer: drainer.New(drainer.Config{Server: callers}),
 		},
 		{
 			name:    "peer",
 			address: s.Peer.Listen,
 			server:  peers,
-			drainer: drainer.New(peers),
+			drainer: drainer.New(drainer.Config{Server: peers}),
 		},
 	}
 	return n, nil
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -7,6 +7,7 @@
 package drainer
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -15,15 +16,25 @@
 )
 
 const (
-	// firstRequestTime is the time that a caller has to begin its first request on a connection.
-	firstRequestTime = 500 * time.Millisecond
+	// defaultFirstRequestTime is generous for callers that open a connection to use it.
+	defaultFirstRequestTime = 500 * time.Millisecond
 	// pollInterval is the time between two looks at the connections that are left.
 	pollInterval = 5 * time.Millisecond
 )
 
+// Config configures a Drainer.
+type Config struct {
+	// Server has not been started.
+	Server *http.Server
+	// FirstRequestTime is the time that a caller has to begin its first request on a connection. Zero
+	// stands for the default.
+	FirstRequestTime time.Duration
+}
+
 // Drainer ends the connections of one server. It is safe for concurrent use.
 type Drainer struct {
-	next http.Handler
+	next             http.Handler
+	firstRequestTime time.Duration
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -31,14 +42,15 @@
 	conns    map[*conn]struct{}
 }
 
-// New returns a Drainer of a server that has not been started.
-func New(s *http.Server) *Drainer {
+// New returns a Drainer, which takes over the handler and the state hook of the server.
+func New(c Config) *Drainer {
 	d := &Drainer{
-		next:  s.Handler,
-		conns: map[*conn]struct{}{},
+		next:             c.Server.Handler,
+		firstRequestTime: cmp.Or(c.FirstRequestTime, defaultFirstRequestTime),
+		conns:            map[*conn]struct{}{},
 	}
-	s.Handler = d
-	s.ConnState = stateChanged
+	c.Server.Handler = d
+	c.Server.ConnState = stateChanged
 	return d
 }
 
@@ -88,7 +100,7 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	for c := range d.conns {
-		c.expireUnused(now)
+		c.expireUnused(now, d.firstRequestTime)
 	}
 	return len(d.conns)
 }
@@ -200,7 +212,7 @@
 
 // expireUnused ends the reads of a connection that carries no request, so that its server closes
 // it. The server may have set another deadline since, so it is called again until that happens.
-func (c *conn) expireUnused(now time.Time) {
+func (c *conn) expireUnused(now time.Time, firstRequestTime time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.used || !c.kept && now.Sub(c.accepted) < firstRequestTime {
--- a/internal/reducer/stop_test.go
+++ b/internal/reducer/stop_test.go
@@ -41,6 +41,52 @@
 	require.Equal(t, gossiper.Leaving, n.State)
 }
 
+// Guards against a node without requests that stays until the platform ends it.
+func TestIdleGatewayExitsInHalfOfItsDrainTime(t *testing.T) {
+	const start = timekeeper.Time(1000)
+	for _, test := range []struct{ drainTime, exit timekeeper.Duration }{
+		{
+			drainTime: timekeeper.Second,
+			exit:      500 * timekeeper.Millisecond,
+		},
+		{
+			drainTime: 2 * timekeeper.Second,
+			exit:      timekeeper.Second,
+		},
+		{
+			drainTime: 8 * timekeeper.Second,
+			exit:      minDrainTime,
+		},
+		{
+			drainTime: timekeeper.Minute,
+			exit:      minDrainTime,
+		},
+	} {
+		r := New(Config{
+			Self:        "n1",
+			Incarnation: 1,
+			Zone:        "a",
+			PeerAddress: "n1",
+			Gateway:     &GatewayConfig{},
+		})
+		r.Apply(messenger.Event{
+			At:   start,
+			Body: messenger.DrainStarted{Deadline: start.Add(test.drainTime)},
+		})
+		exit := start
+		for effects := []messenger.Effect(nil); !slices.ContainsFunc(effects, isA[messenger.Exit]); {
+			exit = exit.Add(messenger.TickInterval)
+			require.LessOrEqual(t, exit, start.Add(test.drainTime))
+			effects = r.Apply(messenger.Event{
+				At:   exit,
+				Body: messenger.Tick{},
+			})
+		}
+		require.Less(t, exit.Sub(start)-test.exit, messenger.TickInterval)
+		require.GreaterOrEqual(t, exit.Sub(start), test.exit)
+	}
+}
+
 // meet makes the node and its peer known to each other.
 func meet(t *testing.T, r *Reducer, peer *gossiper.Members) {
 	t.Helper()
