Count interim answers by what they take

Cause: the hook that checks the names in interim answers takes over net/http's bound on their heads together, and counted 16 bytes for each and its fields, less than it has on the wire, so that 1.8 times as many were read as before. A server may still send 512 of them before an answer, 128 on connections with heads of 16 KB.

--- a/internal/answerreader/answerreader.go
+++ b/internal/answerreader/answerreader.go
@@ -62,8 +62,9 @@
 }
 
 const (
-	// interimBytes is the least size of the head of an interim answer.
-	interimBytes = 16
+	// interimBytes is what an interim answer counts besides its fields: its status line, and the
+	// memory that it takes until it is dropped.
+	interimBytes = 128
 	// defaultMaxHead bounds the head of an answer, in bytes, if the transport states no bound.
 	defaultMaxHead = 10 << 20
 )
