--- a/internal/forwarder/check_test.go
+++ b/internal/forwarder/check_test.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"runtime"
-	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -394,7 +393,6 @@
 		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			endless := []byte(strings.Repeat(test.part, 64<<10/len(test.part)))
 			silent := startServer(t, func(w http.ResponseWriter, r *http.Request) {
 				if r.URL.Path != statusPath {
 					<-r.Context().Done()
@@ -405,10 +403,7 @@
 					return
 				}
 				defer func() { _ = c.Close() }()
-				_, err = io.WriteString(c, test.head)
-				for err == nil {
-					_, err = c.Write(endless)
-				}
+				writeEndless(c, test.head, test.part)
 			})
 			s := newFakeDecider(silent, startWholeServer(t, "id: 1\ndata: a\n\n"))
 			var before, after runtime.MemStats
--- a/internal/forwarder/endless_test.go
+++ b/internal/forwarder/endless_test.go
@@ -24,13 +24,16 @@
 // startEndlessServer starts a server that sends head and then repeats part until the node closes
 // the connection.
 func startEndlessServer(t *testing.T, head, part string) string {
+	return startRawServer(t, func(c net.Conn) { writeEndless(c, head, part) })
+}
+
+// writeEndless writes head and then repeats part until the connection is closed.
+func writeEndless(c net.Conn, head, part string) {
 	chunk := []byte(strings.Repeat(part, 64<<10/len(part)))
-	return startRawServer(t, func(c net.Conn) {
-		_, err := fmt.Fprint(c, head)
-		for err == nil {
-			_, err = c.Write(chunk)
-		}
-	})
+	_, err := fmt.Fprint(c, head)
+	for err == nil {
+		_, err = c.Write(chunk)
+	}
 }
 
 // Guards against exhausted memory, and callers without an answer, by a server that sends without end.
